--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -157,10 +157,11 @@
 
     def __init__(self, *, reset: bool) -> None:
         self._socket = socket.create_server(("127.0.0.1", 0))
+        self._socket.settimeout(LIMIT_S)
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self.got: list[bytes] = []
         self._reset, self._end = reset, threading.Event()
-        self._thread = threading.Thread(target=self._serve)
+        self._thread = threading.Thread(target=self._serve, daemon=True)  # no hang when a test fails
         self._thread.start()
 
     def _serve(self) -> None:
