Tell refused callers when to come back

It now gives the call's own back-off, T1 doubling with its attempts, as for a retry of ours. The test of a refusal over sockets fails without it.

Jitter is not needed there, as refusals come at times of their own.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -323,8 +323,7 @@
         """Send held calls as room comes up, those of most worth first."""
         values = {key: self._value(*key) for key, queue in self._held.items() if queue}
         for key in sorted(values, key=values.__getitem__, reverse=True):
-            queue = self._held[key]
-            while queue:
+            while queue := self._held[key]:
                 call = queue[0]
                 if call.held and call.id in self._calls:
                     crowded = self._crowded(call, now)
@@ -416,10 +415,13 @@
         window_ms = call.cls.window_ms - self.settings.tick_ms
         return call.cls.repeat is Repeat.KEYED and now - call.ran_ms < window_ms
 
+    def _back_off(self, call: Call) -> float:  # before a retry, or before the caller's own next try
+        base = min(RETRY_WAIT_MS, RETRY_WAIT_SHARE * call.cls.aim_ms)
+        return base * 2.0 ** max(0, call.attempts - 1)
+
     def _wait_or_end(self, call: Call, now: float) -> None:
         """Wait for the next attempt with a doubling back-off, where one can still be made in time."""
-        base = min(RETRY_WAIT_MS, RETRY_WAIT_SHARE * call.cls.aim_ms) * (0.5 + self._rng.random())
-        wait = base * 2.0 ** max(0, call.attempts - 1)
+        wait = self._back_off(call) * (0.5 + self._rng.random())
         starts = now + wait + 2.0 * self.settings.tick_ms
         more = call.attempts < self.settings.max_attempts and self._repeatable(call, starts)
         if starts < call.ends_ms and more:
@@ -433,7 +435,7 @@
             self.record.ended(call.cls.name, False)
             everywhere = call.cls.repeat is Repeat.KEYED and call.cls.group is Group.ALL
             harmless = not call.out and (call.ran_ms is None or everywhere or call.cls.repeat is Repeat.SAFE)
-            self._actions.append(api.Refuse(call.id) if harmless else api.Fail(call.id))
+            self._actions.append(api.Refuse(call.id, self._back_off(call)) if harmless else api.Fail(call.id))
 
     def _set_timer(self, call: Call, delay_ms: float) -> None:
         self._token = call.token = self._token + 1
@@ -457,8 +459,7 @@
             self._share += (share - self._share) / self._seen
             if server is not None and self._share:
                 server.judge(share / self._share, now)
-            served = event.result is Result.SERVED
-            self.controller.answered(event.duration_ms, call.cls.aim_ms, now, served)
+            self.controller.answered(event.duration_ms, call.cls.aim_ms, now, event.result is Result.SERVED)
         elif call is not None and event.result is Result.REFUSED:  # full is as slow as a server gets
             self.controller.answered(call.cls.aim_ms, call.cls.aim_ms, now, False)
         if call is not None and event.settled:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -164,8 +164,7 @@
             case api.Fail():
                 self._finish(action.id, Reply(502, b"failed"))
             case api.Refuse():
-                after_s = action.retry_after_ms / 1000.0 if action.retry_after_ms > 0.0 else None
-                self._finish(action.id, Reply(503, b"refused", retry_after_s=after_s))
+                self._finish(action.id, Reply(503, b"refused", retry_after_s=action.retry_after_ms / 1000.0))
             case api.Cancel():
                 attempt = self._attempts.get((action.id, action.attempt))
                 if attempt is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -259,6 +259,7 @@
         async with world(tmp_path, server) as scene:
             reply = await scene.ask("a", "pay", budget="0.001")  # no time left for an attempt
             assert reply.status == 503 and not server.seen
+            assert 0.0 < float(reply.headers["retry-after"]) <= 0.5  # T1
 
     run(test())
 
