--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -77,8 +77,8 @@
         other = Registry()
         await ghost.start()
         await other.start()
-        other.whole = [server.entry()]
         async with world(tmp_path, server) as scene:
+            other.whole = [server.entry()]
             await until(lambda: len(scene.registry.seen) == 1)
             assert scene.node is not None
             host, _, port = other.address.rpartition(":")
