Unsafe requests go on fresh connections; cap the end of what a stopping node holds; tests

To blame: Upstream.send reuses for every class, and what is lost so may have run. Mend: api.Send.fresh, set by the module for unsafe classes; the oldest kept connection makes room. Also: what a stopping node holds past the platform's kill is now failed before it; tests for callers' limits, serials, strict requests, spoilt lengths, dials and the books after churn.

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -245,11 +245,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start the request's next attempt on a server; give it up after `timeout_ms`."""
+    """Start the request's next attempt on a server; give it up after `timeout_ms`.
+
+    `fresh`: on a connection of its own, as one that was kept may be dead without a sign of it, and what
+    is lost on it may have run.
+    """
 
     id: str
     server: int
     timeout_ms: float
+    fresh: bool = False
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -388,8 +388,7 @@
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
-        server.inflight += 1
-        self.inflight += 1
+        server.inflight, self.inflight = server.inflight + 1, self.inflight + 1
         if self.inflight > HOT * len(self.fleet.ready) and self.fleet.slices < self.settings.nodes:
             self.fleet.cut(2 * self.fleet.slices)  # a hot caller needs more of the fleet
         call.idle_ms = 0.0 if server.out else now - server.used_ms
@@ -397,10 +396,11 @@
             self._actions.append(api.CloseIdle(server.id))
             call.idle_ms = 0.0
         server.out[call.id] = now, cls.aim_ms
-        last = cls.repeat is Repeat.UNSAFE or call.attempts == self.settings.max_attempts
+        once = cls.repeat is Repeat.UNSAFE  # on a fresh connection: a loss could not be made good
+        wait = left if once or call.attempts == self.settings.max_attempts else TIMEOUT_SHARE * left
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
         most = PATIENCE * self._share * cls.aim_ms if self._seen >= SAMPLES else left
-        self._actions.append(api.Send(call.id, server.id, min(most, left if last else TIMEOUT_SHARE * left)))
+        self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
         return True
 
     def _in_budget(self, now: float) -> bool:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -120,6 +120,10 @@
         """
         grace_ms = KILL_MS - STOP_MARGIN_MS + min(LONGEST_MS, self._longest_ms or LONGEST_MS)
         asked_ms, self._stop_ms = now_ms(), now_ms() + grace_ms
+        for live in self._live.values():  # that kill comes first
+            if live.ends_ms > self._stop_ms:
+                live.ends_ms = self._stop_ms
+                self._watch(live)
         self.frontend.leave()
         await asyncio.sleep(accept_s)
         self.frontend.close_listener()
@@ -150,11 +154,18 @@
         live = Live(self, id, message, answer, min(now + message.budget_ms, self._stop_ms))
         self._live[id] = live
         self._open_ids.add(message.id)
-        live.backstop = self._loop.call_later(max(0.0, live.ends_ms - now) / 1000.0, self._overdue, live)
+        self._watch(live)
         ttl_ms = max(0.0, live.ends_ms - now - MARGIN_MS)
         self._handle(api.Request(id, message.cls, ttl_ms, message.tenant, message.again))
         return live
 
+    def _watch(self, live: Live) -> None:
+        """Set the backstop to the request's end, as it is now."""
+        if live.backstop is not None:
+            live.backstop.cancel()
+        left_s = max(0.0, live.ends_ms - now_ms()) / 1000.0
+        live.backstop = self._loop.call_later(left_s, self._overdue, live)
+
     def caller_gone(self, live: Live) -> None:
         """Nobody waits any more."""
         if self._drop(live):
@@ -251,7 +262,7 @@
 
         address = self._addresses[server]
         message = request_bytes(live.message, address, timeout_ms)
-        attempt = self._upstream.send(server, address, message, timeout_ms, may_send, ended)
+        attempt = self._upstream.send(server, address, message, timeout_ms, may_send, ended, action.fresh)
         if not attempt.over:
             self._attempts[action.id, number] = attempt
 
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -289,12 +289,15 @@
         timeout_ms: float,
         may_send: Callable[[], bool],
         ended: Ended,
+        fresh: bool = False,
     ) -> Attempt:
-        """Start an attempt; `ended` may be called before this returns."""
+        """Start an attempt, on a new connection if `fresh`; `ended` may be called before this returns."""
         attempt = Attempt(message, may_send, ended)
         attempt.give_up_after(self._loop.call_later(max(0.0, timeout_ms) / 1000.0, attempt.timed_out))
         idle = self._idle.get(server, [])
-        while idle:
+        if fresh and idle:
+            idle[0].close()  # the new one takes its place, or they would add up
+        while idle and not fresh:
             connection = idle.pop()  # the most recently used, so that the rest can grow old and go
             if connection.usable() and connection.address == address:
                 connection.carry(attempt)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,197 @@
+"""Callers that are silent, slow, deaf or many: each connection has a limit, and only its own suffers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+
+import pytest
+
+from orchidferry import frontend, node
+from orchidferry.frontend import Stage
+from tests.peers import HANG, LIMIT_S, Server, World, answer, request, run, until, world
+
+
+@pytest.fixture
+def soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Limits that a test can wait for."""
+    monkeypatch.setattr(frontend, "SWEEP_S", 0.02)
+    for stage in frontend.LIMITS_S:
+        monkeypatch.setitem(frontend.LIMITS_S, stage, 0.2)
+
+
+def callers(scene: World) -> int:
+    assert scene.node is not None
+    return scene.node.frontend.count()
+
+
+HALVES = {
+    "half a head": b"GET /read HTTP/1.1\r\nX-Call-Id: q\r\n",
+    "half a body": request("q", "pay", body=b"whole")[:-2],
+    "no end of chunks": b"POST /pay HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n",
+}
+
+
+@pytest.mark.usefixtures("soon")
+@pytest.mark.parametrize("data", HALVES.values(), ids=HALVES.keys())
+@pytest.mark.parametrize("asked", [False, True], ids=["at first", "later"])
+def test_a_request_that_does_not_come_whole_is_told_so(data: bytes, asked: bool, tmp_path: Path) -> None:
+    """It held its socket for ever."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            caller = await scene.caller()
+            if asked:
+                assert (await caller.ask("before")).status == 200
+            caller.write(data)
+            assert (await caller.read()).status == 408
+            assert await caller.closed()
+            await until(lambda: callers(scene) == 0)
+
+    run(test())
+
+
+@pytest.mark.usefixtures("soon")
+def test_silent_and_idle_callers_are_closed_but_not_those_that_wait_for_their_answer(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            silent, idle, waiting = [await scene.caller() for _ in range(3)]
+            assert (await idle.ask("idle")).status == 200
+            server.gate.clear()
+            waiting.write(request("waiting"))
+            assert await silent.closed() and await idle.closed()
+            server.gate.set()
+            assert (await waiting.read()).status == 200
+
+    run(test())
+
+
+@pytest.mark.usefixtures("soon")
+def test_a_caller_that_does_not_read_is_ended_and_read_from_no_more(tmp_path: Path) -> None:
+    """What it was sent stayed in memory, and closing it waited for it to read."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server(usual=answer(200, b"x" * 65536))) as scene:
+            assert scene.node is not None
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                await asyncio.to_thread(deaf.connect, scene.address)
+                await until(lambda: callers(scene) == 1)
+                [caller] = scene.node.frontend._stages[Stage.NEW]
+                own = caller._transport.get_extra_info("socket")
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                deaf.sendall(b"".join(request(f"{n}") for n in range(8)))
+                await until(lambda: callers(scene) == 0)
+
+    run(test())
+
+
+def test_a_huge_body_is_refused_before_it_comes_and_the_refusal_can_be_read(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            caller = await scene.caller()
+            caller.write(
+                b"POST /pay HTTP/1.1\r\nX-Call-Id: q\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 100_000
+            )
+            assert (await caller.read()).status == 413
+            assert await caller.closed()
+
+    run(test())
+
+
+@pytest.mark.usefixtures("soon")
+def test_a_planned_end_does_not_wait_for_callers_that_neither_ask_nor_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for stage in frontend.LIMITS_S:
+        monkeypatch.setitem(frontend.LIMITS_S, stage, 1000.0)
+    monkeypatch.setattr(node, "LONGEST_MS", 300.0)
+    monkeypatch.setattr(node, "LAST_MS", 100.0)
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            half, served = await scene.caller(), await scene.caller()
+            half.write(HALVES["half a body"])
+            assert (await served.ask("before")).status == 200
+            stopping = asyncio.ensure_future(scene.node.stop(0.0))
+            await asyncio.sleep(0)
+            # A connection that stays open is served on.
+            assert (await served.ask("during")).status == 200
+            await asyncio.wait_for(stopping, LIMIT_S)
+            await until(lambda: callers(scene) == 0)
+
+    run(test())
+
+
+def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its budget may reach past the kill: what that finds open is lost."""
+    monkeypatch.setattr(node, "LONGEST_MS", 300.0)
+
+    async def test() -> None:
+        async with world(tmp_path, Server(usual=HANG)) as scene:
+            assert scene.node is not None
+            before, during = await scene.caller(), await scene.caller()
+            before.write(request("a", "pay", budget="20"))
+            await until(lambda: scene.node is not None and bool(scene.node._live))
+            stopping = asyncio.ensure_future(scene.node.stop(0.0))
+            await asyncio.sleep(0)
+            assert (await during.ask("b", "pay", budget="20")).status in (502, 504)
+            assert (await before.read()).status in (502, 504)
+            await asyncio.wait_for(stopping, LIMIT_S)
+
+    run(test())
+
+
+def test_an_id_that_comes_again_while_its_old_attempt_is_out_gets_its_own_answer(tmp_path: Path) -> None:
+    """Both were kept under the caller's id: the answer to one could end the other."""
+
+    async def test() -> None:
+        server = Server(answer(200, b"old"), answer(200, b"new"))
+        server.gate.clear()
+        async with world(tmp_path, server) as scene:
+            gone = await scene.caller()
+            gone.write(request("a"))
+            await until(lambda: len(server.seen) == 1)
+            gone.writer.close()
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and not scene.node._live)
+            again = await scene.caller()
+            again.write(request("a"))
+            await until(lambda: len(server.seen) == 2)
+            server.gate.set()
+            assert (await again.read()).body == b"new"
+            await until(lambda: scene.node is not None and not scene.node._attempts)
+            balancer = scene.node._balancer
+            assert balancer.inflight == 0
+            assert all(not s.inflight and not s.out for s in balancer.fleet.servers.values())
+
+    run(test())
+
+
+def test_after_churn_nothing_is_left_in_the_books(tmp_path: Path) -> None:
+    """Ever new ids, callers and servers, some of these at the address of one that has gone."""
+
+    async def test() -> None:
+        server = Server(name="s0")
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            for n in range(1, 16):
+                assert (await scene.ask(f"{n}")).status == 200
+                scene.registry.tell(server.entry(name=f"s{n - 1}", status="left"), server.entry(name=f"s{n}"))
+                await until(lambda n=n: len(scene.registry.seen) == n + 1)  # type: ignore[misc]
+                scene.callers.pop().writer.close()
+            await until(lambda: callers(scene) == 0)
+            own, module = scene.node, scene.node._balancer
+            assert not own._live and not own._open_ids and not own._attempts and not own._events
+            assert len(own._addresses) == len(own._in_service) == len(module.fleet.servers) == 1
+            assert not module._calls and not module._waiting and not any(module._held.values())
+            assert len(module._taken._times) + len(module._further._times) <= 2
+            assert own._upstream.count() <= 1 and sum(map(len, own._upstream._idle.values())) <= 1
+
+    run(test())
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -584,3 +584,14 @@
         node.now += 3000.0 + 1000.0 * n
         assert not [a for a in node.ask(f"{n}") if isinstance(a, api.CloseIdle)]
         node.end(f"{n}", result, 500.0)
+
+
+def test_a_hot_copy_takes_no_more_slices_than_there_are() -> None:
+    """They doubled with each send without end, and the whole fleet was cut anew each time."""
+    settings = api.Settings([api.RequestClass("read", 1000.0, 3000.0)], nodes=20, tier=1, tiers=2)
+    balancer = logic.Balancer(settings, 1)
+    balancer.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(n) for n in range(4)]), 0.0)
+    for n in range(200):
+        balancer.handle(api.Request(f"{n}", "read", 3000.0), float(n))
+    assert balancer.inflight == 200
+    assert 20 <= balancer.fleet.slices < 40
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import logging
 import socket
 import struct
 import threading
 import time
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
 
+from nickelbridge import interface as api
 from nickelbridge.interface import Result
+from nickelbridge.logic import Balancer
 from orchidferry.config import Address
 from orchidferry.upstream import Answer, Connection, Upstream, read_report
 from tests.peers import CLOSE, HANG, LIMIT_S, RESET, Server, answer, request, run, until, world
@@ -29,6 +34,12 @@
     "half a head": b"HTTP/1.1 200 OK\r\nContent-Le" + CLOSE,
     "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive!" + CLOSE,
     "body without length": b"HTTP/1.1 200 OK\r\n\r\nuntil the end" + CLOSE,
+    "no length, kept open": b"HTTP/1.1 200 OK\r\n\r\nuntil the end",
+    "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+    "twice the same length": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+    "length beside chunks": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n0\r\n\r\n",
+    "interim answers without end": b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n" * 1000,
     "bad length": b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nabcde",
     "huge length": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
     "long body": answer(200, b"x" * (64 * 1024 + 1)),
@@ -274,7 +285,101 @@
     run(test())
 
 
+class ShortLoop:
+    """The event loop, but for connecting, which fails in a given way."""
+
+    def __init__(self, problem: Exception) -> None:
+        self._problem, self._loop = problem, asyncio.get_running_loop()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *args: Any) -> None:
+        raise self._problem
+
+
+@pytest.mark.parametrize(
+    ("problem", "result"),
+    [(OSError(errno.EMFILE, "too many open files"), Result.MOOT),
+     (OSError(errno.ECONNREFUSED, "refused"), Result.UNREACHABLE),
+     (RuntimeError("a fault"), Result.UNREACHABLE)],
+)  # fmt: skip
+def test_a_dial_that_fails_ends_its_attempt_and_our_own_shortage_is_not_the_servers(
+    problem: Exception, result: Result, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        attempts = Attempts("127.0.0.1:1")
+        attempts.upstream._loop = cast(asyncio.AbstractEventLoop, ShortLoop(problem))
+        with caplog.at_level(logging.CRITICAL):
+            attempts.send("a")
+            assert await attempts.result(1) is result
+        await until(lambda: attempts.upstream.count() == 0)
+
+    run(test())
+
+
+def test_an_attempt_without_room_for_its_socket_never_ran_and_is_not_the_servers_failure() -> None:
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        attempts = Attempts(server.address)
+        attempts.upstream._room = lambda: 0
+        attempts.send("a")
+        assert await attempts.result(1) is Result.MOOT and not server.connections
+        await server.stop()
+
+    run(test())
+
+
+def test_a_dial_that_is_called_off_leaves_no_connection() -> None:
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        attempts = Attempts(server.address)
+        for n in range(20):
+            attempt = attempts.upstream.send(
+                1, attempts.address, request("a"), 20_000.0, lambda: True,
+                lambda result, answer: attempts.results.append(result),
+            )  # fmt: skip
+            for _ in range(n % 4):  # at each step of it
+                await asyncio.sleep(0)
+            attempt.break_off(Result.CANCELLED)
+        assert attempts.results == [Result.CANCELLED] * 20
+        await until(lambda: attempts.upstream.count() == 0 and server.lost == server.connections)
+        await server.stop()
+
+    run(test())
+
+
+def test_huge_figures_in_a_report_are_cut() -> None:
+    """A queue of 1e300, to the third power, stopped every pick."""
+    report = read_report(b"queue=1e300")
+    assert report == {"queue": 1e6}
+    settings = api.Settings([api.RequestClass("read", 1000.0, 3000.0, repeat=api.Repeat.SAFE)])
+    balancer = Balancer(settings, 1)
+    balancer.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(7)]), 0.0)
+    for id in "ab":
+        [send] = balancer.handle(api.Request(id, "read", 3000.0), 1.0)
+        assert isinstance(send, api.Send)
+        balancer.handle(api.AttemptEnded(id, 0, 7, Result.SERVED, 5.0, True, report), 6.0)
+
+
 def test_a_report_that_cannot_be_read_counts_as_none() -> None:
     assert read_report(b"inflight=7,queue=-2, util=0.61") == {"inflight": 7.0, "queue": 0.0, "util": 0.61}
     for text in (b"", b"queue", b"queue=1=2", b"queue=x", b"queue=nan", b"queue=inf", b"\xff=1"):
         assert read_report(text) is None
+
+
+def test_what_must_not_run_twice_goes_on_a_fresh_connection_and_these_do_not_add_up(tmp_path: Path) -> None:
+    """A kept connection may be dead with no sign of it: what is lost on it may have run, and is lost."""
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            for id, cls in (("a", "read"), ("b", "pay"), ("c", "pay"), ("d", "read"), ("e", "save")):
+                assert (await scene.ask(id, cls)).status == 200
+            assert [seen.connection for seen in server.seen] == [1, 2, 3, 3, 3]
+            assert scene.node is not None and scene.node._upstream.count() == 1
+            await until(lambda: server.lost == 2)
+
+    run(test())
