A call that later ones overtook says nothing of its server; what nobody waits for still teaches

At 16 to 19 s two of four servers stand at 1 to 2 % of their weight, their slowness at 0.7: each has one call out for 1.5 to 6 s, unsafe ones on connections that fell silent, while all later calls to them are served. Their peers hold 12 to 15 calls, slow down, and the window by Little's law is full of what waits there.

At fault: Server.pace took the oldest call out as a sign of its server, whatever was served since; the time-out was then judged as slowness (SLOW_MOST) once more. _on_ended taught delay, slowness and answer rate only while the call was known, and a fifth of the callers leave early here. Counts of a server that comes back to the list went below what is out; the count is now the table of what is out.

Holds for any call that is long by itself. Could hurt: a server that answers some and loses most shows only by time-outs. Not mended yet: a server whose only call out hangs has nothing that could overtake it.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -113,8 +113,9 @@
     """What this copy knows of one server."""
 
     def __init__(self, entry: api.ServerEntry, now: float, rng: random.Random) -> None:
-        self.id, self.inflight = entry.server, 0
+        self.id = entry.server
         self.out: dict[str, tuple[float, float]] = {}  # when each call out was sent, and its aim
+        self.alive_ms = -math.inf  # when the latest sent of the calls that it served was sent
         self.turn: float | None = None  # its place in the rotation; None: new to it
         self.queue, self.report_ms = 0.0, now  # requests it last said were waiting there, and when it did
         self.slowness, self.slow_ms = 1.0, now  # its delay over its peers', averaged
@@ -130,6 +131,10 @@
         self.part = self.share  # of it that is this copy's to use
         self.in_service, self.started_ms = entry.health is Health.IN_SERVICE, entry.started_ms
 
+    @property
+    def inflight(self) -> int:
+        return len(self.out)
+
     def warmth(self, now: float, settings: api.Settings) -> float:
         """The share of its capacity that it surely has by now."""
         if self.started_ms is None or not settings.ramp_time_ms:
@@ -146,8 +151,11 @@
 
     def pace(self, now: float, usual_share: float) -> float:
         """What is left of its weight, once it is clearly slower than its peers, or keeps a call waiting."""
-        sent_ms, aim_ms = next(iter(self.out.values()), (now, 1.0))
-        # A silent, hung or choked server shows by the oldest call it holds long before a time-out does.
+        # A silent, hung or choked server shows by the oldest call it holds long before a time-out does. Not
+        # by one that later ones overtook: it is the connection that died, or that call alone that is long.
+        # sulcast-porto-alegre 3646: two dead connections kept two sound servers of four from work for 6 s. It
+        # hides a server that answers few and loses the rest, until these time out.
+        sent_ms, aim_ms = next((call for call in self.out.values() if call[0] >= self.alive_ms), (now, 1.0))
         overdue = (now - sent_ms) / (usual_share * aim_ms) / OVERDUE if usual_share else 0.0
         queue = self.queue * math.exp((self.report_ms - now) / REPORT_MS)
         slowness = max(self._slowness_at(now), overdue, SLOW_FROM)
@@ -388,7 +396,7 @@
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
-        server.inflight, self.inflight = server.inflight + 1, self.inflight + 1
+        self.inflight += 1
         if self.inflight > HOT * len(self.fleet.ready) and self.fleet.slices < self.settings.nodes:
             self.fleet.cut(2 * self.fleet.slices)  # a hot caller needs more of the fleet
         call.idle_ms = 0.0 if server.out else now - server.used_ms
@@ -448,20 +456,12 @@
         if server is not None:
             if event.report:
                 server.queue, server.report_ms = event.report.get("queue", 0.0), now
-            server.inflight = max(0, server.inflight - 1)
-            server.out.pop(event.id, None)
+            # None: sent before the server left the list and came back, as one of which nothing is known.
+            sent = server.out.pop(event.id, None)
             server.used_ms = now
             if call is not None and call.idle_ms: self._judge_idle(call.idle_ms, event.result)
             self._learn(server, event.result, now)
-        if call is not None and event.result in (Result.SERVED, Result.TIMEOUT):
-            share = event.duration_ms / call.cls.aim_ms
-            self._seen = min(self._seen + 1.0, PEER_SAMPLES)
-            self._share += (share - self._share) / self._seen
-            if server is not None and self._share:
-                server.judge(share / self._share, now)
-            self.controller.answered(event.duration_ms, call.cls.aim_ms, now, event.result is Result.SERVED)
-        elif call is not None and event.result is Result.REFUSED:  # full is as slow as a server gets
-            self.controller.answered(call.cls.aim_ms, call.cls.aim_ms, now, False)
+            if sent is not None: self._measure(server, *sent, event, now)
         if call is not None and event.settled:
             del self._calls[event.id]
             self.record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
@@ -476,6 +476,25 @@
                 self._end(call)
         self._release(now)
 
+    def _measure(
+        self, server: Server, sent_ms: float, aim_ms: float, event: api.AttemptEnded, now: float
+    ) -> None:
+        """What an outcome tells of the delay, also if nobody waits for the answer any more.
+
+        Callers that leave early leave what takes long: without theirs, delay and answer rate come out low.
+        """
+        if event.result in (Result.SERVED, Result.TIMEOUT):
+            share = event.duration_ms / aim_ms
+            self._seen = min(self._seen + 1.0, PEER_SAMPLES)
+            self._share += (share - self._share) / self._seen
+            served = event.result is Result.SERVED
+            if self._share and (served or sent_ms >= server.alive_ms):
+                server.judge(share / self._share, now)
+            if served: server.alive_ms = max(server.alive_ms, sent_ms)
+            self.controller.answered(event.duration_ms, aim_ms, now, served)
+        elif event.result is Result.REFUSED:  # full is as slow as a server gets
+            self.controller.answered(aim_ms, aim_ms, now, False)
+
     def _judge_idle(self, idle_ms: float, result: Result) -> None:
         """Two losses on idled connections, none served that idled as long: close such before use."""
         if result in (Result.TIMEOUT, Result.RESET):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -135,12 +135,14 @@
     def __init__(self, *script: bytes, usual: bytes = answer(), name: str = "s", group: int = 0) -> None:
         super().__init__()
         self.left, self.usual, self.name, self.group = list(script), usual, name, group
+        self.pause_s = 0.0  # before each answer
         self.gate = asyncio.Event()
         self.gate.set()
 
     async def script(self, message: Seen) -> bytes:
         data = self.left.pop(0) if self.left else self.usual
         await self.gate.wait()
+        await asyncio.sleep(self.pause_s)
         return data
 
     def entry(self, **changes: Any) -> dict[str, Any]:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -531,6 +531,54 @@
     assert stuck in node.serve(30)
 
 
+def test_a_call_that_later_ones_overtook_says_nothing_of_its_server() -> None:
+    """Neither while it is out nor by its time-out: the server answers, the call's connection died."""
+    node = Node(servers=4, tier=1)
+    node.serve(200)
+    for n in range(8):
+        node.now += 1.0
+        node.ask(f"c{n}")
+    silent = next(n for n in range(8) if node.sent[f"c{n}"] in [node.sent[f"c{m}"] for m in range(n + 1, 8)])
+    for n in range(8):
+        if n != silent:
+            node.end(f"c{n}", Result.SERVED, 5.0)
+    [server] = node.sent[f"c{silent}"]
+    node.now += 1000.0
+    assert server in node.serve(12)
+    node.end(f"c{silent}", Result.TIMEOUT, 500.0)
+    assert server in node.serve(12)
+
+
+def test_answers_that_nobody_waits_for_any_more_still_teach() -> None:
+    """Callers that leave early leave what takes long: delay and answer rate came out low without theirs."""
+    node = Node(servers=2)
+    node.serve(20)
+    share, answers = node.balancer._share, node.balancer.controller.answers.events
+    node.ask("left")
+    node.do(api.ClientGone("left"), 10.0)
+    node.end("left", Result.SERVED, 800.0, settled=True)
+    assert node.balancer._share > 1.2 * share
+    assert node.balancer.controller.answers.events > 0.8 * answers + 0.9
+    node.ask("left late")
+    node.do(api.ClientGone("left late"), 10.0)
+    node.end("left late", Result.TIMEOUT, 2850.0, settled=True)
+    assert node.balancer.fleet.servers[node.sent["left late"][0]].slowness > 2.0
+
+
+def test_what_was_sent_before_a_server_came_back_to_the_list_is_not_counted_twice() -> None:
+    node = Node(servers=1)
+    node.ask("before")
+    node.list_all([])
+    node.list_all(entries([0]))
+    node.ask("after")
+    server = node.balancer.fleet.servers[0]
+    assert server.inflight == 1
+    node.end("before", Result.SERVED)
+    assert server.inflight == 1 and node.balancer.inflight == 1
+    node.end("after", Result.SERVED)
+    assert server.inflight == node.balancer.inflight == 0
+
+
 def test_a_reported_queue_takes_weight_and_fades() -> None:
     """Kolin: a crowded server says so in its answers, before it tips."""
     node = Node(servers=4, tier=1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,6 +19,7 @@
 from orchidferry.config import address, server_id
 from tests.peers import (
     CLOSE,
+    HANG,
     LIMIT_S,
     Server,
     World,
@@ -205,6 +206,31 @@
     run(test())
 
 
+def test_a_connection_that_falls_silent_does_not_keep_its_server_from_work(tmp_path: Path) -> None:
+    """sulcast-porto-alegre 3646: one call on a dead connection, and a sound server got next to nothing."""
+
+    async def test() -> None:
+        servers = [Server(name="s0"), half_dead := Server(name="s1")]
+        for server in servers:
+            server.pause_s = 0.02
+        async with world(tmp_path, *servers) as scene:
+            for n in range(4):
+                await scene.ask(f"first-{n}")
+            half_dead.left.append(HANG)
+            asked = [asyncio.create_task(scene.ask(f"at-once-{n}")) for n in range(4)]
+            await until(lambda: sum(task.done() for task in asked) == 3)
+            await asyncio.sleep(0.2)  # ten times the usual delay: the call that hangs is long overdue
+            before = len(half_dead.seen)
+            for n in range(10):
+                await scene.ask(f"later-{n}")
+            assert len(half_dead.seen) - before >= 3
+            assert scene.node is not None and scene.node._balancer.inflight == 1  # it still hangs
+            half_dead.hang_up()  # and is made good elsewhere, or failed
+            await asyncio.gather(*asked)
+
+    run(test())
+
+
 def test_a_caller_that_has_gone_ends_its_request_and_the_attempt_still_reports(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server(answer(500))
