While a node ends its listener stays open as long as its connections are served

Open the listener for 2.2 s in a copy, and requests go on until the close: callers that are refused a new connection take the node for dead and leave the open ones. At fault: Node.stop closed the listener after ACCEPT_S. It now closes with the connections, and these 0.8 s before the last answer (1.2 s): half of the answers come within 0.5 s.

Could hurt: callers who could go elsewhere come here for 2 s longer; they are served.

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -23,14 +23,12 @@
 from orchidferry.upstream import Answer, Attempt, Upstream
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
-# A planned end. Connections go on coming for up to 0.4 s after SIGTERM; SIGKILL follows no sooner than
+# A planned end. Connections go on coming for 0.4 s after SIGTERM at least; SIGKILL follows no sooner than
 # the longest budget of a request, 3 s at most, and 0.7 s more.
 ACCEPT_S = 0.45
 LONGEST_MS, KILL_MS = 3_000.0, 700.0
 STOP_MARGIN_MS = 200.0  # from the last answer to that kill
-LAST_MS = (
-    1_200.0  # before the last answer, connections begin to close: what comes till then has a fair chance
-)
+LAST_MS = 800.0  # before the last answer all begins to close: what comes till then has a fair chance
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
@@ -126,12 +124,14 @@
                 self._watch(live)
         self.frontend.leave()
         await asyncio.sleep(accept_s)
-        self.frontend.close_listener()
+        # The listener stays open as long as connections are served: whoever is refused a new one takes the
+        # node for dead and leaves its open ones too, and where it is the only node has nowhere to go.
         try:
             async with asyncio.timeout((self._stop_ms - LAST_MS - now_ms()) / 1000.0):
                 await self.frontend.empty()
         except TimeoutError:
             log.info("closing connections %.0f ms after the signal", now_ms() - asked_ms)
+        self.frontend.close_listener()
         try:
             async with asyncio.timeout((self._stop_ms + STOP_MARGIN_MS / 2.0 - now_ms()) / 1000.0):
                 await self.frontend.wind_up()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -127,6 +127,24 @@
     run(test())
 
 
+def test_new_connections_are_served_as_long_as_open_ones_while_the_node_ends(tmp_path: Path) -> None:
+    """Refused a new connection, callers of a single node left their open ones too, 2 s before it closed."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            kept = await scene.caller()
+            assert (await kept.ask("a")).status == 200
+            stopping = asyncio.create_task(scene.node.stop(0.0))
+            await asyncio.sleep(0.1)
+            assert (await scene.ask("b")).status == (await kept.ask("c")).status == 200
+            await stopping
+            with pytest.raises(ConnectionError):
+                await scene.caller()
+
+    run(test())
+
+
 def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
