Take out again that a class which a server turns away goes elsewhere

From the third refusal in a row on the time away doubles, up to 32 s, and a throttled server would be lost to a class for that long: read from the code, not yet traced.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -39,7 +39,6 @@
 EJECT_SHARE = 0.5  # of the servers may be out at once for errors
 EJECT_ODDS = math.log(30.0)  # log odds from which a server is ejected for its errors
 BAD_RATIO, ERROR_FLOOR = 0.5, 0.01  # the share of errors to suspect; the least that peers are taken for
-TURNED = 3  # times in a row that a server turns a class away: the class is then kept from it as if ejected
 QUOTA_MS = 1_000.0  # of its quota is what a tenant may send at once
 TIMEOUT_SHARE = 0.95  # of the time left, for an attempt that another may follow
 START = 4.0  # calls a server, at first
@@ -112,21 +111,12 @@
         return min(1.0, self.allowed_rate / self.failures.per_s()) if self.tuned_rate else 1.0
 
 
-class Turned:
-    """How a server turns a class of calls away: since when, how often in a row, when last."""
-
-    def __init__(self, now: float) -> None:
-        self.since_ms, self.row, self.last_ms = now, 0, now
-        self.shut_ms = -math.inf  # the class is kept from it till then
-
-
 class Server:
     """What this copy knows of one server."""
 
     def __init__(self, entry: api.ServerEntry, now: float, rng: random.Random) -> None:
         self.id = entry.server
-        self.out: dict[str, tuple[float, api.RequestClass]] = {}  # when each call out was sent, and its class
-        self.turned: dict[str, Turned] = {}  # by class: how it turned that away
+        self.out: dict[str, tuple[float, float]] = {}  # when each call out was sent, and its aim
         self.alive_ms = -math.inf  # when the latest sent of the calls that it served was sent
         self.turn: float | None = None  # its place in the rotation; None: new to it
         self.queue, self.report_ms = 0.0, now  # requests it last said were waiting there, and when it did
@@ -167,8 +157,7 @@
         # by one that later ones overtook: it is the connection that died, or that call alone that is long.
         # sulcast-porto-alegre 3646: two dead connections kept two sound servers of four from work for 6 s. It
         # hides a server that answers few and loses the rest, until these time out.
-        calls = ((sent_ms, cls.aim_ms) for sent_ms, cls in self.out.values() if sent_ms >= self.alive_ms)
-        sent_ms, aim_ms = next(calls, (now, 1.0))
+        sent_ms, aim_ms = next((call for call in self.out.values() if call[0] >= self.alive_ms), (now, 1.0))
         overdue = (now - sent_ms) / (usual_share * aim_ms) / OVERDUE if usual_share else 0.0
         queue = self.queue * math.exp((self.report_ms - now) / REPORT_MS)
         slowness = max(self._slowness_at(now), overdue, SLOW_FROM)
@@ -177,8 +166,8 @@
     def lost(self, now: float, usual_share: float) -> int:
         """How many of its calls out it can't be working on, as far as can be told."""
         return sum(
-            sent_ms < self.alive_ms and now - sent_ms > LOST * usual_share * cls.aim_ms
-            for sent_ms, cls in self.out.values()
+            sent_ms < self.alive_ms and now - sent_ms > LOST * usual_share * aim_ms
+            for sent_ms, aim_ms in self.out.values()
         )
 
     def eject(self, now: float, rng: random.Random) -> None:
@@ -187,18 +176,6 @@
             self.shut_ms = now + EJECT_MS * 2.0 ** min(self.shuts, EJECT_DOUBLINGS) * (0.5 + rng.random())
             self.shuts += 1
 
-    def turns_away(self, cls: str, now: float, rng: random.Random) -> bool:
-        """Count a refusal; whether it is not for want of room, as other calls sent since the first got in."""
-        turned = self.turned.setdefault(cls, Turned(now))
-        turned.row, turned.last_ms = turned.row + 1, now
-        if turned.row < TURNED: return False
-        shut_ms = EJECT_MS * 2.0 ** min(turned.row - TURNED, EJECT_DOUBLINGS)
-        turned.shut_ms = now + shut_ms * (0.5 + rng.random())
-        return self.alive_ms > turned.since_ms
-
-    def takes(self, cls: str, now: float) -> bool:
-        return now >= self.shut_ms and (cls not in self.turned or now >= self.turned[cls].shut_ms)
-
     def group(self, group: Group) -> str | int | None:
         """The group that drops repeats here, as a value to compare; None where all do."""
         return self.zone if group is Group.ZONE else self.cell if group is Group.CELL else None
@@ -403,7 +380,7 @@
             total += weight
             # A slow or stuck server shows first by what it holds: passed over till its peers hold alike.
             room = server.inflight < min(server.limit, 1.0 + fair * weight)
-            (found if room and server.takes(call.cls.name, now) else crowded).append((server, weight))
+            (found if room and now >= server.shut_ms else crowded).append((server, weight))
         self._weight = total if call.ran_ms is None else self._weight
         found = found or [(server, weight) for server, weight in crowded if server.inflight < server.limit]
         if call.last is not None and len(found) > 1:  # elsewhere than last time, where there is a choice
@@ -439,7 +416,7 @@
         if call.idle_ms > self._idle_ms:  # Rosario fresh-big: what is sent on a dropped connection is lost
             self._actions.append(api.CloseIdle(server.id))
             call.idle_ms = 0.0
-        server.out[call.id] = now, cls
+        server.out[call.id] = now, cls.aim_ms
         once = cls.repeat is Repeat.UNSAFE  # on a fresh connection: a loss could not be made good
         wait = left if once or call.attempts == self.settings.max_attempts else TIMEOUT_SHARE * left
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
@@ -497,13 +474,8 @@
             sent = server.out.pop(event.id, None)
             server.used_ms = now
             if call is not None and call.idle_ms: self._judge_idle(call.idle_ms, event.result)
-            # Not for want of room, it says nothing of the load: in sulcast-porto-alegre churn+long 3 two of
-            # four servers turned one class away for 12 s, and all classes were held back and shed for it.
-            # It could hurt where a full server lets in some: their class is kept away a second too long.
-            refused = event.result is Result.REFUSED
-            if not (refused and sent and server.turns_away(sent[1].name, now, self._rng)):
-                self._learn(server, event.result, now)
-                if sent is not None: self._measure(server, *sent, event, now)
+            self._learn(server, event.result, now)
+            if sent is not None: self._measure(server, *sent, event, now)
         if call is not None and event.settled:
             del self._calls[event.id]
             self.record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
@@ -521,15 +493,12 @@
         self._release(now)
 
     def _measure(
-        self, server: Server, sent_ms: float, cls: api.RequestClass, event: api.AttemptEnded, now: float
+        self, server: Server, sent_ms: float, aim_ms: float, event: api.AttemptEnded, now: float
     ) -> None:
         """What an outcome tells of the delay, also if nobody waits for the answer any more.
 
         Callers that leave early leave what takes long: without theirs, delay and answer rate come out low.
         """
-        aim_ms, turned = cls.aim_ms, server.turned.get(cls.name)
-        if turned and event.result is Result.SERVED and sent_ms > turned.last_ms:
-            del server.turned[cls.name]  # one sent before the last refusal does not show that it is over
         if event.result in (Result.SERVED, Result.TIMEOUT):
             share = event.duration_ms / aim_ms
             self._seen = min(self._seen + 1.0, PEER_SAMPLES)
