No early cut where a second attempt would come too late

At fault: HASTE held at any delay.

Could hurt: on a slow tier what a silent path swallows comes too late.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -48,6 +48,7 @@
 HOT = 1.0  # calls out a server from which a copy doubles its slices
 PATIENCE = 8.0  # times its usual delay: the longest that an attempt is waited for,
 HASTE = 4.0  # and that the first is, where another may follow: time enough for it within the aim
+HASTE_SHARE = 1.25  # of the aim by which that one's answer is usual; later it is worth little
 LOST = 4.0  # times its usual delay: a call out for so long that later ones overtook takes no room any more
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
 ASK_SHARE = 0.1  # of the asking interval: mean wait before asking again after a failure
@@ -420,7 +421,10 @@
         once = cls.repeat is Repeat.UNSAFE  # on a fresh connection: a loss could not be made good
         wait = left if once or call.attempts == self.settings.max_attempts else TIMEOUT_SHARE * left
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
-        patience = HASTE if call.attempts == 1 and not once else PATIENCE
+        # Only where a second attempt can still be answered within the aim: in churn+long a slow tier's calls
+        # were cut for one that met a full window, and ended.
+        soon = call.attempts == 1 and not once and (HASTE + 1.0) * self._share <= HASTE_SHARE
+        patience = HASTE if soon else PATIENCE
         most = patience * self._share * cls.aim_ms if self._seen >= SAMPLES else left
         self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
         return True
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -446,6 +446,14 @@
     assert timer.delay_ms > 0.0
 
 
+def test_where_all_is_slow_a_first_attempt_is_not_cut_for_a_second_that_comes_too_late() -> None:
+    """churn+long: calls to a slow tier were cut for ones that met a full window, and ended."""
+    node = Node(servers=4)
+    node.serve(100, delay_ms=350.0)
+    [first] = sends(node.ask("a"))
+    assert first.timeout_ms > 1.5 * 4.0 * 350.0
+
+
 def test_calls_lost_on_dead_connections_leave_room_for_others() -> None:
     node = Node(servers=1)
     node.serve(100)
