--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Set-up in two commands on a fresh machine with Python 3.11 or later: `make demo`, `make test`.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test venv
+
+demo: $(VENV)/kit
+	$(BIN)/orchidferry rehearse slow-server --report slow-server.html
+
+test: $(VENV)/dev
+	PATH="$(CURDIR)/$(BIN):$$PATH" && ruff check . && ruff format --check . && mypy && pytest -n 4
+
+venv: $(VENV)/dev
+
+$(VENV)/kit: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit]'
+	touch $@
+
+$(VENV)/dev: pyproject.toml requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit]' -r requirements-dev.txt
+	touch $@
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import importlib
 import logging
 import os
 import signal
@@ -78,7 +79,13 @@
 
 
 def main() -> int:
-    """The program."""
+    """The program. Any argument is for the console script's commands, which the kit brings."""
+    if len(sys.argv) > 1 and __name__ == "__main__":
+        try:
+            return int(importlib.import_module("rehearsal.cli").main())
+        except ModuleNotFoundError:
+            print("orchidferry: the node takes no arguments, and the kit is not installed", file=sys.stderr)
+            return 2
     path = os.environ.get("NODE_CONFIG")
     if not path:
         print("orchidferry: NODE_CONFIG must name the configuration file", file=sys.stderr)
--- /dev/null
+++ b/rehearsal/cli.py
@@ -0,0 +1,84 @@
+"""The console script `orchidferry`: with no arguments the node, else one of the kit's commands.
+
+Nothing of the kit is imported before its command is asked for, as small machines have none of its libraries.
+Exit status: 0 done, 1 a rule broken or a proof missed, 2 bad input or usage, 130 interrupted.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+EXAMPLES = {
+    "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
+}
+
+
+class _Parser(argparse.ArgumentParser):
+    """Says what is wrong in one line."""
+
+    def error(self, message: str) -> None:  # type: ignore[override]
+        print(f"{self.prog}: {message}; see {self.prog} --help", file=sys.stderr)
+        raise SystemExit(2)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = _Parser(
+        prog="orchidferry",
+        description="A load-balancing node, and its test and rehearsal kit. With no command: the node, "
+        "from the file that NODE_CONFIG names.",
+        epilog=f"example: {EXAMPLES['rehearse']}",
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    rehearse = commands.add_parser(
+        "rehearse",
+        help="play an incident on real nodes between stand-ins, and judge the four rules",
+        description="Starts stand-in tiers, discovery and clients on loopback with real nodes between them, "
+        "plays a scenario, and judges the four rules and the service from outside.",
+        epilog=f"example: {EXAMPLES['rehearse']}; exit status: 0 no rule broken, 1 a rule broken, the run "
+        "cut off or void, 2 bad input, 130 interrupted",
+    )
+    rehearse.add_argument(
+        "scenario", nargs="?", metavar="SCENARIO|FILE.toml", help="a shipped one, or a file"
+    )
+    rehearse.add_argument("--list", action="store_true", help="tell the shipped scenarios, a line each")
+    rehearse.add_argument("--seed", type=int, metavar="N", help="in place of the scenario's")
+    rehearse.add_argument(
+        "--seconds", type=float, metavar="S", help="of arrivals, in place of the scenario's"
+    )
+    rehearse.add_argument(
+        "--protocol", choices=("h1", "h3"), default="h1", help="that clients and servers speak"
+    )
+    rehearse.add_argument("--json", metavar="FILE", help="write the verdict there, complete or not")
+    rehearse.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
+    rehearse.add_argument("--keep", metavar="FOLDER", help="leave the record and the nodes' logs there")
+    return parser
+
+
+def main() -> int:
+    """The program."""
+    if len(sys.argv) < 2:
+        from orchidferry.__main__ import main as node
+
+        return node()
+    try:
+        args = _parser().parse_args()
+        if args.command != "rehearse":
+            print("orchidferry: a command is missing; see orchidferry --help", file=sys.stderr)
+            return 2
+        try:
+            from rehearsal.rehearse import main as rehearse
+        except ModuleNotFoundError as problem:
+            if problem.name is None or problem.name.partition(".")[0] in ("rehearsal", "orchidferry"):
+                raise
+            print(
+                f"orchidferry: rehearse needs {problem.name}: pip install 'orchidferry[kit]'", file=sys.stderr
+            )
+            return 2
+        return rehearse(args)
+    except KeyboardInterrupt:
+        return 130
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rehearsal/clients/generator.py
@@ -0,0 +1,155 @@
+"""The clients: an open loop that asks at the times drawn ahead, whatever becomes of what it asked.
+
+Each request's time counts from when it should have been sent: a late generator makes its own figures
+worse, and says so (`Lag`), but can't hide that a node stood still (coordinated omission).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+from random import Random
+
+from rehearsal import draws
+from rehearsal.clients.schedule import Arrival, arrivals, leaves_after
+from rehearsal.exchange import Ask, Exchanges, message
+from rehearsal.process import Order, Say, Script, work
+from rehearsal.record import Lag, Recorder, Wanted
+from rehearsal.wire import Address, Outcome
+from rehearsal.world.addresses import Block
+
+LATE_S = 0.002  # what of being late is kept
+MOST_ADVICE_S = 10.0  # of Retry-After that a client keeps to
+MOST_OPEN = 50_000  # clients that wait at once: past that the generator itself is the bottleneck
+
+
+class Clients:
+    """A share of the clients: each process takes every so-manieth arrival."""
+
+    def __init__(self, script: Script, block: Block, recorder: Recorder, say: Say, index: int) -> None:
+        self._scenario = script.plan.scenario
+        self._block, self._recorder, self._say = block, recorder, say
+        every = self._scenario.clients.processes
+        self._arrivals = arrivals(script.plan)[index::every]
+        self._exchanges = Exchanges(self._scenario, recorder)
+        self._nodes: list[str] = []  # that the front deals to
+        self._numbers = {name: n for n, name in enumerate(script.plan.nodes)}
+        self._deal: Random = draws.stream(self._scenario.seed, "front", index)
+        self._open: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+        self._playing: asyncio.Task[None] | None = None
+        self._asked = self._served = 0  # first tries so far, for whoever watches
+
+    async def order(self, order: Order) -> None:
+        if order["do"] == "deal":
+            self._nodes = list(order["nodes"])
+        elif order["do"] == "play":
+            self._playing = self._loop.create_task(self._play(float(order["at"])))
+
+    async def _play(self, start: float) -> None:
+        """Ask all; `start` is when the load begins, on the record's clock."""
+        now = self._recorder.now
+        for arrival in self._arrivals:
+            due = start + arrival.t
+            wait = due - now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            late = now() - due
+            if late > LATE_S:
+                self._recorder.put(Lag(now(), "clients", "late", late))
+            self._asked += 1
+            self._recorder.put(Wanted(due, arrival.root, arrival.cls.name))
+            if len(self._open) >= MOST_OPEN:
+                self._recorder.put(Lag(now(), "clients", "late", self._scenario.limits.lag_most_s * 2.0))
+                continue
+            task = self._loop.create_task(self._client(arrival, due))
+            self._open.add(task)
+            task.add_done_callback(self._over)
+        while self._open:
+            await asyncio.wait(set(self._open))
+        self._recorder.flush()
+        self._say({"did": "played"})
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self._open.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._say({"did": "failed", "order": "play", "why": repr(task.exception())[:200]})
+
+    def _address(self, node: str) -> Address:
+        return self._block.front_node(self._numbers[node])
+
+    async def _client(self, arrival: Arrival, due: float) -> None:
+        """A first try and its retries."""
+        scenario, cls, now = self._scenario, arrival.cls, self._recorder.now
+        clients = scenario.clients
+        gives_up = due + cls.gives_up_s
+        intended = due
+        for number in range(1 + clients.retries):
+            if intended + 0.01 >= gives_up:
+                return
+            wait = intended - now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            id = f"{arrival.root}.{number}"
+            ends = min(intended + arrival.try_s, gives_up)
+            leaves = leaves_after(clients, scenario.seed, id, arrival.try_s)
+            ask = Ask(0, id, cls, number, intended, ends, None if leaves is None else intended + leaves)
+            outcome = await self._try(ask, arrival)
+            self._served += outcome.how == "answer" and outcome.status == 200
+            again = self._again(arrival, outcome, leaves is not None)
+            if again is None:
+                return
+            intended = now() + again
+
+    async def _try(self, ask: Ask, arrival: Arrival) -> Outcome:
+        """One try at a node that the front deals."""
+        if not self._nodes:
+            return Outcome("refused", 0.0)
+        node = self._deal.choice(self._nodes)
+        key, body = f"k-{arrival.root}", b"x" * self._scenario.clients.body
+
+        def make(left: float) -> bytes:
+            return message(ask.cls, ask.id, key, arrival.object, left, ask.number > 0, body)
+
+        return await self._exchanges.ask(ask, node, self._address(node), make)
+
+    def _again(self, arrival: Arrival, outcome: Outcome, left: bool) -> float | None:
+        """How long a client waits before it asks again; None if it does not.
+
+        What is safe to repeat, or has a key that every server drops, is asked for again after any failure;
+        the rest only after a refusal or where no node took it. (Some clients ask for an unsafe one again all
+        the same: nobody could tell them whether it ran.)
+        """
+        clients, cls = self._scenario.clients, arrival.cls
+        if left and outcome.how == "timeout":
+            return None  # it went away
+        if outcome.how == "answer" and outcome.status == 200:
+            return None
+        refused = outcome.how == "answer" and outcome.status in (429, 503)
+        untaken = outcome.how in ("refused", "silent")
+        anyhow = cls.repeat == "safe" or (cls.repeat == "keyed" and cls.group == "all") or arrival.again
+        if not (refused or untaken or anyhow):
+            return None
+        wait = clients.wait_s
+        if refused and arrival.honours:
+            with contextlib.suppress(ValueError):
+                wait = max(wait, min(float(outcome.headers.get("retry-after", "0")), MOST_ADVICE_S))
+        return wait
+
+    def second(self) -> None:
+        self._exchanges.sweep()
+        if self._playing is not None:
+            counts = {"asked": self._asked, "served": self._served, "open": len(self._open)}
+            self._say({"did": "tick", **counts})
+
+    async def close(self) -> None:
+        if self._playing is not None:
+            self._playing.cancel()
+        for task in set(self._open):
+            task.cancel()
+        await self._exchanges.close()
+
+
+if __name__ == "__main__":
+    sys.exit(work(Clients))
--- /dev/null
+++ b/rehearsal/exchange.py
@@ -0,0 +1,150 @@
+"""One request to a node, with all of it in the record: what clients and stand-in servers share."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from rehearsal import draws
+from rehearsal.record import Answered, Asked, Cut, Extra, Recorder, Unanswered
+from rehearsal.scenario import Class, Scenario
+from rehearsal.wire import Address, Outcome, Pool
+
+
+def body_of(seed: int, id: str) -> bytes:
+    """What a server answers to this request, and no other: an answer mixed up or made up shows."""
+    return f"{id} {draws.number(seed, 'body', id):016x}\n".encode()
+
+
+def root_of(id: str) -> str:
+    """What the draws of a request are named by: the same for every attempt at it and every retry."""
+    return id.partition(".")[0]
+
+
+def client_root(root: str) -> str:
+    """The client's first try that a request of any tier belongs to."""
+    return root.partition("-")[0]
+
+
+def message(cls: Class, id: str, key: str, object: int, budget_s: float, again: bool, body: bytes) -> bytes:
+    """A request as callers write it."""
+    lines = [
+        f"{'GET' if cls.repeat == 'safe' else 'POST'} /{cls.name}?obj={object:x} HTTP/1.1",
+        "Host: api.internal",
+        f"X-Call-Id: {id}",
+        f"X-Budget: {max(budget_s, 0.001):.3f}",
+    ]
+    if cls.repeat == "keyed":
+        lines.append(f"Idempotency-Key: {key}")
+    if again:
+        lines.append("X-Again: 1")
+    if cls.repeat != "safe":
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode() + (body if cls.repeat != "safe" else b"")
+
+
+@dataclass(slots=True)
+class Ask:
+    """What is asked of a node."""
+
+    tier: int
+    id: str
+    cls: Class
+    number: int
+    intended: float  # seconds since the run's zero, as is `ends`
+    ends: float
+    leaves: float | None = None  # an impatient client goes then
+
+
+class Exchanges:
+    """Asks nodes and records what comes. Its owner sweeps and closes it."""
+
+    def __init__(self, scenario: Scenario, recorder: Recorder) -> None:
+        self.scenario, self.recorder = scenario, recorder
+        self._pools: dict[str, Pool] = {}
+        self._lingering: set[asyncio.Task[None]] = set()
+        # An answer may come so much after the time is up (rule 1): the connection is watched till then.
+        self.linger_s = scenario.rules.answer_slack_s + scenario.rules.slack_s
+
+    def _pool(self, node: str, tier: int) -> Pool:
+        def extra(id: str) -> None:
+            self.recorder.put(Extra(self.recorder.now(), tier, id, node))
+
+        if node not in self._pools:
+            self._pools[node] = Pool(extra)
+        return self._pools[node]
+
+    async def ask(
+        self, ask: Ask, node: str, address: Address, make: Callable[[float], bytes], fresh: bool = False
+    ) -> Outcome:
+        """Ask once; its outcome, `timeout` when the time was up. `make` gets the time left, in seconds."""
+        pool, put, now = self._pool(node, ask.tier), self.recorder.put, self.recorder.now
+        connection = await pool.connection(address, fresh)
+        if isinstance(connection, Outcome):
+            put(Cut(now(), ask.tier, ask.id, node, connection.how, False))
+            return connection
+        waiting = connection.ask(ask.id, make(ask.ends - now()))
+        put(
+            Asked(
+                now(), ask.tier, ask.id, ask.cls.name, node, client_root(root_of(ask.id)), ask.number,
+                ask.intended, ask.ends,
+            )
+        )  # fmt: skip
+        until = ask.ends if ask.leaves is None else min(ask.ends, ask.leaves)
+        await asyncio.wait({waiting}, timeout=max(0.0, until - now()))
+        if not waiting.done():
+            if until < ask.ends:
+                connection.drop()
+                put(Unanswered(now(), ask.tier, ask.id, node, True))
+            else:
+                self._linger(self._last(waiting, connection.drop, ask, node))
+            return Outcome("timeout", time.monotonic())
+        outcome = waiting.result()
+        self._book(outcome, ask, node)
+        if outcome.how == "answer":
+            pool.put_back(address, connection)
+        elif outcome.how in ("closed", "reset") and outcome.reused:
+            # The node may have closed it before it read this: the request goes once more, on a new one.
+            return await self.ask(ask, node, address, make, fresh=True)
+        return outcome
+
+    def _book(self, outcome: Outcome, ask: Ask, node: str) -> None:
+        t = outcome.t - self.recorder.zero
+        if outcome.how == "answer":
+            sound = outcome.status != 200 or outcome.body == body_of(self.scenario.seed, ask.id)
+            self.recorder.put(Answered(t, ask.tier, ask.id, node, outcome.status, sound))
+        else:
+            self.recorder.put(Cut(t, ask.tier, ask.id, node, outcome.how, outcome.reused))
+
+    def _linger(self, rest: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(rest)
+        self._lingering.add(task)
+        task.add_done_callback(self._lingering.discard)
+
+    async def _last(
+        self, waiting: asyncio.Future[Outcome], drop: Callable[[], None], ask: Ask, node: str
+    ) -> None:
+        """Wait out the slack for an answer that may still come in time."""
+        await asyncio.wait({waiting}, timeout=max(0.0, ask.ends + self.linger_s - self.recorder.now()))
+        if waiting.done():
+            self._book(waiting.result(), ask, node)
+        else:
+            self.recorder.put(Unanswered(self.recorder.now(), ask.tier, ask.id, node, False))
+        drop()
+
+    def sweep(self) -> None:
+        for pool in self._pools.values():
+            pool.sweep()
+
+    async def close(self) -> None:
+        """End what still lingers, and all connections."""
+        if self._lingering:
+            await asyncio.wait(set(self._lingering), timeout=self.linger_s + 1.0)
+        for task in set(self._lingering):
+            task.cancel()
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/rehearsal/judge/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions over a run's record: the four rules and the measure of service."""
--- /dev/null
+++ b/rehearsal/rehearse.py
@@ -0,0 +1,125 @@
+"""`orchidferry rehearse`: from the command line to a verdict."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import math
+import os
+import sys
+from pathlib import Path
+
+import uvloop
+from rich.console import Console
+
+from rehearsal.judge.verdict import Verdict, as_json, judge
+from rehearsal.report import terminal
+from rehearsal.scenario import MOST_SECONDS, BadScenario, Scenario, load_scenario, shipped
+from rehearsal.world.addresses import NoAddresses
+from rehearsal.world.director import Progress, Run, rehearse
+from rehearsal.world.plan import draw
+
+LEAST_SECONDS = 1.0
+PLAIN_WIDTH = 120  # of what is printed where no terminal tells its width
+
+
+class _Usage(Exception):
+    """What can't be done as asked, in one line."""
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run the command; its exit status."""
+    try:
+        if args.list:
+            return _list()
+        scenario = _scenario(args)
+        keep = None if args.keep is None else _folder(Path(args.keep))
+        for path in (args.json, args.report):
+            if path is not None:
+                _writable(Path(path))
+    except (BadScenario, _Usage) as problem:
+        print(f"orchidferry rehearse: {problem}", file=sys.stderr)
+        return 2
+    console = Console(width=None if sys.stdout.isatty() else PLAIN_WIDTH)
+    try:
+        run = uvloop.run(_run(console, scenario, keep))
+    except NoAddresses as problem:
+        print(f"orchidferry rehearse: {problem}", file=sys.stderr)
+        return 2
+    verdict = judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
+    terminal.show(console, verdict)
+    for note in run.notes[:5]:
+        console.print(f"a node logged: {note}", markup=False, highlight=False)
+    _write(args, verdict)
+    if run.interrupted:
+        return 130
+    return 0 if verdict.passed else 1
+
+
+def _list() -> int:
+    for name in shipped():
+        print(f"{name:22} {load_scenario(name).about}")
+    return 0
+
+
+def _scenario(args: argparse.Namespace) -> Scenario:
+    if args.scenario is None:
+        raise _Usage("which scenario? --list tells those that are shipped")
+    if args.protocol != "h1":
+        raise _Usage(f"--protocol {args.protocol}: this build's stand-ins speak h1 only")
+    scenario = load_scenario(args.scenario)
+    if args.seed is not None and not 0 <= args.seed < 2**63:
+        raise _Usage(f"--seed {args.seed}: not within 0 to 2^63 - 1")
+    if args.seconds is not None and not (
+        math.isfinite(args.seconds) and LEAST_SECONDS <= args.seconds <= MOST_SECONDS
+    ):
+        raise _Usage(f"--seconds {args.seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
+    scenario = scenario.altered(args.seed, args.seconds)
+    try:
+        draw(scenario)
+    except ValueError as problem:
+        raise _Usage(f"{args.scenario}: {problem}") from None
+    return scenario
+
+
+def _folder(path: Path) -> Path:
+    try:
+        path.mkdir(parents=True, exist_ok=True)
+        if any(path.iterdir()):
+            raise _Usage(f"--keep {path}: is not empty")
+    except OSError as problem:
+        raise _Usage(f"--keep {path}: {problem.strerror}") from None
+    return path
+
+
+def _writable(path: Path) -> None:
+    """Find out before the run, not after it."""
+    if path.is_dir() or not os.access(path if path.exists() else path.parent, os.W_OK):
+        raise _Usage(f"{path}: can't be written")
+
+
+async def _run(console: Console, scenario: Scenario, keep: Path | None) -> Run:
+    progress = Progress()
+    watcher = asyncio.get_running_loop().create_task(terminal.watch(console, scenario, progress))
+    try:
+        return await rehearse(scenario, progress, keep)
+    finally:
+        watcher.cancel()
+        await asyncio.gather(watcher, return_exceptions=True)
+
+
+def _write(args: argparse.Namespace, verdict: Verdict) -> None:
+    if args.json is not None:
+        _replace(Path(args.json), json.dumps(as_json(verdict), indent=1) + "\n")
+    if args.report is not None:
+        from rehearsal.report.page import page
+
+        _replace(Path(args.report), page(verdict))
+
+
+def _replace(path: Path, text: str) -> None:
+    """Whole or not at all."""
+    part = path.with_name(path.name + ".part")
+    part.write_text(text, encoding="utf-8")
+    part.replace(path)
--- /dev/null
+++ b/rehearsal/report/__init__.py
@@ -0,0 +1,1 @@
+"""What a run is shown as: terminal, JSON, a page."""
--- /dev/null
+++ b/rehearsal/report/page.py
@@ -0,0 +1,140 @@
+"""A run as one HTML page that needs nothing else: tables, and plots as SVG within it."""
+
+from __future__ import annotations
+
+import io
+from html import escape
+from typing import Any
+
+import matplotlib
+from matplotlib.figure import Figure
+
+from rehearsal.judge.verdict import Verdict
+from rehearsal.report.series import QUANTILES, series
+from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, summary, word
+
+FAULT_COLOURS = ("#d9822b", "#a23b72", "#3b6ea2", "#5b8c3a", "#8c5b3a")
+MARKS = {"pass": "pass", "FAIL": "fail", "nothing to check": "none"}
+STYLE = """
+:root { color-scheme: light; }
+body { font: 15px/1.45 system-ui, sans-serif; color: #222; }
+body { margin: 2rem auto; max-width: 62rem; padding: 0 1rem; }
+h1 { font-size: 1.5rem; margin-bottom: .2rem; } h2 { font-size: 1.1rem; margin-top: 2rem; }
+table { border-collapse: collapse; }
+th, td { padding: .25rem .7rem; border-bottom: 1px solid #ddd; text-align: right; }
+th:first-child, td:first-child { text-align: left; }
+.pass { color: #1b7837; } .fail { color: #b2182b; font-weight: 600; } .none { color: #946200; }
+.banner { background: #fdecea; border-left: 4px solid #b2182b; padding: .5rem 1rem; margin: 1rem 0; }
+pre { background: #f6f6f6; padding: .6rem; overflow-x: auto; font-size: 13px; }
+svg { max-width: 100%; height: auto; }
+"""
+
+
+def page(verdict: Verdict) -> str:
+    """The whole page."""
+    scenario = verdict.scenario
+    parts = [
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{escape(scenario.name)}</title>",
+        f"<style>{STYLE}</style>",
+        f"<h1>Rehearsal: {escape(scenario.name)}</h1>",
+        f"<p>{escape(scenario.about)}. Seed {scenario.seed}, {scenario.length_s:g} s of arrivals, "
+        f"{scenario.load.rate:g} first tries a second.</p>",
+    ]
+    if not verdict.complete:
+        parts.append(f"<div class=banner>Cut off: {escape(verdict.why)}. What was seen until then:</div>")
+    for why in verdict.lateness.void:
+        parts.append(f"<div class=banner>Void: {escape(why)}. The machine was too slow.</div>")
+    parts += [
+        f"<p>{escape(summary(verdict))}.</p>",
+        "<h2>Rules</h2>", _rules(verdict),
+        "<h2>Classes</h2>", _classes(verdict),
+        "<h2>Over time</h2>", _plots(verdict),
+        "<h2>Incidents</h2>", _incidents(verdict),
+    ]  # fmt: skip
+    return "\n".join(parts) + "\n</html>\n"
+
+
+def _table(head: list[str], rows: list[list[str]]) -> str:
+    """Cells are HTML already."""
+    top = "".join(f"<th>{cell}</th>" for cell in head)
+    body = "".join("<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>" for row in rows)
+    return f"<table><tr>{top}</tr>{body}</table>"
+
+
+def _rules(verdict: Verdict) -> str:
+    rows, stories = [], []
+    for name, finding in verdict.rules.items():
+        told = word(finding)
+        mark = f"<span class={MARKS[told]}>{told}</span>"
+        rows.append([TITLES[name], mark, str(finding.checked), str(finding.count)])
+        for broken in finding.broken:
+            tier = verdict.scenario.tiers[broken.tier].name
+            story = "\n".join(broken.story)
+            stories.append(
+                f"<p class=fail>{TITLES[name]}: {escape(broken.request)} to {escape(tier)} "
+                f"at {broken.t:.3f} s: {escape(broken.what)}</p><pre>{escape(story)}</pre>"
+            )
+    return _table(["rule", "verdict", "checked", "breaks"], rows) + "".join(stories)
+
+
+def _classes(verdict: Verdict) -> str:
+    return _table(CLASS_HEAD, [[escape(cell) for cell in row] for row in class_rows(verdict)])
+
+
+def _incidents(verdict: Verdict) -> str:
+    books = verdict.books
+    if not books.incidents:
+        return "<p>None.</p>"
+    rows = [
+        [escape(fact.do), f"{books.at(fact.t):.1f} s", f"{books.at(fact.until):.1f} s", escape(fact.whom)]
+        for fact in books.incidents
+    ]
+    return _table(["what", "from", "to", "whom"], rows)
+
+
+def _plots(verdict: Verdict) -> str:
+    """Latency, service, requests in flight and attempts by tier, with the incidents marked on each."""
+    figures = series(verdict)
+    nan = float("nan")
+    with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "rehearsal", "font.size": 9}):
+        drawing = Figure(figsize=(10, 11), layout="constrained")
+        axes: Any = drawing.subplots(4, 1, sharex=True)
+        latency, service, flight, attempts = axes
+        for q in QUANTILES:
+            values = [nan if v is None else v for v in figures.latency_ms[q]]
+            latency.plot(figures.times, values, label=f"p{100 * q:g}")
+        latency.set_ylabel("time to the answer, ms")
+        latency.set_yscale("log")
+        values = [nan if v is None else 100.0 * v for v in figures.service]
+        service.step(figures.times, values, where="post", color="#222")
+        service.set_ylim(-3, 103)
+        service.set_ylabel("service, %")
+        flight.step(figures.times, figures.in_flight, where="post", label="in flight")
+        flight.step(figures.times, figures.asked, where="post", label="first tries a second")
+        flight.set_ylabel("clients' requests")
+        for tier, sent, turned in zip(
+            verdict.scenario.tiers, figures.attempts, figures.rejected, strict=True
+        ):
+            (drawn,) = attempts.step(figures.times, sent, where="post", label=tier.name)
+            if any(turned):
+                attempts.step(figures.times, turned, where="post", linestyle=":", color=drawn.get_color(),
+                              label=f"{tier.name}, turned away")  # fmt: skip
+        attempts.set_ylabel("attempts a second")
+        attempts.set_xlabel("seconds since the load began")
+        for axis in axes:
+            axis.grid(alpha=0.25)
+            for n, fact in enumerate(verdict.books.incidents):
+                start, end = verdict.books.at(fact.t), verdict.books.at(fact.until)
+                colour = FAULT_COLOURS[n % len(FAULT_COLOURS)]
+                axis.axvspan(start, max(end, start + 0.05), color=colour, alpha=0.15, linewidth=0)
+                axis.axvline(start, color=colour, linewidth=0.8)
+        for n, fact in enumerate(verdict.books.incidents):
+            latency.text(verdict.books.at(fact.t), 1.01 + 0.045 * (n % 4), f" {fact.do}",
+                         transform=latency.get_xaxis_transform(), fontsize=8,
+                         color=FAULT_COLOURS[n % len(FAULT_COLOURS)])  # fmt: skip
+        for axis in (latency, flight, attempts):
+            axis.legend(loc="upper right", fontsize=8, framealpha=0.8)
+        out = io.StringIO()
+        drawing.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
--- /dev/null
+++ b/rehearsal/report/series.py
@@ -0,0 +1,79 @@
+"""What reports plot: figures over the time of a run, from the judge's books. Pure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from rehearsal.judge.service import First, share
+from rehearsal.judge.verdict import Verdict
+from rehearsal.record import Answered, Asked, Cut, Unanswered
+
+QUANTILES = (0.5, 0.9, 0.99)
+
+
+@dataclass(slots=True)
+class Series:
+    """Each list has a value for each step of time; None where there is nothing to tell."""
+
+    step_s: float
+    times: list[float] = field(default_factory=list)
+    asked: list[float] = field(default_factory=list)  # first tries a second
+    service: list[float | None] = field(default_factory=list)  # of what was asked in the step
+    latency_ms: dict[float, list[float | None]] = field(
+        default_factory=dict
+    )  # of what was served, by quantile
+    in_flight: list[float] = field(default_factory=list)  # clients' requests out at the step's end
+    attempts: list[list[float]] = field(default_factory=list)  # by tier, a second
+    rejected: list[list[float]] = field(default_factory=list)  # by tier, a second
+
+
+def quantile(ordered: list[float], q: float) -> float | None:
+    """By nearest rank; None of nothing."""
+    return ordered[min(len(ordered) - 1, int(q * len(ordered)))] if ordered else None
+
+
+def series(verdict: Verdict, step_s: float = 0.5) -> Series:
+    """The figures of a run, in steps from the start of the load to the end of the record."""
+    books = verdict.books
+    steps = max(1, int((books.end - books.start) / step_s) + 1)
+
+    def step(t: float) -> int:
+        return min(steps - 1, max(0, int(books.at(t) / step_s)))
+
+    result = Series(step_s, [n * step_s for n in range(steps)])
+    by_step: dict[int, list[First]] = defaultdict(list)
+    for first in verdict.service.firsts:
+        by_step[step(first.t + books.start)].append(first)
+    result.latency_ms = {q: [] for q in QUANTILES}
+    for n in range(steps):
+        some = by_step.get(n, [])
+        result.asked.append(len(some) / step_s)
+        result.service.append(share(some))
+        took = sorted(first.took_s * 1000.0 for first in some if first.end == "served")
+        for q in QUANTILES:
+            result.latency_ms[q].append(quantile(took, q))
+    change = [0] * (steps + 1)
+    for (tier, _), seen in books.seen.items():
+        if tier:
+            continue
+        for fact in seen:
+            if isinstance(fact, Asked):
+                change[step(fact.t)] += 1
+            elif isinstance(fact, Answered | Cut | Unanswered) and isinstance(seen[0], Asked):
+                change[step(fact.t)] -= 1
+    out = 0
+    for n in range(steps):
+        out += change[n]
+        result.in_flight.append(float(out))
+    tiers = len(verdict.scenario.tiers)
+    result.attempts = [[0.0] * steps for _ in range(tiers)]
+    result.rejected = [[0.0] * steps for _ in range(tiers)]
+    for attempts in books.got.values():
+        for got in attempts:
+            result.attempts[got.tier][step(got.t)] += 1.0 / step_s
+    for ends in books.ended.values():
+        for ended in ends:
+            if ended.how == "rejected":
+                result.rejected[ended.tier][step(ended.t)] += 1.0 / step_s
+    return result
--- /dev/null
+++ b/rehearsal/report/tables.py
@@ -0,0 +1,47 @@
+"""What the terminal and the page both tell, as plain text. Pure."""
+
+from __future__ import annotations
+
+from rehearsal.judge.rules import Finding
+from rehearsal.judge.verdict import Verdict
+
+TITLES = {
+    "no_request_lost": "no request lost",
+    "no_effect_twice": "no effect twice",
+    "drains_kept": "drains kept",
+    "cold_servers_spared": "cold servers spared",
+}
+CLASS_HEAD = ["class", "asked", "served", "refused", "failed", "unanswered", "p50 ms", "p99 ms", "service"]
+
+
+def percent(value: float | None) -> str:
+    return "-" if value is None else f"{100.0 * value:.1f}%"
+
+
+def class_rows(verdict: Verdict) -> list[list[str]]:
+    """A row of cells for each class, under `CLASS_HEAD`."""
+    rows = []
+    for name, row in verdict.service.classes.items():
+        counts = (row.asked, row.served, row.refused, row.failed, row.unanswered)
+        times = (row.quantile_ms(50.0), row.quantile_ms(99.0))
+        rows.append([name, *map(str, counts), *(f"{t:.0f}" for t in times), percent(row.service)])
+    return rows
+
+
+def word(finding: Finding) -> str:
+    """A rule's verdict. One with nothing to check has not been kept, it has not been seen."""
+    if not finding.held:
+        return "FAIL"
+    return "pass" if finding.checked else "nothing to check"
+
+
+def summary(verdict: Verdict) -> str:
+    """A run in a sentence."""
+    service, scenario = verdict.service, verdict.scenario
+    tiers = ", ".join(f"{t.name} {n}" for t, n in zip(scenario.tiers, verdict.attempts, strict=True))
+    return (
+        f"service {percent(service.whole)}, worst 10 s {percent(service.worst_window)} (from "
+        f"{service.worst_window_at:g} s), worst class {service.worst_class or '-'}; "
+        f"{verdict.first_tries} first tries, {verdict.tries} with retries, "
+        f"{verdict.per_client_request:.2f} attempts for each ({tiers})"
+    )
--- /dev/null
+++ b/rehearsal/report/terminal.py
@@ -0,0 +1,120 @@
+"""A run in the terminal: progress while it plays, tables and the incident on a timeline at its end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rich.console import Console
+from rich.live import Live
+from rich.markup import escape
+from rich.table import Table
+from rich.text import Text
+
+from rehearsal.judge.verdict import Verdict
+from rehearsal.report.series import series
+from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, summary, word
+from rehearsal.scenario import Scenario
+from rehearsal.world.director import Progress
+
+BLOCKS = " ▁▂▃▄▅▆▇█"
+PLAIN_EVERY_S, LIVE_EVERY_S = 5.0, 0.25
+WIDTH = 60  # characters of the timeline
+COLOURS = {"pass": "green", "FAIL": "bold red", "nothing to check": "yellow"}
+MOST_BREAKS = 3  # of a rule that are told with their story
+
+
+def status_line(scenario: Scenario, progress: Progress) -> str:
+    """What goes on, in one line."""
+    if progress.phase != "playing":
+        return f"{scenario.name}: {progress.phase}"
+    now = [what for start, end, what in progress.incidents if start <= progress.t <= max(end, start + 1.0)]
+    done = min(1.0, max(0.0, progress.t) / scenario.length_s)
+    bar = "█" * round(done * 20) + "·" * (20 - round(done * 20))
+    line = (f"{scenario.name} {bar} {max(0.0, progress.t):5.1f} of {scenario.length_s:g} s  "
+            f"asked {progress.asked}, served {progress.served}, open {progress.open}")  # fmt: skip
+    return line + (f"  !! {'; '.join(now)}" if now else "")
+
+
+async def watch(console: Console, scenario: Scenario, progress: Progress) -> None:
+    """Show the progress until cancelled: a live line on a terminal, a line now and then elsewhere."""
+    if not console.is_terminal:
+        while True:
+            await asyncio.sleep(PLAIN_EVERY_S)
+            console.print(status_line(scenario, progress), markup=False, highlight=False, soft_wrap=True)
+    with Live(console=console, auto_refresh=False, transient=True) as live:
+        while True:
+            live.update(
+                Text(status_line(scenario, progress), no_wrap=True, overflow="ellipsis"), refresh=True
+            )
+            await asyncio.sleep(LIVE_EVERY_S)
+
+
+def show(console: Console, verdict: Verdict) -> None:
+    """The whole report of a run."""
+    if not verdict.complete:
+        console.print(f"[bold red]cut off[/]: {escape(verdict.why)}; what was seen until then:")
+    for why in verdict.lateness.void:
+        console.print(
+            f"[bold red]void[/]: {escape(why)}: the machine was too slow; this run says nothing of the nodes"
+        )
+    console.print(_classes(verdict))
+    console.print(summary(verdict), highlight=False)
+    console.print()
+    _timeline(console, verdict)
+    console.print()
+    _rules(console, verdict)
+    if verdict.ran_twice:
+        roots = ", ".join(verdict.ran_twice[:5])
+        console.print(
+            f"{len(verdict.ran_twice)} unsafe first tries ran twice, as their clients asked again after a "
+            f"failure, which no rule forbids: {roots}"
+        )
+    if verdict.passed:
+        console.print("[bold green]no rule broken[/]")
+
+
+def _classes(verdict: Verdict) -> Table:
+    table = Table(title=f"{verdict.scenario.name}, seed {verdict.scenario.seed}", title_justify="left")
+    for n, name in enumerate(CLASS_HEAD):
+        table.add_column(name, justify="right" if n else "left")
+    for row in class_rows(verdict):
+        table.add_row(*row)
+    return table
+
+
+def _timeline(console: Console, verdict: Verdict) -> None:
+    """Service over time, and under it a bar for each incident."""
+    length = max(verdict.books.end - verdict.books.start, 0.1)
+    figures = series(verdict, length / WIDTH)
+    bars = "".join(" " if v is None else BLOCKS[round(max(0.0, v) * 8)] for v in figures.service[:WIDTH])
+    console.print(f"service   {bars}", highlight=False, markup=False)
+    for fact in verdict.books.incidents:
+        start = verdict.books.at(fact.t)
+        first = min(WIDTH - 1, max(0, int(start / length * WIDTH)))
+        last = min(WIDTH, max(first + 1, round(verdict.books.at(fact.until) / length * WIDTH)))
+        bar = " " * first + "─" * (last - first)
+        label = f"{start:g} s {fact.do}: {fact.whom}"
+        console.print(f"          {bar:<{WIDTH}}  {label}", highlight=False, markup=False, soft_wrap=True)
+    console.print(f"          0 s{f'{length:.0f} s':>{WIDTH - 3}}", highlight=False)
+
+
+def _rules(console: Console, verdict: Verdict) -> None:
+    table = Table(title="rules", title_justify="left")
+    table.add_column("rule")
+    table.add_column("verdict")
+    table.add_column("checked", justify="right")
+    table.add_column("breaks", justify="right")
+    for name, finding in verdict.rules.items():
+        told = word(finding)
+        colour = COLOURS[told]
+        table.add_row(TITLES[name], f"[{colour}]{told}[/]", str(finding.checked), str(finding.count))
+    console.print(table)
+    for name, finding in verdict.rules.items():
+        for broken in finding.broken[:MOST_BREAKS]:
+            tier = verdict.scenario.tiers[broken.tier].name
+            console.print(f"[bold red]{TITLES[name]}[/]: request {escape(broken.request)} to {tier}, at "
+                          f"{broken.t:.3f} s: {escape(broken.what)}", highlight=False)  # fmt: skip
+            for line in broken.story:
+                console.print(f"    {line}", markup=False, highlight=False, soft_wrap=True)
+        if finding.count > MOST_BREAKS:
+            console.print(f"    and {finding.count - MOST_BREAKS} more")
--- /dev/null
+++ b/rehearsal/world/nodes.py
@@ -0,0 +1,211 @@
+"""Real nodes as processes, started as the deployment starts them, and ended with everything they began."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import shutil
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from rehearsal import draws
+from rehearsal.record import Lag, NodeDown, NodeUp, Recorder
+from rehearsal.scenario import Class, Scenario
+from rehearsal.wire import Address, get
+
+READY_S, READY_EVERY_S = 20.0, 0.03  # how long a node may take to come up, and how often it is asked
+TERM_S = 5.0  # a node that was told to end is killed after this: the longest deadline and some
+WINDOW_S = 2.0  # over which a node's wait for a core is measured
+NOTED_SHARE = 0.02  # of it, from which that is kept
+LOG_BYTES = 256 * 1024  # of a node's log that are looked through, from its end
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _end_with_parent() -> None:
+    """In the child: have the kernel kill it when the director dies, however that happens."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+
+
+def class_settings(cls: Class) -> dict[str, Any]:
+    """A class as the node's settings have it."""
+    return {
+        "name": cls.name,
+        "objective_ms": cls.wanted_s * 1000.0,
+        "give_up_ms": cls.gives_up_s * 1000.0,
+        "importance": cls.worth,
+        "late_worth": cls.late_worth,
+        "semantics": {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}[cls.repeat],
+        "dedup_scope": cls.group,
+        "window_ms": cls.window_s * 1000.0,
+        "stream": False,
+    }
+
+
+def settings(scenario: Scenario, tier: int, siblings: int, number: int) -> dict[str, Any]:
+    """A node's start-up settings; they hold nothing of the seed, the faults or the servers' speeds."""
+    rules, figures = scenario.rules, scenario.tiers[tier]
+    return {
+        "classes": [class_settings(cls) for cls in scenario.classes],
+        "clients": {"marks_retry": True},
+        "dcs": [figures.zone], "locality": figures.zone, "host_types": ["standin-1c"],
+        "family": "chain", "family_info": {"passes_deadline": scenario.node.passes_deadline},
+        "membership_mode": "on_request", "quantum_ms": 5.0,
+        "siblings": siblings, "my_number": number,
+        "over_share_worth": 1.0, "tenants": [],
+        "permissions": {
+            "connect_timeout_ms": 120.0, "keepalive_ms": 30_000.0, "max_attempts": scenario.node.attempts,
+            "may_cancel": True, "parallel_tries": False, "peers": False, "probes": False,
+            "retry_after": scenario.node.retry_after, "max_retry_after_ms": 2_000.0,
+        },
+        "prices": {}, "score_parts": {"whole": 0.45, "worst_class": 0.2, "worst_window": 0.35},
+        "rules": {
+            "answer_slack_ms": rules.answer_slack_s * 1000.0, "ask_every_ms": 10_000.0,
+            "overload_factor": rules.overload_factor, "overload_for_ms": rules.overload_for_s * 1000.0,
+            "ramp_time_ms": figures.cold_for_s * 1000.0, "start_capacity": figures.cold_from,
+            "stop_sending_within_ms": rules.drain_grace_s * 1000.0,
+        },
+        "stages": [t.name for t in scenario.tiers], "tier": tier,
+        "stats": {"fields": [], "how": "silent"}, "weight_kind": "silent", "worth_by": "request",
+    }  # fmt: skip
+
+
+class NodeProcess:
+    """One node, over all its lives."""
+
+    def __init__(
+        self, name: str, tier: int, address: Address, discovery: Address, scenario: Scenario, siblings: int,
+        number: int, folder: Path, recorder: Recorder, died: Callable[[NodeProcess, str], None],
+    ) -> None:  # fmt: skip
+        self.name, self.tier, self.address, self.discovery = name, tier, address, discovery
+        self._scenario, self._siblings, self._number = scenario, siblings, number
+        self._recorder, self._died = recorder, died
+        self._home = folder / name.replace("/", "_")
+        self.lives = 0
+        self._expected: str | None = None  # why its process will end, once that is meant
+        self._process: asyncio.subprocess.Process | None = None
+        self._watcher: asyncio.Task[None] | None = None
+        self._waited = 0.0  # for a core, up to the last look
+        self.cpu_s = 0.0  # of all its lives
+        self.ready = False
+
+    @property
+    def pid(self) -> int | None:
+        return self._process.pid if self._process is not None and self._process.returncode is None else None
+
+    async def start(self, known: dict[str, Any]) -> bool:
+        """Start it and wait until it is ready; False if it ended or took too long."""
+        self.lives += 1
+        self._expected, self.ready = None, False
+        shutil.rmtree(self._home / "tmp", ignore_errors=True)
+        (self._home / "tmp").mkdir(parents=True)
+        listen = f"{self.address[0]}:{self.address[1]}"
+        discovery = f"{self.discovery[0]}:{self.discovery[1]}"
+        config = {
+            "name": self.name, "listen": listen, "discovery": discovery,
+            "seed": f"{draws.number(self._scenario.seed, 'node', self.name, self.lives):016x}",
+            "limits": {"cores": 1.0, "memory_mb": self._scenario.node.memory_mb,
+                       "sockets": self._scenario.node.sockets},
+            "known": known, "settings": settings(self._scenario, self.tier, self._siblings, self._number),
+        }  # fmt: skip
+        path = self._home / "config.json"
+        path.write_text(json.dumps(config))
+        command = self._scenario.node.command or (sys.executable, "-B", "-m", "orchidferry")
+        env = os.environ | {
+            "NODE_NAME": self.name, "NODE_LISTEN": listen, "NODE_DISCOVERY": discovery,
+            "NODE_CONFIG": str(path), "TMPDIR": str(self._home / "tmp"),
+        }  # fmt: skip
+        with (self._home / "log").open("ab") as log:
+            try:
+                self._process = await asyncio.create_subprocess_exec(
+                    *command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                    preexec_fn=_end_with_parent, start_new_session=True,
+                )  # fmt: skip
+            except OSError as problem:
+                log.write(f"can't start {command[0]}: {problem.strerror}\n".encode())
+                log.flush()
+                self._note_end("can't start")
+                return False
+        self._waited = 0.0
+        self._watcher = asyncio.get_running_loop().create_task(self._watch(self._process))
+        return await self._until_ready(self._process)
+
+    async def _until_ready(self, process: asyncio.subprocess.Process) -> bool:
+        deadline = self._recorder.now() + READY_S
+        while self._recorder.now() < deadline and process.returncode is None and self._expected is None:
+            outcome = await get(self.address, "/-/ready")
+            if outcome.how == "answer" and outcome.status == 200:
+                self.ready = True
+                self._recorder.put(NodeUp(self._recorder.now(), self.name, self.tier))
+                return True
+            await asyncio.sleep(READY_EVERY_S)
+        return False
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        status = await process.wait()
+        if process is self._process:
+            self._note_end(f"exit {status}")
+
+    def _note_end(self, why: str) -> None:
+        self.ready = False
+        expected = self._expected
+        self._recorder.put(NodeDown(self._recorder.now(), self.name, expected or why))
+        if expected is None:
+            self._died(self, why)
+
+    def kill(self, why: str = "killed") -> None:
+        """End it outright, with whatever it started."""
+        if self.pid is not None:
+            self._expected = why
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(self.pid, signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Tell it to end, and kill it if it does not in time."""
+        process = self._process
+        if process is None or self.pid is None:
+            return
+        self._expected = "ended"
+        self._recorder.put(NodeDown(self._recorder.now(), self.name, "term"))
+        process.terminate()
+        try:
+            await asyncio.wait_for(process.wait(), TERM_S)
+        except TimeoutError:
+            self.kill("ended late")
+
+    async def gone(self) -> None:
+        """Wait until its process has ended and that is in the record."""
+        if self._watcher is not None:
+            await self._watcher
+
+    def look(self, note: bool) -> None:
+        """Read how long it has waited for a core, from the kernel's books; `note`: since the last look."""
+        if self.pid is None:
+            return
+        try:
+            ran, waited, _ = (int(n) for n in Path(f"/proc/{self.pid}/schedstat").read_text().split())
+        except (OSError, ValueError):
+            return  # ended just now, or a kernel that does not tell
+        share = (waited / 1e9 - self._waited) / WINDOW_S
+        self._waited = waited / 1e9
+        self.cpu_s = ran / 1e9
+        if note and share > NOTED_SHARE:
+            self._recorder.put(Lag(self._recorder.now(), self.name, "starved", share))
+
+    def log_lines(self) -> list[str]:
+        """The end of its log."""
+        try:
+            data = (self._home / "log").read_bytes()[-LOG_BYTES:]
+        except OSError:
+            return []
+        return data.decode("utf-8", "replace").splitlines()
+
+    def log_tail(self, lines: int) -> list[str]:
+        """Its last lines, for whoever asks why it died."""
+        return self.log_lines()[-lines:]
--- /dev/null
+++ b/rehearsal/world/standin.py
@@ -0,0 +1,237 @@
+"""A stand-in server on a socket: the machine inside it, its connections, its calls to the tier below."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rehearsal import draws
+from rehearsal.exchange import Ask, Exchanges, body_of, message, root_of
+from rehearsal.record import Began, Down, Ended, Got, Recorder, Up
+from rehearsal.scenario import Class, Scenario
+from rehearsal.wire import Address, Request, ServerSide
+from rehearsal.world import machine as inside
+from rehearsal.world.plan import Server
+
+BACKLOG = 1024
+RUNS_ALL_THE_SAME = 0.5  # of the requests whose connection is reset are worked on, and their answer lost
+REJECTED = "X-Rejected: 1\r\n"
+
+
+@dataclass(slots=True)
+class Held:
+    """A request that came over a connection and is not answered."""
+
+    connection: ServerSide
+    root: str
+    cls: Class
+    object: str
+    came: float
+
+
+class StandIn:
+    """One server, while it runs. `down` ends it and all that it keeps."""
+
+    def __init__(
+        self,
+        server: Server,
+        scenario: Scenario,
+        recorder: Recorder,
+        exchanges: Exchanges,
+        scope: Callable[[Class], inside.Keys],
+        node: tuple[str, Address] | None,
+        fell: Callable[[str], None],
+    ) -> None:
+        self.server, self._scenario, self._recorder = server, scenario, recorder
+        self._exchanges, self._scope, self._node, self._fell = exchanges, scope, node, fell
+        self._classes = {cls.name: cls for cls in scenario.classes}
+        self._loop = asyncio.get_running_loop()
+        self._connections: dict[ServerSide, set[str]] = {}  # with the ids that each is owed an answer to
+        self._held: dict[str, Held] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._troubles: dict[tuple[str, int], float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._listener: asyncio.Server | None = None
+        self._calls = 0
+        self._machine: inside.Machine
+        self.open = False
+
+    async def up(self, address: Address, cold: bool) -> None:
+        """Serve from now on."""
+        tier = self._scenario.tiers[self.server.tier]
+        self._listener = await self._loop.create_server(
+            lambda: ServerSide(self._requested, self._lost, self._made), *address, backlog=BACKLOG
+        )
+        now = self._recorder.now()
+        figures = inside.Figures(
+            self.server.name, tier, self._node is None, self.server.speed, self._scenario.seed,
+            self._scenario.rules, self._scope, now if cold else None,
+        )  # fmt: skip
+        self._machine = inside.Machine(figures, now)
+        self.open = True
+        capacity = tier.cores * self.server.speed
+        self._recorder.put(
+            Up(now, self.server.tier, self.server.name, cold, capacity, tier.cold_from, tier.cold_for_s)
+        )
+
+    def down(self, why: str) -> None:
+        """Die: connections are reset, new ones refused, work is lost."""
+        if not self.open:
+            return
+        self.open = False
+        if self._listener is not None:
+            self._listener.close()
+        if self._timer is not None:
+            self._timer.cancel()
+        for connection in list(self._connections):
+            connection.reset()
+        for id in list(self._held):
+            self._recorder.put(Ended(self._recorder.now(), self.server.tier, self.server.name, id, "lost"))
+        self._held.clear()
+        for task in self._tasks:
+            task.cancel()
+        self._recorder.put(Down(self._recorder.now(), self.server.tier, self.server.name, why))
+
+    def trouble(self, do: str, value: float, entry: int) -> None:
+        """One kind of trouble begins (value above 0) or ends."""
+        silent = self._now("silent")
+        if value:
+            self._troubles[do, entry] = value
+        else:
+            self._troubles.pop((do, entry), None)
+        if silent and not self._now("silent"):
+            # A machine that was cut off is back: what stood open on it is reset.
+            for connection in list(self._connections):
+                connection.reset()
+        factor = 1.0
+        for value in self._all("slow"):
+            factor *= value
+        fails = max(self._all("errors"), default=0.0)
+        self._handle(inside.Trouble(factor, fails, bool(self._all("freeze"))))
+
+    def _all(self, do: str) -> list[float]:
+        return [value for (kind, _), value in self._troubles.items() if kind == do]
+
+    def _now(self, do: str) -> float:
+        return max(self._all(do), default=0.0)
+
+    # Connections
+
+    def _made(self, connection: ServerSide) -> None:
+        if self.open:
+            self._connections[connection] = set()
+        else:
+            connection.reset()
+
+    def _lost(self, connection: ServerSide) -> None:
+        for id in self._connections.pop(connection, ()):
+            held = self._held.get(id)
+            if held is not None and held.connection is connection:
+                self._handle(inside.AskerGone(id))
+
+    def _requested(self, connection: ServerSide, request: Request) -> None:
+        if not self.open:
+            return connection.reset()
+        path, _, query = request.target.partition("?")
+        id, cls = request.headers.get("x-call-id"), self._classes.get(path[1:])
+        key = request.headers.get("idempotency-key", "")
+        if id is None:
+            return connection.answer(404)
+        wanted = "GET" if cls is not None and cls.repeat == "safe" else "POST"
+        if cls is None or request.method != wanted or bool(key) != (cls.repeat == "keyed"):
+            return connection.answer(400)
+        zero, server = self._recorder.zero, self.server
+        tier, root = self._scenario.tiers[server.tier], root_of(id)
+        came = request.last - zero
+        work = inside.work_of(self._scenario.seed, cls, tier, root)
+        self._recorder.put(
+            Got(came, request.first - zero, server.tier, server.name, server.cell, id, cls.name, key, work)
+        )
+        if self._now("silent"):
+            return
+        if draws.uniform(self._scenario.seed, "reset", server.name, id) < self._now("resets"):
+            connection.reset()
+            if draws.uniform(self._scenario.seed, "lost", server.name, id) >= RUNS_ALL_THE_SAME:
+                return
+        if id in self._held:  # a second copy while the first is here
+            self._recorder.put(Ended(self._recorder.now(), server.tier, server.name, id, "rejected"))
+            return connection.answer(503, b"", REJECTED)
+        self._connections.get(connection, set()).add(id)
+        self._held[id] = Held(connection, root, cls, query.removeprefix("obj="), came)
+        try:
+            budget = float(request.headers.get("x-budget", cls.gives_up_s))
+        except ValueError:
+            return connection.answer(400)
+        self._handle(inside.Arrived(id, cls, root, key, came + budget))
+
+    # The machine
+
+    def _handle(self, event: inside.Event) -> None:
+        if not self.open:
+            return
+        for action in self._machine.handle(event, self._recorder.now()):
+            match action:
+                case inside.Begin():
+                    self._recorder.put(
+                        Began(self._recorder.now(), self.server.tier, self.server.name, action.id)
+                    )
+                case inside.Finish():
+                    self._finish(action.id, action.how)
+                case inside.Call():
+                    self._call(action.id, action.number)
+                case inside.WakeAt():
+                    self._wake_at(action.t)
+                case inside.Fall():
+                    self.down("fell")
+                    self._fell(self.server.name)
+
+    def _wake_at(self, t: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait = max(0.0, t - self._recorder.now())
+        self._timer = self._loop.call_later(wait, self._handle, inside.Woken())
+
+    def _finish(self, id: str, how: str) -> None:
+        held = self._held.pop(id, None)
+        if held is None:
+            return
+        heard = held.connection.open and not self._now("silent")
+        if how == "rejected" and not heard:
+            how = "lost"  # nobody is told, so it proves nothing to a node
+        # First the record: a node may act on the answer before this process runs again.
+        self._recorder.put(Ended(self._recorder.now(), self.server.tier, self.server.name, id, how))
+        if not heard:
+            return
+        self._connections.get(held.connection, set()).discard(id)
+        if how in ("served", "repeat"):
+            held.connection.answer(200, body_of(self._scenario.seed, id))
+        elif how == "rejected":
+            held.connection.answer(503, b"", REJECTED)
+        else:
+            held.connection.answer(500)
+
+    def _call(self, id: str, number: int) -> None:
+        held = self._held.get(id)
+        if held is None or self._node is None:
+            return
+        task = self._loop.create_task(self._ask_below(id, held, number))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_below(self, id: str, held: Held, number: int) -> None:
+        assert self._node is not None
+        node, address = self._node
+        self._calls += 1
+        cls, now = held.cls, self._recorder.now()
+        call = f"{held.root}-{number}.{self.server.name}.{self._calls}"
+        ends = now + cls.gives_up_s
+        if self._scenario.node.passes_deadline:
+            ends = min(ends, held.came + cls.gives_up_s)
+        ask = Ask(self.server.tier + 1, call, cls, number, now, ends)
+
+        def make(left: float) -> bytes:
+            return message(cls, call, f"k-{call}", int(held.object or "0", 16), left, False, b"x")
+
+        outcome = await self._exchanges.ask(ask, node, address, make)
+        self._handle(inside.CallDone(id, outcome.how == "answer" and outcome.status == 200))
--- /dev/null
+++ b/tests/rehearsal/test_judge.py
@@ -0,0 +1,491 @@
+"""The judge on recorded runs: a clean one, and the same with one event that breaks a rule."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from rehearsal.judge.rules import RULES
+from rehearsal.judge.verdict import Verdict, as_json, judge, lateness
+from rehearsal.record import (
+    Answered,
+    Asked,
+    Began,
+    Cut,
+    Ended,
+    Extra,
+    Fact,
+    Got,
+    Incident,
+    Lag,
+    NodeDown,
+    Told,
+    Unanswered,
+    Up,
+    Wanted,
+)
+from rehearsal.scenario import Scenario, read_scenario
+
+SCENARIO: Scenario = read_scenario({"name": "recorded", "length": "20s"}, "test")
+END = 60.0
+
+
+class Recorded:
+    """A run written by hand; a request is asked of node n0, sent to a server, and answered."""
+
+    def __init__(self) -> None:
+        self.facts: list[Fact] = []
+
+    def put(self, *facts: Fact) -> None:
+        self.facts += facts
+
+    def ask(self, id: str, cls: str, t: float, ends: float | None = None, tier: int = 0) -> None:
+        root = id.partition(".")[0]
+        if tier == 0 and id.endswith(".0"):
+            self.put(Wanted(t, root, cls))
+        ends = t + 2.0 if ends is None else ends
+        self.put(Asked(t, tier, id, cls, "n0", root, int(id[-1]), t, ends))
+
+    def attempt(
+        self, id: str, cls: str, t: float, how: str | None = "served", server: str = "a", cell: int = 0,
+        tier: int = 0, work: float = 0.05,
+    ) -> None:  # fmt: skip
+        self.put(Got(t, t - 0.0002, tier, server, cell, id, cls, f"k-{id}", work))
+        if how in ("served", "error", "lost"):
+            self.put(Began(t + 0.001, tier, server, id))
+        if how is not None:
+            self.put(Ended(t + 0.05, tier, server, id, how))
+
+    def answer(self, id: str, t: float, status: int = 200, sound: bool = True, tier: int = 0) -> None:
+        self.put(Answered(t, tier, id, "n0", status, sound))
+
+    def judge(self, complete: bool = True) -> Verdict:
+        return judge(SCENARIO, sorted(self.facts, key=lambda fact: fact.t), 0.0, END, complete)
+
+
+def clean() -> Recorded:
+    """One request of each class served, one sent again, one refused, a drain and a cold start kept."""
+    run = Recorded()
+    for n, cls in enumerate(("ler-feed", "salvar-episodio", "repasse-socio")):
+        run.ask(f"r{n}.0", cls, 1.0 + n)
+        run.attempt(f"r{n}.0", cls, 1.01 + n)
+        run.answer(f"r{n}.0", 1.1 + n)
+    # Turned away by one server, which proves that it never ran, and sent to another.
+    run.ask("r3.0", "repasse-socio", 5.0)
+    run.attempt("r3.0", "repasse-socio", 5.01, "rejected", "a")
+    run.attempt("r3.0", "repasse-socio", 5.07, "served", "b", 1)
+    run.answer("r3.0", 5.2)
+    # Sent again under its key, within its cell and window.
+    run.ask("r4.0", "salvar-episodio", 6.0)
+    run.attempt("r4.0", "salvar-episodio", 6.01, "error", "a")
+    run.attempt("r4.0", "salvar-episodio", 6.5, "served", "c")
+    run.answer("r4.0", 6.7)
+    # Refused, as no server took it; its client asks again under a new id.
+    run.ask("r5.0", "repasse-socio", 7.0)
+    run.attempt("r5.0", "repasse-socio", 7.01, "rejected")
+    run.answer("r5.0", 7.1, 503)
+    run.ask("r5.1", "repasse-socio", 7.4)
+    run.attempt("r5.1", "repasse-socio", 7.41)
+    run.answer("r5.1", 7.6)
+    run.put(Told(0.5, "n0", "a", "active", 0.0, False), Told(0.5, "n0", "d", "active", 0.0, False))
+    run.put(Told(8.0, "n0", "d", "leaving", 0.0, False))
+    run.ask("r6.0", "ler-feed", 8.5)
+    run.attempt("r6.0", "ler-feed", 8.51, server="d")  # within the grace
+    run.answer("r6.0", 8.6)
+    # A cold start: 0.34 of a core at first, so that it may get 1.02 core-seconds within 1 s.
+    run.put(Up(20.0, 0, "e", True, 1.0, 0.34, 8.5), Told(20.5, "n0", "e", "active", 20.0, False))
+    for n in range(10):
+        run.ask(f"c{n}.0", "ler-feed", 21.0 + n * 0.01)
+        run.attempt(f"c{n}.0", "ler-feed", 21.001 + n * 0.01, server="e", work=0.05)
+        run.answer(f"c{n}.0", 21.5 + n * 0.01)
+    return run
+
+
+def test_a_clean_run_breaks_nothing_and_each_rule_has_something_to_check() -> None:
+    verdict = clean().judge()
+    assert {name: f.broken for name, f in verdict.rules.items()} == {name: [] for name in RULES}
+    assert all(finding.checked for finding in verdict.rules.values())
+    assert verdict.passed
+    assert verdict.service.whole == 1.0
+
+
+Breaker = Callable[[Recorded], None]
+
+
+def late(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0, ends=11.0)
+    run.attempt("x.0", "ler-feed", 10.01)
+    run.answer("x.0", 11.2)
+
+
+def in_the_slack(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0, ends=11.0)
+    run.attempt("x.0", "ler-feed", 10.01)
+    run.answer("x.0", 11.06)
+
+
+def never(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0, ends=11.0)
+    run.put(Unanswered(11.07, 0, "x.0", "n0", False))
+
+
+def went_away(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0, ends=11.0)
+    run.put(Unanswered(10.2, 0, "x.0", "n0", True))
+
+
+def no_end(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0, ends=11.0)
+
+
+def closed(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.1, 0, "x.0", "n0", "closed", False))
+
+
+def half(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.1, 0, "x.0", "n0", "broken", False))
+
+
+def died_with_its_node(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.1, 0, "x.0", "n0", "reset", False), NodeDown(10.102, "n0", "killed"))
+
+
+def died_of_itself(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.1, 0, "x.0", "n0", "reset", False), NodeDown(10.102, "n0", "exit 1"))
+
+
+def dropped_at_a_planned_end(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.attempt("x.0", "ler-feed", 10.01)
+    run.put(NodeDown(9.0, "n0", "term"), Cut(10.1, 0, "x.0", "n0", "closed", False))
+
+
+def crossed_a_close(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.001, 0, "x.0", "n0", "closed", True))
+    run.put(Asked(10.002, 0, "x.0", "ler-feed", "n0", "x", 0, 10.0, 12.0))
+    run.attempt("x.0", "ler-feed", 10.01)
+    run.answer("x.0", 10.2)
+
+
+def closed_on_what_it_had_sent_on(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.attempt("x.0", "ler-feed", 10.0005)
+    run.put(Cut(10.001, 0, "x.0", "n0", "closed", True))
+    run.put(Asked(10.002, 0, "x.0", "ler-feed", "n0", "x", 0, 10.0, 12.0))
+    run.answer("x.0", 10.2)
+
+
+def twice(run: Recorded) -> None:
+    run.answer("r0.0", 1.2)
+
+
+def extra(run: Recorded) -> None:
+    run.put(Extra(1.3, 0, "r0.0", "n0"))
+
+
+def made_up(run: Recorded) -> None:
+    run.ask("x.0", "ler-feed", 10.0)
+    run.attempt("x.0", "ler-feed", 10.01)
+    run.answer("x.0", 10.1, 200, sound=False)
+
+
+def lost_below(run: Recorded) -> None:
+    run.ask("x-0.a.1", "ler-feed", 10.0, ends=11.0, tier=1)
+    run.put(Unanswered(11.07, 1, "x-0.a.1", "n0", False))
+
+
+def never_taken(run: Recorded) -> None:
+    run.put(Wanted(10.0, "x", "ler-feed"), Cut(10.0, 0, "x.0", "n0", "refused", False))
+
+
+@pytest.mark.parametrize(
+    ("breaker", "words"),
+    [
+        (late, "after its time"), (never, "no answer came"), (no_end, "no end of it"),
+        (closed, "closed with no whole answer"), (half, "within an answer"),
+        (died_of_itself, "reset with no whole answer"), (dropped_at_a_planned_end, "closed with no whole"),
+        (closed_on_what_it_had_sent_on, "sent it on and closed"), (twice, "answered 2 times"),
+        (extra, "a second one"), (made_up, "no server made"), (lost_below, "no answer came"),
+    ],
+)  # fmt: skip
+def test_one_event_loses_a_request(breaker: Breaker, words: str) -> None:
+    run = clean()
+    breaker(run)
+    verdict = run.judge()
+    assert verdict.broken == ["no_request_lost"]
+    [broken] = verdict.rules["no_request_lost"].broken
+    assert words in broken.what
+    assert broken.story
+    assert not verdict.passed
+
+
+@pytest.mark.parametrize("event", [in_the_slack, went_away, died_with_its_node, crossed_a_close, never_taken])
+def test_what_loses_no_request(event: Breaker) -> None:
+    run = clean()
+    event(run)
+    assert run.judge().broken == []
+
+
+def test_what_is_open_when_the_record_ends_is_not_judged() -> None:
+    run = clean()
+    checked = run.judge().rules["no_request_lost"].checked
+    run.ask("x.0", "ler-feed", 59.0, ends=61.0)
+    verdict = run.judge(complete=False)
+    assert verdict.broken == []
+    assert verdict.rules["no_request_lost"].checked == checked
+    assert verdict.service.classes["ler-feed"].open == 1
+    assert verdict.service.whole == 1.0
+
+
+def resent_unsafe(run: Recorded) -> None:
+    run.attempt("r2.0", "repasse-socio", 3.06, server="b", cell=1)
+
+
+def resent_before_the_proof(run: Recorded) -> None:
+    run.ask("x.0", "repasse-socio", 10.0)
+    run.attempt("x.0", "repasse-socio", 10.01, "rejected", "a")
+    run.attempt("x.0", "repasse-socio", 10.03, "served", "b")
+    run.answer("x.0", 10.2)
+
+
+def resent_after_an_unheard_refusal(run: Recorded) -> None:
+    run.ask("x.0", "repasse-socio", 10.0)
+    run.attempt("x.0", "repasse-socio", 10.01, "lost", "a")
+    run.attempt("x.0", "repasse-socio", 10.2, "served", "b")
+    run.answer("x.0", 10.4)
+
+
+def other_cell(run: Recorded) -> None:
+    run.attempt("r1.0", "salvar-episodio", 2.07, server="b", cell=1)
+
+
+def after_the_window(run: Recorded) -> None:
+    run.ask("x.0", "salvar-episodio", 10.0, ends=20.0)
+    run.attempt("x.0", "salvar-episodio", 10.01, "error", "a")
+    run.attempt("x.0", "salvar-episodio", 16.2, "served", "c")
+    run.answer("x.0", 16.4)
+
+
+def refused_though_it_ran(run: Recorded) -> None:
+    run.ask("x.0", "repasse-socio", 10.0)
+    run.attempt("x.0", "repasse-socio", 10.01, "error")
+    run.answer("x.0", 10.1, 503)
+
+
+def refused_while_it_was_out(run: Recorded) -> None:
+    run.ask("x.0", "salvar-episodio", 10.0)
+    run.attempt("x.0", "salvar-episodio", 10.01, "served")
+    run.answer("x.0", 10.02, 429)
+
+
+def resent_below(run: Recorded) -> None:
+    run.ask("x-0.a.1", "repasse-socio", 10.0, tier=2)
+    run.attempt("x-0.a.1", "repasse-socio", 10.01, "error", "y", tier=2)
+    run.attempt("x-0.a.1", "repasse-socio", 10.3, "served", "z", tier=2)
+    run.answer("x-0.a.1", 10.5, tier=2)
+
+
+@pytest.mark.parametrize(
+    ("breaker", "words"),
+    [
+        (resent_unsafe, "may have run"), (resent_before_the_proof, "may have run"),
+        (resent_after_an_unheard_refusal, "may have run"), (other_cell, "not known there"),
+        (after_the_window, "its key is kept"), (refused_though_it_ran, "refused (503)"),
+        (refused_while_it_was_out, "refused (429)"), (resent_below, "may have run"),
+    ],
+)  # fmt: skip
+def test_one_event_has_an_effect_twice(breaker: Breaker, words: str) -> None:
+    run = clean()
+    breaker(run)
+    verdict = run.judge()
+    assert verdict.broken == ["no_effect_twice"]
+    [broken] = verdict.rules["no_effect_twice"].broken
+    assert words in broken.what
+
+
+def test_a_client_that_asks_again_after_a_failure_may_have_both_run() -> None:
+    run = clean()
+    run.ask("x.0", "repasse-socio", 10.0)
+    run.attempt("x.0", "repasse-socio", 10.01, "error")
+    run.answer("x.0", 10.1, 502)  # promises nothing
+    run.ask("x.1", "repasse-socio", 10.4)
+    run.attempt("x.1", "repasse-socio", 10.41)
+    run.answer("x.1", 10.6)
+    verdict = run.judge()
+    assert verdict.broken == []
+    assert verdict.ran_twice == ["x"]
+    assert as_json(verdict)["run"]["unsafe_run_twice_legally"] == ["x"]
+
+
+def test_a_client_that_was_told_its_retry_is_harmless_must_not_have_both_run() -> None:
+    run = clean()
+    refused_though_it_ran(run)
+    run.ask("x.1", "repasse-socio", 10.4)
+    run.attempt("x.1", "repasse-socio", 10.41)
+    run.answer("x.1", 10.6)
+    verdict = run.judge()
+    [broken] = verdict.rules["no_effect_twice"].broken
+    assert "asked again, and x.1 ran too" in broken.what
+    assert verdict.ran_twice == []
+
+
+def test_a_send_after_the_drains_grace_breaks_rule_3() -> None:
+    run = clean()
+    run.ask("x.0", "ler-feed", 9.0)
+    run.attempt("x.0", "ler-feed", 9.1, server="d")
+    run.answer("x.0", 9.3)
+    verdict = run.judge()
+    assert verdict.broken == ["drains_kept"]
+    assert "1.100 s after it was told" in verdict.rules["drains_kept"].broken[0].what
+
+
+def test_a_drain_counts_from_when_this_node_was_told() -> None:
+    run = clean()
+    run.put(Told(8.0, "n1", "a", "leaving", 0.0, False))  # n0 asked, and was not told
+    run.ask("x.0", "ler-feed", 30.0)
+    run.attempt("x.0", "ler-feed", 30.01, server="a")
+    run.answer("x.0", 30.2)
+    assert run.judge().broken == []
+
+
+def test_a_server_that_is_back_is_in_service() -> None:
+    run = clean()
+    run.put(Told(9.5, "n0", "d", "left", 0.0, False), Told(12.0, "n0", "d", "active", 11.0, False))
+    run.ask("x.0", "ler-feed", 12.5)
+    run.attempt("x.0", "ler-feed", 12.51, server="d")
+    run.answer("x.0", 12.7)
+    assert run.judge().broken == []
+
+
+def test_left_after_leaving_does_not_begin_the_grace_anew() -> None:
+    run = clean()
+    run.put(Told(8.9, "n0", "d", "left", 0.0, False))
+    run.ask("x.0", "ler-feed", 9.2)
+    run.attempt("x.0", "ler-feed", 9.3, server="d")
+    run.answer("x.0", 9.5)
+    assert run.judge().broken == ["drains_kept"]
+
+
+def flood(run: Recorded, told: bool) -> None:
+    for n in range(10):
+        run.ask(f"f{n}.0", "ler-feed", 21.2 + n * 0.01)
+        run.attempt(f"f{n}.0", "ler-feed", 21.201 + n * 0.01, server="e", work=0.1)
+        run.answer(f"f{n}.0", 21.9 + n * 0.01)
+    if not told:
+        run.facts = [f for f in run.facts if not (isinstance(f, Told) and f.server == "e")]
+
+
+def test_more_than_a_cold_servers_budget_breaks_rule_4() -> None:
+    run = clean()
+    flood(run, told=True)
+    verdict = run.judge()
+    assert verdict.broken == ["cold_servers_spared"]
+    assert "within 1 s by 1 nodes" in verdict.rules["cold_servers_spared"].broken[0].what
+
+
+def test_nodes_that_could_not_know_of_a_cold_start_break_nothing() -> None:
+    run = clean()
+    flood(run, told=False)
+    assert run.judge().broken == []
+
+
+def test_a_rule_with_nothing_to_check_says_so() -> None:
+    run = Recorded()
+    run.ask("r0.0", "ler-feed", 1.0)
+    run.attempt("r0.0", "ler-feed", 1.01)
+    run.answer("r0.0", 1.1)
+    rules = as_json(run.judge())["rules"]
+    assert {name: rule["checked"] for name, rule in rules.items()} == {
+        "no_request_lost": 1, "no_effect_twice": 0, "drains_kept": 0, "cold_servers_spared": 0,
+    }  # fmt: skip
+
+
+def test_service_counts_late_worth_and_ties_retries_to_their_first_try() -> None:
+    run = Recorded()
+    run.ask("r0.0", "repasse-socio", 1.0, ends=3.0)
+    run.put(Unanswered(3.07, 0, "r0.0", "n0", False))
+    run.ask("r0.1", "repasse-socio", 3.3, ends=6.0)
+    run.answer("r0.1", 4.0)  # 3 s after the first try: late, worth 0.3 of 8
+    run.ask("r1.0", "ler-feed", 1.0)
+    run.answer("r1.0", 1.5)
+    service = run.judge().service
+    assert service.whole == pytest.approx((0.3 * 8.0 + 1.0) / 9.0)
+    row = service.classes["repasse-socio"]
+    assert (row.asked, row.served) == (1, 1)
+    assert row.quantile_ms(50.0) == pytest.approx(3000.0, rel=0.002)
+    assert service.worst_class == "repasse-socio"
+
+
+def test_time_counts_from_when_a_late_client_should_have_asked() -> None:
+    run = Recorded()
+    run.put(Wanted(1.0, "r0", "ler-feed"))
+    run.put(Asked(1.9, 0, "r0.0", "ler-feed", "n0", "r0", 0, 1.0, 2.5))  # 0.9 s late
+    run.answer("r0.0", 2.3)  # 0.4 s after it was sent, 1.3 s after it was meant: past the wanted 1.2 s
+    service = run.judge().service
+    assert service.firsts[0].took_s == pytest.approx(1.3)
+    assert service.whole == pytest.approx(0.2)
+
+
+def test_the_worst_10_s_are_found() -> None:
+    run = Recorded()
+    for n in range(20):
+        run.ask(f"r{n}.0", "ler-feed", float(n))
+        run.answer(f"r{n}.0", n + 0.1, 200 if n < 8 or n > 12 else 502)
+    service = run.judge().service
+    assert (service.worst_window, service.worst_window_at) == (0.5, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("lag", "words"),
+    [
+        (Lag(1.0, "clients", "late", 0.5), "ms late"),
+        (Lag(1.0, "world0", "stall", 0.3), "world0"),
+        (Lag(1.0, "n0", "starved", 0.5), "waited for a core"),
+    ],
+)
+def test_a_machine_that_is_too_slow_makes_a_run_void_and_not_bad_service(lag: Lag, words: str) -> None:
+    run = clean()
+    run.put(lag)
+    verdict = run.judge()
+    assert any(words in why for why in verdict.lateness.void)
+    assert not verdict.passed
+    assert verdict.broken == []
+
+
+def test_lateness_counts_those_that_were_in_time() -> None:
+    facts: list[Fact] = [Lag(1.0, "clients", "late", 0.1) for _ in range(2)]
+    assert lateness(facts, SCENARIO.limits, 1000).p99_s == 0.0
+    assert lateness(facts, SCENARIO.limits, 100).p99_s == pytest.approx(0.1)
+
+
+def test_the_json_is_as_agreed() -> None:
+    run = clean()
+    run.put(Incident(3.0, 5.0, "slow", "a"))
+    obj = as_json(run.judge())
+    assert set(obj) == {
+        "format", "scenario", "seed", "complete", "service", "classes", "rules", "requests", "attempts",
+        "timeline", "run",
+    }  # fmt: skip
+    assert set(obj["classes"]["ler-feed"]) == {
+        "asked", "served", "refused", "failed", "unanswered", "p50_ms", "p99_ms", "service",
+    }  # fmt: skip
+    assert set(obj["rules"]) == set(RULES)
+    assert obj["attempts"]["by_tier"] == [20, 0, 0]
+    assert obj["attempts"]["per_client_request"] == pytest.approx(20 / 17, rel=1e-3)
+    assert obj["timeline"] == [{"at_s": 3.0, "until_s": 5.0, "do": "slow", "whom": "a"}]
+
+
+def test_a_class_that_is_only_ever_refused_earns_nothing() -> None:
+    run = clean()
+    run.facts = [
+        replace(f, status=503) if isinstance(f, Answered) and f.id == "r0.0" else f for f in run.facts
+    ]
+    row = run.judge().service.classes["ler-feed"]
+    assert (row.refused, row.served) == (1, row.asked - 1)
