Kit: bench commands, tests of stand-ins, discovery, reports and the command line; design note

`orchidferry bench rehearsal|spread|retries`; an incidents' strip on the page; the front's deal and discovery's delays drawn by name; a node gets the deployment's limit on descriptors. Found by the tests: a request whose connection a resetting server had reset never ran, though half of them should; discovery could not listen for a renamed server's node; keys counted as seen before work began.

--- /dev/null
+++ b/rehearsal/bench.py
@@ -0,0 +1,198 @@
+"""`orchidferry bench`: measurements that are too long for CI, each printed with the machine's size.
+
+`rehearsal` finds out what this machine can drive before a run is void; `spread` plays one seed several
+times; `retries` tells what a scenario costs with and without retries.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import statistics
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from rehearsal.judge.verdict import Verdict, judge
+from rehearsal.scenario import BadScenario, Class, Scenario, Tier, load_scenario
+from rehearsal.world.director import Progress, Run, rehearse
+
+RUN_S = 8.0  # of load for each size that is tried
+MIB = 1024 * 1024
+# What a kit can drive is told by short work: long work measures the servers that it plays.
+QUICK = Class("ler-feed", 1.0, 0.002, 1.2, 3.0, "safe", spread=0.3, group="all")
+FIRST_RATE, FIRST_SERVERS, FIRST_NODES = 500.0, 100, 8
+MOST_TRIES = 8  # of one size after another: each is twice the last
+
+
+def machine() -> str:
+    """This machine's size, for whoever reads the figures elsewhere."""
+    pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    python = ".".join(map(str, sys.version_info[:3]))
+    return f"{len(os.sched_getaffinity(0))} cores, {pages / MIB / 1024:.0f} GiB, Python {python}"
+
+
+def play(scenario: Scenario) -> tuple[Run, Verdict]:
+    """One run and its verdict."""
+    run = uvloop.run(rehearse(scenario, Progress()))
+    return run, judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
+
+
+class Interrupted(Exception):
+    """A run was stopped by a signal: so is the measurement."""
+
+
+def played(scenario: Scenario) -> tuple[Run, Verdict]:
+    run, verdict = play(scenario)
+    if run.interrupted:
+        raise Interrupted
+    return run, verdict
+
+
+def small(
+    name: str, rate: float, servers: int, tiers: int, nodes: int, workers: int, clients: int
+) -> Scenario:
+    """A plain load on so many servers."""
+    made = tuple(
+        Tier(f"tier{n}", servers, 1.0 / tiers, 1.0, slots=100, room=100, speed=(1.0, 1.0))
+        for n in range(tiers)
+    )
+    base = Scenario(name, length_s=RUN_S, seed=1, classes=(QUICK,), tiers=made, workers=workers)
+    return replace(
+        base,
+        load=replace(base.load, rate=rate),
+        front=replace(base.front, nodes=nodes),
+        clients=replace(base.clients, processes=clients, impatient=0.0),
+    )
+
+
+def sizes() -> Iterator[tuple[str, Callable[[int], Scenario]]]:
+    """What grows, and the scenario of its n-th size."""
+    yield (
+        "requests a second (1 tier, 80 servers, 4 nodes; 3 stand-in and 3 client processes)",
+        lambda n: small("rate", FIRST_RATE * 2**n, 80, 1, 4, 3, 3),
+    )
+    yield (
+        "servers (1 tier, 2 nodes, 200 requests a second; 2 stand-in processes)",
+        lambda n: small("servers", 200.0, FIRST_SERVERS * 2**n, 1, 2, 2, 1),
+    )
+    yield (
+        "nodes, a process each (2 tiers, so that each upper server has one, 100 requests a second)",
+        lambda n: small("nodes", 100.0, FIRST_NODES * 2**n - 2, 2, 2, 2, 1),
+    )
+
+
+def capacity() -> list[dict[str, Any]]:
+    """Grow one thing at a time until a run is void."""
+    rows: list[dict[str, Any]] = []
+    for what, scenario_of in sizes():
+        print(f"\n{what}")
+        for n in range(MOST_TRIES):
+            try:
+                scenario = scenario_of(n)
+                run, verdict = played(scenario)
+            except ValueError as problem:
+                print(f"  not tried: {problem}")
+                break
+            void = verdict.lateness.void or ([run.why] if not run.complete else [])
+            row = {
+                "what": what, "rate": scenario.load.rate,
+                "servers": sum(t.servers for t in scenario.tiers),
+                "nodes": scenario.front.nodes + sum(t.servers for t in scenario.tiers[:-1]),
+                "processes": run.processes, "service": verdict.service.whole,
+                "late_p99_ms": verdict.lateness.p99_s * 1000, "stall_ms": verdict.lateness.stall_s * 1000,
+                "starved": verdict.lateness.starved, "void": void,
+                "broken": verdict.broken,
+            }  # fmt: skip
+            rows.append(row)
+            print(
+                f"  {row['rate']:6g}/s, {row['servers']:5} servers, {row['nodes']:4} nodes: "
+                f"service {verdict.service.whole or 0.0:.3f}, late {row['late_p99_ms']:.1f} ms at p99, "
+                f"longest stall {row['stall_ms']:.0f} ms, node waited {row['starved']:.0%}"
+                + (f"  VOID: {'; '.join(void)}" if void else ""),
+                flush=True,
+            )
+            if void:
+                break
+    return rows
+
+
+def spread(scenario: Scenario, runs: int) -> list[dict[str, Any]]:
+    """The same seed, several times."""
+    rows: list[dict[str, Any]] = []
+    for n in range(runs):
+        run, verdict = played(scenario)
+        row: dict[str, Any] = {
+            "run": n + 1, "complete": run.complete, "service": verdict.service.whole,
+            "worst_10s": verdict.service.worst_window, "broken": verdict.broken,
+            "attempts": verdict.per_client_request, "void": verdict.lateness.void,
+        }  # fmt: skip
+        rows.append(row)
+        print(
+            f"  run {n + 1}: service {row['service']:.4f}, worst 10 s {row['worst_10s']:.4f}, "
+            f"{row['attempts']:.3f} attempts a request, broken {row['broken'] or 'none'}",
+            flush=True,
+        )
+    values = [float(row["service"] or 0.0) for row in rows]
+    if len(values) > 1:
+        print(
+            f"  service {statistics.mean(values):.4f}, standard deviation {statistics.stdev(values):.4f}, "
+            f"{min(values):.4f} to {max(values):.4f}"
+        )
+    return rows
+
+
+def retries(scenario: Scenario, runs: int) -> list[dict[str, Any]]:
+    """With and without retries of the nodes and of the clients, by turns."""
+    rows: list[dict[str, Any]] = []
+    own, asked = scenario.node.attempts, scenario.clients.retries
+    for attempts, asked_again in ((own, asked), (own, 0), (1, asked), (1, 0)):
+        one = replace(
+            scenario,
+            node=replace(scenario.node, attempts=attempts),
+            clients=replace(scenario.clients, retries=asked_again),
+        )
+        verdicts = [played(one)[1] for _ in range(runs)]
+        row: dict[str, Any] = {
+            "node_attempts": attempts, "client_retries": asked_again,
+            "service": statistics.mean(v.service.whole or 0.0 for v in verdicts),
+            "worst_10s": statistics.mean(v.service.worst_window or 0.0 for v in verdicts),
+            "attempts": statistics.mean(v.per_client_request for v in verdicts),
+            "p99_ms": {name: statistics.mean(v.service.classes[name].quantile_ms(99.0) for v in verdicts)
+                       for name in verdicts[0].service.classes},
+            "broken": sorted({name for v in verdicts for name in v.broken}),
+        }  # fmt: skip
+        rows.append(row)
+        print(f"  attempts of a node {attempts}, retries of a client {asked_again}: service "
+              f"{row['service']:.4f}, worst 10 s {row['worst_10s']:.4f}, {row['attempts']:.2f} attempts a "
+              f"request, p99 {', '.join(f'{n} {v:.0f} ms' for n, v in row['p99_ms'].items())}",
+              flush=True)  # fmt: skip
+    return rows
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run the command; its exit status."""
+    try:
+        scenario = load_scenario(args.scenario) if "scenario" in args else None
+    except BadScenario as problem:
+        print(f"orchidferry bench: {problem}", file=sys.stderr)
+        return 2
+    if scenario is not None and not 1 <= args.runs <= 100:
+        print(f"orchidferry bench: --runs {args.runs}: not within 1 to 100", file=sys.stderr)
+        return 2
+    print(f"{args.what}: {machine()}")
+    try:
+        if scenario is None:
+            rows = capacity()
+        else:
+            rows = {"spread": spread, "retries": retries}[args.what](scenario, args.runs)
+    except Interrupted:
+        return 130
+    if args.json is not None:
+        Path(args.json).write_text(json.dumps({"machine": machine(), "rows": rows}, indent=1) + "\n")
+    return 1 if any(row["broken"] for row in rows) else 0
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 import sys
 
 EXAMPLES = {
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
+    "bench": "orchidferry bench spread slow-server --runs 5",
 }
 
 
@@ -52,9 +54,30 @@
     rehearse.add_argument("--json", metavar="FILE", help="write the verdict there, complete or not")
     rehearse.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
     rehearse.add_argument("--keep", metavar="FOLDER", help="leave the record and the nodes' logs there")
+    _add_bench(commands)
     return parser
 
 
+def _add_bench(commands: argparse._SubParsersAction[_Parser]) -> None:
+    bench = commands.add_parser(
+        "bench",
+        help="measure what the kit can do on this machine",
+        description="Measurements that are too long for CI; each tells the machine's size.",
+        epilog=f"example: {EXAMPLES['bench']}",
+    )
+    kinds = bench.add_subparsers(dest="what", metavar="WHAT", required=True)
+    kinds.add_parser("rehearsal", help="how much the kit drives before a run is void")
+    for name, about, runs in (
+        ("spread", "one scenario and seed, several times", 5),
+        ("retries", "a scenario with and without retries", 1),
+    ):
+        kind = kinds.add_parser(name, help=about, epilog=f"example: orchidferry bench {name} slow-server")
+        kind.add_argument("scenario", metavar="SCENARIO|FILE.toml")
+        kind.add_argument("--runs", type=int, default=runs, metavar="N", help=f"each ({runs})")
+    for kind in kinds.choices.values():
+        kind.add_argument("--json", metavar="FILE", help="write the figures there")
+
+
 def main() -> int:
     """The program."""
     if len(sys.argv) < 2:
@@ -63,19 +86,18 @@
         return node()
     try:
         args = _parser().parse_args()
-        if args.command != "rehearse":
+        if args.command is None:
             print("orchidferry: a command is missing; see orchidferry --help", file=sys.stderr)
             return 2
         try:
-            from rehearsal.rehearse import main as rehearse
+            command = importlib.import_module(f"rehearsal.{args.command}")
         except ModuleNotFoundError as problem:
             if problem.name is None or problem.name.partition(".")[0] in ("rehearsal", "orchidferry"):
                 raise
-            print(
-                f"orchidferry: rehearse needs {problem.name}: pip install 'orchidferry[kit]'", file=sys.stderr
-            )
+            needs = f"{args.command} needs {problem.name}"
+            print(f"orchidferry: {needs}: pip install 'orchidferry[kit]'", file=sys.stderr)
             return 2
-        return rehearse(args)
+        return int(command.main(args))
     except KeyboardInterrupt:
         return 130
 
--- a/rehearsal/clients/generator.py
+++ b/rehearsal/clients/generator.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import sys
-from random import Random
 
 from rehearsal import draws
 from rehearsal.clients.schedule import Arrival, arrivals, leaves_after
@@ -35,7 +34,6 @@
         self._exchanges = Exchanges(self._scenario, recorder)
         self._nodes: list[str] = []  # that the front deals to
         self._numbers = {name: n for n, name in enumerate(script.plan.nodes)}
-        self._deal: Random = draws.stream(self._scenario.seed, "front", index)
         self._open: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._playing: asyncio.Task[None] | None = None
@@ -106,7 +104,8 @@
         """One try at a node that the front deals."""
         if not self._nodes:
             return Outcome("refused", 0.0)
-        node = self._deal.choice(self._nodes)
+        dealt = draws.uniform(self._scenario.seed, "deal", ask.id, high=len(self._nodes))
+        node = self._nodes[int(dealt)]
         key, body = f"k-{arrival.root}", b"x" * self._scenario.clients.body
 
         def make(left: float) -> bytes:
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -47,6 +47,10 @@
     except NoAddresses as problem:
         print(f"orchidferry rehearse: {problem}", file=sys.stderr)
         return 2
+    if run.start:
+        console.print(
+            f"{run.processes} processes, {run.nodes_cpu_s:.1f} CPU seconds of nodes", highlight=False
+        )
     verdict = judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
     terminal.show(console, verdict)
     for note in run.notes[:5]:
--- a/rehearsal/report/page.py
+++ b/rehearsal/report/page.py
@@ -22,7 +22,7 @@
 h1 { font-size: 1.5rem; margin-bottom: .2rem; } h2 { font-size: 1.1rem; margin-top: 2rem; }
 table { border-collapse: collapse; }
 th, td { padding: .25rem .7rem; border-bottom: 1px solid #ddd; text-align: right; }
-th:first-child, td:first-child { text-align: left; }
+th:first-child, td:first-child, .words td, .words th { text-align: left; }
 .pass { color: #1b7837; } .fail { color: #b2182b; font-weight: 600; } .none { color: #946200; }
 .banner { background: #fdecea; border-left: 4px solid #b2182b; padding: .5rem 1rem; margin: 1rem 0; }
 pre { background: #f6f6f6; padding: .6rem; overflow-x: auto; font-size: 13px; }
@@ -54,11 +54,11 @@
     return "\n".join(parts) + "\n</html>\n"
 
 
-def _table(head: list[str], rows: list[list[str]]) -> str:
-    """Cells are HTML already."""
+def _table(head: list[str], rows: list[list[str]], kind: str = "") -> str:
+    """Cells are HTML already; `kind`: its class in the style, where it has one."""
     top = "".join(f"<th>{cell}</th>" for cell in head)
     body = "".join("<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>" for row in rows)
-    return f"<table><tr>{top}</tr>{body}</table>"
+    return f"<table class='{kind}'><tr>{top}</tr>{body}</table>"
 
 
 def _rules(verdict: Verdict) -> str:
@@ -89,22 +89,26 @@
         [escape(fact.do), f"{books.at(fact.t):.1f} s", f"{books.at(fact.until):.1f} s", escape(fact.whom)]
         for fact in books.incidents
     ]
-    return _table(["what", "from", "to", "whom"], rows)
+    return _table(["what", "from", "to", "whom"], rows, "words")
 
 
 def _plots(verdict: Verdict) -> str:
-    """Latency, service, requests in flight and attempts by tier, with the incidents marked on each."""
+    """Latency, service, requests in flight and attempts by tier, under a strip that shows the incidents."""
     figures = series(verdict)
     nan = float("nan")
+    rows = max(1, len(verdict.books.incidents))
     with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "rehearsal", "font.size": 9}):
-        drawing = Figure(figsize=(10, 11), layout="constrained")
-        axes: Any = drawing.subplots(4, 1, sharex=True)
-        latency, service, flight, attempts = axes
+        drawing = Figure(figsize=(10, 10 + 0.2 * rows), layout="constrained")
+        heights = [0.35 + 0.2 * rows, 2.4, 2.4, 2.4, 2.4]
+        axes: Any = drawing.subplots(5, 1, sharex=True, height_ratios=heights)
+        strip, latency, service, flight, attempts = axes
         for q in QUANTILES:
             values = [nan if v is None else v for v in figures.latency_ms[q]]
             latency.plot(figures.times, values, label=f"p{100 * q:g}")
         latency.set_ylabel("time to the answer, ms")
         latency.set_yscale("log")
+        latency.yaxis.set_major_formatter("{x:g}")
+        latency.yaxis.set_minor_formatter("{x:g}")
         values = [nan if v is None else 100.0 * v for v in figures.service]
         service.step(figures.times, values, where="post", color="#222")
         service.set_ylim(-3, 103)
@@ -117,24 +121,33 @@
         ):
             (drawn,) = attempts.step(figures.times, sent, where="post", label=tier.name)
             if any(turned):
-                attempts.step(figures.times, turned, where="post", linestyle=":", color=drawn.get_color(),
-                              label=f"{tier.name}, turned away")  # fmt: skip
+                label, colour = f"{tier.name}, turned away", drawn.get_color()
+                attempts.step(figures.times, turned, where="post", linestyle=":", color=colour, label=label)
         attempts.set_ylabel("attempts a second")
         attempts.set_xlabel("seconds since the load began")
-        for axis in axes:
-            axis.grid(alpha=0.25)
-            for n, fact in enumerate(verdict.books.incidents):
-                start, end = verdict.books.at(fact.t), verdict.books.at(fact.until)
-                colour = FAULT_COLOURS[n % len(FAULT_COLOURS)]
-                axis.axvspan(start, max(end, start + 0.05), color=colour, alpha=0.15, linewidth=0)
-                axis.axvline(start, color=colour, linewidth=0.8)
-        for n, fact in enumerate(verdict.books.incidents):
-            latency.text(verdict.books.at(fact.t), 1.01 + 0.045 * (n % 4), f" {fact.do}",
-                         transform=latency.get_xaxis_transform(), fontsize=8,
-                         color=FAULT_COLOURS[n % len(FAULT_COLOURS)])  # fmt: skip
+        _mark(verdict, strip, axes[1:])
         for axis in (latency, flight, attempts):
             axis.legend(loc="upper right", fontsize=8, framealpha=0.8)
         out = io.StringIO()
         drawing.savefig(out, format="svg", metadata={"Date": None})
     text = out.getvalue()
     return text[text.index("<svg") :]
+
+
+def _mark(verdict: Verdict, strip: Any, axes: Any) -> None:
+    """Each incident as a bar with its name, and as a tint and a line over the other plots."""
+    books = verdict.books
+    for n, fact in enumerate(books.incidents):
+        start, end = books.at(fact.t), max(books.at(fact.until), books.at(fact.t) + 0.1)
+        colour = FAULT_COLOURS[n % len(FAULT_COLOURS)]
+        strip.barh(n, end - start, left=start, height=0.7, color=colour, alpha=0.6)
+        strip.text(start, n, f"{fact.do} ", fontsize=8, ha="right", va="center")
+        for axis in axes:
+            axis.axvspan(start, end, color=colour, alpha=0.05, linewidth=0)
+            axis.axvline(start, color=colour, linewidth=0.8)
+    strip.set_ylim(len(books.incidents) - 0.4, -0.6)
+    strip.set_yticks([])
+    strip.set_frame_on(False)
+    strip.set_ylabel("faults")
+    for axis in axes:
+        axis.grid(alpha=0.25)
--- a/rehearsal/report/series.py
+++ b/rehearsal/report/series.py
@@ -57,11 +57,15 @@
     for (tier, _), seen in books.seen.items():
         if tier:
             continue
+        out_now = False
         for fact in seen:
-            if isinstance(fact, Asked):
+            # A close that crossed it, and a refused connection after that, end it once.
+            if isinstance(fact, Asked) and not out_now:
                 change[step(fact.t)] += 1
-            elif isinstance(fact, Answered | Cut | Unanswered) and isinstance(seen[0], Asked):
+                out_now = True
+            elif isinstance(fact, Answered | Cut | Unanswered) and out_now:
                 change[step(fact.t)] -= 1
+                out_now = False
     out = 0
     for n in range(steps):
         out += change[n]
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -355,9 +355,15 @@
         return next(n for n, tier in enumerate(self.tiers) if tier.name == name)
 
     def altered(self, seed: int | None, length_s: float | None) -> Scenario:
-        """With another seed or length; a timeline that ends later is cut by the length alone."""
+        """With another seed or length; `BadScenario` if its timeline does not fit."""
         changed = self if seed is None else replace(self, seed=seed)
-        return changed if length_s is None else replace(changed, length_s=length_s)
+        if length_s is not None:
+            changed = replace(changed, length_s=length_s)
+        try:
+            _check(changed)
+        except _Bad as problem:
+            raise BadScenario(f"{self.name}: {problem}") from None
+        return changed
 
 
 TABLES: dict[str, tuple[str, type[Any]]] = {
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -14,7 +14,6 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from random import Random
 from typing import Any
 
 from rehearsal import draws
@@ -93,7 +92,6 @@
         self.zero = time.monotonic()
         self.recorder = Recorder(folder / "director.facts", self.zero)
         self._discovery = DiscoveryService(len(self.scenario.tiers), self.recorder, time.time())
-        self._chance: Random = draws.stream(self.scenario.seed, "delays")
         self._worlds: list[_Child] = []
         self._clients: list[_Child] = []
         self._nodes: dict[str, NodeProcess] = {}
@@ -294,7 +292,10 @@
     def _list_later(self, name: str, status: str, between: tuple[float, float]) -> None:
         server = self.plan.server(name)
         entry = self._entry(server, self._running.get(name, 0.0), status)
-        self._discovery.list_later(entry, self._chance.uniform(*between))
+        self._discovery.list_later(entry, self._delay(between, name, status))
+
+    def _delay(self, between: tuple[float, float], *name: str) -> float:
+        return draws.uniform(self.scenario.seed, "delay", *name, low=between[0], high=between[1])
 
     def _is_down(self, name: str, why: str) -> None:
         if self._closing or name not in self._running:
@@ -326,7 +327,7 @@
     async def _notice(self, node: str, between: tuple[float, float]) -> None:
         """The front deals no more to a node, once it has noticed."""
         lives = self._nodes[node].lives
-        await asyncio.sleep(self._chance.uniform(*between))
+        await asyncio.sleep(self._delay(between, node, str(lives)))
         if self._nodes[node].lives == lives:
             self._dealt.discard(node)
             self._deal()
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -7,10 +7,12 @@
 import ctypes
 import json
 import os
+import resource
 import shutil
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -28,8 +30,12 @@
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
-def _end_with_parent() -> None:
-    """In the child: have the kernel kill it when the director dies, however that happens."""
+def _in_child(sockets: int) -> None:
+    """Before the node's program begins: its limit on descriptors, and its end with the director's.
+
+    The kernel kills it when the director dies, however that happens.
+    """
+    resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
 
 
@@ -92,9 +98,15 @@
         self._process: asyncio.subprocess.Process | None = None
         self._watcher: asyncio.Task[None] | None = None
         self._waited = 0.0  # for a core, up to the last look
-        self.cpu_s = 0.0  # of all its lives
+        self._cpu_before_s = 0.0  # of its lives before this one
+        self._cpu_now_s = 0.0  # of this one, up to the last look
         self.ready = False
 
+    @property
+    def cpu_s(self) -> float:
+        """CPU seconds of all its lives, up to the last look at each."""
+        return self._cpu_before_s + self._cpu_now_s
+
     @property
     def pid(self) -> int | None:
         return self._process.pid if self._process is not None and self._process.returncode is None else None
@@ -125,7 +137,7 @@
             try:
                 self._process = await asyncio.create_subprocess_exec(
                     *command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                    preexec_fn=_end_with_parent, start_new_session=True,
+                    preexec_fn=partial(_in_child, self._scenario.node.sockets), start_new_session=True,
                 )  # fmt: skip
             except OSError as problem:
                 log.write(f"can't start {command[0]}: {problem.strerror}\n".encode())
@@ -133,6 +145,7 @@
                 self._note_end("can't start")
                 return False
         self._waited = 0.0
+        self._cpu_before_s, self._cpu_now_s = self.cpu_s, 0.0
         self._watcher = asyncio.get_running_loop().create_task(self._watch(self._process))
         return await self._until_ready(self._process)
 
@@ -194,7 +207,7 @@
             return  # ended just now, or a kernel that does not tell
         share = (waited / 1e9 - self._waited) / WINDOW_S
         self._waited = waited / 1e9
-        self.cpu_s = ran / 1e9
+        self._cpu_now_s = ran / 1e9
         if note and share > NOTED_SHARE:
             self._recorder.put(Lag(self._recorder.now(), self.name, "starved", share))
 
--- a/rehearsal/world/standin.py
+++ b/rehearsal/world/standin.py
@@ -157,7 +157,8 @@
         if id in self._held:  # a second copy while the first is here
             self._recorder.put(Ended(self._recorder.now(), server.tier, server.name, id, "rejected"))
             return connection.answer(503, b"", REJECTED)
-        self._connections.get(connection, set()).add(id)
+        if not connection.transport.is_closing():  # else it runs on, though nobody hears of it
+            self._connections.get(connection, set()).add(id)
         self._held[id] = Held(connection, root, cls, query.removeprefix("obj="), came)
         try:
             budget = float(request.headers.get("x-budget", cls.gives_up_s))
--- /dev/null
+++ b/tests/rehearsal/test_cli.py
@@ -0,0 +1,222 @@
+"""The command line: statuses, one line for what is wrong, and what the node does not import."""
+
+from __future__ import annotations
+
+import io
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rich.console import Console
+
+from rehearsal import bench, cli
+from rehearsal.judge.verdict import Verdict
+from rehearsal.record import Cut, Incident
+from rehearsal.report import terminal
+from rehearsal.report.page import page
+from rehearsal.report.series import series
+from rehearsal.scenario import load_scenario, shipped
+from rehearsal.world.director import Progress
+from tests.rehearsal.test_judge import clean, resent_unsafe
+from tests.test_wire import ROOT
+
+
+def call(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], *args: str
+) -> tuple[int, str, str]:
+    monkeypatch.setattr(sys, "argv", ["orchidferry", *args])
+    try:
+        status = cli.main()
+    except SystemExit as leave:
+        status = int(leave.code or 0)
+    captured = capsys.readouterr()
+    return status, captured.out, captured.err
+
+
+@pytest.mark.parametrize(
+    ("args", "words"),
+    [
+        (("rehearse",), "which scenario"),
+        (("rehearse", "no-such"), "no-such: no such scenario"),
+        (("rehearse", "none.toml"), "none.toml: No such file"),
+        (("rehearse", "calm", "--seed", "-3"), "--seed -3"),
+        (("rehearse", "calm", "--seed", "x"), "--seed: invalid int value"),
+        (("rehearse", "calm", "--seconds", "nan"), "--seconds nan"),
+        (("rehearse", "calm", "--seconds", "0"), "--seconds 0"),
+        (("rehearse", "calm", "--protocol", "h9"), "--protocol: invalid choice"),
+        (("rehearse", "calm", "--protocol", "h3"), "--protocol h3"),
+        (
+            ("rehearse", "calm", "--json", "/no/such/folder/x.json"),
+            "/no/such/folder/x.json: can't be written",
+        ),
+        (("rehearse", "slow-server", "--seconds", "3"), "timeline[0].at"),
+        (("rehears",), "invalid choice"),
+        (("bench", "spread", "no-such"), "no such scenario"),
+        (("bench", "spread", "calm", "--runs", "0"), "--runs 0"),
+        (("bench",), "WHAT"),
+    ],
+)
+def test_bad_usage_is_one_line_and_status_2(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], args: tuple[str, ...], words: str
+) -> None:
+    status, out, err = call(monkeypatch, capsys, *args)
+    assert status == 2
+    assert words in err
+    assert len(err.splitlines()) == 1
+    assert out == ""
+
+
+def test_a_bad_file_is_named_with_its_field(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    path = tmp_path / "mine.toml"
+    path.write_text('name = "x"\n[load]\nrate = "fast"\n')
+    status, _, err = call(monkeypatch, capsys, "rehearse", str(path))
+    assert (status, err) == (2, f"orchidferry rehearse: {path}: [load].rate: 'fast' is no number\n")
+
+
+def test_a_folder_to_keep_must_be_empty(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    (tmp_path / "precious").write_text("x")
+    status, _, err = call(monkeypatch, capsys, "rehearse", "calm", "--keep", str(tmp_path))
+    assert status == 2 and "is not empty" in err
+
+
+def test_list_tells_each_scenario_in_a_line(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    status, out, _ = call(monkeypatch, capsys, "rehearse", "--list")
+    assert status == 0
+    assert [line.split()[0] for line in out.splitlines()] == list(shipped())
+
+
+@pytest.mark.parametrize("args", [("rehearse", "--help"), ("bench", "--help"), ("bench", "spread", "--help")])
+def test_help_has_an_example(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], args: tuple[str, ...]
+) -> None:
+    status, out, _ = call(monkeypatch, capsys, *args)
+    assert status == 0 and "example: orchidferry" in out
+
+
+def test_the_node_imports_nothing_of_the_kit_nor_of_its_libraries() -> None:
+    code = (
+        "import sys, orchidferry.__main__\n"
+        "print(*sorted({m.partition('.')[0] for m in sys.modules} & "
+        "{'rehearsal', 'rich', 'hdrh', 'matplotlib', 'numpy', 'argparse'}))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == ""
+
+
+def test_without_arguments_both_ways_in_are_the_node() -> None:
+    for module in ("orchidferry", "rehearsal.cli"):
+        done = subprocess.run(
+            [sys.executable, "-m", module], cwd=ROOT, capture_output=True, text=True, check=False, env={}
+        )
+        assert done.returncode == 2
+        assert done.stderr == "orchidferry: NODE_CONFIG must name the configuration file\n"
+
+
+def test_the_program_hands_its_commands_on() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "orchidferry", "rehearse", "--list"], cwd=ROOT, capture_output=True, text=True,
+        check=False,
+    )  # fmt: skip
+    assert done.returncode == 0 and "slow-server" in done.stdout
+
+
+def test_a_missing_library_is_named(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def missing(name: str) -> Any:
+        raise ModuleNotFoundError("No module named 'rich'", name="rich")
+
+    monkeypatch.setattr("importlib.import_module", missing)
+    status, _, err = call(monkeypatch, capsys, "rehearse", "calm")
+    assert status == 2
+    assert err == "orchidferry: rehearse needs rich: pip install 'orchidferry[kit]'\n"
+
+
+# Reports
+
+
+def printed(verdict: Verdict) -> str:
+    console = Console(file=io.StringIO(), width=120)
+    terminal.show(console, verdict)
+    assert isinstance(console.file, io.StringIO)
+    return console.file.getvalue()
+
+
+def verdict_of(complete: bool = True) -> Verdict:
+    run = clean()
+    run.put(Incident(3.0, 9.0, "slow", "<b>a</b>"))
+    verdict = run.judge(complete)
+    verdict.why = "" if complete else "node <n0> ended by itself"
+    return verdict
+
+
+def test_the_terminal_tells_rules_incidents_and_that_nothing_broke() -> None:
+    text = printed(verdict_of())
+    assert "no rule broken" in text
+    assert "3 s slow: <b>a</b>" in text
+    assert text.count("│ pass ") == 4
+
+
+def test_the_terminal_tells_a_break_with_its_story() -> None:
+    run = clean()
+    resent_unsafe(run)
+    text = printed(run.judge())
+    assert "FAIL" in text and "no rule broken" not in text
+    assert "request r2.0 to entrada, at 3.060 s" in text
+    assert "server b (cell 1) had read it" in text
+
+
+def test_the_terminal_tells_a_cut_off_and_a_void_run() -> None:
+    verdict = verdict_of(complete=False)
+    verdict.lateness.void.append("clients asked late")
+    text = printed(verdict)
+    assert "cut off: node <n0> ended by itself" in text
+    assert "void: clients asked late" in text
+    assert "no rule broken" not in text
+
+
+def test_the_page_stands_alone_and_escapes_what_it_shows() -> None:
+    text = page(verdict_of(complete=False))
+    assert "<b>a</b>" not in text and "&lt;b&gt;a&lt;/b&gt;" in text
+    assert "node &lt;n0&gt; ended" in text
+    assert text.count("<svg") == 1 and text.rstrip().endswith("</html>")
+    assert "<script" not in text and "<link" not in text and "src=" not in text
+
+
+def test_series_add_up_to_what_was_asked_and_sent() -> None:
+    verdict = verdict_of()
+    figures = series(verdict)
+    assert sum(figures.asked) * figures.step_s == verdict.first_tries
+    assert sum(figures.attempts[0]) * figures.step_s == verdict.attempts[0]
+    assert sum(figures.rejected[0]) * figures.step_s == 2
+    assert figures.in_flight[-1] == 0.0 and max(figures.in_flight) >= 1.0
+
+
+def test_a_request_that_is_cut_twice_is_in_flight_once() -> None:
+    run = clean()
+    run.ask("x.0", "ler-feed", 10.0)
+    run.put(Cut(10.1, 0, "x.0", "n0", "reset", True), Cut(10.1, 0, "x.0", "n0", "refused", False))
+    assert min(series(run.judge()).in_flight) == 0.0
+
+
+def test_the_status_line_names_what_goes_on() -> None:
+    progress = Progress("playing", 6.0, 100, 90, 5, [(5.0, 13.0, "slow a"), (14.0, 15.0, "crash b")])
+    line = terminal.status_line(load_scenario("slow-server"), progress)
+    assert "asked 100, served 90, open 5" in line
+    assert "slow a" in line and "crash b" not in line
+
+
+def test_the_bench_names_the_machine_and_its_scenarios_are_sound() -> None:
+    assert "cores" in bench.machine()
+    for _, scenario_of in bench.sizes():
+        small, large = scenario_of(0), scenario_of(1)
+        assert small != large
+        assert sum(cls.share for cls in small.classes) == 1.0
