Node: long lists in steps, time limits on one timer, idle connections without walks

Need: a list of 10,000 entries was read, compared and told to the module in one go, 100 ms and more in which no request moved; each request set two timers of the loop; at the limit of sockets each dial walked all servers' pools.

Discovery reads a long list 250 entries at a time and the node tells the module 500 at a time, what leaves first; it counts at once in the node, which sends nothing there whatever the module still says. The pool knows its longest idle connection; a socket is asked for unread bytes once a use, by a poll kept for it.

--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -7,8 +7,11 @@
 
 import hashlib
 import json
+import math
 import re
+import sys
 import time
+from collections.abc import Generator
 from dataclasses import dataclass
 
 from nickelbridge import interface as api
@@ -23,6 +26,10 @@
 }
 
 
+READ_STEP = 250  # entries of a list that are read in one go: 2 to 3 ms
+CLOCK_SET_MS = 50.0  # what the two clocks may drift apart before that is taken for one that was set
+
+
 class BadConfig(Exception):
     """A configuration that no node can be started with."""
 
@@ -78,19 +85,48 @@
     return int(text, 16)
 
 
-def read_listing(obj: Json) -> Listing:
-    """Read a list as discovery writes it. `since_ms` is Unix time; the module's clock is monotonic."""
+_offset_ms = -math.inf
+
+
+def unix_offset_ms() -> float:
+    """From Unix time to the node's clock.
+
+    As taken at first, until a clock was set: an entry that has not changed must read the same again.
+    """
+    global _offset_ms
     offset_ms = now_ms() - time.time() * 1000.0
+    if abs(offset_ms - _offset_ms) > CLOCK_SET_MS:
+        _offset_ms = offset_ms
+    return _offset_ms
+
+
+def read_listing(obj: Json) -> Listing:
+    """Read a list as discovery writes it, at once."""
+    steps = read_in_steps(obj)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            listing: Listing = done.value
+            return listing
+
+
+def read_in_steps(obj: Json) -> Generator[None, None, Listing]:
+    """The same in steps of `READ_STEP` entries, so that requests come between: 10,000 take some 100 ms.
+
+    `since_ms` is Unix time; the module's clock is monotonic.
+    """
+    offset_ms = unix_offset_ms()
     entries: list[api.ServerEntry] = []
     addresses: dict[int, Address] = {}
-    for item in objects(obj, "endpoints"):
+    for n, item in enumerate(objects(obj, "endpoints"), 1):
         server = server_id(get(item, "name", str))
         since_ms = opt(item, "since_ms", NUMBER, 0)
         entries.append(
             api.ServerEntry(
                 server=server,
-                zone=opt(item, "zone", str, ""),
-                kind=opt(item, "type", str, ""),
+                zone=sys.intern(opt(item, "zone", str, "")),
+                kind=sys.intern(opt(item, "type", str, "")),
                 cell=opt(item, "group", int, 0),
                 health=word(item, "status", STATUSES),
                 share=opt(item, "weight", NUMBER, 1.0),
@@ -98,6 +134,8 @@
             )
         )
         addresses[server] = address(get(item, "address", str))
+        if n % READ_STEP == 0:
+            yield
     return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses)
 
 
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -8,12 +8,12 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
 from nickelbridge.settings import Malformed
-from orchidferry.config import Address, Listing, read_listing
+from orchidferry.config import Address, Listing, read_in_steps, read_listing
 
 # How long discovery may keep a watch open. Its silence shows only after that: in incident r32b5e5 first
 # calls were lost, and with 20 s all nodes sent through a whole release by the list they had started with.
@@ -22,7 +22,15 @@
 GRACE_MS = 1_500  # what it gets beyond that: 2 s after the wait its news counts as told
 CALL_MS = 5_000  # for a call that need not wait for news
 CONNECT_S = 1.0  # for a connection to come up; a cut link would use up the whole of a watch's time
-MAX_LIST = 8 * 1024 * 1024
+MAX_LIST = 8 * 1024 * 1024  # some 40,000 entries
+LONG_BODY = 64 * 1024  # bytes of a list that are read in one go: some 300 entries
+
+
+def _parsed(body: bytes) -> dict[str, Any]:
+    obj = json.loads(body)
+    if not isinstance(obj, dict):
+        raise Malformed("not an object")
+    return obj
 
 
 class _Channel(asyncio.Protocol):
@@ -174,13 +182,38 @@
             return self.failed(channel, "an answer that nobody asked for")
         if status != 200:
             return self._fail(f"status {status}")
+        if len(body) <= LONG_BODY:
+            try:
+                listing = read_listing(_parsed(body))
+            except (ValueError, RecursionError, Malformed) as problem:
+                return self._fail(f"a list that can't be read: {problem!s:.100}")
+            return self._take(listing, keep)
+        # A long one is read in steps, as requests are waiting; until then this call counts as out.
+        if self._timer is not None:
+            self._timer.cancel()
+        self._asking = self._loop.create_task(self._read(body, keep))
+
+    async def _read(self, body: bytes, keep: bool) -> None:
+        task = self._asking
         try:
-            obj = json.loads(body)
-            if not isinstance(obj, dict):
-                raise Malformed("not an object")
-            listing = read_listing(obj)
+            steps = read_in_steps(_parsed(body))
+            while True:
+                try:
+                    next(steps)
+                except StopIteration as done:
+                    listing: Listing = done.value
+                    break
+                await asyncio.sleep(0)
         except (ValueError, RecursionError, Malformed) as problem:
-            return self._fail(f"a list that can't be read: {problem!s:.100}")
+            if self._asking is task:
+                self._fail(f"a list that can't be read: {problem!s:.100}")
+            return
+        if self._asking is task:  # nobody moved or closed it meanwhile
+            self._asking = None
+            self._take(listing, keep)
+
+    def _take(self, listing: Listing, keep: bool) -> None:
+        """Go on from a list that was read: the next watch first, as it must come within 200 ms."""
         self._end_call()
         if not keep:
             self._drop()
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -32,6 +32,9 @@
 OWN_PATHS = b"/-/"
 
 
+STATUS_LINES = {status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n" for status in HTTPStatus}
+
+
 class Stage(Enum):
     """What a caller's connection waits for."""
 
@@ -73,7 +76,7 @@
 
 def render(reply: Reply, close: bool) -> bytes:
     """An answer as one piece of bytes, to be written at once."""
-    lines = [f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}\r\n"]
+    lines = [STATUS_LINES[reply.status]]
     if reply.content_type is not None:
         lines.append(f"Content-Type: {reply.content_type.decode('latin-1')}\r\n")
     if reply.retry_after_s is not None:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -12,10 +12,12 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
+from orchidferry.alarms import Alarms
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
 from orchidferry.frontend import Frontend, Reply
@@ -31,6 +33,7 @@
 LAST_MS = 800.0  # before the last answer all begins to close: what comes till then has a fair chance
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
+LIST_STEP = 500  # entries of a list that the module is told in one go: some milliseconds
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 log = logging.getLogger("orchidferry")
@@ -47,7 +50,7 @@
         self._node, self.id, self.message, self.answer = node, id, message, answer
         self.ends_ms = ends_ms
         self.attempts = 0  # begun so far
-        self.backstop: asyncio.TimerHandle | None = None
+        self.backstop = 0  # the alarm at its end
 
     def caller_gone(self) -> None:
         self._node.caller_gone(self)
@@ -86,12 +89,17 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
-        self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
+        self._alarms = Alarms(loop)
+        self._upstream = Upstream(
+            loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room, self._alarms
+        )
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
             int(CALLERS_SHARE * config.sockets),
         )  # fmt: skip
+        self._news: deque[api.ServerList] = deque()  # steps of long lists that the module is still to be told
+        self._telling = False
         self._longest_ms = 0.0  # the longest budget so far
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
 
@@ -161,10 +169,9 @@
 
     def _watch(self, live: Live) -> None:
         """Set the backstop to the request's end, as it is now."""
-        if live.backstop is not None:
-            live.backstop.cancel()
-        left_s = max(0.0, live.ends_ms - now_ms()) / 1000.0
-        live.backstop = self._loop.call_later(left_s, self._overdue, live)
+        self._alarms.cancel(live.backstop)
+        left_s = (live.ends_ms - now_ms()) / 1000.0
+        live.backstop = self._alarms.after(left_s, partial(self._overdue, live))
 
     def caller_gone(self, live: Live) -> None:
         """Nobody waits any more."""
@@ -176,8 +183,7 @@
         if self._live.pop(live.id, None) is None:
             return False
         self._open_ids.discard(live.message.id)
-        if live.backstop is not None:
-            live.backstop.cancel()
+        self._alarms.cancel(live.backstop)
         return True
 
     def _finish(self, id: str, reply: Reply) -> None:
@@ -189,7 +195,7 @@
         """Fail a request that the module has not ended by its deadline, whatever the reason."""
         left_ms = live.ends_ms - now_ms()
         if left_ms > 0.0:  # the loop's clock may run ahead: failing early would be a broken promise
-            live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
+            live.backstop = self._alarms.after(left_ms / 1000.0 + 0.001, partial(self._overdue, live))
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
             live.answer(Reply(504, b"no answer in time"))
@@ -279,8 +285,14 @@
             self._loop.call_later(PUSHED_RETRY_S, self._discovery.subscribe)
 
     def _take_listing(self, listing: Listing, kind: api.ListKind) -> None:
+        """Take news at once; what the module is told of a long list it is told in steps.
+
+        Here all of it counts from now on: what the module sends to a server that has left is sent nowhere.
+        """
+        gone = []
         if kind is not api.ListKind.CHANGES:
-            for server in self._addresses.keys() - listing.addresses.keys():
+            gone = [server for server in self._addresses if server not in listing.addresses]
+            for server in gone:
                 self._forget(server)
         for entry in listing.entries:
             if entry.health is api.Health.GONE:
@@ -291,7 +303,26 @@
                 self._in_service.add(entry.server)
             else:
                 self._in_service.discard(entry.server)
-        self._handle(api.ServerList(kind, listing.index, listing.entries))
+        long = kind is not api.ListKind.SAVED and len(listing.entries) > LIST_STEP
+        if not long and not self._news:
+            return self._handle(api.ServerList(kind, listing.index, listing.entries))
+        # What drains or is gone goes first: the rest only adds to what the module may do.
+        entries = [api.ServerEntry(server, health=api.Health.GONE) for server in gone]
+        entries += sorted(listing.entries, key=lambda entry: entry.health is api.Health.IN_SERVICE)
+        for at in range(0, len(entries), LIST_STEP):
+            step = entries[at : at + LIST_STEP]
+            self._news.append(api.ServerList(api.ListKind.CHANGES, listing.index, step))
+        if not self._telling:
+            self._telling = True
+            self._tell_step()
+
+    def _tell_step(self) -> None:
+        """Tell the module the next step of a long list, and let requests come before the one after it."""
+        if self._news:
+            self._handle(self._news.popleft())
+            self._loop.call_soon(self._tell_step)
+        else:
+            self._telling = False
 
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
--- a/orchidferry/request.py
+++ b/orchidferry/request.py
@@ -62,7 +62,8 @@
     """Check a whole request; `Unacceptable` says what is wrong with it."""
     try:
         path = target.partition(b"?")[0].decode("ascii")
-        cls = classes.get(unquote(path.partition("/")[2].partition("/")[0]) if path[:1] == "/" else "")
+        part = path.partition("/")[2].partition("/")[0] if path[:1] == "/" else ""
+        cls = classes.get(unquote(part) if "%" in part else part)
         tenant = headers.get(b"x-caller", b"").decode("utf-8") or None
     except ValueError:
         raise Unacceptable("X-Caller or the path can't be read") from None
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -18,6 +18,7 @@
 import httptools
 
 from nickelbridge.interface import Result
+from orchidferry.alarms import Alarms
 from orchidferry.config import Address, now_ms
 
 MAX_BODY = 64 * 1024
@@ -47,16 +48,18 @@
 class Attempt:
     """One copy of a request on its way to one server; reports its outcome exactly once."""
 
-    __slots__ = ("_cancel_io", "_ended", "_timer", "may_send", "message", "over", "written")
+    __slots__ = ("_alarm", "_alarms", "_cancel_io", "_ended", "may_send", "message", "over", "written")
 
     def __init__(self, message: bytes, may_send: Callable[[], bool], ended: Ended) -> None:
         self.message, self.may_send, self._ended = message, may_send, ended
         self.written = self.over = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._alarms: Alarms | None = None
+        self._alarm = 0
         self._cancel_io: Callable[[], object] | None = None
 
-    def give_up_after(self, timer: asyncio.TimerHandle) -> None:
-        self._timer = timer
+    def give_up_after(self, alarms: Alarms, delay_s: float) -> None:
+        """Time it out then."""
+        self._alarms, self._alarm = alarms, alarms.after(delay_s, self.timed_out)
 
     def carried_by(self, cancel_io: Callable[[], object]) -> None:
         """Note what stops the attempt where it is: its dial, or its connection."""
@@ -67,8 +70,8 @@
         if self.over:
             return
         self.over, self._cancel_io = True, None
-        if self._timer is not None:
-            self._timer.cancel()
+        if self._alarms is not None:
+            self._alarms.cancel(self._alarm)
         self._ended(result, answer)
 
     def break_off(self, result: Result) -> None:
@@ -124,6 +127,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by class
         self._lost = False
+        self._poll = select.poll()
+        self._poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         # Nothing may wait in the transport unseen: at a limit of 0 a write goes out at once, and
         # `pause_writing` tells of what did not fit.
         self._transport.set_write_buffer_limits(0)
@@ -179,9 +184,7 @@
         """
         if self._lost or self._transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._poll.poll(0)
 
     def carry(self, attempt: Attempt) -> None:
         """Write an attempt's request and wait for its answer."""
@@ -206,7 +209,8 @@
 
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
         attempt, self._attempt = self._attempt, None
-        if reuse and not self._paused and self.usable():
+        # Whether anything unread has come is asked before the next use, as it may come until then.
+        if reuse and not self._paused and not self._lost and not self._transport.is_closing():
             self._pool.put_back(self)  # first: what the outcome sets off may use it
         else:
             self.close()
@@ -268,11 +272,13 @@
         connect_timeout_ms: float,
         keepalive_ms: float,
         room: Callable[[], int],
+        alarms: Alarms,
     ) -> None:
-        self._loop, self._room = loop, room
+        self._loop, self._room, self._alarms = loop, room, alarms
         self._connect_timeout_s = connect_timeout_ms / 1000.0
         self._idle_limit_ms = keepalive_ms * IDLE_SHARE
         self._idle: dict[int, list[Connection]] = {}
+        self._aged: dict[Connection, None] = {}  # all of these, the longest idle first
         self._open: set[Connection] = set()
         self._dials: set[asyncio.Task[None]] = set()
         loop.call_later(SWEEP_S, self._sweep)
@@ -293,12 +299,13 @@
     ) -> Attempt:
         """Start an attempt, on a new connection if `fresh`; `ended` may be called before this returns."""
         attempt = Attempt(message, may_send, ended)
-        attempt.give_up_after(self._loop.call_later(max(0.0, timeout_ms) / 1000.0, attempt.timed_out))
+        attempt.give_up_after(self._alarms, timeout_ms / 1000.0)
         idle = self._idle.get(server, [])
         if fresh and idle:
             idle[0].close()  # the new one takes its place, or they would add up
         while idle and not fresh:
             connection = idle.pop()  # the most recently used, so that the rest can grow old and go
+            self._aged.pop(connection, None)
             if connection.usable() and connection.address == address:
                 connection.carry(attempt)
                 return attempt
@@ -341,23 +348,27 @@
     def put_back(self, connection: Connection) -> None:
         """Keep a connection that carries nothing for the next attempt."""
         connection.idle_since = now_ms()
+        self._aged[connection] = None
         self._idle.setdefault(connection.server, []).append(connection)
 
     def forget(self, connection: Connection) -> None:
         """Count a connection out."""
         self._open.discard(connection)
-        idle = self._idle.get(connection.server)
-        if idle and connection in idle:
+        if connection in self._aged:
+            del self._aged[connection]
+            idle = self._idle[connection.server]
             idle.remove(connection)
+            if not idle:
+                del self._idle[connection.server]
 
     def close_idle(self, server: int) -> None:
         """Close what carries nothing to a server."""
-        for connection in self._idle.pop(server, []):
+        for connection in list(self._idle.get(server, ())):
             connection.close()
 
     def close_oldest_idle(self) -> bool:
         """Give back a socket, if one carries nothing."""
-        oldest = min((idle[0] for idle in self._idle.values() if idle), key=_age, default=None)
+        oldest = next(iter(self._aged), None)
         if oldest is not None:
             oldest.close()
         return oldest is not None
@@ -365,12 +376,5 @@
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
         before = now_ms() - self._idle_limit_ms
-        for server, idle in list(self._idle.items()):
-            while idle and idle[0].idle_since < before:
-                idle[0].close()
-            if not idle:
-                del self._idle[server]
-
-
-def _age(connection: Connection) -> float:
-    return connection.idle_since
+        while self._aged and (oldest := next(iter(self._aged))).idle_since < before:
+            oldest.close()
--- /dev/null
+++ b/tests/test_long_lists.py
@@ -0,0 +1,162 @@
+"""Long lists at the node: read and told in steps, requests between them, drains at once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from nickelbridge import interface as api
+from nickelbridge.logic import Balancer
+from orchidferry import config, discovery, node
+from orchidferry.config import read_in_steps, read_listing, server_id, unix_offset_ms
+from tests.peers import Server, run, until, world
+
+
+def listed(count: int, **changes: Any) -> list[dict[str, Any]]:
+    return [
+        {"name": f"far-{n}", "address": "127.0.0.1:9", "zone": "z", "type": "k", "group": n % 7,
+         "status": "active", "weight": 1.0, "since_ms": 0} | changes
+        for n in range(count)
+    ]  # fmt: skip
+
+
+@pytest.fixture
+def small_steps(monkeypatch: pytest.MonkeyPatch) -> list[api.ServerList]:
+    """Steps so small that a list of some dozens is long; what the module is told of lists."""
+    monkeypatch.setattr(discovery, "LONG_BODY", 1_000)
+    monkeypatch.setattr(config, "READ_STEP", 5)
+    monkeypatch.setattr(node, "LIST_STEP", 10)
+    told: list[api.ServerList] = []
+    handle = Balancer.handle
+
+    def watched(self: Balancer, event: api.Event, now_ms: float) -> list[api.Action]:
+        if isinstance(event, api.ServerList):
+            told.append(event)
+        return handle(self, event, now_ms)
+
+    monkeypatch.setattr(Balancer, "handle", watched)
+    return told
+
+
+def test_a_long_list_is_told_in_steps_and_requests_are_served_between(
+    tmp_path: Path, small_steps: list[api.ServerList]
+) -> None:
+    async def test() -> None:
+        near = Server(name="near")
+        async with world(tmp_path, near) as scene:
+            assert scene.node is not None
+            assert (await scene.ask("before")).status == 200
+            small_steps.clear()
+            far = listed(95)
+            far[60]["status"] = "leaving"
+            scene.registry.tell(near.entry(), *far, snapshot=True)
+            await until(lambda: sum(len(news.entries) for news in small_steps) >= 96)
+            assert max(len(news.entries) for news in small_steps) <= 10
+            assert small_steps[0].entries[0].server == server_id("far-60")  # what leaves comes first
+            await until(lambda: not scene.node._telling if scene.node else False)
+            entries = scene.node._balancer.fleet.entries
+            assert entries.keys() == {server_id("near"), *(server_id(f"far-{n}") for n in range(95))}
+            # And it goes on from there: a short change, and a whole list that takes nearly all away.
+            scene.registry.tell(*(entry | {"status": "left"} for entry in far[:3]))
+            await until(lambda: len(entries) == 93)
+            scene.registry.tell(near.entry(), *far[3:40], snapshot=True)
+            await until(lambda: len(entries) == 38)
+            scene.registry.tell(near.entry(), snapshot=True)
+            await until(lambda: len(entries) == 1)
+            assert (await scene.ask("after")).status == 200
+
+    run(test())
+
+
+def test_a_drain_in_a_long_list_holds_before_the_module_has_heard_of_it(
+    tmp_path: Path, small_steps: list[api.ServerList], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        one, other = Server(name="one"), Server(name="other")
+        async with world(tmp_path, one, other) as scene:
+            assert scene.node is not None
+            monkeypatch.setattr(node.Node, "_tell_step", lambda self: None)  # the module hears nothing
+            scene.registry.tell(one.entry(status="leaving"), other.entry(), *listed(50), snapshot=True)
+            in_service = scene.node._in_service
+            await until(lambda: server_id("far-0") in in_service)
+            assert server_id("one") not in in_service
+            seen = len(one.seen)
+            answers = await asyncio.gather(*(scene.ask(f"r{n}") for n in range(20)))
+            assert len(one.seen) == seen
+            assert any(answer.status == 200 for answer in answers)
+
+    run(test())
+
+
+def test_a_long_list_that_can_not_be_read_is_a_failure_and_asked_for_again(
+    tmp_path: Path, small_steps: list[api.ServerList]
+) -> None:
+    async def test() -> None:
+        near = Server(name="near")
+        async with world(tmp_path, near) as scene:
+            assert scene.node is not None
+            bad = listed(60)
+            bad[59]["status"] = "dancing"
+            scene.registry.tell(*bad, snapshot=True)
+            await until(lambda: any(news.kind is api.ListKind.FAILED for news in small_steps))
+            assert (await scene.ask("still")).status == 200
+            scene.registry.tell(near.entry(), *listed(30), snapshot=True)
+            entries = scene.node._balancer.fleet.entries
+            await until(lambda: len(entries) == 31)
+
+    run(test())
+
+
+def test_a_node_that_moves_to_another_discovery_forgets_the_list_that_it_was_reading(
+    tmp_path: Path, small_steps: list[api.ServerList]
+) -> None:
+    async def test() -> None:
+        near = Server(name="near")
+        async with world(tmp_path, near) as scene:
+            assert scene.node is not None
+            finder = scene.node._discovery
+            await until(lambda: bool(scene.registry.seen))
+            finder._end_call()
+            finder._asking = finder._loop.create_task(
+                finder._read(
+                    json.dumps({"index": 9, "snapshot": True, "endpoints": listed(200)}).encode(), True
+                )
+            )
+            await asyncio.sleep(0)
+            finder.move(finder._address)
+            await asyncio.sleep(0.05)
+            assert not any(server_id("far-0") in {e.server for e in news.entries} for news in small_steps)
+            assert (await scene.ask("still")).status == 200
+
+    run(test())
+
+
+def test_steps_read_what_one_go_reads() -> None:
+    obj = {"index": 3, "snapshot": True, "endpoints": listed(1_003, since_ms=1_700_000_000_000)}
+    steps = read_in_steps(obj)
+    count = 0
+    while True:
+        try:
+            next(steps)
+            count += 1
+        except StopIteration as done:
+            assert done.value == read_listing(obj)
+            break
+    assert count == 4
+
+
+def test_an_entry_that_has_not_changed_reads_the_same_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    obj = {"index": 3, "snapshot": True, "endpoints": listed(1, since_ms=1_700_000_000_000)}
+    first = read_listing(obj)
+    now = time.time()
+    monkeypatch.setattr("time.time", lambda: now + 0.01)  # the clocks drift a little
+    assert read_listing(obj) == first
+    monkeypatch.setattr("time.time", lambda: now + 100.0)  # and one is set
+    assert read_listing(obj) != first
+    monkeypatch.undo()
+    unix_offset_ms()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -17,6 +17,7 @@
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
+from orchidferry.alarms import Alarms
 from orchidferry.config import Address
 from orchidferry.upstream import Answer, Connection, Upstream, read_report
 from tests.peers import CLOSE, HANG, LIMIT_S, RESET, Server, answer, request, run, until, world
@@ -145,7 +146,9 @@
     def __init__(self, address: str, **changes: float) -> None:
         figures = {"connect_timeout_ms": 5000.0, "keepalive_ms": 60_000.0} | changes
         loop = asyncio.get_running_loop()
-        self.upstream = Upstream(loop, figures["connect_timeout_ms"], figures["keepalive_ms"], lambda: 100)
+        self.upstream = Upstream(
+            loop, figures["connect_timeout_ms"], figures["keepalive_ms"], lambda: 100, Alarms(loop)
+        )
         host, port = address.split(":")
         self.address: Address = (host, int(port))
         self.results: list[Result] = []
