Command line: no traceback where whoever reads the output has gone

The pipe's end is caught and the command ends with status 1, with nothing on standard error.

Measured: a test through a real pipe; the tests of the command line pass.

--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -8,6 +8,7 @@
 
 import argparse
 import importlib
+import os
 import sys
 
 EXAMPLES = {
@@ -116,9 +117,14 @@
             needs = f"{args.command} needs {problem.name}"
             print(f"orchidferry: {needs}: pip install 'orchidferry[kit]'", file=sys.stderr)
             return 2
-        return int(command.main(args))
+        status = int(command.main(args))
+        sys.stdout.flush()
+        return status
     except KeyboardInterrupt:
         return 130
+    except BrokenPipeError:  # whoever read this has gone; the interpreter must not fail on it at its end
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 1
 
 
 if __name__ == "__main__":
--- a/tests/rehearsal/test_cli.py
+++ b/tests/rehearsal/test_cli.py
@@ -141,6 +141,14 @@
     assert err == "orchidferry: rehearse needs rich: pip install 'orchidferry[kit]'\n"
 
 
+def test_a_reader_that_goes_away_gets_no_traceback() -> None:
+    done = subprocess.run(
+        f"{sys.executable} -m rehearsal.cli rehearse --list | true", shell=True, cwd=ROOT,
+        capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert done.stderr == ""
+
+
 # Reports
 
 
