--- a/rehearsal/judge/rules.py
+++ b/rehearsal/judge/rules.py
@@ -226,7 +226,7 @@
     finding = Finding()
     rules = books.scenario.rules
     grace = rules.drain_grace_s + rules.slack_s
-    for (_, _), facts in books.told.items():
+    for facts in books.told.values():
         out = False
         for fact in facts:
             if fact.status == "active":
--- a/rehearsal/process.py
+++ b/rehearsal/process.py
@@ -36,7 +36,6 @@
     plan: Plan
     zero: float  # of the record's clock, by time.monotonic
     block: int
-    protocol: str = "h1"
 
     def write(self, folder: Path) -> None:
         (folder / SCRIPT).write_bytes(pickle.dumps(self))
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -64,7 +64,6 @@
     nodes_cpu_s: float = 0.0
     processes: int = 0
     notes: list[str] = field(default_factory=list)
-    protocol: str = "h1"
 
 
 class _Child:
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Generator
 from pathlib import Path
 from typing import Any
 
@@ -27,6 +28,17 @@
     ]  # fmt: skip
 
 
+def finished(steps: Generator[None, None, Any]) -> tuple[Any, int]:
+    """What comes of something done in steps, and in how many."""
+    count = 0
+    while True:
+        try:
+            next(steps)
+            count += 1
+        except StopIteration as done:
+            return done.value, count
+
+
 @pytest.fixture
 def small_steps(monkeypatch: pytest.MonkeyPatch) -> list[api.ServerList]:
     """Steps so small that a list of some dozens is long; what the module is told of lists."""
@@ -140,15 +152,8 @@
 
 def test_steps_read_what_one_go_reads() -> None:
     obj = {"index": 3, "snapshot": True, "endpoints": listed(1_003, since_ms=1_700_000_000_000)}
-    steps = read_in_steps(obj)
-    count = 0
-    while True:
-        try:
-            next(steps)
-            count += 1
-        except StopIteration as done:
-            assert done.value == read_listing(obj)
-            break
+    listing, count = finished(read_in_steps(obj))
+    assert listing == read_listing(obj)
     assert count == 1_003 // config.READ_STEP
 
 
@@ -165,12 +170,7 @@
 
 
 def parsed(body: bytes) -> Any:
-    steps = config.parse_in_steps(body)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as done:
-            return done.value
+    return finished(config.parse_in_steps(body))[0]
 
 
 JSON = st.recursive(
