A second address tells operators whether the node is ready, and its figures

A door in the event loop (orchidferry/door.py), counts where things happen (figures.py), SO_REUSEPORT at the clients' address.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -420,6 +420,12 @@
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
         return self._actions
 
+    def avoided(self, now: float) -> int:
+        """How many listed servers get nothing new now: they drain, or are out for errors."""
+        listed = self.fleet.entries
+        shut = sum(s.in_service and now < s.shut_ms for id, s in self.fleet.servers.items() if id in listed)
+        return len(listed) - len(self.fleet.usable) + shut
+
     def _on_request(self, event: api.Request, now: float) -> None:
         call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
         self.record.asked(event.cls)
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -58,6 +58,9 @@
             where = http3.front.listen
             udp = await node.h3_front.listen(loop)
             node.frontend.alt_svc = node.h3_front.alt_svc(udp[1])
+        if node.door is not None and config.admin is not None:
+            where = config.admin
+            await node.door.listen(loop, where)
     except OSError as problem:
         print(f"orchidferry: can't listen on {where[0]}:{where[1]}: {problem}", file=sys.stderr)
         return 2
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import math
+import os
 import re
 import sys
 import time
@@ -61,6 +62,7 @@
     sockets: int
     known: Listing
     settings: api.Settings
+    admin: Address | None = None  # the operators' door; None: there is none
 
 
 def now_ms() -> float:
@@ -91,6 +93,18 @@
     return int(text, 16)
 
 
+def admin_address(obj: Json) -> Address | None:
+    """Where the operators' door is: the field `admin_addr`, else NODE_ADMIN_ADDR."""
+    text = opt(obj, "admin_addr", str, "")
+    if text:
+        return address(text)
+    text = os.environ.get("NODE_ADMIN_ADDR", "")
+    try:
+        return address(text) if text else None
+    except Malformed as problem:
+        raise Malformed(f"NODE_ADMIN_ADDR: {problem}") from None
+
+
 _offset_ms = -math.inf
 
 
@@ -213,6 +227,7 @@
             sockets=opt(limits, "sockets", int, 1024),
             known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
             settings=read_settings(get(obj, "settings", dict)),
+            admin=admin_address(obj),
         )
     except (Malformed, ValueError) as problem:
         raise BadConfig(f"{path}: {problem}") from None
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -341,7 +341,7 @@
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         self._loop = loop
-        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
+        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG, reuse_port=True)
         self._server = server
         self._sweep()
         host, port = server.sockets[0].getsockname()[:2]
--- a/orchidferry/h3/upstream.py
+++ b/orchidferry/h3/upstream.py
@@ -263,7 +263,8 @@
         if flight.status < 200:  # an end without an answer
             return self._spoilt(flight)
         answer = Answer(flight.status, b"".join(flight.body), flight.content_type, flight.report)
-        flight.attempt.written = True  # it was answered
+        if not flight.attempt.written:  # it was answered
+            flight.attempt.sent_whole()
         self._end_flight(flight.stream, result_of(flight.status, flight.rejected), answer)
 
     def _spoilt(self, flight: Flight) -> None:
@@ -284,7 +285,7 @@
     def _flushed(self) -> None:
         for flight in self.flights.values():
             if not flight.attempt.written and sent_whole(self.quic, flight.stream):
-                flight.attempt.written = True
+                flight.attempt.sent_whole()
 
     # Its life
 
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -20,6 +20,7 @@
 from orchidferry.alarms import Alarms
 from orchidferry.config import Address, BadConfig, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
+from orchidferry.figures import Figures
 from orchidferry.frontend import Frontend, Reply
 from orchidferry.request import Message, Unacceptable
 from orchidferry.upstream import Answer, Attempt, Upstream
@@ -37,6 +38,7 @@
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
+    from orchidferry.door import Door
     from orchidferry.h3.front import Listener
     from orchidferry.h3.settings import Http3
 
@@ -101,6 +103,10 @@
     def may_send(self) -> bool:
         return self._live.owed and self._node.serves(self.server)
 
+    def sent_whole(self) -> None:
+        self.written = True
+        self._node.figures.attempt(self.message.cls)
+
     def ended(self, result: Result, answer: Answer | None) -> None:
         live, report = self._live, None
         del self._node.attempts[live.id, self._number]
@@ -126,6 +132,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._events: deque[api.Event] = deque()
         self._handling = False
+        self.figures = Figures(self._balancer.classes)
         # Keyed by a serial of the node's own, as is all that the module hears: an attempt may outlast its
         # request, and a caller's id that came again would mix up their books.
         self._serial = 0
@@ -154,12 +161,29 @@
             from orchidferry.h3.front import Listener
 
             self.h3_front = Listener(http3.front, self._balancer.classes, self.accept, self.frontend.own_path)
+        self.door: Door | None = None
+        if config.admin is not None:
+            from orchidferry.door import Door
+
+            self.door = Door({
+                b"/-/ready": lambda: (200, b"ready\n") if self.ready() else (503, b"not ready\n"),
+                b"/-/metrics": lambda: (200, self.report()),
+            })  # fmt: skip
         self._fronts: list[Front] = [self.frontend, *([self.h3_front] if self.h3_front else [])]
         self._news: deque[api.ServerList] = deque()  # steps of long lists that the module is still to be told
         self._telling = False
         self._longest_ms = 0.0  # the longest budget so far
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
 
+    def ready(self) -> bool:
+        """Whether requests can be served, and are wanted still."""
+        return bool(self._in_service) and self._stop_ms == math.inf
+
+    def report(self) -> bytes:
+        """The figures for operators, as of now."""
+        down = self._balancer.avoided(now_ms())
+        return self.figures.render(len(self._live), len(self._addresses), down)
+
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
         self._take_listing(self._config.known, api.ListKind.SAVED)
@@ -210,6 +234,8 @@
         except TimeoutError:
             for front in self._fronts:
                 front.abort()  # all is answered by now; what is left does not read
+        if self.door is not None:
+            self.door.close()
         self._discovery.close()
         self._upstream.close()
         if self.h3_front is not None:
@@ -217,7 +243,8 @@
 
     def _room(self) -> int:
         fronts = sum(front.count() for front in self._fronts)
-        return self._config.sockets - SPARE_SOCKETS - fronts - self._upstream.count()
+        door = self.door.count() if self.door is not None else 0
+        return self._config.sockets - SPARE_SOCKETS - fronts - door - self._upstream.count()
 
     # Requests
 
@@ -260,6 +287,7 @@
     def finish(self, live: Live | None, reply: Reply) -> None:
         """Answer a request, if it is still owed that."""
         if live is not None and self._drop(live):
+            self.figures.ended(live.message.cls, reply.status)
             live.answer(reply)
 
     def overdue(self, live: Live) -> None:
@@ -269,6 +297,7 @@
             live.backstop = self._alarms.after(left_ms / 1000.0 + 0.001, live.overdue)
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
+            self.figures.ended(live.message.cls, 504)
             live.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.id))
 
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -68,6 +68,10 @@
         """It is over; called once."""
         raise NotImplementedError
 
+    def sent_whole(self) -> None:
+        """Its last byte is written: from now on it may have run."""
+        self.written = True
+
     def give_up_after(self, alarms: Alarms, delay_s: float) -> None:
         """Time it out then."""
         self._alarms, self._alarm = alarms, alarms.after(delay_s, self.timed_out)
@@ -176,7 +180,7 @@
     def resume_writing(self) -> None:
         self._paused = False
         if self._attempt is not None:
-            self._attempt.written = True
+            self._attempt.sent_whole()
 
     def data_received(self, data: bytes) -> None:
         if self._attempt is None:  # nobody asked: the next answer on it could be somebody else's
@@ -232,7 +236,8 @@
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
         else:
-            attempt.written = not self._paused
+            if not self._paused:
+                attempt.sent_whole()
 
     def _answered(self) -> None:
         body = b"".join(self._body)
