Bodies over 64 KiB flow between callers and servers; a head may take 2 s

The module learns of uploads (Request.upload, Uploaded, AttemptEnded.spent): no room and no time is theirs before the last byte. Trailers stand in for no header any more, and a chunked body of 16 KiB may have some (431 before).

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -200,6 +200,7 @@
     ttl_ms: float
     tenant: str | None = None
     client_retry: bool = False
+    upload: bool = False  # its body is still coming, and goes on as it comes; `Uploaded` tells of the end
 
 
 @dataclass(slots=True)
@@ -213,6 +214,16 @@
     duration_ms: float
     settled: bool
     report: dict[str, float] | None = None
+    spent: bool = False  # the request's body went with it: nothing is left to be sent again
+
+
+@dataclass(slots=True)
+class Uploaded:
+    """The last byte of an upload was written to its server, which may begin: all times count from here."""
+
+    id: str
+    attempt: int
+    ttl_ms: float
 
 
 @dataclass(slots=True)
@@ -238,7 +249,7 @@
     token: int
 
 
-Event = Started | ServerList | Request | AttemptEnded | StreamStarted | ClientGone | TimerFired
+Event = Started | ServerList | Request | AttemptEnded | Uploaded | StreamStarted | ClientGone | TimerFired
 
 # Actions: what the node is asked to do.
 
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -365,6 +365,7 @@
         self.last: Server | None = None
         self.ran_ms: float | None = None  # when the first attempt that may have run was sent
         self.pin: str | int | None = None  # and the group that it went to
+        self.upload = event.upload  # its body is still coming: no server works on it before the last byte
 
 
 class Balancer:
@@ -401,6 +402,7 @@
         self._further = SlidingCount(settings.resend_span_ms + settings.tick_ms)
         self._never_ran = NEVER_RAN - ({Result.REFUSED} if settings.full_may_have_run else set())
         self._calls: dict[str, Call] = {}
+        self._uploads: set[str] = set()  # those of which an attempt is out that no server has whole
         self._waiting: dict[int, Call] = {}  # by timer token
         self._idle_ms = self._lost_ms = math.inf  # idle time from which a connection is closed; last loss
         self._token = WORK_TOKEN  # that of the last timer; 0 is the one to ask for the list
@@ -414,6 +416,7 @@
         match event:
             case api.Request(): self._on_request(event, now_ms)
             case api.AttemptEnded(): self._on_ended(event, now_ms)
+            case api.Uploaded(): self._on_uploaded(event, now_ms)
             case api.TimerFired(): self._on_timer(event, now_ms)
             case api.ServerList(): self._on_list(event, now_ms)
             case api.ClientGone(): self._calls.pop(event.id, None)
@@ -707,16 +710,15 @@
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
-        self.inflight += 1
+        call.idle_ms = 0.0 if server.out else now - server.used_ms
+        if call.upload: self._uploads.add(call.id)  # takes no room yet, and is not waited for
+        else: self._begin(call, server, now)
         if self.inflight > HOT * len(self.fleet.ready) and self.fleet.may_widen():
             self.fleet.widen()
             self._work(now)
-        call.idle_ms = 0.0 if server.out else now - server.used_ms
         if call.idle_ms > self._idle_ms:  # Rosario fresh-big: what is sent on a dropped connection is lost
             self._actions.append(api.CloseIdle(server.id))
             call.idle_ms = 0.0
-        server.out[call.id] = now, cls.aim_ms
-        self._fresh[cls.name].append((now, call.id, server))
         once = cls.repeat is Repeat.UNSAFE  # on a fresh connection: a loss could not be made good
         wait = left if once or call.attempts == self.settings.max_attempts else TIMEOUT_SHARE * left
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
@@ -728,6 +730,23 @@
         self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
         return True
 
+    def _begin(self, call: Call, server: Server, now: float) -> None:
+        """Its server has a call whole, as far as known here: what it holds and how long it takes counts."""
+        self.inflight += 1
+        server.out[call.id] = now, call.cls.aim_ms
+        self._fresh[call.cls.name].append((now, call.id, server))
+
+    def _on_uploaded(self, event: api.Uploaded, now: float) -> None:
+        call = self._calls.get(event.id)
+        if event.id not in self._uploads: return
+        self._uploads.discard(event.id)
+        if call is None or call.last is None:  # nobody waits any more, but a server works
+            self.inflight += 1
+            return
+        call.upload = False
+        call.arrived_ms, call.ends_ms, call.sent_ms = now, now + event.ttl_ms, now
+        self._begin(call, call.last, now)
+
     def _in_budget(self, now: float) -> bool:
         """Whether the stated budget of attempts beyond the first bears one more now."""
         ratio, taken = self.settings.repeat_ratio, self._taken.count(now)
@@ -769,7 +788,8 @@
 
     def _on_ended(self, event: api.AttemptEnded, now: float) -> None:
         call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
-        self.inflight -= 1
+        if event.id in self._uploads: self._uploads.discard(event.id)
+        else: self.inflight -= 1
         if server is not None:
             if event.report:
                 server.queue, server.report_ms = event.report.get("queue", 0.0), now
@@ -793,7 +813,7 @@
             call.out = False
             if call.ran_ms is None and call.last and event.result not in self._never_ran:
                 call.ran_ms, call.pin = call.sent_ms, call.last.group(call.cls.group)
-            if self._rng.random() < self.controller.retry_probability(now):
+            if not event.spent and self._rng.random() < self.controller.retry_probability(now):
                 # As the paper's timer runs from the send, a time-out has been waited for already.
                 timed_out = event.result is Result.TIMEOUT
                 self._wait_or_end(call, now, event.duration_ms if timed_out else 0.0)
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -60,6 +60,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     known: Listing
     settings: api.Settings
     admin: Address | None = None  # the operators' door; None: there is none
@@ -225,6 +226,7 @@
             discovery=address(get(obj, "discovery", str)),
             seed=hex_digits(get(obj, "seed", str)),
             sockets=opt(limits, "sockets", int, 1024),
+            memory_mb=opt(limits, "memory_mb", NUMBER, 64.0),
             known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
             settings=read_settings(get(obj, "settings", dict)),
             admin=admin_address(obj),
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -22,11 +22,13 @@
 
 from nickelbridge import interface as api
 from orchidferry.config import Address
+from orchidferry.flow import LONG_BODY, Flow, Pool, TooLong
 from orchidferry.request import SINGLE, Message, Unacceptable, check_framing, read_message
-from orchidferry.upstream import MAX_BODY, MAX_HEAD
+from orchidferry.upstream import MAX_BODY, MAX_HEAD, chunk
 
 BACKLOG = 1024
 MOST_PIPELINED = 8  # requests sent ahead on one connection; the protocol says none
+PROGRESS = 32 * 1024  # bytes of a body
 SWEEP_S = 0.2  # how often stages are looked at; limits are late by so much at most
 READY_PATH = b"/-/ready"
 OWN_PATHS = b"/-/"
@@ -43,18 +45,23 @@
     NEW = "its first request, whole"
     READING = "the rest of a request"
     SERVING = "an answer from the node"
+    FLOWING = "the rest of a long answer, or to read it"
     IDLE = "the next request"
-    LEAVING = "the caller, to read what it was sent"
+    CHOKED = "the caller, to read what it was sent"
+    LEAVING = "the caller, to read the last that it was sent"
 
 
 LIMITS_S = {
-    Stage.NEW: 2.0,  # a silent or slow caller is owed an error or a close within 3 s of connecting
-    Stage.READING: 2.0,
+    # A silent or slow caller is owed an error or a close within 3 s of connecting; a sound one may take 2 s
+    # for a head, and then sends at 64 kB/s at least: each `PROGRESS` of a body begins its time anew.
+    Stage.NEW: 2.6,
+    Stage.READING: 2.6,
     Stage.IDLE: 10.0,  # many ask once and stay; a reconnect of one that asks again costs it little
+    Stage.CHOKED: 8.0,  # some take seconds to read
     Stage.LEAVING: 2.0,
-}  # SERVING has none of its own: each request ends at its deadline
+}  # SERVING and FLOWING have none of their own: requests end at their deadline, flows when they stand still
 # Who goes first for a new caller at the most there may be: those that never asked, then the longest idle.
-EXPENDABLE = (Stage.LEAVING, Stage.NEW, Stage.IDLE)
+EXPENDABLE = (Stage.LEAVING, Stage.CHOKED, Stage.NEW, Stage.IDLE)
 
 
 @dataclass(slots=True)
@@ -65,6 +72,7 @@
     body: bytes = b""
     content_type: bytes | None = None
     retry_after_s: float | None = None
+    flow: Flow | None = None  # the body, where it is too long to hold
 
 
 class Owed(Protocol):
@@ -78,13 +86,15 @@
 
 def render(reply: Reply, close: bool, alt_svc: bytes | None = None) -> bytes:
     """An answer as one piece of bytes, to be written at once."""
-    return b"%b%b%b%b%bContent-Length: %d\r\n\r\n%b" % (
+    length = len(reply.body) if reply.flow is None else reply.flow.length
+    return b"%b%b%b%b%b%b\r\n%b" % (
         STATUS_LINES[reply.status],
         b"Content-Type: %b\r\n" % reply.content_type if reply.content_type is not None else b"",
         b"Retry-After: %.3f\r\n" % reply.retry_after_s if reply.retry_after_s is not None else b"",
         b"Alt-Svc: %b\r\n" % alt_svc if alt_svc is not None else b"",
         b"Connection: close\r\n" if close else b"",
-        len(reply.body), reply.body,
+        b"Content-Length: %d\r\n" % length if length is not None else b"Transfer-Encoding: chunked\r\n",
+        reply.body,
     )  # fmt: skip
 
 
@@ -101,13 +111,17 @@
         self._refusal: Reply | None = None  # for what can't be read; nothing more is
         self._busy = self._closing = self._deaf = self._choked = self._ended = False
         self._reading = self._completed = self._asked = False
+        self._held = False  # a long body waits for whoever it is fed to
+        self._in: Flow | None = None  # the long body that comes, and
+        self._out: Flow | None = None  # the one that goes
+        self._fed = 0  # bytes of a body since its time began anew
         self._start_message()
 
     def _start_message(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._head = self._size = 0
+        self._head = self._fields = self._size = 0
         self._headers_done = False
 
     # The socket
@@ -146,12 +160,17 @@
         """The caller does not read: take nothing more from it, and give it so long."""
         self._choked = True
         self._transport.pause_reading()
+        if self._out is not None:
+            self._out.choke()
         self._settle()
 
     def resume_writing(self) -> None:
         self._choked = False
+        if self._out is not None:
+            self._out.release(self._frontend.now_s())
         if not self._ended and not self._transport.is_closing():
-            self._transport.resume_reading()
+            if not self._held:
+                self._transport.resume_reading()
             self._serve_next()
             self._settle()
 
@@ -166,11 +185,66 @@
         owed, self._owed, self._busy = self._owed, None, False
         if owed is not None:
             owed.caller_gone()
+        flow, self._in = self._in, None
+        if flow is not None:
+            flow.fail()
+        flow, self._out = self._out, None
+        if flow is not None:
+            flow.call_off()
+
+    # A long request comes (a Source), a long answer goes (a Sink)
+
+    def hold(self) -> None:
+        self._held = True
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._settle()
+
+    def go_on(self) -> None:
+        self._held = False
+        if not self._choked and not self._ended and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._settle()
+
+    def called_off(self) -> None:
+        """Nobody wants the rest of it: what still comes is dropped, so that the caller gets to read why."""
+
+    def feed(self, data: bytes) -> None:
+        if self._out is not None and not self._transport.is_closing():
+            self._transport.write(data if self._out.length is not None else chunk(data))
+
+    def end(self) -> None:
+        flow, self._out, self._busy = self._out, None, False
+        if flow is None or self._transport.is_closing():
+            return
+        if flow.length is None:
+            self._transport.write(b"0\r\n\r\n")
+        flow.fed()
+        if self._closing and not self._queue and not self._reading:
+            self._transport.close()
+        self._serve_next()
+        self._settle()
+
+    def broken(self) -> None:
+        """The rest never comes: a close tells the caller that it is not whole."""
+        self._out, self._deaf, self._closing, self._ended = None, True, True, True
+        self._queue.clear()
+        self._let_go()
+        self._transport.close()
+        self._settle()
 
     def _settle(self) -> None:
         """Note what the connection waits for now."""
-        if self._ended or self._choked or self._transport.is_closing():
+        if self._out is not None and not self._ended and not self._transport.is_closing():
+            stage = Stage.FLOWING
+        elif self._ended or self._transport.is_closing():
             stage = Stage.LEAVING
+        elif self._choked:
+            stage = Stage.CHOKED
+        elif self._held:
+            stage = Stage.SERVING  # it waits for the node to read on
+        elif self._in is not None:
+            stage = Stage.READING
         elif self._busy or self._queue:
             stage = Stage.SERVING
         elif not self._asked:
@@ -188,7 +262,7 @@
 
     def time_out(self) -> None:
         """Its stage has lasted too long."""
-        if self.stage is Stage.LEAVING:
+        if self.stage is Stage.LEAVING or self.stage is Stage.CHOKED:
             self.abort()
         elif self._reading:
             self._turn_away(Reply(408, b"the request took too long to come"))
@@ -214,16 +288,18 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEAD:
+        self._fields += len(name) + len(value)
+        if self._fields > MAX_HEAD:
             self._reject(431, "headers too large")
+        elif self._headers_done:
+            return  # a trailer: nothing here asks for them, and none may stand in for a header
         elif name in SINGLE and name in self._headers:
             self._reject(400, "a header came twice")
         elif not self._deaf:
             self._headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
-        self._headers_done, self._size = True, 0
+        self._headers_done = True
         if len(self._target) > MAX_HEAD:
             self._reject(431, "target too long")
         if b"transfer-encoding" in self._headers:
@@ -232,20 +308,69 @@
             except Unacceptable as problem:
                 self._reject(400, str(problem))
         length = self._headers.get(b"content-length")
-        if length is not None and length.isdigit() and int(length[:12]) > MAX_BODY:
-            self._reject(413, "body over 64 KiB")
+        if length is not None and length.isdigit() and int(length[:12]) > LONG_BODY:
+            self._reject(413, "body over 32 MiB")
+        elif self._headers.get(b"expect", b"").lower() == b"100-continue" and not self._deaf:
+            self._expects()
+        self._frontend.progress(self)
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
+        self._fed += len(body)
+        if self._fed >= PROGRESS:
+            self._fed = 0
+            self._frontend.progress(self)
+        if self._deaf:
+            return
+        if self._in is not None:
+            try:
+                self._in.push(body, self._frontend.now_s())
+            except TooLong:
+                self._reject(413, "body over 32 MiB")
+            return
+        self._body.append(body)
         if self._size > MAX_BODY:
-            self._reject(413, "body over 64 KiB")
-        elif not self._deaf:
-            self._body.append(body)
+            self._let_flow()
+
+    def _expects(self) -> None:
+        """The caller waits for a word before it sends its body (RFC 9110, section 10.1.1)."""
+        if not self._busy and not self._queue and self._parser.get_http_version() != "1.0":
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _let_flow(self) -> None:
+        """The body is too long to hold: the request is taken now, and the rest goes through as it comes."""
+        length = self._headers.get(b"content-length")
+        flow = Flow(
+            self, int(length) if length is not None else None, self._frontend.now_s(), self._frontend.pool
+        )
+        pieces, self._body = self._body, []
+        if len(self._queue) >= MOST_PIPELINED:
+            return self._reject(400, "too many requests sent ahead")
+        try:
+            message = self._message(flow)
+            for piece in pieces:
+                flow.push(piece, self._frontend.now_s())
+        except Unacceptable as problem:
+            return self._reject(400, str(problem))
+        except TooLong:
+            return self._reject(413, "body over 32 MiB")
+        self._in = flow
+        self._queue.append(message)
+        self._serve_next()
 
     def on_message_complete(self) -> None:
         if self._deaf:
             return
         self._reading, self._completed = False, True
+        if self._in is not None:
+            flow, self._in = self._in, None
+            if not self._parser.should_keep_alive():
+                self._closing = self._deaf = True
+            flow.finish()
+            if self._closing and not self._busy and not self._queue:
+                self._deaf = True
+                self._transport.close()  # it was answered before
+            return
         if len(self._queue) >= MOST_PIPELINED:
             return self._reject(400, "too many requests sent ahead")
         if not self._parser.should_keep_alive():
@@ -257,11 +382,13 @@
 
     # Requests and answers
 
-    def _message(self) -> Message | Reply:
+    def _message(self, flow: Flow | None = None) -> Message | Reply:
         if self._target.startswith(OWN_PATHS):
             return self._frontend.own_path(self._target.partition(b"?")[0])
         method, body = self._parser.get_method(), b"".join(self._body)
-        return read_message(self._frontend.classes, method, self._target, self._headers, body)
+        message = read_message(self._frontend.classes, method, self._target, self._headers, body, flow)
+        message.long_answer = self._parser.get_http_version() != "1.0"
+        return message
 
     def _reject(self, status: int, why: str) -> None:
         """Note what is wrong; the first thing counts. Nothing after it is read."""
@@ -311,15 +438,32 @@
     def _answer(self, reply: Reply) -> None:
         """The node's answer to the request it has."""
         self._owed, self._busy = None, False
+        if reply.flow is not None:
+            return self._give(reply, reply.flow)
+        if self._in is not None:  # it is still coming: what comes is dropped, and the connection ends with it
+            self._closing = True
+            self._in.fail()
+            self.go_on()
         if not self._transport.is_closing():
             self._write(reply)
             self._serve_next()
             self._settle()
 
-    def _write(self, reply: Reply) -> None:
+    def _give(self, reply: Reply, flow: Flow) -> None:
+        """Begin an answer that flows."""
+        if self._transport.is_closing():
+            return flow.call_off()
+        self._busy, self._out = True, flow
         close = self._closing and not self._queue and not self._reading
         self._transport.write(render(reply, close, self._frontend.alt_svc))
-        if close:
+        flow.attach(self)
+        self._settle()
+
+    def _write(self, reply: Reply) -> None:
+        early = self._in is not None  # what still comes of it is dropped first
+        close = self._closing and not self._queue and (early or not self._reading)
+        self._transport.write(render(reply, close, self._frontend.alt_svc))
+        if close and not early:
             self._transport.close()
 
 
@@ -327,10 +471,15 @@
     """The listener and all callers' connections."""
 
     def __init__(
-        self, classes: dict[str, api.RequestClass], accept: Accept, ready: Callable[[], bool], most: int
+        self,
+        classes: dict[str, api.RequestClass],
+        accept: Accept,
+        ready: Callable[[], bool],
+        most: int,
+        pool: Pool,
     ) -> None:
         self.classes, self.accept = classes, accept
-        self._ready, self._most = ready, most
+        self._ready, self._most, self.pool = ready, most, pool
         self.alt_svc: bytes | None = None  # where else callers may ask (RFC 7838)
         self._stages: dict[Stage, dict[Caller, float]] = {stage: {} for stage in Stage}
         self._server: asyncio.Server | None = None
@@ -375,6 +524,16 @@
             caller.stage = stage
             self._stages[stage][caller] = self._loop.time()
 
+    def now_s(self) -> float:
+        """The clock that stages and flows go by."""
+        return self._loop.time()
+
+    def progress(self, caller: Caller) -> None:
+        """A caller whose request is coming has got on with it: its time begins anew."""
+        if caller.stage is Stage.READING or caller.stage is Stage.NEW:
+            del self._stages[caller.stage][caller]
+            self._stages[caller.stage][caller] = self._loop.time()
+
     def closed(self, caller: Caller) -> None:
         """Count a caller out."""
         if caller.stage is not None:
--- a/orchidferry/h3/upstream.py
+++ b/orchidferry/h3/upstream.py
@@ -347,7 +347,7 @@
     def send(self, attempt: Attempt, fresh: bool = False) -> None:
         """Start an attempt; it may be over before this returns."""
         server, address = attempt.server, self._listed(attempt.server)
-        if address is None:
+        if address is None or attempt.message.flow is not None:  # bodies flow over TCP only
             return self._tcp.send(attempt, fresh)
         choice = self.transports.choose(server, now_ms(), careful=fresh)
         if choice.dial:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import math
 from collections import deque
@@ -21,6 +22,7 @@
 from orchidferry.config import Address, BadConfig, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
 from orchidferry.figures import Figures
+from orchidferry.flow import GRACE_S, LONG_BODY, POOL_SHARE, SLOWEST_B_S, Flow, Pool
 from orchidferry.frontend import Frontend, Reply
 from orchidferry.request import Message, Unacceptable
 from orchidferry.upstream import Answer, Attempt, Upstream
@@ -35,6 +37,7 @@
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
 LIST_STEP = 64  # entries of a list that the module is told in one go: under 1 ms
+FLOW_LOOK_S = 1.0  # how often a flow is looked at that may stand still
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
@@ -101,11 +104,22 @@
         node.attempts[live.id, self._number] = self
 
     def may_send(self) -> bool:
-        return self._live.owed and self._node.serves(self.server)
+        flow = self.message.flow
+        beginnable = flow is None or flow.can_begin()
+        return beginnable and self._live.owed and self._node.serves(self.server)
 
     def sent_whole(self) -> None:
         self.written = True
         self._node.figures.attempt(self.message.cls)
+        if self.message.flow is not None:
+            self._node.uploaded(self)
+
+    def uploaded(self) -> api.Uploaded:
+        """Time counts from here, for the attempt as for its request."""
+        self._sent_ms = now_ms()
+        left_ms = self._live.ends_ms - MARGIN_MS - self._sent_ms
+        self.go_on_for(max(0.0, min(self.timeout_ms, left_ms)) / 1000.0)
+        return api.Uploaded(self._live.id, self._number, max(0.0, left_ms))
 
     def ended(self, result: Result, answer: Answer | None) -> None:
         live, report = self._live, None
@@ -113,10 +127,21 @@
         if answer is not None:
             report = answer.report
             if result is Result.SERVED:
-                self._node.finish(live, Reply(200, answer.body, answer.content_type))
+                self._node.finish(live, Reply(200, answer.body, answer.content_type, flow=answer.flow))
+            if answer.flow is not None and not answer.flow.fed_by_now():
+                answer.flow.call_off()
+        flow = self.message.flow
+        spent = flow is not None and (flow.spent or flow.over)
         self._node.attempt_ended(
             api.AttemptEnded(
-                live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report
+                live.id,
+                self._number,
+                self.server,
+                result,
+                now_ms() - self._sent_ms,
+                not live.owed,
+                report,
+                spent,
             )
         )
 
@@ -133,6 +158,7 @@
         self._events: deque[api.Event] = deque()
         self._handling = False
         self.figures = Figures(self._balancer.classes)
+        self._flowing = 0  # answers that have begun and go on
         # Keyed by a serial of the node's own, as is all that the module hears: an attempt may outlast its
         # request, and a caller's id that came again would mix up their books.
         self._serial = 0
@@ -155,7 +181,7 @@
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
-            int(CALLERS_SHARE * config.sockets),
+            int(CALLERS_SHARE * config.sockets), Pool(int(POOL_SHARE * config.memory_mb * 1e6)),
         )  # fmt: skip
         if http3 is not None and http3.front is not None:
             from orchidferry.h3.front import Listener
@@ -182,7 +208,7 @@
     def report(self) -> bytes:
         """The figures for operators, as of now."""
         down = self._balancer.avoided(now_ms())
-        return self.figures.render(len(self._live), len(self._addresses), down)
+        return self.figures.render(len(self._live) + self._flowing, len(self._addresses), down)
 
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
@@ -255,12 +281,21 @@
         self._longest_ms = max(self._longest_ms, message.budget_ms)
         self._serial += 1
         now, id = now_ms(), str(self._serial)
-        live = Live(self, id, message, answer, min(now + message.budget_ms, self._stop_ms))
+        flow, ends_ms = message.flow, now + message.budget_ms
+        coming = flow is not None and not flow.complete
+        if flow is not None and coming:  # until it has come whole it may take as long as a flow may
+            ends_ms += 1000.0 * ((flow.length or LONG_BODY) / SLOWEST_B_S + GRACE_S)
+        live = Live(self, id, message, answer, min(ends_ms, self._stop_ms))
+        if flow is not None:
+            flow.on_complete = functools.partial(self._came_whole, live)
+            self._watch_flow(flow)
         self._live[id] = live
         self._open_ids.add(message.id)
         self._watch(live)
         ttl_ms = max(0.0, live.ends_ms - now - MARGIN_MS)
-        self._handle(api.Request(id, message.cls, ttl_ms, message.tenant, message.again))
+        self._handle(
+            api.Request(id, message.cls, ttl_ms, message.tenant, message.again, upload=flow is not None)
+        )
         return live
 
     def _watch(self, live: Live) -> None:
@@ -287,9 +322,36 @@
     def finish(self, live: Live | None, reply: Reply) -> None:
         """Answer a request, if it is still owed that."""
         if live is not None and self._drop(live):
-            self.figures.ended(live.message.cls, reply.status)
+            if reply.flow is None:
+                self.figures.ended(live.message.cls, reply.status)
+            else:  # it ends with its last byte, and only then is known to be whole
+                self._flowing += 1
+                reply.flow.on_over = functools.partial(self._flowed, live.message.cls)
+                self._watch_flow(reply.flow)
             live.answer(reply)
 
+    def _flowed(self, cls: str, whole: bool) -> None:
+        """An answer that flowed is over."""
+        self._flowing -= 1
+        self.figures.ended(cls, 200 if whole else 502)
+
+    def _watch_flow(self, flow: Flow) -> None:
+        """End a flow that stands still or crawls; looked at now and then, as there are few."""
+        if flow.overdue(self._loop.time()):
+            flow.cut()
+        elif not flow.over:
+            self._alarms.after(FLOW_LOOK_S, functools.partial(self._watch_flow, flow))
+
+    def uploaded(self, attempt: Try) -> None:
+        """A server has the whole of a long request."""
+        self._handle(attempt.uploaded())
+
+    def _came_whole(self, live: Live) -> None:
+        """The last byte of a long request has come: its budget counts from here."""
+        if live.owed:
+            live.ends_ms = min(now_ms() + live.message.budget_ms, self._stop_ms)
+            self._watch(live)
+
     def overdue(self, live: Live) -> None:
         """Fail a request that the module has not ended by its deadline, whatever the reason."""
         left_ms = live.ends_ms - now_ms()
@@ -351,6 +413,12 @@
         if live is None or server not in self._in_service:
             number = live.attempts if live is not None else 0
             return self._handle(api.AttemptEnded(action.id, number, server, Result.MOOT, 0.0, live is None))
+        flow = live.message.flow
+        if flow is not None and not flow.can_begin():
+            event = api.AttemptEnded(
+                live.id, live.attempts, server, Result.MOOT, 0.0, False, spent=True
+            )  # fmt: skip
+            return self._handle(event)
         # Cut to what is left: an outcome must come before the answer is due.
         timeout_ms = max(0.0, min(action.timeout_ms, live.ends_ms - MARGIN_MS - sent_ms))
         attempt = Try(self, live, server, self._addresses[server], timeout_ms, sent_ms)
--- a/orchidferry/request.py
+++ b/orchidferry/request.py
@@ -11,6 +11,7 @@
 from urllib.parse import unquote
 
 from nickelbridge import interface as api
+from orchidferry.flow import Flow
 
 # Each may come once: of two, a server might believe the other one.
 SINGLE = frozenset((
@@ -35,6 +36,8 @@
     key: bytes | None
     content_type: bytes | None
     body: bytes
+    flow: Flow | None = None  # the body, where it is too long to hold; `body` is empty then
+    long_answer: bool = False  # whoever asked can be fed an answer that flows
 
 
 class Unacceptable(Exception):
@@ -58,6 +61,7 @@
     target: bytes,
     headers: dict[bytes, bytes],
     body: bytes,
+    flow: Flow | None = None,
 ) -> Message:
     """Check a whole request; `Unacceptable` says what is wrong with it."""
     try:
@@ -72,7 +76,7 @@
         raise Unacceptable("no such class")
     if method != (b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"):
         raise Unacceptable("not the method of this class")
-    if method == b"GET" and body:
+    if method == b"GET" and (body or flow is not None):
         raise Unacceptable("GET with a body")
     id, key, budget = headers.get(b"x-call-id"), headers.get(b"idempotency-key"), headers.get(b"x-budget")
     if id is None or not TOKEN.fullmatch(id):
@@ -86,5 +90,5 @@
     return Message(
         # Nobody waits longer than the class's deadline: a longer budget would hold the books open.
         method, target, id.decode(), cls.name, min(budget_s * 1000.0, cls.deadline_ms), tenant,
-        headers.get(b"x-again") == b"1", key, headers.get(b"content-type"), body,
+        headers.get(b"x-again") == b"1", key, headers.get(b"content-type"), body, flow,
     )  # fmt: skip
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -20,14 +20,16 @@
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import Address, now_ms
+from orchidferry.flow import LONG_BODY, SHORT_BODY, Flow, TooLong
 from orchidferry.request import Message
 
-MAX_BODY = 64 * 1024
+MAX_BODY = SHORT_BODY
 MAX_HEAD = 16 * 1024
 MOST_REPORTED = 1e6  # of any figure in a load report
 IDLE_SHARE = 0.5  # of the servers' idle limit: a request that crosses their close ends as a reset
 # What a dial fails with for want of something here, whatever the server does.
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+UPLOAD_STALL_S = 4.0  # a server that takes nothing of a long request for so long is given up
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
 log = logging.getLogger("orchidferry")
@@ -41,6 +43,7 @@
     body: bytes
     content_type: bytes | None
     report: dict[str, float] | None
+    flow: Flow | None = None  # the body, where it is too long to hold; `body` is empty then
 
 
 class Attempt:
@@ -74,8 +77,15 @@
 
     def give_up_after(self, alarms: Alarms, delay_s: float) -> None:
         """Time it out then."""
+        if self._alarms is not None:
+            self._alarms.cancel(self._alarm)
         self._alarms, self._alarm = alarms, alarms.after(delay_s, self.timed_out)
 
+    def go_on_for(self, delay_s: float) -> None:
+        """Time it out later, so long from now."""
+        if self._alarms is not None and not self.over:
+            self.give_up_after(self._alarms, delay_s)
+
     def carried_by(self, cancel_io: Callable[[], object]) -> None:
         """Note what stops the attempt where it is: its dial, or its connection."""
         self._cancel_io = cancel_io
@@ -102,6 +112,23 @@
         self.break_off(Result.TIMEOUT if self.written else Result.UNREACHABLE)
 
 
+def framing(message: Message) -> bytes:
+    """The header that tells a server where the body ends."""
+    flow = message.flow
+    if flow is None:
+        return (
+            b"Content-Length: %d\r\n" % len(message.body) if message.body or message.method != b"GET" else b""
+        )
+    return (
+        b"Transfer-Encoding: chunked\r\n" if flow.length is None else b"Content-Length: %d\r\n" % flow.length
+    )
+
+
+def chunk(data: bytes) -> bytes:
+    """A piece of a body in the chunked coding (RFC 9112, section 7.1)."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def request_bytes(message: Message, address: Address, timeout_ms: float) -> bytes:
     """A request as it goes to a server, in one piece; its budget is what is left for this attempt."""
     return b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nX-Call-Id: %b\r\nX-Budget: %.3f\r\n%b%b%b\r\n%b" % (
@@ -109,7 +136,7 @@
         timeout_ms / 1000.0,
         b"Idempotency-Key: %b\r\n" % message.key if message.key is not None else b"",
         b"Content-Type: %b\r\n" % message.content_type if message.content_type is not None else b"",
-        b"Content-Length: %d\r\n" % len(message.body) if message.body or message.method != b"GET" else b"",
+        framing(message),
         message.body,
     )  # fmt: skip
 
@@ -142,7 +169,8 @@
     __slots__ = (
         "_attempt", "_body", "_complete", "_framings", "_head", "_in_body", "_keep", "_lost", "_parser",
         "_paused", "_poll", "_pool", "_rejected", "_report", "_size", "_spoilt", "_status", "_transport",
-        "_type", "address", "idle_since", "server",
+        "_answer_flow", "_length", "_to_close", "_type", "_upload", "_uploaded_s", "address", "idle_since",
+        "server",
     )  # fmt: skip
 
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
@@ -151,6 +179,9 @@
         self._transport: asyncio.Transport
         self._attempt: Attempt | None = None
         self._paused, self._lost = False, True  # no socket yet
+        self._upload: Flow | None = None  # the body that it is fed
+        self._uploaded_s = 0.0  # when that moved last
+        self._answer_flow: Flow | None = None  # the body that it gives
         # One for all answers: a connection is kept only where the last one ended the message it parsed.
         self._parser = httptools.HttpResponseParser(self)
         self._start_answer()
@@ -162,6 +193,8 @@
         self._report: dict[str, float] | None = None
         self._rejected = self._complete = self._in_body = self._spoilt = self._keep = False
         self._framings = 0  # headers that tell where the body ends
+        self._length: int | None = None
+        self._to_close = False  # the server closes after this answer
 
     # The socket
 
@@ -179,12 +212,16 @@
 
     def resume_writing(self) -> None:
         self._paused = False
-        if self._attempt is not None:
+        if self._upload is not None:
+            self._upload.release(self._pool.now_s())
+            if self._upload is not None:
+                self._moved()
+        elif self._attempt is not None and not self._attempt.written:
             self._attempt.sent_whole()
 
     def data_received(self, data: bytes) -> None:
-        if self._attempt is None:  # nobody asked: the next answer on it could be somebody else's
-            return self.close()
+        if self._attempt is None and self._answer_flow is None:
+            return self.close()  # nobody asked: the next answer on it could be somebody else's
         try:
             if not self._in_body:
                 self._head += len(data)
@@ -194,7 +231,13 @@
         except httptools.HttpParserError:
             self._spoilt = self._spoilt or not self._complete
             self._keep = False  # more than the answer came: of no further use
-        if self._complete and not self._spoilt:
+        if self._answer_flow is not None:
+            if self._spoilt:
+                self._answer_flow.fail()
+                self.close()
+            elif self._complete:
+                self._flowed()
+        elif self._complete and not self._spoilt:
             self._answered()
         elif self._spoilt or (not self._in_body and self._head > MAX_HEAD):
             self._end(Result.ERROR, reuse=False)
@@ -205,6 +248,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._lost = True
         self._pool.forget(self)
+        if self._to_close and self._in_body and exc is None:  # this was the end of its answer
+            if self._answer_flow is not None:
+                return self._flowed()
+            if self._attempt is not None and not self._spoilt:
+                self._complete = True
+                return self._answered()
+        if self._answer_flow is not None:
+            self._answer_flow.fail()
         if self._attempt is not None:
             self._end(Result.RESET if self._attempt.written else Result.UNREACHABLE, reuse=False)
 
@@ -212,6 +263,7 @@
         """Close now, whatever it carries."""
         self._pool.forget(self)
         self._attempt = None
+        self._leave_upload()
         if not self._lost:
             self._transport.abort()
 
@@ -233,11 +285,90 @@
         self._start_answer()
         attempt.carried_by(self.close)
         self._transport.write(request_bytes(attempt.message, attempt.address, attempt.timeout_ms))
+        flow = attempt.message.flow
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
+        elif flow is not None:
+            self._upload = flow
+            flow.attach(self)
+        elif not self._paused:
+            attempt.sent_whole()
+
+    # A long request: it is fed what comes
+
+    def feed(self, data: bytes) -> None:
+        if self._upload is None or self._transport.is_closing():
+            return  # its end is on its way
+        self._transport.write(data if self._upload.length is not None else chunk(data))
+        if self._paused:
+            self._upload.choke()
         else:
-            if not self._paused:
-                attempt.sent_whole()
+            self._moved()
+
+    def _moved(self) -> None:
+        """Some of the long request has gone out: it has a while for the next."""
+        now_s = self._pool.now_s()
+        if self._attempt is not None and now_s - self._uploaded_s > UPLOAD_STALL_S / 8.0:
+            self._uploaded_s = now_s
+            self._attempt.go_on_for(UPLOAD_STALL_S)
+
+    def end(self) -> None:
+        flow = self._upload
+        if flow is not None and flow.length is None and not self._transport.is_closing():
+            self._transport.write(b"0\r\n\r\n")
+        self._leave_upload()
+        if self._attempt is not None and not self._paused:
+            self._attempt.sent_whole()
+
+    def broken(self) -> None:
+        self._end(Result.UNREACHABLE, reuse=False)
+
+    def _leave_upload(self) -> None:
+        flow, self._upload = self._upload, None
+        if flow is not None:
+            flow.detach(self)
+
+    # A long answer: it gives what comes
+
+    def hold(self) -> None:
+        if not self._lost:
+            self._transport.pause_reading()
+
+    def go_on(self) -> None:
+        if not self._lost and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def called_off(self) -> None:
+        self._answer_flow = None
+        self.close()
+
+    def _flows(self) -> bool:
+        """Let a long answer flow from here on, if whoever asked can take it; whether it does."""
+        attempt = self._attempt
+        wanted = attempt is not None and attempt.message.long_answer and attempt.written
+        if not wanted or self._status != 200 or self._spoilt or attempt is None:
+            return False
+        now_s = self._pool.now_s()
+        flow = self._answer_flow = Flow(self, self._length, now_s)
+        self._attempt = None
+        pieces, self._body = self._body, []
+        for piece in pieces:
+            flow.push(piece, now_s)
+        attempt.end(Result.SERVED, Answer(self._status, b"", self._type, self._report, flow))
+        return True
+
+    def _flowed(self) -> None:
+        """The last of a long answer has come."""
+        flow, self._answer_flow = self._answer_flow, None
+        keep = self._keep and not self._lost and not self._transport.is_closing()
+        if keep:
+            self._pool.put_back(self)
+        else:
+            self.close()
+        if flow is not None:
+            if flow.length is not None and flow.size < flow.length:
+                flow.fail()
+            flow.finish()
 
     def _answered(self) -> None:
         body = b"".join(self._body)
@@ -246,8 +377,10 @@
 
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
         attempt, self._attempt = self._attempt, None
+        self._leave_upload()
         # Whether anything unread has come is asked before the next use, as it may come until then.
-        if reuse and not self._paused and not self._lost and not self._transport.is_closing():
+        written = attempt is not None and attempt.written
+        if reuse and written and not self._paused and not self._lost and not self._transport.is_closing():
             self._pool.put_back(self)  # first: what the outcome sets off may use it
         else:
             self.close()
@@ -268,9 +401,12 @@
                 self._framings += 1
             case b"content-length":
                 self._framings += 1
-                self._spoilt = self._spoilt or int(value) > MAX_BODY
+                self._length = int(value)
+                self._spoilt = self._spoilt or self._length > LONG_BODY
             case b"content-type":
                 self._type = value
+            case b"connection":
+                self._to_close = value.strip().lower() == b"close"
             case b"x-rejected":
                 self._rejected = value.strip() == b"1"
             case b"x-load-report":
@@ -279,23 +415,35 @@
     def on_headers_complete(self) -> None:
         if not self._complete:
             self._status, self._in_body = self._parser.get_status_code(), True
-            # With none the answer would end with the connection, which stays open; of two, one lies.
-            self._spoilt = self._spoilt or (self._status >= 200 and self._framings != 1)
+            # With none the answer ends with the connection, if it says that it will; of two, one lies.
+            self._to_close = not self._framings and self._to_close
+            self._spoilt = self._spoilt or (
+                self._status >= 200 and self._framings != 1 and not self._to_close
+            )
+            if self._status >= 200 and self._length is not None and self._length > MAX_BODY:
+                self._spoilt = self._spoilt or not self._flows()
 
     def on_body(self, body: bytes) -> None:
-        if not self._complete:
-            self._size += len(body)
-            self._body.append(body)
-            if self._size > MAX_BODY:
+        if self._complete:
+            return
+        if self._answer_flow is not None:
+            try:
+                self._answer_flow.push(body, self._pool.now_s())
+            except TooLong:
                 self._spoilt = True
-                self._body.clear()
+            return
+        self._size += len(body)
+        self._body.append(body)
+        if self._size > MAX_BODY and not self._flows():
+            self._spoilt = True
+            self._body.clear()
 
     def on_message_complete(self) -> None:
         if self._complete:
             return
         if 100 <= self._status < 200:  # an interim answer: the real one follows
             self._in_body, self._rejected, self._report = False, False, None
-            self._type, self._framings = None, 0
+            self._type, self._framings, self._length, self._to_close = None, 0, None, False
             return
         self._complete, self._keep = True, self._parser.should_keep_alive()
 
@@ -320,13 +468,18 @@
         self._dials: set[asyncio.Task[None]] = set()
         loop.call_later(SWEEP_S, self._sweep)
 
+    def now_s(self) -> float:
+        """The clock that flows go by."""
+        return self._loop.time()
+
     def count(self) -> int:
         """Sockets in use, those that are being opened too."""
         return len(self._open) + len(self._dials)
 
     def send(self, attempt: Attempt, fresh: bool = False) -> None:
         """Start an attempt, on a new connection if `fresh`; it may be over before this returns."""
-        attempt.give_up_after(self.alarms, attempt.timeout_ms / 1000.0)
+        wait_s = attempt.timeout_ms / 1000.0 if attempt.message.flow is None else UPLOAD_STALL_S
+        attempt.give_up_after(self.alarms, wait_s)
         idle = self._idle.get(attempt.server, ())
         if fresh and idle:
             idle[0].close()  # the new one takes its place, or they would add up
--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,193 @@
+"""A flow between a source and a sink, without sockets: what is kept, held back, sent again and ended."""
+
+from __future__ import annotations
+
+import pytest
+
+from orchidferry import flow as flow_module
+from orchidferry.flow import GRACE_S, KEEP_MOST, SHORT_BODY, SLOWEST_B_S, STALL_S, Flow, Pool, TooLong
+
+PIECE = b"x" * (SHORT_BODY // 2)
+
+
+class From:
+    """A source that notes what it is told."""
+
+    def __init__(self) -> None:
+        self.held = False
+        self.told: list[str] = []
+
+    def hold(self) -> None:
+        self.held = True
+        self.told.append("hold")
+
+    def go_on(self) -> None:
+        self.held = False
+        self.told.append("go on")
+
+    def called_off(self) -> None:
+        self.told.append("called off")
+
+
+class To:
+    """A sink that takes so many pieces before it is choked, and may give up."""
+
+    def __init__(self, flow: Flow, room: int = 1000, gives_up_at: int = -1) -> None:
+        self.flow, self.room, self.gives_up_at = flow, room, gives_up_at
+        self.got = b""
+        self.ends: list[str] = []
+
+    def feed(self, data: bytes) -> None:
+        self.got += data
+        self.room -= 1
+        if self.room == 0:
+            self.flow.choke()
+        self.gives_up_at -= 1
+        if self.gives_up_at == 0:
+            self.flow.detach(self)
+
+    def end(self) -> None:
+        self.ends.append("end")
+
+    def broken(self) -> None:
+        self.ends.append("broken")
+
+
+def made(pool: Pool | None, length: int | None = None) -> tuple[Flow, From]:
+    source = From()
+    return Flow(source, length, 0.0, pool), source
+
+
+def test_a_source_without_a_sink_is_held_after_a_short_body_and_goes_on_once_there_is_one() -> None:
+    flow, source = made(Pool(KEEP_MOST))
+    flow.push(PIECE, 0.0)
+    assert not source.held
+    flow.push(PIECE, 0.0)
+    assert source.held
+    sink = To(flow)
+    flow.attach(sink)
+    assert sink.got == PIECE * 2
+    assert not source.held
+    flow.push(b"last", 0.0)
+    flow.finish()
+    assert sink.got == PIECE * 2 + b"last"
+    assert sink.ends == ["end"]
+
+
+def test_a_choked_sink_holds_the_source_until_it_is_released() -> None:
+    flow, source = made(None)
+    sink = To(flow, room=1)
+    flow.attach(sink)
+    flow.push(b"one", 0.0)
+    assert source.held
+    flow.release(0.0)
+    assert not source.held
+    flow.push(b"two", 0.0)
+    assert sink.got == b"onetwo"
+
+
+def test_all_that_is_kept_is_fed_again_to_the_next_sink() -> None:
+    flow, source = made(Pool(KEEP_MOST))
+    first = To(flow, gives_up_at=2)
+    flow.attach(first)
+    for n in range(3):
+        flow.push(bytes([n]) * SHORT_BODY, 0.0)
+    assert len(first.got) == 2 * SHORT_BODY
+    assert source.held  # nobody takes it now
+    second = To(flow)
+    assert flow.can_begin()
+    flow.attach(second)
+    assert second.got == b"".join(bytes([n]) * SHORT_BODY for n in range(3))
+    flow.finish()
+    assert (first.ends, second.ends) == ([], ["end"])
+
+
+@pytest.mark.parametrize(
+    "pool", [Pool(0), Pool(KEEP_MOST * 2)], ids=["no room in the pool", "too long to keep"]
+)
+def test_once_more_has_gone_than_is_kept_it_is_spent_and_gives_its_memory_back(pool: Pool) -> None:
+    room = pool.left
+    flow, _ = made(pool)
+    sink = To(flow)
+    flow.attach(sink)
+    for _ in range(KEEP_MOST // len(PIECE) + 1):
+        flow.push(PIECE, 0.0)
+    assert flow.spent and not flow.can_begin()
+    assert pool.left == room
+    flow.detach(sink)
+    with pytest.raises(AssertionError, match="beginning is gone"):
+        flow.attach(To(flow))
+
+
+def test_the_pool_bounds_what_all_flows_keep_and_gets_all_of_it_back() -> None:
+    pool = Pool(3 * SHORT_BODY)
+    flows = [made(pool)[0] for _ in range(4)]
+    for flow in flows:
+        flow.attach(To(flow))
+        for _ in range(4):  # the first two are free, each further one is half a SHORT_BODY of the pool's
+            flow.push(PIECE, 0.0)
+    assert [flow.spent for flow in flows] == [False, False, False, True]
+    assert pool.left == 0
+    flows[0].fail()
+    flows[1].finish()
+    flows[1].fed()
+    flows[2].cut()
+    assert pool.left == 3 * SHORT_BODY
+
+
+@pytest.mark.parametrize("length", [SHORT_BODY, None], ids=["than was said", "than may flow"])
+def test_more_than_may_come_is_not_taken(length: int | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(flow_module, "LONG_BODY", SHORT_BODY)
+    flow, _ = made(None, length)
+    sink = To(flow)
+    flow.attach(sink)
+    flow.push(PIECE * 2, 0.0)
+    with pytest.raises(TooLong):
+        flow.push(b"x", 0.0)
+    flow.fail()
+    assert sink.ends == ["broken"] and flow.over
+    flow.push(b"later", 0.0)  # is dropped
+    flow.finish()
+    assert sink.ends == ["broken"] and sink.got == PIECE * 2
+
+
+def test_its_end_is_told_once_whoever_brings_it() -> None:
+    for how, whole in (("fail", False), ("call_off", False), ("cut", False), ("fed", True)):
+        flow, source = made(Pool(KEEP_MOST))
+        sink, ends = To(flow), list[bool]()
+        flow.on_over = ends.append
+        flow.attach(sink)
+        flow.push(b"some", 0.0)
+        for _ in range(2):
+            getattr(flow, how)()
+            flow.cut()
+            flow.fail()
+        assert ends == [whole]
+        assert sink.ends == (["broken"] if how in ("fail", "cut") else [])
+        assert source.told.count("called off") == (how in ("call_off", "cut"))
+
+
+def test_a_sink_that_comes_after_the_end_is_told_so() -> None:
+    flow, _ = made(Pool(KEEP_MOST))
+    flow.push(b"half", 0.0)
+    flow.fail()
+    assert not flow.can_begin()
+    sink = To(flow)
+    flow.attach(sink)
+    assert (sink.got, sink.ends) == (b"", ["broken"])
+
+
+def test_standing_still_and_crawling_end_it_and_a_slow_steady_pace_does_not() -> None:
+    flow, _ = made(None)
+    assert not flow.overdue(STALL_S)
+    assert flow.overdue(STALL_S + 1.0)
+    now = 0.0
+    while now < 200.0:  # twice the least pace
+        now += 1.0
+        flow.push(b"x" * SLOWEST_B_S * 2, now)
+        assert not flow.overdue(now + 0.5)
+    crawling, _ = made(None)
+    while not crawling.overdue(now):
+        crawling.push(b"x", now)
+        now += 1.0
+    assert now <= 200.0 + GRACE_S + 2.0
