--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -51,6 +51,13 @@
 
         print(f"{args.what}: {machine()}", flush=True)
         return lists.main(args)
+    if args.what == "libraries":
+        from rehearsal.bench import libraries
+
+        if args.requests < 100 or args.turns < 1:
+            raise ValueError("--requests must be 100 at least, --turns 1")
+        print(f"{args.what}: {machine()}", flush=True)
+        return libraries.main(args)
     from rehearsal.bench import kit
 
     if args.what == "rehearsal":
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -79,6 +79,13 @@
         kind = kinds.add_parser(name, help=about, epilog=f"example: orchidferry bench {name} slow-server")
         kind.add_argument("scenario", metavar="SCENARIO|FILE.toml")
         kind.add_argument("--runs", type=int, default=runs, metavar="N", help=f"each ({runs})")
+    kind = kinds.add_parser(
+        "libraries",
+        help="QUIC libraries side by side: CPU a request, memory a connection",
+        epilog="example: pip install qh3 && orchidferry bench libraries",
+    )
+    kind.add_argument("--requests", type=int, default=2_000, metavar="N", help="of each measurement (2000)")
+    kind.add_argument("--turns", type=int, default=3, metavar="N", help="of each; the best counts (3)")
     kind = kinds.add_parser(
         "decisions",
         help="what a request and a list change cost in the decision module, by fleet size",
--- a/tests/h3/test_front.py
+++ b/tests/h3/test_front.py
@@ -22,7 +22,7 @@
 from rehearsal.quic import peers
 from rehearsal.quic.faults import Trouble
 from tests.h3.scene import Scene, ask, begin, files, scene
-from tests.peers import LIMIT_S, RESET, Server, answer, run, until
+from tests.peers import EFFECTS, LIMIT_S, RESET, Server, answer, effects, run, until
 
 STREAM_LIMIT_ERROR = QuicErrorCode.STREAM_LIMIT_ERROR
 
@@ -267,16 +267,16 @@
 
 
 def test_a_connection_closed_with_fifty_open_leaves_nothing_in_the_books(tmp_path: Path) -> None:
-    """Ten each: not begun at a server, running there, and of each class."""
+    """Ten of each kind of effect, all running at servers."""
 
     async def test() -> None:
         servers = [Server(name=f"s{n}", group=n % 2) for n in range(16)]  # room for some 60 calls at first
         for server in servers:
             server.gate.clear()
-        async with scene(tmp_path, *servers, siblings=1) as made:
+        async with scene(tmp_path, *servers, siblings=1, classes=effects()) as made:
             caller = await made.connect()
             for n in range(50):
-                begin(caller, f"{n}", ("read", "save", "pay", "read", "save")[n % 5])
+                begin(caller, f"{n}", EFFECTS[n % 5])
             await until(lambda: sum(len(server.seen) for server in servers) == 50)
             assert len(made.node._live) == 50
             caller.drop()
--- a/tests/h3/test_upstream.py
+++ b/tests/h3/test_upstream.py
@@ -9,14 +9,14 @@
 import pytest
 from aioquic.h3.connection import ErrorCode, FrameType, encode_frame
 
-from nickelbridge import transports
+from nickelbridge import logic, transports
 from nickelbridge.interface import Result
 from nickelbridge.transports import State
 from orchidferry.h3 import upstream
 from orchidferry.h3.upstream import Link, Routes
 from rehearsal.quic.faults import Trouble
 from tests.h3.scene import Scene, Script, files, scene
-from tests.peers import Server, run, until
+from tests.peers import EFFECTS, Server, effects, run, until
 
 
 def routes(made: Scene) -> Routes:
@@ -276,6 +276,48 @@
     run(test())
 
 
+def test_a_connection_lost_with_fifty_open_sends_again_only_what_may_be(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Ten of each kind of effect, all running at one server; the other one is of another cell."""
+    monkeypatch.setattr(logic, "PATIENT_MS", 20_000.0)  # none is cut for being slower than those before
+
+    async def test() -> None:
+        server, other, script = Server(name="s0"), Server(name="s1", group=1), Script()
+        quic = {"s0": await script.start()}
+        async with scene(tmp_path, server, quic=quic, siblings=1, classes=effects()) as made:
+            await warm(made)
+            for n in range(70):  # the module's window opens with what is answered
+                assert (await made.world.ask(f"w{n}")).status == 200
+            ended = results(made)
+            script.seen.clear()
+            script.hold.clear()
+            kinds = [f"{cls}{n}" for cls in EFFECTS for n in range(10)]
+            asked = [asyncio.create_task(made.world.ask(kind, kind.rstrip("0123456789"))) for kind in kinds]
+            await until(lambda: len(script.seen) == 50)
+            await other.start()
+            made.world.registry.tell(server.entry(h3=quic["s0"]), other.entry())
+            await until(lambda: len(made.node._in_service) == 2)
+            next(iter(script.quic.connections)).close(ErrorCode.H3_INTERNAL_ERROR)
+            script.hold.set()
+            found = dict(zip(kinds, await asyncio.gather(*asked), strict=True))
+            assert ended.count(Result.RESET) == 50 and made.module_is_clean()
+            again = [one.id for one in server.seen + other.seen if one.id in kinds]
+            again += [one.headers["x-call-id"] for _, one in script.seen[50:]]
+            assert not [id for id in again if id.startswith("pay")]
+            # In another cell only what may repeat there, or everywhere, or in its zone.
+            assert not [one.id for one in other.seen if one.id.startswith("save-cell")]
+            for kind, answered in found.items():
+                may = {"read": (200, 503), "pay": (502,), "save-all": (200, 503)}.get(
+                    kind.rstrip("0123456789"), (200, 502)
+                )
+                assert answered.status in may, kind
+            await other.stop()
+        script.stop()
+
+    run(test())
+
+
 def test_a_connection_lost_with_many_open_ends_each_attempt_once(tmp_path: Path) -> None:
     async def test() -> None:
         server, script = Server(name="s0"), Script()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -205,7 +205,7 @@
     id: str, cls: str = "read", budget: str = "20", body: bytes = b"", extra: str = "", query: str = ""
 ) -> bytes:
     """A request as callers send it: the method follows from the class."""
-    key = f"Idempotency-Key: key-{id}\r\n" if cls == "save" else ""
+    key = f"Idempotency-Key: key-{id}\r\n" if cls.startswith("save") else ""
     return (
         f"{'GET' if cls == 'read' else 'POST'} /{cls}{query} HTTP/1.1\r\nHost: api.internal\r\n"
         f"X-Call-Id: {id}\r\nX-Budget: {budget}\r\n{key}{extra}Content-Length: {len(body)}\r\n\r\n"
@@ -247,6 +247,20 @@
     return env
 
 
+# One class of each kind of effect: safe, keyed by zone, by cell and everywhere, unsafe.
+EFFECTS = ("read", "save", "save-cell", "save-all", "pay")
+
+
+def effects() -> list[dict[str, Any]]:
+    """Settings of these classes."""
+    usual = {cls["name"]: cls for cls in settings()["classes"]}
+    keyed = [
+        usual["save"] | {"name": name, "dedup_scope": scope}
+        for name, scope in (("save", "zone"), ("save-cell", "cell"), ("save-all", "all"))
+    ]
+    return [usual["read"], *keyed, usual["pay"]]
+
+
 @contextlib.asynccontextmanager
 async def world(
     path: Path, *servers: Server, start: bool = True, sockets: int = 1024, known: bool = True, **changes: Any
