--- a/rehearsal/bench/libraries.py
+++ b/rehearsal/bench/libraries.py
@@ -1,7 +1,8 @@
 """`orchidferry bench libraries`: QUIC libraries without sockets: CPU a request, memory a connection.
 
-aioquic and its fork qh3 have the same core without sockets, so one script drives either: a client and a server
-in one process hand each other their datagrams. A library that is not installed is said to be so and left out.
+aioquic and its fork qh3 have the same core without sockets: one script drives either, with a client and
+a server in one process that hand each other their datagrams. A library that is not installed is left out,
+and a line says so.
 """
 
 from __future__ import annotations
