--- a/orchidferry/control/store.py
+++ b/orchidferry/control/store.py
@@ -1,9 +1,10 @@
 """The last good configuration on disk: a kill at any byte leaves the old one or the new one.
 
-One file, `last-good`, in a folder of this node's own: a line that names the format and its version, one with
-the BLAKE2b checksum and length of the rest, and the rest, JSON. It is written beside its place, synced,
-renamed over it, and the folder is synced. Whatever can't be used is set aside under a name that says why, with
-one line, and never stops a start. A folder belongs to one node at a time: a lock on `lock` says so.
+One file, `last-good`, in a folder of this node's own: a line that names the format and its version, one
+with the BLAKE2b checksum and length of the rest, and the rest, JSON. It is written beside its place,
+synced, renamed over it, and the folder is synced. Whatever can't be used is set aside under a name that
+says why, with one line, and never stops a start. A folder belongs to one node at a time: a lock on `lock`
+says so.
 """
 
 from __future__ import annotations
