--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,5 @@
 
 $(VENV)/dev: pyproject.toml requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,h3]' -r requirements-dev.txt
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,h3,control]' -r requirements-dev.txt
 	touch $@
--- a/nickelbridge/versions.py
+++ b/nickelbridge/versions.py
@@ -309,7 +309,8 @@
 class Versions:
     """The states of what is offered; feed it events, do what it says."""
 
-    def __init__(self) -> None:
+    def __init__(self, first_ms: float = FIRST_MS) -> None:
+        self._first_ms = first_ms
         self.held: Configuration | None = None  # what is applied
         self.source = Source.NONE
         self.since_ms = 0.0  # since when
@@ -371,7 +372,7 @@
         self._hold_rules(event.file)
         self._budget = Bucket(APPLY_BURST, now)
         self._waking = True
-        self._actions.append(Wake(FIRST_MS))
+        self._actions.append(Wake(self._first_ms))
 
     def _start_without(self, now: float) -> None:
         """The service said nothing in time: the last good one if it still fits, else the node's own file."""
@@ -512,6 +513,8 @@
             return self._next(now)
         if event.problem:
             self._actions.append(Log(f"what was held could not be applied: {event.problem}"))
+        if self.held is None:
+            self._waking = False  # the wait for a first one is over, though its time is still to come
         undone, self._undoing = self._undoing, False
         self.held = whole
         if not undone:
--- /dev/null
+++ b/orchidferry/control/agent.py
@@ -0,0 +1,133 @@
+"""The channel, the versions and the store together: what the node is told of its configuration.
+
+The node gives two calls: `apply` makes a configuration the one that counts (a problem if it can't), `drain`
+sends nothing new to some servers. Everything is decided in `nickelbridge.versions`; here its actions are
+done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from nickelbridge import versions as v
+from nickelbridge.versions import Configuration, Part, Versions
+from orchidferry.config import now_ms
+from orchidferry.control.channel import Channel
+from orchidferry.control.settings import Control
+from orchidferry.control.store import Store, Taken
+
+log = logging.getLogger("orchidferry")
+
+ApplyCall = Callable[[Configuration, frozenset[Part]], str]
+DrainCall = Callable[[tuple[int, ...]], None]
+
+
+class Agent:
+    """Keeps a node's configuration up to date."""
+
+    def __init__(
+        self, control: Control, file: Configuration, apply: ApplyCall, drain: DrainCall,
+        rng: random.Random | None = None, store: Store | None = None,
+    ) -> None:  # fmt: skip
+        """`BadConfig` if a certificate can't be read. A folder that can't be used is logged and left."""
+        self._control, self._file, self._do_apply, self._do_drain = control, file, apply, drain
+        self.versions = Versions(control.first_wait_s * 1000.0)
+        self.channel = Channel(control, self._hear, self._stream, rng)
+        self._store = store if store is not None else self._open_store()
+        self._timers: set[asyncio.TimerHandle] = set()
+        self.refused_save = ""  # why the last good one could not be written, the last time
+
+    def _open_store(self) -> Store | None:
+        if self._control.state is None:
+            return None
+        try:
+            return Store(self._control.state)
+        except (OSError, Taken) as problem:
+            log.error("the last good configuration is not kept: %s", problem)
+            return None
+
+    def start(self) -> None:
+        """Begin: open the stream, and wait so long for a first version."""
+        saved = None
+        if self._store is not None:
+            saved, line = self._store.load()
+            if line:
+                log.error("%s", line)
+        self._handle(v.Began(self._file, saved))
+        self.channel.start()
+
+    async def close(self) -> None:
+        """Stop; what is applied stays so."""
+        await self.channel.close()
+        for timer in self._timers:
+            timer.cancel()
+        if self._store is not None:
+            self._store.close()
+
+    def status(self) -> dict[str, Any]:
+        """What `control status` shows of this node."""
+        found = self.versions.status()
+        found |= {
+            "node": self._control.node,
+            "stream": "up" if self.channel.up else "down",
+            "now_ms": now_ms(),
+        }
+        found["saved"] = "off" if self._store is None else self.refused_save or "yes"
+        return found
+
+    def _hear(self, offer: v.Offered) -> None:
+        self._handle(offer)
+
+    def _stream(self, up: bool) -> None:
+        self._handle(v.Stream(up))
+
+    def _handle(self, event: v.Event) -> None:
+        pending = [event]
+        while pending:
+            for action in self.versions.handle(pending.pop(0), now_ms()):
+                match action:
+                    case v.Apply():
+                        pending.append(v.Applied(self._apply(action)))
+                    case v.Answer():
+                        self.channel.answer(action)
+                    case v.Drain():
+                        self._do_drain(action.servers)
+                    case v.Save():
+                        self._save(action.configuration)
+                    case v.Wake():
+                        self._wake(action.delay_ms)
+                    case v.Log():
+                        log.warning("control: %s", action.text)
+
+    def _apply(self, action: v.Apply) -> str:
+        try:
+            problem = self._do_apply(action.configuration, action.changed)
+        except Exception as broken:  # whatever is in it, the node serves on
+            log.exception("applying a configuration")
+            problem = f"{type(broken).__name__}: {broken}"
+        if not problem:
+            versions = ", ".join(
+                f"{part.value} {text!r}" for part, text in action.configuration.versions.items()
+            )
+            log.info("control: applied %s, from %s", versions, action.source.value)
+        return problem
+
+    def _save(self, whole: Configuration) -> None:
+        if self._store is None:
+            return
+        line = self._store.save(whole)
+        if line and line != self.refused_save:
+            log.error("%s", line)
+        self.refused_save = line
+
+    def _wake(self, delay_ms: float) -> None:
+        def due() -> None:
+            self._timers.discard(timer)
+            self._handle(v.Woken())
+
+        timer = asyncio.get_running_loop().call_later(delay_ms / 1000.0, due)
+        self._timers.add(timer)
--- /dev/null
+++ b/orchidferry/control/settings.py
@@ -0,0 +1,80 @@
+"""The operator's own file for the control channel (`ORCHIDFERRY_CONTROL`), as typed values."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from nickelbridge.settings import NUMBER, Json, Malformed, get, opt
+from orchidferry.config import Address, BadConfig, address
+
+KNOWN = {
+    "service",
+    "node",
+    "cluster",
+    "pools",
+    "settings",
+    "state",
+    "first_wait_s",
+    "ca",
+    "certificate",
+    "key",
+}
+WAIT_MOST_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Control:
+    """What the channel needs: where the service is, who this node is there, what it asks for."""
+
+    service: Address
+    node: str
+    cluster: str
+    pools: tuple[str, ...]  # names of EDS resources
+    settings: str  # name of the resource that holds this node's settings
+    state: Path | None  # folder for the last good configuration; None: no disk lasts here
+    first_wait_s: float  # for a first configuration, before the last good one or the node's file is taken
+    ca: Path | None = None  # with it TLS, and the certificate and key that the service asks for
+    certificate: Path | None = None
+    key: Path | None = None
+
+
+def read_control(path: str) -> Control:
+    """Read the file; `BadConfig` names it and what is wrong."""
+    try:
+        with open(path, "rb") as file:
+            obj = tomllib.load(file)
+    except OSError as problem:
+        raise BadConfig(f"can't read ORCHIDFERRY_CONTROL: {problem}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
+    try:
+        return _read(obj, Path(path).parent)
+    except Malformed as problem:
+        raise BadConfig(f"{path}: {problem}") from None
+
+
+def _read(obj: Json, folder: Path) -> Control:
+    if unknown := sorted(obj.keys() - KNOWN):
+        raise Malformed(f"{unknown[0]!r} is not known")
+    pools = get(obj, "pools", list)
+    if not pools or not all(isinstance(pool, str) and pool for pool in pools):
+        raise Malformed("'pools' must name at least one pool")
+
+    def file(name: str) -> Path | None:
+        text = opt(obj, name, str, "")
+        return folder / text if text else None
+
+    wait_s = float(opt(obj, "first_wait_s", NUMBER, 5.0))
+    if not 0.0 < wait_s <= WAIT_MOST_S:
+        raise Malformed(f"'first_wait_s' must be above 0 and at most {WAIT_MOST_S:g}, not {wait_s:g}")
+    made = Control(
+        address(get(obj, "service", str)), get(obj, "node", str), opt(obj, "cluster", str, ""), tuple(pools),
+        get(obj, "settings", str), file("state"), wait_s, file("ca"), file("certificate"), file("key"),
+    )  # fmt: skip
+    if (made.certificate is None) != (made.key is None):
+        raise Malformed("'certificate' and 'key' go together")
+    if made.certificate is not None and made.ca is None:
+        raise Malformed("'certificate' needs 'ca'")
+    return made
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -351,6 +351,14 @@
     assert len(answers) == counts["applied"] and answers[-1].version == "999"
 
 
+def test_a_flood_right_after_the_start_does_not_wait_for_the_starts_own_time() -> None:
+    service = Service(first=False)
+    for n in range(int(APPLY_BURST) + 1):
+        service.offer(pools(n, 50), f"{n}")
+    service.pass_ms(1000.0 / APPLY_PER_S + 1.0)
+    assert service.held() == f"{int(APPLY_BURST)}"
+
+
 def test_a_bad_one_after_a_good_one_that_waits_leaves_the_held_one() -> None:
     """The newest of a part is what the service means; what it superseded is not gone back to."""
     service = Service()
