Rehearsal hundred-versions: versions, bad ones, cuts and killed nodes, judged

JSON key control; a run misses its proof if a node refuses a good version, takes a bad one, does not refuse one that it got, or ends elsewhere than the rest.

--- a/nickelbridge/versions.py
+++ b/nickelbridge/versions.py
@@ -370,22 +370,22 @@
     def _on_began(self, event: Began, now: float) -> None:
         self._file, self._saved = event.file, event.saved
         self._hold_rules(event.file)
+        if event.saved is not None:
+            try:
+                self._check(event.saved)
+            except Unfit as problem:
+                self._saved = None
+                self._actions.append(Log(f"the last good configuration is not taken: {problem}"))
         self._budget = Bucket(APPLY_BURST, now)
         self._waking = True
         self._actions.append(Wake(self._first_ms))
 
     def _start_without(self, now: float) -> None:
         """The service said nothing in time: the last good one if it still fits, else the node's own file."""
-        saved, file = self._saved, self._file
-        assert file is not None
-        if saved is not None:
-            try:
-                self._check(saved)
-            except Unfit as problem:
-                self._actions.append(Log(f"the last good configuration is not taken: {problem}"))
-            else:
-                return self._apply((), saved, Source.SAVED)
-        self._apply((), file, Source.FILE)
+        assert self._file is not None
+        if self._saved is not None:
+            return self._apply((), self._saved, Source.SAVED)
+        self._apply((), self._file, Source.FILE)
 
     # Offers
 
@@ -438,7 +438,7 @@
             self._take(self._deferred.pop(part), now)
 
     def _candidate(self, *events: Offered) -> Configuration:
-        whole = self.held or self._file
+        whole = self.held or self._saved or self._file
         assert whole is not None
         for event in events:
             versions = dict(whole.versions) | {event.part: event.version}
--- a/rehearsal/control/service.py
+++ b/rehearsal/control/service.py
@@ -104,7 +104,7 @@
             return
         held, sent = self.resources[url], line.sent.setdefault(url, {})
         wanted = {name: held[name] for name in line.names[url] if name in held}
-        response = discovery_pb2.DeltaDiscoveryResponse(type_url=url, system_version_info=self.label)
+        response = discovery_pb2.DeltaDiscoveryResponse(type_url=url)
         for name, (version, packed) in wanted.items():
             if sent.get(name) != version:
                 response.resources.add(name=name, version=version, resource=packed)
@@ -113,6 +113,9 @@
             response.removed_resources.append(name)
             del sent[name]
         if response.resources or response.removed_resources:
+            # What it is: after a cut an older resource comes while the newest version is another part's.
+            newest = max((one.version for one in response.resources), default=self.label)
+            response.system_version_info = self.label if response.removed_resources else newest
             self.send_raw(line, response)
 
     def send_raw(self, line: Line, response: Any, nonce: str = "") -> str:
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -41,6 +41,7 @@
     lateness: Lateness
     complete: bool
     why: str
+    control: dict[str, Any] | None = None  # what became of a control service's versions
 
     @property
     def broken(self) -> list[str]:
@@ -49,7 +50,8 @@
     @property
     def passed(self) -> bool:
         """Whether the run is complete, says something, and broke no rule."""
-        return self.complete and not self.lateness.void and not self.broken
+        proven = self.control is None or not self.control["problems"]
+        return self.complete and not self.lateness.void and not self.broken and proven
 
     @property
     def first_tries(self) -> int:
@@ -108,6 +110,9 @@
     """The agreed object; `run` is the kit's own part, and tells what the other keys can't."""
     service, books, scenario = verdict.service, verdict.books, verdict.scenario
 
+    def more() -> dict[str, Any]:
+        return {} if verdict.control is None else {"control": verdict.control}
+
     def number(value: float | None, digits: int = 4) -> float | None:
         return None if value is None else round(value, digits)
 
@@ -147,6 +152,7 @@
              "whom": fact.whom}
             for fact in books.incidents
         ],
+        **more(),
         "run": {
             "why": verdict.why,
             "void": verdict.lateness.void,
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -53,6 +53,7 @@
             f"{run.processes} processes, {run.nodes_cpu_s:.1f} CPU seconds of nodes", highlight=False
         )
     verdict = judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
+    verdict.control = run.control
     terminal.show(console, verdict)
     for note in run.notes[:5]:
         console.print(f"a node logged: {note}", markup=False, highlight=False)
@@ -83,6 +84,8 @@
     scenario = scenario.altered(args.seed, args.seconds, args.protocol, args.loss)
     if scenario.network.protocol == "h3" and importlib.util.find_spec("aioquic") is None:
         raise _Usage("--protocol h3: aioquic is not installed; the extra h3 brings it")
+    if scenario.control.service and importlib.util.find_spec("grpc") is None:
+        raise _Usage(f"{args.scenario}: grpcio is not installed; the extra control brings it")
     if scenario.network.protocol == "h1" and scenario.network.loss:
         raise _Usage("--loss: only datagrams are lost on purpose, and h1 has none")
     try:
--- a/rehearsal/report/terminal.py
+++ b/rehearsal/report/terminal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from rich.console import Console
 from rich.live import Live
@@ -69,10 +70,30 @@
             f"{len(verdict.ran_twice)} unsafe first tries ran twice, as their clients asked again after a "
             f"failure, which no rule forbids: {roots}"
         )
+    _control(console, verdict)
     if verdict.passed:
         console.print("[bold green]no rule broken[/]")
 
 
+def _control(console: Console, verdict: Verdict) -> None:
+    """What became of a control service's versions."""
+    found = verdict.control
+    if found is None:
+        return
+    finals = Counter(tuple(sorted(held.items())) for held in found["final_versions"].values())
+    ends = "; ".join(
+        f"{count} nodes on {', '.join(f'{part} {version}' for part, version in held) or 'nothing'}"
+        for held, count in finals.most_common(MOST_BREAKS)
+    )
+    console.print(
+        f"{found['sent']} versions, {found['bad']} bad, {found['refused']} refusals over "
+        f"{len(found['final_versions'])} nodes and {found['streams']} streams; at the end {ends}",
+        highlight=False,
+    )
+    for problem in found["problems"][:MOST_BREAKS]:
+        console.print(f"[bold red]versions[/]: {escape(problem)}", highlight=False)
+
+
 def _classes(verdict: Verdict) -> Table:
     table = Table(title=f"{verdict.scenario.name}, seed {verdict.scenario.seed}", title_justify="left")
     for n, name in enumerate(CLASS_HEAD):
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -239,6 +239,16 @@
     add: tuple[float, float] = key(span, (0.5, 2.0))  # a server that has come up
 
 
+@dataclass(frozen=True, slots=True)
+class ControlSide:
+    """A control service that sends the first tier's nodes their configuration in versions."""
+
+    service: bool = key(flag, False)  # there is one; it sends a first version at the start
+    versions: int = key(whole(0, 10_000), 0)  # that it sends during the run,
+    bad: int = key(whole(0, 10_000), 0)  # so many of them bad, in ten different ways
+    cuts: int = key(whole(0, 100), 0)  # times that it cuts all streams
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """The figures of the four rules, as the nodes are told them."""
@@ -357,6 +367,7 @@
     front: Front = field(default_factory=Front)
     network: Network = field(default_factory=Network)
     discovery: DiscoverySide = field(default_factory=DiscoverySide)
+    control: ControlSide = field(default_factory=ControlSide)
     rules: Rules = field(default_factory=Rules)
     node: NodeSide = field(default_factory=NodeSide)
     limits: Limits = field(default_factory=Limits)
@@ -386,8 +397,8 @@
 
 TABLES: dict[str, tuple[str, type[Any]]] = {
     "load": ("load", Load), "clients": ("clients", Clients), "front": ("front", Front),
-    "network": ("network", Network),
-    "discovery": ("discovery", DiscoverySide), "rules": ("rules", Rules), "node": ("node", NodeSide),
+    "network": ("network", Network), "discovery": ("discovery", DiscoverySide),
+    "control": ("control", ControlSide), "rules": ("rules", Rules), "node": ("node", NodeSide),
     "limits": ("limits", Limits),
 }  # fmt: skip
 LISTS: dict[str, tuple[str, type[Any]]] = {
@@ -471,6 +482,11 @@
     """What no single field shows."""
     if not scenario.tiers:
         raise _Bad("tier: at least one is needed")
+    side = scenario.control
+    if (side.versions or side.cuts) and not side.service:
+        raise _Bad("[control]: versions and cuts need service = true")
+    if side.bad >= max(1, side.versions) and side.bad:
+        raise _Bad(f"[control].bad: {side.bad} of {side.versions} versions; the last one is good")
     if not scenario.classes:
         raise _Bad("class: at least one is needed")
     for label, names in (
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -33,6 +33,7 @@
 AT_ONCE = 8  # nodes that start at the same time
 LEAD_S = 0.3  # from the order to play to the first arrival
 AFTER_S = 15.0  # beyond the last client's time: a run that has not ended by then is cut off
+RESULT = "control.json"  # of the control service's process, in the run's folder
 CLOSE_S = 5.0  # for a worker to write its record and go
 LEAVE_DEAL_S = (0.2, 0.4)  # until the front deals no more to a node that was told to end
 
@@ -67,6 +68,7 @@
     nodes_cpu_s: float = 0.0
     processes: int = 0
     notes: list[str] = field(default_factory=list)
+    control: dict[str, Any] | None = None  # what became of the versions, where a control service sent any
 
 
 class _Child:
@@ -105,6 +107,9 @@
         self._closing = False
         self._files: Files | None = None  # certificates, with HTTP/3
         self.start = 0.0
+        self._control: _Child | None = None
+        self._control_at: tuple[str, int] | None = None
+        self._listening, self._told = asyncio.Event(), asyncio.Event()
 
     # Its parts
 
@@ -140,6 +145,11 @@
             match news["did"]:
                 case "ready":
                     child.ready.set()
+                case "listening":
+                    self._control_at = "127.0.0.1", news["port"]
+                    self._listening.set()
+                case "told":
+                    self._told.set()
                 case "played":
                     child.played.set()
                 case "tick":
@@ -167,6 +177,8 @@
             name, tier, address, self._block.discovery_for(address), self.scenario, siblings, number,
             self._folder, self.recorder, self._node_died, self._files,
         )  # fmt: skip
+        if server is None:
+            node.control = self._control_at
         self._nodes[name] = node
         return node
 
@@ -200,6 +212,8 @@
         for server in there:
             self._discovery.registries[server.tier].servers[server.name] = self._entry(server, 0.0)
         await asyncio.gather(*(self._bring_up(server, False) for server in there))
+        if scenario.control.service:
+            await self._begin_control()
         gate = asyncio.Semaphore(AT_ONCE)
         nodes = [
             self._make_node(name, 0, n, len(self.plan.nodes), None) for n, name in enumerate(self.plan.nodes)
@@ -218,6 +232,35 @@
         self._dealt = set(self.plan.nodes)
         self._deal()
 
+    async def _begin_control(self) -> None:
+        """A process of its own: gRPC's threads and the forks that start nodes don't go together."""
+        child = self._control = await self._child("rehearsal.control.worker", "control", 0)
+        await child.ready.wait()
+        child.tell({"do": "listen", "endpoints": self._endpoints()})
+        await self._listening.wait()
+
+    def _endpoints(self) -> list[dict[str, Any]]:
+        """The first tier's servers, as discovery has them."""
+        listed = self._discovery.registries[0].servers.values()
+        return [
+            {"name": one.name, "address": one.address, "zone": one.zone, "type": "standin-1c",
+             "group": one.cell, "status": one.status, "since_ms": 0}
+            for one in listed if one.status in ("active", "leaving")
+        ]  # fmt: skip
+
+    async def control(self) -> dict[str, Any] | None:
+        """What became of the versions; None where there is no such service, or it says nothing."""
+        child = self._control
+        if child is None or child.process.returncode is not None:
+            return None
+        child.tell({"do": "tell", "folder": str(self._folder)})
+        try:
+            await asyncio.wait_for(self._told.wait(), CLOSE_S)
+        except TimeoutError:
+            return None
+        found: dict[str, Any] = json.loads((self._folder / RESULT).read_text())
+        return found
+
     def _entry(self, server: Server, since: float, status: str = "active") -> Listed:
         host, port = self._block.server(server.number)
         zone = self.scenario.tiers[server.tier].zone
@@ -252,6 +295,8 @@
             self.progress.incidents.append((shown.t, shown.until, f"{shown.do} {shown.whom}"))
         self.progress.phase = "playing"
         self._spawn(self._look())
+        if self._control is not None:
+            self._control.tell({"do": "play", "at": self.start})
         for act in self.plan.acts:
             wait = monotonic_at(self.zero, self.start + act.t)
             if wait > 0:
@@ -384,7 +429,12 @@
             task.cancel()
         for node in self._nodes.values():
             node.look(False)
-        children = [*self._clients, *self._worlds]  # clients first: what they see last is the nodes' own
+        more = [self._control] if self._control is not None else []
+        children = [
+            *self._clients,
+            *more,
+            *self._worlds,
+        ]  # clients first: what they see last is the nodes' own
         for child in children:
             child.tell({"do": "close"})
         for child in children:
@@ -453,11 +503,13 @@
             complete = True
         except CutOff as reason:
             why = str(reason)
+        versions = await director.control()
         await director.close()
         facts = read_folder(folder)
         return Run(
             plan, facts, director.start, end, complete, why, bool(caught), director.cpu_s(),
             director.processes() + scenario.workers + scenario.clients.processes, director.notes(),
+            versions,
         )  # fmt: skip
     finally:
         for number in (signal.SIGINT, signal.SIGTERM):
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -107,6 +107,7 @@
         self._scenario, self._siblings, self._number = scenario, siblings, number
         self._recorder, self._died, self._files = recorder, died, files
         self._home = folder / name.replace("/", "_")
+        self.control: Address | None = None  # where its control service is
         self.lives = 0
         self._expected: str | None = None  # why its process will end, once that is meant
         self._process: asyncio.subprocess.Process | None = None
@@ -151,6 +152,14 @@
             http3 = self._home / "http3.toml"
             http3.write_text(http3_text(listen, self._files))
             env["ORCHIDFERRY_HTTP3"] = str(http3)
+        if self.control is not None:
+            control = self._home / "control.toml"
+            control.write_text(
+                f'service = "{self.control[0]}:{self.control[1]}"\nnode = "{self.name}"\n'
+                f'pools = ["{self._scenario.tiers[self.tier].name}"]\nsettings = "{self.name}"\n'
+                'state = "state"\n'  # beside it, and kept over its lives
+            )
+            env["ORCHIDFERRY_CONTROL"] = str(control)
         with (self._home / "log").open("ab") as log:
             try:
                 self._process = await asyncio.create_subprocess_exec(
--- /dev/null
+++ b/tests/rehearsal/test_versions.py
@@ -0,0 +1,95 @@
+"""Rehearsals with a control service: a script drawn by seed, its outcome judged, and a whole run."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from nickelbridge.versions import Part
+from orchidferry.control.messages import EDS, TYPES
+from rehearsal.control.script import BAD, draw_cuts, draw_pushes, outcome
+from rehearsal.control.service import Word
+from rehearsal.scenario import BadScenario, Scenario, load_scenario, read_scenario
+from tests.test_wire import ROOT
+
+HUNDRED = load_scenario("hundred-versions")
+
+
+def test_a_script_is_its_seeds_and_bad_in_every_way() -> None:
+    pushes = draw_pushes(HUNDRED)
+    assert pushes == draw_pushes(HUNDRED) and draw_cuts(HUNDRED) == draw_cuts(HUNDRED)
+    other = HUNDRED.altered(99, None, None, None)
+    assert pushes != draw_pushes(other) and draw_cuts(HUNDRED) != draw_cuts(other)
+    assert len(pushes) == 100 and [p.t for p in pushes] == sorted(p.t for p in pushes)
+    assert Counter(p.bad for p in pushes if p.bad) == Counter(BAD)
+    assert not pushes[-1].bad and pushes[-1].last
+    assert pushes[0].t > 0.0 and pushes[-1].t < HUNDRED.length_s * 0.9
+    assert sum(p.drain for p in pushes) >= 3
+    assert len(draw_cuts(HUNDRED)) == 5
+
+
+def words(*said: tuple[str, str, str]) -> list[Word]:
+    return [Word(node, EDS, "1", label, reason) for node, label, reason in said]
+
+
+def test_what_does_not_come_to_one_last_good_version_is_told() -> None:
+    pushes = draw_pushes(HUNDRED)
+    bad = [p.label for p in pushes if p.bad]
+    good = next(p.label for p in pushes if not p.bad)
+    whole = [Word(n, url, "1", "v100", "") for n in ("n0", "n1") for url in TYPES.values()]
+    refused = words(*((n, label, "unfit") for n in ("n0", "n1") for label in bad))
+    sound = outcome(pushes, ("n0", "n1"), refused + whole, lambda node, label: True)
+    assert sound.problems == [] and sound.sent == 100 and sound.bad == 10
+    assert sound.final == {n: {part.value: "v100" for part in Part} for n in ("n0", "n1")}
+
+    def problems(said: list[Word]) -> str:
+        return "; ".join(outcome(pushes, ("n0", "n1"), said, lambda node, label: True).problems)
+
+    assert problems(refused[1:] + whole) == f"n0 did not refuse {bad[0]}"
+    assert f"n1 refused {good}, which is good: why" in problems(refused + whole + words(("n1", good, "why")))
+    assert f"n1 took {bad[3]}, which is bad" in problems(refused + whole + words(("n1", bad[3], "")))
+    assert "n1 ends on v099 of members, not on v100" in problems(refused + whole + words(("n1", "v099", "")))
+    assert "n1 ends on nothing of settings" in problems(refused + whole[:2] + whole[2:3])
+    away = outcome(pushes, ("n0", "n1"), refused[1:] + whole, lambda node, label: node != "n0")
+    assert away.problems == []  # it had no stream then
+
+
+@pytest.mark.parametrize(
+    ("table", "words"),
+    [
+        ({"versions": 5}, "need service = true"),
+        ({"service": True, "versions": 5, "bad": 5}, r"\[control\].bad: 5 of 5 versions"),
+        ({"service": 1}, r"\[control\].service: 1 is neither"),
+    ],
+)
+def test_a_table_that_cannot_be_played_is_named(table: dict[str, object], words: str) -> None:
+    with pytest.raises(BadScenario, match=words):
+        read_scenario({"name": "x", "control": table}, "x.toml")
+
+
+def test_a_short_run_ends_with_every_node_on_the_last_good_version(tmp_path: Path) -> None:
+    file = tmp_path / "versions.toml"
+    file.write_text(
+        'name = "versions"\nlength = "8s"\n[load]\nrate = 20\n[front]\nnodes = 2\n'
+        "[control]\nservice = true\nversions = 16\nbad = 3\ncuts = 1\n"
+        # A slow machine says nothing of the nodes' service, and this is not about it.
+        '[limits]\nlag_p99 = "5s"\nlag_most = "9s"\nstall = "9s"\nstarved = 1.0\n'
+        '[[timeline]]\nat = "2s"\ndo = "node-killed"\ncount = 1\nback = "500ms"\n'
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "rehearsal.cli", "rehearse", str(file), "--json", str(tmp_path / "out.json")],
+        cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
+    )  # fmt: skip
+    found = json.loads((tmp_path / "out.json").read_text())
+    assert done.returncode == 0, done.stdout + done.stderr
+    control = found["control"]
+    assert (control["sent"], control["bad"], control["problems"]) == (16, 3, [])
+    assert control["final_versions"] == {n: {p.value: "v016" for p in Part} for n in ("n0", "n1")}
+    assert control["refused"] >= 3 and set(control["reasons"]) <= {f"v{n:03}" for n in range(1, 16)}
+    assert "16 versions, 3 bad" in done.stdout
+    assert isinstance(HUNDRED, Scenario)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -152,6 +152,15 @@
     assert any(words in log.text for log in only(service.log, Log))
 
 
+def test_a_part_that_comes_before_the_other_goes_with_the_last_good_one_of_that() -> None:
+    """hundred-versions 2: a node that had been killed refused good settings, as its members were bad then."""
+    service = Service(Configuration(pools(7, name="kept"), node("kept")), first=False)
+    bad = only(service.offer(None, "m1", problem="unreadable"), Answer)
+    [apply] = only(service.offer(node("kept", max_attempts=2), "s1"), Apply)
+    assert bad[0].reason and apply.configuration.members() == (member(7),)
+    assert apply.changed == frozenset(Part) and service.held(Part.SETTINGS) == "s1"
+
+
 def test_a_version_refused_before_there_is_anything_leaves_the_start_as_it_was() -> None:
     service = Service(first=False)
     [answer] = only(service.offer(pools(), "1"), Answer)
