Control: versions read and written in threads, members taken by difference in steps

bench apply (new): at 10,000 members a version held requests up for 56 to 151 ms, as parsing, checking, listing and writing were one turn of the loop.

Messages are read and the last good one is written in threads, with a shorter switch interval and no collection meanwhile; a member that is as it was keeps its object, so what changed is found by identity; what comes is listed in steps of 256, what goes or drains at once. The check (some 5 ms) and the listing of 10,000 changed members are what is left in single turns.

--- a/orchidferry/control/agent.py
+++ b/orchidferry/control/agent.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import random
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,10 @@
 
 log = logging.getLogger("orchidferry")
 
+# Versions are read and written in threads. With the interpreter's usual 5 ms the loop waits that long for each
+# of its turns meanwhile; this costs the threads some more switches.
+SWITCH_S = 0.0005
+
 ApplyCall = Callable[[Configuration, frozenset[Part]], str]
 DrainCall = Callable[[tuple[int, ...]], None]
 
@@ -45,6 +50,8 @@
         self.channel = Channel(control, self._hear, self._stream, rng)
         self._store = store if store is not None else self._open_store()
         self._timers: set[asyncio.TimerHandle] = set()
+        self._unsaved: Configuration | None = None  # the newest that waits to be written
+        self._saving: asyncio.Task[None] | None = None
         self.refused_save = ""  # why the last good one could not be written, the last time
 
     def _open_store(self) -> Store | None:
@@ -58,6 +65,7 @@
 
     def start(self) -> None:
         """Begin: open the stream, and wait so long for a first version."""
+        sys.setswitchinterval(SWITCH_S)
         saved = None
         if self._store is not None:
             saved, line = self._store.load()
@@ -69,6 +77,8 @@
     async def close(self) -> None:
         """Stop; what is applied stays so."""
         await self.channel.close()
+        if self._saving is not None:
+            await self._saving
         for timer in self._timers:
             timer.cancel()
         if self._store is not None:
@@ -123,12 +133,19 @@
         return problem
 
     def _save(self, whole: Configuration) -> None:
-        if self._store is None:
-            return
-        line = self._store.save(whole)
-        if line and line != self.refused_save:
-            log.error("%s", line)
-        self.refused_save = line
+        """Have it written, in a thread: a disk may take its time, and requests don't wait for it."""
+        self._unsaved = whole
+        if self._store is not None and self._saving is None:
+            self._saving = asyncio.get_running_loop().create_task(self._write(self._store))
+
+    async def _write(self, store: Store) -> None:
+        while self._unsaved is not None:
+            whole, self._unsaved = self._unsaved, None
+            line = await asyncio.to_thread(store.save, whole)
+            if line and line != self.refused_save:
+                log.error("%s", line)
+            self.refused_save = line
+        self._saving = None
 
     def _wake(self, delay_ms: float) -> None:
         def due() -> None:
--- a/orchidferry/control/channel.py
+++ b/orchidferry/control/channel.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random
 from collections.abc import Callable
@@ -65,8 +66,26 @@
         """Of the resources held, by name."""
         return {name: version for name, (version, _) in self.held[part].items()}
 
-    def take(self, part: Part, response: Any) -> Offered | None:
-        """A response as an offer of the whole part; None for one that came before."""
+    def read(self, part: Part, response: Any) -> Named | str:
+        """What a response holds, or why it can't be read: the long part, which changes nothing here."""
+        if len(response.resources) > RESOURCES_MOST:
+            return f"{len(response.resources)} resources, {RESOURCES_MOST} at most"
+        found: Named = {}
+        try:
+            for resource in response.resources:
+                name, packed = resource.name, resource.resource
+                if part is Part.MEMBERS:
+                    _, known = self.held[part].get(name, ("", ()))
+                    found[name] = resource.version, read_pool(name, packed, known)
+                else:
+                    found[name] = resource.version, read_node(name, packed)
+        except Unreadable as problem:
+            return str(problem)
+        return found
+
+    def take(self, part: Part, response: Any, read: Named | str | None = None) -> Offered | None:
+        """A response as an offer of the whole part, once read; None for one that came before."""
+        read = self.read(part, response) if read is None else read
         nonces = self._unanswered[part]
         if response.nonce == self._last.get(part):
             return None
@@ -74,17 +93,11 @@
         if len(nonces) >= UNANSWERED_MOST:
             raise Unreadable(f"{len(nonces)} responses unanswered")
         changed = dict(self._offered[part])
-        problem = ""
-        try:
-            if len(response.resources) > RESOURCES_MOST:
-                raise Unreadable(f"{len(response.resources)} resources, {RESOURCES_MOST} at most")
-            for resource in response.resources:
-                read = read_pool if part is Part.MEMBERS else read_node
-                changed[resource.name] = resource.version, read(resource.name, resource.resource)
+        problem = read if isinstance(read, str) else ""
+        if not isinstance(read, str):
+            changed |= read
             for name in response.removed_resources:
                 changed.pop(name, None)
-        except Unreadable as unreadable:
-            problem = str(unreadable)
         version = response.system_version_info or ",".join(
             f"{name}={found}" for name, (found, _) in sorted(changed.items())
         )
@@ -238,7 +251,13 @@
                     if known is None:
                         log.warning("control service: sent a %.100r that nobody asked for", response.type_url)
                         continue
-                    offer = self.resources.take(known, response)
+                    # In a thread: 10,000 members take some 50 ms, and requests come between its steps.
+                    gc.disable()  # nothing of it is cyclic, and a collection stops all threads
+                    try:
+                        read = await asyncio.to_thread(self.resources.read, known, response)
+                    finally:
+                        gc.enable()
+                    offer = self.resources.take(known, response, read)
                     if offer is not None:
                         self._hear(offer)
                 # Its status: an end without an error is one too.
--- a/orchidferry/control/messages.py
+++ b/orchidferry/control/messages.py
@@ -70,8 +70,9 @@
     return float(value.number_value)
 
 
-def read_pool(name: str, packed: AnyMessage) -> tuple[Member, ...]:
-    """One pool's members."""
+def read_pool(name: str, packed: AnyMessage, known: tuple[Member, ...] = ()) -> tuple[Member, ...]:
+    """One pool's members; one that is as it was in `known` is that very object."""
+    before = {member.entry.server: member for member in known}
     where = f"pool {name!r}"
     found = _unpack(packed, EDS, endpoint_pb2.ClusterLoadAssignment(), where)
     if found.cluster_name != name:
@@ -102,7 +103,9 @@
                 zone, sys.intern(kind), cell, HEALTH[one.health_status], weight / WHOLE_WEIGHT,
                 since_ms + offset_ms if since_ms > 0 else None,
             )  # fmt: skip
-            members.append(Member(entry, (address.address, address.port_value)))
+            member = Member(entry, (address.address, address.port_value))
+            same = before.get(entry.server)
+            members.append(same if same == member else member)
     return tuple(members)
 
 
--- a/orchidferry/control/store.py
+++ b/orchidferry/control/store.py
@@ -26,6 +26,7 @@
 MAGIC, FORMAT = b"orchidferry last-good", 1
 NAME, FRESH, LOCK = "last-good", "last-good.new", "lock"
 MOST = 64 * 1024 * 1024  # bytes: 40,000 members take some 12 MB
+ENCODE_STEP = 64  # members that are made JSON of in one call
 ASIDE_MOST = 4  # files set aside that are kept
 
 
@@ -71,6 +72,8 @@
 def _plain(value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
+    if isinstance(value, str | int | float) or value is None:
+        return value
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {f.name: _plain(getattr(value, f.name)) for f in dataclasses.fields(value)}
     if isinstance(value, list):
@@ -122,10 +125,21 @@
 
 def encode(whole: Configuration) -> bytes:
     """The file's bytes."""
-    body = json.dumps(to_json(whole), separators=(",", ":")).encode()
+    # Piece by piece: the library holds all other threads up for as long as one call takes.
+    obj = to_json(whole)
+    pools = obj.pop("pools")
+    texts = []
+    for name, members in pools.items():
+        steps = [_dumps(members[at : at + ENCODE_STEP])[1:-1] for at in range(0, len(members), ENCODE_STEP)]
+        texts.append(f"{_dumps(name)}:[{','.join(steps)}]")
+    body = f'{_dumps(obj)[:-1]},"pools":{{{",".join(texts)}}}}}'.encode()
     return b"%b %d\n%b %d\n%b" % (MAGIC, FORMAT, _sum(body), len(body), body)
 
 
+def _dumps(value: Any) -> str:
+    return json.dumps(value, separators=(",", ":"))
+
+
 def _sum(body: bytes) -> bytes:
     return hashlib.blake2b(body, digest_size=32).hexdigest().encode()
 
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import functools
+import itertools
 import json
 import logging
 import math
@@ -37,6 +38,7 @@
 LAST_MS = 800.0  # before the last answer all begins to close: what comes till then has a fair chance
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
+MEMBERS_STEP = 256  # of a version, that are taken in one go: some 1 ms
 LIST_STEP = 64  # entries of a list that the module is told in one go: under 1 ms
 FLOW_LOOK_S = 1.0  # how often a flow is looked at that may stand still
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
@@ -160,6 +162,9 @@
         self._config, self._loop = config, loop
         self._members: dict[int, Member] | None = None  # as the control service has them; None: as discovery
         self._heard: dict[int, api.Health] = {}  # of their processes, by discovery, where there are such
+        self._ahead: set[int] = set()  # of these, the ones that a version still to be applied drains
+        self._changed: dict[int, None] = {}  # members that are still to be listed as they are now
+        self._listing = False
         self.agent: Agent | None = None
         if control is not None:
             from orchidferry.control.agent import Agent, own_file
@@ -249,32 +254,54 @@
             self._handle(api.NewSettings(settings))
         if not whole.pools.members:  # the node's own file names none: discovery has the say
             return ""
-        members = {member.entry.server: member for member in whole.members()}
-        if members != self._members:
-            self._members = members
-            self._list_members(list(members))
+        before, members = self._members, {member.entry.server: member for member in whole.members()}
+        self._members = members
+        self._ahead.clear()
+        if before is None:  # discovery's go
+            self._list_members([server for server in self._addresses if server in members], whole=True)
+            before = {}
+        # What goes counts at once; what comes is told in steps, as requests are waiting.
+        gone = [server for server in before if server not in members]
+        differ = [server for server, member in members.items() if before.get(server) is not member]
+        in_service = api.Health.IN_SERVICE
+        away = [server for server in differ if members[server].entry.health is not in_service]
+        if gone:
+            entries = [api.ServerEntry(server, health=api.Health.GONE) for server in gone]
+            self._take_listing(Listing(0, False, entries, {}), api.ListKind.CHANGES)
+        self._list_members(away)
+        self._changed.update(dict.fromkeys(differ))
+        if self._changed and not self._listing:
+            self._listing = True
+            self._list_step()
         return ""
 
-    def _list_members(self, servers: list[int], whole: bool = True) -> None:
+    def _list_step(self) -> None:
+        """Take the next of the members that changed, and let requests come before those after them."""
+        step = list(itertools.islice(self._changed, MEMBERS_STEP))
+        for server in step:
+            del self._changed[server]
+        self._list_members([server for server in step if server in (self._members or {})])
+        self._listing = bool(self._changed)
+        if self._listing:
+            self._loop.call_later(0.0, self._list_step)
+
+    def _list_members(self, servers: list[int], whole: bool = False) -> None:
         """Take these members as they are now by service and discovery; `whole`: and no others."""
         from nickelbridge.versions import merged  # there by now, where a service is
 
         members = self._members or {}
         entries = merged([members[server] for server in servers], self._heard)
+        for at, entry in enumerate(entries):
+            if entry.server in self._ahead and entry.health is api.Health.IN_SERVICE:
+                entries[at] = dataclasses.replace(entry, health=api.Health.DRAINING)
         addresses = {server: members[server].address for server in servers}
         kind = api.ListKind.FULL if whole else api.ListKind.CHANGES
         self._take_listing(Listing(0, whole, entries, addresses), kind)
 
     def _drain(self, servers: tuple[int, ...]) -> None:
         """Send nothing new to these, before the version that says so is applied."""
-        members = self._members or {}
-        entries = [
-            dataclasses.replace(members[server].entry, health=api.Health.DRAINING)
-            for server in servers
-            if server in members
-        ]
-        addresses = {entry.server: members[entry.server].address for entry in entries}
-        self._take_listing(Listing(0, False, entries, addresses), api.ListKind.CHANGES)
+        self._ahead.update(servers)
+        self._list_members([server for server in servers if server in (self._members or {})])
 
     def _hear(self, listing: Listing) -> None:
         """Discovery's word of processes, where the control service says who is a member."""
@@ -287,7 +314,7 @@
             changed = [server for server, health in told.items() if self._heard.get(server) != health]
             self._heard |= told
         if changed:
-            self._list_members(changed, whole=False)
+            self._list_members(changed)
 
     def reconfigure(self, config: Config) -> None:
         """Go on under a new configuration: discovery may be elsewhere; all that is held stays."""
--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -51,6 +51,11 @@
 
         print(f"{args.what}: {machine()}", flush=True)
         return lists.main(args)
+    if args.what == "apply":
+        from rehearsal.bench import apply
+
+        print(f"{args.what}: {machine()}", flush=True)
+        return apply.main(args)
     if args.what == "libraries":
         from rehearsal.bench import libraries
 
--- /dev/null
+++ b/rehearsal/bench/apply.py
@@ -0,0 +1,123 @@
+"""`orchidferry bench apply`: what a version of the configuration costs a node that serves, by fleet size.
+
+A real node, a stand-in control service in this process, ten real servers; all other members are further
+names at their addresses. Measured are the time from a push to its acknowledgement, the longest that a
+request took meanwhile (asked from a process of its own), the node's CPU and memory: for a whole pool that
+is new, for one in which a tenth of the members changed weight, and for settings alone.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from nickelbridge.versions import Part
+from orchidferry.control.messages import node_message, pool_message
+from rehearsal.bench.forward import Bench, ask_all, cpu_s, rss_kb, scenario
+from rehearsal.control.service import Service
+from rehearsal.world.addresses import claim
+from rehearsal.world.nodes import settings
+
+SIZES = (10, 1_000, 10_000)
+REAL, RATE, LOOK_S, WAIT_S = 10, 200.0, 4.0, 30.0
+POOL = "entrada"
+
+
+def endpoints(bench: Bench, count: int, changed: int) -> list[dict[str, Any]]:
+    """So many names at the real servers' addresses; of every ten the first has another weight."""
+    found = []
+    for n in range(count):
+        host, port = bench.servers[n % REAL]
+        weight = 0.9 if changed and n % 10 == 0 else 1.0
+        found.append(
+            {
+                "name": f"s{n}",
+                "address": f"{host}:{port}",
+                "zone": "sala-poa",
+                "group": n // 8,
+                "weight": weight,
+            }
+        )
+    return found
+
+
+async def acknowledged(service: Service, label: str) -> float:
+    """Wait for a version's ACK; when it came."""
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            for word in service.words:
+                if word.label == label:
+                    if word.reason:
+                        raise ValueError(f"{label} was refused: {word.reason}")
+                    return time.monotonic()
+            service.changed.clear()
+            await service.changed.wait()
+
+
+async def measure(count: int, keep: bool) -> list[dict[str, Any]]:
+    """One fleet size; `keep`: with the last good one written to disk."""
+    block, held = claim()
+    rows = []
+    service = Service()
+    with tempfile.TemporaryDirectory(prefix="orchidferry-bench-") as name:
+        folder = Path(name)
+        bench = Bench(block, folder, REAL)
+        try:
+            await bench.start_servers()
+            port = (await service.start())[1]
+            control = folder / "control.toml"
+            control.write_text(
+                f'service = "127.0.0.1:{port}"\nnode = "n0"\npools = ["{POOL}"]\nsettings = "n0"\n'
+                + ('state = "state"\n' if keep else "")
+            )
+            process, address = await bench.start("node", control=control)
+            usual = settings(scenario(), 0, 1, 0)
+            service.push("v0", (Part.MEMBERS, POOL, pool_message(POOL, endpoints(bench, REAL, 0))))
+            await acknowledged(service, "v0")
+            await ask_all(address, RATE, 2.0, False, "w")
+            versions: list[tuple[str, list[tuple[Part, str, Any]]]] = [
+                ("nothing", []),
+                ("a whole pool", [(Part.MEMBERS, POOL, pool_message(POOL, endpoints(bench, count, 0)))]),
+                ("a tenth changed", [(Part.MEMBERS, POOL, pool_message(POOL, endpoints(bench, count, 1)))]),
+                ("settings", [(Part.SETTINGS, "n0", node_message("n0", POOL, usual))]),
+            ]
+            for n, (what, changes) in enumerate(versions, 1):
+                asking = asyncio.ensure_future(bench.ask_elsewhere(address, RATE, LOOK_S, f"m{n}-"))
+                await asyncio.sleep(1.5)  # a second and more to start in
+                before, began, took = cpu_s(process.pid), time.monotonic(), 0.0
+                if changes:
+                    service.push(f"v{n}", *changes)
+                    took = await acknowledged(service, f"v{n}") - began
+                cpu = cpu_s(process.pid) - before
+                row = await asking
+                row |= {
+                    "what": what, "members": count, "saved": keep, "latency_ms": took * 1e3,
+                    "cpu_ms": cpu * 1e3, "rss_kb": rss_kb(process.pid),
+                }  # fmt: skip
+                rows.append(row)
+                print(
+                    f"{count:6} members, {'saved' if keep else 'unsaved'}, {what:16} acknowledged after "
+                    f"{took * 1e3:6.1f} ms, {cpu * 1e3:6.1f} ms of CPU; requests p50 {row['p50_ms']:.2f} ms, "
+                    f"longest {row['most_ms']:.1f} ms; {row['rss_kb'] / 1024:.1f} MB, {row['failed']} failed",
+                    flush=True,
+                )
+        finally:
+            await bench.close()
+            await service.stop()
+            held.close()
+    return rows
+
+
+def main(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """The command; its figures."""
+    rows: list[dict[str, Any]] = []
+    for count in SIZES:
+        for keep in (False, True):
+            rows += uvloop.run(measure(count, keep))
+    return rows
--- a/rehearsal/bench/forward.py
+++ b/rehearsal/bench/forward.py
@@ -155,6 +155,7 @@
         discovery: Address | None = None,
         files: Files | None = None,
         servers_h3: bool = False,
+        control: Path | None = None,
     ) -> tuple[asyncio.subprocess.Process, Address]:
         """Start the node, or the bare forwarder."""
         number = len(self._running)
@@ -175,6 +176,8 @@
                 http3 = self.folder / f"node{number}.toml"
                 http3.write_text(http3_text(f"{address[0]}:{address[1]}", files))
                 env["ORCHIDFERRY_HTTP3"] = str(http3)
+            if control is not None:
+                env["ORCHIDFERRY_CONTROL"] = str(control)
             env["NODE_CONFIG"] = str(path)
             if python_path is not None:
                 env["PYTHONPATH"] = python_path
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -79,6 +79,7 @@
         kind = kinds.add_parser(name, help=about, epilog=f"example: orchidferry bench {name} slow-server")
         kind.add_argument("scenario", metavar="SCENARIO|FILE.toml")
         kind.add_argument("--runs", type=int, default=runs, metavar="N", help=f"each ({runs})")
+    kinds.add_parser("apply", help="what a version of the configuration costs a node, by fleet size")
     kind = kinds.add_parser(
         "libraries",
         help="QUIC libraries side by side: CPU a request, memory a connection",
