--- a/orchidferry/control/agent.py
+++ b/orchidferry/control/agent.py
@@ -24,8 +24,8 @@
 
 log = logging.getLogger("orchidferry")
 
-# Versions are read and written in threads. With the interpreter's usual 5 ms the loop waits that long for each
-# of its turns meanwhile; this costs the threads some more switches.
+# Versions are read and written in threads. With the interpreter's usual 5 ms the loop waits that long for
+# each of its turns meanwhile; this costs the threads some more switches.
 SWITCH_S = 0.0005
 
 ApplyCall = Callable[[Configuration, frozenset[Part]], str]
