Control: a drain told ahead of a version that never applied ends with the next one

Found in reading the change again: a server drained ahead of a version that was then superseded stayed out, as its member was the same object as before and was not listed anew. Those are listed anew with the next version of members. The new test fails without the change; 17 tests of live apply pass.

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -256,13 +256,13 @@
             return ""
         before, members = self._members, {member.entry.server: member for member in whole.members()}
         self._members = members
-        self._ahead.clear()
+        ahead, self._ahead = self._ahead, set()  # that version may never have come to be applied
         if before is None:  # discovery's go
             self._list_members([server for server in self._addresses if server in members], whole=True)
             before = {}
         # What goes counts at once; what comes is told in steps, as requests are waiting.
         gone = [server for server in before if server not in members]
-        differ = [server for server, member in members.items() if before.get(server) is not member]
+        differ = [s for s, member in members.items() if before.get(s) is not member or s in ahead]
         in_service = api.Health.IN_SERVICE
         away = [server for server in differ if members[server].entry.health is not in_service]
         if gone:
--- a/tests/control/test_live.py
+++ b/tests/control/test_live.py
@@ -287,6 +287,23 @@
     run(test())
 
 
+def test_a_drain_whose_version_was_superseded_ends_with_the_next(tmp_path: Path) -> None:
+    """Its member was as before, so that it was not listed anew and got nothing any more."""
+
+    async def test() -> None:
+        one, two = Server(name="a"), Server(name="b")
+        async with scene(tmp_path, one, two) as (made, service):
+            await becomes(service, made, "v1", pool(one, two))
+            live = made.node
+            assert live is not None
+            live._drain((server_id("b"),))
+            assert server_id("b") not in live._in_service
+            await becomes(service, made, "v2", pool(one, two))
+            await until(lambda: server_id("b") in live._in_service)
+
+    run(test())
+
+
 def test_a_cold_server_by_the_channel_is_not_pushed_over(tmp_path: Path) -> None:
     async def test() -> None:
         warm, cold = Server(name="warm"), Server(name="cold")
