bench: one table of measurements in place of a branch for each; drop unused test imports

Found in reading the change again: each measurement repeated the same four lines, and the scene of the control tests kept two names that nothing used.

--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 import json
 import os
 import sys
@@ -12,6 +13,7 @@
 from rehearsal.scenario import BadScenario, load_scenario
 
 GIB = 1024**3
+MODULES = ("apply", "decisions", "forward", "libraries", "lists")  # measurements with a module of their own
 
 
 def machine() -> str:
@@ -36,40 +38,17 @@
 
 
 def _rows(args: argparse.Namespace) -> list[dict[str, Any]]:
-    if args.what == "decisions":
-        from rehearsal.bench import decisions
-
-        print(f"{args.what}: {machine()}", flush=True)
-        return decisions.main(args)
-    if args.what == "forward":
-        from rehearsal.bench import forward
-
-        print(f"{args.what}: {machine()}", flush=True)
-        return forward.main(args)
-    if args.what == "lists":
-        from rehearsal.bench import lists
-
-        print(f"{args.what}: {machine()}", flush=True)
-        return lists.main(args)
-    if args.what == "apply":
-        from rehearsal.bench import apply
-
-        print(f"{args.what}: {machine()}", flush=True)
-        return apply.main(args)
-    if args.what == "libraries":
-        from rehearsal.bench import libraries
-
-        if args.requests < 100 or args.turns < 1:
-            raise ValueError("--requests must be 100 at least, --turns 1")
-        print(f"{args.what}: {machine()}", flush=True)
-        return libraries.main(args)
+    if args.what == "libraries" and (args.requests < 100 or args.turns < 1):
+        raise ValueError("--requests must be 100 at least, --turns 1")
+    scenario = load_scenario(args.scenario) if args.what in ("spread", "retries") else None
+    if scenario is not None and not 1 <= args.runs <= 100:
+        raise ValueError(f"--runs {args.runs}: not within 1 to 100")
+    print(f"{args.what}: {machine()}", flush=True)
+    if args.what in MODULES:  # each brings what it needs only where it is asked for
+        rows: list[dict[str, Any]] = importlib.import_module(f"rehearsal.bench.{args.what}").main(args)
+        return rows
     from rehearsal.bench import kit
 
-    if args.what == "rehearsal":
-        print(f"{args.what}: {machine()}", flush=True)
+    if scenario is None:
         return kit.capacity()
-    scenario = load_scenario(args.scenario)
-    if not 1 <= args.runs <= 100:
-        raise ValueError(f"--runs {args.runs}: not within 1 to 100")
-    print(f"{args.what}: {machine()}", flush=True)
     return (kit.spread if args.what == "spread" else kit.retries)(scenario, args.runs)
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -11,11 +11,9 @@
 
 from nickelbridge.settings import read_settings
 from nickelbridge.versions import Configuration, Member, NodeSettings, Part, Pools
-from orchidferry.control import channel
 from orchidferry.control.agent import Agent
 from orchidferry.control.messages import node_message, pool_message
 from orchidferry.control.settings import Control
-from orchidferry.control.store import Store
 from rehearsal.control.service import Service
 from tests import peers
 from tests.peers import LIMIT_S, until
@@ -100,6 +98,3 @@
 def reasons(service: Service, label: str) -> list[str]:
     """What nodes said of a version; '' for an ACK."""
     return [word.reason for word in service.words if word.label == label]
-
-
-__all__ = ["Store", "channel"]
