Schedule: dead entries of a heap are swept out a few at a time

Making a heap of 20,000 entries anew took 6 to 10 ms in one turn at 10,000 servers, and held all requests up meanwhile. Each entry that dies now has eight others looked at, once a third of a heap is dead. Picks are as before: dead entries were never picked.

--- a/nickelbridge/schedule.py
+++ b/nickelbridge/schedule.py
@@ -19,7 +19,8 @@
 
 SLACK = 1e-9  # of a turn: starts that differ by rounding are the same
 REBASE = 1e9  # virtual time at which all is moved back to 0, for precision's sake
-STALE = 64  # entries beyond twice the members that a heap may hold before it is cleared of dead ones
+STALE = 64  # entries beyond one and a half times the members that heaps hold before they are swept
+SWEEP = 8  # entries that are looked at for each that dies: one in three at least is dead then
 
 
 class Lot(Enum):
@@ -46,6 +47,37 @@
 Entry = tuple[float, int, int, Member[T]]
 
 
+def _sweep(heap: list[Entry[T]], at: int) -> int:
+    """Take the dead of the next `SWEEP` entries out of a heap; where to go on."""
+    for _ in range(SWEEP):
+        if at >= len(heap):
+            at = 0
+        if not heap:
+            break
+        if heap[at][2] == heap[at][3].stamp:
+            at += 1
+            continue
+        last = heap.pop()
+        if at < len(heap):
+            _settle(heap, at, last)
+    return at
+
+
+def _settle(heap: list[Entry[T]], at: int, entry: Entry[T]) -> None:
+    """Put an entry in another's place in a heap, up or down to where it belongs."""
+    while at and entry < heap[above := (at - 1) >> 1]:
+        heap[at] = heap[above]
+        at = above
+    while (below := 2 * at + 1) < len(heap):
+        if below + 1 < len(heap) and heap[below + 1] < heap[below]:
+            below += 1
+        if entry < heap[below]:
+            break
+        heap[at] = heap[below]
+        at = below
+    heap[at] = entry
+
+
 class Schedule(Generic[T]):
     """All members. A member of weight 0 is never ON: its turn would never end."""
 
@@ -55,6 +87,7 @@
         self._aside: list[Entry[T]] = []  # by deadline, in a virtual time of their own
         self._clock = self._aside_clock = 0.0
         self.count = self.aside_count = 0
+        self._swept = [0, 0, 0]  # how far each heap was looked through: waiting, started, aside
         self.total = 0.0  # weight of those that are ON
 
     def put(self, member: Member[T], lot: Lot) -> None:
@@ -96,15 +129,15 @@
         self._clear()
 
     def _clear(self) -> None:
-        """Drop dead entries once they are most of a heap; a pick's cost stays that of the living."""
-        if len(self._started) + len(self._waiting) > 2 * self.count + STALE:
-            self._started = [e for e in self._started if e[2] == e[3].stamp]
-            self._waiting = [e for e in self._waiting if e[2] == e[3].stamp]
-            heapq.heapify(self._started)
-            heapq.heapify(self._waiting)
-        if len(self._aside) > 2 * self.aside_count + STALE:
-            self._aside = [e for e in self._aside if e[2] == e[3].stamp]
-            heapq.heapify(self._aside)
+        """Drop some dead entries once there are many: a pick's cost stays that of the living.
+
+        Some at a time: making a heap of 10,000 anew takes as long as a hundred requests.
+        """
+        if len(self._started) + len(self._waiting) > 1.5 * self.count + STALE:
+            self._swept[0] = _sweep(self._waiting, self._swept[0])
+            self._swept[1] = _sweep(self._started, self._swept[1])
+        if len(self._aside) > 1.5 * self.aside_count + STALE:
+            self._swept[2] = _sweep(self._aside, self._swept[2])
 
     def reweigh(self, member: Member[T], weight: float) -> None:
         """Give a member another weight from now on; what is left of its turn keeps its proportion."""
