--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -66,10 +66,7 @@
         print(f"orchidferry: can't listen on {where[0]}:{where[1]}: {problem}", file=sys.stderr)
         return 2
     node.start()
-    # What was made at the start lives to the end: full collections need not look at it.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    settle()
     watch_lag(loop, loop.time())
     log.info("started, listening on %s:%d", host, port)
     if node.h3_front is not None:
@@ -81,6 +78,13 @@
     return 0
 
 
+def settle() -> None:
+    """Have full collections leave out what was made so far: it lives to the end."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def read_http3() -> Http3 | None:
     """What the operator's own file switches on; None where there is none, and nothing of it is imported."""
     path = os.environ.get("ORCHIDFERRY_HTTP3")
@@ -99,10 +103,9 @@
     if not path:
         return None
     try:
-        from orchidferry.control import agent, settings
+        from orchidferry.control import settings
     except ImportError as problem:
         raise BadConfig(f"ORCHIDFERRY_CONTROL is set, and {problem.name} is not installed") from None
-    del agent  # imported now, so that what it needs is known to be there
     return settings.read_control(path)
 
 
@@ -138,8 +141,6 @@
     if not path:
         print("orchidferry: NODE_CONFIG must name the configuration file", file=sys.stderr)
         return 2
-    if os.environ.get("ORCHIDFERRY_CONTROL"):
-        return asyncio.run(run(path))  # gRPC's poller on uvloop has aborted the process
     return uvloop.run(run(path))
 
 
--- a/orchidferry/control/agent.py
+++ b/orchidferry/control/agent.py
@@ -1,8 +1,8 @@
 """The channel, the versions and the store together: what the node is told of its configuration.
 
-The node gives two calls: `apply` makes a configuration the one that counts (a problem if it can't), `drain`
-sends nothing new to some servers. Everything is decided in `nickelbridge.versions`; here its actions are
-done.
+Two calls are given to it: `apply` makes a configuration the one that counts ('' or a problem, or None where
+`node_applied` will say so), `drain` sends nothing new to some servers. Everything is decided in
+`nickelbridge.versions`; here its actions are done.
 """
 
 from __future__ import annotations
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import random
-import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -20,15 +19,11 @@
 from orchidferry.config import now_ms
 from orchidferry.control.channel import Channel
 from orchidferry.control.settings import Control
-from orchidferry.control.store import Store, Taken
+from orchidferry.control.store import Store
 
 log = logging.getLogger("orchidferry")
 
-# Versions are read and written in threads. With the interpreter's usual 5 ms the loop waits that long for
-# each of its turns meanwhile; this costs the threads some more switches.
-SWITCH_S = 0.0005
-
-ApplyCall = Callable[[Configuration, frozenset[Part]], str]
+ApplyCall = Callable[[Configuration, frozenset[Part]], str | None]
 DrainCall = Callable[[tuple[int, ...]], None]
 
 
@@ -43,35 +38,29 @@
     def __init__(
         self, control: Control, file: Configuration, apply: ApplyCall, drain: DrainCall,
         rng: random.Random | None = None, store: Store | None = None,
+        held: Configuration | None = None, said: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
-        """`BadConfig` if a certificate can't be read. A folder that can't be used is logged and left."""
+        """`BadConfig` if a certificate can't be read. `held`: what the node holds already, before any that is
+        saved; `said` is called after each event."""
         self._control, self._file, self._do_apply, self._do_drain = control, file, apply, drain
+        self._held, self._said = held, said
         self.versions = Versions(control.first_wait_s * 1000.0)
         self.channel = Channel(control, self._hear, self._stream, rng)
-        self._store = store if store is not None else self._open_store()
+        self._store = store
         self._timers: set[asyncio.TimerHandle] = set()
+        self._applying: v.Apply | None = None  # what is being applied
         self._unsaved: Configuration | None = None  # the newest that waits to be written
         self._saving: asyncio.Task[None] | None = None
         self.refused_save = ""  # why the last good one could not be written, the last time
 
-    def _open_store(self) -> Store | None:
-        if self._control.state is None:
-            return None
-        try:
-            return Store(self._control.state)
-        except (OSError, Taken) as problem:
-            log.error("the last good configuration is not kept: %s", problem)
-            return None
-
     def start(self) -> None:
         """Begin: open the stream, and wait so long for a first version."""
-        sys.setswitchinterval(SWITCH_S)
         saved = None
         if self._store is not None:
             saved, line = self._store.load()
             if line:
                 log.error("%s", line)
-        self._handle(v.Began(self._file, saved))
+        self._handle(v.Began(self._file, self._held or saved))
         self.channel.start()
 
     async def close(self) -> None:
@@ -107,7 +96,10 @@
             for action in self.versions.handle(pending.pop(0), now_ms()):
                 match action:
                     case v.Apply():
-                        pending.append(v.Applied(self._apply(action)))
+                        self._applying = action
+                        problem = self._apply(action)
+                        if problem is not None:
+                            pending.append(self._applied(problem))
                     case v.Answer():
                         self.channel.answer(action)
                     case v.Drain():
@@ -118,19 +110,28 @@
                         self._wake(action.delay_ms)
                     case v.Log():
                         log.warning("control: %s", action.text)
+        self._said()
 
-    def _apply(self, action: v.Apply) -> str:
+    def _apply(self, action: v.Apply) -> str | None:
         try:
-            problem = self._do_apply(action.configuration, action.changed)
+            return self._do_apply(action.configuration, action.changed)
         except Exception as broken:  # whatever is in it, the node serves on
             log.exception("applying a configuration")
-            problem = f"{type(broken).__name__}: {broken}"
-        if not problem:
+            return f"{type(broken).__name__}: {broken}"
+
+    def _applied(self, problem: str) -> v.Applied:
+        action, self._applying = self._applying, None
+        if not problem and action is not None:
             versions = ", ".join(
                 f"{part.value} {text!r}" for part, text in action.configuration.versions.items()
             )
             log.info("control: applied %s, from %s", versions, action.source.value)
-        return problem
+        return v.Applied(problem)
+
+    def node_applied(self, problem: str) -> None:
+        """How applying went, where `apply` did not say; nothing if none is out."""
+        if self._applying is not None:
+            self._handle(self._applied(problem))
 
     def _save(self, whole: Configuration) -> None:
         """Have it written, in a thread: a disk may take its time, and requests don't wait for it."""
--- a/orchidferry/control/channel.py
+++ b/orchidferry/control/channel.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import gc
 import logging
 import random
 from collections.abc import Callable
@@ -20,9 +19,8 @@
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 
 from nickelbridge.versions import Answer, Content, Offered, Part, Pools
-from orchidferry.config import BadConfig
 from orchidferry.control.messages import PARTS, TYPES, Unreadable, read_node, read_pool
-from orchidferry.control.settings import Control
+from orchidferry.control.settings import Control, read_tls
 
 MESSAGE_MOST = 16 * 1024 * 1024  # bytes: some 40,000 members
 RESOURCES_MOST = 128  # of one response
@@ -66,8 +64,8 @@
         """Of the resources held, by name."""
         return {name: version for name, (version, _) in self.held[part].items()}
 
-    def read(self, part: Part, response: Any) -> Named | str:
-        """What a response holds, or why it can't be read: the long part, which changes nothing here."""
+    def _read(self, part: Part, response: Any) -> Named | str:
+        """What a response holds, or why it can't be read."""
         if len(response.resources) > RESOURCES_MOST:
             return f"{len(response.resources)} resources, {RESOURCES_MOST} at most"
         found: Named = {}
@@ -83,9 +81,9 @@
             return str(problem)
         return found
 
-    def take(self, part: Part, response: Any, read: Named | str | None = None) -> Offered | None:
-        """A response as an offer of the whole part, once read; None for one that came before."""
-        read = self.read(part, response) if read is None else read
+    def take(self, part: Part, response: Any) -> Offered | None:
+        """A response as an offer of the whole part; None for one that came before."""
+        read = self._read(part, response)
         nonces = self._unanswered[part]
         if response.nonce == self._last.get(part):
             return None
@@ -153,20 +151,8 @@
         self.tries = 0  # streams in a row that did not stand
         self._out: asyncio.Queue[Any] | None = None  # requests of the stream that is up
         self._task: asyncio.Task[None] | None = None
-        self._credentials = self._read_credentials()
-
-    def _read_credentials(self) -> grpc.ChannelCredentials | None:
-        control = self._control
-        if control.ca is None:
-            return None
-        try:
-            return grpc.ssl_channel_credentials(
-                control.ca.read_bytes(),
-                control.key.read_bytes() if control.key is not None else None,
-                control.certificate.read_bytes() if control.certificate is not None else None,
-            )
-        except OSError as problem:
-            raise BadConfig(f"the control channel's {problem.filename}: {problem.strerror}") from None
+        tls = read_tls(control)
+        self._credentials = grpc.ssl_channel_credentials(*tls) if tls is not None else None
 
     def start(self) -> None:
         """Keep a stream from now on."""
@@ -251,13 +237,7 @@
                     if known is None:
                         log.warning("control service: sent a %.100r that nobody asked for", response.type_url)
                         continue
-                    # In a thread: 10,000 members take some 50 ms, and requests come between its steps.
-                    gc.disable()  # nothing of it is cyclic, and a collection stops all threads
-                    try:
-                        read = await asyncio.to_thread(self.resources.read, known, response)
-                    finally:
-                        gc.enable()
-                    offer = self.resources.take(known, response, read)
+                    offer = self.resources.take(known, response)
                     if offer is not None:
                         self._hear(offer)
                 # Its status: an end without an error is one too.
--- a/orchidferry/control/settings.py
+++ b/orchidferry/control/settings.py
@@ -78,3 +78,15 @@
     if made.certificate is not None and made.ca is None:
         raise Malformed("'certificate' needs 'ca'")
     return made
+
+
+def read_tls(control: Control) -> tuple[bytes, bytes | None, bytes | None] | None:
+    """Authority, this node's key, certificate; None without TLS, `BadConfig` if one can't be read."""
+    if control.ca is None:
+        return None
+    try:
+        key = control.key.read_bytes() if control.key is not None else None
+        certificate = control.certificate.read_bytes() if control.certificate is not None else None
+        return control.ca.read_bytes(), key, certificate
+    except OSError as problem:
+        raise BadConfig(f"the control channel's {problem.filename}: {problem.strerror}") from None
--- a/orchidferry/control/store.py
+++ b/orchidferry/control/store.py
@@ -16,17 +16,16 @@
 import hashlib
 import json
 import os
-from enum import Enum
 from pathlib import Path
 from typing import Any
 
 from nickelbridge import interface as api
 from nickelbridge.versions import Configuration, Member, NodeSettings, Part, Pools
+from orchidferry.control.plain import BAD_PLAIN, made, plain, settings_from
 
 MAGIC, FORMAT = b"orchidferry last-good", 1
 NAME, FRESH, LOCK = "last-good", "last-good.new", "lock"
 MOST = 64 * 1024 * 1024  # bytes: 40,000 members take some 12 MB
-ENCODE_STEP = 64  # members that are made JSON of in one call
 ASIDE_MOST = 4  # files set aside that are kept
 
 
@@ -69,46 +68,24 @@
             os.close(handle)
 
 
-def _plain(value: Any) -> Any:
-    if isinstance(value, Enum):
-        return value.value
-    if isinstance(value, str | int | float) or value is None:
-        return value
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        return {f.name: _plain(getattr(value, f.name)) for f in dataclasses.fields(value)}
-    if isinstance(value, list):
-        return [_plain(one) for one in value]
-    return value
-
-
 def to_json(whole: Configuration) -> dict[str, Any]:
     """A configuration as JSON; without `started_ms`, as its clock does not outlast the process."""
     pools = {
         name: [
-            _plain(dataclasses.replace(member.entry, started_ms=None)) | {"address": list(member.address)}
+            plain(dataclasses.replace(member.entry, started_ms=None)) | {"address": list(member.address)}
             for member in members
         ]
         for name, members in whole.pools.members.items()
     }
     return {
         "versions": {part.value: version for part, version in whole.versions.items()},
-        "pool": whole.node.pool, "settings": _plain(whole.node.settings), "pools": pools,
+        "pool": whole.node.pool, "settings": plain(whole.node.settings), "pools": pools,
     }  # fmt: skip
 
 
-def _made(cls: type[Any], obj: Any, enums: dict[str, type[Enum]]) -> Any:
-    """A dataclass of flat fields from JSON; `TypeError` or `ValueError` if it doesn't fit."""
-    if not isinstance(obj, dict):
-        raise TypeError(f"{cls.__name__} must be an object")
-    return cls(**{name: enums[name](value) if name in enums else value for name, value in obj.items()})
-
-
 def from_json(obj: Any) -> Configuration:
-    """What `to_json` made; `KeyError`, `TypeError`, `ValueError` or `AttributeError` if it is not."""
-    settings = dict(obj["settings"])
-    kinds: dict[str, type[Enum]] = {"repeat": api.Repeat, "group": api.Group}
-    settings["classes"] = [_made(api.RequestClass, one, kinds) for one in settings["classes"]]
-    settings["tenants"] = [_made(api.Tenant, one, {}) for one in settings["tenants"]]
+    """What `to_json` made; one of `BAD_PLAIN` if it is not."""
+    settings = settings_from(obj["settings"])
     pools = {}
     for name, members in obj["pools"].items():
         found = []
@@ -116,30 +93,19 @@
             fields = dict(one)
             host, port = fields.pop("address")
             found.append(
-                Member(_made(api.ServerEntry, fields, {"health": api.Health}), (str(host), int(port)))
+                Member(made(api.ServerEntry, fields, {"health": api.Health}), (str(host), int(port)))
             )
         pools[name] = tuple(found)
     versions = {part: str(obj["versions"][part.value]) for part in Part}
-    return Configuration(Pools(pools), NodeSettings(str(obj["pool"]), api.Settings(**settings)), versions)
+    return Configuration(Pools(pools), NodeSettings(str(obj["pool"]), settings), versions)
 
 
 def encode(whole: Configuration) -> bytes:
     """The file's bytes."""
-    # Piece by piece: the library holds all other threads up for as long as one call takes.
-    obj = to_json(whole)
-    pools = obj.pop("pools")
-    texts = []
-    for name, members in pools.items():
-        steps = [_dumps(members[at : at + ENCODE_STEP])[1:-1] for at in range(0, len(members), ENCODE_STEP)]
-        texts.append(f"{_dumps(name)}:[{','.join(steps)}]")
-    body = f'{_dumps(obj)[:-1]},"pools":{{{",".join(texts)}}}}}'.encode()
+    body = json.dumps(to_json(whole), separators=(",", ":")).encode()
     return b"%b %d\n%b %d\n%b" % (MAGIC, FORMAT, _sum(body), len(body), body)
 
 
-def _dumps(value: Any) -> str:
-    return json.dumps(value, separators=(",", ":"))
-
-
 def _sum(body: bytes) -> bytes:
     return hashlib.blake2b(body, digest_size=32).hexdigest().encode()
 
@@ -160,7 +126,7 @@
         raise Unusable("corrupt", "does not fit its checksum")
     try:
         return from_json(json.loads(body))
-    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as problem:
+    except (*BAD_PLAIN, RecursionError) as problem:
         raise Unusable("corrupt", f"can't be read: {type(problem).__name__}: {problem!s:.100}") from None
 
 
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -9,12 +9,10 @@
 import asyncio
 import dataclasses
 import functools
-import itertools
-import json
 import logging
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from typing import TYPE_CHECKING, Protocol
 
 from nickelbridge import interface as api
@@ -38,14 +36,12 @@
 LAST_MS = 800.0  # before the last answer all begins to close: what comes till then has a fair chance
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
-MEMBERS_STEP = 256  # of a version, that are taken in one go: some 1 ms
 LIST_STEP = 64  # entries of a list that the module is told in one go: under 1 ms
 FLOW_LOOK_S = 1.0  # how often a flow is looked at that may stand still
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
-    from nickelbridge.versions import Configuration, Member, Part
-    from orchidferry.control.agent import Agent
+    from orchidferry.control.link import Link
     from orchidferry.control.settings import Control
     from orchidferry.door import Door
     from orchidferry.h3.front import Listener
@@ -160,16 +156,6 @@
         control: Control | None = None,
     ) -> None:  # fmt: skip
         self._config, self._loop = config, loop
-        self._members: dict[int, Member] | None = None  # as the control service has them; None: as discovery
-        self._heard: dict[int, api.Health] = {}  # of their processes, by discovery, where there are such
-        self._ahead: set[int] = set()  # of these, the ones that a version still to be applied drains
-        self._changed: dict[int, None] = {}  # members that are still to be listed as they are now
-        self._listing = False
-        self.agent: Agent | None = None
-        if control is not None:
-            from orchidferry.control.agent import Agent, own_file
-
-            self.agent = Agent(control, own_file(control, config.settings), self._apply, self._drain)
         settings = config.settings
         self._balancer = Balancer(settings, config.seed)
         self._events: deque[api.Event] = deque()
@@ -196,6 +182,11 @@
             self._upstream = Routes(
                 loop, tcp, http3.servers, settings.keepalive_ms, self._h3.get, config.seed
             )
+        self.control: Link | None = None
+        if control is not None:
+            from orchidferry.control.link import Link
+
+            self.control = Link(control, settings, self, loop)
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
@@ -231,90 +222,32 @@
 
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
-        self._take_listing(self._config.known, api.ListKind.SAVED)
+        self.take_listing(self._config.known, api.ListKind.SAVED)
         self._handle(api.Started())
         if not self._config.settings.follow_list:
             self._discovery.subscribe()
-        if self.agent is not None:
-            self.agent.start()
+        if self.control is not None:
+            self.control.start()
 
     # Configuration from a control service
 
     def _control_page(self) -> tuple[int, bytes]:
-        if self.agent is None:
-            return 404, b"no control service\n"
-        return 200, json.dumps(self.agent.status()).encode() + b"\n"
+        return (404, b"no control service\n") if self.control is None else (200, self.control.page())
 
-    def _apply(self, whole: Configuration, changed: frozenset[Part]) -> str:
-        """Make this the configuration that counts; nothing that is held is disturbed."""
-        settings = whole.node.settings
+    def listed(self) -> Collection[int]:
+        """The servers that the node knows."""
+        return self._addresses.keys()
+
+    def stop_sending(self, servers: Iterable[int]) -> None:
+        """Send nothing new to these from now on, whatever the module still thinks."""
+        self._in_service.difference_update(servers)
+
+    def take_settings(self, settings: api.Settings) -> None:
+        """Go on under these; nothing that is held is disturbed."""
         self._tcp.configure(settings.connect_timeout_ms, settings.keepalive_ms)
         self.figures.add(cls.name for cls in settings.classes)
         if settings != self._balancer.settings:
             self._handle(api.NewSettings(settings))
-        if not whole.pools.members:  # the node's own file names none: discovery has the say
-            return ""
-        before, members = self._members, {member.entry.server: member for member in whole.members()}
-        self._members = members
-        ahead, self._ahead = self._ahead, set()  # that version may never have come to be applied
-        if before is None:  # discovery's go
-            self._list_members([server for server in self._addresses if server in members], whole=True)
-            before = {}
-        # What goes counts at once; what comes is told in steps, as requests are waiting.
-        gone = [server for server in before if server not in members]
-        differ = [s for s, member in members.items() if before.get(s) is not member or s in ahead]
-        in_service = api.Health.IN_SERVICE
-        away = [server for server in differ if members[server].entry.health is not in_service]
-        if gone:
-            entries = [api.ServerEntry(server, health=api.Health.GONE) for server in gone]
-            self._take_listing(Listing(0, False, entries, {}), api.ListKind.CHANGES)
-        self._list_members(away)
-        self._changed.update(dict.fromkeys(differ))
-        if self._changed and not self._listing:
-            self._listing = True
-            self._list_step()
-        return ""
-
-    def _list_step(self) -> None:
-        """Take the next of the members that changed, and let requests come before those after them."""
-        step = list(itertools.islice(self._changed, MEMBERS_STEP))
-        for server in step:
-            del self._changed[server]
-        self._list_members([server for server in step if server in (self._members or {})])
-        self._listing = bool(self._changed)
-        if self._listing:
-            self._loop.call_later(0.0, self._list_step)
-
-    def _list_members(self, servers: list[int], whole: bool = False) -> None:
-        """Take these members as they are now by service and discovery; `whole`: and no others."""
-        from nickelbridge.versions import merged  # there by now, where a service is
-
-        members = self._members or {}
-        entries = merged([members[server] for server in servers], self._heard)
-        for at, entry in enumerate(entries):
-            if entry.server in self._ahead and entry.health is api.Health.IN_SERVICE:
-                entries[at] = dataclasses.replace(entry, health=api.Health.DRAINING)
-        addresses = {server: members[server].address for server in servers}
-        kind = api.ListKind.FULL if whole else api.ListKind.CHANGES
-        self._take_listing(Listing(0, whole, entries, addresses), kind)
-
-    def _drain(self, servers: tuple[int, ...]) -> None:
-        """Send nothing new to these, before the version that says so is applied."""
-        self._ahead.update(servers)
-        self._list_members([server for server in servers if server in (self._members or {})])
-
-    def _hear(self, listing: Listing) -> None:
-        """Discovery's word of processes, where the control service says who is a member."""
-        members = self._members or {}
-        told = {entry.server: entry.health for entry in listing.entries if entry.server in members}
-        if listing.whole:
-            changed = [s for s in members if self._heard.get(s) != told.get(s)]
-            self._heard = told
-        else:
-            changed = [server for server, health in told.items() if self._heard.get(server) != health]
-            self._heard |= told
-        if changed:
-            self._list_members(changed)
 
     def reconfigure(self, config: Config) -> None:
         """Go on under a new configuration: discovery may be elsewhere; all that is held stays."""
@@ -361,8 +294,8 @@
                 front.abort()  # all is answered by now; what is left does not read
         if self.door is not None:
             self.door.close()
-        if self.agent is not None:
-            await self.agent.close()
+        if self.control is not None:
+            await self.control.close()
         self._discovery.close()
         self._upstream.close()
         if self.h3_front is not None:
@@ -536,10 +469,10 @@
     # Discovery
 
     def _on_news(self, listing: Listing | None, why: str) -> None:
-        if listing is not None and self._members is not None:
-            return self._hear(listing)
+        if listing is not None and self.control is not None and self.control.members.hear(listing):
+            return
         if listing is not None:
-            self._take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
+            self.take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
             return
         log.info("discovery: %s", why)
         if self._config.settings.follow_list:
@@ -547,7 +480,7 @@
         else:
             self._loop.call_later(PUSHED_RETRY_S, self._discovery.subscribe)
 
-    def _take_listing(self, listing: Listing, kind: api.ListKind) -> None:
+    def take_listing(self, listing: Listing, kind: api.ListKind) -> None:
         """Take news at once; what the module is told of a long list it is told in steps.
 
         Here all of it counts from now on: what the module sends to a server that has left is sent nowhere.
--- a/rehearsal/bench/apply.py
+++ b/rehearsal/bench/apply.py
@@ -15,14 +15,23 @@
 from pathlib import Path
 from typing import Any
 
-from nickelbridge.versions import Part
+from nickelbridge import interface as api
+from nickelbridge.settings import read_settings
+from nickelbridge.versions import Configuration, Member, NodeSettings, Part, Pools
+from orchidferry.__main__ import settle
+from orchidferry.config import Config, Listing
+from orchidferry.control.link import Link
 from orchidferry.control.messages import node_message, pool_message
+from orchidferry.control.pipe import Teller
+from orchidferry.control.settings import Control
+from orchidferry.node import Node
 from rehearsal.bench.forward import Bench, ask_all, cpu_s, rss_kb, scenario
 from rehearsal.control.service import Service
 from rehearsal.world.addresses import claim
 from rehearsal.world.nodes import settings
 
 SIZES = (10, 1_000, 10_000)
+TURNS = 12  # of one size: the first is a whole pool, each further one changes a tenth
 REAL, RATE, LOOK_S, WAIT_S = 10, 200.0, 4.0, 30.0
 POOL = "entrada"
 
@@ -112,9 +121,92 @@
     return rows
 
 
+def versions(count: int, number: int) -> Configuration:
+    """A configuration of so many members; a tenth of them differs between an even and an odd number."""
+    members = tuple(
+        Member(
+            api.ServerEntry(n + 1, "sala-poa", "", n // 8, share=0.9 if number % 2 and not n % 10 else 1.0),
+            (f"127.1.{n >> 8}.{n & 255}", 9000),
+        )
+        for n in range(count)
+    )
+    usual = settings(scenario(), 0, 1, 0)
+    usual["permissions"]["connect_timeout_ms"] += number // TURNS
+    usual["classes"][0]["objective_ms"] += number // TURNS
+    made = read_settings(usual)
+    return Configuration(Pools({POOL: members}), NodeSettings(POOL, made))
+
+
+async def turns(count: int) -> list[dict[str, Any]]:
+    """The longest turn of a node's loop while it applies, in CPU of its thread: what other work waits for.
+
+    A `Node` and a `Link` as they ship, on the standard event loop, fed with a helper's lines.
+    """
+    loop, longest = asyncio.get_running_loop(), [0.0, 0.0]
+    run = asyncio.Handle._run
+
+    def timed(handle: asyncio.Handle) -> None:
+        began = time.thread_time()
+        run(handle)
+        took = time.thread_time() - began
+        longest[0], longest[1] = max(longest[0], took), longest[1] + took
+
+    settle()
+    config = Config("bench", ("127.0.0.1", 0), ("127.0.0.1", 1), 1, 1000, 64.0, Listing(0, True, [], {}),
+                    versions(1, 0).node.settings)  # fmt: skip
+    node = Node(config, loop)
+    control = Control(("127.0.0.1", 1), "n0", "", (POOL,), "n0", None, 1.0)
+    link, teller, rows = Link(control, config.settings, node, loop), Teller(), []
+    node.control = link
+    node._handle(api.Started())
+    last = versions(count, 0)
+    for turn in range(TURNS + 1):
+        whole = versions(count, turn)
+        what = "a whole pool" if not turn else "a tenth changed" if turn < TURNS else "and settings"
+        if turn:  # as the channel has it: what is as it was is the same object
+            before = {m.entry.server: m for m in last.members()}
+            same = [before[m.entry.server] if before[m.entry.server] == m else m for m in whole.members()]
+            whole = Configuration(Pools({POOL: tuple(same)}), whole.node)
+        last, said = whole, list[bytes]()
+        reader = asyncio.StreamReader()
+        for data in teller.change(whole):
+            reader.feed_data(data)
+        reader.feed_eof()
+        asyncio.Handle._run = timed  # type: ignore
+        try:
+            await asyncio.sleep(0)  # what was made ready here is no turn of the node's
+            longest[:] = [0.0, 0.0]
+            async with asyncio.timeout(WAIT_S):
+                await link.follow(reader, said.append)
+                await link.members.idle.wait()
+        finally:
+            asyncio.Handle._run = run  # type: ignore
+        assert said and teller.applied(turn + 1, "")
+        rows.append({"members": count, "what": what, "turn_ms": longest[0] * 1e3, "all_ms": longest[1] * 1e3})
+    node._discovery.close()
+    return rows
+
+
+def show_turns() -> list[dict[str, Any]]:
+    """Measure and print them."""
+    rows = []
+    for count in SIZES:
+        found = asyncio.run(turns(count))
+        for what in dict.fromkeys(row["what"] for row in found):
+            took = sorted(row["turn_ms"] for row in found if row["what"] == what)
+            whole = sorted(row["all_ms"] for row in found if row["what"] == what)
+            print(
+                f"{count:6} members, {what:16} longest turn of the loop {took[len(took) // 2]:.2f} ms, "
+                f"{took[-1]:.2f} at most of {len(took)}; {whole[len(whole) // 2]:.1f} ms in all",
+                flush=True,
+            )
+        rows += found
+    return rows
+
+
 def main(args: argparse.Namespace) -> list[dict[str, Any]]:
     """The command; its figures."""
-    rows: list[dict[str, Any]] = []
+    rows: list[dict[str, Any]] = show_turns()
     for count in SIZES:
         for keep in (False, True):
             rows += asyncio.run(measure(count, keep))
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -14,6 +14,7 @@
 from orchidferry.control.agent import Agent
 from orchidferry.control.messages import node_message, pool_message
 from orchidferry.control.settings import Control
+from orchidferry.control.store import Store
 from rehearsal.control.service import Service
 from tests import peers
 from tests.peers import LIMIT_S, until
@@ -60,7 +61,8 @@
             service.address, name, "c", (POOL, "other"), "entrada", state,
             options.pop("first_wait_s", 30.0), **options,
         )  # fmt: skip
-        super().__init__(control, file(), self._note, self.drained.extend, random.Random(1))
+        store = Store(state) if state is not None else None
+        super().__init__(control, file(), self._note, self.drained.extend, random.Random(1), store)
 
     def _note(self, whole: Configuration, changed: frozenset[Part]) -> str:
         if not self.problem:
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -17,12 +17,13 @@
 from orchidferry.config import BadConfig, server_id
 from orchidferry.control import channel as channel_module
 from orchidferry.control.channel import BACK_OFF_MOST_S, Channel, Resources, back_off_s
+from orchidferry.control.helper import open_store
 from orchidferry.control.messages import EDS, Unreadable, node_message, pool_message, read_node, read_pool
 from orchidferry.control.settings import read_control
 from rehearsal.control.service import Service
 from rehearsal.quic import certs
 from tests.control.scene import POOL, Told, endpoint, members, node, reasons, run, scene
-from tests.peers import until
+from tests.peers import LIMIT_S, until
 
 
 @pytest.fixture(autouse=True)
@@ -214,12 +215,25 @@
     run(test())
 
 
-def test_a_folder_that_another_node_has_or_that_cannot_be_leaves_the_node_without_one(tmp_path: Path) -> None:
+def test_a_folder_that_another_node_has_or_that_cannot_be_leaves_the_node_without_one(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     async def test() -> None:
-        async with scene({"state": tmp_path / "a"}, {"state": tmp_path / "a"}) as (service, [first, second]):
-            assert (first.status()["saved"], second.status()["saved"]) == ("yes", "off")
-            service.push("v1", members(3))
-            await until(lambda: first.held() == second.held() == "v1")
+        (tmp_path / "file").write_text("")
+        first = await open_store(tmp_path / "a", 0.0)
+        assert first is not None
+        assert await open_store(tmp_path / "a", 0.0) is None
+        assert await open_store(tmp_path / "file", 0.0) is None
+        assert await open_store(None) is None
+        assert [r.getMessage().partition(": ")[0] for r in caplog.records] == [
+            "the last good configuration is not kept"
+        ] * 2
+        waiting = asyncio.ensure_future(open_store(tmp_path / "a", LIMIT_S))
+        await asyncio.sleep(0)
+        first.close()  # a killed node's helper lets go a moment after the next one's start
+        second = await waiting
+        assert second is not None
+        second.close()
 
     run(test())
 
--- a/tests/control/test_live.py
+++ b/tests/control/test_live.py
@@ -183,9 +183,7 @@
         live = made.node = Node(read_config(str(made.path)), loop, None, control)
         made.address = await live.frontend.listen(loop, ("127.0.0.1", 0))
         live.start()
-        await until(
-            lambda: service.joined == 1 and live.agent is not None and live.agent.versions.held is not None
-        )
+        await until(lambda: service.joined == 1 and live.control is not None and bool(live.control._versions))
         try:
             yield made, service
         finally:
@@ -195,14 +193,10 @@
 async def becomes(service: Service, made: World, label: str, *changes: Any) -> None:
     service.push(label, *changes)
     live = made.node
-    assert live is not None and live.agent is not None
-    agent = live.agent
+    assert live is not None and live.control is not None
+    link = live.control
     parts = {change[0] for change in changes}
-    await until(
-        lambda: (
-            agent.versions.held is not None and all(agent.versions.held.versions[p] == label for p in parts)
-        )
-    )
+    await until(lambda: all(link._versions[part.value] == label for part in parts))
 
 
 def test_members_of_the_service_take_the_place_of_discoverys_and_nothing_held_is_lost(tmp_path: Path) -> None:
@@ -296,7 +290,8 @@
             await becomes(service, made, "v1", pool(one, two))
             live = made.node
             assert live is not None
-            live._drain((server_id("b"),))
+            assert live.control is not None
+            live.control.members.drain([server_id("b")])
             assert server_id("b") not in live._in_service
             await becomes(service, made, "v2", pool(one, two))
             await until(lambda: server_id("b") in live._in_service)
--- a/tests/rehearsal/broken_node.py
+++ b/tests/rehearsal/broken_node.py
@@ -67,7 +67,7 @@
 
 def ignores_drains() -> None:
     """Servers that drain stay in service, as do those that are gone."""
-    take = node.Node._take_listing
+    take = node.Node.take_listing
 
     def spoilt(self: node.Node, listing: Listing, kind: api.ListKind) -> None:
         for entry in listing.entries:
@@ -75,12 +75,12 @@
                 entry.health = api.Health.IN_SERVICE
         take(self, listing, kind)
 
-    node.Node._take_listing = spoilt  # type: ignore[method-assign]
+    node.Node.take_listing = spoilt  # type: ignore[method-assign]
 
 
 def floods_cold() -> None:
     """All goes to a server that has just started, as if it were the only one, and warm."""
-    take = node.Node._take_listing
+    take = node.Node.take_listing
 
     def spoilt(self: node.Node, listing: Listing, kind: api.ListKind) -> None:
         fresh = [entry for entry in listing.entries if entry.started_ms is not None]
@@ -93,7 +93,7 @@
                 listing.addresses[server] = self._addresses[server]
         take(self, listing, kind)
 
-    node.Node._take_listing = spoilt  # type: ignore[method-assign]
+    node.Node.take_listing = spoilt  # type: ignore[method-assign]
 
 
 def dies() -> None:
