Control: discovery's word outlasts membership, and a step that breaks stalls none after it

A property test of changes, failures and drains found both: a server that discovery drains was sent to once the service named it again, and an exception while listing left all later steps undone.

--- a/orchidferry/control/members.py
+++ b/orchidferry/control/members.py
@@ -44,7 +44,7 @@
     def __init__(self, home: Home, loop: asyncio.AbstractEventLoop) -> None:
         self._home, self._loop = home, loop
         self.members: dict[int, Member] | None = None  # None: discovery has the say
-        self._heard: dict[int, api.Health] = {}  # of their processes, by discovery
+        self._heard: dict[int, api.Health] = {}  # discovery's word, also of those that may be members later
         self._ahead: set[int] = set()  # get nothing new, by a version that is not (wholly) listed yet
         self._work: deque[Callable[[], None]] = deque()  # steps that are still to be done
         self._pumping = False
@@ -135,7 +135,10 @@
 
     def _step(self) -> None:
         if self._work:
-            self._work.popleft()()
+            try:
+                self._work.popleft()()
+            except Exception:  # what comes after it is done all the same
+                log.exception("listing members")
         if self._work:  # a timer, not call_soon: what has come on sockets meanwhile goes first
             self._loop.call_later(0.0, self._step)
         else:
@@ -146,7 +149,6 @@
         assert self.members is not None
         for server in servers:
             self.members.pop(server, None)
-            self._heard.pop(server, None)
             self._ahead.discard(server)
         entries = [api.ServerEntry(server, health=api.Health.GONE) for server in servers]
         self._home.take_listing(Listing(0, False, entries, {}), api.ListKind.CHANGES)
@@ -173,6 +175,8 @@
 
     def drain(self, servers: list[int]) -> None:
         """Send nothing new to these, before the version that says so is applied."""
+        if self.members is None:
+            return  # nothing is drained that the service has not named
         self._ahead.update(servers)
         self._home.stop_sending(servers)
         self._relist(servers)
@@ -182,13 +186,16 @@
         if self.members is None:
             return False
         members = self.members
-        told = {entry.server: entry.health for entry in listing.entries if entry.server in members}
+        told = {entry.server: entry.health for entry in listing.entries}
         if listing.whole:
             changed = [s for s in members if self._heard.get(s) != told.get(s)]
             self._heard = told
         else:
-            changed = [server for server, health in told.items() if self._heard.get(server) != health]
+            changed = [s for s, health in told.items() if s in members and self._heard.get(s) != health]
             self._heard |= told
+            for entry in listing.entries:  # of those that are neither's any more nothing is kept
+                if entry.health is api.Health.GONE and entry.server not in members:
+                    del self._heard[entry.server]
         self._home.stop_sending(s for s in changed if told.get(s, IN_SERVICE) is not IN_SERVICE)
         self._relist(changed)
         return True
