--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -11,11 +11,13 @@
 import os
 import sys
 
+from rehearsal import control
+
 EXAMPLES = {
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
     "bench": "orchidferry bench spread slow-server --runs 5",
-    "control": "orchidferry control status 10.0.0.4:19000 10.0.0.5:19000",
 }
+PACKAGES = {"control": control}  # each brings its own arguments; importing one imports no library
 
 
 class _Parser(argparse.ArgumentParser):
@@ -60,28 +62,11 @@
     rehearse.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
     rehearse.add_argument("--keep", metavar="FOLDER", help="leave the record and the nodes' logs there")
     _add_bench(commands)
-    _add_control(commands)
+    for name, package in PACKAGES.items():
+        package.arguments(commands.add_parser(name, help=package.ABOUT, epilog=f"example: {package.EXAMPLE}"))
     return parser
 
 
-def _add_control(commands: argparse._SubParsersAction[_Parser]) -> None:
-    control = commands.add_parser(
-        "control",
-        help="what nodes hold of the configuration that a control service sends them",
-        epilog=f"example: {EXAMPLES['control']}",
-    )
-    kinds = control.add_subparsers(dest="what", metavar="WHAT", required=True)
-    status = kinds.add_parser(
-        "status",
-        help="what each node holds, since when, what it refused last and why",
-        description="Asks each node at its operators' door (admin_addr).",
-        epilog=f"example: {EXAMPLES['control']}; exit status: 0 all hold the same, 1 they don't or one says "
-        "nothing, 2 bad usage",
-    )
-    status.add_argument("nodes", nargs="+", metavar="HOST:PORT", help="the operators' doors")
-    status.add_argument("--json", action="store_true", help="all that they say, by address")
-
-
 def _add_bench(commands: argparse._SubParsersAction[_Parser]) -> None:
     bench = commands.add_parser(
         "bench",
--- a/rehearsal/control/service.py
+++ b/rehearsal/control/service.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +20,8 @@
 from nickelbridge.versions import Part
 from orchidferry.control.messages import TYPES
 
+Held = dict[str, dict[str, tuple[str, AnyMessage]]]  # by type and name: version and message
+
 MESSAGE_MOST = 64 * 1024 * 1024
 STREAMS_MOST = 1_000
 
@@ -51,8 +53,11 @@
     """The service and what it holds."""
 
     def __init__(self) -> None:
-        self.resources: dict[str, dict[str, tuple[str, AnyMessage]]] = {url: {} for url in TYPES.values()}
+        self.resources: Held = {url: {} for url in TYPES.values()}
+        self.views: dict[str, Held] = {}  # of nodes that are given something else than the rest
         self.words: list[Word] = []
+        self.handlers: tuple[grpc.GenericRpcHandler, ...] = ()  # of further services at the same address
+        self.on_word: Callable[[Word], None] | None = None
         self.lines: list[Line] = []
         self.joined = 0  # streams so far
         self.label = ""
@@ -68,6 +73,8 @@
         self._credentials = credentials or self._credentials
         server = self._server = grpc.aio.server(options=options)
         ads_pb2_grpc.add_AggregatedDiscoveryServiceServicer_to_server(self, server)
+        if self.handlers:
+            server.add_generic_rpc_handlers(self.handlers)
         where = f"{self.address[0]}:{self.address[1]}"
         if self._credentials is not None:
             port = server.add_secure_port(where, self._credentials)
@@ -95,14 +102,26 @@
                 held.pop(name, None)
             else:
                 held[name] = label, packed
+        self.update()
+
+    def update(self) -> None:
+        """Send every stream what is new to it."""
         for line in list(self.lines):
             for part in Part:
                 self._update(line, TYPES[part])
 
+    def wanted(self, line: Line, held: Held) -> Held:
+        """What a stream is to have of this: the resources that it asked for."""
+        return {
+            url: {name: held[url][name] for name in names if name in held.get(url, {})}
+            for url, names in line.names.items()
+        }
+
     def _update(self, line: Line, url: str) -> None:
         if url not in line.names:
             return
-        held, sent = self.resources[url], line.sent.setdefault(url, {})
+        held = self.views.get(line.node, self.resources).get(url, {})
+        sent = line.sent.setdefault(url, {})
         wanted = {name: held[name] for name in line.names[url] if name in held}
         response = discovery_pb2.DeltaDiscoveryResponse(type_url=url)
         for name, (version, packed) in wanted.items():
@@ -169,6 +188,8 @@
                 label = line.labels.get(request.response_nonce, "")
                 reason = request.error_detail.message
                 self.words.append(Word(line.node, url, request.response_nonce, label, reason))
+                if self.on_word is not None:
+                    self.on_word(self.words[-1])
             if url in self.resources:
                 self._update(line, url)
             self.changed.set()
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,243 @@
+"""A version's way to a fleet: every turn that it can take, as a table, and what holds in any order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from nickelbridge import rollout as r
+from nickelbridge.rollout import Accept, Offer, Plan, Reading, Report, Rollout, State, Withdraw
+
+NODES = tuple(f"n{at}" for at in range(10))
+
+
+@dataclass
+class Scene:
+    """A rollout over ten nodes; figures grow as told."""
+
+    plan: Plan = field(default_factory=lambda: Plan("v2", 1, watch_ms=1000.0))
+    now: float = 0.0
+    history: tuple[int, int] = (1000, 1)  # good and failed, of each node
+
+    def __post_init__(self) -> None:
+        self.rollout = Rollout(self.plan)
+        self.offered: list[str] = []
+        self.back: list[str] = []
+        self.accepted = 0
+        self.reports: list[str] = []
+        self.totals = {node: list(self.history) for node in NODES}
+        self.see()
+        self.do(r.Begin(NODES))
+
+    def do(self, event: r.Event, after_ms: float = 0.0) -> None:
+        self.now += after_ms
+        for action in self.rollout.handle(event, self.now):
+            match action:
+                case Offer():
+                    self.offered += action.nodes
+                case Withdraw():
+                    self.back += action.nodes
+                case Accept():
+                    self.accepted += 1
+                case Report():
+                    self.reports.append(action.text)
+
+    def see(self, ready: bool = True, silent: tuple[str, ...] = ()) -> None:
+        for node, (good, failed) in self.totals.items():
+            self.do(r.Seen(node, None if node in silent else Reading(ready, good, failed)))
+
+    def say(self, *nodes: str, version: str = "v2", reason: str = "") -> None:
+        for node in nodes:
+            self.do(r.Said(node, version, reason))
+
+    def serve(self, nodes: Any, good: int, failed: int) -> None:
+        for node in nodes:
+            self.totals[node][0] += good
+            self.totals[node][1] += failed
+        self.see()
+
+    def wave(self, good: int = 50, failed: int = 0) -> None:
+        """Acknowledged and watched, with such answers everywhere."""
+        self.say(*self.offered)
+        self.serve(NODES, good, failed)
+        self.do(r.Look(), 1000.0)
+
+
+def test_a_sound_version_goes_on_in_waves_to_every_node() -> None:
+    scene = Scene()
+    sizes = []
+    while not scene.rollout.over:
+        sizes.append(len(scene.offered))
+        scene.wave()
+    assert sizes == [1, 5, 10] and sorted(scene.offered) == sorted(NODES)
+    assert (scene.rollout.state, scene.accepted, scene.back) == (State.DONE, 1, [])
+    assert r.waves(1000, Plan("v", 3, widen=9.0)) == [3, 27, 270, 700]
+    assert r.order(NODES, "v2") == r.order(reversed(NODES), "v2") != r.order(NODES, "v3")
+    assert scene.rollout.handle(r.Said(NODES[0], "v2", "too late"), 0.0) == []
+
+
+def refused(s: Scene) -> None:
+    s.say(s.offered[0], reason="no live server")
+
+
+def refused_later(s: Scene) -> None:
+    s.wave()
+    s.say(s.offered[0], reason="it could not be applied")
+
+
+def never_acknowledged(s: Scene) -> None:
+    s.do(r.Look(), r.ACK_MS)
+
+
+def stream_lost(s: Scene) -> None:
+    s.say(*s.offered)
+    s.do(r.Streams(frozenset(NODES) - set(s.offered)))
+    s.do(r.Look(), r.AWAY_MS)
+
+
+def not_ready(s: Scene) -> None:
+    s.say(*s.offered)
+    s.see(ready=False)
+    s.do(r.Look(), r.AWAY_MS)
+
+
+def door_silent(s: Scene) -> None:
+    s.say(*s.offered)
+    s.see(silent=tuple(s.offered))
+    s.do(r.Look(), r.AWAY_MS)
+
+
+def fails_more(s: Scene) -> None:
+    s.say(*s.offered)
+    s.serve(s.offered, 30, 20)
+    s.serve(set(NODES) - set(s.offered), 50, 0)
+    s.do(r.Look(), 10.0)
+
+
+def fails_more_after_a_restart(s: Scene) -> None:
+    s.say(*s.offered)
+    s.serve(s.offered, 0, 30)
+    s.totals[s.offered[0]] = [0, 0]  # it counts from 0, and what it failed before counts still
+    s.serve(s.offered, 10, 0)
+    s.do(r.Look(), 10.0)
+
+
+def fails_in_the_last_wave(s: Scene) -> None:
+    s.wave()
+    s.wave()
+    s.say(*s.offered)
+    s.serve(NODES, 30, 20)  # nobody is without it: what was usual before is what counts
+    s.do(r.Look(), 10.0)
+
+
+def says_nothing(s: Scene) -> None:
+    s.say(*s.offered)
+    s.serve(s.offered, 3, 0)
+    for _ in range(3):
+        s.do(r.Look(), 1000.0)
+
+
+def given_up(s: Scene) -> None:
+    s.do(r.GoBack("whoever pushed it has gone"))
+
+
+BACK = {
+    refused: "refused it: no live server", refused_later: "could not be applied",
+    never_acknowledged: "said nothing of it within 15 s", stream_lost: "no stream for 15 s",
+    not_ready: "is not ready", door_silent: "its door silent", fails_more: "20 of 50 answers failed",
+    fails_more_after_a_restart: "30 of 40 answers failed",
+    fails_in_the_last_wave: "200 of 500 answers failed",
+    says_nothing: "too few answers to tell: 3 of 20", given_up: "has gone",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("cause", BACK)
+def test_what_is_wrong_takes_it_back_from_every_node_that_was_offered_it(cause: Any) -> None:
+    scene = Scene()
+    cause(scene)
+    assert scene.rollout.state is State.UNDOING and not scene.accepted
+    assert BACK[cause] in scene.rollout.reason and BACK[cause] in scene.reports[-1]
+    assert sorted(scene.back) == sorted(scene.offered)
+    scene.do(r.GoBack("again"))
+    scene.say(*scene.offered[1:], version="v1")
+    assert not scene.rollout.over
+    scene.say(scene.offered[0], version="v1")
+    assert scene.rollout.status()["state"] == "undone" and sorted(scene.back) == sorted(scene.offered)
+    assert scene.reports[-1] == "all nodes were given back what they had"
+
+
+def test_what_is_not_the_versions_fault_does_not_take_it_back() -> None:
+    scene = Scene()
+    scene.say(NODES[0], NODES[1], "stranger", version="v9", reason="of another")
+    scene.say(*scene.offered)
+    scene.serve(NODES, 30, 20)  # an incident everywhere
+    scene.do(r.Streams(frozenset()))
+    scene.do(r.Streams(frozenset(NODES)), r.AWAY_MS - 1.0)
+    scene.do(r.Look(), 1.0)
+    assert len(scene.offered) == 5 and not scene.back
+
+
+def test_a_node_that_never_says_that_it_went_back_is_named_and_holds_nothing_up() -> None:
+    scene = Scene()
+    refused(scene)
+    scene.do(r.Look(), r.ACK_MS - 1.0)
+    assert not scene.rollout.over
+    scene.do(r.Look(), 1.0)
+    assert scene.rollout.over and f"such as {scene.offered[0]}" in scene.reports[-1]
+
+
+def test_without_doors_only_words_and_streams_count_and_it_says_so() -> None:
+    scene = Scene(Plan("v2", 10, watch_ms=0.0, doors=False), history=(0, 0))
+    assert "no doors are given" in scene.reports[0]
+    scene.say(*NODES)
+    assert scene.rollout.state is State.DONE
+    empty = Rollout(scene.plan)
+    actions = empty.handle(r.Begin(()), 0.0)
+    assert empty.state is State.UNDONE and isinstance(actions[0], Report)
+
+
+@pytest.mark.parametrize("bad", [{"first": 0}, {"widen": 0.5}, {"watch_ms": -1.0}, {"least": -1}])
+def test_a_plan_that_cannot_be_is_refused(bad: dict[str, Any]) -> None:
+    with pytest.raises(ValueError):
+        Plan("v", **({"first": 1} | bad))
+
+
+def test_bounds_hold_what_they_promise() -> None:
+    assert r.bounds(0, 0) == (0.0, 1.0)
+    for failed, total in ((0, 10), (5, 10), (10, 10), (1, 1000)):
+        low, high = r.bounds(failed, total)
+        assert 0.0 <= low <= failed / total <= high <= 1.0
+    assert r.bounds(50, 100, 1.96) == pytest.approx((0.4038, 0.5962), abs=1e-4)  # a table's value
+
+
+EVENTS = strategies.one_of(
+    strategies.builds(r.Said, strategies.sampled_from([*NODES, "x"]), strategies.sampled_from(["v1", "v2"]),
+                      strategies.sampled_from(["", "", "", "no"])),
+    strategies.builds(r.Streams, strategies.frozensets(strategies.sampled_from(NODES), min_size=5)),
+    strategies.builds(r.Seen, strategies.sampled_from(NODES), strategies.one_of(
+        strategies.none(), strategies.builds(Reading, strategies.booleans(), strategies.integers(0, 2000),
+                                             strategies.integers(0, 5)))),
+    strategies.just(r.Look()),
+)  # fmt: skip
+
+
+@settings(max_examples=200, deadline=None)
+@given(strategies.lists(strategies.tuples(EVENTS, strategies.floats(0.0, 5000.0)), max_size=80))
+def test_in_any_order_nothing_is_accepted_that_was_withdrawn_and_all_comes_to_an_end(
+    script: list[tuple[r.Event, float]],
+) -> None:
+    scene = Scene()
+    for event, after_ms in script:
+        scene.do(event, after_ms)
+        assert len(set(scene.offered)) == len(scene.offered)
+        assert not (scene.accepted and scene.back) and scene.accepted <= 1
+    for _ in range(400):  # whatever happened, time alone ends it
+        scene.do(r.Look(), 1000.0)
+    assert scene.rollout.over
+    if scene.rollout.state is State.UNDONE:
+        assert sorted(scene.back) == sorted(scene.offered)
+    else:
+        assert sorted(scene.offered) == sorted(NODES)
