Traffic: readers of access logs and HAR files, and classes of recorded requests

What is no request has a reason; quotes that can be read in two ways are refused, not guessed. A file of classes, or a proposal from the traffic's shapes.

--- /dev/null
+++ b/rehearsal/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traffic: logs and HAR files read, mapped to classes, recorded and replayed."""
--- /dev/null
+++ b/rehearsal/traffic/classes.py
@@ -0,0 +1,254 @@
+"""Which class a recorded request is of: a file of `[[class]]` tables, or one proposed from the traffic.
+
+    [[class]]
+    name = "ler-feed"
+    path = "/feeds/*"            # a glob: * within a part, ** over parts; or a regex as "re:^/feeds/"
+    method = "GET"               # one, a list, or left out for all
+    repeat = "safe"              # safe, keyed or unsafe
+    worth = 1.0                  # optional, as wanted_s and gives_up_s are
+
+    [identity]                   # optional: what a client is told by, the first that a request has
+    from = ["cookie:sid", "header:x-client", "address+agent"]
+
+The first class that fits is a request's.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from rehearsal.traffic.entry import METHOD, Entry
+
+MOST_CLASSES, MOST_PATTERN = 256, 1_024
+MOST_SHAPES = 10_000  # counted at once; rarer ones make room for new ones
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,39}")
+REPEATS = ("safe", "keyed", "unsafe")
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS", "TRACE")  # RFC 9110, section 9.2.1
+IDEMPOTENT = ("PUT", "DELETE")  # section 9.2.2: these too may be sent again
+NUMBERS = {"worth": (0.0, 1e6), "wanted_s": (0.001, 3_600.0), "gives_up_s": (0.001, 3_600.0)}
+DEFAULT_IDENTITY = ("address+agent",)
+# Parts of a path that are of one object: numbers, hex, UUIDs, and long words with digits in them.
+OBJECT = re.compile(r"\d+|[0-9a-fA-F]{8,}|[0-9a-fA-F-]{32,36}|(?=[^/]*\d)[\w.~%-]{16,}")
+
+
+class BadClasses(Exception):
+    """A file that can't be used; the text names the class and field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One class of requests."""
+
+    name: str
+    pattern: re.Pattern[str]
+    methods: frozenset[str]  # empty: all
+    repeat: str
+    path: str = ""  # as it was written
+    worth: float = 1.0
+    wanted_s: float = 1.0
+    gives_up_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Classes:
+    """All classes, and how a client is told."""
+
+    kinds: tuple[Kind, ...]
+    identity: tuple[str, ...] = DEFAULT_IDENTITY
+    _cache: dict[tuple[str, str], Kind | None] = field(default_factory=dict, compare=False, repr=False)
+
+    def kind_of(self, method: str, path: str) -> Kind | None:
+        """The first class that fits."""
+        key = method, path
+        if key in self._cache:
+            return self._cache[key]
+        found = next(
+            (k for k in self.kinds if (not k.methods or method in k.methods) and k.pattern.search(path)), None
+        )
+        if len(self._cache) >= MOST_SHAPES:
+            self._cache.clear()
+        self._cache[key] = found
+        return found
+
+    def wanted_fields(self) -> frozenset[str]:
+        """Headers and cookies that a reader must bring for identities, lower case."""
+        return frozenset(one.partition(":")[2] for one in self.identity if ":" in one)
+
+    def client_of(self, entry: Entry) -> str:
+        """What the client of a request is told by; '' if nothing of it was logged."""
+        for one in self.identity:
+            if ":" in one:
+                value = (entry.fields or {}).get(one.partition(":")[2], "")
+                if value and value != "-":
+                    return f"{one}={value}"
+            else:
+                values = [entry.address if part == "address" else entry.agent for part in one.split("+")]
+                if values[0]:
+                    return "\0".join(values)
+        return ""
+
+
+def glob(text: str) -> str:
+    """A glob over a path's parts as a pattern: `*` and `?` within a part, `**` over parts."""
+    found = []
+    for part in re.split(r"(\*\*|\*|\?)", text):
+        found.append({"**": ".*", "*": "[^/]*", "?": "[^/]"}.get(part, re.escape(part)))
+    return "".join(found)
+
+
+def _pattern(text: Any, where: str) -> re.Pattern[str]:
+    if not isinstance(text, str) or not text or len(text) > MOST_PATTERN:
+        raise BadClasses(f"{where}: path must have 1 to {MOST_PATTERN} characters")
+    try:
+        if text.startswith("re:"):
+            return re.compile(text[3:])
+        return re.compile(rf"\A{glob(text)}\Z", re.DOTALL)
+    except re.error as problem:
+        raise BadClasses(f"{where}: path {text!r:.60} is no regex: {problem}") from None
+
+
+def _methods(value: Any, where: str) -> frozenset[str]:
+    names = [value] if isinstance(value, str) else value
+    if not isinstance(names, list) or not all(isinstance(n, str) and METHOD.fullmatch(n) for n in names):
+        raise BadClasses(f"{where}: method must be a name or a list of names")
+    return frozenset(name.upper() for name in names)
+
+
+def read_classes(data: bytes) -> Classes:
+    """A file's classes; `BadClasses` if it can't be used."""
+    try:
+        obj = tomllib.loads(data.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise BadClasses(f"not TOML: {problem!s:.100}") from None
+    if unknown := sorted(obj.keys() - {"class", "identity"}):
+        raise BadClasses(f"{unknown[0]!r} is not known")
+    rows = obj.get("class")
+    if not isinstance(rows, list) or not rows or len(rows) > MOST_CLASSES:
+        raise BadClasses(f"[[class]]: 1 to {MOST_CLASSES} of them are needed")
+    kinds: list[Kind] = []
+    for at, row in enumerate(rows):
+        kinds.append(_kind(row, f"class[{at}]"))
+        if kinds[-1].name in {kind.name for kind in kinds[:-1]}:
+            raise BadClasses(f"class[{at}]: name {kinds[-1].name!r} is there twice")
+    return Classes(tuple(kinds), _identity(obj.get("identity", {})))
+
+
+def _kind(row: Any, where: str) -> Kind:
+    if not isinstance(row, dict):
+        raise BadClasses(f"{where}: must be a table")
+    if unknown := sorted(row.keys() - {"name", "path", "method", "repeat", *NUMBERS}):
+        raise BadClasses(f"{where}: {unknown[0]!r} is not known")
+    name, repeat = row.get("name"), row.get("repeat")
+    if not isinstance(name, str) or not NAME.fullmatch(name):
+        raise BadClasses(f"{where}: name {name!r:.60} is no name of small letters, digits and hyphens")
+    where = f"class {name!r}"
+    if repeat not in REPEATS:
+        raise BadClasses(f"{where}: repeat {repeat!r:.60} is none of {', '.join(REPEATS)}")
+    numbers: dict[str, float] = {}
+    for key, (low, high) in NUMBERS.items():
+        value = row.get(key)
+        if value is None:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
+            raise BadClasses(f"{where}: {key} {value!r:.60} is not within {low:g} to {high:g}")
+        numbers[key] = float(value)
+    if numbers.get("wanted_s", 1.0) > numbers.get("gives_up_s", max(5.0, numbers.get("wanted_s", 1.0))):
+        raise BadClasses(f"{where}: wanted_s is over gives_up_s")
+    if "wanted_s" in numbers and "gives_up_s" not in numbers:
+        numbers["gives_up_s"] = max(5.0, numbers["wanted_s"])
+    methods = _methods(row.get("method", []), where)
+    return Kind(name, _pattern(row.get("path"), where), methods, repeat, row["path"], **numbers)
+
+
+def _identity(obj: Any) -> tuple[str, ...]:
+    if not isinstance(obj, dict) or obj.keys() - {"from"}:
+        raise BadClasses("identity: only 'from' is known")
+    found = obj.get("from", list(DEFAULT_IDENTITY))
+    for one in found if isinstance(found, list) and found else [None]:
+        kind, _, name = one.partition(":") if isinstance(one, str) else ("", "", "")
+        if one not in ("address", "agent", "address+agent") and not (kind in ("cookie", "header") and name):
+            raise BadClasses(
+                f"identity.from: {one!r:.60} is none of address, agent, address+agent, cookie:X, header:X"
+            )
+    return tuple(one.lower() if ":" in one else one for one in found)
+
+
+def shape_of(method: str, path: str) -> str:
+    """A request's shape: its path with the parts that are of one object as `*`."""
+    parts = path.split("/")
+    if len(parts) > 12:
+        parts = [*parts[:12], "**"]
+    return f"{method} " + "/".join("*" if OBJECT.fullmatch(part) else part[:64] for part in parts)
+
+
+class Shapes:
+    """The most frequent shapes in bounded memory, after Space-Saving (Metwally, Agrawal, El Abbadi, 2005)."""
+
+    def __init__(self, most: int = MOST_SHAPES) -> None:
+        self._most = most
+        self.counts: Counter[str] = Counter()
+        self.total = 0
+
+    def add(self, method: str, path: str, count: int = 1) -> None:
+        """Count one. Past the bound the rarest tenth goes, and what comes then takes the count of its most
+        frequent with it: a count is never too low, and too high by no more than that."""
+        self.total += count
+        shape = shape_of(method, path)
+        if shape not in self.counts and len(self.counts) >= self._most:
+            rare = self.counts.most_common()[: -self._most // 10 - 1 : -1]  # a tenth at once
+            for name, _ in rare:
+                del self.counts[name]
+            count += rare[-1][1]
+        self.counts[shape] += count
+
+    def most(self, count: int) -> list[tuple[str, int]]:
+        """The most frequent, with how often at most."""
+        return self.counts.most_common(count)
+
+
+def propose(shapes: Iterable[tuple[str, int]], total: int, least: float = 0.002) -> str:
+    """A file of classes for this traffic, to be looked through by whoever knows it.
+
+    What HTTP calls safe is safe; PUT and DELETE are proposed as keyed; all else as unsafe.
+    """
+    lines = [
+        "# Proposed from recorded traffic. Look through `repeat`: only you know what may be sent twice.",
+        "",
+    ]
+    names: Counter[str] = Counter()
+    rest: dict[str, int] = {}
+    for shape, count in sorted(shapes, key=lambda one: (-one[1], one[0])):
+        method, _, path = shape.partition(" ")
+        if count < least * total or len(names) >= MOST_CLASSES - 8:
+            rest[method] = rest.get(method, 0) + count
+            continue
+        lines += _proposal(method, path, count / max(1, total), names)
+    for method, count in sorted(rest.items()):
+        lines += _proposal(method, "/**", count / max(1, total), names)
+    return "\n".join(lines)
+
+
+def _proposal(method: str, path: str, share: float, names: Counter[str]) -> list[str]:
+    words = [w for w in re.sub(r"[^a-z0-9/]+", "-", path.lower()).split("/") if w.strip("-")]
+    base = "-".join([method.lower(), *(w.strip("-") for w in words)])[:34].strip("-") or "request"
+    base = re.sub("-{2,}", "-", re.sub("[^a-z0-9-]", "", base)).strip("-") or "request"
+    names[base] += 1
+    name = base if names[base] == 1 else f"{base}-{names[base]}"
+    repeat = "safe" if method in SAFE_METHODS else "keyed" if method in IDEMPOTENT else "unsafe"
+    shown = path.replace("\\", "\\\\").replace('"', '\\"')
+    shown = "".join(c if c.isprintable() else "?" for c in shown)
+    return [
+        "[[class]]", f'name = "{name}"', f'path = "{shown}"', f'method = "{method}"', f'repeat = "{repeat}"',
+        f"# {share:.1%} of the requests", "",
+    ]  # fmt: skip
+
+
+def mix(counts: Mapping[str, int]) -> dict[str, float]:
+    """Shares by class."""
+    total = sum(counts.values())
+    return {name: count / total for name, count in sorted(counts.items())} if total else {}
--- /dev/null
+++ b/rehearsal/traffic/entry.py
@@ -0,0 +1,96 @@
+"""What every reader makes of a line or an entry: one recorded request, or a reason why it is none."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+METHOD = re.compile(r"[A-Za-z0-9_-]{1,32}")
+MOST_TARGET, MOST_TEXT = 8_192, 1_024  # characters: longer ones are no request that a server takes
+MOST_SECONDS = 86_400.0  # of one request: more is another unit, or another field
+EARLIEST, LATEST = 946_684_800.0, 4_102_444_800.0  # 2000 to 2100: what is outside is no time of a request
+
+
+class Reject(Exception):
+    """A line or entry that is not a request; the text is the reason, the same for all of its kind."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One request as it was logged. Nothing of its text is kept in a recording as it is."""
+
+    start: float  # seconds since 1970, UTC
+    took_s: float | None  # None: not logged
+    method: str
+    target: str  # path and query; of an absolute form its path and query alone
+    status: int  # 0: no answer
+    sent: int  # bytes of the answer's body
+    received: int  # bytes of the request's body
+    address: str = ""
+    agent: str = ""
+    host: str = ""
+    fields: Mapping[str, str] | None = None  # headers and cookies that were asked for, by lower-case name
+    step_s: float = 0.0  # how finely its time was logged: 1.0 for whole seconds, 0 for a HAR's
+    aborted: bool = False  # the client went away
+
+    @property
+    def path(self) -> str:
+        """Without the query."""
+        return self.target.partition("?")[0]
+
+
+def method_of(text: str) -> str:
+    """A method as RFC 9110 writes one, or `Reject`."""
+    if (
+        not text
+        or len(text) > 32
+        or not text.replace("-", "").replace("_", "").isalnum()
+        or not text.isascii()
+    ):
+        raise Reject("no method")
+    return text.upper()
+
+
+def target_of(text: str) -> str:
+    """Path and query of any form of target (RFC 9112, section 3.2): a log is never a place to send to."""
+    if len(text) > MOST_TARGET:
+        raise Reject("a target that is too long")
+    if "://" in text[:16]:
+        rest = text.partition("://")[2]
+        at = min((p for p in (rest.find("/"), rest.find("?"), rest.find("#")) if p >= 0), default=len(rest))
+        text = rest[at:]
+        if not text.startswith("/"):
+            text = "/" + text
+    text = text.partition("#")[0]
+    if text == "*" or text.startswith("/"):
+        return text
+    raise Reject("a target that is no path")
+
+
+def moment(seconds: float) -> float:
+    """A time that a request can have been at."""
+    if not EARLIEST <= seconds <= LATEST:
+        raise Reject("a time out of range")
+    return seconds
+
+
+def duration(seconds: float) -> float:
+    """A time that a request can have taken."""
+    if not 0.0 <= seconds <= MOST_SECONDS:
+        raise Reject("a duration out of range")
+    return seconds
+
+
+def size_of(number: int) -> int:
+    """A size in bytes; what is not known is 0."""
+    if number > 1 << 50:
+        raise Reject("a size out of range")
+    return max(0, number)
+
+
+def status_of(number: int) -> int:
+    """A status of RFC 9110, 499 and the like included; 0: no answer."""
+    if number and not 100 <= number <= 999:
+        raise Reject("a status out of range")
+    return number
--- /dev/null
+++ b/rehearsal/traffic/sources.py
@@ -0,0 +1,107 @@
+"""Files of any size as lines, in constant memory: plain, gzip or zstd, by their first bytes.
+
+Lines come in blocks with the number of their first, so that a reader may hand blocks to other processes.
+A line longer than `LINE_MOST` is dropped as it is read, whatever its length; a compressed file that ends in
+the middle gives what was whole.
+"""
+
+from __future__ import annotations
+
+import gzip
+import io
+import lzma
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+LINE_MOST = 64 * 1024  # bytes: an access log's lines have some hundreds
+BLOCK = 1024 * 1024  # bytes read in one go
+GZIP, ZSTD = b"\x1f\x8b", b"\x28\xb5\x2f\xfd"
+
+
+class BadSource(Exception):
+    """A file that can't be read at all; the text names it."""
+
+
+@dataclass(slots=True)
+class Block:
+    """Some whole lines, without their ends."""
+
+    first: int  # number of the first line, from 1
+    lines: list[bytes | None]  # None: one that was too long
+    size: int = 0  # bytes of the file that these were
+
+
+@dataclass(slots=True)
+class Source:
+    """An open file; `problem` says, after the last block, what cut it short."""
+
+    path: Path
+    problem: str = ""
+    read: int = 0  # bytes, uncompressed
+    _carry: bytes = field(default=b"", repr=False)
+
+    def open(self) -> Any:
+        """The file's bytes, uncompressed. `BadSource` if it can't be opened."""
+        try:
+            raw = self.path.open("rb")
+            magic = raw.read(4)
+            raw.seek(0)
+        except OSError as problem:
+            raise BadSource(f"{self.path}: {problem.strerror}") from None
+        if magic[:2] == GZIP:
+            return gzip.GzipFile(fileobj=raw)
+        if magic == ZSTD:
+            try:
+                from backports import zstd
+            except ImportError:
+                raise BadSource(f"{self.path}: zstd needs the extra kit") from None
+            return zstd.ZstdFile(raw)
+        return raw
+
+    def chunks(self) -> Iterator[bytes]:
+        """The bytes in pieces of at most `BLOCK`, as far as they can be had."""
+        with self.open() as file:
+            while True:
+                try:
+                    data = file.read1(BLOCK) if isinstance(file, io.BufferedIOBase) else file.read(BLOCK)
+                except (EOFError, OSError, zlib.error, lzma.LZMAError) as problem:
+                    self.problem = "the compressed file ends in the middle or is damaged"
+                    del problem
+                    return
+                except Exception as problem:  # zstd's own error has no name in common with these
+                    if type(problem).__name__ != "ZstdError":
+                        raise
+                    self.problem = "the compressed file ends in the middle or is damaged"
+                    return
+                if not data:
+                    return
+                self.read += len(data)
+                yield data
+
+    def blocks(self) -> Iterator[Block]:
+        """All lines. The last one may lack its end."""
+        number, carry, dropping = 1, b"", False
+        for data in self.chunks():
+            data = carry + data
+            end = data.rfind(b"\n")
+            if end < 0:
+                if len(data) > LINE_MOST:  # its rest is dropped as it comes
+                    dropping = True
+                carry = b"" if dropping else data
+                continue
+            lines: list[bytes | None] = [
+                one if len(one) <= LINE_MOST else None for one in data[:end].split(b"\n")
+            ]
+            if dropping:
+                lines[0], dropping = None, False
+            carry = data[end + 1 :]
+            if len(carry) > LINE_MOST:
+                dropping, carry = True, b""
+            block = Block(number, lines, len(data))
+            number += len(lines)
+            yield block
+        if carry or dropping:
+            yield Block(number, [None if dropping else carry], len(carry))
--- /dev/null
+++ b/tests/traffic/test_readers.py
@@ -0,0 +1,257 @@
+"""Readers of logs and HAR files: what they make of every form, and of what is none."""
+
+from __future__ import annotations
+
+import gzip
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import pytest
+from backports import zstd
+from hypothesis import given, settings, strategies
+
+from rehearsal.traffic.entry import Entry, Reject
+from rehearsal.traffic.formats import BadFormat, compile_format
+from rehearsal.traffic.har import entry_of, read_har
+from rehearsal.traffic.sources import LINE_MOST, BadSource, Source
+
+T0 = 1_791_633_336.0  # 2026-10-10 11:55:36 UTC
+NGINX = ('$remote_addr - $remote_user [$time_local] "$request" $status $body_bytes_sent "$http_referer" '
+         '"$http_user_agent" $request_time $http_x_client')  # fmt: skip
+JSON = "json:start=ts,method=req.method,target=req.uri,status=st,took=ms:ms,address=ip,x-client=who"
+CLF = '10.0.0.7 - ana [10/Oct/2026:08:55:36 -0300] "GET /feeds/7?x=1 HTTP/1.1" 200 512'
+COMBINED = CLF + ' "-" "curl/8 \\"beta\\""'
+ALB_LINE = (
+    "https 2026-10-10T11:55:37.500000Z app/front/1 [2001:db8::1]:2817 10.0.0.1:80 0.000 1.500 "
+    "-1 200 200 34 366 "
+    '"GET https://front:443/feeds/7?x=1 HTTP/1.1" "curl/8 ""beta"""'
+)
+
+READ: list[tuple[str, str, dict[str, Any]]] = [
+    ("common", CLF, {"address": "10.0.0.7", "sent": 512, "took_s": None, "step_s": 1.0}),
+    ("combined", COMBINED, {"agent": 'curl/8 "beta"'}),
+    ("combined", COMBINED.replace('\\"', '"'), {"agent": 'curl/8 "beta"'}),  # a server that escapes nothing
+    ("combined", COMBINED.replace("10.0.0.7", "2001:db8::7"), {"address": "2001:db8::7"}),
+    ('%h %t "%r" %>s %b %D %{X-Client}i', CLF.replace(" - ana", "") + " 1500000 c9",
+     {"took_s": 1.5, "fields": {"x-client": "c9"}}),
+    ('%{usec}t %m %U%q %s %B %{ms}T %v', "1791633336000000 GET /feeds/7?x=1 200 512 1500 front",
+     {"took_s": 1.5, "host": "front", "step_s": 0.0}),
+    (NGINX, CLF.replace(":36 ", ":37 ") + ' "-" "curl" 1.000 c9',
+     {"took_s": 1.0, "fields": {"x-client": "c9"}}),
+    ("$msec|$request_method|$request_uri|$status|$body_bytes_sent|$request_time",
+     "1791633337.500|GET|/feeds/7?x=1|200|512|1.500", {"took_s": 1.5, "step_s": 0.0}),
+    (JSON, json.dumps({"ts": "2026-10-10T08:55:36-03:00", "req": {"method": "get", "uri": "/feeds/7?x=1"},
+                       "st": 200, "ms": 1500, "ip": "10.0.0.7:99", "who": "c9"}),
+     {"took_s": 1.5, "address": "10.0.0.7", "fields": {"x-client": "c9"}}),
+    (JSON, json.dumps({"ts": T0 * 1e3, "req.method": "GET", "req.uri": "http://a.b/feeds/7?x=1#f",
+                       "st": "200"}), {"took_s": None, "step_s": 0.0}),
+    ("tab:end=1,took=2:ms,method=3,target=4,status=5", f"{T0 + 1.5}\t1500\tGET\t/feeds/7?x=1\t200",
+     {"took_s": 1.5}),
+    ("alb", ALB_LINE, {"took_s": 1.5, "address": "2001:db8::1", "agent": 'curl/8 "beta"', "received": 34}),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("form, line, fields", READ)
+def test_every_form_gives_the_same_request(form: str, line: str, fields: dict[str, Any]) -> None:
+    found = compile_format(form)(line.encode())
+    assert (found.start, found.method, found.target, found.status) == (T0, "GET", "/feeds/7?x=1", 200)
+    for name, value in fields.items():
+        assert getattr(found, name) == value, name
+
+
+REJECTED: list[tuple[str, str, str]] = [
+    ("common", "", "not in this format"), ("common", CLF[:50], "not in this format"),
+    ("common", CLF.replace("/Oct/", "/Okt/"), "a time that can't be read"),
+    ("common", CLF.replace("08:55", "28:55"), "a time that can't be read"),
+    ("common", CLF.replace("/2026:", "/1926:"), "a time out of range"),
+    ("common", CLF.replace("GET /feeds/7?x=1 HTTP/1.1", "-"), "a request line that can't be read"),
+    ("common", CLF.replace("GET /feeds", "\\x16\\x03 /feeds"), "no method"),
+    ("common", CLF.replace("/feeds/7?x=1", "feeds"), "a target that is no path"),
+    ("common", CLF.replace("/feeds/7", "/" + "a" * 9000), "a target that is too long"),
+    ("common", CLF.replace(" 200 ", " 99 "), "a status out of range"),
+    ("common", CLF.replace(" 200 ", " 2x0 "), "a number that can't be read"),
+    # A path that tries to be two fields: with an answer of its own, and with a whole line of its own.
+    ("combined", COMBINED.replace("/feeds/7", '/a HTTP/1.1" 200 9 "-" "x'),
+     "quotes that can be read in two ways"),
+    ("common", CLF + " extra", "a number that can't be read"),
+    ("combined", CLF + ' "-" ' + '" "' * 20_000, "quotes that can be read in two ways"),
+    (JSON, "{", "not JSON"), (JSON, "[1]", "JSON that is no object"), (JSON, '{"ts": true}', "no time"),
+    (JSON, '{"ts": 1e999}', "a time out of range"), (JSON, '{"ts": "x"}', "a time that can't be read"),
+    (JSON, '{"ts": 1791633336, "req": 7}', "a target that is no path"), (JSON, "[" * 100_000, "not JSON"),
+    ("tab:start=1,target=3", "1791633336\tx", "too few columns"),
+    ("json:start=a,request=b", '{"a": 1791633336, "b": 7}', "a request line that can't be read"),
+    ("tab:start=1,target=2,took=3", "1791633336\t/a\t1e9", "a duration out of range"),
+    ("tab:start=1,target=2,sent=3", "1791633336\t/a\t1e30", "a size out of range"),
+    ("tab:start=1,target=2,sent=3", "1791633336\t/a\tnan", "a number that can't be read"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("form, line, reason", REJECTED)
+def test_what_is_no_request_is_told_by_its_reason(form: str, line: str, reason: str) -> None:
+    with pytest.raises(Reject) as problem:
+        compile_format(form)(line.encode())
+    assert str(problem.value) == reason
+
+
+@pytest.mark.parametrize("form, words", [
+    ("", "names no field"), ("plain words", "names no field"),
+    ("%h %b", "lacks end or start"), ("%t", "lacks request"),
+    ("%{%Y}t %r", "only sec, msec and usec"), ("%t %r" + "%h " * 70, "fields, 64 at most"),
+    ("x" * 5000, "characters"),
+    ("json:", "is not KEY=FIELD"), ("json:start=a", "lacks request"),
+    ("json:start=a:ms,target=b", "only took"),
+    ("tab:start=a,target=2", "columns are numbers"), ("tab:start=0,target=2", "columns are numbers"),
+])  # fmt: skip
+def test_a_form_that_cannot_be_names_its_part(form: str, words: str) -> None:
+    with pytest.raises(BadFormat, match=words):
+        compile_format(form)
+
+
+def test_times_without_a_zone_are_of_the_one_that_is_told() -> None:
+    zone, form = ZoneInfo("America/Sao_Paulo"), "tab:start=1,target=2"
+    assert compile_format(form, zone)(b"2026-10-10 08:55:36\t/a").start == T0
+    assert compile_format(form)(b"2026-10-10 11:55:36.25\t/a").start == T0 + 0.25
+
+
+FORMS = [
+    "common",
+    "combined",
+    NGINX,
+    JSON,
+    "alb",
+    "tab:start=1,target=2,took=3:ms,x=4",
+    '%t %r %q "%{a}i" %D',
+]
+PARSERS = [compile_format(form) for form in FORMS]
+LINES = strategies.one_of(
+    strategies.binary(max_size=300),
+    strategies.tuples(strategies.sampled_from([line for _, line, _ in READ]), strategies.integers(0, 200),
+                      strategies.integers(0, 30), strategies.binary(max_size=20)).map(
+        lambda t: t[0].encode()[: t[1]] + t[3] + t[0].encode()[t[1] + t[2] :]),
+)  # fmt: skip
+
+
+@settings(max_examples=300, deadline=None)
+@given(LINES, strategies.sampled_from(PARSERS))
+def test_any_bytes_give_a_request_in_range_or_a_reject(line: bytes, parse: Callable[[bytes], Entry]) -> None:
+    try:
+        found = parse(line)
+    except Reject as reason:
+        assert str(reason)
+        return
+    assert found.target[0] in "/*" and found.method.isascii() and found.sent >= 0 <= found.received
+    assert found.start > 9e8 - 1e5 and (found.took_s is None or 0.0 <= found.took_s <= 86_400.0)
+
+
+# HAR
+
+
+def har_entry(**changes: Any) -> dict[str, Any]:
+    made: dict[str, Any] = {
+        "startedDateTime": "2026-10-10T08:55:36.000-03:00", "time": 1500.0, "_resourceType": "fetch",
+        "request": {"method": "GET", "url": "https://u:p@front.example:8443/feeds/7?x=1#top", "bodySize": 0,
+                    "headers": [{"name": "User-Agent", "value": "Firefox"}, {"name": "X", "value": "9"}, 7],
+                    "cookies": [{"name": "sid", "value": "s1"}]},
+        "response": {"status": 200, "bodySize": -1, "content": {"size": 512}},
+    }  # fmt: skip
+    for name, value in changes.items():
+        part, _, key = name.partition("__")
+        (made if not key else made[part])[key or part] = value
+    return made
+
+
+def test_a_har_entry_is_the_same_request_and_keeps_only_what_was_asked_for() -> None:
+    found = entry_of(har_entry(), frozenset({"sid"}))
+    assert (found.start, found.target, found.took_s, found.sent) == (T0, "/feeds/7?x=1", 1.5, 512)
+    assert (found.host, found.agent, found.fields) == ("front.example:8443", "Firefox", {"sid": "s1"})
+    assert entry_of(har_entry()).fields is None
+    aborted = entry_of(har_entry(response__status=0, time=-1, _error="net::ERR_ABORTED"))
+    assert aborted.aborted and aborted.took_s is None and aborted.status == 0
+
+
+@pytest.mark.parametrize("changes, reason", [
+    ({"request": 3}, "an entry without a request"), ({"request__url": None}, "an entry without a URL"),
+    ({"request__url": "data:text/plain,x"}, "a URL that is not of HTTP"),
+    ({"_webSocketMessages": []}, "a WebSocket, which is no request and answer"),
+    ({"response__status": 101}, "a WebSocket, which is no request and answer"),
+    ({"startedDateTime": "2026-10-10T08:55:36"}, "a time that can't be read"),
+    ({"startedDateTime": 7}, "a time that can't be read"), ({"request__method": ""}, "no method"),
+    ({"time": 1e12}, "a duration out of range"),
+])  # fmt: skip
+def test_a_har_entry_that_is_no_request_is_told(changes: dict[str, Any], reason: str) -> None:
+    with pytest.raises(Reject) as problem:
+        entry_of(har_entry(**changes))
+    assert str(problem.value) == reason
+
+
+def har(data: bytes, step: int = 7) -> list[Entry | Reject]:
+    return list(read_har(data[at : at + step] for at in range(0, len(data), step)))
+
+
+def test_a_har_that_is_cut_off_gives_what_came_whole_wherever_it_is_cut() -> None:
+    whole = json.dumps(
+        {"log": {"entries": [har_entry(), har_entry(request__url="about:blank"), har_entry()]}}
+    )
+    data = whole.encode()
+    assert [type(one) for one in har(data)] == [Entry, Reject, Entry]
+    counts = set()
+    for at in [*range(0, len(data) - 20, 13), *range(len(data) - 20, len(data) - 1)]:
+        found = har(data[:at], 64)
+        assert isinstance(found[-1], Reject)
+        counts.add(sum(isinstance(one, Entry) for one in found))
+    assert counts == {0, 1, 2}
+    for none in (b"", b"[]", b'{"log": {}}', b"\xff\xfe", b"[" * 100_000):
+        [reject] = har(none, 1000)
+        assert isinstance(reject, Reject)
+
+
+# Files
+
+
+PACK: dict[str, Callable[[bytes], bytes]] = {"plain": bytes, "gzip": gzip.compress, "zstd": zstd.compress}
+
+
+def read(path: Path) -> tuple[list[bytes | None], str]:
+    source, lines = Source(path), list[bytes | None]()
+    for block in source.blocks():
+        assert block.first == len(lines) + 1
+        lines += block.lines
+    return lines, source.problem
+
+
+@pytest.mark.parametrize("pack", PACK)
+def test_lines_come_whole_in_any_packing_and_one_of_10_mb_is_dropped(pack: str, tmp_path: Path) -> None:
+    rows = [b"line %d" % n * 9 for n in range(40_000)]
+    rows[20_000] = b"x" * 10_000_000
+    rows[30_000] = b"y" * (LINE_MOST + 1)
+    rows[-1] = b"the last, without its end"
+    path = tmp_path / "log"
+    path.write_bytes(PACK[pack](b"\n".join(rows)))
+    lines, problem = read(path)
+    assert problem == "" and len(lines) == len(rows)
+    assert [at for at, line in enumerate(lines) if line is None] == [20_000, 30_000]
+    assert all(a == b for a, b in zip(lines, rows, strict=True) if a is not None)
+
+
+@pytest.mark.parametrize("pack", ["gzip", "zstd"])
+def test_half_a_packed_file_gives_its_whole_lines_and_says_so(pack: str, tmp_path: Path) -> None:
+    rows = b"\n".join(json.dumps([n, n * 7919 % 104729]).encode() for n in range(200_000))
+    packed = PACK[pack](rows)
+    path = tmp_path / "log"
+    for data in (
+        packed[: len(packed) // 2],
+        packed[:-3],
+        packed[:9],
+        packed[:500] + b"\0" * 99 + packed[600:],
+    ):
+        path.write_bytes(data)
+        lines, problem = read(path)
+        assert "ends in the middle or is damaged" in problem
+        assert lines[:-1] == rows.split(b"\n")[: max(0, len(lines) - 1)] or data[500:510] == b"\0" * 10
+    with pytest.raises(BadSource, match="No such file"):
+        read(tmp_path / "none")
+    with pytest.raises(BadSource, match="Is a directory"):
+        read(tmp_path)
