orchidferry traffic replay: recordings as load, with their timing, mix and clients

Drawn load looks like no Monday morning. Its own retries are left out where the kit's clients ask again. Unsafe classes go over connections alone whose other end has answered a nonce with the run's key; to a target that the kit did not start they are left out unless class and target are named by hand, and then marked.

--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -20,6 +20,7 @@
     "ingest",
     "libraries",
     "lists",
+    "replay",
 )  # measurements with a module of their own
 
 
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -61,6 +61,7 @@
     rehearse.add_argument("--json", metavar="FILE", help="write the verdict there, complete or not")
     rehearse.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
     rehearse.add_argument("--keep", metavar="FOLDER", help="leave the record and the nodes' logs there")
+    traffic.replay_arguments(rehearse)
     _add_bench(commands)
     for name, package in PACKAGES.items():
         package.arguments(commands.add_parser(name, help=package.ABOUT, epilog=f"example: {package.EXAMPLE}"))
@@ -92,6 +93,19 @@
     )
     kind.add_argument("--mb", type=float, default=1_000.0, metavar="N", help="of plain log (1000)")
     kind.add_argument("--workers", type=int, default=0, metavar="N", help="processes (one a core)")
+    kind = kinds.add_parser(
+        "replay",
+        help="whether a replay is what was recorded: shares, gaps, lateness, retries",
+        epilog="example: orchidferry bench replay --rate 20 --seconds 3600 --speed 5 --cut 600",
+    )
+    for flag, default, about in (
+        ("--rate", 20.0, "first tries a second of the recorded morning"),
+        ("--seconds", 3_600.0, "of it"),
+        ("--speed", 5.0, "at which all of it is replayed"),
+        ("--cut", 600.0, "seconds of it that are replayed in their own time"),
+    ):
+        kind.add_argument(flag, type=float, default=default, metavar="N", help=f"{about} ({default:g})")
+    kind.add_argument("--seed", type=int, default=7, metavar="N", help="(7)")
     kind = kinds.add_parser(
         "libraries",
         help="QUIC libraries side by side: CPU a request, memory a connection",
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -42,6 +42,7 @@
     complete: bool
     why: str
     control: dict[str, Any] | None = None  # what became of a control service's versions
+    traffic: dict[str, Any] | None = None  # of a replay: what was sent, how late, and what was left out
 
     @property
     def broken(self) -> list[str]:
@@ -111,7 +112,8 @@
     service, books, scenario = verdict.service, verdict.books, verdict.scenario
 
     def more() -> dict[str, Any]:
-        return {} if verdict.control is None else {"control": verdict.control}
+        found = {"control": verdict.control, "traffic": verdict.traffic}
+        return {name: value for name, value in found.items() if value is not None}
 
     def number(value: float | None, digits: int = 4) -> float | None:
         return None if value is None else round(value, digits)
--- a/rehearsal/process.py
+++ b/rehearsal/process.py
@@ -40,6 +40,7 @@
     zero: float  # of the record's clock, by time.monotonic
     block: int
     files: Files | None = None  # certificates, with HTTP/3
+    proof_key: str = ""  # of a run of recorded traffic: what unsafe requests are sent to must hold it
 
     def write(self, folder: Path) -> None:
         (folder / SCRIPT).write_bytes(pickle.dumps(self))
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -8,19 +8,36 @@
 import json
 import math
 import os
+import secrets
 import sys
+from collections import Counter
+from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 from rich.console import Console
 
 from rehearsal.judge.verdict import Verdict, as_json, judge
+from rehearsal.record import Lag, Wanted
 from rehearsal.report import terminal
-from rehearsal.scenario import MOST_SECONDS, BadScenario, Scenario, load_scenario, shipped
+from rehearsal.scenario import (
+    MOST_SECONDS,
+    BadScenario,
+    Scenario,
+    Tier,
+    Traffic,
+    load_scenario,
+    read_traffic,
+    shipped,
+)
 from rehearsal.world.addresses import NoAddresses
 from rehearsal.world.director import Progress, Run, rehearse
 from rehearsal.world.plan import draw
 
+if TYPE_CHECKING:
+    from rehearsal.traffic.replay import Preview
+
 LEAST_SECONDS = 1.0
 PLAIN_WIDTH = 120  # of what is printed where no terminal tells its width
 
@@ -29,24 +46,24 @@
     """What can't be done as asked, in one line."""
 
 
-def main(args: argparse.Namespace) -> int:
+def main(args: argparse.Namespace, command: str = "rehearse") -> int:
     """Run the command; its exit status."""
     try:
         if args.list:
             return _list()
-        scenario = _scenario(args)
+        scenario, preview = _scenario(args)
         keep = None if args.keep is None else _folder(Path(args.keep))
         for path in (args.json, args.report):
             if path is not None:
                 _writable(Path(path))
     except (BadScenario, _Usage) as problem:
-        print(f"orchidferry rehearse: {problem}", file=sys.stderr)
+        print(f"orchidferry {command}: {problem}", file=sys.stderr)
         return 2
     console = Console(width=None if sys.stdout.isatty() else PLAIN_WIDTH)
     try:
         run = uvloop.run(_run(console, scenario, keep))
     except NoAddresses as problem:
-        print(f"orchidferry rehearse: {problem}", file=sys.stderr)
+        print(f"orchidferry {command}: {problem}", file=sys.stderr)
         return 2
     if run.start:
         console.print(
@@ -54,6 +71,8 @@
         )
     verdict = judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
     verdict.control = run.control
+    if preview is not None:
+        verdict.traffic = _replayed(preview, run)
     terminal.show(console, verdict)
     for note in run.notes[:5]:
         console.print(f"a node logged: {note}", markup=False, highlight=False)
@@ -69,10 +88,33 @@
     return 0
 
 
-def _scenario(args: argparse.Namespace) -> Scenario:
+def _replayed(preview: Preview, run: Run) -> dict[str, Any]:
+    """What the clients sent, from the run's record."""
+    from rehearsal.traffic.replay import measure
+
+    sent = Counter(fact.cls for fact in run.facts if isinstance(fact, Wanted))
+    lags = [fact for fact in run.facts if isinstance(fact, Lag) and fact.kind == "late"]
+    left = sum(preview.sent.values()) - sum(sent.values())
+    return measure(preview, sent, [lag.amount for lag in lags], [lag.t for lag in lags], left)
+
+
+def _laid(args: argparse.Namespace) -> tuple[Traffic, ...]:
+    """What the command line lays over each other."""
+    table = {
+        name: value for name in ("speed", "from", "to", "loop", "scale", "retries")
+        if (value := getattr(args, name.replace("from", "from_"))) is not None and value is not False
+    }  # fmt: skip
+    if table and not args.recording:
+        raise _Usage(f"--{next(iter(table))}: is for a --recording")
+    return tuple(read_traffic(table | {"recording": name}, "--") for name in args.recording)
+
+
+def _scenario(args: argparse.Namespace) -> tuple[Scenario, Preview | None]:
     if args.scenario is None:
         raise _Usage("which scenario? --list tells those that are shipped")
     scenario = load_scenario(args.scenario)
+    if laid := _laid(args):
+        scenario = replace(scenario, traffic=laid)
     if args.seed is not None and not 0 <= args.seed < 2**63:
         raise _Usage(f"--seed {args.seed}: not within 0 to 2^63 - 1")
     if args.seconds is not None and not (
@@ -82,6 +124,9 @@
     if args.loss is not None and not 0.0 <= args.loss <= 0.5:
         raise _Usage(f"--loss {args.loss:g}: not within 0 to 0.5")
     scenario = scenario.altered(args.seed, args.seconds, args.protocol, args.loss)
+    preview: Preview | None = None
+    if scenario.traffic or scenario.name == "replay":
+        scenario, preview = _resolved(scenario, args)
     if scenario.network.protocol == "h3" and importlib.util.find_spec("aioquic") is None:
         raise _Usage("--protocol h3: aioquic is not installed; the extra h3 brings it")
     if scenario.control.service and importlib.util.find_spec("grpc") is None:
@@ -92,7 +137,34 @@
         draw(scenario)
     except ValueError as problem:
         raise _Usage(f"{args.scenario}: {problem}") from None
-    return scenario
+    return scenario, preview
+
+
+def _resolved(scenario: Scenario, args: argparse.Namespace) -> tuple[Scenario, Preview]:
+    """With all that the recordings say; what goes to another target, if one is named."""
+    from rehearsal.traffic.classes import BadClasses, read_classes
+    from rehearsal.traffic.guard import BadTarget, read_guard
+    from rehearsal.traffic.recording import BadRecording
+    from rehearsal.traffic.replay import paths_of, resolve
+
+    try:
+        guard = read_guard(getattr(args, "target", None), getattr(args, "send", ()))
+        if guard.target is not None:
+            if scenario.timeline or scenario.control.service:
+                raise _Usage(
+                    f"{args.scenario}: has a timeline or a control service, and --target has no world"
+                )
+            if scenario.network.protocol != "h1":
+                raise _Usage("--target: is asked by HTTP/1.1 alone")
+            only = Tier("target", 1, 1.0)
+            scenario = replace(scenario, guard=guard, tiers=(only,), run=secrets.token_hex(4))
+        if getattr(args, "classes", None) is not None:
+            scenario = replace(scenario, paths=paths_of(read_classes(Path(args.classes).read_bytes())))
+        return resolve(scenario)
+    except (BadTarget, BadRecording, BadClasses) as problem:
+        raise _Usage(str(problem)) from None
+    except OSError as problem:
+        raise _Usage(f"{problem.filename}: {problem.strerror}") from None
 
 
 def _folder(path: Path) -> Path:
--- a/rehearsal/report/terminal.py
+++ b/rehearsal/report/terminal.py
@@ -71,10 +71,29 @@
             f"failure, which no rule forbids: {roots}"
         )
     _control(console, verdict)
+    _traffic(console, verdict)
     if verdict.passed:
         console.print("[bold green]no rule broken[/]")
 
 
+def _traffic(console: Console, verdict: Verdict) -> None:
+    """What a replay sent, beside what was recorded."""
+    found = verdict.traffic
+    if found is None:
+        return
+    table = Table("class", "recorded", "sent")
+    for name, share in found["recorded_mix"].items():
+        table.add_row(name, f"{share:.2%}", f"{found['mix'].get(name, 0.0):.2%}")
+    console.print(table)
+    lag = ", ".join(f"{name} {value:.2f}" for name, value in found["lag_ms"].items())
+    console.print(f"{found['sent']} requests replayed; late by, ms: {lag}", highlight=False)
+    both = ((name, found["recorded_gaps_ms"].get(name, 0.0)) for name in found["gaps_ms"])
+    gaps = ", ".join(f"{name} {found['gaps_ms'][name]:.2f} ({value:.2f})" for name, value in both)
+    console.print(f"between requests (as recorded), ms: {gaps}", highlight=False)
+    for reason, count in found["skipped"].items():
+        console.print(f"left out: {count} ({reason})", highlight=False)
+
+
 def _control(console: Console, verdict: Verdict) -> None:
     """What became of a control service's versions."""
     found = verdict.control
--- a/rehearsal/traffic/command.py
+++ b/rehearsal/traffic/command.py
@@ -35,7 +35,7 @@
 
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
-    what = {"import": _import, "show": _show, "generate": _generate}[args.what]
+    what = {"import": _import, "show": _show, "generate": _generate, "replay": _replay}[args.what]
     try:
         return what(args)
     except (_Usage, BadClasses, BadFormat, BadSource, BadRecording) as problem:
@@ -229,6 +229,13 @@
     return 0
 
 
+def _replay(args: argparse.Namespace) -> int:
+    from rehearsal import rehearse
+
+    args.list, args.loss = False, None
+    return rehearse.main(args, "traffic replay")
+
+
 def _generate(args: argparse.Namespace) -> int:
     if not 0.0 < args.rate <= 100_000.0 or not 0.0 < args.seconds <= 86_400.0:
         raise _Usage("--rate must be within 0 and 100000, --seconds within 0 and 86400")
--- a/rehearsal/wire.py
+++ b/rehearsal/wire.py
@@ -130,6 +130,7 @@
         self.alive = False
         self.used = 0
         self.last_id = ""
+        self.proven = False  # its other end has shown that it is the kit's own
         self._waiting: asyncio.Future[Outcome] | None = None
         self._start()
 
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -20,6 +20,7 @@
 from rehearsal.process import STALL_S, TICK_S, Order, Script, monotonic_at
 from rehearsal.record import FLUSH_S, Fact, Incident, Lag, Recorder, read_folder
 from rehearsal.scenario import Scenario
+from rehearsal.traffic.guard import new_key
 from rehearsal.world.addresses import Block, claim
 from rehearsal.world.discovery import DiscoveryService, Listed
 from rehearsal.world.nodes import WINDOW_S, NodeProcess
@@ -200,14 +201,20 @@
             from rehearsal.quic import certs
 
             self._files = certs.make(self._folder / "certs")
-        Script(self.plan, self.zero, self._block.number, self._files).write(self._folder)
+        foreign = scenario.guard.target is not None
+        key = new_key() if scenario.traffic and not foreign else ""
+        Script(self.plan, self.zero, self._block.number, self._files, key).write(self._folder)
+        workers = 0 if foreign else scenario.workers
         made = await asyncio.gather(
-            *(self._child("rehearsal.world.worker", f"world{n}", n) for n in range(scenario.workers)),
+            *(self._child("rehearsal.world.worker", f"world{n}", n) for n in range(workers)),
             *(self._child("rehearsal.clients.generator", f"clients{n}", n)
               for n in range(scenario.clients.processes)),
         )  # fmt: skip
-        self._worlds, self._clients = made[: scenario.workers], made[scenario.workers :]
+        self._worlds, self._clients = made[:workers], made[workers:]
         await asyncio.gather(*(child.ready.wait() for child in made))
+        if foreign:  # there is no world: all goes to the one target
+            self._dealt = {"target"}
+            return self._deal()
         there = [server for server in self.plan.servers if not server.start]
         for server in there:
             self._discovery.registries[server.tier].servers[server.name] = self._entry(server, 0.0)
@@ -459,6 +466,10 @@
         """Nodes that there were."""
         return len(self._nodes)
 
+    def workers(self) -> int:
+        """The kit's own processes."""
+        return len(self._worlds) + len(self._clients)
+
     def notes(self) -> list[str]:
         """Lines of the nodes' logs that tell of trouble inside them."""
         found = []
@@ -508,7 +519,7 @@
         facts = read_folder(folder)
         return Run(
             plan, facts, director.start, end, complete, why, bool(caught), director.cpu_s(),
-            director.processes() + scenario.workers + scenario.clients.processes, director.notes(),
+            director.processes() + director.workers(), director.notes(),
             versions,
         )  # fmt: skip
     finally:
--- a/rehearsal/world/standin.py
+++ b/rehearsal/world/standin.py
@@ -11,6 +11,7 @@
 from rehearsal.exchange import Ask, Exchanges, body_of, message, root_of, trouble_of
 from rehearsal.record import Began, Down, Ended, Got, Recorder, Up
 from rehearsal.scenario import Class, Scenario
+from rehearsal.traffic.guard import PROOF_CLASS, proof
 from rehearsal.wire import Address, Request, ServerSide
 from rehearsal.world import machine as inside
 from rehearsal.world.plan import Server
@@ -48,7 +49,9 @@
         node: tuple[str, Address] | None,
         fell: Callable[[str], None],
         files: Files | None = None,
+        proof_key: str = "",
     ) -> None:
+        self._proof_key = proof_key
         self.server, self._scenario, self._recorder = server, scenario, recorder
         self._exchanges, self._scope, self._node, self._fell = exchanges, scope, node, fell
         self._files = files
@@ -157,6 +160,8 @@
         if not self.open:
             return connection.reset()
         path, _, query = request.target.partition("?")
+        if self._proof_key and path == f"/{PROOF_CLASS}" and not self._now("silent"):
+            return connection.answer(200, proof(self._proof_key, query.removeprefix("nonce=")))
         id, cls = request.headers.get("x-call-id"), self._classes.get(path[1:])
         key = request.headers.get("idempotency-key", "")
         if id is None:
--- a/rehearsal/world/worker.py
+++ b/rehearsal/world/worker.py
@@ -34,7 +34,7 @@
     def __init__(self, script: Script, block: Block, recorder: Recorder, say: Say, index: int) -> None:
         self._script, self._block, self._recorder, self._say = script, block, recorder, say
         scenario = script.plan.scenario
-        self._exchanges = Exchanges(scenario, recorder, script.files)
+        self._exchanges = Exchanges(scenario, recorder, script.files, script.proof_key)
         self._servers = {s.name: s for s in script.plan.servers if home(scenario, s) == index}
         self._running: dict[str, StandIn] = {}
         self._keys: dict[tuple[int, str, int], Keys] = {}
@@ -61,7 +61,7 @@
         scenario = self._script.plan.scenario
         standin = StandIn(
             server, scenario, self._recorder, self._exchanges, lambda cls: self._scope(server, cls),
-            own_node(scenario, self._block, server), self._fell, self._script.files,
+            own_node(scenario, self._block, server), self._fell, self._script.files, self._script.proof_key,
         )  # fmt: skip
         await standin.up(self._block.server(server.number), cold)
         self._running[server.name] = standin
