--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -159,9 +159,13 @@
             only = Tier("target", 1, 1.0)
             scenario = replace(scenario, guard=guard, tiers=(only,), run=secrets.token_hex(4))
         if getattr(args, "classes", None) is not None:
-            scenario = replace(scenario, paths=paths_of(read_classes(Path(args.classes).read_bytes())))
+            try:
+                paths = paths_of(read_classes(Path(args.classes).read_bytes()))
+            except BadClasses as problem:
+                raise _Usage(f"{args.classes}: {problem}") from None
+            scenario = replace(scenario, paths=paths)
         return resolve(scenario)
-    except (BadTarget, BadRecording, BadClasses) as problem:
+    except (BadTarget, BadRecording) as problem:
         raise _Usage(str(problem)) from None
     except OSError as problem:
         raise _Usage(f"{problem.filename}: {problem.strerror}") from None
--- /dev/null
+++ b/tests/traffic/test_replay.py
@@ -0,0 +1,223 @@
+"""Replays: what is chosen of a recording, and that it is sent as it was recorded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import pytest
+
+from rehearsal.bench.replay import RUN
+from rehearsal.cli import main
+from rehearsal.scenario import BadScenario, Scenario, read_scenario, read_traffic
+from rehearsal.traffic.classes import read_classes
+from rehearsal.traffic.generate import CLASSES
+from rehearsal.traffic.guard import MARK, read_guard
+from rehearsal.traffic.recording import ROW, Header, Rows, Writer
+from rehearsal.traffic.replay import in_sample, paths_of, replayed, resolve
+from tests.rehearsal.test_run import LIMITS, TIERS, play
+from tests.traffic.test_guard import Peer
+
+KINDS = [
+    {"name": "ler-feed", "repeat": "safe", "worth": 1.0, "wanted_s": 1.0, "gives_up_s": 2.0},
+    {"name": "salvar-episodio", "repeat": "keyed", "worth": 2.0, "wanted_s": 1.0, "gives_up_s": 2.0},
+    {"name": "repasse-socio", "repeat": "unsafe", "worth": 8.0, "wanted_s": 1.0, "gives_up_s": 2.0},
+]
+
+
+def record(path: Path, count: int = 200, seconds: float = 4.0, kinds: Any = KINDS, **columns: Any) -> Rows:
+    """A recording of evenly spread requests by 20 clients."""
+    rows = np.zeros(count, ROW)
+    rows["t"] = np.linspace(0, seconds * 1e6, count)
+    rows["client"], rows["object"] = 1 + np.arange(count) % 20, np.arange(count) % 7
+    rows["took"], rows["status"], rows["cls"] = 20_000, 200, np.arange(count) % len(kinds)
+    rows["chain"] = np.arange(count)
+    for name, values in columns.items():
+        rows[name] = values
+    writer = Writer(path, Header(kinds, count, seconds))
+    writer.put(rows)
+    writer.close()
+    return rows
+
+
+def laid(path: Path, name: str = "a.rec", **table: Any) -> Scenario:
+    one = read_scenario(
+        {"name": "replayed", "length": "1h", "tier": TIERS, "limits": LIMITS, "workers": 1}, "x"
+    )
+    return replace(one, traffic=(read_traffic({"recording": str(path / name)} | table, "--"),))
+
+
+@pytest.mark.parametrize(
+    ("table", "count", "first", "last"),
+    [
+        ({}, 200, 0.0, 4.0),
+        ({"speed": 4.0}, 200, 0.0, 1.0),
+        ({"speed": 0.5}, 200, 0.0, 8.0),
+        ({"from": "1s", "to": "3s"}, 100, 0.0, 2.0),
+        ({"from": "1s", "to": "3s", "speed": 2.0, "at": "5s"}, 100, 5.0, 6.0),
+        ({"from": "3s", "at": "250ms"}, 50, 0.25, 1.25),
+    ],
+)
+def test_a_cut_is_played_at_its_speed(
+    table: dict[str, Any], count: int, first: float, last: float, tmp_path: Path
+) -> None:
+    record(tmp_path / "a.rec")
+    scenario, preview = resolve(laid(tmp_path, **table))
+    found = list(replayed(scenario))
+    assert len(found) == count == sum(preview.sent.values())
+    assert abs(found[0].t - first) < 0.03 and abs(found[-1].t - last) < 0.05
+    assert [one.t for one in found] == sorted(one.t for one in found)
+    assert abs(scenario.length_s - last) < 0.05 and abs(scenario.load.rate - count / last) < 0.02 * count
+    assert len({one.root for one in found}) == count
+    # Two processes of clients send the same as one.
+    halves = [one for index in (0, 1) for one in replayed(scenario, index, 2)]
+    assert sorted(halves, key=lambda one: one.t) == found
+
+
+def test_a_loop_goes_on_to_the_runs_end_and_two_recordings_lie_over_each_other(tmp_path: Path) -> None:
+    record(tmp_path / "a.rec")
+    record(tmp_path / "b.rec", count=10, kinds=KINDS[:1])
+    one = laid(tmp_path, loop=True)
+    scenario, preview = resolve(replace(one, length_s=10.0))
+    times = [arrival.t for arrival in replayed(scenario)]
+    assert scenario.length_s == 10.0 and abs(len(times) - 500) <= 2 and times == sorted(times)
+    assert preview.skipped["after the end"] >= 99
+    both = replace(one, traffic=(laid(tmp_path).traffic[0], laid(tmp_path, "b.rec", at="10s").traffic[0]))
+    scenario, _ = resolve(both)
+    found = list(replayed(scenario))
+    assert len(found) == 210 and {a.cls.name for a in found[-10:]} == {"ler-feed"}
+    assert abs(scenario.length_s - 14.0) < 0.01
+
+
+def test_a_sample_is_of_clients_with_all_they_ask(tmp_path: Path) -> None:
+    rows = record(tmp_path / "a.rec", count=4_000, client=np.random.default_rng(1).integers(1, 500, 4_000))
+    _, preview = resolve(laid(tmp_path, scale=0.3))
+    everyone = np.arange(1, 2_001).astype(np.uint64)
+    assert all(0.25 < in_sample(everyone, seed, 0.3).mean() < 0.35 for seed in range(50))
+    assert sum(preview.sent.values()) + preview.skipped["sampled"] == 4_000 == sum(preview.recorded.values())
+    assert 0.2 < sum(preview.sent.values()) / 4_000 < 0.4
+    small, large = (in_sample(rows["client"], 5, scale) for scale in (0.2, 0.6))
+    assert (large | ~small).all()  # a larger sample holds all of a smaller one
+    by_client: dict[int, set[bool]] = {}
+    for client, taken in zip(rows["client"].tolist(), large.tolist(), strict=True):
+        by_client.setdefault(client, set()).add(taken)
+    assert all(len(found) == 1 for found in by_client.values())
+
+
+@pytest.mark.parametrize(("retries", "sent", "own"), [("kit", 150, 3), ("recorded", 200, 0)])
+def test_recorded_retries_and_the_clients_own_are_not_both_sent(
+    retries: str, sent: int, own: int, tmp_path: Path
+) -> None:
+    record(tmp_path / "a.rec", number=(np.arange(200) % 4 == 3).astype(np.uint8))
+    scenario, preview = resolve(laid(tmp_path, retries=retries))
+    assert (sum(preview.sent.values()), preview.skipped["retries"]) == (sent, 200 - sent)
+    assert scenario.clients.retries == own
+    assert len(list(replayed(scenario))) == sent
+
+
+@pytest.mark.parametrize(
+    ("table", "kinds", "words"),
+    [
+        ({"from": "9s"}, KINDS, "nothing from 9 s on; it has 4 s"),
+        ({}, [KINDS[2] | {"repeat": "safe"}], "class 'repasse-socio' is safe there, and unsafe elsewhere"),
+        ({"scale": 0.0001}, KINDS, "nothing is left to send"),
+    ],
+)
+def test_what_can_not_be_played_is_told_in_a_line(
+    table: dict[str, Any], kinds: Any, words: str, tmp_path: Path
+) -> None:
+    record(tmp_path / "a.rec", kinds=kinds)
+    one = laid(tmp_path, **table)
+    if kinds is not KINDS:
+        one = replace(one, classes=tuple(replace(cls) for cls in Scenario("x").classes[::-1]))
+    with pytest.raises(BadScenario, match=words):
+        resolve(one)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "words"),
+    [
+        (["a.rec", "--speed", "0"], "--speed: 0.0 is not within"),
+        (["a.rec", "--from", "3"], "--from: '3' is no duration"),
+        (["a.rec", "--from", "3s", "--to", "2s"], "traffic[0].to: is not after from"),
+        (["a.rec", "--scale", "2"], "--scale: 2.0 is not within"),
+        (["none.rec"], "none.rec: No such file"),
+        (["cut.rec"], "cut.rec: is no recording"),
+        (["a.rec", "--scenario", "burst"], "a burst is of drawn arrivals"),
+        (["a.rec", "--scenario", "drain", "--target", "http://127.0.0.1:1"], "has a timeline"),
+        (["a.rec", "--target", "http://10.0.0.1"], "nothing is left to send"),
+        (
+            ["a.rec", "--target", "http://127.0.0.1", "--classes", "bad.toml"],
+            "bad.toml: class 'a': path 'caf",
+        ),
+    ],
+)
+def test_bad_usage_is_one_line_and_status_2(
+    arguments: list[str], words: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: Any
+) -> None:
+    record(tmp_path / "a.rec")
+    whole = (tmp_path / "a.rec").read_bytes()
+    (tmp_path / "cut.rec").write_bytes(whole[: len(whole) * 2 // 3])
+    (tmp_path / "bad.toml").write_text('[[class]]\nname = "a"\npath = "café/*"\nrepeat = "safe"\n')
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(sys, "argv", ["orchidferry", "traffic", "replay", *arguments])
+    assert main() == 2
+    told = capsys.readouterr().err
+    assert words in told and told.count("\n") == 1, told
+
+
+def test_a_replay_in_the_kits_world_sends_all_classes_and_breaks_no_rule(tmp_path: Path) -> None:
+    record(tmp_path / "a.rec", count=120, seconds=2.0)
+    scenario, preview = resolve(laid(tmp_path))
+    run, verdict = play(scenario)
+    assert run.complete, run.why
+    assert not verdict.broken and verdict.first_tries == 120 == sum(preview.sent.values())
+    unsafe = verdict.service.classes["repasse-socio"]
+    assert unsafe.asked == 40 and unsafe.served >= 36
+    assert not any("kit-proof" in id for _, id in verdict.books.got)  # proofs are no requests of the run's
+
+
+def test_another_target_gets_marked_requests_and_no_unsafe_ones(tmp_path: Path) -> None:
+    record(tmp_path / "a.rec", count=60, seconds=1.0)
+    (tmp_path / "c.toml").write_text(CLASSES)
+
+    async def replay(*more: str) -> tuple[Peer, dict[str, Any]]:
+        peer = await Peer(lambda _: (200, b"ok", "")).up()
+        target = f"http://127.0.0.1:{peer.address[1]}"
+        options = ["--target", target, "--json", str(tmp_path / "v.json"), *more]
+        command = [sys.executable, "-c", RUN, "traffic", "replay", str(tmp_path / "a.rec"), *options]
+        command = [text.replace("TARGET", target) for text in command]
+        process = await asyncio.create_subprocess_exec(*command, stdout=subprocess.DEVNULL)
+        async with asyncio.timeout(60.0):
+            assert await process.wait() == 0
+        await peer.down()
+        found: dict[str, Any] = json.loads((tmp_path / "v.json").read_text())
+        return peer, found["traffic"]
+
+    peer, traffic = asyncio.run(replay("--classes", str(tmp_path / "c.toml")))
+    assert traffic["skipped"] == {"unsafe": 20} and traffic["sent"] == 40 == len(peer.seen)
+    assert Counter(seen.rpartition("/")[0] for seen in peer.seen) == {"GET /feeds": 20, "PUT /episodios": 20}
+    assert all(MARK.lower() in request.headers for request in peer.requests)
+    peer, traffic = asyncio.run(replay("--send", "repasse-socio@TARGET"))
+    assert not traffic["skipped"] and peer.seen.count("POST /repasse-socio") == 20
+    marks = Counter(request.headers[MARK.lower()] for request in peer.requests)
+    assert marks["repasse-socio; unsafe"] == 20 and len(marks) == 3
+    assert traffic["mix"] == traffic["recorded_mix"] and set(traffic["lag_ms"]) == {
+        "p50",
+        "p90",
+        "p99",
+        "most",
+    }
+
+
+def test_paths_are_the_classes_own_and_never_a_recordings() -> None:
+    found = dict(paths_of(read_classes(CLASSES.encode())))
+    assert found["ler-feed"] == ("GET", "/feeds/*") and found["repasse-socio"] == ("POST", "/repasses")
+    assert read_guard("http://127.0.0.1:80", []).target == read_guard("http://localhost", []).target
