orchidferry traffic export: a recording as a log, and an import gives it back

Other tools read logs, not recordings; and a recording that does not come back from its own log has lost something. JSON lines with a classes file; the forms know two more keys, aborted and spread. A property test holds the recording that comes back to the first one, but for the hashes, whose key is a new one each time.

--- a/rehearsal/traffic/__init__.py
+++ b/rehearsal/traffic/__init__.py
@@ -46,6 +46,17 @@
     )
     show.add_argument("recording", metavar="RECORDING")
     show.add_argument("--json", action="store_true", help="all figures, the rate by second too")
+    show.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
+    export = kinds.add_parser(
+        "export",
+        help="a recording as a log of JSON lines, with its classes file",
+        description="Writes FILE and FILE.classes.toml. What it tells is what the recording holds: clients "
+        "and objects by their hashes.",
+        epilog="example: orchidferry traffic export monday.rec --to monday.jsonl; exit status: 0 done, 2 no "
+        "recording",
+    )
+    export.add_argument("recording", metavar="RECORDING")
+    export.add_argument("--to", required=True, metavar="FILE")
     play = kinds.add_parser(
         "replay",
         help="a recording as the load of a rehearsal, or of one target",
--- a/rehearsal/traffic/command.py
+++ b/rehearsal/traffic/command.py
@@ -15,7 +15,7 @@
 from rich.progress import Progress, TextColumn
 from rich.table import Table
 
-from rehearsal.traffic import generate
+from rehearsal.traffic import export, generate
 from rehearsal.traffic.classes import BadClasses, Classes, Shapes, mix, propose, read_classes
 from rehearsal.traffic.entry import Reject
 from rehearsal.traffic.formats import BadFormat, compile_format
@@ -35,7 +35,9 @@
 
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
-    what = {"import": _import, "show": _show, "generate": _generate, "replay": _replay}[args.what]
+    what = {"import": _import, "show": _show, "generate": _generate, "replay": _replay, "export": _export}[
+        args.what
+    ]
     try:
         return what(args)
     except (_Usage, BadClasses, BadFormat, BadSource, BadRecording) as problem:
@@ -229,6 +231,20 @@
     return 0
 
 
+def _export(args: argparse.Namespace) -> int:
+    reader, to = Reader(Path(args.recording)), Path(args.to)
+    Path(args.to + ".classes.toml").write_text(export.classes_text(reader.header), encoding="utf-8")
+    part = to.with_name(to.name + ".part")
+    try:
+        with part.open("wb") as out:
+            out.writelines(export.lines(reader.header, reader.blocks()))
+        part.replace(to)
+    finally:
+        part.unlink(missing_ok=True)
+    print(f"{to}, {to}.classes.toml; to read it back: --format '{export.FORM}' --classes {to}.classes.toml")
+    return 0
+
+
 def _replay(args: argparse.Namespace) -> int:
     from rehearsal import rehearse
 
--- /dev/null
+++ b/rehearsal/traffic/export.py
@@ -0,0 +1,74 @@
+"""A recording as a log again: JSON lines, with the classes file and the form that an import reads it by.
+
+For tools that read logs, and as the proof that a recording holds what it says: an import of it gives the same
+recording, but for the hashes, whose key is a new one each time. Clients and objects are written as their
+hashes; no text of the first log is there to be written.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from typing import Any
+
+import numpy as np
+
+from rehearsal.traffic.recording import ABORTED, NO_TIME, SPREAD, Header, Rows
+
+FORM = (
+    "json:start=t,took=took_us:us,method=method,target=target,status=status,sent=sent,received=received,"
+    "aborted=aborted,spread=spread,x-client=client"
+)
+BEGAN = int(datetime(2026, 1, 5, tzinfo=UTC).timestamp() * 1e6)  # us; a Monday: no recording keeps its date
+METHODS = {"safe": "GET", "keyed": "PUT"}
+
+
+def classes_text(header: Header) -> str:
+    """The file of classes that tells the exported requests apart."""
+    lines = []
+    for row in header.classes:
+        lines += [
+            "[[class]]", f'name = "{row["name"]}"', f'path = "/{row["name"]}/**"',
+            f'repeat = "{row["repeat"]}"',
+        ]  # fmt: skip
+        lines += [f"{key} = {float(row[key])!r}" for key in ("worth", "wanted_s", "gives_up_s") if key in row]
+        lines.append("")
+    return "\n".join([*lines, "[identity]", 'from = ["header:x-client"]', ""])
+
+
+def lines(header: Header, blocks: Iterator[Rows]) -> Iterator[bytes]:
+    """Each request as a JSON object; times to the microsecond, in seconds since 1970."""
+    names = [(f"/{row['name']}/", METHODS.get(row["repeat"], "POST")) for row in header.classes]
+    for rows in blocks:
+        for t, client, thing, took, sent, received, _, cls, status, flags, _ in rows.tolist():
+            path, method = names[cls]
+            whole, rest = divmod(BEGAN + t, 1_000_000)
+            row: dict[str, Any] = {
+                "t": f"{whole}.{rest:06d}", "method": method, "target": f"{path}{thing:x}", "status": status,
+                "sent": sent, "received": received,
+            }  # fmt: skip
+            if took != NO_TIME:
+                row["took_us"] = took
+            if client:
+                row["client"] = f"{client:x}"
+            if flags & ABORTED:
+                row["aborted"] = True
+            if flags & SPREAD:
+                row["spread"] = True
+            yield json.dumps(row).encode() + b"\n"
+
+
+def same(one: Rows, other: Rows) -> str:
+    """Where two recordings differ, but for the names of clients and objects; empty: nowhere."""
+    if len(one) != len(other):
+        return f"{len(one)} and {len(other)} requests"
+    for name in ("t", "took", "sent", "received", "cls", "status", "flags", "chain", "number"):
+        at = np.flatnonzero(one[name] != other[name])
+        if len(at):
+            return f"{name} of request {at[0]}: {one[name][at[0]]} and {other[name][at[0]]}"
+    for name in ("client", "object"):
+        pairs = len(np.unique(np.stack([one[name], other[name]]), axis=1).T)
+        if not pairs == len(np.unique(one[name])) == len(np.unique(other[name])):
+            return f"{name}s are not one for one"
+    return ""
--- a/rehearsal/traffic/formats.py
+++ b/rehearsal/traffic/formats.py
@@ -8,8 +8,9 @@
 - `tab:KEY=COLUMN,...` and `space:KEY=COLUMN,...`: columns from 1, quoted with `"` where they hold the
   separator; `alb`: an Application Load Balancer's.
 
-KEYs are start, end, took, request, method, target, status, sent, received, address, agent, host, and any
-other name for a header or cookie that identities may be taken from. `took=FIELD:ms` (or us) gives its unit.
+KEYs are start, end, took, request, method, target, status, sent, received, address, agent, host, aborted,
+spread (both true or false; the time has been spread within its second already), and any other name for a
+header or cookie that identities may be taken from. `took=FIELD:ms` (or us) gives its unit.
 
 Apache logs when a request began, nginx and ALB when it ended: from `end`, the start is reckoned with `took`.
 Sources: Apache mod_log_config, nginx ngx_http_log_module, ALB access log syntax; all as published.
@@ -46,10 +47,11 @@
 COMBINED = COMMON + ' "%{Referer}i" "%{User-Agent}i"'
 ALB = "space:end=2,address=4,took=6+7+8,status=9,received=11,sent=12,request=13,agent=14"
 KEYS = ("start", "end", "took", "request", "method", "target", "status", "sent", "received", "address",
-        "agent", "host")  # fmt: skip
+        "agent", "host", "aborted", "spread")  # fmt: skip
 NEEDED = ({"start", "end"}, {"request", "target"})  # one of each
 UNITS = {"s": 1.0, "ms": 1e-3, "us": 1e-6, "ns": 1e-9}
 MONTHS = {name: at for at, name in enumerate(calendar.month_abbr) if name}
+SPREAD_STEP_S = 1e-9  # above 0, so that it shows, and less than a recording's microsecond
 MOST_FORMAT, MOST_FIELDS = 4_096, 64
 MOST_QUOTES = 24  # of a line that is not in the strict form
 QUOTED = r'[^"\\\n]*+(?:\\.[^"\\\n]*+)*+'  # what stands between quotes, with a server's escapes
@@ -172,12 +174,14 @@
     else:
         method, target = method_of(str(values.get("method", "GET"))), target_of(str(values.get("target", "")))
     status = status_of(int(number(values.get("status"))))
+    if values.get("spread"):
+        step = SPREAD_STEP_S
     fields = {key: str(value)[:MOST_TEXT] for key, value in values.items() if key not in KEYS}
     return Entry(
         start, took_s, method, target, status, size_of(int(number(values.get("sent")))),
         size_of(int(number(values.get("received")))), address_of(str(values.get("address", ""))),
         str(values.get("agent", ""))[:MOST_TEXT], str(values.get("host", ""))[:MOST_TEXT], fields or None,
-        step, status in (0, 499),
+        step, status in (0, 499) or bool(values.get("aborted")),
     )  # fmt: skip
 
 
--- a/tests/traffic/test_importing.py
+++ b/tests/traffic/test_importing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tempfile
 from collections import Counter
 from pathlib import Path
 from typing import Any
@@ -10,14 +11,26 @@
 import numpy as np
 import pytest
 from backports import zstd
-from hypothesis import given, settings, strategies
+from hypothesis import Phase, given, settings, strategies
 
 from rehearsal import cli
-from rehearsal.traffic import generate, importing
+from rehearsal.traffic import export, generate, importing
 from rehearsal.traffic.classes import read_classes
 from rehearsal.traffic.command import summary
 from rehearsal.traffic.importing import Plan, Report, TooMany, import_files
-from rehearsal.traffic.recording import END, NO_TIME, ROW, BadRecording, Header, Reader, Rows, Writer
+from rehearsal.traffic.recording import (
+    ABORTED,
+    END,
+    MOST,
+    NO_TIME,
+    ROW,
+    SPREAD,
+    BadRecording,
+    Header,
+    Reader,
+    Rows,
+    Writer,
+)
 from rehearsal.traffic.retries import Ties
 from rehearsal.traffic.sources import Block
 
@@ -279,6 +292,39 @@
 ).map(lambda t: t[0][: t[1]] + t[3] + t[0][t[1] + t[2] :])
 
 
+EXPORTED = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 10**10), strategies.sampled_from([0, 1, 2, 2**64 - 1]),
+        strategies.sampled_from([1, 2, 2**63]), strategies.sampled_from([0, 1, 200_000, NO_TIME]),
+        strategies.sampled_from([0, 200, 429, 499, 503]), strategies.integers(0, 1),
+        strategies.sampled_from([0, ABORTED, SPREAD, ABORTED | SPREAD]), strategies.integers(0, MOST),
+    ),
+    min_size=1, max_size=30,
+)  # fmt: skip
+
+
+@settings(max_examples=25, deadline=None, phases=[Phase.explicit, Phase.generate])  # each starts a process
+@given(EXPORTED)
+def test_import_of_an_exported_recording_gives_it_back(made: list[tuple[int, ...]]) -> None:
+    rows = np.zeros(len(made), ROW)
+    names = ("t", "client", "object", "took", "status", "cls", "flags", "sent")
+    for name, values in zip(names, zip(*made, strict=True), strict=True):
+        rows[name] = values
+    rows["object"] += 8 * rows["cls"]  # the hash of a target, and a target is of one class
+    # A client that left got 0 or 499, or is marked: both are one thing to a recording.
+    rows["flags"] |= np.where(np.isin(rows["status"], (0, 499)), ABORTED, 0).astype(np.uint8)
+    rows["t"] -= rows["t"].min()
+    rows = Ties(30.0).take(rows[np.argsort(rows["t"], kind="stable")])
+    header = Header([{"name": "a", "repeat": "safe"}, {"name": "b", "repeat": "unsafe"}])
+    with tempfile.TemporaryDirectory() as name:
+        log_, to = Path(name) / "log", Path(name) / "x.rec"
+        log_.write_bytes(b"".join(export.lines(header, iter([rows]))))
+        classes = read_classes(export.classes_text(header).encode())
+        import_files(Plan((log_,), export.FORM, classes, workers=1, seed=3), to, Path(name) / "rejects")
+        back = np.concatenate(list(Reader(to).blocks()))
+    assert export.same(rows, back) == ""
+
+
 @settings(max_examples=300, deadline=None)
 @given(strategies.sampled_from(SHORT), strategies.lists(SPOILT, max_size=5))
 def test_the_short_way_makes_the_rows_that_the_long_one_makes(form: str, lines: list[bytes]) -> None:
