traffic show: popularity, failures over time, and a page with plots

Rate by class, retries, popularity of objects and clients, gaps; a replay's page tells what was sent beside what was recorded. A recording is added up in arrays, 16 bytes for each object and client, in place of sets.

--- a/rehearsal/report/page.py
+++ b/rehearsal/report/page.py
@@ -11,7 +11,7 @@
 
 from rehearsal.judge.verdict import Verdict
 from rehearsal.report.series import QUANTILES, series
-from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, summary, word
+from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, percent, summary, word
 
 FAULT_COLOURS = ("#d9822b", "#a23b72", "#3b6ea2", "#5b8c3a", "#8c5b3a")
 MARKS = {"pass": "pass", "FAIL": "fail", "nothing to check": "none"}
@@ -50,6 +50,7 @@
         "<h2>Classes</h2>", _classes(verdict),
         "<h2>Over time</h2>", _plots(verdict),
         "<h2>Incidents</h2>", _incidents(verdict),
+        _traffic(verdict),
     ]  # fmt: skip
     return "\n".join(parts) + "\n</html>\n"
 
@@ -81,6 +82,22 @@
     return _table(CLASS_HEAD, [[escape(cell) for cell in row] for row in class_rows(verdict)])
 
 
+def _traffic(verdict: Verdict) -> str:
+    """Of a replay: what was sent beside what was recorded."""
+    found = verdict.traffic
+    if found is None:
+        return ""
+    mix = [[escape(name), percent(share), percent(found["mix"].get(name, 0.0))]
+           for name, share in found["recorded_mix"].items()]  # fmt: skip
+    gaps = [[q, f"{found['recorded_gaps_ms'].get(q, 0.0):.2f}", f"{value:.2f}", f"{found['lag_ms'][q]:.2f}"]
+            for q, value in found["gaps_ms"].items()]  # fmt: skip
+    left = "".join(f"<li>{count} left out: {escape(why)}</li>" for why, count in found["skipped"].items())
+    return (
+        f"<h2>Recorded traffic</h2>{_table(['class', 'recorded', 'sent'], mix)}<p></p>"
+        f"{_table(['between requests, ms', 'recorded', 'sent', 'sent late by'], gaps)}<ul>{left}</ul>"
+    )
+
+
 def _incidents(verdict: Verdict) -> str:
     books = verdict.books
     if not books.incidents:
--- a/rehearsal/traffic/command.py
+++ b/rehearsal/traffic/command.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import time
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
@@ -21,11 +22,13 @@
 from rehearsal.traffic.formats import BadFormat, compile_format
 from rehearsal.traffic.har import read_har
 from rehearsal.traffic.importing import Plan, Report, TooMany, import_files, is_har
-from rehearsal.traffic.recording import NO_TIME, BadRecording, Reader
+from rehearsal.traffic.recording import BadRecording, Header, Reader
 from rehearsal.traffic.retries import failed
 from rehearsal.traffic.sources import BadSource, Source
 
 SHOWN = 10
+TOPS = (1, 10, 100, 1_000)
+GAP_EDGES = np.logspace(0, 9, 1_801)  # us, of the histogram of gaps: steps of 1.2 %
 QUANTILES = (0.5, 0.9, 0.99)
 
 
@@ -170,46 +173,115 @@
         console.print(f"note: {note}", markup=False)
 
 
-def summary(path: Path, from_s: float = 0.0, to_s: float = float("inf")) -> dict[str, Any]:
-    """What is in a recording, in one pass; gaps between arrivals in a histogram of 1 us to 1,000 s."""
+class _Counts:
+    """How often each of any number of hashes was there: 16 bytes for each."""
+
+    def __init__(self) -> None:
+        self._ids, self._counts = np.zeros(0, np.uint64), np.zeros(0, np.int64)
+
+    def add(self, ids: Any) -> None:
+        new, counts = np.unique(ids[ids != 0], return_counts=True)
+        every, where = np.unique(np.concatenate([self._ids, new]), return_inverse=True)
+        merged = np.bincount(where, np.concatenate([self._counts, counts]), len(every))
+        self._ids, self._counts = every, merged.astype(np.int64)
+
+    def __len__(self) -> int:
+        return len(self._ids)
+
+    def ranked(self) -> Any:
+        """The counts, highest first."""
+        return np.sort(self._counts)[::-1]
+
+    def top(self) -> dict[str, float]:
+        """The share of all that the first 1, 10, 100 and 1000 have."""
+        ranked = self.ranked()
+        total = max(1, int(ranked.sum()))
+        return {str(n): float(ranked[:n].sum()) / total for n in TOPS if n <= len(ranked)}
+
+
+@dataclass
+class Totals:
+    """All that `show` tells of a recording, as it is added up block by block."""
+
+    header: Header
+    per_second: Any  # requests, by class and second
+    retries_per_second: Any
+    failed_per_second: Any
+    gaps: Any  # between requests: a histogram over `GAP_EDGES`
+    clients: _Counts = field(default_factory=_Counts)
+    objects: _Counts = field(default_factory=_Counts)
+
+    @property
+    def names(self) -> list[str]:
+        return [row["name"] for row in self.header.classes]
+
+
+def _by_second(total: Any, times: Any, seconds: int) -> Any:
+    found = np.bincount((times // 1_000_000).astype(np.int64), minlength=seconds)
+    return found[:seconds] if total is None else total + found[:seconds]
+
+
+def totals(path: Path) -> Totals:
+    """Add a recording up, in one pass; memory goes by its seconds, clients and objects."""
     reader = Reader(path)
-    names = [row["name"] for row in reader.header.classes]
-    counts, wrong = np.zeros(len(names), np.int64), np.zeros(len(names), np.int64)
-    edges = np.logspace(0, 9, 1_801)
-    gaps, seconds = np.zeros(1_802, np.int64), np.zeros(0, np.int64)
-    clients, objects = set[int](), set[int]()
-    retries = 0
+    seconds, kinds = int(reader.header.seconds) + 1, len(reader.header.classes)
+    empty = np.zeros(seconds, np.int64)
+    found = Totals(
+        reader.header,
+        np.zeros((kinds, seconds), np.int64),
+        empty,
+        empty.copy(),
+        np.zeros(len(GAP_EDGES) + 1, np.int64),
+    )
     before: int | None = None
-    for rows in reader.blocks(from_s, to_s):
-        counts += np.bincount(rows["cls"], minlength=len(names))
-        wrong += np.bincount(rows["cls"][failed(rows)], minlength=len(names))
-        retries += int((rows["number"] > 0).sum())
+    for rows in reader.blocks():
         times = rows["t"].astype(np.int64)
+        for number in range(kinds):
+            of = times[rows["cls"] == number]
+            found.per_second[number] += _by_second(None, of, seconds)
+        found.retries_per_second = _by_second(found.retries_per_second, times[rows["number"] > 0], seconds)
+        found.failed_per_second = _by_second(found.failed_per_second, times[failed(rows)], seconds)
         steps = np.diff(times, prepend=times[:1] if before is None else before)[before is None :]
-        gaps += np.bincount(np.digitize(steps, edges), minlength=1_802)
+        found.gaps += np.bincount(np.digitize(steps, GAP_EDGES), minlength=len(GAP_EDGES) + 1)
         before = int(times[-1])
-        per = np.bincount((times // 1_000_000).astype(np.int64))
-        if len(per) > len(seconds):
-            seconds = np.concatenate([seconds, np.zeros(len(per) - len(seconds), np.int64)])
-        seconds[: len(per)] += per
-        clients.update(np.unique(rows["client"]).tolist())
-        objects.update(np.unique(rows["object"]).tolist())
+        found.clients.add(rows["client"])
+        found.objects.add(rows["object"])
+    return found
+
+
+def summary(path: Path) -> dict[str, Any]:
+    """What is in a recording, for `show --json`."""
+    return _summary(totals(path))
+
+
+def _summary(found: Totals) -> dict[str, Any]:
+    header, names = found.header, found.names
+    counts, seconds = found.per_second.sum(axis=1), found.per_second.sum(axis=0)
     total = int(counts.sum())
-    passed = np.cumsum(gaps)
-    at = [float(edges[min(int(np.searchsorted(passed, q * passed[-1])), 1_800)]) / 1e3 for q in QUANTILES]
+    passed = np.cumsum(found.gaps)
+    ranks = [int(np.searchsorted(passed, q * passed[-1])) for q in QUANTILES]
+    at = [float(GAP_EDGES[min(rank, len(GAP_EDGES) - 1)]) / 1e3 for rank in ranks]
     return {
-        "requests": total, "seconds": reader.header.seconds, "began": reader.header.began,
+        "requests": total, "seconds": header.seconds, "began": header.began,
         "mix": mix({n: int(c) for n, c in zip(names, counts, strict=True) if c}),
-        "failed": {n: int(c) for n, c in zip(names, wrong, strict=True) if c}, "retries": retries,
+        "failed": int(found.failed_per_second.sum()), "retries": int(found.retries_per_second.sum()),
         "gaps_ms": dict(zip(("p50", "p90", "p99"), at, strict=True)) if total > 1 else {},
-        "clients": len(clients - {0}), "objects": len(objects),
-        "rate": {"mean": total / max(1e-6, reader.header.seconds), "most": int(seconds.max(initial=0))},
-        "per_second": seconds.tolist(), "notes": reader.header.notes,
+        "clients": len(found.clients), "objects": len(found.objects),
+        "popularity": found.objects.top(), "busiest_clients": found.clients.top(),
+        "rate": {"mean": total / max(1e-6, header.seconds), "most": int(seconds.max(initial=0))},
+        "per_second": seconds.tolist(), "notes": header.notes,
     }  # fmt: skip
 
 
 def _show(args: argparse.Namespace) -> int:
-    found = summary(Path(args.recording))
+    every = totals(Path(args.recording))
+    found = _summary(every)
+    if args.report is not None:
+        from rehearsal.traffic.page import page
+
+        Path(args.report).write_text(
+            page(Path(args.recording).name, every, found, GAP_EDGES), encoding="utf-8"
+        )
     if args.json:
         print(json.dumps(found))
         return 0
@@ -217,12 +289,16 @@
     console.print(
         f"{found['requests']} requests over {found['seconds']:.0f} s from a {found['began']}, "
         f"{found['rate']['mean']:.1f} a second, {found['rate']['most']} in the busiest; "
-        f"{found['clients']} clients, {found['objects']} objects, {found['retries']} retries"
+        f"{found['clients']} clients, {found['objects']} objects, {found['failed']} failed, "
+        f"{found['retries']} retries"
     )
-    table = Table("class", "share", "failed")
-    for name, share in found["mix"].items():
-        table.add_row(name, f"{share:.2%}", str(found["failed"].get(name, 0)))
+    table = Table("class", "share", "repeat")
+    for row in every.header.classes:
+        table.add_row(row["name"], f"{found['mix'].get(row['name'], 0.0):.2%}", row["repeat"])
     console.print(table)
+    for what in ("popularity", "busiest_clients"):
+        shares = ", ".join(f"{n}: {share:.1%}" for n, share in found[what].items())
+        console.print(f"share of the first {'objects' if what == 'popularity' else 'clients'}, {shares}")
     if found["gaps_ms"]:
         gaps = ", ".join(f"{name} {value:.2f} ms" for name, value in found["gaps_ms"].items())
         console.print(f"between requests: {gaps}")
@@ -264,6 +340,3 @@
     (folder / "classes.toml").write_text(generate.CLASSES, encoding="utf-8")
     print(f"{folder}: access.log, traffic.har, classes.toml; the log's format:\n{generate.FORM}")
     return 0
-
-
-__all__ = ["NO_TIME", "main", "summary"]
--- a/tests/traffic/test_replay.py
+++ b/tests/traffic/test_replay.py
@@ -16,16 +16,19 @@
 
 from rehearsal.bench.replay import RUN
 from rehearsal.cli import main
+from rehearsal.judge.verdict import judge
+from rehearsal.record import Wanted
+from rehearsal.report.page import page as replay_page
 from rehearsal.scenario import BadScenario, Scenario, read_scenario, read_traffic
 from rehearsal.traffic.classes import read_classes
 from rehearsal.traffic.generate import CLASSES
 from rehearsal.traffic.guard import MARK, read_guard
 from rehearsal.traffic.recording import ROW, Header, Rows, Writer
-from rehearsal.traffic.replay import in_sample, paths_of, replayed, resolve
+from rehearsal.traffic.replay import in_sample, measure, paths_of, replayed, resolve
 from tests.rehearsal.test_run import LIMITS, TIERS, play
 from tests.traffic.test_guard import Peer
 
-KINDS = [
+KINDS: list[dict[str, Any]] = [
     {"name": "ler-feed", "repeat": "safe", "worth": 1.0, "wanted_s": 1.0, "gives_up_s": 2.0},
     {"name": "salvar-episodio", "repeat": "keyed", "worth": 2.0, "wanted_s": 1.0, "gives_up_s": 2.0},
     {"name": "repasse-socio", "repeat": "unsafe", "worth": 8.0, "wanted_s": 1.0, "gives_up_s": 2.0},
@@ -184,6 +187,25 @@
     assert not any("kit-proof" in id for _, id in verdict.books.got)  # proofs are no requests of the run's
 
 
+def test_pages_of_a_recording_and_a_replay_tell_what_was_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: Any
+) -> None:
+    record(tmp_path / "a.rec", number=(np.arange(200) % 4 == 3).astype(np.uint8))
+    page = tmp_path / "p.html"
+    monkeypatch.setattr(
+        sys, "argv", ["orchidferry", "traffic", "show", str(tmp_path / "a.rec"), "--report", str(page)]
+    )
+    assert main() == 0 and "50 retries" in capsys.readouterr().out
+    text = page.read_text()
+    assert all(kind["name"] in text for kind in KINDS) and "200 requests over 4 s" in text and "<svg" in text
+    scenario, preview = resolve(laid(tmp_path))
+    verdict = judge(scenario, [Wanted(1.0, "r0", "ler-feed"), Wanted(2.0, "r1", "ler-feed")], 0.0, 3.0)
+    verdict.traffic = measure(preview, Counter({"ler-feed": 2}), [0.001, 0.003], [1.0, 2.0], 148)
+    text = replay_page(verdict)
+    assert "50 left out: retries" in text and "148 left out: cut off" in text and "1000.00" in text
+    assert verdict.traffic["lag_ms"]["most"] == 3.0 and verdict.traffic["mix"] == {"ler-feed": 1.0}
+
+
 def test_another_target_gets_marked_requests_and_no_unsafe_ones(tmp_path: Path) -> None:
     record(tmp_path / "a.rec", count=60, seconds=1.0)
     (tmp_path / "c.toml").write_text(CLASSES)
