Chain: time, attempts and worth carried across tiers; loops found; a gate for overload below

When the last tier is slow, each tier above asks again, and one request becomes nine. nickelbridge/chain.py decides per node what a request brings, takes and hands on: attempts left over the whole chain, a retry budget of a share and a floor, a gate that shuts when most calls below fail for overload and opens as they are served, loops by the path. Headers after W3C Baggage and RFC 8586, believed by a keyed tag alone. Off unless ORCHIDFERRY_CHAIN names a file; the delay loop stays the gate of retries. With no headers passed on three tiers that try twice make 8 of one; with them 2 (a test). Rehearsals have [chain], and tell attempts during the longest fault.

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -191,6 +191,16 @@
     entries: list[ServerEntry] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """What comes along with a request beside its time, or goes on with it."""
+
+    root: str  # the same for all that one client's request led to
+    extra: int  # attempts beyond the first that are left, over the whole chain below
+    worth: float  # of the client's request, to the operators of the first tier
+    path: tuple[str, ...] = ()  # the hops that it passed, `TIER/NODE` each, the first tier's first
+
+
 @dataclass(slots=True)
 class Request:
     """The node has accepted a request and owes it one final answer."""
@@ -201,6 +211,7 @@
     tenant: str | None = None
     client_retry: bool = False
     upload: bool = False  # its body is still coming, and goes on as it comes; `Uploaded` tells of the end
+    carried: Carried | None = None  # what came along with it that can be believed
 
 
 @dataclass(slots=True)
@@ -215,6 +226,8 @@
     settled: bool
     report: dict[str, float] | None = None
     spent: bool = False  # the request's body went with it: nothing is left to be sent again
+    below: bool = False  # its server's own calls met overload: asking again only adds to it
+    used: int = 0  # attempts beyond the first that were made below
 
 
 @dataclass(slots=True)
@@ -276,13 +289,19 @@
     server: int
     timeout_ms: float
     fresh: bool = False
+    carried: Carried | None = None  # what goes on with it
 
 
 @dataclass(slots=True)
 class Fail:
-    """End the request with an error; the client is not told whether it ran."""
+    """End the request with an error; the client is not told whether it ran.
+
+    `below`, `used`: as an attempt's, for a caller that is a server of the tier above.
+    """
 
     id: str
+    below: bool = False
+    used: int = 0
 
 
 @dataclass(slots=True)
@@ -291,6 +310,8 @@
 
     id: str
     retry_after_ms: float = 0.0
+    below: bool = False
+    used: int = 0
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -16,6 +16,7 @@
 from nickelbridge.averages import ClassRecord, Rate, SlidingCount
 from nickelbridge.bag import Bag
 from nickelbridge.bucket import Bucket
+from nickelbridge.chain import Chain, Why
 from nickelbridge.interface import Group, Health, ListKind, Repeat, Result
 from nickelbridge.schedule import Lot, Member, Schedule
 from nickelbridge.subset import Slices
@@ -380,8 +381,8 @@
 class Balancer:
     """One copy's decisions: feed it events, do what it says."""
 
-    def __init__(self, settings: api.Settings, salt: int) -> None:
-        self.settings = settings
+    def __init__(self, settings: api.Settings, salt: int, chain: Chain | None = None) -> None:
+        self.settings, self.chain = settings, chain
         self.classes = {cls.name: cls for cls in settings.classes}
         self._aims = {cls.name: cls.aim_ms for cls in settings.classes}  # of classes that went too
         self._rng = random.Random(salt)
@@ -428,7 +429,9 @@
             case api.Uploaded(): self._on_uploaded(event, now_ms)
             case api.TimerFired(): self._on_timer(event, now_ms)
             case api.ServerList(): self._on_list(event, now_ms)
-            case api.ClientGone(): self._calls.pop(event.id, None)
+            case api.ClientGone():
+                self._calls.pop(event.id, None)
+                if self.chain is not None: self.chain.done(event.id)
             case api.NewSettings(): self._on_settings(event.settings)
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
         return self._actions
@@ -474,10 +477,14 @@
         if event.tenant in self._quotas:
             per_ms, bucket = self._quotas[event.tenant]
             call.over_share = not bucket.take(per_ms, max(1.0, QUOTA_MS * per_ms), now)
+        if self.chain is not None:
+            why = self.chain.take(call.id, event.carried, event.cls, call.cls.worth, event.ttl_ms, now)
+            if why is not None: return self._end(call, why)
         if self._shed(call, now): return self._end(call)
         self._attempt(call, now)
 
     def _attempt(self, call: Call, now: float) -> None:
+        if self.chain is not None and not self.chain.may_send(call.id, now): return self._end(call)
         crowded = self._crowded(call, now)
         server = None if crowded else self._pick(call)
         if crowded or (server is None and call.ran_ms is None and self.fleet.ready):
@@ -740,11 +747,15 @@
         if call.ran_ms is not None and server.group(cls.group) != call.pin: return False  # rule 2
         if not server.in_service or self.fleet.servers.get(server.id) is not server: return False  # rule 3
         if call.attempts and not self._in_budget(now): return False  # rule 5
+        if self.chain is not None and not self.chain.may_send(call.id, now): return False
         warmth = server.warmth(now, self.settings)
         if warmth < 1.0:
             if self._cold_budget(server, warmth, now) < 1.0:
                 return False  # rule 4
             server.budget.tokens -= 1.0
+        carried = None
+        if self.chain is not None:
+            carried, left = self.chain.send(call.id, now), self.chain.left_ms(left, now)
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
@@ -765,7 +776,7 @@
         soon = call.attempts == 1 and not once and (HASTE + 1.0) * self._share <= HASTE_SHARE
         patience = HASTE if soon else PATIENCE
         most = max(PATIENT_MS, patience * self._share * cls.aim_ms) if self._seen >= SAMPLES else left
-        self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
+        self._actions.append(api.Send(call.id, server.id, min(most, wait), once, carried))
         return True
 
     def _begin(self, call: Call, server: Server, now: float) -> None:
@@ -806,18 +817,29 @@
         wait = max(0.0, self._back_off(call) * (0.5 + self._rng.random()) - waited_ms)
         starts = now + wait + 2.0 * self.settings.tick_ms
         more = call.attempts < self.settings.max_attempts and self._repeatable(call, starts)
+        more = more and (self.chain is None or self.chain.may_send(call.id, now))
         if starts < call.ends_ms and more:
             self._set_timer(call, wait)
         else:
             self._end(call)
 
-    def _end(self, call: Call) -> None:
-        """The one way to end a request unserved: refused where a repeat is harmless, else failed."""
+    def _end(self, call: Call, why: Why | None = None) -> None:
+        """The one way to end a request unserved: refused where a repeat is harmless, else failed.
+
+        A loop is failed whatever it is: who asks again goes round again.
+        """
         if self._calls.pop(call.id, None):
             self.record.ended(call.cls.name, False)
             everywhere = call.cls.repeat is Repeat.KEYED and call.cls.group is Group.ALL
             harmless = not call.out and (call.ran_ms is None or everywhere or call.cls.repeat is Repeat.SAFE)
-            self._actions.append(api.Refuse(call.id, self._back_off(call)) if harmless else api.Fail(call.id))
+            below, used = why is not None and why is not Why.LATE, 0
+            if self.chain is not None and why is None:
+                below, used = self.chain.verdict(call.id)
+                self.chain.done(call.id)
+            if harmless and why is not Why.LOOP:
+                self._actions.append(api.Refuse(call.id, self._back_off(call), below, used))
+            else:
+                self._actions.append(api.Fail(call.id, below, used))
 
     def _set_timer(self, call: Call, delay_ms: float) -> None:
         self._token = call.token = self._token + 1
@@ -825,6 +847,8 @@
         self._actions.append(api.SetTimer(self._token, delay_ms))
 
     def _on_ended(self, event: api.AttemptEnded, now: float) -> None:
+        if self.chain is not None:
+            self.chain.ended(event.id, event.result, event.below, event.used, event.duration_ms, now)
         call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
         if event.id in self._uploads: self._uploads.discard(event.id)
         else: self.inflight -= 1
@@ -845,6 +869,7 @@
             elif server.member.lot is not Lot.ON or now < server.shut_ms: self._place(server)
         if call is not None and event.settled:
             del self._calls[event.id]
+            if self.chain is not None: self.chain.done(event.id)
             self.record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
             self.record.answered(call.cls.name, event.duration_ms)
         elif call is not None:
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -20,6 +20,7 @@
 from orchidferry.node import Node
 
 if TYPE_CHECKING:
+    from orchidferry.chain.settings import Setup
     from orchidferry.control.settings import Control
     from orchidferry.h3.settings import Http3
 
@@ -36,7 +37,7 @@
     """Serve until SIGTERM; the exit status."""
     try:
         config = read_config(path)
-        http3, control = read_http3(), read_control()
+        http3, control, chain = read_http3(), read_control(), read_chain()
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -47,7 +48,7 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     try:
-        node = Node(config, loop, http3, control)
+        node = Node(config, loop, http3, control, chain)
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -109,6 +110,16 @@
     return settings.read_control(path)
 
 
+def read_chain() -> Setup | None:
+    """The same for a part in a chain of tiers, which needs no library."""
+    path = os.environ.get("ORCHIDFERRY_CHAIN")
+    if not path:
+        return None
+    from orchidferry.chain import settings
+
+    return settings.read_chain(path)
+
+
 def reload(node: Node, path: str) -> None:
     """Take the file as it is now; one that can't be used changes nothing."""
     try:
--- /dev/null
+++ b/orchidferry/chain/__init__.py
@@ -0,0 +1,1 @@
+"""A node's part in a chain of tiers (`ORCHIDFERRY_CHAIN`); its decisions are `nickelbridge.chain`'s."""
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -12,7 +12,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -73,6 +73,7 @@
     content_type: bytes | None = None
     retry_after_s: float | None = None
     flow: Flow | None = None  # the body, where it is too long to hold
+    more: Sequence[tuple[bytes, bytes]] = ()  # headers
 
 
 class Owed(Protocol):
@@ -87,11 +88,12 @@
 def render(reply: Reply, close: bool, alt_svc: bytes | None = None) -> bytes:
     """An answer as one piece of bytes, to be written at once."""
     length = len(reply.body) if reply.flow is None else reply.flow.length
-    return b"%b%b%b%b%b%b\r\n%b" % (
+    return b"%b%b%b%b%b%b%b\r\n%b" % (
         STATUS_LINES[reply.status],
         b"Content-Type: %b\r\n" % reply.content_type if reply.content_type is not None else b"",
         b"Retry-After: %.3f\r\n" % reply.retry_after_s if reply.retry_after_s is not None else b"",
         b"Alt-Svc: %b\r\n" % alt_svc if alt_svc is not None else b"",
+        b"".join([b"%b: %b\r\n" % header for header in reply.more]) if reply.more else b"",
         b"Connection: close\r\n" if close else b"",
         b"Content-Length: %d\r\n" % length if length is not None else b"Transfer-Encoding: chunked\r\n",
         reply.body,
--- a/orchidferry/h3/front.py
+++ b/orchidferry/h3/front.py
@@ -256,6 +256,7 @@
             headers.append((b"content-type", reply.content_type))
         if reply.retry_after_s is not None:
             headers.append((b"retry-after", b"%.3f" % reply.retry_after_s))
+        headers.extend(reply.more)
         headers.append((b"content-length", b"%d" % len(reply.body)))
         try:
             self._session.send_headers(exchange.id, headers, end_stream=not reply.body)
--- a/orchidferry/h3/upstream.py
+++ b/orchidferry/h3/upstream.py
@@ -104,6 +104,7 @@
     content_type: bytes | None = None
     rejected: bool = False
     report: dict[str, float] | None = None
+    chain: bytes | None = None
 
 
 class Link:
@@ -149,7 +150,7 @@
         message = attempt.message
         self.used = time.monotonic()
         self._session.send_headers(
-            stream, request_headers(message, self._authority, attempt.timeout_ms),
+            stream, request_headers(message, self._authority, attempt.timeout_ms) + attempt.more,
             end_stream=not message.body,
         )  # fmt: skip
         if message.body:
@@ -248,6 +249,7 @@
         if flight.status >= 200:
             return  # trailers
         flight.rejected, flight.report, flight.content_type = False, None, None
+        flight.chain = None
         for name, value in found.headers:
             match name:
                 case b":status":
@@ -258,11 +260,14 @@
                     flight.rejected = value.strip() == b"1"
                 case b"x-load-report":
                     flight.report = read_report(value)
+                case b"x-chain":
+                    flight.chain = value
 
     def _answered(self, flight: Flight) -> None:
         if flight.status < 200:  # an end without an answer
             return self._spoilt(flight)
-        answer = Answer(flight.status, b"".join(flight.body), flight.content_type, flight.report)
+        body = b"".join(flight.body)
+        answer = Answer(flight.status, body, flight.content_type, flight.report, chain=flight.chain)
         if not flight.attempt.written:  # it was answered
             flight.attempt.sent_whole()
         self._end_flight(flight.stream, result_of(flight.status, flight.rejected), answer)
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -41,6 +41,8 @@
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
+    from orchidferry.chain.links import Links
+    from orchidferry.chain.settings import Setup
     from orchidferry.control.link import Link
     from orchidferry.control.settings import Control
     from orchidferry.door import Door
@@ -134,6 +136,8 @@
                 answer.flow.call_off()
         flow = self.message.flow
         spent = flow is not None and (flow.spent or flow.over)
+        links = self._node.links
+        below, used = links.read_answer(answer) if links is not None else (False, 0)
         self._node.attempt_ended(
             api.AttemptEnded(
                 live.id,
@@ -144,6 +148,8 @@
                 not live.owed,
                 report,
                 spent,
+                below,
+                used,
             )
         )
 
@@ -153,11 +159,16 @@
 
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, http3: Http3 | None = None,
-        control: Control | None = None,
+        control: Control | None = None, chain: Setup | None = None,
     ) -> None:  # fmt: skip
         self._config, self._loop = config, loop
         settings = config.settings
-        self._balancer = Balancer(settings, config.seed)
+        self.links: Links | None = None
+        if chain is not None:
+            from orchidferry.chain.links import Links
+
+            self.links = Links(chain, config.seed)
+        self._balancer = Balancer(settings, config.seed, self.links.chain if self.links else None)
         self._events: deque[api.Event] = deque()
         self._handling = False
         self.figures = Figures(self._balancer.classes)
@@ -328,8 +339,11 @@
         self._watch(live)
         ttl_ms = max(0.0, live.ends_ms - now - MARGIN_MS)
         self._handle(
-            api.Request(id, message.cls, ttl_ms, message.tenant, message.again, upload=flow is not None)
-        )
+            api.Request(
+                id, message.cls, ttl_ms, message.tenant, message.again, flow is not None,
+                self.links.read(message) if self.links is not None else None,
+            )
+        )  # fmt: skip
         return live
 
     def _watch(self, live: Live) -> None:
@@ -425,9 +439,12 @@
             case api.SetTimer():
                 self._loop.call_later(action.delay_ms / 1000.0, self._handle, api.TimerFired(action.token))
             case api.Fail():
-                self.finish(self._live.get(action.id), Reply(502, b"failed"))
+                more = self.links.answer(action) if self.links is not None else ()
+                self.finish(self._live.get(action.id), Reply(502, b"failed", more=more))
             case api.Refuse():
-                reply = Reply(503, b"refused", retry_after_s=action.retry_after_ms / 1000.0)
+                more = self.links.answer(action) if self.links is not None else ()
+                retry_after_s = action.retry_after_ms / 1000.0
+                reply = Reply(503, b"refused", retry_after_s=retry_after_s, more=more)
                 self.finish(self._live.get(action.id), reply)
             case api.Cancel():
                 attempt = self.attempts.get((action.id, action.attempt))
@@ -456,6 +473,8 @@
         # Cut to what is left: an outcome must come before the answer is due.
         timeout_ms = max(0.0, min(action.timeout_ms, live.ends_ms - MARGIN_MS - sent_ms))
         attempt = Try(self, live, server, self._addresses[server], timeout_ms, sent_ms)
+        if action.carried is not None and self.links is not None:
+            attempt.more = self.links.write(action.carried, timeout_ms)
         self._upstream.send(attempt, action.fresh)
 
     def serves(self, server: int) -> bool:
--- a/orchidferry/request.py
+++ b/orchidferry/request.py
@@ -38,6 +38,7 @@
     body: bytes
     flow: Flow | None = None  # the body, where it is too long to hold; `body` is empty then
     long_answer: bool = False  # whoever asked can be fed an answer that flows
+    chain: dict[bytes, bytes] | None = None  # headers of a chain of tiers, as they came
 
 
 class Unacceptable(Exception):
@@ -91,4 +92,5 @@
         # Nobody waits longer than the class's deadline: a longer budget would hold the books open.
         method, target, id.decode(), cls.name, min(budget_s * 1000.0, cls.deadline_ms), tenant,
         headers.get(b"x-again") == b"1", key, headers.get(b"content-type"), body, flow,
+        chain=headers if b"baggage" in headers else None,
     )  # fmt: skip
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -11,7 +11,7 @@
 import logging
 import math
 import select
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
@@ -44,6 +44,7 @@
     content_type: bytes | None
     report: dict[str, float] | None
     flow: Flow | None = None  # the body, where it is too long to hold; `body` is empty then
+    chain: bytes | None = None  # what its server's own calls met, where it tells
 
 
 class Attempt:
@@ -53,11 +54,13 @@
     """
 
     __slots__ = (
-        "_alarm", "_alarms", "_cancel_io", "address", "message", "over", "server", "timeout_ms", "written",
+        "_alarm", "_alarms", "_cancel_io", "address", "message", "more", "over", "server", "timeout_ms",
+        "written",
     )  # fmt: skip
 
     def __init__(self, message: Message, server: int, address: Address, timeout_ms: float) -> None:
         self.message, self.server, self.address, self.timeout_ms = message, server, address, timeout_ms
+        self.more: list[tuple[bytes, bytes]] = []  # headers besides the message's own
         self.written = self.over = False
         self._alarms: Alarms | None = None
         self._alarm = 0
@@ -129,14 +132,17 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def request_bytes(message: Message, address: Address, timeout_ms: float) -> bytes:
+def request_bytes(
+    message: Message, address: Address, timeout_ms: float, more: Sequence[tuple[bytes, bytes]] = ()
+) -> bytes:
     """A request as it goes to a server, in one piece; its budget is what is left for this attempt."""
-    return b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nX-Call-Id: %b\r\nX-Budget: %.3f\r\n%b%b%b\r\n%b" % (
+    return b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nX-Call-Id: %b\r\nX-Budget: %.3f\r\n%b%b%b%b\r\n%b" % (
         message.method, message.target, address[0].encode(), address[1], message.id.encode(),
         timeout_ms / 1000.0,
         b"Idempotency-Key: %b\r\n" % message.key if message.key is not None else b"",
         b"Content-Type: %b\r\n" % message.content_type if message.content_type is not None else b"",
         framing(message),
+        b"".join([b"%b: %b\r\n" % header for header in more]) if more else b"",
         message.body,
     )  # fmt: skip
 
@@ -169,7 +175,8 @@
     __slots__ = (
         "_attempt", "_body", "_complete", "_framings", "_head", "_in_body", "_keep", "_lost", "_parser",
         "_paused", "_poll", "_pool", "_rejected", "_report", "_size", "_spoilt", "_status", "_transport",
-        "_answer_flow", "_length", "_to_close", "_type", "_upload", "_uploaded_s", "address", "idle_since",
+        "_answer_flow", "_chain", "_length", "_to_close", "_type", "_upload", "_uploaded_s", "address",
+        "idle_since",
         "server",
     )  # fmt: skip
 
@@ -191,6 +198,7 @@
         self._size = self._head = self._status = 0
         self._type: bytes | None = None
         self._report: dict[str, float] | None = None
+        self._chain: bytes | None = None
         self._rejected = self._complete = self._in_body = self._spoilt = self._keep = False
         self._framings = 0  # headers that tell where the body ends
         self._length: int | None = None
@@ -284,7 +292,9 @@
         self._attempt = attempt
         self._start_answer()
         attempt.carried_by(self.close)
-        self._transport.write(request_bytes(attempt.message, attempt.address, attempt.timeout_ms))
+        self._transport.write(
+            request_bytes(attempt.message, attempt.address, attempt.timeout_ms, attempt.more)
+        )
         flow = attempt.message.flow
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
@@ -372,7 +382,7 @@
 
     def _answered(self) -> None:
         body = b"".join(self._body)
-        answer = Answer(self._status, body, self._type, self._report)
+        answer = Answer(self._status, body, self._type, self._report, chain=self._chain)
         self._end(result_of(self._status, self._rejected), self._keep, answer)
 
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
@@ -411,6 +421,8 @@
                 self._rejected = value.strip() == b"1"
             case b"x-load-report":
                 self._report = read_report(value)
+            case b"x-chain":
+                self._chain = value
 
     def on_headers_complete(self) -> None:
         if not self._complete:
--- a/rehearsal/exchange.py
+++ b/rehearsal/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -45,7 +45,7 @@
 
 def message(
     cls: Class, id: str, key: str, object: int, budget_s: float, again: bool, body: bytes,
-    host: str = HOST, target: str = "", method: str = "", mark: str = "",
+    host: str = HOST, target: str = "", method: str = "", mark: str = "", more: Sequence[str] = (),
 ) -> bytes:  # fmt: skip
     """A request as callers write it; `target` and `method` where they are not the class's own."""
     method = method or ("GET" if cls.repeat == "safe" else "POST")
@@ -54,6 +54,7 @@
         f"Host: {host}",
         f"X-Call-Id: {id}",
         f"X-Budget: {max(budget_s, 0.001):.3f}",
+        *more,
     ]
     if mark:
         lines.append(f"{MARK}: {mark}")
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -107,6 +107,28 @@
     )  # fmt: skip
 
 
+FAULT_SETTLES_S = 2.0  # into a fault, until what was under way before it is over
+
+
+def during_fault(verdict: Verdict) -> dict[str, Any] | None:
+    """Attempts from 2 s into the longest fault until its end; None where none lasts longer."""
+    books = verdict.books
+    fault = max(books.incidents, key=lambda fact: fact.until - fact.t, default=None)
+    if fault is None or fault.until - fault.t <= FAULT_SETTLES_S:
+        return None
+    start, end = fault.t + FAULT_SETTLES_S, fault.until
+    by_tier = [0] * len(verdict.scenario.tiers)
+    for attempts in books.got.values():
+        for got in attempts:
+            by_tier[got.tier] += start <= got.t < end
+    asked = sum(start <= wanted.t < end for wanted in books.wanted)
+    return {
+        "fault": fault.do, "from_s": round(books.at(start), 3), "until_s": round(books.at(end), 3),
+        "asked": asked, "by_tier": by_tier,
+        "per_client_request": round(sum(by_tier) / asked, 4) if asked else None,
+    }  # fmt: skip
+
+
 def as_json(verdict: Verdict) -> dict[str, Any]:
     """The agreed object; `run` is the kit's own part, and tells what the other keys can't."""
     service, books, scenario = verdict.service, verdict.books, verdict.scenario
@@ -148,6 +170,7 @@
         "requests": {"asked": verdict.first_tries, "tries": verdict.tries},
         "attempts": {
             "by_tier": verdict.attempts, "per_client_request": round(verdict.per_client_request, 4),
+            "during_fault": during_fault(verdict),
         },
         "timeline": [
             {"at_s": round(books.at(fact.t), 3), "until_s": round(books.at(fact.until), 3), "do": fact.do,
--- a/rehearsal/report/terminal.py
+++ b/rehearsal/report/terminal.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from rehearsal.judge.verdict import Verdict
+from rehearsal.judge.verdict import Verdict, during_fault
 from rehearsal.report.series import series
 from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, summary, word
 from rehearsal.scenario import Scenario
@@ -60,6 +60,14 @@
         )
     console.print(_classes(verdict))
     console.print(summary(verdict), highlight=False)
+    if (found := during_fault(verdict)) is not None and found["asked"]:
+        tiers = zip(verdict.scenario.tiers, found["by_tier"], strict=True)
+        shares = ", ".join(f"{tier.name} {count / found['asked']:.2f}" for tier, count in tiers)
+        console.print(
+            f"in the {found['fault']}, from 2 s on: {found['asked']} first tries, "
+            f"{found['per_client_request']:.2f} attempts for each ({shares})",
+            highlight=False,
+        )
     console.print()
     _timeline(console, verdict)
     console.print()
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -272,6 +272,17 @@
     retries: str = key(word("kit", "recorded"), "kit")  # whose: the kit's clients' own, or those in it
 
 
+@dataclass(frozen=True, slots=True)
+class ChainSide:
+    """Budgets and worth down the chain, as the nodes are told them."""
+
+    on: bool = key(flag, False)
+    extra: int = key(whole(0, 8), 1)  # attempts beyond the first, over the whole chain
+    share: float = key(SHARE, 0.1)  # of first tries that a node's further ones may be
+    floor: float = key(real(0.0, 1e6), 2.0)  # a second, of a whole tier, besides
+    passes: bool = key(flag, True)  # servers between two nodes hand the headers on
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """The figures of the four rules, as the nodes are told them."""
@@ -391,6 +402,7 @@
     network: Network = field(default_factory=Network)
     discovery: DiscoverySide = field(default_factory=DiscoverySide)
     control: ControlSide = field(default_factory=ControlSide)
+    chain: ChainSide = field(default_factory=ChainSide)
     rules: Rules = field(default_factory=Rules)
     node: NodeSide = field(default_factory=NodeSide)
     limits: Limits = field(default_factory=Limits)
@@ -427,7 +439,7 @@
     "load": ("load", Load), "clients": ("clients", Clients), "front": ("front", Front),
     "network": ("network", Network), "discovery": ("discovery", DiscoverySide),
     "control": ("control", ControlSide), "rules": ("rules", Rules), "node": ("node", NodeSide),
-    "limits": ("limits", Limits),
+    "limits": ("limits", Limits), "chain": ("chain", ChainSide),
 }  # fmt: skip
 LISTS: dict[str, tuple[str, type[Any]]] = {
     "class": ("classes", Class), "tier": ("tiers", Tier), "timeline": ("timeline", Step),
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -97,6 +97,17 @@
     )
 
 
+def chain_text(scenario: Scenario, name: str, tier: int, siblings: int) -> str:
+    """The operator's file that has a node take part in a chain; one key for all, as their operators share."""
+    side = scenario.chain
+    key = "".join(f"{draws.number(scenario.seed, 'chain', n):016x}" for n in range(2))
+    return (
+        f'tier = "{scenario.tiers[tier].name}"\nnode = "{name.replace("/", ".")}"\n'
+        f"first = {str(tier == 0).lower()}\nextra = {side.extra}\nshare = {side.share}\n"
+        f'floor_per_s = {side.floor}\nnodes = {siblings}\nkeys = ["k1={key}"]\n'
+    )
+
+
 class NodeProcess:
     """One node, over all its lives."""
 
@@ -162,6 +173,10 @@
                 'state = "state"\n'  # beside it, and kept over its lives
             )
             env["ORCHIDFERRY_CONTROL"] = str(control)
+        if self._scenario.chain.on:
+            chain = self._home / "chain.toml"
+            chain.write_text(chain_text(self._scenario, self.name, self.tier, self._siblings))
+            env["ORCHIDFERRY_CHAIN"] = str(chain)
         with (self._home / "log").open("ab") as log:
             try:
                 self._process = await asyncio.create_subprocess_exec(
--- a/rehearsal/world/standin.py
+++ b/rehearsal/world/standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -23,6 +24,8 @@
 BACKLOG = 1024
 RUNS_ALL_THE_SAME = 0.5  # of the requests whose connection is reset are worked on, and their answer lost
 REJECTED = "X-Rejected: 1\r\n"
+CHAIN_HEADERS = ("baggage", "cdn-loop")  # that a server hands on with its calls,
+UP = re.compile(r"(below|kept); used=(\d{1,2})")  # and what it hands up of their answers
 
 
 @dataclass(slots=True)
@@ -34,6 +37,9 @@
     cls: Class
     object: str
     came: float
+    down: tuple[str, ...] = ()  # headers of a chain of tiers, for its calls
+    below: bool = False  # one of its calls met overload
+    used: int = 0  # attempts beyond the first that were made below
 
 
 class StandIn:
@@ -187,7 +193,10 @@
             return connection.answer(503, b"", REJECTED)
         if not connection.transport.is_closing():  # else it runs on, though nobody hears of it
             self._connections.get(connection, set()).add(id)
-        self._held[id] = Held(connection, root, cls, query.removeprefix("obj="), came)
+        down: tuple[str, ...] = ()
+        if self._scenario.chain.passes:
+            down = tuple(f"{n}: {request.headers[n]}" for n in CHAIN_HEADERS if n in request.headers)
+        self._held[id] = Held(connection, root, cls, query.removeprefix("obj="), came, down)
         try:
             budget = float(request.headers.get("x-budget", cls.gives_up_s))
         except ValueError:
@@ -238,7 +247,8 @@
         elif how == "rejected":
             held.connection.answer(503, b"", REJECTED)
         else:
-            held.connection.answer(500)
+            up = f"X-Chain: {'below' if held.below else 'kept'}; used={held.used}\r\n"
+            held.connection.answer(500, b"", up if held.below or held.used else "")
 
     def _call(self, id: str, number: int) -> None:
         held = self._held.get(id)
@@ -260,7 +270,11 @@
         ask = Ask(self.server.tier + 1, call, cls, number, now, ends)
 
         def make(left: float) -> bytes:
-            return message(cls, call, f"k-{call}", int(held.object or "0", 16), left, False, b"x")
+            thing = int(held.object or "0", 16)
+            return message(cls, call, f"k-{call}", thing, left, False, b"x", more=held.down)
 
         outcome = await self._exchanges.ask(ask, node, address, make)
+        if self._scenario.chain.passes and (found := UP.fullmatch(outcome.headers.get("x-chain", ""))):
+            held.below |= found[1] == "below"
+            held.used += int(found[2])
         self._handle(inside.CallDone(id, outcome.how == "answer" and outcome.status == 200))
--- /dev/null
+++ b/tests/test_chain.py
@@ -0,0 +1,280 @@
+"""Budgets down a chain of tiers: what is taken, asked again, handed on and believed."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from nickelbridge import interface as api
+from nickelbridge.chain import HOPS_MOST, Chain, Gate, Limits, RetryBudget, Why
+from nickelbridge.interface import Carried, Result
+from nickelbridge.logic import Balancer
+from orchidferry.chain.settings import read_chain
+from orchidferry.chain.wire import CALLS_MOST, Wire, read_answer, write_answer
+from orchidferry.config import BadConfig
+
+KEYS = (("k2", b"b" * 32), ("k1", b"a" * 32))
+CARRIED = Carried("entrada-n0-1-7", 1, 8.0, ("entrada/n0", "catalogo/n3"))
+
+
+def limits(**changes: object) -> Limits:
+    values = {"tier": "catalogo", "node": "n1", "first": False, "share": 1.0, "floor_per_s": 1e4} | changes
+    return Limits(**values)  # type: ignore[arg-type]
+
+
+# Attempts, over a whole chain
+
+
+def ask(tiers: list[Chain], at: int, carried: Carried | None, counts: list[int], calls: int, passes: bool,
+        serial: list[int], fails: random.Random, share: float) -> tuple[bool, bool, int]:  # fmt: skip
+    """One request to a tier whose last tier fails a share: served, below, used; tried as often as may be."""
+    chain, id = tiers[at], str(serial[0])
+    serial[0] += 1
+    if chain.take(id, carried, "a", 1.0, 1e6, 0.0) is not None:
+        return False, True, 0
+    served = False
+    while not served and chain.may_send(id, 0.0):
+        goes, counts[at] = chain.send(id, 0.0), counts[at] + 1
+        if at + 1 == len(tiers):
+            served, below, used = fails.random() >= share, False, 0
+        else:
+            below, used, served = False, 0, True
+            for _ in range(calls):
+                one, its_below, its_used = ask(tiers, at + 1, goes if passes else None, counts, calls, passes,
+                                               serial, fails, share)  # fmt: skip
+                below, used, served = below or its_below, used + its_used, served and one
+        chain.ended(id, Result.SERVED if served else Result.ERROR, below and passes, used if passes else 0,
+                    1.0, 0.0)  # fmt: skip
+    verdict = chain.verdict(id)
+    chain.done(id)
+    return served, *verdict
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(1, 4), st.integers(0, 3), st.floats(0.0, 1.0), st.integers(0, 99))
+def test_a_chain_makes_no_more_attempts_than_one_request_may(
+    depth: int, extra: int, share: float, seed: int
+) -> None:
+    tiers = [Chain(limits(tier=f"t{n}", first=n == 0, extra=extra)) for n in range(depth)]
+    counts, requests = [0] * depth, 20
+    fails, serial = random.Random(seed), [0]
+    for _ in range(requests):
+        ask(tiers, 0, None, counts, 1, True, serial, fails, share)
+    assert all(count <= (1 + extra) * requests for count in counts), counts
+    assert all(chain.open == 0 for chain in tiers)
+
+
+def test_where_servers_drop_the_headers_each_half_keeps_its_own_bound() -> None:
+    counts = {}
+    for passes in (True, False):
+        tiers = [Chain(limits(tier=f"t{n}", first=n == 0)) for n in range(3)]
+        counts[passes] = [0, 0, 0]
+        ask(tiers, 0, None, counts[passes], 1, passes, [0], random.Random(1), 1.0)
+    assert counts[True] == [1, 1, 2] and counts[False] == [2, 4, 8]
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.integers(1, 200), st.floats(0.0, 0.5), st.floats(0.0, 50.0), st.integers(0, 99))
+def test_quiet_nodes_share_a_floor_and_each_has_one_retry(
+    nodes: int, share: float, floor: float, seed: int
+) -> None:
+    rng, budgets = random.Random(seed), [RetryBudget(share, floor, nodes) for _ in range(nodes)]
+    tries = made = 0
+    for now in range(0, 5_000, 50):
+        for budget in rng.sample(budgets, min(nodes, 3)):
+            budget.first_try(float(now))
+            tries += 1
+            while budget.bears(float(now)):
+                budget.take()
+                made += 1
+    assert made <= nodes + share * tries + floor * 5.0 + 1e-6
+    lonely = RetryBudget(share, floor, nodes)
+    lonely.first_try(0.0)
+    assert lonely.bears(0.0)
+
+
+# The gate
+
+
+def feed(gate: Gate, rng: random.Random, bad: float, count: int, now: float, out: int = 10) -> int:
+    """Calls, so many out at once; how many the gate let through."""
+    went = 0
+    for n in range(count):
+        at = now + n * 10.0
+        if gate.lets(at):
+            gate.went(at)
+            went += 1
+        if gate.out and (gate.out >= out or not gate.lets(at)):
+            gate.back(rng.random() < bad, True, at)
+    return went
+
+
+@pytest.mark.parametrize(
+    ("bad", "shuts"), [(0.0, False), (0.1, False), (0.25, False), (0.8, True), (1.0, True)]
+)
+def test_one_slow_server_leaves_it_open_and_all_of_them_shut_it(bad: float, shuts: bool) -> None:
+    went = [feed(Gate(), random.Random(seed), bad, 500, 0.0) for seed in range(20)]
+    assert max(went) < 200 if shuts else sum(went) >= (1.0 if bad <= 0.1 else 0.97) * 500 * 20
+
+
+def test_a_shut_gate_opens_within_some_round_trips_once_calls_are_served() -> None:
+    gate, rng = Gate(), random.Random(1)
+    feed(gate, rng, 0.0, 100, 0.0)
+    feed(gate, rng, 1.0, 200, 1_000.0)
+    assert gate.shut and gate.limit == 1.0
+    went = sum(feed(gate, rng, 1.0, 1, 3_000.0 + t) for t in range(10_000))
+    assert 15 <= went <= 25  # two a second, though all are turned away at once
+    rounds = 0
+    while gate.shut:  # each round: as many as it lets, all served
+        rounds += 1
+        now = 15_000.0 + 100.0 * rounds
+        while gate.lets(now) and gate.out < 100:
+            gate.went(now)
+        for _ in range(gate.out):
+            gate.back(False, True, now)
+    assert rounds <= 5
+
+
+# What is taken
+
+
+@pytest.mark.parametrize(
+    ("carried", "changes", "left_ms", "why"),
+    [
+        (None, {}, 1_000.0, None),
+        (CARRIED, {"tier": "registro"}, 1_000.0, None),
+        (CARRIED, {}, 1_000.0, Why.LOOP),  # catalogo, again
+        (CARRIED, {"tier": "entrada", "node": "n9", "first": True}, 1_000.0, Why.LOOP),  # back at the first
+        (Carried("r", 1, 1.0, ("x/y",) * HOPS_MOST), {}, 1_000.0, Why.LOOP),
+        (None, {}, 5.0, Why.LATE),
+        (None, {}, 0.0, Why.LATE),
+        (None, {}, -7.0, Why.LATE),
+    ],
+)
+def test_what_is_taken(
+    carried: Carried | None, changes: dict[str, object], left_ms: float, why: Why | None
+) -> None:
+    chain = Chain(limits(**changes))
+    for n in range(5):  # answers take 20 ms here
+        assert chain.take(f"before{n}", None, "a", 1.0, 1e6, 0.0) is None
+        chain.send(f"before{n}", 0.0)
+        chain.ended(f"before{n}", Result.SERVED, False, 0, 20.0, 0.0)
+        chain.done(f"before{n}")
+    assert chain.take("x", carried, "a", 1.0, left_ms, 0.0) is why
+    assert chain.open == (why is None) and sum(chain.refused.values()) == (why is not None)
+
+
+def test_clients_claim_nothing_and_nobody_brings_more_than_is_given_here() -> None:
+    first = Chain(limits(tier="entrada", first=True, extra=1), "e")
+    first.take("1", Carried("forged", 8, 1e6, ()), "a", 2.0, 1e6, 0.0)
+    assert first.send("1", 0.0) == Carried("e1", 1, 2.0, ("entrada/n1",))
+    inner = Chain(limits(extra=1))
+    inner.take("1", Carried("r", 8, 1e9, ("entrada/n0",)), "a", 2.0, 1e6, 0.0)
+    assert inner.send("1", 0.0) == Carried("r", 1, 1e6, ("entrada/n0", "catalogo/n1"))
+
+
+def test_the_balancer_ends_what_the_chain_does_not_take_at_once_and_asks_again_within_it() -> None:
+    cls = api.RequestClass("a", 100.0, 1_000.0, repeat=api.Repeat.SAFE)
+    node = Balancer(api.Settings([cls], max_attempts=5), 1, Chain(limits(extra=1)))
+    node.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(n) for n in range(4)]), 0.0)
+    (end,) = node.handle(api.Request("1", "a", 900.0, carried=CARRIED), 1.0)
+    assert end == api.Fail("1", True, 0)  # a loop
+    (sent,) = node.handle(api.Request("2", "a", 900.0), 2.0)
+    assert isinstance(sent, api.Send) and sent.carried is not None and sent.carried.extra == 1
+    (wait,) = node.handle(api.AttemptEnded("2", 0, sent.server, Result.ERROR, 5.0, False), 7.0)
+    assert isinstance(wait, api.SetTimer)
+    (again,) = node.handle(api.TimerFired(wait.token), 7.0 + wait.delay_ms)
+    assert isinstance(again, api.Send) and again.carried is not None and again.carried.extra == 0
+    (end,) = node.handle(api.AttemptEnded("2", 1, again.server, Result.ERROR, 5.0, False), 200.0)
+    assert end == api.Refuse("2", end.retry_after_ms, False, 1)  # type: ignore[union-attr]
+    # Overload below: not asked again, though an attempt is left; and told on, upwards.
+    (sent,) = node.handle(api.Request("3", "a", 900.0), 300.0)
+    assert isinstance(sent, api.Send)
+    (end,) = node.handle(api.AttemptEnded("3", 0, sent.server, Result.ERROR, 5.0, False, below=True), 305.0)
+    assert isinstance(end, api.Refuse) and end.below
+    assert node.chain is not None and node.chain.open == 0
+
+
+# The wire
+
+HOPS = st.from_regex(r"[a-z0-9.-]{1,9}/[a-z0-9.-]{1,9}", fullmatch=True)
+
+
+@given(
+    st.builds(
+        Carried, st.from_regex(r"[A-Za-z0-9._-]{1,64}", fullmatch=True), st.integers(0, 8),
+        st.integers(0, 10**9).map(lambda n: n / 1000.0),
+        st.lists(HOPS, min_size=1, max_size=16).map(tuple),
+    )
+)  # fmt: skip
+def test_what_goes_on_comes_back_the_same(carried: Carried) -> None:
+    assert Wire(KEYS, lambda: 1e9).read(dict(Wire(KEYS, lambda: 1e9).write(carried, 3.0))) == carried
+
+
+@given(st.sampled_from([b"baggage", b"cdn-loop"]), st.integers(0, 200), st.binary(max_size=4))
+def test_whatever_is_changed_on_the_way_is_not_believed(name: bytes, at: int, put: bytes) -> None:
+    headers = dict(Wire(KEYS, lambda: 1e9).write(CARRIED, 3.0))
+    old = headers[name]
+    headers[name] = old[:at] + put + old[at + len(put) :]
+    found = Wire(KEYS, lambda: 1e9).read(headers)
+    assert found is None or found == CARRIED  # members of other people's beside ours may change
+
+
+def test_keys_times_and_copies_of_a_tag() -> None:
+    now = [1e9]
+    old, new = Wire(KEYS[1:], lambda: now[0]), Wire(KEYS, lambda: now[0])
+    theirs = dict(old.write(CARRIED, 3.0))
+    assert new.read(theirs) == CARRIED  # the key before, in mid-request
+    assert old.read(dict(new.write(CARRIED, 3.0))) is None and old.counts == {"an unknown key": 1}
+    assert Wire(()).read(theirs) is None and Wire(()).write(CARRIED, 1.0)[0][0] == b"cdn-loop"
+    now[0] += 34.0
+    assert new.read(theirs) is None and new.counts == {"a tag whose time is over": 1}
+    now[0] -= 34.0
+    for _ in range(CALLS_MOST - 1):
+        assert new.read(theirs) == CARRIED
+    assert new.read(theirs) is None and new.counts["a tag that came too often"] == 1
+    other = Wire((("k2", b"c" * 32),), lambda: now[0])
+    assert new.read(dict(other.write(CARRIED, 3.0))) is None and new.counts["a tag that does not fit"] == 1
+
+
+@pytest.mark.parametrize(
+    "value", [None, b"", b"below", b"below; used=1; x", b"kept; used=-1", b"\xff", b"kept; used=999"]
+)
+def test_answers_of_other_forms_tell_nothing(value: bytes | None) -> None:
+    assert read_answer(value) == (False, 0)
+    assert write_answer(False, 0) == []
+    assert all(
+        read_answer(write_answer(b, n)[0][1]) == (b, n) for b, n in ((True, 0), (False, 3), (True, 99))
+    )
+
+
+GOOD = 'tier = "a"\nnode = "b"\nfirst = true\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("tier = 1", "tier"),
+        (GOOD + 'x = 1', "'x' is not known"),
+        (GOOD.replace('"a"', '"a b"'), "tier: 'a b' is no name"),
+        (GOOD + "extra = 9", "extra: 9 is not within 0 to 8"),
+        (GOOD + "share = 1.5", "share: 1.5"),
+        (GOOD + "nodes = 0", "nodes: 0"),
+        (GOOD + 'keys = ["k1=short"]', "keys[0]: the secret has less than"),
+        (GOOD + 'keys = ["k1"]', "keys[0]: is not NAME=SECRET"),
+        (GOOD + 'keys = ["k=' + "a" * 32 + '", "k=' + "b" * 32 + '"]', "each with a name of its own"),
+        ("tier = ", "not TOML"),
+    ],
+)  # fmt: skip
+def test_a_file_that_can_not_be_meant_is_told_in_a_line(text: str, words: str, tmp_path: Path) -> None:
+    path = tmp_path / "chain.toml"
+    path.write_text(text)
+    with pytest.raises(BadConfig) as caught:
+        read_chain(str(path))
+    assert words in str(caught.value) and str(path) in str(caught.value) and "aaaa" not in str(caught.value)
+    path.write_text(GOOD + f'extra = 2\nkeys = ["k1={"s" * 40}"]\n')
+    assert read_chain(str(path)).limits == Limits("a", "b", True, 2)
