bench chain: four tiers in virtual time; the gate stands at the clients' tier alone

In the model gates behind each other never opened again after a stall: a call through the upper one needs several through the lower at once. So only the clients' tier has one.

--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -4,8 +4,8 @@
 27 of one. So a request brings how many attempts beyond the first are left for the whole chain, what it is
 worth to whoever asked first, and the path that it came by. Here is decided, for one node:
 
-- whether it is taken: not if it has been here (a loop), not if it can't be done in the time that is left, not
-  while the tier below turns away or sits on most of what it gets (`Gate`);
+- whether it is taken: not if it has been here (a loop), not if it can't be done in the time that is left; at
+  the clients' tier not while what is below turns away or sits on most of what it gets (`Gate`);
 - whether it is asked again: if an attempt is left of its own, if the node's budget bears it (`RetryBudget`),
   and not where the tier below has said that it is overloaded: all that it would do is add to it;
 - what goes on with each attempt.
@@ -36,6 +36,8 @@
 GATE_NET = 8  # bad outcomes beyond good ones that shut the gate: by chance at one in four bad, 3^-8
 PROBES = 1.0  # calls at once through a shut gate, at first,
 PROBE_MS = (100.0, 500.0)  # and how long after a bad one, doubling
+USUAL_SAMPLES = 64.0  # calls that what is usually out is averaged over
+STUCK = 2.0  # times the usual time without any answer: nothing below does any work
 GATE_MOST_MS = 30_000.0  # a gate that no call has come back through for so long lets a further one through
 QUICK_SHARE = 0.8  # of the quickest answer lately: with less time left than that nothing can be done
 QUICK_GROWTH = 1.02  # by which that is forgotten, with each answer
@@ -116,14 +118,16 @@
     One slow server of ten fails a tenth of the calls, and asking again elsewhere helps: the gate stays open.
     When most calls come back overloaded, timed out or turned away, from whichever server, asking again kills:
     it shuts, by Wald's sequential test of three in four against one in four, whose steps are even: `GATE_NET`
-    more bad ones than good ones since these were last level. Each call that is then served lets one more
-    through at once, so that it opens within some round trips, to as many as were out before.
+    more bad ones than good ones since these were last level. Or, before any is known to be bad, when so many
+    are out and none was served for `STUCK` times as long as they usually take. Each call that is then served
+    lets one more through at once, so that it opens within some round trips, to as many as were out before.
     """
 
     def __init__(self) -> None:
         self._net = 0  # bad outcomes beyond good ones
         self._went_ms, self._next_ms, self._pace_ms = 0.0, 0.0, PROBE_MS[0]
-        self._usual = 0.0  # calls out while it was open, averaged
+        self._good_ms = self._open_ms = self._took_ms = 0.0  # last served, opened; how long served ones took
+        self._usual = 0.0  # calls out when one was served, while it was open, averaged
         self.out = 0  # calls out now
         self.limit = math.inf  # of them; inf: open
 
@@ -141,18 +145,27 @@
         """A call is out."""
         self.out += 1
         self._went_ms = now
-        if not self.shut:
-            self._usual += (self.out - self._usual) / 16.0
+        stuck = self._took_ms and now - max(self._good_ms, self._open_ms) > STUCK * self._took_ms
+        if stuck and not self.shut and self.out > GATE_NET:
+            self._shut(now)
+
+    def _shut(self, now: float) -> None:
+        self.limit, self._net, self._next_ms = PROBES, 0, now + self._pace_ms
 
-    def back(self, bad: bool, counts: bool, now: float) -> None:
+    def back(self, bad: bool, counts: bool, took_ms: float, now: float) -> None:
         """One is over; `counts`: it says whether the tier below keeps up."""
-        self.out = max(0, self.out - 1)
+        out, self.out = self.out, max(0, self.out - 1)
         if not counts:
             return
+        if not bad:
+            self._good_ms = now
+            self._took_ms += (took_ms - self._took_ms) / (USUAL_SAMPLES if self._took_ms else 1.0)
         if not self.shut:
+            if not bad:  # only then: when nothing comes back, what is out piles up
+                self._usual += (out - self._usual) / USUAL_SAMPLES
             self._net = max(0, self._net + (1 if bad else -1))
             if self._net >= GATE_NET:
-                self.limit, self._net = PROBES, 0
+                self._shut(now)
         elif bad:
             # Where calls are turned away at once, one after the other would be many.
             self.limit, self._next_ms = PROBES, now + self._pace_ms
@@ -160,7 +173,7 @@
         else:
             self.limit, self._next_ms, self._pace_ms = self.limit + 1.0, now, PROBE_MS[0]
             if self.limit > max(self._usual, PROBES + 1.0):
-                self.limit = math.inf
+                self.limit, self._open_ms = math.inf, now
 
 
 class Reserve:
@@ -242,12 +255,17 @@
             return Why.LOOP
         if left_ms - self.reserve.now(now) < QUICK_SHARE * self._quick_ms.get(cls, 0.0):
             return Why.LATE
-        return None if self.gate.lets(now) else Why.BELOW
+        return Why.BELOW if self._shut_out(now) else None
+
+    def _shut_out(self, now: float) -> bool:
+        # At the first tier alone. Deeper a refusal wastes what was done above; and in the model gates behind each
+        # other never opened again: a call through the upper needs several through the lower at once.
+        return self.limits.first and not self.gate.lets(now)
 
     def may_send(self, id: str, now: float) -> bool:
         """Whether an attempt may be made: the first one, or one more."""
         held = self._open.get(id)
-        if held is None or not self.gate.lets(now):
+        if held is None or self._shut_out(now):
             return False
         if not held.attempts:
             return True
@@ -275,7 +293,7 @@
         first that were made there, which are not left here any more."""
         bad = below or result in (Result.TIMEOUT, Result.REFUSED)
         counts = bad or result in (Result.SERVED, Result.ERROR)
-        self.gate.back(bad, counts, now)
+        self.gate.back(bad, counts, took_ms, now)
         held = self._open.get(id)
         if held is None:
             return
@@ -293,7 +311,7 @@
         held = self._open.get(id)
         if held is None:
             return False, 0
-        return held.below or self.gate.shut, held.brought - held.carried.extra
+        return held.below or (self.limits.first and self.gate.shut), held.brought - held.carried.extra
 
     def worth(self, id: str, otherwise: float) -> float:
         """What a request is worth to the first tier's operators."""
--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -15,6 +15,7 @@
 GIB = 1024**3
 MODULES = (
     "apply",
+    "chain",
     "decisions",
     "forward",
     "ingest",
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -93,6 +93,14 @@
     )
     kind.add_argument("--mb", type=float, default=1_000.0, metavar="N", help="of plain log (1000)")
     kind.add_argument("--workers", type=int, default=0, metavar="N", help="processes (one a core)")
+    kind = kinds.add_parser(
+        "chain",
+        help="budgets down the chain: their cost, and a stall of the last of four tiers, in virtual time",
+        epilog="example: orchidferry bench chain --servers 1000 --seeds 2",
+    )
+    kind.add_argument("--servers", type=int, default=1_000, metavar="N", help="over all tiers (1000)")
+    kind.add_argument("--load", type=float, default=0.8, metavar="SHARE", help="of the capacity (0.8)")
+    kind.add_argument("--seeds", type=int, default=2, metavar="N", help="(2)")
     kind = kinds.add_parser(
         "replay",
         help="whether a replay is what was recorded: shares, gaps, lateness, retries",
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -109,7 +109,7 @@
             gate.went(at)
             went += 1
         if gate.out and (gate.out >= out or not gate.lets(at)):
-            gate.back(rng.random() < bad, True, at)
+            gate.back(rng.random() < bad, True, 100.0, at)
     return went
 
 
@@ -135,7 +135,7 @@
         while gate.lets(now) and gate.out < 100:
             gate.went(now)
         for _ in range(gate.out):
-            gate.back(False, True, now)
+            gate.back(False, True, 20.0, now)
     assert rounds <= 5
 
 
