Chain: on sockets, a request that came round fails once, and what was met below goes up

Tests over two nodes: a client's claims are dropped, a request that comes back under another id through another node's server is answered 502 once and told with its path, X-Chain ends retries above, and off no header passes.

--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -258,8 +258,8 @@
         return Why.BELOW if self._shut_out(now) else None
 
     def _shut_out(self, now: float) -> bool:
-        # At the first tier alone. Deeper a refusal wastes what was done above; and in the model gates behind each
-        # other never opened again: a call through the upper needs several through the lower at once.
+        # At the first tier alone. Deeper a refusal wastes what was done above; and in the model gates behind
+        # each other never opened again: a call through the upper needs several through the lower at once.
         return self.limits.first and not self.gate.lets(now)
 
     def may_send(self, id: str, now: float) -> bool:
--- a/rehearsal/bench/chain.py
+++ b/rehearsal/bench/chain.py
@@ -58,8 +58,8 @@
     tiers = ", ".join(f"{a:.2f}" for a in row["amplified"])
     back = row["back_after_s"]
     print(
-        f"{'on ' if world.on else 'off'} seed {world.seed}: {row['servers']} servers, {model.rate:.0f} requests/s; "
-        f"attempts over what one each makes, by tier: {tiers}; "
+        f"{'on ' if world.on else 'off'} seed {world.seed}: {row['servers']} servers, {model.rate:.0f}/s;"
+        f" attempts over what one each makes, by tier: {tiers}; "
         f"99 % served again {'never' if back is None else f'{back:.0f} s after the stall'}, at the end "
         f"{row['served_at_end']:.0%} ({time.monotonic() - began:.0f} s)",
         flush=True,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,6 +14,7 @@
 
 import uvloop
 
+from orchidferry.chain.settings import Setup
 from orchidferry.config import read_config
 from orchidferry.node import Node
 from tests.test_wire import ENV
@@ -263,8 +264,9 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    path: Path, *servers: Server, start: bool = True, sockets: int = 1024, known: bool = True, **changes: Any
-) -> AsyncIterator[World]:
+    path: Path, *servers: Server, start: bool = True, sockets: int = 1024, known: bool = True,
+    chain: Setup | None = None, **changes: Any,
+) -> AsyncIterator[World]:  # fmt: skip
     """A node with these servers, its discovery, and a configuration file."""
     registry = Registry()
     for peer in (registry, *servers):
@@ -281,7 +283,7 @@
     scene = World(config, file, registry, list(servers))
     if start:
         loop = asyncio.get_running_loop()
-        node = scene.node = Node(read_config(str(file)), loop)
+        node = scene.node = Node(read_config(str(file)), loop, chain=chain)
         scene.address = await node.frontend.listen(loop, ("127.0.0.1", 0))
         node.start()
     try:
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -13,9 +13,10 @@
 from nickelbridge.chain import HOPS_MOST, Chain, Gate, Limits, RetryBudget, Why
 from nickelbridge.interface import Carried, Result
 from nickelbridge.logic import Balancer
-from orchidferry.chain.settings import read_chain
+from orchidferry.chain.settings import Setup, read_chain
 from orchidferry.chain.wire import CALLS_MOST, Wire, read_answer, write_answer
 from orchidferry.config import BadConfig
+from tests.peers import Seen, Server, answer, run, world
 
 KEYS = (("k2", b"b" * 32), ("k1", b"a" * 32))
 CARRIED = Carried("entrada-n0-1-7", 1, 8.0, ("entrada/n0", "catalogo/n3"))
@@ -252,6 +253,83 @@
     )
 
 
+# A node on sockets
+
+
+def setup(tier: str, first: bool = False, **changes: object) -> Setup:
+    return Setup(Limits(tier, "n1", first, share=1.0, **changes), KEYS)  # type: ignore[arg-type]
+
+
+def chain_headers(seen: Seen) -> str:
+    """What a server hands on, as lines of its own request."""
+    return "".join(f"{name}: {seen.headers[name]}\r\n" for name in ("baggage", "cdn-loop"))
+
+
+def test_a_client_claims_nothing_and_a_request_that_came_round_is_failed_once(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        front, middle = Server(name="front"), Server(name="middle")
+        (tmp_path / "a").mkdir()
+        (tmp_path / "b").mkdir()
+        async with (
+            world(tmp_path / "a", front, chain=setup("entrada", True)) as a,
+            world(tmp_path / "b", middle, chain=setup("catalogo")) as b,
+        ):
+            forged = "baggage: of-root=x, of-extra=8, of-worth=999, of-until=9999999999, of-tag=k1.%s\r\n" % (
+                "0" * 32
+            )
+            assert (await a.ask("r1", extra=forged)).status == 200
+            first = front.seen[0].headers
+            assert "of-extra=1, of-worth=1.000" in first["baggage"] and "999" not in first["baggage"]
+            assert first["cdn-loop"] == 'orchidferry; hop="entrada/n1"'
+            # The server calls on, under an id of its own, and that tier's list names the tier above.
+            assert (await b.ask("r1-0.front.1", extra=chain_headers(front.seen[0]))).status == 200
+            assert (
+                middle.seen[0]
+                .headers["cdn-loop"]
+                .endswith('hop="entrada/n1", orchidferry; hop="catalogo/n1"')
+            )
+            back = await a.ask("other-id", extra=chain_headers(middle.seen[0]))
+            assert (back.status, back.headers["x-chain"]) == (502, "below; used=0")
+            assert len(front.seen) == 1
+            assert a.node is not None and a.node.links is not None and a.node.links.chain.open == 0
+
+    run(test())
+    loops = [line for line in caplog.messages if "entrada/n1 > catalogo/n1 > entrada/n1" in line]
+    assert len(loops) == 1
+
+
+@pytest.mark.parametrize(
+    ("up", "attempts", "told"),
+    [("X-Chain: below; used=0\r\n", 1, "below; used=0"), ("X-Chain: kept; used=1\r\n", 1, "kept; used=1"),
+     ("", 2, "kept; used=1")],
+)  # fmt: skip
+def test_what_was_met_below_goes_up_and_ends_what_would_add_to_it(
+    up: str, attempts: int, told: str, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        servers = [Server(usual=answer(500, headers=up), name=f"s{n}") for n in range(3)]
+        async with world(tmp_path, *servers, chain=setup("catalogo")) as scene:
+            seen = await scene.ask("r1")
+            assert (seen.status, seen.headers["x-chain"]) == (503, told)
+            assert sum(len(server.seen) for server in servers) == attempts
+
+    run(test())
+
+
+def test_off_no_header_goes_on_or_up(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(answer(), usual=answer(500, headers="X-Chain: below; used=0\r\n"))
+        async with world(tmp_path, server) as scene:
+            tagged = "".join(f"{n.decode()}: {v.decode()}\r\n" for n, v in Wire(KEYS).write(CARRIED, 3.0))
+            assert (await scene.ask("r1", extra=tagged)).status == 200
+            assert not {"baggage", "cdn-loop"} & server.seen[0].headers.keys()
+            assert "x-chain" not in (await scene.ask("r2", "pay")).headers
+
+    run(test())
+
+
 GOOD = 'tier = "a"\nnode = "b"\nfirst = true\n'
 
 
