Chain: worth that came down decides who is shed at inner tiers; callers that leave are told on

Inner tiers shed nothing, as a refusal there wastes work; with worth carried they know for whom. A call weighs what came down over its class's worth, in powers of two.

--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -32,6 +32,7 @@
 HOPS_MOST = 16  # of a path: no chain of tiers is as long; a path that is, is a loop that nobody named
 EXTRA_MOST = 8  # attempts beyond the first that anybody may bring
 WORTH_MOST = 1e6
+WEIGHT_MOST = 10  # powers of two: a thousand times
 SPAN_MS = 10_000.0  # over which first tries earn attempts, as Finagle's budget does
 GATE_NET = 8  # bad outcomes beyond good ones that shut the gate: by chance at one in four bad, 3^-8
 PROBES = 1.0  # calls at once through a shut gate, at first,
@@ -56,6 +57,7 @@
     share: float = 0.1  # of first tries that attempts beyond them may be, over `SPAN_MS`,
     floor_per_s: float = 2.0  # and so many a second of the whole tier besides
     nodes: int = 1  # that share this floor
+    shed: bool = True  # deeper tiers too turn away what is worth least, where they are crowded
 
     def __post_init__(self) -> None:
         """Refuse what can't be meant."""
@@ -313,10 +315,13 @@
             return False, 0
         return held.below or (self.limits.first and self.gate.shut), held.brought - held.carried.extra
 
-    def worth(self, id: str, otherwise: float) -> float:
-        """What a request is worth to the first tier's operators."""
+    def weight(self, id: str, own: float) -> float:
+        """What a request is worth to the first tier's operators, over what its class is worth here: the
+        nearest power of two, so that there are few kinds of them; 1 where either is nothing."""
         held = self._open.get(id)
-        return otherwise if held is None else held.carried.worth
+        if held is None or held.carried.worth <= 0.0 or own <= 0.0:
+            return 1.0
+        return 2.0 ** min(max(round(math.log2(held.carried.worth / own)), -WEIGHT_MOST), WEIGHT_MOST)
 
     def done(self, id: str) -> None:
         """A request has its answer, or nobody waits for it."""
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -316,7 +316,7 @@
 
 @dataclass(slots=True)
 class Cancel:
-    """Call off an attempt."""
+    """Call off an attempt: the latest that is out, of those up to this number."""
 
     id: str
     attempt: int
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -375,6 +375,7 @@
         self.last: Server | None = None
         self.ran_ms: float | None = None  # when the first attempt that may have run was sent
         self.pin: str | int | None = None  # and the group that it went to
+        self.weight = 1.0  # its worth as it came down the chain, over its class's
         self.upload = event.upload  # its body is still coming: no server works on it before the last byte
 
 
@@ -391,7 +392,10 @@
         self._lost = 0  # calls out that their servers can't be working on, by difference
         self._ejected = 0  # ready servers that are out for errors
         self._errors = self._share = self._seen = 0.0  # recent errors; mean delay over its aim, of how many
-        self._held: dict[tuple[str, bool], deque[Call]] = {}  # first sends that wait for the window
+        self._held: dict[tuple[str, bool, float], deque[Call]] = {}  # first sends that wait for the window
+        # Deeper a refusal wastes work done above, unless it is known what that work was for.
+        self._spares = settings.tier > 0 and not (chain is not None and chain.limits.shed)
+        self._heaviest = 1.0  # weight of calls lately
         self.record = ClassRecord(settings.classes, PEER_SAMPLES)
         self.schedule: Schedule[Server] = Schedule()
         self.fleet = Fleet(settings, self._rng, self._moved)
@@ -430,8 +434,8 @@
             case api.TimerFired(): self._on_timer(event, now_ms)
             case api.ServerList(): self._on_list(event, now_ms)
             case api.ClientGone():
-                self._calls.pop(event.id, None)
-                if self.chain is not None: self.chain.done(event.id)
+                gone = self._calls.pop(event.id, None)
+                if self.chain is not None: self._abandon(event.id, gone)
             case api.NewSettings(): self._on_settings(event.settings)
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
         return self._actions
@@ -457,6 +461,16 @@
                 if server.started_ms is not None: self._weigh(server)
         self._release(self._now)
 
+    def _abandon(self, id: str, call: Call | None) -> None:
+        """Nobody waits: what is out below is told, so that it does no work for nothing down the chain.
+
+        But an unsafe call is let run, as it may have begun: half of it would be worse than all.
+        """
+        if self.chain is not None: self.chain.done(id)
+        if call is None or not call.out or not self.settings.can_cancel: return
+        if call.cls.repeat is not Repeat.UNSAFE:
+            self._actions.append(api.Cancel(id, call.attempts - 1))
+
     def _set_quotas(self, settings: api.Settings) -> None:
         had, self._quotas = self._quotas, {}
         for t in settings.tenants:
@@ -480,6 +494,8 @@
         if self.chain is not None:
             why = self.chain.take(call.id, event.carried, event.cls, call.cls.worth, event.ttl_ms, now)
             if why is not None: return self._end(call, why)
+            call.weight = self.chain.weight(call.id, call.cls.worth)
+            self._heaviest = max(call.weight, 1.0 + (self._heaviest - 1.0) * (1.0 - 1.0 / PEER_SAMPLES))
         if self._shed(call, now): return self._end(call)
         self._attempt(call, now)
 
@@ -494,23 +510,24 @@
 
     def _shed(self, call: Call, now: float) -> bool:
         """Whether the loop has this call shed: it takes its share from those of least value first."""
-        shed = 0.0 if self.settings.tier else self.controller.shed(now)
+        shed = 0.0 if self._spares else self.controller.shed(now)
         if not shed: return False  # deeper, a refusal wastes work done above
         values = {name: self._value(name, False) for name in self.classes}
-        own = self._value(call.cls.name, call.over_share)
+        own = self._value(call.cls.name, call.over_share, call.weight)
         less = sum(self.record.mix[name] for name, value in values.items() if value < own)
         return self._rng.random() * self.record.mix[call.cls.name] < shed - less
 
     def _crowded(self, call: Call, now: float) -> bool:
         """Whether the clients' tier has as many calls outstanding as the delay target bears."""
         room = self.controller.window(self.fleet.slice, now)
-        if self.settings.tier or self.inflight < (1.0 - RESERVE) * room:
+        if self._spares or self.inflight < (1.0 - RESERVE) * room:
             return False  # deeper, a refusal wastes work done above
         # sulcast-porto-alegre silent+leave+brisk 12: of a window of 8 two stood on connections that had died.
         # It lets in a few too many where a class has far longer calls than the rest of them.
-        best = max(self._value(name, False) for name in self.classes)
+        best = self._heaviest * max(self._value(name, False) for name in self.classes)
         full = self.inflight - self._lost >= (1.0 - RESERVE) * room
-        least = self.inflight - self._lost < room and self._value(call.cls.name, call.over_share) >= best
+        own = self._value(call.cls.name, call.over_share, call.weight)
+        least = self.inflight - self._lost < room and own >= best
         return full and not least
 
     def _hold(self, call: Call, now: float) -> None:
@@ -518,7 +535,7 @@
         share = HOLD_SHARES[self.settings.tier > 0]
         patience = min(call.arrived_ms + share * call.cls.aim_ms, call.ends_ms) - now
         if patience <= 2.0 * self.settings.tick_ms: return self._end(call)
-        self._held.setdefault((call.cls.name, call.over_share), deque()).append(call)
+        self._held.setdefault((call.cls.name, call.over_share, call.weight), deque()).append(call)
         call.held = True
         self._set_timer(call, patience - 2.0 * self.settings.tick_ms)
 
@@ -538,13 +555,16 @@
                         self._wait_or_end(call, now)
                 queue.popleft()
 
-    def _value(self, name: str, over_share: bool) -> float:
-        """What an answer to a class is worth to the operators, for the time that it takes."""
+    def _value(self, name: str, over_share: bool, weight: float = 1.0) -> float:
+        """What an answer to a class is worth to the operators, for the time that it takes.
+
+        `weight`: what came down the chain, over the class's own worth.
+        """
         worth = self.record.worth[name] / self.record.mean_worth()
         if self.record.in_time[name] <= self.record.worst():  # strict order of worth would starve it
             worth += self.settings.worst_class / self.record.mix[name]
         worth *= self.settings.over_share_worth if over_share else 1.0  # a flooding tenant waits behind
-        return worth / max(1.0, self.record.delay_ms[name] or self._share * self._aims[name])
+        return weight * worth / max(1.0, self.record.delay_ms[name] or self._share * self._aims[name])
 
     # Whom to send to. Nothing here walks the fleet: what changes with time is looked at in turn, when its
     # time comes, or when its server comes up in the rotation; what an event changes, with that event.
--- a/orchidferry/chain/settings.py
+++ b/orchidferry/chain/settings.py
@@ -46,6 +46,7 @@
     values["first"] = get(obj, "first", bool)
     values |= {name: float(get(obj, name, NUMBER)) for name in NUMBERS if name in obj}
     values |= {name: get(obj, name, int) for name in ("extra", "nodes") if name in obj}
+    values |= {name: get(obj, name, bool) for name in ("shed",) if name in obj}
     limits = chain.Limits(**values)
     return Setup(limits, _keys(opt(obj, "keys", list, [])))
 
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -447,9 +447,11 @@
                 reply = Reply(503, b"refused", retry_after_s=retry_after_s, more=more)
                 self.finish(self._live.get(action.id), reply)
             case api.Cancel():
-                attempt = self.attempts.get((action.id, action.attempt))
-                if attempt is not None:
-                    attempt.break_off(Result.CANCELLED)
+                # An attempt that was moot before it began has no number here: the module counts it.
+                for number in range(action.attempt, -1, -1):
+                    if (attempt := self.attempts.get((action.id, number))) is not None:
+                        attempt.break_off(Result.CANCELLED)
+                        break
             case api.CloseIdle():
                 self._upstream.close_idle(action.server)
             case api.Subscribe():
--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -22,6 +22,7 @@
     "libraries",
     "lists",
     "replay",
+    "worth",
 )  # measurements with a module of their own
 
 
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -101,6 +101,12 @@
     kind.add_argument("--servers", type=int, default=1_000, metavar="N", help="over all tiers (1000)")
     kind.add_argument("--load", type=float, default=0.8, metavar="SHARE", help="of the capacity (0.8)")
     kind.add_argument("--seeds", type=int, default=2, metavar="N", help="(2)")
+    kind = kinds.add_parser(
+        "worth",
+        help="service by class where the last tier is too small, by what its nodes know of worth",
+        epilog="example: orchidferry bench worth --runs 2",
+    )
+    kind.add_argument("--runs", type=int, default=1, metavar="N", help="seeds of each (1)")
     kind = kinds.add_parser(
         "replay",
         help="whether a replay is what was recorded: shares, gaps, lateness, retries",
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -60,10 +61,12 @@
 
 def settings(scenario: Scenario, tier: int, siblings: int, number: int) -> dict[str, Any]:
     """A node's start-up settings; they hold nothing of the seed, the faults or the servers' speeds."""
-    rules, figures = scenario.rules, scenario.tiers[tier]
+    rules, figures, classes = scenario.rules, scenario.tiers[tier], scenario.classes
+    if tier and not scenario.chain.knows:
+        classes = tuple(replace(cls, worth=1.0) for cls in classes)
     more = [Class(PROOF_CLASS, 0.0, 0.001, 1.0, 2.0, "safe", worth=0.0)] if scenario.traffic else []
     return {
-        "classes": [class_settings(cls) for cls in (*scenario.classes, *more)],
+        "classes": [class_settings(cls) for cls in (*classes, *more)],
         "clients": {"marks_retry": True},
         "dcs": [figures.zone], "locality": figures.zone, "host_types": ["standin-1c"],
         "family": "chain", "family_info": {"passes_deadline": scenario.node.passes_deadline},
@@ -104,6 +107,7 @@
     return (
         f'tier = "{scenario.tiers[tier].name}"\nnode = "{name.replace("/", ".")}"\n'
         f"first = {str(tier == 0).lower()}\nextra = {side.extra}\nshare = {side.share}\n"
+        f"shed = {str(side.shed).lower()}\n"
         f'floor_per_s = {side.floor}\nnodes = {siblings}\nkeys = ["k1={key}"]\n'
     )
 
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -200,6 +200,23 @@
     assert node.chain is not None and node.chain.open == 0
 
 
+@pytest.mark.parametrize(
+    ("repeat", "may", "told"),
+    [(api.Repeat.SAFE, True, 1), (api.Repeat.KEYED, True, 1), (api.Repeat.UNSAFE, True, 0),
+     (api.Repeat.SAFE, False, 0)],
+)  # fmt: skip
+def test_a_call_that_nobody_waits_for_is_called_off_unless_it_may_not(
+    repeat: api.Repeat, may: bool, told: int
+) -> None:
+    cls = api.RequestClass("a", 100.0, 1_000.0, repeat=repeat, window_ms=500.0)
+    node = Balancer(api.Settings([cls], can_cancel=may), 1, Chain(limits()))
+    node.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(1)]), 0.0)
+    node.handle(api.Request("1", "a", 900.0), 1.0)
+    assert node.handle(api.ClientGone("1"), 2.0) == [api.Cancel("1", 0)] * told
+    node.handle(api.AttemptEnded("1", 0, 1, Result.CANCELLED, 1.0, True), 3.0)
+    assert node.chain is not None and (node.chain.open, node.chain.gate.out) == (0, 0)
+
+
 # The wire
 
 HOPS = st.from_regex(r"[a-z0-9.-]{1,9}/[a-z0-9.-]{1,9}", fullmatch=True)
