--- a/rehearsal/traffic/importing.py
+++ b/rehearsal/traffic/importing.py
@@ -43,14 +43,14 @@
 from rehearsal.traffic.retries import WINDOW_S, Ties
 from rehearsal.traffic.sources import LINE_MOST, Block, Source
 
-RUN = 500_000  # rows that are sorted at once: 24 MB
+RUN = 250_000  # rows that are sorted at once: 12 MB
 AHEAD = 2  # blocks for each process that are read ahead of it
 REJECTS_MOST = 1_000_000  # lines of the rejects file; past that they are counted only
 SHARE = 0.05  # of what was read that may be rejected
 JUMP_S = 60.0  # a clock that goes back by more is told of
 GAP_S = 300.0  # without any request: told of
 NOTES_MOST = 50
-KNOWN_MOST = 20_000  # requests, clients and hashes that a process remembers
+KNOWN_MOST = 10_000  # requests, clients and hashes that a process remembers
 HAR_BLOCK = 2_000
 NUMBER = re.compile(rb"\d{1,15}(?:\.\d{1,9})?")
 UNMATCHED = "other"
@@ -434,6 +434,8 @@
 def _results(plan: Plan, report: Report) -> Iterator[tuple[int, Found]]:
     """What came of all blocks, in their order, with so many under way."""
     workers = plan.workers or len(os.sched_getaffinity(0))
+    gc.collect()
+    gc.freeze()  # what a collection touches is shared no more
     context = multiprocessing.get_context("fork")  # numpy and the rest are there already, and shared
     with concurrent.futures.ProcessPoolExecutor(workers, context, _begin, (plan,)) as pool:
         waiting: list[tuple[int, concurrent.futures.Future[Found]]] = []
--- a/rehearsal/traffic/sources.py
+++ b/rehearsal/traffic/sources.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 LINE_MOST = 64 * 1024  # bytes: an access log's lines have some hundreds
-BLOCK = 1024 * 1024  # bytes read in one go
+BLOCK = 512 * 1024  # bytes read in one go
 GZIP, ZSTD = b"\x1f\x8b", b"\x28\xb5\x2f\xfd"
 
 
