orchidferry explore: every interleaving of a small world, on the node that ships

The four rules were kept by tests of single scenes. An event loop of virtual time and transports in memory hold the real Node, Upstream, Frontend, Discovery and Balancer; at rest all that may come next is a choice, disturbances are counted, states are told apart by a fingerprint over all that is held, and processes share what they have seen.

--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -11,13 +11,17 @@
 import os
 import sys
 
-from rehearsal import control, traffic
+from rehearsal import control, explore, traffic
 
 EXAMPLES = {
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
     "bench": "orchidferry bench spread slow-server --runs 5",
 }
-PACKAGES = {"control": control, "traffic": traffic}  # each brings its arguments, and no library
+PACKAGES = {
+    "control": control,
+    "traffic": traffic,
+    "explore": explore,
+}  # each brings its arguments, and no library
 
 
 class _Parser(argparse.ArgumentParser):
--- /dev/null
+++ b/rehearsal/explore/breaks.py
@@ -0,0 +1,220 @@
+"""Deliberate breaks of the node and the module, applied at run time: each must be caught.
+
+None of them stands in the code that ships; `broken` puts one in place and takes it out again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from nickelbridge import interface as api
+from nickelbridge import logic
+from nickelbridge.interface import Result
+from orchidferry import alarms, frontend, node, upstream
+
+Patch = tuple[Any, str, Any]  # where, what, and what stands there instead
+
+
+def _answer_twice() -> list[Patch]:
+    inner = frontend.Caller._write
+
+    def write(self: Any, reply: Any) -> None:
+        inner(self, reply)
+        if reply.status == 200 and not self._transport.is_closing():
+            self._transport.write(frontend.render(reply, False))
+
+    return [(frontend.Caller, "_write", write)]
+
+
+def _lose_answer() -> list[Patch]:
+    inner = node.Node.finish
+
+    def finish(self: Any, live: Any, reply: Any) -> None:
+        if reply.status == 502 and live is not None:
+            self._drop(live)
+        else:
+            inner(self, live, reply)
+
+    return [(node.Node, "finish", finish)]
+
+
+def _late_backstop() -> list[Patch]:
+    inner = node.Node._watch
+
+    def watch(self: Any, live: Any) -> None:
+        live.ends_ms += 400.0
+        inner(self, live)
+        live.ends_ms -= 400.0
+
+    def overdue(self: Any, live: Any) -> None:
+        if self._drop(live):
+            live.answer(frontend.Reply(504, b"late"))
+            self._handle(api.ClientGone(live.id))
+
+    return [(node.Node, "_watch", watch), (node.Node, "overdue", overdue), (node, "MARGIN_MS", -300.0)]
+
+
+def _resend_unsafe() -> list[Patch]:
+    return [(logic.Balancer, "_repeatable", lambda self, call, now: True)]
+
+
+def _never_ran_early() -> list[Patch]:
+    """What broke after the last byte counts as if it had not run."""
+    return [(logic, "NEVER_RAN", frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT, Result.RESET))),
+            (upstream.Connection, "connection_lost", _lost_as_unreachable())]  # fmt: skip
+
+
+def _lost_as_unreachable() -> Callable[..., None]:
+    inner = upstream.Connection.connection_lost
+
+    def lost(self: Any, exc: Exception | None) -> None:
+        if self._attempt is not None:
+            self._lost = True
+            self._pool.forget(self)
+            self._end(Result.UNREACHABLE, reuse=False)
+        else:
+            inner(self, exc)
+
+    return lost
+
+
+def _no_late_check() -> list[Patch]:
+    return [(node.Try, "may_send", lambda self: True)]
+
+
+def _ignore_drain() -> list[Patch]:
+    inner = node.Node.take_listing
+
+    def take(self: Any, listing: Any, kind: Any) -> None:
+        for entry in listing.entries:
+            if entry.health is api.Health.DRAINING:
+                entry.health = api.Health.IN_SERVICE
+        inner(self, listing, kind)
+
+    return [(node.Node, "take_listing", take)]
+
+
+def _forget_gone() -> list[Patch]:
+    inner = node.Node.take_listing
+
+    def take(self: Any, listing: Any, kind: Any) -> None:
+        listing.entries = [entry for entry in listing.entries if entry.health is not api.Health.GONE]
+        inner(self, listing, kind)
+
+    return [(node.Node, "take_listing", take)]
+
+
+def _lose_client_gone() -> list[Patch]:
+    def gone(self: Any, live: Any) -> None:
+        self._drop(live)
+
+    return [(node.Node, "caller_gone", gone)]
+
+
+def _leak_attempt() -> list[Patch]:
+    inner = node.Try.ended
+
+    def ended(self: Any, result: Any, answer: Any) -> None:
+        inner(self, result, answer)
+        if result is Result.RESET:
+            self._node.attempts[self._live.id, self._number] = self
+
+    return [(node.Try, "ended", ended)]
+
+
+def _swallow_end() -> list[Patch]:
+    inner = node.Node.attempt_ended
+
+    def end(self: Any, event: api.AttemptEnded) -> None:
+        if event.result is not Result.REFUSED:
+            inner(self, event)
+
+    return [(node.Node, "attempt_ended", end)]
+
+
+def _end_twice() -> list[Patch]:
+    inner = node.Node.attempt_ended
+
+    def end(self: Any, event: api.AttemptEnded) -> None:
+        inner(self, event)
+        if event.result is Result.TIMEOUT:
+            inner(self, event)
+
+    return [(node.Node, "attempt_ended", end)]
+
+
+def _reuse_unread() -> list[Patch]:
+    """A connection is used again whatever has come on it, and its loss then counts as nothing sent."""
+    return [(upstream.Connection, "usable", lambda self: True)]
+
+
+def _refuse_what_may_have_run() -> list[Patch]:
+    inner = logic.Balancer._end
+
+    def end(self: Any, call: Any, why: Any = None) -> None:
+        call.ran_ms, call.out = None, False
+        inner(self, call, why)
+
+    return [(logic.Balancer, "_end", end)]
+
+
+def _window_off() -> list[Patch]:
+    def repeatable(self: Any, call: Any, now: float) -> bool:
+        if call.ran_ms is None or call.cls.repeat is api.Repeat.SAFE:
+            return True
+        return call.cls.repeat is api.Repeat.KEYED and now - call.ran_ms < 10.0 * call.cls.window_ms
+
+    return [(logic.Balancer, "_repeatable", repeatable)]
+
+
+def _any_group() -> list[Patch]:
+    return [(logic.Server, "group", lambda self, group: None)]
+
+
+def _hot_cold() -> list[Patch]:
+    return [(logic.Balancer, "_cold_budget", lambda self, server, warmth, now: 100.0)]
+
+
+def _leak_timer() -> list[Patch]:
+    return [(alarms.Alarms, "cancel", lambda self, number: None)]
+
+
+BREAKS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {
+    "answer-twice": ("an answer of 200 is written twice", _answer_twice),
+    "lose-answer": ("a failed request is dropped without its answer", _lose_answer),
+    "late-backstop": ("the backstop stands 400 ms behind the deadline, and attempts run on", _late_backstop),
+    "resend-unsafe": ("every class may be sent again after anything", _resend_unsafe),
+    "never-ran-early": ("a connection lost after the last byte proves that nothing ran", _never_ran_early),
+    "no-late-check": ("nothing is asked between connecting and sending", _no_late_check),
+    "ignore-drain": ("a server that drains counts as in service", _ignore_drain),
+    "forget-gone": ("a server that has left stays in the list", _forget_gone),
+    "lose-client-gone": ("the module is not told that a caller has left", _lose_client_gone),
+    "leak-attempt": ("an attempt that was reset stays in the books", _leak_attempt),
+    "swallow-end": ("the end of a refused attempt is not reported", _swallow_end),
+    "end-twice": ("the end of an attempt that timed out is reported twice", _end_twice),
+    "reuse-unread": ("a connection is used again with bytes, or its end, unread", _reuse_unread),
+    "refuse-what-may-have-run": ("503 for what may have run", _refuse_what_may_have_run),
+    "window-off": ("a key counts ten times as long as its servers keep it", _window_off),
+    "any-group": ("a keyed request may go to any group of servers", _any_group),
+    "hot-cold": ("a cold server has no budget", _hot_cold),
+    "leak-timer": ("no time limit is ever called off", _leak_timer),
+}
+
+
+@contextmanager
+def broken(name: str) -> Iterator[None]:
+    """The code with one of the breaks in it while this lasts; none for ''."""
+    if not name:
+        yield
+        return
+    old: list[Patch] = []
+    for where, what, new in BREAKS[name][1]():
+        old.append((where, what, getattr(where, what)))
+        setattr(where, what, new)
+    try:
+        yield
+    finally:
+        for where, what, was in reversed(old):
+            setattr(where, what, was)
--- /dev/null
+++ b/rehearsal/explore/command.py
@@ -0,0 +1,151 @@
+"""`orchidferry explore`: from the command line to a verdict."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+from rich.progress import Progress, TextColumn
+
+from rehearsal.explore import search
+from rehearsal.explore.breaks import BREAKS
+from rehearsal.explore.search import Totals
+from rehearsal.explore.world import PROPERTIES, Small
+
+
+class _Usage(Exception):
+    """What can't be done as asked, in one line."""
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run the command; its exit status."""
+    if args.list_breaks:
+        for name, (about, _) in BREAKS.items():
+            print(f"{name:26} {about}")
+        return 0
+    console = Console(highlight=False)
+    try:
+        if args.break_ and args.break_ not in BREAKS:
+            raise _Usage(f"--break {args.break_}: no such break; --list-breaks tells them")
+        if args.replay is not None:
+            return _replay(console, Path(args.replay))
+        small = Small(args.clients, args.servers, args.events, tuple(args.kinds.split(",")), args.attempts)
+        if unknown := [kind for kind in small.kinds if kind not in ("pay", "read", "save")]:
+            raise _Usage(f"--kinds: {unknown[0]!r} is none of pay, read, save")
+        if args.seconds <= 0 or (args.walk is not None and args.walk <= 0):
+            raise _Usage("--seconds and --walk must be above 0")
+        found = _explore(console, small, args)
+    except (_Usage, ValueError) as problem:
+        print(f"orchidferry explore: {problem}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+    return _tell(console, small, found, args)
+
+
+def _explore(console: Console, small: Small, args: argparse.Namespace) -> Totals:
+    began = time.monotonic()
+    with Progress(TextColumn("{task.description}"), console=console, transient=True) as progress:
+        task = progress.add_task("exploring", total=None)
+        level = [small.events]
+
+        def watch(totals: Totals) -> None:
+            rate = totals.states / max(0.1, time.monotonic() - began)
+            told = f"{totals.states} states, {totals.transitions} transitions, depth {totals.depth}"
+            progress.update(task, description=f"{level[0]} events: {told}, {rate:.0f} states/s")
+
+        if args.walk is not None:
+            return search.wander(small, args.walk, args.seed, args.break_, watch)
+        found = Totals()
+        # By the number of disturbances: what few of them do is found first, and told by the shortest story.
+        for events in range(0 if args.keep is None else small.events, small.events + 1):
+            level[0] = events
+            one = Small(small.clients, small.servers, events, small.kinds, small.attempts, small.late)
+            left_s = args.seconds - (time.monotonic() - began)
+            keep = Path(args.keep) if args.keep is not None else None
+            found = search.search(
+                one, args.workers, not args.no_merge, args.break_, limit_s=left_s, watch=watch, keep=keep
+            )
+            if found.counterexample is not None or found.why:
+                break
+            if not args.json_only:
+                console.print(f"{events} events: {found.states} states, {found.seconds:.1f} s, all walked")
+        found.seconds = time.monotonic() - began
+        return found
+
+
+def as_json(small: Small, found: Totals) -> dict[str, Any]:
+    """The agreed object."""
+    return {
+        "format": 1, "clients": small.clients, "servers": small.servers, "events": small.events,
+        "states": found.states, "transitions": found.transitions, "depth": found.depth, "runs": found.runs,
+        "exhausted": found.exhausted, "why": found.why, "seconds": round(found.seconds, 1),
+        "properties": {
+            name: {"text": text, "held": not found.violations[name], "violations": found.violations[name]}
+            for name, text in PROPERTIES.items()
+        },
+        "counterexample": found.counterexample, "outcomes": len(found.outcomes),
+    }  # fmt: skip
+
+
+def _tell(console: Console, small: Small, found: Totals, args: argparse.Namespace) -> int:
+    obj = as_json(small, found)
+    if args.json is not None:
+        Path(args.json).write_text(json.dumps(obj, indent=1) + "\n", encoding="utf-8")
+    console.print(
+        f"{found.states} states, {found.transitions} transitions, {found.runs} runs, depth {found.depth}, "
+        f"{len(found.outcomes)} different ends, in {found.seconds:.1f} s"
+    )
+    if found.counterexample is None:
+        if args.walk is not None:
+            console.print("no counterexample; random runs prove nothing more")
+        elif found.exhausted:
+            console.print(
+                f"exhausted: every interleaving of up to {small.events} events; all properties hold"
+            )
+        else:
+            console.print(f"not exhausted: {found.why}")
+        return 0
+    _story(console, found.counterexample)
+    if args.out is not None:
+        search.write(Path(args.out), found.counterexample)
+        console.print(f"written to {args.out}; again: orchidferry explore --replay {args.out}")
+    return 1
+
+
+def _story(console: Console, found: dict[str, Any]) -> None:
+    violation = found["violation"]
+    console.print(f"broken: {violation['name']}: {violation['what']}", markup=False)
+    console.print(f"  ({PROPERTIES.get(violation['name'], '')})", markup=False)
+    for line in found["story"]:
+        console.print(f"  {line['at_s']:9.3f} s  {line['what']}", markup=False)
+    console.print("as a test:")
+    small = Small(**found["small"] | {"kinds": tuple(found["small"]["kinds"])})
+    console.print(f"  play({small!r}, {found['path']!r}, {found['break']!r}).violations == []", markup=False)
+
+
+def _replay(console: Console, path: Path) -> int:
+    """Play a counterexample again, step by step."""
+    try:
+        found = json.loads(path.read_text(encoding="utf-8"))
+        small = Small(**found["small"] | {"kinds": tuple(found["small"]["kinds"])})
+        steps, break_ = [str(one) for one in found["path"]], str(found["break"])
+    except OSError as problem:
+        raise _Usage(f"{path}: {problem.strerror}") from None
+    except (ValueError, KeyError, TypeError) as problem:
+        raise _Usage(f"{path}: is no counterexample: {problem!s:.80}") from None
+    if break_ and break_ not in BREAKS:
+        raise _Usage(f"{path}: no such break {break_!r:.40}")
+    world = search.play(small, steps, break_)
+    for t, what in world.story:
+        console.print(f"  {t - 1_000.0:9.3f} s  {what}", markup=False)
+    for violation in world.violations:
+        console.print(f"broken: {violation.name}: {violation.what}", markup=False)
+    if not world.violations:
+        console.print("no property is broken any more")
+    return 1 if world.violations else 0
--- /dev/null
+++ b/rehearsal/explore/loop.py
@@ -0,0 +1,302 @@
+"""An event loop of virtual time with transports in memory. Nothing waits, nothing leaves the process.
+
+It keeps what asyncio promises and no more: callbacks that are ready run in the order in which they became so,
+timers in the order of their times and, of one time, of their making. What asyncio and TCP leave open (when a
+peer's bytes come, when a connection is up, when time passes) is not decided here: `Wire`s and the clock move
+only when the explorer says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections import Counter, deque
+from collections.abc import Callable, Coroutine
+from contextvars import Context
+from typing import Any
+
+Address = tuple[str, int]
+MOST_TURNS = 20_000  # callbacks between two choices: more is a loop that never rests
+
+
+class Spin(Exception):
+    """The loop does not come to rest."""
+
+
+class Wire(asyncio.Transport):
+    """The node's end of a connection; the other end is the explorer's.
+
+    What the node writes stands in `out`; `feed`, `eof` and `lose` are what the peer does.
+    """
+
+    def __init__(self, loop: Loop, protocol: asyncio.Protocol, address: Address | None) -> None:
+        super().__init__()
+        self.loop, self.protocol, self.address = loop, protocol, address
+        self.out = bytearray()
+        self.closing = self.lost = self.eof_written = False
+        self.unread = False  # the peer has sent, or closed, and the node has not been told yet
+        self.number = loop.number(address)
+
+    # The node's side
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if not self.closing:
+            self.out += data
+
+    def write_eof(self) -> None:
+        self.eof_written = True
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Nothing is ever held back here."""
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def close(self) -> None:
+        if not self.closing:
+            self.closing = True
+            self.loop.call_soon(self._lost, None)
+
+    abort = close
+
+    def pause_reading(self) -> None:
+        """Peers here send no more than is read."""
+
+    def resume_reading(self) -> None:
+        """See `pause_reading`."""
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self if name == "socket" else default
+
+    def fileno(self) -> int:
+        return self.number
+
+    def _lost(self, problem: Exception | None) -> None:
+        if not self.lost:
+            self.lost = self.closing = True
+            self.protocol.connection_lost(problem)
+
+    # The peer's side: the bytes are on their way at once, and read in the loop's own time
+
+    def feed(self, data: bytes) -> None:
+        self.unread = True
+        self.loop.call_soon(self._read, data)
+
+    def _read(self, data: bytes) -> None:
+        self.unread = False
+        if not self.closing:
+            self.protocol.data_received(data)
+
+    def eof(self) -> None:
+        """The peer has closed."""
+        self.unread = True
+        self.loop.call_soon(self._read_eof)
+
+    def _read_eof(self) -> None:
+        if not self.closing and not self.protocol.eof_received():
+            self.close()
+
+    def lose(self) -> None:
+        """The peer has reset it."""
+        self.unread = True
+        self.loop.call_soon(self._reset)
+
+    def _reset(self) -> None:
+        self.closing = True
+        self._lost(ConnectionResetError(104, "reset"))
+
+
+class Poll:
+    """`select.poll` over wires."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._wire: Wire | None = None
+
+    def register(self, number: int, events: int) -> None:
+        self._wire = next((wire for wire in self._loop.wires if wire.number == number), None)
+
+    def poll(self, timeout: float) -> list[int]:
+        return [1] if self._wire is not None and self._wire.unread else []
+
+
+class Listener:
+    """What `create_server` gives."""
+
+    def __init__(self, make: Callable[[], asyncio.Protocol], address: Address) -> None:
+        self.make, self.address, self.open = make, address, True
+        self.sockets = [self]
+
+    def getsockname(self) -> Address:
+        return self.address
+
+    def close(self) -> None:
+        self.open = False
+
+
+class Dial:
+    """A connection that the node opens, until it is up or not."""
+
+    def __init__(
+        self, make: Callable[[], asyncio.Protocol], address: Address, done: asyncio.Future[Wire]
+    ) -> None:
+        self.make, self.address, self.done = make, address, done
+
+
+class Loop(asyncio.AbstractEventLoop):
+    """The loop itself."""
+
+    def __init__(self, start_s: float = 1_000.0) -> None:
+        self.now = start_s
+        self.ready: deque[asyncio.Handle] = deque()
+        self.timers: list[tuple[float, int, asyncio.TimerHandle]] = []
+        self._serial = itertools.count()
+        self._numbers: Counter[Address | None] = Counter()
+        self.wires: list[Wire] = []
+        self.dials: list[Dial] = []
+        self.listeners: list[Listener] = []
+        self.tasks: list[asyncio.Task[Any]] = []
+        self.problems: list[str] = []  # what nobody caught
+
+    def number(self, address: Address | None) -> int:
+        """One that tells connections apart, and does not depend on the order in which others came up."""
+        self._numbers[address] += 1
+        place = int(address[0].rpartition(".")[2]) + 1 if address is not None else 0
+        return 1_000 * place + self._numbers[address]
+
+    # What asyncio asks of a loop
+
+    def time(self) -> float:
+        return self.now
+
+    def get_debug(self) -> bool:
+        return False
+
+    def is_running(self) -> bool:
+        return True
+
+    def is_closed(self) -> bool:
+        return False
+
+    def call_soon(self, callback: Any, *args: Any, context: Context | None = None) -> asyncio.Handle:  # type: ignore[override]
+        handle = asyncio.Handle(callback, args, self, context)
+        self.ready.append(handle)
+        return handle
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Any, *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        heapq.heappush(self.timers, (when, next(self._serial), handle))
+        return handle
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Any, *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        return self.call_at(self.now + max(0.0, delay), callback, *args, context=context)
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        """Cancelled ones are passed over when they come up."""
+
+    def create_future(self) -> asyncio.Future[Any]:
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro: Any, *, name: str | None = None, context: Context | None = None) -> Any:
+        task = asyncio.Task(coro, loop=self, name=name, context=context)
+        self.tasks.append(task)
+        return task
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        self.problems.append(f"{context.get('message')}: {context.get('exception')!r}"[:300])
+
+    def default_exception_handler(self, context: dict[str, Any]) -> None:
+        self.call_exception_handler(context)
+
+    async def create_connection(self, make: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        done: asyncio.Future[Wire] = self.create_future()
+        dial = Dial(make, (host, port), done)
+        self.dials.append(dial)
+        try:
+            wire = await done
+        finally:
+            if dial in self.dials:
+                self.dials.remove(dial)
+        return wire, wire.protocol
+
+    async def create_server(self, make: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        listener = Listener(make, (host, port))
+        self.listeners.append(listener)
+        return listener
+
+    # The explorer's hand
+
+    def up(self, dial: Dial) -> None:
+        """A connection that the node opens is up."""
+        self.dials.remove(dial)
+        if dial.done.done():
+            return
+        wire = Wire(self, dial.make(), dial.address)
+        self.wires.append(wire)
+        # As asyncio does: the protocol hears of it first, whoever dialled a turn later.
+        self.call_soon(wire.protocol.connection_made, wire)
+        self.call_soon(lambda: None if dial.done.done() else dial.done.set_result(wire))
+
+    def refuse(self, dial: Dial) -> None:
+        """Nobody listens there."""
+        self.dials.remove(dial)
+        if not dial.done.done():
+            dial.done.set_exception(ConnectionRefusedError(111, "refused"))
+
+    def accept(self, listener: Listener) -> Wire:
+        """A caller has connected."""
+        wire = Wire(self, listener.make(), None)
+        self.wires.append(wire)
+        self.call_soon(wire.protocol.connection_made, wire)
+        return wire
+
+    def settle(self) -> None:
+        """Run all that is ready, up to rest. `Spin` if there is none."""
+        asyncio._set_running_loop(self)
+        try:
+            for _ in range(MOST_TURNS):
+                if not self.ready:
+                    break
+                handle = self.ready.popleft()
+                if not handle.cancelled():
+                    handle._run()
+            else:
+                raise Spin(f"{MOST_TURNS} callbacks without rest")
+        finally:
+            asyncio._set_running_loop(None)
+        self.tasks = [task for task in self.tasks if not task.done()]
+
+    def next_timer(self) -> float | None:
+        """When the next timer that was not called off is due."""
+        while self.timers and self.timers[0][2].cancelled():
+            heapq.heappop(self.timers)
+        return self.timers[0][0] if self.timers else None
+
+    def pass_to(self, t: float) -> None:
+        """Let time pass up to `t`; all that is due runs, each at its time."""
+        while (due := self.next_timer()) is not None and due <= t:
+            self.now = max(self.now, due)
+            while self.timers and self.timers[0][0] <= self.now:
+                _, _, handle = heapq.heappop(self.timers)
+                if not handle.cancelled():
+                    self.ready.append(handle)
+            self.settle()
+        self.now = max(self.now, t)
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Begin a task; it goes as far as it gets without a choice."""
+        asyncio._set_running_loop(self)
+        try:
+            task: asyncio.Task[Any] = self.create_task(work)
+        finally:
+            asyncio._set_running_loop(None)
+        self.settle()
+        return task
--- /dev/null
+++ b/rehearsal/explore/world.py
@@ -0,0 +1,598 @@
+"""A small world round one real node: what may happen next, and what must never have happened.
+
+The node is `orchidferry.node.Node` with all that stands under it, on a loop of virtual time. Callers, servers
+and discovery are played here. At rest, `actions` lists all that may come next: what a sound world does costs
+nothing, a disturbance costs one of the `events` that a run may have. `do` plays one, up to rest again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import orchidferry.config
+import orchidferry.upstream
+from nickelbridge import interface as api
+from orchidferry.config import Config, address, read_listing, server_id
+from orchidferry.node import MARGIN_MS, Node
+from rehearsal.explore.loop import Dial, Loop, Poll, Wire
+
+DISCOVERY = ("10.9.9.9", 1)
+LISTEN = ("10.0.0.1", 80)
+AIM_MS, GIVE_UP_MS, WINDOW_MS, CONNECT_MS = 200.0, 1_000.0, 600.0, 100.0
+SLACK_MS = 25.0  # of an answer beyond its time: one turn, and the answer's own reserve
+END_S = 8.0  # after the last choice: all that is under way must have come to its end
+# Timers that come round by themselves: time does not stop for them.
+BACKGROUND = ("Frontend._sweep", "Upstream._sweep", "Discovery._silent")
+PATCHED = ((orchidferry.config, "time"), (orchidferry.upstream, "select"))
+KINDS = {"read": api.Repeat.SAFE, "pay": api.Repeat.UNSAFE, "save": api.Repeat.KEYED}
+
+
+@dataclass(frozen=True, slots=True)
+class Small:
+    """The size of a world. Each client asks once."""
+
+    clients: int = 2
+    servers: int = 2
+    events: int = 3  # disturbances in one run
+    kinds: tuple[str, ...] = ("pay", "read", "save")  # of the clients, in turn
+    attempts: int = 2
+    late: int = 2  # times that it may let time pass though somebody could act, each a disturbance
+
+    def __post_init__(self) -> None:
+        """Refuse what can't be meant."""
+        for name, low, high in (("clients", 1, 4), ("servers", 1, 4), ("events", 0, 6), ("attempts", 1, 4)):
+            if not low <= getattr(self, name) <= high:
+                raise ValueError(f"{name}: {getattr(self, name)} is not within {low} to {high}")
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A property that does not hold."""
+
+    name: str
+    what: str
+
+
+PROPERTIES = {
+    "one-answer": "rule 1, no request lost: exactly one final answer for each request, in time",
+    "no-effect-twice": "rule 2: nothing that may have run is sent again beyond its class, group and window",
+    "drains-kept": "rule 3: nothing new goes to a server once its drain or its end was told",
+    "cold-spared": "rule 4: a cold server gets no more than its budget",
+    "one-end": "the node's contract: each Send ends in exactly one AttemptEnded",
+    "harmless-refusals": "rule 1: 503 only where asking again does no harm",
+    "nothing-left": "counters return to nothing; no timer, task or connection without an owner",
+    "no-exception": "nothing raises unseen, and no line of the log is an error",
+    "at-rest": "the loop comes to rest",
+}
+
+
+class _Fixed(random.Random):
+    """Chance that always falls in the middle: jitter is no choice worth exploring."""
+
+    def random(self) -> float:
+        return 0.5
+
+
+class _Errors(logging.Handler):
+    def __init__(self) -> None:
+        super().__init__(logging.WARNING)
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.levelno >= logging.ERROR or "deadline" in record.getMessage():
+            trouble = record.exc_info[1] if record.exc_info else None
+            self.lines.append(record.getMessage() + (f": {trouble!r}" if trouble else ""))
+
+
+@dataclass(slots=True)
+class Client:
+    """A caller, and what it has seen."""
+
+    number: int
+    kind: str
+    wire: Wire | None = None
+    asked_s: float = 0.0
+    left: bool = False
+    answers: list[tuple[float, int]] = field(default_factory=list)
+    closed_s: float | None = None  # the node closed on it
+    id: str = ""
+
+    @property
+    def waits(self) -> bool:
+        return self.wire is not None and not self.left and not self.answers and self.closed_s is None
+
+
+@dataclass(slots=True)
+class Carried:
+    """A request that a server has whole."""
+
+    client: str
+    server: int  # by its place
+    wire: Wire
+    got_s: float
+    ended: str = ""  # how; 'refused' proves that it did not run
+
+
+class World:
+    """One run."""
+
+    def __init__(self, small: Small) -> None:
+        self.small = small
+        self.loop = Loop()  # type: ignore[abstract]  # what it lacks nothing here asks for
+        self.left_events, self.left_late = small.events, small.late
+        self.story: list[tuple[float, str]] = []
+        self.violations: list[Violation] = []
+        self.clients = [
+            Client(n, small.kinds[n % len(small.kinds)], id=f"c{n}") for n in range(small.clients)
+        ]
+        self.names = [f"s{n}" for n in range(small.servers)]
+        self.places = {server_id(name): n for n, name in enumerate(self.names)}
+        self.told = dict.fromkeys(range(small.servers), (0.0, "active"))  # since when, as the node has heard
+        self.cold_s: dict[int, float] = {}
+        self.carried: list[Carried] = []
+        self.watch: Wire | None = None  # of discovery
+        self.index = 1
+        self.stopping: asyncio.Task[Any] | None = None
+        self.sends: dict[tuple[str, int], int] = {}  # open ones, by request and server
+        self._errors = _Errors()
+        self._shortage = False
+        with self.inside():
+            self.node = Node(_config(small), self.loop)
+            self._wrap()
+            self.loop.run(self.node.frontend.listen(self.loop, LISTEN))
+            self.node.start()
+            self._rest()
+
+    @contextmanager
+    def inside(self) -> Iterator[None]:
+        """The node's clock and sockets are the loop's while this lasts."""
+        # By name, as both are modules that those import.
+        old = {place: getattr(*place) for place in PATCHED}
+        for place, new in zip(PATCHED, (_Clock(self.loop), _Select(self.loop)), strict=True):
+            setattr(*place, new)
+        log = logging.getLogger("orchidferry")
+        log.addHandler(self._errors)
+        propagate, log.propagate = log.propagate, False
+        try:
+            yield
+        finally:
+            for place, was in old.items():
+                setattr(*place, was)
+            log.removeHandler(self._errors)
+            log.propagate = propagate
+
+    def _wrap(self) -> None:
+        """See all that passes between node and module."""
+        balancer = self.node._balancer
+        balancer._rng = _Fixed(1)
+        balancer.fleet._rng = balancer._rng
+        inner = balancer.handle
+
+        def handle(event: api.Event, now_ms: float) -> list[api.Action]:
+            if isinstance(event, api.AttemptEnded):
+                key = event.id, event.server
+                if self.sends.get(key, 0) < 1:
+                    self._broken("one-end", f"AttemptEnded of request {event.id} without a Send to match")
+                else:
+                    self.sends[key] -= 1
+            actions = inner(event, now_ms)
+            for action in actions:
+                if isinstance(action, api.Send):
+                    key = action.id, action.server
+                    self.sends[key] = self.sends.get(key, 0) + 1
+            return actions
+
+        balancer.handle = handle  # type: ignore[method-assign]
+
+    def _broken(self, name: str, what: str) -> None:
+        self.violations.append(Violation(name, what))
+
+    def _tell(self, what: str) -> None:
+        self.story.append((self.loop.now, what))
+
+    # At rest
+
+    def _rest(self) -> None:
+        """Settle, and look at what the node has written."""
+        while True:
+            self.loop.settle()
+            if not self._look():
+                break
+        for line in [*self._errors.lines, *self.loop.problems]:
+            self._broken("no-exception", line)
+        self._errors.lines.clear()
+        self.loop.problems.clear()
+
+    def _look(self) -> bool:
+        """Take what came out of the node; whether discovery has made more come."""
+        moved = False
+        for dial in list(self.loop.dials):
+            if dial.address == DISCOVERY:  # it answers at once: only its news are a choice
+                self.loop.up(dial)
+                moved = True
+        for wire in self.loop.wires:
+            while (text := _message(wire)) is not None:
+                if wire.address == DISCOVERY:
+                    self.watch = wire
+                elif wire.address is not None:
+                    self._got(wire, text)
+                else:
+                    self._answered(wire, text)
+        self.loop.wires = [wire for wire in self.loop.wires if not wire.lost]
+        for client in self.clients:
+            if (
+                client.wire is not None
+                and client.wire.closing
+                and client.closed_s is None
+                and not client.left
+            ):
+                client.closed_s = self.loop.now
+                if not client.answers:
+                    self._broken("one-answer", f"{client.id} was closed on without an answer")
+        for one in self.carried:
+            if not one.ended and one.wire.closing:
+                one.ended = "given up"
+                self._tell(f"s{one.server} sees {one.client} given up")
+        return moved
+
+    def _got(self, wire: Wire, text: bytes) -> None:
+        headers = _headers(text)
+        place = int(str(wire.address[0]).rpartition(".")[2]) if wire.address else 0
+        id, now = headers["x-call-id"], self.loop.now
+        client = next(c for c in self.clients if c.id == id)
+        since, status = self.told[place]
+        if status != "active" and now >= since:
+            self._broken("drains-kept", f"{id} goes to s{place}, which was told {status} at {since:.3f} s")
+        before = [one for one in self.carried if one.client == id and one.ended != "refused"]
+        if before:
+            first = before[0]
+            if client.kind == "pay":
+                self._broken("no-effect-twice", f"{id}, unsafe, goes to s{place} after s{first.server}")
+            if client.kind == "save":
+                if first.server % 2 != place % 2:
+                    self._broken("no-effect-twice", f"{id}, keyed, leaves its group for s{place}")
+                if (now - first.got_s) * 1000.0 > WINDOW_MS + 1e-6:
+                    self._broken("no-effect-twice", f"{id}, keyed, is sent again after its window")
+        if place in self.cold_s:
+            count = sum(one.server == place and one.got_s >= self.cold_s[place] for one in self.carried) + 1
+            if count > 2:
+                self._broken("cold-spared", f"s{place}, cold, gets {count} requests at once")
+        self.carried.append(Carried(id, place, wire, now))
+        self._tell(f"s{place} has {id} whole")
+
+    def _answered(self, wire: Wire, text: bytes) -> None:
+        client = next(c for c in self.clients if c.wire is wire)
+        status, now = int(text.split(b" ", 2)[1]), self.loop.now
+        client.answers.append((now, status))
+        self._tell(f"{client.id} is answered {status}")
+        if client.left:
+            return
+        late_ms = (now - client.asked_s) * 1000.0 - GIVE_UP_MS
+        if len(client.answers) > 1:
+            self._broken("one-answer", f"{client.id} is answered {len(client.answers)} times")
+        if late_ms > SLACK_MS:
+            self._broken("one-answer", f"{client.id} is answered {late_ms:.0f} ms late")
+        ran = [one for one in self.carried if one.client == client.id and one.ended != "refused"]
+        if status == 200 and not any(one.ended == "served" for one in ran):
+            self._broken("one-answer", f"{client.id} is answered 200, and no server did")
+        if status == 503 and client.kind != "read" and ran:
+            self._broken("harmless-refusals", f"{client.id} is refused, and may have run on s{ran[0].server}")
+
+    # What may happen
+
+    def actions(self) -> list[tuple[str, int]]:
+        """All that may come next, with what each costs; what is sound first."""
+        free: list[tuple[str, int]] = []
+        odd: list[tuple[str, int]] = []
+        listening = any(listener.open for listener in self.loop.listeners)
+        for client in self.clients:
+            if client.wire is None and listening:
+                free.append((f"ask c{client.number}", 0))
+            elif client.waits:
+                odd.append((f"leave c{client.number}", 1))
+        for n in range(len(self.loop.dials)):
+            free.append((f"up {n}", 0))
+            odd.append((f"refuse {n}", 1))
+        for n, one in enumerate(self.carried):
+            if not one.ended:
+                free.append((f"serve {n}", 0))
+                odd += [(f"{how} {n}", 1) for how in ("fail", "turn-away", "reset", "close", "cross")]
+        odd += [(f"drop {n}", 1) for n, _ in self._idle()]
+        if self.watch is not None:
+            for place in range(self.small.servers):
+                if self.told[place][1] == "active":
+                    odd += [(f"drain s{place}", 1), (f"gone s{place}", 1)]
+                elif self.told[place][1] == "left":
+                    odd.append((f"back s{place}", 1))
+        if self.stopping is None:
+            odd.append(("stop", 1))
+        due = self.next_due()
+        if due is not None and any(c.waits for c in self.clients):
+            if not free:
+                free.append(("wait", 0))
+            elif self.left_late:
+                odd.append(("wait", 1))
+        return free + (odd if self.left_events else [])
+
+    def _idle(self) -> list[tuple[int, Wire]]:
+        busy = {id(one.wire) for one in self.carried if not one.ended}
+        return [
+            (wire.number, wire) for wire in self.loop.wires
+            if wire.address not in (None, DISCOVERY) and id(wire) not in busy and not wire.closing
+        ]  # fmt: skip
+
+    def next_due(self) -> float | None:
+        """When the next timer is due that means anything."""
+        due = [
+            when for when, _, handle in self.loop.timers
+            if not handle.cancelled() and getattr(handle._callback, "__qualname__", "") not in BACKGROUND  # type: ignore[attr-defined]
+        ]  # fmt: skip
+        return min(due, default=None)
+
+    def do(self, label: str) -> None:
+        """Play one of the actions."""
+        cost = next((cost for name, cost in self.actions() if name == label), None)
+        if cost is None:
+            raise ValueError(f"{label!r} can't happen here")
+        self.left_events -= cost
+        verb, _, what = label.partition(" ")
+        if verb == "wait" and cost:
+            self.left_late -= 1
+        with self.inside():
+            getattr(self, "_do_" + verb.replace("-", "_"))(what)
+            self._rest()
+
+    def _do_ask(self, what: str) -> None:
+        client = self.clients[int(what[1:])]
+        listener = next(listener for listener in self.loop.listeners if listener.open)
+        client.wire = self.loop.accept(listener)
+        client.asked_s = self.loop.now
+        key = f"Idempotency-Key: k{client.number}\r\n" if client.kind == "save" else ""
+        method = "GET" if client.kind == "read" else "POST"
+        self._tell(f"{client.id} asks for {client.kind}")
+        client.wire.feed(
+            f"{method} /{client.kind} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {client.id}\r\n"
+            f"X-Budget: {GIVE_UP_MS / 1000.0}\r\n{key}Content-Length: 0\r\n\r\n".encode()
+        )
+
+    def _do_leave(self, what: str) -> None:
+        client = self.clients[int(what[1:])]
+        assert client.wire is not None
+        client.left = True
+        self._tell(f"{client.id} leaves")
+        client.wire.eof()
+
+    def _dial(self, what: str) -> Dial:
+        return self.loop.dials[int(what)]
+
+    def _do_up(self, what: str) -> None:
+        dial = self._dial(what)
+        self._tell(f"a connection to {dial.address[0]} is up")
+        self.loop.up(dial)
+
+    def _do_refuse(self, what: str) -> None:
+        dial = self._dial(what)
+        self._tell(f"a connection to {dial.address[0]} is refused")
+        self.loop.refuse(dial)
+
+    def _end(self, what: str, ended: str) -> Carried:
+        one = self.carried[int(what)]
+        one.ended = ended
+        self._tell(f"s{one.server}: {one.client} {ended}")
+        return one
+
+    def _do_serve(self, what: str) -> None:
+        self._end(what, "served").wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok")
+
+    def _do_fail(self, what: str) -> None:
+        self._end(what, "failed").wire.feed(b"HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n")
+
+    def _do_turn_away(self, what: str) -> None:
+        self._end(what, "refused").wire.feed(b"HTTP/1.1 503 -\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+
+    def _do_reset(self, what: str) -> None:
+        self._end(what, "reset").wire.lose()
+
+    def _do_close(self, what: str) -> None:
+        """It answers, and closes with the same breath."""
+        one = self._end(what, "served")
+        one.wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok")
+        one.wire.eof()
+
+    def _do_cross(self, what: str) -> None:
+        """Its answer comes in the very turn in which the next timer is due, and behind it."""
+        one = self._end(what, "served")
+        due = self.next_due()
+        if due is not None:
+            before = [entry for entry in self.loop.timers if entry[0] < due]
+            if before:
+                self.loop.pass_to(max(entry[0] for entry in before))
+            self.loop.now = max(self.loop.now, due)
+            for when, _, handle in sorted(self.loop.timers, key=lambda entry: entry[:2]):
+                if when <= due and not handle.cancelled():
+                    self.loop.ready.append(handle)
+            self.loop.timers = [entry for entry in self.loop.timers if entry[0] > due]
+        if one.wire.closing:
+            return
+        one.wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok")
+
+    def _do_drop(self, what: str) -> None:
+        wire = next(wire for number, wire in self._idle() if number == int(what))
+        self._tell(f"{wire.address} closes an idle connection")
+        wire.eof()
+
+    def _news(self, place: int, status: str, since_ms: int = 0) -> None:
+        assert self.watch is not None
+        self.index += 1
+        wire, self.watch = self.watch, None
+        entry = _entry(place) | {"status": status, "since_ms": since_ms}
+        body = json.dumps({"index": self.index, "snapshot": False, "endpoints": [entry]}).encode()
+        wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        self.told[place] = self.loop.now, status
+        self._tell(f"discovery tells s{place} {status}")
+
+    def _do_drain(self, what: str) -> None:
+        self._news(int(what[1:]), "leaving")
+
+    def _do_gone(self, what: str) -> None:
+        self._news(int(what[1:]), "left")
+
+    def _do_back(self, what: str) -> None:
+        place = int(what[1:])
+        self.cold_s[place] = self.loop.now
+        self._news(place, "active", int(self.loop.now * 1000.0))
+
+    def _do_stop(self, what: str) -> None:
+        self._tell("SIGTERM")
+        self.stopping = self.loop.run(self.node.stop())
+
+    def _do_wait(self, what: str) -> None:
+        due = self.next_due()
+        assert due is not None
+        self._tell(f"time passes to {due:.3f} s")
+        self.loop.pass_to(due)
+
+    # The end
+
+    def finish(self) -> None:
+        """All that is under way comes to its end; then nothing may be left."""
+        with self.inside():
+            end = self.loop.now + END_S
+            while self.loop.now < end:
+                self._rest()
+                due = self.loop.next_timer()
+                if due is None or due > end:
+                    break
+                self.loop.pass_to(due)
+            self._rest()
+            for client in self.clients:
+                if (
+                    client.wire is not None
+                    and not client.left
+                    and not client.answers
+                    and client.closed_s is None
+                ):
+                    self._broken("one-answer", f"{client.id} never gets an answer")
+            self._left()
+            if self.stopping is None:
+                self.stopping = self.loop.run(self.node.stop(0.0))
+            self.loop.pass_to(self.loop.now + END_S)
+            self._rest()
+            if not self.stopping.done():
+                self._broken("nothing-left", "the node does not come to its end")
+            elif not self.stopping.cancelled() and (problem := self.stopping.exception()) is not None:
+                self._broken("no-exception", f"stopping: {problem!r}")
+            if self.loop.wires:
+                self._broken("nothing-left", f"{len(self.loop.wires)} connections are open after the end")
+            if self.loop.tasks:
+                self._broken("nothing-left", f"tasks are left: {self.loop.tasks[0]!r:.120}")
+
+    def _left(self) -> None:
+        node, balancer = self.node, self.node._balancer
+        counts = {
+            "requests of the node": len(node._live), "attempts of the node": len(node.attempts),
+            "ids": len(node._open_ids), "calls of the module": len(balancer._calls),
+            "attempts in flight": balancer.inflight, "uploads": len(balancer._uploads),
+            "lost calls": balancer._lost, "alarms": len(node._alarms), "dials": len(node._tcp._dials),
+            "calls out at servers": sum(len(server.out) for server in balancer.fleet.servers.values()),
+            "sends without an end": sum(self.sends.values()),
+        }  # fmt: skip
+        for what, count in counts.items():
+            if count:
+                self._broken("nothing-left", f"{what}: {count}")
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing more can be asked, or is under way."""
+        asked = all(client.wire is not None for client in self.clients) or self.stopping is not None
+        return asked and not any(client.waits for client in self.clients)
+
+    def outcome(self) -> tuple[Any, ...]:
+        """What came of it, for comparisons."""
+        clients = tuple(
+            (c.left, tuple(status for _, status in c.answers), c.wire is not None) for c in self.clients
+        )
+        ran = tuple(sorted((one.client, one.server, one.ended) for one in self.carried))
+        return clients, ran
+
+
+class _Clock:
+    """What `orchidferry.config` takes for the module `time`."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+
+    def monotonic(self) -> float:
+        return self._loop.now
+
+    def time(self) -> float:
+        return self._loop.now
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(time, name)
+
+
+class _Select:
+    POLLIN = 1
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+
+    def poll(self) -> Poll:
+        return Poll(self._loop)
+
+
+def _entry(place: int) -> dict[str, Any]:
+    return {"name": f"s{place}", "address": f"10.1.0.{place}:80", "zone": f"z{place % 2}", "type": "k",
+            "group": place % 2, "status": "active", "weight": 1.0, "since_ms": 0}  # fmt: skip
+
+
+def _config(small: Small) -> Config:
+    classes = [
+        api.RequestClass(
+            name,
+            AIM_MS,
+            GIVE_UP_MS,
+            1.0,
+            0.2,
+            repeat,
+            api.Group.CELL if repeat is api.Repeat.KEYED else api.Group.ALL,
+            WINDOW_MS,
+        )
+        for name, repeat in KINDS.items()
+    ]
+    settings = api.Settings(
+        classes, max_attempts=small.attempts, connect_timeout_ms=CONNECT_MS, keepalive_ms=30_000.0,
+        can_cancel=True, drain_grace_ms=0.0, start_capacity=0.3, ramp_time_ms=8_000.0, overload_factor=3.0,
+        overload_for_ms=1_000.0, answer_slack_ms=MARGIN_MS,
+    )  # fmt: skip
+    known = read_listing(
+        {"index": 1, "snapshot": True, "endpoints": [_entry(n) for n in range(small.servers)]}
+    )
+    return Config("n0", address("10.0.0.1:80"), DISCOVERY, 7, 1024, 64.0, known, settings)
+
+
+def _message(wire: Wire) -> bytes | None:
+    """The next whole message that the node has written, taken out."""
+    data = bytes(wire.out)
+    end = data.find(b"\r\n\r\n")
+    if end < 0:
+        return None
+    length = int(_headers(data[: end + 4]).get("content-length", "0"))
+    if len(data) < end + 4 + length:
+        return None
+    del wire.out[: end + 4 + length]
+    return data[: end + 4 + length]
+
+
+def _headers(text: bytes) -> dict[str, str]:
+    lines = text.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")[1:]
+    return {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
