--- a/rehearsal/explore/__init__.py
+++ b/rehearsal/explore/__init__.py
@@ -16,8 +16,9 @@
     parser.add_argument("--events", type=int, default=3, metavar="N", help="disturbances in one run (3)")
     parser.add_argument("--attempts", type=int, default=2, metavar="N", help="at one request at most (2)")
     parser.add_argument(
-        "--kinds", default="pay,read,save", metavar="LIST", help="of the clients in turn (pay,read,save)"
+        "--kinds", default="pay,save,read", metavar="LIST", help="of the clients in turn (pay,save,read)"
     )
+    parser.add_argument("--cold", type=int, default=0, metavar="N", help="servers that have just started (0)")
     parser.add_argument("--workers", type=int, default=0, metavar="N", help="processes (one a core)")
     parser.add_argument("--seconds", type=float, default=3_600.0, metavar="S", help="at most (3600)")
     parser.add_argument(
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -34,7 +35,8 @@
             raise _Usage(f"--break {args.break_}: no such break; --list-breaks tells them")
         if args.replay is not None:
             return _replay(console, Path(args.replay))
-        small = Small(args.clients, args.servers, args.events, tuple(args.kinds.split(",")), args.attempts)
+        kinds = tuple(args.kinds.split(","))
+        small = Small(args.clients, args.servers, args.events, kinds, args.attempts, args.cold)
         if unknown := [kind for kind in small.kinds if kind not in ("pay", "read", "save")]:
             raise _Usage(f"--kinds: {unknown[0]!r} is none of pay, read, save")
         if args.seconds <= 0 or (args.walk is not None and args.walk <= 0):
@@ -65,7 +67,7 @@
         # By the number of disturbances: what few of them do is found first, and told by the shortest story.
         for events in range(0 if args.keep is None else small.events, small.events + 1):
             level[0] = events
-            one = Small(small.clients, small.servers, events, small.kinds, small.attempts, small.late)
+            one = replace(small, events=events)
             left_s = args.seconds - (time.monotonic() - began)
             keep = Path(args.keep) if args.keep is not None else None
             found = search.search(
--- a/rehearsal/explore/state.py
+++ b/rehearsal/explore/state.py
@@ -159,6 +159,7 @@
     walk.add(world.told)
     walk.add(world.cold_s)
     walk.add([world.watch, world.stopping])
+    walk.add(sorted((wire.number, data) for wire, data in world.crossing))
     walk.add(world.node)
     walk.add(sorted((dial.address, dial.done.done()) for dial in loop.dials))
     walk.add(sorted(loop.wires, key=lambda wire: wire.number))
--- a/rehearsal/explore/world.py
+++ b/rehearsal/explore/world.py
@@ -26,7 +26,8 @@
 
 DISCOVERY = ("10.9.9.9", 1)
 LISTEN = ("10.0.0.1", 80)
-AIM_MS, GIVE_UP_MS, WINDOW_MS, CONNECT_MS = 200.0, 1_000.0, 600.0, 100.0
+AIM_MS, GIVE_UP_MS, WINDOW_MS, CONNECT_MS = 200.0, 1_000.0, 300.0, 100.0
+WAIT_S = 0.35  # the longest that time passes at once: between two timers peers may act too
 SLACK_MS = 25.0  # of an answer beyond its time: one turn, and the answer's own reserve
 END_S = 8.0  # after the last choice: all that is under way must have come to its end
 # Timers that come round by themselves: time does not stop for them.
@@ -42,8 +43,9 @@
     clients: int = 2
     servers: int = 2
     events: int = 3  # disturbances in one run
-    kinds: tuple[str, ...] = ("pay", "read", "save")  # of the clients, in turn
+    kinds: tuple[str, ...] = ("pay", "save", "read")  # of the clients, in turn
     attempts: int = 2
+    cold: int = 0  # servers that have just started
     late: int = 2  # times that it may let time pass though somebody could act, each a disturbance
 
     def __post_init__(self) -> None:
@@ -141,6 +143,8 @@
         self.watch: Wire | None = None  # of discovery
         self.index = 1
         self.stopping: asyncio.Task[Any] | None = None
+        self.crossing: list[tuple[Wire, bytes]] = []  # what peers have sent that is read a step later
+        self.cold_s |= dict.fromkeys(range(small.servers - small.cold, small.servers), self.loop.now)
         self.sends: dict[tuple[str, int], int] = {}  # open ones, by request and server
         self._errors = _Errors()
         self._shortage = False
@@ -206,11 +210,21 @@
             self.loop.settle()
             if not self._look():
                 break
+        self._owned()
         for line in [*self._errors.lines, *self.loop.problems]:
             self._broken("no-exception", line)
         self._errors.lines.clear()
         self.loop.problems.clear()
 
+    def _owned(self) -> None:
+        """At rest each thing that is kept has an owner."""
+        node, balancer = self.node, self.node._balancer
+        if balancer._calls.keys() != node._live.keys():
+            odd = sorted(balancer._calls.keys() ^ node._live.keys())
+            self._broken("nothing-left", f"node and module do not hold the same requests: {odd}")
+        if len(node._alarms) > len(node._live) + len(node.attempts):
+            self._broken("nothing-left", f"{len(node._alarms)} time limits for {len(node._live)} requests")
+
     def _look(self) -> bool:
         """Take what came out of the node; whether discovery has made more come."""
         moved = False
@@ -263,7 +277,7 @@
                     self._broken("no-effect-twice", f"{id}, keyed, is sent again after its window")
         if place in self.cold_s:
             count = sum(one.server == place and one.got_s >= self.cold_s[place] for one in self.carried) + 1
-            if count > 2:
+            if count > 1:  # nothing is known of what it bears: one at once is the most
                 self._broken("cold-spared", f"s{place}, cold, gets {count} requests at once")
         self.carried.append(Carried(id, place, wire, now))
         self._tell(f"s{place} has {id} whole")
@@ -305,7 +319,8 @@
             if not one.ended:
                 free.append((f"serve {n}", 0))
                 odd += [(f"{how} {n}", 1) for how in ("fail", "turn-away", "reset", "close", "cross")]
-        odd += [(f"drop {n}", 1) for n, _ in self._idle()]
+        for n, _ in self._idle():
+            odd += [(f"drop {n}", 1), (f"drop-crossing {n}", 1), (f"stray {n}", 1)]
         if self.watch is not None:
             for place in range(self.small.servers):
                 if self.told[place][1] == "active":
@@ -327,6 +342,7 @@
         return [
             (wire.number, wire) for wire in self.loop.wires
             if wire.address not in (None, DISCOVERY) and id(wire) not in busy and not wire.closing
+            and not wire.unread
         ]  # fmt: skip
 
     def next_due(self) -> float | None:
@@ -347,7 +363,11 @@
         if verb == "wait" and cost:
             self.left_late -= 1
         with self.inside():
+            crossing, self.crossing = self.crossing, []
             getattr(self, "_do_" + verb.replace("-", "_"))(what)
+            if crossing:  # what was on its way is read once the node has done what this made it do
+                self.loop.settle()
+                self._cross(crossing)
             self._rest()
 
     def _do_ask(self, what: str) -> None:
@@ -425,10 +445,35 @@
         one.wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok")
 
     def _do_drop(self, what: str) -> None:
-        wire = next(wire for number, wire in self._idle() if number == int(what))
+        wire = self._idle_wire(what)
         self._tell(f"{wire.address} closes an idle connection")
         wire.eof()
 
+    def _idle_wire(self, what: str) -> Wire:
+        return next(wire for number, wire in self._idle() if number == int(what))
+
+    def _do_drop_crossing(self, what: str) -> None:
+        """A close that is on its way while something else happens."""
+        wire = self._idle_wire(what)
+        wire.unread = True
+        self._tell(f"{wire.address} closes an idle connection, unread for a while")
+        self.crossing.append((wire, b""))
+
+    def _do_stray(self, what: str) -> None:
+        """An answer that nobody asked for, on its way."""
+        wire = self._idle_wire(what)
+        wire.unread = True
+        self._tell(f"{wire.address} sends an answer that nobody asked for")
+        self.crossing.append((wire, b"HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nno"))
+
+    def _cross(self, crossing: list[tuple[Wire, bytes]]) -> None:
+        for wire, data in crossing:
+            if not data:
+                wire.out.clear()  # it was closed before: nobody reads this
+                wire.eof()
+            elif not wire.closing:
+                wire.feed(data)
+
     def _news(self, place: int, status: str, since_ms: int = 0) -> None:
         assert self.watch is not None
         self.index += 1
@@ -457,7 +502,8 @@
     def _do_wait(self, what: str) -> None:
         due = self.next_due()
         assert due is not None
-        self._tell(f"time passes to {due:.3f} s")
+        due = min(due, self.loop.now + WAIT_S)
+        self._tell(f"time passes to {due - 1_000.0:.3f} s")
         self.loop.pass_to(due)
 
     # The end
@@ -465,6 +511,8 @@
     def finish(self) -> None:
         """All that is under way comes to its end; then nothing may be left."""
         with self.inside():
+            self._cross(self.crossing)
+            self.crossing = []
             end = self.loop.now + END_S
             while self.loop.now < end:
                 self._rest()
@@ -574,9 +622,10 @@
         can_cancel=True, drain_grace_ms=0.0, start_capacity=0.3, ramp_time_ms=8_000.0, overload_factor=3.0,
         overload_for_ms=1_000.0, answer_slack_ms=MARGIN_MS,
     )  # fmt: skip
-    known = read_listing(
-        {"index": 1, "snapshot": True, "endpoints": [_entry(n) for n in range(small.servers)]}
-    )
+    entries = [_entry(n) for n in range(small.servers)]
+    for entry in entries[small.servers - small.cold :]:
+        entry["since_ms"] = 1_000_000
+    known = read_listing({"index": 1, "snapshot": True, "endpoints": entries})
     return Config("n0", address("10.0.0.1:80"), DISCOVERY, 7, 1024, 64.0, known, settings)
 
 
