--- a/rehearsal/bench/ingest.py
+++ b/rehearsal/bench/ingest.py
@@ -10,6 +10,7 @@
 import contextlib
 import gzip
 import os
+import shutil
 import tempfile
 import threading
 import time
@@ -92,14 +93,16 @@
     rows = []
     with tempfile.TemporaryDirectory(prefix="orchidferry-bench-") as name:
         folder = Path(name)
-        lines = list(generate.log_lines(generate.requests(SOURCE_RATE, SOURCE_S, 7)))
-        data = b"".join(lines)
-        print(f"a line has {len(data) / len(lines):.0f} bytes", flush=True)
+        source = folder / "source"
+        with source.open("wb") as out:
+            out.writelines(generate.log_lines(generate.requests(SOURCE_RATE, SOURCE_S, 7)))
         for kind, wrap in (("plain", open), ("gzip", gzip.open), ("zstd", zstd.open)):
             path = folder / kind
-            with wrap(path, "wb") as out:
-                for _ in range(max(1, round(args.mb * 1e6 / len(data) / (1 if kind == "plain" else 5)))):
-                    out.write(data)
+            times = args.mb * 1e6 / source.stat().st_size / (1 if kind == "plain" else 5)
+            with wrap(path, "wb") as out:  # in pieces: what is held here would count as the import's memory
+                for _ in range(max(1, round(times))):
+                    with source.open("rb") as data:
+                        shutil.copyfileobj(data, out)
             rows.append(_import(kind, path, folder, workers))
             path.unlink()
         path = folder / "har"
--- a/rehearsal/traffic/importing.py
+++ b/rehearsal/traffic/importing.py
@@ -424,7 +424,7 @@
                 number += len(batch)
         else:
             for block in source.blocks():
-                report.lines += 1 + block.data.count(b"\n")
+                report.lines += block.count
                 yield file, _lines, (file, block, shift_s)
         report.read += source.read
         if source.problem:
@@ -481,22 +481,25 @@
         """All rows in order of time, some hundred thousand at once."""
         if self._held:
             self._spill()
-        runs: list[Rows] = [np.memmap(path, ROW, "r") for path in self._files]
-        places = [0] * len(runs)
-        while True:
-            open_runs = [at for at, run in enumerate(runs) if places[at] < len(run)]
-            if not open_runs:
-                return
-            step = max(1, RUN // len(open_runs))
-            # Up to the earliest of the times that each would come to with its step: none of them is passed.
-            until = min(int(runs[at]["t"][min(places[at] + step, len(runs[at])) - 1]) for at in open_runs)
-            parts = []
-            for at in open_runs:
-                end = int(np.searchsorted(runs[at]["t"][places[at] :], until, "right")) + places[at]
-                parts.append(np.array(runs[at][places[at] : end]))
-                places[at] = end
-            rows = np.concatenate(parts)
-            yield rows[np.argsort(rows["t"], kind="stable")]
+        step = max(256, RUN // max(1, len(self._files)))
+        files = [path.open("rb") for path in self._files]  # read, not mapped: what is mapped counts as memory
+        try:
+            heads = [np.fromfile(file, ROW, step) for file in files]
+            while any(map(len, heads)):
+                # Up to the earliest of the times that each one's head ends with: none of them is passed.
+                until = min(int(head["t"][-1]) for head in heads if len(head))
+                parts = []
+                for at, head in enumerate(heads):
+                    end = int(np.searchsorted(head["t"], until, "right"))
+                    parts.append(head[:end])
+                    # Filled up again: of a short head the next step would be a short one for all.
+                    more = np.fromfile(files[at], ROW, end)
+                    heads[at] = np.concatenate([head[end:], more]) if len(more) else head[end:]
+                rows = np.concatenate(parts)
+                yield rows[np.argsort(rows["t"], kind="stable")]
+        finally:
+            for file in files:
+                file.close()
 
 
 def import_files(
--- a/rehearsal/traffic/retries.py
+++ b/rehearsal/traffic/retries.py
@@ -20,6 +20,8 @@
 WINDOW_S = 30.0
 SLACK_US = 50_000  # clocks and rounding: a retry may seem to begin a little before its first try's end
 NUMBER_MOST = 255
+MARKS = 1 << 20  # places of the table in which keys of failed requests are marked
+SAMPLE, SAMPLE_FROM = 16, 20_000  # one client in so many stands for all, in slices of more requests than that
 
 
 def failed(rows: Rows) -> np.ndarray[tuple[int], np.dtype[np.bool_]]:
@@ -37,7 +39,7 @@
 
     failures: int = 0
     ties: int = 0
-    successes: int = 0
+    successes: int = 0  # of the clients that stand for all, as `repeats`
     repeats: int = 0  # the same again within the window after a success
 
     @property
@@ -72,8 +74,19 @@
         # One key of the three: a collision of 64 bits would tie strangers once in a recording of billions.
         key = both["client"] ^ (both["object"] * np.uint64(0x9E3779B97F4A7C15))
         key ^= both["cls"].astype(np.uint64) * np.uint64(0xC2B2AE3D27D4EB4F)
-        order = np.argsort(key, kind="stable")  # of one key in order of time, as they come
         wrong = failed(both)
+        # Only what has the key of something that failed can be tied: marked in a table, some by chance. The
+        # doubt is reckoned from a sample of clients.
+        marks = np.zeros(MARKS, np.bool_)
+        place = (key >> np.uint64(20)) & np.uint64(MARKS - 1)
+        marks[place[wrong]] = True
+        sampled = (
+            (both["client"] & np.uint64(SAMPLE - 1)) == 0
+            if count > SAMPLE_FROM
+            else np.ones(len(both), np.bool_)
+        )
+        some = np.flatnonzero(marks[place] | sampled)
+        order = some[np.argsort(key[some], kind="stable")]  # of one key in order of time, as they come
         at = np.flatnonzero(key[order][1:] == key[order][:-1])
         first, then = order[at], order[at + 1]
         # A spread second may stand up to 1 s off on either side: neither end is known better.
@@ -82,9 +95,9 @@
         near = (gap >= -np.where(spread, 1_000_000, 0) - SLACK_US) & (gap <= self._window_us)
         near &= (both["client"][first] != 0) & (then >= old)
         self.doubt.ties += int((near & wrong[first]).sum())
-        self.doubt.repeats += int((near & ~wrong[first]).sum())
         self.doubt.failures += int(wrong[old:].sum())
-        self.doubt.successes += count - int(wrong[old:].sum())
+        self.doubt.repeats += int((near & ~wrong[first] & sampled[then]).sum())
+        self.doubt.successes += int((~wrong[old:] & sampled[old:]).sum())
         chain, number = both["chain"], both["number"]
         tied = np.flatnonzero(near & wrong[first])
         for before, one in zip(first[tied].tolist(), then[tied].tolist(), strict=True):
--- a/rehearsal/traffic/sources.py
+++ b/rehearsal/traffic/sources.py
@@ -31,6 +31,7 @@
 
     first: int  # number of the first line, from 1
     data: bytes  # without the end of the last line
+    count: int  # of lines
     dropped: bool = False  # the first line was longer than `LINE_MOST`: what is here is not all of it
 
     @property
@@ -100,11 +101,12 @@
                     dropping = True
                 carry = b"" if dropping else data
                 continue
-            block, dropping = Block(number, data[:end], dropping), False
+            count = data.count(b"\n")
+            block, dropping = Block(number, data[:end], count, dropping), False
             carry = data[end + 1 :]
             if len(carry) > LINE_MOST:
                 dropping, carry = True, b""
-            number += data.count(b"\n")
+            number += count
             yield block
         if carry or dropping:
-            yield Block(number, carry, dropping)
+            yield Block(number, carry, 1, dropping)
--- a/tests/traffic/test_importing.py
+++ b/tests/traffic/test_importing.py
@@ -329,7 +329,7 @@
 @given(strategies.sampled_from(SHORT), strategies.lists(SPOILT, max_size=5))
 def test_the_short_way_makes_the_rows_that_the_long_one_makes(form: str, lines: list[bytes]) -> None:
     plan = Plan((), form, CLASSES, key=b"k")
-    block = Block(1, b"\n".join(lines))
+    block = Block(1, b"\n".join(lines), len(lines))
     found = []
     for short in (True, False):
         importing._begin(plan)
