--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -36,7 +36,7 @@
 SPAN_MS = 10_000.0  # over which first tries earn attempts, as Finagle's budget does
 GATE_NET = 8  # bad outcomes beyond good ones that shut the gate: by chance at one in four bad, 3^-8
 PROBES = 1.0  # calls at once through a shut gate, at first,
-PROBE_MS = (100.0, 500.0)  # and how long after a bad one, doubling
+PROBE_MS = (100.0, 300.0)  # and how long after a bad one, doubling
 USUAL_SAMPLES = 64.0  # calls that what is usually out is averaged over
 STUCK = 2.0  # times the usual time without any answer: nothing below does any work
 GATE_MOST_MS = 30_000.0  # a gate that no call has come back through for so long lets a further one through
@@ -57,7 +57,7 @@
     share: float = 0.1  # of first tries that attempts beyond them may be, over `SPAN_MS`,
     floor_per_s: float = 2.0  # and so many a second of the whole tier besides
     nodes: int = 1  # that share this floor
-    shed: bool = True  # deeper tiers too turn away what is worth least, where they are crowded
+    shed: bool = False  # deeper tiers too turn away what is worth least, where they are crowded
 
     def __post_init__(self) -> None:
         """Refuse what can't be meant."""
@@ -122,7 +122,7 @@
     it shuts, by Wald's sequential test of three in four against one in four, whose steps are even: `GATE_NET`
     more bad ones than good ones since these were last level. Or, before any is known to be bad, when so many
     are out and none was served for `STUCK` times as long as they usually take. Each call that is then served
-    lets one more through at once, so that it opens within some round trips, to as many as were out before.
+    lets twice as many through at once, up to as many as usual; one that is bad brings it back to the first.
     """
 
     def __init__(self) -> None:
@@ -173,7 +173,7 @@
             self.limit, self._next_ms = PROBES, now + self._pace_ms
             self._pace_ms = min(2.0 * self._pace_ms, PROBE_MS[1])
         else:
-            self.limit, self._next_ms, self._pace_ms = self.limit + 1.0, now, PROBE_MS[0]
+            self.limit, self._next_ms, self._pace_ms = 2.0 * self.limit, now, PROBE_MS[0]
             if self.limit > max(self._usual, PROBES + 1.0):
                 self.limit, self._open_ms = math.inf, now
 
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -281,7 +281,7 @@
     share: float = key(SHARE, 0.1)  # of first tries that a node's further ones may be
     floor: float = key(real(0.0, 1e6), 2.0)  # a second, of a whole tier, besides
     passes: bool = key(flag, True)  # servers between two nodes hand the headers on
-    shed: bool = key(flag, True)  # deeper tiers turn away what is worth least
+    shed: bool = key(flag, False)  # deeper tiers turn away what is worth least
     knows: bool = key(flag, True)  # deeper tiers' nodes know the classes' worth by themselves
 
 
