--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -16,7 +16,7 @@
 
 Sources: retry budgets of Finagle (`RetryBudget`: a share of requests and a floor) and gRPC (A6, retry
 throttling); Google's SRE book, "Handling Overload" (at most 10 % retries, "overloaded; don't retry"); loops
-after RFC 8586; the gate opens as TCP's slow start does (RFC 5681, section 3.1).
+after RFC 8586; the gate opens by doubling, as TCP's slow start does (RFC 5681, section 3.1).
 """
 
 from __future__ import annotations
