Pools: routing in front of the module, and moves in the node; a server's lives told apart

A server has a number for each time that it came, and an attempt picked for one life does not go to the next; the trace is a loopback test, which failed before. nickelbridge/pools.py stands in front of one balancer for each pool: a request stays in its pool, a key for 6 s behind its last use, a pool with too few live servers gets its part. Off unless ORCHIDFERRY_POOLS names a file.

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -212,6 +212,7 @@
     client_retry: bool = False
     upload: bool = False  # its body is still coming, and goes on as it comes; `Uploaded` tells of the end
     carried: Carried | None = None  # what came along with it that can be believed
+    key: str | None = None  # by which servers drop its repeats, or that it is kept together by
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/nickelbridge/pools.py
@@ -0,0 +1,279 @@
+"""Servers in pools, and which pool a request goes to. No I/O.
+
+Each pool has a `Balancer` of its own, so that within it nothing is otherwise than in a node without pools;
+this stands in front of them with the same face, and decides only which of them has a request. Servers belong
+to the first pool that their kind, or their group, is listed in; what is in none is in the first pool.
+
+- A request stays in its pool, with all of its attempts. A key stays in the pool that it went to first for
+  `KEY_MS` behind its last use, also over an undo: pools that drop repeats apart never share one.
+- A move (`nickelbridge.moves`) gives the share of a class that goes to another pool. What has a key is dealt
+  by it, so that the same client does not flap between versions; the rest in turn.
+- Panic: a pool of which less than `LIVE_LEAST` of what it had is in service gets nothing beyond its
+  part: the rest of its share stays in the other pool. With no pool in service the first one says so.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from nickelbridge import interface as api
+from nickelbridge.chain import Chain
+from nickelbridge.interface import Health, ListKind
+from nickelbridge.logic import Balancer
+from nickelbridge.moves import Move, Plan, State
+
+KEY_MS, KEYS_MOST = 6_000.0, 100_000  # how long a key is kept to its pool; and how many are
+LIVE_LEAST = 0.5  # of a pool's servers that must be in service for its whole share
+OWN_TOKENS = 4  # timers of the nodes' own stay what they are
+TICK_MS = 250.0  # how often a move is looked at
+
+
+@dataclass(frozen=True, slots=True)
+class PoolRule:
+    """One pool: which servers are in it."""
+
+    name: str
+    kinds: frozenset[str] = frozenset()
+    groups: frozenset[int] = frozenset()
+
+    def has(self, entry: api.ServerEntry) -> bool:
+        return entry.kind in self.kinds or entry.cell in self.groups
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """All pools, the first being where all goes without a move; and a move that is planned."""
+
+    pools: tuple[PoolRule, ...]
+    to: str = ""  # the move's new pool; '': none is planned
+    plan: Plan | None = None
+
+    def __post_init__(self) -> None:
+        """Refuse what can't be meant."""
+        names = [pool.name for pool in self.pools]
+        if not names or len(set(names)) < len(names):
+            raise ValueError("pools: at least one, each with a name of its own")
+        for at, pool in enumerate(self.pools):
+            for other in self.pools[:at]:
+                if both := sorted(pool.kinds & other.kinds):
+                    raise ValueError(f"pools: {both[0]!r} is in {other.name!r} and in {pool.name!r}")
+        if self.to and (self.to not in names or self.to == names[0]):
+            raise ValueError(f"move: {self.to!r} is none of the pools behind the first")
+
+
+@dataclass(slots=True)
+class _Held:
+    """A request that is in a pool."""
+
+    pool: int
+    cls: str
+    came_ms: float
+    over: bool = False  # its outcome has been told
+
+
+@dataclass(slots=True)
+class _Pool:
+    balancer: Balancer
+    listed: dict[int, Health] = field(default_factory=dict)
+    most: int = 0  # servers in service that it had at once
+
+    def live(self) -> int:
+        return sum(health is Health.IN_SERVICE for health in self.listed.values())
+
+
+class Router:
+    """Pools behind the face of one `Balancer`."""
+
+    def __init__(self, settings: api.Settings, salt: int, rules: Rules, chain: Chain | None = None) -> None:
+        self.rules, self.chain = rules, chain
+        self._pools = [_Pool(Balancer(settings, salt + n, chain)) for n in range(len(rules.pools))]
+        self._requests: dict[str, _Held] = {}
+        self._keys: OrderedDict[str, tuple[float, int]] = OrderedDict()  # when last used, and the pool
+        self._home: dict[int, int] = {}  # pool of each server that is known
+        self._dealt: dict[str, float] = {}  # share owed to the new pool, by class
+        names = [pool.name for pool in rules.pools]
+        self._to = names.index(rules.to) if rules.to else 0
+        plan = rules.plan or Plan(tuple(cls.name for cls in settings.classes))
+        self.move: Move | None = Move(plan) if rules.to else None
+        self._ticking = False
+
+    # What a node reads
+
+    @property
+    def settings(self) -> api.Settings:
+        return self._pools[0].balancer.settings
+
+    @property
+    def classes(self) -> dict[str, api.RequestClass]:
+        return self._pools[0].balancer.classes
+
+    def avoided(self, now: float) -> int:
+        """How many listed servers get nothing new now."""
+        return sum(pool.balancer.avoided(now) for pool in self._pools)
+
+    # Events
+
+    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+        """Take one event; what to do about it."""
+        actions: list[api.Action] = []
+        match event:
+            case api.Request():
+                actions += self._request(event, now)
+            case api.AttemptEnded() | api.Uploaded() | api.StreamStarted() | api.ClientGone():
+                held = self._requests.get(event.id)
+                pool = held.pool if held is not None else self._home.get(getattr(event, "server", -1), 0)
+                if isinstance(event, api.AttemptEnded) and event.settled:
+                    self._ended(event.id, event.result is not api.Result.SERVED, now)
+                actions += self._say(pool, event, now)
+                if isinstance(event, api.ClientGone):
+                    self._requests.pop(event.id, None)
+            case api.TimerFired():
+                actions += self._timer(event, now)
+            case api.ServerList():
+                actions += self._list(event, now)
+            case _:
+                for number in range(len(self._pools)):
+                    actions += self._say(number, event, now)
+        if self.move is not None:
+            if self.move.state is State.PLANNED and self._pools[0].live() and self._pools[self._to].live():
+                self.move.start(
+                    now
+                )  # as soon as there is something to move, and something to compare it with
+            actions += self._look(now)
+        return actions
+
+    def _say(self, pool: int, event: api.Event, now: float) -> list[api.Action]:
+        """Tell one pool; its timers come back with its number in them."""
+        found: list[api.Action] = []
+        for action in self._pools[pool].balancer.handle(event, now):
+            match action:
+                case api.SetTimer():
+                    token = action.token
+                    if pool or token >= OWN_TOKENS:
+                        token = OWN_TOKENS + token * len(self._pools) + pool
+                    found.append(api.SetTimer(token, action.delay_ms))
+                case api.Subscribe() if pool:
+                    pass  # one subscription is enough
+                case api.Fail() | api.Refuse():
+                    self._ended(action.id, True, now)
+                    self._requests.pop(action.id, None)
+                    found.append(action)
+                case _:
+                    found.append(action)
+        return found
+
+    def _timer(self, event: api.TimerFired, now: float) -> list[api.Action]:
+        if event.token < 0:
+            self._ticking = False
+            return []
+        if event.token < OWN_TOKENS:
+            return self._say(0, event, now)
+        token, pool = divmod(event.token - OWN_TOKENS, len(self._pools))
+        return self._say(pool, api.TimerFired(token), now)
+
+    def _look(self, now: float) -> list[api.Action]:
+        move = self.move
+        assert move is not None
+        before = move.state
+        new = self._pools[self._to].live()
+        move.tick(now, new, sum(pool.live() for pool in self._pools) - new)
+        found: list[api.Action] = []
+        if move.state is not before:
+            found.append(api.Log(f"move to {self.rules.to}: {move.state.value}: {move.why}"))
+        if not self._ticking and move.state in (State.SHIFTING, State.HOLDING, State.UNDOING):
+            self._ticking = True
+            found.append(api.SetTimer(-1, TICK_MS))
+        return found
+
+    # Requests
+
+    def _request(self, event: api.Request, now: float) -> list[api.Action]:
+        pool = self._choose(event, now)
+        self._requests[event.id] = _Held(pool, event.cls, now)
+        return self._say(pool, event, now)
+
+    def _choose(self, event: api.Request, now: float) -> int:
+        if event.key is not None:
+            known = self._keys.pop(event.key, None)
+            if known is not None and now - known[0] <= KEY_MS:
+                self._keys[event.key] = now, known[1]
+                return known[1]
+        pool = self._to if self._to and self._goes(event) else 0
+        if event.key is not None:
+            while self._keys and (
+                len(self._keys) >= KEYS_MOST or now - next(iter(self._keys.values()))[0] > KEY_MS
+            ):
+                self._keys.popitem(last=False)
+            self._keys[event.key] = now, pool
+        return pool
+
+    def _goes(self, event: api.Request) -> bool:
+        """Whether the move's share has this one."""
+        assert self.move is not None
+        there, here = self._pools[self._to], self._pools[0]
+        live = there.live()
+        if not live:
+            return False
+        share = self.move.share(event.cls)
+        if share >= 1.0 or not here.live():
+            return share > 0.0 or not here.live()
+        if live < LIVE_LEAST * there.most:
+            share *= live / there.most
+        if event.key is not None:
+            digest = hashlib.blake2b(event.key.encode(), digest_size=8).digest()
+            return int.from_bytes(digest, "big") < share * 2.0**64
+        owed = self._dealt.get(event.cls, 0.0) + share
+        self._dealt[event.cls] = owed - (owed >= 1.0)
+        return owed >= 1.0
+
+    def _ended(self, id: str, failed: bool, now: float) -> None:
+        """A request has its end; the move is told once."""
+        held = self._requests.get(id)
+        if held is None or held.over:
+            return
+        held.over = True
+        if self.move is not None:
+            self.move.ended(held.cls, held.pool == self._to, failed, now - held.came_ms, now)
+        if not failed:
+            del self._requests[id]
+
+    # Servers
+
+    def _pool_of(self, entry: api.ServerEntry) -> int:
+        return next((n for n, rule in enumerate(self.rules.pools) if rule.has(entry)), 0)
+
+    def _list(self, event: api.ServerList, now: float) -> list[api.Action]:
+        if event.kind is ListKind.FAILED:
+            return self._say(0, event, now)
+        parts: list[list[api.ServerEntry]] = [[] for _ in self._pools]
+        for entry in event.entries:
+            gone = entry.health is Health.GONE
+            home = self._home.get(entry.server, 0) if gone else self._pool_of(entry)
+            before = self._home.get(entry.server)
+            if before is not None and before != home:  # it was renamed into another pool
+                parts[before].append(replace(entry, health=Health.GONE))
+                self._pools[before].listed.pop(entry.server, None)
+            parts[home].append(entry)
+            if gone:
+                self._home.pop(entry.server, None)
+                self._pools[home].listed.pop(entry.server, None)
+            else:
+                self._home[entry.server] = home
+                self._pools[home].listed[entry.server] = entry.health
+        if event.kind is not ListKind.CHANGES:
+            self._forget_all_but({entry.server for entry in event.entries})
+        found: list[api.Action] = []
+        for number, part in enumerate(parts):
+            pool = self._pools[number]
+            pool.most = max(pool.most, pool.live())
+            if part or event.kind is not ListKind.CHANGES:
+                found += self._say(number, api.ServerList(event.kind, event.version, part), now)
+        return found
+
+    def _forget_all_but(self, listed: Iterable[int]) -> None:
+        listed = set(listed)
+        for server in [server for server in self._home if server not in listed]:
+            self._pools[self._home.pop(server)].listed.pop(server, None)
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -20,6 +20,7 @@
 from orchidferry.node import Node
 
 if TYPE_CHECKING:
+    from nickelbridge.pools import Rules
     from orchidferry.chain.settings import Setup
     from orchidferry.control.settings import Control
     from orchidferry.h3.settings import Http3
@@ -38,6 +39,7 @@
     try:
         config = read_config(path)
         http3, control, chain = read_http3(), read_control(), read_chain()
+        pools = read_pools(tuple(cls.name for cls in config.settings.classes))
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -48,7 +50,7 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     try:
-        node = Node(config, loop, http3, control, chain)
+        node = Node(config, loop, http3, control, chain, pools)
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -120,6 +122,16 @@
     return settings.read_chain(path)
 
 
+def read_pools(classes: tuple[str, ...]) -> Rules | None:
+    """The same for pools of servers."""
+    path = os.environ.get("ORCHIDFERRY_POOLS")
+    if not path:
+        return None
+    from orchidferry import pools
+
+    return pools.read_pools(path, classes)
+
+
 def reload(node: Node, path: str) -> None:
     """Take the file as it is now; one that can't be used changes nothing."""
     try:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -13,7 +13,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, cast
 
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
@@ -41,6 +41,7 @@
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
+    from nickelbridge.pools import Rules
     from orchidferry.chain.links import Links
     from orchidferry.chain.settings import Setup
     from orchidferry.control.link import Link
@@ -97,20 +98,23 @@
 class Try(Attempt):
     """An attempt at a request, as the module asked for it."""
 
-    __slots__ = ("_live", "_node", "_number", "_sent_ms")
+    __slots__ = ("_life", "_live", "_node", "_number", "_sent_ms")
 
     def __init__(
         self, node: Node, live: Live, server: int, address: Address, timeout_ms: float, sent_ms: float
     ) -> None:
         super().__init__(live.message, server, address, timeout_ms)
         self._node, self._live, self._sent_ms, self._number = node, live, sent_ms, live.attempts
+        self._life = node.life(server)
         live.attempts += 1
         node.attempts[live.id, self._number] = self
 
     def may_send(self) -> bool:
         flow = self.message.flow
         beginnable = flow is None or flow.can_begin()
-        return beginnable and self._live.owed and self._node.serves(self.server)
+        # A server that left and came back meanwhile is another one: cold, and with a budget of its own.
+        same = self._node.life(self.server) == self._life
+        return beginnable and self._live.owed and same and self._node.serves(self.server)
 
     def sent_whole(self) -> None:
         self.written = True
@@ -159,7 +163,7 @@
 
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, http3: Http3 | None = None,
-        control: Control | None = None, chain: Setup | None = None,
+        control: Control | None = None, chain: Setup | None = None, pools: Rules | None = None,
     ) -> None:  # fmt: skip
         self._config, self._loop = config, loop
         settings = config.settings
@@ -168,7 +172,13 @@
             from orchidferry.chain.links import Links
 
             self.links = Links(chain, config.seed)
-        self._balancer = Balancer(settings, config.seed, self.links.chain if self.links else None)
+        budgets = self.links.chain if self.links is not None else None
+        self._balancer = Balancer(settings, config.seed, budgets)
+        if pools is not None:
+            from nickelbridge.pools import Router
+
+            # The same face; each pool has a balancer behind it.
+            self._balancer = cast(Balancer, Router(settings, config.seed, pools, budgets))
         self._events: deque[api.Event] = deque()
         self._handling = False
         self.figures = Figures(self._balancer.classes)
@@ -181,6 +191,8 @@
         self._open_ids: set[str] = set()  # the callers' ids of those
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
+        self._lives: dict[int, int] = {}  # of those that are listed: a number for each time that they came
+        self._came = 0
         self._alarms = Alarms(loop)
         tcp = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room, self._alarms)
         self._upstream: Carrier = tcp
@@ -342,6 +354,7 @@
             api.Request(
                 id, message.cls, ttl_ms, message.tenant, message.again, flow is not None,
                 self.links.read(message) if self.links is not None else None,
+                message.key.decode("latin-1") if message.key is not None else None,
             )
         )  # fmt: skip
         return live
@@ -483,6 +496,10 @@
         """Whether a server may be sent to now."""
         return server in self._in_service
 
+    def life(self, server: int) -> int:
+        """Tells a server's lives in the list apart; 0 for one that is not in it."""
+        return self._lives.get(server, 0)
+
     def attempt_ended(self, event: api.AttemptEnded) -> None:
         """One of the module's Sends is over."""
         self._handle(event)
@@ -515,6 +532,9 @@
             if entry.health is api.Health.GONE:
                 self._forget(entry.server)
                 continue
+            if entry.server not in self._lives:
+                self._came += 1
+                self._lives[entry.server] = self._came
             self._addresses[entry.server] = listing.addresses[entry.server]
             if entry.server in listing.h3:
                 self._h3[entry.server] = listing.h3[entry.server]
@@ -548,5 +568,6 @@
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
         self._addresses.pop(server, None)
+        self._lives.pop(server, None)
         self._h3.pop(server, None)
         self._upstream.gone(server)
--- /dev/null
+++ b/orchidferry/pools.py
@@ -0,0 +1,59 @@
+"""The operator's own file for pools of servers (`ORCHIDFERRY_POOLS`), as typed values."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from nickelbridge import moves, pools
+from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, word
+from orchidferry.config import BadConfig
+
+POOL_KEYS = {"name", "kinds", "groups"}
+NUMBERS = ("alpha", "beta", "margin", "step_ms", "rare_ms", "settle_ms")
+MOST_POOLS = 200
+
+
+def read_pools(path: str, classes: tuple[str, ...]) -> pools.Rules:
+    """Read the file; `BadConfig` names it and what is wrong."""
+    try:
+        obj = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise BadConfig(f"can't read ORCHIDFERRY_POOLS: {problem}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
+    try:
+        return _read(obj, classes)
+    except (Malformed, ValueError) as problem:
+        raise BadConfig(f"{path}: {problem}") from None
+
+
+def _read(obj: Json, classes: tuple[str, ...]) -> pools.Rules:
+    if unknown := sorted(obj.keys() - {"pool", "move"}):
+        raise Malformed(f"{unknown[0]!r} is not known")
+    rules = [_pool(item) for item in objects(obj, "pool")]
+    if len(rules) > MOST_POOLS:
+        raise Malformed(f"pool: {len(rules)} of them, {MOST_POOLS} at most")
+    move = opt(obj, "move", dict, None)
+    if move is None:
+        return pools.Rules(tuple(rules))
+    if unknown := sorted(move.keys() - {"to", "steps", "rare", *NUMBERS}):
+        raise Malformed(f"move: {unknown[0]!r} is not known")
+    values = {name: float(get(move, name, NUMBER)) for name in NUMBERS if name in move}
+    steps = opt(move, "steps", list, list(moves.STEPS))
+    if not all(isinstance(step, int | float) and not isinstance(step, bool) for step in steps):
+        raise Malformed("move: 'steps' must be numbers")
+    rare = moves.Rare.HOLD
+    if "rare" in move:
+        rare = word(move, "rare", {kind.value: kind for kind in moves.Rare})
+    plan = moves.Plan(classes, tuple(map(float, steps)), rare=rare, **values)
+    return pools.Rules(tuple(rules), get(move, "to", str), plan)
+
+
+def _pool(item: Json) -> pools.PoolRule:
+    if unknown := sorted(item.keys() - POOL_KEYS):
+        raise Malformed(f"pool: {unknown[0]!r} is not known")
+    kinds, groups = opt(item, "kinds", list, []), opt(item, "groups", list, [])
+    if not all(isinstance(kind, str) for kind in kinds) or not all(type(group) is int for group in groups):
+        raise Malformed("pool: 'kinds' must be texts, 'groups' whole numbers")
+    return pools.PoolRule(get(item, "name", str), frozenset(kinds), frozenset(groups))
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,6 +14,7 @@
 
 import uvloop
 
+from nickelbridge.pools import Rules
 from orchidferry.chain.settings import Setup
 from orchidferry.config import read_config
 from orchidferry.node import Node
@@ -265,7 +266,7 @@
 @contextlib.asynccontextmanager
 async def world(
     path: Path, *servers: Server, start: bool = True, sockets: int = 1024, known: bool = True,
-    chain: Setup | None = None, **changes: Any,
+    chain: Setup | None = None, pools: Rules | None = None, **changes: Any,
 ) -> AsyncIterator[World]:  # fmt: skip
     """A node with these servers, its discovery, and a configuration file."""
     registry = Registry()
@@ -283,7 +284,7 @@
     scene = World(config, file, registry, list(servers))
     if start:
         loop = asyncio.get_running_loop()
-        node = scene.node = Node(read_config(str(file)), loop, chain=chain)
+        node = scene.node = Node(read_config(str(file)), loop, chain=chain, pools=pools)
         scene.address = await node.frontend.listen(loop, ("127.0.0.1", 0))
         node.start()
     try:
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,127 @@
+"""Moves between pools: what is shown, what is undone, and what an operator says."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+
+from nickelbridge.moves import Move, NoWorse, Plan, Rare, State, Worse
+from rehearsal.model.moves import Pool, World, run
+
+PLAN = Plan(("a", "b"), steps=(0.05, 0.5, 1.0), step_ms=1_000.0, rare_ms=10_000.0)
+
+
+@pytest.mark.parametrize(("rate", "share"), [(0.01, 0.1), (0.1, 0.5), (0.3, 0.02)])
+def test_equal_streams_are_seldom_called_worse_however_often_one_looks(rate: float, share: float) -> None:
+    rng, alarms = random.Random(5), 0
+    for _ in range(200):
+        worse = Worse()
+        for _ in range(1_000):
+            bad = rng.random() < rate
+            (worse.new if rng.random() < share else worse.old)(bad)
+        alarms += worse.most >= math.log(20.0)
+    assert alarms <= 200 * 0.05 * 1.8  # of 5 %: three sigma of a binomial above
+
+
+@pytest.mark.parametrize(("rate", "shown"), [(0.0, True), (0.02, True), (0.1, False), (0.3, False)])
+def test_a_rate_at_its_bound_or_above_is_seldom_shown_to_be_below(rate: float, shown: bool) -> None:
+    rng, count = random.Random(6), 0
+    for _ in range(100):
+        test = NoWorse()
+        for _ in range(400):
+            test.new(rng.random() < rate, 0.1)
+        count += test.most >= math.log(20.0)
+    assert count >= 95 if shown else count <= 9
+
+
+def feed(
+    move: Move, seconds: float, start: float, fails: dict[str, float] | None = None, rate: int = 40
+) -> float:
+    """Requests of two classes; the new pool fails so many. The time at the end, in ms."""
+    rng, now = random.Random(7), start
+    for n in range(int(seconds * rate)):
+        now = start + n * 1_000.0 / rate
+        cls = "ab"[n % 2]
+        new = rng.random() < move.share(cls)
+        move.ended(cls, new, rng.random() < (fails or {}).get(cls, 0.0) * new, rng.uniform(10, 30), now)
+        move.tick(now)
+    return now
+
+
+def started() -> tuple[Move, float]:
+    move = Move(PLAN)
+    move.start(0.0)
+    return move, feed(move, 5.0, 0.0)
+
+
+def test_a_sound_move_goes_by_its_steps_to_the_end() -> None:
+    move, now = started()
+    feed(move, 300.0, now)
+    assert move.state is State.DONE and move.share("a") == 1.0 and move.share("other") == 1.0
+    assert move.story[0][1].endswith("5.0% of worth")
+
+
+def test_a_failing_class_behind_a_sound_one_undoes_it_and_an_undo_has_an_end() -> None:
+    move, now = started()
+    now = feed(move, 60.0, now, {"b": 0.8})
+    assert move.state in (State.UNDOING, State.FAILED) and "b: more failures" in move.why
+    assert move.share("a") == move.share("b") == 0.0
+    move.tick(now + 60_000.0)
+    assert move.state is State.FAILED
+    move.undo(now)
+    move.start(now)
+    assert move.state is State.FAILED
+
+
+def test_words_of_operators_and_pools_without_servers() -> None:
+    move, now = started()
+    move.hold(now)
+    assert move.state is State.HOLDING and move.share("a") == 0.05
+    feed(move, 60.0, now)
+    assert move.state is State.HOLDING and move.share("a") == 0.05
+    move.go_on(now + 60_000.0)
+    move.tick(now + 60_000.0, live_new=3, live_old=0)
+    assert (move.state.value, "old pool" in move.why) == ("holding", True)
+    move.go_on(now + 61_000.0)
+    move.tick(now + 61_000.0, live_new=0)
+    assert (move.state.value, "no live server" in move.why) == ("undoing", True)
+
+
+@pytest.mark.parametrize("rare", Rare)
+def test_a_class_that_never_comes_holds_the_move_or_is_moved_last(rare: Rare) -> None:
+    plan = Plan(("a", "b", "never"), steps=PLAN.steps, step_ms=1_000.0, rare_ms=150_000.0, rare=rare)
+    move = Move(plan)
+    move.start(0.0)
+    feed(move, 300.0, 0.0)
+    assert move.state is State.SHIFTING
+    assert move.share("a") == (0.05 if rare is Rare.HOLD else 1.0) and move.share("never") == 0.05
+
+
+@pytest.mark.parametrize(
+    ("new", "undone"),
+    [
+        (Pool(), False), (Pool(fails=1.0), True), (Pool(fails=0.3, quick_errors=True), True),
+        (Pool(fails_of={"salvar-episodio": 0.5}), True), (Pool(factor=2.0), True),
+    ],
+)  # fmt: skip
+def test_shapes_of_pools(new: Pool, undone: bool) -> None:
+    for seed in range(2):
+        found = run(World(new=new, seed=seed, length_s=200.0, incident_s=(60.0, 80.0)))
+        assert (found.state in (State.UNDOING, State.FAILED)) is undone, found
+        assert not undone or found.carried_then < 0.05
+
+
+@pytest.mark.parametrize(
+    ("changes", "words"),
+    [
+        ({"classes": ()}, "classes"), ({"classes": ("a", "a")}, "classes"), ({"alpha": 0.0}, "alpha"),
+        ({"steps": (0.5, 0.1, 1.0)}, "must rise"), ({"steps": (0.1, 0.5)}, "end with 1"),
+        ({"steps": (0.0, 1.0)}, "begin above 0"), ({"margin": 1.0}, "margin"),
+        ({"step_ms": -1.0}, "step_ms"), ({"rare_ms": math.inf}, "rare_ms"),
+    ],
+)  # fmt: skip
+def test_a_plan_that_can_not_be_meant_is_refused(changes: dict[str, object], words: str) -> None:
+    with pytest.raises(ValueError, match=words):
+        Plan(**{"classes": ("a",)} | changes)  # type: ignore[arg-type]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -83,8 +84,10 @@
     run(test())
 
 
-def test_a_drain_told_while_the_connection_comes_up_stops_the_send(tmp_path: Path) -> None:
-    """The pick was right, but by the time there is a connection its server may not be sent to."""
+@pytest.mark.parametrize("back", [False, True])
+def test_a_drain_told_while_the_connection_comes_up_stops_the_send(back: bool, tmp_path: Path) -> None:
+    """The pick was right, but by the time there is a connection its server may not be sent to; or it has left
+    and come back cold, and what was picked for its old life was no part of its new one's budget."""
 
     async def test() -> None:
         stays = Server(name="stays")
@@ -100,8 +103,11 @@
                 answered = asyncio.ensure_future(scene.ask("a", "pay"))
                 assert scene.node is not None
                 await until(lambda: dials(scene) == 1)
-                scene.registry.tell(entry | {"status": "leaving"}, stays.entry())
+                scene.registry.tell(entry | {"status": "left" if back else "leaving"}, stays.entry())
                 await until(lambda: len(scene.registry.seen) == 3)
+                if back:
+                    scene.registry.tell(entry | {"since_ms": int(time.time() * 1_000)})
+                    await until(lambda: len(scene.registry.seen) == 4)
                 accepted, _ = await asyncio.to_thread(slow.accept)
                 second, _ = await asyncio.to_thread(slow.accept)
                 assert (await answered).body == b"done"
