rehearse broken-pool, bench moves: a move under load, and moves by the hundred in virtual time

A scenario may have two pools in its first tier and a move between them; faults may strike the new pool alone, and the report tells what worth it carried.

--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -21,6 +21,7 @@
     "ingest",
     "libraries",
     "lists",
+    "moves",
     "replay",
     "worth",
 )  # measurements with a module of their own
--- /dev/null
+++ b/rehearsal/bench/moves.py
@@ -0,0 +1,90 @@
+"""`orchidferry bench moves`: how often a sound move is undone, how soon a broken one, what a route costs."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import os
+import time
+from collections import Counter
+from typing import Any
+
+from nickelbridge import interface as api
+from nickelbridge.logic import Balancer
+from nickelbridge.moves import State
+from nickelbridge.pools import PoolRule, Router, Rules
+from rehearsal.model.moves import Outcome, Pool, World, run
+
+UNDONE = (State.UNDOING, State.FAILED)
+SHAPES: dict[str, dict[str, Any]] = {
+    "equal, bursts and an incident in both": {"incident_s": (60.0, 90.0)},
+    "all fails": {"new": Pool(fails=1.0)},
+    "20 % fails": {"new": Pool(fails=0.2)},
+    "5 % fails (0.5 % in the old)": {"new": Pool(fails=0.05)},
+    "half of salvar-episodio fails": {"new": Pool(fails_of={"salvar-episodio": 0.5})},
+    "half of repasse-socio fails": {"new": Pool(fails_of={"repasse-socio": 0.5})},
+    "30 % fails at once": {"new": Pool(fails=0.3, quick_errors=True)},
+    "chokes from 40 % on": {"new": Pool(chokes_at=0.4)},
+    "twice as slow": {"new": Pool(factor=2.0)},
+    "1.3 times as slow": {"new": Pool(factor=1.3)},
+    "slow for 30 s, cold": {"new": Pool(cold_s=30.0)},
+}
+REQUESTS = 5_000
+
+
+def _one(task: tuple[str, int]) -> Outcome:
+    return run(World(seed=task[1], **SHAPES[task[0]]))
+
+
+def _shape(name: str, seeds: int, pool: concurrent.futures.ProcessPoolExecutor) -> dict[str, Any]:
+    found = list(pool.map(_one, [(name, seed) for seed in range(seeds)], chunksize=4))
+    undone = sorted((o for o in found if o.state in UNDONE), key=lambda o: o.at_s)
+    states = Counter("undone" if o.state in UNDONE else o.state.value for o in found)
+    row: dict[str, Any] = {"what": name, "seeds": seeds, **states}
+    if undone:
+        carried = sorted(o.carried_then for o in undone)
+        row |= {
+            "undone_after_s": [undone[len(undone) // 2].at_s - 20.0, undone[-1].at_s - 20.0],
+            "carried": [carried[len(carried) // 2], carried[-1]],
+        }
+    told = ", ".join(f"{state} {count}" for state, count in sorted(states.items()))
+    more = ""
+    if undone:
+        (usual_s, most_s), (usual, most) = row["undone_after_s"], row["carried"]
+        more = (
+            f"; undone after {usual_s:.0f} s (most {most_s:.0f}), having carried {usual:.2%} of worth until then "
+            f"(most {most:.2%})"
+        )
+    print(f"{name}: {told}{more}", flush=True)
+    return row
+
+
+def _cost(pools: int) -> dict[str, Any]:
+    """Microseconds of a request, beside the module without pools."""
+    classes = [api.RequestClass("a", 100.0, 1_000.0, repeat=api.Repeat.SAFE)]
+    entries = [api.ServerEntry(n, kind=f"k{n % max(1, pools)}") for n in range(400)]
+    rules = Rules(tuple(PoolRule(f"p{n}", frozenset({f"k{n}"})) for n in range(max(1, pools))))
+    balancer = Balancer(api.Settings(classes), 1) if not pools else Router(api.Settings(classes), 1, rules)
+    balancer.handle(api.ServerList(api.ListKind.FULL, 1, entries), 0.0)
+    began = time.perf_counter()
+    for n in range(REQUESTS):
+        now = float(n)
+        (sent,) = (
+            a for a in balancer.handle(api.Request(str(n), "a", 900.0), now) if isinstance(a, api.Send)
+        )
+        balancer.handle(api.AttemptEnded(str(n), 0, sent.server, api.Result.SERVED, 20.0, True), now)
+    us = 1e6 * (time.perf_counter() - began) / REQUESTS
+    print(f"a request with {pools or 'no'} pools: {us:.1f} us", flush=True)
+    return {"what": "cost", "pools": pools, "us": us}
+
+
+def main(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """The command; its figures."""
+    if not 1 <= args.seeds <= 10_000:
+        raise ValueError("--seeds must be within 1 and 10000")
+    rows = [_cost(count) for count in (0, 2, 200)]
+    with concurrent.futures.ProcessPoolExecutor(len(os.sched_getaffinity(0))) as pool:
+        for number, name in enumerate(SHAPES):
+            rows.append(_shape(name, args.seeds if number else 10 * args.seeds, pool))
+    rows[3]["broken"] = rows[3].get("undone", 0) > 0.01 * rows[3]["seeds"]
+    return rows
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -111,6 +111,14 @@
         epilog="example: orchidferry bench worth --runs 2",
     )
     kind.add_argument("--runs", type=int, default=1, metavar="N", help="seeds of each (1)")
+    kind = kinds.add_parser(
+        "moves",
+        help="moves between pools in virtual time: false alarms, time to an undo, cost of a route",
+        epilog="example: orchidferry bench moves --seeds 20",
+    )
+    kind.add_argument(
+        "--seeds", type=int, default=20, metavar="N", help="of each shape; equal pools 10 N (20)"
+    )
     kind = kinds.add_parser(
         "replay",
         help="whether a replay is what was recorded: shares, gaps, lateness, retries",
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -129,12 +129,38 @@
     }  # fmt: skip
 
 
+def move_of(verdict: Verdict) -> dict[str, Any] | None:
+    """What a new pool carried: worth of client requests that reached it, over all that was asked."""
+    scenario, books = verdict.scenario, verdict.books
+    if not scenario.pools.on:
+        return None
+    # By its place: a server's name begins with its tier and place.
+    places, first = scenario.tiers[0].servers, scenario.tiers[0].name
+    from_place = places - round(scenario.pools.share * places)
+    new = {
+        up.server for up in books.ups
+        if up.tier == 0 and int(up.server.removeprefix(f"{first}-").partition("-")[0]) >= from_place
+    }  # fmt: skip
+    roots: set[str] = set()
+    last = None
+    for attempts in books.got.values():
+        for got in attempts:
+            if got.tier == 0 and got.server in new:
+                roots.add(got.id.partition(".")[0])
+                last = max(last or 0.0, books.at(got.t))
+    worth = {cls.name: cls.worth for cls in scenario.classes}
+    all_worth = sum(worth[wanted.cls] for wanted in books.wanted)
+    carried = sum(worth[wanted.cls] for wanted in books.wanted if wanted.root in roots)
+    return {"requests": len(roots), "worth": round(carried / max(all_worth, 1e-9), 5),
+            "last_s": None if last is None else round(last, 3)}  # fmt: skip
+
+
 def as_json(verdict: Verdict) -> dict[str, Any]:
     """The agreed object; `run` is the kit's own part, and tells what the other keys can't."""
     service, books, scenario = verdict.service, verdict.books, verdict.scenario
 
     def more() -> dict[str, Any]:
-        found = {"control": verdict.control, "traffic": verdict.traffic}
+        found = {"control": verdict.control, "traffic": verdict.traffic, "moves": move_of(verdict)}
         return {name: value for name, value in found.items() if value is not None}
 
     def number(value: float | None, digits: int = 4) -> float | None:
--- a/rehearsal/report/terminal.py
+++ b/rehearsal/report/terminal.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from rehearsal.judge.verdict import Verdict, during_fault
+from rehearsal.judge.verdict import Verdict, during_fault, move_of
 from rehearsal.report.series import series
 from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, summary, word
 from rehearsal.scenario import Scenario
@@ -78,6 +78,9 @@
             f"{len(verdict.ran_twice)} unsafe first tries ran twice, as their clients asked again after a "
             f"failure, which no rule forbids: {roots}"
         )
+    if (moved := move_of(verdict)) is not None:
+        last = "never" if moved["last_s"] is None else f"last at {moved['last_s']:.1f} s"
+        console.print(f"the new pool carried {moved['worth']:.2%} of worth, {last}", highlight=False)
     _control(console, verdict)
     _traffic(console, verdict)
     if verdict.passed:
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -285,6 +285,16 @@
     knows: bool = key(flag, True)  # deeper tiers' nodes know the classes' worth by themselves
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSide:
+    """Two pools in the first tier, and a move from the old one to the new one."""
+
+    on: bool = key(flag, False)
+    share: float = key(SHARE, 0.5)  # of the tier's servers that are of the new pool
+    step_s: float = key(ABOVE_0_S, 3.0, also="step")  # that a step of the move lasts at least
+    rare: str = key(word("hold", "last"), "last")
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """The figures of the four rules, as the nodes are told them."""
@@ -336,6 +346,7 @@
     after_s: float = key(ABOVE_0_S, 3.0, also="after")
     gap_s: float = key(ABOVE_0_S, 2.0, also="gap")
     renamed: bool = key(flag, False)
+    new: bool = key(flag, False)  # servers of the new pool alone
 
 
 @dataclass(frozen=True, slots=True)
@@ -349,7 +360,7 @@
 
 
 def _fault(about: str, needs: str = "", may: str = "", on: str = "servers") -> Fault:
-    who = {"servers": "tier share count", "nodes": "share count", "all": ""}[on]
+    who = {"servers": "tier share count new", "nodes": "share count", "all": ""}[on]
     return Fault(about, frozenset(needs.split()), frozenset(f"{may} {who}".split()), on)
 
 
@@ -405,6 +416,7 @@
     discovery: DiscoverySide = field(default_factory=DiscoverySide)
     control: ControlSide = field(default_factory=ControlSide)
     chain: ChainSide = field(default_factory=ChainSide)
+    pools: PoolSide = field(default_factory=PoolSide)
     rules: Rules = field(default_factory=Rules)
     node: NodeSide = field(default_factory=NodeSide)
     limits: Limits = field(default_factory=Limits)
@@ -442,6 +454,7 @@
     "network": ("network", Network), "discovery": ("discovery", DiscoverySide),
     "control": ("control", ControlSide), "rules": ("rules", Rules), "node": ("node", NodeSide),
     "limits": ("limits", Limits), "chain": ("chain", ChainSide),
+    "pools": ("pools", PoolSide),
 }  # fmt: skip
 LISTS: dict[str, tuple[str, type[Any]]] = {
     "class": ("classes", Class), "tier": ("tiers", Tier), "timeline": ("timeline", Step),
@@ -573,6 +586,11 @@
         raise _Bad(
             "timeline: a burst is of drawn arrivals; recorded ones have theirs (speed, a second recording)"
         )
+    if any(
+        step.new and (step.tier != scenario.tiers[0].name or not scenario.pools.on)
+        for step in scenario.timeline
+    ):
+        raise _Bad("timeline: new = true is for the first tier of a scenario with pools")
     for n, step in enumerate(scenario.timeline):
         if step.at_s >= scenario.length_s:
             raise _Bad(f"timeline[{n}].at: not before the end at {scenario.length_s:g} s")
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -23,8 +23,8 @@
 from rehearsal.traffic.guard import new_key
 from rehearsal.world.addresses import Block, claim
 from rehearsal.world.discovery import DiscoveryService, Listed
-from rehearsal.world.nodes import WINDOW_S, NodeProcess
-from rehearsal.world.plan import TROUBLES, Act, Plan, Server, draw
+from rehearsal.world.nodes import NEW_KIND, WINDOW_S, NodeProcess
+from rehearsal.world.plan import TROUBLES, Act, Plan, Server, draw, in_new_pool
 from rehearsal.world.worker import home, own_node
 
 if TYPE_CHECKING:
@@ -250,7 +250,7 @@
         """The first tier's servers, as discovery has them."""
         listed = self._discovery.registries[0].servers.values()
         return [
-            {"name": one.name, "address": one.address, "zone": one.zone, "type": "standin-1c",
+            {"name": one.name, "address": one.address, "zone": one.zone, "type": one.kind,
              "group": one.cell, "status": one.status, "since_ms": 0}
             for one in listed if one.status in ("active", "leaving")
         ]  # fmt: skip
@@ -273,7 +273,8 @@
         zone = self.scenario.tiers[server.tier].zone
         where, h3 = f"{host}:{port}", self.scenario.network.protocol == "h3"
         return Listed(
-            server.name, server.tier, where, zone, server.cell, status, since, where if h3 else ""
+            server.name, server.tier, where, zone, server.cell, status, since, where if h3 else "",
+            NEW_KIND if in_new_pool(self.scenario, server) else "standin-1c",
         )  # fmt: skip
 
     async def _bring_up(self, server: Server, cold: bool) -> None:
--- a/rehearsal/world/discovery.py
+++ b/rehearsal/world/discovery.py
@@ -32,6 +32,7 @@
     status: str = "active"
     since: float = 0.0  # of the record's clock; 0: long ago
     h3: str = ""  # where it speaks HTTP/3, if it does
+    kind: str = "standin-1c"
 
 
 @dataclass
@@ -221,7 +222,7 @@
             "index": registry.index,
             "snapshot": whole,
             "endpoints": [
-                {"name": e.name, "address": e.address, "zone": e.zone, "type": "standin-1c", "group": e.cell,
+                {"name": e.name, "address": e.address, "zone": e.zone, "type": e.kind, "group": e.cell,
                  "status": e.status, "weight": 1.0,
                  "since_ms": int((self._unix_at_zero + e.since) * 1000.0) if e.since else 0,
                  **({"h3": e.h3} if e.h3 else {})}
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -31,6 +31,7 @@
 WINDOW_S = 2.0  # over which a node's wait for a core is measured
 NOTED_SHARE = 0.02  # of it, from which that is kept
 LOG_BYTES = 256 * 1024  # of a node's log that are looked through, from its end
+NEW_KIND = "standin-new"  # of servers of the pool that traffic is moved to
 PR_SET_PDEATHSIG = 1
 _libc = ctypes.CDLL(None, use_errno=True)
 
@@ -68,7 +69,7 @@
     return {
         "classes": [class_settings(cls) for cls in (*classes, *more)],
         "clients": {"marks_retry": True},
-        "dcs": [figures.zone], "locality": figures.zone, "host_types": ["standin-1c"],
+        "dcs": [figures.zone], "locality": figures.zone, "host_types": ["standin-1c", NEW_KIND],
         "family": "chain", "family_info": {"passes_deadline": scenario.node.passes_deadline},
         "membership_mode": "on_request", "quantum_ms": 5.0,
         "siblings": siblings, "my_number": number,
@@ -181,6 +182,14 @@
             chain = self._home / "chain.toml"
             chain.write_text(chain_text(self._scenario, self.name, self.tier, self._siblings))
             env["ORCHIDFERRY_CHAIN"] = str(chain)
+        if self._scenario.pools.on and self.tier == 0:
+            side, pools = self._scenario.pools, self._home / "pools.toml"
+            pools.write_text(
+                f'[[pool]]\nname = "old"\n[[pool]]\nname = "new"\nkinds = ["{NEW_KIND}"]\n'
+                '[move]\nto = "new"\n'
+                f'step_ms = {side.step_s * 1_000.0}\nrare = "{side.rare}"\n'
+            )
+            env["ORCHIDFERRY_POOLS"] = str(pools)
         with (self._home / "log").open("ab") as log:
             try:
                 self._process = await asyncio.create_subprocess_exec(
--- a/rehearsal/world/plan.py
+++ b/rehearsal/world/plan.py
@@ -66,6 +66,12 @@
         return next(server for server in self.servers if server.name == name)
 
 
+def in_new_pool(scenario: Scenario, server: Server) -> bool:
+    """Whether a server is of the pool that traffic is moved to: the last of the first tier's places."""
+    side, servers = scenario.pools, scenario.tiers[0].servers
+    return side.on and server.tier == 0 and server.place >= servers - round(side.share * servers)
+
+
 @dataclass
 class _Drawing:
     scenario: Scenario
@@ -129,6 +135,8 @@
 def _on_servers(drawing: _Drawing, number: int, entry: Entry) -> None:
     scenario, tier = drawing.scenario, drawing.scenario.tier_number(entry.tier)
     present = [s for s in drawing.servers if s.tier == tier and not s.start and s.name not in drawing.gone]
+    if entry.new:
+        present = [s for s in present if in_new_pool(scenario, s)]
     if entry.do == "add":
         return _add(drawing, entry, tier)
     everybody = len(present)
