--- a/rehearsal/bench/moves.py
+++ b/rehearsal/bench/moves.py
@@ -52,8 +52,8 @@
     if undone:
         (usual_s, most_s), (usual, most) = row["undone_after_s"], row["carried"]
         more = (
-            f"; undone after {usual_s:.0f} s (most {most_s:.0f}), having carried {usual:.2%} of worth until then "
-            f"(most {most:.2%})"
+            f"; undone after {usual_s:.0f} s (most {most_s:.0f}), having carried {usual:.2%} of worth "
+            f"until then (most {most:.2%})"
         )
     print(f"{name}: {told}{more}", flush=True)
     return row
