--- a/nickelbridge/moves.py
+++ b/nickelbridge/moves.py
@@ -205,7 +205,9 @@
         self._since_ms = 0.0  # of the step, or of the undo
         self._held_from: State | None = None
         self.story: list[tuple[float, str]] = []  # for operators; one line a step
-        measures = 2 * len(plan.classes)
+        # All classes together too: what strikes them alike shows sooner there.
+        self._all = _Class()
+        measures = 2 * (len(plan.classes) + 1)
         self._undo_at = math.log(measures / plan.alpha)
         self._next_at = math.log(1.0 / plan.beta)
 
@@ -265,23 +267,26 @@
             slow_ms = held.usual.slow_ms if known else math.inf
             held.usual.add(failed, took_ms)
             if known:
-                held.worse["failures"].old(failed)
-                if not failed:
-                    held.worse["slow answers"].old(took_ms > slow_ms)
+                for one in (held, self._all):
+                    one.worse["failures"].old(failed)
+                    if not failed:  # slow for its class, which classes have in common
+                        one.worse["slow answers"].old(took_ms > slow_ms)
             return
         if not held.usual.known:
             return  # nothing to compare with
         held.new += 1
         slow = took_ms > held.usual.slow_ms
-        held.worse["failures"].new(failed)
+        for one in (held, self._all):
+            one.worse["failures"].new(failed)
+            if not failed:
+                one.worse["slow answers"].new(slow)
         held.no_worse["failures"].new(failed, held.usual.rate + self.plan.margin)
         if not failed:
-            held.worse["slow answers"].new(slow)
             held.no_worse["slow answers"].new(slow, 1.0 - SLOW_FROM + 4.0 * self.plan.margin)
-        for measure, worse in held.worse.items():
-            if worse.value >= self._undo_at:
-                self.undo(now, f"{cls}: more {measure} than the old pool, after {held.new} in this step")
-                return
+        for name, one in ((cls, held), ("all classes", self._all)):
+            for measure, worse in one.worse.items():
+                if worse.value >= self._undo_at:
+                    return self.undo(now, f"{name}: more {measure} than the old pool")
 
     def tick(self, now: float, live_new: int = 1, live_old: int = 1) -> None:
         """Look at the time: steps end, classes turn out to be rare, an undo is over."""
--- a/nickelbridge/pools.py
+++ b/nickelbridge/pools.py
@@ -29,6 +29,7 @@
 LIVE_LEAST = 0.5  # of a pool's servers that must be in service for its whole share
 OWN_TOKENS = 4  # timers of the nodes' own stay what they are
 TICK_MS = 250.0  # how often a move is looked at
+SAYS_NOTHING = frozenset((api.Result.MOOT, api.Result.CANCELLED))  # of the server
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +71,6 @@
 
     pool: int
     cls: str
-    came_ms: float
-    over: bool = False  # its outcome has been told
 
 
 @dataclass(slots=True)
@@ -99,6 +98,7 @@
         plan = rules.plan or Plan(tuple(cls.name for cls in settings.classes))
         self.move: Move | None = Move(plan) if rules.to else None
         self._ticking = False
+        self._told = 0  # lines of the move's story that the log has
 
     # What a node reads
 
@@ -125,10 +125,12 @@
             case api.AttemptEnded() | api.Uploaded() | api.StreamStarted() | api.ClientGone():
                 held = self._requests.get(event.id)
                 pool = held.pool if held is not None else self._home.get(getattr(event, "server", -1), 0)
-                if isinstance(event, api.AttemptEnded) and event.settled:
-                    self._ended(event.id, event.result is not api.Result.SERVED, now)
+                if isinstance(event, api.AttemptEnded) and held is not None:
+                    self._tell(held, event, now)
                 actions += self._say(pool, event, now)
-                if isinstance(event, api.ClientGone):
+                if isinstance(event, api.ClientGone) or (
+                    isinstance(event, api.AttemptEnded) and event.settled
+                ):
                     self._requests.pop(event.id, None)
             case api.TimerFired():
                 actions += self._timer(event, now)
@@ -158,7 +160,6 @@
                 case api.Subscribe() if pool:
                     pass  # one subscription is enough
                 case api.Fail() | api.Refuse():
-                    self._ended(action.id, True, now)
                     self._requests.pop(action.id, None)
                     found.append(action)
                 case _:
@@ -177,12 +178,12 @@
     def _look(self, now: float) -> list[api.Action]:
         move = self.move
         assert move is not None
-        before = move.state
         new = self._pools[self._to].live()
         move.tick(now, new, sum(pool.live() for pool in self._pools) - new)
-        found: list[api.Action] = []
-        if move.state is not before:
-            found.append(api.Log(f"move to {self.rules.to}: {move.state.value}: {move.why}"))
+        found: list[api.Action] = [
+            api.Log(f"move to {self.rules.to}: {text}") for _, text in move.story[self._told :]
+        ]
+        self._told = len(move.story)
         if not self._ticking and move.state in (State.SHIFTING, State.HOLDING, State.UNDOING):
             self._ticking = True
             found.append(api.SetTimer(-1, TICK_MS))
@@ -192,7 +193,7 @@
 
     def _request(self, event: api.Request, now: float) -> list[api.Action]:
         pool = self._choose(event, now)
-        self._requests[event.id] = _Held(pool, event.cls, now)
+        self._requests[event.id] = _Held(pool, event.cls)
         return self._say(pool, event, now)
 
     def _choose(self, event: api.Request, now: float) -> int:
@@ -229,16 +230,11 @@
         self._dealt[event.cls] = owed - (owed >= 1.0)
         return owed >= 1.0
 
-    def _ended(self, id: str, failed: bool, now: float) -> None:
-        """A request has its end; the move is told once."""
-        held = self._requests.get(id)
-        if held is None or held.over:
-            return
-        held.over = True
-        if self.move is not None:
-            self.move.ended(held.cls, held.pool == self._to, failed, now - held.came_ms, now)
-        if not failed:
-            del self._requests[id]
+    def _tell(self, held: _Held, event: api.AttemptEnded, now: float) -> None:
+        """The move is told of attempts, not of requests: a retry that helps would hide a pool that fails."""
+        if self.move is not None and event.result not in SAYS_NOTHING:
+            failed = event.result is not api.Result.SERVED
+            self.move.ended(held.cls, held.pool == self._to, failed, event.duration_ms, now)
 
     # Servers
 
--- a/orchidferry/chain/settings.py
+++ b/orchidferry/chain/settings.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass, fields
-from pathlib import Path
 from typing import Any
 
 from nickelbridge import chain
 from nickelbridge.settings import NUMBER, Json, Malformed, get, opt
-from orchidferry.config import BadConfig
+from orchidferry.config import operators_file
 
 KEY_LEAST, KEYS_MOST = 32, 8  # characters of a key; keys that are valid at once
 NAMES = ("tier", "node")
@@ -26,16 +24,7 @@
 
 def read_chain(path: str) -> Setup:
     """Read the file; `BadConfig` names it and what is wrong."""
-    try:
-        obj = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise BadConfig(f"can't read ORCHIDFERRY_CHAIN: {problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
-    try:
-        return _read(obj)
-    except (Malformed, ValueError) as problem:
-        raise BadConfig(f"{path}: {problem}") from None
+    return operators_file("ORCHIDFERRY_CHAIN", path, _read)
 
 
 def _read(obj: Json) -> Setup:
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -12,9 +12,9 @@
 import re
 import sys
 import time
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from nickelbridge import interface as api
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
@@ -28,6 +28,7 @@
 }
 
 
+T = TypeVar("T")
 READ_STEP = 64  # entries of a list that are read in one go: under 1 ms, as a request waits for several steps
 CLOCK_SET_MS = 50.0  # what the two clocks may drift apart before that is taken for one that was set
 
@@ -94,6 +95,23 @@
     return int(text, 16)
 
 
+def operators_file(variable: str, path: str, read: Callable[[Json], T]) -> T:
+    """What an operator's own TOML file says, which a variable of the environment names."""
+    import tomllib  # where such a file is there alone
+
+    try:
+        with open(path, "rb") as file:
+            obj = tomllib.load(file)
+    except OSError as problem:
+        raise BadConfig(f"can't read {variable}: {problem}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
+    try:
+        return read(obj)
+    except (Malformed, ValueError) as problem:
+        raise BadConfig(f"{path}: {problem}") from None
+
+
 def admin_address(obj: Json) -> Address | None:
     """Where the operators' door is: the field `admin_addr`, else NODE_ADMIN_ADDR."""
     text = opt(obj, "admin_addr", str, "")
--- a/orchidferry/control/settings.py
+++ b/orchidferry/control/settings.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 from nickelbridge.settings import NUMBER, Json, Malformed, get, opt
-from orchidferry.config import Address, BadConfig, address
+from orchidferry.config import Address, BadConfig, address, operators_file
 
 KNOWN = {
     "service",
@@ -42,17 +41,7 @@
 
 def read_control(path: str) -> Control:
     """Read the file; `BadConfig` names it and what is wrong."""
-    try:
-        with open(path, "rb") as file:
-            obj = tomllib.load(file)
-    except OSError as problem:
-        raise BadConfig(f"can't read ORCHIDFERRY_CONTROL: {problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
-    try:
-        return _read(obj, Path(path).parent)
-    except Malformed as problem:
-        raise BadConfig(f"{path}: {problem}") from None
+    return operators_file("ORCHIDFERRY_CONTROL", path, lambda obj: _read(obj, Path(path).parent))
 
 
 def _read(obj: Json, folder: Path) -> Control:
--- a/orchidferry/pools.py
+++ b/orchidferry/pools.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
-
 from nickelbridge import moves, pools
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, word
-from orchidferry.config import BadConfig
+from orchidferry.config import operators_file
 
 POOL_KEYS = {"name", "kinds", "groups"}
 NUMBERS = ("alpha", "beta", "margin", "step_ms", "rare_ms", "settle_ms")
@@ -16,16 +13,7 @@
 
 def read_pools(path: str, classes: tuple[str, ...]) -> pools.Rules:
     """Read the file; `BadConfig` names it and what is wrong."""
-    try:
-        obj = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise BadConfig(f"can't read ORCHIDFERRY_POOLS: {problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise BadConfig(f"{path}: not TOML: {problem!s:.100}") from None
-    try:
-        return _read(obj, classes)
-    except (Malformed, ValueError) as problem:
-        raise BadConfig(f"{path}: {problem}") from None
+    return operators_file("ORCHIDFERRY_POOLS", path, lambda obj: _read(obj, classes))
 
 
 def _read(obj: Json, classes: tuple[str, ...]) -> pools.Rules:
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -292,6 +292,7 @@
     on: bool = key(flag, False)
     share: float = key(SHARE, 0.5)  # of the tier's servers that are of the new pool
     step_s: float = key(ABOVE_0_S, 3.0, also="step")  # that a step of the move lasts at least
+    first: float = key(real(0.001, 0.5), 0.04)  # the first step's share of worth
     rare: str = key(word("hold", "last"), "last")
 
 
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -187,6 +187,7 @@
             pools.write_text(
                 f'[[pool]]\nname = "old"\n[[pool]]\nname = "new"\nkinds = ["{NEW_KIND}"]\n'
                 '[move]\nto = "new"\n'
+                f"steps = {[side.first, *(step for step in (0.1, 0.25, 0.5, 1.0) if step > side.first)]}\n"
                 f'step_ms = {side.step_s * 1_000.0}\nrare = "{side.rare}"\n'
             )
             env["ORCHIDFERRY_POOLS"] = str(pools)
