--- a/nickelbridge/moves.py
+++ b/nickelbridge/moves.py
@@ -276,7 +276,8 @@
             return  # nothing to compare with
         held.new += 1
         slow = took_ms > held.usual.slow_ms
-        for one in (held, self._all):
+        # Of a class that is moved whole nothing is old any more, and what was usual there is of another time.
+        for one in (held, self._all) if self.share(cls) < 1.0 else ():
             one.worse["failures"].new(failed)
             if not failed:
                 one.worse["slow answers"].new(slow)
