--- a/tests/control/test_helper.py
+++ b/tests/control/test_helper.py
@@ -58,7 +58,8 @@
 
     def stop_sending(self, servers: Any) -> None:
         for server in servers:
-            self.known[server] = False
+            if server in self.known:  # nothing new to what is not known either way
+                self.known[server] = False
 
     def take_settings(self, settings: api.Settings) -> None:
         if self.broken:
