explore: halves of requests, SIGHUP, and the delay loop's chance are choices too

Left out so far were bytes that come in parts, a reload and the one chance that decides. A client may ask in two halves, SIGHUP may come (discovery is asked anew for the whole list), and the loop may allow no retry any more.

--- a/rehearsal/explore/state.py
+++ b/rehearsal/explore/state.py
@@ -150,6 +150,7 @@
     walk = _Walk()
     loop = world.loop
     walk.add((world.left_events, world.left_late, repr(loop.now), world.index))
+    walk.add((world.closed_loop, world.hung_up, world.whole, tuple(client.rest for client in world.clients)))
     walk.add([
         (c.number, c.left, c.asked_s, tuple(status for _, status in c.answers), c.closed_s, c.wire)
         for c in world.clients
--- a/rehearsal/explore/world.py
+++ b/rehearsal/explore/world.py
@@ -29,6 +29,7 @@
 AIM_MS, GIVE_UP_MS, WINDOW_MS, CONNECT_MS = 200.0, 1_000.0, 300.0, 100.0
 WAIT_S = 0.35  # the longest that time passes at once: between two timers peers may act too
 SLACK_MS = 25.0  # of an answer beyond its time: one turn, and the answer's own reserve
+HALF = 40  # bytes of a request: within its head
 END_S = 8.0  # after the last choice: all that is under way must have come to its end
 # Timers that come round by themselves: time does not stop for them.
 BACKGROUND = ("Frontend._sweep", "Upstream._sweep", "Discovery._silent")
@@ -105,11 +106,13 @@
     left: bool = False
     answers: list[tuple[float, int]] = field(default_factory=list)
     closed_s: float | None = None  # the node closed on it
+    rest: bytes = b""  # of its request, that is still on its way
     id: str = ""
 
     @property
     def waits(self) -> bool:
-        return self.wire is not None and not self.left and not self.answers and self.closed_s is None
+        asked = self.wire is not None and not self.rest
+        return asked and not self.left and not self.answers and self.closed_s is None
 
 
 @dataclass(slots=True)
@@ -143,6 +146,7 @@
         self.watch: Wire | None = None  # of discovery
         self.index = 1
         self.stopping: asyncio.Task[Any] | None = None
+        self.closed_loop = self.hung_up = self.whole = False
         self.crossing: list[tuple[Wire, bytes]] = []  # what peers have sent that is read a step later
         self.cold_s |= dict.fromkeys(range(small.servers - small.cold, small.servers), self.loop.now)
         self.sends: dict[tuple[str, int], int] = {}  # open ones, by request and server
@@ -236,6 +240,7 @@
             while (text := _message(wire)) is not None:
                 if wire.address == DISCOVERY:
                     self.watch = wire
+                    self.whole = b"index=" not in text.partition(b"\r\n")[0]
                 elif wire.address is not None:
                     self._got(wire, text)
                 else:
@@ -249,7 +254,7 @@
                 and not client.left
             ):
                 client.closed_s = self.loop.now
-                if not client.answers:
+                if not client.answers and not client.rest:  # what was never whole is owed nothing
                     self._broken("one-answer", f"{client.id} was closed on without an answer")
         for one in self.carried:
             if not one.ended and one.wire.closing:
@@ -310,6 +315,10 @@
         for client in self.clients:
             if client.wire is None and listening:
                 free.append((f"ask c{client.number}", 0))
+                odd.append((f"begin c{client.number}", 1))
+            elif client.rest and not client.left and client.closed_s is None:
+                free.append((f"rest c{client.number}", 0))
+                odd.append((f"leave c{client.number}", 1))
             elif client.waits:
                 odd.append((f"leave c{client.number}", 1))
         for n in range(len(self.loop.dials)):
@@ -329,6 +338,10 @@
                     odd.append((f"back s{place}", 1))
         if self.stopping is None:
             odd.append(("stop", 1))
+        if not self.closed_loop:
+            odd.append(("no-retry", 1))
+        if self.watch is not None and not self.hung_up:
+            odd.append(("hup", 1))
         due = self.next_due()
         if due is not None and any(c.waits for c in self.clients):
             if not free:
@@ -370,7 +383,32 @@
                 self._cross(crossing)
             self._rest()
 
-    def _do_ask(self, what: str) -> None:
+    def _do_begin(self, what: str) -> None:
+        """It asks, and half of what it asks is still on its way."""
+        client = self.clients[int(what[1:])]
+        self._do_ask(what, half=True)
+        self._tell(f"half of what {client.id} asks is on its way")
+
+    def _do_rest(self, what: str) -> None:
+        client = self.clients[int(what[1:])]
+        assert client.wire is not None
+        client.asked_s, rest, client.rest = self.loop.now, client.rest, b""
+        self._tell(f"the rest of what {client.id} asks comes")
+        client.wire.feed(rest)
+
+    def _do_no_retry(self, what: str) -> None:
+        """The delay loop lets no retry through from now on: its chance falls the other way."""
+        self.closed_loop = True
+        self._tell("the delay loop allows no retry any more")
+        self.node._balancer.controller.retry_probability = _never  # type: ignore[method-assign]
+
+    def _do_hup(self, what: str) -> None:
+        """SIGHUP, with a configuration that is as it was: discovery is asked anew for the whole list."""
+        self.hung_up, self.watch = True, None
+        self._tell("SIGHUP")
+        self.node.reconfigure(_config(self.small))
+
+    def _do_ask(self, what: str, half: bool = False) -> None:
         client = self.clients[int(what[1:])]
         listener = next(listener for listener in self.loop.listeners if listener.open)
         client.wire = self.loop.accept(listener)
@@ -378,10 +416,12 @@
         key = f"Idempotency-Key: k{client.number}\r\n" if client.kind == "save" else ""
         method = "GET" if client.kind == "read" else "POST"
         self._tell(f"{client.id} asks for {client.kind}")
-        client.wire.feed(
+        text = (
             f"{method} /{client.kind} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {client.id}\r\n"
-            f"X-Budget: {GIVE_UP_MS / 1000.0}\r\n{key}Content-Length: 0\r\n\r\n".encode()
-        )
+            f"X-Budget: {GIVE_UP_MS / 1000.0}\r\n{key}Content-Length: 0\r\n\r\n"
+        ).encode()
+        client.rest = text[HALF:] if half else b""
+        client.wire.feed(text[:HALF] if half else text)
 
     def _do_leave(self, what: str) -> None:
         client = self.clients[int(what[1:])]
@@ -478,10 +518,15 @@
         assert self.watch is not None
         self.index += 1
         wire, self.watch = self.watch, None
-        entry = _entry(place) | {"status": status, "since_ms": since_ms}
-        body = json.dumps({"index": self.index, "snapshot": False, "endpoints": [entry]}).encode()
-        wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         self.told[place] = self.loop.now, status
+        entries = [_entry(place) | {"status": status, "since_ms": since_ms}]
+        if self.whole:  # it asks for all of them
+            entries = [
+                _entry(n) | {"status": how, "since_ms": int(1_000.0 * self.cold_s.get(n, 0.0))}
+                for n, (_, how) in self.told.items() if how != "left"
+            ]  # fmt: skip
+        body = json.dumps({"index": self.index, "snapshot": self.whole, "endpoints": entries}).encode()
+        wire.feed(b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         self._tell(f"discovery tells s{place} {status}")
 
     def _do_drain(self, what: str) -> None:
@@ -526,6 +571,7 @@
                     client.wire is not None
                     and not client.left
                     and not client.answers
+                    and not client.rest
                     and client.closed_s is None
                 ):
                     self._broken("one-answer", f"{client.id} never gets an answer")
@@ -561,7 +607,7 @@
     def over(self) -> bool:
         """Whether nothing more can be asked, or is under way."""
         asked = all(client.wire is not None for client in self.clients) or self.stopping is not None
-        return asked and not any(client.waits for client in self.clients)
+        return asked and not any(client.waits or client.rest for client in self.clients)
 
     def outcome(self) -> tuple[Any, ...]:
         """What came of it, for comparisons."""
@@ -572,6 +618,10 @@
         return clients, ran
 
 
+def _never(now: float) -> float:
+    return 0.0
+
+
 class _Clock:
     """What `orchidferry.config` takes for the module `time`."""
 
