--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -143,7 +143,7 @@
         raise _Usage(f"{path}: is no counterexample: {problem!s:.80}") from None
     if break_ and break_ not in BREAKS:
         raise _Usage(f"{path}: no such break {break_!r:.40}")
-    world = search.play(small, steps, break_)
+    world = search.play(small, steps, break_, to_end=True)
     for t, what in world.story:
         console.print(f"  {t - 1_000.0:9.3f} s  {what}", markup=False)
     for violation in world.violations:
--- a/rehearsal/explore/search.py
+++ b/rehearsal/explore/search.py
@@ -92,13 +92,13 @@
             self.counterexample = found
 
 
-def play(small: Small, path: list[str], break_: str = "") -> World:
-    """A run by its path, to its end if nothing more can come."""
+def play(small: Small, path: list[str], break_: str = "", to_end: bool = False) -> World:
+    """A run by its path, to its end if nothing more can come; `to_end`: whatever could, unless it is broken."""
     with broken(break_):
         world = World(small)
         for label in path:
             world.do(label)
-        if world.over or not world.actions():
+        if world.over or not world.actions() or (to_end and not world.violations):
             world.finish()
     return world
 
@@ -313,7 +313,7 @@
             if world.violations:
                 totals.violations.update(v.name for v in world.violations)
                 short = shrink(small, path, world.violations[0].name, break_)
-                again = play(small, short, break_)
+                again = play(small, short, break_, to_end=True)
                 totals.counterexample = story(small, short, again, again.violations[0], break_)
             totals.seconds = time.monotonic() - began
             if number % 50 == 0:
@@ -327,12 +327,9 @@
 
     def fails(some: list[str]) -> bool:
         try:
-            world = play(small, some, break_)
+            world = play(small, some, break_, to_end=True)
         except (ValueError, IndexError, StopIteration, Spin):
             return False
-        if not world.violations:
-            with broken(break_):
-                world.finish()
         return any(v.name == name for v in world.violations)
 
     size = max(1, len(path) // 2)
