--- a/rehearsal/explore/search.py
+++ b/rehearsal/explore/search.py
@@ -93,7 +93,7 @@
 
 
 def play(small: Small, path: list[str], break_: str = "", to_end: bool = False) -> World:
-    """A run by its path, to its end if nothing more can come; `to_end`: whatever could, unless it is broken."""
+    """A run by its path, to its end if nothing more can come; `to_end`: whatever could, unless broken."""
     with broken(break_):
         world = World(small)
         for label in path:
