Pools: servers in service are kept, not counted with each event

Under a move each event counted all listed servers anew, several times: a request cost 222 us at 100 servers and 7,161 us at 10,000.

--- a/nickelbridge/pools.py
+++ b/nickelbridge/pools.py
@@ -76,11 +76,8 @@
 @dataclass(slots=True)
 class _Pool:
     balancer: Balancer
-    listed: dict[int, Health] = field(default_factory=dict)
-    most: int = 0  # servers in service that it had at once
-
-    def live(self) -> int:
-        return sum(health is Health.IN_SERVICE for health in self.listed.values())
+    live: set[int] = field(default_factory=set)  # servers in service; kept, as each event asks how many
+    most: int = 0  # so many of them at once
 
 
 class Router:
@@ -140,10 +137,8 @@
                 for number in range(len(self._pools)):
                     actions += self._say(number, event, now)
         if self.move is not None:
-            if self.move.state is State.PLANNED and self._pools[0].live() and self._pools[self._to].live():
-                self.move.start(
-                    now
-                )  # as soon as there is something to move, and something to compare it with
+            if self.move.state is State.PLANNED and self._pools[0].live and self._pools[self._to].live:
+                self.move.start(now)  # there is something to move, and something to compare it with
             actions += self._look(now)
         return actions
 
@@ -178,8 +173,8 @@
     def _look(self, now: float) -> list[api.Action]:
         move = self.move
         assert move is not None
-        new = self._pools[self._to].live()
-        move.tick(now, new, sum(pool.live() for pool in self._pools) - new)
+        new = len(self._pools[self._to].live)
+        move.tick(now, new, sum(len(pool.live) for pool in self._pools) - new)
         found: list[api.Action] = [
             api.Log(f"move to {self.rules.to}: {text}") for _, text in move.story[self._told :]
         ]
@@ -215,12 +210,12 @@
         """Whether the move's share has this one."""
         assert self.move is not None
         there, here = self._pools[self._to], self._pools[0]
-        live = there.live()
+        live = len(there.live)
         if not live:
             return False
         share = self.move.share(event.cls)
-        if share >= 1.0 or not here.live():
-            return share > 0.0 or not here.live()
+        if share >= 1.0 or not here.live:
+            return share > 0.0 or not here.live
         if live < LIVE_LEAST * there.most:
             share *= live / there.most
         if event.key is not None:
@@ -251,20 +246,20 @@
             before = self._home.get(entry.server)
             if before is not None and before != home:  # it was renamed into another pool
                 parts[before].append(replace(entry, health=Health.GONE))
-                self._pools[before].listed.pop(entry.server, None)
+                self._pools[before].live.discard(entry.server)
             parts[home].append(entry)
             if gone:
                 self._home.pop(entry.server, None)
-                self._pools[home].listed.pop(entry.server, None)
             else:
                 self._home[entry.server] = home
-                self._pools[home].listed[entry.server] = entry.health
+            live = self._pools[home].live
+            (live.add if entry.health is Health.IN_SERVICE else live.discard)(entry.server)
         if event.kind is not ListKind.CHANGES:
             self._forget_all_but({entry.server for entry in event.entries})
         found: list[api.Action] = []
         for number, part in enumerate(parts):
             pool = self._pools[number]
-            pool.most = max(pool.most, pool.live())
+            pool.most = max(pool.most, len(pool.live))
             if part or event.kind is not ListKind.CHANGES:
                 found += self._say(number, api.ServerList(event.kind, event.version, part), now)
         return found
@@ -272,4 +267,4 @@
     def _forget_all_but(self, listed: Iterable[int]) -> None:
         listed = set(listed)
         for server in [server for server in self._home if server not in listed]:
-            self._pools[self._home.pop(server)].listed.pop(server, None)
+            self._pools[self._home.pop(server)].live.discard(server)
