Chain and moves: what nothing used is gone, copies are made by replace

The reserve for the way back was a class that nothing told of lateness: it was 1 ms always, and is a constant that says so now. Counts that nobody read are gone, copies of what is carried are made in one way, and the tests of a move's measures are made in one place.

--- a/nickelbridge/chain.py
+++ b/nickelbridge/chain.py
@@ -23,7 +23,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from nickelbridge.bucket import Bucket
@@ -42,8 +42,7 @@
 GATE_MOST_MS = 30_000.0  # a gate that no call has come back through for so long lets a further one through
 QUICK_SHARE = 0.8  # of the quickest answer lately: with less time left than that nothing can be done
 QUICK_GROWTH = 1.02  # by which that is forgotten, with each answer
-RESERVE_MS, RESERVE_MOST_MS = 1.0, 50.0  # kept back for the way back: at least, and at most
-RESERVE_FADE_MS = 10_000.0
+RESERVE_MS = 1.0  # of the time left, kept for the way back; a constant, as nothing measures it yet
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +102,7 @@
         most = self._most(now)
         self._earned += self._share
         self._bucket.refill(self._per_ms, most, now)
-        self._bucket.tokens = min(self._bucket.tokens + self._share, max(most, 1.0))
+        self._bucket.tokens = min(self._bucket.tokens + self._share, most)
 
     def bears(self, now: float) -> bool:
         """Whether one more is in it."""
@@ -178,23 +177,6 @@
                 self.limit, self._open_ms = math.inf, now
 
 
-class Reserve:
-    """What an answer needs for its way back: how late this node itself was lately, at the most."""
-
-    def __init__(self) -> None:
-        self._ms, self._seen_ms = RESERVE_MS, 0.0
-
-    def late(self, by_ms: float, now: float) -> None:
-        """Something that was due came so much later."""
-        self._ms = max(self.now(now), min(by_ms, RESERVE_MOST_MS))
-        self._seen_ms = now
-
-    def now(self, now: float) -> float:
-        """Milliseconds to keep back."""
-        faded = self._ms * math.exp(min(0.0, self._seen_ms - now) / RESERVE_FADE_MS)
-        return max(RESERVE_MS, faded)
-
-
 @dataclass(slots=True)
 class _Open:
     """A request that this node has taken."""
@@ -203,7 +185,6 @@
     cls: str
     brought: int  # attempts beyond the first that were left when it came
     attempts: int = 0
-    out: int = 0  # attempts that are out
     below: bool = False  # the tier below has said that it is overloaded
 
 
@@ -215,9 +196,7 @@
     salt: str = ""  # makes this node's ids into ones that no other node has
     budget: RetryBudget = field(init=False)
     gate: Gate = field(default_factory=Gate)
-    reserve: Reserve = field(default_factory=Reserve)
     refused: dict[Why, int] = field(default_factory=lambda: dict.fromkeys(Why, 0))
-    unasked: int = 0  # attempts beyond the first that were not made
     _open: dict[str, _Open] = field(default_factory=dict)
     _quick_ms: dict[str, float] = field(default_factory=dict)  # the quickest answers lately, by class
 
@@ -247,7 +226,7 @@
             carried = Carried(f"{self.salt}{id}", self.limits.extra, worth)
         # Nobody brings more than this tier itself would give.
         extra = min(max(carried.extra, 0), self.limits.extra)
-        carried = Carried(carried.root, extra, min(max(carried.worth, 0.0), WORTH_MOST), carried.path)
+        carried = replace(carried, extra=extra, worth=min(max(carried.worth, 0.0), WORTH_MOST))
         self._open[id] = _Open(carried, cls, extra)
         self.budget.first_try(now)
         return None
@@ -255,7 +234,7 @@
     def _why_not(self, carried: Carried | None, cls: str, left_ms: float, now: float) -> Why | None:
         if self.looped(carried):
             return Why.LOOP
-        if left_ms - self.reserve.now(now) < QUICK_SHARE * self._quick_ms.get(cls, 0.0):
+        if left_ms - RESERVE_MS < QUICK_SHARE * self._quick_ms.get(cls, 0.0):
             return Why.LATE
         return Why.BELOW if self._shut_out(now) else None
 
@@ -278,17 +257,14 @@
         held = self._open[id]
         if held.attempts:
             self.budget.take()
-            old = held.carried
-            held.carried = Carried(old.root, old.extra - 1, old.worth, old.path)
+            held.carried = replace(held.carried, extra=held.carried.extra - 1)
         held.attempts += 1
-        held.out += 1
         self.gate.went(now)
-        carried = held.carried
-        return Carried(carried.root, carried.extra, carried.worth, (*carried.path, self._hop))
+        return replace(held.carried, path=(*held.carried.path, self._hop))
 
-    def left_ms(self, left_ms: float, now: float) -> float:
+    def left_ms(self, left_ms: float) -> float:
         """The time that an attempt may take, of what this node has left."""
-        return max(0.0, left_ms - self.reserve.now(now))
+        return max(0.0, left_ms - RESERVE_MS)
 
     def ended(self, id: str, result: Result, below: bool, used: int, took_ms: float, now: float) -> None:
         """An attempt is over. `below`: it was turned away for overload beneath; `used`: attempts beyond the
@@ -299,11 +275,9 @@
         held = self._open.get(id)
         if held is None:
             return
-        held.out -= 1
         held.below = held.below or below
         if used > 0:
-            old = held.carried
-            held.carried = Carried(old.root, max(0, old.extra - used), old.worth, old.path)
+            held.carried = replace(held.carried, extra=max(0, held.carried.extra - used))
         if result is Result.SERVED:
             quick = self._quick_ms.get(held.cls, math.inf)
             self._quick_ms[held.cls] = min(quick * QUICK_GROWTH, took_ms)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -775,7 +775,7 @@
             server.budget.tokens -= 1.0
         carried = None
         if self.chain is not None:
-            carried, left = self.chain.send(call.id, now), self.chain.left_ms(left, now)
+            carried, left = self.chain.send(call.id, now), self.chain.left_ms(left)
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
--- a/nickelbridge/moves.py
+++ b/nickelbridge/moves.py
@@ -22,9 +22,12 @@
 import bisect
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TypeVar
 
+T = TypeVar("T")
 STEPS = (0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
 OLD_MOST = 16  # old outcomes in one block: more say little
 PRIOR_BAD, PRIOR_ALL = 0.5, 10.0  # what each rate is taken for before the first block: one in twenty
@@ -175,15 +178,18 @@
         return self._sorted[int(SLOW_FROM * len(self._sorted))]
 
 
+def _both(test: Callable[[], T]) -> dict[str, T]:
+    """A test of each measure."""
+    return {"failures": test(), "slow answers": test()}
+
+
 @dataclass
 class _Class:
     """What is known of a class."""
 
     usual: _Usual = field(default_factory=_Usual)
-    worse: dict[str, Worse] = field(default_factory=lambda: {"failures": Worse(), "slow answers": Worse()})
-    no_worse: dict[str, NoWorse] = field(
-        default_factory=lambda: {"failures": NoWorse(), "slow answers": NoWorse()}
-    )
+    worse: dict[str, Worse] = field(default_factory=lambda: _both(Worse))
+    no_worse: dict[str, NoWorse] = field(default_factory=lambda: _both(NoWorse))
     new: int = 0  # outcomes of the new pool in this step
     last: bool = False  # too rare: it is moved when all others are
 
@@ -203,10 +209,9 @@
         self._step = -1
         self._rare = False  # the rare classes are being moved, behind all others
         self._since_ms = 0.0  # of the step, or of the undo
-        self._held_from: State | None = None
         self.story: list[tuple[float, str]] = []  # for operators; one line a step
         # All classes together too: what strikes them alike shows sooner there.
-        self._all = _Class()
+        self._all = _both(Worse)
         measures = 2 * (len(plan.classes) + 1)
         self._undo_at = math.log(measures / plan.alpha)
         self._next_at = math.log(1.0 / plan.beta)
@@ -267,25 +272,25 @@
             slow_ms = held.usual.slow_ms if known else math.inf
             held.usual.add(failed, took_ms)
             if known:
-                for one in (held, self._all):
-                    one.worse["failures"].old(failed)
+                for tests in (held.worse, self._all):
+                    tests["failures"].old(failed)
                     if not failed:  # slow for its class, which classes have in common
-                        one.worse["slow answers"].old(took_ms > slow_ms)
+                        tests["slow answers"].old(took_ms > slow_ms)
             return
         if not held.usual.known:
             return  # nothing to compare with
         held.new += 1
         slow = took_ms > held.usual.slow_ms
         # Of a class that is moved whole nothing is old any more, and what was usual there is of another time.
-        for one in (held, self._all) if self.share(cls) < 1.0 else ():
-            one.worse["failures"].new(failed)
+        for tests in (held.worse, self._all) if self.share(cls) < 1.0 else ():
+            tests["failures"].new(failed)
             if not failed:
-                one.worse["slow answers"].new(slow)
+                tests["slow answers"].new(slow)
         held.no_worse["failures"].new(failed, held.usual.rate + self.plan.margin)
         if not failed:
             held.no_worse["slow answers"].new(slow, 1.0 - SLOW_FROM + 4.0 * self.plan.margin)
-        for name, one in ((cls, held), ("all classes", self._all)):
-            for measure, worse in one.worse.items():
+        for name, tests in ((cls, held.worse), ("all classes", self._all)):
+            for measure, worse in tests.items():
                 if worse.value >= self._undo_at:
                     return self.undo(now, f"{name}: more {measure} than the old pool")
 
--- a/orchidferry/chain/links.py
+++ b/orchidferry/chain/links.py
@@ -53,7 +53,3 @@
     def read_answer(answer: Answer | None) -> tuple[bool, int]:
         """What a server tells of its own calls."""
         return read_answer(answer.chain) if answer is not None else (False, 0)
-
-    def counts(self) -> dict[str, int]:
-        """What was not believed, by reason."""
-        return dict(self._wire.counts)
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -176,8 +176,7 @@
         "_attempt", "_body", "_complete", "_framings", "_head", "_in_body", "_keep", "_lost", "_parser",
         "_paused", "_poll", "_pool", "_rejected", "_report", "_size", "_spoilt", "_status", "_transport",
         "_answer_flow", "_chain", "_length", "_to_close", "_type", "_upload", "_uploaded_s", "address",
-        "idle_since",
-        "server",
+        "idle_since", "server",
     )  # fmt: skip
 
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
