Kit: one rule for the new pool's places, works read no further than their sample

The judge reckoned which servers are of the new pool beside the plan; both ask the scenario now. A replay unpacked the whole recording once more behind the sample that it takes classes' work from. Options, fields and a branch that nothing set are gone. Tests of the kit's parts pass unchanged.

--- a/rehearsal/explore/__init__.py
+++ b/rehearsal/explore/__init__.py
@@ -34,7 +34,6 @@
     parser.add_argument("--replay", metavar="FILE", help="play a counterexample again")
     parser.add_argument("--out", metavar="FILE", help="write a counterexample there")
     parser.add_argument("--json", metavar="FILE", help="write the verdict there")
-    parser.set_defaults(json_only=False)
 
 
 def main(args: argparse.Namespace) -> int:
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -75,8 +75,7 @@
             )
             if found.counterexample is not None or found.why:
                 break
-            if not args.json_only:
-                console.print(f"{events} events: {found.states} states, {found.seconds:.1f} s, all walked")
+            console.print(f"{events} events: {found.states} states, {found.seconds:.1f} s, all walked")
         found.seconds = time.monotonic() - began
         return found
 
--- a/rehearsal/explore/world.py
+++ b/rehearsal/explore/world.py
@@ -20,7 +20,7 @@
 import orchidferry.config
 import orchidferry.upstream
 from nickelbridge import interface as api
-from orchidferry.config import Config, address, read_listing, server_id
+from orchidferry.config import Config, address, read_listing
 from orchidferry.node import MARGIN_MS, Node
 from rehearsal.explore.loop import Dial, Loop, Poll, Wire
 
@@ -139,7 +139,6 @@
             Client(n, small.kinds[n % len(small.kinds)], id=f"c{n}") for n in range(small.clients)
         ]
         self.names = [f"s{n}" for n in range(small.servers)]
-        self.places = {server_id(name): n for n, name in enumerate(self.names)}
         self.told = dict.fromkeys(range(small.servers), (0.0, "active"))  # since when, as the node has heard
         self.cold_s: dict[int, float] = {}
         self.carried: list[Carried] = []
@@ -151,7 +150,6 @@
         self.cold_s |= dict.fromkeys(range(small.servers - small.cold, small.servers), self.loop.now)
         self.sends: dict[tuple[str, int], int] = {}  # open ones, by request and server
         self._errors = _Errors()
-        self._shortage = False
         with self.inside():
             self.node = Node(_config(small), self.loop)
             self._wrap()
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -135,11 +135,10 @@
     if not scenario.pools.on:
         return None
     # By its place: a server's name begins with its tier and place.
-    places, first = scenario.tiers[0].servers, scenario.tiers[0].name
-    from_place = places - round(scenario.pools.share * places)
+    first = scenario.tiers[0].name
     new = {
         up.server for up in books.ups
-        if up.tier == 0 and int(up.server.removeprefix(f"{first}-").partition("-")[0]) >= from_place
+        if up.tier == 0 and int(up.server.removeprefix(f"{first}-").partition("-")[0]) >= scenario.new_from
     }  # fmt: skip
     roots: set[str] = set()
     last = None
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -429,6 +429,12 @@
     run: str = ""
     workers: int = key(whole(1, 32), 2)  # processes that the stand-in servers share
 
+    @property
+    def new_from(self) -> int:
+        """The first place of the first tier that is of the new pool; behind the last where there is none."""
+        servers = self.tiers[0].servers
+        return servers - round(self.pools.share * servers) if self.pools.on else servers
+
     def tier_number(self, name: str) -> int:
         return next(n for n, tier in enumerate(self.tiers) if tier.name == name)
 
--- a/rehearsal/traffic/command.py
+++ b/rehearsal/traffic/command.py
@@ -216,31 +216,25 @@
         return [row["name"] for row in self.header.classes]
 
 
-def _by_second(total: Any, times: Any, seconds: int) -> Any:
-    found = np.bincount((times // 1_000_000).astype(np.int64), minlength=seconds)
-    return found[:seconds] if total is None else total + found[:seconds]
+def _by_second(times: Any, seconds: int) -> Any:
+    return np.bincount(times // 1_000_000, minlength=seconds)[:seconds]
 
 
 def totals(path: Path) -> Totals:
     """Add a recording up, in one pass; memory goes by its seconds, clients and objects."""
     reader = Reader(path)
     seconds, kinds = int(reader.header.seconds) + 1, len(reader.header.classes)
-    empty = np.zeros(seconds, np.int64)
-    found = Totals(
-        reader.header,
-        np.zeros((kinds, seconds), np.int64),
-        empty,
-        empty.copy(),
-        np.zeros(len(GAP_EDGES) + 1, np.int64),
+    by_class, again, wrong, gaps = (
+        np.zeros(shape, np.int64) for shape in ((kinds, seconds), seconds, seconds, len(GAP_EDGES) + 1)
     )
+    found = Totals(reader.header, by_class, again, wrong, gaps)
     before: int | None = None
     for rows in reader.blocks():
         times = rows["t"].astype(np.int64)
         for number in range(kinds):
-            of = times[rows["cls"] == number]
-            found.per_second[number] += _by_second(None, of, seconds)
-        found.retries_per_second = _by_second(found.retries_per_second, times[rows["number"] > 0], seconds)
-        found.failed_per_second = _by_second(found.failed_per_second, times[failed(rows)], seconds)
+            found.per_second[number] += _by_second(times[rows["cls"] == number], seconds)
+        found.retries_per_second += _by_second(times[rows["number"] > 0], seconds)
+        found.failed_per_second += _by_second(times[failed(rows)], seconds)
         steps = np.diff(times, prepend=times[:1] if before is None else before)[before is None :]
         found.gaps += np.bincount(np.digitize(steps, GAP_EDGES), minlength=len(GAP_EDGES) + 1)
         before = int(times[-1])
--- a/rehearsal/traffic/replay.py
+++ b/rehearsal/traffic/replay.py
@@ -168,8 +168,6 @@
     recorded: Counter[str] = field(default_factory=Counter)
     skipped: Counter[str] = field(default_factory=Counter)
     gaps_ms: dict[str, float] = field(default_factory=dict)  # between arrivals, quantiles, as planned
-    busiest: float = 0.0  # arrivals a second, of ten seconds
-    seconds: float = 0.0  # of the run
 
 
 def gaps_ms(times: Any) -> dict[str, float]:
@@ -181,7 +179,7 @@
 
 
 def _preview(scenario: Scenario) -> Preview:
-    found, times = Preview(seconds=scenario.length_s), []
+    found, times = Preview(), []
     for choice in _choices(scenario):
         times += [t for t, _ in _passes(choice.laid, choice, scenario.length_s)]
         found.sent += choice.sent
@@ -189,8 +187,6 @@
         found.skipped += choice.skipped
     every = np.sort(np.concatenate(times)) if times else np.zeros(0)
     found.gaps_ms = gaps_ms(every)
-    if len(every):
-        found.busiest = float(np.bincount((every // 10.0).astype(np.int64)).max()) / 10.0
     return found
 
 
@@ -201,9 +197,11 @@
     for rows in Reader(Path(laid.recording)).blocks(laid.from_s, laid.to_s):
         well = rows[~failed(rows) & (rows["took"] != NO_TIME)]
         seen += len(well)
+        if seen >= WORK_SAMPLE:
+            break
         for number in range(len(names)):
             some = well["took"][well["cls"] == number]
-            if len(some) and seen < WORK_SAMPLE:
+            if len(some):
                 took.setdefault(number, []).append(some)
     return {names[n]: float(np.median(np.concatenate(parts))) / 1e6 for n, parts in took.items()}
 
--- a/rehearsal/world/plan.py
+++ b/rehearsal/world/plan.py
@@ -68,8 +68,7 @@
 
 def in_new_pool(scenario: Scenario, server: Server) -> bool:
     """Whether a server is of the pool that traffic is moved to: the last of the first tier's places."""
-    side, servers = scenario.pools, scenario.tiers[0].servers
-    return side.on and server.tier == 0 and server.place >= servers - round(side.share * servers)
+    return scenario.pools.on and server.tier == 0 and server.place >= scenario.new_from
 
 
 @dataclass
