--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -23,6 +23,7 @@
     from nickelbridge.pools import Rules
     from orchidferry.chain.settings import Setup
     from orchidferry.control.settings import Control
+    from orchidferry.fleet.shell import Peers
     from orchidferry.h3.settings import Http3
 
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
@@ -40,6 +41,7 @@
         config = read_config(path)
         http3, control, chain = read_http3(), read_control(), read_chain()
         pools = read_pools(tuple(cls.name for cls in config.settings.classes))
+        fleet = read_fleet(config.name, asyncio.get_running_loop())
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -50,7 +52,8 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     try:
-        node = Node(config, loop, http3, control, chain, pools)
+        parts, pages = ([fleet], {b"/-/fleet": fleet.page}) if fleet is not None else ([], {})
+        node = Node(config, loop, http3, control, chain, pools, parts, pages)
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -65,6 +68,9 @@
         if node.door is not None and config.admin is not None:
             where = config.admin
             await node.door.listen(loop, where)
+        if fleet is not None:
+            where = fleet.where
+            await fleet.listen()
     except OSError as problem:
         print(f"orchidferry: can't listen on {where[0]}:{where[1]}: {problem}", file=sys.stderr)
         return 2
@@ -132,6 +138,18 @@
     return pools.read_pools(path, classes)
 
 
+def read_fleet(name: str, loop: asyncio.AbstractEventLoop) -> Peers | None:
+    """The same for a part in a fleet of nodes that know of each other."""
+    path = os.environ.get("ORCHIDFERRY_FLEET")
+    if not path:
+        return None
+    try:
+        from orchidferry.fleet import settings, shell
+    except ImportError as problem:
+        raise BadConfig(f"ORCHIDFERRY_FLEET is set, and {problem.name} is not installed") from None
+    return shell.Peers(settings.read_fleet(path, name), loop)
+
+
 def reload(node: Node, path: str) -> None:
     """Take the file as it is now; one that can't be used changes nothing."""
     try:
--- a/orchidferry/chain/settings.py
+++ b/orchidferry/chain/settings.py
@@ -8,8 +8,9 @@
 from nickelbridge import chain
 from nickelbridge.settings import NUMBER, Json, Malformed, get, opt
 from orchidferry.config import operators_file
+from orchidferry.keys import read_keys
 
-KEY_LEAST, KEYS_MOST = 32, 8  # characters of a key; keys that are valid at once
+KEYS_MOST = 8  # that are valid at once
 NAMES = ("tier", "node")
 NUMBERS = ("share", "floor_per_s")
 
@@ -37,19 +38,4 @@
     values |= {name: get(obj, name, int) for name in ("extra", "nodes") if name in obj}
     values |= {name: get(obj, name, bool) for name in ("shed",) if name in obj}
     limits = chain.Limits(**values)
-    return Setup(limits, _keys(opt(obj, "keys", list, [])))
-
-
-def _keys(found: list[object]) -> tuple[tuple[str, bytes], ...]:
-    keys: list[tuple[str, bytes]] = []
-    for one in found:
-        name, equals, secret = one.partition("=") if isinstance(one, str) else ("", "", "")
-        # What is wrong is told by its place: a key has no place in a log.
-        if not equals or not name.isalnum() or not name.isascii() or len(name) > 16:
-            raise Malformed(f"keys[{len(keys)}]: is not NAME=SECRET")
-        if len(secret) < KEY_LEAST:
-            raise Malformed(f"keys[{len(keys)}]: the secret has less than {KEY_LEAST} characters")
-        keys.append((name, secret.encode()))
-    if len(keys) > KEYS_MOST or len({name for name, _ in keys}) < len(keys):
-        raise Malformed(f"keys: {KEYS_MOST} at most, each with a name of its own")
-    return tuple(keys)
+    return Setup(limits, read_keys(opt(obj, "keys", list, []), KEYS_MOST))
--- a/orchidferry/control/plain.py
+++ b/orchidferry/control/plain.py
@@ -9,8 +9,8 @@
 
 from nickelbridge import interface as api
 from nickelbridge.versions import Member
+from orchidferry.store import BAD_PLAIN as BAD_PLAIN
 
-BAD_PLAIN = (KeyError, TypeError, ValueError, AttributeError)  # what values that don't fit raise below
 HEALTHS = {health.value: health for health in api.Health}
 
 
--- /dev/null
+++ b/orchidferry/fleet/settings.py
@@ -0,0 +1,124 @@
+"""The operator's own file for a fleet (`ORCHIDFERRY_FLEET`), as typed values."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from nickelbridge.fleet.members import NAME_MOST, VERSION_MOST, ZONE_MOST
+from nickelbridge.fleet.suspicion import Timing
+from nickelbridge.fleet.swim import SEEDS_MOST
+from nickelbridge.settings import NUMBER, Json, Malformed, get, opt
+from orchidferry.config import Address, BadConfig, address, operators_file
+from orchidferry.keys import Keys, read_keys
+
+KNOWN = {
+    "name", "listen", "advertise", "zone", "version", "seeds", "keys", "state", "journal", "probe_ms", "most",
+}  # fmt: skip
+KEYS_MOST = 2  # at a time: the one that goes out and the one that comes in
+PROBE_MS = (50.0, 60_000.0)
+MOST = (2, 10_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """What a node needs to take part."""
+
+    name: str
+    listen: Address  # UDP and TCP
+    advertise: Address  # where its peers reach that
+    zone: str
+    version: str
+    seeds: tuple[Address, ...]
+    keys: Path
+    state: Path | None  # folder; None: no disk lasts here
+    journal: Path | None  # a line for each change of the view
+    timing: Timing
+    most: int  # nodes
+
+
+def read_fleet(path: str, name: str) -> Setup:
+    """Read the file; `BadConfig` names it and what is wrong. `name`: the node's own, where it says none."""
+    return operators_file("ORCHIDFERRY_FLEET", path, lambda obj: _read(obj, Path(path).parent, name))
+
+
+def _where(field: str, value: object) -> Address:
+    """An address with a number for its host: peers are reached without a name service."""
+    if not isinstance(value, str):
+        raise Malformed(f"{field}: must be host:port")
+    host, port = address(value)
+    try:
+        return str(ipaddress.ip_address(host)), port
+    except ValueError:
+        raise Malformed(f"{field}: {host!r:.60} is no IP address") from None
+
+
+def _read(obj: Json, folder: Path, name: str) -> Setup:
+    if unknown := sorted(obj.keys() - KNOWN):
+        raise Malformed(f"{unknown[0]!r} is not known")
+
+    def file(field: str) -> Path | None:
+        text = opt(obj, field, str, "")
+        return folder / text if text else None
+
+    def text(field: str, default: str, most: int) -> str:
+        value: str = opt(obj, field, str, default)
+        if len(value) > most or not value.isprintable():
+            raise Malformed(f"{field!r} must be {most} printable characters at most, not {value!r:.40}")
+        return value
+
+    listen = _where("listen", get(obj, "listen", str))
+    advertise = _where("advertise", obj["advertise"]) if "advertise" in obj else listen
+    if ipaddress.ip_address(advertise[0]).is_unspecified or not advertise[1]:
+        raise Malformed("'advertise' must say where peers reach this node: an address and a port, not 0")
+    seeds = opt(obj, "seeds", list, [])
+    if len(seeds) > SEEDS_MOST:
+        raise Malformed(f"seeds: {len(seeds)}, {SEEDS_MOST} at most")
+    keys = file("keys")
+    if keys is None:
+        raise Malformed("'keys' is missing: the file with the fleet's keys")
+    probe_ms = float(opt(obj, "probe_ms", NUMBER, 1_000.0))
+    if not PROBE_MS[0] <= probe_ms <= PROBE_MS[1]:
+        raise Malformed(f"'probe_ms' must be {PROBE_MS[0]:g} to {PROBE_MS[1]:g}, not {probe_ms:g}")
+    most = opt(obj, "most", int, 1_024)
+    if not MOST[0] <= most <= MOST[1]:
+        raise Malformed(f"'most' must be {MOST[0]} to {MOST[1]} nodes, not {most}")
+    own = text("name", name, NAME_MOST)
+    if not own:
+        raise Malformed("'name' must not be empty")
+    return Setup(
+        own, listen, advertise, text("zone", "", ZONE_MOST), text("version", "", VERSION_MOST),
+        tuple(_where(f"seeds[{n}]", one) for n, one in enumerate(seeds)), keys, file("state"),
+        file("journal"), scaled(probe_ms), most,
+    )  # fmt: skip
+
+
+def scaled(probe_ms: float) -> Timing:
+    """All times in proportion to that between two probes, but what is kept of those that are gone."""
+    timing, by = Timing(), probe_ms / Timing().interval_ms
+    return replace(
+        timing, interval_ms=probe_ms, timeout_ms=timing.timeout_ms * by, gossip_ms=timing.gossip_ms * by,
+        sync_ms=timing.sync_ms * by, reach_ms=timing.reach_ms * by,
+    )  # fmt: skip
+
+
+def read_key_file(path: Path) -> Keys:
+    """NAME=SECRET a line; the first signs, both are believed. `BadConfig` says what is wrong, never a
+    secret.
+    """
+    try:
+        if path.stat().st_mode & 0o077:
+            raise BadConfig(f"{path}: others than its owner may read it: chmod 600")
+        lines = path.read_text(encoding="utf-8").splitlines()
+    except OSError as problem:
+        raise BadConfig(f"can't read the fleet's keys: {problem}") from None
+    except UnicodeDecodeError as problem:
+        raise BadConfig(f"{path}: not UTF-8 at byte {problem.start}") from None
+    try:
+        keys = read_keys([line for line in lines if line.strip() and not line.startswith("#")], KEYS_MOST)
+    except Malformed as problem:
+        raise BadConfig(f"{path}: {problem}") from None
+    if not keys:
+        raise BadConfig(f"{path}: holds no key")
+    return keys
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -12,7 +12,7 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING, Protocol, cast
 
 from nickelbridge import interface as api
@@ -38,6 +38,7 @@
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
 LIST_STEP = 64  # entries of a list that the module is told in one go: under 1 ms
 FLOW_LOOK_S = 1.0  # how often a flow is looked at that may stand still
+NO_PAGES: Mapping[bytes, Callable[[], tuple[int, bytes]]] = {}
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
@@ -74,6 +75,16 @@
     def close(self) -> None: ...
 
 
+class Part(Protocol):
+    """A subsystem beside the requests, with sockets of its own."""
+
+    def attach(self, ready: Callable[[], bool]) -> None: ...  # before it starts
+    def start(self) -> None: ...
+    def count(self) -> int: ...  # sockets in use
+    def leaving(self) -> None: ...  # the node was told to end
+    async def close(self) -> None: ...
+
+
 class Live:
     """A request that is owed its answer, with its attempts."""
 
@@ -164,6 +175,7 @@
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, http3: Http3 | None = None,
         control: Control | None = None, chain: Setup | None = None, pools: Rules | None = None,
+        parts: Sequence[Part] = (), pages: Mapping[bytes, Callable[[], tuple[int, bytes]]] = NO_PAGES,
     ) -> None:  # fmt: skip
         self._config, self._loop = config, loop
         settings = config.settings
@@ -227,7 +239,11 @@
                 b"/-/ready": lambda: (200, b"ready\n") if self.ready() else (503, b"not ready\n"),
                 b"/-/metrics": lambda: (200, self.report()),
                 b"/-/control": self._control_page,
+                **pages,
             })  # fmt: skip
+        self._parts = parts
+        for part in parts:
+            part.attach(self.ready)
         self._fronts: list[Front] = [self.frontend, *([self.h3_front] if self.h3_front else [])]
         self._news: deque[api.ServerList] = deque()  # steps of long lists that the module is still to be told
         self._telling = False
@@ -251,6 +267,8 @@
             self._discovery.subscribe()
         if self.control is not None:
             self.control.start()
+        for part in self._parts:
+            part.start()
 
     # Configuration from a control service
 
@@ -297,6 +315,8 @@
             if live.ends_ms > self._stop_ms:
                 live.ends_ms = self._stop_ms
                 self._watch(live)
+        for part in self._parts:
+            part.leaving()
         for front in self._fronts:
             front.leave()
         await asyncio.sleep(accept_s)
@@ -319,6 +339,8 @@
             self.door.close()
         if self.control is not None:
             await self.control.close()
+        for part in self._parts:
+            await part.close()
         self._discovery.close()
         self._upstream.close()
         if self.h3_front is not None:
@@ -327,7 +349,8 @@
     def _room(self) -> int:
         fronts = sum(front.count() for front in self._fronts)
         door = self.door.count() if self.door is not None else 0
-        return self._config.sockets - SPARE_SOCKETS - fronts - door - self._upstream.count()
+        parts = sum(part.count() for part in self._parts)
+        return self._config.sockets - SPARE_SOCKETS - fronts - door - parts - self._upstream.count()
 
     # Requests
 
--- /dev/null
+++ b/rehearsal/bench/peers.py
@@ -0,0 +1,171 @@
+"""`orchidferry bench peers`: memory and CPU of one real node in a fleet of many, whose other members stand in
+this process: the shipping membership of each, on a loopback address of its own."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import resource
+import socket
+import struct
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from nickelbridge.fleet import messages as api
+from nickelbridge.fleet.members import Entry, Phase
+from nickelbridge.fleet.swim import Fleet
+from orchidferry.config import now_ms
+from orchidferry.fleet import wire
+from orchidferry.fleet.settings import scaled
+from orchidferry.fleet.wire import Refused, Sealer
+from rehearsal.scenario import Scenario
+from rehearsal.world.nodes import settings
+
+NET, PORT = "127.60", 9100  # a block of its own, beneath those of rehearsals
+KEY = "k1=" + "0123456789abcdef" * 2
+SETTLE_S = 10.0  # for the node to join, before it is measured
+LENGTH = struct.Struct(">I")
+
+
+class Crowd:
+    """All other members, each with sockets of its own."""
+
+    def __init__(self, count: int, probe_ms: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._sealer = Sealer((("k1", KEY.partition("=")[2].encode()),))
+        self._fleets: list[Fleet] = []
+        self._udp: list[socket.socket] = []
+        self._servers: list[asyncio.Server] = []
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        for n in range(count):
+            host = f"{NET}.{1 + n // 250}.{1 + n % 250}"
+            me = Entry(f"m{n}", host, PORT, 1_000 + n, phase=Phase.SERVING, zone="abc"[n % 3], version="1")
+            self._fleets.append(Fleet(me, [], random.Random(n), scaled(probe_ms), count + 2))
+        entries = [fleet.me for fleet in self._fleets]
+        for n, fleet in enumerate(self._fleets):
+            fleet.know(entries)
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            udp.setblocking(False)
+            udp.bind((fleet.me.host, PORT))
+            self._udp.append(udp)
+            self._loop.add_reader(udp, self._readable, n)
+
+    async def start(self) -> None:
+        for n, fleet in enumerate(self._fleets):
+
+            def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: int = n) -> Any:
+                return self._loop.create_task(self._serve(reader, writer, to))
+
+            self._servers.append(await asyncio.start_server(serve, fleet.me.host, PORT))
+            self._hand(n, api.Begin())
+            fleet._rumours.drop(fleet.me.name)
+
+    def _hand(self, n: int, event: api.Event) -> list[bytes]:
+        answers = []
+        for action in self._fleets[n].handle(event, now_ms()):
+            match action:
+                case api.Datagram():
+                    with contextlib.suppress(OSError):
+                        self._udp[n].sendto(self._sealer.seal(wire.encode(action.message)), action.to)
+                case api.Answer():
+                    answers.append(self._sealer.seal(wire.encode(action.message)))
+        if n in self._timers:
+            self._timers[n].cancel()
+        wait_s = max(0.0, self._fleets[n].due_ms - now_ms()) / 1000.0
+        self._timers[n] = self._loop.call_later(wait_s, self._hand, n, api.Tick())
+        return answers
+
+    def _readable(self, n: int) -> None:
+        with contextlib.suppress(OSError, Refused):
+            while data := self._udp[n].recv(4_096):
+                self._hand(n, api.Heard(wire.decode(self._sealer.open(data)[0])))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, n: int) -> None:
+        with contextlib.suppress(OSError, Refused, asyncio.IncompleteReadError):
+            (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+            data = await reader.readexactly(length)
+            for answer in self._hand(n, api.Heard(wire.decode(self._sealer.open(data)[0]))):
+                writer.write(LENGTH.pack(len(answer)) + answer)
+        writer.close()
+
+    def close(self) -> None:
+        for timer in self._timers.values():
+            timer.cancel()
+        for udp in self._udp:
+            self._loop.remove_reader(udp)
+            udp.close()
+        for server in self._servers:
+            server.close()
+
+
+def _lay(folder: Path, peers: int, probe_ms: float) -> dict[str, str]:
+    """A node's files, and what its environment says."""
+    config = {
+        "name": "measured", "listen": f"{NET}.250.1:9000", "discovery": f"{NET}.250.1:8500", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": settings(Scenario("x"), 0, 1, 0),
+    }  # fmt: skip
+    (folder / "config.json").write_text(json.dumps(config))
+    (folder / "keys").touch(0o600)
+    (folder / "keys").write_text(KEY)
+    (folder / "fleet.toml").write_text(
+        f'listen = "{NET}.250.1:{PORT}"\nseeds = ["{NET}.1.1:{PORT}"]\nkeys = "keys"\n'
+        f"probe_ms = {probe_ms}\nmost = {peers + 2}\n"
+    )
+    return {"NODE_CONFIG": str(folder / "config.json"), "ORCHIDFERRY_FLEET": str(folder / "fleet.toml")}
+
+
+def _used(pid: int) -> tuple[float, float]:
+    """CPU seconds, and MiB that are resident."""
+    ran, _, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return int(ran) / 1e9, pages * os.sysconf("SC_PAGE_SIZE") / 1024.0**2
+
+
+async def _one(peers: int, seconds: float, probe_ms: float, on: bool) -> dict[str, Any]:
+    """One node, with so many peers, or with the fleet off."""
+    with tempfile.TemporaryDirectory() as name:
+        env = _lay(Path(name), peers, probe_ms)
+        if not on:
+            del env["ORCHIDFERRY_FLEET"]
+        crowd = Crowd(peers if on else 0, probe_ms)
+        process = None
+        try:
+            await crowd.start()
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "orchidferry", env=os.environ | env,
+                stderr=asyncio.subprocess.DEVNULL,
+            )  # fmt: skip
+            await asyncio.sleep(SETTLE_S)
+            before, _ = _used(process.pid)
+            await asyncio.sleep(seconds)
+            after, mib = _used(process.pid)
+            known = {fleet.members["measured"].here for fleet in crowd._fleets if "measured" in fleet.members}
+            return {
+                "peers": peers if on else None, "resident_mib": round(mib, 1),
+                "cpu_share": round((after - before) / seconds, 5), "known": known == {True} if on else None,
+            }  # fmt: skip
+        finally:
+            crowd.close()
+            if process is not None:
+                process.kill()
+                await process.wait()
+
+
+def main(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """The measurement."""
+    if not 2 <= args.peers <= 5_000:
+        raise ValueError("--peers must be 2 to 5000")
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4 * args.peers + 1_024), hard))
+    rows = []
+    for on in (False, True):
+        rows.append(asyncio.run(_one(args.peers, args.seconds, 1_000.0, on)))
+        print(json.dumps(rows[-1]), flush=True)
+    return rows
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -11,7 +11,7 @@
 import os
 import sys
 
-from rehearsal import control, explore, traffic
+from rehearsal import control, explore, fleet, traffic
 
 EXAMPLES = {
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
@@ -21,6 +21,7 @@
     "control": control,
     "traffic": traffic,
     "explore": explore,
+    "fleet": fleet,
 }  # each brings its arguments, and no library
 
 
@@ -65,6 +66,9 @@
     rehearse.add_argument("--json", metavar="FILE", help="write the verdict there, complete or not")
     rehearse.add_argument("--report", metavar="FILE.html", help="write a page with plots there")
     rehearse.add_argument("--keep", metavar="FOLDER", help="leave the record and the nodes' logs there")
+    rehearse.add_argument(
+        "--no-fleet", action="store_true", help="with nodes that know nothing of each other, over whole links"
+    )
     traffic.replay_arguments(rehearse)
     _add_bench(commands)
     for name, package in PACKAGES.items():
@@ -158,6 +162,33 @@
     kind.add_argument("--protocol", choices=("h1", "h3"), default="h1", help="h3: HTTP/3 beside HTTP/1.1")
     kind.add_argument("--mix", action="store_true", help="all classes; else those safe to repeat alone")
     kind.add_argument("--against", metavar="FOLDER", help="another checkout's node, in turn too")
+    kind = kinds.add_parser(
+        "fleet",
+        help="rehearsals of a fleet over many seeds, and some with nodes that know nothing of each other",
+        epilog="example: orchidferry bench fleet --seeds 20 --off 5 --at-once 2",
+    )
+    kind.add_argument("--scenarios", nargs="+", default=["fleet-split", "fleet-loss", "fleet-pauses"],
+                      metavar="NAME", help="(fleet-split fleet-loss fleet-pauses)")  # fmt: skip
+    kind.add_argument("--seeds", type=int, default=20, metavar="N", help="of each (20)")
+    kind.add_argument("--off", type=int, default=5, metavar="N", help="of each, with the fleet off (5)")
+    kind.add_argument("--at-once", type=int, default=1, metavar="N", help="rehearsals side by side (1)")
+    kind = kinds.add_parser(
+        "members",
+        help="who knows of a death when, in virtual time, by fleet size and loss",
+        epilog="example: orchidferry bench members --nodes 100,1000 --loss 0,0.3 --plot members.png",
+    )
+    kind.add_argument("--nodes", default="100,1000,5000", metavar="LIST", help="(100,1000,5000)")
+    kind.add_argument("--loss", default="0,0.1,0.3", metavar="LIST", help="of datagrams (0,0.1,0.3)")
+    kind.add_argument("--seconds", type=float, default=30.0, metavar="S", help="after the death (30)")
+    kind.add_argument("--seed", type=int, default=1, metavar="N", help="(1)")
+    kind.add_argument("--plot", metavar="FILE.png", help="draw it there")
+    kind = kinds.add_parser(
+        "peers",
+        help="memory and CPU of one real node in a fleet of many",
+        epilog="example: orchidferry bench peers --peers 999",
+    )
+    kind.add_argument("--peers", type=int, default=999, metavar="N", help="(999)")
+    kind.add_argument("--seconds", type=float, default=20.0, metavar="S", help="measured (20)")
     for kind in kinds.choices.values():
         kind.add_argument("--json", metavar="FILE", help="write the figures there")
 
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -25,6 +25,8 @@
 
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
+    if args.of == "fleet":
+        return _fleet(args)
     if args.list_breaks:
         for name, (about, _) in BREAKS.items():
             print(f"{name:26} {about}")
@@ -50,6 +52,48 @@
     return _tell(console, small, found, args)
 
 
+def _fleet(args: argparse.Namespace) -> int:
+    """Every interleaving of a small fleet."""
+    from rehearsal.explore import fleet
+
+    if args.list_breaks:
+        for name, (about, *_) in fleet.BREAKS.items():
+            print(f"{name:26} {about}")
+        return 0
+    if args.break_ and args.break_ not in fleet.BREAKS:
+        print(f"orchidferry explore: --break {args.break_}: no such break of a fleet", file=sys.stderr)
+        return 2
+    if not 2 <= args.nodes <= 5 or not 0 <= args.faults <= 4 or args.seconds <= 0:
+        print("orchidferry explore: 2 to 5 --nodes, 0 to 4 --faults, --seconds above 0", file=sys.stderr)
+        return 2
+    console = Console(highlight=False)
+    with Progress(TextColumn("{task.description}"), console=console, transient=True) as progress:
+        task = progress.add_task("exploring", total=None)
+
+        def watch(found: fleet.Found) -> None:
+            progress.update(task, description=f"{found.states} states, {found.runs} runs to their end")
+
+        found = fleet.search(
+            args.nodes, args.faults, args.break_ or "", args.seconds, watch=watch, workers=args.workers
+        )
+    if args.json is not None:
+        obj = {
+            "format": 1, "nodes": args.nodes, "faults": args.faults, "states": found.states,
+            "runs": found.runs,
+            "exhausted": found.exhausted, "violations": dict(found.violations), "story": found.story,
+            "seconds": round(found.seconds, 1),
+        }  # fmt: skip
+        Path(args.json).write_text(json.dumps(obj, indent=1) + "\n", encoding="utf-8")
+    console.print(f"{found.states} states, {found.runs} runs to their end, in {found.seconds:.1f} s")
+    for line in found.story:
+        console.print(f"  {line}", markup=False)
+    if found.violations:
+        return 1
+    told = f"exhausted: every interleaving of up to {args.faults} faults; all properties hold"
+    console.print(told if found.exhausted else "not exhausted: its time was over")
+    return 0
+
+
 def _explore(console: Console, small: Small, args: argparse.Namespace) -> Totals:
     began = time.monotonic()
     with Progress(TextColumn("{task.description}"), console=console, transient=True) as progress:
--- /dev/null
+++ b/rehearsal/explore/fleet.py
@@ -0,0 +1,398 @@
+"""Every interleaving of a small fleet: the shipping membership of a few nodes, with a few faults among them.
+
+Messages that are under way are delivered before time goes on, in every order that a receiver can tell apart;
+deliveries to different nodes commute, so the lowest numbered one goes first. A fault strikes at any choice: a
+message is lost, comes twice or comes late, a node is killed, started anew, or stands still. After the last
+the world runs on by itself, and what must hold in the end is looked at.
+
+Two worlds are one if their nodes hold the same, by `_print`. Left out there: serials, numbers of probes and
+alarms, whose order alone matters and shows in what waits; windows, as a copy that is under way is marked as
+one. Chance always falls in the middle.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import math
+import multiprocessing
+import os
+import pickle
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from typing import Any
+from unittest import mock
+
+from nickelbridge.fleet import messages as api
+from nickelbridge.fleet import swim
+from nickelbridge.fleet.members import Entry, Phase, Status, order
+from nickelbridge.fleet.messages import Address, Message
+from nickelbridge.fleet.suspicion import Timing
+from nickelbridge.fleet.swim import Fleet, here
+
+TIMING = Timing(interval_ms=500.0, timeout_ms=200.0, gossip_ms=100.0, sync_ms=7_500.0, reach_ms=500.0)
+FAULTS_UNTIL_MS = 700.0  # a round of probes and the beginning of the next
+LEAST_MS, QUIET_MS = 7_000.0, 20_000.0  # from the last fault: looked at from then on; all must agree by then
+SHARED = 256  # worlds from which on the processes of a search go on by themselves
+LATE_MS, PAUSE_MS, BACK_MS, CUT_MS = 700.0, 3_000.0, 100.0, 6_000.0
+KINDS = ("lose", "twice", "late", "kill", "restart", "pause", "cut")
+
+
+class Middle(random.Random):
+    """Chance that always falls in the middle."""
+
+    def random(self) -> float:
+        return 0.5
+
+    def shuffle(self, x: Any) -> None:
+        pass
+
+    def sample(self, population: Any, k: int, **_: Any) -> Any:
+        return list(population)[:k]
+
+
+@dataclass(slots=True)
+class Mail:
+    """A message under way."""
+
+    to: int
+    message: Message
+    stream: bool = False  # of an exchange: its answer goes back the same way
+    copy: bool = False
+    at: float = 0.0  # not before
+
+
+@dataclass
+class World:
+    """A few nodes that all know all, and what is under way between them."""
+
+    nodes: list[Fleet | None]
+    faults: int
+    kinds: tuple[str, ...] = KINDS
+    now: float = 0.0
+    mail: list[Mail] = field(default_factory=list)
+    paused: dict[int, float] = field(default_factory=dict)  # until when
+    cut: dict[int, float] = field(default_factory=dict)  # from all others, until when
+    starts: list[tuple[float, int]] = field(default_factory=list)
+    lives: int = 0
+    harmless: bool = True  # only messages were struck so far
+    held: dict[tuple[int, int, str], Any] = field(default_factory=dict)  # the greatest word in each view
+    story: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+
+    @property
+    def over(self) -> bool:
+        return self.now > FAULTS_UNTIL_MS or not self.faults
+
+    def actions(self) -> list[str]:
+        """What may come next; the first is what comes without a fault."""
+        due = [(n, mail) for n, mail in enumerate(self.mail) if mail.at <= self.now]
+        found: list[str] = []
+        if due:
+            to = min(mail.to for _, mail in due)
+            found = [f"deliver {n}" for n, mail in due if mail.to == to]
+            if not self.over:
+                for n, mail in due:
+                    if mail.to == to:
+                        found += [f"{kind} {n}" for kind in ("lose", "twice", "late")
+                                  if kind in self.kinds and not (mail.stream or mail.copy)]  # fmt: skip
+        else:
+            found = ["wait"]
+        if not self.over:
+            for n, fleet in enumerate(self.nodes):
+                if fleet is not None and n not in self.paused:
+                    found += [
+                        f"{kind} {n}" for kind in ("kill", "restart", "pause", "cut") if kind in self.kinds
+                    ]
+        return found
+
+    def do(self, label: str) -> None:
+        what, _, about = label.partition(" ")
+        n = int(about or 0)
+        if what not in ("wait", "deliver"):
+            self.faults -= 1
+            self.story.append(f"{self.now:8.1f} ms  {label}: {self._told(what, n)}")
+        match what:
+            case "deliver":
+                self._deliver(self.mail.pop(n))
+            case "lose":
+                self.mail.pop(n)
+            case "twice":
+                mail = self.mail[n]
+                self.mail.append(replace(mail, copy=True))
+                self._deliver(self.mail.pop(n))
+            case "late":
+                self.mail[n].at = self.now + LATE_MS
+            case "kill" | "restart":
+                self.harmless = False
+                self.nodes[n] = None
+                if what == "restart":
+                    self.starts.append((self.now + BACK_MS, n))
+            case "pause":
+                self.harmless = False
+                self.paused[n] = self.now + PAUSE_MS
+            case "cut":
+                self.harmless = False
+                self.cut[n] = self.now + CUT_MS
+                self.mail = [mail for mail in self.mail if not self._cut_off(mail)]
+            case "wait":
+                self._wait()
+        self._check()
+
+    def _told(self, what: str, n: int) -> str:
+        if what in ("kill", "restart", "pause", "cut"):
+            return f"n{n}"
+        mail = self.mail[n]
+        return f"{mail.message.kind.value} from {mail.message.sender.name} to n{mail.to}"
+
+    def _deliver(self, mail: Mail) -> None:
+        fleet = self.nodes[mail.to]
+        if fleet is None:
+            return
+        if mail.to in self.paused:
+            mail.at = self.paused[mail.to]
+            self.mail.append(mail)
+            return
+        self._do(mail.to, fleet.handle(api.Heard(mail.message), self.now), mail.message.sender)
+
+    def _cut_off(self, mail: Mail) -> bool:
+        return mail.to in self.cut or int(mail.message.sender.name[1:]) in self.cut
+
+    def _do(self, n: int, actions: list[api.Action], sender: Entry | None = None) -> None:
+        for action in actions:
+            match action:
+                case api.Datagram() | api.Exchange():
+                    to = _number(action.to)
+                    self.mail.append(Mail(to, action.message, isinstance(action, api.Exchange)))
+                case api.Answer():
+                    assert sender is not None
+                    self.mail.append(Mail(_number((sender.host, sender.port)), action.message, True))
+        self.mail = [mail for mail in self.mail if not self._cut_off(mail)] if self.cut else self.mail
+
+    def _wait(self) -> None:
+        """Go on to the next thing that time brings."""
+        times = [mail.at for mail in self.mail] + [at for at, _ in self.starts] + list(self.paused.values())
+        times += self.cut.values()
+        times += [
+            fleet.due_ms for n, fleet in enumerate(self.nodes) if fleet is not None and n not in self.paused
+        ]
+        self.now = max(self.now, min(times))
+        for n in [n for n, until in self.paused.items() if until <= self.now]:
+            del self.paused[n]
+        self.cut = {n: until for n, until in self.cut.items() if until > self.now}
+        for at, n in [one for one in self.starts if one[0] <= self.now]:
+            self.starts.remove((at, n))
+            self.lives += 1
+            fleet = self.nodes[n] = _fleet(n, len(self.nodes), 100 * self.lives)
+            self._do(n, fleet.handle(api.Begin(), self.now))
+        for n, one in enumerate(self.nodes):
+            if one is not None and n not in self.paused and one.due_ms <= self.now:
+                self._do(n, one.handle(api.Tick(), self.now))
+
+    def finish(self) -> None:
+        """Run on with no more faults, and look at what must hold in the end."""
+        begin, self.faults = self.now, 0
+        while not self.violations and (self.now < begin + LEAST_MS or self._apart()):
+            if self.now >= begin + QUIET_MS:
+                self.violations.append(f"agree: {self._apart()}, 20 s after the last fault")
+                break
+            self.do(self.actions()[0])
+
+    def _apart(self) -> str:
+        """Who does not hold just the running nodes for here."""
+        truth = {(fleet.me.name, fleet.me.life) for fleet in self.nodes if fleet is not None}
+        for fleet in self.nodes:
+            if fleet is not None:
+                view = {(entry.name, entry.life) for entry in here(fleet)}
+                if view != truth or fleet.suspects():
+                    return f"{fleet.me.name} holds {sorted(name for name, _ in view)} for here"
+        return ""
+
+    def _check(self) -> None:
+        running = {fleet.me.name: fleet.me for fleet in self.nodes if fleet is not None}
+        for n, fleet in enumerate(self.nodes):
+            if fleet is None:
+                continue
+            for name, entry in fleet.members.items():
+                key = n, fleet.me.life, name
+                if key in self.held and order(entry) < self.held[key]:
+                    self.violations.append(f"rising: n{n} went back on what it held of {name}")
+                self.held[key] = order(entry)
+                me = running.get(name)
+                if me is not None and entry.life == me.life and entry.incarnation > me.incarnation:
+                    self.violations.append(
+                        f"claimed: n{n} holds an incarnation of {name} that it never claimed"
+                    )
+                if self.harmless and me is not None and entry.status is Status.LOST:
+                    self.violations.append(f"spared: n{n} holds {name} for lost, by lost messages alone")
+
+
+def _number(at: Address) -> int:
+    return int(at[0].rpartition(".")[2])
+
+
+def _fleet(n: int, count: int, life: int) -> Fleet:
+    me = Entry(f"n{n}", f"10.0.0.{n}", 9100, life + n + 1, phase=Phase.SERVING)
+    return Fleet(me, [(f"10.0.0.{k}", 9100) for k in range(count)], Middle(), TIMING)
+
+
+def begin(nodes: int = 3, faults: int = 2, kinds: tuple[str, ...] = KINDS) -> World:
+    """All know all, and begin at once."""
+    fleets = [_fleet(n, nodes, 1_000) for n in range(nodes)]
+    entries = [fleet.me for fleet in fleets]
+    world = World(list(fleets), faults, kinds)
+    for n, fleet in enumerate(fleets):
+        fleet.know(entries)
+        world._do(n, fleet.handle(api.Begin(), 0.0))
+    return world
+
+
+def _print(world: World) -> bytes:
+    """What a world holds, without what only counts."""
+    out: list[Any] = [
+        world.now,
+        world.faults,
+        world.harmless,
+        sorted(world.paused.items()),
+        sorted(world.starts),
+    ]
+    for fleet in world.nodes:
+        if fleet is None:
+            out.append(None)
+            continue
+        probes = {number: probe.name for number, probe in fleet._probes.items()}
+        relays = {number: (relay.asker.name, relay.name) for number, relay in fleet._relays.items()}
+
+        def meant(what: str, about: int | str, probes: Any = probes, relays: Any = relays) -> Any:
+            if what in ("ask", "judge", "relay"):
+                return probes.get(about) or relays.get(about)
+            return about
+
+        out += [
+            fleet.me, sorted(fleet.members.items()), fleet._at, fleet.score, fleet.joined, fleet._rival,
+            fleet.contested, fleet._rival_tries, sorted(fleet._suspicions.items(), key=lambda s: s[0]),
+            sorted((at, what, repr(meant(what, about))) for at, _, what, about in fleet._alarms),
+            sorted((name, told[0], told[2]) for name, told in fleet._rumours._told.items()),
+            sorted((probe.name, probe.expected, probe.nacks) for probe in fleet._probes.values()),
+            sorted(relays.values()), sorted(fleet._unproven.items()),
+        ]  # fmt: skip
+    out.append(sorted(
+        repr((m.to, m.at, m.stream, m.copy, m.message.kind, m.message.sender, m.message.to_life,
+              m.message.target, m.message.news, m.message.number > 0))
+        for m in world.mail
+    ))  # fmt: skip
+    return hashlib.blake2b(repr(out).encode(), digest_size=16).digest()
+
+
+@dataclass
+class Found:
+    """What a search has seen."""
+
+    states: int = 0
+    runs: int = 0  # to their end
+    exhausted: bool = False
+    violations: Counter[str] = field(default_factory=Counter)
+    story: list[str] = field(default_factory=list)  # of the first violation
+    seconds: float = 0.0
+
+
+def _go_on(stack: list[bytes], found: Found, seen: set[bytes], until_s: float, many: float) -> list[bytes]:
+    """Walk on from these, depth first, until none or `many` are left, or something is broken; the rest."""
+    while stack and len(stack) < many and time.monotonic() < until_s:
+        world: World = pickle.loads(stack.pop())
+        while not world.violations:
+            print_ = _print(world)
+            if print_ in seen:
+                break
+            seen.add(print_)
+            if world.over:
+                found.runs += 1
+                world.finish()
+                break
+            found.states += 1
+            actions = world.actions()
+            if len(actions) > 1:
+                whole = pickle.dumps(world)
+                for label in actions[1:]:
+                    other: World = pickle.loads(whole)
+                    other.do(label)
+                    stack.append(pickle.dumps(other))
+            world.do(actions[0])
+        if world.violations:
+            found.violations.update(one.partition(":")[0] for one in world.violations)
+            found.story = [*world.story, *world.violations]
+            break
+    return stack
+
+
+def _share(job: tuple[bytes, str, float]) -> Found:
+    """One process's part: all that follows from one world."""
+    whole, break_, until_s = job
+    found = Found()
+    with broken(break_):
+        found.exhausted = not _go_on([whole], found, set(), until_s, math.inf) and not found.violations
+    return found
+
+
+def search(
+    nodes: int = 3, faults: int = 2, break_: str = "", limit_s: float = 600.0, kinds: tuple[str, ...] = KINDS,
+    watch: Callable[[Found], None] = lambda _: None, workers: int = 0,
+) -> Found:  # fmt: skip
+    """Walk all that a small fleet can do; ends with the first violation. Processes share no table of states,
+    so what two of them reach is walked twice."""
+    found, began = Found(), time.monotonic()
+    until_s = began + limit_s
+    with broken(break_):
+        stack = _go_on([pickle.dumps(begin(nodes, faults, kinds))], found, set(), until_s, SHARED)
+    found.exhausted = not stack and not found.violations
+    if stack and not found.violations:
+        found.exhausted = True
+        context = multiprocessing.get_context("fork")
+        with context.Pool(workers or len(os.sched_getaffinity(0))) as pool:
+            for part in pool.imap_unordered(_share, [(one, break_, until_s) for one in reversed(stack)]):
+                found.states += part.states
+                found.runs += part.runs
+                found.violations += part.violations
+                found.story = found.story or part.story
+                found.exhausted &= part.exhausted
+                watch(found)
+                if found.violations:
+                    break
+    found.seconds = time.monotonic() - began
+    return found
+
+
+def _no_refuting(self: Fleet, entry: Entry, by: str, now: float) -> None:
+    """In place of `_about_me`: what is said of this node does not concern it."""
+
+
+def _no_merge_order(entry: Entry) -> Any:
+    """In place of `order`."""
+    return (0, entry.status, entry.life, entry.host, entry.port, "", "", "", b"")
+
+
+def _dead_at_once(self: Fleet, entry: Entry, by: str, now: float) -> None:
+    self._set(replace(entry, status=Status.LOST, by=by), by, now)
+
+
+BREAKS: dict[str, tuple[str, Any, str, Any]] = {
+    "no-refuting": ("a node does not refute that it is lost", Fleet, "_about_me", _no_refuting),
+    "no-incarnations": ("words are not ordered by incarnation", swim, "order", _no_merge_order),
+    "dead-at-once": ("a failed probe is a death", Fleet, "_suspect", _dead_at_once),
+    "no-reach": ("nobody asks those that are lost", Fleet, "_reach", lambda self, now: None),
+    "no-end": ("a suspicion never ends", Fleet, "_time_up", lambda self, name, now: None),
+}  # fmt: skip
+
+
+@contextlib.contextmanager
+def broken(name: str) -> Iterator[None]:
+    """With one of `BREAKS` in force."""
+    if not name:
+        yield
+        return
+    _, where, attribute, value = BREAKS[name]
+    with mock.patch.object(where, attribute, value):
+        yield
--- /dev/null
+++ b/rehearsal/fleet/status.py
@@ -0,0 +1,82 @@
+"""`orchidferry fleet status`: one node's view of its fleet."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from nickelbridge.settings import Malformed
+from orchidferry.config import Address, address
+from rehearsal.wire import get
+
+WAIT_S = 2.0
+PATH = "/-/fleet"
+HEAD = ("node", "status", "phase", "zone", "version", "address", "incarnation", "for", "by the word of")
+
+
+async def ask(where: Address, path: str = PATH) -> dict[str, Any]:
+    """What a node's door says, or `error` with why there is nothing."""
+    try:
+        outcome = await asyncio.wait_for(get(where, path, WAIT_S), 2.0 * WAIT_S)
+    except TimeoutError:
+        return {"error": f"no answer within {WAIT_S:g} s"}
+    if outcome.how != "answer":
+        return {"error": f"no answer: {outcome.how}"}
+    if outcome.status == 404:
+        return {"error": "takes no part in a fleet"}
+    try:
+        found = json.loads(outcome.body)
+    except ValueError:
+        found = None
+    if outcome.status != 200 or not isinstance(found, dict):
+        return {"error": f"status {outcome.status}, and not what a node says"}
+    return found
+
+
+def row(member: dict[str, Any]) -> list[str]:
+    """A member's cells, under `HEAD`."""
+    for_s = f"{member['for_s']:.0f} s" if "for_s" in member else "-"
+    return [
+        member["name"], member["status"], member["phase"], member["zone"] or "-", member["version"] or "-",
+        member["address"], str(member["incarnation"]), for_s, member.get("word_of", "itself") or "-",
+    ]  # fmt: skip
+
+
+def main(args: argparse.Namespace) -> int:
+    """The command."""
+    try:
+        where = address(args.node)
+    except Malformed as problem:
+        print(f"orchidferry fleet status: {problem}", file=sys.stderr)
+        return 2
+    found = asyncio.run(ask(where))
+    if args.json:
+        print(json.dumps(found, indent=1))
+    if "error" in found:
+        if not args.json:
+            print(f"orchidferry fleet status: {args.node}: {found['error']}", file=sys.stderr)
+        return 1
+    members = found["members"]
+    if not args.json:
+        table = Table()
+        for name in HEAD:
+            table.add_column(name, overflow="fold")
+        for member in (found["self"], *members):
+            table.add_row(*row(member))
+        console = Console(width=None if sys.stdout.isatty() else 160)
+        console.print(table)
+        refused = sum(count for name, count in found["counts"].items() if name.startswith("refused_"))
+        here = sum(member["status"] in ("alive", "suspect") for member in members)
+        console.print(
+            f"{found['state']}; {here} others here; own health {found['score']} of 8 (0 is best); "
+            f"keys {', '.join(found['keys'])}; {refused} messages refused",
+            highlight=False,
+        )
+    bad = found["state"] != "joined" or any(member["status"] in ("suspect", "lost") for member in members)
+    return 1 if bad else 0
--- a/rehearsal/judge/evidence.py
+++ b/rehearsal/judge/evidence.py
@@ -4,7 +4,7 @@
 
 import bisect
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from rehearsal.record import (
     Answered,
@@ -18,6 +18,7 @@
     Got,
     Incident,
     NodeDown,
+    NodePaused,
     NodeUp,
     Told,
     Unanswered,
@@ -53,6 +54,7 @@
     downs: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     node_downs: dict[str, list[NodeDown]] = field(default_factory=lambda: defaultdict(list))
     node_ups: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    paused: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     incidents: list[Incident] = field(default_factory=list)
     reached: dict[str, list[Got]] = field(default_factory=lambda: defaultdict(list))  # by server
 
@@ -97,6 +99,10 @@
         ends = [fact.t for fact in self.node_downs.get(node, ()) if fact.why in KILLED and fact.t <= t]
         return bool(ends) and not any(ends[-1] <= up <= t for up in self.node_ups.get(node, ()))
 
+    def was_paused(self, node: str, after: float, before: float) -> bool:
+        """Whether a node stood still, stopped from outside, at any time between two."""
+        return any(start <= before and end >= after for start, end in self.paused.get(node, ()))
+
     def told_to_end(self, node: str, before: float) -> bool:
         """Whether a node had been told to end (SIGTERM) before a time."""
         return any(fact.why == "term" and fact.t <= before for fact in self.node_downs.get(node, ()))
@@ -153,6 +159,9 @@
 def index(scenario: Scenario, facts: list[Fact], start: float, end: float, complete: bool) -> Evidence:
     """Sort a record's facts into books; they must be in order of time."""
     books = Evidence(scenario, start, end, complete, {cls.name: cls for cls in scenario.classes})
+    for fact in facts:
+        if isinstance(fact, NodePaused):
+            books.paused[fact.node].append((fact.t, fact.until))
     for fact in facts:
         match fact:
             case Asked() | Answered() | Cut() | Unanswered() | Extra():
@@ -167,7 +176,10 @@
             case Wanted():
                 books.wanted.append(fact)
             case Told():
-                books.told[fact.node, fact.server].append(fact)
+                # What is written to a node that stands still it can hear when it goes on, not before.
+                pauses = books.paused.get(fact.node, ())
+                heard = max((end for start, end in pauses if start <= fact.t <= end), default=fact.t)
+                books.told[fact.node, fact.server].append(replace(fact, t=heard))
             case Up():
                 books.ups.append(fact)
             case Down():
--- a/rehearsal/judge/verdict.py
+++ b/rehearsal/judge/verdict.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from rehearsal.judge.evidence import Evidence, index
+from rehearsal.judge.fleet import Views
 from rehearsal.judge.rules import RULES, Finding, ran_twice_legally
 from rehearsal.judge.service import Service, measure
 from rehearsal.record import Asked, Fact, Lag
@@ -43,6 +44,8 @@
     why: str
     control: dict[str, Any] | None = None  # what became of a control service's versions
     traffic: dict[str, Any] | None = None  # of a replay: what was sent, how late, and what was left out
+    fleet: dict[str, Any] | None = None  # of nodes that know of each other
+    views: Views | None = None  # of theirs, over time
 
     @property
     def broken(self) -> list[str]:
@@ -51,7 +54,7 @@
     @property
     def passed(self) -> bool:
         """Whether the run is complete, says something, and broke no rule."""
-        proven = self.control is None or not self.control["problems"]
+        proven = all(part is None or not part["problems"] for part in (self.control, self.fleet))
         return self.complete and not self.lateness.void and not self.broken and proven
 
     @property
@@ -159,7 +162,10 @@
     service, books, scenario = verdict.service, verdict.books, verdict.scenario
 
     def more() -> dict[str, Any]:
-        found = {"control": verdict.control, "traffic": verdict.traffic, "moves": move_of(verdict)}
+        found = {
+            "control": verdict.control, "traffic": verdict.traffic, "moves": move_of(verdict),
+            "fleet": verdict.fleet,
+        }  # fmt: skip
         return {name: value for name, value in found.items() if value is not None}
 
     def number(value: float | None, digits: int = 4) -> float | None:
--- a/rehearsal/record.py
+++ b/rehearsal/record.py
@@ -190,6 +190,27 @@
     why: str
 
 
+@dataclass(slots=True)
+class NodePaused:
+    """A node's process was stopped, and went on at `until`."""
+
+    tag: ClassVar[str] = "node-paused"
+    t: float
+    until: float
+    node: str
+
+
+@dataclass(slots=True)
+class LinkBytes:
+    """What a node sent to its peers since the last such fact, datagrams and streams."""
+
+    tag: ClassVar[str] = "link-bytes"
+    t: float
+    node: str
+    bytes: int
+    messages: int
+
+
 @dataclass(slots=True)
 class Incident:
     """A step of the timeline took effect; `until` is its end, or `t` where it has none."""
@@ -214,7 +235,7 @@
 
 Fact = (
     Asked | Answered | Cut | Unanswered | Extra | Wanted | Got | Began | Ended | Up | Down | Told | NodeUp
-    | NodeDown | Incident | Lag
+    | NodeDown | NodePaused | LinkBytes | Incident | Lag
 )  # fmt: skip
 KINDS: dict[str, type[Any]] = {kind.tag: kind for kind in Fact.__args__}
 
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -18,12 +18,15 @@
 import uvloop
 from rich.console import Console
 
+from rehearsal.judge.fleet import judge_fleet
 from rehearsal.judge.verdict import Verdict, as_json, judge
 from rehearsal.record import Lag, Wanted
 from rehearsal.report import terminal
 from rehearsal.scenario import (
+    FAULTS,
     MOST_SECONDS,
     BadScenario,
+    FleetSide,
     Scenario,
     Tier,
     Traffic,
@@ -71,6 +74,10 @@
         )
     verdict = judge(scenario, run.facts, run.start, run.end, run.complete, run.why)
     verdict.control = run.control
+    if scenario.fleet.on and run.start:
+        verdict.fleet, verdict.views = judge_fleet(
+            verdict.books, run.facts, run.journals, run.zero, run.plan.links
+        )
     if preview is not None:
         verdict.traffic = _replayed(preview, run)
     terminal.show(console, verdict)
@@ -124,11 +131,16 @@
     if args.loss is not None and not 0.0 <= args.loss <= 0.5:
         raise _Usage(f"--loss {args.loss:g}: not within 0 to 0.5")
     scenario = scenario.altered(args.seed, args.seconds, args.protocol, args.loss)
+    if getattr(args, "no_fleet", False):
+        steps = tuple(step for step in scenario.timeline if FAULTS[step.do].on != "links")
+        scenario = replace(scenario, fleet=FleetSide(), timeline=steps)
     preview: Preview | None = None
     if scenario.traffic or scenario.name == "replay":
         scenario, preview = _resolved(scenario, args)
     if scenario.network.protocol == "h3" and importlib.util.find_spec("aioquic") is None:
         raise _Usage("--protocol h3: aioquic is not installed; the extra h3 brings it")
+    if scenario.fleet.on and importlib.util.find_spec("msgpack") is None:
+        raise _Usage(f"{args.scenario}: msgpack is not installed; the extra fleet brings it")
     if scenario.control.service and importlib.util.find_spec("grpc") is None:
         raise _Usage(f"{args.scenario}: grpcio is not installed; the extra control brings it")
     if scenario.network.protocol == "h1" and scenario.network.loss:
--- a/rehearsal/report/page.py
+++ b/rehearsal/report/page.py
@@ -9,6 +9,7 @@
 import matplotlib
 from matplotlib.figure import Figure
 
+from rehearsal.judge.fleet import counted
 from rehearsal.judge.verdict import Verdict
 from rehearsal.report.series import QUANTILES, series
 from rehearsal.report.tables import CLASS_HEAD, TITLES, class_rows, percent, summary, word
@@ -50,7 +51,7 @@
         "<h2>Classes</h2>", _classes(verdict),
         "<h2>Over time</h2>", _plots(verdict),
         "<h2>Incidents</h2>", _incidents(verdict),
-        _traffic(verdict),
+        _traffic(verdict), _fleet(verdict),
     ]  # fmt: skip
     return "\n".join(parts) + "\n</html>\n"
 
@@ -98,6 +99,36 @@
     )
 
 
+def _fleet(verdict: Verdict) -> str:
+    """How many nodes each node held for here, beside those that ran."""
+    found, views = verdict.fleet, verdict.views
+    if found is None or views is None:
+        return ""
+    times, running, held = counted(views)
+    with matplotlib.rc_context({"svg.fonttype": "none", "svg.hashsalt": "rehearsal", "font.size": 9}):
+        drawing = Figure(figsize=(10, 3.2), layout="constrained")
+        axis: Any = drawing.subplots()
+        for n, (node, counts) in enumerate(held.items()):
+            values = [float("nan") if count is None else count + 0.02 * n for count in counts]
+            axis.step(times, values, where="post", linewidth=0.9, label=node)
+        axis.step(times, running, where="post", color="#222", linewidth=2.0, alpha=0.35, label="running")
+        axis.set_ylim(0, len(held) + 1)
+        axis.set_ylabel("nodes held for here")
+        axis.set_xlabel("seconds since the load began")
+        axis.legend(loc="lower right", fontsize=7, ncols=5, framealpha=0.8)
+        _tint(verdict, [axis])
+        out = io.StringIO()
+        drawing.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    rows = [
+        [escape(name.replace("_", " ")), escape(str(value))]
+        for name, value in found.items()
+        if name != "problems"
+    ]
+    problems = "".join(f"<p class=fail>{escape(one)}</p>" for one in found["problems"])
+    return f"<h2>Fleet</h2>{problems}{text[text.index('<svg') :]}{_table(['', ''], rows)}"
+
+
 def _incidents(verdict: Verdict) -> str:
     books = verdict.books
     if not books.incidents:
@@ -159,12 +190,21 @@
         colour = FAULT_COLOURS[n % len(FAULT_COLOURS)]
         strip.barh(n, end - start, left=start, height=0.7, color=colour, alpha=0.6)
         strip.text(start, n, f"{fact.do} ", fontsize=8, ha="right", va="center")
-        for axis in axes:
-            axis.axvspan(start, end, color=colour, alpha=0.05, linewidth=0)
-            axis.axvline(start, color=colour, linewidth=0.8)
     strip.set_ylim(len(books.incidents) - 0.4, -0.6)
     strip.set_yticks([])
     strip.set_frame_on(False)
     strip.set_ylabel("faults")
+    _tint(verdict, axes)
+
+
+def _tint(verdict: Verdict, axes: Any) -> None:
+    """Each incident as a tint and a line."""
+    books = verdict.books
+    for n, fact in enumerate(books.incidents):
+        start, end = books.at(fact.t), max(books.at(fact.until), books.at(fact.t) + 0.1)
+        colour = FAULT_COLOURS[n % len(FAULT_COLOURS)]
+        for axis in axes:
+            axis.axvspan(start, end, color=colour, alpha=0.05, linewidth=0)
+            axis.axvline(start, color=colour, linewidth=0.8)
     for axis in axes:
         axis.grid(alpha=0.25)
--- a/rehearsal/report/terminal.py
+++ b/rehearsal/report/terminal.py
@@ -82,6 +82,7 @@
         last = "never" if moved["last_s"] is None else f"last at {moved['last_s']:.1f} s"
         console.print(f"the new pool carried {moved['worth']:.2%} of worth, {last}", highlight=False)
     _control(console, verdict)
+    _fleet(console, verdict)
     _traffic(console, verdict)
     if verdict.passed:
         console.print("[bold green]no rule broken[/]")
@@ -105,6 +106,28 @@
         console.print(f"left out: {count} ({reason})", highlight=False)
 
 
+def _fleet(console: Console, verdict: Verdict) -> None:
+    """What nodes knew of each other."""
+    found = verdict.fleet
+    if found is None:
+        return
+
+    def s(value: float | None) -> str:
+        return "-" if value is None else f"{value:.1f} s"
+
+    agreed, longest = s(found["views_agree_after_s"]), s(found["false_longest_s"])
+    p50, p99 = s(found["known_dead_p50_s"]), s(found["known_dead_p99_s"])
+    console.print(
+        f"fleet of {found['nodes']}: views agreed {agreed} after {found['heals']} heals; "
+        f"{found['false_deaths']} held for gone though there (longest {longest}); "
+        f"deaths known after {p50}, p99 {p99} ({found['deaths_known']}); "
+        f"{found['bytes_a_node_s']} bytes a node a second",
+        highlight=False,
+    )
+    for problem in found["problems"][:MOST_BREAKS]:
+        console.print(f"[bold red]fleet[/]: {escape(problem)}", highlight=False)
+
+
 def _control(console: Console, verdict: Verdict) -> None:
     """What became of a control service's versions."""
     found = verdict.control
--- a/rehearsal/scenario.py
+++ b/rehearsal/scenario.py
@@ -296,6 +296,18 @@
     rare: str = key(word("hold", "last"), "last")
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSide:
+    """The first tier's nodes know of each other, over links that the kit carries."""
+
+    on: bool = key(flag, False)
+    zones: int = key(whole(1, 24), 3)  # that the nodes stand in by turns
+    probe_s: float = key(ABOVE_0_S, 0.5, also="probe")
+    loss: float = key(SHARE, 0.0)  # of datagrams, on every link, all the time
+    agree_s: float = key(ABOVE_0_S, 5.0, also="agree")  # from a heal until all views are to agree
+    false_s: float = key(ABOVE_0_S, 2.0, also="false")  # that a living, reachable node may be held for lost
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """The figures of the four rules, as the nodes are told them."""
@@ -348,6 +360,11 @@
     gap_s: float = key(ABOVE_0_S, 2.0, also="gap")
     renamed: bool = key(flag, False)
     new: bool = key(flag, False)  # servers of the new pool alone
+    zone: str = key(name, "")  # links: what leads out of this zone, a, b and so on
+    pair: bool = key(flag, False)  # links: between two nodes alone
+    one_way: bool = key(flag, False)  # links: what the struck side sends alone
+    late_s: float = key(ABOVE_0_S, 0.0, also="late")
+    bytes: float = key(real(1.0, 1e9), 0.0)  # a second
 
 
 @dataclass(frozen=True, slots=True)
@@ -357,11 +374,14 @@
     about: str
     needs: frozenset[str] = frozenset()
     may: frozenset[str] = frozenset()
-    on: str = "servers"  # whom it strikes: servers, nodes, or all
+    on: str = "servers"  # whom it strikes: servers, nodes, links between nodes, or all
 
 
 def _fault(about: str, needs: str = "", may: str = "", on: str = "servers") -> Fault:
-    who = {"servers": "tier share count new", "nodes": "share count", "all": ""}[on]
+    who = {
+        "servers": "tier share count new", "nodes": "share count", "all": "",
+        "links": "share count zone pair one_way every",
+    }[on]  # fmt: skip
     return Fault(about, frozenset(needs.split()), frozenset(f"{may} {who}".split()), on)
 
 
@@ -380,6 +400,13 @@
     "burst": _fault("clients ask `factor` times as much", "factor for", on="all"),
     "node-killed": _fault("a first-tier node is killed outright", "", "back", on="nodes"),
     "node-stopped": _fault("a first-tier node is told to stop (SIGTERM)", "", "back", on="nodes"),
+    "node-paused": _fault("a first-tier node stands still (SIGSTOP)", "for", on="nodes"),
+    "link-cut": _fault("nothing passes between some nodes and the rest; with `every` it comes and goes",
+                       "for", on="links"),
+    "link-loss": _fault("a share `rate` of datagrams is lost", "for rate", on="links"),
+    "link-twice": _fault("a share `rate` of datagrams comes twice", "for rate", on="links"),
+    "link-late": _fault("a share `rate` of datagrams comes `late` later", "for rate late", on="links"),
+    "link-slow": _fault("so many `bytes` a second pass", "for bytes", on="links"),
     "discovery-down": _fault("discovery answers nobody, and its watches end", "for", on="all"),
 }  # fmt: skip
 
@@ -418,6 +445,7 @@
     control: ControlSide = field(default_factory=ControlSide)
     chain: ChainSide = field(default_factory=ChainSide)
     pools: PoolSide = field(default_factory=PoolSide)
+    fleet: FleetSide = field(default_factory=FleetSide)
     rules: Rules = field(default_factory=Rules)
     node: NodeSide = field(default_factory=NodeSide)
     limits: Limits = field(default_factory=Limits)
@@ -461,7 +489,7 @@
     "network": ("network", Network), "discovery": ("discovery", DiscoverySide),
     "control": ("control", ControlSide), "rules": ("rules", Rules), "node": ("node", NodeSide),
     "limits": ("limits", Limits), "chain": ("chain", ChainSide),
-    "pools": ("pools", PoolSide),
+    "pools": ("pools", PoolSide), "fleet": ("fleet", FleetSide),
 }  # fmt: skip
 LISTS: dict[str, tuple[str, type[Any]]] = {
     "class": ("classes", Class), "tier": ("tiers", Tier), "timeline": ("timeline", Step),
@@ -577,6 +605,8 @@
         raise _Bad(f"top level.length: over {MOST_SECONDS:g} s")
     if sum(t.servers for t in scenario.tiers) > MOST_SERVERS:
         raise _Bad(f"tier: over {MOST_SERVERS} servers in all")
+    if scenario.fleet.on and scenario.front.nodes < 2:
+        raise _Bad("[fleet].on: a fleet has two nodes at least, see [front].nodes")
     nodes = scenario.front.nodes + sum(t.servers for t in scenario.tiers[:-1])
     if nodes > MOST_NODES:
         raise _Bad(
@@ -598,7 +628,12 @@
         for step in scenario.timeline
     ):
         raise _Bad("timeline: new = true is for the first tier of a scenario with pools")
+    zones = {chr(ord("a") + n) for n in range(scenario.fleet.zones)}
     for n, step in enumerate(scenario.timeline):
+        if FAULTS[step.do].on == "links" and not scenario.fleet.on:
+            raise _Bad(f"timeline[{n}].do: {step.do!r} strikes links, and [fleet] is not on")
+        if step.zone and step.zone not in zones:
+            raise _Bad(f"timeline[{n}].zone: no zone {shown(step.zone)} of {scenario.fleet.zones}")
         if step.at_s >= scenario.length_s:
             raise _Bad(f"timeline[{n}].at: not before the end at {scenario.length_s:g} s")
         if step.count and FAULTS[step.do].on == "servers" and step.do != "add":
--- a/rehearsal/world/addresses.py
+++ b/rehearsal/world/addresses.py
@@ -13,6 +13,8 @@
 SERVICE_PORT, DISCOVERY_PORT, CLAIM_PORT = 9000, 8500, 8499  # all under the ports that the kernel hands out
 FIRST_BLOCK, LAST_BLOCK = 64, 250
 NODES_FROM, FRONT_NODES_FROM = 20_000, 40_000  # numbers of the servers' own nodes, and of the first tier's
+HUB_FROM = 50_000  # where the first tier's nodes reach each other, by the kit's links
+FLEET_PORT, DOOR_PORT = 9100, 9200
 
 
 class NoAddresses(Exception):
@@ -38,6 +40,18 @@
     def front_node(self, number: int) -> Address:
         return self._ip(FRONT_NODES_FROM + number), SERVICE_PORT
 
+    def fleet_node(self, number: int) -> Address:
+        """Where such a node listens to its peers,"""
+        return self._ip(FRONT_NODES_FROM + number), FLEET_PORT
+
+    def fleet_hub(self, number: int) -> Address:
+        """and where these reach it: the kit's links are between."""
+        return self._ip(HUB_FROM + number), FLEET_PORT
+
+    def door(self, number: int) -> Address:
+        """Its operators' door."""
+        return self._ip(FRONT_NODES_FROM + number), DOOR_PORT
+
     @staticmethod
     def discovery_for(node: Address) -> Address:
         """Where that node, and no other, asks discovery: its address tells who asks."""
--- a/rehearsal/world/nodes.py
+++ b/rehearsal/world/nodes.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING, Any
 
 from rehearsal import draws
-from rehearsal.record import Lag, NodeDown, NodeUp, Recorder
+from rehearsal.record import Lag, NodeDown, NodePaused, NodeUp, Recorder
 from rehearsal.scenario import Class, Scenario
 from rehearsal.traffic.guard import PROOF_CLASS
 from rehearsal.wire import Address, get
@@ -126,6 +126,9 @@
         self._recorder, self._died, self._files = recorder, died, files
         self._home = folder / name.replace("/", "_")
         self.control: Address | None = None  # where its control service is
+        self.fleet: Callable[[], str] | None = None  # the text of its file for a fleet
+        self.door: Address | None = None
+        self.paused_at: float | None = None
         self.lives = 0
         self._expected: str | None = None  # why its process will end, once that is meant
         self._process: asyncio.subprocess.Process | None = None
@@ -178,6 +181,14 @@
                 'state = "state"\n'  # beside it, and kept over its lives
             )
             env["ORCHIDFERRY_CONTROL"] = str(control)
+        if self.door is not None:
+            env["NODE_ADMIN_ADDR"] = f"{self.door[0]}:{self.door[1]}"
+        if self.fleet is not None:
+            fleet, keys = self._home / "fleet.toml", self._home / "fleet.keys"
+            keys.touch(mode=0o600)
+            keys.write_text(f"k1={draws.number(self._scenario.seed, 'fleet'):032x}\n")
+            fleet.write_text(self.fleet())
+            env["ORCHIDFERRY_FLEET"] = str(fleet)
         if self._scenario.chain.on:
             chain = self._home / "chain.toml"
             chain.write_text(chain_text(self._scenario, self.name, self.tier, self._siblings))
@@ -237,6 +248,27 @@
             with contextlib.suppress(ProcessLookupError):
                 os.killpg(self.pid, signal.SIGKILL)
 
+    def pause(self) -> None:
+        """Stop it where it is."""
+        if self.pid is not None:
+            self.paused_at = self._recorder.now()
+            os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        if self.pid is not None and self.paused_at is not None:
+            os.kill(self.pid, signal.SIGCONT)
+            self._recorder.put(NodePaused(self.paused_at, self._recorder.now(), self.name))
+        self.paused_at = None
+
+    def journal(self) -> list[str]:
+        """What it wrote down of its view of the fleet, all of its lives."""
+        found: list[str] = []
+        for name in ("fleet.journal.1", "fleet.journal"):
+            with contextlib.suppress(OSError):
+                found += (self._home / name).read_text(encoding="utf-8").splitlines()
+        return found
+
     async def stop(self) -> None:
         """Tell it to end, and kill it if it does not in time."""
         process = self._process
