Slots: a register that a majority agrees on with no log, explored; the lost are asked in turn

Need: being out shall be a slot that is granted, never more at once than the bound, whatever is cut off. Nothing of it is in the node yet.

The search of the fleet's exploration became rehearsal/explore/pure.py and serves both.

Found by that with two faults: a node killed, another cut off for 6 s, and the third never asked the second again, as chance fell on the dead one each time.

Slots, three voters, no fault, two askers: all walked, all get their turn; random walks with up to eight faults, bounds of one and two: never over.

--- a/nickelbridge/fleet/swim.py
+++ b/nickelbridge/fleet/swim.py
@@ -85,6 +85,7 @@
         self._ring: list[str] = []  # an order to probe in
         self._at = 0
         self._lost: dict[str, None] = {}
+        self._reached = int(rng.random() * 1_000.0)  # who of those that are gone is asked next
         self._gone_ms: dict[str, float] = {}
         self._forgetting: set[str] = set()
         self._suspicions: dict[str, Suspicion] = {}
@@ -439,10 +440,15 @@
             for seed in self._rng.sample(empty, min(JOIN_AT_ONCE, len(empty))):
                 self._ask_address(seed)
             return
-        at = int(self._rng.random() * (len(self._lost) + len(empty))) if self._lost or empty else -1
+        gone = len(self._lost) + len(empty)
+        if not gone:
+            return
+        # By turns one at random, so that nodes ask different ones, and the next in a row: each is asked.
+        self._reached += 1
+        at = self._reached // 2 % gone if self._reached % 2 else int(self._rng.random() * gone)
         if at >= len(self._lost):
             self._ask_address(empty[at - len(self._lost)])
-        elif at >= 0:
+        else:
             self._send(Kind.PING, self.members[list(self._lost)[at]])
 
     def _ask_address(self, where: Address) -> None:
--- /dev/null
+++ b/nickelbridge/register.py
@@ -0,0 +1,326 @@
+"""One small state that a majority agrees on, changed step by step, with no log and no leader. Free of I/O.
+
+CASPaxos (Rystsov, "CASPaxos: Replicated State Machines without logs", 2018), which is Lamport's Paxos (1998)
+for one register: whoever wants a change has a majority promise its ballot, takes the newest state that any of
+these has accepted, changes that, and has a majority accept the outcome. Whoever dies in between leaves a
+state that the next one finds, or none.
+
+What must be on disk before a message leaves is an action of its own, `Save`, in front of it: saving before
+sending is the caller's visible duty. A voter is its name and its memory: one that has forgotten what it
+promised has another memory, and its word counts for nothing until the voters are changed to name that. A
+change of voters is accepted by a majority of the old ones and of the new ones, so that the next to ask meets
+it whichever of them it knew.
+
+What a voter thinks of an intent, by what it sees itself, it says with its promise, and a change goes on only
+if over half of the voters promised without objecting. Once a state is proposed nobody objects: what some have
+accepted and others would not could neither be undone nor built on.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+Ballot = tuple[int, str]  # a counter that only rises, and whose it is
+NONE: Ballot = (0, "")
+VOTERS_MOST = 15
+
+
+@dataclass(frozen=True, slots=True)
+class Voter:
+    """One whose word counts, as long as it remembers what it gave."""
+
+    name: str
+    memory: int  # drawn when its disk was first written
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """The state, after so many changes."""
+
+    version: int
+    voters: tuple[Voter, ...]
+    body: Any  # immutable, compared by value
+
+
+def majority(voters: Iterable[Voter], given: Iterable[Voter]) -> bool:
+    """Whether over half of the voters are among these."""
+    all_ = set(voters)
+    return 2 * len(all_ & set(given)) > len(all_)
+
+
+# Messages
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Promise me to accept nothing below this ballot, and tell me what you have accepted, and think of
+    this.
+    """
+
+    ballot: Ballot
+    intent: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """The answer. `promised`: above the ballot asked for, it is a refusal."""
+
+    ballot: Ballot
+    voter: Voter
+    promised: Ballot
+    accepted: Ballot = NONE
+    value: Value | None = None
+    objection: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Accept this state."""
+
+    ballot: Ballot
+    value: Value
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The answer. `promised`: above the ballot asked for, it was not."""
+
+    ballot: Ballot
+    voter: Voter
+    promised: Ballot
+
+
+Message = Prepare | Promise | Accept | Accepted
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    """To be on disk before anything after it leaves."""
+
+    kept: Kept
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """To a voter, by name; it may be lost."""
+
+    to: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A change that was asked for here is over. `why`: it was refused; the state stands as it is in
+    `value`.
+    """
+
+    id: str
+    value: Value
+    why: str = ""
+
+
+Action = Save | Send | Done
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """All that a voter must not forget."""
+
+    memory: int
+    promised: Ballot = NONE
+    accepted: Ballot = NONE
+    value: Value | None = None
+
+
+def no_objection(intent: Any) -> str:
+    """A voter that sees nothing for itself."""
+    return ""
+
+
+class Acceptor:
+    """A voter's half."""
+
+    def __init__(self, name: str, kept: Kept, object_to: Callable[[Any], str] = no_objection) -> None:
+        """`object_to`: why this voter, by what it sees itself, does not want a change; "" if it does not
+        mind.
+        """
+        self.name, self.kept, self._object_to = name, kept, object_to
+
+    @property
+    def voter(self) -> Voter:
+        """Who it votes as."""
+        return Voter(self.name, self.kept.memory)
+
+    def handle(self, message: Prepare | Accept, sender: str) -> list[Action]:
+        """Promise or accept, saved first; a refusal tells the ballot that is in the way."""
+        kept, ballot = self.kept, message.ballot
+        if isinstance(message, Prepare):
+            if ballot < kept.promised:
+                return [Send(sender, Promise(ballot, self.voter, kept.promised))]
+            saved = self._keep(Kept(kept.memory, ballot, kept.accepted, kept.value))
+            objection = self._object_to(message.intent) if message.intent is not None else ""
+            promise = Promise(ballot, self.voter, ballot, kept.accepted, kept.value, objection)
+            return [*saved, Send(sender, promise)]
+        if ballot < kept.promised:
+            return [Send(sender, Accepted(ballot, self.voter, kept.promised))]
+        saved = self._keep(Kept(kept.memory, ballot, ballot, message.value))
+        return [*saved, Send(sender, Accepted(ballot, self.voter, ballot))]
+
+    def _keep(self, kept: Kept) -> list[Action]:
+        if kept == self.kept:
+            return []
+        self.kept = kept
+        return [Save(kept)]
+
+
+Change = Callable[[Value], "Value | str"]
+
+
+@dataclass(slots=True)
+class _Asked:
+    id: str
+    intent: Any
+    change: Change
+    until_ms: float
+
+
+@dataclass(slots=True)
+class _Round:
+    ballot: Ballot
+    about: _Asked
+    began_ms: float
+    promises: dict[Voter, Promise] = field(default_factory=dict)
+    asked: set[str] = field(default_factory=set)  # names
+    next: Value | None = None  # once accepts are out
+    before: Value | None = None
+    accepted: set[Voter] = field(default_factory=set)
+    refused: str = ""  # why nothing changes
+
+
+ROUND_MS = 500.0  # for a round, before another begins
+BACK_OFF_MS = 400.0  # full jitter, doubled with each round that another one was in the way of, to
+BACK_OFF_MOST_MS = 5_000.0
+ASKED_MOST = 64  # changes that wait at one node
+
+
+class Proposer:
+    """One node's half that asks for changes, one at a time."""
+
+    def __init__(self, name: str, first: Value, rng: random.Random) -> None:
+        """`first`: the state that the register begins with, the same at all; its voters are asked first."""
+        self.name, self.known, self._first, self._rng = name, first, first, rng
+        self._counter = 0  # of the highest ballot seen
+        self._waiting: list[_Asked] = []
+        self._round: _Round | None = None
+        self._again_ms = 0.0
+        self._tries = 0
+
+    @property
+    def due_ms(self) -> float:
+        """When `tick` is wanted; infinite for never."""
+        if not self._waiting:
+            return float("inf")
+        if self._round is not None:
+            return self._round.began_ms + ROUND_MS
+        return self._again_ms
+
+    def ask(self, id: str, change: Change, now: float, for_ms: float, intent: Any = None) -> list[Action]:
+        """Have the state changed. `change` gives the state after it, the very state where it is done already,
+        or why it can't be; it may be called more than once. `intent` is shown to the voters. It is `Done`, or
+        given up on after `for_ms` with no word: then it may still come true, so whoever asks again does so
+        under the same id.
+        """
+        if len(self._waiting) < ASKED_MOST:
+            self._waiting.append(_Asked(id, intent, change, now + for_ms))
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Begin a round where one is due; give up on what waited too long."""
+        self._waiting = [asked for asked in self._waiting if asked.until_ms > now]
+        if self._round is not None and self._round.about not in self._waiting:
+            self._round = None
+        if not self._waiting:
+            return []
+        if self._round is not None and now < self._round.began_ms + ROUND_MS:
+            return []
+        if self._round is not None:  # no majority answered
+            self._put_off(now)
+        if now < self._again_ms:
+            return []
+        self._counter += 1
+        self._round = _Round((self._counter, self.name), self._waiting[0], now)
+        return self._prepare(self.known.voters)
+
+    def _put_off(self, now: float) -> None:
+        self._round = None
+        self._tries += 1
+        wait = min(BACK_OFF_MOST_MS, BACK_OFF_MS * 2.0 ** min(self._tries, 10))
+        self._again_ms = now + wait * self._rng.random()
+
+    def _prepare(self, voters: Iterable[Voter]) -> list[Action]:
+        assert self._round is not None
+        found: list[Action] = []
+        for voter in voters:
+            if voter.name not in self._round.asked:
+                self._round.asked.add(voter.name)
+                found.append(Send(voter.name, Prepare(self._round.ballot, self._round.about.intent)))
+        return found
+
+    def handle(self, message: Promise | Accepted, now: float) -> list[Action]:
+        """A voter's answer."""
+        round_ = self._round
+        if round_ is None or message.ballot != round_.ballot:
+            return []
+        if message.promised > round_.ballot:  # another one is ahead: let it be done first
+            self._counter = max(self._counter, message.promised[0])
+            self._put_off(now)
+            return []
+        if isinstance(message, Promise):
+            round_.promises[message.voter] = message
+            return self._promised(round_, now) if round_.next is None else []
+        round_.accepted.add(message.voter)
+        return self._accepted(round_, now)
+
+    def _promised(self, round_: _Round, now: float) -> list[Action]:
+        newest = max(round_.promises.values(), key=lambda promise: promise.accepted)
+        before = newest.value if newest.value is not None else self._first
+        # Its voters are those that count: where they are others than were asked, they are asked too.
+        more = self._prepare(before.voters)
+        if not majority(before.voters, round_.promises):
+            return more
+        against = {voter: p.objection for voter, p in round_.promises.items() if p.objection}
+        after: Value | str
+        if majority(before.voters, round_.promises.keys() - against.keys()):
+            after = round_.about.change(before)
+        elif 2 * len(set(before.voters) & against.keys()) >= len(before.voters):
+            after = next(iter(against.values()))
+        else:
+            return more  # too few have said what they think
+        if isinstance(after, str):
+            # Nothing changes; but what was read may be held by few, and must stand before it is told.
+            round_.refused, after = after, before
+        round_.before, round_.next = before, after
+        names = dict.fromkeys(voter.name for voter in (*before.voters, *after.voters))
+        return [*more, *(Send(name, Accept(round_.ballot, after)) for name in names)]
+
+    def _accepted(self, round_: _Round, now: float) -> list[Action]:
+        after, before = round_.next, round_.before
+        if after is None or before is None:
+            return []
+        if not (majority(before.voters, round_.accepted) and majority(after.voters, round_.accepted)):
+            return []
+        self._waiting.remove(round_.about)
+        self._round, self._tries, self._again_ms = None, 0, now
+        self.learn(after)
+        return [Done(round_.about.id, after, round_.refused), *self.tick(now)]
+
+    def learn(self, value: Value) -> None:
+        """A state that a majority has accepted, from whoever knows."""
+        if value.version > self.known.version:
+            self.known = value
--- /dev/null
+++ b/rehearsal/explore/pure.py
@@ -0,0 +1,127 @@
+"""The search through a small world of pure modules: every choice that it offers, depth first, in some
+processes.
+
+A world tells what may come next (`actions`; the first comes without a fault), does it, and says what was
+broken. It is copied by pickling, so it holds no function of its own that pickling can't name.
+"""
+
+from __future__ import annotations
+
+import math
+import multiprocessing
+import os
+import pickle
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass, field
+from typing import Protocol
+
+SHARED = 256  # worlds from which on the processes of a search go on by themselves
+
+
+class World(Protocol):
+    """What is walked."""
+
+    story: list[str]
+    violations: list[str]
+
+    @property
+    def over(self) -> bool:
+        """No more choices: the rest is for `finish`."""
+
+    def actions(self) -> list[str]: ...
+    def do(self, label: str) -> None: ...
+    def finish(self) -> None: ...
+    def print(self) -> bytes:
+        """Equal ones have the same futures."""
+
+    def ended(self) -> bool:
+        """Whether it came to the end that one would wish for."""
+
+
+Broken = Callable[[str], AbstractContextManager[None]]  # with a deliberate break of that name in force
+
+
+@dataclass
+class Found:
+    """What a search has seen."""
+
+    states: int = 0
+    runs: int = 0  # to their end
+    wished: int = 0  # of these, to the end that one would wish for
+    exhausted: bool = False
+    violations: Counter[str] = field(default_factory=Counter)
+    story: list[str] = field(default_factory=list)  # of the first violation
+    seconds: float = 0.0
+
+
+def _go_on(stack: list[bytes], found: Found, seen: set[bytes], until_s: float, many: float) -> list[bytes]:
+    """Walk on from these until none or `many` are left, or something is broken; the rest. Depth first, but
+    where the rest is to be shared out, what parts early comes first: its stories are the shortest."""
+    while stack and len(stack) < many and time.monotonic() < until_s:
+        world: World = pickle.loads(stack.pop(0 if many < math.inf else -1))
+        while not world.violations:
+            print_ = world.print()
+            if print_ in seen:
+                break
+            seen.add(print_)
+            if world.over:
+                world.finish()
+                found.runs += 1
+                found.wished += world.ended()
+                break
+            found.states += 1
+            actions = world.actions()
+            if len(actions) > 1:
+                whole = pickle.dumps(world)
+                for label in actions[1:]:
+                    other: World = pickle.loads(whole)
+                    other.do(label)
+                    stack.append(pickle.dumps(other))
+            world.do(actions[0])
+        if world.violations:
+            found.violations.update(one.partition(":")[0] for one in world.violations)
+            found.story = [*world.story, *world.violations]
+            break
+    return stack
+
+
+def _share(job: tuple[bytes, Broken, str, float]) -> Found:
+    """One process's part: all that follows from one world."""
+    whole, broken, break_, until_s = job
+    found = Found()
+    with broken(break_):
+        found.exhausted = not _go_on([whole], found, set(), until_s, math.inf) and not found.violations
+    return found
+
+
+def search(
+    begin: Callable[[], World], broken: Broken, break_: str = "", limit_s: float = 600.0,
+    watch: Callable[[Found], None] = lambda _: None, workers: int = 0,
+) -> Found:  # fmt: skip
+    """Walk all that a world can do; ends with the first violation. Processes share no table of states, so
+    what two of them reach is walked twice."""
+    found, began = Found(), time.monotonic()
+    until_s = began + limit_s
+    with broken(break_):
+        stack = _go_on([pickle.dumps(begin())], found, set(), until_s, SHARED)
+    found.exhausted = not stack and not found.violations
+    if stack and not found.violations:
+        found.exhausted = True
+        context = multiprocessing.get_context("fork")
+        with context.Pool(workers or len(os.sched_getaffinity(0))) as pool:
+            jobs = [(one, broken, break_, until_s) for one in stack]
+            for part in pool.imap_unordered(_share, jobs):
+                found.states += part.states
+                found.runs += part.runs
+                found.wished += part.wished
+                found.violations += part.violations
+                found.story = found.story or part.story
+                found.exhausted &= part.exhausted
+                watch(found)
+                if found.violations:
+                    break
+    found.seconds = time.monotonic() - began
+    return found
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,192 @@
+"""Slots: the table's bounds, what voters think, tokens; the register under any order, loss, restarts and
+forgetting.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from nickelbridge import register, slots
+from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter, majority
+from nickelbridge.slots import Bound, Gate, Kind, Place, SaysBack, Table, WantsOut
+from rehearsal.explore import slots as explore
+
+NODES = tuple(Place(Kind.NODE, f"n{n}", "entrada", "abc"[n % 3]) for n in range(9))
+SERVERS = tuple(
+    Place(Kind.SERVER, f"s{n}", "catalogo", "abc"[n % 3], "new" if n < 4 else "") for n in range(12)
+)
+TABLE = Table(
+    (*NODES, *SERVERS),
+    (Bound(Kind.NODE, share=0.25), Bound(Kind.SERVER, share=0.3), Bound(Kind.SERVER, pool="new", most=1)),
+)
+
+
+def given(table: Table, place: Place, id: str = "", **more: Any) -> Table:
+    after = slots.grant(table, place, "driver", id or place.name, **more)
+    assert isinstance(after, Table), after
+    return after
+
+
+def refused(table: Table, place: Place, **more: Any) -> str:
+    after = slots.grant(table, place, "driver", "x", **more)
+    assert isinstance(after, str)
+    return after
+
+
+def test_bounds_are_counts_and_shares_by_place_and_never_two_zones() -> None:
+    one = given(TABLE, NODES[0], was="n0/1")
+    assert (one.token, one.slots[0].was) == (1, "n0/1")
+    two = given(one, NODES[3])
+    assert "2 of 2 nodes are out" in refused(two, NODES[6])  # a quarter of nine, rounded down
+    assert "nodes of zone a are out already, and this is zone b" in refused(one, NODES[1])
+    assert "1 of 1 servers of new" in refused(given(TABLE, SERVERS[0]), SERVERS[3])
+    assert given(two, SERVERS[1]).token == 3  # another kind, another bound and zone
+    assert "2 of 2 nodes are out" in refused(one, NODES[6], out=[NODES[3]])  # lost by itself
+    assert "no declared place" in refused(TABLE, Place(Kind.NODE, "stranger"))
+    assert (
+        Bound(Kind.NODE, share=0.01).limit(NODES) == 1
+        and Bound(Kind.NODE, most=4, share=0.25).limit(NODES) == 2
+    )
+
+
+def test_an_id_gets_one_slot_however_often_it_asks_and_a_token_comes_back_once() -> None:
+    one = given(TABLE, NODES[0], "a")
+    assert slots.grant(one, NODES[0], "driver", "a") is one
+    assert "out already, by driver" in refused(one, NODES[0])
+    back = slots.give_back(one, 1)
+    assert isinstance(back, Table) and not back.slots and slots.give_back(back, 1) is back
+    assert slots.grant(back, NODES[0], "driver", "a") == "that slot was given back since"  # a late copy
+    assert slots.give_back(back, 2) == "no token 2 was ever given"
+    assert given(back, NODES[0], "b").token == 2
+    forced = slots.force(one, 1, "ana", "f1")
+    assert isinstance(forced, Table) and forced.forced == ("ana gave back token 1",) and not forced.slots
+    assert slots.force(forced, 1, "ana", "f1") is forced
+
+
+def test_voters_object_by_what_they_see() -> None:
+    seen = {place: f"{place.name}/1" for place in TABLE.places}
+    table = given(TABLE, NODES[0], was="n0/1")
+
+    def thinks(intent: WantsOut | SaysBack, **changes: str) -> str:
+        now = seen | {place: changes[place.name] for place in TABLE.places if place.name in changes}
+        return slots.objection(table, intent, now.__getitem__)
+
+    assert thinks(WantsOut(NODES[3])) == ""
+    assert "2 of 2 nodes are out" in thinks(WantsOut(NODES[3]), n6="")
+    assert "2 of 2 nodes are out" in thinks(WantsOut(NODES[3]), n1="")
+    assert "zone b are out" in slots.objection(
+        TABLE, WantsOut(NODES[3]), lambda place: "" if place is NODES[1] else "up"
+    )
+    back = SaysBack(1, NODES[0], "n0/1")
+    assert "not seen serving" in thinks(back, n0="") and "still the process" in thinks(back)
+    assert thinks(back, n0="n0/2") == ""
+
+
+def test_an_old_token_is_refused_where_it_is_acted_on() -> None:
+    gate = Gate()
+    assert gate.may(NODES[0], 4) == "" and gate.may(NODES[0], 4) == "" and gate.may(NODES[1], 2) == ""
+    assert "older than 4" in gate.may(NODES[0], 3) and gate.may(NODES[0], 5) == ""
+
+
+class Net:
+    """Voters and a proposer with whole links."""
+
+    def __init__(self, *voters: Voter) -> None:
+        self.acceptors = {voter.name: Acceptor(voter.name, Kept(voter.memory)) for voter in voters}
+        self.first = Value(0, voters, TABLE)
+        self.down: set[str] = set()
+
+    def ask(self, change: register.Change, id: str = "x") -> Done | None:
+        proposer = Proposer("p", self.first, random.Random(1))
+        proposer._counter = max(a.kept.promised[0] for a in self.acceptors.values())
+        todo, done = proposer.ask(id, change, 0.0, 400.0), None
+        while todo:
+            action = todo.pop(0)
+            if isinstance(action, Done):
+                done = action
+            elif isinstance(action, Send) and action.to not in self.down:
+                assert isinstance(action.message, register.Prepare | register.Accept)
+                answers = self.acceptors[action.to].handle(action.message, "p")
+                assert not answers or isinstance(answers[-1], Send)
+                for n, answer in enumerate(answers):
+                    if isinstance(answer, Send):
+                        assert n == 0 or isinstance(answers[n - 1], Save)  # saved first
+                        assert isinstance(answer.message, register.Promise | register.Accepted)
+                        todo += proposer.handle(answer.message, 1.0)
+        return done
+
+
+def grant_of(place: Place) -> register.Change:
+    return lambda value: slots.changed(value, slots.grant(value.body, place, "p", place.name))
+
+
+def with_voters(*voters: Voter) -> register.Change:
+    return lambda value: replace(value, version=value.version + 1, voters=voters)
+
+
+def test_a_voter_that_forgot_counts_for_nothing_until_the_voters_name_its_new_memory() -> None:
+    a, b, c = (Voter(name, n) for n, name in enumerate("abc", 1))
+    net = Net(a, b, c)
+    assert net.ask(grant_of(NODES[0])) is not None
+    net.acceptors["c"] = Acceptor("c", Kept(9))  # its disk is gone
+    net.down = {"b"}
+    assert net.ask(grant_of(NODES[3])) is None  # a alone is no majority
+    net.down = set()
+    done = net.ask(with_voters(a, b, Voter("c", 9)))
+    assert done is not None and done.value.version == 2
+    net.down = {"b"}
+    done = net.ask(grant_of(NODES[3]))
+    assert done is not None and [slot.token for slot in done.value.body.slots] == [1, 2]
+    # A node that still knows the first voters alone finds the new ones, whichever of the old it meets.
+    net.down = {"a"}
+    done = net.ask(grant_of(NODES[6]))
+    assert done is not None and "2 of 2" in done.why and done.value.version == 3
+
+
+def test_a_fleet_of_one_and_of_two() -> None:
+    assert majority([Voter("a", 1)], [Voter("a", 1)]) and not majority([Voter("a", 1)], [Voter("a", 2)])
+    two = Net(Voter("a", 1), Voter("b", 2))
+    two.down = {"b"}
+    assert two.ask(grant_of(NODES[0])) is None
+    two.down = set()
+    assert two.ask(grant_of(NODES[0])) is not None
+
+
+@pytest.mark.parametrize(("askers", "bound"), [(2, 1), (3, 1), (3, 2)])
+def test_never_more_out_than_the_bound_whatever_is_lost_late_cut_off_or_forgotten(
+    askers: int, bound: int
+) -> None:
+    ended = 0
+    for seed in range(60):
+        rng = random.Random(seed)
+        world = explore.begin(askers, rng.randrange(9), bound)
+        for _ in range(3_000):
+            if world.over:
+                break
+            actions = world.actions()
+            plain = [one for one in actions if one.startswith(("deliver", "wait"))]
+            world.do(rng.choice(actions if rng.random() < 0.2 else plain))
+            assert not world.violations, world.story
+        ended += world.ended()
+    assert ended > 20  # and most get their turn
+
+
+def test_every_interleaving_of_two_askers_without_a_fault_holds_and_all_get_their_turn() -> None:
+    found = explore.search(2, 0, workers=1)
+    assert found.exhausted and found.runs == found.wished > 0
+
+
+@pytest.mark.parametrize(
+    ("name", "faults", "kinds"),
+    [
+        ("no-majority", 1, ("lose",)), ("promise-forgotten", 1, ("lose",)), ("not-read", 1, ("cut",)),
+        ("not-counted", 0, ()), ("on-a-word", 0, ()), ("same-token", 0, ()),
+    ],
+)  # fmt: skip
+def test_deliberate_breaks_are_caught(name: str, faults: int, kinds: tuple[str, ...]) -> None:
+    found = explore.search(2, faults, 1, name, 120.0, kinds, workers=2)
+    assert found.violations and found.story
