--- a/rehearsal/control/status.py
+++ b/rehearsal/control/status.py
@@ -14,30 +14,15 @@
 
 from nickelbridge.settings import Malformed
 from orchidferry.config import address
-from rehearsal.wire import get
+from rehearsal import door
 
-WAIT_S = 2.0  # for one node
 AT_ONCE = 64
 HEAD = ("node", "members", "settings", "from", "since", "stream", "last refusal, or what is wrong")
 
 
 async def ask(where: str) -> dict[str, Any]:
     """One node's word, or `error` with why there is none."""
-    try:
-        outcome = await asyncio.wait_for(get(address(where), "/-/control", WAIT_S), 2.0 * WAIT_S)
-    except TimeoutError:
-        return {"error": f"no answer within {WAIT_S:g} s"}
-    if outcome.how != "answer":
-        return {"error": f"no answer: {outcome.how}"}
-    if outcome.status == 404:
-        return {"error": "has no control service"}
-    try:
-        found = json.loads(outcome.body)
-    except ValueError:
-        found = None
-    if outcome.status != 200 or not isinstance(found, dict):
-        return {"error": f"status {outcome.status}, and not what a node says"}
-    return found
+    return await door.ask(address(where), "/-/control", "has no control service")
 
 
 async def ask_all(nodes: list[str]) -> list[dict[str, Any]]:
--- a/rehearsal/fleet/status.py
+++ b/rehearsal/fleet/status.py
@@ -13,30 +13,14 @@
 
 from nickelbridge.settings import Malformed
 from orchidferry.config import Address, address
-from rehearsal.wire import get
+from rehearsal import door
 
-WAIT_S = 2.0
-PATH = "/-/fleet"
 HEAD = ("node", "status", "phase", "zone", "version", "address", "incarnation", "for", "by the word of")
 
 
-async def ask(where: Address, path: str = PATH) -> dict[str, Any]:
-    """What a node's door says, or `error` with why there is nothing."""
-    try:
-        outcome = await asyncio.wait_for(get(where, path, WAIT_S), 2.0 * WAIT_S)
-    except TimeoutError:
-        return {"error": f"no answer within {WAIT_S:g} s"}
-    if outcome.how != "answer":
-        return {"error": f"no answer: {outcome.how}"}
-    if outcome.status == 404:
-        return {"error": "takes no part in a fleet"}
-    try:
-        found = json.loads(outcome.body)
-    except ValueError:
-        found = None
-    if outcome.status != 200 or not isinstance(found, dict):
-        return {"error": f"status {outcome.status}, and not what a node says"}
-    return found
+async def ask(where: Address) -> dict[str, Any]:
+    """What a node says of its fleet, or `error` with why there is nothing."""
+    return await door.ask(where, "/-/fleet", "takes no part in a fleet")
 
 
 def row(member: dict[str, Any]) -> list[str]:
