Fleet read once more: keys by address, one way to run steps, a part brings its own pages

The shell looked through all peers for each datagram while a key rotates, kept whose view was handed in last as state, and had an argument that was always None: keys are held by the address they are for. Work in steps was run to its end by four copies of one loop: orchidferry/steps.py has the two ways. Door pages went to the node beside the part they belong to: a part brings them. When a link's fault is in force is asked in one place, nearest ranks too; what nothing used is gone.

--- a/nickelbridge/fleet/swim.py
+++ b/nickelbridge/fleet/swim.py
@@ -198,11 +198,7 @@
 
     def _sync_ms(self) -> float:
         """Whole views grow with the fleet, so they go round less often, as in memberlist."""
-        scale = (
-            max(1.0, (self.size - 1).bit_length() - SIZE_FROM.bit_length() + 2.0)
-            if self.size > SIZE_FROM
-            else 1.0
-        )
+        scale = max(1.0, (self.size - 1).bit_length() - SIZE_FROM.bit_length() + 2.0)
         return self.timing.sync_ms * scale * (0.8 + 0.4 * self._rng.random())
 
     def _slept(self, now: float, gap_ms: float) -> None:
@@ -508,7 +504,7 @@
         self._unproven.pop(sender.name, None)
         for entry in message.news:
             self._merge(entry, sender.name, now)
-        if self.left or sender.status is Status.LEFT:
+        if sender.status is Status.LEFT:
             return
         self._answer(message, now)
         if not self.joined or (was_lost and self.members[sender.name].here):
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -25,7 +25,6 @@
 
 Ballot = tuple[int, str]  # a counter that only rises, and whose it is
 NONE: Ballot = (0, "")
-VOTERS_MOST = 15
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -52,8 +52,7 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     try:
-        parts, pages = ([fleet], {b"/-/fleet": fleet.page}) if fleet is not None else ([], {})
-        node = Node(config, loop, http3, control, chain, pools, parts, pages)
+        node = Node(config, loop, http3, control, chain, pools, [fleet] if fleet is not None else [])
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -18,6 +18,7 @@
 
 from nickelbridge import interface as api
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
+from orchidferry.steps import at_once
 
 Address = tuple[str, int]
 
@@ -185,13 +186,7 @@
 
 def read_listing(obj: Json) -> Listing:
     """Read a list as discovery writes it, at once."""
-    steps = read_in_steps(obj)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as done:
-            listing: Listing = done.value
-            return listing
+    return at_once(read_in_steps(obj))
 
 
 def read_in_steps(obj: Json) -> Generator[None, None, Listing]:
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -7,15 +7,14 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Generator
-from typing import Any, TypeVar, cast
+from collections.abc import Callable
+from typing import Any, cast
 
 import httptools
 
 from nickelbridge.settings import Malformed
 from orchidferry.config import Address, Listing, parse_in_steps, read_in_steps, read_listing
-
-T = TypeVar("T")
+from orchidferry.steps import between_others
 
 # How long discovery may keep a watch open. Its silence shows only after that: in incident r32b5e5 first
 # calls were lost, and with 20 s all nodes sent through a whole release by the list they had started with.
@@ -35,17 +34,6 @@
     return obj
 
 
-async def _in_steps(steps: Generator[None, None, T]) -> T:
-    """Run a generator to its end, with all else that is ready before each step."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as done:
-            result: T = done.value
-            return result
-        await asyncio.sleep(0)
-
-
 class _Channel(asyncio.Protocol):
     """A connection to discovery; whole answers or their failure go to its owner."""
 
@@ -209,7 +197,7 @@
     async def _read(self, body: bytes, keep: bool) -> None:
         task = self._asking
         try:
-            listing = await _in_steps(read_in_steps(await _in_steps(parse_in_steps(body))))
+            listing = await between_others(read_in_steps(await between_others(parse_in_steps(body))))
         except (ValueError, RecursionError, Malformed) as problem:
             if self._asking is task:
                 self._fail(f"a list that can't be read: {problem!s:.100}")
--- a/orchidferry/fleet/shell.py
+++ b/orchidferry/fleet/shell.py
@@ -20,6 +20,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from nickelbridge.fleet import messages as api
@@ -27,9 +28,11 @@
 from nickelbridge.fleet.members import Entry, Phase
 from nickelbridge.fleet.swim import Fleet, Lasting
 from orchidferry.config import Address, BadConfig, now_ms
+from orchidferry.door import Page
 from orchidferry.fleet import wire
 from orchidferry.fleet.settings import Setup, read_key_file
 from orchidferry.fleet.wire import DATAGRAM_MOST, Refused, Sealer
+from orchidferry.steps import between_others
 from orchidferry.store import Form, Store, Taken
 
 # A datagram takes some 40 microseconds to read, so a flood takes a tenth of a core and no turn of over 1 ms;
@@ -68,11 +71,10 @@
 class Journal:
     """A line of JSON for each change of the view, with both clocks; bounded, one file before it is kept."""
 
-    def __init__(self, setup: Setup) -> None:
+    def __init__(self, path: Path) -> None:
         """`OSError` if it can't be written."""
-        assert setup.journal is not None
         handler = logging.handlers.RotatingFileHandler(
-            setup.journal, maxBytes=JOURNAL_MOST, backupCount=1, encoding="utf-8"
+            path, maxBytes=JOURNAL_MOST, backupCount=1, encoding="utf-8"
         )
         handler.setFormatter(logging.Formatter("%(message)s"))
         self._log = logging.Logger("orchidferry.fleet.journal")
@@ -113,7 +115,7 @@
         self._journal: Journal | None = None
         if setup.journal is not None:
             try:
-                self._journal = Journal(setup)
+                self._journal = Journal(setup.journal)
             except OSError as problem:
                 raise BadConfig(f"can't write the fleet's journal: {problem}") from None
         me = Entry(
@@ -133,12 +135,13 @@
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._read_credit = Credit(READ_PER_S, READ_PER_S / 5.0)
         self._send_credit = Credit(SEND_PER_S, SEND_AT_ONCE)
-        self._key_of: dict[str, bytes] = {}  # which key a peer used last, where it is not our first
+        self._key_of: dict[
+            Address, bytes
+        ] = {}  # which key the peer there used last, where it is not our first
         self._handling = False
-        self._events: list[tuple[api.Event, list[bytes] | None]] = []
+        self._events: list[tuple[api.Event, list[api.Message] | None]] = []
         self.counts: Counter[str] = Counter()
         self._said: dict[str, float] = {}
-        self._asking = ""  # whose view was handed in last
 
     # The node's side
 
@@ -204,6 +207,10 @@
         if self._journal is not None:
             self._journal.close()
 
+    def pages(self) -> dict[bytes, Page]:
+        """What it shows at the operators' door."""
+        return {b"/-/fleet": self.page}
+
     def page(self) -> tuple[int, bytes]:
         """What this node knows of the fleet, for the operators' door."""
         fleet, now = self.fleet, now_ms()
@@ -225,7 +232,7 @@
 
     # Events and actions
 
-    def handle(self, event: api.Event, answers: list[bytes] | None = None) -> None:
+    def handle(self, event: api.Event, answers: list[api.Message] | None = None) -> None:
         """Hand one event in and do what comes out; one at a time."""
         if self._handling:
             self._events.append((event, answers))
@@ -251,7 +258,7 @@
             wait_s = max(0.0, due_ms - now_ms()) / 1000.0
             self._timer = self._loop.call_later(wait_s, self.handle, api.Tick())
 
-    def _do(self, action: api.Action, answers: list[bytes] | None) -> None:
+    def _do(self, action: api.Action, answers: list[api.Message] | None) -> None:
         match action:
             case api.Datagram():
                 self._send(action)
@@ -262,7 +269,7 @@
                     self.counts["exchanges_put_off"] += 1
             case api.Answer():
                 if answers is not None:
-                    answers.append(self._sealed(action.message, self._asking))
+                    answers.append(action.message)
             case api.Changed():
                 self._note(action.before, action.after, action.by)
             case api.Keep():
@@ -283,7 +290,7 @@
 
     # Datagrams
 
-    def _sealed(self, message: api.Message, to: str) -> bytes:
+    def _sealed(self, message: api.Message, to: Address) -> bytes:
         return self._sealer.seal(wire.encode(message), self._key_of.get(to))
 
     def _send(self, action: api.Datagram) -> None:
@@ -292,7 +299,7 @@
         if not self._send_credit.take(now_ms()):
             self.counts["not_sent"] += 1
             return
-        data = self._sealed(action.message, self._name_at(action))
+        data = self._sealed(action.message, action.to)
         try:
             self._udp.sendto(data, action.to)
         except OSError:  # the socket's buffer is full, or nobody is there: a datagram may be lost
@@ -301,16 +308,6 @@
         self.counts["sent"] += 1
         self.counts["bytes_sent"] += len(data)
 
-    def _name_at(self, action: api.Datagram | api.Exchange) -> str:
-        """Whom it goes to, if a peer that signs with another key is there."""
-        if not self._key_of:
-            return ""
-        for name in self._key_of:
-            entry = self.fleet.members.get(name)
-            if entry is not None and (entry.host, entry.port) == action.to:
-                return name
-        return ""
-
     def _read_on(self) -> None:
         if self._udp is not None and not self._reading:
             self._reading = True
@@ -331,26 +328,27 @@
                 data = udp.recv(DATAGRAM_MOST + 1)
             except OSError:  # nothing more, or word that nobody got one of ours
                 return
-            self._take(data, None)
+            self._take(data)
 
-    def _take(self, data: bytes, answers: list[bytes] | None) -> None:
+    def _take(self, data: bytes) -> None:
         self.counts["got"] += 1
         try:
-            if answers is None and len(data) > DATAGRAM_MOST:
+            if len(data) > DATAGRAM_MOST:
                 raise Refused("foreign", "a datagram is too long")
             body, key = self._sealer.open(data)
             message = wire.decode(body)
         except Refused as problem:
             return self._refused(problem)
-        self._remember_key(message.sender.name, key)
-        self.handle(api.Heard(message), answers)
+        self._remember_key(message.sender, key)
+        self.handle(api.Heard(message))
 
-    def _remember_key(self, name: str, key: bytes) -> None:
+    def _remember_key(self, sender: Entry, key: bytes) -> None:
         """Answer each peer with the key it uses: one that has no new key yet is reached by the old one."""
-        if key == self._sealer._first:
-            self._key_of.pop(name, None)
+        where = sender.host, sender.port
+        if key == self._sealer.first:
+            self._key_of.pop(where, None)
         elif len(self._key_of) < self._setup.most:
-            self._key_of[name] = key
+            self._key_of[where] = key
 
     def _refused(self, problem: Refused) -> None:
         self.counts[f"refused_{problem.kind}"] += 1
@@ -373,7 +371,7 @@
                     *action.to, local_addr=(self._setup.listen[0], 0)
                 )
                 try:
-                    self._write(writer, self._sealed(action.message, self._name_at(action)))
+                    self._write(writer, self._sealed(action.message, action.to))
                     await self._take_frame(await self._read(reader), [])
                 finally:
                     writer.close()
@@ -392,10 +390,10 @@
         self._connections += 1
         try:
             async with asyncio.timeout(EXCHANGE_S):
-                answers: list[bytes] = []
-                await self._take_frame(await self._read(reader), answers)
-                for data in answers:
-                    self._write(writer, data)
+                answers: list[api.Message] = []
+                sender = await self._take_frame(await self._read(reader), answers)
+                for answer in answers:
+                    self._write(writer, self._sealed(answer, sender))
                 await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
@@ -415,21 +413,14 @@
             raise Refused("foreign", f"says that it has {length} bytes")
         return await reader.readexactly(length)
 
-    async def _take_frame(self, data: bytes, answers: list[bytes]) -> None:
-        """A view, in steps: a long one must not hold requests up."""
+    async def _take_frame(self, data: bytes, answers: list[api.Message]) -> Address:
+        """A view, in steps: a long one must not hold requests up. Where its sender is reached."""
         self.counts["got"] += 1
         body, key = self._sealer.open(data)
-        steps = wire.decode_in_steps(body)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as done:
-                message: api.Message = done.value
-                break
-            await asyncio.sleep(0)
-        self._remember_key(message.sender.name, key)
-        self._asking = message.sender.name
+        message = await between_others(wire.decode_in_steps(body))
+        self._remember_key(message.sender, key)
         self.handle(api.Heard(message), answers)
+        return message.sender.host, message.sender.port
 
     # Now and then
 
--- a/orchidferry/fleet/wire.py
+++ b/orchidferry/fleet/wire.py
@@ -19,6 +19,7 @@
 from nickelbridge.fleet.members import Entry, Phase, Status, problem_of
 from nickelbridge.fleet.messages import Kind, Message
 from orchidferry.keys import Keys
+from orchidferry.steps import at_once
 
 FORMAT, LEAST = 1, 1  # that this program writes; of one that can read it
 MAGIC = b"\xf5\x0f"
@@ -54,11 +55,11 @@
         for name, secret in keys:
             id_ = hashlib.blake2b(name.encode(), digest_size=KEY_ID).digest()
             self._keys[id_] = hashlib.blake2b(secret, person=PERSON).digest()
-        self._first = next(iter(self._keys))
+        self.first = next(iter(self._keys))  # the id of the key that signs
 
     def seal(self, body: bytes, key: bytes | None = None) -> bytes:
         """With the first key, or with that one where it is still valid."""
-        id_ = key if key is not None and key in self._keys else self._first
+        id_ = key if key is not None and key in self._keys else self.first
         return MAGIC + id_ + self._tag(id_, body) + body
 
     def open(self, data: bytes) -> tuple[bytes, bytes]:
@@ -119,13 +120,7 @@
 
 def decode(body: bytes) -> Message:
     """A message from its body, at once; `Refused` if it is none that can be meant."""
-    steps = decode_in_steps(body)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as done:
-            message: Message = done.value
-            return message
+    return at_once(decode_in_steps(body))
 
 
 def decode_in_steps(body: bytes) -> Generator[None, None, Message]:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -12,7 +12,7 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import TYPE_CHECKING, Protocol, cast
 
 from nickelbridge import interface as api
@@ -38,7 +38,6 @@
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
 LIST_STEP = 64  # entries of a list that the module is told in one go: under 1 ms
 FLOW_LOOK_S = 1.0  # how often a flow is looked at that may stand still
-NO_PAGES: Mapping[bytes, Callable[[], tuple[int, bytes]]] = {}
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 if TYPE_CHECKING:  # a transport is imported only where it is switched on
@@ -47,7 +46,7 @@
     from orchidferry.chain.settings import Setup
     from orchidferry.control.link import Link
     from orchidferry.control.settings import Control
-    from orchidferry.door import Door
+    from orchidferry.door import Door, Page
     from orchidferry.h3.front import Listener
     from orchidferry.h3.settings import Http3
 
@@ -79,6 +78,7 @@
     """A subsystem beside the requests, with sockets of its own."""
 
     def attach(self, ready: Callable[[], bool]) -> None: ...  # before it starts
+    def pages(self) -> dict[bytes, Page]: ...  # at the operators' door, where there is one
     def start(self) -> None: ...
     def count(self) -> int: ...  # sockets in use
     def leaving(self) -> None: ...  # the node was told to end
@@ -175,7 +175,7 @@
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, http3: Http3 | None = None,
         control: Control | None = None, chain: Setup | None = None, pools: Rules | None = None,
-        parts: Sequence[Part] = (), pages: Mapping[bytes, Callable[[], tuple[int, bytes]]] = NO_PAGES,
+        parts: Sequence[Part] = (),
     ) -> None:  # fmt: skip
         self._config, self._loop = config, loop
         settings = config.settings
@@ -239,7 +239,7 @@
                 b"/-/ready": lambda: (200, b"ready\n") if self.ready() else (503, b"not ready\n"),
                 b"/-/metrics": lambda: (200, self.report()),
                 b"/-/control": self._control_page,
-                **pages,
+                **{path: page for part in parts for path, page in part.pages().items()},
             })  # fmt: skip
         self._parts = parts
         for part in parts:
--- a/rehearsal/bench/fleet.py
+++ b/rehearsal/bench/fleet.py
@@ -16,7 +16,6 @@
 
 from rehearsal.scenario import load_scenario
 
-SCENARIOS = ("fleet-split", "fleet-loss", "fleet-pauses")
 RUN_S = 180.0  # that one may take
 
 
--- a/rehearsal/bench/members.py
+++ b/rehearsal/bench/members.py
@@ -11,6 +11,7 @@
 from nickelbridge.fleet import messages as api
 from nickelbridge.fleet.members import Status
 from nickelbridge.fleet.suspicion import Timing, bounds_ms
+from rehearsal.judge.fleet import quantile
 from rehearsal.model.fleet import Net
 from rehearsal.world.links import LinkFault
 
@@ -53,7 +54,8 @@
     node_s = (DEATH_S + seconds) * nodes
 
     def at(q: float) -> float | None:
-        return round(took[min(len(took) - 1, math.ceil(q * len(took)) - 1)], 2) if took else None
+        value = quantile(took, q)
+        return None if value is None else round(value, 2)
 
     return {
         "nodes": nodes, "loss": loss, "seed": seed, "known_by": len(known), "of": nodes - 1,
--- a/rehearsal/bench/peers.py
+++ b/rehearsal/bench/peers.py
@@ -11,7 +11,6 @@
 import random
 import resource
 import socket
-import struct
 import sys
 import tempfile
 from pathlib import Path
@@ -23,6 +22,7 @@
 from orchidferry.config import now_ms
 from orchidferry.fleet import wire
 from orchidferry.fleet.settings import scaled
+from orchidferry.fleet.shell import LENGTH
 from orchidferry.fleet.wire import Refused, Sealer
 from rehearsal.scenario import Scenario
 from rehearsal.world.nodes import settings
@@ -30,7 +30,6 @@
 NET, PORT = "127.60", 9100  # a block of its own, beneath those of rehearsals
 KEY = "k1=" + "0123456789abcdef" * 2
 SETTLE_S = 10.0  # for the node to join, before it is measured
-LENGTH = struct.Struct(">I")
 
 
 class Crowd:
--- a/rehearsal/judge/fleet.py
+++ b/rehearsal/judge/fleet.py
@@ -111,7 +111,7 @@
     for t in views.times:
         up = [node for node in nodes if seen.alive(node, books.start + t)]
         cuts = [fault for fault in links if fault.cut]
-        key = frozenset(up), tuple(fault.t <= t < fault.until and _open(fault, t) for fault in cuts)
+        key = frozenset(up), tuple(fault.in_force(t) for fault in cuts)
         if key not in reached:
 
             def through(one: str, other: str, at: float = t) -> bool:
@@ -123,10 +123,6 @@
     return views
 
 
-def _open(fault: LinkFault, t: float) -> bool:
-    return not fault.flap_s or int((t - fault.t) / fault.flap_s) % 2 == 0
-
-
 def false_deaths(views: Views, settle_s: float) -> list[tuple[str, str, float, float]]:
     """Observer, whom it held for gone, from when and for how long, though it ran and could be heard of.
 
--- a/rehearsal/world/links.py
+++ b/rehearsal/world/links.py
@@ -36,11 +36,14 @@
     rate: float = 0.0  # bytes a second; 0: as fast as may be
     flap_s: float = 0.0  # it is there for so long, then away for so long, and so on
 
+    def in_force(self, t: float) -> bool:
+        """Whether it is there now, on its links."""
+        flaps_away = self.flap_s and int((t - self.t) / self.flap_s) % 2
+        return self.t <= t < self.until and not flaps_away
+
     def strikes(self, sender: str, to: str, t: float) -> bool:
         """Whether it is in force on what one node sends to another now."""
-        if not self.t <= t < self.until:
-            return False
-        if self.flap_s and int((t - self.t) / self.flap_s) % 2:
+        if not self.in_force(t):
             return False
         return (sender in self.one and to in self.other) or (
             not self.one_way and sender in self.other and to in self.one
