--- /dev/null
+++ b/athenaeum/accessions.py
@@ -0,0 +1,138 @@
+"""Which nodes and servers there are, as one keeper or node knows it. Pure: no I/O, the clock handed in.
+
+A node's record has one writer, the node itself: it holds a lease at each keeper and sends its record again
+when that changes. A record tells of the node's process and of the server on its machine. Of two records of
+one process the one with the higher number counts; of two lives of a server neither replaces the other, as
+each has an id of its own.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+LEASE_S = 2.0  # a node that has renewed nothing for so long is a member no more
+NODES_MOST = 4_096
+
+IN_SERVICE, DRAINING, GONE = "in_service", "draining", "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A server as the node beside it knows it."""
+
+    id: str
+    service: str
+    zone: str
+    state: str
+    capacity: int
+    cold_left_ms: float
+    version: str = ""
+
+    def packed(self) -> list[Any]:
+        """As it goes over the wire."""
+        return [
+            self.id, self.service, self.zone, self.state, self.capacity, self.cold_left_ms, self.version,
+        ]  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A node's own word of itself."""
+
+    name: str
+    boot: int  # drawn at each start of its process
+    number: int  # rises with each change
+    zone: str
+    ip: str
+    inbound: int  # port
+    server: Server | None
+
+    def packed(self) -> list[Any]:
+        """As it goes over the wire."""
+        server = self.server.packed() if self.server is not None else None
+        return [self.name, self.boot, self.number, self.zone, self.ip, self.inbound, server]
+
+
+def unpack(packed: list[Any]) -> Record:
+    """A record as it came; `ValueError` or `TypeError` for one that is none."""
+    name, boot, number, zone, ip, inbound, server = packed
+    return Record(name, boot, number, zone, ip, inbound, Server(*server) if server is not None else None)
+
+
+@dataclass(slots=True)
+class _Lease:
+    record: Record
+    until_s: float
+
+
+@dataclass
+class Register:
+    """The members that one keeper knows."""
+
+    lease_s: float = LEASE_S
+    leases: dict[str, _Lease] = field(default_factory=dict)
+
+    def hear(self, record: Record, now_s: float) -> bool:
+        """Take a node's record; whether it tells anything new."""
+        had = self.leases.get(record.name)
+        if had is None and len(self.leases) >= NODES_MOST:
+            return False
+        if had is not None and had.record.boot == record.boot and had.record.number > record.number:
+            return False
+        self.leases[record.name] = _Lease(record, now_s + self.lease_s)
+        return had is None or had.record != record
+
+    def renew(self, name: str, boot: int, number: int, now_s: float) -> bool:
+        """Renew a lease; False if the record that it is for is not known here."""
+        had = self.leases.get(name)
+        if had is None or had.record.boot != boot or had.record.number != number:
+            return False
+        had.until_s = now_s + self.lease_s
+        return True
+
+    def lapse(self, now_s: float) -> list[str]:
+        """The nodes whose leases have run out; they are members no more."""
+        late = [name for name, lease in self.leases.items() if lease.until_s <= now_s]
+        for name in late:
+            del self.leases[name]
+        return late
+
+    def records(self) -> list[Record]:
+        """All members' records."""
+        return [lease.record for lease in self.leases.values()]
+
+
+@dataclass
+class View:
+    """What a node makes of what several keepers tell it.
+
+    A node is a member while any keeper that is heard says so: one keeper that is cut off from it takes nobody
+    out, and one that has just started knows nobody.
+    """
+
+    told: dict[str, dict[str, Record]] = field(default_factory=dict)  # by keeper, by node
+
+    def whole(self, keeper: str, records: list[Record]) -> None:
+        """A keeper's whole list."""
+        self.told[keeper] = {record.name: record for record in records}
+
+    def change(self, keeper: str, records: list[Record], gone: list[str]) -> None:
+        """What has changed of it."""
+        mine = self.told.setdefault(keeper, {})
+        for record in records:
+            mine[record.name] = record
+        for name in gone:
+            mine.pop(name, None)
+
+    def members(self, heard: set[str]) -> dict[str, Record]:
+        """Every node's newest record, by what the keepers say that are heard; by all, if none is."""
+        found: dict[str, Record] = {}
+        for keeper, mine in self.told.items():
+            if heard and keeper not in heard:
+                continue
+            for name, record in mine.items():
+                had = found.get(name)
+                if had is None or (had.boot == record.boot and had.number < record.number):
+                    found[name] = record
+        return found
--- /dev/null
+++ b/athenaeum/archive.py
@@ -0,0 +1,571 @@
+"""The keeper of the mesh's state, on core machines: `orchidferry archive`.
+
+It votes on the configuration and on who keeps it, grants operation keys, holds the leases of nodes, and tells
+all nodes what changes. What it says was kept is on its disk before it says so. It never waits for its disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from athenaeum import parts
+from athenaeum.accessions import LEASE_S, Register, unpack
+from athenaeum.boot import Boot
+from athenaeum.callslips import Granted, Held, Slips
+from athenaeum.deposit import Deposit, Put, pack
+from athenaeum.deposit import unpack as unpack_stored
+from athenaeum.doors import JSON, Call, ControlDoor, told
+from athenaeum.faults import Fault, Kind
+from athenaeum.folio import check, digest
+from athenaeum.wire import Link, dial
+from athenaeum.wire import pack as pack_frame
+from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
+from orchidferry.frontend import Reply
+
+BEAT_S = 0.4  # how often a keeper tells the others that it lives
+ALIVE_S = 1.5  # a keeper that was heard within this is alive
+DEAD_S = 2.5  # one that was not is dead, as far as this one knows
+TICK_S = 0.05
+LEARN_S = 0.3  # what was accepted and isn't known to be decided is looked at after so long
+PUT_MS, READ_MS = 4_000.0, 3_000.0
+BATCH = 200  # keys in one message of repair
+RETRY_AFTER_S = 0.2
+
+
+class Archive:
+    """One keeper."""
+
+    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
+        self._boot, self._loop, self._name = boot, loop, boot.ip
+        self._rng = random.Random()
+        assert boot.data_dir is not None
+        self._deposit = Deposit(boot.data_dir, loop)
+        kept, self._caught_up = self._remember()
+        first = parts.genesis(self._founders)
+        self._seen = first  # the newest decided state that others were told of
+        self._acceptor = Acceptor(self._name, kept, self._object_to)
+        self._proposer = Proposer(self._name, first, self._rng)
+        self._founder = kept.memory == parts.GENESIS
+        self._clean = True  # what it keeps is on disk as it is in memory
+        self._slips = Slips(boot.bounds.key_window_s)
+        self._unwritten: set[str] = set()  # keys that are not surely on disk
+        self._load_slips()
+        self._members = Register()
+        self._began_s = loop.time()
+        self._nodes: dict[Link, str] = {}  # nodes that listen, by link
+        self._peers: dict[str, Link] = {}  # keepers that this one dialled
+        self._dialling: set[str] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._heard_s: dict[str, float] = {}  # keepers
+        self._asked: dict[str, Callable[[Done | None], None]] = {}
+        self._number = 0
+        self._readers: list[Callable[[Value | None], None]] = []
+        self._reading = False
+        self._accepted_s = 0.0  # since when something accepted is not known to be decided
+        self._sources: dict[
+            str, bool
+        ] = {}  # while catching up: keepers that were asked, and whether all came
+        self._door = ControlDoor(
+            {"/orchidferry/configuration": self._configuration}, max(64, boot.descriptors // 4)
+        )
+        self._server: asyncio.Server | None = None
+
+    # Its memory
+
+    def _remember(self) -> tuple[Kept, bool]:
+        raw = self._deposit.read("about", b"kept")
+        founders = self._deposit.read("about", b"founders")
+        self._founders = tuple(unpack_stored(founders)) if founders is not None else self._boot.seeds
+        if raw is not None:
+            caught = self._deposit.read("about", b"caught") is not None
+            return parts.unpack_kept(unpack_stored(raw)), caught
+        founder = self._boot.first_start and self._name in self._boot.seeds
+        kept = Kept(parts.GENESIS if founder else self._rng.randrange(2, 2**53))
+        puts: list[Put] = [
+            ("about", b"kept", pack(parts.pack_kept(kept))),
+            ("about", b"founders", pack(list(self._founders))),
+        ]
+        if founder:
+            puts.append(("about", b"caught", b"1"))
+        self._deposit.write(puts)
+        logger.info("archive: a new memory, {}", "as a founder" if founder else "to be filled by others")
+        return kept, founder
+
+    def _load_slips(self) -> None:
+        for key, raw in self._deposit.all("slips"):
+            self._slips.load(key.decode("latin-1"), unpack_stored(raw))
+
+    @property
+    def _voter(self) -> Voter:
+        return self._acceptor.voter
+
+    @property
+    def _known(self) -> Value:
+        return self._proposer.known
+
+    @property
+    def _epoch(self) -> int:
+        return parts.body(self._known).epoch
+
+    def _sealed(self) -> int:
+        value = self._acceptor.kept.value
+        return parts.body(value).epoch if value is not None else 0
+
+    def _grants(self, epoch: int) -> bool:
+        """Whether this keeper may grant keys under an epoch."""
+        return (
+            self._caught_up
+            and self._epoch == epoch
+            and self._sealed() == epoch
+            and self._voter in self._known.voters
+        )
+
+    # Start and end
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until told to stop."""
+        self._server = await self._loop.create_server(
+            lambda: Link(self._heard, self._lost), self._boot.ip, self._boot.internal_port, backlog=512
+        )
+        await self._door.listen(self._loop, self._boot.listen["control"])
+        logger.info("archive: serving, epoch {} revision {}", self._epoch, parts.body(self._known).revision)
+        beats = 0.0
+        while not stopping.is_set():
+            now = self._loop.time()
+            if now >= beats:
+                beats = now + BEAT_S
+                self._beat(now)
+            self._tick(now)
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await stopping.wait()
+            except TimeoutError:
+                pass
+        logger.info("archive: stopping")
+        self._door.close_listener()
+        self._server.close()
+        self._deposit.close()
+
+    def _keepers(self) -> set[str]:
+        return ({v.name for v in self._known.voters} | set(self._boot.seeds)) - {self._name}
+
+    def _beat(self, now: float) -> None:
+        for name in self._keepers() | set(self._peers):
+            link = self._peers.get(name)
+            if link is not None and link.open:
+                if now - link.heard_s > DEAD_S:
+                    link.close()
+                else:
+                    link.send("beat", self._name, self._known.version)
+            elif name in self._keepers() and name not in self._dialling:
+                self._dialling.add(name)
+                self._spawn(self._dial(name))
+        self._join()
+
+    def _spawn(self, work: Any) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, name: str) -> None:
+        try:
+            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.ip)
+            if link is not None:
+                link.peer = name
+                self._peers[name] = link
+                link.send("keeper", self._name)
+                link.send("beat", self._name, self._known.version)
+        finally:
+            self._dialling.discard(name)
+
+    def _tick(self, now: float) -> None:
+        for name in self._members.lapse(now):
+            logger.info("accessions: {} has not renewed its lease", name)
+            self._tell_nodes(["entries", [], [name]])
+        over = self._slips.turn(now)
+        if over:
+            self._deposit.write([("slips", key.encode("latin-1"), None) for key in over])
+        if self._proposer.due_ms <= now * 1000.0:
+            self._act(self._proposer.tick(now * 1000.0))
+        undecided = self._acceptor.kept.value is not None and (
+            self._acceptor.kept.value.version > self._known.version
+        )
+        if not undecided:
+            self._accepted_s = 0.0
+        elif not self._accepted_s:
+            self._accepted_s = now
+        elif now - self._accepted_s > LEARN_S * (1.0 + self._rng.random()):
+            self._accepted_s = now
+            self._read(lambda value: None)
+        if not self._caught_up:
+            self._catch_up()
+
+    # Links
+
+    def _heard(self, link: Link, message: list[Any]) -> None:
+        try:
+            self._take(link, message)
+        except (ValueError, TypeError, KeyError, IndexError) as problem:
+            logger.warning("archive: a message {!r} can't be read: {}", message[0], problem)
+            link.close()
+
+    def _lost(self, link: Link) -> None:
+        self._nodes.pop(link, None)
+        if self._peers.get(link.peer) is link:
+            del self._peers[link.peer]
+
+    def _take(self, link: Link, message: list[Any]) -> None:
+        kind = message[0]
+        if kind == "claim":
+            self._claim(link, *message[1:])
+        elif kind == "done":
+            self._done(*message[1:])
+        elif kind == "drop":
+            self._drop(*message[1:])
+        elif kind == "renew":
+            self._renew(link, *message[1:])
+        elif kind == "beat":
+            name, version = message[1:]
+            self._heard_s[name] = self._loop.time()
+            link.send("pulse")
+            if version < self._known.version:
+                link.send("know", parts.pack_value(self._known))
+        elif kind == "reg":
+            self._register(link, message[1], parts.unpack_message(message[2]))
+        elif kind == "know":
+            value = parts.unpack_value(message[1])
+            if value is not None:
+                self._learn(value)
+        elif kind == "hello":
+            self._hello(link, message[1])
+        elif kind == "read":
+            rid = message[1]
+            self._read(lambda value: self._tell_folio(link, rid, value))
+        elif kind == "fetch":
+            self._tell_folio(link, message[1], self._known)
+        elif kind == "keeper":
+            link.peer = message[1]
+        elif kind == "join":
+            self._admit(message[1], message[2])
+        elif kind == "slips?":
+            self._give_slips(link, message[1])
+        elif kind == "slips":
+            self._take_slips(*message[1:])
+
+    # Nodes: leases, and what they are told
+
+    def _hello(self, link: Link, name: str) -> None:
+        self._nodes[link] = name
+        self._tell_group(link)
+        records = [record.packed() for record in self._members.records()]
+        link.send("all", self._warm(), records)
+        if parts.body(self._known).revision:
+            link.send("version", parts.body(self._known).revision)
+
+    def _warm(self) -> bool:
+        """Whether all live nodes have had the time to come back to this keeper."""
+        return self._loop.time() - self._began_s > LEASE_S
+
+    def _tell_group(self, link: Link) -> None:
+        link.send("group", self._epoch, [v.name for v in self._known.voters])
+
+    def _tell_nodes(self, message: list[Any]) -> None:
+        data = pack_frame(message)
+        for link in list(self._nodes):
+            link.send_packed(data)
+
+    def _renew(self, link: Link, number: int, name: str, boot: int, packed: Any) -> None:
+        now = self._loop.time()
+        known = True
+        if packed is None:
+            known = self._members.renew(name, boot, number, now)
+        else:
+            record = unpack(packed)
+            if self._members.hear(record, now):
+                self._tell_nodes(["entries", [packed], []])
+        link.send("lease", number, known, self._warm())
+
+    def _tell_folio(self, link: Link, rid: int, value: Value | None) -> None:
+        if value is None:
+            link.send("folio", rid, -1, b"")
+        else:
+            link.send("folio", rid, parts.body(value).revision, parts.body(value).raw)
+
+    # Operation keys
+
+    def _claim(self, link: Link, rid: int, epoch: int, key: str, holder: str) -> None:
+        if not self._grants(epoch):
+            if epoch != self._epoch:
+                self._tell_group(link)
+            return link.send("slip", rid, epoch, "wait", None)
+        outcome, slip = self._slips.claim(key, holder)
+        if isinstance(outcome, Held):
+            return link.send("slip", rid, epoch, "held", outcome.answer)
+        if not isinstance(outcome, Granted):
+            return link.send("slip", rid, epoch, "wait", None)
+        if slip is None and key not in self._unwritten:
+            return link.send("slip", rid, epoch, "yours", None)
+        slip = slip or self._slips.slips[key]
+        self._unwritten.add(key)
+
+        def told(done: bool) -> None:
+            if done:
+                self._unwritten.discard(key)
+                # The group may have changed while the disk was at work.
+                link.send("slip", rid, epoch, "yours" if self._grants(epoch) else "wait", None)
+
+        self._deposit.write([("slips", key.encode("latin-1"), pack(slip.packed()))], told)
+
+    def _done(self, key: str, holder: str, answer: Any) -> None:
+        slip = self._slips.done(key, holder, answer)
+        if slip is not None:
+            self._deposit.write([("slips", key.encode("latin-1"), pack(slip.packed()))])
+
+    def _drop(self, key: str, holder: str) -> None:
+        if self._slips.drop(key, holder):
+            self._unwritten.discard(key)
+            self._deposit.write([("slips", key.encode("latin-1"), None)])
+
+    # The register: the configuration, and the group
+
+    def _object_to(self, intent: Any) -> str:
+        """Nobody is put out of the group who is alive as far as this keeper sees."""
+        name = intent[1] if isinstance(intent, list) and len(intent) == 2 else ""
+        alive = name == self._name or self._loop.time() - self._heard_s.get(name, -DEAD_S) < ALIVE_S
+        return parts.ALIVE if name and alive else ""
+
+    def _register(self, link: Link, sender: str, message: Any) -> None:
+        if hasattr(message, "promised"):
+            self._act(self._proposer.handle(message, self._loop.time() * 1000.0))
+        else:
+            self._vote(sender, message, lambda reply: link.send("reg", self._name, parts.pack_message(reply)))
+
+    def _vote(self, sender: str, message: Any, reply: Callable[[Any], None]) -> None:
+        replies = []
+        save = not self._clean
+        for action in self._acceptor.handle(message, sender):
+            if isinstance(action, Save):
+                save = True
+            elif isinstance(action, Send):
+                replies.append(action.message)
+        if not save:
+            for answer in replies:
+                reply(answer)
+            return
+        self._clean = False
+        kept = self._acceptor.kept
+
+        def told(done: bool) -> None:
+            if done:
+                if kept is self._acceptor.kept:
+                    self._clean = True
+                for answer in replies:
+                    reply(answer)
+
+        self._deposit.write([("about", b"kept", pack(parts.pack_kept(kept)))], told)
+
+    def _act(self, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                if action.to == self._name:
+                    self._loop.call_soon(self._vote_myself, action.message)
+                elif (link := self._peers.get(action.to)) is not None:
+                    link.send("reg", self._name, parts.pack_message(action.message))
+            elif isinstance(action, Done):
+                if action.value.version > self._seen.version:  # before anybody is answered
+                    for link in self._peers.values():
+                        link.send("know", parts.pack_value(action.value))
+                self._learn(action.value)
+                told = self._asked.pop(action.id, None)
+                if told is not None:
+                    told(action)
+
+    def _vote_myself(self, message: Any) -> None:
+        self._vote(
+            self._name,
+            message,
+            lambda reply: self._act(self._proposer.handle(reply, self._loop.time() * 1000.0)),
+        )
+
+    def _ask(
+        self, change: parts.Change, for_ms: float, told: Callable[[Done | None], None], intent: Any = None
+    ) -> None:
+        """Have the state changed; `told` hears of it once, with None if nothing is known in time."""
+        if not self._founder and not self._known.version:
+            self._loop.call_soon(told, None)  # it knows of no group yet
+            return
+        self._number += 1
+        id = str(self._number)
+        self._asked[id] = told
+        self._loop.call_later(for_ms / 1000.0 + 0.05, self._give_up, id)
+        self._act(self._proposer.ask(id, change, self._loop.time() * 1000.0, for_ms, intent))
+
+    def _give_up(self, id: str) -> None:
+        told = self._asked.pop(id, None)
+        if told is not None:
+            told(None)
+
+    def _read(self, told: Callable[[Value | None], None]) -> None:
+        """The newest state for sure; those that ask while a round is out share the next one."""
+        self._readers.append(told)
+        if not self._reading:
+            self._next_read()
+
+    def _next_read(self) -> None:
+        waiting, self._readers = self._readers, []
+        self._reading = bool(waiting)
+        if not waiting:
+            return
+
+        def done(end: Done | None) -> None:
+            for told in waiting:
+                told(end.value if end is not None else None)
+            self._next_read()
+
+        self._ask(parts.read, READ_MS, done)
+
+    def _learn(self, value: Value) -> None:
+        """A state that was decided."""
+        self._proposer.learn(value)
+        old, value = self._seen, self._known
+        if value.version <= old.version:
+            return
+        self._seen = value
+        logger.info(
+            "archive: version {}, epoch {}, revision {}",
+            value.version, parts.body(value).epoch, parts.body(value).revision,
+        )  # fmt: skip
+        if parts.body(value).epoch != parts.body(old).epoch:
+            for link in list(self._nodes):
+                self._tell_group(link)
+        if parts.body(value).revision != parts.body(old).revision:
+            self._tell_nodes(["version", parts.body(value).revision])
+
+    # The group
+
+    def _join(self) -> None:
+        """Ask for a place, where this keeper has none."""
+        if self._voter in self._known.voters:
+            return
+        for link in self._peers.values():
+            link.send("join", self._name, self._voter.memory)
+
+    def _admit(self, name: str, memory: int) -> None:
+        """Another keeper asks for a place in the group."""
+        joiner, now = Voter(name, memory), self._loop.time()
+        self._heard_s[name] = now
+        if self._voter not in self._known.voters or joiner in self._known.voters:
+            return
+        if any(asked.startswith("admit") for asked in self._asked):
+            return
+        names = [v.name for v in self._known.voters]
+        dead = [n for n in names if n != self._name and now - self._heard_s.get(n, self._began_s) > DEAD_S]
+        instead = name if name in names else dead[0] if dead else ""
+        if not instead:
+            return
+        logger.info("archive: {} asks for a place, instead of {}", name, instead)
+        id = f"admit {name} {memory}"
+        self._asked[id] = lambda end: None
+        self._loop.call_later(2.0, self._give_up, id)
+        intent = None if instead == name else ["replace", instead]
+        change = parts.admit(joiner, instead, len(names))
+        self._act(self._proposer.ask(id, change, now * 1000.0, 1_900.0, intent))
+
+    def _catch_up(self) -> None:
+        """A keeper that has forgotten learns all keys from enough others before it grants any."""
+        if self._voter not in self._known.voters or self._sealed() != self._epoch:
+            return
+        for voter in self._known.voters:
+            link = self._peers.get(voter.name)
+            if voter.name not in self._sources and link is not None and link.open:
+                self._sources[voter.name] = False
+                link.send("slips?", self._epoch)
+                self._loop.call_later(2.0, self._forget_source, voter.name)
+
+    def _forget_source(self, name: str) -> None:
+        if self._sources.get(name) is False:
+            del self._sources[name]
+
+    def _give_slips(self, link: Link, epoch: int) -> None:
+        if not self._grants(epoch):
+            return
+        rows = [[key, slip.packed()] for key, slip in self._slips.slips.items()]
+        for at in range(0, len(rows), BATCH):
+            link.send("slips", self._name, epoch, rows[at : at + BATCH], False)
+        link.send("slips", self._name, epoch, [], True)
+
+    def _take_slips(self, name: str, epoch: int, rows: list[Any], last: bool) -> None:
+        if self._caught_up or epoch != self._epoch:
+            return
+        puts: list[Put] = []
+        for key, packed in rows:
+            self._slips.load(key, packed)
+            puts.append(("slips", key.encode("latin-1"), pack(self._slips.slips[key].packed())))
+
+        def told(done: bool) -> None:
+            if not done:
+                return self._forget_source(name)
+            if last:
+                self._sources[name] = True
+                self._see_whether_caught_up()
+
+        self._deposit.write(puts or [("about", b"catching", b"1")], told)
+
+    def _see_whether_caught_up(self) -> None:
+        heard = sum(self._sources.values())
+        if self._caught_up or heard < parts.sources_needed(len(self._known.voters)):
+            return
+
+        def told(done: bool) -> None:
+            if done:
+                self._caught_up = True
+                logger.info("archive: caught up, {} keys from {} keepers", len(self._slips.slips), heard)
+            else:
+                self._loop.call_later(0.5, self._see_whether_caught_up)
+
+        self._deposit.write([("about", b"caught", b"1")], told)
+
+    # The operator's calls
+
+    def _configuration(self, call: Call, rest: str, answer: Callable[[Any], None]) -> None:
+        """The one resource here."""
+        if rest:
+            return answer(told(Fault(Kind.UNKNOWN, rest[:80])))
+        if call.method == b"GET":
+
+            def got(value: Value | None) -> None:
+                if value is None:
+                    answer(told(Fault(Kind.NO_MAJORITY), RETRY_AFTER_S))
+                elif not parts.body(value).revision:
+                    answer(told(Fault(Kind.UNKNOWN, "there is no configuration yet")))
+                else:
+                    answer(Reply(200, parts.body(value).raw, JSON))
+
+            return self._read(got)
+        if call.method != b"PUT":
+            return answer(told(Fault(Kind.UNREADABLE, "PUT or GET")))
+        on = call.headers.get(b"if-match", b"").strip(b' "')
+        if not on.isdigit():
+            return answer(told(Fault(Kind.UNREADABLE, "If-Match: a version is needed")))
+        found = check(call.body)
+        if isinstance(found, Fault):
+            logger.info("folio: refused, {}", found.line)
+            return answer(told(found))
+        mark = digest(call.body)
+
+        def done(end: Done | None) -> None:
+            if end is None:
+                return answer(told(Fault(Kind.LATE, "no majority of keepers answered"), RETRY_AFTER_S))
+            if end.why:
+                kind = Kind.OLD_VERSION if end.why == parts.OLD_VERSION else Kind.OTHER_VERSION
+                return answer(told(Fault(kind, f"{parts.body(end.value).revision} is current")))
+            body = json.dumps({"revision_number": found.revision}).encode()
+            answer(Reply(200, body, JSON))
+
+        self._ask(parts.put(call.body, found.revision, mark, int(on)), PUT_MS, done)
--- /dev/null
+++ b/athenaeum/boot.py
@@ -0,0 +1,127 @@
+"""What a process is told at its start: the file that ORCHIDFERRY_BOOT names, read and checked.
+
+Fields that are not known here are skipped, as the platform may add some.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+Address = tuple[str, int]
+
+
+class BadBoot(Exception):
+    """The settings file can't be used; one line that names file and field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures of the rules, in milliseconds where the name says so."""
+
+    contact_ms: float = 3_000.0
+    ack_ms: float = 5_000.0
+    catch_up_s: float = 4.0
+    drain_ms: float = 2_000.0
+    grace_s: float = 6.0
+    config_apply_ms: float = 2_000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 60.0
+    key_window_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    """One process's settings."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    first_start: bool
+    listen: dict[str, Address]  # outbound, inbound, ready, control: those that this role serves
+    internal_port: int
+    seeds: tuple[str, ...]  # ip numbers of keepers
+    bounds: Bounds
+    beat_ms: float
+    descriptors: int
+    memory_mb: float
+    data_dir: str | None = None
+    application: Address | None = None
+    service: str = ""
+    machines: int = 1  # losses to be borne at once
+
+
+def address(text: Any, field: str) -> Address:
+    """`10.0.0.1:80` as host and port; `BadBoot` names the field."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadBoot(f"{field}: {text!r} is no address")
+    return host, int(port)
+
+
+def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
+    value = data.get(name)
+    if not isinstance(value, dict):
+        raise BadBoot(f"{name}: the table is missing")
+    return value
+
+
+def _number(table: dict[str, Any], name: str, default: float, where: str) -> float:
+    value = table.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
+        raise BadBoot(f"{where}.{name}: {value!r} is no number of 0 or more")
+    return float(value)
+
+
+def read_boot(path: str) -> Boot:
+    """Read and check the settings file; `BadBoot` says what is wrong in one line."""
+    try:
+        return check_boot(tomllib.loads(Path(path).read_text("utf-8")))
+    except OSError as problem:
+        raise BadBoot(f"{path}: {problem.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise BadBoot(f"{path}: {problem}") from None
+    except BadBoot as problem:
+        raise BadBoot(f"{path}: {problem}") from None
+
+
+def check_boot(data: dict[str, Any]) -> Boot:
+    """A settings file's tables as typed values."""
+    node, network = _table(data, "own_node"), _table(data, "network")
+    terms = _table(data, "term_settings")
+    bounds, limits = terms.get("bound_set", {}), node.get("limit_set", {})
+    for name in ("node_name", "ip", "zone"):
+        if not isinstance(node.get(name), str) or not node[name]:
+            raise BadBoot(f"own_node.{name}: a text is needed")
+    ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
+    if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
+        raise BadBoot("network.internal_ports: a list of ports is needed")
+    if not isinstance(seeds, list):
+        raise BadBoot("network.seed_nodes: a list of addresses is needed")
+    names = Bounds.__dataclass_fields__
+    points = network.get("listen_points", {})
+    application = node.get("application")
+    return Boot(
+        name=node["node_name"],
+        role=str(node.get("role", "")),
+        ip=node["ip"],
+        zone=node["zone"],
+        first_start=node.get("first_start") is True,
+        listen={n: address(a, f"network.listen_points.{n}") for n, a in points.items()},
+        internal_port=ports[0],
+        seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
+        bounds=Bounds(
+            **{n: _number(bounds, n, f.default, "term_settings.bound_set") for n, f in names.items()}
+        ),  # fmt: skip
+        beat_ms=_number(data.get("platform_settings", {}), "beat_interval_ms", 1_500, "platform_settings"),
+        descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
+        memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
+        data_dir=node.get("data_dir"),
+        application=address(application, "own_node.application") if application else None,
+        service=str(node.get("service_name", "")),
+        machines=int(_number(terms.get("tolerance", {}), "machines", 1, "term_settings.tolerance")),
+    )
--- /dev/null
+++ b/athenaeum/callslips.py
@@ -0,0 +1,130 @@
+"""Operation keys: each is claimed before its first run, and kept with its answer for the window. No I/O.
+
+One keeper's half. A node claims a key at all keepers of the group and may run its request once a majority
+granted it to that try, all under one epoch of the group. A keeper grants a key once: whoever asks later is
+told who holds it, and the answer, where that is known. Only the holder gives a key back, and only if it
+never ran. Nothing else ends a claim but its age.
+
+What is granted must be on disk before the grant leaves: `claim` and its kin return what to write.
+
+Ages are counted in shelves of `SHELF_S`: the number of the newest rises with steady time and is kept with
+each record, so a restart lengthens a window and never cuts it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+SHELF_S = 20.0
+MOST = 200_000  # keys at once; beyond these none is granted
+
+
+@dataclass(slots=True)
+class Slip:
+    """One key: the try that holds it, when it was claimed, and what it was answered."""
+
+    holder: str
+    shelf: int
+    answer: Any = None
+
+    def packed(self) -> list[Any]:
+        """As it is written to disk and handed to other keepers."""
+        return [self.holder, self.shelf, self.answer]
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The key is this try's."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """It is another try's; `answer`: what that was answered, if it is known."""
+
+    holder: str
+    answer: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """There is no room for another key."""
+
+
+Outcome = Granted | Held | Full
+
+
+@dataclass
+class Slips:
+    """All keys that one keeper knows."""
+
+    window_s: float
+    slips: dict[str, Slip] = field(default_factory=dict)
+    shelf: int = 0  # the newest
+    _turned_s: float = 0.0
+    _shelves: dict[int, dict[str, None]] = field(default_factory=dict)
+
+    def load(self, key: str, packed: list[Any]) -> None:
+        """Take a record as another keeper or the disk has it; an answer is never lost by it."""
+        holder, shelf, answer = packed
+        self.shelf = max(self.shelf, shelf)
+        had = self.slips.get(key)
+        if had is not None and (had.holder != holder or had.answer is not None or answer is None):
+            return
+        self._put(key, Slip(holder, self.shelf, answer))
+
+    def _put(self, key: str, slip: Slip) -> None:
+        had = self.slips.get(key)
+        if had is not None:
+            self._shelves.get(had.shelf, {}).pop(key, None)
+        self.slips[key] = slip
+        self._shelves.setdefault(slip.shelf, {})[key] = None
+
+    def claim(self, key: str, holder: str) -> tuple[Outcome, Slip | None]:
+        """Grant a key, or say who has it; with it the record to write first, if one is new."""
+        had = self.slips.get(key)
+        if had is not None:
+            return (Granted() if had.holder == holder else Held(had.holder, had.answer)), None
+        if len(self.slips) >= MOST:
+            return Full(), None
+        slip = Slip(holder, self.shelf)
+        self._put(key, slip)
+        return Granted(), slip
+
+    def done(self, key: str, holder: str, answer: Any) -> Slip | None:
+        """Keep the answer of a key's first run; the record to write, if that is new."""
+        had = self.slips.get(key)
+        if had is None:  # this keeper missed the claim: a majority of others has it
+            slip = Slip(holder, self.shelf, answer)
+            self._put(key, slip)
+            return slip
+        if had.holder != holder or had.answer is not None:
+            return None
+        had.answer = answer
+        return had
+
+    def drop(self, key: str, holder: str) -> bool:
+        """Give a key back that never ran; whether there is a record to delete."""
+        had = self.slips.get(key)
+        if had is None or had.holder != holder or had.answer is not None:
+            return False
+        del self.slips[key]
+        self._shelves.get(had.shelf, {}).pop(key, None)
+        return True
+
+    def turn(self, now_s: float) -> list[str]:
+        """Let time pass; the keys whose window is over, to be deleted on disk."""
+        if not self._turned_s:
+            self._turned_s = now_s
+        while now_s - self._turned_s >= SHELF_S:
+            self._turned_s += SHELF_S
+            self.shelf += 1
+        # A record's shelf began SHELF_S before it at most; one more for a try that was sent later.
+        last = self.shelf - int(self.window_s / SHELF_S) - 3
+        over: list[str] = []
+        for number in [number for number in self._shelves if number <= last]:
+            keys = self._shelves.pop(number)
+            over += keys
+            for key in keys:
+                del self.slips[key]
+        return over
--- /dev/null
+++ b/athenaeum/carrel.py
@@ -0,0 +1,299 @@
+"""The node of the mesh, on sidecar machines: `orchidferry carrel`.
+
+Outbound, requests of this machine's clients and server get their route, their key and their server; inbound,
+the gate lets in what comes for the server here; at the control door that server tells of itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from athenaeum.accessions import DRAINING, IN_SERVICE, Record, Server
+from athenaeum.boot import Boot
+from athenaeum.circulation import Circulation
+from athenaeum.doors import JSON, Call, ControlDoor, told
+from athenaeum.faults import Fault, Kind
+from athenaeum.folio import Folio, Route, Table, parse
+from athenaeum.gate import Gate
+from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, own_answer
+from athenaeum.tier import Live, Tier
+from orchidferry.alarms import Alarms
+from orchidferry.config import now_ms
+from orchidferry.flow import Pool
+from orchidferry.frontend import Reply
+from orchidferry.request import Message
+
+CONNECT_MS = 400.0
+KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a line may idle
+CLAIM_S, CLAIM_SHARE = 1.0, 0.4  # for claiming a key: so long, or this share of the time left
+LOOK_S = 0.5
+SPARE_SOCKETS = 300
+ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
+STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
+STOP_MARGIN_S = 0.4  # before the platform kills
+
+
+class Waiting:
+    """A keyed request whose key is being claimed."""
+
+    def __init__(self) -> None:
+        self.gone = False
+        self.live: Live | None = None
+
+    def caller_gone(self) -> None:
+        self.gone = True
+        if self.live is not None:
+            self.live.caller_gone()
+
+
+class Nobody:
+    """Nothing is owed."""
+
+    def caller_gone(self) -> None:
+        """Nothing to do."""
+
+
+class Carrel:
+    """One node."""
+
+    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
+        self._boot, self._loop, self._rng = boot, loop, random.Random()
+        self._alarms = Alarms(loop)
+        self._room_most = max(64, boot.descriptors - SPARE_SOCKETS)
+        room = self._room
+        self._hops = Lines(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
+        self._visits = Lines(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
+        self._numbers: dict[str, int] = {}
+        self._tiers: dict[str, Tier] = {}
+        self._table = Table([])
+        self._folio: Folio | None = None
+        self._members: dict[str, Record] = {}
+        self._leaving = False
+        self._record_number = 0
+        pool = Pool(int(boot.memory_mb * 0.2e6))
+        self._outbound = DataDoor(self._take, self._room_most // 3, pool, lambda: True)
+        self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
+        self._ready = ControlDoor({"/orchidferry/readiness": self._readiness}, 64)
+        self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
+        assert boot.application is not None
+        self._gate = Gate(
+            boot.application, boot.bounds, boot.beat_ms, loop, self._alarms, self._visits, self._publish
+        )
+        self._news = Circulation(boot, loop, self._on_members, self._on_folio)
+
+    def _room(self) -> int:
+        used = self._hops.count() + self._visits.count() + self._outbound.count() + self._inbound.count()
+        return self._room_most - used
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until told to stop, and finish what is held."""
+        doors = {
+            "ready": self._ready, "control": self._control, "inbound": self._inbound,
+            "outbound": self._outbound,
+        }  # fmt: skip
+        for name, door in doors.items():
+            await door.listen(self._loop, self._boot.listen[name])
+        self._news.start()
+        self._publish()
+        self._look()
+        logger.info("carrel: serving {} at {}", self._boot.service, self._boot.ip)
+        await stopping.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        ends_s = self._loop.time() + self._boot.bounds.grace_s - STOP_MARGIN_S
+        logger.info("carrel: stopping")
+        self._leaving = True
+        self._publish()
+        await asyncio.sleep(STOP_READY_S)
+        self._gate.leaving = True
+        for door in (self._outbound, self._inbound):
+            try:
+                async with asyncio.timeout_at(ends_s - 1.0):
+                    await door.empty()
+            except TimeoutError:
+                pass
+        for door in (self._outbound, self._inbound):
+            try:
+                async with asyncio.timeout_at(ends_s):
+                    await door.wind_up()
+            except TimeoutError:
+                pass
+        logger.info("carrel: stopped")
+
+    def _look(self) -> None:
+        self._loop.call_later(LOOK_S, self._look)
+        self._gate.look()
+
+    # News
+
+    def _publish(self) -> None:
+        """Tell the keepers how this node stands."""
+        self._record_number += 1
+        server = self._gate.server
+        if server is not None and self._leaving and server.state == IN_SERVICE:
+            server = Server(
+                server.id, server.service, server.zone, DRAINING, server.capacity, 0.0, server.version
+            )
+        boot = self._boot
+        self._news.publish(
+            Record(
+                boot.name, self._news.boot_id, self._record_number, boot.zone, boot.ip,
+                boot.listen["inbound"][1], server,
+            )
+        )  # fmt: skip
+
+    def _on_members(self, members: dict[str, Record]) -> None:
+        self._members = members
+        known = {record.server.id for record in members.values() if record.server is not None}
+        for tier in self._tiers.values():
+            tier.servers(members)
+            tier.members(len(members))
+        for id in [id for id in self._numbers if id not in known]:
+            del self._numbers[id]
+
+    def _number(self, server: str) -> int:
+        number = self._numbers.get(server)
+        if number is None:
+            self._serial = getattr(self, "_serial", 0) + 1
+            number = self._numbers[server] = self._serial
+        return number
+
+    def _on_folio(self, revision: int, raw: bytes) -> None:
+        folio = parse(raw)
+        logger.info("folio: revision {} with {} routes", revision, len(folio.routes))
+        by_service: dict[str, list[Route]] = {name: [] for name in folio.services}
+        for route in folio.routes:
+            for service, _ in route.split:
+                by_service[service].append(route)
+        for name, routes in by_service.items():
+            tier = self._tiers.get(name)
+            if tier is None:
+                tier = self._tiers[name] = Tier(
+                    name, self._boot.service, self._boot.bounds, self._loop, self._alarms, self._hops,
+                    self._number,
+                )  # fmt: skip
+                tier.servers(self._members)
+                tier.members(len(self._members))
+            tier.configure(routes)
+        for name in [n for n in self._tiers if n not in by_service and not self._tiers[n].live]:
+            del self._tiers[name]
+        self._folio, self._table = folio, Table(folio.routes)
+        idle_s = folio.limits.get("idle_timer_ms", 60_000.0) / 1000.0
+        self._outbound.limit(idle_s, folio.limits.get("header_timer_ms", 3_000.0) / 1000.0)
+
+    # Outbound
+
+    def _take(self, message: Message, answer: Callable[[Reply], None]) -> Any:
+        assert isinstance(message, Asked)
+        if self._folio is None:
+            answer(own_answer(message, Fault(Kind.STARTING), 0.1))
+            return Nobody()
+        path = message.target.partition(b"?")[0].decode("latin-1")
+        route = self._table.find(message.host.decode("latin-1"), path)
+        if route is None:
+            answer(own_answer(message, Fault(Kind.NO_ROUTE)))
+            return Nobody()
+        message.cls, message.route = route.id, route
+        left_ms = message.budget_ms or route.guard_ms
+        ends_ms = now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms))
+        tier = self._tiers[self._service(route)]
+        if route.kind == "keyed" and message.key is not None:
+            return self._claim(message, route, tier, ends_ms, answer)
+        return tier.take(message, route, ends_ms, answer)
+
+    def _service(self, route: Route) -> str:
+        if len(route.split) == 1:
+            return route.split[0][0]
+        names, shares = zip(*route.split, strict=True)
+        return str(self._rng.choices(names, shares)[0])
+
+    def _claim(
+        self, message: Asked, route: Route, tier: Tier, ends_ms: float, answer: Callable[[Reply], None]
+    ) -> Waiting:
+        """A key is claimed before its first run, and its answer kept after it."""
+        assert message.key is not None
+        key, holder = message.key.decode("latin-1"), message.id
+        waiting = Waiting()
+
+        def over(said: Said | None, ran: bool) -> None:
+            if said is not None and said.flow is None and len(said.body) <= ANSWER_MOST:
+                headers = [list(header) for header in said.headers]
+                self._news.done(key, holder, [said.status, said.body, headers])
+            elif not ran:
+                self._news.drop(key, holder)
+
+        def claimed(what: str, kept: Any) -> None:
+            if what == "yours" and waiting.gone:
+                self._news.drop(key, holder)
+            elif waiting.gone:
+                return
+            elif what == "yours":
+                waiting.live = tier.take(message, route, ends_ms, answer, over)
+            elif what == "held":
+                answer(self._repeat(message, kept))
+            else:
+                answer(own_answer(message, Fault(Kind.NO_MAJORITY), 0.2))
+
+        left_s = (ends_ms - now_ms()) / 1000.0
+        self._news.claim(key, holder, max(0.0, min(CLAIM_S, CLAIM_SHARE * left_s)), claimed)
+        return waiting
+
+    def _repeat(self, message: Asked, kept: Any) -> Reply:
+        if kept is None:
+            return own_answer(message, Fault(Kind.KEY_AT_WORK), 0.1)
+        status, body, headers = kept
+        more = [*((name, value) for name, value in headers), (b"Attempt-Id", message.id.encode("latin-1"))]
+        return Reply(status, body, more=more)
+
+    # Inbound, and the server's own word
+
+    def _visit(self, message: Message, answer: Callable[[Reply], None]) -> Any:
+        return self._gate.accept(message, answer)
+
+    def _readiness(self, call: Call, rest: str, answer: Callable[[Reply], None]) -> None:
+        served = any(tier.ready for tier in self._tiers.values())
+        ready = self._folio is not None and self._news.settled and served and not self._leaving
+        answer(Reply(200, b"ready") if ready else Reply(503, b"not ready"))
+
+    def _instances(self, call: Call, rest: str, answer: Callable[[Reply], None]) -> None:
+        """Servers' registrations, beats and ends."""
+        if not rest or "/" in rest:
+            return answer(told(Fault(Kind.UNKNOWN, "/orchidferry/instances/ID")))
+        if call.method == b"DELETE":
+            self._gate.end(rest)
+            return answer(Reply(200, b"{}", JSON))
+        if call.method != b"PUT":
+            return answer(told(Fault(Kind.UNREADABLE, "PUT or DELETE")))
+        found = read_beat(rest, call.body)
+        if isinstance(found, Fault):
+            return answer(told(found))
+        server, sequence = found
+        fault = self._gate.beat(server, sequence)
+        answer(Reply(200, b"{}", JSON) if fault is None else told(fault))
+
+
+def read_beat(id: str, raw: bytes) -> tuple[Server, int] | Fault:
+    """A beat as a server and its call's number; the fault names the field."""
+    try:
+        data = json.loads(raw)
+        information, condition = data["information"], data["condition"]
+        state = condition["state"]
+        if state not in (IN_SERVICE, DRAINING):
+            return Fault(Kind.INVALID, f"beat: condition.state: {state!r} is no state")
+        server = Server(
+            id, str(information["service_name"]), str(information.get("zone", "")), state,
+            int(information["capacity"]), float(condition.get("cold_left_ms", 0.0)),
+            str(information.get("revision_number", "")),
+        )  # fmt: skip
+        return server, int(condition["call_sequence"])
+    except KeyError as problem:
+        return Fault(Kind.INVALID, f"beat: {problem.args[0]} is missing")
+    except (ValueError, TypeError, AttributeError) as problem:
+        return Fault(Kind.UNREADABLE, f"beat: {problem}")
--- /dev/null
+++ b/athenaeum/circulation.py
@@ -0,0 +1,312 @@
+"""A node's side of the control state: its lease at the keepers, and the news that comes from them.
+
+It keeps a link to every keeper that it knows of, so that no single keeper's silence holds news up, and asks
+all of a group for operation keys itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from athenaeum.accessions import Record, View, unpack
+from athenaeum.boot import Boot
+from athenaeum.wire import Link, dial
+
+RENEW_S = 0.5
+QUIET_S = 1.6  # a keeper that answers nothing for so long is not heard
+TICK_S = 0.1
+ASK_S = 0.7  # for one answer, before another keeper is asked
+CLAIM_AGAIN_S = 0.12  # a keeper that could not say is asked again
+KEEPERS_MOST = 16
+
+
+@dataclass(slots=True)
+class Keeper:
+    """What is known of one keeper."""
+
+    name: str
+    link: Link | None = None
+    dialling: bool = False
+    warm: bool = False
+    knows: tuple[int, int] = (0, -1)  # boot and number of the record that it has
+    next_dial_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Claim:
+    """One key that is being claimed."""
+
+    rid: int
+    key: str
+    holder: str
+    told: Callable[[str, Any], None]
+    epoch: int
+    until_s: float
+    again_s: float
+    yours: set[str] = field(default_factory=set)
+    held: set[str] = field(default_factory=set)
+    asked: set[str] = field(default_factory=set)
+
+
+class Circulation:
+    """All links of one node to the keepers."""
+
+    def __init__(
+        self,
+        boot: Boot,
+        loop: asyncio.AbstractEventLoop,
+        on_members: Callable[[dict[str, Record]], None],
+        on_folio: Callable[[int, bytes], None],
+    ) -> None:
+        self._boot, self._loop = boot, loop
+        self._on_members, self._on_folio = on_members, on_folio
+        self._rng = random.Random()
+        self.boot_id = self._rng.randrange(1, 2**53)
+        self._keepers: dict[str, Keeper] = {name: Keeper(name) for name in boot.seeds}
+        self.epoch, self.group = -1, boot.seeds
+        self._view = View()
+        self._members: dict[str, Record] = {}
+        self._record: Record | None = None
+        self._number = 0
+        self._rid = 0
+        self.revision = -1  # the newest that this node has
+        self._fetching: dict[int, tuple[str, float]] = {}  # by rid: keeper, and until when
+        self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
+        self._claims: dict[int, Claim] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._next_renew_s = 0.0
+        self._wanted = 0  # the newest revision that was heard of
+
+    def start(self) -> None:
+        """Begin."""
+        self._tick()
+
+    # The node's own record
+
+    def publish(self, record: Record) -> None:
+        """Tell all keepers this of the node, now and with each new link."""
+        self._record = record
+        for keeper in self._keepers.values():
+            self._renew(keeper)
+
+    def _renew(self, keeper: Keeper) -> None:
+        record, link = self._record, keeper.link
+        if record is None or link is None or not link.open:
+            return
+        same = keeper.knows == (record.boot, record.number)
+        link.send("renew", record.number, record.name, record.boot, None if same else record.packed())
+
+    # Links
+
+    def _tick(self) -> None:
+        self._loop.call_later(TICK_S, self._tick)
+        now = self._loop.time()
+        for keeper in list(self._keepers.values()):
+            link = keeper.link
+            if link is not None and link.open:
+                if now - link.heard_s > QUIET_S:
+                    logger.info("circulation: keeper {} is silent", keeper.name)
+                    link.close()
+            elif not keeper.dialling and now >= keeper.next_dial_s:
+                if keeper.name not in self.group and keeper.name not in self._boot.seeds:
+                    del self._keepers[keeper.name]
+                    continue
+                keeper.dialling, keeper.next_dial_s = True, now + 0.3
+                task = self._loop.create_task(self._dial(keeper))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        if now >= self._next_renew_s:
+            self._next_renew_s = now + RENEW_S
+            for keeper in self._keepers.values():
+                self._renew(keeper)
+        for rid, (_, until) in list(self._fetching.items()):
+            if until < now:
+                del self._fetching[rid]
+        if (not self.settled or self._wanted > self.revision) and not self._fetching:
+            self._fetch(None, "fetch" if self.settled else "read")
+        for claim in list(self._claims.values()):
+            if now >= claim.until_s:
+                self._end_claim(claim, "none", None)
+            elif now >= claim.again_s:
+                self._ask_claim(claim)
+
+    async def _dial(self, keeper: Keeper) -> None:
+        try:
+            link = await dial(self._heard, self._lost, keeper.name, self._boot.internal_port, self._boot.ip)
+            if link is not None:
+                link.peer = keeper.name
+                keeper.link, keeper.knows, keeper.warm = link, (0, -1), False
+                link.send("hello", self._boot.name)
+                self._renew(keeper)
+                for claim in self._claims.values():
+                    self._send_claim(claim, keeper)
+        finally:
+            keeper.dialling = False
+
+    def _lost(self, link: Link) -> None:
+        keeper = self._keepers.get(link.peer)
+        if keeper is not None and keeper.link is link:
+            keeper.link = None
+            for rid in [rid for rid, (name, _) in self._fetching.items() if name == keeper.name]:
+                del self._fetching[rid]
+            self._look()
+
+    def _heard(self, link: Link, message: list[Any]) -> None:
+        try:
+            self._take(link, message)
+        except (ValueError, TypeError, KeyError, IndexError) as problem:
+            logger.warning("circulation: a message {!r} can't be read: {}", message[0], problem)
+            link.close()
+
+    def _take(self, link: Link, message: list[Any]) -> None:
+        kind, keeper = message[0], self._keepers.get(link.peer)
+        if keeper is None or keeper.link is not link:
+            return
+        if kind == "slip":
+            self._slip(keeper, *message[1:])
+        elif kind == "lease":
+            number, known, warm = message[1:]
+            if self._record is not None:
+                keeper.knows = (self._record.boot, number) if known else (0, -1)
+                if not known:
+                    self._renew(keeper)
+            if warm and not keeper.warm:
+                keeper.warm = True
+                self._look()
+        elif kind == "entries":
+            self._view.change(keeper.name, [unpack(r) for r in message[1]], message[2])
+            self._look()
+        elif kind == "all":
+            keeper.warm = bool(message[1])
+            self._view.whole(keeper.name, [unpack(r) for r in message[2]])
+            self._look()
+        elif kind == "version":
+            self._wanted = max(self._wanted, message[1])
+            if self._wanted > self.revision and not self._fetching:
+                self._fetch(keeper, "fetch")
+        elif kind == "folio":
+            self._folio(*message[1:])
+        elif kind == "group":
+            self._group(message[1], tuple(message[2]))
+
+    def _group(self, epoch: int, group: tuple[str, ...]) -> None:
+        if epoch <= self.epoch:
+            return
+        logger.info("circulation: epoch {}, keepers {}", epoch, " ".join(group))
+        self.epoch, self.group = epoch, group
+        for name in group[:KEEPERS_MOST]:
+            self._keepers.setdefault(name, Keeper(name))
+        for claim in self._claims.values():
+            claim.epoch, claim.yours, claim.held, claim.asked = epoch, set(), set(), set()
+            self._ask_claim(claim)
+
+    # Members
+
+    def _look(self) -> None:
+        """Work out who is there anew.
+
+        A keeper that has just started may not know all yet: it adds nodes, and its silence takes none away.
+        """
+        heard = {k.name for k in self._keepers.values() if k.link is not None and k.link.open and k.warm}
+        members = self._view.members({k.name for k in self._keepers.values() if k.link is not None})
+        if not heard:
+            members = {**self._members, **members}
+        if members != self._members:
+            self._members = members
+            self._on_members(members)
+
+    @property
+    def heard(self) -> int:
+        """How many keepers are heard."""
+        return sum(k.link is not None and k.link.open for k in self._keepers.values())
+
+    # The configuration
+
+    def _fetch(self, keeper: Keeper | None, how: str) -> None:
+        if keeper is None:
+            open_ = [k for k in self._keepers.values() if k.link is not None and k.link.open]
+            if not open_:
+                return
+            keeper = self._rng.choice(open_)
+        if keeper.link is not None:
+            self._rid += 1
+            self._fetching[self._rid] = (keeper.name, self._loop.time() + ASK_S)
+            keeper.link.send(how, self._rid)
+
+    def _folio(self, rid: int, revision: int, raw: bytes) -> None:
+        asked = self._fetching.pop(rid, None)
+        if asked is None or revision < 0:
+            return
+        self.settled = True
+        if revision > self.revision:
+            self.revision = revision
+            if raw:
+                self._on_folio(revision, raw)
+
+    # Operation keys
+
+    def claim(self, key: str, holder: str, for_s: float, told: Callable[[str, Any], None]) -> None:
+        """Claim a key for one try; `told` hears once: `yours`, `held` and the answer (None: not known), or
+        `none`, if no majority said either in time. What was not granted is given back.
+        """
+        now = self._loop.time()
+        self._rid += 1
+        claim = Claim(self._rid, key, holder, told, self.epoch, now + for_s, now)
+        self._claims[claim.rid] = claim
+        self._ask_claim(claim)
+
+    def _ask_claim(self, claim: Claim) -> None:
+        claim.again_s = self._loop.time() + CLAIM_AGAIN_S
+        for name in self.group:
+            keeper = self._keepers.get(name)
+            if keeper is not None and name not in claim.yours and name not in claim.held:
+                self._send_claim(claim, keeper)
+
+    def _send_claim(self, claim: Claim, keeper: Keeper) -> None:
+        if keeper.link is not None and keeper.name in self.group:
+            claim.asked.add(keeper.name)
+            keeper.link.send("claim", claim.rid, claim.epoch, claim.key, claim.holder)
+
+    def _slip(self, keeper: Keeper, rid: int, epoch: int, what: str, answer: Any) -> None:
+        claim = self._claims.get(rid)
+        if claim is None or epoch != claim.epoch or keeper.name not in self.group:
+            return
+        if what == "held":
+            claim.held.add(keeper.name)
+            if answer is not None:
+                return self._end_claim(claim, "held", answer)
+        elif what == "yours":
+            claim.yours.add(keeper.name)
+        half = len(self.group) / 2.0
+        if len(claim.yours) > half:
+            self._end_claim(claim, "yours", None)
+        elif len(claim.held) > half or (claim.held and len(claim.held | claim.yours) == len(self.group)):
+            self._end_claim(claim, "held", None)
+
+    def _end_claim(self, claim: Claim, what: str, answer: Any) -> None:
+        del self._claims[claim.rid]
+        if what == "none" and claim.held:
+            what = "held"
+        if what != "yours":
+            self.drop(claim.key, claim.holder)
+        claim.told(what, answer)
+
+    def drop(self, key: str, holder: str) -> None:
+        """Give a key back: this try has not run and never will."""
+        self._tell_all("drop", key, holder)
+
+    def done(self, key: str, holder: str, answer: Any) -> None:
+        """Keep the answer of a key's first run."""
+        self._tell_all("done", key, holder, answer)
+
+    def _tell_all(self, *message: Any) -> None:
+        for name in self.group:
+            keeper = self._keepers.get(name)
+            if keeper is not None and keeper.link is not None:
+                keeper.link.send(*message)
--- /dev/null
+++ b/athenaeum/gate.py
@@ -0,0 +1,305 @@
+"""The gate of the server on this machine: nothing reaches the server but through here.
+
+It sends no more than the server works on, holds the rest for a moment in the order of rank, and turns away as
+not run what comes for another life of the server, too long after a drain was acknowledged, or too late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Callable
+
+from loguru import logger
+
+from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
+from athenaeum.boot import Address, Bounds
+from athenaeum.faults import Fault, Kind
+from athenaeum.lines import (
+    GONE as GATE_GONE,
+)
+from athenaeum.lines import (
+    LATE,
+    LOAD,
+    LOST,
+    MARGIN_MS,
+    PATIENCE,
+    RANK,
+    TIMES,
+    UNRUN,
+    Asked,
+    Lines,
+    Said,
+    head,
+    own_answer,
+    passed_on,
+)  # fmt: skip
+from nickelbridge.interface import Result
+from orchidferry.alarms import Alarms
+from orchidferry.config import now_ms
+from orchidferry.flow import Flow
+from orchidferry.frontend import Reply
+from orchidferry.request import Message
+from orchidferry.upstream import Answer, Attempt
+
+OVER = 1  # requests beyond its slots that a server is given, so that none of these is idle
+GUESS = 4  # slots of a server that has said nothing yet
+DRAIN_SHARE = 0.75  # of the time in which a drained server may still be reached
+HELD_SLOTS = 4  # times its slots: the most that wait here
+SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
+LEAST_LEFT_MS = 8.0
+REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
+SERVER = 1  # its number for the pool of lines
+ENDED_MOST = 64
+
+
+class Pass:
+    """A request at the gate."""
+
+    __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "rank", "timer")
+
+    def __init__(self, gate: Gate, message: Asked, answer: Callable[[Reply], None]) -> None:
+        self._gate, self.message, self.answer = gate, message, answer
+        self.ends_ms = now_ms() + message.budget_ms
+        rank = message.headers.get(RANK, b"9")
+        self.rank = int(rank) if rank.isdigit() else 9
+        self.once = TIMES in message.headers
+        self.attempt: Visit | None = None
+        self.owed, self.timer = True, 0
+
+    def caller_gone(self) -> None:
+        """Whoever sent it has gone. What may not run twice is let run."""
+        self.owed = False
+        if self.attempt is None:
+            self._gate.forget(self)
+        elif not self.once or not self.attempt.written:
+            self.attempt.break_off(Result.CANCELLED)
+
+    def reply(self, reply: Reply) -> None:
+        """The one answer."""
+        if self.owed:
+            self.owed = False
+            self.answer(reply)
+        elif reply.flow is not None:
+            reply.flow.call_off()
+
+
+class Visit(Attempt):
+    """A request on its way to the server."""
+
+    __slots__ = ("_gate", "_pass", "headers")
+
+    def __init__(self, gate: Gate, passing: Pass, address: Address, timeout_ms: float) -> None:
+        super().__init__(passing.message, SERVER, address, timeout_ms)
+        self._gate, self._pass = gate, passing
+        passing.attempt = self
+
+    def head_bytes(self) -> bytes:
+        headers = self._pass.message.headers
+        own = [(b"Time-Remaining", b"%d" % max(1.0, self._pass.ends_ms - now_ms()))]
+        for name, title in (
+            (b"target-instance", b"Target-Instance"),
+            (b"calling-service", b"Calling-Service"),
+        ):
+            if name in headers:
+                own.append((title, headers[name]))
+        return head(self._pass.message, own)
+
+    def may_send(self) -> bool:
+        return self._pass.owed and self._gate.open_for(self._pass.message) is None
+
+    def ended(self, result: Result, answer: Answer | None) -> None:
+        self._gate.left(self._pass, result, answer if isinstance(answer, Said) else None)
+
+
+class Gate:
+    """What is known of the server, and what waits for it."""
+
+    def __init__(
+        self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
+        alarms: Alarms, lines: Lines, changed: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
+        self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
+        self.server: Server | None = None
+        self._sequence = -1
+        self._ended: dict[str, None] = {}  # lives that are over, the oldest first
+        self._drained_ms = float("inf")  # when its drain was acknowledged
+        self._heard_ms = now_ms()
+        self._refused = 0  # connections in a row
+        self.inside = 0  # requests at the server
+        self._held: list[tuple[int, int, Pass]] = []
+        self._waiting = 0
+        self._serial = 0
+        self.leaving = False
+        self.passed = 0  # requests that went in, since the start
+
+    # Beats
+
+    def beat(self, server: Server, sequence: int) -> Fault | None:
+        """Take a server's word of itself; None if it is acknowledged."""
+        had = self.server
+        if server.id in self._ended:
+            return None  # late: its end stays its end
+        if had is not None and had.id == server.id:
+            if sequence <= self._sequence:
+                return None
+        elif had is not None:
+            self._ended[had.id] = None
+            while len(self._ended) > ENDED_MOST:
+                del self._ended[next(iter(self._ended))]
+        self._sequence, self._heard_ms = sequence, now_ms()
+        if had is None or had.id != server.id:
+            self._drained_ms = float("inf")
+            self._lines.gone(SERVER)
+        if server.state == DRAINING:
+            self._drained_ms = min(self._drained_ms, now_ms())
+        elif had is not None and had.state == GONE:  # it was only taken for gone
+            self._drained_ms = float("inf")
+        alike = had is not None and (had.id, had.state, had.service, had.capacity) == (
+            server.id, server.state, server.service, server.capacity,
+        )  # fmt: skip
+        if not alike:
+            self.server = server
+            logger.info("gate: server {} of {} is {}", server.id, server.service, server.state)
+            self._changed()
+        self._let_in()
+        return None
+
+    def end(self, id: str) -> None:
+        """A server has signed off."""
+        self._ended[id] = None
+        if self.server is not None and self.server.id == id:
+            self._gone("has signed off")
+
+    def look(self) -> None:
+        """A server that says nothing for long is gone; called now and then."""
+        silent = now_ms() - self._heard_ms > SILENT_BEATS * self._beat_ms
+        if silent and self.server is not None and self.server.state != GONE:
+            self._gone("is silent")
+
+    def _serving(self) -> bool:
+        return self.server is not None and self.server.state == IN_SERVICE
+
+    def _gone(self, why: str) -> None:
+        assert self.server is not None
+        had = self.server
+        logger.info("gate: server {} {}", had.id, why)
+        self.server = Server(had.id, had.service, had.zone, GONE, had.capacity, 0.0, had.version)
+        self._drained_ms = min(self._drained_ms, now_ms())
+        self._changed()
+
+    # Requests
+
+    def open_for(self, message: Asked) -> bytes | None:
+        """None if a request may go in; else what to say of it."""
+        server, target = self.server, message.headers.get(b"target-instance")
+        if server is not None:
+            if target is not None and target != server.id.encode("latin-1"):
+                return GATE_GONE
+            if server.state == GONE:
+                return GATE_GONE
+            if now_ms() > self._drained_ms + DRAIN_SHARE * self._bounds.drain_ms:
+                return GATE_GONE
+        return None
+
+    def accept(self, message: Message, answer: Callable[[Reply], None]) -> Pass:
+        """Take a request."""
+        assert isinstance(message, Asked)
+        passing = Pass(self, message, answer)
+        why = self.open_for(message)
+        if why is None and self.leaving:
+            why = GATE_GONE
+        if why is None and message.budget_ms < LEAST_LEFT_MS:
+            why = UNRUN
+        if why is not None:
+            self._turn_away(passing, why)
+        elif self.inside < self._slots():
+            self._enter(passing)
+        else:
+            self._hold(passing)
+        return passing
+
+    def _slots(self) -> int:
+        capacity = self.server.capacity if self.server is not None else GUESS
+        return max(1, capacity) + OVER
+
+    def _turn_away(self, passing: Pass, why: bytes) -> None:
+        load = self._waiting
+        passing.reply(own_answer(passing.message, Fault(Kind.SHED), gate=why, load=load))
+
+    def _hold(self, passing: Pass) -> None:
+        """Let it wait for a moment; the lowest rank goes where there is no room to wait."""
+        patience = passing.message.headers.get(PATIENCE, b"0")
+        wait_ms = min(
+            float(patience) if patience.isdigit() else 0.0, passing.ends_ms - now_ms() - LEAST_LEFT_MS
+        )
+        if wait_ms <= 0.0 or self._waiting >= HELD_SLOTS * self._slots():
+            return self._turn_away(passing, UNRUN)
+        self._serial += 1
+        self._waiting += 1
+        heapq.heappush(self._held, (passing.rank, self._serial, passing))
+        passing.timer = self._alarms.after(wait_ms / 1000.0, lambda: self._waited(passing))
+
+    def _waited(self, passing: Pass) -> None:
+        if passing.timer and passing.attempt is None and passing.owed:
+            passing.timer = 0
+            self._waiting -= 1
+            self._turn_away(passing, UNRUN)
+
+    def forget(self, passing: Pass) -> None:
+        """Nobody waits for one that is held."""
+        if passing.timer:
+            self._alarms.cancel(passing.timer)
+            passing.timer = 0
+            self._waiting -= 1
+
+    def _let_in(self) -> None:
+        while self._held and self.inside < self._slots():
+            _, _, passing = heapq.heappop(self._held)
+            if not passing.timer:
+                continue  # it has been answered
+            self.forget(passing)
+            why = self.open_for(passing.message)
+            if why is not None:
+                self._turn_away(passing, why)
+            else:
+                self._enter(passing)
+
+    def _enter(self, passing: Pass) -> None:
+        self.inside += 1
+        self.passed += 1
+        left_ms = passing.ends_ms - now_ms() + MARGIN_MS
+        visit = Visit(self, passing, self._application, max(1.0, left_ms))
+        self._lines.send(visit)
+
+    def left(self, passing: Pass, result: Result, said: Said | None) -> None:
+        """A request is out of the server, one way or another."""
+        self.inside -= 1
+        passing.reply(self._word(passing, result, said))
+        self._refused = self._refused + 1 if result is Result.UNREACHABLE else 0
+        if self._refused >= REFUSED and not self.inside and self._serving():
+            self._gone("can't be reached")
+        self._let_in()
+
+    def _word(self, passing: Pass, result: Result, said: Said | None) -> Reply:
+        message = passing.message
+        if said is not None and result in (Result.SERVED, Result.ERROR, Result.REFUSED):
+            if result is not Result.REFUSED and said.id is not None:
+                reply = passed_on(said)
+                reply.more = [*reply.more, (LOAD, b"%d" % self._waiting)]
+                return reply
+            if result is Result.REFUSED:
+                return own_answer(message, Fault(Kind.SHED), gate=UNRUN, load=self._waiting)
+        if said is not None and said.flow is not None:
+            said.flow.call_off()
+        if result is Result.MOOT:
+            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+        if result is Result.UNREACHABLE:
+            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+        if result is Result.TIMEOUT:
+            return own_answer(message, Fault(Kind.LATE), gate=LATE)
+        return own_answer(message, Fault(Kind.BROKEN), gate=LOST)
+
+
+__all__ = ["Flow", "Gate", "Pass"]
--- /dev/null
+++ b/athenaeum/tier.py
@@ -0,0 +1,380 @@
+"""One service as a node sees it: its servers, the decision module for it, and the attempts on their way.
+
+The module decides server, retry and refusal (`nickelbridge`); this turns what happens on lines into its events
+and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest by a
+backstop at its deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from athenaeum.accessions import DRAINING, IN_SERVICE, Record
+from athenaeum.boot import Address, Bounds
+from athenaeum.faults import Fault, Kind
+from athenaeum.folio import Route
+from athenaeum.lines import (
+    LATE,
+    MARGIN_MS,
+    PATIENCE,
+    RANK,
+    TIMES,
+    UNRUN,
+    Asked,
+    Lines,
+    Said,
+    head,
+    own_answer,
+    passed_on,
+)  # fmt: skip
+from nickelbridge import interface as api
+from nickelbridge.interface import Repeat, Result
+from nickelbridge.logic import Balancer
+from orchidferry.alarms import Alarms
+from orchidferry.config import now_ms
+from orchidferry.frontend import Reply
+from orchidferry.upstream import Answer, Attempt
+
+NEVER_RAN = frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT))
+RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
+SLACK_SHARE = 0.4  # of the slack, over all nodes
+SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
+RAMP_MS = 3_000.0  # a server that has started is taken for slow for so long, where it says nothing
+START_SHARE = 0.5
+PATIENCE_SHARE = 0.24  # of the aim: how long a gate may hold a request for room
+LATE_WORTH = 0.3
+LEAST_LEFT_MS = 5.0
+
+
+class Servers(Protocol):
+    """What tiers share: numbers and lines."""
+
+    def number(self, server: str) -> int: ...
+
+
+def class_name(route: Route) -> str:
+    """Routes that are alike are one class to the module: a long table costs it nothing."""
+    return f"{route.kind}-{route.aim_ms:g}-{route.guard_ms:g}-{route.rank}-{route.attempts}"
+
+
+def request_class(route: Route) -> api.RequestClass:
+    """A route as the decision module knows it."""
+    repeat = Repeat.SAFE if route.repeatable else Repeat.UNSAFE
+    return api.RequestClass(
+        class_name(route), max(1.0, route.aim_ms), max(1.0, route.guard_ms), 4.0 / 2.0 ** min(route.rank, 8),
+        LATE_WORTH, repeat,
+    )  # fmt: skip
+
+
+class Live:
+    """A request that is owed its answer."""
+
+    __slots__ = (
+        "answer", "attempts", "backstop", "began_ms", "ends_ms", "id", "message", "on_end", "owed", "ran",
+        "route", "said", "tier",
+    )  # fmt: skip
+
+    def __init__(
+        self, tier: Tier, id: str, message: Asked, route: Route, ends_ms: float,
+        answer: Callable[[Reply], None], on_end: Callable[[Said | None, bool], None] | None,
+    ) -> None:  # fmt: skip
+        self.tier, self.id, self.message, self.route = tier, id, message, route
+        self.began_ms, self.ends_ms, self.answer = now_ms(), ends_ms, answer
+        self.on_end = on_end  # hears the answer of a run, if there is one, and whether it may have run
+        self.owed, self.ran, self.attempts, self.backstop = True, False, 0, 0
+        self.said: Said | None = None  # the last answer of a server that ran it
+
+    def caller_gone(self) -> None:
+        self.tier.caller_gone(self)
+
+    def overdue(self) -> None:
+        self.tier.overdue(self)
+
+
+class Hop(Attempt):
+    """An attempt on its way to the gate of a server."""
+
+    __slots__ = ("_live", "_number", "_sent_ms", "_target")
+
+    def __init__(self, live: Live, server: int, target: str, address: Address, timeout_ms: float) -> None:
+        super().__init__(live.message, server, address, timeout_ms)
+        self._live, self._target, self._number = live, target, live.attempts
+        self._sent_ms = now_ms()
+        live.attempts += 1
+        live.tier.out[live.id, self._number] = self
+
+    def head_bytes(self) -> bytes:
+        live = self._live
+        left_ms = max(1.0, live.ends_ms - now_ms() - MARGIN_MS)
+        held = PATIENCE_SHARE * live.route.aim_ms - (now_ms() - live.began_ms)
+        own = [
+            (b"Time-Remaining", b"%d" % left_ms),
+            (b"Target-Instance", self._target.encode("latin-1")),
+            (b"Calling-Service", live.tier.caller),
+            (RANK, b"%d" % live.route.rank),
+            (PATIENCE, b"%d" % max(0.0, held)),
+        ]
+        if not live.route.repeatable:
+            own.append((TIMES, b"1"))
+        return head(live.message, own)
+
+    def may_send(self) -> bool:
+        flow = self.message.flow
+        beginnable = flow is None or flow.can_begin()
+        return beginnable and self._live.owed and self._live.tier.serves(self.server)
+
+    def ended(self, result: Result, answer: Answer | None) -> None:
+        live, tier = self._live, self._live.tier
+        del tier.out[live.id, self._number]
+        said = answer if isinstance(answer, Said) else None
+        if result not in NEVER_RAN and self.written:
+            live.ran = True
+        if said is not None and said.gate is None and result in (Result.SERVED, Result.ERROR):
+            whole = said.id is not None and not said.encoded and (said.seal or said.status >= 300)
+            live.said = said if whole else live.said
+        if result is Result.SERVED and said is not None:
+            tier.finish(live, passed_on(said))
+        if said is not None and said.flow is not None and not said.flow.fed_by_now():
+            said.flow.call_off()
+        flow = self.message.flow
+        spent = flow is not None and (flow.spent or flow.over)
+        report = said.report if said is not None else None
+        tier.handle(
+            api.AttemptEnded(
+                live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
+                spent,
+            )
+        )  # fmt: skip
+        if not live.owed:
+            tier.over(live)
+
+
+class Tier:
+    """One service."""
+
+    def __init__(
+        self, name: str, caller: str, bounds: Bounds, loop: asyncio.AbstractEventLoop, alarms: Alarms,
+        lines: Lines, numbers: Callable[[str], int],
+    ) -> None:  # fmt: skip
+        self.name, self.caller = name, caller.encode("latin-1")
+        self._bounds, self._loop, self._alarms, self._lines, self._numbers = (
+            bounds,
+            loop,
+            alarms,
+            lines,
+            numbers,
+        )
+        self._rng = random.Random()
+        self._classes: dict[str, api.RequestClass] = {}
+        self._attempts, self._members = 1, 1
+        self._balancer: Balancer | None = None
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._serial = 0
+        self.live: dict[str, Live] = {}
+        self.out: dict[tuple[str, int], Hop] = {}
+        self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
+        self._ready: set[int] = set()
+        self._entries: dict[int, api.ServerEntry] = {}
+
+    # What the tier is told
+
+    def configure(self, routes: list[Route]) -> None:
+        """Serve these routes from now on; requests that were taken keep theirs."""
+        self._classes = {name: cls for name, cls in ((class_name(r), request_class(r)) for r in routes)}
+        self._attempts = max((r.attempts for r in routes), default=1)
+        self._settle()
+
+    def members(self, count: int) -> None:
+        """So many nodes share the slack of further tries."""
+        if count != self._members:
+            self._members = count
+            self._settle()
+
+    def _settle(self) -> None:
+        if not self._classes:
+            return
+        bounds = self._bounds
+        settings = api.Settings(
+            list(self._classes.values()), max_attempts=self._attempts, can_cancel=True,
+            connect_timeout_ms=400.0, keepalive_ms=10_000.0, start_capacity=START_SHARE, ramp_time_ms=RAMP_MS,
+            repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
+            extra_floor=SLACK_SHARE * bounds.retry_slack / (SPARE_NODES * max(1, self._members)),
+            resend_span_ms=bounds.retry_window_s * 1000.0,
+        )  # fmt: skip
+        if self._balancer is None:
+            self._balancer = Balancer(settings, self._rng.randrange(2**31))
+            self.handle(api.Started())
+            self.handle(api.ServerList(api.ListKind.FULL, 0, list(self._entries.values())))
+        else:
+            self.handle(api.NewSettings(settings))
+
+    def servers(self, records: dict[str, Record]) -> None:
+        """Whoever serves this service now, by the news of all nodes."""
+        now = now_ms()
+        entries: dict[int, api.ServerEntry] = {}
+        targets: dict[int, tuple[str, Address]] = {}
+        for record in records.values():
+            server = record.server
+            if server is None or server.service != self.name or server.state not in (IN_SERVICE, DRAINING):
+                continue
+            number = self._numbers(server.id)
+            had = self._entries.get(number)
+            started = had.started_ms if had is not None else None
+            if had is None and server.cold_left_ms > 0:
+                started = now + server.cold_left_ms - RAMP_MS
+            health = api.Health.IN_SERVICE if server.state == IN_SERVICE else api.Health.DRAINING
+            entries[number] = api.ServerEntry(number, server.zone, health=health, started_ms=started)
+            targets[number] = (server.id, (record.ip, record.inbound))
+        changes = [entry for number, entry in entries.items() if self._entries.get(number) != entry]
+        gone = [number for number in self._entries if number not in entries]
+        self._entries, self._targets = entries, targets
+        self._ready = {n for n, entry in entries.items() if entry.health is api.Health.IN_SERVICE}
+        for number in gone:
+            self._lines.gone(number)
+        changes += [api.ServerEntry(number, health=api.Health.GONE) for number in gone]
+        if changes:
+            self.handle(api.ServerList(api.ListKind.CHANGES, 0, changes))
+
+    def serves(self, number: int) -> bool:
+        """Whether a server may be sent to."""
+        return number in self._ready
+
+    @property
+    def ready(self) -> int:
+        """How many servers are in service."""
+        return len(self._ready)
+
+    # Requests
+
+    def take(
+        self, message: Asked, route: Route, ends_ms: float, answer: Callable[[Reply], None],
+        on_end: Callable[[Said | None, bool], None] | None = None,
+    ) -> Live:  # fmt: skip
+        """Take a request; it is answered once, now or later."""
+        self._serial += 1
+        live = Live(self, f"{self._serial}", message, route, ends_ms, answer, on_end)
+        self.live[live.id] = live
+        live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
+        name = class_name(route)
+        if self._balancer is None or name not in self._balancer.classes:
+            self.finish(live, own_answer(message, Fault(Kind.SHED, "the route has just changed"), 0.05))
+            self.over(live)
+            return live
+        left_ms = max(0.0, ends_ms - now_ms())
+        self.handle(api.Request(live.id, name, left_ms, upload=message.flow is not None))
+        return live
+
+    def finish(self, live: Live, reply: Reply) -> None:
+        """Answer a request, if that is still owed."""
+        if live.owed:
+            live.owed = False
+            self._alarms.cancel(live.backstop)
+            self.live.pop(live.id, None)
+            live.answer(reply)
+
+    def over(self, live: Live) -> None:
+        """Nothing more happens to a request once none of its attempts is out: whoever waits for that hears."""
+        if live.on_end is not None and not any(id == live.id for id, _ in self._out_of(live)):
+            on_end, live.on_end = live.on_end, None
+            on_end(live.said, live.ran)
+
+    def _out_of(self, live: Live) -> list[tuple[str, int]]:
+        return [(live.id, n) for n in range(live.attempts) if (live.id, n) in self.out]
+
+    def overdue(self, live: Live) -> None:
+        """Its time is over."""
+        if not live.owed:
+            return
+        if live.said is not None:
+            self.finish(live, passed_on(live.said))
+        else:
+            kind = Kind.LATE if live.attempts else Kind.SHED
+            self.finish(live, own_answer(live.message, Fault(kind), None if live.attempts else 0.05))
+        self.handle(api.ClientGone(live.id))
+        self.over(live)
+
+    def caller_gone(self, live: Live) -> None:
+        """Nobody waits for the answer. What may not run twice is let run, and its answer is kept."""
+        if live.owed:
+            live.owed = False
+            self._alarms.cancel(live.backstop)
+            self.live.pop(live.id, None)
+            self.handle(api.ClientGone(live.id))
+            self.over(live)
+
+    # The module
+
+    def handle(self, event: api.Event) -> None:
+        """Give the module an event and do what it says; events raised meanwhile wait their turn."""
+        if self._balancer is None:
+            return
+        if self._handling:
+            self._events.append(event)
+            return
+        self._handling = True
+        try:
+            while True:
+                try:
+                    for action in self._balancer.handle(event, now_ms()):
+                        self._do(action)
+                except Exception:  # a request that this leaves open is ended by its backstop
+                    logger.exception("tier: handling {}", type(event).__name__)
+                if not self._events:
+                    break
+                event = self._events.popleft()
+        finally:
+            self._handling = False
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer():
+                self._loop.call_later(action.delay_ms / 1000.0, self.handle, api.TimerFired(action.token))
+            case api.Fail() | api.Refuse():
+                live = self.live.get(action.id)
+                if live is not None:
+                    after_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
+                    self._unserved(live, after_ms)
+                    self.over(live)
+            case api.Cancel():
+                for number in range(action.attempt, -1, -1):
+                    if (hop := self.out.get((action.id, number))) is not None:
+                        hop.break_off(Result.CANCELLED)
+                        break
+            case api.CloseIdle():
+                self._lines.close_idle(action.server)
+            case _:
+                pass
+
+    def _unserved(self, live: Live, retry_after_ms: float) -> None:
+        """The module has given it up: answered at once, and as what it is."""
+        if live.said is not None:
+            return self.finish(live, passed_on(live.said))
+        if live.ran:
+            return self.finish(live, own_answer(live.message, Fault(Kind.BROKEN)))
+        wait_s = min(retry_after_ms, max(20.0, 0.2 * (live.ends_ms - now_ms()))) / 1000.0
+        self.finish(live, own_answer(live.message, Fault(Kind.SHED), wait_s))
+
+    def _send(self, action: api.Send) -> None:
+        live, number = self.live.get(action.id), action.server
+        if live is None or number not in self._ready:
+            count = live.attempts if live is not None else 0
+            return self.handle(api.AttemptEnded(action.id, count, number, Result.MOOT, 0.0, live is None))
+        if live.attempts >= live.route.attempts:  # the module knows the most of all routes
+            self._unserved(live, 0.0)
+            self.handle(api.AttemptEnded(action.id, live.attempts, number, Result.MOOT, 0.0, True))
+            return self.over(live)
+        timeout_ms = min(action.timeout_ms, live.ends_ms - now_ms() - MARGIN_MS / 2.0)
+        target, address = self._targets[number]
+        self._lines.send(Hop(live, number, target, address, max(0.0, timeout_ms)))
+
+
+__all__ = ["LATE", "UNRUN", "Live", "Tier"]
--- /dev/null
+++ b/athenaeum/wire.py
@@ -0,0 +1,114 @@
+"""What the system's own processes say to each other: length-prefixed cbor2 over TCP, on an internal port.
+
+A message is a list: its kind, then its fields. Links are kept; a link that is silent is ended by whoever
+keeps it, as each side sends something at least every `QUIET_S`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import cbor2
+
+MOST = 16 * 1024 * 1024  # bytes of one message
+CHOKED = 8 * 1024 * 1024  # bytes that may wait for a peer that does not read
+USER_TIMEOUT_MS = 2_000
+
+
+def pack(message: list[Any]) -> bytes:
+    """A message as it goes out."""
+    body = cbor2.dumps(message)
+    return len(body).to_bytes(4, "big") + body
+
+
+class Link(asyncio.Protocol):
+    """One connection between two processes of the system."""
+
+    def __init__(
+        self, heard: Callable[[Link, list[Any]], None], lost: Callable[[Link], None],
+        made: Callable[[Link], None] | None = None,
+    ) -> None:  # fmt: skip
+        self._heard, self._lost, self._made = heard, lost, made
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self.peer: Any = None  # whoever keeps the link notes here who it is
+        self.heard_s = 0.0  # when something came last
+        self._clock = asyncio.get_running_loop().time
+
+    @property
+    def open(self) -> bool:
+        """Whether something may be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(CHOKED)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.heard_s = self._clock()
+        if self._made is not None:
+            self._made(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_s = self._clock()
+        buffer = self._buffer
+        buffer += data
+        at = 0
+        while len(buffer) - at >= 4:
+            size = int.from_bytes(buffer[at : at + 4], "big")
+            if size > MOST:
+                return self.close()
+            if len(buffer) - at - 4 < size:
+                break
+            try:
+                message = cbor2.loads(bytes(buffer[at + 4 : at + 4 + size]))
+            except (ValueError, EOFError):  # what cbor2 raises for what it can't read
+                return self.close()
+            at += 4 + size
+            if isinstance(message, list) and message:
+                self._heard(self, message)
+            if not self.open:
+                return
+        del buffer[:at]
+
+    def send(self, *message: Any) -> None:
+        """Send a message; nothing if the link is down."""
+        if self.open:
+            self.send_packed(pack(list(message)))
+
+    def send_packed(self, data: bytes) -> None:
+        """The same for one that was packed once for many."""
+        if self._transport is not None and self.open:
+            if self._transport.get_write_buffer_size() > CHOKED:
+                return self.close()
+            self._transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._lost(self)
+
+    def close(self) -> None:
+        """End it now."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def dial(
+    heard: Callable[[Link, list[Any]], None], lost: Callable[[Link], None], host: str, port: int,
+    own_ip: str, wait_s: float = 1.0,
+) -> Link | None:  # fmt: skip
+    """A new link; None if there is none within the time."""
+    loop = asyncio.get_running_loop()
+    link = Link(heard, lost)
+    try:
+        async with asyncio.timeout(wait_s):
+            await loop.create_connection(lambda: link, host, port, local_addr=(own_ip, 0))
+    except OSError:
+        link.close()
+        return None
+    return link
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -89,7 +89,7 @@
     """An answer as one piece of bytes, to be written at once."""
     length = len(reply.body) if reply.flow is None else reply.flow.length
     return b"%b%b%b%b%b%b%b\r\n%b" % (
-        STATUS_LINES[reply.status],
+        STATUS_LINES.get(reply.status) or b"HTTP/1.1 %d Other\r\n" % reply.status,
         b"Content-Type: %b\r\n" % reply.content_type if reply.content_type is not None else b"",
         b"Retry-After: %.3f\r\n" % reply.retry_after_s if reply.retry_after_s is not None else b"",
         b"Alt-Svc: %b\r\n" % alt_svc if alt_svc is not None else b"",
@@ -295,7 +295,7 @@
             self._reject(431, "headers too large")
         elif self._headers_done:
             return  # a trailer: nothing here asks for them, and none may stand in for a header
-        elif name in SINGLE and name in self._headers:
+        elif name in self._frontend.single and name in self._headers:
             self._reject(400, "a header came twice")
         elif not self._deaf:
             self._headers[name] = value.strip()
@@ -331,7 +331,7 @@
                 self._reject(413, "body over 32 MiB")
             return
         self._body.append(body)
-        if self._size > MAX_BODY:
+        if self._size > self._frontend.held_most:
             self._let_flow()
 
     def _expects(self) -> None:
@@ -385,10 +385,10 @@
     # Requests and answers
 
     def _message(self, flow: Flow | None = None) -> Message | Reply:
-        if self._target.startswith(OWN_PATHS):
-            return self._frontend.own_path(self._target.partition(b"?")[0])
         method, body = self._parser.get_method(), b"".join(self._body)
-        message = read_message(self._frontend.classes, method, self._target, self._headers, body, flow)
+        message = self._frontend.read(method, self._target, self._headers, body, flow)
+        if isinstance(message, Reply):
+            return message
         message.long_answer = self._parser.get_http_version() != "1.0"
         return message
 
@@ -472,6 +472,11 @@
 class Frontend:
     """The listener and all callers' connections."""
 
+    kind: type[Caller] = Caller  # what its connections speak
+    single = SINGLE  # headers that may come once
+    held_most = MAX_BODY  # bytes of a request that are read whole; a longer one flows
+    limits_s = LIMITS_S  # how long each stage may last
+
     def __init__(
         self,
         classes: dict[str, api.RequestClass],
@@ -492,7 +497,7 @@
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         self._loop = loop
-        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG, reuse_port=True)
+        server = await loop.create_server(lambda: self.kind(self), *address, backlog=BACKLOG, reuse_port=True)
         self._server = server
         self._sweep()
         host, port = server.sockets[0].getsockname()[:2]
@@ -502,6 +507,14 @@
         """Callers' connections that are open."""
         return sum(map(len, self._stages.values()))
 
+    def read(
+        self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, flow: Flow | None
+    ) -> Message | Reply:
+        """A whole request, or what to answer to it at once; `Unacceptable` says what is wrong with it."""
+        if target.startswith(OWN_PATHS):
+            return self.own_path(target.partition(b"?")[0])
+        return read_message(self.classes, method, target, headers, body, flow)
+
     def own_path(self, path: bytes) -> Reply:
         """Answer for the node itself."""
         if path != READY_PATH:
@@ -548,7 +561,7 @@
         """End what has waited too long. Each stage is in order of time, so only its head is looked at."""
         self._loop.call_later(SWEEP_S, self._sweep)
         now = self._loop.time()
-        for stage, limit_s in LIMITS_S.items():
+        for stage, limit_s in self.limits_s.items():
             late = []
             for caller, since in self._stages[stage].items():
                 if now - since < limit_s:
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -66,6 +66,10 @@
         self._alarm = 0
         self._cancel_io: Callable[[], object] | None = None
 
+    def head_bytes(self) -> bytes:
+        """The request as it goes to the server, with its body unless that flows."""
+        return request_bytes(self.message, self.address, self.timeout_ms, self.more)
+
     def may_send(self) -> bool:
         """Whether it may still go out: asked after a wait for a connection."""
         raise NotImplementedError
@@ -179,6 +183,8 @@
         "idle_since", "server",
     )  # fmt: skip
 
+    held_most = MAX_BODY  # bytes of an answer that are read whole; a longer one flows
+
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
         self.server, self.address, self.idle_since = server, address, 0.0
         self._pool = pool
@@ -291,9 +297,7 @@
         self._attempt = attempt
         self._start_answer()
         attempt.carried_by(self.close)
-        self._transport.write(
-            request_bytes(attempt.message, attempt.address, attempt.timeout_ms, attempt.more)
-        )
+        self._transport.write(attempt.head_bytes())
         flow = attempt.message.flow
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
@@ -363,9 +367,17 @@
         pieces, self._body = self._body, []
         for piece in pieces:
             flow.push(piece, now_s)
-        attempt.end(Result.SERVED, Answer(self._status, b"", self._type, self._report, flow))
+        attempt.end(Result.SERVED, self._made(b"", flow))
         return True
 
+    def _made(self, body: bytes, flow: Flow | None = None) -> Answer:
+        """The answer that has come."""
+        return Answer(self._status, body, self._type, self._report, flow, self._chain)
+
+    def _judged(self, answer: Answer) -> Result:
+        """What it means for the attempt."""
+        return result_of(answer.status, self._rejected)
+
     def _flowed(self) -> None:
         """The last of a long answer has come."""
         flow, self._answer_flow = self._answer_flow, None
@@ -380,9 +392,8 @@
             flow.finish()
 
     def _answered(self) -> None:
-        body = b"".join(self._body)
-        answer = Answer(self._status, body, self._type, self._report, chain=self._chain)
-        self._end(result_of(self._status, self._rejected), self._keep, answer)
+        answer = self._made(b"".join(self._body))
+        self._end(self._judged(answer), self._keep, answer)
 
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
         attempt, self._attempt = self._attempt, None
@@ -431,7 +442,7 @@
             self._spoilt = self._spoilt or (
                 self._status >= 200 and self._framings != 1 and not self._to_close
             )
-            if self._status >= 200 and self._length is not None and self._length > MAX_BODY:
+            if self._status >= 200 and self._length is not None and self._length > self.held_most:
                 self._spoilt = self._spoilt or not self._flows()
 
     def on_body(self, body: bytes) -> None:
@@ -445,7 +456,7 @@
             return
         self._size += len(body)
         self._body.append(body)
-        if self._size > MAX_BODY and not self._flows():
+        if self._size > self.held_most and not self._flows():
             self._spoilt = True
             self._body.clear()
 
@@ -462,6 +473,8 @@
 class Upstream:
     """All connections to servers."""
 
+    kind: type[Connection] = Connection  # what its connections speak
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -514,7 +527,7 @@
         attempt.carried_by(dial.cancel)
 
     async def _dial(self, attempt: Attempt) -> None:
-        connection = Connection(self, attempt.server, attempt.address)
+        connection = self.kind(self, attempt.server, attempt.address)
         result, kept = Result.UNREACHABLE, False
         try:
             async with asyncio.timeout(self._connect_timeout_s):
