Reads look at what was accepted; voters before a change count until it is known to be decided

Cause: after a loss of power three keepers duelled with rounds of reading for 2 s, and servers that had just started got nothing while the module's budget for cold ones had no rate to go by. Change: a read compares what a majority has accepted and writes nothing; a state carries the former voters until whoever builds on it knows the change was decided; a cold server has half a part, and its gate spares it.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -32,7 +32,10 @@
 ALIVE_S = 1.5  # a keeper that was heard within this is alive
 DEAD_S = 2.5  # one that was not is dead, as far as this one knows
 TICK_S = 0.05
-LEARN_S = 0.3  # what was accepted and isn't known to be decided is looked at after so long
+DIAL_S = 0.15
+PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
+PEEKS = 20
+LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
 PUT_MS, READ_MS = 4_000.0, 3_000.0
 BATCH = 200  # keys in one message of repair
 RETRY_AFTER_S = 0.2
@@ -61,12 +64,14 @@
         self._nodes: dict[Link, str] = {}  # nodes that listen, by link
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
+        self._dial_s: dict[str, float] = {}  # when each may be dialled again
         self._tasks: set[asyncio.Task[Any]] = set()
         self._heard_s: dict[str, float] = {}  # keepers
         self._asked: dict[str, Callable[[Done | None], None]] = {}
         self._number = 0
         self._readers: list[Callable[[Value | None], None]] = []
         self._reading = False
+        self._peeks: dict[int, tuple[Kept, list[parts.Seen], Callable[[Value | None], None]]] = {}
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
         self._sources: dict[
             str, bool
@@ -163,9 +168,6 @@
                     link.close()
                 else:
                     link.send("beat", self._name, self._known.version)
-            elif name in self._keepers() and name not in self._dialling:
-                self._dialling.add(name)
-                self._spawn(self._dial(name))
         self._join()
 
     def _spawn(self, work: Any) -> None:
@@ -185,6 +187,11 @@
             self._dialling.discard(name)
 
     def _tick(self, now: float) -> None:
+        for name in self._keepers():
+            if name not in self._peers and name not in self._dialling and now >= self._dial_s.get(name, 0.0):
+                self._dialling.add(name)
+                self._dial_s[name] = now + DIAL_S
+                self._spawn(self._dial(name))
         for name in self._members.lapse(now):
             logger.info("accessions: {} has not renewed its lease", name)
             self._tell_nodes(["entries", [], [name]])
@@ -247,6 +254,12 @@
         elif kind == "read":
             rid = message[1]
             self._read(lambda value: self._tell_folio(link, rid, value))
+        elif kind == "peek":
+            self._tell_peek(link, *message[1:])
+        elif kind == "peeked":
+            number, (name, memory), accepted, packed = message[1:]
+            seen = parts.Seen(Voter(name, memory), tuple(accepted), parts.unpack_value(packed))
+            self._peeked(number, seen)
         elif kind == "fetch":
             self._tell_folio(link, message[1], self._known)
         elif kind == "keeper":
@@ -423,12 +436,56 @@
         if not waiting:
             return
 
-        def done(end: Done | None) -> None:
+        def done(value: Value | None) -> None:
             for told in waiting:
-                told(end.value if end is not None else None)
+                told(value)
             self._next_read()
 
-        self._ask(parts.read, READ_MS, done)
+        self._peek(done)
+
+    def _peek(self, done: Callable[[Value | None], None], again: int = PEEKS) -> None:
+        """Look at what the voters have accepted; where that settles nothing, run a round."""
+        self._number += 1
+        number, kept = self._number, self._acceptor.kept
+        self._peeks[number] = (kept, [], done)
+        for name in self._keepers():
+            link = self._peers.get(name)
+            if link is not None:
+                link.send("peek", number, list(kept.accepted))
+        self._loop.call_later(PEEK_S, self._peek_over, number, again)
+        if self._clean:
+            self._peeked(number, parts.Seen(self._voter, kept.accepted, None))
+
+    def _tell_peek(self, link: Link, number: int, has: list[Any]) -> None:
+        kept = self._acceptor.kept
+        if self._clean:
+            value = None if tuple(has) == kept.accepted else parts.pack_value(kept.value)
+            voter = [self._name, kept.memory]
+            link.send("peeked", number, voter, list(kept.accepted), value)
+
+    def _peeked(self, number: int, seen: parts.Seen) -> None:
+        asked = self._peeks.get(number)
+        if asked is None:
+            return
+        kept, all_, done = asked
+        all_.append(seen)
+        first = self._proposer.known if self._founder and not self._proposer.known.version else None
+        value = parts.stands(all_, kept.value, kept.accepted, first)
+        if value is not None:
+            del self._peeks[number]
+            self._learn(value)
+            done(self._known)
+
+    def _peek_over(self, number: int, again: int) -> None:
+        asked = self._peeks.pop(number, None)
+        if asked is None:
+            return
+        if 2 * len(asked[1]) > len(self._known.voters):  # enough have answered, and differ
+            self._ask(parts.read, READ_MS, lambda end: asked[2](end.value if end is not None else None))
+        elif again:
+            self._peek(asked[2], again - 1)
+        else:
+            asked[2](None)
 
     def _learn(self, value: Value) -> None:
         """A state that was decided."""
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -33,6 +33,7 @@
 KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a line may idle
 CLAIM_S, CLAIM_SHARE = 1.0, 0.4  # for claiming a key: so long, or this share of the time left
 LOOK_S = 0.5
+STARTING_S = 0.6  # when to come back to a node that has no configuration yet
 SPARE_SOCKETS = 300
 ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
 STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
@@ -193,7 +194,7 @@
     def _take(self, message: Message, answer: Callable[[Reply], None]) -> Any:
         assert isinstance(message, Asked)
         if self._folio is None:
-            answer(own_answer(message, Fault(Kind.STARTING), 0.1))
+            answer(own_answer(message, Fault(Kind.STARTING), STARTING_S))
             return Nobody()
         path = message.target.partition(b"?")[0].decode("latin-1")
         route = self._table.find(message.host.decode("latin-1"), path)
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -21,7 +21,7 @@
 RENEW_S = 0.5
 QUIET_S = 1.6  # a keeper that answers nothing for so long is not heard
 TICK_S = 0.1
-ASK_S = 0.7  # for one answer, before another keeper is asked
+ASK_S = 0.4  # for one answer, before another keeper is asked
 CLAIM_AGAIN_S = 0.12  # a keeper that could not say is asked again
 KEEPERS_MOST = 16
 
@@ -117,7 +117,7 @@
                 if keeper.name not in self.group and keeper.name not in self._boot.seeds:
                     del self._keepers[keeper.name]
                     continue
-                keeper.dialling, keeper.next_dial_s = True, now + 0.3
+                keeper.dialling, keeper.next_dial_s = True, now + 0.15
                 task = self._loop.create_task(self._dial(keeper))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
@@ -144,6 +144,8 @@
                 keeper.link, keeper.knows, keeper.warm = link, (0, -1), False
                 link.send("hello", self._boot.name)
                 self._renew(keeper)
+                if not self.settled:
+                    self._fetch(keeper, "read")
                 for claim in self._claims.values():
                     self._send_claim(claim, keeper)
         finally:
--- a/athenaeum/parts.py
+++ b/athenaeum/parts.py
@@ -20,6 +20,7 @@
     Promise,
     Value,
     Voter,
+    majority,
 )  # fmt: skip
 
 TAKEN_MOST = 64  # configurations whose numbers and digests are remembered
@@ -92,6 +93,38 @@
     return change
 
 
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What one voter has accepted last, on its disk. `value`: None where the asker has that one itself."""
+
+    voter: Voter
+    accepted: tuple[int, str]
+    value: Value | None
+
+
+def stands(seen: list[Seen], own: Value | None, own_ballot: tuple[int, str], first: Value | None) -> Value | None:
+    """The state that was decided, if what a majority has accepted shows it; None if a round has to be run.
+
+    A majority that accepted one ballot has decided it; anything decided later would have been accepted by one
+    of them. Nothing is written for this, and nobody's round is disturbed. `first`: the state that stands if
+    nobody has accepted any, where that is known.
+    """
+    for ballot in {s.accepted for s in seen}:
+        alike = [s for s in seen if s.accepted == ballot]
+        if ballot == NONE:
+            value = first
+        elif ballot == own_ballot:
+            value = own
+        else:
+            value = next((s.value for s in alike if s.value is not None), None)
+        if value is None:
+            continue
+        voters = [s.voter for s in alike]
+        if majority(value.voters, voters) and (not value.former or majority(value.former, voters)):
+            return value
+    return None
+
+
 def sources_needed(voters: int) -> int:
     """How many keepers that remember a newcomer must hear, so that no majority of old is missed.
 
@@ -111,7 +144,7 @@
     b = body(value)
     return [
         value.version, [[v.name, v.memory] for v in value.voters], b.epoch, b.revision, b.raw,
-        [list(t) for t in b.taken],
+        [list(t) for t in b.taken], [[v.name, v.memory] for v in value.former],
     ]  # fmt: skip
 
 
@@ -119,10 +152,11 @@
     """The value in a list."""
     if packed is None:
         return None
-    version, voters, epoch, revision, raw, taken = packed
+    version, voters, epoch, revision, raw, taken, former = packed
     return Value(
         version, tuple(Voter(name, memory) for name, memory in voters),
         Body(epoch, revision, raw, tuple((number, digest) for number, digest in taken)),
+        tuple(Voter(name, memory) for name, memory in former),
     )  # fmt: skip
 
 
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from collections import deque
 from collections.abc import Callable
@@ -45,8 +46,7 @@
 RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
 SLACK_SHARE = 0.4  # of the slack, over all nodes
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
-RAMP_MS = 3_000.0  # a server that has started is taken for slow for so long, where it says nothing
-START_SHARE = 0.5
+COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start; its gate spares it besides
 PATIENCE_SHARE = 0.24  # of the aim: how long a gate may hold a request for room
 LATE_WORTH = 0.3
 LEAST_LEFT_MS = 5.0
@@ -182,6 +182,7 @@
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
         self._ready: set[int] = set()
         self._entries: dict[int, api.ServerEntry] = {}
+        self._cold: dict[int, float] = {}  # until when
 
     # What the tier is told
 
@@ -203,7 +204,7 @@
         bounds = self._bounds
         settings = api.Settings(
             list(self._classes.values()), max_attempts=self._attempts, can_cancel=True,
-            connect_timeout_ms=400.0, keepalive_ms=10_000.0, start_capacity=START_SHARE, ramp_time_ms=RAMP_MS,
+            connect_timeout_ms=400.0, keepalive_ms=10_000.0,
             repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
             extra_floor=SLACK_SHARE * bounds.retry_slack / (SPARE_NODES * max(1, self._members)),
             resend_span_ms=bounds.retry_window_s * 1000.0,
@@ -225,23 +226,30 @@
             if server is None or server.service != self.name or server.state not in (IN_SERVICE, DRAINING):
                 continue
             number = self._numbers(server.id)
-            had = self._entries.get(number)
-            started = had.started_ms if had is not None else None
-            if had is None and server.cold_left_ms > 0:
-                started = now + server.cold_left_ms - RAMP_MS
+            if number not in self._entries and server.cold_left_ms > 0:
+                self._cold[number] = now + server.cold_left_ms
+                self._loop.call_later(server.cold_left_ms / 1000.0 + 0.01, self._warmed, number)
+            share = COLD_SHARE if number in self._cold else 1.0
             health = api.Health.IN_SERVICE if server.state == IN_SERVICE else api.Health.DRAINING
-            entries[number] = api.ServerEntry(number, server.zone, health=health, started_ms=started)
+            entries[number] = api.ServerEntry(number, server.zone, health=health, share=share)
             targets[number] = (server.id, (record.ip, record.inbound))
         changes = [entry for number, entry in entries.items() if self._entries.get(number) != entry]
         gone = [number for number in self._entries if number not in entries]
         self._entries, self._targets = entries, targets
         self._ready = {n for n, entry in entries.items() if entry.health is api.Health.IN_SERVICE}
         for number in gone:
+            self._cold.pop(number, None)
             self._lines.gone(number)
         changes += [api.ServerEntry(number, health=api.Health.GONE) for number in gone]
         if changes:
             self.handle(api.ServerList(api.ListKind.CHANGES, 0, changes))
 
+    def _warmed(self, number: int) -> None:
+        entry = self._entries.get(number)
+        if self._cold.pop(number, None) is not None and entry is not None:
+            self._entries[number] = dataclasses.replace(entry, share=1.0)
+            self.handle(api.ServerList(api.ListKind.CHANGES, 0, [self._entries[number]]))
+
     def serves(self, number: int) -> bool:
         """Whether a server may be sent to."""
         return number in self._ready
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -20,7 +20,7 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 Ballot = tuple[int, str]  # a counter that only rises, and whose it is
@@ -42,6 +42,7 @@
     version: int
     voters: tuple[Voter, ...]
     body: Any  # immutable, compared by value
+    former: tuple[Voter, ...] = ()  # who voted before, until the change of voters is known to be decided
 
 
 def majority(voters: Iterable[Voter], given: Iterable[Voter]) -> bool:
@@ -206,6 +207,7 @@
 BACK_OFF_MS = 400.0  # full jitter, doubled with each round that another one was in the way of, to
 BACK_OFF_MOST_MS = 5_000.0
 ASKED_MOST = 64  # changes that wait at one node
+UNSETTLED = "the voters are changing"  # why another change of them is refused
 
 
 class Proposer:
@@ -286,12 +288,18 @@
         round_.accepted.add(message.voter)
         return self._accepted(round_, now)
 
+    @staticmethod
+    def _enough(value: Value, given: Iterable[Voter]) -> bool:
+        """Whether a majority of its voters is among these, and of those before them where that counts."""
+        given = set(given)
+        return majority(value.voters, given) and (not value.former or majority(value.former, given))
+
     def _promised(self, round_: _Round, now: float) -> list[Action]:
         newest = max(round_.promises.values(), key=lambda promise: promise.accepted)
         before = newest.value if newest.value is not None else self._first
         # Its voters are those that count: where they are others than were asked, they are asked too.
-        more = self._prepare(before.voters)
-        if not majority(before.voters, round_.promises):
+        more = self._prepare((*before.voters, *before.former))
+        if not self._enough(before, round_.promises):
             return more
         against = {voter: p.objection for voter, p in round_.promises.items() if p.objection}
         after: Value | str
@@ -301,18 +309,23 @@
             after = next(iter(against.values()))
         else:
             return more  # too few have said what they think
+        settled = not before.former or self.known.version >= before.version
+        if not isinstance(after, str) and after.voters != before.voters:
+            after = replace(after, former=before.voters) if settled else UNSETTLED
+        elif not isinstance(after, str) and after is not before:
+            after = replace(after, former=() if settled else before.former)
         if isinstance(after, str):
             # Nothing changes; but what was read may be held by few, and must stand before it is told.
             round_.refused, after = after, before
         round_.before, round_.next = before, after
-        names = dict.fromkeys(voter.name for voter in (*before.voters, *after.voters))
+        names = dict.fromkeys(voter.name for voter in (*before.voters, *before.former, *after.voters))
         return [*more, *(Send(name, Accept(round_.ballot, after)) for name in names)]
 
     def _accepted(self, round_: _Round, now: float) -> list[Action]:
         after, before = round_.next, round_.before
         if after is None or before is None:
             return []
-        if not (majority(before.voters, round_.accepted) and majority(after.voters, round_.accepted)):
+        if not (self._enough(before, round_.accepted) and majority(after.voters, round_.accepted)):
             return []
         self._waiting.remove(round_.about)
         self._round, self._tries, self._again_ms = None, 0, now
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -99,15 +99,18 @@
         self.acceptors = {voter.name: Acceptor(voter.name, Kept(voter.memory)) for voter in voters}
         self.first = Value(0, voters, TABLE)
         self.down: set[str] = set()
+        self.known = self.first  # the newest state that was decided
 
-    def ask(self, change: register.Change, id: str = "x") -> Done | None:
+    def ask(self, change: register.Change, id: str = "x", knows: bool = True) -> Done | None:
         proposer = Proposer("p", self.first, random.Random(1))
+        if knows:
+            proposer.learn(self.known)
         proposer._counter = max(a.kept.promised[0] for a in self.acceptors.values())
         todo, done = proposer.ask(id, change, 0.0, 400.0), None
         while todo:
             action = todo.pop(0)
             if isinstance(action, Done):
-                done = action
+                done, self.known = action, action.value
             elif isinstance(action, Send) and action.to not in self.down:
                 assert isinstance(action.message, register.Prepare | register.Accept)
                 answers = self.acceptors[action.to].handle(action.message, "p")
@@ -143,10 +146,25 @@
     assert done is not None and [slot.token for slot in done.value.body.slots] == [1, 2]
     # A node that still knows the first voters alone finds the new ones, whichever of the old it meets.
     net.down = {"a"}
-    done = net.ask(grant_of(NODES[6]))
+    done = net.ask(grant_of(NODES[6]), knows=False)
     assert done is not None and "2 of 2" in done.why and done.value.version == 3
 
 
+def test_what_only_new_voters_accepted_is_not_taken_for_decided() -> None:
+    """c was put out for d; a and d have that, b not yet: b and c may still decide something else."""
+    a, b, c, d = (Voter(name, n) for n, name in enumerate("abcd", 1))
+    net = Net(a, b, c)
+    net.acceptors["d"] = Acceptor("d", Kept(d.memory))
+    change = with_voters(a, b, d)(net.first)
+    assert isinstance(change, Value)
+    for name in "ad":
+        net.acceptors[name].handle(register.Accept((5, "q"), replace(change, former=net.first.voters)), "q")
+    net.down = {"b", "c"}
+    assert net.ask(grant_of(NODES[0])) is None
+    net.down = {"a", "d"}
+    assert net.ask(grant_of(NODES[0])) is not None
+
+
 def test_a_fleet_of_one_and_of_two() -> None:
     assert majority([Voter("a", 1)], [Voter("a", 1)]) and not majority([Voter("a", 1)], [Voter("a", 2)])
     two = Net(Voter("a", 1), Voter("b", 2))
