Decision module split by concern: eight modules behind the one Balancer, same decisions

Cause: nickelbridge/logic.py had grown to 982 lines that hold every decision; who changes one had to read all. Change: the delay loop (delay), what is known of servers (judgement), calls out that are late or lost (calls), the list (listing), cold budgets (cold), the pick (pick), holding and shedding (holding) stand apart; logic.py keeps the gate that every send passes, retries and endings, and puts the parts together. Each part is an object with a small face, none inherits from another. What is imported from nickelbridge.logic goes on to be found there. The deploy file's policy names all eight; a test holds them to 1,200 lines together and to being all that decides. Tests and the explorer look for inner state where it stands now.

--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -1,4 +1,4 @@
-"""Averages of what was observed; what follows from them is decided in `nickelbridge.logic`."""
+"""Averages of what was observed; what follows from them is decided by `nickelbridge.logic` and its parts."""
 
 from __future__ import annotations
 
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -1,7 +1,7 @@
 """What a node and the decision module say to each other: settings, events and actions.
 
 Times are milliseconds on one monotonic clock of the node's choosing. Ids are the node's own and
-come back unchanged. Nothing here decides anything; every decision is in `nickelbridge.logic`.
+come back unchanged. Nothing here decides anything; every decision is in `nickelbridge.logic` and its parts.
 """
 
 from __future__ import annotations
--- a/rehearsal/explore/breaks.py
+++ b/rehearsal/explore/breaks.py
@@ -9,8 +9,8 @@
 from contextlib import contextmanager
 from typing import Any
 
+from nickelbridge import cold, logic
 from nickelbridge import interface as api
-from nickelbridge import logic
 from nickelbridge.interface import Result
 from orchidferry import alarms, frontend, node, upstream
 
@@ -174,7 +174,7 @@
 
 
 def _hot_cold() -> list[Patch]:
-    return [(logic.Balancer, "_cold_budget", lambda self, server, warmth, now: 100.0)]
+    return [(cold.ColdStart, "tokens", lambda self, server, warmth, now: 100.0)]
 
 
 def _leak_timer() -> list[Patch]:
--- a/rehearsal/explore/world.py
+++ b/rehearsal/explore/world.py
@@ -177,9 +177,9 @@
 
     def _wrap(self) -> None:
         """See all that passes between node and module."""
-        balancer = self.node._balancer
-        balancer._rng = _Fixed(1)
-        balancer.fleet._rng = balancer._rng
+        balancer, chance = self.node._balancer, _Fixed(1)
+        for part in (balancer, balancer.fleet, balancer.judgement, balancer.picker, balancer.holding):
+            part._rng = chance
         inner = balancer.handle
 
         def handle(event: api.Event, now_ms: float) -> list[api.Action]:
@@ -593,7 +593,8 @@
             "requests of the node": len(node._live), "attempts of the node": len(node.attempts),
             "ids": len(node._open_ids), "calls of the module": len(balancer._calls),
             "attempts in flight": balancer.inflight, "uploads": len(balancer._uploads),
-            "lost calls": balancer._lost, "alarms": len(node._alarms), "dials": len(node._tcp._dials),
+            "lost calls": balancer.outstanding.lost, "alarms": len(node._alarms),
+            "dials": len(node._tcp._dials),
             "calls out at servers": sum(len(server.out) for server in balancer.fleet.servers.values()),
             "sends without an end": sum(self.sends.values()),
         }  # fmt: skip
--- a/tests/control/test_live.py
+++ b/tests/control/test_live.py
@@ -49,10 +49,10 @@
     made.ask("open", "unsafe")
     module = made.balancer
     before = {id: (s.slowness, s.used_ms, dict(s.out)) for id, s in module.fleet.servers.items()}
-    rate, share = module.controller.tuned_rate, module._share
+    rate, share = module.controller.tuned_rate, module.judgement.share
     change(made, start_capacity=1.0, classes=[SAFE, NEW], max_attempts=1)
     assert {id: (s.slowness, s.used_ms, dict(s.out)) for id, s in module.fleet.servers.items()} == before
-    assert (module.controller.tuned_rate, module._share, module.inflight) == (rate, share, 1)
+    assert (module.controller.tuned_rate, module.judgement.share, module.inflight) == (rate, share, 1)
     made.end("open", api.Result.SERVED)  # of a class that is not there any more
     assert module.inflight == 0 and not module._calls
     assert sends(made.ask("n", "new"))
@@ -100,7 +100,7 @@
     assert sum(bool(sends(made.ask(f"a{n}"))) for n in range(20)) >= 4
     change(made, ramp_time_ms=60_000.0)
     server = made.balancer.fleet.servers[1]
-    assert server.warmth(made.now, made.balancer.settings) < 0.3
+    assert made.balancer.cold.warmth(server, made.now) < 0.3
     sent = sum(bool(sends(made.ask(f"b{n}"))) for n in range(50))
     assert sent <= 2  # rule 4's budget
 
@@ -110,8 +110,8 @@
     made = helpers.Node(tenants=[tenant])
     made.ask("a", tenant="t")
     change(made, tenants=[tenant, api.Tenant("u", 0.1, 5.0)])
-    assert set(made.balancer._quotas) == {"t", "u"}
-    assert made.balancer._quotas["t"][1].tokens < 1.0
+    assert set(made.balancer.holding.quotas) == {"t", "u"}
+    assert made.balancer.holding.quotas["t"][1].tokens < 1.0
     change(made, tenants=[])
     made.ask("b", tenant="t")
 
@@ -313,7 +313,7 @@
             assert found.started_ms is not None
             from orchidferry.config import now_ms
 
-            assert found.warmth(now_ms(), live._balancer.settings) < 0.5
+            assert live._balancer.cold.warmth(found, now_ms()) < 0.5
 
     run(test())
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -89,7 +89,7 @@
     node = large(500)
     node.serve(50)
     balancer = node.balancer
-    first = balancer.schedule.first()
+    first = balancer.picker.schedule.first()
     assert first is not None
     node.change(*entries([first.item.id], Health.DRAINING))
     assert first.item.id not in node.serve(600)
@@ -159,12 +159,12 @@
     for id in IDS[:5]:
         server = balancer.fleet.servers[id]
         server.eject(node.now, balancer._rng)
-        balancer._place(server)
-    assert balancer._ejected == 5
+        balancer.picker.place(server)
+    assert balancer.judgement.ejected == 5
     assert set(node.serve(10, gap_ms=1.0, delay_ms=5.0)) == {IDS[5]}
     node.now += 60_000.0
     assert len(set(node.serve(30))) == 6
-    assert balancer._ejected == 0
+    assert balancer.judgement.ejected == 0
     check_sums(balancer)
 
 
@@ -204,7 +204,7 @@
         assert asked < 1_000
         return 9.0 if asked % 7 == 1 else 0.1
 
-    balancer._fair = fair  # type: ignore[method-assign]
+    balancer.picker.fair = fair  # type: ignore[method-assign]
     for n in range(12):
         node.ask(f"s{n}")
     assert asked >= 12
@@ -215,7 +215,7 @@
     for n in range(500):
         node.ask(f"r{n}", "unsafe")
         node.end(f"r{n}", Result.ERROR, 1.0)
-    assert sum(map(len, node.balancer._fresh.values())) <= 2
+    assert sum(map(len, node.balancer.outstanding._fresh.values())) <= 2
 
 
 def test_the_same_events_give_the_same_actions_whatever_the_hash_order() -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,19 +1,34 @@
-"""The module's agreed size, and the README's own code."""
+"""The agreed size of what decides, and the README's own code."""
 
 import re
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-LOGIC = (ROOT / "nickelbridge" / "logic.py").read_text().splitlines()
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+POLICY = {name: (ROOT / name).read_text().splitlines() for name in DEPLOY["policy"]}
+# What the modules that decide stand on: their interface, data structures, and the chain, which comes before.
+SHARED = {"averages", "bag", "bucket", "chain", "interface", "schedule", "subset"}
 
 
-def test_the_module_keeps_its_lines_and_columns() -> None:
-    assert sum(1 for line in LOGIC if line.strip()) <= 1200  # the operators run no more
-    assert max(map(len, LOGIC)) <= 110
+def test_what_decides_keeps_its_lines_and_columns() -> None:
+    lines = [line for lines in POLICY.values() for line in lines]
+    assert sum(1 for line in lines if line.strip()) <= 1200  # the operators run no more
+    assert max(map(len, lines)) <= 110
+
+
+def test_the_policy_names_all_that_decides() -> None:
+    """The modules that the balancer is put together from; what they stand on decides nothing by itself."""
+    found, todo = set(), ["logic"]
+    while todo:
+        found.add(path := f"nickelbridge/{todo.pop()}.py")
+        names = re.findall(r"^from nickelbridge\.(\w+) import", "\n".join(POLICY[path]), re.M)
+        todo += [name for name in names if name not in SHARED and f"nickelbridge/{name}.py" not in found]
+    assert found == set(POLICY)
 
 
 def test_the_module_names_its_interface_at_the_top() -> None:
-    assert "nickelbridge/interface.py" in LOGIC[0]
+    assert "nickelbridge/interface.py" in POLICY["nickelbridge/logic.py"][0]
 
 
 def test_the_readme_quick_start_runs() -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -598,11 +598,11 @@
     """Callers that leave early leave what takes long: delay and answer rate came out low without theirs."""
     node = Node(servers=2)
     node.serve(20)
-    share, answers = node.balancer._share, node.balancer.controller.answers.events
+    share, answers = node.balancer.judgement.share, node.balancer.controller.answers.events
     node.ask("left")
     node.do(api.ClientGone("left"), 10.0)
     node.end("left", Result.SERVED, 800.0, settled=True)
-    assert node.balancer._share > 1.2 * share
+    assert node.balancer.judgement.share > 1.2 * share
     assert node.balancer.controller.answers.events > 0.8 * answers + 0.9
     node.ask("left late")
     node.do(api.ClientGone("left late"), 10.0)
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from nickelbridge import interface as api
-from nickelbridge import logic
+from nickelbridge import judgement, listing, logic
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
 from nickelbridge.schedule import Lot
@@ -145,27 +145,27 @@
 
 def check_sums(balancer: Balancer) -> None:
     """Hold what is kept by difference to the true sums, by the walks that the module does not make."""
-    fleet = balancer.fleet
+    fleet, picker = balancer.fleet, balancer.picker
     ready = list(fleet.ready.values())
     assert {s.id for s in fleet.servers.values() if s.enlisted} == set(fleet.ready)
     assert all(s.in_service and s.part == pytest.approx(fleet.slices.parts[s.id]) for s in ready)
-    assert balancer._weight == pytest.approx(sum(s.counted for s in ready), abs=1e-9)
-    assert balancer._ejected == sum(s.ejected for s in ready)
-    assert balancer._lost == sum(len(s.lost) for s in ready)
+    assert fleet.weight == pytest.approx(sum(s.counted for s in ready), abs=1e-9)
+    assert balancer.judgement.ejected == sum(s.ejected for s in ready)
+    assert balancer.outstanding.lost == sum(len(s.lost) for s in ready)
     for server in fleet.servers.values():
         assert server.lost <= server.out.keys() and server.late.keys() <= server.out.keys()
         assert not server.lost & server.late.keys()
-    assert set(balancer._varying) == {s.id for s in ready if s.varies}
+    assert set(picker.varying) == {s.id for s in ready if s.varies}
     on = [s.member for s in ready if s.member.lot is Lot.ON]
-    assert balancer.schedule.count == len(on)
-    assert balancer.schedule.total == pytest.approx(sum(m.weight for m in on), abs=1e-9)
+    assert picker.schedule.count == len(on)
+    assert picker.schedule.total == pytest.approx(sum(m.weight for m in on), abs=1e-9)
     assert set(fleet.usable.items) == {
         id for id, e in fleet.entries.items() if e.health is api.Health.IN_SERVICE
     }
     # A server that nothing varies has just the weight that a walk would give it.
     for server in ready:
         if not server.varies:
-            true = server.part * server.warmth(balancer._now, balancer.settings)
+            true = server.part * balancer.cold.warmth(server, picker.now)
             assert server.member.weight == pytest.approx(true)
 
 
@@ -214,9 +214,9 @@
         patch.setattr(Balancer, "_end", always)
         assert breaks().startswith("rule 1")
     with monkeypatch.context() as patch:
-        patch.setattr(
-            logic, "Health", type("AllInService", (), {"IN_SERVICE": api.Health.DRAINING, "GONE": 0})
-        )
+        all_in_service = type("AllInService", (), {"IN_SERVICE": api.Health.DRAINING, "GONE": 0})
+        for module in (judgement, listing):
+            patch.setattr(module, "Health", all_in_service)
         assert breaks(drain_grace_ms=0.0).startswith("rule 3")
 
     class Deaf(Balancer):
