Mesh: first sends are held and shed by the gates, not by the callers' window

Change: the target is a setting (0.6 of the aim here), and callers spare first sends; the gate beside the server, which sees its queue, admits by rank.

--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -46,6 +46,7 @@
 RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
 SLACK_SHARE = 0.4  # of the slack, over all nodes
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
+TARGET_SHARE = 0.6  # tau0 of the aim: the gates hold requests for a part of it already
 COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start; its gate spares it besides
 PATIENCE_SHARE = 0.24  # of the aim: how long a gate may hold a request for room
 LATE_WORTH = 0.3
@@ -203,7 +204,7 @@
             return
         bounds = self._bounds
         settings = api.Settings(
-            list(self._classes.values()), max_attempts=self._attempts, can_cancel=True,
+            list(self._classes.values()), tier=1, tiers=2, target_share=TARGET_SHARE, max_attempts=self._attempts, can_cancel=True,
             connect_timeout_ms=400.0, keepalive_ms=10_000.0,
             repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
             extra_floor=SLACK_SHARE * bounds.retry_slack / (SPARE_NODES * max(1, self._members)),
--- a/nickelbridge/delay.py
+++ b/nickelbridge/delay.py
@@ -23,7 +23,8 @@
 class DelayController:
     """RTDC: holds the delay under the target by the rate of retries, and bounds first sends to a window."""
 
-    def __init__(self) -> None:
+    def __init__(self, target_share: float = TARGET_SHARE) -> None:
+        self._target_share = target_share
         self._kp, self._ki = math.sin(PHASE_MARGIN), math.cos(PHASE_MARGIN)  # equations 40, 41 over nu1
         self.answers, self.failures = Rate(WINDOW_MS), Rate(WINDOW_MS)  # nu1, in answers a second
         self._excess_s = self._aim_s = self._samples = 0.0  # sums over the last samples,
@@ -43,7 +44,7 @@
         kept = faded if faded < 1.0 - 1.0 / SAMPLES else 1.0 - 1.0 / SAMPLES
         self._samples = self._samples * kept + 1.0
         self._aim_s = self._aim_s * kept + aim_ms / 1000.0
-        self._excess_s = self._excess_s * kept + (TARGET_SHARE * aim_ms - delay_ms) / 1000.0
+        self._excess_s = self._excess_s * kept + (self._target_share * aim_ms - delay_ms) / 1000.0
         rate = self.answers.per_s()
         if not RETUNE_BAND[0] * self.tuned_rate <= rate <= RETUNE_BAND[1] * self.tuned_rate:
             # A copy starts with its retries open; later a retune keeps the share of retries it allows.
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -288,11 +288,14 @@
         round_.accepted.add(message.voter)
         return self._accepted(round_, now)
 
-    @staticmethod
-    def _enough(value: Value, given: Iterable[Voter]) -> bool:
+    def _former(self, value: Value) -> tuple[Voter, ...]:
+        """The voters before its own, as long as the change of them is not known to be decided."""
+        return value.former if self.known.version < value.version else ()
+
+    def _enough(self, value: Value, given: Iterable[Voter]) -> bool:
         """Whether a majority of its voters is among these, and of those before them where that counts."""
-        given = set(given)
-        return majority(value.voters, given) and (not value.former or majority(value.former, given))
+        given, former = set(given), self._former(value)
+        return majority(value.voters, given) and (not former or majority(former, given))
 
     def _promised(self, round_: _Round, now: float) -> list[Action]:
         newest = max(round_.promises.values(), key=lambda promise: promise.accepted)
@@ -309,7 +312,7 @@
             after = next(iter(against.values()))
         else:
             return more  # too few have said what they think
-        settled = not before.former or self.known.version >= before.version
+        settled = not self._former(before)
         if not isinstance(after, str) and after.voters != before.voters:
             after = replace(after, former=before.voters) if settled else UNSETTLED
         elif not isinstance(after, str) and after is not before:
