Kit: the mesh's record says how each call of the operator ended, and libraries of the build are found

Cause: a version took 0.95 s to be acknowledged and the record could not say whether one call had waited or several had failed. Change: a sent version notes each of its calls; the processes get target/deps on their path where the deployment has been built, and a missing library is one line and status 2.

--- a/rehearsal/mesh/command.py
+++ b/rehearsal/mesh/command.py
@@ -16,6 +16,7 @@
 
 from rehearsal.judge.mesh import Verdict, as_json, judge
 from rehearsal.mesh.day import DAYS, Day
+from rehearsal.mesh.processes import missing
 from rehearsal.mesh.run import Played, Progress, play
 from rehearsal.report.tables import CLASS_HEAD, percent
 from rehearsal.world.addresses import NoAddresses
@@ -63,6 +64,8 @@
     for name in LEFT_OUT:
         if getattr(args, name, None):
             raise _Usage(f"--{name.replace('_', '-')}: is not for {day.name}")
+    if library := missing():
+        raise _Usage(f"{day.name}: {library} is not installed; the extra mesh brings it")
     seed = SEED if args.seed is None else args.seed
     seconds = day.seconds if args.seconds is None else args.seconds
     if not 0 <= seed < 2**63:
--- a/rehearsal/mesh/facts.py
+++ b/rehearsal/mesh/facts.py
@@ -157,6 +157,7 @@
     until: float
     acked: float | None
     status: int  # 0: no clear answer
+    tries: str = ""  # how each call ended, and where it went
 
 
 @dataclass(slots=True)
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -36,7 +36,8 @@
         fact = Put(scene.now(), self.name, config["revision_number"], base, valid, config, 0.0, None, 0)
         until = scene.now() + limit_s
         while scene.now() < until:
-            outcome, _ = await call(self._pool, self._pick(), "PUT", PATH, config, base)
+            outcome, by = await call(self._pool, self._pick(), "PUT", PATH, config, base)
+            fact.tries += f"{by[0]} {outcome.status or outcome.how} at {scene.now():.3f}; "
             if outcome.how == "answer":
                 fact.status = outcome.status
                 if 200 <= outcome.status < 300:
--- a/rehearsal/mesh/processes.py
+++ b/rehearsal/mesh/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import importlib.util
 import os
 import signal
 import sys
@@ -32,6 +33,8 @@
 }  # fmt: skip
 AGAIN_S = 0.5  # after its end until a process is started again
 MOST_STARTS = 20  # of one machine's process, over a run
+LIBRARIES = ("cbor2", "lmdb", "loguru", "marshmallow")
+BUILT = "target/deps"  # of the deployment's build; where there is none, the extra `mesh` is installed
 NODE_ENV = ("PATH", "HOME", "LANG")
 
 
@@ -80,6 +83,13 @@
     })  # fmt: skip
 
 
+def missing() -> str:
+    """A library that the mesh's processes need and can't have; empty: none."""
+    if (ROOT / BUILT).is_dir():
+        return ""
+    return next((name for name in LIBRARIES if importlib.util.find_spec(name) is None), "")
+
+
 class Node:
     """One machine's process, over its lives."""
 
@@ -115,6 +125,8 @@
         self.lives += 1
         self._expected = False
         env = {name: os.environ[name] for name in NODE_ENV if name in os.environ}
+        if (built := ROOT / BUILT).is_dir():
+            env["PYTHONPATH"] = str(built)
         with (self._home / "log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *COMMANDS[self.machine.role], env=env | {"ORCHIDFERRY_BOOT": str(path)}, cwd=ROOT,
