--- a/rehearsal/judge/mesh.py
+++ b/rehearsal/judge/mesh.py
@@ -575,11 +575,13 @@
         if not put.valid or put.status == 412:
             continue
         bound = (books.bounds.ack_ms + ROUTE_MS * routes(put.config)) / 1000.0
-        if put.base and not books.in_touch(put.t, put.t + bound):
+        # One that is sent while the core is not settled has its time from when it is.
+        unsettled = [high for low, high in books.spans.get("*", ()) if low <= put.t < high]
+        since = max([put.t, *unsettled])
+        if not books.in_touch(since, since + bound):
             continue
         finding.checked += 1
-        # The first one goes to a core that has only just begun: its time is the start's, up to the traffic.
-        if put.acked is None or (put.base and put.acked - put.t > bound):
+        if put.acked is None or put.acked - since > bound:
             books.broke(finding, put.t, "", f"version {put.revision} was not acknowledged in {bound:.1f} s")
     leaves = [notice for notice in books.notices if notice.state == "draining"]
     said = sorted({notice.server for notice in leaves})
--- a/rehearsal/mesh/day.py
+++ b/rehearsal/mesh/day.py
@@ -105,6 +105,18 @@
             24.0,
             (Trouble(0.25, "drain"), Trouble(0.6, "change"), Trouble(0.85, "bad-change")),
         ),
+        Day(
+            "mesh-loss",
+            "the same, and a core machine and a node are killed and a core machine is stopped, one at a time",
+            30.0,
+            (
+                Trouble(0.1, "kill", "core-sala-a-1", 1.0),
+                Trouble(0.27, "change"),
+                Trouble(0.4, "kill", "sidecar-sala-b-1", 0.5),
+                Trouble(0.55, "pause", "core-sala-b-1", 2.0),
+                Trouble(0.8, "drain", "sidecar-sala-a-1"),
+            ),
+        ),
     )
 }
 
--- a/rehearsal/mesh/run.py
+++ b/rehearsal/mesh/run.py
@@ -18,7 +18,7 @@
 from rehearsal.mesh.ask import Scene
 from rehearsal.mesh.clients import Clients, Platform
 from rehearsal.mesh.configuration import build, spoil
-from rehearsal.mesh.day import KINDS, Day, Machine, Ports, Trouble, machines, ports
+from rehearsal.mesh.day import KINDS, Day, Ports, Trouble, machines, ports
 from rehearsal.mesh.facts import Event, Record
 from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.processes import AGAIN_S, MOST_STARTS, Node
@@ -109,7 +109,9 @@
         """Why the run ends before its time, once it does."""
         return await asyncio.shield(self.cut)
 
-    def _spawn(self, work: Awaitable[object]) -> asyncio.Task[None]:
+    def spawn(self, work: Awaitable[object]) -> asyncio.Task[None]:
+        """Have something done beside the rest; if it fails, the run ends."""
+
         async def run() -> None:
             await work
 
@@ -130,9 +132,10 @@
         if node.lives >= MOST_STARTS or self.progress.phase == "starting":
             tail = " | ".join(node.tail(2))
             return self.cut_off(f"{node.machine.name} ended by itself (status {status}): {tail[-200:]}")
-        self._spawn(self._again(node, True))
+        self.spawn(self.again(node, True))
 
-    async def _again(self, node: Node, own: bool) -> None:
+    async def again(self, node: Node, own: bool) -> None:
+        """Start a process once more; `own`: after an end of its own."""
         await asyncio.sleep(AGAIN_S)
         if not self._closing:
             await node.start(own)
@@ -143,12 +146,12 @@
         """All of it; `CutOff` where it can't go on."""
         await asyncio.gather(*(node.start() for node in self.nodes.values()))
         started = self.scene.now()
-        self._spawn(self._watch())
-        self._spawn(self.platform.probe())
+        self.spawn(self._watch())
+        self.spawn(self.platform.probe())
         for server in self.servers.values():
             await server.start()
         first = build(self.day, self.seed, FIRST, False)
-        put = self._spawn(self.operator.put(first, 0, True, START_S + 5.0))
+        put = self.spawn(self.operator.put(first, 0, True, START_S + 5.0))
         while self.scene.now() - started < START_S:
             if put.done() and len(self.platform.known) == len(self.sidecars):
                 break
@@ -160,7 +163,7 @@
         self.progress.phase = "playing"
         start = self.record.start = self.scene.now()
         for trouble in self.day.troubles:
-            self._spawn(self._play(trouble, start + trouble.at * self.seconds))
+            self.spawn(self._play(trouble, start + trouble.at * self.seconds))
         await self.clients.play(start)
         await self.clients.rest(REST_S)
         self.record.end = self.scene.now()
@@ -174,7 +177,7 @@
         event = Event(at, at + trouble.for_s, trouble.do, trouble.whom)
         self.record.facts.append(event)
         self.progress.now = trouble.do
-        event.whom = await deed(self, trouble, event) or event.whom
+        event.whom = await deed(self, trouble) or event.whom
         event.until = max(event.until, self.scene.now())
         self.progress.now = ""
 
@@ -230,18 +233,17 @@
     return some[int(draws.uniform(play.seed, "drain", high=len(some)))]
 
 
-async def _drain(play: Play, trouble: Trouble, event: Event) -> str:
+async def _drain(play: Play, trouble: Trouble) -> str:
     """A server leaves as planned; its machine's process is told to end after it."""
     server = _server(play, trouble)
     await server.leave()
     node = play.nodes[server.machine.name]
-    play.platform.misses[server.machine.name] = 0  # it is asked on, until it is gone
     await node.stop()
     play.platform.gone.add(server.machine.name)
     return server.machine.name
 
 
-async def _change(play: Play, trouble: Trouble, event: Event) -> str:
+async def _change(play: Play, trouble: Trouble) -> str:
     """The configuration changes; another operator builds on the version before it, and comes too late."""
     apply = play.day.bounds.config_apply_ms / 1000.0
     put = await play.operator.put(build(play.day, play.seed, SECOND, True), FIRST, True, 8.0)
@@ -253,24 +255,24 @@
     return f"{FIRST} to {SECOND}"
 
 
-async def _bad_change(play: Play, trouble: Trouble, event: Event) -> str:
+async def _bad_change(play: Play, trouble: Trouble) -> str:
     """An invalid configuration is sent."""
     wrong = spoil(build(play.day, play.seed, SPOILT, True), SPOILT)
     await play.other.put(wrong, SECOND, False, 3.0)
     return str(SPOILT)
 
 
-async def _kill(play: Play, trouble: Trouble, event: Event) -> str:
+async def _kill(play: Play, trouble: Trouble) -> str:
     """Processes are killed, and come back."""
     for name in trouble.whom.split():
         play.nodes[name].kill()
     await asyncio.sleep(trouble.for_s)
     for name in trouble.whom.split():
-        play._spawn(play._again(play.nodes[name], False))
+        play.spawn(play.again(play.nodes[name], False))
     return trouble.whom
 
 
-async def _pause(play: Play, trouble: Trouble, event: Event) -> str:
+async def _pause(play: Play, trouble: Trouble) -> str:
     """Processes are stopped where they are, and go on."""
     for name in trouble.whom.split():
         play.nodes[name].pause(True)
@@ -280,7 +282,7 @@
     return trouble.whom
 
 
-Deed = Callable[[Play, Trouble, Event], Awaitable[str]]
+Deed = Callable[[Play, Trouble], Awaitable[str]]
 DEEDS: dict[str, Deed] = {
     "drain": _drain, "change": _change, "bad-change": _bad_change, "kill": _kill, "pause": _pause,
 }  # fmt: skip
@@ -341,6 +343,3 @@
             held.close()
         if keep is None:
             shutil.rmtree(folder, ignore_errors=True)
-
-
-__all__ = ["Machine", "Played", "Progress", "play"]
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -159,6 +159,11 @@
         run.answer(f"z{n}", 15.1, 404 if n % 2 else 400)
 
 
+def change_first(run: Scene) -> None:
+    first = next(fact for fact in run.facts if isinstance(fact, Put))
+    first.acked = first.until = 8.2  # the core is settled from 3 s on
+
+
 def over_budget(run: Scene) -> None:
     run.sent("z", 15.0, "feed-read")
     for _ in range(63):
@@ -207,6 +212,7 @@
     ("config", "read back changed", change_last(Read, "", config=NEW | {"trunk_groups": []})),
     ("acks", "a version too late", lambda run: run.facts.append(
         Put(24.0, "q", 12, 7, True, NEW | {"revision_number": 12}, 29.9, 29.9, 200))),
+    ("acks", "a first version too late", change_first),
     ("acks", "a leave with none", change_last(Notice, "", acked=None)),
     ("budget", "more tries than are shared", over_budget),
     ("budget", "calls of a repeated run", repeated_calls),
