--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 
 demo: $(VENV)/kit
 	$(BIN)/orchidferry rehearse slow-server --report slow-server.html
+	$(BIN)/orchidferry rehearse mesh-calm
 
 # gRPC starts threads: its tests have processes of their own, as others fork with work to do in between.
 test: $(VENV)/dev
@@ -18,10 +19,10 @@
 
 $(VENV)/kit: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,fleet]'
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,fleet,mesh]'
 	touch $@
 
 $(VENV)/dev: pyproject.toml requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,h3,control,fleet]' -r requirements-dev.txt
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[kit,h3,control,fleet,mesh]' -r requirements-dev.txt
 	touch $@
