Mesh: parents are shed while their servers' calls are turned away; planned ends finish all

Cause: with two of three servers of a service gone, reads that need two calls there failed after half of the calls had been served; and a node that was told to end took requests until it was too late to answer them (LOST on mix). Change: the gate says when its server's own calls were turned away, and a PI loop by class sheds first sends for that; after SIGTERM new requests are taken for 2.4 s and all is answered within the grace.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -437,8 +437,8 @@
             return
 
         def done(value: Value | None) -> None:
-            for told in waiting:
-                told(value)
+            for waiter in waiting:
+                waiter(value)
             self._next_read()
 
         self._peek(done)
--- a/athenaeum/boot.py
+++ b/athenaeum/boot.py
@@ -33,6 +33,9 @@
     key_window_s: float = 60.0
 
 
+BOUNDS = [(name, float(getattr(Bounds(), name))) for name in Bounds.__dataclass_fields__]
+
+
 @dataclass(frozen=True, slots=True)
 class Boot:
     """One process's settings."""
@@ -102,7 +105,6 @@
         raise BadBoot("network.internal_ports: a list of ports is needed")
     if not isinstance(seeds, list):
         raise BadBoot("network.seed_nodes: a list of addresses is needed")
-    names = Bounds.__dataclass_fields__
     points = network.get("listen_points", {})
     application = node.get("application")
     return Boot(
@@ -114,9 +116,7 @@
         listen={n: address(a, f"network.listen_points.{n}") for n, a in points.items()},
         internal_port=ports[0],
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
-        bounds=Bounds(
-            **{n: _number(bounds, n, f.default, "term_settings.bound_set") for n, f in names.items()}
-        ),  # fmt: skip
+        bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
         beat_ms=_number(data.get("platform_settings", {}), "beat_interval_ms", 1_500, "platform_settings"),
         descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -33,10 +34,12 @@
 KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a line may idle
 CLAIM_S, CLAIM_SHARE = 1.0, 0.4  # for claiming a key: so long, or this share of the time left
 LOOK_S = 0.5
+BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
 STARTING_S = 0.6  # when to come back to a node that has no configuration yet
 SPARE_SOCKETS = 300
 ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
 STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
+STOP_TAKE_S = 2.4  # and so long new requests are taken: callers hear of it after two looks at readiness
 STOP_MARGIN_S = 0.4  # before the platform kills
 
 
@@ -77,6 +80,7 @@
         self._members: dict[str, Record] = {}
         self._leaving = False
         self._record_number = 0
+        self._stop_ms = math.inf  # when all must be answered, once the node is to end
         pool = Pool(int(boot.memory_mb * 0.2e6))
         self._outbound = DataDoor(self._take, self._room_most // 3, pool, lambda: True)
         self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
@@ -84,10 +88,20 @@
         self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
         assert boot.application is not None
         self._gate = Gate(
-            boot.application, boot.bounds, boot.beat_ms, loop, self._alarms, self._visits, self._publish
+            boot.application,
+            boot.bounds,
+            boot.beat_ms,
+            loop,
+            self._alarms,
+            self._visits,
+            self._publish,
+            self._below,
         )
         self._news = Circulation(boot, loop, self._on_members, self._on_folio)
 
+    def _below(self) -> bool:
+        return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in self._tiers.values())
+
     def _room(self) -> int:
         used = self._hops.count() + self._visits.count() + self._outbound.count() + self._inbound.count()
         return self._room_most - used
@@ -108,24 +122,27 @@
         await self._stop()
 
     async def _stop(self) -> None:
-        ends_s = self._loop.time() + self._boot.bounds.grace_s - STOP_MARGIN_S
+        """Finish what is held: the platform looks at readiness once a second, and kills after the grace."""
+        began_s, grace_s = self._loop.time(), self._boot.bounds.grace_s
+        ends_s = began_s + grace_s - STOP_MARGIN_S
+        self._stop_ms = now_ms() + (grace_s - 2.0 * STOP_MARGIN_S) * 1000.0
         logger.info("carrel: stopping")
         self._leaving = True
         self._publish()
         await asyncio.sleep(STOP_READY_S)
         self._gate.leaving = True
-        for door in (self._outbound, self._inbound):
-            try:
-                async with asyncio.timeout_at(ends_s - 1.0):
-                    await door.empty()
-            except TimeoutError:
-                pass
-        for door in (self._outbound, self._inbound):
-            try:
-                async with asyncio.timeout_at(ends_s):
-                    await door.wind_up()
-            except TimeoutError:
-                pass
+        inbound = self._loop.create_task(self._inbound.wind_up())
+        try:
+            async with asyncio.timeout_at(began_s + min(STOP_TAKE_S, grace_s / 2.0)):
+                await self._outbound.empty()
+        except TimeoutError:
+            pass
+        try:
+            async with asyncio.timeout_at(ends_s):
+                await self._outbound.wind_up()
+                await inbound
+        except TimeoutError:
+            logger.warning("carrel: {} callers were still there", self._outbound.count())
         logger.info("carrel: stopped")
 
     def _look(self) -> None:
@@ -203,7 +220,7 @@
             return Nobody()
         message.cls, message.route = route.id, route
         left_ms = message.budget_ms or route.guard_ms
-        ends_ms = now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms))
+        ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
         tier = self._tiers[self._service(route)]
         if route.kind == "keyed" and message.key is not None:
             return self._claim(message, route, tier, ends_ms, answer)
--- a/athenaeum/deposit.py
+++ b/athenaeum/deposit.py
@@ -45,7 +45,8 @@
         try:
             os.makedirs(folder, exist_ok=True)
             self._env = lmdb.open(
-                folder, map_size=MAP_BYTES, max_dbs=len(self.NAMES), lock=False, max_readers=4, readahead=False,
+                folder, map_size=MAP_BYTES, max_dbs=len(self.NAMES), lock=False, max_readers=4,
+                readahead=False,
             )  # fmt: skip
             self._dbs = {name: self._env.open_db(name.encode()) for name in self.NAMES}
         except (OSError, lmdb.Error) as problem:
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -16,9 +16,7 @@
 from athenaeum.boot import Address, Bounds
 from athenaeum.faults import Fault, Kind
 from athenaeum.lines import (
-    GONE as GATE_GONE,
-)
-from athenaeum.lines import (
+    BELOW,
     LATE,
     LOAD,
     LOST,
@@ -34,6 +32,9 @@
     own_answer,
     passed_on,
 )  # fmt: skip
+from athenaeum.lines import (
+    GONE as GATE_GONE,
+)
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -117,8 +118,10 @@
 
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
-        alarms: Alarms, lines: Lines, changed: Callable[[], None],
+        alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
     ) -> None:  # fmt: skip
+        """`below`: whether calls from this machine were turned away lately."""
+        self._below = below
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
         self.server: Server | None = None
@@ -288,6 +291,8 @@
             if result is not Result.REFUSED and said.id is not None:
                 reply = passed_on(said)
                 reply.more = [*reply.more, (LOAD, b"%d" % self._waiting)]
+                if result is Result.ERROR and self._below():
+                    reply.more.append((BELOW, b"1"))
                 return reply
             if result is Result.REFUSED:
                 return own_answer(message, Fault(Kind.SHED), gate=UNRUN, load=self._waiting)
--- a/athenaeum/lines.py
+++ b/athenaeum/lines.py
@@ -36,8 +36,8 @@
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}")
 MILLISECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # The gate's own headers, which no client or server sees.
-GATE, RANK, PATIENCE, TIMES, LOAD = (
-    b"orchid-gate", b"orchid-rank", b"orchid-patience", b"orchid-once", b"orchid-load",
+GATE, RANK, PATIENCE, TIMES, LOAD, BELOW = (
+    b"orchid-gate", b"orchid-rank", b"orchid-patience", b"orchid-once", b"orchid-load", b"orchid-below",
 )  # fmt: skip
 PRIVATE = b"orchid-"
 
@@ -67,6 +67,7 @@
     id: bytes | None = None
     not_run: bool = False
     gate: bytes | None = None  # the gate's own word
+    below: bool = False  # calls that its server made were turned away
 
 
 class Asker(Caller):
@@ -139,7 +140,7 @@
 class Line(Connection):
     """A connection to a server, or to the gate before one."""
 
-    __slots__ = ("_encoded", "_gate", "_headers", "_id", "_not_run", "_seal", "_skip", "_tainted")
+    __slots__ = ("_below", "_encoded", "_gate", "_headers", "_id", "_not_run", "_seal", "_skip", "_tainted")
 
     held_most = HELD_ANSWER
 
@@ -148,7 +149,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._id: bytes | None = None
         self._gate: bytes | None = None
-        self._seal = self._encoded = self._not_run = self._skip = False
+        self._seal = self._encoded = self._not_run = self._skip = self._below = False
 
     def carry(self, attempt: Attempt) -> None:
         self._tainted = False
@@ -173,6 +174,9 @@
         elif low == GATE:
             self._gate = value.strip()
             return
+        elif low == BELOW:
+            self._below = True
+            return
         elif low == LOAD:
             self._report = {"queue": min(float(value), 1e6)} if MILLISECONDS.fullmatch(value) else None
             return
@@ -198,7 +202,7 @@
     def _made(self, body: bytes, flow: Flow | None = None) -> Answer:
         return Said(
             self._status, body, None, self._report, flow, None, self._headers, self._seal, self._encoded,
-            self._id, self._not_run, self._gate,
+            self._id, self._not_run, self._gate, self._below,
         )  # fmt: skip
 
     def _judged(self, answer: Answer) -> Result:
--- a/athenaeum/parts.py
+++ b/athenaeum/parts.py
@@ -102,7 +102,9 @@
     value: Value | None
 
 
-def stands(seen: list[Seen], own: Value | None, own_ballot: tuple[int, str], first: Value | None) -> Value | None:
+def stands(
+    seen: list[Seen], own: Value | None, own_ballot: tuple[int, str], first: Value | None
+) -> Value | None:
     """The state that was decided, if what a majority has accepted shows it; None if a round has to be run.
 
     A majority that accepted one ballot has decided it; anything decided later would have been accepted by one
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -1,7 +1,7 @@
 """One service as a node sees it: its servers, the decision module for it, and the attempts on their way.
 
-The module decides server, retry and refusal (`nickelbridge`); this turns what happens on lines into its events
-and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest by a
+The module decides server, retry and refusal (`nickelbridge`); this turns what happens on lines into its
+events and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest by a
 backstop at its deadline.
 """
 
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -37,6 +38,7 @@
 from nickelbridge import interface as api
 from nickelbridge.interface import Repeat, Result
 from nickelbridge.logic import Balancer
+from nickelbridge.nested import Nested
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
@@ -48,8 +50,9 @@
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
 TARGET_SHARE = 0.6  # tau0 of the aim: the gates hold requests for a part of it already
 COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start; its gate spares it besides
-PATIENCE_SHARE = 0.24  # of the aim: how long a gate may hold a request for room
+PATIENCE_SHARES = (0.75, 0.75, 0.24)  # of the aim, by rank: how long a gate may hold a request for room
 LATE_WORTH = 0.3
+SHED_AGAIN_SHARE = 0.2  # of the aim: when to come back after being shed for what is below
 LEAST_LEFT_MS = 5.0
 
 
@@ -113,7 +116,8 @@
     def head_bytes(self) -> bytes:
         live = self._live
         left_ms = max(1.0, live.ends_ms - now_ms() - MARGIN_MS)
-        held = PATIENCE_SHARE * live.route.aim_ms - (now_ms() - live.began_ms)
+        share = PATIENCE_SHARES[min(live.route.rank, len(PATIENCE_SHARES) - 1)]
+        held = share * live.route.aim_ms - (now_ms() - live.began_ms)
         own = [
             (b"Time-Remaining", b"%d" % left_ms),
             (b"Target-Instance", self._target.encode("latin-1")),
@@ -141,6 +145,8 @@
             live.said = said if whole else live.said
         if result is Result.SERVED and said is not None:
             tier.finish(live, passed_on(said))
+        if result in (Result.SERVED, Result.ERROR) and said is not None:
+            tier.outcome(live, result is Result.ERROR and said.below)
         if said is not None and said.flow is not None and not said.flow.fed_by_now():
             said.flow.call_off()
         flow = self.message.flow
@@ -183,13 +189,15 @@
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
         self._ready: set[int] = set()
         self._entries: dict[int, api.ServerEntry] = {}
+        self._nested = Nested()
+        self.turned_away_ms = -math.inf  # when a request was last given up that had not run
         self._cold: dict[int, float] = {}  # until when
 
     # What the tier is told
 
     def configure(self, routes: list[Route]) -> None:
         """Serve these routes from now on; requests that were taken keep theirs."""
-        self._classes = {name: cls for name, cls in ((class_name(r), request_class(r)) for r in routes)}
+        self._classes = {class_name(route): request_class(route) for route in routes}
         self._attempts = max((r.attempts for r in routes), default=1)
         self._settle()
 
@@ -204,7 +212,8 @@
             return
         bounds = self._bounds
         settings = api.Settings(
-            list(self._classes.values()), tier=1, tiers=2, target_share=TARGET_SHARE, max_attempts=self._attempts, can_cancel=True,
+            list(self._classes.values()), tier=1, tiers=2, target_share=TARGET_SHARE,
+            max_attempts=self._attempts, can_cancel=True,
             connect_timeout_ms=400.0, keepalive_ms=10_000.0,
             repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
             extra_floor=SLACK_SHARE * bounds.retry_slack / (SPARE_NODES * max(1, self._members)),
@@ -276,6 +285,10 @@
             self.finish(live, own_answer(message, Fault(Kind.SHED, "the route has just changed"), 0.05))
             self.over(live)
             return live
+        if self._rng.random() < self._nested.shed(name, now_ms()):
+            self._unserved(live, self._rng.uniform(0.5, 1.0) * SHED_AGAIN_SHARE * route.aim_ms)
+            self.over(live)
+            return live
         left_ms = max(0.0, ends_ms - now_ms())
         self.handle(api.Request(live.id, name, left_ms, upload=message.flow is not None))
         return live
@@ -288,9 +301,15 @@
             self.live.pop(live.id, None)
             live.answer(reply)
 
+    def outcome(self, live: Live, below: bool) -> None:
+        """A server has answered; `below`: with an error, as calls of its own were turned away."""
+        self._nested.outcome(class_name(live.route), below, now_ms())
+        if below:  # asking again elsewhere would only add to it
+            self._unserved(live, 0.0)
+
     def over(self, live: Live) -> None:
-        """Nothing more happens to a request once none of its attempts is out: whoever waits for that hears."""
-        if live.on_end is not None and not any(id == live.id for id, _ in self._out_of(live)):
+        """Nothing more happens to a request once none of its attempts is out: who waits for that hears."""
+        if live.on_end is not None and not self._out_of(live):
             on_end, live.on_end = live.on_end, None
             on_end(live.said, live.ran)
 
@@ -304,8 +323,10 @@
         if live.said is not None:
             self.finish(live, passed_on(live.said))
         else:
-            kind = Kind.LATE if live.attempts else Kind.SHED
-            self.finish(live, own_answer(live.message, Fault(kind), None if live.attempts else 0.05))
+            # What was written to a gate may run yet: no promise, then.
+            sent = live.ran or any(self.out[key].written for key in self._out_of(live))
+            kind = Kind.LATE if sent else Kind.SHED
+            self.finish(live, own_answer(live.message, Fault(kind), None if sent else 0.05))
         self.handle(api.ClientGone(live.id))
         self.over(live)
 
@@ -369,6 +390,7 @@
             return self.finish(live, passed_on(live.said))
         if live.ran:
             return self.finish(live, own_answer(live.message, Fault(Kind.BROKEN)))
+        self.turned_away_ms = now_ms()
         wait_s = min(retry_after_ms, max(20.0, 0.2 * (live.ends_ms - now_ms()))) / 1000.0
         self.finish(live, own_answer(live.message, Fault(Kind.SHED), wait_s))
 
