Mesh: servers of the own zone come first while nobody waits there; rounds start again at once

Change: servers of the node's zone get four times their part while their gates say that nobody waits, two times or no more when some do; a keeper's rounds back off from 20 ms.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -36,6 +36,7 @@
 PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
 PEEKS = 20
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
+ROUND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a round is two round trips and two syncs
 PUT_MS, READ_MS = 4_000.0, 3_000.0
 BATCH = 200  # keys in one message of repair
 RETRY_AFTER_S = 0.2
@@ -53,7 +54,7 @@
         first = parts.genesis(self._founders)
         self._seen = first  # the newest decided state that others were told of
         self._acceptor = Acceptor(self._name, kept, self._object_to)
-        self._proposer = Proposer(self._name, first, self._rng)
+        self._proposer = Proposer(self._name, first, self._rng, ROUND_MS, BACK_OFF_MS)
         self._founder = kept.memory == parts.GENESIS
         self._clean = True  # what it keeps is on disk as it is in memory
         self._slips = Slips(boot.bounds.key_window_s)
@@ -198,8 +199,7 @@
         over = self._slips.turn(now)
         if over:
             self._deposit.write([("slips", key.encode("latin-1"), None) for key in over])
-        if self._proposer.due_ms <= now * 1000.0:
-            self._act(self._proposer.tick(now * 1000.0))
+        self._turn_proposer()
         undecided = self._acceptor.kept.value is not None and (
             self._acceptor.kept.value.version > self._known.version
         )
@@ -399,6 +399,19 @@
                 if told is not None:
                     told(action)
 
+    def _turn_proposer(self) -> None:
+        """Go on with what is due, and be back when the next is."""
+        now = self._loop.time()
+        if self._proposer.due_ms <= now * 1000.0:
+            self._act(self._proposer.tick(now * 1000.0))
+        wait_s = self._proposer.due_ms / 1000.0 - now
+        if wait_s < TICK_S:
+            self._loop.call_later(max(0.002, wait_s), self._turn_proposer_once)
+
+    def _turn_proposer_once(self) -> None:
+        if self._proposer.due_ms <= self._loop.time() * 1000.0:
+            self._act(self._proposer.tick(self._loop.time() * 1000.0))
+
     def _vote_myself(self, message: Any) -> None:
         self._vote(
             self._name,
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -194,8 +194,8 @@
             tier = self._tiers.get(name)
             if tier is None:
                 tier = self._tiers[name] = Tier(
-                    name, self._boot.service, self._boot.bounds, self._loop, self._alarms, self._hops,
-                    self._number,
+                    name, self._boot.service, self._boot.zone, self._boot.bounds, self._loop, self._alarms,
+                    self._hops, self._number,
                 )  # fmt: skip
                 tier.servers(self._members)
                 tier.members(len(self._members))
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -1,8 +1,8 @@
 """One service as a node sees it: its servers, the decision module for it, and the attempts on their way.
 
 The module decides server, retry and refusal (`nickelbridge`); this turns what happens on lines into its
-events and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest by a
-backstop at its deadline.
+events and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest
+by a backstop at its deadline.
 """
 
 from __future__ import annotations
@@ -49,6 +49,11 @@
 SLACK_SHARE = 0.4  # of the slack, over all nodes
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
 TARGET_SHARE = 0.6  # tau0 of the aim: the gates hold requests for a part of it already
+# By how many wait before servers of this zone: how much more of their part they are given. Bytes between
+# zones are dear, waiting is dearer.
+PULLS = ((0.02, 4.0), (0.1, 2.0), (math.inf, 1.0))
+CROWD_SAMPLES = 20.0  # answers over which that is averaged
+PULL_MS = 2_000.0  # the least time before more is given again
 COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start; its gate spares it besides
 PATIENCE_SHARES = (0.75, 0.75, 0.24)  # of the aim, by rank: how long a gate may hold a request for room
 LATE_WORTH = 0.3
@@ -152,6 +157,8 @@
         flow = self.message.flow
         spent = flow is not None and (flow.spent or flow.over)
         report = said.report if said is not None else None
+        if report is not None:
+            tier.crowd(self.server, report["queue"])
         tier.handle(
             api.AttemptEnded(
                 live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
@@ -166,17 +173,12 @@
     """One service."""
 
     def __init__(
-        self, name: str, caller: str, bounds: Bounds, loop: asyncio.AbstractEventLoop, alarms: Alarms,
-        lines: Lines, numbers: Callable[[str], int],
+        self, name: str, caller: str, zone: str, bounds: Bounds, loop: asyncio.AbstractEventLoop,
+        alarms: Alarms, lines: Lines, numbers: Callable[[str], int],
     ) -> None:  # fmt: skip
-        self.name, self.caller = name, caller.encode("latin-1")
-        self._bounds, self._loop, self._alarms, self._lines, self._numbers = (
-            bounds,
-            loop,
-            alarms,
-            lines,
-            numbers,
-        )
+        self.name, self.caller, self._zone = name, caller.encode("latin-1"), zone
+        self._bounds, self._loop, self._alarms = bounds, loop, alarms
+        self._lines, self._numbers = lines, numbers
         self._rng = random.Random()
         self._classes: dict[str, api.RequestClass] = {}
         self._attempts, self._members = 1, 1
@@ -191,6 +193,8 @@
         self._entries: dict[int, api.ServerEntry] = {}
         self._nested = Nested()
         self.turned_away_ms = -math.inf  # when a request was last given up that had not run
+        self._near: dict[int, bool] = {}
+        self._pull, self._pulled_ms, self._waiting = PULLS[0][1], -math.inf, 0.0
         self._cold: dict[int, float] = {}  # until when
 
     # What the tier is told
@@ -231,6 +235,7 @@
         now = now_ms()
         entries: dict[int, api.ServerEntry] = {}
         targets: dict[int, tuple[str, Address]] = {}
+        near: dict[int, bool] = {}
         for record in records.values():
             server = record.server
             if server is None or server.service != self.name or server.state not in (IN_SERVICE, DRAINING):
@@ -239,13 +244,14 @@
             if number not in self._entries and server.cold_left_ms > 0:
                 self._cold[number] = now + server.cold_left_ms
                 self._loop.call_later(server.cold_left_ms / 1000.0 + 0.01, self._warmed, number)
-            share = COLD_SHARE if number in self._cold else 1.0
+            near[number] = server.zone == self._zone
+            share = self._share(number, near[number])
             health = api.Health.IN_SERVICE if server.state == IN_SERVICE else api.Health.DRAINING
             entries[number] = api.ServerEntry(number, server.zone, health=health, share=share)
             targets[number] = (server.id, (record.ip, record.inbound))
         changes = [entry for number, entry in entries.items() if self._entries.get(number) != entry]
         gone = [number for number in self._entries if number not in entries]
-        self._entries, self._targets = entries, targets
+        self._entries, self._targets, self._near = entries, targets, near
         self._ready = {n for n, entry in entries.items() if entry.health is api.Health.IN_SERVICE}
         for number in gone:
             self._cold.pop(number, None)
@@ -257,8 +263,31 @@
     def _warmed(self, number: int) -> None:
         entry = self._entries.get(number)
         if self._cold.pop(number, None) is not None and entry is not None:
-            self._entries[number] = dataclasses.replace(entry, share=1.0)
-            self.handle(api.ServerList(api.ListKind.CHANGES, 0, [self._entries[number]]))
+            self._reshare()
+
+    def _share(self, number: int, near: bool) -> float:
+        return (COLD_SHARE if number in self._cold else 1.0) * (self._pull if near else 1.0)
+
+    def _reshare(self) -> None:
+        """Tell the module of servers whose part has changed."""
+        changes = []
+        for number, entry in self._entries.items():
+            share = self._share(number, self._near[number])
+            if entry.share != share:
+                self._entries[number] = dataclasses.replace(entry, share=share)
+                changes.append(self._entries[number])
+        if changes:
+            self.handle(api.ServerList(api.ListKind.CHANGES, 0, changes))
+
+    def crowd(self, number: int, waiting: float) -> None:
+        """How many wait before a server: while none does in this zone, it is the one that is used most."""
+        if not self._near.get(number):
+            return
+        self._waiting += (waiting - self._waiting) / CROWD_SAMPLES
+        pull = next(p for most, p in PULLS if self._waiting <= most)
+        if pull < self._pull or (pull > self._pull and now_ms() > self._pulled_ms + PULL_MS):
+            self._pull, self._pulled_ms = pull, now_ms()
+            self._reshare()
 
     def serves(self, number: int) -> bool:
         """Whether a server may be sent to."""
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -213,8 +213,12 @@
 class Proposer:
     """One node's half that asks for changes, one at a time."""
 
-    def __init__(self, name: str, first: Value, rng: random.Random) -> None:
+    def __init__(
+        self, name: str, first: Value, rng: random.Random, round_ms: float = ROUND_MS,
+        back_off_ms: float = BACK_OFF_MS,
+    ) -> None:  # fmt: skip
         """`first`: the state that the register begins with, the same at all; its voters are asked first."""
+        self._round_ms, self._back_off_ms = round_ms, back_off_ms
         self.name, self.known, self._first, self._rng = name, first, first, rng
         self._counter = 0  # of the highest ballot seen
         self._waiting: list[_Asked] = []
@@ -228,7 +232,7 @@
         if not self._waiting:
             return float("inf")
         if self._round is not None:
-            return self._round.began_ms + ROUND_MS
+            return self._round.began_ms + self._round_ms
         return self._again_ms
 
     def ask(self, id: str, change: Change, now: float, for_ms: float, intent: Any = None) -> list[Action]:
@@ -248,7 +252,7 @@
             self._round = None
         if not self._waiting:
             return []
-        if self._round is not None and now < self._round.began_ms + ROUND_MS:
+        if self._round is not None and now < self._round.began_ms + self._round_ms:
             return []
         if self._round is not None:  # no majority answered
             self._put_off(now)
@@ -261,7 +265,7 @@
     def _put_off(self, now: float) -> None:
         self._round = None
         self._tries += 1
-        wait = min(BACK_OFF_MOST_MS, BACK_OFF_MS * 2.0 ** min(self._tries, 10))
+        wait = min(BACK_OFF_MOST_MS, self._back_off_ms * 2.0 ** min(self._tries, 10))
         self._again_ms = now + wait * self._rng.random()
 
     def _prepare(self, voters: Iterable[Voter]) -> list[Action]:
