Keepers: one that was put out learns anew; split keys are nobody's; ballots are of one life

Cause: a simulation of the group in any order of events (tests/mesh/test_group.py, on the keepers' own code) granted one key to two tries: a newcomer that had heard of two holders of a key, one by a minority, granted it to the first it had heard of. By the same means: a keeper that was put out of the group came back as one that had caught up, and a proposer that was started again could use a ballot of its former life for another state, which a peek takes for the same one.

Change: such a key is nobody's until the answer of its run comes; one that was put out forgets on disk that it had caught up before it asks for a place; the names in ballots have a number of the life. A keeper's standing (group.py) and the count of a claim's answers (claims.py) are pure classes, used from archive.py and circulation.py, so that the simulation runs them.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -23,6 +23,7 @@
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
+from athenaeum.group import Standing
 from athenaeum.wire import Link, dial
 from athenaeum.wire import pack as pack_frame
 from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
@@ -49,11 +50,14 @@
         self._rng = random.Random()
         assert boot.data_dir is not None
         self._deposit = Deposit(boot.data_dir, loop)
-        kept, self._caught_up = self._remember()
+        kept, caught_up = self._remember()
+        self._standing = Standing(caught_up)
         first = parts.genesis(self._founders)
         self._seen = first  # the newest decided state that others were told of
         self._acceptor = Acceptor(self._name, kept, self._object_to)
-        self._proposer = Proposer(self._name, first, self._rng)
+        # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
+        life = f"{self._name} {self._rng.randrange(2**53):x}"
+        self._proposer = Proposer(life, first, self._rng)
         self._founder = kept.memory == parts.GENESIS
         self._clean = True  # what it keeps is on disk as it is in memory
         self._slips = Slips(boot.bounds.key_window_s)
@@ -73,9 +77,6 @@
         self._reading = False
         self._peeks: dict[int, tuple[Kept, list[parts.Seen], Callable[[Value | None], None]]] = {}
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
-        self._sources: dict[
-            str, bool
-        ] = {}  # while catching up: keepers that were asked, and whether all came
         self._door = ControlDoor(
             {"/orchidferry/configuration": self._configuration}, max(64, boot.descriptors // 4)
         )
@@ -118,18 +119,9 @@
     def _epoch(self) -> int:
         return parts.body(self._known).epoch
 
-    def _sealed(self) -> int:
-        value = self._acceptor.kept.value
-        return parts.body(value).epoch if value is not None else 0
-
     def _grants(self, epoch: int) -> bool:
         """Whether this keeper may grant keys under an epoch."""
-        return (
-            self._caught_up
-            and self._epoch == epoch
-            and self._sealed() == epoch
-            and self._voter in self._known.voters
-        )
+        return self._standing.grants(epoch, self._voter, self._known, self._acceptor.kept.value)
 
     # Start and end
 
@@ -210,8 +202,7 @@
         elif now - self._accepted_s > LEARN_S * (1.0 + self._rng.random()):
             self._accepted_s = now
             self._read(lambda value: None)
-        if not self._caught_up:
-            self._catch_up()
+        self._catch_up()
 
     # Links
 
@@ -510,6 +501,10 @@
         """Ask for a place, where this keeper has none."""
         if self._voter in self._known.voters:
             return
+        if self._standing.caught_up:  # it missed what was granted without it, and must not say otherwise
+            if self._standing.put_out(self._voter, self._known, self._acceptor.kept.value):
+                self._deposit.write([("about", b"caught", None)], self._put_out)
+            return
         for link in self._peers.values():
             link.send("join", self._name, self._voter.memory)
 
@@ -534,20 +529,19 @@
         change = parts.admit(joiner, instead, len(names))
         self._act(self._proposer.ask(id, change, now * 1000.0, 1_900.0, intent))
 
+    def _put_out(self, done: bool) -> None:
+        if done:
+            logger.info("archive: put out of the group")
+            self._standing = Standing(False)
+
     def _catch_up(self) -> None:
         """A keeper that has forgotten learns all keys from enough others before it grants any."""
-        if self._voter not in self._known.voters or self._sealed() != self._epoch:
-            return
-        for voter in self._known.voters:
-            link = self._peers.get(voter.name)
-            if voter.name not in self._sources and link is not None and link.open:
-                self._sources[voter.name] = False
+        for name in self._standing.to_ask(self._voter, self._known, self._acceptor.kept.value):
+            link = self._peers.get(name)
+            if link is not None and link.open:
+                self._standing.sources[name] = False
                 link.send("slips?", self._epoch)
-                self._loop.call_later(2.0, self._forget_source, voter.name)
-
-    def _forget_source(self, name: str) -> None:
-        if self._sources.get(name) is False:
-            del self._sources[name]
+                self._loop.call_later(2.0, self._standing.forget_source, name)
 
     def _give_slips(self, link: Link, epoch: int) -> None:
         if not self._grants(epoch):
@@ -558,7 +552,7 @@
         link.send("slips", self._name, epoch, [], True)
 
     def _take_slips(self, name: str, epoch: int, rows: list[Any], last: bool) -> None:
-        if self._caught_up or epoch != self._epoch:
+        if self._standing.caught_up or epoch != self._epoch:
             return
         puts: list[Put] = []
         for key, packed in rows:
@@ -567,22 +561,22 @@
 
         def told(done: bool) -> None:
             if not done:
-                return self._forget_source(name)
+                return self._standing.forget_source(name)
             if last:
-                self._sources[name] = True
+                self._standing.sources[name] = True
                 self._see_whether_caught_up()
 
         self._deposit.write(puts or [("about", b"catching", b"1")], told)
 
     def _see_whether_caught_up(self) -> None:
-        heard = sum(self._sources.values())
-        if self._caught_up or heard < parts.sources_needed(len(self._known.voters)):
+        standing = self._standing
+        if not standing.enough(self._known):
             return
 
         def told(done: bool) -> None:
             if done:
-                self._caught_up = True
-                logger.info("archive: caught up, {} keys from {} keepers", len(self._slips.slips), heard)
+                standing.caught_up = True
+                logger.info("archive: caught up with {} keys", len(self._slips.slips))
             else:
                 self._loop.call_later(0.5, self._see_whether_caught_up)
 
--- a/athenaeum/callslips.py
+++ b/athenaeum/callslips.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 SHELF_S = 20.0
+NOBODY = ""  # holds a key that keepers gave to more than one try
 MOST = 200_000  # keys at once; beyond these none is granted
 
 
@@ -69,8 +70,12 @@
         holder, shelf, answer = packed
         self.shelf = max(self.shelf, shelf)
         had = self.slips.get(key)
-        if had is not None and (had.holder != holder or had.answer is not None or answer is None):
+        if had is not None and had.answer is not None:
             return
+        if had is not None and answer is None:
+            if had.holder == holder:
+                return
+            holder = NOBODY  # one of the two may have run, and which one is not to be told from here
         self._put(key, Slip(holder, self.shelf, answer))
 
     def _put(self, key: str, slip: Slip) -> None:
@@ -98,9 +103,9 @@
             slip = Slip(holder, self.shelf, answer)
             self._put(key, slip)
             return slip
-        if had.holder != holder or had.answer is not None:
+        if had.holder not in (holder, NOBODY) or had.answer is not None:
             return None
-        had.answer = answer
+        had.holder, had.answer = holder, answer
         return had
 
     def drop(self, key: str, holder: str) -> bool:
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -9,13 +9,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
 
 from athenaeum.accessions import Record, View, unpack
 from athenaeum.boot import Boot
+from athenaeum.claims import Count
 from athenaeum.wire import Link, dial
 
 RENEW_S = 0.5
@@ -46,12 +47,9 @@
     key: str
     holder: str
     told: Callable[[str, Any], None]
-    epoch: int
+    count: Count
     until_s: float
     again_s: float
-    yours: set[str] = field(default_factory=set)
-    held: set[str] = field(default_factory=set)
-    asked: set[str] = field(default_factory=set)
 
 
 class Circulation:
@@ -205,7 +203,7 @@
         for name in group[:KEEPERS_MOST]:
             self._keepers.setdefault(name, Keeper(name))
         for claim in self._claims.values():
-            claim.epoch, claim.yours, claim.held, claim.asked = epoch, set(), set(), set()
+            claim.count.anew(epoch, group)
             self._ask_claim(claim)
 
     # Members
@@ -259,7 +257,7 @@
         """
         now = self._loop.time()
         self._rid += 1
-        claim = Claim(self._rid, key, holder, told, self.epoch, now + for_s, now)
+        claim = Claim(self._rid, key, holder, told, Count(self.epoch, self.group), now + for_s, now)
         self._claims[claim.rid] = claim
         self._ask_claim(claim)
 
@@ -267,33 +265,24 @@
         claim.again_s = self._loop.time() + CLAIM_AGAIN_S
         for name in self.group:
             keeper = self._keepers.get(name)
-            if keeper is not None and name not in claim.yours and name not in claim.held:
+            if keeper is not None and claim.count.open(name):
                 self._send_claim(claim, keeper)
 
     def _send_claim(self, claim: Claim, keeper: Keeper) -> None:
         if keeper.link is not None and keeper.name in self.group:
-            claim.asked.add(keeper.name)
-            keeper.link.send("claim", claim.rid, claim.epoch, claim.key, claim.holder)
+            keeper.link.send("claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
 
     def _slip(self, keeper: Keeper, rid: int, epoch: int, what: str, answer: Any) -> None:
         claim = self._claims.get(rid)
-        if claim is None or epoch != claim.epoch or keeper.name not in self.group:
+        if claim is None:
             return
-        if what == "held":
-            claim.held.add(keeper.name)
-            if answer is not None:
-                return self._end_claim(claim, "held", answer)
-        elif what == "yours":
-            claim.yours.add(keeper.name)
-        half = len(self.group) / 2.0
-        if len(claim.yours) > half:
-            self._end_claim(claim, "yours", None)
-        elif len(claim.held) > half or (claim.held and len(claim.held | claim.yours) == len(self.group)):
-            self._end_claim(claim, "held", None)
+        end = claim.count.hear(keeper.name, epoch, what, answer)
+        if end:
+            self._end_claim(claim, end, answer if end == "held" else None)
 
     def _end_claim(self, claim: Claim, what: str, answer: Any) -> None:
         del self._claims[claim.rid]
-        if what == "none" and claim.held:
+        if what == "none" and claim.count.held:
             what = "held"
         if what != "yours":
             self.drop(claim.key, claim.holder)
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -1,8 +1,8 @@
 """One service as a node sees it: its servers, the decision module for it, and the attempts on their way.
 
 The module decides server, retry and refusal (`nickelbridge`); this turns what happens on lines into its
-events and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest by a
-backstop at its deadline.
+events and does what it answers, one event at a time. Every request taken is ended exactly once, at the latest
+by a backstop at its deadline.
 """
 
 from __future__ import annotations
