Lines: a surplus answer that ends with its line, and an interim one, are not the answer; tests

An answer with another request's id and no length, ended by the close of its line, was given to the request that waited (it was skipped only where it had a length). Seal, id and headers of an interim answer counted for the one after it. A settings file with a list in the place of a table, a port of odd digits, and a beat with an infinite or deeply nested number ended in an exception that is none of the module's own.

Change: such an answer is a reset; an interim answer's words are dropped; settings name the field; such a beat is a 400. tests/mesh holds slow models of keys, leases, views and the route table, tables of what is refused, gate and tier in any order of events on a loop whose time is moved by hand, and the doctests.

--- a/athenaeum/boot.py
+++ b/athenaeum/boot.py
@@ -61,7 +61,7 @@
 def address(text: Any, field: str) -> Address:
     """`10.0.0.1:80` as host and port; `BadBoot` names the field."""
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise BadBoot(f"{field}: {text!r} is no address")
     return host, int(port)
 
@@ -73,6 +73,13 @@
     return value
 
 
+def _part(table: dict[str, Any], name: str, where: str) -> dict[str, Any]:
+    value = table.get(name, {})
+    if not isinstance(value, dict):
+        raise BadBoot(f"{where}{name}: {value!r} is no table")
+    return value
+
+
 def _number(table: dict[str, Any], name: str, default: float, where: str) -> float:
     value = table.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
@@ -96,7 +103,8 @@
     """A settings file's tables as typed values."""
     node, network = _table(data, "own_node"), _table(data, "network")
     terms = _table(data, "term_settings")
-    bounds, limits = terms.get("bound_set", {}), node.get("limit_set", {})
+    bounds, limits = _part(terms, "bound_set", "term_settings."), _part(node, "limit_set", "own_node.")
+    losses = _part(terms, "tolerance", "term_settings.")
     for name in ("node_name", "ip", "zone"):
         if not isinstance(node.get(name), str) or not node[name]:
             raise BadBoot(f"own_node.{name}: a text is needed")
@@ -105,7 +113,7 @@
         raise BadBoot("network.internal_ports: a list of ports is needed")
     if not isinstance(seeds, list):
         raise BadBoot("network.seed_nodes: a list of addresses is needed")
-    points = network.get("listen_points", {})
+    points = _part(network, "listen_points", "network.")
     application = node.get("application")
     return Boot(
         name=node["node_name"],
@@ -117,11 +125,11 @@
         internal_port=ports[0],
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
         bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
-        beat_ms=_number(data.get("platform_settings", {}), "beat_interval_ms", 1_500, "platform_settings"),
+        beat_ms=_number(_part(data, "platform_settings", ""), "beat_interval_ms", 1_500, "platform_settings"),
         descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
         data_dir=node.get("data_dir"),
         application=address(application, "own_node.application") if application else None,
         service=str(node.get("service_name", "")),
-        machines=int(_number(terms.get("tolerance", {}), "machines", 1, "term_settings.tolerance")),
+        machines=int(_number(losses, "machines", 1, "term_settings.tolerance")),
     )
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -313,5 +313,5 @@
         return server, int(condition["call_sequence"])
     except KeyError as problem:
         return Fault(Kind.INVALID, f"beat: {problem.args[0]} is missing")
-    except (ValueError, TypeError, AttributeError) as problem:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as problem:
         return Fault(Kind.UNREADABLE, f"beat: {problem}")
--- a/athenaeum/lines.py
+++ b/athenaeum/lines.py
@@ -146,6 +146,9 @@
 
     def _start_answer(self) -> None:
         super()._start_answer()
+        self._start_words()
+
+    def _start_words(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._id: bytes | None = None
         self._gate: bytes | None = None
@@ -196,7 +199,10 @@
     def on_message_complete(self) -> None:
         if not self._complete and self._skip and self._status >= 200:
             return self._start_answer()
+        interim = not self._complete and 100 <= self._status < 200
         super().on_message_complete()
+        if interim:  # what it says of itself is not the answer's
+            self._start_words()
         self._keep = self._keep and not self._tainted
 
     def _made(self, body: bytes, flow: Flow | None = None) -> Answer:
@@ -207,7 +213,8 @@
 
     def _judged(self, answer: Answer) -> Result:
         assert isinstance(answer, Said)
-        return judged(answer)
+        # One in the place of the one that is due can also end with the line.
+        return Result.RESET if self._skip else judged(answer)
 
 
 def judged(said: Said) -> Result:
--- /dev/null
+++ b/tests/mesh/test_gate.py
@@ -0,0 +1,153 @@
+"""The gate: who goes in and when, and what is said of whom it turns away."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from athenaeum import gate as module
+from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
+from athenaeum.boot import Bounds
+from athenaeum.gate import Gate, Pass
+from athenaeum.lines import GATE
+from nickelbridge.interface import Result
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import asked, header, rig, said
+
+
+class Scene:
+    """A gate with a server of two slots, and what it answered."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.loop, alarms, self.lines = rig()
+        patch.setattr(module, "now_ms", self.loop.now_ms)
+        self.changes: list[str] = []
+        self.gate = Gate(
+            ("127.0.0.1", 1), Bounds(), 1_000.0, self.loop, alarms, self.lines,
+            lambda: self.changes.append(self.state), lambda: False,
+        )  # fmt: skip
+        self.replies: dict[str, Reply] = {}
+
+    @property
+    def state(self) -> str:
+        return self.gate.server.state if self.gate.server is not None else ""
+
+    def beat(self, sequence: int, state: str = IN_SERVICE, id: str = "i") -> None:
+        assert self.gate.beat(Server(id, "s", "z", state, 1, 0.0), sequence) is None
+
+    def ask(self, id: str, **headers: bytes) -> Pass:
+        def answer(reply: Reply) -> None:
+            assert id not in self.replies
+            self.replies[id] = reply
+
+        return self.gate.accept(asked(id, **headers), answer)
+
+    def word(self, id: str) -> bytes | None:
+        return header(self.replies[id], GATE) if id in self.replies else None
+
+    def inside(self) -> list[str]:
+        return [a.message.id for a in self.lines.sent if not a.over]
+
+
+@pytest.fixture
+def scene(monkeypatch: pytest.MonkeyPatch) -> Scene:
+    return Scene(monkeypatch)
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3), st.booleans()), max_size=8))
+def test_the_held_go_in_by_rank(monkeypatch: pytest.MonkeyPatch, held: list[tuple[int, int, bool]]) -> None:
+    scene = Scene(monkeypatch)
+    scene.beat(1)
+    scene.ask("x")
+    scene.ask("y")
+    wanted = []
+    for n, (rank, patience, gone) in enumerate(held):
+        passing = scene.ask(
+            str(n), orchid_rank=b"%d" % rank, orchid_patience=b"%d" % (100 * patience)
+        )  # fmt: skip
+        if gone:
+            passing.caller_gone()
+        elif patience > 1:
+            wanted.append((rank, n))
+    scene.loop.pass_ms(150.0)
+    late = {str(n) for n, (_, patience, gone) in enumerate(held) if patience <= 1 and not gone}
+    assert {id for id in scene.replies if scene.word(id) == b"unrun"} >= late and scene.inside() == ["x", "y"]
+    for _, n in sorted(wanted):
+        first = next(a for a in scene.lines.sent if not a.over)
+        first.sent_whole()
+        first.end(Result.SERVED, said(id=first.message.id.encode()))
+        assert scene.inside()[-1] == str(n)
+    assert len(scene.inside()) == 2
+
+
+def test_patience_ends_as_not_run(scene: Scene) -> None:
+    scene.beat(1)
+    for id in "abc":
+        scene.ask(id, orchid_patience=b"50")
+    scene.loop.pass_ms(49.0)
+    assert not scene.replies
+    scene.loop.pass_ms(2.0)
+    assert scene.replies.keys() == {"c"}
+    assert (scene.replies["c"].status, scene.word("c")) == (503, b"unrun")
+
+
+def test_a_drained_server_is_reached_for_a_while_only(scene: Scene) -> None:
+    scene.beat(1, DRAINING)
+    scene.loop.pass_ms(1_400.0)
+    scene.beat(2, DRAINING)  # says so again: the time runs from the first
+    scene.ask("a")
+    assert scene.inside() == ["a"]
+    scene.loop.pass_ms(200.0)
+    scene.ask("b")
+    assert scene.word("b") == b"gone"
+
+
+def test_another_life_is_refused(scene: Scene) -> None:
+    scene.beat(1)
+    scene.ask("a", target_instance=b"j")
+    scene.ask("b", target_instance=b"i")
+    assert (scene.word("a"), scene.inside()) == (b"gone", ["b"])
+    scene.ask("c", target_instance=b"i")
+    scene.ask("d", target_instance=b"i", orchid_patience=b"500")
+    scene.beat(1, id="j")  # and what was held for the life before it
+    for attempt in list(scene.lines.sent):
+        attempt.end(Result.RESET)
+    assert (scene.word("b"), scene.word("d")) == (b"lost", b"gone")
+
+
+def test_late_beats_change_nothing(scene: Scene) -> None:
+    scene.beat(5, DRAINING)
+    scene.beat(4)
+    scene.beat(5)
+    assert scene.state == DRAINING
+    scene.beat(1, id="j")
+    scene.beat(6)  # the life before it
+    assert scene.gate.server is not None and scene.gate.server.id == "j"
+    scene.gate.end("j")
+    scene.beat(2, id="j")
+    assert scene.state == GONE
+
+
+def test_a_beat_brings_back_what_was_taken_for_gone(scene: Scene) -> None:
+    scene.beat(1)
+    scene.loop.pass_ms(3_600.0)
+    scene.gate.look()
+    scene.ask("a")
+    assert (scene.state, scene.word("a")) == (GONE, b"gone")
+    scene.beat(2)
+    scene.loop.pass_ms(2_000.0)
+    scene.ask("b")
+    assert (scene.state, scene.inside(), scene.changes) == (IN_SERVICE, ["b"], [IN_SERVICE, GONE, IN_SERVICE])
+
+
+def test_what_may_not_run_twice_is_let_run(scene: Scene) -> None:
+    scene.beat(1)
+    for passing in (scene.ask("a", orchid_once=b"1"), scene.ask("b")):
+        assert passing.attempt is not None
+        passing.attempt.sent_whole()
+        passing.caller_gone()
+    assert scene.inside() == ["a"]
+    scene.ask("c", orchid_once=b"1").caller_gone()  # not written yet: it never ran
+    assert scene.inside() == ["a"] and not scene.replies
--- /dev/null
+++ b/tests/mesh/test_lines.py
@@ -0,0 +1,152 @@
+"""Lines to servers: what each answer means, and whose it is, byte by byte."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from athenaeum.lines import Asked, Line, Lines, Said, judged
+from nickelbridge.interface import Result
+from orchidferry.upstream import Answer, Attempt
+from tests.mesh.fakes import asked, rig, said
+
+ANSWERS: dict[str, tuple[Said, Result]] = {
+    "sealed": (said(), Result.SERVED),
+    "no seal": (said(seal=False), Result.ERROR),
+    "encoded": (said(encoded=True), Result.ERROR),
+    "no id": (said(id=None), Result.ERROR),
+    "a refusal of the server's own": (said(404, seal=False), Result.SERVED),
+    "another life's": (said(421, seal=False), Result.MOOT),
+    "another life's, that says so twice": (said(421, seal=False, not_run=True), Result.MOOT),
+    "not executed": (said(503, seal=False, not_run=True), Result.REFUSED),
+    "not executed, without an id": (said(503, id=None, not_run=True), Result.ERROR),
+    "broken": (said(500), Result.ERROR),
+    "the gate: not run": (said(503, gate=b"unrun"), Result.REFUSED),
+    "the gate: gone": (said(503, gate=b"gone"), Result.MOOT),
+    "the gate: lost": (said(502, gate=b"lost"), Result.RESET),
+    "the gate: late": (said(504, gate=b"late"), Result.TIMEOUT),
+    "the gate: a word that isn't known": (said(200, gate=b"fine"), Result.ERROR),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_what_an_answer_means(name: str) -> None:
+    answer, result = ANSWERS[name]
+    assert judged(answer) is result
+
+
+class Transport:
+    """Takes what is written; its socket never has anything unread."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.written, self.closed = sock, b"", False
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.sock
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def abort(self) -> None:
+        self.closed = True
+
+
+class Sent(Attempt):
+    """Notes how it ends."""
+
+    def __init__(self, message: Asked) -> None:
+        super().__init__(message, 1, ("127.0.0.1", 1), 1_000.0)
+        self.ends: list[tuple[Result, Any]] = []
+
+    def head_bytes(self) -> bytes:
+        return b"GET /x/ HTTP/1.1\r\n\r\n"
+
+    def ended(self, result: Result, answer: Answer | None) -> None:
+        self.ends.append((result, answer))
+
+
+class Scene:
+    """A line that carries one attempt, with the id t1."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        loop, alarms, _ = rig()
+        self.lines = Lines(loop, 400.0, 10_000.0, lambda: 9, alarms)
+        transport: Any = Transport(sock)
+        self.transport = transport
+        self.line = Line(self.lines, 1, ("127.0.0.1", 1))
+        self.line.connection_made(self.transport)
+        self.sent = Sent(asked())
+        self.line.carry(self.sent)
+
+    @property
+    def kept(self) -> bool:
+        return not self.transport.closed and bool(self.lines._idle.get(1))
+
+    def end(self) -> tuple[Result, bytes]:
+        [(result, answer)] = self.sent.ends
+        return result, answer.body if answer is not None else b""
+
+
+@pytest.fixture
+def scene() -> Iterator[Scene]:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        yield Scene(ours)
+
+
+def wire(body: bytes, id: bytes = b"t1", more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: x\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        id, more, len(body), body,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+def test_a_surplus_answer_is_nobodys(scene: Scene, step: int) -> None:
+    data = wire(b"other's", b"t0") + wire(b"mine")
+    for at in range(0, len(data), step):
+        scene.line.data_received(data[at : at + step])
+    assert scene.end() == (Result.SERVED, b"mine") and not scene.kept
+
+
+def test_a_surplus_answer_that_ends_with_its_line_is_nobodys(scene: Scene) -> None:
+    scene.line.data_received(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: t0\r\nServer-Seal: x\r\nConnection: close\r\n\r\nother's"
+    )
+    scene.line.connection_lost(None)
+    assert scene.end()[0] is Result.RESET
+
+
+@pytest.mark.parametrize("cut", [1, 30, 60, 80])
+def test_an_answer_cut_short_is_none(scene: Scene, cut: int) -> None:
+    scene.line.data_received(wire(b"a whole answer")[:cut])
+    scene.line.connection_lost(None)
+    assert scene.end() == (Result.RESET, b"")
+
+
+def test_a_line_is_kept_after_a_whole_answer_and_no_more(scene: Scene) -> None:
+    scene.line.data_received(wire(b"mine"))
+    assert scene.end() == (Result.SERVED, b"mine") and scene.kept
+    scene.line.data_received(b"x")
+    assert scene.transport.closed and not scene.kept
+
+
+@pytest.mark.parametrize("extra", [b"x", b"HTTP/1.1 200 OK\r\n", wire(b"other's", b"t0")])
+def test_extra_bytes_end_the_line(scene: Scene, extra: bytes) -> None:
+    scene.line.data_received(wire(b"mine") + extra)
+    assert scene.end() == (Result.SERVED, b"mine") and not scene.kept
+
+
+def test_what_an_interim_answer_says_is_not_the_answers(scene: Scene) -> None:
+    scene.line.data_received(b"HTTP/1.1 103 Early\r\nAttempt-Id: t1\r\nServer-Seal: x\r\nLink: y\r\n\r\n")
+    scene.line.data_received(b"HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nContent-Length: 0\r\n\r\n")
+    [(result, answer)] = scene.sent.ends
+    assert result is Result.ERROR and not answer.seal and not answer.headers
--- /dev/null
+++ b/tests/mesh/test_records.py
@@ -0,0 +1,353 @@
+"""Keys, members, configurations and settings, beside slow plain models and tables of what is refused."""
+
+from __future__ import annotations
+
+import copy
+import doctest
+import importlib
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from athenaeum import folio, parts
+from athenaeum.accessions import LEASE_S, Record, Register, View
+from athenaeum.boot import BadBoot, check_boot
+from athenaeum.callslips import SHELF_S, Granted, Held, Slips
+from athenaeum.carrel import read_beat
+from athenaeum.faults import Fault, Kind
+from nickelbridge.nested import TARGET, Nested
+
+MODULES = [
+    f"athenaeum.{name}"
+    for name in (
+        "accessions", "archive", "boot", "callslips", "carrel", "circulation", "claims", "deposit", "doors",
+        "faults", "folio", "gate", "group", "lines", "parts", "tier", "wire",
+    )
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("name", [*MODULES, "nickelbridge.nested"])
+def test_examples_in_docstrings(name: str) -> None:
+    assert doctest.testmod(importlib.import_module(name)).failed == 0
+
+
+# Keys
+
+WINDOW_S = 60.0
+STEPS = st.tuples(
+    st.sampled_from(("claim", "claim", "done", "drop", "turn", "turn", "restart")),
+    st.sampled_from("xy"), st.sampled_from(("t1", "t2", "t3")), st.floats(0.0, 19.0),
+)  # fmt: skip
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(STEPS, max_size=80))
+def test_slips(steps: list[tuple[str, str, str, float]]) -> None:
+    slips, now = Slips(WINDOW_S), 1_000.0
+    slips.turn(now)
+    model: dict[str, tuple[str, str | None, float]] = {}  # holder, answer, since when
+    lives = 0
+    for what, key, holder, passed in steps:
+        had = model.get(key)
+        if what == "claim":
+            outcome, written = slips.claim(key, holder)
+            if had is None:
+                model[key] = (holder, None, now)
+            mine = had is None or had[0] == holder
+            assert outcome == (Granted() if mine else Held(*model[key][:2]))
+            assert (written is not None) is (had is None)
+        elif what == "done":
+            slip = slips.done(key, holder, f"by {holder}")
+            new = had is None or (had[0] == holder and had[1] is None)
+            assert (slip is not None) is new
+            if new:
+                model[key] = (holder, f"by {holder}", now if had is None else had[2])
+        elif what == "drop":
+            gone = had is not None and had[:2] == (holder, None)
+            assert slips.drop(key, holder) is gone
+            if gone:
+                del model[key]
+        elif what == "turn":
+            now += passed
+            for over in slips.turn(now):
+                assert now - model.pop(over)[2] >= WINDOW_S
+            for _, _, since in model.values():
+                assert now - since <= WINDOW_S + (4 + lives) * SHELF_S + 20.0
+        else:
+            lives += 1
+            disk = {key: slip.packed() for key, slip in slips.slips.items()}
+            slips = Slips(WINDOW_S)
+            for key, packed in disk.items():
+                slips.load(key, packed)
+            slips.turn(now)
+        assert {k: (s.holder, s.answer) for k, s in slips.slips.items()} == {
+            k: entry[:2] for k, entry in model.items()
+        }
+
+
+# Members
+
+
+def record(name: str, boot: int, number: int) -> Record:
+    return Record(name, boot, number, "z", "10.0.0.1", 1, None)
+
+
+NEWS = st.tuples(
+    st.booleans(), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 3), st.floats(0.0, 1.5)
+)  # fmt: skip
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(NEWS, max_size=30))
+def test_leases(news: list[tuple[bool, str, int, int, float]]) -> None:
+    register, now = Register(), 100.0
+    told: list[tuple[float, Record]] = []  # all that counted, the newest last
+    for whole, name, boot, number, passed in news:
+        now += passed
+        before = {r.name for r in register.records()}
+        gone = register.lapse(now)
+        live = {r.name: r for at, r in told if at + LEASE_S > now}
+        assert set(gone) == before - live.keys()
+        had, new = live.get(name), record(name, boot, number)
+        if whole:
+            older = had is not None and had.boot == boot and had.number > number
+            assert register.hear(new, now) is (not older and had != new)
+            if not older:
+                told.append((now, new))
+        else:
+            assert register.renew(name, boot, number, now) is (had == new)
+            if had == new:
+                told.append((now, new))
+        live = {r.name: r for at, r in told if at + LEASE_S > now}
+        assert {r.name: r for r in register.records()} == live
+
+
+TOLD = st.tuples(
+    st.sampled_from("kl"), st.booleans(), st.sampled_from("ab"), st.integers(0, 3), st.booleans()
+)
+
+
+@given(st.lists(TOLD, max_size=20), st.sets(st.sampled_from("kl")))
+def test_a_node_is_a_member_while_any_keeper_says_so(
+    news: list[tuple[str, bool, str, int, bool]], heard: set[str]
+) -> None:
+    view = View()
+    model: list[tuple[str, Record]] = []  # what keepers say now
+    for keeper, whole, name, number, gone in news:
+        new = record(name, 1, number)
+        model = [(k, r) for k, r in model if k != keeper or (r.name != name and not whole)]
+        if whole:
+            view.whole(keeper, [new])
+        else:
+            view.change(keeper, [] if gone else [new], [name] if gone else [])
+        if whole or not gone:
+            model.append((keeper, new))
+    counted = [r for k, r in model if not heard or k in heard]
+    wanted = {name: record(name, 1, max(r.number for r in counted if r.name == name)) for name in
+              {r.name for r in counted}}  # fmt: skip
+    assert view.members(heard) == wanted
+
+
+# Configurations
+
+
+def rule(n: int = 0, **treatment: Any) -> dict[str, Any]:
+    return {
+        "identifier": f"r{n}", "route_type": "keyed", "target_ms": 300, "precedence": 1,
+        "criteria": {"path_prefix": f"/p{n}/"},
+        "treatment": {"service_name": "s", "guard_timer_ms": 2_000, "max_attempts": 2, **treatment},
+    }  # fmt: skip
+
+
+def example() -> dict[str, Any]:
+    split = [{"service_name": "s", "share": 90}, {"service_name": "t", "share": 10}]
+    return {
+        "revision_number": 7, "limit_set": {"idle_timer_ms": 15_000}, "service_table": [],
+        "access_points": [{"host_name": "H.example", "rule_set": [rule(0), rule(1, weighted_split=split)]}],
+        "trunk_groups": [
+            {"identifier": "s", "health_path": "/up", "max_connections": 110, "protocol": "h1", "tls": False,
+             "deduplicates": True},
+            {"identifier": "t"},
+        ],
+    }  # fmt: skip
+
+
+def test_a_valid_configuration_is_taken_whole() -> None:
+    raw = json.dumps(example()).encode()
+    found = folio.check(raw)
+    assert found == folio.parse(raw) and isinstance(found, folio.Folio)
+    first, second = found.routes
+    assert first == folio.Route(
+        "r0", "H.example", "/p0/", "keyed", 300.0, 1, 2_000.0, 2, (("s", 1.0),)
+    )  # fmt: skip
+    assert second.split == (("s", 90.0), ("t", 10.0)) and not second.repeatable
+    assert found.services == {
+        "s": folio.Service("s", "/up", 110, True), "t": folio.Service("t"),
+    }  # fmt: skip
+    assert (found.revision, found.limits) == (7, {"idle_timer_ms": 15_000.0})
+
+
+def spoil(path: str, value: Any) -> Callable[[dict[str, Any]], None]:
+    def change(data: Any) -> None:
+        *way, last = [int(part) if part.isdigit() else part for part in path.split("/")]
+        for part in way:
+            data = data[part]
+        data[last] = value
+
+    return change
+
+
+FIRST, TREATMENT = "access_points/0/rule_set/0", "access_points/0/rule_set/0/treatment"
+SPOILT = [
+    (f"{TREATMENT}/service_name", "u", "service u"),
+    (f"{TREATMENT}/max_attempts", 0, "max_attempts"),
+    (f"{TREATMENT}/max_attempts", 1e400, "max_attempts"),
+    (f"{TREATMENT}/weighted_split", [{"service_name": "s", "share": 0}], "weighted_split"),
+    (f"{TREATMENT}/weighted_split", [{"service_name": "u", "share": 1}], "service u"),
+    (f"{FIRST}/route_type", "odd", "route_type"),
+    (f"{FIRST}/criteria/path_prefix", "/p1/", "/p1/ is there twice"),
+    (f"{FIRST}/criteria/path_prefix", "p0/", "path_prefix"),
+    (f"{FIRST}/target_ms", 62_000, "target_ms"),
+    (f"{FIRST}/target_ms", float("nan"), "target_ms"),
+    (f"{FIRST}/treatment", {"service_name": "s", "max_attempts": 1}, "guard_timer_ms"),
+    (f"{FIRST}/treatment", {"guard_timer_ms": 1, "max_attempts": 1}, "service_name"),
+    ("revision_number", "7", "revision_number"),
+    ("revision_number", 0, "revision_number"),
+    ("access_points", {}, "access_points"),
+    ("trunk_groups/0", 3, "trunk_groups"),
+]
+
+
+@pytest.mark.parametrize(("path", "value", "named"), SPOILT)
+def test_an_invalid_configuration_is_refused(path: str, value: Any, named: str) -> None:
+    data = copy.deepcopy(example())
+    spoil(path, value)(data)
+    found = folio.check(json.dumps(data).encode())
+    assert isinstance(found, Fault) and found.status == 400
+    assert named in found.line and "\n" not in found.line
+
+
+@pytest.mark.parametrize("raw", [json.dumps(example()).encode()[:-9], b"", b"[]", b"\xff", b"[" * 100_000])
+def test_what_is_no_configuration_is_refused(raw: bytes) -> None:
+    found = folio.check(raw)
+    assert isinstance(found, Fault) and found.status == 400
+
+
+def test_a_configuration_goes_on_top_of_the_current_one_only() -> None:
+    first = parts.genesis(("a", "b", "c"))
+    taken = parts.put(b"x", 5, b"X", 0)(first)
+    assert not isinstance(taken, str) and parts.body(taken).revision == 5
+    assert parts.put(b"x", 5, b"X", 0)(taken) is taken  # asked for again
+    assert parts.put(b"y", 6, b"Y", 0)(taken) == parts.OTHER_VERSION
+    assert parts.put(b"y", 5, b"Y", 5)(taken) == parts.put(b"y", 4, b"Y", 5)(taken) == parts.OLD_VERSION
+
+
+PATHS = st.text("ab/", max_size=8).map(lambda text: "/" + text)
+
+
+@given(st.sets(PATHS.map(lambda path: path if path.endswith("/") else path + "/"), max_size=6), PATHS)
+def test_the_longest_prefix_wins(prefixes: set[str], path: str) -> None:
+    routes = [folio.Route(p, "Host", p, "keyed", 1, 0, 1, 1, (("s", 1),)) for p in prefixes]
+    found = folio.Table(routes).find("hOST:80", path)
+    wanted = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
+    assert (found.id if found is not None else None) == wanted
+    assert folio.Table(routes).find("other", path) is None
+
+
+def test_a_long_configuration() -> None:
+    data = example()
+    data["access_points"][0]["rule_set"] = [rule(n) for n in range(400)]
+    found = folio.check(json.dumps(data).encode())
+    assert isinstance(found, folio.Folio) and len(found.routes) == 400
+    route = folio.Table(found.routes).find("h.example", "/p399/x/y")
+    assert route is not None and route.id == "r399"
+
+
+# Settings and beats
+
+BOOT: dict[str, Any] = {
+    "own_node": {"node_name": "n", "ip": "10.0.0.1", "zone": "z", "data_dir": "d", "limit_set": {"odd": 1}},
+    "network": {
+        "internal_ports": [7_000], "seed_nodes": ["10.0.0.2:7000", "10.0.0.2:7001"],
+        "listen_points": {"control": "10.0.0.1:80"},
+    },
+    "term_settings": {"bound_set": {"drain_ms": 1_500, "odd": "x"}, "tolerance": {"machines": 1}},
+    "odd": 3,
+}  # fmt: skip
+
+
+def test_settings_are_read_and_unknown_fields_skipped() -> None:
+    boot = check_boot(BOOT)
+    assert (boot.name, boot.seeds, boot.listen) == ("n", ("10.0.0.2",), {"control": ("10.0.0.1", 80)})
+    assert (boot.bounds.drain_ms, boot.bounds.key_window_s, boot.descriptors) == (1_500.0, 60.0, 1_024)
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("own_node", 3), ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
+    ("own_node/application", "10.0.0.1"), ("own_node/limit_set", []), ("own_node/limit_set/memory_mb", "x"),
+    ("network/internal_ports", []), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
+    ("network/listen_points", []), ("network/listen_points/control", "10.0.0.1:²"),
+    ("network/listen_points/control", "10.0.0.1:70000"), ("term_settings/bound_set", [1]),
+    ("term_settings/bound_set/drain_ms", True), ("term_settings/bound_set/drain_ms", float("nan")),
+    ("term_settings/tolerance", "x"), ("platform_settings", 4),
+])  # fmt: skip
+def test_bad_settings_are_named_in_one_line(path: str, value: Any) -> None:
+    data = copy.deepcopy(BOOT)
+    spoil(path, value)(data)
+    with pytest.raises(BadBoot) as problem:
+        check_boot(data)
+    assert path.replace("/", ".") in str(problem.value) and "\n" not in str(problem.value)
+
+
+BEAT = {
+    "information": {"service_name": "s", "capacity": 4, "odd": 1},
+    "condition": {"state": "draining", "call_sequence": 9, "odd": {}}, "odd": [],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("path", "value", "named"), [
+    ("condition/state", "gone", "condition.state"), ("condition/call_sequence", None, ""),
+    ("condition/call_sequence", 1e400, ""), ("information/capacity", "x", "'x'"), ("information", [], ""),
+    ("information", {"capacity": 1}, "service_name"), ("condition", {"state": "draining"}, "call_sequence"),
+])  # fmt: skip
+def test_bad_beats(path: str, value: Any, named: str) -> None:
+    server = read_beat("i", json.dumps(BEAT).encode())
+    assert not isinstance(server, Fault) and (server[0].capacity, server[1]) == (4, 9)
+    data = copy.deepcopy(BEAT)
+    spoil(path, value)(data)
+    for raw in (json.dumps(data).encode(), b"{", b"[]", b"[" * 100_000):
+        found = read_beat("i", raw)
+        assert isinstance(found, Fault) and found.kind in (Kind.INVALID, Kind.UNREADABLE)
+        assert named in found.line or raw[:1] != b"{" or raw == b"{"
+
+
+# Parents of calls that are turned away
+
+
+@pytest.mark.parametrize("capacity", [40.0, 100.0, 1_000.0])
+def test_parents_are_shed_to_near_the_target(capacity: float) -> None:
+    """200 a second, each with two calls below, which has room for so many a second."""
+    nested, now, admitted, failed, due, owed = Nested(), 0.0, 0.0, 0.0, 0.0, 0.0
+    for step in range(400):
+        now += 100.0
+        first = 20.0 * (1.0 - nested.shed("parents", now))
+        share = 1.0 - min(1.0, capacity / 10.0 / (2.0 * first)) ** 2
+        due += first
+        while due >= 1.0:  # evenly mixed
+            due -= 1.0
+            owed += share
+            nested.outcome("parents", owed >= 1.0, now)
+            owed -= owed >= 1.0
+            nested.outcome("others", False, now)
+        if step >= 200:
+            admitted, failed = admitted + first, failed + first * share
+    if capacity < 400.0:
+        assert abs(failed / admitted - TARGET) < 0.03 and nested.shed("parents", now) > 0.3
+    else:
+        assert nested.shed("parents", now) == 0.0
+    assert nested.shed("others", now) == 0.0
+    assert nested.shed("parents", now + 20_000.0) < 0.01
--- /dev/null
+++ b/tests/mesh/test_tier.py
@@ -0,0 +1,172 @@
+"""A tier: for any order of what happens on lines, each request is answered once, and as what it is."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from athenaeum import tier as module
+from athenaeum.accessions import DRAINING, IN_SERVICE, Record, Server
+from athenaeum.boot import Bounds
+from athenaeum.folio import Route
+from athenaeum.lines import Said
+from athenaeum.tier import NEVER_RAN, Live, Tier
+from nickelbridge.interface import Result
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import asked, rig, route, said
+
+
+class Taken:
+    """A request, and what came of it."""
+
+    def __init__(self, scene: Scene, route: Route) -> None:
+        self.route, self.id = route, f"t{len(scene.taken)}"
+        self.replies: list[Reply] = []
+        self.ends: list[tuple[Said | None, bool]] = []
+        self.gone = False
+        scene.taken[self.id] = self
+        loop = scene.loop
+        self.live: Live = scene.tier.take(
+            asked(self.id), route, loop.now_ms() + 1_000.0, self.replies.append,
+            lambda said, ran: self.ends.append((said, ran)),
+        )  # fmt: skip
+
+
+class Scene:
+    """A tier of three servers."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, *routes: Route) -> None:
+        self.loop, alarms, self.lines = rig()
+        patch.setattr(module, "now_ms", self.loop.now_ms)
+        self.tier = Tier("s", "me", Bounds(), self.loop, alarms, self.lines, int)
+        self.taken: dict[str, Taken] = {}
+        self.servers("1", "2", "3")
+        self.tier.configure(list(routes))
+
+    def servers(self, *ids: str, state: str = IN_SERVICE) -> None:
+        self.tier.servers({
+            id: Record(id, 1, 1, "z", "127.0.0.1", 1, Server(id, "s", "z", state, 4, 0.0)) for id in ids
+        })  # fmt: skip
+
+    def out(self) -> list[Any]:
+        return [attempt for attempt in self.lines.sent if not attempt.over]
+
+    def of(self, id: str) -> list[Any]:
+        return [attempt for attempt in self.lines.sent if attempt.message.id == id]
+
+
+WRITTEN = (Result.SERVED, Result.ERROR, Result.REFUSED, Result.MOOT, Result.RESET, Result.TIMEOUT)
+
+
+def an_answer(result: Result, id: str, dice: float) -> Said | None:
+    if result is Result.SERVED:
+        return said(id=id.encode())
+    if result is Result.ERROR:
+        below = dice < 0.3
+        return said(500, id.encode(), below=below) if dice < 0.6 else None if dice < 0.8 else said(id=None)
+    return said(503, id.encode(), gate=b"unrun") if result is Result.REFUSED else None
+
+
+class Watch:
+    """Checks every send and answer against what has happened to the attempts of its request."""
+
+    def __init__(self, scene: Scene) -> None:
+        self.scene, self.may_have_run, self.sent = scene, set[str](), 0
+
+    def look(self) -> None:
+        for attempt in self.scene.lines.sent[self.sent :]:
+            assert attempt.message.id not in self.may_have_run, "sent again, though it may have run"
+        self.sent = len(self.scene.lines.sent)
+        for id, taken in self.scene.taken.items():
+            assert len(taken.replies) <= 1 and len(taken.ends) <= 1
+            assert len(self.scene.of(id)) <= taken.route.attempts
+            if taken.replies and taken.replies[0].status in (503, 429):
+                assert id not in self.may_have_run and not any(
+                    a.written and not a.over for a in self.scene.of(id)
+                )
+
+    def end(self, attempt: Any, result: Result, answer: Said | None) -> None:
+        taken = self.scene.taken[attempt.message.id]
+        if result not in NEVER_RAN and not taken.route.repeatable:
+            self.may_have_run.add(taken.id)
+        attempt.end(result, answer)
+
+
+@settings(max_examples=100, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.integers(0, 2**40))
+def test_any_order_of_outcomes(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    rng = random.Random(seed)
+    kinds = [route("idempotent", 3), route("non_idempotent", 2), route("keyed", 1)]
+    scene = Scene(monkeypatch, *kinds)
+    watch = Watch(scene)
+    for _ in range(120):
+        dice, out = rng.random(), scene.out()
+        if dice < 0.25:
+            Taken(scene, rng.choice(kinds))
+        elif dice < 0.85 and out:
+            attempt = rng.choice(out)
+            if not attempt.written and rng.random() < 0.7:
+                attempt.sent_whole()
+            elif not attempt.written:
+                watch.end(attempt, rng.choice((Result.UNREACHABLE, Result.MOOT)), None)
+            else:
+                result = rng.choice(WRITTEN)
+                watch.end(attempt, result, an_answer(result, attempt.message.id, rng.random()))
+        elif dice < 0.92:
+            scene.loop.pass_ms(rng.choice((1.0, 30.0, 300.0)))
+        elif dice < 0.95 and scene.taken:
+            taken = rng.choice(list(scene.taken.values()))
+            taken.gone = True
+            taken.live.caller_gone()
+        else:
+            state = rng.choice((IN_SERVICE, IN_SERVICE, DRAINING))
+            scene.servers(*rng.sample("1234", rng.randrange(4)), state=state)
+        watch.look()
+    scene.loop.pass_ms(3_000.0)
+    for attempt in scene.out():
+        watch.end(attempt, Result.RESET, None)
+    watch.look()
+    assert not scene.tier.live and not scene.tier.out
+    for taken in scene.taken.values():
+        assert len(taken.ends) == 1 and (taken.gone or len(taken.replies) == 1)
+        kept, ran = taken.ends[0]
+        assert ran or kept is None
+        if taken.replies and kept is not None and not taken.gone:
+            assert taken.replies[0].status == kept.status
+
+
+def test_what_was_not_written_is_refused_and_what_was_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch, route("non_idempotent", 2))
+    unwritten, written = (Taken(scene, route("non_idempotent", 2)) for _ in range(2))
+    scene.of(written.id)[0].sent_whole()
+    for attempt in scene.out():
+        attempt.go_on_for(60.0)  # the line says nothing
+    scene.loop.pass_ms(1_001.0)
+    assert [t.replies[0].status for t in (unwritten, written)] == [503, 504]
+    scene.of(written.id)[0].end(Result.SERVED, said(id=written.id.encode()))
+    assert len(written.replies) == 1 and written.ends[0][1]
+
+
+def test_an_error_for_what_is_below_is_not_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch, route())
+    taken = Taken(scene, route())
+    attempt = scene.out()[0]
+    attempt.sent_whole()
+    attempt.end(Result.ERROR, said(500, taken.id.encode(), below=True))
+    scene.loop.pass_ms(900.0)
+    assert len(scene.of(taken.id)) == 1 and [r.status for r in taken.replies] == [500]
+
+
+def test_the_answer_of_a_key_is_heard_though_its_caller_went(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch, route("keyed", 2))
+    taken = Taken(scene, route("keyed", 2))
+    attempt = scene.out()[0]
+    attempt.sent_whole()
+    taken.live.caller_gone()
+    assert not taken.ends and not attempt.over
+    attempt.end(Result.SERVED, said(id=taken.id.encode()))
+    assert [(said and said.status, ran) for said, ran in taken.ends] == [(200, True)] and not taken.replies
