Keepers: a grant is tied to its own record on disk, and repair goes page by page

Cause: a reading of the code showed that a key claimed, given back and claimed anew while its first write waited could be granted before its own record was synced; that a keeper that catches up counted a source though a batch had failed on disk; that a long list of keys broke the link; and that a node could be ready on a version that was only fetched. Change: the grant waits for its own record, repair asks for the next page once the last is on disk, only a read settles a node, a node that has just started has no slack to spend, a refusing disk is logged, an answer it refused is written again.

--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -12,8 +12,10 @@
 from loguru import logger
 
 from athenaeum.boot import BadBoot, Boot, read_boot
+from athenaeum.faults import BadDeposit
 
 ROLES = ("carrel", "archive")
+POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
 GC_THRESHOLDS = (5_000, 20, 20)
 
 
@@ -25,6 +27,17 @@
     return read_boot(path)
 
 
+def check_role(role: str, boot: Boot) -> None:
+    """What a role cannot do without; `BadBoot` names the field."""
+    if role == "archive" and boot.data_dir is None:
+        raise BadBoot("own_node.data_dir: a keeper needs one")
+    if role == "carrel" and boot.application is None:
+        raise BadBoot("own_node.application: a node needs one")
+    for name in POINTS[role]:
+        if name not in boot.listen:
+            raise BadBoot(f"network.listen_points.{name}: this role needs one")
+
+
 async def serve(role: str, boot: Boot) -> None:
     """Run a role until SIGTERM."""
     loop = asyncio.get_running_loop()
@@ -53,13 +66,10 @@
         return 2
     try:
         boot = boot_file()
+        check_role(words[0], boot)
         if words[1:]:
             print(f"{boot.name}: {boot.role} in {boot.zone}, settings can be used")
             return 0
-        if words[0] == "archive" and boot.data_dir is None:
-            raise BadBoot("own_node.data_dir: a keeper needs one")
-        if words[0] == "carrel" and boot.application is None:
-            raise BadBoot("own_node.application: a node needs one")
     except BadBoot as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
@@ -67,7 +77,7 @@
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
     try:
         uvloop.run(serve(words[0], boot))
-    except OSError as problem:
+    except (OSError, BadDeposit) as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 1
     return 0
--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,7 +17,7 @@
 from athenaeum import parts
 from athenaeum.accessions import LEASE_S, Register, unpack
 from athenaeum.boot import Boot
-from athenaeum.callslips import Granted, Held, Slips
+from athenaeum.callslips import Granted, Held, Slip, Slips
 from athenaeum.deposit import Deposit, Put, pack
 from athenaeum.deposit import unpack as unpack_stored
 from athenaeum.doors import JSON, Call, ControlDoor, told
@@ -41,6 +41,8 @@
 PUT_MS, READ_MS = 4_000.0, 3_000.0
 BATCH = 200  # keys in one message of repair
 RETRY_AFTER_S = 0.2
+AGAIN_S = 1.0  # after the disk refused an answer
+PAGE_S = 2.0  # for a page of another keeper's keys
 
 
 class Archive:
@@ -62,7 +64,7 @@
         self._founder = kept.memory == parts.GENESIS
         self._clean = True  # what it keeps is on disk as it is in memory
         self._slips = Slips(boot.bounds.key_window_s)
-        self._unwritten: set[str] = set()  # keys that are not surely on disk
+        self._unwritten: dict[str, Slip] = {}  # records that are not surely on disk
         self._load_slips()
         self._members = Register()
         self._began_s = loop.time()
@@ -76,6 +78,8 @@
         self._number = 0
         self._readers: list[Callable[[Value | None], None]] = []
         self._reading = False
+        self._pages: dict[str, int] = {}  # while catching up: the page that each keeper was asked for
+        self._giving: dict[Link, list[str]] = {}  # the keys that a keeper that catches up is given
         self._peeks: dict[int, tuple[Kept, list[parts.Seen], Callable[[Value | None], None]]] = {}
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
         self._door = ControlDoor(
@@ -215,6 +219,7 @@
 
     def _lost(self, link: Link) -> None:
         self._nodes.pop(link, None)
+        self._giving.pop(link, None)
         if self._peers.get(link.peer) is link:
             del self._peers[link.peer]
 
@@ -258,7 +263,7 @@
         elif kind == "join":
             self._admit(message[1], message[2])
         elif kind == "slips?":
-            self._give_slips(link, message[1])
+            self._give_slips(link, *message[1:])
         elif kind == "slips":
             self._take_slips(*message[1:])
 
@@ -308,32 +313,44 @@
             if epoch != self._epoch:
                 self._tell_group(link)
             return link.send("slip", rid, epoch, "wait", None)
-        outcome, slip = self._slips.claim(key, holder)
+        outcome, new = self._slips.claim(key, holder)
         if isinstance(outcome, Held):
             return link.send("slip", rid, epoch, "held", outcome.answer)
         if not isinstance(outcome, Granted):
             return link.send("slip", rid, epoch, "wait", None)
-        if slip is None and key not in self._unwritten:
+        slip = self._slips.slips[key]
+        if new is None and self._unwritten.get(key) is not slip:
             return link.send("slip", rid, epoch, "yours", None)
-        slip = slip or self._slips.slips[key]
-        self._unwritten.add(key)
+        self._unwritten[key] = slip
 
         def told(done: bool) -> None:
-            if done:
-                self._unwritten.discard(key)
-                # The group may have changed while the disk was at work.
-                link.send("slip", rid, epoch, "yours" if self._grants(epoch) else "wait", None)
+            if not done:
+                return
+            if self._unwritten.get(key) is slip:
+                del self._unwritten[key]
+            # While the disk was at work the key may have been given back, or the group have changed.
+            mine = self._slips.slips.get(key) is slip and slip.holder == holder
+            link.send("slip", rid, epoch, "yours" if mine and self._grants(epoch) else "wait", None)
 
         self._deposit.write([("slips", key.encode("latin-1"), pack(slip.packed()))], told)
 
     def _done(self, key: str, holder: str, answer: Any) -> None:
         slip = self._slips.done(key, holder, answer)
         if slip is not None:
-            self._deposit.write([("slips", key.encode("latin-1"), pack(slip.packed()))])
+            self._keep_answer(key, slip)
+
+    def _keep_answer(self, key: str, slip: Slip) -> None:
+        """Write an answer, and again after a while if the disk refused it."""
+
+        def told(done: bool) -> None:
+            if not done and self._slips.slips.get(key) is slip:
+                self._loop.call_later(AGAIN_S, self._keep_answer, key, slip)
+
+        self._deposit.write([("slips", key.encode("latin-1"), pack(slip.packed()))], told)
 
     def _drop(self, key: str, holder: str) -> None:
         if self._slips.drop(key, holder):
-            self._unwritten.discard(key)
+            self._unwritten.pop(key, None)
             self._deposit.write([("slips", key.encode("latin-1"), None)])
 
     # The register: the configuration, and the group
@@ -553,20 +570,39 @@
             link = self._peers.get(name)
             if link is not None and link.open:
                 self._standing.sources[name] = False
-                link.send("slips?", self._epoch)
-                self._loop.call_later(2.0, self._standing.forget_source, name)
-
-    def _give_slips(self, link: Link, epoch: int) -> None:
+                self._ask_page(name, 0)
+
+    def _ask_page(self, name: str, at: int) -> None:
+        """Ask for the next keys; what comes is on disk before more is asked for."""
+        link = self._peers.get(name)
+        if link is None or self._standing.sources.get(name) is not False:
+            return self._standing.forget_source(name)
+        self._pages[name] = at
+        link.send("slips?", self._epoch, at)
+        self._loop.call_later(PAGE_S, self._page_over, name, at)
+
+    def _page_over(self, name: str, at: int) -> None:
+        if self._pages.get(name) == at:
+            del self._pages[name]
+            self._standing.forget_source(name)
+
+    def _give_slips(self, link: Link, epoch: int, at: int) -> None:
         if not self._grants(epoch):
             return
-        rows = [[key, slip.packed()] for key, slip in self._slips.slips.items()]
-        for at in range(0, len(rows), BATCH):
-            link.send("slips", self._name, epoch, rows[at : at + BATCH], False)
-        link.send("slips", self._name, epoch, [], True)
-
-    def _take_slips(self, name: str, epoch: int, rows: list[Any], last: bool) -> None:
-        if self._standing.caught_up or epoch != self._epoch:
+        if not at:  # what is claimed from now on is claimed without the one that asks
+            self._giving[link] = list(self._slips.slips)
+        keys = self._giving.get(link, [])
+        page = [key for key in keys[at : at + BATCH] if key in self._slips.slips]
+        last = at + BATCH >= len(keys)
+        if last:
+            self._giving.pop(link, None)
+        rows = [[key, self._slips.slips[key].packed()] for key in page]
+        link.send("slips", self._name, epoch, at, rows, last)
+
+    def _take_slips(self, name: str, epoch: int, at: int, rows: list[Any], last: bool) -> None:
+        if self._standing.caught_up or epoch != self._epoch or self._pages.get(name) != at:
             return
+        del self._pages[name]
         puts: list[Put] = []
         for key, packed in rows:
             self._slips.load(key, packed)
@@ -575,9 +611,11 @@
         def told(done: bool) -> None:
             if not done:
                 return self._standing.forget_source(name)
-            if last:
+            if not last:
+                return self._ask_page(name, at + BATCH)
+            if name in self._standing.sources:
                 self._standing.sources[name] = True
-                self._see_whether_caught_up()
+            self._see_whether_caught_up()
 
         self._deposit.write(puts or [("about", b"catching", b"1")], told)
 
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -100,7 +100,8 @@
         self._news = Circulation(boot, loop, self._on_members, self._on_folio)
 
     def _below(self) -> bool:
-        return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in self._tiers.values())
+        others = [tier for name, tier in self._tiers.items() if name != self._boot.service]
+        return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in others)
 
     def _room(self) -> int:
         used = self._hops.count() + self._visits.count() + self._outbound.count() + self._inbound.count()
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -74,7 +74,7 @@
         self._number = 0
         self._rid = 0
         self.revision = -1  # the newest that this node has
-        self._fetching: dict[int, tuple[str, float]] = {}  # by rid: keeper, and until when
+        self._fetching: dict[int, tuple[str, float, bool]] = {}  # by rid: keeper, until when, whether read
         self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
         self._claims: dict[int, Claim] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -123,7 +123,7 @@
             self._next_renew_s = now + RENEW_S
             for keeper in self._keepers.values():
                 self._renew(keeper)
-        for rid, (_, until) in list(self._fetching.items()):
+        for rid, (_, until, _) in list(self._fetching.items()):
             if until < now:
                 del self._fetching[rid]
         if (not self.settled or self._wanted > self.revision) and not self._fetching:
@@ -153,7 +153,7 @@
         keeper = self._keepers.get(link.peer)
         if keeper is not None and keeper.link is link:
             keeper.link = None
-            for rid in [rid for rid, (name, _) in self._fetching.items() if name == keeper.name]:
+            for rid in [rid for rid, asked in self._fetching.items() if asked[0] == keeper.name]:
                 del self._fetching[rid]
             self._look()
 
@@ -188,7 +188,7 @@
             self._look()
         elif kind == "version":
             self._wanted = max(self._wanted, message[1])
-            if self._wanted > self.revision and not self._fetching:
+            if self._wanted > self.revision and not any(not read for _, _, read in self._fetching.values()):
                 self._fetch(keeper, "fetch")
         elif kind == "folio":
             self._folio(*message[1:])
@@ -236,14 +236,14 @@
             keeper = self._rng.choice(open_)
         if keeper.link is not None:
             self._rid += 1
-            self._fetching[self._rid] = (keeper.name, self._loop.time() + ASK_S)
+            self._fetching[self._rid] = (keeper.name, self._loop.time() + ASK_S, how == "read")
             keeper.link.send(how, self._rid)
 
     def _folio(self, rid: int, revision: int, raw: bytes) -> None:
         asked = self._fetching.pop(rid, None)
         if asked is None or revision < 0:
             return
-        self.settled = True
+        self.settled = self.settled or asked[2]
         if revision > self.revision:
             self.revision = revision
             if raw:
--- a/athenaeum/deposit.py
+++ b/athenaeum/deposit.py
@@ -2,7 +2,7 @@
 
 Writes are put together (group commit) and each is answered once its transaction is synced. The loop never
 waits for the disk. A write that fails (full, broken) is answered as failed, and changes nothing on disk; the
-process goes on. What is written next includes it again, if whoever asked still wants it.
+process goes on; whoever asked asks again, if it still wants it.
 """
 
 from __future__ import annotations
@@ -16,6 +16,9 @@
 
 import cbor2
 import lmdb
+from loguru import logger
+
+from athenaeum.faults import BadDeposit
 
 MAP_BYTES = 160 * 1024 * 1024
 WAITING_MOST = 20_000  # writes that wait for the disk; more are answered as failed
@@ -24,10 +27,6 @@
 Put = tuple[str, bytes, bytes | None]  # database, key, value; None deletes
 
 
-class BadDeposit(Exception):
-    """The store can't be opened; one line that names the folder."""
-
-
 @dataclass(slots=True)
 class _Job:
     puts: list[Put]
@@ -54,6 +53,7 @@
         self._jobs: list[_Job] = []
         self._wake = threading.Condition()
         self._ending = False
+        self._problem = ""
         self.failing_since_s = 0.0  # when the disk last began to refuse; 0: it doesn't
         self.asked_s = 0.0  # since when the oldest write waits; 0: none does
         self._thread = threading.Thread(target=self._run, name="deposit", daemon=True)
@@ -116,11 +116,16 @@
                         else:
                             txn.put(key, value, db=self._dbs[name])
             return True
-        except (lmdb.Error, OSError):
+        except (lmdb.Error, OSError) as problem:
+            self._problem = str(problem)
             return False
 
     def _told(self, jobs: list[_Job], done: bool) -> None:
         self.asked_s = 0.0 if not self._jobs else self._loop.time()
+        if done and self.failing_since_s:
+            logger.info("deposit: the disk takes writes again")
+        elif not done and not self.failing_since_s:
+            logger.warning("deposit: the disk refuses writes: {}", self._problem)
         self.failing_since_s = 0.0 if done else (self.failing_since_s or self._loop.time())
         for job in jobs:
             if job.told is not None:
--- a/athenaeum/faults.py
+++ b/athenaeum/faults.py
@@ -41,6 +41,10 @@
 }
 
 
+class BadDeposit(Exception):
+    """A keeper's store can't be opened; one line that names the folder."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A call that was turned down, and what to tell whoever made it."""
--- a/athenaeum/folio.py
+++ b/athenaeum/folio.py
@@ -89,7 +89,7 @@
 
 
 def digest(raw: bytes) -> bytes:
-    """What tells two configurations apart: their contents, however they are laid out."""
+    """What tells two configurations apart: the very bytes that were sent."""
     return hashlib.sha256(raw).digest()[:16]
 
 
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -194,6 +194,7 @@
         self._nested = Nested()
         self.turned_away_ms = -math.inf  # when a request was last given up that had not run
         self._near: dict[int, bool] = {}
+        self._began_s = loop.time()
         self._pull, self._pulled_ms, self._waiting = PULLS[0][1], -math.inf, 0.0
         self._cold: dict[int, float] = {}  # until when
 
@@ -207,7 +208,7 @@
 
     def members(self, count: int) -> None:
         """So many nodes share the slack of further tries."""
-        if count != self._members:
+        if count > self._members:  # those that are gone may have died with what they had spent
             self._members = count
             self._settle()
 
@@ -220,7 +221,7 @@
             max_attempts=self._attempts, can_cancel=True,
             connect_timeout_ms=400.0, keepalive_ms=10_000.0,
             repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
-            extra_floor=SLACK_SHARE * bounds.retry_slack / (SPARE_NODES * max(1, self._members)),
+            extra_floor=self._slack(),
             resend_span_ms=bounds.retry_window_s * 1000.0,
         )  # fmt: skip
         if self._balancer is None:
@@ -230,6 +231,13 @@
         else:
             self.handle(api.NewSettings(settings))
 
+    def _slack(self) -> float:
+        """This node's part of the slack that all share; none while what a life before it spent may count."""
+        if self._loop.time() - self._began_s < self._bounds.retry_window_s:
+            self._loop.call_later(self._bounds.retry_window_s, self._settle)
+            return 0.0
+        return SLACK_SHARE * self._bounds.retry_slack / (SPARE_NODES * max(1, self._members))
+
     def servers(self, records: dict[str, Record]) -> None:
         """Whoever serves this service now, by the news of all nodes."""
         now = now_ms()
--- a/tests/mesh/test_tier.py
+++ b/tests/mesh/test_tier.py
@@ -42,7 +42,7 @@
     def __init__(self, patch: pytest.MonkeyPatch, *routes: Route) -> None:
         self.loop, alarms, self.lines = rig()
         patch.setattr(module, "now_ms", self.loop.now_ms)
-        self.tier = Tier("s", "me", Bounds(), self.loop, alarms, self.lines, int)
+        self.tier = Tier("s", "me", "z", Bounds(), self.loop, alarms, self.lines, int)
         self.taken: dict[str, Taken] = {}
         self.servers("1", "2", "3")
         self.tier.configure(list(routes))
