Gate: a full one lets the lowest rank go; settings files are read again when they change

Cause: where no more could wait, the gate turned the newcomer away whatever its rank, and those that had waited too long stayed in its heap; SIGHUP read nothing. Change: one line a rank; the last of the lowest makes room; on SIGHUP, or when the file changes, other keepers named there are dialled.

--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 from loguru import logger
@@ -14,8 +15,13 @@
 from athenaeum.boot import BadBoot, Boot, read_boot
 from athenaeum.faults import BadDeposit
 
+if TYPE_CHECKING:
+    from athenaeum.archive import Archive
+    from athenaeum.carrel import Carrel
+
 ROLES = ("carrel", "archive")
 POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
+FILE_S = 3.0  # how often the settings file is looked at
 GC_THRESHOLDS = (5_000, 20, 20)
 
 
@@ -43,21 +49,52 @@
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("{}: SIGHUP", role))
+    one: Carrel | Archive
     if role == "carrel":
         from athenaeum.carrel import Carrel
 
-        running = Carrel(boot, loop).run(stopping)
+        one = Carrel(boot, loop)
     else:
         from athenaeum.archive import Archive
 
-        running = Archive(boot, loop).run(stopping)
+        one = Archive(boot, loop)
+    loop.add_signal_handler(signal.SIGHUP, reread, role, one)
+    watch_file(loop, role, one, changed_at())
+    running = one.run(stopping)
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     await running
 
 
+def reread(role: str, one: Carrel | Archive) -> None:
+    """Take the settings file as it is now; one that can't be used changes nothing."""
+    try:
+        boot = boot_file()
+        check_role(role, boot)
+    except BadBoot as problem:
+        logger.error("{}: the old settings stay: {}", role, problem)
+        return
+    one.reread(boot)
+    logger.info("{}: settings read again", role)
+
+
+def changed_at() -> float:
+    """When the settings file was last written, as far as can be told."""
+    try:
+        return os.stat(os.environ.get("ORCHIDFERRY_BOOT", "")).st_mtime
+    except OSError:
+        return 0.0
+
+
+def watch_file(loop: asyncio.AbstractEventLoop, role: str, one: Carrel | Archive, seen: float) -> None:
+    """The file may change without a signal."""
+    now = changed_at()
+    if now != seen:
+        reread(role, one)
+    loop.call_later(FILE_S, watch_file, loop, role, one, now)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """The program."""
     words = sys.argv[1:] if arguments is None else arguments
--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -49,7 +49,7 @@
     """One keeper."""
 
     def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
-        self._boot, self._loop, self._name = boot, loop, boot.ip
+        self._boot, self._loop, self._name, self._seeds = boot, loop, boot.ip, boot.seeds
         self._rng = random.Random()
         assert boot.data_dir is not None
         self._deposit = Deposit(boot.data_dir, loop)
@@ -154,8 +154,12 @@
         self._server.close()
         self._deposit.close()
 
+    def reread(self, boot: Boot) -> None:
+        """The settings file has changed: other keepers may be named there."""
+        self._seeds = boot.seeds
+
     def _keepers(self) -> set[str]:
-        return ({v.name for v in self._known.voters} | set(self._boot.seeds)) - {self._name}
+        return ({v.name for v in self._known.voters} | set(self._seeds)) - {self._name}
 
     def _beat(self, now: float) -> None:
         for name in self._keepers() | set(self._peers):
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -146,6 +146,10 @@
             logger.warning("carrel: {} callers were still there", self._outbound.count())
         logger.info("carrel: stopped")
 
+    def reread(self, boot: Boot) -> None:
+        """The settings file has changed: other keepers may be named there."""
+        self._news.reseed(boot.seeds)
+
     def _look(self) -> None:
         self._loop.call_later(LOOK_S, self._look)
         self._gate.look()
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -67,6 +67,7 @@
         self._rng = random.Random()
         self.boot_id = self._rng.randrange(1, 2**53)
         self._keepers: dict[str, Keeper] = {name: Keeper(name) for name in boot.seeds}
+        self._seeds = boot.seeds
         self.epoch, self.group = -1, boot.seeds
         self._view = View()
         self._members: dict[str, Record] = {}
@@ -81,6 +82,12 @@
         self._next_renew_s = 0.0
         self._wanted = 0  # the newest revision that was heard of
 
+    def reseed(self, seeds: tuple[str, ...]) -> None:
+        """These keepers are named from outside now; who is known from the group itself stays."""
+        self._seeds = seeds
+        for name in seeds[:KEEPERS_MOST]:
+            self._keepers.setdefault(name, Keeper(name))
+
     def start(self) -> None:
         """Begin."""
         self._tick()
@@ -112,7 +119,7 @@
                     logger.info("circulation: keeper {} is silent", keeper.name)
                     link.close()
             elif not keeper.dialling and now >= keeper.next_dial_s:
-                if keeper.name not in self.group and keeper.name not in self._boot.seeds:
+                if keeper.name not in self.group and keeper.name not in self._seeds:
                     del self._keepers[keeper.name]
                     continue
                 keeper.dialling, keeper.next_dial_s = True, now + 0.15
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -1,13 +1,13 @@
 """The gate of the server on this machine: nothing reaches the server but through here.
 
-It sends no more than the server works on, holds the rest for a moment in the order of rank, and turns away as
-not run what comes for another life of the server, too long after a drain was acknowledged, or too late.
+It sends little more than the server works on, holds the rest for a moment in the order of rank, and turns
+away as not run what comes for another life of the server, too long after a drain was acknowledged, or too
+late.
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
 from collections.abc import Callable
 
 from loguru import logger
@@ -57,7 +57,7 @@
 class Pass:
     """A request at the gate."""
 
-    __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "rank", "timer")
+    __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "timer")
 
     def __init__(self, gate: Gate, message: Asked, answer: Callable[[Reply], None]) -> None:
         self._gate, self.message, self.answer = gate, message, answer
@@ -66,7 +66,7 @@
         self.rank = int(rank) if rank.isdigit() else 9
         self.once = TIMES in message.headers
         self.attempt: Visit | None = None
-        self.owed, self.timer = True, 0
+        self.owed, self.timer, self.place = True, 0, 0
 
     def caller_gone(self) -> None:
         """Whoever sent it has gone. What may not run twice is let run."""
@@ -131,7 +131,7 @@
         self._heard_ms = now_ms()
         self._refused = 0  # connections in a row
         self.inside = 0  # requests at the server
-        self._held: list[tuple[int, int, Pass]] = []
+        self._held: dict[int, dict[int, Pass]] = {}  # by rank, in the order in which they came
         self._waiting = 0
         self._serial = 0
         self.leaving = False
@@ -237,17 +237,24 @@
         wait_ms = min(
             float(patience) if patience.isdigit() else 0.0, passing.ends_ms - now_ms() - LEAST_LEFT_MS
         )
-        if wait_ms <= 0.0 or self._waiting >= HELD_SLOTS * self._slots():
+        if wait_ms <= 0.0:
             return self._turn_away(passing, UNRUN)
+        if self._waiting >= HELD_SLOTS * self._slots():
+            last = max(rank for rank, line in self._held.items() if line)
+            if last <= passing.rank:
+                return self._turn_away(passing, UNRUN)
+            out = next(reversed(self._held[last].values()))
+            self.forget(out)
+            self._turn_away(out, UNRUN)
         self._serial += 1
         self._waiting += 1
-        heapq.heappush(self._held, (passing.rank, self._serial, passing))
+        passing.place = self._serial
+        self._held.setdefault(passing.rank, {})[passing.place] = passing
         passing.timer = self._alarms.after(wait_ms / 1000.0, lambda: self._waited(passing))
 
     def _waited(self, passing: Pass) -> None:
         if passing.timer and passing.attempt is None and passing.owed:
-            passing.timer = 0
-            self._waiting -= 1
+            self.forget(passing)
             self._turn_away(passing, UNRUN)
 
     def forget(self, passing: Pass) -> None:
@@ -256,12 +263,12 @@
             self._alarms.cancel(passing.timer)
             passing.timer = 0
             self._waiting -= 1
+            del self._held[passing.rank][passing.place]
 
     def _let_in(self) -> None:
-        while self._held and self.inside < self._slots():
-            _, _, passing = heapq.heappop(self._held)
-            if not passing.timer:
-                continue  # it has been answered
+        while self._waiting and self.inside < self._slots():
+            first = min(rank for rank, line in self._held.items() if line)
+            passing = next(iter(self._held[first].values()))
             self.forget(passing)
             why = self.open_for(passing.message)
             if why is not None:
