--- a/tests/mesh/test_tier.py
+++ b/tests/mesh/test_tier.py
@@ -47,9 +47,9 @@
         self.servers("1", "2", "3")
         self.tier.configure(list(routes))
 
-    def servers(self, *ids: str, state: str = IN_SERVICE) -> None:
+    def servers(self, *ids: str, state: str = IN_SERVICE, cold_ms: float = 0.0) -> None:
         self.tier.servers({
-            id: Record(id, 1, 1, "z", "127.0.0.1", 1, Server(id, "s", "z", state, 4, 0.0)) for id in ids
+            id: Record(id, 1, 1, "z", "127.0.0.1", 1, Server(id, "s", "z", state, 4, cold_ms)) for id in ids
         })  # fmt: skip
 
     def out(self) -> list[Any]:
@@ -96,6 +96,15 @@
         attempt.end(result, answer)
 
 
+def test_cold_servers_alone_are_sent_to_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After a loss of power all servers are cold, and no answer rate says what they bear."""
+    scene = Scene(monkeypatch, route("idempotent", 2))
+    scene.servers()
+    scene.servers("7", "8", cold_ms=3_000.0)
+    taken = [Taken(scene, route("idempotent", 2)) for _ in range(4)]
+    assert len(scene.out()) == 4 and not any(one.replies for one in taken)
+
+
 @settings(max_examples=100, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
 @given(st.integers(0, 2**40))
 def test_any_order_of_outcomes(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
