--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -20,6 +20,12 @@
     from athenaeum.carrel import Carrel
 
 ROLES = ("carrel", "archive")
+HELP = """orchidferry carrel|archive [--check]
+
+A role of the mesh, from the settings file that ORCHIDFERRY_BOOT names: `carrel`, the node beside a server;
+`archive`, a keeper of the mesh's state. --check reads the settings and ends.
+
+example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry archive --check"""
 POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
 FILE_S = 3.0  # how often the settings file is looked at
 GC_THRESHOLDS = (5_000, 20, 20)
@@ -99,7 +105,10 @@
     """The program."""
     words = sys.argv[1:] if arguments is None else arguments
     if not words or words[0] not in ROLES or any(word != "--check" for word in words[1:]):
-        print(f"usage: {'|'.join(ROLES)} [--check]", file=sys.stderr)
+        if words[:1] and words[0] in ROLES and words[1:] in (["--help"], ["-h"]):
+            print(HELP)
+            return 0
+        print(f"orchidferry: usage: {'|'.join(ROLES)} [--check|--help]", file=sys.stderr)
         return 2
     try:
         boot = boot_file()
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -17,6 +17,7 @@
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
     "bench": "orchidferry bench spread slow-server --runs 5",
 }
+MESH_ROLES = ("carrel", "archive")  # they read their own words: nothing of the kit is loaded for them
 PACKAGES = {
     "control": control,
     "traffic": traffic,
@@ -199,6 +200,10 @@
         from orchidferry.__main__ import main as node
 
         return node()
+    if sys.argv[1] in MESH_ROLES:
+        from athenaeum.__main__ import main as role
+
+        return role(sys.argv[1:])
     try:
         args = _parser().parse_args()
         if args.command is None:
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -354,3 +354,20 @@
         assert nested.shed("parents", now) == 0.0
     assert nested.shed("others", now) == 0.0
     assert nested.shed("parents", now + 20_000.0) < 0.01
+
+
+def test_the_roles_are_subcommands_of_the_one_program(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from rehearsal import cli
+
+    monkeypatch.delenv("ORCHIDFERRY_BOOT", raising=False)
+    for words, status, said in (
+        (["carrel", "--help"], 0, "example:"),
+        (["archive", "--check"], 2, "ORCHIDFERRY_BOOT must name"),
+        (["archive", "--no"], 2, "usage:"),
+    ):
+        monkeypatch.setattr("sys.argv", ["orchidferry", *words])
+        assert cli.main() == status
+        out, err = capsys.readouterr()
+        assert said in out + err and err.count("\n") == (status == 2)
