Read once more: one way to give events in turn, one collector setting, dead parts gone

Change: orchidferry/turns.py, orchidferry/collector.py and rehearsal/usage.py serve both sides; the rest is taken out; no check or bound is changed, and the tests keep their assertions (two names moved).

--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import os
 import signal
 import sys
@@ -14,12 +13,12 @@
 
 from athenaeum.boot import BadBoot, Boot, read_boot
 from athenaeum.faults import BadDeposit
+from orchidferry.collector import settle
 
 if TYPE_CHECKING:
     from athenaeum.archive import Archive
     from athenaeum.carrel import Carrel
 
-ROLES = ("carrel", "archive")
 HELP = """orchidferry carrel|archive [--check]
 
 A role of the mesh, from the settings file that ORCHIDFERRY_BOOT names: `carrel`, the node beside a server;
@@ -27,8 +26,8 @@
 
 example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry archive --check"""
 POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
+ROLES = tuple(POINTS)
 FILE_S = 3.0  # how often the settings file is looked at
-GC_THRESHOLDS = (5_000, 20, 20)
 
 
 def boot_file() -> Boot:
@@ -67,9 +66,7 @@
     loop.add_signal_handler(signal.SIGHUP, reread, role, one)
     watch_file(loop, role, one, changed_at())
     running = one.run(stopping)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    settle()
     await running
 
 
--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -200,6 +200,9 @@
         if over:
             self._deposit.write([("slips", key.encode("latin-1"), None) for key in over])
         self._turn_proposer()
+        wait_s = self._proposer.due_ms / 1000.0 - now
+        if wait_s < TICK_S:  # before the next tick
+            self._loop.call_later(max(0.002, wait_s), self._turn_proposer)
         undecided = self._acceptor.kept.value is not None and (
             self._acceptor.kept.value.version > self._known.version
         )
@@ -412,17 +415,10 @@
                     told(action)
 
     def _turn_proposer(self) -> None:
-        """Go on with what is due, and be back when the next is."""
-        now = self._loop.time()
-        if self._proposer.due_ms <= now * 1000.0:
-            self._act(self._proposer.tick(now * 1000.0))
-        wait_s = self._proposer.due_ms / 1000.0 - now
-        if wait_s < TICK_S:
-            self._loop.call_later(max(0.002, wait_s), self._turn_proposer_once)
-
-    def _turn_proposer_once(self) -> None:
-        if self._proposer.due_ms <= self._loop.time() * 1000.0:
-            self._act(self._proposer.tick(self._loop.time() * 1000.0))
+        """Go on with what is due."""
+        now_ms = self._loop.time() * 1000.0
+        if self._proposer.due_ms <= now_ms:
+            self._act(self._proposer.tick(now_ms))
 
     def _vote_myself(self, message: Any) -> None:
         self._vote(
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -73,7 +73,8 @@
         room = self._room
         self._hops = Lines(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
         self._visits = Lines(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
-        self._numbers: dict[str, int] = {}
+        self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
+        self._serial = 0  # the last of these
         self._tiers: dict[str, Tier] = {}
         self._table = Table([])
         self._folio: Folio | None = None
@@ -184,7 +185,7 @@
     def _number(self, server: str) -> int:
         number = self._numbers.get(server)
         if number is None:
-            self._serial = getattr(self, "_serial", 0) + 1
+            self._serial += 1
             number = self._numbers[server] = self._serial
         return number
 
--- a/athenaeum/doors.py
+++ b/athenaeum/doors.py
@@ -14,7 +14,7 @@
 
 from athenaeum.faults import Fault, Kind
 from orchidferry.flow import Flow, Pool
-from orchidferry.frontend import LIMITS_S, Caller, Frontend, Owed, Reply, Stage
+from orchidferry.frontend import LIMITS_S, Frontend, Owed, Reply, Stage
 from orchidferry.request import Message
 
 JSON = b"application/json"
@@ -101,6 +101,3 @@
                 return once
         once(told(Fault(Kind.UNKNOWN, path[:80])))
         return once
-
-
-__all__ = ["Call", "Caller", "ControlDoor", "Handler", "told"]
--- a/athenaeum/faults.py
+++ b/athenaeum/faults.py
@@ -16,7 +16,6 @@
     OTHER_VERSION = "another version is in place"
     OLD_VERSION = "its number is not above the current one"
     KEY_AT_WORK = "the first run of its key is under way"
-    KEY_LOST = "the first run of its key broke off"
     SHED = "it has not run; come back"
     BROKEN = "it may have run"
     LATE = "no answer in time"
@@ -32,7 +31,6 @@
     Kind.OTHER_VERSION: 412,
     Kind.OLD_VERSION: 400,
     Kind.KEY_AT_WORK: 409,
-    Kind.KEY_LOST: 502,
     Kind.SHED: 503,
     Kind.BROKEN: 502,
     Kind.LATE: 504,
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -38,7 +38,6 @@
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
-from orchidferry.flow import Flow
 from orchidferry.frontend import Reply
 from orchidferry.request import Message
 from orchidferry.upstream import Answer, Attempt
@@ -312,6 +311,3 @@
         if result is Result.TIMEOUT:
             return own_answer(message, Fault(Kind.LATE), gate=LATE)
         return own_answer(message, Fault(Kind.BROKEN), gate=LOST)
-
-
-__all__ = ["Flow", "Gate", "Pass"]
--- a/athenaeum/lines.py
+++ b/athenaeum/lines.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from athenaeum.boot import Address
 from athenaeum.faults import Fault
 from athenaeum.folio import Route
 from nickelbridge.interface import Result
@@ -258,17 +257,3 @@
     if load is not None:
         more.append((LOAD, b"%d" % load))
     return Reply(fault.status, fault.line.encode(), b"text/plain", retry_after_s, more=more)
-
-
-__all__ = [
-    "Address",
-    "Asked",
-    "DataDoor",
-    "Line",
-    "Lines",
-    "Said",
-    "head",
-    "judged",
-    "own_answer",
-    "passed_on",
-]
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -11,9 +11,7 @@
 import dataclasses
 import math
 import random
-from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 from loguru import logger
 
@@ -22,12 +20,10 @@
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import Route
 from athenaeum.lines import (
-    LATE,
     MARGIN_MS,
     PATIENCE,
     RANK,
     TIMES,
-    UNRUN,
     Asked,
     Lines,
     Said,
@@ -37,14 +33,14 @@
 )  # fmt: skip
 from nickelbridge import interface as api
 from nickelbridge.interface import Repeat, Result
-from nickelbridge.logic import Balancer
+from nickelbridge.logic import NEVER_RAN, Balancer
 from nickelbridge.nested import Nested
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
+from orchidferry.turns import Turns
 from orchidferry.upstream import Answer, Attempt
 
-NEVER_RAN = frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT))
 RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
 SLACK_SHARE = 0.4  # of the slack, over all nodes
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
@@ -54,17 +50,14 @@
 PULLS = ((0.02, 4.0), (0.1, 2.0), (math.inf, 1.0))
 CROWD_SAMPLES = 20.0  # answers over which that is averaged
 PULL_MS = 2_000.0  # the least time before more is given again
-COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start; its gate spares it besides
+COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start
 PATIENCE_SHARES = (0.75, 0.75, 0.24)  # of the aim, by rank: how long a gate may hold a request for room
 LATE_WORTH = 0.3
 SHED_AGAIN_SHARE = 0.2  # of the aim: when to come back after being shed for what is below
-LEAST_LEFT_MS = 5.0
 
 
-class Servers(Protocol):
-    """What tiers share: numbers and lines."""
-
-    def number(self, server: str) -> int: ...
+def _not_handled(event: api.Event) -> None:
+    logger.exception("tier: handling {}", type(event).__name__)
 
 
 def class_name(route: Route) -> str:
@@ -183,8 +176,7 @@
         self._classes: dict[str, api.RequestClass] = {}
         self._attempts, self._members = 1, 1
         self._balancer: Balancer | None = None
-        self._events: deque[api.Event] = deque()
-        self._handling = False
+        self._turns: Turns | None = None
         self._serial = 0
         self.live: dict[str, Live] = {}
         self.out: dict[tuple[str, int], Hop] = {}
@@ -226,6 +218,7 @@
         )  # fmt: skip
         if self._balancer is None:
             self._balancer = Balancer(settings, self._rng.randrange(2**31))
+            self._turns = Turns(self._balancer.handle, self._do, _not_handled)
             self.handle(api.Started())
             self.handle(api.ServerList(api.ListKind.FULL, 0, list(self._entries.values())))
         else:
@@ -380,24 +373,8 @@
 
     def handle(self, event: api.Event) -> None:
         """Give the module an event and do what it says; events raised meanwhile wait their turn."""
-        if self._balancer is None:
-            return
-        if self._handling:
-            self._events.append(event)
-            return
-        self._handling = True
-        try:
-            while True:
-                try:
-                    for action in self._balancer.handle(event, now_ms()):
-                        self._do(action)
-                except Exception:  # a request that this leaves open is ended by its backstop
-                    logger.exception("tier: handling {}", type(event).__name__)
-                if not self._events:
-                    break
-                event = self._events.popleft()
-        finally:
-            self._handling = False
+        if self._turns is not None:
+            self._turns.handle(event)
 
     def _do(self, action: api.Action) -> None:
         match action:
@@ -443,6 +420,3 @@
         timeout_ms = min(action.timeout_ms, live.ends_ms - now_ms() - MARGIN_MS / 2.0)
         target, address = self._targets[number]
         self._lines.send(Hop(live, number, target, address, max(0.0, timeout_ms)))
-
-
-__all__ = ["LATE", "UNRUN", "Live", "Tier"]
--- a/nickelbridge/delay.py
+++ b/nickelbridge/delay.py
@@ -23,8 +23,8 @@
 class DelayController:
     """RTDC: holds the delay under the target by the rate of retries, and bounds first sends to a window."""
 
-    def __init__(self, target_share: float = TARGET_SHARE, window_share: float = WINDOW_SHARE) -> None:
-        self._target_share, self._window_share = target_share, window_share
+    def __init__(self, target_share: float = TARGET_SHARE) -> None:
+        self._target_share = target_share
         self._kp, self._ki = math.sin(PHASE_MARGIN), math.cos(PHASE_MARGIN)  # equations 40, 41 over nu1
         self.answers, self.failures = Rate(WINDOW_MS), Rate(WINDOW_MS)  # nu1, in answers a second
         self._excess_s = self._aim_s = self._samples = 0.0  # sums over the last samples,
@@ -68,7 +68,7 @@
             return START * part + self.answers.events
         self.answers.count(0.0, now)
         # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
-        usual = ADDED * part + self.answers.per_s() * self._window_share * self._aim_s / self._samples
+        usual = ADDED * part + self.answers.per_s() * WINDOW_SHARE * self._aim_s / self._samples
         return usual + max(0.0, FEW - usual) * self.allowed_rate / (self.tuned_rate or 1.0)
 
     def retry_probability(self, now: float) -> float:
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -113,7 +113,6 @@
     connect_timeout_ms: float = 250.0
     keepalive_ms: float = 30_000.0  # servers close a connection that has idled for so long
     target_share: float = 0.4  # tau0, the target delay, as a share of the aim of what was answered
-    window_share: float = 0.3  # of the aim: the delay that first sends may reach, by Little's law
     tick_ms: float = 0.0  # events are delivered at most this often
     answer_slack_ms: float = 0.0
     drain_grace_ms: float = 0.0
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -46,7 +46,7 @@
         self.settings, self.chain = settings, chain
         self.classes = {cls.name: cls for cls in settings.classes}
         self._rng = rng = random.Random(salt)
-        self.controller = DelayController(settings.target_share, settings.window_share)
+        self.controller = DelayController(settings.target_share)
         self.judgement = Judgement(settings.classes, rng)
         self.outstanding = Outstanding(self.classes, self.judgement)
         self.fleet = Fleet(settings, rng, lambda server: self.picker.moved(server))
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import importlib
 import logging
 import os
@@ -16,6 +15,7 @@
 
 import uvloop
 
+from orchidferry.collector import settle
 from orchidferry.config import BadConfig, read_config
 from orchidferry.node import Node
 
@@ -28,10 +28,6 @@
 
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 
-# A request makes some 30 objects that the collector counts, nearly all freed by their references: with the
-# usual 700 it looks at them every few requests, and finds next to nothing.
-GC_THRESHOLDS = (5_000, 20, 20)
-
 log = logging.getLogger("orchidferry")
 
 
@@ -86,13 +82,6 @@
     return 0
 
 
-def settle() -> None:
-    """Have full collections leave out what was made so far: it lives to the end."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-
-
 def read_http3() -> Http3 | None:
     """What the operator's own file switches on; None where there is none, and nothing of it is imported."""
     path = os.environ.get("ORCHIDFERRY_HTTP3")
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -25,6 +25,7 @@
 from orchidferry.flow import GRACE_S, LONG_BODY, POOL_SHARE, SLOWEST_B_S, Flow, Pool
 from orchidferry.frontend import Frontend, Reply
 from orchidferry.request import Message, Unacceptable
+from orchidferry.turns import Turns
 from orchidferry.upstream import Answer, Attempt, Upstream
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
@@ -53,6 +54,10 @@
 log = logging.getLogger("orchidferry")
 
 
+def _not_handled(event: api.Event) -> None:
+    log.exception("handling %s", type(event).__name__)
+
+
 class Front(Protocol):
     """A transport's listener and its callers."""
 
@@ -191,8 +196,7 @@
 
             # The same face; each pool has a balancer behind it.
             self._balancer = cast(Balancer, Router(settings, config.seed, pools, budgets))
-        self._events: deque[api.Event] = deque()
-        self._handling = False
+        self._turns = Turns(self._balancer.handle, self._do, _not_handled)
         self.figures = Figures(self._balancer.classes)
         self._flowing = 0  # answers that have begun and go on
         # Keyed by a serial of the node's own, as is all that the module hears: an attempt may outlast its
@@ -451,22 +455,7 @@
 
     def _handle(self, event: api.Event) -> None:
         """Give the module an event and do what it says; events raised meanwhile wait their turn."""
-        if self._handling:
-            self._events.append(event)
-            return
-        self._handling = True
-        try:
-            while True:
-                try:
-                    for action in self._balancer.handle(event, now_ms()):
-                        self._do(action)
-                except Exception:  # a request that this leaves open is failed by its backstop
-                    log.exception("handling %s", type(event).__name__)
-                if not self._events:
-                    break
-                event = self._events.popleft()
-        finally:
-            self._handling = False
+        self._turns.handle(event)
 
     def _do(self, action: api.Action) -> None:
         match action:
--- a/rehearsal/bench/apply.py
+++ b/rehearsal/bench/apply.py
@@ -18,7 +18,7 @@
 from nickelbridge import interface as api
 from nickelbridge.settings import read_settings
 from nickelbridge.versions import Configuration, Member, NodeSettings, Part, Pools
-from orchidferry.__main__ import settle
+from orchidferry.collector import settle
 from orchidferry.config import Config, Listing
 from orchidferry.control.link import Link
 from orchidferry.control.messages import node_message, pool_message
--- a/rehearsal/mesh/command.py
+++ b/rehearsal/mesh/command.py
@@ -19,6 +19,7 @@
 from rehearsal.mesh.processes import missing
 from rehearsal.mesh.run import Played, Progress, play
 from rehearsal.report.tables import CLASS_HEAD, percent
+from rehearsal.usage import Usage, kept_folder
 from rehearsal.world.addresses import NoAddresses
 
 SEED = 7
@@ -27,19 +28,15 @@
 LEFT_OUT = ("report", "protocol", "loss", "recording", "target", "classes", "no_fleet")
 
 
-class _Usage(Exception):
-    """What can't be done as asked, in one line."""
-
-
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
     day = DAYS[args.scenario]
     try:
         seed, seconds = _asked(args, day)
-        keep = None if args.keep is None else _folder(Path(args.keep))
+        keep = None if args.keep is None else kept_folder(Path(args.keep)).resolve()
         if args.json is not None:
             _writable(Path(args.json))
-    except _Usage as problem:
+    except Usage as problem:
         print(f"orchidferry rehearse: {problem}", file=sys.stderr)
         return 2
     console = Console(width=None if sys.stdout.isatty() else PLAIN_WIDTH)
@@ -63,34 +60,24 @@
 def _asked(args: argparse.Namespace, day: Day) -> tuple[int, float]:
     for name in LEFT_OUT:
         if getattr(args, name, None):
-            raise _Usage(f"--{name.replace('_', '-')}: is not for {day.name}")
+            raise Usage(f"--{name.replace('_', '-')}: is not for {day.name}")
     if library := missing():
-        raise _Usage(f"{day.name}: {library} is not installed; the extra mesh brings it")
+        raise Usage(f"{day.name}: {library} is not installed; the extra mesh brings it")
     seed = SEED if args.seed is None else args.seed
     seconds = day.seconds if args.seconds is None else args.seconds
     if not 0 <= seed < 2**63:
-        raise _Usage(f"--seed {seed}: not within 0 to 2^63 - 1")
+        raise Usage(f"--seed {seed}: not within 0 to 2^63 - 1")
     if not (math.isfinite(seconds) and LEAST_SECONDS <= seconds <= MOST_SECONDS):
-        raise _Usage(f"--seconds {seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
+        raise Usage(f"--seconds {seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
     return seed, seconds
 
 
-def _folder(path: Path) -> Path:
-    try:
-        path.mkdir(parents=True, exist_ok=True)
-        if any(path.iterdir()):
-            raise _Usage(f"--keep {path}: is not empty")
-    except OSError as problem:
-        raise _Usage(f"--keep {path}: {problem.strerror}") from None
-    return path.resolve()
-
-
 def _writable(path: Path) -> None:
     try:
         with path.open("a"):
             pass
     except OSError as problem:
-        raise _Usage(f"--json {path}: {problem.strerror}") from None
+        raise Usage(f"--json {path}: {problem.strerror}") from None
 
 
 async def _run(console: Console, day: Day, seed: int, seconds: float, keep: Path | None) -> Played:
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -36,6 +36,7 @@
     read_traffic,
     shipped,
 )
+from rehearsal.usage import Usage, kept_folder
 from rehearsal.world.addresses import NoAddresses
 from rehearsal.world.director import Progress, Run, rehearse
 from rehearsal.world.plan import draw
@@ -47,10 +48,6 @@
 PLAIN_WIDTH = 120  # of what is printed where no terminal tells its width
 
 
-class _Usage(Exception):
-    """What can't be done as asked, in one line."""
-
-
 def main(args: argparse.Namespace, command: str = "rehearse") -> int:
     """Run the command; its exit status."""
     if args.scenario in DAYS and not args.list:
@@ -59,11 +56,11 @@
         if args.list:
             return _list()
         scenario, preview = _scenario(args)
-        keep = None if args.keep is None else _folder(Path(args.keep))
+        keep = None if args.keep is None else kept_folder(Path(args.keep))
         for path in (args.json, args.report):
             if path is not None:
                 _writable(Path(path))
-    except (BadScenario, _Usage) as problem:
+    except (BadScenario, Usage) as problem:
         print(f"orchidferry {command}: {problem}", file=sys.stderr)
         return 2
     console = Console(width=None if sys.stdout.isatty() else PLAIN_WIDTH)
@@ -118,24 +115,24 @@
         if (value := getattr(args, name.replace("from", "from_"))) is not None and value is not False
     }  # fmt: skip
     if table and not args.recording:
-        raise _Usage(f"--{next(iter(table))}: is for a --recording")
+        raise Usage(f"--{next(iter(table))}: is for a --recording")
     return tuple(read_traffic(table | {"recording": name}, "--") for name in args.recording)
 
 
 def _scenario(args: argparse.Namespace) -> tuple[Scenario, Preview | None]:
     if args.scenario is None:
-        raise _Usage("which scenario? --list tells those that are shipped")
+        raise Usage("which scenario? --list tells those that are shipped")
     scenario = load_scenario(args.scenario)
     if laid := _laid(args):
         scenario = replace(scenario, traffic=laid)
     if args.seed is not None and not 0 <= args.seed < 2**63:
-        raise _Usage(f"--seed {args.seed}: not within 0 to 2^63 - 1")
+        raise Usage(f"--seed {args.seed}: not within 0 to 2^63 - 1")
     if args.seconds is not None and not (
         math.isfinite(args.seconds) and LEAST_SECONDS <= args.seconds <= MOST_SECONDS
     ):
-        raise _Usage(f"--seconds {args.seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
+        raise Usage(f"--seconds {args.seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
     if args.loss is not None and not 0.0 <= args.loss <= 0.5:
-        raise _Usage(f"--loss {args.loss:g}: not within 0 to 0.5")
+        raise Usage(f"--loss {args.loss:g}: not within 0 to 0.5")
     scenario = scenario.altered(args.seed, args.seconds, args.protocol, args.loss)
     if getattr(args, "no_fleet", False):
         steps = tuple(step for step in scenario.timeline if FAULTS[step.do].on != "links")
@@ -144,17 +141,17 @@
     if scenario.traffic or scenario.name == "replay":
         scenario, preview = _resolved(scenario, args)
     if scenario.network.protocol == "h3" and importlib.util.find_spec("aioquic") is None:
-        raise _Usage("--protocol h3: aioquic is not installed; the extra h3 brings it")
+        raise Usage("--protocol h3: aioquic is not installed; the extra h3 brings it")
     if scenario.fleet.on and importlib.util.find_spec("msgpack") is None:
-        raise _Usage(f"{args.scenario}: msgpack is not installed; the extra fleet brings it")
+        raise Usage(f"{args.scenario}: msgpack is not installed; the extra fleet brings it")
     if scenario.control.service and importlib.util.find_spec("grpc") is None:
-        raise _Usage(f"{args.scenario}: grpcio is not installed; the extra control brings it")
+        raise Usage(f"{args.scenario}: grpcio is not installed; the extra control brings it")
     if scenario.network.protocol == "h1" and scenario.network.loss:
-        raise _Usage("--loss: only datagrams are lost on purpose, and h1 has none")
+        raise Usage("--loss: only datagrams are lost on purpose, and h1 has none")
     try:
         draw(scenario)
     except ValueError as problem:
-        raise _Usage(f"{args.scenario}: {problem}") from None
+        raise Usage(f"{args.scenario}: {problem}") from None
     return scenario, preview
 
 
@@ -169,40 +166,30 @@
         guard = read_guard(getattr(args, "target", None), getattr(args, "send", ()))
         if guard.target is not None:
             if scenario.timeline or scenario.control.service:
-                raise _Usage(
+                raise Usage(
                     f"{args.scenario}: has a timeline or a control service, and --target has no world"
                 )
             if scenario.network.protocol != "h1":
-                raise _Usage("--target: is asked by HTTP/1.1 alone")
+                raise Usage("--target: is asked by HTTP/1.1 alone")
             only = Tier("target", 1, 1.0)
             scenario = replace(scenario, guard=guard, tiers=(only,), run=secrets.token_hex(4))
         if getattr(args, "classes", None) is not None:
             try:
                 paths = paths_of(read_classes(Path(args.classes).read_bytes()))
             except BadClasses as problem:
-                raise _Usage(f"{args.classes}: {problem}") from None
+                raise Usage(f"{args.classes}: {problem}") from None
             scenario = replace(scenario, paths=paths)
         return resolve(scenario)
     except (BadTarget, BadRecording) as problem:
-        raise _Usage(str(problem)) from None
-    except OSError as problem:
-        raise _Usage(f"{problem.filename}: {problem.strerror}") from None
-
-
-def _folder(path: Path) -> Path:
-    try:
-        path.mkdir(parents=True, exist_ok=True)
-        if any(path.iterdir()):
-            raise _Usage(f"--keep {path}: is not empty")
+        raise Usage(str(problem)) from None
     except OSError as problem:
-        raise _Usage(f"--keep {path}: {problem.strerror}") from None
-    return path
+        raise Usage(f"{problem.filename}: {problem.strerror}") from None
 
 
 def _writable(path: Path) -> None:
     """Find out before the run, not after it."""
     if path.is_dir() or not os.access(path if path.exists() else path.parent, os.W_OK):
-        raise _Usage(f"{path}: can't be written")
+        raise Usage(f"{path}: can't be written")
 
 
 async def _run(console: Console, scenario: Scenario, keep: Path | None) -> Run:
--- /dev/null
+++ b/rehearsal/usage.py
@@ -0,0 +1,20 @@
+"""What the commands that rehearse say of their words."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+
+class Usage(Exception):
+    """A word that can't be meant; one line that names it."""
+
+
+def kept_folder(path: Path) -> Path:
+    """An empty folder for `--keep`, made where there is none; `Usage` if that can't be."""
+    try:
+        path.mkdir(parents=True, exist_ok=True)
+        if any(path.iterdir()):
+            raise Usage(f"--keep {path}: is not empty")
+    except OSError as problem:
+        raise Usage(f"--keep {path}: {problem.strerror}") from None
+    return path
--- a/tests/mesh/test_tier.py
+++ b/tests/mesh/test_tier.py
@@ -14,8 +14,9 @@
 from athenaeum.boot import Bounds
 from athenaeum.folio import Route
 from athenaeum.lines import Said
-from athenaeum.tier import NEVER_RAN, Live, Tier
+from athenaeum.tier import Live, Tier
 from nickelbridge.interface import Result
+from nickelbridge.logic import NEVER_RAN
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import asked, rig, route, said
 
