Keeper's process with its disk in memory: out of a test, so that a search can use it too

Interleavings of the mesh's keepers are to be walked; test_group.py already had a process that does what a Part wants on a disk in memory. It is now rehearsal/explore/keeper.py, without clock, chance or wires of its own: the world that it stands in has these.

--- /dev/null
+++ b/rehearsal/explore/keeper.py
@@ -0,0 +1,138 @@
+"""A keeper's process with its disk in memory, round one shipping `holding.Part`: it does what the part wants
+as `Archive` does, and leaves clock, chance and the way between processes to the world that it stands in.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+from athenaeum import parts
+from athenaeum.deposit import Put, unpack
+from athenaeum.holding import Action, Answer, Changed, Ended, Part, Peers, Tell, Write, remembered
+from nickelbridge.register import Kept
+
+WINDOW_S = 60.0
+SEEDS = ("a", "b", "c")
+BEATS_MOST = 16  # that may be acknowledged yet, as at `Archive`
+
+
+class Around(Protocol):
+    """What a keeper's process meets."""
+
+    now: float
+
+    def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
+        """Have a keeper's method of that name called, later or never."""
+
+    def answer(self, name: str, answer: Answer) -> None:
+        """A keeper answers."""
+
+    def decided(self, name: str, changed: Changed) -> None:
+        """A keeper has learned a newer state."""
+
+    def told(self, name: str, end: Ended) -> None:
+        """What was asked for at a keeper is over."""
+
+
+class Keeper:
+    """A process with its disk, which writes when it is told to (`disk_turn`)."""
+
+    def __init__(self, name: str, world: Around, founder: bool, number: int, rng: random.Random) -> None:
+        """`number`: of the part."""
+        self.name, self.world, self.number, self.rng = name, world, number, rng
+        self.disk: dict[tuple[str, bytes], bytes] = {}
+        self.put(remembered(number, Kept(parts.GENESIS if founder else rng.randrange(2, 2**50)), founder))
+        self.start()
+
+    def put(self, puts: list[Put]) -> None:
+        """Have these on disk."""
+        for name, key, value in puts:
+            if value is None:
+                self.disk.pop((name, key), None)
+            else:
+                self.disk[name, key] = value
+
+    def start(self) -> None:
+        """A new life, with what is on the disk."""
+        self.alive, self.writes = True, list[Write]()
+        self.peers, self.beats, self.count = Peers(self.world.now), dict[int, float](), 0
+        kept = parts.unpack_kept(unpack(self.disk["about", f"kept/{self.number}".encode()]))
+        caught = ("about", f"caught/{self.number}".encode()) in self.disk
+        first = parts.genesis(SEEDS)
+        self.part = Part(self.number, self.name, first, kept, caught, self.peers, WINDOW_S, self.rng, 1_000)
+        for (name, key), value in self.disk.items():
+            if name == "slips":
+                self.part.load(key.decode(), unpack(value))
+
+    def wipe(self) -> None:
+        """An empty disk, with a new memory."""
+        self.disk = {}
+        self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), False))
+
+    def do(self, actions: list[Action]) -> None:
+        """What the part wants done, in its order."""
+        for action in actions:
+            match action:
+                case Tell():
+                    self.world.send(self.name, action.to, "heard", self.name, action.message[2:])
+                case Answer():
+                    self.world.answer(self.name, action)
+                case Write():
+                    self.writes.append(action)
+                case Changed():
+                    self.world.decided(self.name, action)
+                case Ended():
+                    self.world.told(self.name, action)
+
+    def disk_turn(self) -> None:
+        """The oldest write reaches the disk."""
+        write = self.writes.pop(0)
+        self.put(write.puts)
+        if write.then is not None:
+            self.do(self.part.written(write.then, True, self.world.now))
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self.do(self.part.tick(self.world.now))
+
+    def beat_to(self, names: Iterable[str]) -> None:
+        """Tell others that this one lives."""
+        self.count += 1
+        self.beats[self.count] = self.world.now
+        if len(self.beats) > BEATS_MOST:
+            del self.beats[next(iter(self.beats))]
+        for name in names:
+            known = self.part.known.version
+            self.world.send(self.name, name, "beat", self.name, self.count, self.peers.fit, known)
+
+    # What comes
+
+    def heard(self, sender: str, message: list[Any]) -> None:
+        """A message of another keeper."""
+        self.do(self.part.heard(sender, message, self.world.now))
+
+    def beat(self, sender: str, number: int, fit: bool, version: int) -> None:
+        """Another one lives."""
+        self.peers.heard_s[sender] = self.world.now
+        (self.peers.unfit.discard if fit else self.peers.unfit.add)(sender)
+        self.world.send(self.name, sender, "pulse", self.name, number, self.part.accepted_fence)
+        self.do(self.part.catch(version, sender))
+
+    def pulse(self, sender: str, number: int, fence: int) -> None:
+        """A beat was heard."""
+        if number in self.beats:
+            self.part.pulse(sender, self.beats[number], fence)
+
+    def claim(self, who: Any, rid: int, under: int, key: str, holder: str) -> None:
+        """A try wants a key."""
+        self.do(self.part.claim(who, rid, under, key, holder, True, self.world.now))
+
+    def done(self, key: str, holder: str, answer: Any) -> None:
+        """A key's run was answered."""
+        self.do(self.part.done(key, holder, answer, self.world.now))
+
+    def drop(self, key: str, holder: str) -> None:
+        """A key is given back."""
+        self.do(self.part.drop(key, holder, self.world.now))
--- a/tests/mesh/test_group.py
+++ b/tests/mesh/test_group.py
@@ -18,105 +18,10 @@
 from athenaeum.bindery import RECENT_S, Missed
 from athenaeum.callslips import Held, Slips
 from athenaeum.claims import Count
-from athenaeum.deposit import unpack
 from athenaeum.group import Standing, epoch
-from athenaeum.holding import Action, Answer, Changed, Ended, Part, Peers, Tell, Write, remembered
-from nickelbridge.register import Kept, Value, Voter
-
-WINDOW_S = 60.0
-SEEDS = ("a", "b", "c")
-
-
-class Keeper:
-    """A process with its disk: does what `Archive` does with a part, without a clock or a link."""
-
-    def __init__(self, name: str, world: World, founder: bool) -> None:
-        self.name, self.world = name, world
-        self.disk: dict[tuple[str, bytes], bytes] = {}
-        kept = Kept(parts.GENESIS if founder else world.rng.randrange(2, 2**50))
-        self.put(remembered(1, kept, founder))
-        self.start()
-
-    def put(self, puts: list[Any]) -> None:
-        for name, key, value in puts:
-            if value is None:
-                self.disk.pop((name, key), None)
-            else:
-                self.disk[name, key] = value
-
-    def start(self) -> None:
-        """A new life, with what is on the disk."""
-        now = self.world.now
-        self.alive, self.writes = True, list[Write]()
-        self.peers, self.beats, self.count = Peers(now), dict[int, float](), 0
-        kept = parts.unpack_kept(unpack(self.disk["about", b"kept/1"]))
-        caught = ("about", b"caught/1") in self.disk
-        self.part = Part(
-            1, self.name, parts.genesis(SEEDS), kept, caught, self.peers, WINDOW_S, self.world.rng, 1_000
-        )
-        for (name, key), value in self.disk.items():
-            if name == "slips":
-                self.part.load(key.decode(), unpack(value))
-        self.told: dict[str, Callable[[Ended], None]] = {}
-
-    def wipe(self) -> None:
-        self.disk = {}
-        self.put(remembered(1, Kept(self.world.rng.randrange(2, 2**50)), False))
-
-    def do(self, actions: list[Action]) -> None:
-        for action in actions:
-            match action:
-                case Tell():
-                    self.world.send(action.to, "heard", self.name, action.message[2:])
-                case Answer() if isinstance(action.to, Try):
-                    self.world.wires.append(("", "said", (action.to, self.name, *action.message[2:])))
-                case Answer():
-                    self.world.send(action.to, "heard", self.name, action.message[2:])
-                case Write():
-                    self.writes.append(action)
-                case Changed():
-                    self.world.decided(action.new)
-                case Ended() if action.id in self.told:
-                    self.told.pop(action.id)(action)
-
-    def heard(self, sender: str, message: list[Any]) -> None:
-        self.do(self.part.heard(sender, message, self.world.now))
-
-    def beat(self, sender: str, number: int, fit: bool, version: int) -> None:
-        self.peers.heard_s[sender] = self.world.now
-        (self.peers.unfit.discard if fit else self.peers.unfit.add)(sender)
-        self.world.send(sender, "pulse", self.name, number, self.part.accepted_fence)
-        self.do(self.part.catch(version, sender))
-
-    def pulse(self, sender: str, number: int, fence: int) -> None:
-        if number in self.beats:
-            self.part.pulse(sender, self.beats[number], fence)
-
-    def disk_turn(self) -> None:
-        """The oldest write reaches the disk."""
-        write = self.writes.pop(0)
-        self.put(write.puts)
-        if write.then is not None:
-            self.do(self.part.written(write.then, True, self.world.now))
-
-    def tick(self) -> None:
-        self.count += 1
-        self.beats[self.count] = self.world.now
-        for name in self.world.keepers:
-            if name != self.name and self.world.rng.random() < 0.3:
-                self.world.send(
-                    name, "beat", self.name, self.count, self.peers.fit, self.part.known.version
-                )  # fmt: skip
-        self.do(self.part.tick(self.world.now))
-
-    def claim(self, try_: Try, under: int) -> None:
-        self.do(self.part.claim(try_, 0, under, try_.key, try_.holder, True, self.world.now))
-
-    def done(self, key: str, holder: str, answer: Any) -> None:
-        self.do(self.part.done(key, holder, answer, self.world.now))
-
-    def drop(self, key: str, holder: str) -> None:
-        self.do(self.part.drop(key, holder, self.world.now))
+from athenaeum.holding import Answer, Changed, Ended
+from nickelbridge.register import Value, Voter
+from rehearsal.explore.keeper import SEEDS, WINDOW_S, Keeper
 
 
 class Try:
@@ -134,13 +39,14 @@
         self.rng, self.now, self._number = rng, 1.0, 0
         self.keepers: dict[str, Keeper] = {}
         for name in (*SEEDS, "d"):
-            self.keepers[name] = Keeper(name, self, name in SEEDS)
+            self.keepers[name] = Keeper(name, self, name in SEEDS, 1, rng)
         self.wires: list[tuple[str, str, tuple[Any, ...]]] = []
         self.tries: list[Try] = []
         self.granted: dict[str, list[Try]] = {}
         self.versions: dict[int, Value] = {}
         self.taken: dict[int, bytes] = {}  # the digest that was acknowledged on top of each revision
         self.newest = 0  # revision acknowledged
+        self.waiting: dict[str, Callable[[Ended], None]] = {}
         self.counts = {"granted": 0, "put": 0, "read": 0, "epoch": 0, "owned": 0}
         self.fences: dict[int, str] = {}
 
@@ -148,12 +54,23 @@
         self._number += 1
         return self._number
 
-    def send(self, to: str, kind: str, *message: Any) -> None:
+    def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
         if to in self.keepers:
             self.wires.append((to, kind, message))
 
-    def decided(self, value: Value) -> None:
+    def answer(self, name: str, answer: Answer) -> None:
+        if isinstance(answer.to, Try):
+            self.wires.append(("", "said", (answer.to, name, *answer.message[2:])))
+        else:
+            self.send(name, answer.to, "heard", name, answer.message[2:])
+
+    def told(self, name: str, end: Ended) -> None:
+        if end.id in self.waiting:
+            self.waiting.pop(end.id)(end)
+
+    def decided(self, name: str, changed: Changed) -> None:
         """The states are one chain: one for each version, and whoever learns one learns the same."""
+        value = changed.new
         assert self.versions.setdefault(value.version, value) == value
         self.counts["epoch"] = max(self.counts["epoch"], epoch(value))
 
@@ -181,7 +98,7 @@
     def ask(self, try_: Try) -> None:
         for name in try_.count.group:
             if try_.count.open(name):
-                self.send(name, "claim", try_, try_.count.epoch)
+                self.send("", name, "claim", try_, 0, try_.count.epoch, try_.key, try_.holder)
 
     def said(self, try_: Try, name: str, under: int, what: str, answer: Any) -> None:
         end = try_.count.hear(name, under, what, answer) if try_.open else ""
@@ -209,7 +126,7 @@
 
     def tell_all(self, try_: Try, *message: Any) -> None:
         for name in try_.count.group:
-            self.send(name, *message)
+            self.send("", name, *message)
 
     def put(self) -> None:
         keeper = self.some()
@@ -225,7 +142,7 @@
                 self.counts["put"] += 1
 
         id = str(self.number())
-        keeper.told[id] = told
+        self.waiting[id] = told
         keeper.do(keeper.part.ask(id, parts.Put(digest, revision, digest, on), 3.0, self.now))
 
     def read(self) -> None:
@@ -239,7 +156,7 @@
                 self.counts["read"] += 1
 
         id = str(self.number())
-        keeper.told[id] = told
+        self.waiting[id] = told
         keeper.do(keeper.part.read(id, self.now))
 
     def pass_time(self, s: float) -> None:
@@ -260,6 +177,10 @@
         if wipe:
             keeper.wipe()
 
+    def tick(self, keeper: Keeper) -> None:
+        keeper.beat_to(n for n in self.keepers if n != keeper.name and self.rng.random() < 0.3)
+        keeper.tick()
+
     def step(self, trouble: float) -> None:
         rng, dice = self.rng, self.rng.random()
         if self.wires and dice < 0.8:
@@ -280,7 +201,7 @@
             self.now += rng.random() * 0.15
             if rng.random() < 0.02 * trouble:
                 keeper.peers.fit = not keeper.peers.fit
-            keeper.tick()
+            self.tick(keeper)
             return self.owners()
         if dice < 0.94:
             return self.claim()
@@ -348,7 +269,7 @@
         for _ in range(int(seconds / 0.2)):
             world.now += 0.2
             for keeper in world.keepers.values():
-                keeper.tick()
+                world.tick(keeper)
                 keeper.peers.heard_s = dict.fromkeys(world.keepers, world.now)
             while world.wires or any(keeper.writes for keeper in world.keepers.values()):
                 for to, kind, message in [world.wires.pop(0) for _ in list(world.wires)]:
