--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import signal
 import sys
@@ -20,9 +21,12 @@
     from athenaeum.carrel import Carrel
 
 HELP = """orchidferry carrel|archive [--check]
+orchidferry archive snapshot take|put FILE ...
 
 A role of the mesh, from the settings file that ORCHIDFERRY_BOOT names: `carrel`, the node beside a server;
-`archive`, a keeper of the mesh's state. --check reads the settings and ends.
+`archive`, a keeper of the mesh's state. --check reads the settings, and a keeper's store if there is one, and
+ends: 0, all can be used; 1, the settings can, and the store is in use; 2, something can't, which is named.
+`snapshot` writes what a stopped keeper knows to a file, or begins a lost group anew from one: see its --help.
 
 example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry archive --check"""
 POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
@@ -54,15 +58,15 @@
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    one: Carrel | Archive
+    one: Carrel | Archive | None
     if role == "carrel":
         from athenaeum.carrel import Carrel
 
         one = Carrel(boot, loop)
     else:
-        from athenaeum.archive import Archive
-
-        one = Archive(boot, loop)
+        one = await keeper(boot, loop, stopping)
+    if one is None:
+        return
     loop.add_signal_handler(signal.SIGHUP, reread, role, one)
     watch_file(loop, role, one, changed_at())
     running = one.run(stopping)
@@ -70,6 +74,41 @@
     await running
 
 
+async def keeper(boot: Boot, loop: asyncio.AbstractEventLoop, stopping: asyncio.Event) -> Archive | None:
+    """A keeper, once its store can be used; None if told to stop before."""
+    from athenaeum import stocktake
+    from athenaeum.archive import Archive
+
+    assert boot.data_dir is not None
+    while await stocktake.ready(boot.data_dir, stopping):
+        if stocktake.forgot(boot.data_dir):
+            boot = dataclasses.replace(boot, first_start=False)
+        try:
+            return Archive(boot, loop)
+        except BadDeposit as problem:
+            logger.error("deposit: {}; looked at again", problem)
+            await asyncio.sleep(stocktake.AGAIN_S)
+    return None
+
+
+def check_store(folder: str) -> int:
+    """Tell what a keeper's store holds, with nothing written; the exit status."""
+    from athenaeum import stocktake
+    from athenaeum.deposit import InUse
+
+    try:
+        stock = stocktake.look(folder)
+    except InUse as problem:
+        print(f"store: {problem}; it is not looked at")
+        return 1
+    except BadDeposit as problem:
+        print(f"orchidferry: {problem}", file=sys.stderr)
+        return 2
+    for line in stock.lines() if stock is not None else ["store: none yet"]:
+        print(line)
+    return 0
+
+
 def reread(role: str, one: Carrel | Archive) -> None:
     """Take the settings file as it is now; one that can't be used changes nothing."""
     try:
@@ -101,6 +140,10 @@
 def main(arguments: list[str] | None = None) -> int:
     """The program."""
     words = sys.argv[1:] if arguments is None else arguments
+    if words[:2] == ["archive", "snapshot"]:
+        from athenaeum.facsimile import main as snapshot
+
+        return snapshot(words[2:])
     if not words or words[0] not in ROLES or any(word != "--check" for word in words[1:]):
         if words[:1] and words[0] in ROLES and words[1:] in (["--help"], ["-h"]):
             print(HELP)
@@ -112,7 +155,7 @@
         check_role(words[0], boot)
         if words[1:]:
             print(f"{boot.name}: {boot.role} in {boot.zone}, settings can be used")
-            return 0
+            return check_store(boot.data_dir) if words[0] == "archive" and boot.data_dir is not None else 0
     except BadBoot as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/athenaeum/facsimile.py
@@ -0,0 +1,341 @@
+"""A snapshot of what a keeper knows, out to a file and back, for the day when a majority of disks is gone.
+
+Votes never come back: a keeper that voted after its snapshot would break its word. What `put` makes is
+another group: voters with memories that nobody ever had, and a state that all of them have accepted in one
+round, with numbers above all that the lost group can have reached. Its argument is in docs/design/deposit.md.
+
+A file is a head, a state, keys one after the other, and a digest of all that: `cbor2` items in a row.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import importlib
+import ipaddress
+import os
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import IO, Any
+
+import cbor2
+import lmdb
+from more_itertools import chunked
+
+from athenaeum import parts
+from athenaeum.boot import BadBoot, Boot, read_boot
+from athenaeum.deposit import NAMES, InUse, open_env, pack, put_sealed, take_lock, unwrap, wrap
+from athenaeum.faults import BadDeposit
+from athenaeum.stocktake import PART, STORE, survey, sync_folder
+from nickelbridge.register import Ballot, Kept, Value, Voter
+
+MAGIC, FORMAT = "orchidferry snapshot", 1
+AHEAD_VERSION, AHEAD_EPOCH = 2**32, 2**20  # above what a group that changes some times a minute can reach
+COUNTER = 1  # of the ballot in which the state was accepted; its name is nobody else's
+BATCH = 500  # keys in one transaction
+
+
+class BadSnapshot(Exception):
+    """It can't be done; one line that names the file, folder or option."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What a file holds, its keys left where they are."""
+
+    digest: bytes
+    version: int
+    voters: tuple[Voter, ...]  # those of the group it was taken from
+    body: parts.Body
+    keys: int
+
+
+class _Summed:
+    """A file whose bytes are added up on their way."""
+
+    def __init__(self, file: IO[bytes]) -> None:
+        self.file, self.sum = file, hashlib.sha256()
+
+    def write(self, raw: bytes) -> int:
+        self.sum.update(raw)
+        return self.file.write(raw)
+
+
+# Out
+
+
+def take_from(folder: str, path: str) -> Snapshot:
+    """Write what the store of a folder knows to a file. `BadDeposit`, `BadSnapshot`."""
+    file = os.path.join(folder, STORE)
+    if not os.path.exists(file):
+        raise BadSnapshot(f"{folder}: there is no store")
+    try:
+        with take_lock(folder):
+            env = open_env(file, file=True, readonly=True)
+            try:
+                return _take(env, file, path)
+            finally:
+                env.close()
+    except InUse as problem:
+        raise InUse(f"{problem}: stop the keeper first") from None
+    except BadDeposit as problem:
+        raise BadDeposit(f"{folder}: {problem}") from None
+    except (OSError, lmdb.Error) as problem:
+        raise BadSnapshot(f"{path}: {problem}") from None
+
+
+def _take(env: lmdb.Environment, file: str, path: str) -> Snapshot:
+    stock, dbs = survey(env, file)
+    if stock.kept is None:
+        raise BadSnapshot(f"{file}: nothing was written to it yet")
+    value = stock.kept.value if stock.kept.value is not None else parts.genesis(stock.founders)
+    sealed = stock.format > 1
+    part = path + ".part"
+    with open(part, "wb") as out:
+        summed = _Summed(out)
+        # What is drawn here makes memories that come of this file differ from those of any other.
+        summed.write(pack([MAGIC, FORMAT, os.urandom(16), stock.keys]))
+        summed.write(pack(parts.pack_value(value)))
+        if "slips" in dbs:
+            with env.begin(db=dbs["slips"]) as txn:
+                for key, raw in txn.cursor():
+                    name, row = bytes(key), bytes(raw)
+                    summed.write(pack([name, unwrap("slips", name, row) if sealed else row]))
+        out.write(pack(summed.sum.digest()))
+        out.flush()
+        os.fsync(out.fileno())
+    os.replace(part, path)
+    sync_folder(os.path.dirname(os.path.abspath(path)))
+    return Snapshot(summed.sum.digest(), value.version, value.voters, parts.body(value), stock.keys)
+
+
+# Back
+
+
+def read_snapshot(path: str) -> Snapshot:
+    """Read and check a file whole. `BadSnapshot`."""
+    digest = _digest(path)
+    with _opened(path) as file:
+        reader = _Reader(path, file)
+        keys, value = _head(path, reader)
+        for _ in range(keys):
+            reader.row()
+        if reader.item() != digest:
+            raise BadSnapshot(f"{path}: it has more keys than it says")
+    return Snapshot(digest, value.version, value.voters, parts.body(value), keys)
+
+
+def _digest(path: str) -> bytes:
+    """The digest of all but the digest at the end, where that is the same."""
+    summed = hashlib.sha256()
+    with _opened(path) as file:
+        left = os.fstat(file.fileno()).st_size - len(pack(summed.digest()))
+        while left > 0 and (raw := file.read(min(left, 65_536))):
+            summed.update(raw)
+            left -= len(raw)
+        if left or file.read() != pack(summed.digest()):
+            raise BadSnapshot(f"{path}: it is no snapshot, or not whole: its digest isn't that of its bytes")
+    return summed.digest()
+
+
+def _opened(path: str) -> IO[bytes]:
+    try:
+        return open(path, "rb")
+    except OSError as problem:
+        raise BadSnapshot(f"{path}: {problem.strerror}") from None
+
+
+class _Reader:
+    """Items in a row."""
+
+    def __init__(self, path: str, file: IO[bytes]) -> None:
+        self._path = path
+        self._decoder = cbor2.CBORDecoder(file)
+
+    def item(self) -> Any:
+        try:
+            return self._decoder.decode()
+        except (cbor2.CBORDecodeError, ValueError, TypeError, OSError) as problem:
+            raise BadSnapshot(f"{self._path}: it can't be read: {problem}") from None
+
+    def row(self) -> tuple[bytes, bytes]:
+        match self.item():
+            case [bytes(key), bytes(raw)]:
+                return key, raw
+        raise BadSnapshot(f"{self._path}: what should be a key is none")
+
+
+def _head(path: str, reader: _Reader) -> tuple[int, Value]:
+    match reader.item():
+        case [str(magic), int(format_), bytes(), int(keys)] if magic == MAGIC and keys >= 0:
+            if format_ != FORMAT:
+                raise BadSnapshot(f"{path}: format {format_} is not known here")
+        case _:
+            raise BadSnapshot(f"{path}: it is no snapshot")
+    try:
+        value = parts.unpack_value(reader.item())
+    except (ValueError, TypeError) as problem:
+        raise BadSnapshot(f"{path}: its state can't be read: {problem}") from None
+    if value is None:
+        raise BadSnapshot(f"{path}: it has no state")
+    return keys, value
+
+
+def memory_of(digest: bytes, founders: tuple[str, ...]) -> int:
+    """The memory of all voters that a file makes of these founders; another list gives another.
+
+    >>> memory_of(b"d", ("a", "b")) == memory_of(b"d", ("a", "c"))
+    False
+    """
+    drawn = hashlib.sha256(digest + "\0".join(sorted(founders)).encode()).digest()
+    return 2 + int.from_bytes(drawn[:8], "big") % (2**53 - 2)
+
+
+def restored(snapshot: Snapshot, founders: tuple[str, ...]) -> Kept:
+    """What each founder remembers: the state as one that all of them accepted in one round."""
+    memory = memory_of(snapshot.digest, founders)
+    old = snapshot.body
+    body = parts.Body(old.epoch + AHEAD_EPOCH, old.revision, old.raw, old.taken)
+    voters = tuple(Voter(name, memory) for name in sorted(founders))
+    ballot: Ballot = (COUNTER, f"restored {snapshot.digest.hex()[:32]}")
+    return Kept(memory, ballot, ballot, Value(snapshot.version + AHEAD_VERSION, voters, body))
+
+
+def read_founders(text: str, own: str, losses: int) -> tuple[str, ...]:
+    """The list as it was given, checked. `BadSnapshot`."""
+    names = tuple(text.split(","))
+    for name in names:
+        try:
+            ipaddress.IPv4Address(name)
+        except ValueError:
+            raise BadSnapshot(f"--founders: {name!r} is no IP number") from None
+    if len(set(names)) != len(names):
+        raise BadSnapshot("--founders: one is named twice")
+    if own not in names:
+        raise BadSnapshot(f"--founders: this machine, {own}, is not among them")
+    if len(names) < 2 * losses + 1:
+        raise BadSnapshot(f"--founders: {2 * losses + 1} are needed to bear the loss of {losses}")
+    return names
+
+
+def put_into(folder: str, path: str, founders: tuple[str, ...]) -> Kept:
+    """Make a store of a file in an empty folder, whole or not at all. `BadSnapshot`."""
+    snapshot = read_snapshot(path)
+    kept = restored(snapshot, founders)
+    try:
+        os.makedirs(folder, exist_ok=True)
+        there = sorted(os.listdir(folder))
+        if there:
+            raise BadSnapshot(f"{folder}: it is not empty, there is {there[0]!r}")
+        part = os.path.join(folder, PART)
+        env = open_env(part, file=True)
+        try:
+            _fill(env, path, kept, founders)
+            _check(env, part, kept, snapshot)
+        finally:
+            env.close()
+        os.rename(part, os.path.join(folder, STORE))
+        sync_folder(folder)
+    except (OSError, lmdb.Error, BadDeposit) as problem:
+        with contextlib.suppress(OSError):
+            os.remove(os.path.join(folder, PART))
+        raise BadSnapshot(f"{folder}: {problem}") from None
+    return kept
+
+
+def _fill(env: lmdb.Environment, path: str, kept: Kept, founders: tuple[str, ...]) -> None:
+    dbs = {name: env.open_db(name.encode()) for name in NAMES}
+    about = {b"kept": parts.pack_kept(kept), b"founders": sorted(founders)}
+    with env.begin(write=True) as txn:
+        for key, value in about.items():
+            txn.put(key, wrap("about", key, pack(value)), db=dbs["about"])
+        txn.put(b"caught", wrap("about", b"caught", b"1"), db=dbs["about"])
+        put_sealed(txn, dbs)
+    for batch in chunked(_rows(path), BATCH):
+        with env.begin(write=True) as txn:
+            for key, raw in batch:
+                txn.put(key, wrap("slips", key, raw), db=dbs["slips"])
+            put_sealed(txn, dbs)
+    env.sync(True)
+
+
+def _rows(path: str) -> Iterator[tuple[bytes, bytes]]:
+    with _opened(path) as file:
+        reader = _Reader(path, file)
+        keys, _ = _head(path, reader)
+        for _ in range(keys):
+            yield reader.row()
+
+
+def _check(env: lmdb.Environment, part: str, kept: Kept, snapshot: Snapshot) -> None:
+    stock, _ = survey(env, part)
+    if stock.kept != kept or stock.keys != snapshot.keys:
+        raise BadDeposit("what was written is not what is read")
+
+
+# The commands
+
+
+def _boot() -> tuple[Boot, str]:
+    path = os.environ.get("ORCHIDFERRY_BOOT")
+    if not path:
+        raise BadBoot("ORCHIDFERRY_BOOT must name the settings file")
+    boot = read_boot(path)
+    if boot.data_dir is None:
+        raise BadBoot(f"{path}: own_node.data_dir: a keeper needs one")
+    return boot, boot.data_dir
+
+
+def take(file: str) -> int:
+    """Write what this machine's keeper knows to a file. The keeper must not run.
+
+    example: ORCHIDFERRY_BOOT=local.toml orchidferry archive snapshot take monday.snapshot
+
+    :param file: where to; a file of that name is replaced once the new one is whole
+    """
+    _, folder = _boot()
+    found = take_from(folder, file)
+    print(f"{file}: version {found.version}, epoch {found.body.epoch}, revision {found.body.revision}, "
+          f"{found.keys} keys, digest {found.digest.hex()[:16]}")  # fmt: skip
+    return 0
+
+
+def put(file: str, *, founders: str, majority_is_gone: bool = False) -> int:
+    """Begin a lost group anew: fill this machine's empty folder from a file.
+
+    Only when a majority of the keepers' disks is gone for good. The same file and the same founders at each
+    of them, once, before any is started. A founder that loses its disk later starts with an empty folder.
+
+    example: ORCHIDFERRY_BOOT=local.toml orchidferry archive snapshot put monday.snapshot
+    --founders 10.0.0.1,10.0.0.2,10.0.0.9 --majority-is-gone
+
+    :param file: what `take` wrote
+    :param founders: IP numbers of the keepers of the new group, this one among them
+    :param majority_is_gone: say that the old group can't come back
+    """
+    boot, folder = _boot()
+    if not majority_is_gone:
+        raise BadSnapshot("--majority-is-gone is missing: two groups at once would both grant keys")
+    names = read_founders(founders, boot.ip, boot.machines)
+    kept = put_into(folder, file, names)
+    assert kept.value is not None
+    print(f"{folder}: version {kept.value.version}, revision {parts.body(kept.value).revision}, "
+          f"memory {kept.memory}: look that it is the same at all of {' '.join(sorted(names))}")  # fmt: skip
+    return 0
+
+
+def main(words: list[str]) -> int:
+    """`orchidferry archive snapshot`; the exit status: 0, 1 for a store in use, 2 with one line."""
+    defopt = importlib.import_module("defopt")
+    name = {"prog": "orchidferry archive snapshot"}
+    try:
+        return int(defopt.run([take, put], argv=words, short={}, no_negated_flags=True, argparse_kwargs=name))
+    except InUse as problem:
+        print(f"orchidferry: {problem}", file=sys.stderr)
+        return 1
+    except (BadSnapshot, BadBoot, BadDeposit) as problem:
+        print(f"orchidferry: {problem}", file=sys.stderr)
+        return 2
+    except SystemExit as end:  # help, or words that can't be read
+        return int(end.code or 0)
--- /dev/null
+++ b/tests/mesh/test_stocktake.py
@@ -0,0 +1,365 @@
+"""A keeper's store is believed, set aside or waited for; a snapshot of it begins a group anew."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import lmdb
+import pytest
+
+from athenaeum import __main__ as program
+from athenaeum import facsimile, parts, stocktake
+from athenaeum.archive import Archive
+from athenaeum.deposit import FORMAT_KEY, NAMES, Deposit, open_env, pack, put_sealed, wrap
+from athenaeum.facsimile import BadSnapshot
+from athenaeum.faults import BadDeposit
+from athenaeum.group import Standing
+from nickelbridge.register import (
+    Accept,
+    Accepted,
+    Acceptor,
+    Done,
+    Kept,
+    Prepare,
+    Promise,
+    Proposer,
+    Send,
+    Value,
+    Voter,
+)  # fmt: skip
+from tests.mesh.test_deposit import Loop, boot_of, close
+
+FOUNDERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+BODY = parts.Body(3, 7, b"{}", ((7, b"d"),))
+KEPT = Kept(5, (9, "x"), (8, "y"), Value(12, (Voter("10.0.0.1", 5), Voter("10.0.0.2", 6)), BODY))
+
+
+def fill(folder: Path, keys: int = 300, kept: Kept = KEPT) -> dict[bytes, bytes]:
+    loop: Any = Loop()
+    deposit = Deposit(str(folder), loop)
+    rows = {b"k%d" % n: pack([f"t{n}", n, b"x" * (n % 7) * 40]) for n in range(keys)}
+    for name, key, value in (
+        ("about", b"kept", pack(parts.pack_kept(kept))), ("about", b"founders", pack(list(FOUNDERS))),
+        ("about", b"caught", b"1"), *(("slips", key, raw) for key, raw in rows.items()),
+    ):  # fmt: skip
+        deposit.write([(name, key, value)])
+    close(deposit)
+    return rows
+
+
+def stored(folder: Path) -> dict[bytes, bytes]:
+    loop: Any = Loop()
+    deposit = Deposit(str(folder), loop)
+    found = dict(deposit.all("slips"))
+    close(deposit)
+    return found
+
+
+def rewrite(folder: Path, change: Any) -> None:
+    """Change a store behind the deposit's back."""
+    env = open_env(str(folder))
+    dbs = {name: env.open_db(name.encode()) for name in NAMES}
+    with env.begin(write=True) as txn:
+        change(txn, dbs)
+    env.close()
+
+
+def unsealed(txn: Any, dbs: Any) -> None:
+    txn.put(b"k1", wrap("slips", b"k1", pack(["t1", 1, None])), db=dbs["slips"])
+
+
+def elsewhere(txn: Any, dbs: Any) -> None:
+    txn.put(b"k2", txn.get(b"k3", db=dbs["slips"]), db=dbs["slips"])
+    put_sealed(txn, dbs)
+
+
+def memory(value: Any) -> Any:
+    def change(txn: Any, dbs: Any) -> None:
+        txn.put(b"kept", wrap("about", b"kept", value), db=dbs["about"])
+        put_sealed(txn, dbs)
+
+    return change
+
+
+def no_memory(txn: Any, dbs: Any) -> None:
+    txn.delete(b"kept", db=dbs["about"])
+    put_sealed(txn, dbs)
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (unsealed, "the root is that of transaction"), (elsewhere, "record b'k2' of slips"),
+        (memory(b"\xff"), "record 'kept' of about can't be read"), (memory(pack([1, 2])), "'kept' of about"),
+        (memory(pack(["5", [1, "a"], [1, "a"], None])), "no voter's memory"),
+        (no_memory, "'kept' of about is"),
+    ],
+)  # fmt: skip
+def test_what_can_not_be_believed_is_forgotten(tmp_path: Path, change: Any, why: str) -> None:
+    rows = fill(tmp_path)
+    stocktake.prepare(str(tmp_path))
+    assert stored(tmp_path) == rows and not stocktake.forgot(str(tmp_path))
+    rewrite(tmp_path, change)
+    with pytest.raises(BadDeposit, match=why):
+        stocktake.look(str(tmp_path))
+    before = (tmp_path / "data.mdb").read_bytes()
+    stocktake.prepare(str(tmp_path))
+    assert why in (tmp_path / "bad" / "why").read_text()
+    assert (tmp_path / "bad" / "data.mdb").read_bytes() == before
+    assert stocktake.forgot(str(tmp_path)) and stored(tmp_path) == {}
+
+
+@pytest.mark.parametrize("seed", range(9))
+def test_no_damage_passes_for_memory(tmp_path: Path, seed: int) -> None:
+    """Pages of chance, bits turned, an end cut off: the very records are there, or none is."""
+    rows, file, rng = fill(tmp_path), tmp_path / "data.mdb", random.Random(seed)
+    raw = bytearray(file.read_bytes())
+    at = rng.randrange(len(raw) // 4096) * 4096
+    if seed % 3 == 0:
+        raw[at : at + 4096] = rng.randbytes(4096)
+    elif seed % 3 == 1:
+        raw[at + rng.randrange(4096)] ^= 1 << rng.randrange(8)
+    else:
+        raw[at + 100 :] = b""
+        raw += rng.randbytes(512)
+    file.write_bytes(raw)
+    words = [sys.executable, "-c", f"from athenaeum import stocktake; stocktake.prepare({str(tmp_path)!r})"]
+    ends = [subprocess.run(words, timeout=20.0, capture_output=True).returncode]
+    while ends[-1] and len(ends) <= stocktake.DEATHS:  # lmdb may end it
+        assert ends[-1] < 0
+        ends.append(subprocess.run(words, timeout=20.0, capture_output=True).returncode)
+    assert not ends[-1]
+    found = stored(tmp_path)
+    assert found == ({} if stocktake.forgot(str(tmp_path)) else rows)
+
+
+def test_a_store_that_ends_the_process_is_set_aside(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    fill(tmp_path)
+    (tmp_path / "opening").write_bytes(b"x")
+    stocktake.prepare(str(tmp_path))
+    assert not stocktake.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
+    (tmp_path / "opening").write_bytes(b"x" * stocktake.DEATHS)
+    stocktake.prepare(str(tmp_path))
+    assert stocktake.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
+    fill(tmp_path)  # of two that were set aside the newer is kept, and a large one is not
+    monkeypatch.setattr(stocktake, "BAD_MOST", 1)
+    rewrite(tmp_path, no_memory)
+    stocktake.prepare(str(tmp_path))
+    assert os.listdir(tmp_path / "bad") == ["why"]
+
+
+def test_what_only_can_not_be_read_now_is_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    rows = fill(tmp_path)
+
+    def newer(txn: Any, dbs: Any) -> None:
+        put_sealed(txn, dbs)
+        txn.put(FORMAT_KEY, wrap("about", FORMAT_KEY, pack(9)), db=dbs["about"])
+
+    rewrite(tmp_path, newer)
+    with pytest.raises(BadDeposit, match="format 9 is of a later build"):
+        stocktake.prepare(str(tmp_path))
+    rewrite(tmp_path, put_sealed)
+
+    async def opened(problems: list[Exception]) -> bool:
+        stopping, real = asyncio.Event(), open_env
+
+        def open_(path: str, **how: Any) -> Any:
+            if problems:
+                raise problems.pop()
+            return real(path, **how)
+
+        monkeypatch.setattr(stocktake, "open_env", open_)
+        monkeypatch.setattr(stocktake, "AGAIN_S", 0.001)
+        return await asyncio.wait_for(stocktake.ready(str(tmp_path), stopping), 10.0)
+
+    assert asyncio.run(opened([OSError(5, "no"), lmdb.Error("Input/output error"), lmdb.DiskError("no")]))
+    assert not stocktake.forgot(str(tmp_path)) and stored(tmp_path) == rows
+
+
+def test_one_that_has_forgotten_is_no_founder(tmp_path: Path) -> None:
+    async def start() -> Archive:
+        found = await program.keeper(boot_of(tmp_path), asyncio.get_running_loop(), asyncio.Event())
+        assert found is not None
+        close(found._deposit)
+        return found
+
+    first = asyncio.run(start())._voter.memory
+    assert first == parts.GENESIS
+    (tmp_path / "data.mdb").write_bytes(b"this is no store" * 1_000)
+    second = asyncio.run(start())._voter.memory
+    assert second != first and asyncio.run(start())._voter.memory == second
+
+
+def test_the_first_format_is_brought_up(tmp_path: Path) -> None:
+    rows = {b"k%d" % n: pack(["t", n, None]) for n in range(50)}
+
+    def old(txn: Any, dbs: Any) -> None:
+        for key, value in ((b"kept", pack(parts.pack_kept(KEPT))), (b"founders", pack(list(FOUNDERS)))):
+            txn.put(key, value, db=dbs["about"])
+        for key, value in rows.items():
+            txn.put(key, value, db=dbs["slips"])
+
+    rewrite(tmp_path, old)
+    loop: Any = Loop()
+    with pytest.raises(BadDeposit, match="not made ready"):
+        Deposit(str(tmp_path), loop)
+    stocktake.prepare(str(tmp_path))
+    stock = stocktake.look(str(tmp_path))
+    assert stock is not None and (stock.format, stock.kept, stock.keys) == (2, KEPT, 50)
+    assert stored(tmp_path) == rows
+
+
+@pytest.mark.parametrize("fails", ["", "rename", "copy"])
+def test_a_store_shrinks_or_stays(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str) -> None:
+    rows, file = fill(tmp_path, 2_000), tmp_path / "data.mdb"
+    gone = [key for n, key in enumerate(rows) if n % 10]
+    loop: Any = Loop()
+    deposit = Deposit(str(tmp_path), loop)
+    deposit.write([("slips", key, None) for key in gone])
+    close(deposit)
+    left, size = {key: raw for key, raw in rows.items() if key not in gone}, file.stat().st_size
+    monkeypatch.setattr(stocktake, "COMPACT_BYTES", 4_096)
+
+    def refuse(*words: Any, **more: Any) -> Any:
+        raise OSError(28, "no space")
+
+    if fails == "rename":
+        monkeypatch.setattr("os.rename", refuse)
+        with pytest.raises(BadDeposit, match="no space"):
+            stocktake.prepare(str(tmp_path))
+    elif fails == "copy":
+        monkeypatch.setattr(stocktake, "put_sealed", refuse)
+        stocktake.prepare(str(tmp_path))
+    else:
+        stocktake.prepare(str(tmp_path))
+        assert file.stat().st_size < size / 2
+    monkeypatch.undo()
+    stocktake.prepare(str(tmp_path))
+    assert sorted(os.listdir(tmp_path)) == ["data.mdb", "lock"] and stored(tmp_path) == left
+
+
+def test_a_copy_is_made_only_where_both_fit() -> None:
+    def stock(used: int, size: int) -> stocktake.Stock:
+        return stocktake.Stock(2, None, (), False, 0, used, size)
+
+    assert stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 0)
+    assert not stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 64_000_000)
+    assert not stocktake.worth_a_copy(stock(100_000_000, 167_000_000), 0)
+    assert not stocktake.worth_a_copy(stock(1_000, 10_000_000), 0)
+
+
+# Snapshots
+
+
+def test_three_restored_keepers_agree_and_outrank_the_lost_group(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(facsimile, "BATCH", 70)
+    rows, path = fill(tmp_path / "old"), str(tmp_path / "s")
+    taken = facsimile.take_from(str(tmp_path / "old"), path)
+    assert facsimile.read_snapshot(path) == taken and taken.body == BODY
+    names = {name: tmp_path / name for name in FOUNDERS}
+    kept = {name: facsimile.put_into(str(folder), path, FOUNDERS) for name, folder in names.items()}
+    for folder in names.values():
+        stocktake.prepare(str(folder))
+        assert stored(folder) == rows and not stocktake.forgot(str(folder))
+    one = kept[FOUNDERS[0]]
+    assert one.value is not None and set(kept.values()) == {one} and one.memory not in (1, 5, 6)
+    assert one.value.version > 12 and parts.body(one.value).epoch > 3 and one.value.former == ()
+    assert parts.body(one.value).taken == BODY.taken
+    # Two of them know it decided, with nothing written, and grant keys; a lone one does not.
+    voters = {name: Acceptor(name, kept[name]) for name in FOUNDERS}
+    seen = [parts.Seen(v.voter, v.kept.accepted, v.kept.value) for v in voters.values()]
+    known = parts.stands(seen[:2], None, (0, ""), None)
+    assert known == one.value and parts.stands(seen[:1], None, (0, ""), None) is None
+    assert Standing(True).grants(parts.body(known).epoch, voters[FOUNDERS[0]].voter, known, one.value)
+    # A survivor of the lost group has no voice, and its ballots and versions are behind.
+    survivor = parts.Seen(Voter("10.0.0.2", 6), KEPT.accepted, KEPT.value)
+    assert parts.stands([seen[0], survivor], None, (0, ""), None) is None
+    # A change builds on it, whoever of them asks, with no more known than the first state.
+    proposer = Proposer("10.0.0.3 life", parts.genesis(FOUNDERS), random.Random(1))
+    change = parts.put(b"new", 8, b"e", 7)
+    todo: list[Any] = list(proposer.ask("a", change, 0.0, 1e6))
+    now, done = 0.0, None
+    while done is None:
+        if not todo:
+            now += 10_000.0
+            todo += proposer.tick(now)
+        action = todo.pop(0)
+        if isinstance(action, Done):
+            done = action.value
+        elif isinstance(action, Send) and isinstance(action.message, Prepare | Accept):
+            answers = voters[action.to].handle(action.message, "p") if action.to != FOUNDERS[1] else []
+            for answer in answers:
+                if isinstance(answer, Send) and isinstance(answer.message, Promise | Accepted):
+                    todo += proposer.handle(answer.message, now)
+    assert parts.body(done).raw == b"new" and done.voters == one.value.voters
+
+
+def test_a_file_or_another_list_makes_other_voters(tmp_path: Path) -> None:
+    fill(tmp_path / "old")
+    digests = [facsimile.take_from(str(tmp_path / "old"), str(tmp_path / "s")).digest for _ in range(2)]
+    memories = {facsimile.memory_of(d, names) for d in digests for names in (FOUNDERS, FOUNDERS[:2])}
+    assert len(memories) == 4
+    assert facsimile.memory_of(digests[0], FOUNDERS) == facsimile.memory_of(digests[0], FOUNDERS[::-1])
+
+
+BOOT = """own_node = {{ node_name = "n", ip = "10.0.0.1", zone = "z", data_dir = "{folder}" }}
+network = {{ internal_ports = [1, 2], seed_nodes = ["10.0.0.1:2"], listen_points = {{ control = "10.0.0.1:9" }} }}
+term_settings = {{}}
+"""  # noqa: E501
+GOOD = ("--founders", ",".join(FOUNDERS), "--majority-is-gone")
+
+
+def test_the_commands(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: Any) -> None:
+    folder, path, boot = tmp_path / "d", str(tmp_path / "s"), tmp_path / "boot.toml"
+    boot.write_text(BOOT.format(folder=folder))
+    monkeypatch.setenv("ORCHIDFERRY_BOOT", str(boot))
+
+    def run(*words: str) -> tuple[int, str, str]:
+        status = program.main(["archive", *words])
+        return (status, *capsys.readouterr())
+
+    assert run("--check")[0] == 0 and not folder.exists()
+    assert run("snapshot", "take", path)[0] == 2
+    fill(folder)
+    before = (folder / "data.mdb").stat()
+    status, out, _ = run("--check")
+    assert status == 0 and "version 12, epoch 3, revision 7" in out and "keys: 300" in out
+    assert (folder / "data.mdb").stat() == before
+    loop: Any = Loop()
+    running = Deposit(str(folder), loop)
+    assert run("--check")[0] == 1 and run("snapshot", "take", path)[0] == 1
+    close(running)
+    assert run("snapshot", "take", path)[0] == 0
+    raw = bytearray(Path(path).read_bytes())
+    for words, why in (
+        ((path, *GOOD), "not empty"), ((path, *GOOD[:2]), "--majority-is-gone"),
+        ((path, "--founders", "10.0.0.1,10.0.0.2", GOOD[2]), "3 are needed"),
+        ((path, "--founders", "10.0.0.4,10.0.0.2,10.0.0.3", GOOD[2]), "not among"),
+        ((path, "--founders", "10.0.0.1,10.0.0.2,10.0.0.2", GOOD[2]), "twice"),
+        ((path, "--founders", "10.0.0.1,10.0.0.2,h", GOOD[2]), "no IP number"),
+        ((path + "x", *GOOD), "No such file"), ((str(boot), *GOOD), "no snapshot"),
+    ):  # fmt: skip
+        status, _, line = run("snapshot", "put", *words)
+        assert status == 2 and why in line and line.count("\n") == 1
+    for spoilt in (raw[:-40], raw + b"x", raw[:200] + b"\0" + raw[201:]):
+        Path(path).write_bytes(spoilt)
+        with pytest.raises(BadSnapshot):
+            facsimile.put_into(str(tmp_path / "new"), path, FOUNDERS)
+        assert not (tmp_path / "new").exists()
+    Path(path).write_bytes(raw)
+    for name in os.listdir(folder):
+        (folder / name).unlink()
+    status, out, _ = run("snapshot", "put", path, *GOOD)
+    assert status == 0 and "revision 7" in out
+    (folder / "data.mdb").write_bytes(b"no store" * 999)
+    status, _, line = run("--check")
+    assert status == 2 and str(folder) in line
+    assert run("snapshot", "put", "--help")[0] == 0
