Gate: the answer of a claimed key is kept from there when the node that sent it is gone

Cause: a node that died after a run, or was cut off from its server's machine, left a key that answered 409 for the whole window. Change: the sender marks requests whose keys it has claimed; the gate lets what may run once finish, as before, and tells the keepers its answer if nobody is there to take it. Only the holder's own answer is taken, so nothing is told twice. Result: a table of four cases in tests/mesh/test_gate.py.

--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -22,7 +22,7 @@
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import Folio, Route, Table, parse
 from athenaeum.gate import Gate
-from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, own_answer
+from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, kept_answer, own_answer
 from athenaeum.tier import Live, Tier
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -37,7 +37,6 @@
 BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
 STARTING_S = 0.6  # when to come back to a node that has no configuration yet
 SPARE_SOCKETS = 300
-ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
 STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
 STOP_TAKE_S = 2.4  # and so long new requests are taken: callers hear of it after two looks at readiness
 STOP_MARGIN_S = 0.4  # before the platform kills
@@ -97,6 +96,7 @@
             self._visits,
             self._publish,
             self._below,
+            self._orphan,
         )
         self._news = Circulation(boot, loop, self._on_members, self._on_folio)
 
@@ -104,6 +104,11 @@
         others = [tier for name, tier in self._tiers.items() if name != self._boot.service]
         return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in others)
 
+    def _orphan(self, message: Asked, said: Said) -> None:
+        """The server here answered a keyed request whose node is gone: its repeats are told from here."""
+        if message.key is not None and (kept := kept_answer(said)) is not None:
+            self._news.claims.done(message.key.decode("latin-1"), message.id, kept)
+
     def _room(self) -> int:
         used = self._hops.count() + self._visits.count() + self._outbound.count() + self._inbound.count()
         return self._room_most - used
@@ -247,9 +252,8 @@
         waiting = Waiting()
 
         def over(said: Said | None, ran: bool) -> None:
-            if said is not None and said.flow is None and len(said.body) <= ANSWER_MOST:
-                headers = [list(header) for header in said.headers]
-                self._news.claims.done(key, holder, [said.status, said.body, headers])
+            if (kept := kept_answer(said)) is not None:
+                self._news.claims.done(key, holder, kept)
             elif not ran:
                 self._news.claims.drop(key, holder)
 
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -17,6 +17,7 @@
 from athenaeum.faults import Fault, Kind
 from athenaeum.lines import (
     BELOW,
+    KEYED,
     LATE,
     LOAD,
     LOST,
@@ -118,9 +119,12 @@
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
         alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
+        orphan: Callable[[Asked, Said], None],
     ) -> None:  # fmt: skip
-        """`below`: whether calls from this machine were turned away lately."""
-        self._below = below
+        """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
+        answer to a request whose key is claimed, and whose sender is gone.
+        """
+        self._below, self._orphan = below, orphan
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
         self.server: Server | None = None
@@ -285,6 +289,9 @@
     def left(self, passing: Pass, result: Result, said: Said | None) -> None:
         """A request is out of the server, one way or another."""
         self.inside -= 1
+        keyed = not passing.owed and KEYED in passing.message.headers
+        if keyed and said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+            self._orphan(passing.message, said)
         passing.reply(self._word(passing, result, said))
         self._refused = self._refused + 1 if result is Result.UNREACHABLE else 0
         if self._refused >= REFUSED and not self.inside and self._serving():
--- a/athenaeum/lines.py
+++ b/athenaeum/lines.py
@@ -35,8 +35,9 @@
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}")
 MILLISECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # The gate's own headers, which no client or server sees.
-GATE, RANK, PATIENCE, TIMES, LOAD, BELOW = (
+GATE, RANK, PATIENCE, TIMES, LOAD, BELOW, KEYED = (
     b"orchid-gate", b"orchid-rank", b"orchid-patience", b"orchid-once", b"orchid-load", b"orchid-below",
+    b"orchid-keyed",
 )  # fmt: skip
 PRIVATE = b"orchid-"
 
@@ -68,6 +69,12 @@
     gate: bytes | None = None  # the gate's own word
     below: bool = False  # calls that its server made were turned away
 
+    @property
+    def whole(self) -> bool:
+        """Whether it is a server's own answer, as the server gave it."""
+        stamped = self.seal or self.status >= 300
+        return self.gate is None and self.id is not None and not self.encoded and stamped
+
 
 class Asker(Caller):
     """A caller of the data plane."""
@@ -246,6 +253,16 @@
     return Reply(said.status, said.body, flow=said.flow, more=more)
 
 
+ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
+
+
+def kept_answer(said: Said | None) -> list[object] | None:
+    """An answer as it is kept for repeats of its key; None for one that isn't."""
+    if said is None or said.flow is not None or len(said.body) > ANSWER_MOST:
+        return None
+    return [said.status, said.body, [list(header) for header in said.headers]]
+
+
 def own_answer(
     message: Message, fault: Fault, retry_after_s: float | None = None, gate: bytes | None = None,
     load: int | None = None,
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -20,6 +20,7 @@
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import Route
 from athenaeum.lines import (
+    KEYED,
     MARGIN_MS,
     PATIENCE,
     RANK,
@@ -125,6 +126,8 @@
         ]
         if not live.route.repeatable:
             own.append((TIMES, b"1"))
+        if live.on_end is not None:
+            own.append((KEYED, b"1"))
         return head(live.message, own)
 
     def may_send(self) -> bool:
@@ -138,9 +141,8 @@
         said = answer if isinstance(answer, Said) else None
         if result not in NEVER_RAN and self.written:
             live.ran = True
-        if said is not None and said.gate is None and result in (Result.SERVED, Result.ERROR):
-            whole = said.id is not None and not said.encoded and (said.seal or said.status >= 300)
-            live.said = said if whole else live.said
+        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+            live.said = said
         if result is Result.SERVED and said is not None:
             tier.finish(live, passed_on(said))
         if result in (Result.SERVED, Result.ERROR) and said is not None:
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -10,7 +10,7 @@
 from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
 from athenaeum.boot import Bounds
 from athenaeum.gate import Gate, Pass
-from athenaeum.lines import GATE
+from athenaeum.lines import GATE, Said
 from nickelbridge.interface import Result
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import asked, header, rig, said
@@ -26,7 +26,9 @@
         self.gate = Gate(
             ("127.0.0.1", 1), Bounds(), 1_000.0, self.loop, alarms, self.lines,
             lambda: self.changes.append(self.state), lambda: False,
+            lambda message, answer: self.orphans.append((message.id, answer.status)),
         )  # fmt: skip
+        self.orphans: list[tuple[str, int]] = []
         self.replies: dict[str, Reply] = {}
 
     @property
@@ -151,3 +153,22 @@
     assert scene.inside() == ["a"]
     scene.ask("c", orchid_once=b"1").caller_gone()  # not written yet: it never ran
     assert scene.inside() == ["a"] and not scene.replies
+
+
+@pytest.mark.parametrize(("headers", "gone", "answer", "kept"), [
+    ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t"), [("t", 200)]),
+    ({"orchid_once": b"1", "orchid_keyed": b"1"}, False, said(id=b"t"), []),  # its sender tells it
+    ({"orchid_once": b"1"}, True, said(id=b"t"), []),  # nobody claimed a key for it
+    ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t", seal=False), []),  # not the server's
+])  # fmt: skip
+def test_the_answer_of_a_key_whose_node_is_gone_is_kept(
+    scene: Scene, headers: dict[str, bytes], gone: bool, answer: Said, kept: list[tuple[str, int]]
+) -> None:
+    """Else its repeats would be told for the whole window that the first run is at work."""
+    scene.beat(1)
+    passing = scene.ask("t", **headers)
+    scene.lines.sent[0].written = True
+    if gone:
+        passing.caller_gone()
+    scene.lines.sent[0].end(Result.SERVED, answer)
+    assert scene.orphans == kept and not scene.inside()
