--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -150,6 +150,7 @@
                 await inbound
         except TimeoutError:
             logger.warning("carrel: {} callers were still there", self._outbound.count())
+            inbound.cancel()
         logger.info("carrel: stopped")
 
     def reread(self, boot: Boot) -> None:
--- /dev/null
+++ b/tests/mesh/test_stop.py
@@ -0,0 +1,91 @@
+"""How a node ends: when it says so, until when it takes requests, and when it has answered all."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from athenaeum import carrel as module
+from athenaeum.boot import Bounds, check_boot
+from athenaeum.carrel import Carrel
+from tests.mesh.test_records import BOOT
+
+
+class Clock(asyncio.SelectorEventLoop):
+    """A loop in which a wait is over as soon as nothing else is to be done."""
+
+    def __init__(self) -> None:
+        super().__init__(selectors.SelectSelector())
+        self.now_s = 1_000.0
+        select = self._selector.select  # type: ignore[attr-defined]
+
+        def passing(timeout: float | None = None) -> Any:
+            self.now_s += timeout or 0.0
+            return select(0)
+
+        self._selector.select = passing  # type: ignore[attr-defined]
+
+    def time(self) -> float:
+        return self.now_s
+
+
+class Door:
+    """Callers that are all gone at a time, if they ever go; notes when it is wound up."""
+
+    def __init__(self, loop: Clock, gone_s: float) -> None:
+        self.loop, self.gone_s, self.wound_s = loop, gone_s, -1.0
+
+    def count(self) -> int:
+        return int(self.loop.now_s < self.gone_s)
+
+    async def empty(self) -> None:
+        await asyncio.sleep(max(0.0, self.gone_s - self.loop.now_s))
+
+    async def wind_up(self) -> None:
+        self.wound_s = self.loop.now_s
+        await self.empty()
+
+
+def played(loop: Clock, work: Coroutine[Any, Any, None]) -> None:
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+@pytest.mark.parametrize("grace_s", [2.0, 6.0, 30.0])
+@pytest.mark.parametrize("stay_s", [0.1, 1.0, 5.0, 1e6])  # for which callers stay
+def test_a_node_that_is_told_to_end(monkeypatch: pytest.MonkeyPatch, grace_s: float, stay_s: float) -> None:
+    """It says so at once, goes on to take requests while callers hear of it, and is done before the kill."""
+    loop = Clock()
+    monkeypatch.setattr(module, "now_ms", lambda: loop.now_s * 1e3)
+
+    async def main() -> None:
+        node, point = ("127.0.0.1", 1), {"inbound": ("127.0.0.1", 2)}
+        boot = dataclasses.replace(
+            check_boot(BOOT), application=node, listen=point, bounds=Bounds(grace_s=grace_s)
+        )
+        carrel: Any = Carrel(boot, loop)
+        began = loop.now_s
+        outbound, inbound = Door(loop, began + stay_s), Door(loop, began + stay_s)
+        carrel._outbound, carrel._inbound = outbound, inbound
+        said: list[float] = []
+        carrel._publish = lambda: said.append(loop.now_s)
+        stop = loop.create_task(carrel._stop())
+        await asyncio.sleep(0.01)
+        assert carrel._leaving and said == [began] and not carrel._gate.leaving and outbound.wound_s < 0
+        # What is taken from now on is answered, by its deadline, before the end.
+        assert carrel._stop_ms / 1e3 <= began + grace_s - module.STOP_MARGIN_S
+        await stop
+        assert carrel._gate.leaving and loop.now_s <= began + grace_s - module.STOP_MARGIN_S + 0.01
+        assert outbound.wound_s - began >= min(stay_s, module.STOP_TAKE_S, grace_s / 2.0) - 0.01
+        assert inbound.wound_s - began == pytest.approx(module.STOP_READY_S, abs=0.01)
+        if stay_s < grace_s - module.STOP_MARGIN_S:
+            assert loop.now_s - began < max(stay_s, module.STOP_READY_S) + 0.02
+
+    played(loop, main())
