--- a/athenaeum/facsimile.py
+++ b/athenaeum/facsimile.py
@@ -16,7 +16,7 @@
 import os
 import sys
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import IO, Any
 
 import cbor2
@@ -25,13 +25,15 @@
 
 from athenaeum import parts
 from athenaeum.boot import BadBoot, Boot, read_boot
-from athenaeum.deposit import NAMES, InUse, open_env, pack, put_sealed, take_lock, unwrap, wrap
+from athenaeum.deposit import NAMES, InUse, Put, open_env, pack, put_sealed, take_lock, unwrap, wrap
 from athenaeum.faults import BadDeposit
+from athenaeum.holding import remembered
 from athenaeum.stocktake import PART, STORE, survey, sync_folder
 from nickelbridge.register import Ballot, Kept, Value, Voter
 
 MAGIC, FORMAT = "orchidferry snapshot", 1
-AHEAD_VERSION, AHEAD_EPOCH = 2**32, 2**20  # above what a group that changes some times a minute can reach
+# Added to versions; to epochs and fences: a group that changes some times a minute never gets so far.
+AHEAD_VERSION, AHEAD = 2**32, 2**20
 COUNTER = 1  # of the ballot in which the state was accepted; its name is nobody else's
 BATCH = 500  # keys in one transaction
 
@@ -45,11 +47,15 @@
     """What a file holds, its keys left where they are."""
 
     digest: bytes
-    version: int
-    voters: tuple[Voter, ...]  # those of the group it was taken from
-    body: parts.Body
+    states: dict[int, Value]  # by part
     keys: int
 
+    @property
+    def line(self) -> str:
+        """It in a few words."""
+        body, versions = parts.body(self.states[parts.FOLIO]), [v.version for v in self.states.values()]
+        return f"revision {body.revision}, parts at versions {versions}, {self.keys} keys"
+
 
 class _Summed:
     """A file whose bytes are added up on their way."""
@@ -87,16 +93,18 @@
 
 def _take(env: lmdb.Environment, file: str, path: str) -> Snapshot:
     stock, dbs = survey(env, file)
-    if stock.kept is None:
+    known = stock.kept or ({parts.FOLIO: stock.early} if stock.early is not None else {})
+    if not known:
         raise BadSnapshot(f"{file}: nothing was written to it yet")
-    value = stock.kept.value if stock.kept.value is not None else parts.genesis(stock.founders)
+    first = parts.genesis(stock.founders)
+    states = {n: (known[n].value if n in known else None) or first for n in parts.PARTS}
     sealed = stock.format > 1
     part = path + ".part"
     with open(part, "wb") as out:
         summed = _Summed(out)
         # What is drawn here makes memories that come of this file differ from those of any other.
         summed.write(pack([MAGIC, FORMAT, os.urandom(16), stock.keys]))
-        summed.write(pack(parts.pack_value(value)))
+        summed.write(pack([[n, parts.pack_value(value)] for n, value in states.items()]))
         if "slips" in dbs:
             with env.begin(db=dbs["slips"]) as txn:
                 for key, raw in txn.cursor():
@@ -107,7 +115,7 @@
         os.fsync(out.fileno())
     os.replace(part, path)
     sync_folder(os.path.dirname(os.path.abspath(path)))
-    return Snapshot(summed.sum.digest(), value.version, value.voters, parts.body(value), stock.keys)
+    return Snapshot(summed.sum.digest(), states, stock.keys)
 
 
 # Back
@@ -118,12 +126,12 @@
     digest = _digest(path)
     with _opened(path) as file:
         reader = _Reader(path, file)
-        keys, value = _head(path, reader)
+        keys, states = _head(path, reader)
         for _ in range(keys):
             reader.row()
         if reader.item() != digest:
             raise BadSnapshot(f"{path}: it has more keys than it says")
-    return Snapshot(digest, value.version, value.voters, parts.body(value), keys)
+    return Snapshot(digest, states, keys)
 
 
 def _digest(path: str) -> bytes:
@@ -166,7 +174,7 @@
         raise BadSnapshot(f"{self._path}: what should be a key is none")
 
 
-def _head(path: str, reader: _Reader) -> tuple[int, Value]:
+def _head(path: str, reader: _Reader) -> tuple[int, dict[int, Value]]:
     match reader.item():
         case [str(magic), int(format_), bytes(), int(keys)] if magic == MAGIC and keys >= 0:
             if format_ != FORMAT:
@@ -174,12 +182,13 @@
         case _:
             raise BadSnapshot(f"{path}: it is no snapshot")
     try:
-        value = parts.unpack_value(reader.item())
+        states = {number: parts.unpack_value(packed) for number, packed in reader.item()}
     except (ValueError, TypeError) as problem:
         raise BadSnapshot(f"{path}: its state can't be read: {problem}") from None
-    if value is None:
-        raise BadSnapshot(f"{path}: it has no state")
-    return keys, value
+    known = {number: value for number, value in states.items() if value is not None}
+    if sorted(known) != list(parts.PARTS):
+        raise BadSnapshot(f"{path}: it has the parts {sorted(known)}, {list(parts.PARTS)} are needed")
+    return keys, known
 
 
 def memory_of(digest: bytes, founders: tuple[str, ...]) -> int:
@@ -192,14 +201,17 @@
     return 2 + int.from_bytes(drawn[:8], "big") % (2**53 - 2)
 
 
-def restored(snapshot: Snapshot, founders: tuple[str, ...]) -> Kept:
-    """What each founder remembers: the state as one that all of them accepted in one round."""
+def restored(snapshot: Snapshot, founders: tuple[str, ...]) -> dict[int, Kept]:
+    """What each founder remembers of each part: its state, as one that all of them accepted in one round."""
     memory = memory_of(snapshot.digest, founders)
-    old = snapshot.body
-    body = parts.Body(old.epoch + AHEAD_EPOCH, old.revision, old.raw, old.taken)
     voters = tuple(Voter(name, memory) for name in sorted(founders))
     ballot: Ballot = (COUNTER, f"restored {snapshot.digest.hex()[:32]}")
-    return Kept(memory, ballot, ballot, Value(snapshot.version + AHEAD_VERSION, voters, body))
+    found = {}
+    for number, old in snapshot.states.items():
+        body = parts.body(old)
+        body = replace(body, epoch=body.epoch + AHEAD, owner="", fence=body.fence + AHEAD)
+        found[number] = Kept(memory, ballot, ballot, Value(old.version + AHEAD_VERSION, voters, body))
+    return found
 
 
 def read_founders(text: str, own: str, losses: int) -> tuple[str, ...]:
@@ -219,7 +231,7 @@
     return names
 
 
-def put_into(folder: str, path: str, founders: tuple[str, ...]) -> Kept:
+def put_into(folder: str, path: str, founders: tuple[str, ...]) -> tuple[Snapshot, dict[int, Kept]]:
     """Make a store of a file in an empty folder, whole or not at all. `BadSnapshot`."""
     snapshot = read_snapshot(path)
     kept = restored(snapshot, founders)
@@ -241,16 +253,18 @@
         with contextlib.suppress(OSError):
             os.remove(os.path.join(folder, PART))
         raise BadSnapshot(f"{folder}: {problem}") from None
-    return kept
+    return snapshot, kept
 
 
-def _fill(env: lmdb.Environment, path: str, kept: Kept, founders: tuple[str, ...]) -> None:
+def _fill(env: lmdb.Environment, path: str, kept: dict[int, Kept], founders: tuple[str, ...]) -> None:
     dbs = {name: env.open_db(name.encode()) for name in NAMES}
-    about = {b"kept": parts.pack_kept(kept), b"founders": sorted(founders)}
+    puts: list[Put] = [("about", b"founders", pack(sorted(founders)))]
+    for number, one in kept.items():
+        puts += remembered(number, one, True)
     with env.begin(write=True) as txn:
-        for key, value in about.items():
-            txn.put(key, wrap("about", key, pack(value)), db=dbs["about"])
-        txn.put(b"caught", wrap("about", b"caught", b"1"), db=dbs["about"])
+        for name, key, value in puts:
+            assert value is not None
+            txn.put(key, wrap(name, key, value), db=dbs[name])
         put_sealed(txn, dbs)
     for batch in chunked(_rows(path), BATCH):
         with env.begin(write=True) as txn:
@@ -268,7 +282,7 @@
             yield reader.row()
 
 
-def _check(env: lmdb.Environment, part: str, kept: Kept, snapshot: Snapshot) -> None:
+def _check(env: lmdb.Environment, part: str, kept: dict[int, Kept], snapshot: Snapshot) -> None:
     stock, _ = survey(env, part)
     if stock.kept != kept or stock.keys != snapshot.keys:
         raise BadDeposit("what was written is not what is read")
@@ -296,8 +310,7 @@
     """
     _, folder = _boot()
     found = take_from(folder, file)
-    print(f"{file}: version {found.version}, epoch {found.body.epoch}, revision {found.body.revision}, "
-          f"{found.keys} keys, digest {found.digest.hex()[:16]}")  # fmt: skip
+    print(f"{file}: {found.line}, digest {found.digest.hex()[:16]}")
     return 0
 
 
@@ -318,10 +331,9 @@
     if not majority_is_gone:
         raise BadSnapshot("--majority-is-gone is missing: two groups at once would both grant keys")
     names = read_founders(founders, boot.ip, boot.machines)
-    kept = put_into(folder, file, names)
-    assert kept.value is not None
-    print(f"{folder}: version {kept.value.version}, revision {parts.body(kept.value).revision}, "
-          f"memory {kept.memory}: look that it is the same at all of {' '.join(sorted(names))}")  # fmt: skip
+    snapshot, kept = put_into(folder, file, names)
+    memory = kept[parts.FOLIO].memory
+    print(f"{folder}: {snapshot.line}; memory {memory}, the same at all of {' '.join(sorted(names))}?")
     return 0
 
 
--- a/athenaeum/stocktake.py
+++ b/athenaeum/stocktake.py
@@ -37,7 +37,7 @@
     wrap,
 )  # fmt: skip
 from athenaeum.faults import BadDeposit
-from nickelbridge.register import Kept
+from nickelbridge.register import Kept, Value
 
 STORE, PART, BAD, TRIES = "data.mdb", "data.part", "bad", "opening"  # files and one folder of data_dir
 DISK_BYTES = 250_000_000  # of a disk of 256 MB
@@ -57,29 +57,33 @@
     """What a store holds."""
 
     format: int
-    kept: Kept | None  # None: nothing was written yet
+    kept: dict[int, Kept]  # by part; empty: nothing was written yet
+    early: Kept | None  # of a build before the state was cut into parts
     founders: tuple[str, ...]
-    caught_up: bool
+    caught_up: frozenset[int]  # parts
     keys: int
     used_bytes: int
     file_bytes: int
 
     def lines(self) -> list[str]:
         """One line a part of it, for the operator."""
-        if self.kept is None:
+        if not self.kept and self.early is None:
             return [f"store: format {self.format}, empty"]
-        value = self.kept.value
-        body = parts.body(value) if value is not None else parts.Body()
-        voters = " ".join(f"{v.name}/{v.memory}" for v in value.voters) if value is not None else ""
-        return [
-            f"store: format {self.format}, {self.used_bytes} bytes used of {self.file_bytes}",
-            f"memory: {self.kept.memory}, {'caught up' if self.caught_up else 'not caught up'}",
-            f"accepted: version {value.version if value is not None else 0}, epoch {body.epoch}, "
-            f"revision {body.revision}",
-            f"voters: {voters or 'none accepted yet'}",
-            f"founders: {' '.join(self.founders)}",
-            f"keys: {self.keys}",
-        ]
+        found = [f"store: format {self.format}, {self.used_bytes} bytes used of {self.file_bytes}"]
+        for number, kept in self.kept.items():
+            caught = "caught up" if number in self.caught_up else "not caught up"
+            found.append(f"part {number}: memory {kept.memory}, {caught}, accepted {_line(kept.value)}")
+        if self.early is not None:
+            found.append(f"before parts: memory {self.early.memory}, accepted {_line(self.early.value)}")
+        return [*found, f"founders: {' '.join(self.founders)}", f"keys: {self.keys}"]
+
+
+def _line(value: Value | None) -> str:
+    if value is None:
+        return "nothing yet"
+    body, voters = parts.body(value), " ".join(v.name for v in value.voters)
+    duties = f"owner {body.owner or 'none'} under fence {body.fence}"
+    return f"version {value.version}, epoch {body.epoch}, revision {body.revision}, {duties}, voters {voters}"
 
 
 def survey(env: lmdb.Environment, file: str) -> tuple[Stock, Databases]:
@@ -116,17 +120,25 @@
             if keys != txn.stat(dbs["slips"])["entries"]:
                 raise Damaged(f"{keys} keys were found and {txn.stat(dbs['slips'])['entries']} are counted")
         used = used_pages(txn, dbs)
-    if keys and b"kept" not in records["about"]:
-        raise Damaged("there are keys, and the record 'kept' of about is missing")
-    seal = _read(records["about"], SEAL_KEY, int) if sealed else newest
+    known = records["about"]
+    seal = _read(known, SEAL_KEY, int) if sealed else newest
     if raws and seal != newest:
         raise Damaged(f"the root is that of transaction {seal}, the number beside it {newest}")
-    kept, founders = _read(records["about"], b"kept", _kept), _read(records["about"], b"founders", _names)
-    if kept is not None and not founders:
+    numbers = [n for n in parts.PARTS if _key("kept", n) in known]
+    kept = {n: _read(known, _key("kept", n), _kept) for n in numbers}
+    early = _read(known, b"kept", _kept) if not numbers and not sealed else None
+    founders = _read(known, b"founders", _names) or ()
+    if keys and not kept and early is None:
+        raise Damaged("there are keys, and the records 'kept' of about are missing")
+    if kept and not founders:
         raise Damaged("the record 'founders' of about is missing")
-    caught = b"caught" in records["about"]
+    caught = frozenset(n for n in parts.PARTS if _key("caught", n) in known)
     size = os.stat(file).st_size
-    return Stock(format_, kept, founders or (), caught, keys, used * page, size), dbs
+    return Stock(format_, kept, early, founders, caught, keys, used * page, size), dbs
+
+
+def _key(name: str, number: int) -> bytes:
+    return f"{name}/{number}".encode()
 
 
 def _format(raws: dict[bytes, bytes]) -> int:
@@ -150,8 +162,11 @@
 
 
 def _kept(packed: Any) -> Kept:
-    kept = parts.unpack_kept(packed)
-    if not isinstance(kept.memory, int) or len(kept.promised) != 2 or len(kept.accepted) != 2:
+    memory, promised, accepted, value = packed
+    if value is not None and len(value) == 7:  # before owners
+        value = [*value, "", 0]
+    kept = parts.unpack_kept([memory, promised, accepted, value])
+    if not isinstance(memory, int) or len(kept.promised) != 2 or len(kept.accepted) != 2:
         raise ValueError("it is no voter's memory")
     return kept
 
@@ -220,6 +235,8 @@
     try:
         _fill(env, file)
         stock, dbs = survey(env, file)
+        if stock.early is not None:
+            raise BadDeposit("it is of a build before parts: carry the group over by a snapshot")
         if stock.format < FORMAT:
             _bring_up(env, dbs)
             logger.info("deposit: the store was of format {}, it is of {} now", stock.format, FORMAT)
--- a/tests/mesh/test_stocktake.py
+++ b/tests/mesh/test_stocktake.py
@@ -7,6 +7,7 @@
 import random
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -15,11 +16,11 @@
 
 from athenaeum import __main__ as program
 from athenaeum import facsimile, parts, stocktake
-from athenaeum.archive import Archive
 from athenaeum.deposit import FORMAT_KEY, NAMES, Deposit, open_env, pack, put_sealed, wrap
 from athenaeum.facsimile import BadSnapshot
 from athenaeum.faults import BadDeposit
 from athenaeum.group import Standing
+from athenaeum.holding import remembered
 from nickelbridge.register import (
     Accept,
     Accepted,
@@ -36,17 +37,18 @@
 from tests.mesh.test_deposit import Loop, boot_of, close
 
 FOUNDERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
-BODY = parts.Body(3, 7, b"{}", ((7, b"d"),))
-KEPT = Kept(5, (9, "x"), (8, "y"), Value(12, (Voter("10.0.0.1", 5), Voter("10.0.0.2", 6)), BODY))
+BODY = parts.Body(3, 7, b"{}", ((7, b"d"),), "10.0.0.2", 4)
+OLD = Value(12, (Voter("10.0.0.1", 5), Voter("10.0.0.2", 6)), BODY)
+KEPT = {n: Kept(5, (9, "x"), (8, "y"), OLD) if n != 2 else Kept(5) for n in parts.PARTS}
 
 
-def fill(folder: Path, keys: int = 300, kept: Kept = KEPT) -> dict[bytes, bytes]:
+def fill(folder: Path, keys: int = 300) -> dict[bytes, bytes]:
     loop: Any = Loop()
     deposit = Deposit(str(folder), loop)
     rows = {b"k%d" % n: pack([f"t{n}", n, b"x" * (n % 7) * 40]) for n in range(keys)}
     for name, key, value in (
-        ("about", b"kept", pack(parts.pack_kept(kept))), ("about", b"founders", pack(list(FOUNDERS))),
-        ("about", b"caught", b"1"), *(("slips", key, raw) for key, raw in rows.items()),
+        *(put for n, kept in KEPT.items() for put in remembered(n, kept, True)),
+        ("about", b"founders", pack(list(FOUNDERS))), *(("slips", key, raw) for key, raw in rows.items()),
     ):  # fmt: skip
         deposit.write([(name, key, value)])
     close(deposit)
@@ -81,14 +83,15 @@
 
 def memory(value: Any) -> Any:
     def change(txn: Any, dbs: Any) -> None:
-        txn.put(b"kept", wrap("about", b"kept", value), db=dbs["about"])
+        txn.put(b"kept/0", wrap("about", b"kept/0", value), db=dbs["about"])
         put_sealed(txn, dbs)
 
     return change
 
 
 def no_memory(txn: Any, dbs: Any) -> None:
-    txn.delete(b"kept", db=dbs["about"])
+    for n in parts.PARTS:
+        txn.delete(b"kept/%d" % n, db=dbs["about"])
     put_sealed(txn, dbs)
 
 
@@ -96,9 +99,10 @@
     ("change", "why"),
     [
         (unsealed, "the root is that of transaction"), (elsewhere, "record b'k2' of slips"),
-        (memory(b"\xff"), "record 'kept' of about can't be read"), (memory(pack([1, 2])), "'kept' of about"),
+        (memory(b"\xff"), "record 'kept/0' of about can't be read"),
+        (memory(pack([1, 2])), "'kept/0' of about"),
         (memory(pack(["5", [1, "a"], [1, "a"], None])), "no voter's memory"),
-        (no_memory, "'kept' of about is"),
+        (no_memory, "'kept' of about are missing"),
     ],
 )  # fmt: skip
 def test_what_can_not_be_believed_is_forgotten(tmp_path: Path, change: Any, why: str) -> None:
@@ -183,24 +187,25 @@
 
 
 def test_one_that_has_forgotten_is_no_founder(tmp_path: Path) -> None:
-    async def start() -> Archive:
+    async def start() -> int:
         found = await program.keeper(boot_of(tmp_path), asyncio.get_running_loop(), asyncio.Event())
         assert found is not None
         close(found._deposit)
-        return found
+        return found._folio.voter.memory
 
-    first = asyncio.run(start())._voter.memory
+    first = asyncio.run(start())
     assert first == parts.GENESIS
     (tmp_path / "data.mdb").write_bytes(b"this is no store" * 1_000)
-    second = asyncio.run(start())._voter.memory
-    assert second != first and asyncio.run(start())._voter.memory == second
+    second = asyncio.run(start())
+    assert second != first and asyncio.run(start()) == second
 
 
 def test_the_first_format_is_brought_up(tmp_path: Path) -> None:
     rows = {b"k%d" % n: pack(["t", n, None]) for n in range(50)}
 
     def old(txn: Any, dbs: Any) -> None:
-        for key, value in ((b"kept", pack(parts.pack_kept(KEPT))), (b"founders", pack(list(FOUNDERS)))):
+        puts = [put for n, kept in KEPT.items() for put in remembered(n, kept, True)]
+        for _, key, value in (*puts, ("about", b"founders", pack(list(FOUNDERS)))):
             txn.put(key, value, db=dbs["about"])
         for key, value in rows.items():
             txn.put(key, value, db=dbs["slips"])
@@ -215,6 +220,22 @@
     assert stored(tmp_path) == rows
 
 
+def test_a_store_from_before_parts_is_carried_over_by_a_snapshot(tmp_path: Path) -> None:
+    def early(txn: Any, dbs: Any) -> None:
+        value = parts.pack_value(OLD)[:7]
+        for key, record in ((b"kept", [5, [9, "x"], [8, "y"], value]), (b"founders", list(FOUNDERS))):
+            txn.put(key, pack(record), db=dbs["about"])
+        txn.put(b"k", pack(["t", 1, None]), db=dbs["slips"])
+
+    rewrite(tmp_path, early)
+    with pytest.raises(BadDeposit, match="by a snapshot"):
+        stocktake.prepare(str(tmp_path))
+    taken = facsimile.take_from(str(tmp_path), str(tmp_path / "s"))
+    assert taken.states[0] == replace(OLD, body=replace(BODY, owner="", fence=0))
+    facsimile.put_into(str(tmp_path / "new"), str(tmp_path / "s"), FOUNDERS)
+    assert stored(tmp_path / "new") == {b"k": pack(["t", 1, None])}
+
+
 @pytest.mark.parametrize("fails", ["", "rename", "copy"])
 def test_a_store_shrinks_or_stays(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str) -> None:
     rows, file = fill(tmp_path, 2_000), tmp_path / "data.mdb"
@@ -246,7 +267,7 @@
 
 def test_a_copy_is_made_only_where_both_fit() -> None:
     def stock(used: int, size: int) -> stocktake.Stock:
-        return stocktake.Stock(2, None, (), False, 0, used, size)
+        return stocktake.Stock(2, {}, None, (), frozenset(), 0, used, size)
 
     assert stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 0)
     assert not stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 64_000_000)
@@ -263,28 +284,32 @@
     monkeypatch.setattr(facsimile, "BATCH", 70)
     rows, path = fill(tmp_path / "old"), str(tmp_path / "s")
     taken = facsimile.take_from(str(tmp_path / "old"), path)
-    assert facsimile.read_snapshot(path) == taken and taken.body == BODY
+    assert facsimile.read_snapshot(path) == taken and taken.states[0] == OLD and taken.states[2].version == 0
     names = {name: tmp_path / name for name in FOUNDERS}
-    kept = {name: facsimile.put_into(str(folder), path, FOUNDERS) for name, folder in names.items()}
+    kept = {name: facsimile.put_into(str(folder), path, FOUNDERS)[1] for name, folder in names.items()}
     for folder in names.values():
         stocktake.prepare(str(folder))
         assert stored(folder) == rows and not stocktake.forgot(str(folder))
-    one = kept[FOUNDERS[0]]
-    assert one.value is not None and set(kept.values()) == {one} and one.memory not in (1, 5, 6)
-    assert one.value.version > 12 and parts.body(one.value).epoch > 3 and one.value.former == ()
-    assert parts.body(one.value).taken == BODY.taken
+    one = kept[FOUNDERS[0]][parts.FOLIO]
+    assert all(k == kept[FOUNDERS[0]] for k in kept.values()) and one.memory not in (1, 5, 6)
+    assert one.value is not None and one.value.version > 12 and one.value.former == ()
+    body = parts.body(one.value)
+    assert body.epoch > 3 and body.fence > 4 and (body.raw, body.taken) == (BODY.raw, BODY.taken)
+    assert {n: k.value.version > 2**31 for n, k in kept[FOUNDERS[0]].items() if k.value} == dict.fromkeys(
+        parts.PARTS, True
+    )
     # Two of them know it decided, with nothing written, and grant keys; a lone one does not.
-    voters = {name: Acceptor(name, kept[name]) for name in FOUNDERS}
+    voters = {name: Acceptor(name, kept[name][0]) for name in FOUNDERS}
     seen = [parts.Seen(v.voter, v.kept.accepted, v.kept.value) for v in voters.values()]
     known = parts.stands(seen[:2], None, (0, ""), None)
     assert known == one.value and parts.stands(seen[:1], None, (0, ""), None) is None
     assert Standing(True).grants(parts.body(known).epoch, voters[FOUNDERS[0]].voter, known, one.value)
     # A survivor of the lost group has no voice, and its ballots and versions are behind.
-    survivor = parts.Seen(Voter("10.0.0.2", 6), KEPT.accepted, KEPT.value)
+    survivor = parts.Seen(Voter("10.0.0.2", 6), (8, "y"), OLD)
     assert parts.stands([seen[0], survivor], None, (0, ""), None) is None
     # A change builds on it, whoever of them asks, with no more known than the first state.
     proposer = Proposer("10.0.0.3 life", parts.genesis(FOUNDERS), random.Random(1))
-    change = parts.put(b"new", 8, b"e", 7)
+    change = parts.Put(b"new", 8, b"e", 7)
     todo: list[Any] = list(proposer.ask("a", change, 0.0, 1e6))
     now, done = 0.0, None
     while done is None:
@@ -332,6 +357,7 @@
     before = (folder / "data.mdb").stat()
     status, out, _ = run("--check")
     assert status == 0 and "version 12, epoch 3, revision 7" in out and "keys: 300" in out
+    assert "part 2: memory 5, caught up, accepted nothing yet" in out
     assert (folder / "data.mdb").stat() == before
     loop: Any = Loop()
     running = Deposit(str(folder), loop)
