A process may bind another address than it is known by: own_node.bind_ip

The rehearsal of links with faults needs a relay at the address that others dial, with the process behind it; and the relay must tell who dials. Behind any forwarder of addresses the same is needed.

own_node.bind_ip (a text, the default is ip) is where all listeners are bound whose point names ip, and where dials to keepers and to other nodes' gates come from. Lists, leases and voters' names keep ip. Without the field nothing changes: no call more is made.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -133,9 +133,9 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop."""
         self._server = await self._loop.create_server(
-            lambda: Link(self._heard, self._lost), self._boot.ip, self._boot.internal_port, backlog=512
+            lambda: Link(self._heard, self._lost), self._boot.local_ip, self._boot.internal_port, backlog=512
         )
-        await self._door.listen(self._loop, self._boot.listen["control"])
+        await self._door.listen(self._loop, self._boot.door("control"))
         logger.info("archive: serving, epoch {} revision {}", self._epoch, parts.body(self._known).revision)
         beats = 0.0
         while not stopping.is_set():
@@ -178,7 +178,7 @@
 
     async def _dial(self, name: str) -> None:
         try:
-            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.ip)
+            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.local_ip)
             if link is not None:
                 link.peer = name
                 self._peers[name] = link
--- a/athenaeum/boot.py
+++ b/athenaeum/boot.py
@@ -56,6 +56,17 @@
     application: Address | None = None
     service: str = ""
     machines: int = 1  # losses to be borne at once
+    bind_ip: str = ""  # where it listens and dials from, if others know it by another address; empty: `ip`
+
+    @property
+    def local_ip(self) -> str:
+        """The address that its sockets have."""
+        return self.bind_ip or self.ip
+
+    def door(self, name: str) -> Address:
+        """Where a listen point is bound."""
+        host, port = self.listen[name]
+        return (self.local_ip if host == self.ip else host), port
 
 
 def address(text: Any, field: str) -> Address:
@@ -108,6 +119,9 @@
     for name in ("node_name", "ip", "zone"):
         if not isinstance(node.get(name), str) or not node[name]:
             raise BadBoot(f"own_node.{name}: a text is needed")
+    bind_ip = node.get("bind_ip", node["ip"])
+    if not isinstance(bind_ip, str) or not bind_ip:
+        raise BadBoot("own_node.bind_ip: a text is needed")
     ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
     if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
         raise BadBoot("network.internal_ports: a list of ports is needed")
@@ -132,4 +146,5 @@
         application=address(application, "own_node.application") if application else None,
         service=str(node.get("service_name", "")),
         machines=int(_number(losses, "machines", 1, "term_settings.tolerance")),
+        bind_ip="" if bind_ip == node["ip"] else bind_ip,
     )
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -72,6 +72,7 @@
         self._room_most = max(64, boot.descriptors - SPARE_SOCKETS)
         room = self._room
         self._hops = Lines(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
+        self._hops.local_ip = boot.bind_ip or None
         self._visits = Lines(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
         self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
         self._serial = 0  # the last of these
@@ -115,7 +116,7 @@
             "outbound": self._outbound,
         }  # fmt: skip
         for name, door in doors.items():
-            await door.listen(self._loop, self._boot.listen[name])
+            await door.listen(self._loop, self._boot.door(name))
         self._news.start()
         self._publish()
         self._look()
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -143,7 +143,9 @@
 
     async def _dial(self, keeper: Keeper) -> None:
         try:
-            link = await dial(self._heard, self._lost, keeper.name, self._boot.internal_port, self._boot.ip)
+            link = await dial(
+                self._heard, self._lost, keeper.name, self._boot.internal_port, self._boot.local_ip
+            )
             if link is not None:
                 link.peer = keeper.name
                 keeper.link, keeper.knows, keeper.warm = link, (0, -1), False
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -474,6 +474,7 @@
     """All connections to servers."""
 
     kind: type[Connection] = Connection  # what its connections speak
+    local_ip: str | None = None  # the address that they come from; None: the kernel's choice
 
     def __init__(
         self,
@@ -531,7 +532,8 @@
         result, kept = Result.UNREACHABLE, False
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                await self._loop.create_connection(lambda: connection, *attempt.address)
+                local = None if self.local_ip is None else (self.local_ip, 0)
+                await self._loop.create_connection(lambda: connection, *attempt.address, local_addr=local)
             if connection.usable():  # else it came up and broke at once
                 self._open.add(connection)
                 kept = True
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -289,8 +289,24 @@
     assert (boot.bounds.drain_ms, boot.bounds.key_window_s, boot.descriptors) == (1_500.0, 60.0, 1_024)
 
 
+@pytest.mark.parametrize(("bind", "point", "bound"), [
+    (None, "10.0.0.1", "10.0.0.1"), ("127.0.0.9", "10.0.0.1", "127.0.0.9"),
+    ("127.0.0.9", "10.0.0.7", "10.0.0.7"),
+])  # fmt: skip
+def test_an_address_may_be_bound_that_is_not_the_one_it_is_known_by(
+    bind: str | None, point: str, bound: str
+) -> None:
+    data = copy.deepcopy(BOOT)
+    data["network"]["listen_points"]["control"] = f"{point}:80"
+    if bind is not None:
+        data["own_node"]["bind_ip"] = bind
+    boot = check_boot(data)
+    assert (boot.ip, boot.local_ip, boot.door("control")) == ("10.0.0.1", bind or "10.0.0.1", (bound, 80))
+
+
 @pytest.mark.parametrize(("path", "value"), [
-    ("own_node", 3), ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
+    ("own_node", 3), ("own_node/bind_ip", ""), ("own_node/bind_ip", 4),
+    ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
     ("own_node/application", "10.0.0.1"), ("own_node/limit_set", []), ("own_node/limit_set/memory_mb", "x"),
     ("network/internal_ports", []), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
     ("network/listen_points", []), ("network/listen_points/control", "10.0.0.1:²"),
