--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -55,6 +55,9 @@
     )
     rehearse.add_argument("--list", action="store_true", help="tell the shipped scenarios, a line each")
     rehearse.add_argument("--seed", type=int, metavar="N", help="in place of the scenario's")
+    rehearse.add_argument(
+        "--seeds", type=int, metavar="N", help="days of the mesh: N runs, each under the next seed"
+    )
     rehearse.add_argument(
         "--seconds", type=float, metavar="S", help="of arrivals, in place of the scenario's"
     )
--- a/rehearsal/mesh/servers.py
+++ b/rehearsal/mesh/servers.py
@@ -234,7 +234,7 @@
         """One call at its machine's node, or where that told it to; whether it was acknowledged."""
         scene = self.scene
         self._sequence += 1
-        own = (self.machine.ip, scene.ports.control)
+        own = (self.machine.bind, scene.ports.control)
         where, at, sequence = self._beat_address or own, scene.now(), self._sequence
         pool, path = scene.pool(self.machine), f"/orchidferry/instances/{self.id}"
         if state == "gone":
--- /dev/null
+++ b/rehearsal/mesh/table.py
@@ -0,0 +1,45 @@
+"""The table of a day's troubles: as it is written, or drawn by the seed. Pure."""
+
+from __future__ import annotations
+
+from random import Random
+
+from rehearsal import draws
+from rehearsal.mesh.day import Day, Trouble
+
+LOSSES = {
+    "kill": 1.0, "pause": 2.0, "cut": 3.5, "cut-one-way": 3.5, "slow-link": 3.0, "reset-links": 0.6,
+    "wipe": 1.0, "replace": 0.5, "kill-core": 0.5,
+}  # fmt: skip
+"""What may be lost in the middle of a drawn day, and for how long, in seconds."""
+CLOSING = ("after-ack-kill", "after-ack-wipe")
+UNPLANNED = frozenset((*LOSSES, *CLOSING))
+PLANNED = {"change": 3.5, "drain": 6.0}  # each comes once; how long they take, about
+BEGIN_S, END_S = 1.0, 14.0  # of traffic before the first trouble, and from the closing one on
+START_S = 0.6  # that a process takes to come back, about
+
+
+def table(day: Day, seed: int, seconds: float) -> list[Trouble]:
+    """All troubles of a day, in order. They are played one after another, so times are the earliest ones."""
+    return _draw(day, seed, seconds) if day.drawn else sorted(day.troubles, key=lambda one: one.at)
+
+
+def _draw(day: Day, seed: int, seconds: float) -> list[Trouble]:
+    """Planned ends and a change among as many losses as have room, each before a calm; a closing loss."""
+    rng = Random(draws.number(seed, "table", day.name))
+    losses = rng.sample(sorted(LOSSES), len(LOSSES))
+    room = seconds - END_S - BEGIN_S - sum(PLANNED.values())
+    chosen: list[str] = []
+    for loss in losses:
+        takes = LOSSES[loss] + START_S + day.bounds.catch_up_s
+        if takes <= room:
+            chosen.append(loss)
+            room -= takes
+    order = [*chosen, *PLANNED]
+    rng.shuffle(order)
+    found, t = [], BEGIN_S
+    for do in order:
+        found.append(Trouble(t / seconds, do, for_s=LOSSES.get(do, 0.0)))
+        t += PLANNED[do] if do in PLANNED else LOSSES[do] + START_S + day.bounds.catch_up_s
+    found.append(Trouble(max(0.0, seconds - END_S) / seconds, rng.choice(CLOSING), for_s=0.5))
+    return found
--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -55,6 +55,8 @@
     try:
         if args.list:
             return _list()
+        if getattr(args, "seeds", None) is not None:
+            raise Usage("--seeds: is for days of the mesh")
         scenario, preview = _scenario(args)
         keep = None if args.keep is None else kept_folder(Path(args.keep))
         for path in (args.json, args.report):
