--- a/athenaeum/desk.py
+++ b/athenaeum/desk.py
@@ -86,9 +86,9 @@
             self._stream.step(gone=late)
             self._tell()
 
-    def tell_group(self, epoch: int, group: list[str], link: Link | None = None) -> None:
-        """Tell one node, or all, who the keepers are: claims wait for it, so it comes by no other way."""
-        data = pack(["group", epoch, group])
+    def tell_group(self, message: list[Any], link: Link | None = None) -> None:
+        """Tell one node, or all, of a group of keepers: claims wait for it, so it comes by no other way."""
+        data = pack(message)
         for one in [link] if link is not None else list(self._nodes):
             self._send("group", one, data)
 
