--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -1,7 +1,7 @@
 """A node's side of the control state: its lease at the keepers, and the news that comes from them.
 
-It keeps a link to every keeper that it knows of, so that no single keeper's silence holds news up, and asks
-all of a group for operation keys itself.
+It keeps a link to every keeper that it knows of, for its lease and for operation keys, and takes its news
+from another node (`branch`) or from the keepers.
 """
 
 from __future__ import annotations
@@ -14,16 +14,16 @@
 
 from loguru import logger
 
-from athenaeum.accessions import Record, View, unpack
+from athenaeum.accessions import Record, everyone
 from athenaeum.boot import Boot
-from athenaeum.claims import Count
+from athenaeum.branch import Branch
+from athenaeum.claims import Claims
 from athenaeum.wire import Link, dial
 
 RENEW_S = 0.5
 QUIET_S = 1.6  # a keeper that answers nothing for so long is not heard
 TICK_S = 0.1
 ASK_S = 0.4  # for one answer, before another keeper is asked
-CLAIM_AGAIN_S = 0.12  # a keeper that could not say is asked again
 KEEPERS_MOST = 16
 
 
@@ -37,19 +37,7 @@
     warm: bool = False
     knows: tuple[int, int] = (0, -1)  # boot and number of the record that it has
     next_dial_s: float = 0.0
-
-
-@dataclass(slots=True)
-class Claim:
-    """One key that is being claimed."""
-
-    rid: int
-    key: str
-    holder: str
-    told: Callable[[str, Any], None]
-    count: Count
-    until_s: float
-    again_s: float
+    next_renew_s: float = 0.0
 
 
 class Circulation:
@@ -68,8 +56,10 @@
         self.boot_id = self._rng.randrange(1, 2**53)
         self._keepers: dict[str, Keeper] = {name: Keeper(name) for name in boot.seeds}
         self._seeds = boot.seeds
-        self.epoch, self.group = -1, boot.seeds
-        self._view = View()
+        self.claims = Claims(boot.seeds, self._send)
+        self._branch = Branch(
+            boot.name, self.boot_id, boot.zone, loop, self._rng, self._dial_parent, self._look, self._version
+        )
         self._members: dict[str, Record] = {}
         self._record: Record | None = None
         self._number = 0
@@ -77,9 +67,7 @@
         self.revision = -1  # the newest that this node has
         self._fetching: dict[int, tuple[str, float, bool]] = {}  # by rid: keeper, until when, whether read
         self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
-        self._claims: dict[int, Claim] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._next_renew_s = 0.0
         self._wanted = 0  # the newest revision that was heard of
 
     def reseed(self, seeds: tuple[str, ...]) -> None:
@@ -119,27 +107,26 @@
                     logger.info("circulation: keeper {} is silent", keeper.name)
                     link.close()
             elif not keeper.dialling and now >= keeper.next_dial_s:
-                if keeper.name not in self.group and keeper.name not in self._seeds:
+                if keeper.name not in self.claims.names() and keeper.name not in self._seeds:
                     del self._keepers[keeper.name]
+                    self._branch.forget(keeper.name)
                     continue
                 keeper.dialling, keeper.next_dial_s = True, now + 0.15
                 task = self._loop.create_task(self._dial(keeper))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
-        if now >= self._next_renew_s:
-            self._next_renew_s = now + RENEW_S
-            for keeper in self._keepers.values():
+        for at, keeper in enumerate(self._keepers.values()):
+            if now >= keeper.next_renew_s:  # in turn: the answers tell soon whether news was missed
+                turn = 1.0 if keeper.next_renew_s else 1.0 - at / len(self._keepers)
+                keeper.next_renew_s = now + RENEW_S * turn
                 self._renew(keeper)
+        self._branch.tick()
         for rid, (_, until, _) in list(self._fetching.items()):
             if until < now:
                 del self._fetching[rid]
         if (not self.settled or self._wanted > self.revision) and not self._fetching:
             self._fetch(None, "fetch" if self.settled else "read")
-        for claim in list(self._claims.values()):
-            if now >= claim.until_s:
-                self._end_claim(claim, "none", None)
-            elif now >= claim.again_s:
-                self._ask_claim(claim)
+        self.claims.tick(now)
 
     async def _dial(self, keeper: Keeper) -> None:
         try:
@@ -151,10 +138,10 @@
                 keeper.link, keeper.knows, keeper.warm = link, (0, -1), False
                 link.send("hello", self._boot.name)
                 self._renew(keeper)
+                self._branch.up(keeper.name, link)
                 if not self.settled:
                     self._fetch(keeper, "read")
-                for claim in self._claims.values():
-                    self._send_claim(claim, keeper)
+                self.claims.linked(keeper.name)
         finally:
             keeper.dialling = False
 
@@ -162,6 +149,7 @@
         keeper = self._keepers.get(link.peer)
         if keeper is not None and keeper.link is link:
             keeper.link = None
+            self._branch.down(keeper.name)
             for rid in [rid for rid, asked in self._fetching.items() if asked[0] == keeper.name]:
                 del self._fetching[rid]
             self._look()
@@ -178,42 +166,79 @@
         if keeper is None or keeper.link is not link:
             return
         if kind == "slip":
-            self._slip(keeper, *message[1:])
+            self.claims.hear(keeper.name, *message[1:])
         elif kind == "lease":
-            number, known, warm = message[1:]
+            number, known, warm, life, news = message[1:]
             if self._record is not None:
                 keeper.knows = (self._record.boot, number) if known else (0, -1)
                 if not known:
                     self._renew(keeper)
+            self._branch.lease(keeper.name, life, news)
             if warm and not keeper.warm:
                 keeper.warm = True
                 self._look()
-        elif kind == "entries":
-            self._view.change(keeper.name, [unpack(r) for r in message[1]], message[2])
-            self._look()
-        elif kind == "all":
-            keeper.warm = bool(message[1])
-            self._view.whole(keeper.name, [unpack(r) for r in message[2]])
-            self._look()
-        elif kind == "version":
-            self._wanted = max(self._wanted, message[1])
-            if self._wanted > self.revision and not any(not read for _, _, read in self._fetching.values()):
-                self._fetch(keeper, "fetch")
+        elif kind == "news":
+            self._branch.from_keeper(link, message)
         elif kind == "folio":
             self._folio(*message[1:])
         elif kind == "group":
-            self._group(message[1], tuple(message[2]))
+            part, epoch, names, owner, fence = message[1:]
+            self._group(part, epoch, tuple(names), owner, fence)
 
-    def _group(self, epoch: int, group: tuple[str, ...]) -> None:
-        if epoch <= self.epoch:
+    def _group(self, part: int, epoch: int, names: tuple[str, ...], owner: str, fence: int) -> None:
+        if not self.claims.group(part, epoch, names, owner, fence, self._loop.time()):
             return
-        logger.info("circulation: epoch {}, keepers {}", epoch, " ".join(group))
-        self.epoch, self.group = epoch, group
-        for name in group[:KEEPERS_MOST]:
+        logger.info(
+            "circulation: part {}: epoch {}, keepers {}, owner {} under fence {}",
+            part, epoch, " ".join(names), owner, fence,
+        )  # fmt: skip
+        for name in names[:KEEPERS_MOST]:
             self._keepers.setdefault(name, Keeper(name))
-        for claim in self._claims.values():
-            claim.count.anew(epoch, group)
-            self._ask_claim(claim)
+
+    def _send(self, name: str, *message: Any) -> None:
+        keeper = self._keepers.get(name)
+        if keeper is not None and keeper.link is not None:
+            keeper.link.send(*message)
+
+    # The tree of relays
+
+    async def listen(self) -> None:
+        """Let other nodes follow this one; `OSError` if the internal port is taken."""
+        self._server = await self._loop.create_server(
+            lambda: Link(self._below, self._branch.lost_follower, self._branch.stranger),
+            self._boot.local_ip, self._boot.internal_port,
+        )  # fmt: skip
+
+    def _below(self, link: Link, message: list[Any]) -> None:
+        try:
+            self._branch.from_follower(link, message)
+        except (ValueError, TypeError, KeyError, IndexError) as problem:
+            logger.warning("circulation: a follower's {!r} can't be read: {}", message[0], problem)
+            link.close()
+
+    def _above(self, link: Link, message: list[Any]) -> None:
+        try:
+            if message[0] == "folio":
+                self._folio(*message[1:])
+            else:
+                self._branch.from_parent(link, message)
+        except (ValueError, TypeError, KeyError, IndexError) as problem:
+            logger.warning("circulation: a parent's {!r} can't be read: {}", message[0], problem)
+            link.close()
+
+    def _dial_parent(self, name: str, ip: str) -> None:
+        async def work() -> None:
+            link = None
+            try:
+                link = await dial(
+                    self._above, self._branch.lost_parent, ip, self._boot.internal_port, self._boot.local_ip
+                )
+            finally:
+                self._branch.dialled(name, link)
+
+        task = self._loop.create_task(work())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     # Members
 
@@ -222,12 +247,17 @@
 
         A keeper that has just started may not know all yet: it adds nodes, and its silence takes none away.
         """
-        heard = {k.name for k in self._keepers.values() if k.link is not None and k.link.open and k.warm}
-        members = self._view.members({k.name for k in self._keepers.values() if k.link is not None})
+        heard = {
+            k.name for k in self._keepers.values()
+            if k.link is not None and k.link.open and k.warm and self._branch.streams[k.name].number >= 0
+        }  # fmt: skip
+        told = {name: stream.records for name, stream in self._branch.streams.items()}
+        members = everyone(told, {k.name for k in self._keepers.values() if k.link is not None})
         if not heard:
             members = {**self._members, **members}
         if members != self._members:
             self._members = members
+            self._branch.members(members)
             self._on_members(members)
 
     @property
@@ -244,9 +274,18 @@
                 return
             keeper = self._rng.choice(open_)
         if keeper.link is not None:
-            self._rid += 1
-            self._fetching[self._rid] = (keeper.name, self._loop.time() + ASK_S, how == "read")
-            keeper.link.send(how, self._rid)
+            self._ask(keeper.link, keeper.name, how)
+
+    def _ask(self, link: Link, name: str, how: str) -> None:
+        self._rid += 1
+        self._fetching[self._rid] = (name, self._loop.time() + ASK_S, how == "read")
+        link.send(how, self._rid, self._wanted)
+
+    def _version(self, revision: int, link: Link) -> None:
+        """There is a configuration of this number: its text is fetched from whoever told so."""
+        self._wanted = max(self._wanted, revision)
+        if self._wanted > self.revision and not any(not read for _, _, read in self._fetching.values()):
+            self._ask(link, str(link.peer), "fetch")
 
     def _folio(self, rid: int, revision: int, raw: bytes) -> None:
         asked = self._fetching.pop(rid, None)
@@ -256,57 +295,11 @@
         if revision > self.revision:
             self.revision = revision
             if raw:
+                self._branch.text(revision, raw)
                 self._on_folio(revision, raw)
 
     # Operation keys
 
     def claim(self, key: str, holder: str, for_s: float, told: Callable[[str, Any], None]) -> None:
-        """Claim a key for one try; `told` hears once: `yours`, `held` and the answer (None: not known), or
-        `none`, if no majority said either in time. What was not granted is given back.
-        """
-        now = self._loop.time()
-        self._rid += 1
-        claim = Claim(self._rid, key, holder, told, Count(self.epoch, self.group), now + for_s, now)
-        self._claims[claim.rid] = claim
-        self._ask_claim(claim)
-
-    def _ask_claim(self, claim: Claim) -> None:
-        claim.again_s = self._loop.time() + CLAIM_AGAIN_S
-        for name in self.group:
-            keeper = self._keepers.get(name)
-            if keeper is not None and claim.count.open(name):
-                self._send_claim(claim, keeper)
-
-    def _send_claim(self, claim: Claim, keeper: Keeper) -> None:
-        if keeper.link is not None and keeper.name in self.group:
-            keeper.link.send("claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
-
-    def _slip(self, keeper: Keeper, rid: int, epoch: int, what: str, answer: Any) -> None:
-        claim = self._claims.get(rid)
-        if claim is None:
-            return
-        end = claim.count.hear(keeper.name, epoch, what, answer)
-        if end:
-            self._end_claim(claim, end, answer if end == "held" else None)
-
-    def _end_claim(self, claim: Claim, what: str, answer: Any) -> None:
-        del self._claims[claim.rid]
-        if what == "none" and claim.count.held:
-            what = "held"
-        if what != "yours":
-            self.drop(claim.key, claim.holder)
-        claim.told(what, answer)
-
-    def drop(self, key: str, holder: str) -> None:
-        """Give a key back: this try has not run and never will."""
-        self._tell_all("drop", key, holder)
-
-    def done(self, key: str, holder: str, answer: Any) -> None:
-        """Keep the answer of a key's first run."""
-        self._tell_all("done", key, holder, answer)
-
-    def _tell_all(self, *message: Any) -> None:
-        for name in self.group:
-            keeper = self._keepers.get(name)
-            if keeper is not None and keeper.link is not None:
-                keeper.link.send(*message)
+        """Claim a key for one try (`Claims.claim`)."""
+        self.claims.claim(key, holder, for_s, told, self._loop.time())
