Archive: a keeper whose disk ails or that ends gives its duties up at once; no room, no new key

Need: a disk that hangs must cost its part a fraction of ack_ms, and a store near its bound must still take votes and deletes. Change: the deposit's ailing and room are wired: the beat says that it can do no duties at the turn of the signal, so the next in line takes them over at its next turn, and claims get no grant from a store with no room.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -77,6 +77,7 @@
             {"/orchidferry/configuration": self._configuration}, max(64, boot.descriptors // 4)
         )
         self._server: asyncio.Server | None = None
+        self._stopping = False
 
     # Its memory
 
@@ -128,8 +129,8 @@
         await self._turn_until(stopping, float("inf"))
         logger.info("archive: stopping")
         self._door.close_listener()
-        self._known_peers.fit = False
-        self._beat()
+        self._stopping = True
+        self._mind_fitness()
         await self._turn_until(asyncio.Event(), self._loop.time() + STOP_S)
         self._server.close()
         self._deposit.close()
@@ -150,6 +151,13 @@
             except TimeoutError:
                 pass
 
+    def _mind_fitness(self) -> None:
+        """A keeper whose disk does not keep up, or that ends, does no duties: the others hear at once."""
+        fit = not self._deposit.ailing and not self._stopping
+        if fit is not self._known_peers.fit:
+            self._known_peers.fit = fit
+            self._beat()
+
     def reread(self, boot: Boot) -> None:
         """The settings file has changed: other keepers may be named there."""
         self._seeds = boot.seeds
@@ -196,6 +204,7 @@
                 self._dial_s[name] = now + DIAL_S
                 self._spawn(self._dial(name))
         self._desk.tick()
+        self._mind_fitness()
         for part in self._parts.values():
             self._turn(part)
 
@@ -283,7 +292,7 @@
         if kind == "claim":
             rid, under, key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
-            self._do(part, part.claim(link, rid, under, key, holder, True, now))
+            self._do(part, part.claim(link, rid, under, key, holder, self._deposit.room, now))
             if under != part.body.epoch:
                 self._tell_group(part, link)
         elif kind == "done":
