Stocktake: a store without the founders' record is not damaged

A keeper writes its memory and the founders when it first starts, and a disk that refuses that write and takes later votes leaves a store with votes and no founders. Setting it aside would have forgotten votes for nothing.

--- a/athenaeum/stocktake.py
+++ b/athenaeum/stocktake.py
@@ -134,8 +134,6 @@
     founders = _read(known, b"founders", _names) or ()
     if keys and not kept and early is None:
         raise Damaged("there are keys, and the records 'kept' of about are missing")
-    if kept and not founders:
-        raise Damaged("the record 'founders' of about is missing")
     caught = frozenset(n for n in parts.PARTS if _key("caught", n) in known)
     size = os.stat(file).st_size
     return Stock(format_, kept, early, founders, caught, keys, used * page, size), dbs
