--- a/athenaeum/allowance.py
+++ b/athenaeum/allowance.py
@@ -142,11 +142,14 @@
 
 
 class Holder:
-    """A node's share of one service's further tries; a life of a node begins with none."""
+    """A node's share of one service's further tries; a life of a node begins with none.
 
-    def __init__(self) -> None:
+    `first`: the number before its first asking. Answers to another life's askings must not look like its own.
+    """
+
+    def __init__(self, first: int = 0) -> None:
         self.fence = -1  # the highest of any owner that was heard
-        self._number = 0
+        self._number = first
         self._asked: dict[int, float] = {}  # when, by number
         self._granted, self._until_s = 0.0, -math.inf  # by the newest answer
         self.in_force = 0.0  # what the node goes by,
--- /dev/null
+++ b/athenaeum/recalls.py
@@ -0,0 +1,116 @@
+"""Calls of repeated runs: what a node can tell of the requests that its own machine sends. Pure.
+
+A repeated run makes its calls again, and the service that is called counts them as further tries. They
+leave through the node beside the server that runs it. Clients of the machine use the same door, and a call
+bears no mark. What is sure: while nothing runs inside, whoever asks is a client; so is whoever brings an
+operation key, and whatever else comes on that connection. A route that clients were seen to use is taken for
+theirs. All else may be a call, and of a repeated run while one is inside. docs/design/allowance.md tells what
+can't be told.
+
+>>> recalls = Recalls(0.0)
+>>> recalls.began(4_000.0, [])
+>>> recalls.asked("midia", ("h", "/x/"), False, Mark(), 3_000.0)  # runs of a life before may call still
+Origin(client=False, again=True)
+>>> recalls.asked("midia", ("h", "/x/"), False, Mark(), 5_000.0)
+Origin(client=True, again=False)
+>>> run = recalls.enter(True)
+>>> recalls.asked("midia", ("h", "/calls/"), False, Mark(), 6_000.0)
+Origin(client=False, again=True)
+>>> recalls.leave(run, 6_100.0)
+>>> recalls.asked("midia", ("h", "/calls/"), False, Mark(), 6_300.0)  # nothing inside: a client's
+Origin(client=True, again=False)
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from athenaeum.lines import Mark
+
+LINGER_MS = 100.0  # a call is read at most so long after the answer of its run
+PROOFS = 3  # requests by which a route is known as the clients': a stray one proves nothing of others
+RUNS = 200.0  # over so many runs the calls of one are averaged
+
+Place = tuple[str, str]  # host and prefix of a route
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Whose a request is: surely a client's; or maybe a call of a repeated run."""
+
+    client: bool
+    again: bool
+
+
+class Recalls:
+    """The runs inside this machine's server, and which requests may be calls of theirs."""
+
+    def __init__(self, now_ms: float) -> None:
+        self._began_ms = now_ms
+        self._inside: dict[int, bool] = {}  # runs, and whether each is a repeat
+        self._repeats = 0
+        self._serial = 0
+        # Until then runs that are out of sight may make calls, and repeated ones; forever, if none is known.
+        self._busy_ms = self._again_ms = math.inf
+        self._proofs: dict[Place, int] = {}  # requests that were surely clients', by route
+        self._runs, self._calls = 0.0, dict[str, float]()  # averaged; by service
+        self._kept: dict[str, float] = {}  # room set apart for the calls of repeated runs inside, by service
+
+    def began(self, longest_ms: float, places: Iterable[Place]) -> None:
+        """The routes are known: no run of a life before goes on for longer than the longest."""
+        if math.isinf(self._busy_ms):
+            self._busy_ms = self._again_ms = self._began_ms + longest_ms
+        self._proofs = {place: self._proofs.get(place, 0) for place in places}
+
+    def enter(self, again: bool) -> int:
+        """A run begins; its number."""
+        self._serial += 1
+        self._repeats += again
+        if again:
+            for service, need in self.needs().items():
+                self._kept[service] = self._kept.get(service, 0.0) + need
+        self._inside[self._serial] = again
+        self._runs += 1.0 - self._runs / RUNS
+        for service in self._calls:
+            self._calls[service] *= 1.0 - 1.0 / RUNS
+        return self._serial
+
+    def leave(self, run: int, ends_ms: float) -> None:
+        """A run is out of sight, and ends by then at the latest."""
+        again = self._inside.pop(run)
+        self._busy_ms = max(self._busy_ms, ends_ms + LINGER_MS)
+        if again:
+            self._repeats -= 1
+            self._again_ms = max(self._again_ms, ends_ms + LINGER_MS)
+            if not self._repeats:
+                self._kept.clear()
+
+    def asked(self, service: str, place: Place, keyed: bool, mark: Mark, now_ms: float) -> Origin:
+        """Someone on this machine asks for a service by a route, on a connection with this mark."""
+        proofs = self._proofs.get(place, 0)
+        if keyed or (not self._inside and now_ms >= self._busy_ms):
+            mark.client = True
+        sure = mark.client
+        if sure and proofs < PROOFS:
+            self._proofs[place] = proofs + 1
+        if sure or proofs >= PROOFS:
+            return Origin(True, False)
+        if self._inside:
+            self._calls[service] = self._calls.get(service, 0.0) + 1.0
+        again = bool(self._repeats) or now_ms < self._again_ms
+        if again and service in self._kept:
+            self._kept[service] = max(0.0, self._kept[service] - 1.0)
+        return Origin(False, again)
+
+    def needs(self) -> dict[str, float]:
+        """By service: the further tries that a repeated run would cost if it came in now, as all calls count
+        while it is inside, those of its neighbours too.
+        """
+        runs = max(1.0, self._runs)
+        return {s: calls / runs * (1 + len(self._inside)) for s, calls in self._calls.items() if calls > 0.01}
+
+    def kept(self, service: str) -> float:
+        """What of them those inside have yet to make."""
+        return self._kept.get(service, 0.0)
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -214,6 +214,7 @@
     upload: bool = False  # its body is still coming, and goes on as it comes; `Uploaded` tells of the end
     carried: Carried | None = None  # what came along with it that can be believed
     key: str | None = None  # by which servers drop its repeats, or that it is kept together by
+    counts: bool = True  # the stated ratio of further attempts is of it too
 
 
 @dataclass(slots=True)
--- a/tests/mesh/test_allowance.py
+++ b/tests/mesh/test_allowance.py
@@ -116,7 +116,8 @@
     def answer(self, owner: Allowances, node: Node, said: Any) -> None:
         if all(owner is not known for _, known in self.owners):
             return  # it knows that it owns nothing any more
-        reply = owner.handle(*said, now_s=self.now)
+        service, name, life, number, used, wanted, held, fence = said
+        reply = owner.handle(service, name, life, number, used, wanted, held, fence, self.now)
         if reply is not None:
             self.post(lambda: self.hear(node, reply), 1.0)
 
