--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -172,7 +172,8 @@
         if call.ran_ms is not None and server.group(cls.group) != call.pin: return False  # rule 2
         if not server.in_service or self.fleet.servers.get(server.id) is not server: return False  # rule 3
         if call.attempts and not self._in_budget(now):  # rule 5
-            self._denied.add(now)
+            if not call.denied: self._denied.add(now)
+            call.denied = True
             return False
         if self.chain is not None and not self.chain.may_send(call.id, now): return False
         warmth = self.cold.warmth(server, now)
