--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,11 +17,11 @@
 from loguru import logger
 
 from athenaeum import parts
-from athenaeum.accessions import LEASE_S, Register, unpack
 from athenaeum.boot import Boot
 from athenaeum.callslips import MOST
 from athenaeum.deposit import Deposit, Put, pack
 from athenaeum.deposit import unpack as unpack_stored
+from athenaeum.desk import Desk
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
@@ -39,7 +39,6 @@
     remembered,
 )
 from athenaeum.wire import Link, dial
-from athenaeum.wire import pack as pack_frame
 from nickelbridge.register import Kept, Value
 from orchidferry.frontend import Reply
 
@@ -66,8 +65,7 @@
         self._parts: dict[int, Part] = {}
         self._remember()
         self._load_slips()
-        self._members = Register()
-        self._nodes: dict[Link, str] = {}  # nodes that listen, by link
+        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
@@ -197,9 +195,7 @@
                 self._dialling.add(name)
                 self._dial_s[name] = now + DIAL_S
                 self._spawn(self._dial(name))
-        for name in self._members.lapse(now):
-            logger.info("accessions: {} has not renewed its lease", name)
-            self._tell_nodes(["entries", [], [name]])
+        self._desk.tick()
         for part in self._parts.values():
             self._turn(part)
 
@@ -253,10 +249,9 @@
             part.number, new.version, now.epoch, now.revision, now.owner, now.fence,
         )  # fmt: skip
         if (now.epoch, now.fence) != (was.epoch, was.fence):
-            for link in list(self._nodes):
-                self._tell_group(link, part)
+            self._tell_group(part)
         if now.revision != was.revision:
-            self._tell_nodes(["version", now.revision])
+            self._desk.revise(now.revision)
 
     def _wait_for(self, told: Callable[[Ended], None]) -> str:
         self._number += 1
@@ -279,7 +274,7 @@
             link.close()
 
     def _lost(self, link: Link) -> None:
-        self._nodes.pop(link, None)
+        self._desk.lost(link)
         if self._peers.get(link.peer) is link:
             del self._peers[link.peer]
 
@@ -290,7 +285,7 @@
             part = self._parts[parts.part_of(key)]
             self._do(part, part.claim(link, rid, under, key, holder, True, now))
             if under != part.body.epoch:
-                self._tell_group(link, part)
+                self._tell_group(part, link)
         elif kind == "done":
             key, holder, answer = message[1:]
             part = self._parts[parts.part_of(key)]
@@ -300,7 +295,13 @@
             part = self._parts[parts.part_of(key)]
             self._do(part, part.drop(key, holder, now))
         elif kind == "renew":
-            self._renew(link, *message[1:])
+            self._desk.renew(link, *message[1:])
+        elif kind == "since":
+            self._desk.since(link, *message[1:])
+        elif kind == "follow":
+            self._desk.follow(link, *message[1:])
+        elif kind == "unfollow":
+            self._desk.unfollow(link)
         elif kind == "part":
             part = self._parts[message[1]]
             self._do(part, part.heard(link, message[2:], now))
@@ -313,7 +314,9 @@
                 for part, fence in zip(self._parts.values(), fences, strict=True):
                     part.pulse(name, sent_s, fence)
         elif kind == "hello":
-            self._hello(link, message[1])
+            self._desk.hello(link, message[1])
+            for part in self._parts.values():
+                self._tell_group(part, link)
         elif kind == "read":
             rid = message[1]
             self._read(lambda value: self._tell_folio(link, rid, value))
@@ -332,47 +335,18 @@
         for part, version in zip(self._parts.values(), versions, strict=True):
             self._do(part, part.catch(version, name))
 
-    # Nodes: leases, and what they are told
+    # Nodes
 
-    def _hello(self, link: Link, name: str) -> None:
-        self._nodes[link] = name
-        for part in self._parts.values():
-            self._tell_group(link, part)
-        records = [record.packed() for record in self._members.records()]
-        link.send("all", self._warm(), records)
-        if self._folio.body.revision:
-            link.send("version", self._folio.body.revision)
-
-    def _warm(self) -> bool:
-        """Whether all live nodes have had the time to come back to this keeper."""
-        return self._loop.time() - self._began_s > LEASE_S
-
-    def _tell_group(self, link: Link, part: Part) -> None:
+    def _tell_group(self, part: Part, link: Link | None = None) -> None:
         own = part.body
         names = [v.name for v in part.known.voters]
-        link.send("group", part.number, own.epoch, names, own.owner, own.fence)
-
-    def _tell_nodes(self, message: list[Any]) -> None:
-        data = pack_frame(message)
-        for link in list(self._nodes):
-            link.send_packed(data)
-
-    def _renew(self, link: Link, number: int, name: str, boot: int, packed: Any) -> None:
-        now = self._loop.time()
-        known = True
-        if packed is None:
-            known = self._members.renew(name, boot, number, now)
-        else:
-            record = unpack(packed)
-            if self._members.hear(record, now):
-                self._tell_nodes(["entries", [packed], []])
-        link.send("lease", number, known, self._warm())
+        self._desk.tell_group(["group", part.number, own.epoch, names, own.owner, own.fence], link)
 
     def _tell_folio(self, link: Link, rid: int, value: Value | None) -> None:
         if value is None:
-            link.send("folio", rid, -1, b"")
+            self._desk.tell_folio(link, rid, -1, b"")
         else:
-            link.send("folio", rid, parts.body(value).revision, parts.body(value).raw)
+            self._desk.tell_folio(link, rid, parts.body(value).revision, parts.body(value).raw)
 
     # The operator's calls
 
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -19,6 +19,7 @@
     AGAIN,
     BELOW,
     FULL,
+    KEYED,
     LATE,
     LOAD,
     LOST,
@@ -127,12 +128,14 @@
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
         alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
-        recalls: Recalls | None = None, affords: Callable[[], bool] = lambda: True,
+        orphan: Callable[[Asked, Said], None], recalls: Recalls | None = None,
+        affords: Callable[[], bool] = lambda: True,
     ) -> None:  # fmt: skip
-        """`below`: whether calls from this machine were turned away lately; `affords`: whether the budgets of
+        """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
+        answer to a request whose key is claimed, and whose sender is gone. `affords`: whether the budgets of
         the services that are called bear the calls of one more repeated run.
         """
-        self._below, self._affords = below, affords
+        self._below, self._orphan, self._affords = below, orphan, affords
         self._recalls = recalls if recalls is not None else Recalls(now_ms())
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
@@ -304,6 +307,9 @@
         # With no answer the server may be at work for as long as it was told that there is time.
         over = said is not None or result in (Result.MOOT, Result.UNREACHABLE)
         self._recalls.leave(passing.run, now_ms() if over else passing.ends_ms)
+        keyed = not passing.owed and KEYED in passing.message.headers
+        if keyed and said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+            self._orphan(passing.message, said)
         passing.reply(self._word(passing, result, said))
         self._refused = self._refused + 1 if result is Result.UNREACHABLE else 0
         if self._refused >= REFUSED and not self.inside and self._serving():
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -23,6 +23,7 @@
 from athenaeum.lines import (
     AGAIN,
     GONE,
+    KEYED,
     MARGIN_MS,
     PATIENCE,
     RANK,
@@ -138,6 +139,8 @@
             own.append((TIMES, b"1"))
         if live.arrived or live.again:
             own.append((AGAIN, b"try" if live.arrived else b"call"))
+        if live.on_end is not None:
+            own.append((KEYED, b"1"))
         return head(live.message, own)
 
     def may_send(self) -> bool:
@@ -154,9 +157,8 @@
         unseen = said is not None and said.gate in (UNRUN, GONE)
         if self.written and result is not Result.UNREACHABLE and not unseen:
             live.arrived = True
-        if said is not None and said.gate is None and result in (Result.SERVED, Result.ERROR):
-            whole = said.id is not None and not said.encoded and (said.seal or said.status >= 300)
-            live.said = said if whole else live.said
+        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+            live.said = said
         if result is Result.SERVED and said is not None:
             tier.finish(live, passed_on(said))
         if result in (Result.SERVED, Result.ERROR) and said is not None:
--- a/tests/mesh/test_recalls.py
+++ b/tests/mesh/test_recalls.py
@@ -89,7 +89,7 @@
     recalls = Recalls(0.0)
     scene.gate = gates.Gate(
         ("127.0.0.1", 1), Bounds(), 1_000.0, scene.loop, rig()[1], scene.lines, lambda: None, lambda: False,
-        recalls, lambda: not poor[0],
+        lambda message, answer: None, recalls, lambda: not poor[0],
     )  # fmt: skip
     assert scene.gate.beat(Server("i", "s", "z", IN_SERVICE, 4, 0.0), 1) is None
     scene.ask("a", orchid_again=b"try")
