--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from athenaeum import parts
+from athenaeum.allowance import Allowances
 from athenaeum.boot import Boot
 from athenaeum.callslips import MOST
 from athenaeum.deposit import Deposit, Put, pack
@@ -66,6 +67,8 @@
         self._remember()
         self._load_slips()
         self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
+        bounds = boot.bounds
+        self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
@@ -110,6 +113,10 @@
             key = raw.decode("latin-1")
             self._parts[parts.part_of(key)].load(key, unpack_stored(packed))
 
+    def _owner_fence(self, service: str, now: float) -> int | None:
+        """The fence under which this keeper does the duties for a service now; None if it doesn't."""
+        return self._parts[parts.part_of(service)].owns(now)
+
     @property
     def _folio(self) -> Part:
         return self._parts[parts.FOLIO]
@@ -303,6 +310,13 @@
             key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
             self._do(part, part.drop(key, holder, now))
+        elif kind == "share?":
+            service, node, life, number, used, wanted, held, fence = message[1:]
+            share = self._allowances.handle(
+                service, node, life, number, used, wanted, held, fence, now
+            )  # fmt: skip
+            if share is not None:
+                link.send(*share)
         elif kind == "renew":
             self._desk.renew(link, *message[1:])
         elif kind == "since":
