--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import io
 from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
+from rich.console import Console
 
-from rehearsal.judge.mesh import RULES, as_json, judge
+from rehearsal.judge.mesh import RULES, Verdict, as_json, judge
+from rehearsal.mesh import seeds
 from rehearsal.mesh.configuration import build, host, prefix, spoil
 from rehearsal.mesh.day import DAYS, KINDS, names
 from rehearsal.mesh.facts import (
@@ -29,6 +32,7 @@
     ServerEnd,
     Turned,
 )
+from rehearsal.mesh.run import Played
 
 DAY, SEED = DAYS["mesh-calm"], 7
 A, B = names(DAY, SEED)
@@ -307,3 +311,28 @@
     verdict = judge(record(Scene()))
     assert not verdict.rules["drain"].checked
     assert not verdict.passed  # nothing was served
+
+
+def test_seeds_are_told_in_a_line_each_and_add_up() -> None:
+    def play(seed: int) -> tuple[Verdict, Played]:
+        run = clean()
+        if seed == 2:
+            run.run("c", 12.3, "i-2")
+        found = record(run)
+        found.seed, found.stall_s = seed, float(seed == 3)
+        return judge(found), Played(found)
+
+    told: list[int] = []
+    console = Console(file=io.StringIO(), width=500)
+    for last, status in ((1, 0), (2, 1), (3, 1)):
+        objects, got = seeds.run(
+            console, range(1, last + 1), play, lambda one, _: told.append(one.record.seed)
+        )
+        assert (len(objects), got) == (last, status)
+    assert told == [2, 2] and isinstance(console.file, io.StringIO)
+    lines = console.file.getvalue().splitlines()
+    assert [line.split(";")[0] for line in lines if line.startswith("seed ")][-3:] == [
+        "seed 1: held", "seed 2: BROKEN twice", "seed 3: void",
+    ]  # fmt: skip
+    assert "3 seeds: 1 BROKEN, 1 held, 1 void" in lines
+    assert lines[-1] == "rules broken: twice in 1"
--- a/tests/rehearsal/test_cli.py
+++ b/tests/rehearsal/test_cli.py
@@ -45,6 +45,8 @@
         (("rehearse", "none.toml"), "none.toml: No such file"),
         (("rehearse", "calm", "--seed", "-3"), "--seed -3"),
         (("rehearse", "calm", "--seed", "x"), "--seed: invalid int value"),
+        (("rehearse", "calm", "--seeds", "3"), "--seeds: is for days of the mesh"),
+        (("rehearse", "mesh-calm", "--seeds", "0"), "--seeds 0: not within 1 to 1000"),
         (("rehearse", "calm", "--seconds", "nan"), "--seconds nan"),
         (("rehearse", "calm", "--seconds", "0"), "--seconds 0"),
         (("rehearse", "calm", "--protocol", "h9"), "--protocol: invalid choice"),
