--- a/rehearsal/mesh/processes.py
+++ b/rehearsal/mesh/processes.py
@@ -137,7 +137,9 @@
         shutil.rmtree(self._home / "data", ignore_errors=True)
 
     async def start(self, again: bool = False) -> None:
-        """Start it; `again`: after an end of its own."""
+        """Start it, unless it runs; `again`: after an end of its own."""
+        if self.pid is not None:
+            return
         path = self.write()
         self._first = False
         self.lives += 1
