Branch: a parent hears of a keeper's new life while it is asked, too

Cause: a node that named a life only after it was taken in had a parent that knew of its place in the old one, if that changed in between; nothing tested that the tree carries news after a keeper's restart. Change: places are said to the parent and to the one that is asked; after a restart of a keeper news must come in five hops again.

--- a/athenaeum/branch.py
+++ b/athenaeum/branch.py
@@ -98,12 +98,16 @@
         """A keeper has renewed the lease, and says how far its news is."""
         stream = self.streams[keeper]
         if stream.life != life:
-            stream.begin(life)
-            self._say_places("have")
+            self._begin(stream, life)
         if number > stream.number and keeper not in self._late:
             self._late.add(keeper)
             self._loop.call_later(CATCH_S, self._catch, keeper, life, number)
 
+    def _begin(self, stream: Stream, life: int) -> None:
+        """A keeper has named a new life: only now a parent may tell of it."""
+        stream.begin(life)
+        self._say_places()
+
     def _catch(self, keeper: str, life: int, number: int) -> None:
         """Ask for what has not come, of all keepers: a parent that holds back one's news does the others'."""
         self._late.discard(keeper)
@@ -121,7 +125,7 @@
             return self._fail(parent, "has no news")
         if parent.until_s == math.inf:
             parent.until_s = now + ANSWER_S
-            self._say_places("have")
+            self._say_places()
 
     def from_keeper(self, link: Link, message: list[Any]) -> None:
         """A keeper's news, over its own link."""
@@ -133,7 +137,7 @@
         if stream is None:
             return
         if direct and stream.life != change.life:
-            stream.begin(change.life)
+            self._begin(stream, change.life)
         revision = stream.revision
         if not stream.take(change):
             return
@@ -204,9 +208,11 @@
     def _places(self) -> list[Any]:
         return [[stream.keeper, stream.life, stream.number] for stream in self.streams.values()]
 
-    def _say_places(self, kind: str) -> None:
-        if self.parent is not None and self.parent.link is not None:
-            self.parent.link.send(kind, self._places())
+    def _say_places(self) -> None:
+        """Say how far this node is; whoever is asked to be its parent hears of it too."""
+        for one in (self.parent, self._trying):
+            if one is not None and one.link is not None:
+                one.link.send("have", self._places())
 
     def from_parent(self, link: Link, message: list[Any]) -> None:
         """A parent's message, all but the configuration's text."""
@@ -217,7 +223,6 @@
                 self._back_off.pop(trying.record.name, None)
                 if parent is not None and parent.link is not None:
                     parent.link.close()
-                self._say_places("have")  # what has come since it was asked
                 self._follow_keepers()
             elif kind == "full":
                 self._fail(trying, "takes nobody in")
--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -146,7 +146,14 @@
     assert [b - a for a, b in zip(sent, after, strict=True)] == [HEADS * 2 * 2] * 3
     texts = [keeper.desk.tally.messages("text") for keeper in world.keepers.values()]
     assert sum(texts) == HEADS * 2
-    hops = max(came - world.began[key] for key, some in world.came.items() for came in some.values())
+    world.restart("k0")
+    world.run(8.0)
+    world.began.clear()
+    world.nodes["n7"].publish()
+    world.run(0.1)
+    agreed(world)
+    assert sum(key[:2] == ("k0", world.keepers["k0"].stream.life) for key in world.began) == 1
+    hops = max(world.came[key][name] - began for key, began in world.began.items() for name in world.nodes)
     assert hops < 5 * BETWEEN_S
 
 
