--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -265,6 +265,9 @@
     assert above.closed and branch.parent.record.name == first
     branch.lost_parent(near)
     assert [message[0] for message in keeper.sent] == ["follow", "unfollow", "follow"]
+    branch._loop.world.run(0.11)
+    branch.tick()
+    assert dialled[-1] == second
 
 
 @pytest.mark.parametrize("useful", [False, True])
@@ -375,3 +378,5 @@
     whole = stream.after(8, 3)  # of another life: all
     assert whole is not None and whole.since == -1
     assert not copies[0].take(unpack_change("k", 8, -1, 5, [], [], 0))
+    number = copies[0].number
+    assert not copies[0].take(unpack_change("k", 7, number + 1, number + 2, [], [], 0))  # a step is missing
