--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -66,13 +66,9 @@
         self._parts: dict[int, Part] = {}
         self._remember()
         self._load_slips()
-<<<<<<< HEAD
-        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
+        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
         bounds = boot.bounds
         self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
-=======
-        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
->>>>>>> relays
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
