--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,11 +17,12 @@
 from loguru import logger
 
 from athenaeum import parts
-from athenaeum.accessions import LEASE_S, Register, unpack
+from athenaeum.allowance import Allowances
 from athenaeum.boot import Boot
 from athenaeum.callslips import MOST
 from athenaeum.deposit import Deposit, Put, pack
 from athenaeum.deposit import unpack as unpack_stored
+from athenaeum.desk import Desk
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
@@ -39,7 +40,6 @@
     remembered,
 )
 from athenaeum.wire import Link, dial
-from athenaeum.wire import pack as pack_frame
 from nickelbridge.register import Kept, Value
 from orchidferry.frontend import Reply
 
@@ -66,8 +66,9 @@
         self._parts: dict[int, Part] = {}
         self._remember()
         self._load_slips()
-        self._members = Register()
-        self._nodes: dict[Link, str] = {}  # nodes that listen, by link
+        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
+        bounds = boot.bounds
+        self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
@@ -79,6 +80,7 @@
             {"/orchidferry/configuration": self._configuration}, max(64, boot.descriptors // 4)
         )
         self._server: asyncio.Server | None = None
+        self._stopping = False
 
     # Its memory
 
@@ -111,6 +113,10 @@
             key = raw.decode("latin-1")
             self._parts[parts.part_of(key)].load(key, unpack_stored(packed))
 
+    def _owner_fence(self, service: str, now: float) -> int | None:
+        """The fence under which this keeper does the duties for a service now; None if it doesn't."""
+        return self._parts[parts.part_of(service)].owns(now)
+
     @property
     def _folio(self) -> Part:
         return self._parts[parts.FOLIO]
@@ -120,9 +126,9 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop; then let others take over, and end."""
         self._server = await self._loop.create_server(
-            lambda: Link(self._heard, self._lost), self._boot.ip, self._boot.internal_port, backlog=512
+            lambda: Link(self._heard, self._lost), self._boot.local_ip, self._boot.internal_port, backlog=512
         )
-        await self._door.listen(self._loop, self._boot.listen["control"])
+        await self._door.listen(self._loop, self._boot.door("control"))
         for number, part in self._parts.items():
             logger.info(
                 "archive: part {} with epoch {} at version {}", number, part.body.epoch, part.known.version
@@ -130,8 +136,8 @@
         await self._turn_until(stopping, float("inf"))
         logger.info("archive: stopping")
         self._door.close_listener()
-        self._known_peers.fit = False
-        self._beat()
+        self._stopping = True
+        self._mind_fitness()
         await self._turn_until(asyncio.Event(), self._loop.time() + STOP_S)
         self._server.close()
         self._deposit.close()
@@ -152,6 +158,13 @@
             except TimeoutError:
                 pass
 
+    def _mind_fitness(self) -> None:
+        """A keeper whose disk does not keep up, or that ends, does no duties: the others hear at once."""
+        fit = not self._deposit.ailing and not self._stopping
+        if fit is not self._known_peers.fit:
+            self._known_peers.fit = fit
+            self._beat()
+
     def reread(self, boot: Boot) -> None:
         """The settings file has changed: other keepers may be named there."""
         self._seeds = boot.seeds
@@ -182,7 +195,7 @@
 
     async def _dial(self, name: str) -> None:
         try:
-            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.ip)
+            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.local_ip)
             if link is not None:
                 link.peer = name
                 self._peers[name] = link
@@ -197,9 +210,8 @@
                 self._dialling.add(name)
                 self._dial_s[name] = now + DIAL_S
                 self._spawn(self._dial(name))
-        for name in self._members.lapse(now):
-            logger.info("accessions: {} has not renewed its lease", name)
-            self._tell_nodes(["entries", [], [name]])
+        self._desk.tick()
+        self._mind_fitness()
         for part in self._parts.values():
             self._turn(part)
 
@@ -253,10 +265,9 @@
             part.number, new.version, now.epoch, now.revision, now.owner, now.fence,
         )  # fmt: skip
         if (now.epoch, now.fence) != (was.epoch, was.fence):
-            for link in list(self._nodes):
-                self._tell_group(link, part)
+            self._tell_group(part)
         if now.revision != was.revision:
-            self._tell_nodes(["version", now.revision])
+            self._desk.revise(now.revision)
 
     def _wait_for(self, told: Callable[[Ended], None]) -> str:
         self._number += 1
@@ -279,7 +290,7 @@
             link.close()
 
     def _lost(self, link: Link) -> None:
-        self._nodes.pop(link, None)
+        self._desk.lost(link)
         if self._peers.get(link.peer) is link:
             del self._peers[link.peer]
 
@@ -288,9 +299,9 @@
         if kind == "claim":
             rid, under, key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
-            self._do(part, part.claim(link, rid, under, key, holder, True, now))
+            self._do(part, part.claim(link, rid, under, key, holder, self._deposit.room, now))
             if under != part.body.epoch:
-                self._tell_group(link, part)
+                self._tell_group(part, link)
         elif kind == "done":
             key, holder, answer = message[1:]
             part = self._parts[parts.part_of(key)]
@@ -299,8 +310,21 @@
             key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
             self._do(part, part.drop(key, holder, now))
+        elif kind == "share?":
+            service, node, life, number, used, wanted, held, fence = message[1:]
+            share = self._allowances.handle(
+                service, node, life, number, used, wanted, held, fence, now
+            )  # fmt: skip
+            if share is not None:
+                link.send(*share)
         elif kind == "renew":
-            self._renew(link, *message[1:])
+            self._desk.renew(link, *message[1:])
+        elif kind == "since":
+            self._desk.since(link, *message[1:])
+        elif kind == "follow":
+            self._desk.follow(link, *message[1:])
+        elif kind == "unfollow":
+            self._desk.unfollow(link)
         elif kind == "part":
             part = self._parts[message[1]]
             self._do(part, part.heard(link, message[2:], now))
@@ -313,7 +337,9 @@
                 for part, fence in zip(self._parts.values(), fences, strict=True):
                     part.pulse(name, sent_s, fence)
         elif kind == "hello":
-            self._hello(link, message[1])
+            self._desk.hello(link, message[1])
+            for part in self._parts.values():
+                self._tell_group(part, link)
         elif kind == "read":
             rid = message[1]
             self._read(lambda value: self._tell_folio(link, rid, value))
@@ -332,47 +358,18 @@
         for part, version in zip(self._parts.values(), versions, strict=True):
             self._do(part, part.catch(version, name))
 
-    # Nodes: leases, and what they are told
-
-    def _hello(self, link: Link, name: str) -> None:
-        self._nodes[link] = name
-        for part in self._parts.values():
-            self._tell_group(link, part)
-        records = [record.packed() for record in self._members.records()]
-        link.send("all", self._warm(), records)
-        if self._folio.body.revision:
-            link.send("version", self._folio.body.revision)
-
-    def _warm(self) -> bool:
-        """Whether all live nodes have had the time to come back to this keeper."""
-        return self._loop.time() - self._began_s > LEASE_S
+    # Nodes
 
-    def _tell_group(self, link: Link, part: Part) -> None:
+    def _tell_group(self, part: Part, link: Link | None = None) -> None:
         own = part.body
         names = [v.name for v in part.known.voters]
-        link.send("group", part.number, own.epoch, names, own.owner, own.fence)
-
-    def _tell_nodes(self, message: list[Any]) -> None:
-        data = pack_frame(message)
-        for link in list(self._nodes):
-            link.send_packed(data)
-
-    def _renew(self, link: Link, number: int, name: str, boot: int, packed: Any) -> None:
-        now = self._loop.time()
-        known = True
-        if packed is None:
-            known = self._members.renew(name, boot, number, now)
-        else:
-            record = unpack(packed)
-            if self._members.hear(record, now):
-                self._tell_nodes(["entries", [packed], []])
-        link.send("lease", number, known, self._warm())
+        self._desk.tell_group(["group", part.number, own.epoch, names, own.owner, own.fence], link)
 
     def _tell_folio(self, link: Link, rid: int, value: Value | None) -> None:
         if value is None:
-            link.send("folio", rid, -1, b"")
+            self._desk.tell_folio(link, rid, -1, b"")
         else:
-            link.send("folio", rid, parts.body(value).revision, parts.body(value).raw)
+            self._desk.tell_folio(link, rid, parts.body(value).revision, parts.body(value).raw)
 
     # The operator's calls
 
--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -22,7 +22,8 @@
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import Folio, Route, Table, parse
 from athenaeum.gate import Gate
-from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, own_answer
+from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, kept_answer, own_answer
+from athenaeum.recalls import Recalls
 from athenaeum.tier import Live, Tier
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -37,7 +38,6 @@
 BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
 STARTING_S = 0.6  # when to come back to a node that has no configuration yet
 SPARE_SOCKETS = 300
-ANSWER_MOST = 256 * 1024  # bytes of an answer that is kept for repeats of its key
 STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
 STOP_TAKE_S = 2.4  # and so long new requests are taken: callers hear of it after two looks at readiness
 STOP_MARGIN_S = 0.4  # before the platform kills
@@ -72,6 +72,7 @@
         self._room_most = max(64, boot.descriptors - SPARE_SOCKETS)
         room = self._room
         self._hops = Lines(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
+        self._hops.local_ip = boot.bind_ip or None
         self._visits = Lines(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
         self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
         self._serial = 0  # the last of these
@@ -87,6 +88,7 @@
         self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
         self._ready = ControlDoor({"/orchidferry/readiness": self._readiness}, 64)
         self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
+        self._recalls = Recalls(now_ms())
         assert boot.application is not None
         self._gate = Gate(
             boot.application,
@@ -97,13 +99,30 @@
             self._visits,
             self._publish,
             self._below,
+            self._orphan,
+            self._recalls,
+            self._affords,
         )
         self._news = Circulation(boot, loop, self._on_members, self._on_folio)
+        self._news.on_share = self._on_share
 
     def _below(self) -> bool:
         others = [tier for name, tier in self._tiers.items() if name != self._boot.service]
         return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in others)
 
+    def _affords(self) -> bool:
+        """Whether the calls of one more repeated run are borne by the budgets that they would draw on."""
+        for service, need in self._recalls.needs().items():
+            tier = self._tiers.get(service)
+            if tier is not None and not tier.bears(need + self._recalls.kept(service)):
+                return False
+        return True
+
+    def _orphan(self, message: Asked, said: Said) -> None:
+        """The server here answered a keyed request whose node is gone: its repeats are told from here."""
+        if message.key is not None and (kept := kept_answer(said)) is not None:
+            self._news.claims.done(message.key.decode("latin-1"), message.id, kept)
+
     def _room(self) -> int:
         used = self._hops.count() + self._visits.count() + self._outbound.count() + self._inbound.count()
         return self._room_most - used
@@ -115,7 +134,8 @@
             "outbound": self._outbound,
         }  # fmt: skip
         for name, door in doors.items():
-            await door.listen(self._loop, self._boot.listen[name])
+            await door.listen(self._loop, self._boot.door(name))
+        await self._news.listen()
         self._news.start()
         self._publish()
         self._look()
@@ -130,6 +150,8 @@
         self._stop_ms = now_ms() + (grace_s - 2.0 * STOP_MARGIN_S) * 1000.0
         logger.info("carrel: stopping")
         self._leaving = True
+        for tier in self._tiers.values():
+            tier.leaving = True
         self._publish()
         await asyncio.sleep(STOP_READY_S)
         self._gate.leaving = True
@@ -145,6 +167,7 @@
                 await inbound
         except TimeoutError:
             logger.warning("carrel: {} callers were still there", self._outbound.count())
+            inbound.cancel()
         logger.info("carrel: stopped")
 
     def reread(self, boot: Boot) -> None:
@@ -154,6 +177,15 @@
     def _look(self) -> None:
         self._loop.call_later(LOOK_S, self._look)
         self._gate.look()
+        for name, tier in self._tiers.items():
+            asking = tier.share_asked()
+            if asking is not None:
+                self._news.ask_share(name, tier.life, *asking)
+
+    def _on_share(self, service: str, fence: int, number: int, amount: float, for_s: float) -> None:
+        tier = self._tiers.get(service)
+        if tier is not None:
+            tier.share_told(fence, number, amount, for_s)
 
     # News
 
@@ -205,10 +237,13 @@
                 )  # fmt: skip
                 tier.servers(self._members)
                 tier.members(len(self._members))
+                tier.leaving = self._leaving
             tier.configure(routes)
         for name in [n for n in self._tiers if n not in by_service and not self._tiers[n].live]:
             del self._tiers[name]
         self._folio, self._table = folio, Table(folio.routes)
+        longest_ms = max((route.guard_ms for route in folio.routes), default=0.0)
+        self._recalls.began(longest_ms, ((route.host, route.prefix) for route in folio.routes))
         idle_s = folio.limits.get("idle_timer_ms", 60_000.0) / 1000.0
         self._outbound.limit(idle_s, folio.limits.get("header_timer_ms", 3_000.0) / 1000.0)
 
@@ -228,9 +263,11 @@
         left_ms = message.budget_ms or route.guard_ms
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
         tier = self._tiers[self._service(route)]
-        if route.kind == "keyed" and message.key is not None:
+        place, keyed = (route.host, route.prefix), message.key is not None
+        origin = self._recalls.asked(tier.name, place, keyed, message.mark, now_ms())
+        if keyed and route.kind == "keyed":
             return self._claim(message, route, tier, ends_ms, answer)
-        return tier.take(message, route, ends_ms, answer)
+        return tier.take(message, route, ends_ms, answer, origin=origin)
 
     def _service(self, route: Route) -> str:
         if len(route.split) == 1:
@@ -247,9 +284,8 @@
         waiting = Waiting()
 
         def over(said: Said | None, ran: bool) -> None:
-            if said is not None and said.flow is None and len(said.body) <= ANSWER_MOST:
-                headers = [list(header) for header in said.headers]
-                self._news.claims.done(key, holder, [said.status, said.body, headers])
+            if (kept := kept_answer(said)) is not None:
+                self._news.claims.done(key, holder, kept)
             elif not ran:
                 self._news.claims.drop(key, holder)
 
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from athenaeum import folio, parts
-from athenaeum.accessions import LEASE_S, Record, Register, View
+from athenaeum.accessions import LEASE_S, Record, Register, everyone
 from athenaeum.boot import BadBoot, check_boot
 from athenaeum.callslips import SHELF_S, Granted, Held, Slips
 from athenaeum.carrel import read_beat
@@ -124,30 +124,20 @@
         assert {r.name: r for r in register.records()} == live
 
 
-TOLD = st.tuples(
-    st.sampled_from("kl"), st.booleans(), st.sampled_from("ab"), st.integers(0, 3), st.booleans()
+@given(
+    st.lists(st.tuples(st.sampled_from("kl"), st.sampled_from("ab"), st.integers(0, 3)), max_size=12),
+    st.sets(st.sampled_from("kl")),
 )
-
-
-@given(st.lists(TOLD, max_size=20), st.sets(st.sampled_from("kl")))
 def test_a_node_is_a_member_while_any_keeper_says_so(
-    news: list[tuple[str, bool, str, int, bool]], heard: set[str]
+    news: list[tuple[str, str, int]], heard: set[str]
 ) -> None:
-    view = View()
-    model: list[tuple[str, Record]] = []  # what keepers say now
-    for keeper, whole, name, number, gone in news:
-        new = record(name, 1, number)
-        model = [(k, r) for k, r in model if k != keeper or (r.name != name and not whole)]
-        if whole:
-            view.whole(keeper, [new])
-        else:
-            view.change(keeper, [] if gone else [new], [name] if gone else [])
-        if whole or not gone:
-            model.append((keeper, new))
-    counted = [r for k, r in model if not heard or k in heard]
+    told: dict[str, dict[str, Record]] = {"k": {}, "l": {}}
+    for keeper, name, number in news:
+        told[keeper][name] = record(name, 1, number)
+    counted = [r for k, mine in told.items() for r in mine.values() if not heard or k in heard]
     wanted = {name: record(name, 1, max(r.number for r in counted if r.name == name)) for name in
               {r.name for r in counted}}  # fmt: skip
-    assert view.members(heard) == wanted
+    assert everyone(told, heard) == wanted
 
 
 # Configurations
@@ -284,8 +274,24 @@
     assert (boot.bounds.drain_ms, boot.bounds.key_window_s, boot.descriptors) == (1_500.0, 60.0, 1_024)
 
 
+@pytest.mark.parametrize(("bind", "point", "bound"), [
+    (None, "10.0.0.1", "10.0.0.1"), ("127.0.0.9", "10.0.0.1", "127.0.0.9"),
+    ("127.0.0.9", "10.0.0.7", "10.0.0.7"),
+])  # fmt: skip
+def test_an_address_may_be_bound_that_is_not_the_one_it_is_known_by(
+    bind: str | None, point: str, bound: str
+) -> None:
+    data = copy.deepcopy(BOOT)
+    data["network"]["listen_points"]["control"] = f"{point}:80"
+    if bind is not None:
+        data["own_node"]["bind_ip"] = bind
+    boot = check_boot(data)
+    assert (boot.ip, boot.local_ip, boot.door("control")) == ("10.0.0.1", bind or "10.0.0.1", (bound, 80))
+
+
 @pytest.mark.parametrize(("path", "value"), [
-    ("own_node", 3), ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
+    ("own_node", 3), ("own_node/bind_ip", ""), ("own_node/bind_ip", 4),
+    ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
     ("own_node/application", "10.0.0.1"), ("own_node/limit_set", []), ("own_node/limit_set/memory_mb", "x"),
     ("network/internal_ports", []), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
     ("network/listen_points", []), ("network/listen_points/control", "10.0.0.1:²"),
