Duties: a new owner waits for the last lease, and a change of voters raises the fence

Walking all interleavings of the keepers found three ways to two owners of one part at one moment: an owner that was unfit for 0.4 s, was well again and cut off kept the acknowledgements of before; one that was cut off and heard again between a voter's promise and its vote got an acknowledgement under the old fence, and was cut off again; one that had not heard of a change of voters counted a voter that was put out, for as long as the cut lasted. The first two end within a lease, the third did not.

What an owner was acknowledged by a majority came before a majority voted for the next fence. So a new owner waits for TENURE_S from when it learned of its place, unless nobody or itself was the owner before; and a change of voters raises the fence as a change of owner does, so that it ends the lease of an owner that does not know of it. A take-over takes 1 s longer.

--- a/athenaeum/holding.py
+++ b/athenaeum/holding.py
@@ -4,8 +4,9 @@
 all that it holds can be copied. Whoever runs it does the actions and tells it what came of a `Write`. What a
 message promises is on disk before the message leaves.
 
-The owner of a part does its duties while a majority has lately acknowledged its beats without knowing of a
-later fence, and `LEASE` after that is over for it before any voter lets another one take its place.
+The owner of a part does its duties while a majority has lately acknowledged its beats without having voted
+for a later fence. Each change of owner or voters brings one, so what the last owner was acknowledged came
+before that was decided; a new one waits for `TENURE_S` after it has learned of its place.
 """
 
 from __future__ import annotations
@@ -149,6 +150,7 @@
         self._reading = False
         self._pages: dict[str, tuple[int, float]] = {}  # while catching up: the page asked for, until when
         self._giving: dict[str, list[str]] = {}  # the keys that a keeper that catches up is given
+        self._owner_from_s = float("-inf")  # before that the last owner may still do the duties
         self._pulsed: dict[str, float] = {}  # keepers that acknowledged this owner: when the beat was sent
         self._again: list[tuple[float, str, Slip]] = []  # answers that the disk refused
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
@@ -186,6 +188,8 @@
         own = self.body
         if own.owner != self.name or self.accepted_fence != own.fence or self.voter not in self.known.voters:
             return None
+        if now < self._owner_from_s:
+            return None
         heard = sum(now - self._pulsed.get(v.name, float("-inf")) < TENURE_S for v in self.known.voters)
         return own.fence if 2 * (heard + 1) > len(self.known.voters) and self.peers.fit else None
 
@@ -530,8 +534,11 @@
         old, value = self.seen, self.known
         if value.version > old.version:
             self.seen = value
-            if parts.body(value).fence != parts.body(old).fence:
+            before, after = parts.body(old), parts.body(value)
+            if after.fence != before.fence:
                 self._pulsed.clear()
+                if after.fence != before.fence + 1 or before.owner not in ("", after.owner):
+                    self._owner_from_s = self.now + TENURE_S
             if epoch(value) != epoch(old):
                 self.missed.keep_only({v.name for v in value.voters})
             self._out.append(Changed(old, value))
--- a/athenaeum/parts.py
+++ b/athenaeum/parts.py
@@ -3,8 +3,8 @@
 Part 0 holds the configuration, the others operation keys, by a hash of the key; what is kept for a service
 goes by a hash of its name. The state of each is the body of a `register.Value` (a register that a majority
 agrees on, no log): the epoch of the group, which rises with every change of its voters, who owns the duties
-of the part, under a fence that rises with every owner, and in part 0 the newest configuration. Everything
-here is pure; changes are data, so that a world that holds them can be copied.
+of the part, under a fence that rises with every owner and every change of voters, and in part 0 the newest
+configuration. Everything here is pure; changes are data, so that a world that holds them can be copied.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
     raw: bytes = b""
     taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
     owner: str = ""  # the keeper that does the duties of the part
-    fence: int = 0  # of that owner; rises with each
+    fence: int = 0  # of that owner; rises with each, and with each change of voters
 
 
 Change = Callable[[Value], "Value | str"]
@@ -129,7 +129,8 @@
         if len(kept) == len(before.voters) and len(kept) >= self.most:
             return NO_PLACE
         old = body(before)
-        return replace(_next(before, replace(old, epoch=old.epoch + 1)), voters=(*kept, joiner))
+        after = replace(old, epoch=old.epoch + 1, fence=old.fence + 1)
+        return replace(_next(before, after), voters=(*kept, joiner))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/mesh/test_group.py
+++ b/tests/mesh/test_group.py
@@ -19,8 +19,8 @@
 from athenaeum.callslips import Held, Slips
 from athenaeum.claims import Count
 from athenaeum.group import Standing, epoch
-from athenaeum.holding import Answer, Changed, Ended
-from nickelbridge.register import Value, Voter
+from athenaeum.holding import TENURE_S, Answer, Changed, Ended, Part, Peers
+from nickelbridge.register import Kept, Value, Voter
 from rehearsal.explore.keeper import SEEDS, WINDOW_S, Keeper
 
 
@@ -244,6 +244,33 @@
     assert slip is not None and slips.claim("k", "t1")[0] == Held("t2", "its answer")
 
 
+def test_a_new_owner_waits_for_the_lease_of_the_last_one() -> None:
+    """What the last one was acknowledged came before the change; a change of voters ends that, too."""
+    a, b, c, d = (Voter(name, parts.GENESIS) for name in "abcd")
+    first = parts.genesis(SEEDS)
+    part = Part(1, "a", first, Kept(parts.GENESIS), True, Peers(0.0), WINDOW_S, random.Random(1), 10)
+
+    def know(value: Value, now: float) -> None:
+        part.heard("b", ["know", parts.pack_value(value)], now)
+
+    mine = Value(1, (a, b, c), parts.Body(0, owner="a", fence=1))
+    know(mine, 1.0)
+    part.pulse("b", 1.0, 1)
+    assert part.owns(1.0) == 1 and part.owns(1.9) == 1 and part.owns(1.0 + TENURE_S) is None
+    changed = parts.Admit(d, "c", 3)(mine)
+    assert isinstance(changed, Value) and parts.body(changed).fence == 2
+    part.acceptor.kept = Kept(parts.GENESIS, (5, "b"), (5, "b"), changed)
+    assert part.owns(1.5) is None  # who counts may have changed
+    know(changed, 1.5)
+    part.pulse("b", 1.6, 1)
+    assert part.owns(1.6) == 2  # it was the owner before, too
+    know(Value(3, (a, b, d), parts.Body(1, owner="b", fence=3)), 2.0)
+    know(Value(4, (a, b, d), parts.Body(1, owner="a", fence=4)), 3.0)
+    for now in (3.1, 3.9, 4.0):
+        part.pulse("b", now, 4)
+        assert part.owns(now) == (4 if now >= 3.0 + TENURE_S else None)
+
+
 def test_one_that_was_put_out_learns_anew() -> None:
     """It missed what was granted without it, so it may not come back as one that has caught up."""
     a, b, c, d = (Voter(name, 1) for name in "abcd")
