explore --of mesh-parts, --of mesh-keys: all interleavings of the mesh's keepers, scene by scene

The keepers were played in random order only. The same Part and Claims are now walked whole in fifteen small scenes, with killed, cut off, frozen, wiped and slow keepers, lost and late messages among them; askers and a plain record judge. The search takes a choice when it comes to it and not before, and a process goes on with one table of states over all its shares.

--- a/rehearsal/explore/__init__.py
+++ b/rehearsal/explore/__init__.py
@@ -12,22 +12,26 @@
 def arguments(parser: Any) -> None:
     """Give the command's parser its options."""
     parser.add_argument(
-        "--of", choices=("node", "fleet", "slots"), default="node",
-        help="a node among its peers, the membership of a few nodes, or slots among three voters (node)",
+        "--of", choices=("node", "fleet", "slots", "mesh-parts", "mesh-keys"), default="node",
+        help="a node among its peers, the membership of a few nodes, slots among three voters, or keepers of "
+        "the mesh: configurations and duties, or operation keys (node)",
     )  # fmt: skip
     parser.add_argument("--nodes", type=int, default=3, metavar="N", help="of a fleet (3)")
     parser.add_argument("--askers", type=int, default=2, metavar="N", help="that want a slot (2)")
     parser.add_argument("--bound", type=int, default=1, metavar="N", help="slots at once (1)")
     parser.add_argument(
-        "--faults", type=int, default=2, metavar="N", help="of a fleet or of slots, in one run (2)"
+        "--faults", type=int, default=2, metavar="N", help="of a fleet, slots or the mesh, in one run (2)"
     )
     parser.add_argument("--clients", type=int, default=2, metavar="N", help="that ask once each (2)")
     parser.add_argument("--servers", type=int, default=2, metavar="N", help="(2)")
     parser.add_argument("--events", type=int, default=3, metavar="N", help="disturbances in one run (3)")
     parser.add_argument("--attempts", type=int, default=2, metavar="N", help="at one request at most (2)")
     parser.add_argument(
-        "--kinds", default="pay,save,read", metavar="LIST", help="of the clients in turn (pay,save,read)"
-    )
+        "--kinds", metavar="LIST",
+        help="of the clients in turn (pay,save,read); of the mesh: of faults (all that a scene has)",
+    )  # fmt: skip
+    parser.add_argument("--scene", metavar="LIST", help="of the mesh (all); --list-scenes tells them")
+    parser.add_argument("--list-scenes", action="store_true", help="tell them, a line each")
     parser.add_argument("--cold", type=int, default=0, metavar="N", help="servers that have just started (0)")
     parser.add_argument("--workers", type=int, default=0, metavar="N", help="processes (one a core)")
     parser.add_argument("--seconds", type=float, default=3_600.0, metavar="S", help="at most (3600)")
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -15,6 +15,7 @@
 
 from rehearsal.explore import search
 from rehearsal.explore.breaks import BREAKS
+from rehearsal.explore.pure import Found
 from rehearsal.explore.search import Totals
 from rehearsal.explore.world import PROPERTIES, Small
 
@@ -25,6 +26,8 @@
 
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
+    if args.of.startswith("mesh-"):
+        return _mesh(args)
     if args.of != "node":
         return _pure(args)
     if args.list_breaks:
@@ -37,7 +40,7 @@
             raise _Usage(f"--break {args.break_}: no such break; --list-breaks tells them")
         if args.replay is not None:
             return _replay(console, Path(args.replay))
-        kinds = tuple(args.kinds.split(","))
+        kinds = tuple((args.kinds or "pay,save,read").split(","))
         small = Small(args.clients, args.servers, args.events, kinds, args.attempts, args.cold)
         if unknown := [kind for kind in small.kinds if kind not in ("pay", "read", "save")]:
             raise _Usage(f"--kinds: {unknown[0]!r} is none of pay, read, save")
@@ -55,7 +58,6 @@
 def _pure(args: argparse.Namespace) -> int:
     """Every interleaving of a small world of pure modules."""
     from rehearsal.explore import fleet, slots
-    from rehearsal.explore.pure import Found
 
     breaks = {
         name: about for name, (about, *_) in (fleet.BREAKS if args.of == "fleet" else slots.BREAKS).items()
@@ -96,6 +98,12 @@
                 watch=watch,
                 workers=args.workers,
             )
+    about = f", {found.wished} of them with every slot granted and back" if args.of == "slots" else ""
+    return _told(console, args, found, about)
+
+
+def _told(console: Console, args: argparse.Namespace, found: Found, about: str) -> int:
+    """Say what was found; the exit status."""
     if args.json is not None:
         obj = {
             "format": 1, "of": args.of, "faults": args.faults, "states": found.states, "runs": found.runs,
@@ -103,9 +111,7 @@
             "seconds": round(found.seconds, 1),
         }  # fmt: skip
         Path(args.json).write_text(json.dumps(obj, indent=1) + "\n", encoding="utf-8")
-    told = f"{found.states} states, {found.runs} runs to their end"
-    if args.of == "slots":
-        told += f", {found.wished} of them with every slot granted and back"
+    told = f"{found.states} states, {found.runs} runs to their end{about}"
     console.print(f"{told}, in {found.seconds:.1f} s")
     for line in found.story:
         console.print(f"  {line}", markup=False)
@@ -116,6 +122,52 @@
     return 0
 
 
+def _mesh(args: argparse.Namespace) -> int:
+    """Every interleaving of the keepers of one part, scene by scene."""
+    from rehearsal.explore import mesh
+
+    scenes = {name: scene for name, scene in mesh.SCENES.items() if scene.of == args.of}
+    breaks = {name: one for name, one in mesh.BREAKS.items() if one.scene in scenes}
+    if args.list_scenes or args.list_breaks:
+        for name, one in (scenes if args.list_scenes else breaks).items():
+            print(f"{name:26} {one.about}")
+        return 0
+    broken = breaks.get(args.break_)
+    kinds = tuple(args.kinds.split(",")) if args.kinds else broken.kinds if broken else mesh.KINDS
+    wanted = args.scene.split(",") if args.scene else [broken.scene] if broken else list(scenes)
+    problem = ""
+    if args.break_ and broken is None:
+        problem = f"--break {args.break_}: none of {', '.join(breaks)}"
+    elif unknown := [kind for kind in kinds if kind not in mesh.KINDS]:
+        problem = f"--kinds: {unknown[0]!r} is none of {', '.join(mesh.KINDS)}"
+    elif unknown := [name for name in wanted if name not in scenes]:
+        problem = f"--scene: {unknown[0]!r} is none of {', '.join(scenes)}"
+    elif not 0 <= args.faults <= 4 or args.seconds <= 0:
+        problem = "0 to 4 --faults, --seconds above 0"
+    if problem:
+        print(f"orchidferry explore: {problem}", file=sys.stderr)
+        return 2
+    console, total = Console(highlight=False), Found(exhausted=True)
+    with Progress(TextColumn("{task.description}"), console=console, transient=True) as progress:
+        task = progress.add_task("exploring", total=None)
+        for name in wanted:
+
+            def watch(found: Found, name: str = name) -> None:
+                told = f"{name}: {found.states} states, {found.runs} runs to their end"
+                progress.update(task, description=told)
+
+            left_s = args.seconds - total.seconds
+            found = mesh.search(name, args.faults, kinds, args.break_, left_s, watch, args.workers)
+            console.print(
+                f"{name:12} {found.states} states, {found.runs} runs, {found.wished} of them as wished, "
+                f"in {found.seconds:.1f} s{'' if found.exhausted or found.story else ', not exhausted'}"
+            )
+            total.add(found)
+            if found.violations:
+                break
+    return _told(console, args, total, f", {total.wished} of them as wished")
+
+
 def _explore(console: Console, small: Small, args: argparse.Namespace) -> Totals:
     began = time.monotonic()
     with Progress(TextColumn("{task.description}"), console=console, transient=True) as progress:
--- /dev/null
+++ b/rehearsal/explore/mesh.py
@@ -0,0 +1,971 @@
+"""Every interleaving of a few keepers of one part of the mesh's state and those who ask them: the shipping
+`Part` and `Claims`, with faults among them.
+
+Each message takes one step, as does each write to a disk. Of what comes to one process in one step (messages,
+in order on each link, and its disk's word) every order is walked; what comes to different ones commutes. Time
+moves when nothing is under way: to the next grid point, where beats go round and all tick, or to what a part
+has due sooner. What is judged is what askers were told and what keepers sent, not what they think.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import copyreg
+import functools
+import hashlib
+import marshal
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, fields, is_dataclass, replace
+from itertools import combinations, permutations
+from operator import attrgetter
+from types import NoneType
+from typing import Any
+from unittest import mock
+
+from athenaeum import callslips, claims, holding, parts
+from athenaeum.callslips import Slips
+from athenaeum.claims import Claims, Count
+from athenaeum.group import Standing, epoch
+from athenaeum.holding import Action, Answer, Changed, Ended, Part, Write, remembered
+from nickelbridge import register
+from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
+from rehearsal.explore import pure
+from rehearsal.explore.fleet import Middle
+from rehearsal.explore.keeper import SEEDS, Keeper
+from rehearsal.explore.pure import Found
+
+GRID_S = 0.4  # beats, and what a part does now and then
+LEAST_S = 0.02  # that time moves
+KINDS = ("kill", "power", "wipe", "cut", "oneway", "freeze", "unfit", "beat", "lose", "late")
+KEY = "k"
+
+
+def _fast(kind: Any) -> None:
+    """Have it pickled by its fields, which for slots takes Python a third of the time."""
+    names = [x.name for x in fields(kind)]
+    if len(names) < 2:
+        return
+    fields_of = attrgetter(*names)
+    copyreg.pickle(kind, lambda one: (kind, fields_of(one)))
+
+
+for _module in (register, parts, holding, callslips, claims):
+    for _kind in vars(_module).values():
+        if isinstance(_kind, type) and is_dataclass(_kind) and "__slots__" in vars(_kind):
+            _fast(_kind)
+
+
+@dataclass(frozen=True)
+class Scene:
+    """What is played. `puts`: who puts a configuration where, and reads where; `tries`: of one key, at which
+    node, when, and what becomes of a run (`done`, `broke`, `drop`).
+    """
+
+    of: str
+    about: str
+    hold_s: float  # that a cut or a frozen process lasts
+    puts: tuple[tuple[str, str], ...] = ()
+    tries: tuple[tuple[str, float, str], ...] = ()
+    for_s: float = 0.9  # that a node asks for a key
+    seconds: float = 0.0  # it lasts at least
+    script: tuple[tuple[float, str], ...] = ()  # what happens anyway: a fault, `down` or `up`, and to whom
+    part: int = parts.FOLIO  # its number, where no key is tried
+    spare: bool = False  # there is a fourth keeper, in no group
+    beyond: bool = False  # disks are lost whenever, not only while all others remember
+    kinds: tuple[str, ...] = tuple(k for k in KINDS if k not in ("unfit", "beat"))
+
+
+SCENES = {
+    "puts": Scene(
+        "mesh-parts", "two put a configuration on one version at two keepers, and read at others",
+        1.0, puts=(("a", "b"), ("b", "c")),
+    ),
+    "duties": Scene("mesh-parts", "the duties of the part move", 4.2, seconds=6.0, kinds=KINDS),
+    "unwell": Scene(
+        "mesh-parts", "an owner can't do its duties for a while",
+        1.0, seconds=2.0, script=((0.1, "unfit b"), (0.5, "unfit b")), kinds=KINDS,
+    ),
+    "comes-back": Scene(
+        "mesh-parts", "an owner is cut off, and heard again while another one takes its duties",
+        3.4, seconds=4.4, script=((0.0, "cut a b"), (0.0, "cut b c")), kinds=KINDS,
+    ),
+    "apart": Scene(
+        "mesh-parts", "one is replaced while it is cut off, and is heard again by the owner alone",
+        4.6, seconds=7.2, spare=True, part=10, kinds=KINDS,  # of this part a is the owner, and b the next one
+        script=(
+            (0.0, "cut c"), (0.0, "cut a d"),
+            (2.85, "beat c"), (2.85, "cut a b"), (2.85, "cut a d"), (2.85, "cut b c"), (2.85, "cut c d"),
+        ),
+    ),
+    "replace": Scene(
+        "mesh-parts", "one is away, a spare one takes its place, it comes back",
+        1.0, puts=(("a", "d"),), seconds=4.8, script=((0.0, "down c"), (3.6, "up c")), spare=True,
+    ),
+    "answered": Scene(
+        "mesh-keys", "two try one key at once, runs are answered, a third one comes later",
+        1.0, tries=(("m", 0.0, "done"), ("n", 0.0, "done"), ("m", 2.4, "done")),
+    ),
+    "broken-off": Scene(
+        "mesh-keys", "a run breaks off, two try its key again",
+        1.0, tries=(("m", 0.0, "broke"), ("n", 0.0, "broke"), ("n", 2.4, "broke")),
+    ),
+    "given-back": Scene(
+        "mesh-keys", "a key is given back unrun, and tried again by two",
+        1.0, tries=(("m", 0.0, "drop"), ("m", 0.9, "done"), ("n", 0.9, "done")),
+    ),
+    "moved": Scene(
+        "mesh-keys", "one is replaced, a key is claimed, that one comes back, it is tried again",
+        1.0, tries=(("m", 3.4, "broke"), ("n", 8.0, "broke")), spare=True,
+        script=((0.0, "down c"), (4.0, "up c"), (4.4, "down d")),
+    ),
+    "missed": Scene(
+        "mesh-keys", "a keeper does not hear of a claim",
+        1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"),),
+    ),
+    "slow": Scene(
+        "mesh-keys", "a keeper does not hear of a claim, and the disk of another one is slow",
+        1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"), (0.0, "late a")),
+    ),
+    "learning": Scene(
+        "mesh-keys", "one that granted a key forgets it, and can hear only one that missed it",
+        2.0, tries=(("m", 0.0, "broke"), ("n", 1.6, "broke")),
+        script=((0.0, "cut m c"), (0.1, "wipe b"), (0.1, "cut a b")),
+    ),
+    "epochs": Scene(
+        "mesh-keys", "the group changes while a claim is out",
+        1.4, tries=(("m", 0.0, "broke"), ("n", 1.2, "broke")), for_s=2.2,
+        script=((0.0, "cut m a"), (0.0, "cut m b"), (0.05, "cut m c"), (0.1, "wipe c"), (1.2, "cut n a")),
+    ),
+    "beyond": Scene(
+        "mesh-keys", "as answered, where any disks may be lost: whoever forgot says nothing",
+        1.0, tries=(("m", 0.0, "broke"), ("n", 2.4, "broke")), beyond=True,
+    ),
+}  # fmt: skip
+
+
+class Dice(Middle):
+    """Chance in the middle; what is drawn as a name is another one each time."""
+
+    def __init__(self, count: int = 0) -> None:
+        super().__init__(0)
+        self.count = count
+
+    def randrange(self, start: int, stop: int | None = None, step: int = 1) -> int:
+        self.count += 1
+        return self.count if stop is None else start + self.count
+
+    def __reduce__(self) -> Any:
+        return Dice, (self.count,)
+
+
+@dataclass
+class Mail:
+    """A message under way. `back`: it is an answer, on the link that the other one dialled."""
+
+    sender: str
+    to: str
+    what: str
+    message: tuple[Any, ...]
+    back: bool = False
+    late: bool = False
+
+    @property
+    def told(self) -> str:
+        body = self.message[-1] if self.what == "heard" else (self.what, *self.message)
+        return f"{body[0]} from {self.sender} to {self.to}"
+
+
+@dataclass
+class Asker:
+    """Puts a configuration on top of version 0, and reads."""
+
+    name: str
+    at: str
+    then: str
+    revision: int
+    step: str = "put"  # put, again, read, over
+    waits: str = ""  # for what it asked for
+    until_s: float = 0.0
+    newest: int = 0  # acknowledged to anybody before it read
+    tries: int = 0
+    read: bool = False
+
+    def change(self) -> parts.Put:
+        mark = self.name.encode()
+        return parts.Put(mark, self.revision, mark, 0)
+
+
+class Node:
+    """A node's half of keys."""
+
+    def __init__(self, name: str, world: World) -> None:
+        self.name, self.world = name, world
+        self.claims = Claims(SEEDS, self.send)
+
+    def send(self, to: str, *message: Any) -> None:
+        what, rest = message[0], message[1:]
+        self.world.send(self.name, to, what, *((self.name, *rest) if what == "claim" else rest))
+
+
+@dataclass
+class Try:
+    """One request with the key, at some node."""
+
+    world: World = field(repr=False)
+    holder: str
+    node: str
+    due_s: float
+    how: str
+    began: bool = False
+    said: str = ""
+    answer: Any = None
+
+    def begin(self) -> None:
+        self.began = True
+        self.world.note(f"{self.holder} claims at {self.node}")
+        self.world.nodes[self.node].claims.claim(
+            KEY, self.holder, self.world.scene.for_s, self.told, self.world.now
+        )
+
+    def told(self, what: str, answer: Any) -> None:
+        world, self.said, self.answer = self.world, what, answer
+        world.note(f"{self.holder} is told {what}{'' if answer is None else f' and the answer {answer}'}")
+        if what == "yours":
+            world.granted(self)
+            node = world.nodes[self.node].claims
+            if self.how == "done":
+                node.done(KEY, self.holder, self.holder)
+            elif self.how == "drop":
+                world.ran.remove(self.holder)
+                node.drop(KEY, self.holder)
+        elif answer is not None and answer != (world.ran[0] if world.ran else None):
+            world.broken(f"answer: {self.holder} is told the answer {answer}, and {world.ran} ran")
+
+
+class World:
+    """Keepers, askers, and what is under way between them."""
+
+    def __init__(self, scene: Scene, faults: int, kinds: tuple[str, ...]) -> None:
+        self.scene, self.faults, self.kinds = scene, 0, kinds
+        self.now = 1.0
+        self.story: list[str] = []
+        self.violations: list[str] = []
+        self.mail: list[Mail] = []  # of this step
+        self.next: list[Mail] = []  # sent in it
+        self.ready: dict[str, int] = {}  # writes that were begun before this step
+        self.slow: set[str] = set()  # disks that are late
+        self.touched = ""  # who took something last in this step
+        self.cuts: dict[tuple[str, str], float] = {}  # from, to, until
+        self.frozen: dict[str, float] = {}
+        self.down: dict[str, float] = {}
+        self.grid = 0
+        self.versions: dict[int, Value] = {}
+        self.fences: dict[int, str] = {}
+        self.taken: dict[int, str] = {}  # what was acknowledged on top of each revision
+        self.newest = 0
+        self.learns: dict[str, set[str]] = {}  # keepers that have forgotten, and who told them all since
+        self.ran: list[str] = []  # tries that were granted the key and have not given it back
+        self.askers = [Asker("pq"[n], at, then, 2 - n) for n, (at, then) in enumerate(scene.puts)]
+        self.tries = [Try(self, f"t{n + 1}", *one) for n, one in enumerate(scene.tries)]
+        self.nodes = {node: Node(node, self) for node in dict.fromkeys(one[0] for one in scene.tries)}
+        names = (*SEEDS, "d") if scene.spare else SEEDS
+        self.number = parts.part_of(KEY) if self.nodes else scene.part
+        self.keepers: dict[str, Keeper] = {}
+        for n, name in enumerate(names):
+            self.keepers[name] = Keeper(name, self, name in SEEDS, self.number, Dice(n * 1_000))
+        self.began_s = math.inf  # of the scene
+        self.learns |= {name: set() for name in names if name not in SEEDS}
+        while not (self.quiet and any(k.part.owns(self.now) for k in self.keepers.values())):
+            self.do(self.actions()[0])
+        self.faults, self.began_s = faults, self.now
+        self.script = list(scene.script)
+        self.story.clear()
+        self._askers()
+        self._turn()
+
+    # What it is
+
+    @property
+    def quiet(self) -> bool:
+        """Nothing is under way."""
+        return not (self.mail or self.next or any(k.writes for k in self.keepers.values()))
+
+    @property
+    def over(self) -> bool:
+        asked = all(a.step == "over" for a in self.askers) and all(t.said for t in self.tries)
+        return asked and self.now >= self.began_s + self.scene.seconds - 1e-6
+
+    def ended(self) -> bool:
+        """All were served as if nothing had gone wrong."""
+        if self.askers:
+            return all(a.read for a in self.askers) and bool(self.taken)
+        if self.tries:
+            return len(self.ran) == 1 and all(t.said != "none" for t in self.tries)
+        return sum(k.part.owns(self.now) is not None for k in self.keepers.values() if k.alive) == 1
+
+    def finish(self) -> None:
+        """Nothing comes after the askers' last step."""
+
+    def note(self, told: str) -> None:
+        self.story.append(f"{(self.now - self.began_s) * 1000.0:7.0f} ms  {told}")
+
+    def broken(self, told: str) -> None:
+        self.violations.append(told)
+
+    # What may come
+
+    def _items(self) -> tuple[str, list[str]]:
+        """The first process that has something to take, and what may be the first of that."""
+        heads: dict[tuple[str, str, bool], int] = {}
+        for n, mail in enumerate(self.mail):
+            if not mail.late and mail.to not in self.frozen:
+                heads.setdefault((mail.to, mail.sender, mail.back), n)
+        disks = [n for n, many in self.ready.items() if many and n not in self.frozen and n not in self.slow]
+        half = min([to for to, _, _ in heads] + disks, default="")
+        found = [f"deliver {n}" for (to, _, _), n in heads.items() if to == half]
+        return half, found + ([f"disk {half}"] if half in disks else [])
+
+    @property
+    def _late(self) -> bool:
+        return any(m.late for m in self.mail) or bool(self.slow)
+
+    def actions(self) -> list[str]:
+        """What may come next; the first comes without a fault."""
+        half, found = self._items()
+        late = self._late and not half
+        plain = found or (["wait", "come"] if late else ["wait"])
+        return plain + [one for one in self._faults(half, found) if one.split()[0] in self.kinds]
+
+    def _faults(self, half: str, items: list[str]) -> Iterator[str]:
+        if not self.faults:
+            return
+        for item in items:
+            what, about = item.split()
+            yield f"lose {about}" if what == "deliver" else f"late {about}"
+            if what == "deliver":
+                yield f"late {about}"
+        for name, keeper in self.keepers.items():
+            if not keeper.alive or half not in ("", name):
+                continue
+            yield f"kill {name}"
+            many = min(3, len(keeper.writes))
+            yield from (f"power {name} {mask}" for mask in range(1, 2**many))
+            others = [
+                k for k in self.keepers.values() if k is not keeper and k.part.voter in self._newest.voters
+            ]
+            if self.scene.beyond or all(
+                k.alive and k.name not in self.learns and k.part.standing.caught_up for k in others
+            ):
+                yield f"wipe {name}"
+            if name not in self.frozen:
+                yield f"freeze {name}"
+            if not half:
+                yield f"unfit {name}"
+        if half == self.touched and half:
+            return
+        if half:
+            yield from (f"beat {name}" for name in self.keepers if any(name in pair for pair in self.cuts))
+        if not half or half in self.keepers:
+            yield from (f"cut {name}" for name in self.keepers if half in ("", name))
+        for one, other in combinations([*self.keepers, *self.nodes], 2):
+            if half in ("", one, other) and one in self.keepers:
+                yield f"cut {one} {other}"
+        for one, other in permutations(self.keepers, 2):
+            if half in ("", other):
+                yield f"oneway {one} {other}"
+
+    @property
+    def _newest(self) -> Value:
+        return self.versions[max(self.versions)] if self.versions else parts.genesis(SEEDS)
+
+    # What comes
+
+    def do(self, label: str) -> None:
+        what, *about = label.split()
+        match what:
+            case "deliver":
+                self._deliver(self.mail.pop(int(about[0])))
+            case "disk":
+                self._disk(about[0])
+            case "wait":
+                self._wait()
+            case "come":
+                self._come()
+            case _:
+                self.faults -= 1
+                self._fault(what, about)
+        self._turn()
+        self._check()
+
+    def _turn(self) -> None:
+        """Where this step is over, the next one begins."""
+        if not self._items()[0]:
+            self.mail, self.next, self.touched = self.mail + self.next, [], ""
+            self.ready = {n: len(k.writes) for n, k in self.keepers.items() if k.alive}
+
+    def _come(self) -> None:
+        for mail in self.mail:
+            mail.late = False
+        self.slow.clear()
+
+    def _fault(self, what: str, about: list[str]) -> None:
+        name = about[0]
+        told = " ".join([what, *about])
+        if name.isdigit():
+            told = f"{what}: {self.mail[int(name)].told}"
+        self.note(told)
+        until = self.now + self.scene.hold_s
+        match what:
+            case "lose":
+                self.mail.pop(int(name))
+            case "late" if name.isdigit():
+                self.mail[int(name)].late = True
+            case "late":
+                self.slow.add(name)
+            case "kill" | "power" | "wipe":
+                keeper = self.keepers[name]
+                for n, write in enumerate(keeper.writes):
+                    if what == "power" and int(about[1]) >> n & 1:
+                        keeper.put(write.puts)
+                self._down(name, 0.1)
+                if what == "wipe":
+                    keeper.wipe()
+                    self.learns[name] = set()
+            case "freeze":  # what it has just sent is acknowledged, and waits for it
+                self.frozen[name] = until
+                self._beat(name)
+            case "beat":  # no cut holds it any more, and new links bring a beat
+                self.cuts = {pair: end for pair, end in self.cuts.items() if name not in pair}
+                self._beat(name)
+            case "unfit":
+                peers = self.keepers[name].peers
+                peers.fit = not peers.fit
+            case "cut" | "oneway":
+                everybody = [*self.keepers, *self.nodes]
+                pairs = [(name, about[1])] if len(about) > 1 else [(name, n) for n in everybody if n != name]
+                if what == "cut":
+                    pairs += [(b, a) for a, b in pairs]
+                self.cuts |= dict.fromkeys(pairs, until)
+                self.mail = [m for m in self.mail if (m.sender, m.to) not in pairs]
+                self.next = [m for m in self.next if (m.sender, m.to) not in pairs]
+
+    def _down(self, name: str, for_s: float) -> None:
+        """A process ends; what it sent is on its way, what was sent to it is lost."""
+        keeper = self.keepers[name]
+        keeper.alive, keeper.writes = False, []
+        self.down[name] = self.now + for_s
+        self.frozen.pop(name, None)
+        self.slow.discard(name)
+        self.ready.pop(name, None)
+        self.mail = [m for m in self.mail if m.to != name]
+        self.next = [m for m in self.next if m.to != name]
+
+    def _up(self, name: str) -> None:
+        if self.down.pop(name, None) is not None:
+            self.keepers[name].start()
+
+    def _deliver(self, mail: Mail) -> None:
+        self.touched = mail.to
+        if mail.to in self.nodes:
+            node = self.nodes[mail.to].claims
+            if mail.what == "slip":
+                node.hear(mail.sender, *mail.message)
+            else:
+                number, under, names, owner, fence = mail.message
+                node.group(number, under, names, owner, fence, self.now)
+            return
+        keeper = self.keepers[mail.to]
+        if mail.what == "heard":
+            message = mail.message[1]
+            if message[0] == "slips" and message[5] and mail.to in self.learns:
+                self.learns[mail.to].add(mail.sender)
+        getattr(keeper, mail.what)(*mail.message)
+        if mail.what == "claim" and mail.message[2] != keeper.part.body.epoch:
+            self._tell_group(keeper, mail.sender)
+
+    def _disk(self, name: str) -> None:
+        self.touched = name
+        self.ready[name] -= 1
+        self.keepers[name].disk_turn()
+
+    def _beat(self, name: str) -> None:
+        keeper = self.keepers[name]
+        if keeper.alive:
+            keeper.beat_to(n for n in self.keepers if n != name)
+
+    def _wait(self) -> None:
+        """Nothing is under way: time moves."""
+        dues = [
+            1.0 + (self.grid + 1) * GRID_S,
+            *self.cuts.values(),
+            *self.frozen.values(),
+            *self.down.values(),
+        ]
+        for name, keeper in self.keepers.items():
+            if keeper.alive and name not in self.frozen:
+                dues.append(keeper.part.due_s)
+        if self.began_s < math.inf:
+            dues += [self.began_s + one.due_s for one in self.tries if not one.began]
+            dues += [one.until_s for one in self.askers if one.step != "over"]
+            dues += [self.began_s + at for at, _ in self.script]
+        self.now = max(self.now + LEAST_S, math.ceil(min(dues) * 1000.0) / 1000.0)
+        now = self.now
+        self.cuts = {pair: until for pair, until in self.cuts.items() if until > now}
+        self.frozen = {name: until for name, until in self.frozen.items() if until > now}
+        for name in [n for n, until in self.down.items() if until <= now]:
+            self._up(name)
+        for mail in [m for m in self.mail if m.what == "pulse" and m.to not in self.frozen]:
+            self.mail.remove(mail)
+            self.keepers[mail.to].pulse(*mail.message)
+        on_grid = now >= 1.0 + (self.grid + 1) * GRID_S - 1e-6
+        if on_grid:
+            self.grid += 1
+            for name in self.keepers:
+                if name not in self.frozen:
+                    self._beat(name)
+        for name, keeper in self.keepers.items():
+            if keeper.alive and name not in self.frozen and (on_grid or keeper.part.due_s <= now):
+                keeper.tick()
+        for node in self.nodes.values():
+            if on_grid:
+                for keeper in self.keepers.values():
+                    if keeper.alive and keeper.name not in self.frozen:
+                        self._tell_group(keeper, node.name)
+                node.claims.tick(now)
+        self._askers()
+
+    # Between them
+
+    def _open(self, sender: str, to: str) -> bool:
+        keeper = self.keepers.get(to)
+        return (sender, to) not in self.cuts and (keeper is None or keeper.alive)
+
+    def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
+        """Put a message on its way; beats take no time."""
+        if to not in self.keepers or not self._open(sender, to):
+            return
+        if kind == "beat" and to in self.frozen:
+            return  # it meets the next one
+        if kind == "beat" or (kind == "pulse" and to not in self.frozen):
+            getattr(self.keepers[to], kind)(*message)
+        else:
+            self.next.append(Mail(sender, to, kind, message))
+
+    def answer(self, name: str, answer: Answer) -> None:
+        """A keeper answers whoever asked it."""
+        to = answer.to
+        if to in self.nodes:
+            if answer.message[3] == "yours" and name in self.learns and not self._learned(name):
+                self.broken(
+                    f"abstains: {name} grants a key, and has learned from {sorted(self.learns[name])}"
+                )
+            if self._open(name, to):
+                self.next.append(Mail(name, to, "slip", tuple(answer.message[1:]), True))
+        elif self._open(name, to):
+            self.next.append(Mail(name, to, "heard", (name, answer.message[2:]), True))
+
+    def _tell_group(self, keeper: Keeper, node: str) -> None:
+        """As the keeper does when something changes, and to whoever comes back to it."""
+        own, had = keeper.part.body, self.nodes[node].claims.groups[keeper.number]
+        if (own.epoch > had.epoch or own.fence > had.fence) and self._open(keeper.name, node):
+            names = tuple(v.name for v in keeper.part.known.voters)
+            message = (keeper.number, own.epoch, names, own.owner, own.fence)
+            self.next.append(Mail(keeper.name, node, "group", message, True))
+
+    def decided(self, name: str, changed: Changed) -> None:
+        """The states are one chain: one for each version, and whoever learns one learns the same."""
+        self._chain(changed.new)
+        if epoch(changed.new) > epoch(changed.old):
+            self.note(f"{name} learns of epoch {epoch(changed.new)}")
+            for keeper in self.keepers.values():  # whoever is left out misses what is granted
+                if keeper.part.voter not in changed.new.voters and changed.new == self._newest:
+                    self.learns[keeper.name] = set()
+        for node in self.nodes:
+            self._tell_group(self.keepers[name], node)
+
+    def _chain(self, value: Value) -> None:
+        if self.versions.setdefault(value.version, value) != value:
+            self.broken(f"chain: two states of version {value.version} were decided")
+
+    # Configurations
+
+    def _askers(self) -> None:
+        if self.began_s == math.inf:
+            return
+        while self.script and self.script[0][0] <= self.now - self.began_s + 1e-6:
+            what, *about = self.script.pop(0)[1].split()
+            if what == "down":
+                self.note(f"{about[0]} goes away")
+                self._down(about[0], math.inf)
+            elif what == "up":
+                self._up(about[0])
+            else:
+                self._fault(what, about)
+        for one in self.tries:
+            if not one.began and one.due_s <= self.now - self.began_s + 1e-6:
+                one.begin()
+        for asker in self.askers:
+            if asker.step != "over" and self.now >= asker.until_s:
+                if asker.waits:  # nothing was heard
+                    self._next(asker)
+                else:
+                    self._ask(asker)
+
+    def _ask(self, asker: Asker) -> None:
+        name = asker.at if asker.step == "put" else asker.then
+        keeper = self.keepers[name]
+        asker.tries += 1
+        if asker.tries > 8:
+            asker.step = "over"
+        elif not keeper.alive or name in self.frozen:
+            asker.until_s = self.now + 0.3
+        else:
+            asker.waits, asker.until_s = f"{name} {asker.name}{asker.tries}", self.now + 1.5
+            id = asker.waits.split()[1]
+            if asker.step == "read":
+                asker.newest = self.newest
+                keeper.do(keeper.part.read(id, self.now))
+            else:
+                keeper.do(keeper.part.ask(id, asker.change(), 1.2, self.now))
+
+    def _next(self, asker: Asker, settled: bool = False) -> None:
+        after = {"put": "read" if settled else "again", "again": "read", "read": "over"}
+        asker.step, asker.waits, asker.until_s = after[asker.step], "", self.now + 0.01
+        if asker.step == "read":
+            asker.tries = min(asker.tries, 5)
+
+    def told(self, name: str, end: Ended) -> None:
+        """What was asked for at a keeper is over."""
+        asker = next((a for a in self.askers if a.waits == f"{name} {end.id}"), None)
+        if asker is None:
+            return
+        if end.value is not None:
+            self._chain(end.value)
+        if asker.step != "read":
+            if end.value is not None and not end.why:
+                self.note(f"{asker.name} is told that its configuration was taken")
+                if self.taken.setdefault(0, asker.name) != asker.name:
+                    self.broken("two-puts: two changes of one version were acknowledged")
+                self.newest = max(self.newest, asker.revision)
+            self._next(asker, end.value is not None)
+        elif end.value is None:
+            asker.waits, asker.until_s = "", self.now + 0.01
+        else:
+            self.note(f"{asker.name} reads {parts.body(end.value).revision}")
+            if parts.body(end.value).revision < asker.newest:
+                self.broken(f"older: {asker.newest} was acknowledged before it was read")
+            asker.read = True
+            self._next(asker)
+
+    # Keys
+
+    def granted(self, one: Try) -> None:
+        """A try may run."""
+        if self.ran:
+            self.broken(f"two-tries: the key is {self.ran[0]}'s, and {one.holder}'s")
+        self.ran.append(one.holder)
+
+    # What is judged at each step
+
+    def _check(self) -> None:
+        now = [
+            (k, fence)
+            for k in self.keepers.values()
+            if k.alive and (fence := k.part.owns(self.now)) is not None
+        ]
+        if len(now) > 1:
+            self.broken(f"two-owners: {' and '.join(k.name for k, _ in now)} do the duties")
+        for keeper, fence in now:
+            if self.fences.setdefault(fence, keeper.name) != keeper.name or fence < max(self.fences):
+                self.broken(f"fence: {keeper.name} does the duties under fence {fence}")
+        for name in list(self.learns):
+            if self.keepers[name].part.standing.caught_up and self._learned(name):
+                del self.learns[name]
+
+    def _learned(self, name: str) -> bool:
+        """Whether one that has forgotten was told all by so many that no majority is missed."""
+        return len(self.learns[name]) >= len(SEEDS) - len(SEEDS) // 2
+
+    def print(self) -> bytes:
+        """All that it holds but its story; times stand in it."""
+        held: list[Any] = [
+            self.now, self.grid, self.faults, self.touched, self.mail, self.next, self.ready,
+            sorted(self.slow), sorted(self.cuts.items()),
+            sorted(self.frozen.items()), sorted(self.down.items()),
+            self.versions, self.fences, self.taken, self.newest, self.ran, self.askers,
+            [(name, sorted(told)) for name, told in sorted(self.learns.items())],
+            [(t.began, t.said) for t in self.tries],
+        ]  # fmt: skip
+        for keeper in self.keepers.values():
+            part, kept = keeper.part, keeper.part.acceptor.kept
+            inside = [v for k, v in vars(part).items() if k not in ("acceptor", "rng", "peers")]
+            slips = part.slips.slips
+            # Which of two equal ones is meant, where the part looks at that.
+            same = [part.unwritten[key] is slips.get(key) for key in part.unwritten]
+            for write in keeper.writes:
+                match write.then:
+                    case ("voted", _, of, _):
+                        same.append(of is kept)
+                    case (("claim" | "answer"), *_, slip):
+                        same.append(any(slip is one for one in slips.values()))
+            held += [
+                keeper.alive, sorted(keeper.disk.items()), keeper.writes, keeper.beats, keeper.peers,
+                keeper.rng, kept, inside, same,
+            ]  # fmt: skip
+        for node in self.nodes.values():
+            open_ = node.claims._open.values()
+            held += [node.claims.groups[self.number], node.claims._rid]
+            held += [(c.rid, c.holder, c.count, c.until_s, c.again_s) for c in open_]
+        return hashlib.blake2b(marshal.dumps(_plain(held), 2), digest_size=16).digest()
+
+
+_fields: dict[type, tuple[str, ...]] = {}
+
+
+def _plain(one: Any) -> Any:
+    """In tuples, so that equal ones look alike, however they came to be."""
+    kind = type(one)
+    if kind in (str, int, float, bool, bytes, NoneType):
+        return one
+    if kind is Value:
+        return _value(one)
+    if kind in (tuple, list, deque):
+        return tuple([_plain(x) for x in one])
+    if kind is dict:
+        return tuple([(_plain(k), _plain(v)) for k, v in one.items()])
+    if kind is set:
+        return tuple(sorted([_plain(x) for x in one]))
+    names = _fields.get(kind)
+    if names is None:
+        names = tuple(x.name for x in fields(one)) if is_dataclass(one) else ()
+        _fields[kind] = names
+    if not names and kind is Dice:
+        return one.count
+    if not names and kind is Proposer:
+        return tuple([_plain(v) for v in vars(one).values()])
+    return (kind.__name__, *[_plain(getattr(one, x)) for x in names]) if names else repr(one)
+
+
+@functools.lru_cache(1 << 14)
+def _value(one: Value) -> bytes:
+    return hashlib.blake2b(repr(one).encode(), digest_size=16).digest()
+
+
+def begin(scene: str, faults: int = 2, kinds: tuple[str, ...] = KINDS) -> World:
+    """A scene, as soon as somebody does the duties of the part."""
+    one = SCENES[scene]
+    return World(one, faults, tuple(k for k in kinds if k in one.kinds))
+
+
+def search(
+    scene: str, faults: int = 2, kinds: tuple[str, ...] = KINDS, break_: str = "", limit_s: float = 600.0,
+    watch: Callable[[Found], None] = lambda _: None, workers: int = 0,
+) -> Found:  # fmt: skip
+    """Walk all of a scene."""
+    return pure.search(lambda: begin(scene, faults, kinds), broken, break_, limit_s, watch, workers)
+
+
+# Deliberate breaks
+
+
+def _same_memory(self: Keeper) -> None:
+    memory = self.part.voter.memory
+    self.disk = {}
+    self.put(remembered(self.number, Kept(memory), False))
+
+
+def _full_memory(self: Keeper) -> None:
+    self.disk = {}
+    self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), True))
+
+
+def _unsynced(self: Keeper, actions: list[Action]) -> None:
+    for action in actions:
+        if isinstance(action, Write) and action.then is not None:
+            _do(self, [Write(action.puts)])
+            self.do(self.part.written(action.then, True, self.world.now))
+        else:
+            _do(self, [action])
+
+
+def _forgets_promise(self: Acceptor, message: Any, sender: str) -> list[register.Action]:
+    self.kept = replace(self.kept, promised=register.NONE)
+    return _handle(self, message, sender)
+
+
+def _not_read(self: Proposer, round_: Any, now: float) -> list[register.Action]:
+    round_.promises = {v: replace(p, accepted=register.NONE, value=None) for v, p in round_.promises.items()}
+    return _promised(self, round_, now)
+
+
+def _any_majority(voters: Any, given: Any) -> bool:
+    return bool(set(voters) & set(given))
+
+
+def _any_version(self: parts.Put, before: Value) -> Value | str:
+    return _put(replace(self, on=parts.body(before).revision), before)
+
+
+def _alone(self: Part, now: float) -> int | None:
+    own = self.body
+    return own.fence if own.owner == self.name and self.accepted_fence == own.fence else None
+
+
+def _from_arrival(self: Keeper, sender: str, number: int, fence: int) -> None:
+    self.part.pulse(sender, self.world.now, fence)
+
+
+def _long_lease(self: Part, now: float) -> int | None:
+    with mock.patch.object(holding, "TENURE_S", 5.0):
+        return _owns(self, now)
+
+
+def _at_once(self: Part, now: float) -> int | None:
+    self._owner_from_s = -math.inf
+    return _owns(self, now)
+
+
+def _same_voters_fence(self: parts.Admit, before: Value) -> Value | str:
+    after = _admit(self, before)
+    if isinstance(after, str) or after is before:
+        return after
+    return replace(after, body=replace(parts.body(after), fence=parts.body(before).fence))
+
+
+def _same_fence(self: parts.Own, before: Value) -> Value | str:
+    after = _own(self, before)
+    if isinstance(after, str) or after is before:
+        return after
+    return replace(after, body=replace(parts.body(after), fence=max(1, self.fence)))
+
+
+def _any_one(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
+    return "yours" if what == "yours" else _hear(self, name, epoch_, what, answer)
+
+
+def _mixed(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
+    return _hear(self, name, self.epoch, what, answer)
+
+
+def _counts_on(self: Count, epoch_: int, group: tuple[str, ...]) -> None:
+    self.epoch, self.group = epoch_, group
+
+
+def _one_source(voters: int) -> int:
+    return 1
+
+
+def _not_put_out(self: Standing, voter: Voter, known: Value, accepted: Value | None) -> bool:
+    return False
+
+
+def _joins(self: Part) -> None:
+    caught, self.standing.caught_up = self.standing.caught_up, False
+    _join(self)
+    self.standing.caught_up = caught
+
+
+def _drops_any(self: Slips, key: str, holder: str) -> bool:
+    had = self.slips.get(key)
+    return _drop(self, key, had.holder if had is not None else holder)
+
+
+def _at_its_word(self: Part, *args: Any) -> list[Action]:
+    self.unwritten.clear()
+    return _claim(self, *args)
+
+
+_admit, _owns = parts.Admit.__call__, Part.owns
+_do, _handle, _promised, _put, _own = (
+    Keeper.do, Acceptor.handle, Proposer._promised, parts.Put.__call__, parts.Own.__call__,
+)  # fmt: skip
+_pulse, _hear, _join, _drop, _claim = (
+    Part.pulse, Count.hear, Part._join, Slips.drop, Part.claim,
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Break:
+    """A deliberate one. `scene`, `faults`, `kinds`: the small world that catches it."""
+
+    about: str
+    scene: str
+    faults: int
+    kinds: tuple[str, ...]
+    patches: tuple[tuple[Any, str, Any], ...]
+
+
+def _break(about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]) -> Break:
+    return Break(about, scene, faults, tuple(kinds.split()), patches)
+
+
+BREAKS = {
+    "vote-forgotten": _break(
+        "an empty disk votes as before", "puts", 2, "wipe lose", (Keeper, "wipe", _same_memory)
+    ),
+    "unsynced": _break(
+        "promises leave before they are on disk", "puts", 2, "kill lose", (Keeper, "do", _unsynced)
+    ),
+    "promise-forgotten": _break(
+        "promises are not kept", "puts", 0, "", (Acceptor, "handle", _forgets_promise)
+    ),
+    "not-read": _break(
+        "what was accepted is not taken up", "puts", 0, "", (Proposer, "_promised", _not_read)
+    ),
+    "any-voter": _break(
+        "any one voter is enough for a round", "puts", 1, "lose", (register, "majority", _any_majority)
+    ),
+    "any-reading": _break(
+        "any one voter is enough for a reading", "puts", 1, "cut", (parts, "majority", _any_majority)
+    ),
+    "any-version": _break(
+        "a configuration is taken on top of any", "puts", 0, "", (parts.Put, "__call__", _any_version)
+    ),
+    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Part, "owns", _alone)),
+    "from-arrival": _break(
+        "a lease runs from when a pulse came", "duties", 1, "freeze", (Keeper, "pulse", _from_arrival)
+    ),
+    "long-lease": _break(
+        "a lease is longer than the next one waits", "duties", 1, "cut", (Part, "owns", _long_lease)
+    ),
+    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Part, "owns", _at_once)),
+    "voters-unfenced": _break(
+        "a change of voters leaves the fence", "apart", 1, "lose",
+        (parts.Admit, "__call__", _same_voters_fence),
+    ),
+    "same-fence": _break("fences do not rise", "duties", 1, "cut", (parts.Own, "__call__", _same_fence)),
+    "any-one": _break("any one keeper grants a key", "answered", 1, "lose", (Count, "hear", _any_one)),
+    "mixed": _break(
+        "words of two epochs count together", "epochs", 0, "",
+        (Count, "hear", _mixed), (Count, "anew", _counts_on),
+    ),
+    "remembers": _break(
+        "an empty disk counts as caught up", "answered", 1, "wipe",
+        (Keeper, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Part, "_join", _joins),
+    ),
+    "one-source": _break(
+        "one other is enough to learn from", "learning", 0, "", (parts, "sources_needed", _one_source)
+    ),
+    "back-as-before": _break(
+        "one that was put out comes back as caught up", "moved", 0, "",
+        (Standing, "put_out", _not_put_out), (Part, "_join", _joins),
+    ),
+    "drops-any": _break("any try may give a key back", "broken-off", 0, "", (Slips, "drop", _drops_any)),
+    "at-its-word": _break(
+        "a grant leaves before its record is written", "slow", 1, "kill", (Part, "claim", _at_its_word)
+    ),
+    "unsynced-keys": _break(
+        "a grant leaves before it is on disk", "missed", 1, "kill", (Keeper, "do", _unsynced)
+    ),
+}  # fmt: skip
+
+
+@contextlib.contextmanager
+def broken(name: str) -> Iterator[None]:
+    """With one of `BREAKS` in force."""
+    with contextlib.ExitStack() as stack:
+        for where, attribute, value in BREAKS[name].patches if name else ():
+            stack.enter_context(mock.patch.object(where, attribute, value))
+        yield
--- a/rehearsal/explore/pure.py
+++ b/rehearsal/explore/pure.py
@@ -56,12 +56,28 @@
     story: list[str] = field(default_factory=list)  # of the first violation
     seconds: float = 0.0
 
+    def add(self, part: Found) -> None:
+        """What a share of it has seen too."""
+        self.states += part.states
+        self.runs += part.runs
+        self.wished += part.wished
+        self.violations += part.violations
+        self.story = self.story or part.story
+        self.exhausted &= part.exhausted
+        self.seconds += part.seconds
 
-def _go_on(stack: list[bytes], found: Found, seen: set[bytes], until_s: float, many: float) -> list[bytes]:
+
+_Todo = tuple[bytes, str]  # a world, and what is to come next in it; "" for nothing
+
+
+def _go_on(stack: list[_Todo], found: Found, seen: set[bytes], until_s: float, many: float) -> list[_Todo]:
     """Walk on from these until none or `many` are left, or something is broken; the rest. Depth first, but
     where the rest is to be shared out, what parts early comes first: its stories are the shortest."""
     while stack and len(stack) < many and time.monotonic() < until_s:
-        world: World = pickle.loads(stack.pop(0 if many < math.inf else -1))
+        whole, label = stack.pop(0 if many < math.inf else -1)
+        world: World = pickle.loads(whole)
+        if label:
+            world.do(label)
         while not world.violations:
             print_ = world.print()
             if print_ in seen:
@@ -76,10 +92,7 @@
             actions = world.actions()
             if len(actions) > 1:
                 whole = pickle.dumps(world)
-                for label in actions[1:]:
-                    other: World = pickle.loads(whole)
-                    other.do(label)
-                    stack.append(pickle.dumps(other))
+                stack += [(whole, label) for label in actions[1:]]
             world.do(actions[0])
         if world.violations:
             found.violations.update(one.partition(":")[0] for one in world.violations)
@@ -88,12 +101,15 @@
     return stack
 
 
-def _share(job: tuple[bytes, Broken, str, float]) -> Found:
-    """One process's part: all that follows from one world."""
-    whole, broken, break_, until_s = job
+_seen: set[bytes] = set()  # of the search that this process has a share in
+
+
+def _share(job: tuple[_Todo, Broken, str, float]) -> Found:
+    """One process's part: all that follows from one world, but what it has walked before."""
+    todo, broken, break_, until_s = job
     found = Found()
     with broken(break_):
-        found.exhausted = not _go_on([whole], found, set(), until_s, math.inf) and not found.violations
+        found.exhausted = not _go_on([todo], found, _seen, until_s, math.inf) and not found.violations
     return found
 
 
@@ -103,10 +119,12 @@
 ) -> Found:  # fmt: skip
     """Walk all that a world can do; ends with the first violation. Processes share no table of states, so
     what two of them reach is walked twice."""
+    global _seen
     found, began = Found(), time.monotonic()
+    _seen = set()
     until_s = began + limit_s
     with broken(break_):
-        stack = _go_on([pickle.dumps(begin())], found, set(), until_s, SHARED)
+        stack = _go_on([(pickle.dumps(begin()), "")], found, _seen, until_s, SHARED)
     found.exhausted = not stack and not found.violations
     if stack and not found.violations:
         found.exhausted = True
@@ -114,12 +132,7 @@
         with context.Pool(workers or len(os.sched_getaffinity(0))) as pool:
             jobs = [(one, broken, break_, until_s) for one in stack]
             for part in pool.imap_unordered(_share, jobs):
-                found.states += part.states
-                found.runs += part.runs
-                found.wished += part.wished
-                found.violations += part.violations
-                found.story = found.story or part.story
-                found.exhausted &= part.exhausted
+                found.add(part)
                 watch(found)
                 if found.violations:
                     break
