A part's seat in its group and its keys stand in a module each

Change: seat.py has the seat (vote, readings, place, duties), holding.py the keys and their repair on top of it. That a keeper has caught up is tried again with time where the disk refuses it, not at once.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -26,19 +26,8 @@
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
-from athenaeum.holding import (
-    DEAD_S,
-    Action,
-    Answer,
-    Changed,
-    Ended,
-    Note,
-    Part,
-    Peers,
-    Tell,
-    Write,
-    remembered,
-)
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from athenaeum.wire import Link, dial
 from nickelbridge.register import Kept, Value
 from orchidferry.frontend import Reply
--- /dev/null
+++ b/athenaeum/seat.py
@@ -0,0 +1,476 @@
+"""One keeper's seat in the group of a part: its vote, the readings and changes that it runs, its place in
+the group, and the duties of the part. Pure: events in, actions out, in the order in which they are to be
+done; clock and chance are handed in, and all that it holds can be copied.
+
+The owner of a part does its duties while a majority has lately acknowledged its beats without knowing of a
+later fence: `TENURE_S` from its beat, which is over before any voter lets another one take its place.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from athenaeum import parts
+from athenaeum.deposit import Put, pack
+from athenaeum.group import Standing, epoch
+from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
+
+ALIVE_S = 1.5  # a keeper that was heard within this is alive
+DEAD_S = 2.5  # one that was not is dead, as far as this one knows
+TENURE_S = 1.0  # an owner's lease, from when it sent the beat that a majority acknowledged; under ALIVE_S
+SETTLE_S = 0.8  # after its start a keeper does not ask for duties
+PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
+PEEKS = 20
+LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
+ROUND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a round is two round trips and two syncs
+READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
+JOIN_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """To another keeper; lost if there is no link to it."""
+
+    to: str
+    message: list[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """To whoever sent what this answers."""
+
+    to: Any
+    message: list[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Put these on disk, together; `written` wants `then` back with what came of it, unless it is None."""
+
+    puts: list[Put]
+    then: tuple[Any, ...] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """A newer state is known to be decided."""
+
+    old: Value
+    new: Value
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A change or a reading that was asked for here is over; `value` None: nothing is known in time."""
+
+    id: str
+    value: Value | None
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the log."""
+
+    text: str
+
+
+Action = Tell | Answer | Write | Changed | Ended | Note
+
+
+@dataclass(slots=True)
+class _Peek:
+    """What voters say that they have accepted."""
+
+    kept: Kept
+    readers: list[str]
+    until_s: float
+    again: int
+    seen: list[parts.Seen] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Peers:
+    """What a keeper knows of the others, the same for all parts."""
+
+    began_s: float
+    heard_s: dict[str, float] = field(default_factory=dict)
+    unfit: set[str] = field(default_factory=set)  # that can't do duties, by their own word
+    fit: bool = True  # whether this one can: its disk keeps up, it is not stopping
+
+    def alive(self, name: str, now: float, within_s: float = ALIVE_S) -> bool:
+        """Whether a keeper was heard within the time."""
+        return now - self.heard_s.get(name, float("-inf")) < within_s
+
+    def dead(self, name: str, now: float) -> bool:
+        """Whether it has been silent for long; one that was never heard, since the start."""
+        return now - self.heard_s.get(name, self.began_s) > DEAD_S
+
+
+class Seat:
+    """One keeper in the group of one part."""
+
+    def __init__(
+        self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        """`first`: the state that all founders begin with."""
+        self.number, self.name, self.peers, self.rng = number, name, peers, rng
+        self.standing = Standing(caught_up)
+        self.acceptor = Acceptor(name, kept, self._object_to)
+        # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
+        life = f"{name} {rng.randrange(2**53):x}"
+        self.proposer = Proposer(life, first, rng, ROUND_MS, BACK_OFF_MS)
+        self.founder = kept.memory == parts.GENESIS
+        self.seen = first  # the newest decided state that others were told of
+        self.clean = True  # what it keeps is on disk as it is in memory
+        self.abstains_s = peers.began_s  # since when it has granted nothing, if it has not caught up
+        self.now = peers.began_s
+        self._out: list[Action] = []
+        self._mine: deque[Any] = deque()  # messages of the register to itself
+        self._asked: dict[str, tuple[str, list[str], float]] = {}  # what it is for, who waits, until when
+        self._count = 0
+        self._readers: list[str] = []
+        self._peeks: dict[int, _Peek] = {}
+        self._reading = False
+        self._pulsed: dict[str, float] = {}  # keepers that acknowledged this owner: when the beat was sent
+        self._accepted_s = 0.0  # since when something accepted is not known to be decided
+        self._join_s = 0.0
+
+    # What it is
+
+    @property
+    def voter(self) -> Voter:
+        """Who it votes as."""
+        return self.acceptor.voter
+
+    @property
+    def known(self) -> Value:
+        """The newest state that is known to be decided."""
+        return self.proposer.known
+
+    @property
+    def body(self) -> parts.Body:
+        """What is in that."""
+        return parts.body(self.known)
+
+    @property
+    def accepted_fence(self) -> int:
+        """The highest fence that it has voted for."""
+        value = self.acceptor.kept.value
+        return max(self.body.fence, parts.body(value).fence if value is not None else 0)
+
+    def grants(self, under: int) -> bool:
+        """Whether this keeper may grant keys under an epoch."""
+        return self.standing.grants(under, self.voter, self.known, self.acceptor.kept.value)
+
+    def owns(self, now: float) -> int | None:
+        """The fence under which this keeper does the duties of the part now; None if it doesn't."""
+        own = self.body
+        if own.owner != self.name or self.accepted_fence != own.fence or self.voter not in self.known.voters:
+            return None
+        heard = sum(now - self._pulsed.get(v.name, float("-inf")) < TENURE_S for v in self.known.voters)
+        return own.fence if 2 * (heard + 1) > len(self.known.voters) and self.peers.fit else None
+
+    @property
+    def due_s(self) -> float:
+        """When `tick` is wanted before its turn; infinite for never."""
+        peeks = min((peek.until_s for peek in self._peeks.values()), default=float("inf"))
+        return min(self.proposer.due_ms / 1000.0, peeks)
+
+    # Events
+
+    def ask(self, id: str, change: parts.Change, for_s: float, now: float) -> list[Action]:
+        """Have the state changed; it is `Ended` once, with no value if nothing is known in time."""
+        self.now = now
+        self._ask(f"ask {id}", change, for_s, "ask", [id])
+        return self._flush()
+
+    def read(self, id: str, now: float) -> list[Action]:
+        """The newest state for sure; those that ask while a reading is out share the next one."""
+        self.now = now
+        self._read(id)
+        return self._flush()
+
+    def pulse(self, name: str, sent_s: float, fence: int) -> None:
+        """A keeper has acknowledged the beat that was sent then, and has voted for no fence above this."""
+        if fence <= self.body.fence:
+            self._pulsed[name] = max(sent_s, self._pulsed.get(name, float("-inf")))
+
+    def catch(self, version: int, name: str) -> list[Action]:
+        """Another keeper's beat says what it knows: it is told what it has missed."""
+        if version < self.known.version:
+            self._say(name, "know", parts.pack_value(self.known))
+        return self._flush()
+
+    def _pass_time(self, now: float) -> bool:
+        """Do what is due; whether it is also time for what is done now and then."""
+        self.now = now
+        for id, (_, _, until) in list(self._asked.items()):
+            if until <= now:
+                self._end(id, None, "")
+        self._act(self.proposer.tick(now * 1000.0))
+        for number in [n for n, peek in self._peeks.items() if peek.until_s <= now]:
+            self._peek_over(self._peeks.pop(number))
+        value = self.acceptor.kept.value
+        if value is None or value.version <= self.known.version:
+            self._accepted_s = 0.0
+        elif not self._accepted_s:
+            self._accepted_s = now
+        elif now - self._accepted_s > LEARN_S * (1.0 + self.rng.random()):
+            self._accepted_s = now
+            self._read("")
+        if now < self._join_s:
+            return False
+        self._join_s = now + JOIN_S
+        self._join()
+        self._mind_owner()
+        return True
+
+    def _take(self, who: Any, message: list[Any]) -> None:
+        """A message between seats; `ValueError` and its like for a bad one."""
+        match message:
+            case ["reg", sender, packed]:
+                found = parts.unpack_message(packed)
+                if hasattr(found, "promised"):
+                    self._act(self.proposer.handle(found, self.now * 1000.0))  # type: ignore[arg-type]
+                else:
+                    self._vote(sender, found, who)
+            case ["know", packed]:
+                value = parts.unpack_value(packed)
+                if value is not None:
+                    self._learn(value)
+            case ["peek", number, has]:
+                self._tell_peek(who, number, tuple(has))
+            case ["peeked", number, [name, memory], accepted, packed]:
+                seen = parts.Seen(Voter(name, memory), tuple(accepted), parts.unpack_value(packed))
+                self._peeked(number, seen)
+            case ["join", name, memory]:
+                self._admit(Voter(name, memory))
+            case _:
+                raise ValueError(f"no message of a part: {message[0]!r:.40}")
+
+    def _kept(self, then: tuple[Any, ...], ok: bool) -> None:
+        """What came of a write of the seat's own."""
+        match then:
+            case ("voted", who, kept, replies) if ok:
+                self.clean = self.clean or kept is self.acceptor.kept
+                for reply in replies:
+                    self._vote_out(who, reply)
+            case ("out",) if ok:
+                self.standing, self.abstains_s = Standing(False), self.now
+                self._out.append(Note("put out of the group"))
+
+    def _regrouped(self, value: Value) -> None:
+        """The part has another group."""
+
+    # Out
+
+    def _flush(self) -> list[Action]:
+        while self._mine:
+            message = self._mine.popleft()
+            if hasattr(message, "promised"):
+                self._act(self.proposer.handle(message, self.now * 1000.0))
+            else:
+                self._vote(self.name, message, None)
+        out, self._out = self._out, []
+        return out
+
+    def _say(self, to: str, *message: Any) -> None:
+        self._out.append(Tell(to, ["part", self.number, *message]))
+
+    def _reply(self, who: Any, *message: Any) -> None:
+        self._out.append(Answer(who, ["part", self.number, *message]))
+
+    def _write(self, puts: list[Put], then: tuple[Any, ...] | None = None) -> None:
+        self._out.append(Write(puts, then))
+
+    def _about(self, name: str, value: bytes | None) -> Put:
+        return "about", f"{name}/{self.number}".encode(), value
+
+    # The register
+
+    def _object_to(self, intent: Any) -> str:
+        """Nobody who is alive as far as this keeper sees is put out of the group, or out of its duties."""
+        if not isinstance(intent, list) or len(intent) != 2:
+            return ""
+        what, name = intent
+        alive = self.peers.alive(name, self.now) if name != self.name else True
+        if what == "own":
+            fit = self.peers.fit if name == self.name else name not in self.peers.unfit
+            return parts.ALIVE if alive and fit else ""
+        return parts.ALIVE if alive else ""
+
+    def _vote(self, sender: str, message: Any, who: Any) -> None:
+        replies, save = [], not self.clean
+        for action in self.acceptor.handle(message, sender):
+            if isinstance(action, Save):
+                save = True
+            elif isinstance(action, Send):
+                replies.append(action.message)
+        if not save:
+            for answer in replies:
+                self._vote_out(who, answer)
+            return
+        self.clean = False
+        kept = self.acceptor.kept
+        self._write([self._about("kept", pack(parts.pack_kept(kept)))], ("voted", who, kept, replies))
+
+    def _vote_out(self, who: Any, reply: Any) -> None:
+        if who is None:
+            self._mine.append(reply)
+        else:
+            self._reply(who, "reg", self.name, parts.pack_message(reply))
+
+    def _act(self, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                if action.to == self.name:
+                    self._mine.append(action.message)
+                else:
+                    self._say(action.to, "reg", self.name, parts.pack_message(action.message))
+            elif isinstance(action, Done):
+                if action.value.version > self.seen.version:  # before anybody is answered
+                    for name in self._others():
+                        self._say(name, "know", parts.pack_value(action.value))
+                self._learn(action.value)
+                self._end(action.id, action.value, action.why)
+
+    def _others(self) -> list[str]:
+        """The other keepers that have to do with this part."""
+        names = dict.fromkeys([v.name for v in (*self.known.voters, *self.known.former)])
+        return [*(n for n in (names | dict.fromkeys(self.peers.heard_s)) if n != self.name)]
+
+    def _ask(
+        self, id: str, change: parts.Change, for_s: float, what: str, waiting: list[str], intent: Any = None
+    ) -> None:
+        if not self.founder and not self.known.version:  # it knows of no group yet
+            return self._over(what, waiting, None, "")
+        if id not in self._asked:
+            self._asked[id] = (what, waiting, self.now + for_s + 0.05)
+            self._act(self.proposer.ask(id, change, self.now * 1000.0, for_s * 1000.0, intent))
+
+    def _end(self, id: str, value: Value | None, why: str) -> None:
+        asked = self._asked.pop(id, None)
+        if asked is not None:
+            self._over(asked[0], asked[1], value, why)
+
+    def _over(self, what: str, waiting: list[str], value: Value | None, why: str) -> None:
+        if what in ("ask", "read"):
+            self._out += [Ended(id, value, why) for id in waiting if id]
+        if what == "read":
+            self._next_read()
+
+    def _read(self, id: str) -> None:
+        self._readers.append(id)
+        if not self._reading:
+            self._next_read()
+
+    def _next_read(self) -> None:
+        waiting, self._readers = self._readers, []
+        self._reading = bool(waiting)
+        if waiting:
+            self._peek(waiting, PEEKS)
+
+    def _peek(self, readers: list[str], again: int) -> None:
+        """Look at what the voters have accepted; where that settles nothing, run a round."""
+        self._count += 1
+        number, kept = self._count, self.acceptor.kept
+        self._peeks[number] = _Peek(kept, readers, self.now + PEEK_S, again)
+        for name in self._others():
+            self._say(name, "peek", number, list(kept.accepted))
+        if self.clean:
+            self._peeked(number, parts.Seen(self.voter, kept.accepted, None))
+
+    def _tell_peek(self, who: Any, number: int, has: Any) -> None:
+        kept = self.acceptor.kept
+        if self.clean:
+            value = None if has == kept.accepted else parts.pack_value(kept.value)
+            self._reply(who, "peeked", number, [self.name, kept.memory], list(kept.accepted), value)
+
+    def _peeked(self, number: int, seen: parts.Seen) -> None:
+        peek = self._peeks.get(number)
+        if peek is None:
+            return
+        peek.seen.append(seen)
+        first = self.known if self.founder and not self.known.version else None
+        value = parts.stands(peek.seen, peek.kept.value, peek.kept.accepted, first)
+        if value is not None:
+            del self._peeks[number]
+            self._learn(value)
+            self._over("read", peek.readers, self.known, "")
+
+    def _peek_over(self, peek: _Peek) -> None:
+        if 2 * len(peek.seen) > len(self.known.voters):  # enough have answered, and differ
+            self._count += 1
+            self._ask(f"read {self._count}", parts.read, READ_S, "read", peek.readers)
+        elif peek.again:
+            self._peek(peek.readers, peek.again - 1)
+        else:
+            self._over("read", peek.readers, None, "")
+
+    def _learn(self, value: Value) -> None:
+        """A state that was decided."""
+        self.proposer.learn(value)
+        old, value = self.seen, self.known
+        if value.version > old.version:
+            self.seen = value
+            if parts.body(value).fence != parts.body(old).fence:
+                self._pulsed.clear()
+            if epoch(value) != epoch(old):
+                self._regrouped(value)
+            self._out.append(Changed(old, value))
+
+    # The group
+
+    def _join(self) -> None:
+        """Ask for a place, where this keeper has none."""
+        if self.voter in self.known.voters:
+            return
+        if self.standing.caught_up:  # it missed what was granted without it, and must not say otherwise
+            if self.standing.put_out(self.voter, self.known, self.acceptor.kept.value):
+                self._write([self._about("caught", None)], ("out",))
+            return
+        for name in self._others():
+            self._say(name, "join", self.name, self.voter.memory)
+
+    def _admit(self, joiner: Voter) -> None:
+        """Another keeper asks for a place in the group."""
+        if self.voter not in self.known.voters or joiner in self.known.voters:
+            return
+        if any(what == "admit" for what, _, _ in self._asked.values()):
+            return
+        names = [v.name for v in self.known.voters]
+        dead = [n for n in names if n != self.name and self.peers.dead(n, self.now)]
+        instead = joiner.name if joiner.name in names else dead[0] if dead else ""
+        if not instead:
+            return
+        self._out.append(Note(f"{joiner.name} asks for a place, instead of {instead}"))
+        intent = None if instead == joiner.name else ["replace", instead]
+        change = parts.Admit(joiner, instead, len(names))
+        self._ask(f"admit {joiner.name} {joiner.memory}", change, ADMIT_S, "admit", [], intent)
+
+    # Duties
+
+    def _mind_owner(self) -> None:
+        """Take the duties of the part where their owner is gone or can't do them, if this one comes first."""
+        now, names = self.now, [v.name for v in self.known.voters]
+        if self.voter not in self.known.voters or now - self.peers.began_s < SETTLE_S:
+            return
+        if not self.standing.caught_up or any(what == "own" for what, _, _ in self._asked.values()):
+            return
+        alive = {n for n in names if n != self.name and self.peers.alive(n, now)} | {self.name}
+        fit = {n for n in alive if n not in self.peers.unfit and (n != self.name or self.peers.fit)}
+        if 2 * len(alive) <= len(names) or self.body.owner in fit or not fit:
+            return
+        owner = self.body.owner
+        if owner in names and owner not in alive and not self.peers.dead(owner, now):
+            return
+        if parts.ranked(self.number, sorted(fit))[0] == self.name:
+            intent = ["own", owner] if owner and owner != self.name else None
+            self._ask(
+                f"own {self.body.fence}", parts.Own(self.name, self.body.fence), OWN_S, "own", [], intent
+            )
--- a/tests/mesh/test_group.py
+++ b/tests/mesh/test_group.py
@@ -20,7 +20,8 @@
 from athenaeum.claims import Count
 from athenaeum.deposit import unpack
 from athenaeum.group import Standing, epoch
-from athenaeum.holding import Action, Answer, Changed, Ended, Part, Peers, Tell, Write, remembered
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import Action, Answer, Changed, Ended, Peers, Tell, Write
 from nickelbridge.register import Kept, Value, Voter
 
 WINDOW_S = 60.0
