--- a/athenaeum/recalls.py
+++ b/athenaeum/recalls.py
@@ -10,7 +10,7 @@
 >>> recalls = Recalls(0.0)
 >>> recalls.began(4_000.0, [])
 >>> recalls.asked("midia", ("h", "/x/"), False, Mark(), 3_000.0)  # runs of a life before may call still
-Origin(client=False, again=True)
+Origin(client=False, again=False)
 >>> recalls.asked("midia", ("h", "/x/"), False, Mark(), 5_000.0)
 Origin(client=True, again=False)
 >>> run = recalls.enter(True)
@@ -52,8 +52,9 @@
         self._inside: dict[int, bool] = {}  # runs, and whether each is a repeat
         self._repeats = 0
         self._serial = 0
-        # Until then runs that are out of sight may make calls, and repeated ones; forever, if none is known.
-        self._busy_ms = self._again_ms = math.inf
+        # Until then runs that are out of sight may make calls, and repeated ones. What a life before let in
+        # was borne by its own budget, so only whose a request is isn't known until that is over.
+        self._busy_ms, self._again_ms = math.inf, -math.inf
         self._proofs: dict[Place, int] = {}  # requests that were surely clients', by route
         self._runs, self._calls = 0.0, dict[str, float]()  # averaged; by service
         self._kept: dict[str, float] = {}  # room set apart for the calls of repeated runs inside, by service
@@ -61,7 +62,7 @@
     def began(self, longest_ms: float, places: Iterable[Place]) -> None:
         """The routes are known: no run of a life before goes on for longer than the longest."""
         if math.isinf(self._busy_ms):
-            self._busy_ms = self._again_ms = self._began_ms + longest_ms
+            self._busy_ms = self._began_ms + longest_ms
         self._proofs = {place: self._proofs.get(place, 0) for place in places}
 
     def enter(self, again: bool) -> int:
