--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from athenaeum import parts
+from athenaeum.allowance import Allowances
 from athenaeum.boot import Boot
 from athenaeum.callslips import MOST
 from athenaeum.deposit import Deposit, Put, pack
@@ -66,6 +67,8 @@
         self._remember()
         self._load_slips()
         self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
+        bounds = boot.bounds
+        self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
         self._peers: dict[str, Link] = {}  # keepers that this one dialled
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
@@ -77,6 +80,7 @@
             {"/orchidferry/configuration": self._configuration}, max(64, boot.descriptors // 4)
         )
         self._server: asyncio.Server | None = None
+        self._stopping = False
 
     # Its memory
 
@@ -109,6 +113,10 @@
             key = raw.decode("latin-1")
             self._parts[parts.part_of(key)].load(key, unpack_stored(packed))
 
+    def _owner_fence(self, service: str, now: float) -> int | None:
+        """The fence under which this keeper does the duties for a service now; None if it doesn't."""
+        return self._parts[parts.part_of(service)].owns(now)
+
     @property
     def _folio(self) -> Part:
         return self._parts[parts.FOLIO]
@@ -118,9 +126,9 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop; then let others take over, and end."""
         self._server = await self._loop.create_server(
-            lambda: Link(self._heard, self._lost), self._boot.ip, self._boot.internal_port, backlog=512
+            lambda: Link(self._heard, self._lost), self._boot.local_ip, self._boot.internal_port, backlog=512
         )
-        await self._door.listen(self._loop, self._boot.listen["control"])
+        await self._door.listen(self._loop, self._boot.door("control"))
         for number, part in self._parts.items():
             logger.info(
                 "archive: part {} with epoch {} at version {}", number, part.body.epoch, part.known.version
@@ -128,8 +136,8 @@
         await self._turn_until(stopping, float("inf"))
         logger.info("archive: stopping")
         self._door.close_listener()
-        self._known_peers.fit = False
-        self._beat()
+        self._stopping = True
+        self._mind_fitness()
         await self._turn_until(asyncio.Event(), self._loop.time() + STOP_S)
         self._server.close()
         self._deposit.close()
@@ -150,6 +158,13 @@
             except TimeoutError:
                 pass
 
+    def _mind_fitness(self) -> None:
+        """A keeper whose disk does not keep up, or that ends, does no duties: the others hear at once."""
+        fit = not self._deposit.ailing and not self._stopping
+        if fit is not self._known_peers.fit:
+            self._known_peers.fit = fit
+            self._beat()
+
     def reread(self, boot: Boot) -> None:
         """The settings file has changed: other keepers may be named there."""
         self._seeds = boot.seeds
@@ -180,7 +195,7 @@
 
     async def _dial(self, name: str) -> None:
         try:
-            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.ip)
+            link = await dial(self._heard, self._lost, name, self._boot.internal_port, self._boot.local_ip)
             if link is not None:
                 link.peer = name
                 self._peers[name] = link
@@ -196,6 +211,7 @@
                 self._dial_s[name] = now + DIAL_S
                 self._spawn(self._dial(name))
         self._desk.tick()
+        self._mind_fitness()
         for part in self._parts.values():
             self._turn(part)
 
@@ -283,7 +299,7 @@
         if kind == "claim":
             rid, under, key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
-            self._do(part, part.claim(link, rid, under, key, holder, True, now))
+            self._do(part, part.claim(link, rid, under, key, holder, self._deposit.room, now))
             if under != part.body.epoch:
                 self._tell_group(part, link)
         elif kind == "done":
@@ -294,6 +310,13 @@
             key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
             self._do(part, part.drop(key, holder, now))
+        elif kind == "share?":
+            service, node, life, number, used, wanted, held, fence = message[1:]
+            share = self._allowances.handle(
+                service, node, life, number, used, wanted, held, fence, now
+            )  # fmt: skip
+            if share is not None:
+                link.send(*share)
         elif kind == "renew":
             self._desk.renew(link, *message[1:])
         elif kind == "since":
--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -132,7 +132,9 @@
 
     async def _dial(self, keeper: Keeper) -> None:
         try:
-            link = await dial(self._heard, self._lost, keeper.name, self._boot.internal_port, self._boot.ip)
+            link = await dial(
+                self._heard, self._lost, keeper.name, self._boot.internal_port, self._boot.local_ip
+            )
             if link is not None:
                 link.peer = keeper.name
                 keeper.link, keeper.knows, keeper.warm = link, (0, -1), False
@@ -217,7 +219,7 @@
         """Let other nodes follow this one; `OSError` if the internal port is taken."""
         self._server = await self._loop.create_server(
             lambda: Link(self._below, self._branch.lost_follower, self._branch.stranger),
-            self._boot.ip, self._boot.internal_port,
+            self._boot.local_ip, self._boot.internal_port,
         )  # fmt: skip
 
     def _below(self, link: Link, message: list[Any]) -> None:
@@ -242,7 +244,7 @@
             link = None
             try:
                 link = await dial(
-                    self._above, self._branch.lost_parent, ip, self._boot.internal_port, self._boot.ip
+                    self._above, self._branch.lost_parent, ip, self._boot.internal_port, self._boot.local_ip
                 )
             finally:
                 self._branch.dialled(name, link)
