Archive: a keeper that others know of by its call alone is told what it has missed

Cause: states go to keepers that this one dialled, which are the voters and the seeds. One that was put out while it was cut off, and is no seed any more, beat on for ever and never heard that it had been replaced. Change: links that keepers dialled are kept by name too, and used where there is no other.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -58,7 +58,8 @@
         self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
         bounds = boot.bounds
         self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
-        self._peers: dict[str, Link] = {}  # keepers that this one dialled
+        self._peers: dict[str, Link] = {}  # keepers that this one dialled,
+        self._callers: dict[str, Link] = {}  # and that dialled it: also those that it knows of no other way
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -223,7 +224,7 @@
         for action in actions:
             match action:
                 case Tell():
-                    link = self._peers.get(action.to)
+                    link = self._peers.get(action.to) or self._callers.get(action.to)
                     if link is not None:
                         link.send(*action.message)
                 case Answer():
@@ -280,8 +281,9 @@
 
     def _lost(self, link: Link) -> None:
         self._desk.lost(link)
-        if self._peers.get(link.peer) is link:
-            del self._peers[link.peer]
+        for links in (self._peers, self._callers):
+            if links.get(link.peer) is link:
+                del links[link.peer]
 
     def _take(self, link: Link, message: list[Any]) -> None:
         kind, now = message[0], self._loop.time()
@@ -335,7 +337,8 @@
         elif kind == "fetch":
             self._tell_folio(link, message[1], self._folio.known)
         elif kind == "keeper":
-            link.peer = message[1]
+            link.peer = str(message[1])
+            self._callers[link.peer] = link
 
     def _heard_beat(self, link: Link, name: str, number: int, fit: bool, versions: list[int]) -> None:
         known = self._known_peers
