--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -23,7 +23,17 @@
 from athenaeum.accessions import Record
 from athenaeum.branch import CATCH_S, STRIKES, Branch
 from athenaeum.circulation import Circulation
-from athenaeum.relays import FANOUT, FOLLOWERS_MOST, HEADS, LOG, Stream, parents, rank, unpack_change
+from athenaeum.relays import (
+    FANOUT,
+    FOLLOWERS_MOST,
+    HEADS,
+    LOG,
+    Followers,
+    Stream,
+    parents,
+    rank,
+    unpack_change,
+)
 from rehearsal.model.relays import BETWEEN_S, Node, World
 from tests.mesh.test_deposit import keeper as real_keeper
 
@@ -178,6 +188,18 @@
     assert max(children.values(), default=0) <= fanout
 
 
+def test_a_follower_is_told_of_a_life_that_it_has_named() -> None:
+    stream, followers = Stream("k", 7, 0), Followers[str]()
+    assert followers.follow("a", [("k", 6, 0)]) and followers.follow("b", [("k", 7, 0)])
+    for name in "xy":
+        stream.step([record(name)])
+    [(change, links)] = followers.due(stream)
+    assert links == ["b"] and (change.since, change.number) == (0, 2) and not followers.due(stream)
+    followers.follow("a", [("k", 7, -1)])
+    [(change, links)] = followers.due(stream)
+    assert links == ["a"] and change.since == -1 and len(change.entries) == 2
+
+
 class Wire:
     """One end of a link, which notes what is sent."""
 
