bench mesh: what the mesh costs in claims, requests, memory, idle bytes and news

Need: the mesh's design names rates and shares of small machines, and nothing measured what it takes of them. Change: `orchidferry bench mesh` starts real keepers and nodes on loopback with stand-in servers, all ended with it, and measures CPU by the kernel's books of all threads, times at a fixed open rate, bytes on disk, bytes of an idle mesh by a relay that counts messages, and the time from an acknowledgement to the last node. A process of the mesh has its command as a field, so that a keeper with longer syncs can be started; the forwarding bench's client takes how a request is written, its servers answer with a seal where an id came.

--- a/rehearsal/bench/__init__.py
+++ b/rehearsal/bench/__init__.py
@@ -23,6 +23,7 @@
     "libraries",
     "lists",
     "members",
+    "mesh",
     "moves",
     "peers",
     "replay",
--- a/rehearsal/bench/forward.py
+++ b/rehearsal/bench/forward.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -49,7 +50,9 @@
     seed = scenario().seed
 
     def requested(connection: Any, request: Request) -> None:
-        connection.answer(200, body_of(seed, request.headers.get("x-call-id", "")))
+        id = request.headers.get("attempt-id")
+        more = f"Attempt-Id: {id}\r\nServer-Seal: {id}\r\n" if id is not None else ""  # a mesh wants both
+        connection.answer(200, body_of(seed, request.headers.get("x-call-id", "")), more)
 
     for host, port in addresses:
         await loop.create_server(
@@ -76,27 +79,39 @@
     return int(next(line for line in status.splitlines() if line.startswith("VmRSS")).split()[1])
 
 
+def writer(mix: bool) -> Callable[[int, str], bytes]:
+    """How a request is written, by its number and id."""
+    classes = {cls.name: cls for cls in scenario().classes}
+    names = [name for name, count in CLASSES for _ in range(count)] if mix else ["ler-feed"]
+
+    def write(number: int, id: str) -> bytes:
+        cls = classes[names[number % len(names)]]
+        return message(cls, id, f"k-{id}", number, BUDGET_S, False, b"x" * 100)
+
+    return write
+
+
 async def ask_all(
-    address: Address, rate: float, seconds: float, mix: bool, tag: str, pool: Any = None
-) -> dict[str, Any]:
-    """An open loop at one rate; what came back, and how late the asking was."""
+    address: Address, rate: float, seconds: float, mix: bool, tag: str, pool: Any = None,
+    write: Callable[[int, str], bytes] | None = None,
+) -> dict[str, Any]:  # fmt: skip
+    """An open loop at one rate; what came back, and how late the asking was. `write`: instead of the mix."""
     one = scenario()
     pool = Pool(lambda _: None) if pool is None else pool
-    classes = {cls.name: cls for cls in one.classes}
-    names = [name for name, count in CLASSES for _ in range(count)] if mix else ["ler-feed"]
+    write = writer(mix) if write is None else write
     took: list[float] = []
     late: list[float] = []
     failed = 0
 
     async def ask(number: int) -> None:
         nonlocal failed
-        cls, id = classes[names[number % len(names)]], f"{tag}{number}.0"
+        id = f"{tag}{number}.0"
         began = time.monotonic()
         connection = await pool.connection(address)
         if isinstance(connection, Outcome):
             failed += 1
             return
-        waiting = connection.ask(id, message(cls, id, f"k-{id}", number, BUDGET_S, False, b"x" * 100))
+        waiting = connection.ask(id, write(number, id))
         await asyncio.wait({waiting}, timeout=BUDGET_S + 0.5)
         outcome = waiting.result() if waiting.done() else Outcome("timeout", 0.0)
         if outcome.status == 200 and outcome.body == body_of(one.seed, id):
--- /dev/null
+++ b/rehearsal/bench/mesh.py
@@ -0,0 +1,487 @@
+"""`orchidferry bench mesh`: what the mesh costs, real processes on loopback; large meshes in virtual time.
+
+Every figure is the median of its repeats, with the least and the most. CPU is the kernel's count for the
+process (`/proc/PID/task/*/schedstat`), so it bears other work on the machine better than a time does.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import importlib
+import importlib.util
+import statistics
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from rehearsal.bench import forward
+from rehearsal.bench.forward import ask_all
+from rehearsal.bench.mesh_fleet import FEED, HOST, SAVE, Fleet, Meter, disk_sync_ms, written_bytes
+from rehearsal.exchange import message
+from rehearsal.mesh.day import Machine
+from rehearsal.mesh.processes import missing
+from rehearsal.wire import Address, Outcome
+
+Row = dict[str, Any]
+RATES = (150.0, 500.0)  # claims a second that are offered
+AT_ONCE = 512  # claims that are out where the most is asked for
+MOST_CLAIMS = 40_000  # of one such load
+ANSWER = 600  # bytes of an answer that is kept
+SYNC_MS = 1.0  # that each commit takes longer on a disk of memory, in the rows that say so
+SHARE = 0.645  # of a core: what a core machine has
+REQUESTS = 300.0  # requests a second offered to a forwarder
+WARM_S = 1.0
+WAITED = 0.02  # a share of the time that is told where a process waited so long for a core
+KEYS = 50_000  # claimed for the memory row
+SMALL, LARGE = (3, 3), (6, 6)  # servers of the two services, one a node
+NEWS = (11, 1)  # the one is drained
+CHANGES, DRAINS = 8, 4  # of one measurement
+SETTLE_S = 2.5  # after the start, before a mesh is idle
+POLL_S = 0.006
+KNOWN_S = 5.0  # for all nodes to know of a change
+ROUTE_MS = 1_000
+VIRTUAL = ((100, 3, 1), (1_000, 3, 1))  # nodes, zones, seed
+VIRTUAL_CHANGES = 20  # of each
+MODEL = "rehearsal.bench.mesh_news"
+
+
+def quantile(values: Sequence[float], q: float) -> float:
+    """The value that a share `q` of them do not exceed.
+
+    >>> quantile([3, 1, 2, 4], 0.5), quantile([5], 0.99), quantile(range(1, 101), 0.99)
+    (2, 5, 99)
+    """
+    ordered = sorted(values)
+    return ordered[max(0, -int(-q * len(ordered) // 1) - 1)]
+
+
+def row(what: str, name: str, unit: str, values: Sequence[float], **more: Any) -> Row:
+    """A figure over its repeats, printed as it comes; `ValueError` where nothing was measured."""
+    if not values:
+        raise ValueError(f"{what}: {name}: nothing was measured")
+    made = {
+        "what": what, "name": name, "unit": unit, "min": round(min(values), 4),
+        "median": round(statistics.median(values), 4), "max": round(max(values), 4),
+        "of": len(values), **more,
+    }  # fmt: skip
+    notes = "".join(f"; {key} {value}" for key, value in more.items() if key != "broken")
+    print(
+        f"  {name:58} {made['median']:>10.5g} {unit} ({made['min']:.5g} to {made['max']:.5g}, "
+        f"of {len(values)}){notes}{'  BROKEN' if more.get('broken') else ''}",
+        flush=True,
+    )
+    return made
+
+
+# Claims
+
+
+def claim_rows(name: str, loads: list[dict[str, Any]]) -> list[Row]:
+    """The rows of one load from its repeats."""
+    asked, granted = (sum(load[key] for load in loads) for key in ("asked", "granted"))
+    took = [sorted(t * 1e3 for t in load["took"]) for load in loads]
+    late = max(quantile(load["late"], 0.99) for load in loads) * 1e3
+    lost = {"ungranted": asked - granted, "broken": True} if granted < asked else {}
+    busy = [load["granted"] / load["seconds"] for load in loads]
+    cpu = [cpu for load in loads for cpu in load["keeper_us"]]
+    wrote = [b for load in loads for b in load["written"]]  # nothing where the disk is of memory
+    most = SHARE / statistics.median(cpu) * 1e6
+    return [
+        row("claims", f"{name}: granted", "a second", busy,
+            keeper_busy=f"{max(s for load in loads for s in load['keeper_share']):.0%}",
+            claimer_busy=f"{max(load['cpu_s'] / load['seconds'] for load in loads):.0%}",
+            waited_for_a_core=f"{max(load['waited'] for load in loads):.0%}", **lost),
+        row("claims", f"{name}: CPU of a keeper", "us a claim", cpu, core_machine=f"{most:.0f}/s"),
+        row("claims", f"{name}: p50", "ms", [quantile(t, 0.5) for t in took if t]),
+        row("claims", f"{name}: p99", "ms", [quantile(t, 0.99) for t in took if t],
+            asked_late_p99_ms=round(late, 2)),
+        *([row("claims", f"{name}: written to disk", "bytes a claim", wrote)] if any(wrote) else []),
+    ]  # fmt: skip
+
+
+async def claims(
+    seconds: float, turns: int, groups: Sequence[int] = (1, 3), rates: Sequence[float] = RATES,
+    syncs: Sequence[float] = (0.0, SYNC_MS), most: bool = True,
+) -> list[Row]:  # fmt: skip
+    """Keys claimed of one keeper and of three, at rates and as fast as they go; each turn with new disks."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    stored: dict[int, list[float]] = {}
+    for _ in range(turns):
+        for keepers in groups:
+            for sync in syncs if keepers == max(groups) else (0.0,):
+                async with Fleet(keepers, sync_ms=sync) as fleet:
+                    claimer = await fleet.claimer()
+                    before, asked = fleet.stored(), 0
+                    loads = [(f"{rate:g}/s", rate, 0) for rate in rates]
+                    if most:
+                        loads.append((f"{AT_ONCE} at once", 0.0, 0))
+                    if keepers == max(groups) and not sync:
+                        loads.append((f"{rates[-1]:g}/s, answers of {ANSWER} B kept", rates[-1], ANSWER))
+                    for name, rate, answer in loads:
+                        pids = fleet.pids(fleet.cores)
+                        meter, wrote = Meter(pids), [written_bytes(pid) for pid in pids]
+                        load = await fleet.load(
+                            claimer, tag=name, rate=rate, seconds=seconds, at_once=AT_ONCE,
+                            count=MOST_CLAIMS, answer=answer,
+                        )  # fmt: skip
+                        spent, load["waited"] = meter.read()
+                        count = max(1, load["granted"])
+                        load["keeper_us"] = [s / count * 1e6 for s in spent]
+                        load["keeper_share"] = [s / load["seconds"] for s in spent]
+                        load["written"] = [
+                            (written_bytes(pid) - was) / count for pid, was in zip(pids, wrote, strict=True)
+                        ]
+                        who = "1 keeper" if keepers == 1 else f"{keepers} keepers"
+                        longer = f", syncs of {sync:g} ms" if sync else ""
+                        found.setdefault(f"{who}{longer}, {name}", []).append(load)
+                        asked += load["granted"] if not answer else 0
+                        if not sync and name.endswith("at once"):
+                            stored.setdefault(keepers, []).extend(
+                                (now - was) / asked for now, was in zip(fleet.stored(), before, strict=True)
+                            )
+    rows = [one for name, some in found.items() for one in claim_rows(name, some)]
+    for keepers, values in stored.items():
+        rows.append(row("claims", f"{keepers} keepers: kept on disk", "bytes a claim", values))
+    rows.append(
+        row("claims", "4 KiB written and synced on this disk", "ms", disk_sync_ms(tempfile.gettempdir()))
+    )
+    return rows
+
+
+# Requests
+
+
+def asked_as(name: str, prefix: str, keyed: bool) -> Callable[[int, str], bytes]:
+    """Requests that the present node and the mesh both read: the same bytes go to all."""
+    cls = next(cls for cls in forward.scenario().classes if cls.name == name)
+
+    def write(number: int, id: str) -> bytes:
+        more = [f"Attempt-Id: {id}", f"Time-Remaining: {forward.BUDGET_S * 1e3:.0f}"]
+        if keyed:
+            more.append(f"Operation-Key: k-{id}")
+        target = f"{prefix}x?obj={number:x}"
+        return message(
+            cls, id, f"k-{id}", number, forward.BUDGET_S, False, b"x" * 100, HOST, target, more=more
+        )
+
+    return write
+
+
+READS, SAVES = asked_as("ler-feed", FEED, False), asked_as("salvar-episodio", SAVE, True)
+
+
+async def requests(seconds: float, turns: int) -> list[Row]:
+    """CPU a request of a node of the mesh beside the bare forwarder and the present node, by turns."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    async with Fleet(3, (1, 1)) as fleet:
+        near, far = fleet.sidecars
+        bench = forward.Bench(fleet.block, fleet.folder, 0)
+        bench.servers = [(near.ip, fleet.ports.application)]
+        serial = 0
+
+        async def one(
+            name: str, address: Address, pids: list[int], write: Callable[[int, str], bytes]
+        ) -> None:
+            nonlocal serial
+            serial += 1
+            await ask_all(address, REQUESTS, WARM_S, False, f"w{serial}-", write=write)
+            keepers, meter = fleet.meter(fleet.cores), Meter(pids)
+            result = await ask_all(address, REQUESTS, seconds, False, f"m{serial}-", write=write)
+            spent, result["waited"] = meter.read()
+            result["cpu_us"] = [s / result["asked"] * 1e6 for s in spent]
+            result["keeper_us"] = [s / result["asked"] * 1e6 for s in keepers.read()[0]]
+            found.setdefault(name, []).append(result)
+
+        try:
+            for _ in range(turns):
+                for what in ("bare", "node"):
+                    process, address = await bench.start(what)
+                    title = "bare forwarder" if what == "bare" else "present node"
+                    await one(f"{title}, reads", address, [process.pid], READS)
+                    if what == "node":
+                        await one(f"{title}, keyed", address, [process.pid], SAVES)
+                    await bench.stop(process)
+                by = {machine: fleet.pids([machine])[0] for machine in (near, far)}
+                for kind, write in (("reads", READS), ("keyed", SAVES)):
+                    door = (near.ip, fleet.ports.outbound)
+                    await one(f"carrel, one machine, {kind}", door, [by[near]], write)
+                    door = (far.ip, fleet.ports.outbound)
+                    await one(f"carrel, two machines, {kind}", door, [by[far], by[near]], write)
+        finally:
+            await bench.close()
+    return request_rows(found)
+
+
+def request_rows(found: dict[str, list[dict[str, Any]]]) -> list[Row]:
+    """The rows of all turns; the bare forwarder is what others are compared with."""
+    bare = statistics.median(sum(one["cpu_us"]) for one in found["bare forwarder, reads"])
+    rows = []
+    for name, some in found.items():
+        failed = sum(one["failed"] for one in some)
+        more: Row = {"failed": failed, "broken": True} if failed else {}
+        parts = [statistics.median(one["cpu_us"][n] for one in some) for n in range(len(some[0]["cpu_us"]))]
+        if len(parts) > 1:
+            more["outbound_us"], more["inbound_us"] = (round(part, 1) for part in parts)
+        total = [sum(one["cpu_us"]) for one in some]
+        late = max(one["late_p99_ms"] for one in some)
+        if late > forward.LATE_MS:
+            more["asked_late_p99_ms"] = round(late, 1)
+        if (waited := max(one["waited"] for one in some)) > WAITED:
+            more["waited_for_a_core"] = f"{waited:.0%}"
+        if name.startswith("carrel") and name.endswith("keyed"):
+            more["each_keeper_us"] = round(statistics.median(k for one in some for k in one["keeper_us"]), 1)
+        rows.append(row("requests", f"{name}: CPU", "us a request", total,
+                        ratio=round(statistics.median(total) / bare, 2), **more))  # fmt: skip
+        rows.append(row("requests", f"{name}: p50", "ms", [one["p50_ms"] or 0.0 for one in some]))
+        rows.append(row("requests", f"{name}: p99", "ms", [one["p99_ms"] or 0.0 for one in some]))
+    return rows
+
+
+# Memory
+
+
+async def memory(seconds: float, turns: int) -> list[Row]:
+    """The most memory of a node and a keeper, idle and after load: one fleet, over its processes."""
+    async with Fleet(3, (1, 1)) as fleet:
+        claimer = await fleet.claimer()
+        await asyncio.sleep(SETTLE_S)
+        kinds: list[tuple[str, list[Machine]]] = [("archive", fleet.cores), ("carrel", fleet.sidecars)]
+        meters = [fleet.meter(some) for _, some in kinds]
+        await asyncio.sleep(seconds)
+        rows = []
+        for (name, some), meter in zip(kinds, meters, strict=True):
+            shares = [100.0 * s / seconds for s in meter.read()[0]]
+            rows.append(row("memory", f"{name}, idle: CPU", "% of a core", shares))
+            rows.append(row("memory", f"{name}, idle: most", "MB", fleet.peaks(some)))
+        for machine in fleet.sidecars:
+            door = (machine.ip, fleet.ports.outbound)
+            tag = f"{machine.name}-"
+            await ask_all(door, 2.0 * REQUESTS, seconds, False, f"r{tag}", write=READS)
+            await ask_all(door, REQUESTS, seconds, False, f"k{tag}", write=SAVES)
+        rows.append(row("memory", f"carrel, after {2 * REQUESTS:g}/s reads, {REQUESTS:g}/s keyed: most", "MB",
+                        fleet.peaks(fleet.sidecars)))  # fmt: skip
+        stored = fleet.stored()
+        load = await fleet.load(claimer, tag="memory", rate=0.0, seconds=28.0, at_once=AT_ONCE, count=KEYS,
+                                answer=0)  # fmt: skip
+        count = load["granted"]
+        more = {"broken": True} if count < KEYS else {}
+        name = f"archive, after {count:,} keys"
+        rows.append(row("memory", f"{name}: most", "MB", fleet.peaks(fleet.cores), **more))
+        grown = [(now - was) / max(1, count) for now, was in zip(fleet.stored(), stored, strict=True)]
+        rows.append(row("memory", f"{name}: kept on disk", "bytes a claim", grown))
+        return rows
+
+
+# What an idle mesh says
+
+
+async def idle(seconds: float, turns: int) -> list[Row]:
+    """Bytes that nodes and keepers exchange while nothing happens, counted by a relay between them."""
+    rows = []
+    for servers in (SMALL, LARGE):
+        async with Fleet(3, servers, relay=True) as fleet:
+            nodes = len(fleet.sidecars)
+            await asyncio.sleep(SETTLE_S)
+            up, down, kinds = [], [], set()
+            for _ in range(turns):
+                for relay in fleet.relays:
+                    relay.up.clear()
+                    relay.down.clear()
+                began = time.monotonic()
+                await asyncio.sleep(seconds)
+                node_s = (time.monotonic() - began) * nodes
+                up.append(sum(relay.up.total() for relay in fleet.relays) / node_s)
+                down.append(sum(relay.down.total() for relay in fleet.relays) / node_s)
+                kinds |= {kind for relay in fleet.relays for kind in (*relay.up, *relay.down)}
+            fleet.check()
+            said = " ".join(sorted(kinds))
+            name = f"3 keepers, {nodes} nodes, idle"
+            rows.append(row("bytes", f"{name}: to the keepers", "bytes a node a second", up, kinds=said))
+            rows.append(row("bytes", f"{name}: from the keepers", "bytes a node a second", down))
+    return rows
+
+
+# News
+
+
+class Watch:
+    """Polls all nodes for one target, over a connection each, and notes when each node's answer turned.
+
+    Where a success is wanted that is when it came; where the end of them is, when that request was sent, as
+    a node may hold one that no server is there for.
+    """
+
+    def __init__(self, fleet: Fleet, target: str, wanted: bool) -> None:
+        self._fleet, self._target, self._wanted = fleet, target, wanted
+        self.turned: dict[str, float] = {}
+
+    async def node(self, machine: Machine) -> None:
+        address, number = (machine.ip, self._fleet.ports.outbound), 0
+        pool = self._fleet.scene.pool(machine)
+        while machine.name not in self.turned:
+            number += 1
+            id = f"p{machine.number}-{number}"
+            asked = (
+                f"GET {self._target} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\n"
+                f"Time-Remaining: {ROUTE_MS}\r\n\r\n"
+            )
+            connection, sent = await pool.connection(address), time.monotonic()
+            if not isinstance(connection, Outcome):
+                try:
+                    outcome = await asyncio.wait_for(connection.ask(id, asked.encode()), ROUTE_MS / 1e3 + 0.5)
+                except TimeoutError:
+                    connection.drop()
+                    continue
+                pool.put_back(address, connection)
+                if outcome.how == "answer" and (outcome.status == 200) is self._wanted:
+                    self.turned[machine.name] = outcome.t if self._wanted else sent
+            await asyncio.sleep(POLL_S)
+
+    async def turn(self, change: Callable[[], Awaitable[float]] | None = None) -> list[float]:
+        """Poll all until each has turned; ms from the acknowledgement of `change`, made meanwhile, if any."""
+        fleet, acked = self._fleet, time.monotonic()
+        polling = [fleet.spawn(self.node(machine)) for machine in fleet.sidecars]
+        try:
+            if change is not None:
+                await asyncio.sleep(5.0 * POLL_S)
+                if self.turned:
+                    raise ValueError(f"{next(iter(self.turned))} knew of a change before it was made")
+                acked = await change()
+            await asyncio.wait(polling, timeout=KNOWN_S)
+        finally:
+            for task in polling:
+                task.cancel()
+        fleet.check()
+        return [1e3 * (t - acked) for t in self.turned.values()]
+
+
+async def news(seconds: float, turns: int) -> list[Row]:
+    """Time from an acknowledgement to nodes knowing: real processes, and the model's virtual time."""
+    changes: list[list[float]] = []
+    drains: list[list[float]] = []
+    async with Fleet(3, NEWS) as fleet:
+        lone, nodes = fleet.sidecars[-1], len(fleet.sidecars)
+        extra = [("/alone/", lone.service, "idempotent")]
+        await fleet.put([*fleet.routes(), *extra])
+        await asyncio.sleep(SETTLE_S)
+        for number in range(CHANGES):
+            prefix = f"/added{number}/"
+            extra.append((prefix, fleet.sidecars[0].service, "idempotent"))
+
+            async def put() -> float:
+                return await fleet.put([*fleet.routes(), *extra])
+
+            changes.append(await Watch(fleet, prefix, True).turn(put))
+        for number in range(DRAINS):
+            await Watch(fleet, "/alone/", True).turn()
+
+            async def drain() -> float:
+                fleet.lives[lone.name] = (fleet.lives[lone.name][0], "draining")
+                if not await fleet.say(lone):
+                    raise ValueError("a drain was not acknowledged")
+                return time.monotonic()
+
+            drains.append(await Watch(fleet, "/alone/", False).turn(drain))
+            fleet.lives[lone.name] = (f"i-{lone.number}-{number + 1}", "in_service")
+            await fleet.say(lone)
+    rows = news_rows(f"{nodes} nodes, a configuration", nodes, changes)
+    rows += news_rows(f"{nodes} nodes, a drain", nodes, drains)
+    return rows + virtual()
+
+
+def news_rows(name: str, nodes: int, found: list[list[float]]) -> list[Row]:
+    """The rows of some changes, each the times at which nodes knew; broken where some never did."""
+    whole = [one for one in found if len(one) == nodes]
+    more: Row = {} if len(whole) == len(found) else {"broken": True, "unknown_at": len(found) - len(whole)}
+    return [
+        row("news", f"{name}: p50 of the nodes", "ms", [quantile(one, 0.5) for one in whole], **more),
+        row("news", f"{name}: p99 of all", "ms", [quantile([t for one in whole for t in one], 0.99)]),
+        row("news", f"{name}: the last node", "ms", [max(one) for one in whole]),
+    ]
+
+
+def virtual() -> list[Row]:
+    """What the model of news in a large mesh says, where that is built."""
+    if importlib.util.find_spec(MODEL) is None:
+        print(f"  no {MODEL}: nothing of larger meshes")
+        return []
+    from loguru import logger
+
+    measure, rows = importlib.import_module(MODEL).measure, []
+    logger.disable("athenaeum")
+    try:
+        for nodes, zones, seed in VIRTUAL:
+            one = measure(nodes, zones, seed, changes=VIRTUAL_CHANGES)
+            name = f"{nodes:,} nodes, virtual time"
+            more: Row = {"broken": True, "missed": one.missed} if one.missed else {}
+            rows.append(row("news", f"{name}: p50 of the last node", "ms", [one.p50_ms], **more))
+            rows.append(row("news", f"{name}: p99 of the last node", "ms", [one.p99_ms],
+                            keeper_bytes=one.keeper_bytes))  # fmt: skip
+    finally:
+        logger.enable("athenaeum")
+    return rows
+
+
+# The command
+
+
+MEASURES: dict[str, Callable[[float, int], Coroutine[Any, Any, list[Row]]]] = {
+    "claims": claims, "requests": requests, "memory": memory, "bytes": idle, "news": news,
+}  # fmt: skip
+
+
+def plot(rows: list[Row], path: str) -> None:
+    """A panel a unit: medians as bars, the least and the most as lines across their ends."""
+    from matplotlib.figure import Figure
+
+    units = list(dict.fromkeys(row["unit"] for row in rows))
+    tall = [sum(row["unit"] == unit for row in rows) for unit in units]
+    drawing = Figure(figsize=(10, 1.2 * len(units) + 0.22 * len(rows)), layout="constrained")
+    panels = drawing.subplots(len(units), 1, squeeze=False, height_ratios=[n + 2 for n in tall])
+    colours = {what: f"C{n}" for n, what in enumerate(MEASURES)}
+    for (axis,), unit in zip(panels, units, strict=True):
+        some = [row for row in rows if row["unit"] == unit]
+        at = range(len(some))
+        middle = [row["median"] for row in some]
+        spread = [[m - row["min"] for m, row in zip(middle, some, strict=True)],
+                  [row["max"] - m for m, row in zip(middle, some, strict=True)]]  # fmt: skip
+        axis.barh(at, middle, xerr=spread, color=[colours[row["what"]] for row in some], alpha=0.7)
+        axis.set_yticks(at, [row["name"] for row in some], fontsize=7)
+        axis.invert_yaxis()
+        axis.set_xlabel(unit, fontsize=8)
+        axis.grid(alpha=0.25, axis="x")
+    drawing.savefig(path, dpi=110)
+
+
+def chosen(only: str | None) -> list[str]:
+    """The measurements that are asked for; `ValueError` names one that is unknown."""
+    names = list(MEASURES) if only is None else only.split(",")
+    for name in names:
+        if name not in MEASURES:
+            raise ValueError(f"--only {name}: not one of {', '.join(MEASURES)}")
+    return names
+
+
+def main(args: argparse.Namespace) -> list[Row]:
+    """The command; its figures. A row is broken if claims or requests failed or news did not arrive."""
+    names = chosen(args.only)
+    if not 0.5 <= args.seconds <= 20.0 or not 1 <= args.turns <= 10:
+        raise ValueError("--seconds must be within 0.5 to 20, --turns 1 to 10")
+    if args.plot and not Path(args.plot).resolve().parent.is_dir():
+        raise ValueError(f"--plot {args.plot}: no such folder")
+    if lacking := missing():
+        raise ValueError(f"the library {lacking} is missing: pip install 'orchidferry[mesh]'")
+    rows: list[Row] = []
+    for name in names:
+        print(f"{name}:", flush=True)
+        began = time.monotonic()
+        rows += uvloop.run(MEASURES[name](args.seconds, args.turns))
+        print(f"  in {time.monotonic() - began:.0f} s", flush=True)
+    if args.plot:
+        plot(rows, args.plot)
+    return rows
--- /dev/null
+++ b/rehearsal/bench/mesh_fleet.py
@@ -0,0 +1,367 @@
+"""A mesh for the bench: keepers and nodes as processes on loopback, stand-in servers, all ended with it.
+
+What it tells of a process comes from the kernel's books. What nodes and keepers say to each other can be
+counted by a relay between them: the nodes' settings then name its port as the internal one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+from types import TracebackType
+from typing import Any, NamedTuple
+
+import cbor2
+
+from rehearsal.mesh.ask import Scene, call
+from rehearsal.mesh.day import Day, Machine, Ports, machines
+from rehearsal.mesh.processes import ROOT, Node
+from rehearsal.mesh.run import free_ports
+from rehearsal.wire import Outcome, get
+from rehearsal.world.addresses import Block, claim
+from rehearsal.world.nodes import in_child
+
+SEED = 1
+HOST = "api.internal"
+READY_S, END_S = 20.0, 10.0
+BEAT_S = 1.0
+SLOTS = 64  # of each server: a gate is not to hold anything here
+DESCRIPTORS = 4_096
+MEMORY_DISK = "/dev/shm"  # where each commit takes `sync_ms`, and nothing else that is there is waited for
+RELAY = 20  # the relay's port is so far above a machine's first one
+FEED, SAVE = "/ler-feed/", "/salvar-episodio/"  # classes of the forwarding bench, as routes
+KEYED = "keyed"
+Route = tuple[str, str, str]  # prefix, service, type
+
+
+class Used(NamedTuple):
+    """Seconds."""
+
+    cpu: float
+    waited: float  # ready to run, with no core free
+
+
+def used(pid: int) -> Used:
+    """What a process has used so far, by all its threads: a keeper's disk has one of its own."""
+    books = [text.read_text().split() for text in Path(f"/proc/{pid}/task").glob("*/schedstat")]
+    return Used(*(sum(int(book[n]) for book in books) / 1e9 for n in (0, 1)))
+
+
+class Meter:
+    """What some processes use from now on."""
+
+    def __init__(self, pids: list[int]) -> None:
+        self._pids, self._began_s = pids, time.monotonic()
+        self._before = [used(pid) for pid in pids]
+
+    def read(self) -> tuple[list[float], float]:
+        """CPU seconds of each, and the largest share of the time that one of them waited for a core."""
+        now, for_s = [used(pid) for pid in self._pids], time.monotonic() - self._began_s
+        both = list(zip(now, self._before, strict=True))
+        return [n.cpu - was.cpu for n, was in both], max(n.waited - was.waited for n, was in both) / for_s
+
+
+def peak_mb(pid: int) -> float:
+    """The most memory that a process has had."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024.0
+
+
+def written_bytes(pid: int) -> int:
+    """What it has caused to be written to disk."""
+    io = Path(f"/proc/{pid}/io").read_text().splitlines()
+    return int(next(line for line in io if line.startswith("write_bytes")).split()[1])
+
+
+def configuration(revision: int, routes: list[Route], services: list[str]) -> dict[str, Any]:
+    """A configuration with these routes of one host."""
+    rules = [
+        {
+            "identifier": f"r{n}", "route_type": kind, "target_ms": 1_000, "precedence": 1,
+            "criteria": {"path_prefix": prefix},
+            "treatment": {"service_name": service, "guard_timer_ms": 3_000, "max_attempts": 2},
+        }
+        for n, (prefix, service, kind) in enumerate(routes)
+    ]  # fmt: skip
+    return {
+        "revision_number": revision,
+        "limit_set": {"max_header_bytes": 16_384, "header_timer_ms": 3_000, "idle_timer_ms": 15_000},
+        "access_points": [{"host_name": HOST, "rule_set": rules}],
+        "trunk_groups": [{"identifier": name, "max_connections": 500} for name in services],
+    }  # fmt: skip
+
+
+class Counting:
+    """Counts what nodes and one keeper say to each other, and hands it on."""
+
+    def __init__(self) -> None:
+        self.up, self.down = Counter[str](), Counter[str]()  # bytes by kind of message
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, listen: tuple[str, int], keeper: tuple[str, int]) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                far_reader, far_writer = await asyncio.open_connection(*keeper)
+            except OSError:
+                return writer.transport.abort()
+            for source, sink, counts in ((reader, far_writer, self.up), (far_reader, writer, self.down)):
+                task = asyncio.get_running_loop().create_task(pump(source, sink, counts))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+        self._server = await asyncio.start_server(serve, *listen)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in set(self._tasks):
+            task.cancel()
+
+
+async def pump(source: asyncio.StreamReader, sink: asyncio.StreamWriter, counts: Counter[str]) -> None:
+    """Hand messages on one by one, counted by kind with the four bytes of their length."""
+    try:
+        while True:
+            length = await source.readexactly(4)
+            body = await source.readexactly(int.from_bytes(length, "big"))
+            counts[str(cbor2.loads(body)[0])] += 4 + len(body)
+            sink.write(length + body)
+    except (asyncio.IncompleteReadError, OSError):
+        pass
+    finally:
+        sink.transport.abort()
+
+
+class Fleet:
+    """An asynchronous context: the processes are there within it, and gone after it, come what may."""
+
+    def __init__(
+        self, cores: int, servers: tuple[int, int] = (0, 0), sync_ms: float = 0, relay: bool = False
+    ):
+        self._day = Day("bench", "", 0.0, (), cores=cores, servers=servers)
+        self._sync_ms, self._relay = sync_ms, relay
+        self._disk = MEMORY_DISK if sync_ms and Path(MEMORY_DISK).is_dir() else None
+        self._held: Any = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._others: list[asyncio.subprocess.Process] = []
+        self._sequence = 0
+        self._died = ""
+        self.relays: list[Counting] = []
+        self.nodes: dict[str, Node] = {}
+        self.lives: dict[str, tuple[str, str]] = {}  # id and state of each machine's server
+        self.revision = 0
+
+    async def __aenter__(self) -> Fleet:
+        self.block, self._held = claim()
+        self.folder = Path(tempfile.mkdtemp(prefix="orchidferry-bench-mesh-", dir=self._disk))
+        try:
+            await self._start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, problem: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.close()
+
+    async def _start(self) -> None:
+        block: Block = self.block
+        self.cores, self.sidecars = machines(self._day, block.number, SEED)
+        self.ports: Ports = free_ports([m.ip for m in (*self.cores, *self.sidecars)])
+        relayed = self.ports._replace(internal=self.ports.ready + RELAY)
+        self.scene = Scene(SEED, self.ports, lambda _: None, time.monotonic())
+        through = Scene(SEED, relayed if self._relay else self.ports, lambda _: None, self.scene.zero)
+        if self._relay:
+            for keeper in self.cores:
+                self.relays.append(Counting())
+                await self.relays[-1].start((keeper.ip, relayed.internal), (keeper.ip, self.ports.internal))
+        for machine in (*self.cores, *self.sidecars):
+            scene = self.scene if machine.role == "core" else through
+            node = Node(scene, self._day, machine, self.cores[:3], self.folder, self._ended)
+            if machine.role == "core" and self._sync_ms:
+                node.command = (sys.executable, "-B", "-m", "rehearsal.bench.mesh_load", "slow",
+                                str(self._sync_ms))  # fmt: skip
+            self.nodes[machine.name] = node
+        await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        if self.sidecars:
+            addresses = [f"{m.ip}:{self.ports.application}" for m in self.sidecars]
+            await self._other("servers", *addresses)
+            self.lives = {m.name: (f"i-{m.number}-0", "in_service") for m in self.sidecars}
+            await self._until_ready()
+
+    def _ended(self, node: Node, status: int) -> None:
+        self._died = f"{node.machine.name} ended by itself (status {status}): {' | '.join(node.tail(2))}"
+
+    def check(self) -> None:
+        """`ValueError` if one of the mesh's processes has ended."""
+        if self._died:
+            raise ValueError(self._died)
+
+    async def _other(self, *words: str, first: str = "") -> asyncio.subprocess.Process:
+        """Start a process of the bench's own; it has said that it is ready."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rehearsal.bench.mesh_load", *words, cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=2**24,
+            stderr=(self.folder / "others.log").open("ab"), start_new_session=True,
+            preexec_fn=partial(in_child, DESCRIPTORS),
+        )  # fmt: skip
+        self._others.append(process)
+        assert process.stdin is not None and process.stdout is not None
+        process.stdin.write(first.encode())
+        if not await asyncio.wait_for(process.stdout.readline(), READY_S):
+            tail = (self.folder / "others.log").read_text("utf-8", "replace").splitlines()[-1:]
+            raise ValueError(f"{words[0]} did not start: {' '.join(tail)}")
+        return process
+
+    async def claimer(self, number: int = 0) -> asyncio.subprocess.Process:
+        """Start a claimer of keys; `load` then gives it loads."""
+        where = {
+            "seeds": [m.ip for m in self.cores],
+            "port": self.ports.internal,
+            "ip": f"127.{self.block.number}.30.{number + 1}",
+        }
+        return await self._other("claims", first=json.dumps(where) + "\n")
+
+    async def load(self, claimer: asyncio.subprocess.Process, **load: Any) -> dict[str, Any]:
+        """What came of a claimer's load (`mesh_load.Claimer.run`)."""
+        assert claimer.stdin is not None and claimer.stdout is not None
+        claimer.stdin.write(json.dumps(load).encode() + b"\n")
+        line = await asyncio.wait_for(claimer.stdout.readline(), load["seconds"] + READY_S)
+        self.check()
+        if not line:
+            raise ValueError("a claimer ended by itself")
+        found: dict[str, Any] = json.loads(line)
+        return found
+
+    # Servers and configurations
+
+    async def say(self, machine: Machine) -> bool:
+        """A server's word at its machine's node; whether it was acknowledged."""
+        self._sequence += 1
+        id, state = self.lives[machine.name]
+        payload = {
+            "address": f"{machine.ip}:{self.ports.application}",
+            "information": {"service_name": machine.service, "zone": machine.zone, "capacity": SLOTS},
+            "condition": {"state": state, "call_sequence": self._sequence},
+        }
+        where = (machine.ip, self.ports.control)
+        path = f"/orchidferry/instances/{id}"
+        outcome, _ = await call(self.scene.pool(machine), where, "PUT", path, payload)
+        return outcome.how == "answer" and outcome.status == 200
+
+    async def _beats(self) -> None:
+        while True:
+            for machine in self.sidecars:
+                await self.say(machine)
+            await asyncio.sleep(BEAT_S)
+
+    async def put(self, routes: list[Route]) -> float:
+        """Have a configuration taken; when that was acknowledged."""
+        base, self.revision = self.revision, self.revision + 1
+        services = sorted({m.service for m in self.sidecars})
+        body = configuration(self.revision, routes, services)
+        until = time.monotonic() + READY_S
+        last = Outcome("none", 0.0)
+        while time.monotonic() < until:
+            where = (self.cores[0].ip, self.ports.control)
+            pool = self.scene.pool(self.cores[0])
+            last, _ = await call(pool, where, "PUT", "/orchidferry/configuration", body, base, 5.0)
+            if last.how == "answer" and last.status == 200:
+                return last.t
+            await asyncio.sleep(0.1)
+        raise ValueError(f"no configuration was taken: {last.status} {last.body[:200]!r}")
+
+    def routes(self) -> list[Route]:
+        """Of each service, reads and keyed requests: `FEED` and `SAVE` lead to the first."""
+        first = self.sidecars[0].service
+        return [(FEED, first, "idempotent"), (SAVE, first, KEYED)]
+
+    async def _until_ready(self) -> None:
+        self.spawn(self._beats())
+        await self.put(self.routes())
+        until = time.monotonic() + READY_S
+        waiting = list(self.sidecars)
+        while waiting:
+            self.check()
+            if time.monotonic() > until:
+                raise ValueError(f"{waiting[0].name} did not become ready")
+            outcome = await get((waiting[0].ip, self.ports.ready), "/orchidferry/readiness")
+            if outcome.how == "answer" and outcome.status == 200:
+                waiting.pop(0)
+            else:
+                await asyncio.sleep(0.05)
+
+    def spawn(self, work: Any) -> asyncio.Task[None]:
+        """Have something done until the fleet's end at most."""
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # What it uses
+
+    def pids(self, some: list[Machine]) -> list[int]:
+        """Of these machines' processes."""
+        self.check()
+        return [pid for m in some if (pid := self.nodes[m.name].pid) is not None]
+
+    def meter(self, some: list[Machine]) -> Meter:
+        """What their processes use from now on."""
+        return Meter(self.pids(some))
+
+    def peaks(self, some: list[Machine]) -> list[float]:
+        """The most memory of each, MB."""
+        return [peak_mb(pid) for pid in self.pids(some)]
+
+    def stored(self) -> list[int]:
+        """Bytes that each keeper's files take on disk."""
+        folders = [self.folder / machine.name / "data" for machine in self.cores]
+        return [sum(f.stat().st_blocks * 512 for f in one.rglob("*") if f.is_file()) for one in folders]
+
+    async def close(self) -> None:
+        """End all of it."""
+        for task in set(self._tasks):
+            task.cancel()
+        for node in self.nodes.values():
+            node.kill()
+        for process in self._others:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+        for relay in self.relays:
+            relay.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_S):
+                for process in self._others:
+                    await process.wait()
+                for node in self.nodes.values():
+                    while node.pid is not None:
+                        await asyncio.sleep(0.01)
+        if hasattr(self, "scene"):
+            self.scene.close()
+        self._held.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def disk_sync_ms(folder: str, count: int = 40) -> list[float]:
+    """How long one write of 4 KiB and its sync take here."""
+    took = []
+    with tempfile.TemporaryFile(dir=folder) as file:
+        for _ in range(count):
+            began = time.monotonic()
+            os.write(file.fileno(), b"x" * 4096)
+            os.fdatasync(file.fileno())
+            took.append((time.monotonic() - began) * 1e3)
+    return took
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -190,6 +190,15 @@
     )
     kind.add_argument("--peers", type=int, default=999, metavar="N", help="(999)")
     kind.add_argument("--seconds", type=float, default=20.0, metavar="S", help="measured (20)")
+    kind = kinds.add_parser(
+        "mesh",
+        help="what the mesh costs: claims, requests, memory, bytes of an idle mesh, news",
+        epilog="example: orchidferry bench mesh --only claims,requests --plot mesh.png",
+    )
+    kind.add_argument("--only", metavar="NAME,...", help="of claims, requests, memory, bytes, news (all)")
+    kind.add_argument("--seconds", type=float, default=3.0, metavar="S", help="of each measurement (3)")
+    kind.add_argument("--turns", type=int, default=3, metavar="N", help="of each (3)")
+    kind.add_argument("--plot", metavar="FILE.png", help="draw it there")
     for kind in kinds.choices.values():
         kind.add_argument("--json", metavar="FILE", help="write the figures there")
 
--- a/rehearsal/mesh/processes.py
+++ b/rehearsal/mesh/processes.py
@@ -99,6 +99,7 @@
         died: Callable[[Node, int], None],
     ) -> None:  # fmt: skip
         self.machine = machine
+        self.command: tuple[str, ...] = COMMANDS[machine.role]
         self._scene, self._day, self._seeds, self._died = scene, day, seeds, died
         self._home = folder / machine.name
         self._process: asyncio.subprocess.Process | None = None
@@ -132,7 +133,7 @@
             env["PYTHONPATH"] = str(built)
         with (self._home / "log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *COMMANDS[self.machine.role], env=env | {"ORCHIDFERRY_BOOT": str(path)}, cwd=ROOT,
+                *self.command, env=env | {"ORCHIDFERRY_BOOT": str(path)}, cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
                 preexec_fn=partial(in_child, int(LIMITS[self.machine.role]["file_descriptors"])),
             )  # fmt: skip
