--- a/rehearsal/bench/mesh_fleet.py
+++ b/rehearsal/bench/mesh_fleet.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from types import TracebackType
@@ -180,7 +181,9 @@
 
     async def _start(self) -> None:
         block: Block = self.block
-        self.cores, self.sidecars = machines(self._day, block.number, SEED)
+        cores, sidecars = machines(self._day, block.number, SEED)  # with no links of the kit between
+        self.cores = [replace(machine, bind=machine.ip) for machine in cores]
+        self.sidecars = [replace(machine, bind=machine.ip) for machine in sidecars]
         self.ports: Ports = free_ports([m.ip for m in (*self.cores, *self.sidecars)])
         relayed = self.ports._replace(internal=self.ports.ready + RELAY)
         self.scene = Scene(SEED, self.ports, lambda _: None, time.monotonic())
@@ -191,7 +194,7 @@
                 await self.relays[-1].start((keeper.ip, relayed.internal), (keeper.ip, self.ports.internal))
         for machine in (*self.cores, *self.sidecars):
             scene = self.scene if machine.role == "core" else through
-            node = Node(scene, self._day, machine, self.cores[:3], self.folder, self._ended)
+            node = Node(scene, self._day, machine, self.cores[:3], self.folder, self._ended, lambda _: None)
             if machine.role == "core" and self._sync_ms:
                 node.command = (sys.executable, "-B", "-m", "rehearsal.bench.mesh_load", "slow",
                                 str(self._sync_ms))  # fmt: skip
--- a/rehearsal/bench/mesh_load.py
+++ b/rehearsal/bench/mesh_load.py
@@ -138,7 +138,7 @@
 
     commit = Deposit._commit
 
-    def later(self: Deposit, jobs: Any) -> bool:
+    def later(self: Deposit, jobs: Any) -> list[bool] | None:
         done = commit(self, jobs)
         time.sleep(more_s)
         return done
