--- a/rehearsal/bench/mesh.py
+++ b/rehearsal/bench/mesh.py
@@ -50,6 +50,7 @@
 ROUTE_MS = 1_000
 ZONES, SEED = 3, 1  # of the model
 VIRTUAL_CHANGES = 20  # of each
+WIDE = 50.0  # times the least median of a panel
 MODEL = "rehearsal.bench.mesh_news"
 
 
@@ -454,7 +455,10 @@
 
 
 def plot(rows: list[Row], path: str) -> None:
-    """A panel a unit: medians as bars, the least and the most as lines across their ends."""
+    """A panel a unit: medians as bars, the least and the most as lines across their ends.
+
+    A panel whose medians lie far apart has a scale by powers of ten, straight below its least.
+    """
     from matplotlib.figure import Figure
 
     units = list(dict.fromkeys(row["unit"] for row in rows))
@@ -471,6 +475,9 @@
         axis.barh(at, middle, xerr=spread, color=[colours[row["what"]] for row in some], alpha=0.7)
         axis.set_yticks(at, [row["name"] for row in some], fontsize=7)
         axis.invert_yaxis()
+        least = min((value for value in middle if value > 0.0), default=1.0)
+        if max(middle) > WIDE * least:
+            axis.set_xscale("symlog", linthresh=least)
         axis.set_xlabel(unit, fontsize=8)
         axis.grid(alpha=0.25, axis="x")
     drawing.savefig(path, dpi=110)
