--- a/rehearsal/explore/keeper.py
+++ b/rehearsal/explore/keeper.py
@@ -10,7 +10,8 @@
 
 from athenaeum import parts
 from athenaeum.deposit import Put, unpack
-from athenaeum.holding import Action, Answer, Changed, Ended, Part, Peers, Tell, Write, remembered
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import Action, Answer, Changed, Ended, Peers, Tell, Write
 from nickelbridge.register import Kept
 
 WINDOW_S = 60.0
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -24,11 +24,12 @@
 from typing import Any
 from unittest import mock
 
-from athenaeum import callslips, claims, holding, parts
+from athenaeum import callslips, claims, holding, parts, seat
 from athenaeum.callslips import Slips
 from athenaeum.claims import Claims, Count
 from athenaeum.group import Standing, epoch
-from athenaeum.holding import Action, Answer, Changed, Ended, Part, Write, remembered
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import Action, Answer, Changed, Ended, Write
 from nickelbridge import register
 from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
 from rehearsal.explore import pure
@@ -51,7 +52,7 @@
     copyreg.pickle(kind, lambda one: (kind, fields_of(one)))
 
 
-for _module in (register, parts, holding, callslips, claims):
+for _module in (register, parts, seat, holding, callslips, claims):
     for _kind in vars(_module).values():
         if isinstance(_kind, type) and is_dataclass(_kind) and "__slots__" in vars(_kind):
             _fast(_kind)
@@ -818,7 +819,7 @@
 
 
 def _long_lease(self: Part, now: float) -> int | None:
-    with mock.patch.object(holding, "TENURE_S", 5.0):
+    with mock.patch.object(seat, "TENURE_S", 5.0):
         return _owns(self, now)
 
 
--- a/rehearsal/mesh/processes.py
+++ b/rehearsal/mesh/processes.py
@@ -101,6 +101,7 @@
         died: Callable[[Node, int], None], down: Callable[[Machine], None], founds: bool = True,
     ) -> None:  # fmt: skip
         self.machine = machine
+        self.command: tuple[str, ...] = COMMANDS[machine.role]
         self._scene, self._day, self._seeds, self._died, self._down = scene, day, seeds, died, down
         self._first = founds  # the system's first start is yet to come
         self._home = folder / machine.name
@@ -149,7 +150,7 @@
             env["PYTHONPATH"] = str(built)
         with (self._home / "log").open("ab") as log:
             self._process = await spawn(
-                COMMANDS[self.machine.role], env | {"ORCHIDFERRY_BOOT": str(path)}, ROOT, log,
+                self.command, env | {"ORCHIDFERRY_BOOT": str(path)}, ROOT, log,
                 int(LIMITS[self.machine.role]["file_descriptors"]),
             )  # fmt: skip
         self._note("start", again)
