Archive: a keeper that has forgotten says that it can do no duties until it has caught up

Cause: who is first in line for a part's duties is worked out from who is heard and fit; if that one had forgotten it asked for nothing, and no other did. Found in the walk of all interleavings. Change: a keeper that has not caught up in all parts counts as one that can't do duties, in its own beat.

--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -123,6 +123,7 @@
             logger.info(
                 "archive: part {} with epoch {} at version {}", number, part.body.epoch, part.known.version
             )
+        self._mind_fitness()
         await self._turn_until(stopping, float("inf"))
         logger.info("archive: stopping")
         self._door.close_listener()
@@ -149,8 +150,9 @@
                 pass
 
     def _mind_fitness(self) -> None:
-        """A keeper whose disk does not keep up, or that ends, does no duties: the others hear at once."""
-        fit = not self._deposit.ailing and not self._stopping
+        """A keeper whose disk ails, that has forgotten, or that ends, does no duties: others hear at once."""
+        knows = all(part.standing.caught_up for part in self._parts.values())
+        fit = knows and not self._deposit.ailing and not self._stopping
         if fit is not self._known_peers.fit:
             self._known_peers.fit = fit
             self._beat()
