A process whose role has ended ends within 0.3 s, and tells what held it up

Where it stood is not known: the loop is being taken down by then. Change: a watch of 0.3 s begins when the role has ended; it writes the stacks and ends the process.

--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import dataclasses
+import faulthandler
 import os
 import signal
 import sys
+import threading
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -31,6 +33,7 @@
 example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry archive --check"""
 POINTS = {"carrel": ("outbound", "inbound", "ready", "control"), "archive": ("control",)}
 ROLES = tuple(POINTS)
+END_S = 0.3  # for a process to end after its role has; the platform kills 0.4 s after a node has
 FILE_S = 3.0  # how often the settings file is looked at
 
 
@@ -72,6 +75,22 @@
     running = one.run(stopping)
     settle()
     await running
+    end_surely()
+
+
+def end_surely() -> None:
+    """A role that has ended owes nothing more: taking the loop and the interpreter down gets `END_S`, and what
+    holds it up is told.
+    """
+
+    def leave() -> None:
+        logger.error("the process did not end by itself; where it stood:")
+        faulthandler.dump_traceback()
+        os._exit(0)
+
+    timer = threading.Timer(END_S, leave)
+    timer.daemon = True
+    timer.start()
 
 
 async def keeper(boot: Boot, loop: asyncio.AbstractEventLoop, stopping: asyncio.Event) -> Archive | None:
