--- a/athenaeum/__main__.py
+++ b/athenaeum/__main__.py
@@ -79,8 +79,8 @@
 
 
 def end_surely() -> None:
-    """A role that has ended owes nothing more: taking the loop and the interpreter down gets `END_S`, and what
-    holds it up is told.
+    """A role that has ended owes nothing more: taking the loop and the interpreter down gets `END_S`, and
+    what holds it up is told.
     """
 
     def leave() -> None:
