--- a/rehearsal/bench/mesh_fleet.py
+++ b/rehearsal/bench/mesh_fleet.py
@@ -37,7 +37,8 @@
 BEAT_S = 1.0
 SLOTS = 64  # of each server: a gate is not to hold anything here
 DESCRIPTORS = 4_096
-MEMORY_DISK = "/dev/shm"  # other work on this machine's disk is no part of what a mesh costs
+# A folder in memory, if there is one: other work on this machine's disk is no part of what a mesh costs.
+DISK = os.environ.get("ORCHIDFERRY_BENCH_DISK", "")
 RELAY = 20  # the relay's port is so far above a machine's first one
 FEED, SAVE = "/ler-feed/", "/salvar-episodio/"  # classes of the forwarding bench, as routes
 KEYED = "keyed"
@@ -150,10 +151,10 @@
         self, cores: int, servers: tuple[int, int] = (0, 0), sync_ms: float = 0.0, disk: str | None = None,
         relay: bool = False,
     ) -> None:  # fmt: skip
-        """`sync_ms`: how much longer a keeper's commit takes; `disk`: where its files are, not in memory."""
+        """`sync_ms`: how much longer a keeper's commit takes; `disk`: where its files are, if not where `ORCHIDFERRY_BENCH_DISK` says."""
         self._day = Day("bench", "", 0.0, (), cores=cores, servers=servers)
         self._sync_ms, self._relay = sync_ms, relay
-        self._disk = MEMORY_DISK if disk is None and Path(MEMORY_DISK).is_dir() else disk
+        self._disk = DISK if disk is None and DISK and Path(DISK).is_dir() else disk
         self._held: Any = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._others: list[asyncio.subprocess.Process] = []
