--- a/rehearsal/bench/mesh_fleet.py
+++ b/rehearsal/bench/mesh_fleet.py
@@ -151,7 +151,9 @@
         self, cores: int, servers: tuple[int, int] = (0, 0), sync_ms: float = 0.0, disk: str | None = None,
         relay: bool = False,
     ) -> None:  # fmt: skip
-        """`sync_ms`: how much longer a keeper's commit takes; `disk`: where its files are, if not where `ORCHIDFERRY_BENCH_DISK` says."""
+        """`sync_ms`: how much longer a keeper's commit takes; `disk`: where its files are, if not where
+        `ORCHIDFERRY_BENCH_DISK` says.
+        """
         self._day = Day("bench", "", 0.0, (), cores=cores, servers=servers)
         self._sync_ms, self._relay = sync_ms, relay
         self._disk = DISK if disk is None and DISK and Path(DISK).is_dir() else disk
