--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from athenaeum import parts
+from athenaeum.allowance import Allowances
 from athenaeum.boot import Boot
 from athenaeum.callslips import MOST
 from athenaeum.deposit import Deposit, Put, pack
@@ -25,19 +26,8 @@
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
-from athenaeum.holding import (
-    DEAD_S,
-    Action,
-    Answer,
-    Changed,
-    Ended,
-    Note,
-    Part,
-    Peers,
-    Tell,
-    Write,
-    remembered,
-)
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from athenaeum.wire import Link, dial
 from nickelbridge.register import Kept, Value
 from orchidferry.frontend import Reply
@@ -65,8 +55,11 @@
         self._parts: dict[int, Part] = {}
         self._remember()
         self._load_slips()
-        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
-        self._peers: dict[str, Link] = {}  # keepers that this one dialled
+        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
+        bounds = boot.bounds
+        self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
+        self._peers: dict[str, Link] = {}  # keepers that this one dialled,
+        self._callers: dict[str, Link] = {}  # and that dialled it: also those that it knows of no other way
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -110,6 +103,10 @@
             key = raw.decode("latin-1")
             self._parts[parts.part_of(key)].load(key, unpack_stored(packed))
 
+    def _owner_fence(self, service: str, now: float) -> int | None:
+        """The fence under which this keeper does the duties for a service now; None if it doesn't."""
+        return self._parts[parts.part_of(service)].owns(now)
+
     @property
     def _folio(self) -> Part:
         return self._parts[parts.FOLIO]
@@ -126,6 +123,7 @@
             logger.info(
                 "archive: part {} with epoch {} at version {}", number, part.body.epoch, part.known.version
             )
+        self._mind_fitness()
         await self._turn_until(stopping, float("inf"))
         logger.info("archive: stopping")
         self._door.close_listener()
@@ -152,8 +150,9 @@
                 pass
 
     def _mind_fitness(self) -> None:
-        """A keeper whose disk does not keep up, or that ends, does no duties: the others hear at once."""
-        fit = not self._deposit.ailing and not self._stopping
+        """A keeper whose disk ails, that has forgotten, or that ends, does no duties: others hear at once."""
+        knows = all(part.standing.caught_up for part in self._parts.values())
+        fit = knows and not self._deposit.ailing and not self._stopping
         if fit is not self._known_peers.fit:
             self._known_peers.fit = fit
             self._beat()
@@ -227,7 +226,7 @@
         for action in actions:
             match action:
                 case Tell():
-                    link = self._peers.get(action.to)
+                    link = self._peers.get(action.to) or self._callers.get(action.to)
                     if link is not None:
                         link.send(*action.message)
                 case Answer():
@@ -284,8 +283,9 @@
 
     def _lost(self, link: Link) -> None:
         self._desk.lost(link)
-        if self._peers.get(link.peer) is link:
-            del self._peers[link.peer]
+        for links in (self._peers, self._callers):
+            if links.get(link.peer) is link:
+                del links[link.peer]
 
     def _take(self, link: Link, message: list[Any]) -> None:
         kind, now = message[0], self._loop.time()
@@ -303,6 +303,13 @@
             key, holder = message[1:]
             part = self._parts[parts.part_of(key)]
             self._do(part, part.drop(key, holder, now))
+        elif kind == "share?":
+            service, node, life, number, used, wanted, held, fence = message[1:]
+            share = self._allowances.handle(
+                service, node, life, number, used, wanted, held, fence, now
+            )  # fmt: skip
+            if share is not None:
+                link.send(*share)
         elif kind == "renew":
             self._desk.renew(link, *message[1:])
         elif kind == "since":
@@ -332,7 +339,8 @@
         elif kind == "fetch":
             self._tell_folio(link, message[1], self._folio.known)
         elif kind == "keeper":
-            link.peer = message[1]
+            link.peer = str(message[1])
+            self._callers[link.peer] = link
 
     def _heard_beat(self, link: Link, name: str, number: int, fit: bool, versions: list[int]) -> None:
         known = self._known_peers
