--- a/athenaeum/archive.py
+++ b/athenaeum/archive.py
@@ -26,19 +26,8 @@
 from athenaeum.doors import JSON, Call, ControlDoor, told
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import check, digest
-from athenaeum.holding import (
-    DEAD_S,
-    Action,
-    Answer,
-    Changed,
-    Ended,
-    Note,
-    Part,
-    Peers,
-    Tell,
-    Write,
-    remembered,
-)
+from athenaeum.holding import Part, remembered
+from athenaeum.seat import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from athenaeum.wire import Link, dial
 from nickelbridge.register import Kept, Value
 from orchidferry.frontend import Reply
@@ -66,10 +55,11 @@
         self._parts: dict[int, Part] = {}
         self._remember()
         self._load_slips()
-        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop.time)
+        self._desk = Desk(self._name, boot.zone, self._rng.randrange(1, 2**53), loop)
         bounds = boot.bounds
         self._allowances = Allowances(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
-        self._peers: dict[str, Link] = {}  # keepers that this one dialled
+        self._peers: dict[str, Link] = {}  # keepers that this one dialled,
+        self._callers: dict[str, Link] = {}  # and that dialled it: also those that it knows of no other way
         self._dialling: set[str] = set()
         self._dial_s: dict[str, float] = {}  # when each may be dialled again
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -234,7 +224,7 @@
         for action in actions:
             match action:
                 case Tell():
-                    link = self._peers.get(action.to)
+                    link = self._peers.get(action.to) or self._callers.get(action.to)
                     if link is not None:
                         link.send(*action.message)
                 case Answer():
@@ -291,8 +281,9 @@
 
     def _lost(self, link: Link) -> None:
         self._desk.lost(link)
-        if self._peers.get(link.peer) is link:
-            del self._peers[link.peer]
+        for links in (self._peers, self._callers):
+            if links.get(link.peer) is link:
+                del links[link.peer]
 
     def _take(self, link: Link, message: list[Any]) -> None:
         kind, now = message[0], self._loop.time()
@@ -346,7 +337,8 @@
         elif kind == "fetch":
             self._tell_folio(link, message[1], self._folio.known)
         elif kind == "keeper":
-            link.peer = message[1]
+            link.peer = str(message[1])
+            self._callers[link.peer] = link
 
     def _heard_beat(self, link: Link, name: str, number: int, fit: bool, versions: list[int]) -> None:
         known = self._known_peers
