Recalls: who asks for longer than any run inside may go on is surely a client

Servers there are never idle, so no route was ever proved the clients': nothing counted for the ratio, each request beside a repeat was charged, and no try was made a second time. Change: a call ends with its parent, so a request whose own time is longer than that of all runs inside can be none.

--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -264,7 +264,7 @@
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
         tier = self._tiers[self._service(route)]
         place, keyed = (route.host, route.prefix), message.key is not None
-        origin = self._recalls.asked(tier.name, place, keyed, message.mark, now_ms())
+        origin = self._recalls.asked(tier.name, place, keyed, message.mark, now_ms(), message.budget_ms)
         if keyed and route.kind == "keyed":
             return self._claim(message, route, tier, ends_ms, answer)
         return tier.take(message, route, ends_ms, answer, origin=origin)
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -296,7 +296,7 @@
     def _enter(self, passing: Pass) -> None:
         self.inside += 1
         self.passed += 1
-        passing.run = self._recalls.enter(passing.again is not None)
+        passing.run = self._recalls.enter(passing.again is not None, passing.ends_ms)
         left_ms = passing.ends_ms - now_ms() + MARGIN_MS
         visit = Visit(self, passing, self._application, max(1.0, left_ms))
         self._lines.send(visit)
--- a/athenaeum/recalls.py
+++ b/athenaeum/recalls.py
@@ -2,10 +2,10 @@
 
 A repeated run makes its calls again, and the service that is called counts them as further tries. They
 leave through the node beside the server that runs it. Clients of the machine use the same door, and a call
-bears no mark. What is sure: while nothing runs inside, whoever asks is a client; so is whoever brings an
-operation key, and whatever else comes on that connection. A route that clients were seen to use is taken for
-theirs. All else may be a call, and of a repeated run while one is inside. docs/design/allowance.md tells what
-can't be told.
+bears no mark. What is sure: whoever asks for longer than any run inside may go on is a client, as a call
+ends with its parent; so is whoever asks while nothing runs inside, or brings an operation key, and whatever
+else comes on that connection. A route that clients were seen to use is taken for theirs. All else may be a
+call, and of a repeated run while one is inside. docs/design/allowance.md tells what can't be told.
 
 >>> recalls = Recalls(0.0)
 >>> recalls.began(4_000.0, [])
@@ -13,9 +13,11 @@
 Origin(client=False, again=False)
 >>> recalls.asked("midia", ("h", "/x/"), False, Mark(), 5_000.0)
 Origin(client=True, again=False)
->>> run = recalls.enter(True)
+>>> run = recalls.enter(True, 7_500.0)
 >>> recalls.asked("midia", ("h", "/calls/"), False, Mark(), 6_000.0)
 Origin(client=False, again=True)
+>>> recalls.asked("midia", ("h", "/y/"), False, Mark(), 6_000.0, left_ms=2_000.0)  # no call may take so long
+Origin(client=True, again=False)
 >>> recalls.leave(run, 6_100.0)
 >>> recalls.asked("midia", ("h", "/calls/"), False, Mark(), 6_300.0)  # nothing inside: a client's
 Origin(client=True, again=False)
@@ -30,6 +32,7 @@
 from athenaeum.lines import Mark
 
 LINGER_MS = 100.0  # a call is read at most so long after the answer of its run
+BEYOND_MS = 20.0  # what a request asks for must end so much after all runs inside: clocks and ways differ
 PROOFS = 3  # requests by which a route is known as the clients': a stray one proves nothing of others
 RUNS = 200.0  # over so many runs the calls of one are averaged
 
@@ -49,7 +52,7 @@
 
     def __init__(self, now_ms: float) -> None:
         self._began_ms = now_ms
-        self._inside: dict[int, bool] = {}  # runs, and whether each is a repeat
+        self._inside: dict[int, tuple[bool, float]] = {}  # runs: whether each is a repeat, when it must end
         self._repeats = 0
         self._serial = 0
         # Until then runs that are out of sight may make calls, and repeated ones. What a life before let in
@@ -65,14 +68,14 @@
             self._busy_ms = self._began_ms + longest_ms
         self._proofs = {place: self._proofs.get(place, 0) for place in places}
 
-    def enter(self, again: bool) -> int:
-        """A run begins; its number."""
+    def enter(self, again: bool, ends_ms: float) -> int:
+        """A run begins, and is told to end by then; its number."""
         self._serial += 1
         self._repeats += again
         if again:
             for service, need in self.needs().items():
                 self._kept[service] = self._kept.get(service, 0.0) + need
-        self._inside[self._serial] = again
+        self._inside[self._serial] = (again, ends_ms)
         self._runs += 1.0 - self._runs / RUNS
         for service in self._calls:
             self._calls[service] *= 1.0 - 1.0 / RUNS
@@ -80,7 +83,7 @@
 
     def leave(self, run: int, ends_ms: float) -> None:
         """A run is out of sight, and ends by then at the latest."""
-        again = self._inside.pop(run)
+        again, _ = self._inside.pop(run)
         self._busy_ms = max(self._busy_ms, ends_ms + LINGER_MS)
         if again:
             self._repeats -= 1
@@ -88,11 +91,18 @@
             if not self._repeats:
                 self._kept.clear()
 
-    def asked(self, service: str, place: Place, keyed: bool, mark: Mark, now_ms: float) -> Origin:
-        """Someone on this machine asks for a service by a route, on a connection with this mark."""
+    def asked(
+        self, service: str, place: Place, keyed: bool, mark: Mark, now_ms: float, left_ms: float = 0.0
+    ) -> Origin:
+        """Someone on this machine asks for a service by a route, on a connection with this mark; `left_ms`:
+        for how long it will wait, by its own word.
+        """
         proofs = self._proofs.get(place, 0)
         if keyed or (not self._inside and now_ms >= self._busy_ms):
             mark.client = True
+        elif not mark.client and proofs < PROOFS and left_ms:
+            latest = max((ends for _, ends in self._inside.values()), default=0.0)
+            mark.client = now_ms + left_ms > max(latest, self._busy_ms) + BEYOND_MS
         sure = mark.client
         if sure and proofs < PROOFS:
             self._proofs[place] = proofs + 1
--- a/tests/mesh/test_recalls.py
+++ b/tests/mesh/test_recalls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -15,7 +16,7 @@
 from athenaeum.allowance import LATE_S, STATIC_SHARE
 from athenaeum.boot import Bounds
 from athenaeum.lines import Mark
-from athenaeum.recalls import LINGER_MS, PROOFS, Origin, Recalls
+from athenaeum.recalls import BEYOND_MS, LINGER_MS, PROOFS, Origin, Recalls
 from athenaeum.tier import RATIO_SHARE
 from nickelbridge.interface import Result, TimerFired
 from nickelbridge.logic import Balancer
@@ -33,7 +34,7 @@
     """No call is taken for a client's request, nor a repeated run's for another's; clients soon are known."""
     rng, now, recalls = random.Random(seed), 10_000.0, Recalls(0.0)
     recalls.began(1_000.0, [CLIENTS, CALLS])
-    runs: dict[int, bool] = {}
+    runs: dict[int, tuple[bool, float]] = {}  # whether a repeat, and when it must end
     hidden: list[tuple[float, bool]] = []  # broken off, and at work until then all the same
     marks = [Mark() for _ in range(4)]
     keyed_seen, missed = [0] * 4, 0
@@ -43,39 +44,46 @@
         if rng.random() < 0.4:
             while len(runs) < busy and rng.random() < 0.7:
                 again = rng.random() < 0.2
-                runs[recalls.enter(again)] = again
+                must = now + rng.uniform(100.0, 1_500.0)
+                runs[recalls.enter(again, must)] = again, must
         elif runs and rng.random() < 0.5:
             run = rng.choice(list(runs))
-            again = runs.pop(run)
-            ends = now if rng.random() < 0.7 else now + rng.uniform(0.0, 800.0)
+            again, must = runs.pop(run)
+            ends = now if rng.random() < 0.7 else max(now, must)
             recalls.leave(run, ends)
             if ends > now:
                 hidden.append((ends, again))
-        callers = [*runs.values(), *(again for _, again in hidden)]
+        callers = [*((must, again) for again, must in runs.values()), *hidden]
         if callers and rng.random() < 0.5:
-            again = rng.choice(callers)
-            origin = recalls.asked("m", CALLS, False, Mark(), now)
+            must, again = rng.choice(callers)
+            origin = recalls.asked("m", CALLS, False, Mark(), now, max(0.0, must - now))
             assert not origin.client and (origin.again or not again)
         client, keyed = rng.randrange(4), rng.random() < 0.2
         origin = recalls.asked("m", CLIENTS, keyed, marks[client], now)
         assert origin.client or not (keyed or keyed_seen[client] or sum(keyed_seen) >= PROOFS)
         keyed_seen[client] += keyed
+        latest = max((must for must, _ in callers), default=now)
+        longer = recalls.asked("m", CLIENTS, False, Mark(), now, latest - now + 2.0 * BEYOND_MS + LINGER_MS)
+        assert longer.client or now < 1_000.0  # no call may go on for so long
         missed += not origin.client
         assert missed <= 60
     recalls.began(1_000.0, [CALLS])  # the clients' route is gone; by that name another may come
-    assert not recalls.enter(True) or not recalls.asked("m", CLIENTS, False, Mark(), now + LINGER_MS).client
+    assert (
+        not recalls.enter(True, now + 900.0)
+        or not recalls.asked("m", CLIENTS, False, Mark(), now + LINGER_MS).client
+    )
 
 
 def test_room_is_kept_for_the_calls_of_runs_inside() -> None:
     recalls = Recalls(0.0)
     recalls.began(0.0, [CALLS])
     for n in range(300):  # lone runs of two calls each
-        run = recalls.enter(False)
+        run = recalls.enter(False, math.inf)
         for _ in range(2):
             recalls.asked("m", CALLS, False, Mark(), n * 500.0)
         recalls.leave(run, n * 500.0)
     assert 1.9 < recalls.needs()["m"] < 2.1 and recalls.kept("m") == 0.0
-    run = recalls.enter(True)
+    run = recalls.enter(True, math.inf)
     assert 1.9 < recalls.kept("m") < 2.1
     assert 3.8 < recalls.needs()["m"] < 4.2  # with a neighbour, whose calls can't be told from its own
     recalls.asked("m", CALLS, False, Mark(), 150_000.0)
