Budget: only what came to a server makes the next attempt a further try

Change: an attempt tells whether it reached a server; the budget is asked for, and counted, only after one that did. Result: a table of three words in tests/mesh/test_recalls.py; a fake loop of tests/test_outcomes.py takes the local address, too.

--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -162,8 +162,8 @@
         if result not in NEVER_RAN and self.written:
             live.ran = True
         unseen = said is not None and said.gate in (UNRUN, GONE)
-        if self.written and result is not Result.UNREACHABLE and not unseen:
-            live.arrived = True
+        reached = self.written and result is not Result.UNREACHABLE and not unseen
+        live.arrived = live.arrived or reached
         if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             live.said = said
         if result is Result.SERVED and said is not None:
@@ -180,7 +180,7 @@
         tier.handle(
             api.AttemptEnded(
                 live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
-                spent,
+                spent, reached=reached,
             )
         )  # fmt: skip
         if not live.owed:
@@ -497,7 +497,8 @@
         live, number = self.live.get(action.id), action.server
         if live is None or number not in self._ready:
             count = live.attempts if live is not None else 0
-            return self.handle(api.AttemptEnded(action.id, count, number, Result.MOOT, 0.0, live is None))
+            ended = api.AttemptEnded(action.id, count, number, Result.MOOT, 0.0, live is None, reached=False)
+            return self.handle(ended)
         if live.attempts >= live.route.attempts:  # the module knows the most of all routes
             self._unserved(live, 0.0)
             self.handle(api.AttemptEnded(action.id, live.attempts, number, Result.MOOT, 0.0, True))
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -231,6 +231,7 @@
     spent: bool = False  # the request's body went with it: nothing is left to be sent again
     below: bool = False  # its server's own calls met overload: asking again only adds to it
     used: int = 0  # attempts beyond the first that were made below
+    reached: bool = True  # a server; the next attempt is beyond the first only after one that did
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -171,7 +171,7 @@
         if call.attempts >= self.settings.max_attempts or not self._repeatable(call, now): return False
         if call.ran_ms is not None and server.group(cls.group) != call.pin: return False  # rule 2
         if not server.in_service or self.fleet.servers.get(server.id) is not server: return False  # rule 3
-        if call.attempts and not self._in_budget(now):  # rule 5
+        if call.reached and not self._in_budget(now):  # rule 5
             if not call.denied: self._denied.add(now)
             call.denied = True
             return False
@@ -184,7 +184,7 @@
         carried = None
         if self.chain is not None:
             carried, left = self.chain.send(call.id, now), self.chain.left_ms(left)
-        if call.attempts: self._further.add(now)
+        if call.reached: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
         call.idle_ms = 0.0 if server.out else now - server.used_ms
@@ -308,7 +308,7 @@
             self._record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
             self._record.answered(call.cls.name, event.duration_ms)
         elif call is not None:
-            call.out = False
+            call.out, call.reached = False, call.reached or event.reached
             if call.ran_ms is None and call.last and event.result not in self._never_ran:
                 call.ran_ms, call.pin = call.sent_ms, call.last.group(call.cls.group)
             if not event.spent and self._rng.random() < self.controller.retry_probability(now):
--- a/tests/mesh/test_recalls.py
+++ b/tests/mesh/test_recalls.py
@@ -135,6 +135,21 @@
     assert (b"orchid-again: try" in second.head_bytes()) == again
 
 
+@pytest.mark.parametrize(("word", "tried"), [(b"unrun", True), (b"gone", True), (b"full", False)])
+def test_only_what_came_to_a_server_makes_the_next_a_further_try(
+    monkeypatch: pytest.MonkeyPatch, word: bytes, tried: bool
+) -> None:
+    """A try that a gate turned away was no arrival: with no budget at all the next is made all the same."""
+    scene = Scene(monkeypatch, route())
+    monkeypatch.setattr(Balancer, "_in_budget", lambda self, now: False)
+    taken = Taken(scene, route())
+    [first] = scene.out()
+    first.sent_whole()
+    first.end(Result.MOOT if word == b"gone" else Result.REFUSED, said(503, taken.id.encode(), gate=word))
+    scene.loop.pass_ms(300.0)
+    assert (len(scene.out()) == 1) is tried
+
+
 def test_a_tier_goes_by_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
     """What is dealt is in force at once, asked for while there is traffic, and over with its lease."""
     scene = Scene(monkeypatch, route())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -304,7 +304,7 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._loop, name)
 
-    async def create_connection(self, *args: Any) -> None:
+    async def create_connection(self, *args: Any, **more: Any) -> None:
         raise self._problem
 
 
