Module: the floor of its budget can change alone; shares that are dealt come by that

Cause: shares change about once a second, and each came as new settings, which go through all that the module knows. Change: Balancer.allow.

--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -296,8 +296,8 @@
             self._mind_share(now_s)
 
     def _mind_share(self, now_s: float) -> None:
-        if self.holder.turn(now_s):
-            self._settle()
+        if self.holder.turn(now_s) and self._balancer is not None:
+            self._balancer.allow(self._slack())
 
     def bears(self, tries: float) -> bool:
         """Whether the budget bears so many more further tries; if not, they count as wanted."""
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 from nickelbridge import interface as api
 from nickelbridge.averages import SlidingCount
@@ -223,6 +224,10 @@
         ratio, taken = self.settings.repeat_ratio, self._taken.count(now)
         return ratio is None or self._further.count(now) + 1 <= self.settings.extra_floor + ratio * taken
 
+    def allow(self, extra_floor: float) -> None:
+        """Take another floor of the stated budget; all else stays, so it may change often."""
+        self.settings = replace(self.settings, extra_floor=extra_floor)
+
     def spare(self, now: float) -> float:
         """How many attempts beyond the first the stated budget bears now; below 0 if others overdrew it."""
         ratio = self.settings.repeat_ratio
