--- a/athenaeum/carrel.py
+++ b/athenaeum/carrel.py
@@ -23,7 +23,6 @@
 from athenaeum.folio import Folio, Route, Table, parse
 from athenaeum.gate import Gate
 from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, kept_answer, own_answer
-from athenaeum.recalls import Recalls
 from athenaeum.tier import Live, Tier
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -88,7 +87,6 @@
         self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
         self._ready = ControlDoor({"/orchidferry/readiness": self._readiness}, 64)
         self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
-        self._recalls = Recalls(now_ms())
         assert boot.application is not None
         self._gate = Gate(
             boot.application,
@@ -100,24 +98,13 @@
             self._publish,
             self._below,
             self._orphan,
-            self._recalls,
-            self._affords,
         )
         self._news = Circulation(boot, loop, self._on_members, self._on_folio)
-        self._news.on_share = self._on_share
 
     def _below(self) -> bool:
         others = [tier for name, tier in self._tiers.items() if name != self._boot.service]
         return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in others)
 
-    def _affords(self) -> bool:
-        """Whether the calls of one more repeated run are borne by the budgets that they would draw on."""
-        for service, need in self._recalls.needs().items():
-            tier = self._tiers.get(service)
-            if tier is not None and not tier.bears(need + self._recalls.kept(service)):
-                return False
-        return True
-
     def _orphan(self, message: Asked, said: Said) -> None:
         """The server here answered a keyed request whose node is gone: its repeats are told from here."""
         if message.key is not None and (kept := kept_answer(said)) is not None:
@@ -177,15 +164,6 @@
     def _look(self) -> None:
         self._loop.call_later(LOOK_S, self._look)
         self._gate.look()
-        for name, tier in self._tiers.items():
-            asking = tier.share_asked()
-            if asking is not None:
-                self._news.ask_share(name, tier.life, *asking)
-
-    def _on_share(self, service: str, fence: int, number: int, amount: float, for_s: float) -> None:
-        tier = self._tiers.get(service)
-        if tier is not None:
-            tier.share_told(fence, number, amount, for_s)
 
     # News
 
@@ -242,8 +220,6 @@
         for name in [n for n in self._tiers if n not in by_service and not self._tiers[n].live]:
             del self._tiers[name]
         self._folio, self._table = folio, Table(folio.routes)
-        longest_ms = max((route.guard_ms for route in folio.routes), default=0.0)
-        self._recalls.began(longest_ms, ((route.host, route.prefix) for route in folio.routes))
         idle_s = folio.limits.get("idle_timer_ms", 60_000.0) / 1000.0
         self._outbound.limit(idle_s, folio.limits.get("header_timer_ms", 3_000.0) / 1000.0)
 
@@ -263,11 +239,9 @@
         left_ms = message.budget_ms or route.guard_ms
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
         tier = self._tiers[self._service(route)]
-        place, keyed = (route.host, route.prefix), message.key is not None
-        origin = self._recalls.asked(tier.name, place, keyed, message.mark, now_ms(), message.budget_ms)
-        if keyed and route.kind == "keyed":
+        if route.kind == "keyed" and message.key is not None:
             return self._claim(message, route, tier, ends_ms, answer)
-        return tier.take(message, route, ends_ms, answer, origin=origin)
+        return tier.take(message, route, ends_ms, answer)
 
     def _service(self, route: Route) -> str:
         if len(route.split) == 1:
--- a/athenaeum/gate.py
+++ b/athenaeum/gate.py
@@ -16,15 +16,12 @@
 from athenaeum.boot import Address, Bounds
 from athenaeum.faults import Fault, Kind
 from athenaeum.lines import (
-    AGAIN,
     BELOW,
-    FULL,
     KEYED,
     LATE,
     LOAD,
     LOST,
     MARGIN_MS,
-    OTHER,
     PATIENCE,
     RANK,
     TIMES,
@@ -39,7 +36,6 @@
 from athenaeum.lines import (
     GONE as GATE_GONE,
 )
-from athenaeum.recalls import Recalls
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -61,10 +57,7 @@
 class Pass:
     """A request at the gate."""
 
-    __slots__ = (
-        "_gate", "again", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "run",
-        "timer",
-    )  # fmt: skip
+    __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "timer")
 
     def __init__(self, gate: Gate, message: Asked, answer: Callable[[Reply], None]) -> None:
         self._gate, self.message, self.answer = gate, message, answer
@@ -72,8 +65,6 @@
         rank = message.headers.get(RANK, b"9")
         self.rank = int(rank) if rank.isdigit() else 9
         self.once = TIMES in message.headers
-        self.again = message.headers.get(AGAIN)  # `try` or `call`, where its run would be a repeat
-        self.run = 0  # its number, once it is inside
         self.attempt: Visit | None = None
         self.owed, self.timer, self.place = True, 0, 0
 
@@ -128,15 +119,12 @@
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
         alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
-        orphan: Callable[[Asked, Said], None], recalls: Recalls | None = None,
-        affords: Callable[[], bool] = lambda: True,
+        orphan: Callable[[Asked, Said], None],
     ) -> None:  # fmt: skip
         """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
-        answer to a request whose key is claimed, and whose sender is gone. `affords`: whether the budgets of
-        the services that are called bear the calls of one more repeated run.
+        answer to a request whose key is claimed, and whose sender is gone.
         """
-        self._below, self._orphan, self._affords = below, orphan, affords
-        self._recalls = recalls if recalls is not None else Recalls(now_ms())
+        self._below, self._orphan = below, orphan
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
         self.server: Server | None = None
@@ -230,8 +218,6 @@
             why = GATE_GONE
         if why is None and message.budget_ms < LEAST_LEFT_MS:
             why = UNRUN
-        if why is None and passing.again == b"try" and not self._affords():
-            why = UNRUN
         if why is not None:
             self._turn_away(passing, why)
         elif self.inside < self._slots():
@@ -296,7 +282,6 @@
     def _enter(self, passing: Pass) -> None:
         self.inside += 1
         self.passed += 1
-        passing.run = self._recalls.enter(passing.again is not None, passing.ends_ms)
         left_ms = passing.ends_ms - now_ms() + MARGIN_MS
         visit = Visit(self, passing, self._application, max(1.0, left_ms))
         self._lines.send(visit)
@@ -304,9 +289,6 @@
     def left(self, passing: Pass, result: Result, said: Said | None) -> None:
         """A request is out of the server, one way or another."""
         self.inside -= 1
-        # With no answer the server may be at work for as long as it was told that there is time.
-        over = said is not None or result in (Result.MOOT, Result.UNREACHABLE)
-        self._recalls.leave(passing.run, now_ms() if over else passing.ends_ms)
         keyed = not passing.owed and KEYED in passing.message.headers
         if keyed and said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             self._orphan(passing.message, said)
@@ -326,11 +308,11 @@
                     reply.more.append((BELOW, b"1"))
                 return reply
             if result is Result.REFUSED:
-                return own_answer(message, Fault(Kind.SHED), gate=FULL, load=self._waiting)
+                return own_answer(message, Fault(Kind.SHED), gate=UNRUN, load=self._waiting)
         if said is not None and said.flow is not None:
             said.flow.call_off()
         if result is Result.MOOT:
-            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE if said is None else OTHER)
+            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
         if result is Result.UNREACHABLE:
             return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
         if result is Result.TIMEOUT:
--- a/athenaeum/lines.py
+++ b/athenaeum/lines.py
@@ -35,27 +35,18 @@
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}")
 MILLISECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # The gate's own headers, which no client or server sees.
-GATE, RANK, PATIENCE, TIMES, LOAD, BELOW, KEYED, AGAIN = (
+GATE, RANK, PATIENCE, TIMES, LOAD, BELOW, KEYED = (
     b"orchid-gate", b"orchid-rank", b"orchid-patience", b"orchid-once", b"orchid-load", b"orchid-below",
-    b"orchid-keyed", b"orchid-again",
+    b"orchid-keyed",
 )  # fmt: skip
 PRIVATE = b"orchid-"
 
 UNRUN, GONE, LOST, LATE = b"unrun", b"gone", b"lost", b"late"  # what a gate says of a request
-FULL, OTHER = b"full", b"other"  # not run either, but it reached a server, which turned it away
 GATE_RESULTS = {
     UNRUN: Result.REFUSED, GONE: Result.MOOT, LOST: Result.RESET, LATE: Result.TIMEOUT,
-    FULL: Result.REFUSED, OTHER: Result.MOOT,
 }  # fmt: skip
 
 
-@dataclass(slots=True)
-class Mark:
-    """What is known of who is at the other end of a caller's connection: one process."""
-
-    client: bool = False
-
-
 @dataclass(slots=True)
 class Asked(Message):
     """A request on its way."""
@@ -64,7 +55,6 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     along: list[tuple[bytes, bytes]] = field(default_factory=list)  # what goes on unchanged
     route: Route | None = None
-    mark: Mark = field(default_factory=Mark)
 
 
 @dataclass(slots=True)
@@ -89,10 +79,6 @@
 class Asker(Caller):
     """A caller of the data plane."""
 
-    def __init__(self, frontend: Frontend) -> None:
-        super().__init__(frontend)
-        self._mark = Mark()
-
     def _start_message(self) -> None:
         super()._start_message()
         self._along: list[tuple[bytes, bytes]] = []
@@ -108,7 +94,7 @@
         message = super()._message(flow)
         if isinstance(message, Asked):
             named = message.headers.get(b"connection", b"").lower()
-            message.along, message.mark = self._along, self._mark
+            message.along = self._along
             if named not in (b"", b"close", b"keep-alive"):
                 hop = {part.strip() for part in named.split(b",")}
                 message.along = [header for header in self._along if header[0].lower() not in hop]
--- a/athenaeum/tier.py
+++ b/athenaeum/tier.py
@@ -16,19 +16,15 @@
 from loguru import logger
 
 from athenaeum.accessions import DRAINING, IN_SERVICE, Record
-from athenaeum.allowance import LATE_S, STATIC_SHARE, Holder
 from athenaeum.boot import Address, Bounds
 from athenaeum.faults import Fault, Kind
 from athenaeum.folio import Route
 from athenaeum.lines import (
-    AGAIN,
-    GONE,
     KEYED,
     MARGIN_MS,
     PATIENCE,
     RANK,
     TIMES,
-    UNRUN,
     Asked,
     Lines,
     Said,
@@ -36,7 +32,6 @@
     own_answer,
     passed_on,
 )  # fmt: skip
-from athenaeum.recalls import Origin
 from nickelbridge import interface as api
 from nickelbridge.interface import Repeat, Result
 from nickelbridge.logic import NEVER_RAN, Balancer
@@ -47,9 +42,8 @@
 from orchidferry.turns import Turns
 from orchidferry.upstream import Answer, Attempt
 
-# Of the ratio of further tries. Up to a half is sure: what nodes spend in a window may rest on requests of
-# it and of the one before, which the rule counts apart.
-RATIO_SHARE = 0.4
+RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
+SLACK_SHARE = 0.4  # of the slack, over all nodes
 SPARE_NODES = 1.5  # nodes that may have died with what they had spent, over those that live
 TARGET_SHARE = 0.6  # tau0 of the aim: the gates hold requests for a part of it already
 # By how many wait before servers of this zone: how much more of their part they are given. Bytes between
@@ -60,10 +54,7 @@
 COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start
 PATIENCE_SHARES = (0.75, 0.75, 0.24)  # of the aim, by rank: how long a gate may hold a request for room
 LATE_WORTH = 0.3
-ASK_SHARE_S, KNOCK_S = 0.9, 4.5  # how often for a share: with traffic; and without, until one is dealt
 SHED_AGAIN_SHARE = 0.2  # of the aim: when to come back after being shed for what is below
-WANTED_MOST = 20  # further tries that one request is reckoned to want
-CLIENT = Origin(client=True, again=False)
 
 
 def _not_handled(event: api.Event) -> None:
@@ -88,8 +79,8 @@
     """A request that is owed its answer."""
 
     __slots__ = (
-        "again", "answer", "arrived", "attempts", "backstop", "began_ms", "ends_ms", "id", "message",
-        "on_end", "owed", "ran", "route", "said", "tier",
+        "answer", "attempts", "backstop", "began_ms", "ends_ms", "id", "message", "on_end", "owed", "ran",
+        "route", "said", "tier",
     )  # fmt: skip
 
     def __init__(
@@ -100,8 +91,6 @@
         self.began_ms, self.ends_ms, self.answer = now_ms(), ends_ms, answer
         self.on_end = on_end  # hears the answer of a run, if there is one, and whether it may have run
         self.owed, self.ran, self.attempts, self.backstop = True, False, 0, 0
-        self.again = False  # it may be the call of a repeated run
-        self.arrived = False  # an attempt has come to a server, whether it ran or not
         self.said: Said | None = None  # the last answer of a server that ran it
 
     def caller_gone(self) -> None:
@@ -137,8 +126,6 @@
         ]
         if not live.route.repeatable:
             own.append((TIMES, b"1"))
-        if live.arrived or live.again:
-            own.append((AGAIN, b"try" if live.arrived else b"call"))
         if live.on_end is not None:
             own.append((KEYED, b"1"))
         return head(live.message, own)
@@ -161,9 +148,6 @@
         said = answer if isinstance(answer, Said) else None
         if result not in NEVER_RAN and self.written:
             live.ran = True
-        unseen = said is not None and said.gate in (UNRUN, GONE)
-        reached = self.written and result is not Result.UNREACHABLE and not unseen
-        live.arrived = live.arrived or reached
         if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             live.said = said
         if result is Result.SERVED and said is not None:
@@ -180,7 +164,7 @@
         tier.handle(
             api.AttemptEnded(
                 live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
-                spent, reached=reached,
+                spent,
             )
         )  # fmt: skip
         if not live.owed:
@@ -215,18 +199,11 @@
         self._began_s = loop.time()
         self._pull, self._pulled_ms, self._waiting = PULLS[0][1], -math.inf, 0.0
         self._cold: dict[int, float] = {}  # until when
-        # Of a share of the service's further tries. A tier that goes and comes again is another holder.
-        self.life = self._rng.randrange(1, 2**53)
-        self.holder = Holder(self._rng.randrange(2**40))
-        self._taken_s = self._share_asked_s = -math.inf  # the last request; the last asking for a share
-        self._silent = 0  # askings since the last answer
 
     # What the tier is told
 
     def configure(self, routes: list[Route]) -> None:
         """Serve these routes from now on; requests that were taken keep theirs."""
-        if not routes:
-            return  # nobody is routed here any more: requests that were taken go on by what was in force
         self._classes = {class_name(route): request_class(route) for route in routes}
         self._attempts = max((r.attempts for r in routes), default=1)
         self._settle()
@@ -245,9 +222,9 @@
             list(self._classes.values()), tier=1, tiers=2, target_share=TARGET_SHARE,
             max_attempts=self._attempts, can_cancel=True,
             connect_timeout_ms=400.0, keepalive_ms=10_000.0,
-            repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio * bounds.retry_window_s / self._counts_s),
+            repeat_ratio=min(1.0, RATIO_SHARE * bounds.retry_ratio),
             extra_floor=self._slack(),
-            resend_span_ms=self._counts_s * 1000.0,
+            resend_span_ms=bounds.retry_window_s * 1000.0,
         )  # fmt: skip
         if self._balancer is None:
             self._balancer = Balancer(settings, self._rng.randrange(2**31))
@@ -258,55 +235,11 @@
             self.handle(api.NewSettings(settings))
 
     def _slack(self) -> float:
-        """What this node has of the slack that all share: by its lease, and of what is cut beforehand.
-
-        None of the latter while what a life before it spent of it may count.
-        """
-        if self._loop.time() - self._began_s < self._counts_s:
-            self._loop.call_later(self._counts_s, self._settle)
-            return self.holder.in_force
-        part = STATIC_SHARE * self._bounds.retry_slack / (SPARE_NODES * max(1, self._members))
-        return part + self.holder.in_force
-
-    @property
-    def _counts_s(self) -> float:
-        """How long a try counts from its sending: it may arrive late."""
-        return self._bounds.retry_window_s + LATE_S
-
-    def share_asked(self) -> tuple[int, float, float, float, int, bool] | None:
-        """What to ask the service's owner for, if it is time: a number, tries used and wanted in the last
-        window past the ratio's part, the share held, the owner's fence, and whether to ask all keepers.
-        """
-        now_s = now_ms() / 1000.0
-        self._mind_share(now_s)
-        busy = now_s - self._taken_s < self._counts_s
-        every_s = ASK_SHARE_S if busy else math.inf if self.holder.dealt else KNOCK_S
-        if self._balancer is None or now_s - self._share_asked_s < every_s:
-            return None
-        self._share_asked_s, self._silent = now_s, self._silent + 1
-        used, wanted = self._balancer.beyond(now_ms())
-        held = self.holder.held(now_s)
-        return self.holder.ask(now_s), used, wanted, held, self.holder.fence, self._silent > 2
-
-    def share_told(self, fence: int, number: int, amount: float, for_s: float) -> None:
-        """The owner's answer."""
-        now_s = now_ms() / 1000.0
-        if self.holder.hear(fence, number, amount, for_s, now_s):
-            self._silent = 0
-            self._mind_share(now_s)
-
-    def _mind_share(self, now_s: float) -> None:
-        if self.holder.turn(now_s) and self._balancer is not None:
-            self._balancer.allow(self._slack())
-
-    def bears(self, tries: float) -> bool:
-        """Whether the budget bears so many more further tries; if not, they count as wanted."""
-        if self._balancer is None:
-            return False
-        bears = self._balancer.spare(now_ms()) >= tries
-        for _ in range(0 if bears else min(math.ceil(tries), WANTED_MOST)):
-            self._balancer.forgone(now_ms())
-        return bears
+        """This node's part of the slack that all share; none while what a life before it spent may count."""
+        if self._loop.time() - self._began_s < self._bounds.retry_window_s:
+            self._loop.call_later(self._bounds.retry_window_s, self._settle)
+            return 0.0
+        return SLACK_SHARE * self._bounds.retry_slack / (SPARE_NODES * max(1, self._members))
 
     def servers(self, records: dict[str, Record]) -> None:
         """Whoever serves this service now, by the news of all nodes."""
@@ -380,16 +313,12 @@
 
     def take(
         self, message: Asked, route: Route, ends_ms: float, answer: Callable[[Reply], None],
-        on_end: Callable[[Said | None, bool], None] | None = None, origin: Origin = CLIENT,
+        on_end: Callable[[Said | None, bool], None] | None = None,
     ) -> Live:  # fmt: skip
         """Take a request; it is answered once, now or later."""
         self._serial += 1
-        self._taken_s = now_ms() / 1000.0
         live = Live(self, f"{self._serial}", message, route, ends_ms, answer, on_end)
         self.live[live.id] = live
-        live.again = origin.again
-        if origin.again and self._balancer is not None:
-            self._balancer.charge(now_ms())
         live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
         name = class_name(route)
         if self._balancer is None or name not in self._balancer.classes:
@@ -401,9 +330,7 @@
             self.over(live)
             return live
         left_ms = max(0.0, ends_ms - now_ms())
-        self.handle(
-            api.Request(live.id, name, left_ms, upload=message.flow is not None, counts=origin.client)
-        )
+        self.handle(api.Request(live.id, name, left_ms, upload=message.flow is not None))
         return live
 
     def finish(self, live: Live, reply: Reply) -> None:
@@ -457,8 +384,6 @@
     def handle(self, event: api.Event) -> None:
         """Give the module an event and do what it says; events raised meanwhile wait their turn."""
         if self._turns is not None:
-            if now_ms() >= 1000.0 * self.holder.due_s:  # what its lease gave is over, before anything is sent
-                self._mind_share(now_ms() / 1000.0)
             self._turns.handle(event)
 
     def _do(self, action: api.Action) -> None:
@@ -497,8 +422,7 @@
         live, number = self.live.get(action.id), action.server
         if live is None or number not in self._ready:
             count = live.attempts if live is not None else 0
-            ended = api.AttemptEnded(action.id, count, number, Result.MOOT, 0.0, live is None, reached=False)
-            return self.handle(ended)
+            return self.handle(api.AttemptEnded(action.id, count, number, Result.MOOT, 0.0, live is None))
         if live.attempts >= live.route.attempts:  # the module knows the most of all routes
             self._unserved(live, 0.0)
             self.handle(api.AttemptEnded(action.id, live.attempts, number, Result.MOOT, 0.0, True))
--- a/nickelbridge/calls.py
+++ b/nickelbridge/calls.py
@@ -21,8 +21,6 @@
         self.attempts, self.out, self.sent_ms = 0, False, now  # whether one is out, and since when,
         self.idle_ms = 0.0  # on a connection that had idled for so long
         self.held, self.token = False, 0  # waits for room; the timer it waits for
-        self.denied = False  # an attempt, for want of budget
-        self.reached = False  # a server, by an attempt: what follows is beyond the first
         self.last: Server | None = None
         self.ran_ms: float | None = None  # when the first attempt that may have run was sent
         self.pin: str | int | None = None  # and the group that it went to
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -214,7 +214,6 @@
     upload: bool = False  # its body is still coming, and goes on as it comes; `Uploaded` tells of the end
     carried: Carried | None = None  # what came along with it that can be believed
     key: str | None = None  # by which servers drop its repeats, or that it is kept together by
-    counts: bool = True  # the stated ratio of further attempts is of it too
 
 
 @dataclass(slots=True)
@@ -231,7 +230,6 @@
     spent: bool = False  # the request's body went with it: nothing is left to be sent again
     below: bool = False  # its server's own calls met overload: asking again only adds to it
     used: int = 0  # attempts beyond the first that were made below
-    reached: bool = True  # a server; the next attempt is beyond the first only after one that did
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import math
 import random
-from dataclasses import replace
 
 from nickelbridge import interface as api
 from nickelbridge.averages import SlidingCount
@@ -63,7 +61,6 @@
         # A tick to spare at both edges of the window that the budget of attempts is counted over.
         self._taken = SlidingCount(settings.resend_span_ms - settings.tick_ms)
         self._further = SlidingCount(settings.resend_span_ms + settings.tick_ms)
-        self._denied = SlidingCount(settings.resend_span_ms)  # that the budget did not bear
         self._never_ran = NEVER_RAN - ({Result.REFUSED} if settings.full_may_have_run else set())
         self._calls: dict[str, Call] = {}
         self._uploads: set[str] = set()  # those of which an attempt is out that no server has whole
@@ -130,7 +127,7 @@
     def _on_request(self, event: api.Request, now: float) -> None:
         call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
         self._record.asked(event.cls)
-        if event.counts: self._taken.add(now)
+        self._taken.add(now)
         call.over_share = self.holding.over_share(event.tenant, now)
         if self.chain is not None:
             why = self.chain.take(call.id, event.carried, event.cls, call.cls.worth, event.ttl_ms, now)
@@ -172,10 +169,7 @@
         if call.attempts >= self.settings.max_attempts or not self._repeatable(call, now): return False
         if call.ran_ms is not None and server.group(cls.group) != call.pin: return False  # rule 2
         if not server.in_service or self.fleet.servers.get(server.id) is not server: return False  # rule 3
-        if call.reached and not self._in_budget(now):  # rule 5
-            if not call.denied: self._denied.add(now)
-            call.denied = True
-            return False
+        if call.attempts and not self._in_budget(now): return False  # rule 5
         if self.chain is not None and not self.chain.may_send(call.id, now): return False
         warmth = self.cold.warmth(server, now)
         if warmth < 1.0:
@@ -185,7 +179,7 @@
         carried = None
         if self.chain is not None:
             carried, left = self.chain.send(call.id, now), self.chain.left_ms(left)
-        if call.reached: self._further.add(now)
+        if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
         call.idle_ms = 0.0 if server.out else now - server.used_ms
@@ -224,29 +218,6 @@
         ratio, taken = self.settings.repeat_ratio, self._taken.count(now)
         return ratio is None or self._further.count(now) + 1 <= self.settings.extra_floor + ratio * taken
 
-    def allow(self, extra_floor: float) -> None:
-        """Take another floor of the stated budget; all else stays, so it may change often."""
-        self.settings = replace(self.settings, extra_floor=extra_floor)
-
-    def spare(self, now: float) -> float:
-        """How many attempts beyond the first the stated budget bears now; below 0 if others overdrew it."""
-        ratio = self.settings.repeat_ratio
-        if ratio is None: return math.inf
-        return self.settings.extra_floor + ratio * self._taken.count(now) - self._further.count(now)
-
-    def charge(self, now: float) -> None:
-        """Count an attempt beyond the first that was not decided on here, such as a repeated run's call."""
-        self._further.add(now)
-
-    def forgone(self, now: float) -> None:
-        """Count one that was not made for want of budget."""
-        self._denied.add(now)
-
-    def beyond(self, now: float) -> tuple[float, float]:
-        """Of the last window's attempts beyond the first: made, and made or denied, past the ratio's part."""
-        made = self._further.count(now) - (self.settings.repeat_ratio or 0.0) * self._taken.count(now)
-        return max(0.0, made), max(0.0, made + self._denied.count(now))
-
     def _repeatable(self, call: Call, now: float) -> bool:
         """Whether the class lets the call go out (again)."""
         if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:
@@ -313,7 +284,7 @@
             self._record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
             self._record.answered(call.cls.name, event.duration_ms)
         elif call is not None:
-            call.out, call.reached = False, call.reached or event.reached
+            call.out = False
             if call.ran_ms is None and call.last and event.result not in self._never_ran:
                 call.ran_ms, call.pin = call.sent_ms, call.last.group(call.cls.group)
             if not event.spent and self._rng.random() < self.controller.retry_probability(now):
