Read once more: a node's unused asking for shares is gone, one way in for the register's messages

Cause: with the budget at nodes taken back, ask_share and on_share of circulation had no caller; and the seat told answers from questions of the register in two places, for messages from others and for its own. Change: the first are gone, the second is Seat._register. Nothing that runs behaves otherwise.

--- a/athenaeum/circulation.py
+++ b/athenaeum/circulation.py
@@ -14,7 +14,6 @@
 
 from loguru import logger
 
-from athenaeum import parts
 from athenaeum.accessions import Record, everyone
 from athenaeum.boot import Boot
 from athenaeum.branch import Branch
@@ -70,7 +69,6 @@
         self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wanted = 0  # the newest revision that was heard of
-        self.on_share: Callable[[str, int, int, float, float], None] = lambda *answer: None
 
     def reseed(self, seeds: tuple[str, ...]) -> None:
         """These keepers are named from outside now; who is known from the group itself stays."""
@@ -183,8 +181,6 @@
             self._branch.from_keeper(link, message)
         elif kind == "folio":
             self._folio(*message[1:])
-        elif kind == "share":
-            self.on_share(*message[1:])
         elif kind == "group":
             part, epoch, names, owner, fence = message[1:]
             self._group(part, epoch, tuple(names), owner, fence)
@@ -204,15 +200,6 @@
         if keeper is not None and keeper.link is not None:
             keeper.link.send(*message)
 
-    def ask_share(
-        self, service: str, life: int, number: int, used: float, wanted: float, held: float, fence: int,
-        wide: bool,
-    ) -> None:  # fmt: skip
-        """Ask the owner of a service's part for a share of its further tries; `wide`: all its keepers."""
-        group = self.claims.groups[parts.part_of(service)]
-        for name in group.names if wide or not group.owner else (group.owner,):
-            self._send(name, "share?", service, self._boot.name, life, number, used, wanted, held, fence)
-
     # The tree of relays
 
     async def listen(self) -> None:
--- a/athenaeum/seat.py
+++ b/athenaeum/seat.py
@@ -239,11 +239,7 @@
         """A message between seats; `ValueError` and its like for a bad one."""
         match message:
             case ["reg", sender, packed]:
-                found = parts.unpack_message(packed)
-                if hasattr(found, "promised"):
-                    self._act(self.proposer.handle(found, self.now * 1000.0))  # type: ignore[arg-type]
-                else:
-                    self._vote(sender, found, who)
+                self._register(sender, parts.unpack_message(packed), who)
             case ["know", packed]:
                 value = parts.unpack_value(packed)
                 if value is not None:
@@ -276,11 +272,7 @@
 
     def _flush(self) -> list[Action]:
         while self._mine:
-            message = self._mine.popleft()
-            if hasattr(message, "promised"):
-                self._act(self.proposer.handle(message, self.now * 1000.0))
-            else:
-                self._vote(self.name, message, None)
+            self._register(self.name, self._mine.popleft(), None)
         out, self._out = self._out, []
         return out
 
@@ -309,6 +301,13 @@
             return parts.ALIVE if alive and fit else ""
         return parts.ALIVE if alive else ""
 
+    def _register(self, sender: str, message: Any, who: Any) -> None:
+        """A message of the register, from another seat or from this one (`who` None)."""
+        if hasattr(message, "promised"):
+            self._act(self.proposer.handle(message, self.now * 1000.0))
+        else:
+            self._vote(sender, message, who)
+
     def _vote(self, sender: str, message: Any, who: Any) -> None:
         replies, save = [], not self.clean
         for action in self.acceptor.handle(message, sender):
