--- a/athenaeum/folio.py
+++ b/mesh/control/configuration.py
@@ -1,7 +1,7 @@
 """A configuration: read and checked whole, and its routes as a table to look a request up in.
 
-What is kept and spread is the very text that the operator sent. Keepers check it before it is taken; nodes
-read what keepers took, without the library for checking.
+What is kept and spread is the very text that the operator sent. Controllers check it before it is taken;
+nodes read what controllers took, without the library for checking.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from athenaeum.faults import Fault, Kind
+from mesh.errors import Kind, Refusal
 
 REPEATABLE = frozenset(("idempotent", "download"))
 KINDS = ("idempotent", "non_idempotent", "keyed", "download")
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Folio:
+class Configuration:
     """One version."""
 
     revision: int
@@ -93,7 +93,7 @@
     return hashlib.sha256(raw).digest()[:16]
 
 
-def parse(raw: bytes) -> Folio:
+def parse(raw: bytes) -> Configuration:
     """Read a configuration that was checked before."""
     data = json.loads(raw)
     routes = []
@@ -108,7 +108,7 @@
         for s in data["trunk_groups"]
     }  # fmt: skip
     limits = {name: float(value) for name, value in data.get("limit_set", {}).items()}
-    return Folio(int(data["revision_number"]), tuple(routes), services, limits)
+    return Configuration(int(data["revision_number"]), tuple(routes), services, limits)
 
 
 def _route(host: str, rule: dict[str, Any]) -> Route:
@@ -194,36 +194,36 @@
     return _SCHEMA
 
 
-def check(raw: bytes) -> Folio | Fault:
+def check(raw: bytes) -> Configuration | Refusal:
     """Read a configuration and check it whole; the fault names the field."""
     try:
         data = json.loads(raw)
     except (ValueError, RecursionError) as problem:
-        return Fault(Kind.UNREADABLE, f"configuration: {problem}")
+        return Refusal(Kind.UNREADABLE, f"configuration: {problem}")
     errors = _schema().validate(data)
     if errors:
-        return Fault(Kind.INVALID, f"configuration: {next(_flat(errors))}")
+        return Refusal(Kind.INVALID, f"configuration: {next(_flat(errors))}")
     try:
-        folio = parse(raw)
+        configuration = parse(raw)
     except (KeyError, TypeError, ValueError) as problem:
-        return Fault(Kind.INVALID, f"configuration: {problem!r}")
-    return _whole(folio) or folio
+        return Refusal(Kind.INVALID, f"configuration: {problem!r}")
+    return _whole(configuration) or configuration
 
 
-def _whole(folio: Folio) -> Fault | None:
+def _whole(configuration: Configuration) -> Refusal | None:
     """What holds between the parts of a configuration."""
     seen = set()
-    for route in folio.routes:
+    for route in configuration.routes:
         where = f"configuration: route {route.id}"
         for service, _ in route.split:
-            if service not in folio.services:
-                return Fault(Kind.INVALID, f"{where}: service {service} is not in trunk_groups")
+            if service not in configuration.services:
+                return Refusal(Kind.INVALID, f"{where}: service {service} is not in trunk_groups")
         if sum(share for _, share in route.split) <= 0:
-            return Fault(Kind.INVALID, f"{where}: weighted_split has no share above 0")
+            return Refusal(Kind.INVALID, f"{where}: weighted_split has no share above 0")
         place = (route.host.lower(), route.prefix)
         if place in seen:
-            return Fault(Kind.INVALID, f"{where}: path_prefix {route.prefix} is there twice")
+            return Refusal(Kind.INVALID, f"{where}: path_prefix {route.prefix} is there twice")
         seen.add(place)
         if route.aim_ms - route.guard_ms >= AIM_OVER_MS:
-            return Fault(Kind.INVALID, f"{where}: target_ms lies a minute or more over guard_timer_ms")
+            return Refusal(Kind.INVALID, f"{where}: target_ms lies a minute or more over guard_timer_ms")
     return None
--- a/athenaeum/doors.py
+++ b/mesh/control/control_api.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from athenaeum.faults import Fault, Kind
+from mesh.errors import Kind, Refusal
 from orchidferry.flow import Flow, Pool
 from orchidferry.frontend import LIMITS_S, Frontend, Owed, Reply, Stage
 from orchidferry.request import Message
@@ -45,10 +45,10 @@
     def __call__(self, call: Call, rest: str, answer: Callable[[Reply], None]) -> None: ...
 
 
-def told(fault: Fault, retry_after_s: float | None = None) -> Reply:
+def told(refusal: Refusal, retry_after_s: float | None = None) -> Reply:
     """A fault as an answer."""
-    body = json.dumps({"error": fault.kind.name.lower(), "detail": fault.line}).encode()
-    return Reply(fault.status, body, JSON, retry_after_s)
+    body = json.dumps({"error": refusal.kind.name.lower(), "detail": refusal.line}).encode()
+    return Reply(refusal.status, body, JSON, retry_after_s)
 
 
 class _Once:
@@ -57,7 +57,7 @@
     def __init__(self, door: ControlDoor, answer: Callable[[Reply], None]) -> None:
         self._answer: Callable[[Reply], None] | None = answer
         self._timer = asyncio.get_running_loop().call_later(
-            OWED_MOST_S, self, told(Fault(Kind.LATE, "no answer in time"))
+            OWED_MOST_S, self, told(Refusal(Kind.LATE, "no answer in time"))
         )
 
     def __call__(self, reply: Reply) -> None:
@@ -99,5 +99,5 @@
             if path == prefix or path.startswith(prefix + "/"):
                 handler(message, path[len(prefix) + 1 :], once)
                 return once
-        once(told(Fault(Kind.UNKNOWN, path[:80])))
+        once(told(Refusal(Kind.UNKNOWN, path[:80])))
         return once
--- /dev/null
+++ b/mesh/control/controller.py
@@ -0,0 +1,421 @@
+"""The controller of the mesh's state, on core machines: `orchidferry controller`.
+
+It runs one `Shard` (mesh/control/shard.py) of each shard of the state: it votes on the configuration and
+on who keeps what, grants operation keys, does the duties of the shards that it owns, holds the leases of
+nodes, and tells all nodes what changes. What it says was kept is on its disk before it says so. It never
+waits for its disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from mesh.control import shard_state
+from mesh.control.configuration import check, digest
+from mesh.control.control_api import JSON, Call, ControlDoor, told
+from mesh.control.operation_keys import MOST
+from mesh.control.publisher import Publisher
+from mesh.control.replica import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
+from mesh.control.retry_budget import RetryBudgets
+from mesh.control.shard import Shard, remembered
+from mesh.errors import Kind, Refusal
+from mesh.settings import Settings
+from mesh.storage.store import Put, Store, pack
+from mesh.storage.store import unpack as unpack_stored
+from mesh.wire.framing import Link, dial
+from nickelbridge.register import Kept, Value
+from orchidferry.frontend import Reply
+
+BEAT_S = 0.4  # how often a controller tells the others that it lives
+BEATS_MOST = 16  # that may be acknowledged yet
+TICK_S = 0.05
+DIAL_S = 0.15
+PUT_S = 4.0
+CONTROLLERS_MOST = 64
+RETRY_AFTER_S = 0.2
+STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
+
+
+class Controller:
+    """One controller."""
+
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
+        self._settings, self._loop, self._name, self._seeds = settings, loop, settings.ip, settings.seeds
+        self._rng = random.Random()
+        assert settings.data_dir is not None
+        self._store = Store(settings.data_dir, loop)
+        self._began_s = loop.time()
+        self._known_peers = Peers(self._began_s)
+        self._shards: dict[int, Shard] = {}
+        self._remember()
+        self._load_slips()
+        self._publisher = Publisher(self._name, settings.zone, self._rng.randrange(1, 2**53), loop)
+        bounds = settings.bounds
+        self._retry_budgets = RetryBudgets(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
+        self._peers: dict[str, Link] = {}  # controllers that this one dialled,
+        self._callers: dict[str, Link] = {}  # and that dialled it: also those that it knows of no other way
+        self._dialling: set[str] = set()
+        self._dial_s: dict[str, float] = {}  # when each may be dialled again
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._waiting: dict[str, Callable[[Ended], None]] = {}  # for changes and readings
+        self._number = 0
+        self._beats: dict[int, float] = {}  # when each was sent
+        self._door = ControlDoor(
+            {"/orchidferry/configuration": self._configuration}, max(64, settings.descriptors // 4)
+        )
+        self._server: asyncio.Server | None = None
+        self._stopping = False
+
+    # Its memory
+
+    def _remember(self) -> None:
+        """What each shard had promised and accepted; a new memory where there is none."""
+        settings, read = self._settings, self._store.read
+        founders = read("about", b"founders")
+        names = tuple(unpack_stored(founders)) if founders is not None else settings.seeds
+        founder = settings.first_start and self._name in settings.seeds
+        new = founders is None
+        puts: list[Put] = [("about", b"founders", pack(list(names)))] if new else []
+        for number in shard_state.SHARDS:
+            raw = read("about", f"kept/{number}".encode())
+            caught = founder if new else read("about", f"caught/{number}".encode()) is not None
+            if raw is not None:
+                kept = shard_state.unpack_kept(unpack_stored(raw))
+            else:
+                kept = Kept(shard_state.GENESIS if new and founder else self._rng.randrange(2, 2**53))
+                puts += remembered(number, kept, caught)
+            self._shards[number] = Shard(
+                number, self._name, shard_state.genesis(names), kept, caught, self._known_peers,
+                settings.bounds.key_window_s, self._rng, MOST // len(shard_state.KEY_SHARDS),
+            )  # fmt: skip
+        if puts:
+            self._store.write(puts)
+            logger.info(
+                "controller: a new memory, {}", "as a founder" if founder else "to be filled by others"
+            )
+
+    def _load_slips(self) -> None:
+        for raw, packed in self._store.all("slips"):
+            key = raw.decode("latin-1")
+            self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
+
+    def _owner_fence(self, service: str, now: float) -> int | None:
+        """The fence under which this controller does the duties for a service now; None if it doesn't."""
+        return self._shards[shard_state.shard_of(service)].owns(now)
+
+    @property
+    def _configuration_shard(self) -> Shard:
+        return self._shards[shard_state.CONFIGURATION]
+
+    # Start and end
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until told to stop; then let others take over, and end."""
+        self._server = await self._loop.create_server(
+            lambda: Link(self._heard, self._lost),
+            self._settings.local_ip,
+            self._settings.internal_port,
+            backlog=512,
+        )
+        await self._door.listen(self._loop, self._settings.door("control"))
+        for number, shard in self._shards.items():
+            logger.info(
+                "controller: shard {} with epoch {} at version {}",
+                number,
+                shard.body.epoch,
+                shard.known.version,
+            )
+        self._mind_fitness()
+        await self._turn_until(stopping, float("inf"))
+        logger.info("controller: stopping")
+        self._door.close_listener()
+        self._stopping = True
+        self._mind_fitness()
+        await self._turn_until(asyncio.Event(), self._loop.time() + STOP_S)
+        self._server.close()
+        self._store.close()
+        logger.info("controller: stopped")
+
+    async def _turn_until(self, stopping: asyncio.Event, until_s: float) -> None:
+        """The loop that works out the difference between what is and what should be."""
+        beats = 0.0
+        while not stopping.is_set() and self._loop.time() < until_s:
+            now = self._loop.time()
+            if now >= beats:
+                beats = now + BEAT_S
+                self._beat()
+            self._tick(now)
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await stopping.wait()
+            except TimeoutError:
+                pass
+
+    def _mind_fitness(self) -> None:
+        """A controller whose disk ails, that has forgotten, or that ends, does no duties: others hear at
+        once.
+        """
+        knows = all(shard.standing.caught_up for shard in self._shards.values())
+        fit = knows and not self._store.ailing and not self._stopping
+        if fit is not self._known_peers.fit:
+            self._known_peers.fit = fit
+            self._beat()
+
+    def reread(self, settings: Settings) -> None:
+        """The settings file has changed: other controllers may be named there."""
+        self._seeds = settings.seeds
+
+    def _controllers(self) -> set[str]:
+        voters = {v.name for shard in self._shards.values() for v in shard.known.voters}
+        return (voters | set(self._seeds)) - {self._name}
+
+    def _beat(self) -> None:
+        """Tell the other controllers that this one lives; its duties rest on their acknowledgement."""
+        now = self._loop.time()
+        self._number += 1
+        self._beats[self._number] = now
+        if len(self._beats) > BEATS_MOST:
+            del self._beats[next(iter(self._beats))]
+        versions = [self._shards[n].known.version for n in shard_state.SHARDS]
+        for link in list(self._peers.values()):
+            if link.open:
+                if now - link.heard_s > DEAD_S:
+                    link.close()
+                else:
+                    link.send("beat", self._name, self._number, self._known_peers.fit, versions)
+
+    def _spawn(self, work: Any) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, name: str) -> None:
+        try:
+            link = await dial(
+                self._heard, self._lost, name, self._settings.internal_port, self._settings.local_ip
+            )
+            if link is not None:
+                link.peer = name
+                self._peers[name] = link
+                link.send("controller", self._name)
+                self._beat()
+        finally:
+            self._dialling.discard(name)
+
+    def _tick(self, now: float) -> None:
+        for name in self._controllers():
+            if name not in self._peers and name not in self._dialling and now >= self._dial_s.get(name, 0.0):
+                self._dialling.add(name)
+                self._dial_s[name] = now + DIAL_S
+                self._spawn(self._dial(name))
+        self._publisher.tick()
+        self._mind_fitness()
+        for shard in self._shards.values():
+            self._turn(shard)
+
+    def _turn(self, shard: Shard) -> None:
+        """Go on with what is due in a shard; once more before the next tick, where that is sooner."""
+        now = self._loop.time()
+        self._do(shard, shard.tick(now))
+        wait_s = shard.due_s - now
+        if wait_s < TICK_S:
+            self._loop.call_later(max(0.002, wait_s), self._turn_due, shard)
+
+    def _turn_due(self, shard: Shard) -> None:
+        now = self._loop.time()
+        if shard.due_s <= now:
+            self._do(shard, shard.tick(now))
+
+    # What the shards want done
+
+    def _do(self, shard: Shard, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Tell():
+                    link = self._peers.get(action.to) or self._callers.get(action.to)
+                    if link is not None:
+                        link.send(*action.message)
+                case Answer():
+                    action.to.send(*action.message)
+                case Write():
+                    self._write(shard, action)
+                case Changed():
+                    self._changed(shard, action.old, action.new)
+                case Ended():
+                    told = self._waiting.pop(action.id, None)
+                    if told is not None:
+                        told(action)
+                case Note():
+                    logger.info("controller: shard {}: {}", shard.number, action.text)
+
+    def _write(self, shard: Shard, write: Write) -> None:
+        then = write.then
+        if then is None:
+            return self._store.write(write.puts)
+        self._store.write(
+            write.puts, lambda done: self._do(shard, shard.written(then, done, self._loop.time()))
+        )
+
+    def _changed(self, shard: Shard, old: Value, new: Value) -> None:
+        was, now = shard_state.body(old), shard_state.body(new)
+        logger.info(
+            "controller: shard {} is at version {}, epoch {}, revision {}, owner {} under fence {}",
+            shard.number, new.version, now.epoch, now.revision, now.owner, now.fence,
+        )  # fmt: skip
+        if (now.epoch, now.fence) != (was.epoch, was.fence):
+            self._tell_group(shard)
+        if now.revision != was.revision:
+            self._publisher.revise(now.revision)
+
+    def _wait_for(self, told: Callable[[Ended], None]) -> str:
+        self._number += 1
+        id = str(self._number)
+        self._waiting[id] = told
+        return id
+
+    def _read(self, told: Callable[[Value | None], None]) -> None:
+        """The newest configuration for sure."""
+        id = self._wait_for(lambda end: told(end.value))
+        self._do(self._configuration_shard, self._configuration_shard.read(id, self._loop.time()))
+
+    # Links
+
+    def _heard(self, link: Link, message: list[Any]) -> None:
+        try:
+            self._take(link, message)
+        except (ValueError, TypeError, KeyError, IndexError) as problem:
+            logger.warning("controller: a message {!r} can't be read: {}", message[0], problem)
+            link.close()
+
+    def _lost(self, link: Link) -> None:
+        self._publisher.lost(link)
+        for links in (self._peers, self._callers):
+            if links.get(link.peer) is link:
+                del links[link.peer]
+
+    def _take(self, link: Link, message: list[Any]) -> None:
+        kind, now = message[0], self._loop.time()
+        if kind == "claim":
+            rid, under, key, holder = message[1:]
+            shard = self._shards[shard_state.shard_of(key)]
+            self._do(shard, shard.claim(link, rid, under, key, holder, self._store.room, now))
+            if under != shard.body.epoch:
+                self._tell_group(shard, link)
+        elif kind == "done":
+            key, holder, answer = message[1:]
+            shard = self._shards[shard_state.shard_of(key)]
+            self._do(shard, shard.done(key, holder, answer, now))
+        elif kind == "drop":
+            key, holder = message[1:]
+            shard = self._shards[shard_state.shard_of(key)]
+            self._do(shard, shard.drop(key, holder, now))
+        elif kind == "share?":
+            service, node, life, number, used, wanted, held, fence = message[1:]
+            share = self._retry_budgets.handle(
+                service, node, life, number, used, wanted, held, fence, now
+            )  # fmt: skip
+            if share is not None:
+                link.send(*share)
+        elif kind == "renew":
+            self._publisher.renew(link, *message[1:])
+        elif kind == "since":
+            self._publisher.since(link, *message[1:])
+        elif kind == "follow":
+            self._publisher.follow(link, *message[1:])
+        elif kind == "unfollow":
+            self._publisher.unfollow(link)
+        elif kind == "part":
+            shard = self._shards[message[1]]
+            self._do(shard, shard.heard(link, message[2:], now))
+        elif kind == "beat":
+            self._heard_beat(link, *message[1:])
+        elif kind == "pulse":
+            name, number, fences = message[1:]
+            sent_s = self._beats.get(number)
+            if sent_s is not None:
+                for shard, fence in zip(self._shards.values(), fences, strict=True):
+                    shard.pulse(name, sent_s, fence)
+        elif kind == "hello":
+            self._publisher.hello(link, message[1])
+            for shard in self._shards.values():
+                self._tell_group(shard, link)
+        elif kind == "read":
+            rid = message[1]
+            self._read(lambda value: self._tell_configuration(link, rid, value))
+        elif kind == "fetch":
+            self._tell_configuration(link, message[1], self._configuration_shard.known)
+        elif kind == "controller":
+            link.peer = str(message[1])
+            self._callers[link.peer] = link
+
+    def _heard_beat(self, link: Link, name: str, number: int, fit: bool, versions: list[int]) -> None:
+        known = self._known_peers
+        if name not in known.heard_s and len(known.heard_s) >= CONTROLLERS_MOST:
+            del known.heard_s[min(known.heard_s, key=lambda n: known.heard_s[n])]
+        known.heard_s[name] = self._loop.time()
+        (known.unfit.discard if fit else known.unfit.add)(name)
+        link.send("pulse", self._name, number, [p.accepted_fence for p in self._shards.values()])
+        for shard, version in zip(self._shards.values(), versions, strict=True):
+            self._do(shard, shard.catch(version, name))
+
+    # Nodes
+
+    def _tell_group(self, shard: Shard, link: Link | None = None) -> None:
+        own = shard.body
+        names = [v.name for v in shard.known.voters]
+        self._publisher.tell_group(["group", shard.number, own.epoch, names, own.owner, own.fence], link)
+
+    def _tell_configuration(self, link: Link, rid: int, value: Value | None) -> None:
+        if value is None:
+            self._publisher.tell_configuration(link, rid, -1, b"")
+        else:
+            self._publisher.tell_configuration(
+                link, rid, shard_state.body(value).revision, shard_state.body(value).raw
+            )
+
+    # The operator's calls
+
+    def _configuration(self, call: Call, rest: str, answer: Callable[[Any], None]) -> None:
+        """The one resource here."""
+        if rest:
+            return answer(told(Refusal(Kind.UNKNOWN, rest[:80])))
+        if call.method == b"GET":
+
+            def got(value: Value | None) -> None:
+                if value is None:
+                    answer(told(Refusal(Kind.NO_MAJORITY), RETRY_AFTER_S))
+                elif not shard_state.body(value).revision:
+                    answer(told(Refusal(Kind.UNKNOWN, "there is no configuration yet")))
+                else:
+                    answer(Reply(200, shard_state.body(value).raw, JSON))
+
+            return self._read(got)
+        if call.method != b"PUT":
+            return answer(told(Refusal(Kind.UNREADABLE, "PUT or GET")))
+        on = call.headers.get(b"if-match", b"").strip(b' "')
+        if not on.isdigit():
+            return answer(told(Refusal(Kind.UNREADABLE, "If-Match: a version is needed")))
+        found = check(call.body)
+        if isinstance(found, Refusal):
+            logger.info("configuration: refused, {}", found.line)
+            return answer(told(found))
+        mark = digest(call.body)
+
+        def done(end: Ended) -> None:
+            if end.value is None:
+                return answer(told(Refusal(Kind.LATE, "no majority of controllers answered"), RETRY_AFTER_S))
+            if end.why:
+                kind = Kind.OLD_VERSION if end.why == shard_state.OLD_VERSION else Kind.OTHER_VERSION
+                return answer(told(Refusal(kind, f"{shard_state.body(end.value).revision} is current")))
+            body = json.dumps({"revision_number": found.revision}).encode()
+            answer(Reply(200, body, JSON))
+
+        change = shard_state.Put(call.body, found.revision, mark, int(on))
+        configuration, id = self._configuration_shard, self._wait_for(done)
+        self._do(configuration, configuration.ask(id, change, PUT_S, self._loop.time()))
--- a/athenaeum/accessions.py
+++ b/mesh/control/endpoints.py
@@ -1,9 +1,9 @@
-"""Which nodes and servers there are, as one keeper or node knows it. Pure: no I/O, the clock handed in.
+"""Which nodes and servers there are, as one controller or node knows it. Pure: no I/O, the clock handed in.
 
-A node's record has one writer, the node itself: it holds a lease at each keeper and sends its record again
-when that changes. A record tells of the node's process and of the server on its machine. Of two records of
-one process the one with the higher number counts; of two lives of a server neither replaces the other, as
-each has an id of its own.
+A node's record has one writer, the node itself: it holds a lease at each controller and sends its record
+again when that changes. A record tells of the node's process and of the server on its machine. Of two
+records of one process the one with the higher number counts; of two lives of a server neither replaces the
+other, as each has an id of its own.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
 
 @dataclass
 class Register:
-    """The members that one keeper knows."""
+    """The members that one controller knows."""
 
     lease_s: float = LEASE_S
     leases: dict[str, _Lease] = field(default_factory=dict)
@@ -104,14 +104,14 @@
 
 
 def everyone(told: dict[str, dict[str, Record]], heard: set[str]) -> dict[str, Record]:
-    """Every node's newest record, of what keepers say by name: those that are heard; all, if none is.
+    """Every node's newest record, of what controllers say by name: those that are heard; all, if none is.
 
-    A node is a member while any keeper that is heard says so: one keeper that is cut off from it takes nobody
-    out, and one that has just started knows nobody.
+    A node is a member while any controller that is heard says so: one controller that is cut off from it
+    takes nobody out, and one that has just started knows nobody.
     """
     found: dict[str, Record] = {}
-    for keeper, mine in told.items():
-        if heard and keeper not in heard:
+    for controller, mine in told.items():
+        if heard and controller not in heard:
             continue
         for name, record in mine.items():
             had = found.get(name)
--- a/athenaeum/relays.py
+++ b/mesh/control/fanout_tree.py
@@ -1,8 +1,8 @@
-"""News from keepers to nodes, and the tree of relays that it comes down. Pure: no I/O, no clock.
+"""News from controllers to nodes, and the tree of relays that it comes down. Pure: no I/O, no clock.
 
-A keeper numbers what changes in its list of members and in the configuration: a stream, with a life drawn at
-the keeper's start and a number that rises by one. Whoever has a stream can tell another what came after that
-one's place in it, as a difference while its log reaches back so far, else as the whole list.
+A controller numbers what changes in its list of members and in the configuration: a stream, with a life
+drawn at the controller's start and a number that rises by one. Whoever has a stream can tell another what
+came after that one's place in it, as a difference while its log reaches back so far, else as the whole list.
 """
 
 from __future__ import annotations
@@ -14,9 +14,9 @@
 from functools import lru_cache
 from typing import Any, Generic, TypeVar
 
-from athenaeum.accessions import Record, unpack
+from mesh.control.endpoints import Record, unpack
 
-HEADS = 2  # nodes of a zone that follow the keepers themselves
+HEADS = 2  # nodes of a zone that follow the controllers themselves
 FANOUT = 8
 FOLLOWERS_MOST = FANOUT + 2  # of a relay: views of the tree differ for a while
 LOG = 256  # steps that a difference may reach back
@@ -58,51 +58,66 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """What changed in a keeper's stream after `since`, up to `number`; with `since` -1 it is all there is."""
+    """What changed in a controller's stream after `since`, up to `number`; with `since` -1 it is all there
+    is.
+    """
 
-    keeper: str
+    controller: str
     life: int
     since: int
     number: int
     entries: list[Record]
     gone: list[str]
-    revision: int  # of the configuration, as the keeper knows it; 0 for none
+    revision: int  # of the configuration, as the controller knows it; 0 for none
 
     def packed(self) -> list[Any]:
         """As a message."""
         entries = [record.packed() for record in self.entries]
-        return ["news", self.keeper, self.life, self.since, self.number, entries, self.gone, self.revision]
+        return [
+            "news",
+            self.controller,
+            self.life,
+            self.since,
+            self.number,
+            entries,
+            self.gone,
+            self.revision,
+        ]
 
 
 def unpack_change(
-    keeper: str, life: int, since: int, number: int, entries: list[Any], gone: list[str], revision: int
+    controller: str, life: int, since: int, number: int, entries: list[Any], gone: list[str], revision: int
 ) -> Change:
     """A change as it came, without the message's kind; `ValueError` or `TypeError` for one that is none."""
     if not (isinstance(life, int) and -1 <= since < number and isinstance(revision, int)):
         raise ValueError("a change without its place")
-    return Change(keeper, life, since, number, [unpack(r) for r in entries], list(gone), revision)
+    return Change(controller, life, since, number, [unpack(r) for r in entries], list(gone), revision)
 
 
 class Stream:
-    """One keeper's news, at that keeper or at whoever has it from there."""
-
-    def __init__(self, keeper: str, life: int = 0, number: int = -1) -> None:
-        self.keeper, self.life, self.number = keeper, life, number  # number -1: nothing of this life yet
+    """One controller's news, at that controller or at whoever has it from there."""
+
+    def __init__(self, controller: str, life: int = 0, number: int = -1) -> None:
+        self.controller, self.life, self.number = (
+            controller,
+            life,
+            number,
+        )  # number -1: nothing of this life yet
         self.records: dict[str, Record] = {}
         self.revision = 0
         self._log: deque[tuple[int, int, tuple[str, ...]]] = deque()  # since, number, names
         self._names = 0  # in the log
 
     def begin(self, life: int) -> None:
-        """The keeper has a new life; what it said in the old one stands until its list is here."""
+        """The controller has a new life; what it said in the old one stands until its list is here."""
         self.life, self.number = life, -1
         self._log.clear()
         self._names = 0
 
     def step(self, entries: Iterable[Record] = (), gone: Iterable[str] = (), revision: int = 0) -> None:
-        """Something has changed, at the keeper itself."""
+        """Something has changed, at the controller itself."""
         changed, left = list(entries), list(gone)
-        self._apply(Change(self.keeper, self.life, self.number, self.number + 1, changed, left, revision))
+        self._apply(Change(self.controller, self.life, self.number, self.number + 1, changed, left, revision))
 
     def take(self, change: Change) -> bool:
         """Take what came; whether it was news, and fitted on what is here."""
@@ -135,11 +150,11 @@
             return None
         if not here or not self._log or number < self._log[0][0]:
             every = list(self.records.values())
-            return Change(self.keeper, self.life, -1, self.number, every, [], self.revision)
+            return Change(self.controller, self.life, -1, self.number, every, [], self.revision)
         names = {name for _, to, some in self._log if to > number for name in some}
         entries = [self.records[name] for name in names if name in self.records]
         gone = [name for name in names if name not in self.records]
-        return Change(self.keeper, self.life, number, self.number, entries, gone, self.revision)
+        return Change(self.controller, self.life, number, self.number, entries, gone, self.revision)
 
 
 class Followers(Generic[L]):
@@ -147,13 +162,13 @@
 
     def __init__(self, most: int = FOLLOWERS_MOST) -> None:
         self._most = most
-        self.places: dict[L, dict[str, Place]] = {}  # by follower, by keeper
+        self.places: dict[L, dict[str, Place]] = {}  # by follower, by controller
 
     def follow(self, link: L, places: Iterable[tuple[str, int, int]]) -> bool:
         """Somebody follows from these places on; False if there are too many already."""
         if link not in self.places and len(self.places) >= self._most:
             return False
-        self.places[link] = {keeper: (life, number) for keeper, life, number in places}
+        self.places[link] = {controller: (life, number) for controller, life, number in places}
         return True
 
     def leave(self, link: L) -> None:
@@ -163,14 +178,14 @@
     def due(self, stream: Stream) -> list[tuple[Change, list[L]]]:
         """What is to be told of a stream, and to whom; it counts as told.
 
-        Only those are told who said that they know of this life: each has that from the keeper itself.
+        Only those are told who said that they know of this life: each has that from the controller itself.
         """
         groups: dict[int, list[L]] = {}
         for link, places in self.places.items():
-            life, number = places.get(stream.keeper, (0, 0))
+            life, number = places.get(stream.controller, (0, 0))
             if life == stream.life and number < stream.number:
                 groups.setdefault(number, []).append(link)
-                places[stream.keeper] = (life, stream.number)
+                places[stream.controller] = (life, stream.number)
         found = [(stream.after(stream.life, number), links) for number, links in groups.items()]
         return [(change, links) for change, links in found if change is not None]
 
--- a/athenaeum/bindery.py
+++ b/mesh/control/hinted_handoff.py
@@ -1,6 +1,6 @@
-"""What a silent keeper misses, kept for it by the others and handed over once it is back. Pure.
+"""What a silent controller misses, kept for it by the others and handed over once it is back. Pure.
 
-Each keeper notes which keys it wrote of late. While another one is silent, these and all that are written
+Each controller notes which keys it wrote of late. While another one is silent, these and all that are written
 meanwhile are kept for it: by key, so that it is handed what stands when it is back and nothing that was given
 back since. Pages go one at a time, each until it is acknowledged. One that misses more than `MOST` is handed
 what is noted; it lacks the rest, which a majority has.
@@ -11,7 +11,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-RECENT_S = 4.0  # what was written so long before a keeper was found silent may have missed it too
+RECENT_S = 4.0  # what was written so long before a controller was found silent may have missed it too
 RECENT_MOST = 8_000
 MOST = 40_000  # keys that are kept for one
 AGAIN_S = 1.0  # a page that is not acknowledged goes out again
@@ -27,8 +27,8 @@
 
 
 @dataclass
-class Missed:
-    """What one keeper keeps for the others."""
+class Hints:
+    """What one controller keeps for the others."""
 
     recent: deque[tuple[float, str]] = field(default_factory=deque)
     kept: dict[str, _Kept] = field(default_factory=dict)
@@ -43,7 +43,7 @@
                 one.keys[key] = None
 
     def silent(self, name: str, now: float) -> None:
-        """A keeper is not heard."""
+        """A controller is not heard."""
         one = self.kept.get(name)
         if one is not None and one.silent:
             return
@@ -52,7 +52,7 @@
         one.keys |= dict.fromkeys(key for at, key in self.recent if at >= now - RECENT_S)
 
     def page(self, name: str, now: float, most: int) -> tuple[int, list[str]] | None:
-        """The number and the keys of the page that a keeper that is back is to be sent now, if one is."""
+        """The number and the keys of the page that a controller that is back is to be sent now, if one is."""
         one = self.kept.get(name)
         if one is None:
             return None
--- a/athenaeum/claims.py
+++ b/mesh/control/operation_key_client.py
@@ -1,6 +1,6 @@
-"""A node's half of operation keys: which keepers hold which part, and the claims that are out. Pure.
+"""A node's half of operation keys: which controllers hold which shard, and the claims that are out. Pure.
 
-What keepers say to the claim of one key is counted under one epoch of the group that holds its part.
+What controllers say to the claim of one key is counted under one epoch of the group that holds its shard.
 
 >>> count = Count(0, ("a", "b", "c"))
 >>> count.hear("a", 0, "yours", None), count.hear("b", 1, "yours", None), count.hear("b", 0, "yours", None)
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from athenaeum import parts
+from mesh.control import shard_state
 
-AGAIN_S = 0.12  # a keeper that could not say is asked again
+AGAIN_S = 0.12  # a controller that could not say is asked again
 OPEN_MOST = 20_000  # claims at once
 
 
@@ -33,7 +33,7 @@
         self.epoch, self.group, self.yours, self.held = epoch, group, set(), set()
 
     def open(self, name: str) -> bool:
-        """Whether a keeper has yet to say something."""
+        """Whether a controller has yet to say something."""
         return name not in self.yours and name not in self.held
 
     def hear(self, name: str, epoch: int, what: str, answer: Any) -> str:
@@ -55,7 +55,9 @@
 
 @dataclass(slots=True)
 class Group:
-    """The keepers of one part, as they told it: the newest epoch, and the owner under the newest fence."""
+    """The controllers of one shard, as they told it: the newest epoch, and the owner under the newest
+    fence.
+    """
 
     epoch: int
     names: tuple[str, ...]
@@ -68,7 +70,7 @@
     """One key that is being claimed."""
 
     rid: int
-    part: int
+    shard: int
     key: str
     holder: str
     told: Callable[[str, Any], None]
@@ -77,31 +79,33 @@
     again_s: float
 
 
-class Claims:
-    """All claims of one node. `send` puts a message to a keeper by name, lost if there is no link to it."""
+class OperationKeyClient:
+    """All claims of one node. `send` puts a message to a controller by name, lost if there is no link to
+    it.
+    """
 
     def __init__(self, seeds: tuple[str, ...], send: Callable[..., None]) -> None:
-        self.groups = {part: Group(-1, seeds) for part in parts.PARTS}
+        self.groups = {shard: Group(-1, seeds) for shard in shard_state.SHARDS}
         self._send = send
         self._open: dict[int, Claim] = {}
         self._rid = 0
 
     def names(self) -> set[str]:
-        """All keepers of all parts."""
+        """All controllers of all shard_state."""
         return {name for group in self.groups.values() for name in group.names}
 
     def group(
-        self, part: int, epoch: int, names: tuple[str, ...], owner: str, fence: int, now: float
+        self, shard: int, epoch: int, names: tuple[str, ...], owner: str, fence: int, now: float
     ) -> bool:
-        """A keeper says who holds a part, and who owns its duties; whether that is news."""
-        had = self.groups[part]
+        """A controller says who holds a shard, and who owns its duties; whether that is news."""
+        had = self.groups[shard]
         news = epoch > had.epoch or fence > had.fence
         if fence > had.fence:
             had.owner, had.fence = owner, fence
         if epoch > had.epoch:
             had.epoch, had.names = epoch, names
             for claim in self._open.values():
-                if claim.part == part:
+                if claim.shard == shard:
                     claim.count.anew(epoch, names)
                     self._ask(claim, now)
         return news
@@ -115,9 +119,9 @@
         if len(self._open) >= OPEN_MOST:
             return told("none", None)
         self._rid += 1
-        part = parts.part_of(key)
-        group = self.groups[part]
-        claim = Claim(self._rid, part, key, holder, told, Count(group.epoch, group.names), now + for_s, now)
+        shard = shard_state.shard_of(key)
+        group = self.groups[shard]
+        claim = Claim(self._rid, shard, key, holder, told, Count(group.epoch, group.names), now + for_s, now)
         self._open[claim.rid] = claim
         self._ask(claim, now)
 
@@ -130,7 +134,7 @@
                 self._ask(claim, now)
 
     def linked(self, name: str) -> None:
-        """There is a new link to a keeper."""
+        """There is a new link to a controller."""
         for claim in self._open.values():
             if name in claim.count.group:
                 self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
@@ -142,7 +146,7 @@
                 self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
 
     def hear(self, name: str, rid: int, epoch: int, what: str, answer: Any) -> None:
-        """A keeper's word on a claim."""
+        """A controller's word on a claim."""
         claim = self._open.get(rid)
         if claim is not None:
             end = claim.count.hear(name, epoch, what, answer)
@@ -166,5 +170,5 @@
         self._tell_all(key, "done", key, holder, answer)
 
     def _tell_all(self, key: str, *message: Any) -> None:
-        for name in self.groups[parts.part_of(key)].names:
+        for name in self.groups[shard_state.shard_of(key)].names:
             self._send(name, *message)
--- a/athenaeum/callslips.py
+++ b/mesh/control/operation_keys.py
@@ -1,9 +1,9 @@
 """Operation keys: each is claimed before its first run, and kept with its answer for the window. No I/O.
 
-One keeper's half. A node claims a key at all keepers of the group and may run its request once a majority
-granted it to that try, all under one epoch of the group. A keeper grants a key once: whoever asks later is
-told who holds it, and the answer, where that is known. Only the holder gives a key back, and only if it
-never ran. Nothing else ends a claim but its age.
+One controller's half. A node claims a key at all controllers of the group and may run its request once a
+majority granted it to that try, all under one epoch of the group. A controller grants a key once: whoever
+asks later is told who holds it, and the answer, where that is known. Only the holder gives a key back, and
+only if it never ran. Nothing else ends a claim but its age.
 
 What is granted must be on disk before the grant leaves: `claim` and its kin return what to write.
 
@@ -17,12 +17,12 @@
 from typing import Any
 
 SHELF_S = 20.0
-NOBODY = ""  # holds a key that keepers gave to more than one try
+NOBODY = ""  # holds a key that controllers gave to more than one try
 MOST = 200_000  # keys at once; beyond these none is granted
 
 
 @dataclass(slots=True)
-class Slip:
+class KeyRecord:
     """One key: the try that holds it, when it was claimed, and what it was answered."""
 
     holder: str
@@ -30,7 +30,7 @@
     answer: Any = None
 
     def packed(self) -> list[Any]:
-        """As it is written to disk and handed to other keepers."""
+        """As it is written to disk and handed to other controllers."""
         return [self.holder, self.shelf, self.answer]
 
 
@@ -56,12 +56,12 @@
 
 
 @dataclass
-class Slips:
-    """All keys that one keeper knows."""
+class OperationKeys:
+    """All keys that one controller knows."""
 
     window_s: float
     most: int = MOST
-    slips: dict[str, Slip] = field(default_factory=dict)
+    records: dict[str, KeyRecord] = field(default_factory=dict)
     shelf: int = 0  # the newest
     _turned_s: float = 0.0
     _shelves: dict[int, dict[str, None]] = field(default_factory=dict)
@@ -72,43 +72,43 @@
         return (int(self.window_s / SHELF_S) + 4) * SHELF_S
 
     def load(self, key: str, packed: list[Any]) -> None:
-        """Take a record as another keeper or the disk has it; an answer is never lost by it."""
+        """Take a record as another controller or the disk has it; an answer is never lost by it."""
         holder, shelf, answer = packed
         self.shelf = max(self.shelf, shelf)
-        had = self.slips.get(key)
+        had = self.records.get(key)
         if had is not None and had.answer is not None:
             return
         if had is not None and answer is None:
             if had.holder == holder:
                 return
             holder = NOBODY  # one of the two may have run, and which one is not to be told from here
-        self._put(key, Slip(holder, self.shelf, answer))
+        self._put(key, KeyRecord(holder, self.shelf, answer))
 
-    def _put(self, key: str, slip: Slip) -> None:
-        had = self.slips.get(key)
+    def _put(self, key: str, record: KeyRecord) -> None:
+        had = self.records.get(key)
         if had is not None:
             self._shelves.get(had.shelf, {}).pop(key, None)
-        self.slips[key] = slip
-        self._shelves.setdefault(slip.shelf, {})[key] = None
+        self.records[key] = record
+        self._shelves.setdefault(record.shelf, {})[key] = None
 
-    def claim(self, key: str, holder: str) -> tuple[Outcome, Slip | None]:
+    def claim(self, key: str, holder: str) -> tuple[Outcome, KeyRecord | None]:
         """Grant a key, or say who has it; with it the record to write first, if one is new."""
-        had = self.slips.get(key)
+        had = self.records.get(key)
         if had is not None:
             return (Granted() if had.holder == holder else Held(had.holder, had.answer)), None
-        if len(self.slips) >= self.most:
+        if len(self.records) >= self.most:
             return Full(), None
-        slip = Slip(holder, self.shelf)
-        self._put(key, slip)
-        return Granted(), slip
+        record = KeyRecord(holder, self.shelf)
+        self._put(key, record)
+        return Granted(), record
 
-    def done(self, key: str, holder: str, answer: Any) -> Slip | None:
+    def done(self, key: str, holder: str, answer: Any) -> KeyRecord | None:
         """Keep the answer of a key's first run; the record to write, if that is new."""
-        had = self.slips.get(key)
-        if had is None:  # this keeper missed the claim: a majority of others has it
-            slip = Slip(holder, self.shelf, answer)
-            self._put(key, slip)
-            return slip
+        had = self.records.get(key)
+        if had is None:  # this controller missed the claim: a majority of others has it
+            record = KeyRecord(holder, self.shelf, answer)
+            self._put(key, record)
+            return record
         if had.holder not in (holder, NOBODY) or had.answer is not None:
             return None
         had.holder, had.answer = holder, answer
@@ -116,10 +116,10 @@
 
     def drop(self, key: str, holder: str) -> bool:
         """Give a key back that never ran; whether there is a record to delete."""
-        had = self.slips.get(key)
+        had = self.records.get(key)
         if had is None or had.holder != holder or had.answer is not None:
             return False
-        del self.slips[key]
+        del self.records[key]
         self._shelves.get(had.shelf, {}).pop(key, None)
         return True
 
@@ -137,5 +137,5 @@
             keys = self._shelves.pop(number)
             over += keys
             for key in keys:
-                del self.slips[key]
+                del self.records[key]
         return over
--- a/athenaeum/desk.py
+++ b/mesh/control/publisher.py
@@ -1,6 +1,7 @@
-"""A keeper's desk for nodes: their leases, and the stream of news that is told to those that follow it.
+"""A controller's publisher for nodes: their leases, and the stream of news that is told to those that
+follow it.
 
-Leases and the group are a matter between the keeper and each node; of news it tells only the heads of the
+Leases and the group are a matter between the controller and each node; of news it tells only the heads of the
 tree (`relays`), those that have no parent there, and whoever asks for what it has missed.
 """
 
@@ -11,15 +12,15 @@
 
 from loguru import logger
 
-from athenaeum.accessions import LEASE_S, NODES_MOST, Register, unpack
-from athenaeum.relays import Change, Followers, Stream, Tally
-from athenaeum.wire import Link, pack
+from mesh.control.endpoints import LEASE_S, NODES_MOST, Register, unpack
+from mesh.control.fanout_tree import Change, Followers, Stream, Tally
+from mesh.wire.framing import Link, pack
 
 PACE_S = 100e-6  # for each follower, between two tellings: about a third of the time goes into them at most
 
 
-class Desk:
-    """What one keeper tells nodes; `life` is this life's own number."""
+class Publisher:
+    """What one controller tells nodes; `life` is this life's own number."""
 
     def __init__(self, name: str, zone: str, life: int, loop: asyncio.AbstractEventLoop) -> None:
         self._zone, self._loop = zone, loop
@@ -34,7 +35,7 @@
 
     @property
     def warm(self) -> bool:
-        """Whether all live nodes have had the time to come back to this keeper."""
+        """Whether all live nodes have had the time to come back to this controller."""
         return self._loop.time() - self._began_s > LEASE_S
 
     def hello(self, link: Link, name: str) -> None:
@@ -49,7 +50,9 @@
     def follow(self, link: Link, life: int, number: int) -> None:
         """Tell this node what came after its place, and all news from now on."""
         stream = self._stream
-        self._followers.follow(link, [(stream.keeper, stream.life, number if life == stream.life else -1)])
+        self._followers.follow(
+            link, [(stream.controller, stream.life, number if life == stream.life else -1)]
+        )
         self._tell()
 
     def unfollow(self, link: Link) -> None:
@@ -85,18 +88,20 @@
         """Leases run out."""
         late = self._members.lapse(self._loop.time())
         for name in late:
-            logger.info("accessions: {} has not renewed its lease", name)
+            logger.info("endpoints: {} has not renewed its lease", name)
         if late:
             self._stream.step(gone=late)
             self._tell()
 
     def tell_group(self, message: list[Any], link: Link | None = None) -> None:
-        """Tell one node, or all, of a group of keepers: claims wait for it, so it comes by no other way."""
+        """Tell one node, or all, of a group of controllers: claims wait for it, so it comes by no other
+        way.
+        """
         data = pack(message)
         for one in [link] if link is not None else list(self._nodes):
             self._send("group", one, data)
 
-    def tell_folio(self, link: Link, rid: int, revision: int, raw: bytes) -> None:
+    def tell_configuration(self, link: Link, rid: int, revision: int, raw: bytes) -> None:
         """Answer one that asked for the configuration; a revision of -1 says that there is no telling."""
         self._send("text", link, pack(["folio", rid, revision, raw]))
 
--- a/athenaeum/seat.py
+++ b/mesh/control/replica.py
@@ -1,8 +1,8 @@
-"""One keeper's seat in the group of a part: its vote, the readings and changes that it runs, its place in
-the group, and the duties of the part. Pure: events in, actions out, in the order in which they are to be
-done; clock and chance are handed in, and all that it holds can be copied.
+"""One controller's replica in the group of a shard: its vote, the readings and changes that it runs, its
+place in the group, and the duties of the shard. Pure: events in, actions out, in the order in which they
+are to be done; clock and chance are handed in, and all that it holds can be copied.
 
-The owner of a part does its duties while a majority has lately acknowledged its beats without having voted
+The owner of a shard does its duties while a majority has lately acknowledged its beats without having voted
 for a later fence. Each change of owner or voters brings one, so what the last owner was acknowledged came
 before that was decided; a new one waits for `TENURE_S` after it has learned of its place.
 """
@@ -14,15 +14,15 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from athenaeum import parts
-from athenaeum.deposit import Put, pack
-from athenaeum.group import Standing, epoch
+from mesh.control import shard_state
+from mesh.control.membership import Standing, epoch
+from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
 
-ALIVE_S = 1.5  # a keeper that was heard within this is alive
+ALIVE_S = 1.5  # a controller that was heard within this is alive
 DEAD_S = 2.5  # one that was not is dead, as far as this one knows
 TENURE_S = 1.0  # an owner's lease, from when it sent the beat that a majority acknowledged; under ALIVE_S
-SETTLE_S = 0.8  # after its start a keeper does not ask for duties
+SETTLE_S = 0.8  # after its start a controller does not ask for duties
 PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
 PEEKS = 20
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tell:
-    """To another keeper; lost if there is no link to it."""
+    """To another controller; lost if there is no link to it."""
 
     to: str
     message: list[Any]
@@ -90,12 +90,12 @@
     readers: list[str]
     until_s: float
     again: int
-    seen: list[parts.Seen] = field(default_factory=list)
+    seen: list[shard_state.Seen] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Peers:
-    """What a keeper knows of the others, the same for all parts."""
+    """What a controller knows of the others, the same for all shard_state."""
 
     began_s: float
     heard_s: dict[str, float] = field(default_factory=dict)
@@ -103,7 +103,7 @@
     fit: bool = True  # whether this one can: its disk keeps up, it is not stopping
 
     def alive(self, name: str, now: float, within_s: float = ALIVE_S) -> bool:
-        """Whether a keeper was heard within the time."""
+        """Whether a controller was heard within the time."""
         return now - self.heard_s.get(name, float("-inf")) < within_s
 
     def dead(self, name: str, now: float) -> bool:
@@ -111,8 +111,8 @@
         return now - self.heard_s.get(name, self.began_s) > DEAD_S
 
 
-class Seat:
-    """One keeper in the group of one part."""
+class Replica:
+    """One controller in the group of one shard."""
 
     def __init__(
         self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
@@ -125,7 +125,7 @@
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
         life = f"{name} {rng.randrange(2**53):x}"
         self.proposer = Proposer(life, first, rng, ROUND_MS, BACK_OFF_MS)
-        self.founder = kept.memory == parts.GENESIS
+        self.founder = kept.memory == shard_state.GENESIS
         self.seen = first  # the newest decided state that others were told of
         self.clean = True  # what it keeps is on disk as it is in memory
         self.abstains_s = peers.began_s  # since when it has granted nothing, if it has not caught up
@@ -138,7 +138,9 @@
         self._peeks: dict[int, _Peek] = {}
         self._reading = False
         self._owner_from_s = float("-inf")  # before that the last owner may still do the duties
-        self._pulsed: dict[str, float] = {}  # keepers that acknowledged this owner: when the beat was sent
+        self._pulsed: dict[
+            str, float
+        ] = {}  # controllers that acknowledged this owner: when the beat was sent
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
         self._join_s = 0.0
 
@@ -155,22 +157,22 @@
         return self.proposer.known
 
     @property
-    def body(self) -> parts.Body:
+    def body(self) -> shard_state.Body:
         """What is in that."""
-        return parts.body(self.known)
+        return shard_state.body(self.known)
 
     @property
     def accepted_fence(self) -> int:
         """The highest fence that it has voted for."""
         value = self.acceptor.kept.value
-        return max(self.body.fence, parts.body(value).fence if value is not None else 0)
+        return max(self.body.fence, shard_state.body(value).fence if value is not None else 0)
 
     def grants(self, under: int) -> bool:
-        """Whether this keeper may grant keys under an epoch."""
+        """Whether this controller may grant keys under an epoch."""
         return self.standing.grants(under, self.voter, self.known, self.acceptor.kept.value)
 
     def owns(self, now: float) -> int | None:
-        """The fence under which this keeper does the duties of the part now; None if it doesn't."""
+        """The fence under which this controller does the duties of the shard now; None if it doesn't."""
         own = self.body
         if own.owner != self.name or self.accepted_fence != own.fence or self.voter not in self.known.voters:
             return None
@@ -187,7 +189,7 @@
 
     # Events
 
-    def ask(self, id: str, change: parts.Change, for_s: float, now: float) -> list[Action]:
+    def ask(self, id: str, change: shard_state.Change, for_s: float, now: float) -> list[Action]:
         """Have the state changed; it is `Ended` once, with no value if nothing is known in time."""
         self.now = now
         self._ask(f"ask {id}", change, for_s, "ask", [id])
@@ -200,14 +202,16 @@
         return self._flush()
 
     def pulse(self, name: str, sent_s: float, fence: int) -> None:
-        """A keeper has acknowledged the beat that was sent then, and has voted for no fence above this."""
+        """A controller has acknowledged the beat that was sent then, and has voted for no fence above
+        this.
+        """
         if fence <= self.body.fence:
             self._pulsed[name] = max(sent_s, self._pulsed.get(name, float("-inf")))
 
     def catch(self, version: int, name: str) -> list[Action]:
-        """Another keeper's beat says what it knows: it is told what it has missed."""
+        """Another controller's beat says what it knows: it is told what it has missed."""
         if version < self.known.version:
-            self._say(name, "know", parts.pack_value(self.known))
+            self._say(name, "know", shard_state.pack_value(self.known))
         return self._flush()
 
     def _pass_time(self, now: float) -> bool:
@@ -236,26 +240,28 @@
         return True
 
     def _take(self, who: Any, message: list[Any]) -> None:
-        """A message between seats; `ValueError` and its like for a bad one."""
+        """A message between replicas; `ValueError` and its like for a bad one."""
         match message:
             case ["reg", sender, packed]:
-                self._register(sender, parts.unpack_message(packed), who)
+                self._register(sender, shard_state.unpack_message(packed), who)
             case ["know", packed]:
-                value = parts.unpack_value(packed)
+                value = shard_state.unpack_value(packed)
                 if value is not None:
                     self._learn(value)
             case ["peek", number, has]:
                 self._tell_peek(who, number, tuple(has))
             case ["peeked", number, [name, memory], accepted, packed]:
-                seen = parts.Seen(Voter(name, memory), tuple(accepted), parts.unpack_value(packed))
+                seen = shard_state.Seen(
+                    Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
+                )
                 self._peeked(number, seen)
             case ["join", name, memory]:
                 self._admit(Voter(name, memory))
             case _:
-                raise ValueError(f"no message of a part: {message[0]!r:.40}")
+                raise ValueError(f"no message of a shard: {message[0]!r:.40}")
 
     def _kept(self, then: tuple[Any, ...], ok: bool) -> None:
-        """What came of a write of the seat's own."""
+        """What came of a write of the replica's own."""
         match then:
             case ("voted", who, kept, replies) if ok:
                 self.clean = self.clean or kept is self.acceptor.kept
@@ -266,7 +272,7 @@
                 self._out.append(Note("put out of the group"))
 
     def _regrouped(self, value: Value) -> None:
-        """The part has another group."""
+        """The shard has another group."""
 
     # Out
 
@@ -291,18 +297,20 @@
     # The register
 
     def _object_to(self, intent: Any) -> str:
-        """Nobody who is alive as far as this keeper sees is put out of the group, or out of its duties."""
+        """Nobody who is alive as far as this controller sees is put out of the group, or out of its
+        duties.
+        """
         if not isinstance(intent, list) or len(intent) != 2:
             return ""
         what, name = intent
         alive = self.peers.alive(name, self.now) if name != self.name else True
         if what == "own":
             fit = self.peers.fit if name == self.name else name not in self.peers.unfit
-            return parts.ALIVE if alive and fit else ""
-        return parts.ALIVE if alive else ""
+            return shard_state.ALIVE if alive and fit else ""
+        return shard_state.ALIVE if alive else ""
 
     def _register(self, sender: str, message: Any, who: Any) -> None:
-        """A message of the register, from another seat or from this one (`who` None)."""
+        """A message of the register, from another replica or from this one (`who` None)."""
         if hasattr(message, "promised"):
             self._act(self.proposer.handle(message, self.now * 1000.0))
         else:
@@ -321,13 +329,13 @@
             return
         self.clean = False
         kept = self.acceptor.kept
-        self._write([self._about("kept", pack(parts.pack_kept(kept)))], ("voted", who, kept, replies))
+        self._write([self._about("kept", pack(shard_state.pack_kept(kept)))], ("voted", who, kept, replies))
 
     def _vote_out(self, who: Any, reply: Any) -> None:
         if who is None:
             self._mine.append(reply)
         else:
-            self._reply(who, "reg", self.name, parts.pack_message(reply))
+            self._reply(who, "reg", self.name, shard_state.pack_message(reply))
 
     def _act(self, actions: list[Any]) -> None:
         for action in actions:
@@ -335,21 +343,27 @@
                 if action.to == self.name:
                     self._mine.append(action.message)
                 else:
-                    self._say(action.to, "reg", self.name, parts.pack_message(action.message))
+                    self._say(action.to, "reg", self.name, shard_state.pack_message(action.message))
             elif isinstance(action, Done):
                 if action.value.version > self.seen.version:  # before anybody is answered
                     for name in self._others():
-                        self._say(name, "know", parts.pack_value(action.value))
+                        self._say(name, "know", shard_state.pack_value(action.value))
                 self._learn(action.value)
                 self._end(action.id, action.value, action.why)
 
     def _others(self) -> list[str]:
-        """The other keepers that have to do with this part."""
+        """The other controllers that have to do with this shard."""
         names = dict.fromkeys([v.name for v in (*self.known.voters, *self.known.former)])
         return [*(n for n in (names | dict.fromkeys(self.peers.heard_s)) if n != self.name)]
 
     def _ask(
-        self, id: str, change: parts.Change, for_s: float, what: str, waiting: list[str], intent: Any = None
+        self,
+        id: str,
+        change: shard_state.Change,
+        for_s: float,
+        what: str,
+        waiting: list[str],
+        intent: Any = None,
     ) -> None:
         if not self.founder and not self.known.version:  # it knows of no group yet
             return self._over(what, waiting, None, "")
@@ -387,21 +401,21 @@
         for name in self._others():
             self._say(name, "peek", number, list(kept.accepted))
         if self.clean:
-            self._peeked(number, parts.Seen(self.voter, kept.accepted, None))
+            self._peeked(number, shard_state.Seen(self.voter, kept.accepted, None))
 
     def _tell_peek(self, who: Any, number: int, has: Any) -> None:
         kept = self.acceptor.kept
         if self.clean:
-            value = None if has == kept.accepted else parts.pack_value(kept.value)
+            value = None if has == kept.accepted else shard_state.pack_value(kept.value)
             self._reply(who, "peeked", number, [self.name, kept.memory], list(kept.accepted), value)
 
-    def _peeked(self, number: int, seen: parts.Seen) -> None:
+    def _peeked(self, number: int, seen: shard_state.Seen) -> None:
         peek = self._peeks.get(number)
         if peek is None:
             return
         peek.seen.append(seen)
         first = self.known if self.founder and not self.known.version else None
-        value = parts.stands(peek.seen, peek.kept.value, peek.kept.accepted, first)
+        value = shard_state.stands(peek.seen, peek.kept.value, peek.kept.accepted, first)
         if value is not None:
             del self._peeks[number]
             self._learn(value)
@@ -410,7 +424,7 @@
     def _peek_over(self, peek: _Peek) -> None:
         if 2 * len(peek.seen) > len(self.known.voters):  # enough have answered, and differ
             self._count += 1
-            self._ask(f"read {self._count}", parts.read, READ_S, "read", peek.readers)
+            self._ask(f"read {self._count}", shard_state.read, READ_S, "read", peek.readers)
         elif peek.again:
             self._peek(peek.readers, peek.again - 1)
         else:
@@ -422,7 +436,7 @@
         old, value = self.seen, self.known
         if value.version > old.version:
             self.seen = value
-            before, after = parts.body(old), parts.body(value)
+            before, after = shard_state.body(old), shard_state.body(value)
             if after.fence != before.fence:
                 self._pulsed.clear()
                 if after.fence != before.fence + 1 or before.owner not in ("", after.owner):
@@ -434,7 +448,7 @@
     # The group
 
     def _join(self) -> None:
-        """Ask for a place, where this keeper has none."""
+        """Ask for a place, where this controller has none."""
         if self.voter in self.known.voters:
             return
         if self.standing.caught_up:  # it missed what was granted without it, and must not say otherwise
@@ -445,7 +459,7 @@
             self._say(name, "join", self.name, self.voter.memory)
 
     def _admit(self, joiner: Voter) -> None:
-        """Another keeper asks for a place in the group."""
+        """Another controller asks for a place in the group."""
         if self.voter not in self.known.voters or joiner in self.known.voters:
             return
         if any(what == "admit" for what, _, _ in self._asked.values()):
@@ -457,7 +471,7 @@
             return
         self._out.append(Note(f"{joiner.name} asks for a place, instead of {instead}"))
         intent = None if instead == joiner.name else ["replace", instead]
-        change = parts.Admit(joiner, instead, len(names))
+        change = shard_state.Admit(joiner, instead, len(names))
         self._ask(f"admit {joiner.name} {joiner.memory}", change, ADMIT_S, "admit", [], intent)
 
     def _settle(self) -> None:
@@ -467,13 +481,15 @@
             return
         alive = [v.name for v in self.known.voters
                  if v.name == self.name or self.peers.alive(v.name, self.now)]  # fmt: skip
-        if parts.ranked(self.number, alive)[0] == self.name:
-            self._ask(f"settle {self.known.version}", parts.settle, OWN_S, "settle", [])
+        if shard_state.ranked(self.number, alive)[0] == self.name:
+            self._ask(f"settle {self.known.version}", shard_state.settle, OWN_S, "settle", [])
 
     # Duties
 
     def _mind_owner(self) -> None:
-        """Take the duties of the part where their owner is gone or can't do them, if this one comes first."""
+        """Take the duties of the shard where their owner is gone or can't do them, if this one comes
+        first.
+        """
         now, names = self.now, [v.name for v in self.known.voters]
         if self.voter not in self.known.voters or now - self.peers.began_s < SETTLE_S:
             return
@@ -486,8 +502,13 @@
         owner = self.body.owner
         if owner in names and owner not in alive and not self.peers.dead(owner, now):
             return
-        if parts.ranked(self.number, sorted(fit))[0] == self.name:
+        if shard_state.ranked(self.number, sorted(fit))[0] == self.name:
             intent = ["own", owner] if owner and owner != self.name else None
             self._ask(
-                f"own {self.body.fence}", parts.Own(self.name, self.body.fence), OWN_S, "own", [], intent
+                f"own {self.body.fence}",
+                shard_state.Own(self.name, self.body.fence),
+                OWN_S,
+                "own",
+                [],
+                intent,
             )
--- a/athenaeum/allowance.py
+++ b/mesh/control/retry_budget.py
@@ -1,9 +1,9 @@
-"""The part of a service's further tries that the owner of the service deals to the nodes, on leases. Pure.
+"""The shard of a service's further tries that the owner of the service deals to the nodes, on leases. Pure.
 
 A share is so many tries in any window, and ends with its lease. What a node may have spent counts for one
 window more, so the dealer gives that to others only then. At any time the most that each node may have held
 within the last window, added up, is no more than the whole: that bounds every window, whatever is lost, late,
-frozen or started anew. docs/design/allowance.md has the proof.
+frozen or started anew. docs/design/retry_budget.md has the proof.
 
 >>> dealer, holder = Dealer(8.0, 10.0, 0.0, learn_s=0.0), Holder()
 >>> number = holder.ask(1.0)
@@ -28,7 +28,7 @@
 LATE_S = 1.0  # a try may arrive so long after it was sent: gates hold, and links are slow
 STATIC_SHARE = 0.15  # of the slack: cut over all nodes beforehand, for those that hear no dealer
 DEALT_SHARE = 0.75  # of the slack: what dealers deal. Never spent twice, as these two are apart
-FLOOR_SHARE = 0.25  # of an equal part, for whoever asks
+FLOOR_SHARE = 0.25  # of an equal shard, for whoever asks
 HEADROOM = 1.5  # times what a node wanted, so that it finds room when it needs more
 LEVEL_S = 0.5  # how often shares are worked out anew
 MIL = 1000  # shares are counted in thousandths: sums are exact
@@ -57,7 +57,7 @@
 
 
 class Dealer:
-    """Deals one service's whole, at the keeper that owns it, from when it became the owner.
+    """Deals one service's whole, at the controller that owns it, from when it became the owner.
 
     Until `learn_s` after that it knows nobody's share: it renews what nodes say they hold, and no more.
     """
@@ -207,12 +207,12 @@
         return changed
 
 
-class Allowances:
-    """All dealers of one keeper: those of the services that it owns.
+class RetryBudgets:
+    """All dealers of one controller: those of the services that it owns.
 
-    `owner_fence`: the fence under which this keeper owns a service's part now, None if it doesn't for sure.
-    A fence that was lost and won again, or a process that starts again, must come with a new dealer here,
-    which learns first.
+    `owner_fence`: the fence under which this controller owns a service's shard now, None if it doesn't for
+    sure. A fence that was lost and won again, or a process that starts again, must come with a new dealer
+    here, which learns first.
     """
 
     def __init__(
@@ -225,7 +225,7 @@
         self, service: str, node: str, life: int, number: int, used: float, wanted: float, held: float,
         fence: int, now_s: float,
     ) -> list[Any] | None:  # fmt: skip
-        """The answer to a node's `share?`, or None: this keeper does not own it, or must not speak."""
+        """The answer to a node's `share?`, or None: this controller does not own it, or must not speak."""
         own = self._owner_fence(service, now_s)
         if own is None or fence > own:
             self._dealers.pop(service, None)
--- a/athenaeum/parts.py
+++ b/mesh/control/shard_state.py
@@ -1,9 +1,10 @@
-"""The parts that the state is cut into, each with a group of keepers: what may become of one, how it travels.
+"""The shards that the state is cut into, each with a group of controllers: what may become of one, how it
+travels.
 
-Part 0 holds the configuration, the others operation keys, by a hash of the key; what is kept for a service
+Shard 0 holds the configuration, the others operation keys, by a hash of the key; what is kept for a service
 goes by a hash of its name. The state of each is the body of a `register.Value` (a register that a majority
 agrees on, no log): the epoch of the group, which rises with every change of its voters, who owns the duties
-of the part, under a fence that rises with every owner and every change of voters, and in part 0 the newest
+of the shard, under a fence that rises with every owner and every change of voters, and in shard 0 the newest
 configuration. Everything here is pure; changes are data, so that a world that holds them can be copied.
 """
 
@@ -30,44 +31,44 @@
 TAKEN_MOST = 64  # configurations whose numbers and digests are remembered
 GENESIS = 1  # memory of a founder at the very first start
 
-FOLIO = 0  # the part that holds the configuration
-KEY_PARTS = (1, 2, 3)
-PARTS = (FOLIO, *KEY_PARTS)
+CONFIGURATION = 0  # the shard that holds the configuration
+KEY_SHARDS = (1, 2, 3)
+SHARDS = (CONFIGURATION, *KEY_SHARDS)
 
 OTHER_VERSION, OLD_VERSION, ALIVE, NO_PLACE = "other version", "old version", "it is alive", "no place"
 OTHER_FENCE = "another owner came first"
 
 
-def part_of(name: str) -> int:
-    """The part of an operation key, or of a service by its name.
+def shard_of(name: str) -> int:
+    """The shard of an operation key, or of a service by its name.
 
     A key goes by itself, not by its service: a route may be split or moved while its keys live on.
 
-    >>> {part_of(f"k{n}") for n in range(40)} == set(KEY_PARTS)
+    >>> {shard_of(f"k{n}") for n in range(40)} == set(KEY_SHARDS)
     True
     """
     mark = hashlib.blake2b(name.encode("utf-8", "surrogateescape"), digest_size=8).digest()
-    return KEY_PARTS[int.from_bytes(mark, "big") % len(KEY_PARTS)]
+    return KEY_SHARDS[int.from_bytes(mark, "big") % len(KEY_SHARDS)]
 
 
-def ranked(part: int, names: list[str]) -> list[str]:
-    """Who comes first as the owner of a part: duties spread over the keepers.
+def ranked(shard: int, names: list[str]) -> list[str]:
+    """Who comes first as the owner of a shard: duties spread over the controllers.
 
     >>> sorted(ranked(1, ["a", "b", "c"]))
     ['a', 'b', 'c']
     """
-    return sorted(names, key=lambda n: hashlib.blake2b(f"{part} {n}".encode(), digest_size=8).digest())
+    return sorted(names, key=lambda n: hashlib.blake2b(f"{shard} {n}".encode(), digest_size=8).digest())
 
 
 @dataclass(frozen=True, slots=True)
 class Body:
-    """The state of the part."""
+    """The state of the shard."""
 
     epoch: int = 0
     revision: int = 0
     raw: bytes = b""
     taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
-    owner: str = ""  # the keeper that does the duties of the part
+    owner: str = ""  # the controller that does the duties of the shard
     fence: int = 0  # of that owner; rises with each, and with each change of voters
 
 
@@ -114,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """Take a keeper into the group, in the place of another name, or of an older memory of its own."""
+    """Take a controller into the group, in the place of another name, or of an older memory of its own."""
 
     joiner: Voter
     instead_of: str
@@ -140,7 +141,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Own:
-    """Give the duties of the part to a keeper, under the next fence, if `fence` is still the owner's."""
+    """Give the duties of the shard to a controller, under the next fence, if `fence` is still the owner's."""
 
     name: str
     fence: int
@@ -191,7 +192,7 @@
 
 
 def sources_needed(voters: int) -> int:
-    """How many keepers that remember a newcomer must hear, so that no majority of old is missed.
+    """How many controllers that remember a newcomer must hear, so that no majority of old is missed.
 
     >>> sources_needed(3), sources_needed(5)
     (2, 3)
--- a/athenaeum/branch.py
+++ b/mesh/control/subscriber.py
@@ -1,8 +1,8 @@
 """A node's place in the tree of relays: whom it follows, who follows it, and what it does about gaps.
 
 No I/O of its own: links, a loop's clock and the dialling are handed in. What the node knows rests on its
-leases: each answer of a keeper says how far that keeper's news is, and what has not come down the tree
-`CATCH_S` later is asked of the keeper itself. A relay that is frozen, cut off or lies costs that time.
+leases: each answer of a controller says how far that controller's news is, and what has not come down the
+tree `CATCH_S` later is asked of the controller itself. A relay that is frozen, cut off or lies costs that.
 """
 
 from __future__ import annotations
@@ -16,16 +16,25 @@
 
 from loguru import logger
 
-from athenaeum.accessions import Record
-from athenaeum.relays import FOLLOWERS_MOST, HEADS, Followers, Stream, Tally, parents, rank, unpack_change
-from athenaeum.wire import Link, pack
-
-CATCH_S = 0.15  # for news to come down the tree, once a keeper has said how far it is
-SETTLE_S = 1.0  # after its start a node takes its news from keepers for so long
+from mesh.control.endpoints import Record
+from mesh.control.fanout_tree import (
+    FOLLOWERS_MOST,
+    HEADS,
+    Followers,
+    Stream,
+    Tally,
+    parents,
+    rank,
+    unpack_change,
+)
+from mesh.wire.framing import Link, pack
+
+CATCH_S = 0.15  # for news to come down the tree, once a controller has said how far it is
+SETTLE_S = 1.0  # after its start a node takes its news from controllers for so long
 REVIEW_S = (5.0, 15.0)  # how often the place in the tree is looked at, by chance within these
 ANSWER_S = 0.4  # for a parent to take this node in, or to show that it lives
 STRIKES = 3  # gaps in a row with nothing new from a parent
-STRIKE_S = 0.4  # gaps within this count as one: each keeper tells of the same change
+STRIKE_S = 0.4  # gaps within this count as one: each controller tells of the same change
 BACK_OFF_S, BACK_OFF_MOST_S = 4.0, 60.0  # before a parent is tried again, doubling
 STRANGER_S = 3.0  # one that has connected and not said what it wants is cut off
 LINKS_MOST = 4 * FOLLOWERS_MOST
@@ -44,7 +53,7 @@
     struck_s: float = 0.0
 
 
-class Branch:
+class Subscriber:
     """One node in the tree.
 
     `dial(name, ip)` is to call `dialled` once; `changed()` hears that some list of members has; `told`
@@ -56,13 +65,13 @@
         dial: Callable[[str, str], None], changed: Callable[[], None], told: Callable[[int, Link], None],
         heads: int = HEADS,
     ) -> None:  # fmt: skip
-        self._name, self._boot, self._zone = name, boot, zone
+        self._name, self._settings, self._zone = name, boot, zone
         self._loop, self._rng, self._dial = loop, rng, dial
         self._changed, self._told, self._heads = changed, told, heads
-        self.streams: dict[str, Stream] = {}  # by keeper
-        self._keepers: dict[str, Link] = {}  # open links
-        self._following: set[str] = set()  # keepers that tell this node all
-        self._late: set[str] = set()  # keepers whose news is waited for
+        self.streams: dict[str, Stream] = {}  # by controller
+        self._controllers: dict[str, Link] = {}  # open links
+        self._following: set[str] = set()  # controllers that tell this node all
+        self._late: set[str] = set()  # controllers whose news is waited for
         self._members: dict[str, Record] = {}
         self.parent: Parent | None = None
         self._trying: Parent | None = None
@@ -75,47 +84,47 @@
         self._asking: dict[Link, tuple[int, int]] = {}  # followers that wait for it: their number, revision
         self.tally = Tally()
 
-    # Keepers
+    # Controllers
 
-    def up(self, keeper: str, link: Link) -> None:
-        """There is a link to a keeper."""
-        self.streams.setdefault(keeper, Stream(keeper))
-        self._keepers[keeper] = link
-        self._following.discard(keeper)
+    def up(self, controller: str, link: Link) -> None:
+        """There is a link to a controller."""
+        self.streams.setdefault(controller, Stream(controller))
+        self._controllers[controller] = link
+        self._following.discard(controller)
         self._follow_keepers()
 
-    def down(self, keeper: str) -> None:
+    def down(self, controller: str) -> None:
         """It is gone."""
-        self._keepers.pop(keeper, None)
-        self._following.discard(keeper)
+        self._controllers.pop(controller, None)
+        self._following.discard(controller)
 
-    def forget(self, keeper: str) -> None:
-        """It is no keeper any more."""
-        self.down(keeper)
-        self.streams.pop(keeper, None)
+    def forget(self, controller: str) -> None:
+        """It is no controller any more."""
+        self.down(controller)
+        self.streams.pop(controller, None)
 
-    def lease(self, keeper: str, life: int, number: int) -> None:
-        """A keeper has renewed the lease, and says how far its news is."""
-        stream = self.streams[keeper]
+    def lease(self, controller: str, life: int, number: int) -> None:
+        """A controller has renewed the lease, and says how far its news is."""
+        stream = self.streams[controller]
         if stream.life != life:
             self._begin(stream, life)
-        if number > stream.number and keeper not in self._late:
-            self._late.add(keeper)
-            self._loop.call_later(CATCH_S, self._catch, keeper, life, number)
+        if number > stream.number and controller not in self._late:
+            self._late.add(controller)
+            self._loop.call_later(CATCH_S, self._catch, controller, life, number)
 
     def _begin(self, stream: Stream, life: int) -> None:
-        """A keeper has named a new life: only now a parent may tell of it."""
+        """A controller has named a new life: only now a parent may tell of it."""
         stream.begin(life)
         self._say_places()
 
-    def _catch(self, keeper: str, life: int, number: int) -> None:
-        """Ask for what has not come, of all keepers: a parent that holds back one's news does the others'."""
-        self._late.discard(keeper)
-        stream = self.streams.get(keeper)
+    def _catch(self, controller: str, life: int, number: int) -> None:
+        """Ask all controllers for what has not come: a parent may hold back the news of each of them."""
+        self._late.discard(controller)
+        stream = self.streams.get(controller)
         if stream is None or stream.life != life or stream.number >= number:
             return
-        for name, link in self._keepers.items():
-            if name == keeper or self.parent is not None:
+        for name, link in self._controllers.items():
+            if name == controller or self.parent is not None:
                 link.send("since", self.streams[name].life, self.streams[name].number)
         parent, now = self.parent, self._loop.time()
         if parent is None or now < parent.struck_s + STRIKE_S:
@@ -128,12 +137,12 @@
             self._say_places()
 
     def from_keeper(self, link: Link, message: list[Any]) -> None:
-        """A keeper's news, over its own link."""
+        """A controller's news, over its own link."""
         self._news(link, message, True)
 
     def _news(self, link: Link, message: list[Any], direct: bool) -> None:
         change = unpack_change(*message[1:])
-        stream = self.streams.get(change.keeper)
+        stream = self.streams.get(change.controller)
         if stream is None:
             return
         if direct and stream.life != change.life:
@@ -149,14 +158,14 @@
         self._changed()
 
     def _follow_keepers(self) -> None:
-        """Follow the keepers if there is no parent, and only then."""
-        for keeper, link in self._keepers.items():
-            stream = self.streams[keeper]
-            if self.parent is None and keeper not in self._following:
-                self._following.add(keeper)
+        """Follow the controllers if there is no parent, and only then."""
+        for controller, link in self._controllers.items():
+            stream = self.streams[controller]
+            if self.parent is None and controller not in self._following:
+                self._following.add(controller)
                 link.send("follow", stream.life, stream.number)
-            elif self.parent is not None and keeper in self._following:
-                self._following.discard(keeper)
+            elif self.parent is not None and controller in self._following:
+                self._following.discard(controller)
                 link.send("unfollow")
 
     # The parent
@@ -183,7 +192,7 @@
 
     def _review(self, now: float) -> None:
         self._back_off = {n: entry for n, entry in self._back_off.items() if n in self._members}
-        chain = parents(self._members.values(), self._name, self._boot, self._zone, self._heads)
+        chain = parents(self._members.values(), self._name, self._settings, self._zone, self._heads)
         if not chain and self.parent is not None:
             self._leave()
         for record in chain:
@@ -203,10 +212,10 @@
             self._fail(trying, "can't be reached")
         else:
             trying.link, trying.until_s, link.peer = link, self._loop.time() + ANSWER_S, name
-            link.send("follow", self._name, self._boot, self._zone, self._places())
+            link.send("follow", self._name, self._settings, self._zone, self._places())
 
     def _places(self) -> list[Any]:
-        return [[stream.keeper, stream.life, stream.number] for stream in self.streams.values()]
+        return [[stream.controller, stream.life, stream.number] for stream in self.streams.values()]
 
     def _say_places(self) -> None:
         """Say how far this node is; whoever is asked to be its parent hears of it too."""
@@ -239,9 +248,9 @@
                 self._fail(one, "has closed")
 
     def _fail(self, one: Parent, why: str) -> None:
-        """Try another; keepers tell the news until there is one."""
+        """Try another; controllers tell the news until there is one."""
         name, now = one.record.name, self._loop.time()
-        logger.info("branch: {} {}", name, why)
+        logger.info("subscriber: {} {}", name, why)
         wait = min(BACK_OFF_MOST_S, 2.0 * self._back_off.get(name, (0.0, BACK_OFF_S / 2.0))[1])
         self._back_off[name] = (now + wait * (0.75 + 0.5 * self._rng.random()), wait)
         self._review_s = min(self._review_s, now + 0.1 * self._rng.random())
@@ -294,8 +303,8 @@
     def _take_in(self, link: Link, name: str, boot: int, zone: str, places: list[Any]) -> None:
         """Those that come after this node in its row may follow: so no two can follow each other."""
         self._near[link] = zone == self._zone
-        after = rank(self._name, self._boot) < rank(name, boot)
-        if not after or not self._keepers or not self._followers.follow(link, places[:PLACES_MOST]):
+        after = rank(self._name, self._settings) < rank(name, boot)
+        if not after or not self._controllers or not self._followers.follow(link, places[:PLACES_MOST]):
             return self._send("tree", link, "full")
         del self._strangers[link]
         link.choked = CHOKED
--- a/athenaeum/gate.py
+++ b/mesh/dataplane/admission.py
@@ -12,10 +12,8 @@
 
 from loguru import logger
 
-from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
-from athenaeum.boot import Address, Bounds
-from athenaeum.faults import Fault, Kind
-from athenaeum.lines import (
+from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
+from mesh.dataplane.http_connection import (
     BELOW,
     KEYED,
     LATE,
@@ -27,15 +25,17 @@
     TIMES,
     UNRUN,
     Asked,
-    Lines,
+    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
 )  # fmt: skip
-from athenaeum.lines import (
+from mesh.dataplane.http_connection import (
     GONE as GATE_GONE,
 )
+from mesh.errors import Kind, Refusal
+from mesh.settings import Address, Bounds
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
@@ -59,7 +59,7 @@
 
     __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "timer")
 
-    def __init__(self, gate: Gate, message: Asked, answer: Callable[[Reply], None]) -> None:
+    def __init__(self, gate: AdmissionGate, message: Asked, answer: Callable[[Reply], None]) -> None:
         self._gate, self.message, self.answer = gate, message, answer
         self.ends_ms = now_ms() + message.budget_ms
         rank = message.headers.get(RANK, b"9")
@@ -90,7 +90,7 @@
 
     __slots__ = ("_gate", "_pass", "headers")
 
-    def __init__(self, gate: Gate, passing: Pass, address: Address, timeout_ms: float) -> None:
+    def __init__(self, gate: AdmissionGate, passing: Pass, address: Address, timeout_ms: float) -> None:
         super().__init__(passing.message, SERVER, address, timeout_ms)
         self._gate, self._pass = gate, passing
         passing.attempt = self
@@ -113,12 +113,12 @@
         self._gate.left(self._pass, result, answer if isinstance(answer, Said) else None)
 
 
-class Gate:
+class AdmissionGate:
     """What is known of the server, and what waits for it."""
 
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
-        alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
+        alarms: Alarms, lines: HttpConnections, changed: Callable[[], None], below: Callable[[], bool],
         orphan: Callable[[Asked, Said], None],
     ) -> None:  # fmt: skip
         """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
@@ -142,7 +142,7 @@
 
     # Beats
 
-    def beat(self, server: Server, sequence: int) -> Fault | None:
+    def beat(self, server: Server, sequence: int) -> Refusal | None:
         """Take a server's word of itself; None if it is acknowledged."""
         had = self.server
         if server.id in self._ended:
@@ -232,7 +232,7 @@
 
     def _turn_away(self, passing: Pass, why: bytes) -> None:
         load = self._waiting
-        passing.reply(own_answer(passing.message, Fault(Kind.SHED), gate=why, load=load))
+        passing.reply(own_answer(passing.message, Refusal(Kind.SHED), gate=why, load=load))
 
     def _hold(self, passing: Pass) -> None:
         """Let it wait for a moment; the lowest rank goes where there is no room to wait."""
@@ -308,13 +308,13 @@
                     reply.more.append((BELOW, b"1"))
                 return reply
             if result is Result.REFUSED:
-                return own_answer(message, Fault(Kind.SHED), gate=UNRUN, load=self._waiting)
+                return own_answer(message, Refusal(Kind.SHED), gate=UNRUN, load=self._waiting)
         if said is not None and said.flow is not None:
             said.flow.call_off()
         if result is Result.MOOT:
-            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+            return own_answer(message, Refusal(Kind.SHED), gate=GATE_GONE)
         if result is Result.UNREACHABLE:
-            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+            return own_answer(message, Refusal(Kind.SHED), gate=GATE_GONE)
         if result is Result.TIMEOUT:
-            return own_answer(message, Fault(Kind.LATE), gate=LATE)
-        return own_answer(message, Fault(Kind.BROKEN), gate=LOST)
+            return own_answer(message, Refusal(Kind.LATE), gate=LATE)
+        return own_answer(message, Refusal(Kind.BROKEN), gate=LOST)
--- a/athenaeum/lines.py
+++ b/mesh/dataplane/http_connection.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from athenaeum.faults import Fault
-from athenaeum.folio import Route
+from mesh.control.configuration import Route
+from mesh.errors import Refusal
 from nickelbridge.interface import Result
 from orchidferry.flow import Flow, Pool
 from orchidferry.frontend import LIMITS_S, Accept, Caller, Frontend, Reply, Stage
@@ -143,7 +143,7 @@
     )  # fmt: skip
 
 
-class Line(Connection):
+class HttpConnection(Connection):
     """A connection to a server, or to the gate before one."""
 
     __slots__ = ("_below", "_encoded", "_gate", "_headers", "_id", "_not_run", "_seal", "_skip", "_tainted")
@@ -241,10 +241,10 @@
     return Result.ERROR if said.status >= 500 else Result.SERVED
 
 
-class Lines(Upstream):
+class HttpConnections(Upstream):
     """All lines of one kind."""
 
-    kind = Line
+    kind = HttpConnection
 
 
 def passed_on(said: Said) -> Reply:
@@ -264,7 +264,7 @@
 
 
 def own_answer(
-    message: Message, fault: Fault, retry_after_s: float | None = None, gate: bytes | None = None,
+    message: Message, refusal: Refusal, retry_after_s: float | None = None, gate: bytes | None = None,
     load: int | None = None,
 ) -> Reply:  # fmt: skip
     """An answer of the system's own."""
@@ -273,4 +273,4 @@
         more.append((GATE, gate))
     if load is not None:
         more.append((LOAD, b"%d" % load))
-    return Reply(fault.status, fault.line.encode(), b"text/plain", retry_after_s, more=more)
+    return Reply(refusal.status, refusal.line.encode(), b"text/plain", retry_after_s, more=more)
--- a/athenaeum/carrel.py
+++ b/mesh/dataplane/proxy.py
@@ -1,4 +1,4 @@
-"""The node of the mesh, on sidecar machines: `orchidferry carrel`.
+"""The node of the mesh, on sidecar machines: `orchidferry proxy`.
 
 Outbound, requests of this machine's clients and server get their route, their key and their server; inbound,
 the gate lets in what comes for the server here; at the control door that server tells of itself.
@@ -15,15 +15,23 @@
 
 from loguru import logger
 
-from athenaeum.accessions import DRAINING, IN_SERVICE, Record, Server
-from athenaeum.boot import Boot
-from athenaeum.circulation import Circulation
-from athenaeum.doors import JSON, Call, ControlDoor, told
-from athenaeum.faults import Fault, Kind
-from athenaeum.folio import Folio, Route, Table, parse
-from athenaeum.gate import Gate
-from athenaeum.lines import MARGIN_MS, Asked, DataDoor, Lines, Said, kept_answer, own_answer
-from athenaeum.tier import Live, Tier
+from mesh.control.configuration import Configuration, Route, Table, parse
+from mesh.control.control_api import JSON, Call, ControlDoor, told
+from mesh.control.control_client import ControlClient
+from mesh.control.endpoints import DRAINING, IN_SERVICE, Record, Server
+from mesh.dataplane.admission import AdmissionGate
+from mesh.dataplane.http_connection import (
+    MARGIN_MS,
+    Asked,
+    DataDoor,
+    HttpConnections,
+    Said,
+    kept_answer,
+    own_answer,
+)
+from mesh.dataplane.service_client import Live, ServiceClient
+from mesh.errors import Kind, Refusal
+from mesh.settings import Settings
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
 from orchidferry.flow import Pool
@@ -62,36 +70,36 @@
         """Nothing to do."""
 
 
-class Carrel:
+class Proxy:
     """One node."""
 
-    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
-        self._boot, self._loop, self._rng = boot, loop, random.Random()
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
+        self._settings, self._loop, self._rng = settings, loop, random.Random()
         self._alarms = Alarms(loop)
-        self._room_most = max(64, boot.descriptors - SPARE_SOCKETS)
+        self._room_most = max(64, settings.descriptors - SPARE_SOCKETS)
         room = self._room
-        self._hops = Lines(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
-        self._hops.local_ip = boot.bind_ip or None
-        self._visits = Lines(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
+        self._hops = HttpConnections(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
+        self._hops.local_ip = settings.bind_ip or None
+        self._visits = HttpConnections(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
         self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
         self._serial = 0  # the last of these
-        self._tiers: dict[str, Tier] = {}
+        self._services: dict[str, ServiceClient] = {}
         self._table = Table([])
-        self._folio: Folio | None = None
+        self._configuration: Configuration | None = None
         self._members: dict[str, Record] = {}
         self._leaving = False
         self._record_number = 0
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
-        pool = Pool(int(boot.memory_mb * 0.2e6))
+        pool = Pool(int(settings.memory_mb * 0.2e6))
         self._outbound = DataDoor(self._take, self._room_most // 3, pool, lambda: True)
         self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
         self._ready = ControlDoor({"/orchidferry/readiness": self._readiness}, 64)
         self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
-        assert boot.application is not None
-        self._gate = Gate(
-            boot.application,
-            boot.bounds,
-            boot.beat_ms,
+        assert settings.application is not None
+        self._gate = AdmissionGate(
+            settings.application,
+            settings.bounds,
+            settings.beat_ms,
             loop,
             self._alarms,
             self._visits,
@@ -99,11 +107,11 @@
             self._below,
             self._orphan,
         )
-        self._news = Circulation(boot, loop, self._on_members, self._on_folio)
+        self._news = ControlClient(settings, loop, self._on_members, self._on_configuration)
 
     def _below(self) -> bool:
-        others = [tier for name, tier in self._tiers.items() if name != self._boot.service]
-        return any(now_ms() - tier.turned_away_ms < BELOW_MS for tier in others)
+        others = [service for name, service in self._services.items() if name != self._settings.service]
+        return any(now_ms() - service.turned_away_ms < BELOW_MS for service in others)
 
     def _orphan(self, message: Asked, said: Said) -> None:
         """The server here answered a keyed request whose node is gone: its repeats are told from here."""
@@ -121,24 +129,24 @@
             "outbound": self._outbound,
         }  # fmt: skip
         for name, door in doors.items():
-            await door.listen(self._loop, self._boot.door(name))
+            await door.listen(self._loop, self._settings.door(name))
         await self._news.listen()
         self._news.start()
         self._publish()
         self._look()
-        logger.info("carrel: serving {} at {}", self._boot.service, self._boot.ip)
+        logger.info("proxy: serving {} at {}", self._settings.service, self._settings.ip)
         await stopping.wait()
         await self._stop()
 
     async def _stop(self) -> None:
         """Finish what is held: the platform looks at readiness once a second, and kills after the grace."""
-        began_s, grace_s = self._loop.time(), self._boot.bounds.grace_s
+        began_s, grace_s = self._loop.time(), self._settings.bounds.grace_s
         ends_s = began_s + grace_s - STOP_MARGIN_S
         self._stop_ms = now_ms() + (grace_s - 2.0 * STOP_MARGIN_S) * 1000.0
-        logger.info("carrel: stopping")
+        logger.info("proxy: stopping")
         self._leaving = True
-        for tier in self._tiers.values():
-            tier.leaving = True
+        for client in self._services.values():
+            client.leaving = True
         self._publish()
         await asyncio.sleep(STOP_READY_S)
         self._gate.leaving = True
@@ -153,13 +161,13 @@
                 await self._outbound.wind_up()
                 await inbound
         except TimeoutError:
-            logger.warning("carrel: {} callers were still there", self._outbound.count())
+            logger.warning("proxy: {} callers were still there", self._outbound.count())
             inbound.cancel()
-        logger.info("carrel: stopped")
+        logger.info("proxy: stopped")
 
-    def reread(self, boot: Boot) -> None:
-        """The settings file has changed: other keepers may be named there."""
-        self._news.reseed(boot.seeds)
+    def reread(self, settings: Settings) -> None:
+        """The settings file has changed: other controllers may be named there."""
+        self._news.reseed(settings.seeds)
 
     def _look(self) -> None:
         self._loop.call_later(LOOK_S, self._look)
@@ -168,27 +176,27 @@
     # News
 
     def _publish(self) -> None:
-        """Tell the keepers how this node stands."""
+        """Tell the controllers how this node stands."""
         self._record_number += 1
         server = self._gate.server
         if server is not None and self._leaving and server.state == IN_SERVICE:
             server = Server(
                 server.id, server.service, server.zone, DRAINING, server.capacity, 0.0, server.version
             )
-        boot = self._boot
+        settings = self._settings
         self._news.publish(
             Record(
-                boot.name, self._news.boot_id, self._record_number, boot.zone, boot.ip,
-                boot.listen["inbound"][1], server,
+                settings.name, self._news.boot_id, self._record_number, settings.zone, settings.ip,
+                settings.listen["inbound"][1], server,
             )
         )  # fmt: skip
 
     def _on_members(self, members: dict[str, Record]) -> None:
         self._members = members
         known = {record.server.id for record in members.values() if record.server is not None}
-        for tier in self._tiers.values():
-            tier.servers(members)
-            tier.members(len(members))
+        for client in self._services.values():
+            client.servers(members)
+            client.members(len(members))
         for id in [id for id in self._numbers if id not in known]:
             del self._numbers[id]
 
@@ -199,58 +207,64 @@
             number = self._numbers[server] = self._serial
         return number
 
-    def _on_folio(self, revision: int, raw: bytes) -> None:
-        folio = parse(raw)
-        logger.info("folio: revision {} with {} routes", revision, len(folio.routes))
-        by_service: dict[str, list[Route]] = {name: [] for name in folio.services}
-        for route in folio.routes:
+    def _on_configuration(self, revision: int, raw: bytes) -> None:
+        configuration = parse(raw)
+        logger.info("configuration: revision {} with {} routes", revision, len(configuration.routes))
+        by_service: dict[str, list[Route]] = {name: [] for name in configuration.services}
+        for route in configuration.routes:
             for service, _ in route.split:
                 by_service[service].append(route)
+        own = self._settings
         for name, routes in by_service.items():
-            tier = self._tiers.get(name)
-            if tier is None:
-                tier = self._tiers[name] = Tier(
-                    name, self._boot.service, self._boot.zone, self._boot.bounds, self._loop, self._alarms,
-                    self._hops, self._number,
+            client = self._services.get(name)
+            if client is None:
+                client = self._services[name] = ServiceClient(
+                    name, own.service, own.zone, own.bounds, self._loop, self._alarms, self._hops,
+                    self._number,
                 )  # fmt: skip
-                tier.servers(self._members)
-                tier.members(len(self._members))
-                tier.leaving = self._leaving
-            tier.configure(routes)
-        for name in [n for n in self._tiers if n not in by_service and not self._tiers[n].live]:
-            del self._tiers[name]
-        self._folio, self._table = folio, Table(folio.routes)
-        idle_s = folio.limits.get("idle_timer_ms", 60_000.0) / 1000.0
-        self._outbound.limit(idle_s, folio.limits.get("header_timer_ms", 3_000.0) / 1000.0)
+                client.servers(self._members)
+                client.members(len(self._members))
+                client.leaving = self._leaving
+            client.configure(routes)
+        for name in [n for n in self._services if n not in by_service and not self._services[n].live]:
+            del self._services[name]
+        self._configuration, self._table = configuration, Table(configuration.routes)
+        idle_s = configuration.limits.get("idle_timer_ms", 60_000.0) / 1000.0
+        self._outbound.limit(idle_s, configuration.limits.get("header_timer_ms", 3_000.0) / 1000.0)
 
     # Outbound
 
     def _take(self, message: Message, answer: Callable[[Reply], None]) -> Any:
         assert isinstance(message, Asked)
-        if self._folio is None:
-            answer(own_answer(message, Fault(Kind.STARTING), STARTING_S))
+        if self._configuration is None:
+            answer(own_answer(message, Refusal(Kind.STARTING), STARTING_S))
             return Nobody()
         path = message.target.partition(b"?")[0].decode("latin-1")
         route = self._table.find(message.host.decode("latin-1"), path)
         if route is None:
-            answer(own_answer(message, Fault(Kind.NO_ROUTE)))
+            answer(own_answer(message, Refusal(Kind.NO_ROUTE)))
             return Nobody()
         message.cls, message.route = route.id, route
         left_ms = message.budget_ms or route.guard_ms
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
-        tier = self._tiers[self._service(route)]
+        client = self._services[self._pick_service(route)]
         if route.kind == "keyed" and message.key is not None:
-            return self._claim(message, route, tier, ends_ms, answer)
-        return tier.take(message, route, ends_ms, answer)
+            return self._claim(message, route, client, ends_ms, answer)
+        return client.take(message, route, ends_ms, answer)
 
-    def _service(self, route: Route) -> str:
+    def _pick_service(self, route: Route) -> str:
         if len(route.split) == 1:
             return route.split[0][0]
         names, shares = zip(*route.split, strict=True)
         return str(self._rng.choices(names, shares)[0])
 
     def _claim(
-        self, message: Asked, route: Route, tier: Tier, ends_ms: float, answer: Callable[[Reply], None]
+        self,
+        message: Asked,
+        route: Route,
+        client: ServiceClient,
+        ends_ms: float,
+        answer: Callable[[Reply], None],
     ) -> Waiting:
         """A key is claimed before its first run, and its answer kept after it."""
         assert message.key is not None
@@ -269,11 +283,11 @@
             elif waiting.gone:
                 return
             elif what == "yours":
-                waiting.live = tier.take(message, route, ends_ms, answer, over)
+                waiting.live = client.take(message, route, ends_ms, answer, over)
             elif what == "held":
                 answer(self._repeat(message, kept))
             else:
-                answer(own_answer(message, Fault(Kind.NO_MAJORITY), 0.2))
+                answer(own_answer(message, Refusal(Kind.NO_MAJORITY), 0.2))
 
         left_s = (ends_ms - now_ms()) / 1000.0
         self._news.claim(key, holder, max(0.0, min(CLAIM_S, CLAIM_SHARE * left_s)), claimed)
@@ -281,7 +295,7 @@
 
     def _repeat(self, message: Asked, kept: Any) -> Reply:
         if kept is None:
-            return own_answer(message, Fault(Kind.KEY_AT_WORK), 0.1)
+            return own_answer(message, Refusal(Kind.KEY_AT_WORK), 0.1)
         status, body, headers = kept
         more = [*((name, value) for name, value in headers), (b"Attempt-Id", message.id.encode("latin-1"))]
         return Reply(status, body, more=more)
@@ -292,35 +306,35 @@
         return self._gate.accept(message, answer)
 
     def _readiness(self, call: Call, rest: str, answer: Callable[[Reply], None]) -> None:
-        served = any(tier.ready for tier in self._tiers.values())
-        ready = self._folio is not None and self._news.settled and served and not self._leaving
+        served = any(client.ready for client in self._services.values())
+        ready = self._configuration is not None and self._news.settled and served and not self._leaving
         answer(Reply(200, b"ready") if ready else Reply(503, b"not ready"))
 
     def _instances(self, call: Call, rest: str, answer: Callable[[Reply], None]) -> None:
         """Servers' registrations, beats and ends."""
         if not rest or "/" in rest:
-            return answer(told(Fault(Kind.UNKNOWN, "/orchidferry/instances/ID")))
+            return answer(told(Refusal(Kind.UNKNOWN, "/orchidferry/instances/ID")))
         if call.method == b"DELETE":
             self._gate.end(rest)
             return answer(Reply(200, b"{}", JSON))
         if call.method != b"PUT":
-            return answer(told(Fault(Kind.UNREADABLE, "PUT or DELETE")))
+            return answer(told(Refusal(Kind.UNREADABLE, "PUT or DELETE")))
         found = read_beat(rest, call.body)
-        if isinstance(found, Fault):
+        if isinstance(found, Refusal):
             return answer(told(found))
         server, sequence = found
-        fault = self._gate.beat(server, sequence)
-        answer(Reply(200, b"{}", JSON) if fault is None else told(fault))
+        refusal = self._gate.beat(server, sequence)
+        answer(Reply(200, b"{}", JSON) if refusal is None else told(refusal))
 
 
-def read_beat(id: str, raw: bytes) -> tuple[Server, int] | Fault:
+def read_beat(id: str, raw: bytes) -> tuple[Server, int] | Refusal:
     """A beat as a server and its call's number; the fault names the field."""
     try:
         data = json.loads(raw)
         information, condition = data["information"], data["condition"]
         state = condition["state"]
         if state not in (IN_SERVICE, DRAINING):
-            return Fault(Kind.INVALID, f"beat: condition.state: {state!r} is no state")
+            return Refusal(Kind.INVALID, f"beat: condition.state: {state!r} is no state")
         server = Server(
             id, str(information["service_name"]), str(information.get("zone", "")), state,
             int(information["capacity"]), float(condition.get("cold_left_ms", 0.0)),
@@ -328,6 +342,6 @@
         )  # fmt: skip
         return server, int(condition["call_sequence"])
     except KeyError as problem:
-        return Fault(Kind.INVALID, f"beat: {problem.args[0]} is missing")
+        return Refusal(Kind.INVALID, f"beat: {problem.args[0]} is missing")
     except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as problem:
-        return Fault(Kind.UNREADABLE, f"beat: {problem}")
+        return Refusal(Kind.UNREADABLE, f"beat: {problem}")
--- a/athenaeum/tier.py
+++ b/mesh/dataplane/service_client.py
@@ -15,23 +15,23 @@
 
 from loguru import logger
 
-from athenaeum.accessions import DRAINING, IN_SERVICE, Record
-from athenaeum.boot import Address, Bounds
-from athenaeum.faults import Fault, Kind
-from athenaeum.folio import Route
-from athenaeum.lines import (
+from mesh.control.configuration import Route
+from mesh.control.endpoints import DRAINING, IN_SERVICE, Record
+from mesh.dataplane.http_connection import (
     KEYED,
     MARGIN_MS,
     PATIENCE,
     RANK,
     TIMES,
     Asked,
-    Lines,
+    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
 )  # fmt: skip
+from mesh.errors import Kind, Refusal
+from mesh.settings import Address, Bounds
 from nickelbridge import interface as api
 from nickelbridge.interface import Repeat, Result
 from nickelbridge.logic import NEVER_RAN, Balancer
@@ -58,7 +58,7 @@
 
 
 def _not_handled(event: api.Event) -> None:
-    logger.exception("tier: handling {}", type(event).__name__)
+    logger.exception("service: handling {}", type(event).__name__)
 
 
 def class_name(route: Route) -> str:
@@ -80,24 +80,24 @@
 
     __slots__ = (
         "answer", "attempts", "backstop", "began_ms", "ends_ms", "id", "message", "on_end", "owed", "ran",
-        "route", "said", "tier",
+        "route", "said", "service",
     )  # fmt: skip
 
     def __init__(
-        self, tier: Tier, id: str, message: Asked, route: Route, ends_ms: float,
+        self, service: ServiceClient, id: str, message: Asked, route: Route, ends_ms: float,
         answer: Callable[[Reply], None], on_end: Callable[[Said | None, bool], None] | None,
     ) -> None:  # fmt: skip
-        self.tier, self.id, self.message, self.route = tier, id, message, route
+        self.service, self.id, self.message, self.route = service, id, message, route
         self.began_ms, self.ends_ms, self.answer = now_ms(), ends_ms, answer
         self.on_end = on_end  # hears the answer of a run, if there is one, and whether it may have run
         self.owed, self.ran, self.attempts, self.backstop = True, False, 0, 0
         self.said: Said | None = None  # the last answer of a server that ran it
 
     def caller_gone(self) -> None:
-        self.tier.caller_gone(self)
+        self.service.caller_gone(self)
 
     def overdue(self) -> None:
-        self.tier.overdue(self)
+        self.service.overdue(self)
 
 
 class Hop(Attempt):
@@ -110,7 +110,7 @@
         self._live, self._target, self._number = live, target, live.attempts
         self._sent_ms = now_ms()
         live.attempts += 1
-        live.tier.out[live.id, self._number] = self
+        live.service.out[live.id, self._number] = self
 
     def head_bytes(self) -> bytes:
         live = self._live
@@ -120,7 +120,7 @@
         own = [
             (b"Time-Remaining", b"%d" % left_ms),
             (b"Target-Instance", self._target.encode("latin-1")),
-            (b"Calling-Service", live.tier.caller),
+            (b"Calling-Service", live.service.caller),
             (RANK, b"%d" % live.route.rank),
             (PATIENCE, b"%d" % max(0.0, held)),
         ]
@@ -133,50 +133,50 @@
     def timed_out(self) -> None:
         # Around a planned end what is broken off at work and answered 502 counts as lost.
         live, left_ms = self._live, self._live.ends_ms - now_ms() - MARGIN_MS / 2.0
-        if live.tier.leaving and live.owed and self.written and left_ms > 1.0:
+        if live.service.leaving and live.owed and self.written and left_ms > 1.0:
             return self.go_on_for(left_ms / 1000.0)
         super().timed_out()
 
     def may_send(self) -> bool:
         flow = self.message.flow
         beginnable = flow is None or flow.can_begin()
-        return beginnable and self._live.owed and self._live.tier.serves(self.server)
+        return beginnable and self._live.owed and self._live.service.serves(self.server)
 
     def ended(self, result: Result, answer: Answer | None) -> None:
-        live, tier = self._live, self._live.tier
-        del tier.out[live.id, self._number]
+        live, service = self._live, self._live.service
+        del service.out[live.id, self._number]
         said = answer if isinstance(answer, Said) else None
         if result not in NEVER_RAN and self.written:
             live.ran = True
         if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             live.said = said
         if result is Result.SERVED and said is not None:
-            tier.finish(live, passed_on(said))
+            service.finish(live, passed_on(said))
         if result in (Result.SERVED, Result.ERROR) and said is not None:
-            tier.outcome(live, result is Result.ERROR and said.below)
+            service.outcome(live, result is Result.ERROR and said.below)
         if said is not None and said.flow is not None and not said.flow.fed_by_now():
             said.flow.call_off()
         flow = self.message.flow
         spent = flow is not None and (flow.spent or flow.over)
         report = said.report if said is not None else None
         if report is not None:
-            tier.crowd(self.server, report["queue"])
-        tier.handle(
+            service.crowd(self.server, report["queue"])
+        service.handle(
             api.AttemptEnded(
                 live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
                 spent,
             )
         )  # fmt: skip
         if not live.owed:
-            tier.over(live)
+            service.over(live)
 
 
-class Tier:
+class ServiceClient:
     """One service."""
 
     def __init__(
         self, name: str, caller: str, zone: str, bounds: Bounds, loop: asyncio.AbstractEventLoop,
-        alarms: Alarms, lines: Lines, numbers: Callable[[str], int],
+        alarms: Alarms, lines: HttpConnections, numbers: Callable[[str], int],
     ) -> None:  # fmt: skip
         self.name, self.caller, self._zone = name, caller.encode("latin-1"), zone
         self._bounds, self._loop, self._alarms = bounds, loop, alarms
@@ -200,7 +200,7 @@
         self._pull, self._pulled_ms, self._waiting = PULLS[0][1], -math.inf, 0.0
         self._cold: dict[int, float] = {}  # until when
 
-    # What the tier is told
+    # What the service is told
 
     def configure(self, routes: list[Route]) -> None:
         """Serve these routes from now on; requests that were taken keep theirs."""
@@ -322,7 +322,7 @@
         live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
         name = class_name(route)
         if self._balancer is None or name not in self._balancer.classes:
-            self.finish(live, own_answer(message, Fault(Kind.SHED, "the route has just changed"), 0.05))
+            self.finish(live, own_answer(message, Refusal(Kind.SHED, "the route has just changed"), 0.05))
             self.over(live)
             return live
         if self._rng.random() < self._nested.shed(name, now_ms()):
@@ -366,7 +366,7 @@
             # What was written to a gate may run yet: no promise, then.
             sent = live.ran or any(self.out[key].written for key in self._out_of(live))
             kind = Kind.LATE if sent else Kind.SHED
-            self.finish(live, own_answer(live.message, Fault(kind), None if sent else 0.05))
+            self.finish(live, own_answer(live.message, Refusal(kind), None if sent else 0.05))
         self.handle(api.ClientGone(live.id))
         self.over(live)
 
@@ -413,10 +413,10 @@
         if live.said is not None:
             return self.finish(live, passed_on(live.said))
         if live.ran:
-            return self.finish(live, own_answer(live.message, Fault(Kind.BROKEN)))
+            return self.finish(live, own_answer(live.message, Refusal(Kind.BROKEN)))
         self.turned_away_ms = now_ms()
         wait_s = min(retry_after_ms, max(20.0, 0.2 * (live.ends_ms - now_ms()))) / 1000.0
-        self.finish(live, own_answer(live.message, Fault(Kind.SHED), wait_s))
+        self.finish(live, own_answer(live.message, Refusal(Kind.SHED), wait_s))
 
     def _send(self, action: api.Send) -> None:
         live, number = self.live.get(action.id), action.server
--- a/athenaeum/faults.py
+++ b/mesh/errors.py
@@ -19,7 +19,7 @@
     SHED = "it has not run; come back"
     BROKEN = "it may have run"
     LATE = "no answer in time"
-    NO_MAJORITY = "too few keepers answered"
+    NO_MAJORITY = "too few controllers answered"
     STARTING = "not ready yet"
 
 
@@ -39,12 +39,12 @@
 }
 
 
-class BadDeposit(Exception):
-    """A keeper's store can't be opened; one line that names the folder."""
+class BadStore(Exception):
+    """A controller's store can't be opened; one line that names the folder."""
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Refusal:
     """A call that was turned down, and what to tell whoever made it."""
 
     kind: Kind
--- a/athenaeum/boot.py
+++ b/mesh/settings.py
@@ -13,7 +13,7 @@
 Address = tuple[str, int]
 
 
-class BadBoot(Exception):
+class BadSettings(Exception):
     """The settings file can't be used; one line that names file and field."""
 
 
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Boot:
+class Settings:
     """One process's settings."""
 
     name: str
@@ -47,7 +47,7 @@
     first_start: bool
     listen: dict[str, Address]  # outbound, inbound, ready, control: those that this role serves
     internal_port: int
-    seeds: tuple[str, ...]  # ip numbers of keepers
+    seeds: tuple[str, ...]  # ip numbers of controllers
     bounds: Bounds
     beat_ms: float
     descriptors: int
@@ -70,47 +70,47 @@
 
 
 def address(text: Any, field: str) -> Address:
-    """`10.0.0.1:80` as host and port; `BadBoot` names the field."""
+    """`10.0.0.1:80` as host and port; `BadSettings` names the field."""
     host, _, port = str(text).rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
-        raise BadBoot(f"{field}: {text!r} is no address")
+        raise BadSettings(f"{field}: {text!r} is no address")
     return host, int(port)
 
 
 def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
     value = data.get(name)
     if not isinstance(value, dict):
-        raise BadBoot(f"{name}: the table is missing")
+        raise BadSettings(f"{name}: the table is missing")
     return value
 
 
 def _part(table: dict[str, Any], name: str, where: str) -> dict[str, Any]:
     value = table.get(name, {})
     if not isinstance(value, dict):
-        raise BadBoot(f"{where}{name}: {value!r} is no table")
+        raise BadSettings(f"{where}{name}: {value!r} is no table")
     return value
 
 
 def _number(table: dict[str, Any], name: str, default: float, where: str) -> float:
     value = table.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
-        raise BadBoot(f"{where}.{name}: {value!r} is no number of 0 or more")
+        raise BadSettings(f"{where}.{name}: {value!r} is no number of 0 or more")
     return float(value)
 
 
-def read_boot(path: str) -> Boot:
-    """Read and check the settings file; `BadBoot` says what is wrong in one line."""
+def read_settings(path: str) -> Settings:
+    """Read and check the settings file; `BadSettings` says what is wrong in one line."""
     try:
-        return check_boot(tomllib.loads(Path(path).read_text("utf-8")))
+        return check_settings(tomllib.loads(Path(path).read_text("utf-8")))
     except OSError as problem:
-        raise BadBoot(f"{path}: {problem.strerror}") from None
+        raise BadSettings(f"{path}: {problem.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise BadBoot(f"{path}: {problem}") from None
-    except BadBoot as problem:
-        raise BadBoot(f"{path}: {problem}") from None
+        raise BadSettings(f"{path}: {problem}") from None
+    except BadSettings as problem:
+        raise BadSettings(f"{path}: {problem}") from None
 
 
-def check_boot(data: dict[str, Any]) -> Boot:
+def check_settings(data: dict[str, Any]) -> Settings:
     """A settings file's tables as typed values."""
     node, network = _table(data, "own_node"), _table(data, "network")
     terms = _table(data, "term_settings")
@@ -118,18 +118,18 @@
     losses = _part(terms, "tolerance", "term_settings.")
     for name in ("node_name", "ip", "zone"):
         if not isinstance(node.get(name), str) or not node[name]:
-            raise BadBoot(f"own_node.{name}: a text is needed")
+            raise BadSettings(f"own_node.{name}: a text is needed")
     bind_ip = node.get("bind_ip", node["ip"])
     if not isinstance(bind_ip, str) or not bind_ip:
-        raise BadBoot("own_node.bind_ip: a text is needed")
+        raise BadSettings("own_node.bind_ip: a text is needed")
     ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
     if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
-        raise BadBoot("network.internal_ports: a list of ports is needed")
+        raise BadSettings("network.internal_ports: a list of ports is needed")
     if not isinstance(seeds, list):
-        raise BadBoot("network.seed_nodes: a list of addresses is needed")
+        raise BadSettings("network.seed_nodes: a list of addresses is needed")
     points = _part(network, "listen_points", "network.")
     application = node.get("application")
-    return Boot(
+    return Settings(
         name=node["node_name"],
         role=str(node.get("role", "")),
         ip=node["ip"],
--- a/athenaeum/facsimile.py
+++ b/mesh/storage/snapshot.py
@@ -1,8 +1,9 @@
-"""A snapshot of what a keeper knows, out to a file and back, for the day when a majority of disks is gone.
+"""A snapshot of what a controller knows, out to a file and back, for the day when a majority of disks is
+gone.
 
-Votes never come back: a keeper that voted after its snapshot would break its word. What `put` makes is
+Votes never come back: a controller that voted after its snapshot would break its word. What `put` makes is
 another group: voters with memories that nobody ever had, and a state that all of them have accepted in one
-round, with numbers above all that the lost group can have reached. Its argument is in docs/design/deposit.md.
+round, with numbers above all that the lost group can have reached. Its argument is in docs/design/store.md.
 
 A file is a head, a state, keys one after the other, and a digest of all that: `cbor2` items in a row.
 """
@@ -23,12 +24,12 @@
 import lmdb
 from more_itertools import chunked
 
-from athenaeum import parts
-from athenaeum.boot import BadBoot, Boot, read_boot
-from athenaeum.deposit import NAMES, InUse, Put, open_env, pack, put_sealed, take_lock, unwrap, wrap
-from athenaeum.faults import BadDeposit
-from athenaeum.holding import remembered
-from athenaeum.stocktake import PART, STORE, survey, sync_folder
+from mesh.control import shard_state
+from mesh.control.shard import remembered
+from mesh.errors import BadStore
+from mesh.settings import BadSettings, Settings, read_settings
+from mesh.storage.storage_check import PART, STORE, survey, sync_folder
+from mesh.storage.store import NAMES, InUse, Put, open_env, pack, put_sealed, take_lock, unwrap, wrap
 from nickelbridge.register import Ballot, Kept, Value, Voter
 
 MAGIC, FORMAT = "orchidferry snapshot", 1
@@ -53,7 +54,10 @@
     @property
     def line(self) -> str:
         """It in a few words."""
-        body, versions = parts.body(self.states[parts.FOLIO]), [v.version for v in self.states.values()]
+        body, versions = (
+            shard_state.body(self.states[shard_state.CONFIGURATION]),
+            [v.version for v in self.states.values()],
+        )
         return f"revision {body.revision}, parts at versions {versions}, {self.keys} keys"
 
 
@@ -72,7 +76,7 @@
 
 
 def take_from(folder: str, path: str) -> Snapshot:
-    """Write what the store of a folder knows to a file. `BadDeposit`, `BadSnapshot`."""
+    """Write what the store of a folder knows to a file. `BadStore`, `BadSnapshot`."""
     file = os.path.join(folder, STORE)
     if not os.path.exists(file):
         raise BadSnapshot(f"{folder}: there is no store")
@@ -84,27 +88,27 @@
             finally:
                 env.close()
     except InUse as problem:
-        raise InUse(f"{problem}: stop the keeper first") from None
-    except BadDeposit as problem:
-        raise BadDeposit(f"{folder}: {problem}") from None
+        raise InUse(f"{problem}: stop the controller first") from None
+    except BadStore as problem:
+        raise BadStore(f"{folder}: {problem}") from None
     except (OSError, lmdb.Error) as problem:
         raise BadSnapshot(f"{path}: {problem}") from None
 
 
 def _take(env: lmdb.Environment, file: str, path: str) -> Snapshot:
     stock, dbs = survey(env, file)
-    known = stock.kept or ({parts.FOLIO: stock.early} if stock.early is not None else {})
+    known = stock.kept or ({shard_state.CONFIGURATION: stock.early} if stock.early is not None else {})
     if not known:
         raise BadSnapshot(f"{file}: nothing was written to it yet")
-    first = parts.genesis(stock.founders)
-    states = {n: (known[n].value if n in known else None) or first for n in parts.PARTS}
+    first = shard_state.genesis(stock.founders)
+    states = {n: (known[n].value if n in known else None) or first for n in shard_state.SHARDS}
     sealed = stock.format > 1
     part = path + ".part"
     with open(part, "wb") as out:
         summed = _Summed(out)
         # What is drawn here makes memories that come of this file differ from those of any other.
         summed.write(pack([MAGIC, FORMAT, os.urandom(16), stock.keys]))
-        summed.write(pack([[n, parts.pack_value(value)] for n, value in states.items()]))
+        summed.write(pack([[n, shard_state.pack_value(value)] for n, value in states.items()]))
         if "slips" in dbs:
             with env.begin(db=dbs["slips"]) as txn:
                 for key, raw in txn.cursor():
@@ -182,12 +186,12 @@
         case _:
             raise BadSnapshot(f"{path}: it is no snapshot")
     try:
-        states = {number: parts.unpack_value(packed) for number, packed in reader.item()}
+        states = {number: shard_state.unpack_value(packed) for number, packed in reader.item()}
     except (ValueError, TypeError) as problem:
         raise BadSnapshot(f"{path}: its state can't be read: {problem}") from None
     known = {number: value for number, value in states.items() if value is not None}
-    if sorted(known) != list(parts.PARTS):
-        raise BadSnapshot(f"{path}: it has the parts {sorted(known)}, {list(parts.PARTS)} are needed")
+    if sorted(known) != list(shard_state.SHARDS):
+        raise BadSnapshot(f"{path}: it has the parts {sorted(known)}, {list(shard_state.SHARDS)} are needed")
     return keys, known
 
 
@@ -208,7 +212,7 @@
     ballot: Ballot = (COUNTER, f"restored {snapshot.digest.hex()[:32]}")
     found = {}
     for number, old in snapshot.states.items():
-        body = parts.body(old)
+        body = shard_state.body(old)
         body = replace(body, epoch=body.epoch + AHEAD, owner="", fence=body.fence + AHEAD)
         found[number] = Kept(memory, ballot, ballot, Value(old.version + AHEAD_VERSION, voters, body))
     return found
@@ -249,7 +253,7 @@
             env.close()
         os.rename(part, os.path.join(folder, STORE))
         sync_folder(folder)
-    except (OSError, lmdb.Error, BadDeposit) as problem:
+    except (OSError, lmdb.Error, BadStore) as problem:
         with contextlib.suppress(OSError):
             os.remove(os.path.join(folder, PART))
         raise BadSnapshot(f"{folder}: {problem}") from None
@@ -285,30 +289,30 @@
 def _check(env: lmdb.Environment, part: str, kept: dict[int, Kept], snapshot: Snapshot) -> None:
     stock, _ = survey(env, part)
     if stock.kept != kept or stock.keys != snapshot.keys:
-        raise BadDeposit("what was written is not what is read")
+        raise BadStore("what was written is not what is read")
 
 
 # The commands
 
 
-def _boot() -> tuple[Boot, str]:
+def _settings() -> tuple[Settings, str]:
     path = os.environ.get("ORCHIDFERRY_BOOT")
     if not path:
-        raise BadBoot("ORCHIDFERRY_BOOT must name the settings file")
-    boot = read_boot(path)
+        raise BadSettings("ORCHIDFERRY_BOOT must name the settings file")
+    boot = read_settings(path)
     if boot.data_dir is None:
-        raise BadBoot(f"{path}: own_node.data_dir: a keeper needs one")
+        raise BadSettings(f"{path}: own_node.data_dir: a controller needs one")
     return boot, boot.data_dir
 
 
 def take(file: str) -> int:
-    """Write what this machine's keeper knows to a file. The keeper must not run.
+    """Write what this machine's controller knows to a file. The controller must not run.
 
-    example: ORCHIDFERRY_BOOT=local.toml orchidferry archive snapshot take monday.snapshot
+    example: ORCHIDFERRY_BOOT=local.toml orchidferry controller snapshot take monday.snapshot
 
     :param file: where to; a file of that name is replaced once the new one is whole
     """
-    _, folder = _boot()
+    _, folder = _settings()
     found = take_from(folder, file)
     print(f"{file}: {found.line}, digest {found.digest.hex()[:16]}")
     return 0
@@ -317,36 +321,37 @@
 def put(file: str, *, founders: str, majority_is_gone: bool = False) -> int:
     """Begin a lost group anew: fill this machine's empty folder from a file.
 
-    Only when a majority of the keepers' disks is gone for good. The same file and the same founders at each
-    of them, once, before any is started. A founder that loses its disk later starts with an empty folder.
+    Only when a majority of the controllers' disks is gone for good. The same file and the same founders at
+    each of them, once, before any is started. A founder that loses its disk later starts with an empty
+    folder.
 
-    example: ORCHIDFERRY_BOOT=local.toml orchidferry archive snapshot put monday.snapshot
+    example: ORCHIDFERRY_BOOT=local.toml orchidferry controller snapshot put monday.snapshot
     --founders 10.0.0.1,10.0.0.2,10.0.0.9 --majority-is-gone
 
     :param file: what `take` wrote
-    :param founders: IP numbers of the keepers of the new group, this one among them
+    :param founders: IP numbers of the controllers of the new group, this one among them
     :param majority_is_gone: say that the old group can't come back
     """
-    boot, folder = _boot()
+    boot, folder = _settings()
     if not majority_is_gone:
         raise BadSnapshot("--majority-is-gone is missing: two groups at once would both grant keys")
     names = read_founders(founders, boot.ip, boot.machines)
     snapshot, kept = put_into(folder, file, names)
-    memory = kept[parts.FOLIO].memory
+    memory = kept[shard_state.CONFIGURATION].memory
     print(f"{folder}: {snapshot.line}; memory {memory}, the same at all of {' '.join(sorted(names))}?")
     return 0
 
 
 def main(words: list[str]) -> int:
-    """`orchidferry archive snapshot`; the exit status: 0, 1 for a store in use, 2 with one line."""
+    """`orchidferry controller snapshot`; the exit status: 0, 1 for a store in use, 2 with one line."""
     defopt = importlib.import_module("defopt")
-    name = {"prog": "orchidferry archive snapshot"}
+    name = {"prog": "orchidferry controller snapshot"}
     try:
         return int(defopt.run([take, put], argv=words, short={}, no_negated_flags=True, argparse_kwargs=name))
     except InUse as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 1
-    except (BadSnapshot, BadBoot, BadDeposit) as problem:
+    except (BadSnapshot, BadSettings, BadStore) as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
     except SystemExit as end:  # help, or words that can't be read
--- a/athenaeum/stocktake.py
+++ b/mesh/storage/storage_check.py
@@ -1,8 +1,9 @@
-"""A keeper's store looked through before it is used: what it holds, whether it can be believed, its size.
+"""A controller's store looked through before it is used: what it holds, whether it can be believed, its size.
 
-What can't be believed is set aside, and the keeper goes on as one that has forgotten: a wrong memory would
-break its word, an end of the process would only come again, and a wiped disk is a loss that the group bears.
-What can't be read at the moment, or was written by a later build, is left as it is and waited for.
+What can't be believed is set aside, and the controller goes on as one that has forgotten: a wrong memory
+would break its word, an end of the process would only come again, and a wiped disk is a loss that the
+group bears. What can't be read at the moment, or was written by a later build, is left as it is and waited
+for.
 """
 
 from __future__ import annotations
@@ -19,8 +20,9 @@
 from cbor2 import CBORDecodeError
 from loguru import logger
 
-from athenaeum import parts
-from athenaeum.deposit import (
+from mesh.control import shard_state
+from mesh.errors import BadStore
+from mesh.storage.store import (
     FORMAT,
     FORMAT_KEY,
     LOCK,
@@ -37,7 +39,6 @@
     used_pages,
     wrap,
 )  # fmt: skip
-from athenaeum.faults import BadDeposit
 from nickelbridge.register import Kept, Value
 
 STORE, PART, TRIES, RENAMED = "data.mdb", "data.part", "opening", "renamed"  # files of data_dir
@@ -85,7 +86,7 @@
 def _line(value: Value | None) -> str:
     if value is None:
         return "nothing yet"
-    body, voters = parts.body(value), " ".join(v.name for v in value.voters)
+    body, voters = shard_state.body(value), " ".join(v.name for v in value.voters)
     duties = f"owner {body.owner or 'none'} under fence {body.fence}"
     return f"version {value.version}, epoch {body.epoch}, revision {body.revision}, {duties}, voters {voters}"
 
@@ -128,13 +129,13 @@
     seal = _read(known, SEAL_KEY, int) if sealed else newest
     if raws and seal != newest:
         raise Damaged(f"the root is that of transaction {seal}, the number beside it {newest}")
-    numbers = [n for n in parts.PARTS if _key("kept", n) in known]
+    numbers = [n for n in shard_state.SHARDS if _key("kept", n) in known]
     kept = {n: _read(known, _key("kept", n), _kept) for n in numbers}
     early = _read(known, b"kept", _kept) if not numbers and not sealed else None
     founders = _read(known, b"founders", _names) or ()
     if keys and not kept and early is None:
         raise Damaged("there are keys, and the records 'kept' of about are missing")
-    caught = frozenset(n for n in parts.PARTS if _key("caught", n) in known)
+    caught = frozenset(n for n in shard_state.SHARDS if _key("caught", n) in known)
     size = os.stat(file).st_size
     return Stock(format_, kept, early, founders, caught, keys, used * page, size), dbs
 
@@ -150,7 +151,7 @@
         return 1
     found: int | None = _read({FORMAT_KEY: unwrap("about", FORMAT_KEY, raws[FORMAT_KEY])}, FORMAT_KEY, int)
     if found is None or found > FORMAT:
-        raise BadDeposit(f"format {found} is of a later build, {FORMAT} is the newest known here")
+        raise BadStore(f"format {found} is of a later build, {FORMAT} is the newest known here")
     return found
 
 
@@ -167,7 +168,7 @@
     memory, promised, accepted, value = packed
     if value is not None and len(value) == 7:  # before owners
         value = [*value, "", 0]
-    kept = parts.unpack_kept([memory, promised, accepted, value])
+    kept = shard_state.unpack_kept([memory, promised, accepted, value])
     if not isinstance(memory, int) or len(kept.promised) != 2 or len(kept.accepted) != 2:
         raise ValueError("it is no voter's memory")
     return kept
@@ -188,24 +189,26 @@
         raise Damaged(f"key {key[:40]!r} is none")
 
 
-# Before a keeper starts
+# Before a controller starts
 
 
 def forgot(folder: str) -> bool:
-    """Whether a store was set aside here: the keeper is no founder any more, whatever its settings say."""
+    """Whether a store was set aside here: the controller is no founder any more, whatever its settings
+    say.
+    """
     return os.path.isdir(os.path.join(folder, BAD))
 
 
 def prepare(folder: str) -> None:
     """Have the store of a folder in a state to be opened: believed, of this format, and not too large; or
-    none. `BadDeposit` if that can't be at the moment.
+    none. `BadStore` if that can't be at the moment.
     """
     try:
         os.makedirs(folder, exist_ok=True)
         with take_lock(folder):
             _prepare(folder)
     except (OSError, lmdb.Error) as problem:
-        raise BadDeposit(f"{folder}: {problem}") from None
+        raise BadStore(f"{folder}: {problem}") from None
 
 
 def _prepare(folder: str) -> None:
@@ -227,8 +230,8 @@
         _look_through(file, part)
     except Damaged as problem:
         set_aside(folder, str(problem))
-    except BadDeposit as problem:
-        raise BadDeposit(f"{folder}: {problem}") from None
+    except BadStore as problem:
+        raise BadStore(f"{folder}: {problem}") from None
     finally:
         _remove(tries)
 
@@ -243,15 +246,15 @@
         _fill(env, file)
         stock, dbs = survey(env, file)
         if stock.early is not None:
-            raise BadDeposit("it is of a build before parts: carry the group over by a snapshot")
+            raise BadStore("it is of a build before parts: carry the group over by a snapshot")
         if stock.format < FORMAT:
             _bring_up(env, dbs)
-            logger.info("deposit: the store was of format {}, it is of {} now", stock.format, FORMAT)
+            logger.info("store: the store was of format {}, it is of {} now", stock.format, FORMAT)
         small = worth_a_copy(stock, _bad_bytes(file)) and _copy(env, part, stock)
     finally:
         env.close()
     if small and _replace(part, file):
-        logger.info("deposit: compact now, {} bytes of {} were used", stock.used_bytes, stock.file_bytes)
+        logger.info("store: compact now, {} bytes of {} were used", stock.used_bytes, stock.file_bytes)
 
 
 def _look_at_roots(file: str) -> None:
@@ -304,8 +307,8 @@
         finally:
             copy.close()
         return True
-    except (OSError, lmdb.Error, BadDeposit) as problem:
-        logger.warning("deposit: no compact copy could be made: {}", problem)
+    except (OSError, lmdb.Error, BadStore) as problem:
+        logger.warning("store: no compact copy could be made: {}", problem)
         _remove(part)
         return False
 
@@ -321,7 +324,7 @@
             pass
         os.rename(part, file)
     except OSError as problem:
-        logger.warning("deposit: no compact copy could be made: {}", problem)
+        logger.warning("store: no compact copy could be made: {}", problem)
         _remove(part)
         _remove(renamed)
         return False
@@ -342,7 +345,7 @@
         os.remove(kept)
     sync_folder(bad)
     sync_folder(folder)
-    logger.error("deposit: {}: {}; set aside, this keeper has forgotten", folder, why)
+    logger.error("store: {}: {}; set aside, this controller has forgotten", folder, why)
 
 
 def sync_folder(folder: str) -> None:
@@ -379,7 +382,7 @@
         if not problem:
             return True
         if problem != said:
-            logger.error("deposit: {}; waiting for it", problem)
+            logger.error("store: {}; waiting for it", problem)
             said = problem
         try:
             async with asyncio.timeout(AGAIN_S):
@@ -393,7 +396,7 @@
     try:
         prepare(folder)
         problem = ""
-    except BadDeposit as found:
+    except BadStore as found:
         problem = str(found)
     with contextlib.suppress(RuntimeError):  # the loop has ended
         loop.call_soon_threadsafe(_say, done, problem)
@@ -404,11 +407,11 @@
         done.set_result(problem)
 
 
-# Beside a keeper that does not run
+# Beside a controller that does not run
 
 
 def look(folder: str) -> Stock | None:
-    """What the store of a folder holds, with nothing written; None if there is none. `BadDeposit`."""
+    """What the store of a folder holds, with nothing written; None if there is none. `BadStore`."""
     file, locked = os.path.join(folder, STORE), os.path.exists(os.path.join(folder, LOCK))
     if not os.path.exists(file):
         return None
@@ -423,8 +426,8 @@
             finally:
                 env.close()
     except (OSError, lmdb.Error) as problem:
-        raise BadDeposit(f"{folder}: {problem}") from None
+        raise BadStore(f"{folder}: {problem}") from None
     except InUse:
         raise
-    except BadDeposit as problem:
-        raise BadDeposit(f"{folder}: {problem}") from None
+    except BadStore as problem:
+        raise BadStore(f"{folder}: {problem}") from None
--- a/athenaeum/deposit.py
+++ b/mesh/storage/store.py
@@ -1,11 +1,12 @@
-"""What a keeper must not forget, on disk: lmdb behind a thread of its own.
+"""What a controller must not forget, on disk: lmdb behind a thread of its own.
 
 Writes are put together (group commit) and each is answered once its transaction is synced. The loop never
 waits for the disk. A write that fails (full, broken) is answered as failed, and changes nothing on disk; the
 process goes on; whoever asked asks again, if it still wants it.
 
 Every record carries a checksum, and every transaction the seal: its own number, as a record. A root that is
-older or younger than the number beside it is told by that (`stocktake`, which looks before a store is used).
+older or younger than the number beside it is told by that (`storage_check`, which looks before a store is
+used).
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 import lmdb
 from loguru import logger
 
-from athenaeum.faults import BadDeposit
+from mesh.errors import BadStore
 
 NAMES = ("about", "slips")
 MAP_BYTES = 160 * 1024 * 1024
@@ -47,11 +48,11 @@
 Databases = dict[str, Any]
 
 
-class Damaged(BadDeposit):
+class Damaged(BadStore):
     """What is in the store can't be taken for memory; one line that names the folder and what."""
 
 
-class InUse(BadDeposit):
+class InUse(BadStore):
     """Another process has the store open."""
 
 
@@ -128,13 +129,13 @@
     return file
 
 
-class Deposit:
-    """The store of one keeper."""
+class Store:
+    """The store of one controller."""
 
     NAMES = NAMES
 
     def __init__(self, folder: str, loop: asyncio.AbstractEventLoop) -> None:
-        """Open it, or make it. `BadDeposit` if that can't be."""
+        """Open it, or make it. `BadStore` if that can't be."""
         self._folder, self._loop = folder, loop
         self._jobs: list[_Job] = []
         self._flight: list[_Job] = []  # those that are being written
@@ -153,16 +154,16 @@
             os.makedirs(folder, exist_ok=True)
             self._lock = take_lock(folder)
         except OSError as problem:
-            raise BadDeposit(f"{folder}: {problem}") from None
+            raise BadStore(f"{folder}: {problem}") from None
         try:
             self._open()
         except (OSError, lmdb.Error) as problem:
             self._lock.close()
-            raise BadDeposit(f"{folder}: {problem}") from None
-        except BadDeposit:
+            raise BadStore(f"{folder}: {problem}") from None
+        except BadStore:
             self._lock.close()
             raise
-        self._thread = threading.Thread(target=self._run, name="deposit", daemon=True)
+        self._thread = threading.Thread(target=self._run, name="store", daemon=True)
         self._thread.start()
 
     def _open(self) -> None:
@@ -178,7 +179,7 @@
             with self._env.begin(db=about) as txn:
                 sealed = txn.get(FORMAT_KEY) is not None
                 if not sealed and txn.stat(about)["entries"]:
-                    raise BadDeposit(f"{self._folder}: of an earlier build, and not made ready")
+                    raise BadStore(f"{self._folder}: of an earlier build, and not made ready")
         if not sealed or len(self._dbs) < len(NAMES):
             with self._env.begin(write=True) as txn:  # sealed together, as any other change
                 self._dbs = {name: self._env.open_db(name.encode(), txn=txn) for name in NAMES}
@@ -345,7 +346,7 @@
             with self._opening:
                 self._env.close()
                 self._open()
-        except (OSError, lmdb.Error, BadDeposit) as problem:
+        except (OSError, lmdb.Error, BadStore) as problem:
             self._problem = str(problem)
 
     # On the loop
@@ -375,7 +376,7 @@
     def _fall_ill(self, why: str) -> None:
         self._well_s = None
         if not self._ill:
-            logger.warning("deposit: {}", why)
+            logger.warning("store: {}", why)
             with self._wake:
                 self._ill = True
                 self._wake.notify()
@@ -386,7 +387,7 @@
         elif self._well_s is None:
             self._well_s = now
         elif now - self._well_s >= WELL_S:
-            logger.info("deposit: the disk keeps up again")
+            logger.info("store: the disk keeps up again")
             self._ill, self._well_s = False, None
 
 
--- a/rehearsal/bench/mesh.py
+++ b/rehearsal/bench/mesh.py
@@ -36,7 +36,7 @@
 MOST_CLAIMS = 40_000  # of one such load
 ANSWER = 600  # bytes of an answer that is kept
 SYNC_MS = 1.0  # that each commit takes longer on a disk of memory: a core machine's sync
-MEMORY, OWN = "1 ms a sync", "this disk"  # where keepers write
+MEMORY, OWN = "1 ms a sync", "this disk"  # where controllers write
 SHARE = 0.645  # of a core: what a core machine has
 REQUESTS = 300.0  # requests a second offered to a forwarder
 WARM_S = 0.6
@@ -103,7 +103,7 @@
             keeper_busy=f"{max(s for load in loads for s in load['keeper_share']):.0%}",
             claimer_busy=f"{max(load['cpu_s'] / load['seconds'] for load in loads):.0%}",
             waited_for_a_core=f"{max(load['waited'] for load in loads):.0%}", **lost),
-        row("claims", f"{name}: CPU of a keeper", "us a claim", cpu, core_machine=f"{most:.0f}/s"),
+        row("claims", f"{name}: CPU of a controller", "us a claim", cpu, core_machine=f"{most:.0f}/s"),
         row("claims", f"{name}: p50", "ms", [quantile(t, 0.5) for t in took if t]),
         row("claims", f"{name}: p99", "ms", [quantile(t, 0.99) for t in took if t],
             asked_late_p99_ms=round(late, 2)),
@@ -115,7 +115,7 @@
     seconds: float, turns: int, groups: Sequence[int] = (1, 3), rates: Sequence[float] = RATES,
     disks: Sequence[str] = (MEMORY, OWN), most: bool = True,
 ) -> list[Row]:  # fmt: skip
-    """Keys claimed of one keeper and of three, at rates and as fast as they go; each turn with new disks.
+    """Keys claimed of one controller and of three, at rates and as fast as they go; each turn with new disks.
 
     The disk is of memory, with a commit 1 ms longer, as a core machine's is; the largest group's also the
     folder for temporary files.
@@ -123,11 +123,11 @@
     found: dict[str, list[dict[str, Any]]] = {}
     stored: list[float] = []
     for _ in range(turns):
-        for keepers in groups:
-            for where in disks if keepers == max(groups) else disks[:1]:
+        for controllers in groups:
+            for where in disks if controllers == max(groups) else disks[:1]:
                 own = where == OWN
                 folder, sync = (tempfile.gettempdir(), 0.0) if own else (None, SYNC_MS)
-                async with Fleet(keepers, sync_ms=sync, disk=folder) as fleet:
+                async with Fleet(controllers, sync_ms=sync, disk=folder) as fleet:
                     claimer = await fleet.claimer()
                     before, asked = fleet.stored(), 0
                     loads = [(f"{rate:g}/s", rate, 0) for rate in rates]
@@ -149,7 +149,7 @@
                         load["written"] = [
                             (written_bytes(pid) - was) / count for pid, was in zip(pids, wrote, strict=True)
                         ]
-                        who = "1 keeper" if keepers == 1 else f"{keepers} keepers"
+                        who = "1 controller" if controllers == 1 else f"{controllers} controllers"
                         found.setdefault(f"{who}, {where}, {name}", []).append(load)
                         asked += load["granted"]
                         if not rate:
@@ -202,11 +202,11 @@
             nonlocal serial
             serial += 1
             await ask_all(address, REQUESTS, WARM_S, False, f"w{serial}-", write=write)
-            keepers, meter = fleet.meter(fleet.cores), Meter(pids)
+            controllers, meter = fleet.meter(fleet.cores), Meter(pids)
             result = await ask_all(address, REQUESTS, seconds, False, f"m{serial}-", write=write)
             spent, result["waited"] = meter.read()
             result["cpu_us"] = [s / result["asked"] * 1e6 for s in spent]
-            result["keeper_us"] = [s / result["asked"] * 1e6 for s in keepers.read()[0]]
+            result["keeper_us"] = [s / result["asked"] * 1e6 for s in controllers.read()[0]]
             found.setdefault(name, []).append(result)
 
         try:
@@ -221,9 +221,9 @@
                 by = {machine: fleet.pids([machine])[0] for machine in (near, far)}
                 for kind, write in (("reads", READS), ("keyed", SAVES)):
                     door = (near.ip, fleet.ports.outbound)
-                    await one(f"carrel, one machine, {kind}", door, [by[near]], write)
+                    await one(f"proxy, one machine, {kind}", door, [by[near]], write)
                     door = (far.ip, fleet.ports.outbound)
-                    await one(f"carrel, two machines, {kind}", door, [by[far], by[near]], write)
+                    await one(f"proxy, two machines, {kind}", door, [by[far], by[near]], write)
         finally:
             await bench.close()
     return request_rows(found)
@@ -253,7 +253,7 @@
             more["asked_late_p99_ms"] = round(late, 1)
         if (waited := max(one["waited"] for one in some)) > WAITED:
             more["waited_for_a_core"] = f"{waited:.0%}"
-        if name.startswith("carrel") and name.endswith("keyed"):
+        if name.startswith("proxy") and name.endswith("keyed"):
             more["each_keeper_us"] = round(statistics.median(k for one in some for k in one["keeper_us"]), 1)
         rows.append(row("requests", f"{name}: CPU", "us a request", total,
                         ratio=round(statistics.median(total) / bare, 2), **more))  # fmt: skip
@@ -266,11 +266,11 @@
 
 
 async def memory(seconds: float, turns: int) -> list[Row]:
-    """The most memory of a node and a keeper, idle and after load: one fleet, over its processes."""
+    """The most memory of a node and a controller, idle and after load: one fleet, over its processes."""
     async with Fleet(3, (1, 1)) as fleet:
         claimer = await fleet.claimer()
         await asyncio.sleep(SETTLE_S)
-        kinds: list[tuple[str, list[Machine]]] = [("archive", fleet.cores), ("carrel", fleet.sidecars)]
+        kinds: list[tuple[str, list[Machine]]] = [("controller", fleet.cores), ("proxy", fleet.sidecars)]
         meters = [fleet.meter(some) for _, some in kinds]
         await asyncio.sleep(seconds)
         rows = []
@@ -283,14 +283,14 @@
             tag = f"{machine.name}-"
             await ask_all(door, 2.0 * REQUESTS, seconds, False, f"r{tag}", write=READS)
             await ask_all(door, REQUESTS, seconds, False, f"k{tag}", write=SAVES)
-        rows.append(row("memory", f"carrel, after {2 * REQUESTS:g}/s reads, {REQUESTS:g}/s keyed: most", "MB",
+        rows.append(row("memory", f"proxy, after {2 * REQUESTS:g}/s reads, {REQUESTS:g}/s keyed: most", "MB",
                         fleet.peaks(fleet.sidecars)))  # fmt: skip
         stored = fleet.stored()
         load = await fleet.load(claimer, tag="memory", rate=0.0, seconds=28.0, at_once=AT_ONCE, count=KEYS,
                                 answer=0)  # fmt: skip
         count = load["granted"]
         more = {"broken": True} if count < KEYS else {}
-        name = f"archive, after {count:,} keys"
+        name = f"controller, after {count:,} keys"
         rows.append(row("memory", f"{name}: most", "MB", fleet.peaks(fleet.cores), **more))
         grown = [(now - was) / max(1, count) for now, was in zip(fleet.stored(), stored, strict=True)]
         rows.append(row("memory", f"{name}: kept on disk", "bytes a claim", grown))
@@ -301,7 +301,7 @@
 
 
 async def idle(seconds: float, turns: int) -> list[Row]:
-    """Bytes that nodes and keepers exchange while nothing happens, counted by a relay between them."""
+    """Bytes that nodes and controllers exchange while nothing happens, counted by a relay between them."""
     rows = []
     for servers in (SMALL, LARGE):
         async with Fleet(3, servers, SYNC_MS, relay=True) as fleet:
@@ -320,9 +320,9 @@
                 kinds |= {kind for relay in fleet.relays for kind in (*relay.up, *relay.down)}
             fleet.check()
             said = " ".join(sorted(kinds))
-            name = f"3 keepers, {nodes} nodes, idle"
-            rows.append(row("bytes", f"{name}: to the keepers", "bytes a node a second", up, kinds=said))
-            rows.append(row("bytes", f"{name}: from the keepers", "bytes a node a second", down))
+            name = f"3 controllers, {nodes} nodes, idle"
+            rows.append(row("bytes", f"{name}: to the controllers", "bytes a node a second", up, kinds=said))
+            rows.append(row("bytes", f"{name}: from the controllers", "bytes a node a second", down))
     return rows
 
 
@@ -433,7 +433,7 @@
     from loguru import logger
 
     measure, rows = importlib.import_module(MODEL).measure, []
-    logger.disable("athenaeum")
+    logger.disable("mesh")
     try:
         for nodes in sizes:
             one = measure(nodes, ZONES, SEED, changes=VIRTUAL_CHANGES)
@@ -443,7 +443,7 @@
             rows.append(row("news", f"{name}: p99 of the last node", "ms", [one.p99_ms],
                             keeper_bytes=one.keeper_bytes))  # fmt: skip
     finally:
-        logger.enable("athenaeum")
+        logger.enable("mesh")
     return rows
 
 
--- a/rehearsal/bench/mesh_fleet.py
+++ b/rehearsal/bench/mesh_fleet.py
@@ -1,6 +1,6 @@
-"""A mesh for the bench: keepers and nodes as processes on loopback, stand-in servers, all ended with it.
+"""A mesh for the bench: controllers and nodes as processes on loopback, stand-in servers, all ended with it.
 
-What it tells of a process comes from the kernel's books. What nodes and keepers say to each other can be
+What it tells of a process comes from the kernel's books. What nodes and controllers say to each other can be
 counted by a relay between them: the nodes' settings then name its port as the internal one.
 """
 
@@ -53,7 +53,7 @@
 
 
 def used(pid: int) -> Used:
-    """What a process has used so far, by all its threads: a keeper's disk has one of its own."""
+    """What a process has used so far, by all its threads: a controller's disk has one of its own."""
     books = [text.read_text().split() for text in Path(f"/proc/{pid}/task").glob("*/schedstat")]
     return Used(*(sum(int(book[n]) for book in books) / 1e9 for n in (0, 1)))
 
@@ -103,17 +103,17 @@
 
 
 class Counting:
-    """Counts what nodes and one keeper say to each other, and hands it on."""
+    """Counts what nodes and one controller say to each other, and hands it on."""
 
     def __init__(self) -> None:
         self.up, self.down = Counter[str](), Counter[str]()  # bytes by kind of message
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self, listen: tuple[str, int], keeper: tuple[str, int]) -> None:
+    async def start(self, listen: tuple[str, int], controller: tuple[str, int]) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
-                far_reader, far_writer = await asyncio.open_connection(*keeper)
+                far_reader, far_writer = await asyncio.open_connection(*controller)
             except OSError:
                 return writer.transport.abort()
             for source, sink, counts in ((reader, far_writer, self.up), (far_reader, writer, self.down)):
@@ -151,7 +151,7 @@
         self, cores: int, servers: tuple[int, int] = (0, 0), sync_ms: float = 0.0, disk: str | None = None,
         relay: bool = False,
     ) -> None:  # fmt: skip
-        """`sync_ms`: how much longer a keeper's commit takes; `disk`: where its files are, if not where
+        """`sync_ms`: how much longer a controller's commit takes; `disk`: where its files are, if not where
         `ORCHIDFERRY_BENCH_DISK` says.
         """
         self._day = Day("bench", "", 0.0, (), cores=cores, servers=servers)
@@ -192,9 +192,11 @@
         self.scene = Scene(SEED, self.ports, lambda _: None, time.monotonic())
         through = Scene(SEED, relayed if self._relay else self.ports, lambda _: None, self.scene.zero)
         if self._relay:
-            for keeper in self.cores:
+            for controller in self.cores:
                 self.relays.append(Counting())
-                await self.relays[-1].start((keeper.ip, relayed.internal), (keeper.ip, self.ports.internal))
+                await self.relays[-1].start(
+                    (controller.ip, relayed.internal), (controller.ip, self.ports.internal)
+                )
         for machine in (*self.cores, *self.sidecars):
             scene = self.scene if machine.role == "core" else through
             node = Node(scene, self._day, machine, self.cores[:3], self.folder, self._ended, lambda _: None)
@@ -334,7 +336,7 @@
         return [peak_mb(pid) for pid in self.pids(some)]
 
     def stored(self) -> list[int]:
-        """Bytes that each keeper's files take on disk."""
+        """Bytes that each controller's files take on disk."""
         folders = [self.folder / machine.name / "data" for machine in self.cores]
         return [sum(f.stat().st_blocks * 512 for f in one.rglob("*") if f.is_file()) for one in folders]
 
--- a/rehearsal/bench/mesh_load.py
+++ b/rehearsal/bench/mesh_load.py
@@ -1,4 +1,5 @@
-"""The bench's own processes: stand-in servers, a claimer of operation keys, a keeper whose syncs take longer.
+"""The bench's own processes: stand-in servers, a claimer of operation keys, a controller whose syncs take
+longer.
 
 `python -m rehearsal.bench.mesh_load servers HOST:PORT...|claims|slow MS`
 """
@@ -16,15 +17,15 @@
 
 import uvloop
 
-from athenaeum.accessions import Record
-from athenaeum.boot import Boot, Bounds
-from athenaeum.circulation import Circulation
-from athenaeum.deposit import Deposit
+from mesh.control.control_client import ControlClient
+from mesh.control.endpoints import Record
+from mesh.settings import Bounds, Settings
+from mesh.storage.store import Store
 from orchidferry.collector import settle
 
 CLAIM_S = 1.0  # for one key
 MOST_S = 30.0  # of one load
-LINKED_S = 10.0  # until all keepers are heard and grant a key
+LINKED_S = 10.0  # until all controllers are heard and grant a key
 TICK_S = 0.001
 
 
@@ -40,7 +41,7 @@
 class Claimer:
     """One node's claims, with nothing else of a node."""
 
-    def __init__(self, news: Circulation) -> None:
+    def __init__(self, news: ControlClient) -> None:
         self._news = news
         self._out = 0
         self._then: Callable[[], None] = nothing  # once one is told
@@ -96,22 +97,22 @@
         }  # fmt: skip
 
 
-def claimer_boot(seeds: list[str], port: int, ip: str) -> Boot:
-    """As much of a node's settings as its links to keepers ask for."""
-    return Boot(
-        name=f"claimer-{ip}", role="carrel", ip=ip, zone="sala-a", first_start=False, listen={},
+def claimer_boot(seeds: list[str], port: int, ip: str) -> Settings:
+    """As much of a node's settings as its links to controllers ask for."""
+    return Settings(
+        name=f"claimer-{ip}", role="proxy", ip=ip, zone="sala-a", first_start=False, listen={},
         internal_port=port, seeds=tuple(seeds), bounds=Bounds(), beat_ms=1_500.0, descriptors=256,
         memory_mb=256.0,
     )  # fmt: skip
 
 
 async def claims() -> None:
-    """Where the keepers are comes on the first line of the standard input; then one load a line."""
+    """Where the controllers are comes on the first line of the standard input; then one load a line."""
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     where = json.loads(await reader.readline())
-    news = Circulation(claimer_boot(**where), loop, lambda _: None, lambda *_: None)
+    news = ControlClient(claimer_boot(**where), loop, lambda _: None, lambda *_: None)
     news.start()
     news.publish(Record(f"claimer-{where['ip']}", news.boot_id, 1, "sala-a", where["ip"], 1, None))
     one, tries = Claimer(news), 0
@@ -133,18 +134,18 @@
 
 
 def slow(more_s: float) -> int:
-    """A keeper each of whose commits takes so much longer, in the thread of its disk as a sync does."""
-    from athenaeum.__main__ import main
+    """A controller each of whose commits takes so much longer, in the thread of its disk as a sync does."""
+    from mesh.__main__ import main
 
-    commit = Deposit._commit
+    commit = Store._commit
 
-    def later(self: Deposit, jobs: Any) -> list[bool] | None:
+    def later(self: Store, jobs: Any) -> list[bool] | None:
         done = commit(self, jobs)
         time.sleep(more_s)
         return done
 
-    Deposit._commit = later  # type: ignore[method-assign]
-    return main(["archive"])
+    Store._commit = later  # type: ignore[method-assign]
+    return main(["controller"])
 
 
 if __name__ == "__main__":
--- a/rehearsal/bench/mesh_news.py
+++ b/rehearsal/bench/mesh_news.py
@@ -1,7 +1,7 @@
 """`orchidferry bench mesh_news`: news of the mesh in virtual time, with and without the tree of relays.
 
-A hop takes 1 ms within a zone and 1.4 ms between zones, one message 30 us of its sender's time, at keepers
-and relays alike: assumed, not measured. Names, records and sizes are those of the wire.
+A hop takes 1 ms within a zone and 1.4 ms between zones, one message 30 us of its sender's time, at
+controllers and relays alike: assumed, not measured. Names, records and sizes are those of the wire.
 """
 
 from __future__ import annotations
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 from functools import partial
 
-from athenaeum.relays import HEADS, Tally
+from mesh.control.fanout_tree import HEADS, Tally
 from rehearsal.judge.fleet import quantile
 from rehearsal.model.relays import BETWEEN_S, EVERYBODY, Node, World
 
 SETTLE_S = 30.0
-GAP_S = 0.2  # between nodes' changes; each is a change at all three keepers
+GAP_S = 0.2  # between nodes' changes; each is a change at all three controllers
 FREEZE_S, THAW_S = 3.0, 1.5  # so often others are frozen, and for so long
 END_S = 3.0
 TEXT = 64 * 1024  # bytes of a configuration
@@ -24,7 +24,9 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """Of one fleet; times in ms, from a keeper's change to the last node that was not frozen meanwhile."""
+    """Of one fleet; times in ms, from a controller's change to the last node that was not frozen
+    meanwhile.
+    """
 
     nodes: int
     zones: int
@@ -37,12 +39,12 @@
     last_ms: float  # the longest of all
     late: int  # changes that took over 20 ms
     missed: int  # changes that did not come to somebody within the run
-    keeper_messages: float  # of news that a keeper sends a change of its own
+    keeper_messages: float  # of news that a controller sends a change of its own
     keeper_bytes: float
     keeper_lease_bytes_s: float  # answers to renewals, a second
     relay_bytes: float  # of news that all nodes send on, a change
     between_bytes: float  # of news between zones, by all, a change
-    text_keeper_bytes: int  # of one configuration of 64 KiB, by all keepers
+    text_keeper_bytes: int  # of one configuration of 64 KiB, by all controllers
     text_between_bytes: int
 
 
@@ -56,12 +58,12 @@
         world.at(world.now + rng.random(), partial(world.start, f"sidecar-{n % zones}-{n}", n % zones))
     world.run(SETTLE_S)
     raw = rng.randbytes(TEXT)
-    for name, keeper in world.keepers.items():  # one has it decided, and tells the others
-        world.at(world.now + (BETWEEN_S if name != "k0" else 0.0), partial(keeper.revise, 1, raw))
+    for name, controller in world.controllers.items():  # one has it decided, and tells the others
+        world.at(world.now + (BETWEEN_S if name != "k0" else 0.0), partial(controller.revise, 1, raw))
     text = [_sent(world, "text", near) for near in (True, False)]
     world.run(END_S)
     text = [_sent(world, "text", near) - had for near, had in zip((True, False), text, strict=True)]
-    text_keeper = sum(_bytes(keeper.desk.tally, "text") for keeper in world.keepers.values())
+    text_keeper = sum(_bytes(controller.publisher.tally, "text") for controller in world.controllers.values())
     assert all(node.revision == 1 for node in world.nodes.values())
 
     world.watch()
@@ -76,7 +78,7 @@
                 stopped.append((node.name, thaw_s - THAW_S, world.now + 0.5))
             down = []
         if frozen and world.now >= next_s:
-            relays = [node for node in world.nodes.values() if node.branch._followers.places]
+            relays = [node for node in world.nodes.values() if node.subscriber._followers.places]
             down = rng.sample(relays, min(len(relays), max(1, round(frozen * nodes))))
             next_s, thaw_s = world.now + FREEZE_S, world.now + THAW_S
             for node in down:
@@ -117,18 +119,20 @@
 
 def _sent(world: World, kind: str, near: bool) -> int:
     """Bytes of a kind by all processes, within zones or between them."""
-    tallies = [keeper.desk.tally for keeper in world.keepers.values()]
-    tallies += [node.branch.tally for node in world.nodes.values()]
+    tallies = [controller.publisher.tally for controller in world.controllers.values()]
+    tallies += [node.subscriber.tally for node in world.nodes.values()]
     return sum(tally.sent.get((kind, near), [0, 0])[1] for tally in tallies)
 
 
 def _figures(world: World) -> tuple[int, int, int, int, int]:
-    """Sums so far: keepers' messages and bytes of news, bytes of leases, relays' news, news between zones."""
-    desks = [keeper.desk.tally for keeper in world.keepers.values()]
+    """Sums so far: controllers' messages and bytes of news, bytes of leases, relays' news, news between
+    zones.
+    """
+    desks = [controller.publisher.tally for controller in world.controllers.values()]
     return (
         sum(tally.messages("news") for tally in desks),
         sum(_bytes(tally, "news") for tally in desks),
         sum(_bytes(tally, "lease") for tally in desks),
-        sum(_bytes(node.branch.tally, "news") for node in world.nodes.values()),
+        sum(_bytes(node.subscriber.tally, "news") for node in world.nodes.values()),
         _sent(world, "news", False),
     )
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -17,7 +17,7 @@
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
     "bench": "orchidferry bench spread slow-server --runs 5",
 }
-MESH_ROLES = ("carrel", "archive")  # they read their own words: nothing of the kit is loaded for them
+MESH_ROLES = ("proxy", "controller")  # they read their own words: nothing of the kit is loaded for them
 PACKAGES = {
     "control": control,
     "traffic": traffic,
@@ -214,7 +214,7 @@
 
         return node()
     if sys.argv[1] in MESH_ROLES:
-        from athenaeum.__main__ import main as role
+        from mesh.__main__ import main as role
 
         return role(sys.argv[1:])
     try:
--- a/rehearsal/explore/__init__.py
+++ b/rehearsal/explore/__init__.py
@@ -12,7 +12,7 @@
 def arguments(parser: Any) -> None:
     """Give the command's parser its options."""
     parser.add_argument(
-        "--of", choices=("node", "fleet", "slots", "mesh-parts", "mesh-keys"), default="node",
+        "--of", choices=("node", "fleet", "slots", "mesh-shards", "mesh-keys"), default="node",
         help="a node among its peers, the membership of a few nodes, slots among three voters, or keepers of "
         "the mesh: configurations and duties, or operation keys (node)",
     )  # fmt: skip
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -123,7 +123,7 @@
 
 
 def _mesh(args: argparse.Namespace) -> int:
-    """Every interleaving of the keepers of one part, scene by scene."""
+    """Every interleaving of the controllers of one shard, scene by scene."""
     from rehearsal.explore import mesh
 
     scenes = {name: scene for name, scene in mesh.SCENES.items() if scene.of == args.of}
--- a/rehearsal/explore/keeper.py
+++ b/rehearsal/explore/controller.py
@@ -1,5 +1,6 @@
-"""A keeper's process with its disk in memory, round one shipping `holding.Part`: it does what the part wants
-as `Archive` does, and leaves clock, chance and the way between processes to the world that it stands in.
+"""A controller's process with its disk in memory, round one shipping `holding.Shard`: it does what the
+shard wants as `Controller` does, and leaves clock, chance and the way between processes to the world that
+it stands in.
 """
 
 from __future__ import annotations
@@ -8,43 +9,45 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
-from athenaeum import parts
-from athenaeum.deposit import Put, unpack
-from athenaeum.holding import Part, remembered
-from athenaeum.seat import Action, Answer, Changed, Ended, Peers, Tell, Write
+from mesh.control import shard_state
+from mesh.control.replica import Action, Answer, Changed, Ended, Peers, Tell, Write
+from mesh.control.shard import Shard, remembered
+from mesh.storage.store import Put, unpack
 from nickelbridge.register import Kept
 
 WINDOW_S = 60.0
 SEEDS = ("a", "b", "c")
-BEATS_MOST = 16  # that may be acknowledged yet, as at `Archive`
+BEATS_MOST = 16  # that may be acknowledged yet, as at `Controller`
 
 
 class Around(Protocol):
-    """What a keeper's process meets."""
+    """What a controller's process meets."""
 
     now: float
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
-        """Have a keeper's method of that name called, later or never."""
+        """Have a controller's method of that name called, later or never."""
 
     def answer(self, name: str, answer: Answer) -> None:
-        """A keeper answers."""
+        """A controller answers."""
 
     def decided(self, name: str, changed: Changed) -> None:
-        """A keeper has learned a newer state."""
+        """A controller has learned a newer state."""
 
     def told(self, name: str, end: Ended) -> None:
-        """What was asked for at a keeper is over."""
+        """What was asked for at a controller is over."""
 
 
-class Keeper:
+class Controller:
     """A process with its disk, which writes when it is told to (`disk_turn`)."""
 
     def __init__(self, name: str, world: Around, founder: bool, number: int, rng: random.Random) -> None:
-        """`number`: of the part."""
+        """`number`: of the shard."""
         self.name, self.world, self.number, self.rng = name, world, number, rng
         self.disk: dict[tuple[str, bytes], bytes] = {}
-        self.put(remembered(number, Kept(parts.GENESIS if founder else rng.randrange(2, 2**50)), founder))
+        self.put(
+            remembered(number, Kept(shard_state.GENESIS if founder else rng.randrange(2, 2**50)), founder)
+        )
         self.start()
 
     def put(self, puts: list[Put]) -> None:
@@ -59,13 +62,13 @@
         """A new life, with what is on the disk."""
         self.alive, self.writes = True, list[Write]()
         self.peers, self.beats, self.count = Peers(self.world.now), dict[int, float](), 0
-        kept = parts.unpack_kept(unpack(self.disk["about", f"kept/{self.number}".encode()]))
+        kept = shard_state.unpack_kept(unpack(self.disk["about", f"kept/{self.number}".encode()]))
         caught = ("about", f"caught/{self.number}".encode()) in self.disk
-        first = parts.genesis(SEEDS)
-        self.part = Part(self.number, self.name, first, kept, caught, self.peers, WINDOW_S, self.rng, 1_000)
+        first = shard_state.genesis(SEEDS)
+        self.shard = Shard(self.number, self.name, first, kept, caught, self.peers, WINDOW_S, self.rng, 1_000)
         for (name, key), value in self.disk.items():
             if name == "slips":
-                self.part.load(key.decode(), unpack(value))
+                self.shard.load(key.decode(), unpack(value))
 
     def wipe(self) -> None:
         """An empty disk, with a new memory."""
@@ -73,7 +76,7 @@
         self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), False))
 
     def do(self, actions: list[Action]) -> None:
-        """What the part wants done, in its order."""
+        """What the shard wants done, in its order."""
         for action in actions:
             match action:
                 case Tell():
@@ -92,11 +95,11 @@
         write = self.writes.pop(0)
         self.put(write.puts)
         if write.then is not None:
-            self.do(self.part.written(write.then, True, self.world.now))
+            self.do(self.shard.written(write.then, True, self.world.now))
 
     def tick(self) -> None:
         """Let time pass."""
-        self.do(self.part.tick(self.world.now))
+        self.do(self.shard.tick(self.world.now))
 
     def beat_to(self, names: Iterable[str]) -> None:
         """Tell others that this one lives."""
@@ -105,35 +108,35 @@
         if len(self.beats) > BEATS_MOST:
             del self.beats[next(iter(self.beats))]
         for name in names:
-            known = self.part.known.version
+            known = self.shard.known.version
             self.world.send(self.name, name, "beat", self.name, self.count, self.peers.fit, known)
 
     # What comes
 
     def heard(self, sender: str, message: list[Any]) -> None:
-        """A message of another keeper."""
-        self.do(self.part.heard(sender, message, self.world.now))
+        """A message of another controller."""
+        self.do(self.shard.heard(sender, message, self.world.now))
 
     def beat(self, sender: str, number: int, fit: bool, version: int) -> None:
         """Another one lives."""
         self.peers.heard_s[sender] = self.world.now
         (self.peers.unfit.discard if fit else self.peers.unfit.add)(sender)
-        self.world.send(self.name, sender, "pulse", self.name, number, self.part.accepted_fence)
-        self.do(self.part.catch(version, sender))
+        self.world.send(self.name, sender, "pulse", self.name, number, self.shard.accepted_fence)
+        self.do(self.shard.catch(version, sender))
 
     def pulse(self, sender: str, number: int, fence: int) -> None:
         """A beat was heard."""
         if number in self.beats:
-            self.part.pulse(sender, self.beats[number], fence)
+            self.shard.pulse(sender, self.beats[number], fence)
 
     def claim(self, who: Any, rid: int, under: int, key: str, holder: str) -> None:
         """A try wants a key."""
-        self.do(self.part.claim(who, rid, under, key, holder, True, self.world.now))
+        self.do(self.shard.claim(who, rid, under, key, holder, True, self.world.now))
 
     def done(self, key: str, holder: str, answer: Any) -> None:
         """A key's run was answered."""
-        self.do(self.part.done(key, holder, answer, self.world.now))
+        self.do(self.shard.done(key, holder, answer, self.world.now))
 
     def drop(self, key: str, holder: str) -> None:
         """A key is given back."""
-        self.do(self.part.drop(key, holder, self.world.now))
+        self.do(self.shard.drop(key, holder, self.world.now))
