--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -1,10 +1,10 @@
-"""Every interleaving of a few keepers of one part of the mesh's state and those who ask them: the shipping
-`Part` and `Claims`, with faults among them.
+"""Every interleaving of a few controllers of one shard of the mesh's state and those who ask them: the
+shipping `Shard` and `OperationKeyClient`, with faults among them.
 
 Each message takes one step, as does each write to a disk. Of what comes to one process in one step (messages,
 in order on each link, and its disk's word) every order is walked; what comes to different ones commutes. Time
-moves when nothing is under way: to the next grid point, where beats go round and all tick, or to what a part
-has due sooner. What is judged is what askers were told and what keepers sent, not what they think.
+moves when nothing is under way: to the next grid point, where beats go round and all tick, or to what a shard
+has due sooner. What is judged is what askers were told and what controllers sent, not what they think.
 """
 
 from __future__ import annotations
@@ -24,20 +24,21 @@
 from typing import Any
 from unittest import mock
 
-from athenaeum import callslips, claims, holding, parts, seat
-from athenaeum.callslips import Slips
-from athenaeum.claims import Claims, Count
-from athenaeum.group import Standing, epoch
-from athenaeum.holding import Part, remembered
-from athenaeum.seat import Action, Answer, Changed, Ended, Write
+from mesh.control import operation_key_client, operation_keys, replica, shard_state
+from mesh.control import shard as shard_module
+from mesh.control.membership import Standing, epoch
+from mesh.control.operation_key_client import Count, OperationKeyClient
+from mesh.control.operation_keys import OperationKeys
+from mesh.control.replica import Action, Answer, Changed, Ended, Write
+from mesh.control.shard import Shard, remembered
 from nickelbridge import register
 from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
 from rehearsal.explore import pure
+from rehearsal.explore.controller import SEEDS, Controller
 from rehearsal.explore.fleet import Middle
-from rehearsal.explore.keeper import SEEDS, Keeper
 from rehearsal.explore.pure import Found
 
-GRID_S = 0.4  # beats, and what a part does now and then
+GRID_S = 0.4  # beats, and what a shard does now and then
 LEAST_S = 0.02  # that time moves
 KINDS = ("kill", "power", "wipe", "cut", "oneway", "freeze", "unfit", "beat", "lose", "late")
 KEY = "k"
@@ -52,7 +53,7 @@
     copyreg.pickle(kind, lambda one: (kind, fields_of(one)))
 
 
-for _module in (register, parts, seat, holding, callslips, claims):
+for _module in (register, shard_state, replica, shard_module, operation_keys, operation_key_client):
     for _kind in vars(_module).values():
         if isinstance(_kind, type) and is_dataclass(_kind) and "__slots__" in vars(_kind):
             _fast(_kind)
@@ -72,36 +73,37 @@
     for_s: float = 0.9  # that a node asks for a key
     seconds: float = 0.0  # it lasts at least
     script: tuple[tuple[float, str], ...] = ()  # what happens anyway: a fault, `down` or `up`, and to whom
-    part: int = parts.FOLIO  # its number, where no key is tried
-    spare: bool = False  # there is a fourth keeper, in no group
+    shard: int = shard_state.CONFIGURATION  # its number, where no key is tried
+    spare: bool = False  # there is a fourth controller, in no group
     beyond: bool = False  # disks are lost whenever, not only while all others remember
     kinds: tuple[str, ...] = tuple(k for k in KINDS if k not in ("unfit", "beat"))
 
 
 SCENES = {
     "puts": Scene(
-        "mesh-parts", "two put a configuration on one version at two keepers, and read at others",
+        "mesh-shards", "two put a configuration on one version at two controllers, and read at others",
         1.0, puts=(("a", "b"), ("b", "c")),
     ),
-    "duties": Scene("mesh-parts", "the duties of the part move", 4.2, seconds=6.0, kinds=KINDS),
+    "duties": Scene("mesh-shards", "the duties of the shard move", 4.2, seconds=6.0, kinds=KINDS),
     "unwell": Scene(
-        "mesh-parts", "an owner can't do its duties for a while",
+        "mesh-shards", "an owner can't do its duties for a while",
         1.0, seconds=2.0, script=((0.1, "unfit b"), (0.5, "unfit b")), kinds=KINDS,
     ),
     "comes-back": Scene(
-        "mesh-parts", "an owner is cut off, and heard again while another one takes its duties",
+        "mesh-shards", "an owner is cut off, and heard again while another one takes its duties",
         3.4, seconds=4.4, script=((0.0, "cut a b"), (0.0, "cut b c")), kinds=KINDS,
     ),
     "apart": Scene(
-        "mesh-parts", "one is replaced while it is cut off, and is heard again by the owner alone",
-        4.6, seconds=7.2, spare=True, part=10, kinds=KINDS,  # of this part a is the owner, and b the next one
+        "mesh-shards", "one is replaced while it is cut off, and is heard again by the owner alone",
+        # of this shard a is the owner, and b the next one
+        4.6, seconds=7.2, spare=True, shard=10, kinds=KINDS,
         script=(
             (0.0, "cut c"), (0.0, "cut a d"),
             (2.85, "beat c"), (2.85, "cut a b"), (2.85, "cut a d"), (2.85, "cut b c"), (2.85, "cut c d"),
         ),
     ),
     "replace": Scene(
-        "mesh-parts", "one is away, a spare one takes its place, it comes back",
+        "mesh-shards", "one is away, a spare one takes its place, it comes back",
         1.0, puts=(("a", "d"),), seconds=4.8, script=((0.0, "down c"), (3.6, "up c")), spare=True,
     ),
     "answered": Scene(
@@ -122,11 +124,11 @@
         script=((0.0, "down c"), (4.0, "up c"), (4.4, "down d")),
     ),
     "missed": Scene(
-        "mesh-keys", "a keeper does not hear of a claim",
+        "mesh-keys", "a controller does not hear of a claim",
         1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"),),
     ),
     "slow": Scene(
-        "mesh-keys", "a keeper does not hear of a claim, and the disk of another one is slow",
+        "mesh-keys", "a controller does not hear of a claim, and the disk of another one is slow",
         1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"), (0.0, "late a")),
     ),
     "learning": Scene(
@@ -193,9 +195,9 @@
     tries: int = 0
     read: bool = False
 
-    def change(self) -> parts.Put:
+    def change(self) -> shard_state.Put:
         mark = self.name.encode()
-        return parts.Put(mark, self.revision, mark, 0)
+        return shard_state.Put(mark, self.revision, mark, 0)
 
 
 class Node:
@@ -203,7 +205,7 @@
 
     def __init__(self, name: str, world: World) -> None:
         self.name, self.world = name, world
-        self.claims = Claims(SEEDS, self.send)
+        self.claims = OperationKeyClient(SEEDS, self.send)
 
     def send(self, to: str, *message: Any) -> None:
         what, rest = message[0], message[1:]
@@ -246,7 +248,7 @@
 
 
 class World:
-    """Keepers, askers, and what is under way between them."""
+    """Controllers, askers, and what is under way between them."""
 
     def __init__(self, scene: Scene, faults: int, kinds: tuple[str, ...]) -> None:
         self.scene, self.faults, self.kinds = scene, 0, kinds
@@ -266,19 +268,19 @@
         self.fences: dict[int, str] = {}
         self.taken: dict[int, str] = {}  # what was acknowledged on top of each revision
         self.newest = 0
-        self.learns: dict[str, set[str]] = {}  # keepers that have forgotten, and who told them all since
+        self.learns: dict[str, set[str]] = {}  # controllers that have forgotten, and who told them all since
         self.ran: list[str] = []  # tries that were granted the key and have not given it back
         self.askers = [Asker("pq"[n], at, then, 2 - n) for n, (at, then) in enumerate(scene.puts)]
         self.tries = [Try(self, f"t{n + 1}", *one) for n, one in enumerate(scene.tries)]
         self.nodes = {node: Node(node, self) for node in dict.fromkeys(one[0] for one in scene.tries)}
         names = (*SEEDS, "d") if scene.spare else SEEDS
-        self.number = parts.part_of(KEY) if self.nodes else scene.part
-        self.keepers: dict[str, Keeper] = {}
+        self.number = shard_state.shard_of(KEY) if self.nodes else scene.shard
+        self.controllers: dict[str, Controller] = {}
         for n, name in enumerate(names):
-            self.keepers[name] = Keeper(name, self, name in SEEDS, self.number, Dice(n * 1_000))
+            self.controllers[name] = Controller(name, self, name in SEEDS, self.number, Dice(n * 1_000))
         self.began_s = math.inf  # of the scene
         self.learns |= {name: set() for name in names if name not in SEEDS}
-        while not (self.quiet and any(k.part.owns(self.now) for k in self.keepers.values())):
+        while not (self.quiet and any(k.shard.owns(self.now) for k in self.controllers.values())):
             self.do(self.actions()[0])
         self.faults, self.began_s = faults, self.now
         self.script = list(scene.script)
@@ -291,7 +293,7 @@
     @property
     def quiet(self) -> bool:
         """Nothing is under way."""
-        return not (self.mail or self.next or any(k.writes for k in self.keepers.values()))
+        return not (self.mail or self.next or any(k.writes for k in self.controllers.values()))
 
     @property
     def over(self) -> bool:
@@ -304,7 +306,7 @@
             return all(a.read for a in self.askers) and bool(self.taken)
         if self.tries:
             return len(self.ran) == 1 and all(t.said != "none" for t in self.tries)
-        return sum(k.part.owns(self.now) is not None for k in self.keepers.values() if k.alive) == 1
+        return sum(k.shard.owns(self.now) is not None for k in self.controllers.values() if k.alive) == 1
 
     def finish(self) -> None:
         """Nothing comes after the askers' last step."""
@@ -347,17 +349,19 @@
             yield f"lose {about}" if what == "deliver" else f"late {about}"
             if what == "deliver":
                 yield f"late {about}"
-        for name, keeper in self.keepers.items():
-            if not keeper.alive or half not in ("", name):
+        for name, controller in self.controllers.items():
+            if not controller.alive or half not in ("", name):
                 continue
             yield f"kill {name}"
-            many = min(3, len(keeper.writes))
+            many = min(3, len(controller.writes))
             yield from (f"power {name} {mask}" for mask in range(1, 2**many))
             others = [
-                k for k in self.keepers.values() if k is not keeper and k.part.voter in self._newest.voters
+                k
+                for k in self.controllers.values()
+                if k is not controller and k.shard.voter in self._newest.voters
             ]
             if self.scene.beyond or all(
-                k.alive and k.name not in self.learns and k.part.standing.caught_up for k in others
+                k.alive and k.name not in self.learns and k.shard.standing.caught_up for k in others
             ):
                 yield f"wipe {name}"
             if name not in self.frozen:
@@ -367,19 +371,21 @@
         if half == self.touched and half:
             return
         if half:
-            yield from (f"beat {name}" for name in self.keepers if any(name in pair for pair in self.cuts))
-        if not half or half in self.keepers:
-            yield from (f"cut {name}" for name in self.keepers if half in ("", name))
-        for one, other in combinations([*self.keepers, *self.nodes], 2):
-            if half in ("", one, other) and one in self.keepers:
+            yield from (
+                f"beat {name}" for name in self.controllers if any(name in pair for pair in self.cuts)
+            )
+        if not half or half in self.controllers:
+            yield from (f"cut {name}" for name in self.controllers if half in ("", name))
+        for one, other in combinations([*self.controllers, *self.nodes], 2):
+            if half in ("", one, other) and one in self.controllers:
                 yield f"cut {one} {other}"
-        for one, other in permutations(self.keepers, 2):
+        for one, other in permutations(self.controllers, 2):
             if half in ("", other):
                 yield f"oneway {one} {other}"
 
     @property
     def _newest(self) -> Value:
-        return self.versions[max(self.versions)] if self.versions else parts.genesis(SEEDS)
+        return self.versions[max(self.versions)] if self.versions else shard_state.genesis(SEEDS)
 
     # What comes
 
@@ -404,7 +410,7 @@
         """Where this step is over, the next one begins."""
         if not self._items()[0]:
             self.mail, self.next, self.touched = self.mail + self.next, [], ""
-            self.ready = {n: len(k.writes) for n, k in self.keepers.items() if k.alive}
+            self.ready = {n: len(k.writes) for n, k in self.controllers.items() if k.alive}
 
     def _come(self) -> None:
         for mail in self.mail:
@@ -426,13 +432,13 @@
             case "late":
                 self.slow.add(name)
             case "kill" | "power" | "wipe":
-                keeper = self.keepers[name]
-                for n, write in enumerate(keeper.writes):
+                controller = self.controllers[name]
+                for n, write in enumerate(controller.writes):
                     if what == "power" and int(about[1]) >> n & 1:
-                        keeper.put(write.puts)
+                        controller.put(write.puts)
                 self._down(name, 0.1)
                 if what == "wipe":
-                    keeper.wipe()
+                    controller.wipe()
                     self.learns[name] = set()
             case "freeze":  # what it has just sent is acknowledged, and waits for it
                 self.frozen[name] = until
@@ -441,10 +447,10 @@
                 self.cuts = {pair: end for pair, end in self.cuts.items() if name not in pair}
                 self._beat(name)
             case "unfit":
-                peers = self.keepers[name].peers
+                peers = self.controllers[name].peers
                 peers.fit = not peers.fit
             case "cut" | "oneway":
-                everybody = [*self.keepers, *self.nodes]
+                everybody = [*self.controllers, *self.nodes]
                 pairs = [(name, about[1])] if len(about) > 1 else [(name, n) for n in everybody if n != name]
                 if what == "cut":
                     pairs += [(b, a) for a, b in pairs]
@@ -454,8 +460,8 @@
 
     def _down(self, name: str, for_s: float) -> None:
         """A process ends; what it sent is on its way, what was sent to it is lost."""
-        keeper = self.keepers[name]
-        keeper.alive, keeper.writes = False, []
+        controller = self.controllers[name]
+        controller.alive, controller.writes = False, []
         self.down[name] = self.now + for_s
         self.frozen.pop(name, None)
         self.slow.discard(name)
@@ -465,7 +471,7 @@
 
     def _up(self, name: str) -> None:
         if self.down.pop(name, None) is not None:
-            self.keepers[name].start()
+            self.controllers[name].start()
 
     def _deliver(self, mail: Mail) -> None:
         self.touched = mail.to
@@ -477,24 +483,24 @@
                 number, under, names, owner, fence = mail.message
                 node.group(number, under, names, owner, fence, self.now)
             return
-        keeper = self.keepers[mail.to]
+        controller = self.controllers[mail.to]
         if mail.what == "heard":
             message = mail.message[1]
             if message[0] == "slips" and message[5] and mail.to in self.learns:
                 self.learns[mail.to].add(mail.sender)
-        getattr(keeper, mail.what)(*mail.message)
-        if mail.what == "claim" and mail.message[2] != keeper.part.body.epoch:
-            self._tell_group(keeper, mail.sender)
+        getattr(controller, mail.what)(*mail.message)
+        if mail.what == "claim" and mail.message[2] != controller.shard.body.epoch:
+            self._tell_group(controller, mail.sender)
 
     def _disk(self, name: str) -> None:
         self.touched = name
         self.ready[name] -= 1
-        self.keepers[name].disk_turn()
+        self.controllers[name].disk_turn()
 
     def _beat(self, name: str) -> None:
-        keeper = self.keepers[name]
-        if keeper.alive:
-            keeper.beat_to(n for n in self.keepers if n != name)
+        controller = self.controllers[name]
+        if controller.alive:
+            controller.beat_to(n for n in self.controllers if n != name)
 
     def _wait(self) -> None:
         """Nothing is under way: time moves."""
@@ -504,9 +510,9 @@
             *self.frozen.values(),
             *self.down.values(),
         ]
-        for name, keeper in self.keepers.items():
-            if keeper.alive and name not in self.frozen:
-                dues.append(keeper.part.due_s)
+        for name, controller in self.controllers.items():
+            if controller.alive and name not in self.frozen:
+                dues.append(controller.shard.due_s)
         if self.began_s < math.inf:
             dues += [self.began_s + one.due_s for one in self.tries if not one.began]
             dues += [one.until_s for one in self.askers if one.step != "over"]
@@ -519,43 +525,43 @@
             self._up(name)
         for mail in [m for m in self.mail if m.what == "pulse" and m.to not in self.frozen]:
             self.mail.remove(mail)
-            self.keepers[mail.to].pulse(*mail.message)
+            self.controllers[mail.to].pulse(*mail.message)
         on_grid = now >= 1.0 + (self.grid + 1) * GRID_S - 1e-6
         if on_grid:
             self.grid += 1
-            for name in self.keepers:
+            for name in self.controllers:
                 if name not in self.frozen:
                     self._beat(name)
-        for name, keeper in self.keepers.items():
-            if keeper.alive and name not in self.frozen and (on_grid or keeper.part.due_s <= now):
-                keeper.tick()
+        for name, controller in self.controllers.items():
+            if controller.alive and name not in self.frozen and (on_grid or controller.shard.due_s <= now):
+                controller.tick()
         for node in self.nodes.values():
             if on_grid:
-                for keeper in self.keepers.values():
-                    if keeper.alive and keeper.name not in self.frozen:
-                        self._tell_group(keeper, node.name)
+                for controller in self.controllers.values():
+                    if controller.alive and controller.name not in self.frozen:
+                        self._tell_group(controller, node.name)
                 node.claims.tick(now)
         self._askers()
 
     # Between them
 
     def _open(self, sender: str, to: str) -> bool:
-        keeper = self.keepers.get(to)
-        return (sender, to) not in self.cuts and (keeper is None or keeper.alive)
+        controller = self.controllers.get(to)
+        return (sender, to) not in self.cuts and (controller is None or controller.alive)
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
         """Put a message on its way; beats take no time."""
-        if to not in self.keepers or not self._open(sender, to):
+        if to not in self.controllers or not self._open(sender, to):
             return
         if kind == "beat" and to in self.frozen:
             return  # it meets the next one
         if kind == "beat" or (kind == "pulse" and to not in self.frozen):
-            getattr(self.keepers[to], kind)(*message)
+            getattr(self.controllers[to], kind)(*message)
         else:
             self.next.append(Mail(sender, to, kind, message))
 
     def answer(self, name: str, answer: Answer) -> None:
-        """A keeper answers whoever asked it."""
+        """A controller answers whoever asked it."""
         to = answer.to
         if to in self.nodes:
             if answer.message[3] == "yours" and name in self.learns and not self._learned(name):
@@ -567,24 +573,24 @@
         elif self._open(name, to):
             self.next.append(Mail(name, to, "heard", (name, answer.message[2:]), True))
 
-    def _tell_group(self, keeper: Keeper, node: str) -> None:
-        """As the keeper does when something changes, and to whoever comes back to it."""
-        own, had = keeper.part.body, self.nodes[node].claims.groups[keeper.number]
-        if (own.epoch > had.epoch or own.fence > had.fence) and self._open(keeper.name, node):
-            names = tuple(v.name for v in keeper.part.known.voters)
-            message = (keeper.number, own.epoch, names, own.owner, own.fence)
-            self.next.append(Mail(keeper.name, node, "group", message, True))
+    def _tell_group(self, controller: Controller, node: str) -> None:
+        """As the controller does when something changes, and to whoever comes back to it."""
+        own, had = controller.shard.body, self.nodes[node].claims.groups[controller.number]
+        if (own.epoch > had.epoch or own.fence > had.fence) and self._open(controller.name, node):
+            names = tuple(v.name for v in controller.shard.known.voters)
+            message = (controller.number, own.epoch, names, own.owner, own.fence)
+            self.next.append(Mail(controller.name, node, "group", message, True))
 
     def decided(self, name: str, changed: Changed) -> None:
         """The states are one chain: one for each version, and whoever learns one learns the same."""
         self._chain(changed.new)
         if epoch(changed.new) > epoch(changed.old):
             self.note(f"{name} learns of epoch {epoch(changed.new)}")
-            for keeper in self.keepers.values():  # whoever is left out misses what is granted
-                if keeper.part.voter not in changed.new.voters and changed.new == self._newest:
-                    self.learns[keeper.name] = set()
+            for controller in self.controllers.values():  # whoever is left out misses what is granted
+                if controller.shard.voter not in changed.new.voters and changed.new == self._newest:
+                    self.learns[controller.name] = set()
         for node in self.nodes:
-            self._tell_group(self.keepers[name], node)
+            self._tell_group(self.controllers[name], node)
 
     def _chain(self, value: Value) -> None:
         if self.versions.setdefault(value.version, value) != value:
@@ -616,20 +622,20 @@
 
     def _ask(self, asker: Asker) -> None:
         name = asker.at if asker.step == "put" else asker.then
-        keeper = self.keepers[name]
+        controller = self.controllers[name]
         asker.tries += 1
         if asker.tries > 8:
             asker.step = "over"
-        elif not keeper.alive or name in self.frozen:
+        elif not controller.alive or name in self.frozen:
             asker.until_s = self.now + 0.3
         else:
             asker.waits, asker.until_s = f"{name} {asker.name}{asker.tries}", self.now + 1.5
             id = asker.waits.split()[1]
             if asker.step == "read":
                 asker.newest = self.newest
-                keeper.do(keeper.part.read(id, self.now))
+                controller.do(controller.shard.read(id, self.now))
             else:
-                keeper.do(keeper.part.ask(id, asker.change(), 1.2, self.now))
+                controller.do(controller.shard.ask(id, asker.change(), 1.2, self.now))
 
     def _next(self, asker: Asker, settled: bool = False) -> None:
         after = {"put": "read" if settled else "again", "again": "read", "read": "over"}
@@ -638,7 +644,7 @@
             asker.tries = min(asker.tries, 5)
 
     def told(self, name: str, end: Ended) -> None:
-        """What was asked for at a keeper is over."""
+        """What was asked for at a controller is over."""
         asker = next((a for a in self.askers if a.waits == f"{name} {end.id}"), None)
         if asker is None:
             return
@@ -654,8 +660,8 @@
         elif end.value is None:
             asker.waits, asker.until_s = "", self.now + 0.01
         else:
-            self.note(f"{asker.name} reads {parts.body(end.value).revision}")
-            if parts.body(end.value).revision < asker.newest:
+            self.note(f"{asker.name} reads {shard_state.body(end.value).revision}")
+            if shard_state.body(end.value).revision < asker.newest:
                 self.broken(f"older: {asker.newest} was acknowledged before it was read")
             asker.read = True
             self._next(asker)
@@ -673,16 +679,16 @@
     def _check(self) -> None:
         now = [
             (k, fence)
-            for k in self.keepers.values()
-            if k.alive and (fence := k.part.owns(self.now)) is not None
+            for k in self.controllers.values()
+            if k.alive and (fence := k.shard.owns(self.now)) is not None
         ]
         if len(now) > 1:
             self.broken(f"two-owners: {' and '.join(k.name for k, _ in now)} do the duties")
-        for keeper, fence in now:
-            if self.fences.setdefault(fence, keeper.name) != keeper.name or fence < max(self.fences):
-                self.broken(f"fence: {keeper.name} does the duties under fence {fence}")
+        for controller, fence in now:
+            if self.fences.setdefault(fence, controller.name) != controller.name or fence < max(self.fences):
+                self.broken(f"fence: {controller.name} does the duties under fence {fence}")
         for name in list(self.learns):
-            if self.keepers[name].part.standing.caught_up and self._learned(name):
+            if self.controllers[name].shard.standing.caught_up and self._learned(name):
                 del self.learns[name]
 
     def _learned(self, name: str) -> bool:
@@ -699,21 +705,21 @@
             [(name, sorted(told)) for name, told in sorted(self.learns.items())],
             [(t.began, t.said) for t in self.tries],
         ]  # fmt: skip
-        for keeper in self.keepers.values():
-            part, kept = keeper.part, keeper.part.acceptor.kept
-            inside = [v for k, v in vars(part).items() if k not in ("acceptor", "rng", "peers")]
-            slips = part.slips.slips
-            # Which of two equal ones is meant, where the part looks at that.
-            same = [part.unwritten[key] is slips.get(key) for key in part.unwritten]
-            for write in keeper.writes:
+        for controller in self.controllers.values():
+            shard, kept = controller.shard, controller.shard.acceptor.kept
+            inside = [v for k, v in vars(shard).items() if k not in ("acceptor", "rng", "peers")]
+            slips = shard.operation_keys.records
+            # Which of two equal ones is meant, where the shard looks at that.
+            same = [shard.unwritten[key] is slips.get(key) for key in shard.unwritten]
+            for write in controller.writes:
                 match write.then:
                     case ("voted", _, of, _):
                         same.append(of is kept)
                     case (("claim" | "answer"), *_, slip):
                         same.append(any(slip is one for one in slips.values()))
             held += [
-                keeper.alive, sorted(keeper.disk.items()), keeper.writes, keeper.beats, keeper.peers,
-                keeper.rng, kept, inside, same,
+                controller.alive, sorted(controller.disk.items()), controller.writes, controller.beats,
+                controller.peers, controller.rng, kept, inside, same,
             ]  # fmt: skip
         for node in self.nodes.values():
             open_ = node.claims._open.values()
@@ -755,7 +761,7 @@
 
 
 def begin(scene: str, faults: int = 2, kinds: tuple[str, ...] = KINDS) -> World:
-    """A scene, as soon as somebody does the duties of the part."""
+    """A scene, as soon as somebody does the duties of the shard."""
     one = SCENES[scene]
     return World(one, faults, tuple(k for k in kinds if k in one.kinds))
 
@@ -771,22 +777,22 @@
 # Deliberate breaks
 
 
-def _same_memory(self: Keeper) -> None:
-    memory = self.part.voter.memory
+def _same_memory(self: Controller) -> None:
+    memory = self.shard.voter.memory
     self.disk = {}
     self.put(remembered(self.number, Kept(memory), False))
 
 
-def _full_memory(self: Keeper) -> None:
+def _full_memory(self: Controller) -> None:
     self.disk = {}
     self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), True))
 
 
-def _unsynced(self: Keeper, actions: list[Action]) -> None:
+def _unsynced(self: Controller, actions: list[Action]) -> None:
     for action in actions:
         if isinstance(action, Write) and action.then is not None:
             _do(self, [Write(action.puts)])
-            self.do(self.part.written(action.then, True, self.world.now))
+            self.do(self.shard.written(action.then, True, self.world.now))
         else:
             _do(self, [action])
 
@@ -805,41 +811,41 @@
     return bool(set(voters) & set(given))
 
 
-def _any_version(self: parts.Put, before: Value) -> Value | str:
-    return _put(replace(self, on=parts.body(before).revision), before)
+def _any_version(self: shard_state.Put, before: Value) -> Value | str:
+    return _put(replace(self, on=shard_state.body(before).revision), before)
 
 
-def _alone(self: Part, now: float) -> int | None:
+def _alone(self: Shard, now: float) -> int | None:
     own = self.body
     return own.fence if own.owner == self.name and self.accepted_fence == own.fence else None
 
 
-def _from_arrival(self: Keeper, sender: str, number: int, fence: int) -> None:
-    self.part.pulse(sender, self.world.now, fence)
+def _from_arrival(self: Controller, sender: str, number: int, fence: int) -> None:
+    self.shard.pulse(sender, self.world.now, fence)
 
 
-def _long_lease(self: Part, now: float) -> int | None:
-    with mock.patch.object(seat, "TENURE_S", 5.0):
+def _long_lease(self: Shard, now: float) -> int | None:
+    with mock.patch.object(replica, "TENURE_S", 5.0):
         return _owns(self, now)
 
 
-def _at_once(self: Part, now: float) -> int | None:
+def _at_once(self: Shard, now: float) -> int | None:
     self._owner_from_s = -math.inf
     return _owns(self, now)
 
 
-def _same_voters_fence(self: parts.Admit, before: Value) -> Value | str:
+def _same_voters_fence(self: shard_state.Admit, before: Value) -> Value | str:
     after = _admit(self, before)
     if isinstance(after, str) or after is before:
         return after
-    return replace(after, body=replace(parts.body(after), fence=parts.body(before).fence))
+    return replace(after, body=replace(shard_state.body(after), fence=shard_state.body(before).fence))
 
 
-def _same_fence(self: parts.Own, before: Value) -> Value | str:
+def _same_fence(self: shard_state.Own, before: Value) -> Value | str:
     after = _own(self, before)
     if isinstance(after, str) or after is before:
         return after
-    return replace(after, body=replace(parts.body(after), fence=max(1, self.fence)))
+    return replace(after, body=replace(shard_state.body(after), fence=max(1, self.fence)))
 
 
 def _any_one(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
@@ -862,28 +868,28 @@
     return False
 
 
-def _joins(self: Part) -> None:
+def _joins(self: Shard) -> None:
     caught, self.standing.caught_up = self.standing.caught_up, False
     _join(self)
     self.standing.caught_up = caught
 
 
-def _drops_any(self: Slips, key: str, holder: str) -> bool:
-    had = self.slips.get(key)
+def _drops_any(self: OperationKeys, key: str, holder: str) -> bool:
+    had = self.records.get(key)
     return _drop(self, key, had.holder if had is not None else holder)
 
 
-def _at_its_word(self: Part, *args: Any) -> list[Action]:
+def _at_its_word(self: Shard, *args: Any) -> list[Action]:
     self.unwritten.clear()
     return _claim(self, *args)
 
 
-_admit, _owns = parts.Admit.__call__, Part.owns
+_admit, _owns = shard_state.Admit.__call__, Shard.owns
 _do, _handle, _promised, _put, _own = (
-    Keeper.do, Acceptor.handle, Proposer._promised, parts.Put.__call__, parts.Own.__call__,
+    Controller.do, Acceptor.handle, Proposer._promised, shard_state.Put.__call__, shard_state.Own.__call__,
 )  # fmt: skip
 _pulse, _hear, _join, _drop, _claim = (
-    Part.pulse, Count.hear, Part._join, Slips.drop, Part.claim,
+    Shard.pulse, Count.hear, Shard._join, OperationKeys.drop, Shard.claim,
 )  # fmt: skip
 
 
@@ -904,10 +910,10 @@
 
 BREAKS = {
     "vote-forgotten": _break(
-        "an empty disk votes as before", "puts", 2, "wipe lose", (Keeper, "wipe", _same_memory)
+        "an empty disk votes as before", "puts", 2, "wipe lose", (Controller, "wipe", _same_memory)
     ),
     "unsynced": _break(
-        "promises leave before they are on disk", "puts", 2, "kill lose", (Keeper, "do", _unsynced)
+        "promises leave before they are on disk", "puts", 2, "kill lose", (Controller, "do", _unsynced)
     ),
     "promise-forgotten": _break(
         "promises are not kept", "puts", 0, "", (Acceptor, "handle", _forgets_promise)
@@ -919,46 +925,46 @@
         "any one voter is enough for a round", "puts", 1, "lose", (register, "majority", _any_majority)
     ),
     "any-reading": _break(
-        "any one voter is enough for a reading", "puts", 1, "cut", (parts, "majority", _any_majority)
+        "any one voter is enough for a reading", "puts", 1, "cut", (shard_state, "majority", _any_majority)
     ),
     "any-version": _break(
-        "a configuration is taken on top of any", "puts", 0, "", (parts.Put, "__call__", _any_version)
+        "a configuration is taken on top of any", "puts", 0, "", (shard_state.Put, "__call__", _any_version)
     ),
-    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Part, "owns", _alone)),
+    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
     "from-arrival": _break(
-        "a lease runs from when a pulse came", "duties", 1, "freeze", (Keeper, "pulse", _from_arrival)
+        "a lease runs from when a pulse came", "duties", 1, "freeze", (Controller, "pulse", _from_arrival)
     ),
     "long-lease": _break(
-        "a lease is longer than the next one waits", "duties", 1, "cut", (Part, "owns", _long_lease)
+        "a lease is longer than the next one waits", "duties", 1, "cut", (Shard, "owns", _long_lease)
     ),
-    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Part, "owns", _at_once)),
+    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Shard, "owns", _at_once)),
     "voters-unfenced": _break(
         "a change of voters leaves the fence", "apart", 1, "lose",
-        (parts.Admit, "__call__", _same_voters_fence),
+        (shard_state.Admit, "__call__", _same_voters_fence),
     ),
-    "same-fence": _break("fences do not rise", "duties", 1, "cut", (parts.Own, "__call__", _same_fence)),
-    "any-one": _break("any one keeper grants a key", "answered", 1, "lose", (Count, "hear", _any_one)),
-    "mixed": _break(
+    "same-fence": _break("fences do not rise", "duties", 1, "cut", (shard_state.Own, "__call__",
+    _same_fence)), "any-one": _break("any one controller grants a key", "answered", 1, "lose", (Count,
+    "hear", _any_one)), "mixed": _break(
         "words of two epochs count together", "epochs", 0, "",
         (Count, "hear", _mixed), (Count, "anew", _counts_on),
     ),
     "remembers": _break(
         "an empty disk counts as caught up", "answered", 1, "wipe",
-        (Keeper, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Part, "_join", _joins),
+        (Controller, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Shard, "_join", _joins),
     ),
     "one-source": _break(
-        "one other is enough to learn from", "learning", 0, "", (parts, "sources_needed", _one_source)
+        "one other is enough to learn from", "learning", 0, "", (shard_state, "sources_needed", _one_source)
     ),
     "back-as-before": _break(
         "one that was put out comes back as caught up", "moved", 0, "",
-        (Standing, "put_out", _not_put_out), (Part, "_join", _joins),
+        (Standing, "put_out", _not_put_out), (Shard, "_join", _joins),
     ),
-    "drops-any": _break("any try may give a key back", "broken-off", 0, "", (Slips, "drop", _drops_any)),
-    "at-its-word": _break(
-        "a grant leaves before its record is written", "slow", 1, "kill", (Part, "claim", _at_its_word)
+    "drops-any": _break("any try may give a key back", "broken-off", 0, "", (OperationKeys, "drop",
+    _drops_any)), "at-its-word": _break(
+        "a grant leaves before its record is written", "slow", 1, "kill", (Shard, "claim", _at_its_word)
     ),
     "unsynced-keys": _break(
-        "a grant leaves before it is on disk", "missed", 1, "kill", (Keeper, "do", _unsynced)
+        "a grant leaves before it is on disk", "missed", 1, "kill", (Controller, "do", _unsynced)
     ),
 }  # fmt: skip
 
--- a/rehearsal/mesh/deeds.py
+++ b/rehearsal/mesh/deeds.py
@@ -23,7 +23,7 @@
 FIRST, SECOND, LOSER, SPOILT, LAST = 3, 7, 8, 11, 19  # numbers of versions; they climb in uneven steps
 DELAY_S = 0.02, 0.4  # of slow links, each way
 RESETS, RESET_EVERY_S = 3, 0.25
-ALONE = 0.5  # of closing wipes: the other keepers go on; else all are killed at once
+ALONE = 0.5  # of closing wipes: the other controllers go on; else all are killed at once
 
 
 def _one(play: Play, trouble: Trouble, count: int, *what: str) -> int:
@@ -37,7 +37,7 @@
 
 
 def _machine(play: Play, trouble: Trouble) -> Machine:
-    """The one that is named; else a keeper's in three cases of four, or another."""
+    """The one that is named; else a controller's in three cases of four, or another."""
     if trouble.whom:
         return play.nodes[trouble.whom].machine
     some = play.cores if _one(play, trouble, 4, "role") else _live(play)
@@ -123,7 +123,7 @@
 
 
 async def _wipe(play: Play, trouble: Trouble) -> str:
-    """A keeper is killed and loses its disk; it comes back at its address."""
+    """A controller is killed and loses its disk; it comes back at its address."""
     node = _keeper(play, trouble)
     node.kill()
     await node.gone()
@@ -133,7 +133,9 @@
 
 
 async def _replace(play: Play, trouble: Trouble) -> str:
-    """A keeper's machine goes for good, with SIGTERM or without; an empty one comes at another address."""
+    """A controller's machine goes for good, with SIGTERM or without; an empty one comes at another
+    address.
+    """
     old = _keeper(play, trouble)
     if _one(play, trouble, 2, "told"):
         await old.stop()
@@ -155,7 +157,7 @@
 
 
 async def _kill_core(play: Play, trouble: Trouble) -> str:
-    """All keepers at once; their disks stay."""
+    """All controllers at once; their disks stay."""
     return await _kill_all(play, [play.nodes[m.name] for m in play.cores], trouble.for_s)
 
 
@@ -174,15 +176,15 @@
 
 
 def _links(play: Play, trouble: Trouble) -> tuple[list[Pair], str]:
-    """Links as directions away from one machine, and in words: its links to all others, to all keepers, or
-    to one keeper; never more than one keeper is apart from the others."""
+    """Links as directions away from one machine, and in words: its links to all others, to all
+    controllers, or to one controller; never more than one controller is apart from the others."""
     machine = _machine(play, trouble)
     others = [m for m in (*play.cores, *_live(play)) if m.name != machine.name]
-    keepers = [m for m in play.cores if m.name != machine.name]
+    controllers = [m for m in play.cores if m.name != machine.name]
     shape = 0 if trouble.whom else _one(play, trouble, 3, "shape")
     if shape == 2:
-        keepers = [keepers[_one(play, trouble, len(keepers), "other")]]
-    far = others if shape == 0 else keepers
+        controllers = [controllers[_one(play, trouble, len(controllers), "other")]]
+    far = others if shape == 0 else controllers
     to = "all" if shape == 0 else " ".join(m.name for m in far)
     return [(machine.name, m.name) for m in far], f"{machine.name} from {to}"
 
@@ -263,7 +265,7 @@
 
 
 async def _after_ack_wipe(play: Play, trouble: Trouble) -> str:
-    """A keeper loses its disk; by the seed all others are killed too."""
+    """A controller loses its disk; by the seed all others are killed too."""
     acked, node = await _acknowledged(play), _keeper(play, trouble)
     alone = draws.uniform(play.seed, "alone") < ALONE
     nodes = [node] if alone else [play.nodes[m.name] for m in play.cores]
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -29,7 +29,7 @@
 
     def _pick(self) -> tuple[str, int]:
         self._calls += 1
-        drawn = draws.uniform(self._scene.seed, "keeper", self.name, self._calls, high=len(self._cores))
+        drawn = draws.uniform(self._scene.seed, "controller", self.name, self._calls, high=len(self._cores))
         return self._cores[int(drawn)].bind, self._scene.ports.control
 
     async def put(self, config: Config, base: int, valid: bool, limit_s: float) -> Put:
--- a/rehearsal/mesh/processes.py
+++ b/rehearsal/mesh/processes.py
@@ -20,11 +20,11 @@
 from rehearsal.mesh.spawn import Child, spawn
 
 COMMANDS = {
-    "core": (sys.executable, "-B", "-m", "athenaeum", "archive"),
-    "sidecar": (sys.executable, "-B", "-m", "athenaeum", "carrel"),
+    "core": (sys.executable, "-B", "-m", "mesh", "controller"),
+    "sidecar": (sys.executable, "-B", "-m", "mesh", "proxy"),
 }  # by the class of machine
 ROOT = Path(rehearsal.__file__).parents[1]
-ROLES = {"core": "archive", "sidecar": "carrel"}
+ROLES = {"core": "controller", "sidecar": "proxy"}
 LIMITS: dict[str, dict[str, Any]] = {
     "core": {"cpu_share": 0.645, "core_count": 1, "memory_mb": 296, "file_descriptors": 4096,
              "link_mbps": 1000.0, "disk_mb": 256},
@@ -123,7 +123,7 @@
         self._scene.note(Process(self._scene.now(), self.machine.name, what, again))
 
     def write(self) -> Path:
-        """Write its settings file as they are now: by the list of keepers, which may have changed."""
+        """Write its settings file as they are now: by the list of controllers, which may have changed."""
         data = self._home / "data"
         data.mkdir(parents=True, exist_ok=True)
         path, part = self._home / "local.toml", self._home / "local.toml.part"
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -1,8 +1,8 @@
-"""Keepers' desks and nodes' branches in virtual time, with links between them that can be cut.
+"""Controllers' desks and nodes' branches in virtual time, with links between them that can be cut.
 
-The news' own parts are the shipping ones (`athenaeum.desk`, `branch`, `relays`), and every message is packed;
-round them stands only what `Circulation` does for leases, dialling and the text of a configuration. One seed
-gives one run.
+The news' own parts are the shipping ones (`mesh.control.publisher`, `subscriber`, `relays`), and every
+message is packed; round them stands only what `ControlClient` does for leases, dialling and the text of a
+configuration. One seed gives one run.
 """
 
 from __future__ import annotations
@@ -14,12 +14,12 @@
 
 import cbor2
 
-from athenaeum.accessions import Record, everyone
-from athenaeum.branch import Branch
-from athenaeum.circulation import ASK_S, QUIET_S, RENEW_S, TICK_S
-from athenaeum.desk import Desk
-from athenaeum.relays import HEADS
-from athenaeum.wire import USER_TIMEOUT_MS, pack
+from mesh.control.control_client import ASK_S, QUIET_S, RENEW_S, TICK_S
+from mesh.control.endpoints import Record, everyone
+from mesh.control.fanout_tree import HEADS
+from mesh.control.publisher import Publisher
+from mesh.control.subscriber import Subscriber
+from mesh.wire.framing import USER_TIMEOUT_MS, pack
 
 DIAL_S = 0.15
 LAZY_S = 5.0  # in a large fleet a node looks at who is there so often, not at each change
@@ -146,46 +146,46 @@
             self._go(self.owner.world.now + self.owner.world.delay(self.owner, self.other.owner), None)
 
 
-class Keeper(Process):
-    """A keeper's desk."""
+class Controller(Process):
+    """A controller's publisher."""
 
     def __init__(self, world: World, name: str, zone: int) -> None:
         super().__init__(world, name, zone)
         loop: Any = self
-        self.desk = Desk(name, self.zone, world.rng.randrange(1, 2**53), loop)
+        self.publisher = Publisher(name, self.zone, world.rng.randrange(1, 2**53), loop)
         self.revision, self.text = 0, b""
         self.noted = 0  # the last number that the world has noted, while it watches
         self.call_later(TICK_S / 2.0, self._tick)
 
     @property
     def stream(self) -> Any:
-        return self.desk._stream
+        return self.publisher._stream
 
     def _tick(self) -> None:
         self.call_later(TICK_S / 2.0, self._tick)
-        self.desk.tick()
+        self.publisher.tick()
         self.world.stepped(self)
 
     def revise(self, revision: int, text: bytes) -> None:
         """A configuration was decided."""
         self.revision, self.text = revision, text
-        self.desk.revise(revision)
+        self.publisher.revise(revision)
         self.world.stepped(self)
 
     def gone(self, end: Any) -> None:
-        self.desk.lost(end)
+        self.publisher.lost(end)
 
     def heard(self, end: Any, message: Any) -> None:
         kind, rest = message[0], message[1:]
         if kind == "fetch":
-            self.desk.tell_folio(end, rest[0], self.revision, self.text)
+            self.publisher.tell_configuration(end, rest[0], self.revision, self.text)
         else:
-            getattr(self.desk, kind)(end, *rest)
+            getattr(self.publisher, kind)(end, *rest)
         self.world.stepped(self)
 
 
 class Node(Process):
-    """A node's branch, its leases and its links to keepers."""
+    """A node's subscriber, its leases and its links to controllers."""
 
     def __init__(self, world: World, name: str, zone: int, heads: int) -> None:
         super().__init__(world, name, zone)
@@ -193,18 +193,18 @@
         self.rng, self.boot = rng, world.rng.randrange(1, 2**53)
         self.record = Record(name, self.boot, 1, self.zone, name, 0, None)
         loop: Any = self
-        self.branch = Branch(
+        self.subscriber = Subscriber(
             name, self.boot, self.zone, loop, rng, self._dial_node, self._changed, self._told, heads
         )
-        self.keepers: dict[str, End] = {}
+        self.controllers: dict[str, End] = {}
         self.members: dict[str, Record] = {}
         self.revision, self.wanted, self._asked_s, self._rid = 0, 0, -ASK_S, 0
-        self._dial_s = dict.fromkeys(world.keepers, 0.0)
-        self._has: dict[str, tuple[int, int]] = {}  # what keepers have of its record, by their own word
+        self._dial_s = dict.fromkeys(world.controllers, 0.0)
+        self._has: dict[str, tuple[int, int]] = {}  # what controllers have of its record, by their own word
         self.call_later(rng.random() * TICK_S, self._tick)
         phase_s = rng.random() * RENEW_S
-        for at, keeper in enumerate(world.keepers):
-            self.call_later(phase_s + RENEW_S * at / len(world.keepers), self._renew_in_turn, keeper)
+        for at, controller in enumerate(world.controllers):
+            self.call_later(phase_s + RENEW_S * at / len(world.controllers), self._renew_in_turn, controller)
         self.seen: dict[tuple[str, int], int] = {}  # numbers of streams, while the world watches
         if world.lazy and heads < EVERYBODY:
             self.call_later(rng.random() * LAZY_S, self._look_again)
@@ -213,18 +213,18 @@
         """Its record changes."""
         had = self.record
         self.record = Record(had.name, had.boot, had.number + 1, had.zone, had.ip, 0, None)
-        for name in self.keepers:
+        for name in self.controllers:
             self._renew(name)
 
     def _renew_in_turn(self, name: str) -> None:
         self.call_later(RENEW_S, self._renew_in_turn, name)
-        if name in self.keepers:
+        if name in self.controllers:
             self._renew(name)
 
     def _renew(self, name: str) -> None:
         record = self.record
         same = self._has.get(name) == (record.boot, record.number)
-        self.keepers[name].send(
+        self.controllers[name].send(
             "renew", record.number, record.name, record.boot, None if same else record.packed()
         )
 
@@ -232,30 +232,30 @@
         self.call_later(TICK_S, self._tick)
         now = self.world.now
         for name, due_s in self._dial_s.items():
-            if name in self.keepers:
-                if now - self.keepers[name].heard_s > QUIET_S:
-                    self.keepers[name].close()
+            if name in self.controllers:
+                if now - self.controllers[name].heard_s > QUIET_S:
+                    self.controllers[name].close()
             elif now >= due_s:
                 self._dial_s[name] = now + 1.0
                 self.world.dial(self, name, self._from_keeper, self._lost_keeper, self._dialled_keeper)
-        self.branch.tick()
-        if self.wanted > self.revision and now - self._asked_s > ASK_S and self.keepers:
-            self._ask(self.rng.choice(list(self.keepers.values())))
+        self.subscriber.tick()
+        if self.wanted > self.revision and now - self._asked_s > ASK_S and self.controllers:
+            self._ask(self.rng.choice(list(self.controllers.values())))
 
     def _dialled_keeper(self, name: str, link: Any) -> None:
         if link is not None:
             link.peer = name
-            self.keepers[name] = link
+            self.controllers[name] = link
             self._has.pop(name, None)
             link.send("hello", self.name)
             self._renew(name)
-            self.branch.up(name, link)
+            self.subscriber.up(name, link)
 
     def _lost_keeper(self, end: End) -> None:
-        if self.keepers.get(end.peer) is end:
-            del self.keepers[end.peer]
+        if self.controllers.get(end.peer) is end:
+            del self.controllers[end.peer]
             self._dial_s[end.peer] = self.world.now + DIAL_S
-            self.branch.down(end.peer)
+            self.subscriber.down(end.peer)
             self._look()
 
     def _from_keeper(self, end: Any, message: Any) -> None:
@@ -266,30 +266,30 @@
             else:
                 self._has.pop(end.peer, None)
                 self._renew(end.peer)
-            self.branch.lease(end.peer, life, news)
+            self.subscriber.lease(end.peer, life, news)
         elif message[0] == "folio":
-            self._folio(*message[1:])
+            self._configuration_shard(*message[1:])
         else:
-            self.branch.from_keeper(end, message)
+            self.subscriber.from_keeper(end, message)
 
     def _dial_node(self, name: str, ip: str) -> None:
         def heard(end: Any, message: Any) -> None:
             if message[0] == "folio":
-                self._folio(*message[1:])
+                self._configuration_shard(*message[1:])
             else:
-                self.branch.from_parent(end, message)
+                self.subscriber.from_parent(end, message)
 
-        dialled: Any = self.branch.dialled
-        self.world.dial(self, ip, heard, self.branch.lost_parent, dialled)
+        dialled: Any = self.subscriber.dialled
+        self.world.dial(self, ip, heard, self.subscriber.lost_parent, dialled)
 
     def accept(self, end: Any) -> None:
-        self.branch.stranger(end)
+        self.subscriber.stranger(end)
 
     def heard(self, end: Any, message: Any) -> None:
-        self.branch.from_follower(end, message)
+        self.subscriber.from_follower(end, message)
 
     def gone(self, end: Any) -> None:
-        self.branch.lost_follower(end)
+        self.subscriber.lost_follower(end)
 
     def _changed(self) -> None:
         self.world.arrived(self)
@@ -305,13 +305,13 @@
 
     def look(self) -> None:
         """Work out who is there."""
-        told = {name: stream.records for name, stream in self.branch.streams.items()}
-        members = everyone(told, set(self.keepers))
-        if not self.keepers:
+        told = {name: stream.records for name, stream in self.subscriber.streams.items()}
+        members = everyone(told, set(self.controllers))
+        if not self.controllers:
             members = {**self.members, **members}
         if members != self.members:
             self.members = members
-            self.branch.members(members)
+            self.subscriber.members(members)
 
     def _told(self, revision: int, link: Any) -> None:
         self.wanted = max(self.wanted, revision)
@@ -322,16 +322,16 @@
         self._asked_s, self._rid = self.world.now, self._rid + 1
         link.send("fetch", self._rid, self.wanted)
 
-    def _folio(self, rid: int, revision: int, raw: bytes) -> None:
+    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
         if rid == self._rid:
             self._asked_s = -ASK_S
         if revision > self.revision:
             self.revision = revision
-            self.branch.text(revision, raw)
+            self.subscriber.text(revision, raw)
 
 
 class World:
-    """Keepers k0 to k2, nodes, and what is on its way."""
+    """Controllers k0 to k2, nodes, and what is on its way."""
 
     def __init__(self, seed: int, zones: int, heads: int = HEADS, lazy: bool = False) -> None:
         self.rng, self.now, self.heads, self.lazy = random.Random(seed), 100.0, heads, lazy
@@ -340,12 +340,12 @@
         self._read: tuple[bytes, Any] = (b"", None)
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.zones = zones
-        self.keepers: dict[str, Keeper] = {}
+        self.controllers: dict[str, Controller] = {}
         for n in range(3):
-            self.keepers[f"k{n}"] = Keeper(self, f"k{n}", n % zones)
+            self.controllers[f"k{n}"] = Controller(self, f"k{n}", n % zones)
         self.nodes: dict[str, Node] = {}
         self.watching = False
-        self.began: dict[tuple[str, int, int], float] = {}  # of each change, by keeper, life and number
+        self.began: dict[tuple[str, int, int], float] = {}  # of each change, by controller, life and number
         self.came: dict[tuple[str, int, int], dict[str, float]] = {}  # and when it came to each node
 
     def at(self, when: float, call: Callable[[], object]) -> None:
@@ -377,10 +377,10 @@
         return node
 
     def restart(self, name: str) -> None:
-        """A keeper loses all that it has in memory."""
-        old = self.keepers[name]
+        """A controller loses all that it has in memory."""
+        old = self.controllers[name]
         old.kill()
-        new = self.keepers[name] = Keeper(self, name, int(old.zone[1:]))
+        new = self.controllers[name] = Controller(self, name, int(old.zone[1:]))
         if old.revision:
             new.revise(old.revision, old.text)
 
@@ -391,7 +391,7 @@
         """A new link, after two ways; None for one that is down or does not answer."""
 
         def made() -> None:
-            there: Process | None = self.keepers.get(name) or self.nodes.get(name)
+            there: Process | None = self.controllers.get(name) or self.nodes.get(name)
             if there is None or not there.alive or not owner.alive:
                 return owner.run(lambda: dialled(name, None))
             if self.cuts & {(owner.name, name), (name, owner.name)}:
@@ -408,26 +408,26 @@
         self.watching = True
         self.began.clear()
         self.came.clear()
-        for keeper in self.keepers.values():
-            keeper.noted = keeper.stream.number
+        for controller in self.controllers.values():
+            controller.noted = controller.stream.number
         for node in self.nodes.values():
-            for stream in node.branch.streams.values():
-                node.seen[stream.keeper, stream.life] = stream.number
+            for stream in node.subscriber.streams.values():
+                node.seen[stream.controller, stream.life] = stream.number
 
-    def stepped(self, keeper: Keeper) -> None:
-        """A keeper's stream may have gone on."""
-        stream = keeper.stream
-        if self.watching and stream.number > keeper.noted:
-            self.began[stream.keeper, stream.life, stream.number] = self.now
-            keeper.noted = stream.number
+    def stepped(self, controller: Controller) -> None:
+        """A controller's stream may have gone on."""
+        stream = controller.stream
+        if self.watching and stream.number > controller.noted:
+            self.began[stream.controller, stream.life, stream.number] = self.now
+            controller.noted = stream.number
 
     def arrived(self, node: Node) -> None:
-        """A node has some keeper's news."""
+        """A node has some controller's news."""
         if not self.watching:
             return
-        for stream in node.branch.streams.values():
-            had = node.seen.get((stream.keeper, stream.life), stream.number - 1)
-            node.seen[stream.keeper, stream.life] = stream.number
+        for stream in node.subscriber.streams.values():
+            had = node.seen.get((stream.controller, stream.life), stream.number - 1)
+            node.seen[stream.controller, stream.life] = stream.number
             for number in range(had + 1, stream.number + 1):
-                key = (stream.keeper, stream.life, number)
+                key = (stream.controller, stream.life, number)
                 self.came.setdefault(key, {})[node.name] = self.now
--- a/tests/explore/test_mesh.py
+++ b/tests/explore/test_mesh.py
@@ -1,4 +1,6 @@
-"""The mesh's keepers in all interleavings of small scenes; each break caught by the one that is its own."""
+"""The mesh's controllers in all interleavings of small scenes; each break caught by the one that is its
+own.
+"""
 
 from __future__ import annotations
 
@@ -63,10 +65,10 @@
     [
         (["--of", "mesh-keys", "--kinds", "kill,burn"], 2, "'burn' is none of kill"),
         (["--of", "mesh-keys", "--scene", "duties"], 2, "'duties' is none of answered"),
-        (["--of", "mesh-parts", "--break", "any-one"], 2, "--break any-one: none of vote-forgotten"),
+        (["--of", "mesh-shards", "--break", "any-one"], 2, "--break any-one: none of vote-forgotten"),
         (["--of", "mesh-keys", "--list-scenes"], 0, "learning"),
         (
-            ["--of", "mesh-parts", "--scene", "unwell", "--faults", "1", "--kinds", "cut"],
+            ["--of", "mesh-shards", "--scene", "unwell", "--faults", "1", "--kinds", "cut"],
             0,
             "exhausted: every",
         ),
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from athenaeum.folio import Route
-from athenaeum.lines import Asked, Said
+from mesh.control.configuration import Route
+from mesh.dataplane.http_connection import Asked, Said
 from orchidferry.alarms import Alarms
 from orchidferry.frontend import Reply
 from orchidferry.upstream import Attempt
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_admission.py
@@ -6,11 +6,11 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from athenaeum import gate as module
-from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
-from athenaeum.boot import Bounds
-from athenaeum.gate import Gate, Pass
-from athenaeum.lines import GATE, Said
+from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
+from mesh.dataplane import admission as module
+from mesh.dataplane.admission import AdmissionGate, Pass
+from mesh.dataplane.http_connection import GATE, Said
+from mesh.settings import Bounds
 from nickelbridge.interface import Result
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import asked, header, rig, said
@@ -23,7 +23,7 @@
         self.loop, alarms, self.lines = rig()
         patch.setattr(module, "now_ms", self.loop.now_ms)
         self.changes: list[str] = []
-        self.gate = Gate(
+        self.gate = AdmissionGate(
             ("127.0.0.1", 1), Bounds(), 1_000.0, self.loop, alarms, self.lines,
             lambda: self.changes.append(self.state), lambda: False,
             lambda message, answer: self.orphans.append((message.id, answer.status)),
--- a/tests/mesh/test_bench_mesh.py
+++ b/tests/mesh/test_bench_mesh.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from athenaeum.wire import pack
+from mesh.wire.framing import pack
 from rehearsal.bench import mesh
 from rehearsal.bench.mesh_fleet import Counting, Fleet, pump, used
 
@@ -37,7 +37,7 @@
 def test_rows_of_claims_tell_rates_core_machines_and_what_was_not_granted() -> None:
     rows = mesh.claim_rows("x", [load(100, 100), load(100, 90)])
     by = {row["name"].partition(": ")[2]: row for row in rows}
-    granted, cpu, p50 = by["granted"], by["CPU of a keeper"], by["p50"]
+    granted, cpu, p50 = by["granted"], by["CPU of a controller"], by["p50"]
     assert (granted["min"], granted["median"], granted["max"]) == (45.0, 47.5, 50.0)
     assert granted["broken"] and granted["ungranted"] == 10
     assert cpu["median"] == 200.0 and cpu["core_machine"] == f"{0.645 / 200e-6:.0f}/s"
@@ -58,7 +58,7 @@
     }
     found = {
         "bare forwarder, reads": [one | {"cpu_us": [us]} for us in (80.0, 100.0, 900.0)],
-        "carrel, two machines, keyed": [one | {"cpu_us": [300.0, 200.0], "failed": 2, "why": {"503": 2}}],
+        "proxy, two machines, keyed": [one | {"cpu_us": [300.0, 200.0], "failed": 2, "why": {"503": 2}}],
     }  # fmt: skip
     bare, _, _, both, _, _ = mesh.request_rows(found)
     assert (bare["median"], bare["ratio"]) == (100.0, 1.0) and "broken" not in bare
@@ -118,7 +118,7 @@
     rows = asyncio.run(mesh.claims(0.5, 1, (1,), (60.0,), (mesh.MEMORY,), False))
     by = {row["name"].partition(": ")[2]: row for row in rows}
     assert 0.0 < by["granted"]["median"] <= 61.0
-    assert by["CPU of a keeper"]["min"] > 0.0 and 0.0 < by["p50"]["median"] <= by["p99"]["median"]
+    assert by["CPU of a controller"]["min"] > 0.0 and 0.0 < by["p50"]["median"] <= by["p99"]["median"]
 
 
 def test_a_fleet_ends_with_whatever_goes_wrong_in_it() -> None:
--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_fanout_tree.py
@@ -1,6 +1,7 @@
 """News down the tree of relays, beside a plain model: what each node last said of itself, known to all.
 
-The keepers' desks and the nodes' branches are the shipping ones, in virtual time (`rehearsal.model.relays`).
+The controllers' desks and the nodes' branches are the shipping ones, in virtual time
+(`rehearsal.model.relays`).
 """
 
 from __future__ import annotations
@@ -18,12 +19,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from athenaeum import branch as branch_module
-from athenaeum import parts
-from athenaeum.accessions import Record
-from athenaeum.branch import CATCH_S, STRIKES, Branch
-from athenaeum.circulation import Circulation
-from athenaeum.relays import (
+from mesh.control import shard_state
+from mesh.control import subscriber as subscriber_module
+from mesh.control.control_client import ControlClient
+from mesh.control.endpoints import Record
+from mesh.control.fanout_tree import (
     FANOUT,
     FOLLOWERS_MOST,
     HEADS,
@@ -34,8 +34,9 @@
     rank,
     unpack_change,
 )
+from mesh.control.subscriber import CATCH_S, STRIKES, Subscriber
 from rehearsal.model.relays import BETWEEN_S, Node, World
-from tests.mesh.test_deposit import keeper as real_keeper
+from tests.mesh.test_store import a_controller as real_keeper
 
 RENEWED_S = 0.5 + CATCH_S + 0.02  # a renewal, the wait, and the ways
 
@@ -53,20 +54,20 @@
 
 
 def relays(world: World) -> list[Node]:
-    return [node for node in world.nodes.values() if node.branch._followers.places]
+    return [node for node in world.nodes.values() if node.subscriber._followers.places]
 
 
 def agreed(world: World) -> None:
-    """All who live know what every keeper knows, and that is what the nodes last said of themselves."""
+    """All who live know what every controller knows, and that is what the nodes last said of themselves."""
     live = {name: node for name, node in world.nodes.items() if node.alive}
     truth = {name: node.record for name, node in live.items()}
-    for keeper in world.keepers.values():
-        assert keeper.stream.records == truth
+    for controller in world.controllers.values():
+        assert controller.stream.records == truth
         for node in live.values():
-            had = node.branch.streams[keeper.name]
-            assert (had.life, had.number) == (keeper.stream.life, keeper.stream.number)
+            had = node.subscriber.streams[controller.name]
+            assert (had.life, had.number) == (controller.stream.life, controller.stream.number)
             assert had.records == truth and node.members == truth
-            assert node.revision == max(k.revision for k in world.keepers.values())
+            assert node.revision == max(k.revision for k in world.controllers.values())
 
 
 STEPS = ("start", "kill", "again", "freeze", "thaw", "cut", "join", "mute", "publish", "revise", "restart")
@@ -89,18 +90,18 @@
         elif step == "mute":
             node.mute = not node.mute
         elif step == "cut":
-            world.cuts.add((name, rng.choice([*world.nodes, *world.keepers])))
-            world.cuts.add((rng.choice([*world.nodes, *world.keepers]), name))
+            world.cuts.add((name, rng.choice([*world.nodes, *world.controllers])))
+            world.cuts.add((rng.choice([*world.nodes, *world.controllers]), name))
         elif step == "join":
             world.cuts.clear()
         elif step == "restart":
-            world.restart(rng.choice(list(world.keepers)))
+            world.restart(rng.choice(list(world.controllers)))
         elif step == "publish" and node.alive and not node.frozen:
             node.publish()
         elif step == "revise":
             revision += 1
-            for keeper in world.keepers.values():
-                keeper.revise(revision, b"x" * revision)
+            for controller in world.controllers.values():
+                controller.revise(revision, b"x" * revision)
         world.run(rng.choice((0.0, 0.01, 0.3, 2.5)))
     world.cuts.clear()
     for node in world.nodes.values():
@@ -113,16 +114,16 @@
 @pytest.mark.parametrize("trouble", ["freeze", "kill", "mute", "deaf"])
 @pytest.mark.parametrize("seed", range(3))
 def test_a_relay_in_trouble_costs_one_renewal(seed: int, trouble: str) -> None:
-    """The bound in virtual time, with half of the relays frozen, dead, silent or deaf to the keepers."""
+    """The bound in virtual time, with half of the relays frozen, dead, silent or deaf to the controllers."""
     world = fleet(seed, 60, 2)
     some = relays(world)
-    assert len(some) > 4 and all(len(n.branch._followers.places) <= FOLLOWERS_MOST for n in some)
+    assert len(some) > 4 and all(len(n.subscriber._followers.places) <= FOLLOWERS_MOST for n in some)
     hit = {node.name for node in some[::2]}
     for node in some[::2]:
         if trouble == "mute":
             node.mute = True
         elif trouble == "deaf":
-            world.cuts |= {(keeper, node.name) for keeper in world.keepers}
+            world.cuts |= {(controller, node.name) for controller in world.controllers}
         else:
             getattr(node, trouble)()
     [one, *_] = [node for name, node in world.nodes.items() if name not in hit]
@@ -136,25 +137,25 @@
         for key in changes:
             for name in world.nodes.keys() - hit:
                 assert world.came[key][name] - world.began[key] < RENEWED_S
-        left = {n.branch.parent.record.name for n in world.nodes.values()
-                if n.name not in hit and n.branch.parent is not None}  # fmt: skip
+        left = {n.subscriber.parent.record.name for n in world.nodes.values()
+                if n.name not in hit and n.subscriber.parent is not None}  # fmt: skip
         assert trouble != "freeze" or not hit & left  # after one gap, as it does not answer
 
 
 def test_news_comes_down_the_tree_and_the_keepers_tell_heads_only() -> None:
     world = fleet(1, 60, 2)
-    followed = [len(keeper.desk._followers.places) for keeper in world.keepers.values()]
+    followed = [len(controller.publisher._followers.places) for controller in world.controllers.values()]
     assert followed == [HEADS * 2] * 3
     world.watch()
-    sent = [keeper.desk.tally.messages("news") for keeper in world.keepers.values()]
+    sent = [controller.publisher.tally.messages("news") for controller in world.controllers.values()]
     world.nodes["n7"].publish()
-    for keeper in world.keepers.values():
-        keeper.revise(1, b"text")
+    for controller in world.controllers.values():
+        controller.revise(1, b"text")
     world.run(0.1)
     agreed(world)
-    after = [keeper.desk.tally.messages("news") for keeper in world.keepers.values()]
+    after = [controller.publisher.tally.messages("news") for controller in world.controllers.values()]
     assert [b - a for a, b in zip(sent, after, strict=True)] == [HEADS * 2 * 2] * 3
-    texts = [keeper.desk.tally.messages("text") for keeper in world.keepers.values()]
+    texts = [controller.publisher.tally.messages("text") for controller in world.controllers.values()]
     assert sum(texts) == HEADS * 2
     world.restart("k0")
     world.run(8.0)
@@ -162,7 +163,7 @@
     world.nodes["n7"].publish()
     world.run(0.1)
     agreed(world)
-    assert sum(key[:2] == ("k0", world.keepers["k0"].stream.life) for key in world.began) == 1
+    assert sum(key[:2] == ("k0", world.controllers["k0"].stream.life) for key in world.began) == 1
     hops = max(world.came[key][name] - began for key, began in world.began.items() for name in world.nodes)
     assert hops < 5 * BETWEEN_S
 
@@ -218,77 +219,77 @@
 
 
 def lone(name: str, boot: int) -> tuple[Any, list[str]]:
-    """One branch, with a keeper, and whom it dials."""
+    """One subscriber, with a controller, and whom it dials."""
     loop: Any = World(1, 1).start("loop", 0)
     dialled: list[str] = []
-    branch: Any = Branch(
+    subscriber: Any = Subscriber(
         name, boot, "z", loop, random.Random(1), lambda name, ip: dialled.append(name), lambda: None,
         lambda revision, link: None,
     )  # fmt: skip
-    branch.up("k", Wire())
-    return branch, dialled
+    subscriber.up("k", Wire())
+    return subscriber, dialled
 
 
 def test_two_that_would_follow_each_other() -> None:
     """Each may take the other's older process for its parent, but only one of them comes first."""
     answers = []
     for one, other in (("a", "b"), ("b", "a")):
-        branch, _ = lone(one, 1)
+        subscriber, _ = lone(one, 1)
         link = Wire()
-        branch.stranger(link)
-        branch.from_follower(link, ["follow", other, 1, "z", []])
+        subscriber.stranger(link)
+        subscriber.from_follower(link, ["follow", other, 1, "z", []])
         answers.append(link.sent[0][0])
     assert sorted(answers) == ["followed", "full"]
 
 
 def test_a_full_relay_sends_others_elsewhere() -> None:
-    branch, _ = lone("a", 1)
+    subscriber, _ = lone("a", 1)
     below = [f"n{n}" for n in range(200) if rank(f"n{n}", 1) > rank("a", 1)][: FOLLOWERS_MOST + 2]
     links = [Wire() for _ in below]
     for name, link in zip(below, links, strict=True):
-        branch.stranger(link)
-        branch.from_follower(link, ["follow", name, 1, "z", []])
+        subscriber.stranger(link)
+        subscriber.from_follower(link, ["follow", name, 1, "z", []])
     assert [link.sent[0][0] for link in links] == ["followed"] * FOLLOWERS_MOST + ["full"] * 2
-    branch._loop.world.run(5.0)
-    branch.tick()
+    subscriber._loop.world.run(5.0)
+    subscriber.tick()
     assert [link.closed for link in links] == [False] * FOLLOWERS_MOST + [True] * 2
-    branch.lost_follower(links[0])
+    subscriber.lost_follower(links[0])
     again = Wire()
-    branch.stranger(again)
-    branch.from_follower(again, ["follow", below[-1], 1, "z", []])
+    subscriber.stranger(again)
+    subscriber.from_follower(again, ["follow", below[-1], 1, "z", []])
     assert again.sent[0] == ["followed"]
 
 
 def test_a_node_that_is_turned_away_goes_up_and_comes_back() -> None:
-    """The nearest that is not backed off; keepers are followed while there is none."""
+    """The nearest that is not backed off; controllers are followed while there is none."""
     row = sorted((record(f"n{i}") for i in range(60)), key=lambda r: rank(r.name, 1))
     me = row[HEADS + HEADS * FANOUT + 3]
-    branch, dialled = lone(me.name, 1)
-    keeper = branch._keepers["k"]
-    assert [message[0] for message in keeper.sent] == ["follow"]
-    branch.members({r.name: r for r in row})
+    subscriber, dialled = lone(me.name, 1)
+    controller = subscriber._controllers["k"]
+    assert [message[0] for message in controller.sent] == ["follow"]
+    subscriber.members({r.name: r for r in row})
     first, second = [r.name for r in parents(row, me.name, 1, "z")]
 
     def ask(name: str, answer: str) -> Wire:
-        branch._loop.world.run(16.0)
-        branch.tick()
+        subscriber._loop.world.run(16.0)
+        subscriber.tick()
         assert dialled[-1] == name
         link = Wire()
-        branch.dialled(name, link)
-        branch.from_parent(link, [answer])
+        subscriber.dialled(name, link)
+        subscriber.from_parent(link, [answer])
         return link
 
     assert ask(first, "full").closed
-    branch._back_off[first] = (1e9, 1.0)
+    subscriber._back_off[first] = (1e9, 1.0)
     above = ask(second, "followed")
-    assert [message[0] for message in keeper.sent] == ["follow", "unfollow"] and not above.closed
-    branch._back_off.clear()
+    assert [message[0] for message in controller.sent] == ["follow", "unfollow"] and not above.closed
+    subscriber._back_off.clear()
     near = ask(first, "followed")
-    assert above.closed and branch.parent.record.name == first
-    branch.lost_parent(near)
-    assert [message[0] for message in keeper.sent] == ["follow", "unfollow", "follow"]
-    branch._loop.world.run(0.11)
-    branch.tick()
+    assert above.closed and subscriber.parent.record.name == first
+    subscriber.lost_parent(near)
+    assert [message[0] for message in controller.sent] == ["follow", "unfollow", "follow"]
+    subscriber._loop.world.run(0.11)
+    subscriber.tick()
     assert dialled[-1] == second
 
 
@@ -297,36 +298,36 @@
     """Though it answers; one that has brought something meanwhile stays."""
     row = sorted((record(f"n{i}") for i in range(60)), key=lambda r: rank(r.name, 1))
     me = row[HEADS + 3]
-    branch, _ = lone(me.name, 1)
-    branch.members({r.name: r for r in row})
-    branch._loop.world.run(3.0)
-    branch.tick()
+    subscriber, _ = lone(me.name, 1)
+    subscriber.members({r.name: r for r in row})
+    subscriber._loop.world.run(3.0)
+    subscriber.tick()
     link = Wire()
-    branch.dialled(branch._trying.record.name, link)
-    branch.from_parent(link, ["followed"])
-    keeper, number = branch._keepers["k"], 1
-    branch.from_keeper(keeper, ["news", "k", 7, -1, number, [], [], 0])
+    subscriber.dialled(subscriber._trying.record.name, link)
+    subscriber.from_parent(link, ["followed"])
+    controller, number = subscriber._controllers["k"], 1
+    subscriber.from_keeper(controller, ["news", "k", 7, -1, number, [], [], 0])
     for gap in range(STRIKES):
         if gap and useful:
             number += 1
-            branch.from_parent(link, ["news", "k", 7, number - 1, number, [], [], 0])
-        assert branch.parent is not None
-        branch.lease("k", 7, number + 1)
-        branch._loop.world.run(0.5)
-        assert ["since", 7, number] in keeper.sent
-        branch.from_parent(link, ["here"])
+            subscriber.from_parent(link, ["news", "k", 7, number - 1, number, [], [], 0])
+        assert subscriber.parent is not None
+        subscriber.lease("k", 7, number + 1)
+        subscriber._loop.world.run(0.5)
+        assert ["since", 7, number] in controller.sent
+        subscriber.from_parent(link, ["here"])
         number += 1
-        branch.from_keeper(keeper, ["news", "k", 7, number - 1, number, [], [], 0])
-    assert (branch.parent is not None) is useful and link.closed is not useful
-    assert keeper.sent[-1][0] == ("since" if useful else "follow")
+        subscriber.from_keeper(controller, ["news", "k", 7, number - 1, number, [], [], 0])
+    assert (subscriber.parent is not None) is useful and link.closed is not useful
+    assert controller.sent[-1][0] == ("since" if useful else "follow")
 
 
 def test_a_configuration_comes_down_the_tree_over_sockets(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """One keeper, four nodes of a zone: two follow it, and the text comes to the others from those."""
-    monkeypatch.setattr(branch_module, "SETTLE_S", 0.02)
-    monkeypatch.setattr(branch_module, "REVIEW_S", (0.02, 0.05))
+    """One controller, four nodes of a zone: two follow it, and the text comes to the others from those."""
+    monkeypatch.setattr(subscriber_module, "SETTLE_S", 0.02)
+    monkeypatch.setattr(subscriber_module, "REVIEW_S", (0.02, 0.05))
 
     def heard(text: asyncio.Future[bytes], revision: int, raw: bytes) -> None:
         text.set_result(raw)
@@ -336,37 +337,39 @@
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             port = free.getsockname()[1]
-        archive = real_keeper(tmp_path, port)
-        serving = loop.create_task(archive.run(stopping))
+        controller = real_keeper(tmp_path, port)
+        serving = loop.create_task(controller.run(stopping))
         texts: list[asyncio.Future[bytes]] = []
-        nodes: list[Circulation] = []
-        follow_keepers = Branch._follow_keepers
+        nodes: list[ControlClient] = []
+        follow_keepers = Subscriber._follow_keepers
 
-        def followed(self: Branch) -> None:
+        def followed(self: Subscriber) -> None:
             follow_keepers(self)
-            if sum(node._branch.parent is not None for node in nodes) == 2:
+            if sum(node._subscriber.parent is not None for node in nodes) == 2:
                 formed.set()
 
-        monkeypatch.setattr(Branch, "_follow_keepers", followed)
+        monkeypatch.setattr(Subscriber, "_follow_keepers", followed)
         for n in range(2, 6):
-            boot = dataclasses.replace(archive._boot, name=f"n{n}", ip=f"127.0.0.{n}")
+            boot = dataclasses.replace(controller._settings, name=f"n{n}", ip=f"127.0.0.{n}")
             text = loop.create_future()
-            node = Circulation(boot, loop, lambda members: None, partial(heard, text))
+            node = ControlClient(boot, loop, lambda members: None, partial(heard, text))
             await node.listen()
             node.start()
             node.publish(Record(f"n{n}", node.boot_id, 1, boot.zone, boot.ip, 1, None))
             nodes.append(node)
             texts.append(text)
         await asyncio.wait_for(formed.wait(), 10.0)
-        told = archive._desk.tally.messages("text")
-        put = archive._folio.ask("", parts.Put(b"text", 7, b"mark", 0), 4.0, loop.time())
-        archive._do(archive._folio, put)
+        told = controller._publisher.tally.messages("text")
+        put = controller._configuration_shard.ask(
+            "", shard_state.Put(b"text", 7, b"mark", 0), 4.0, loop.time()
+        )
+        controller._do(controller._configuration_shard, put)
         assert await asyncio.wait_for(asyncio.gather(*texts), 10.0) == [b"text"] * 4
-        assert archive._desk.tally.messages("text") - told == 2
-        assert sum(node._branch.tally.messages("text") for node in nodes) == 2
+        assert controller._publisher.tally.messages("text") - told == 2
+        assert sum(node._subscriber.tally.messages("text") for node in nodes) == 2
         stopping.set()
         await asyncio.wait_for(serving, 10.0)
-        archive._deposit._env.close()
+        controller._store._env.close()
 
     asyncio.run(main())
 
--- a/tests/mesh/test_lines.py
+++ b/tests/mesh/test_http_connection.py
@@ -1,4 +1,4 @@
-"""Lines to servers: what each answer means, and whose it is, byte by byte."""
+"""HttpConnections to servers: what each answer means, and whose it is, byte by byte."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from athenaeum.lines import Asked, Line, Lines, Said, judged, passed_on
+from mesh.dataplane.http_connection import Asked, HttpConnection, HttpConnections, Said, judged, passed_on
 from nickelbridge.interface import Result
 from orchidferry.upstream import Answer, Attempt
 from tests.mesh.fakes import asked, rig, said
@@ -79,10 +79,10 @@
 
     def __init__(self, sock: socket.socket) -> None:
         loop, alarms, _ = rig()
-        self.lines = Lines(loop, 400.0, 10_000.0, lambda: 9, alarms)
+        self.lines = HttpConnections(loop, 400.0, 10_000.0, lambda: 9, alarms)
         transport: Any = Transport(sock)
         self.transport = transport
-        self.line = Line(self.lines, 1, ("127.0.0.1", 1))
+        self.line = HttpConnection(self.lines, 1, ("127.0.0.1", 1))
         self.line.connection_made(self.transport)
         self.sent = Sent(asked())
         self.line.carry(self.sent)
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -268,19 +268,19 @@
 
 
 HARMS: list[tuple[str, bool, list[Fact]]] = [
-    ("its links to a keeper were cut", True, cores(Harm(21.0, 22.4, "cut", [("m2", "core")]))),
+    ("its links to a controller were cut", True, cores(Harm(21.0, 22.4, "cut", [("m2", "core")]))),
     ("cut one way is cut", True, cores(Harm(21.0, 22.4, "cut", [("core", "m2")]))),
     ("late is harmed", True, cores(Harm(21.0, 22.4, "slow", [("m2", "m1")]))),
     ("reset is harmed", True, cores(Harm(22.0, 22.0, "reset", [("m2", "core")]))),
     ("too long ago", False, cores(Harm(18.0, 19.0, "cut", [("m2", "core")]))),
     ("another's links", False, cores(Harm(21.0, 22.4, "cut", [("m1", "core")]))),
     ("cut from a machine that keeps nothing", False, cores(Harm(21.0, 22.4, "cut", [("m2", "m1")]))),
-    ("a keeper that reaches no other binds nobody", False, cores(
+    ("a controller that reaches no other binds nobody", False, cores(
         Harm(15.0, 24.0, "cut", [("core", name) for name in ("core2", "core3", "m1", "m2", "m3")]))),
     ("it was cut from the others just now", True, cores(
         Harm(21.0, 24.0, "cut", [("core", name) for name in ("core2", "core3", "m1", "m2", "m3")]))),
     ("a slow link of the core", True, cores(Harm(15.0, 24.0, "slow", [("core", "core2")]))),
-    ("a keeper is down, and has been for long", False, cores(Process(15.0, "core", "killed"))),
+    ("a controller is down, and has been for long", False, cores(Process(15.0, "core", "killed"))),
     ("two are", True, cores(Process(15.0, "core", "killed"), Process(15.0, "core2", "killed"))),
     ("two are, one of them by itself", False, cores(
         Process(15.0, "core", "killed"), Process(15.0, "core2", "exit"))),
--- a/tests/mesh/test_group.py
+++ b/tests/mesh/test_membership.py
@@ -1,8 +1,9 @@
-"""The group of keepers in any order of events: messages late, lost or twice, and keepers killed and wiped.
+"""The group of controllers in any order of events: messages late, lost or twice, and controllers killed
+and wiped.
 
-The keepers here are the real halves (`holding.Part`), on disks in memory that write when they are told to;
-askers count as nodes do (`claims`). What was granted, taken and read, and who owned the duties when, is
-checked against a plain record of it.
+The controllers here are the real halves (`holding.Shard`), on disks in memory that write when they are
+told to; askers count as nodes do (`claims`). What was granted, taken and read, and who owned the duties
+when, is checked against a plain record of it.
 """
 
 from __future__ import annotations
@@ -14,15 +15,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from athenaeum import parts
-from athenaeum.bindery import RECENT_S, Missed
-from athenaeum.callslips import Held, Slips
-from athenaeum.claims import Count
-from athenaeum.group import Standing, epoch
-from athenaeum.holding import Part
-from athenaeum.seat import TENURE_S, Answer, Changed, Ended, Peers
+from mesh.control import shard_state
+from mesh.control.hinted_handoff import RECENT_S, Hints
+from mesh.control.membership import Standing, epoch
+from mesh.control.operation_key_client import Count
+from mesh.control.operation_keys import Held, OperationKeys
+from mesh.control.replica import TENURE_S, Answer, Changed, Ended, Peers
+from mesh.control.shard import Shard
 from nickelbridge.register import Kept, Value, Voter
-from rehearsal.explore.keeper import SEEDS, WINDOW_S, Keeper
+from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
 
 
 class Try:
@@ -34,13 +35,13 @@
 
 
 class World:
-    """Keepers, what is on its way between them, and what was said."""
+    """Controllers, what is on its way between them, and what was said."""
 
     def __init__(self, rng: random.Random) -> None:
         self.rng, self.now, self._number = rng, 1.0, 0
-        self.keepers: dict[str, Keeper] = {}
+        self.controllers: dict[str, Controller] = {}
         for name in (*SEEDS, "d"):
-            self.keepers[name] = Keeper(name, self, name in SEEDS, 1, rng)
+            self.controllers[name] = Controller(name, self, name in SEEDS, 1, rng)
         self.wires: list[tuple[str, str, tuple[Any, ...]]] = []
         self.tries: list[Try] = []
         self.granted: dict[str, list[Try]] = {}
@@ -56,7 +57,7 @@
         return self._number
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
-        if to in self.keepers:
+        if to in self.controllers:
             self.wires.append((to, kind, message))
 
     def answer(self, name: str, answer: Answer) -> None:
@@ -76,21 +77,21 @@
         self.counts["epoch"] = max(self.counts["epoch"], epoch(value))
 
     def owners(self) -> None:
-        """At no moment do two do the duties; a fence is one keeper's."""
-        own = [(k.name, f) for k in self.keepers.values() if k.alive and (f := k.part.owns(self.now))]
+        """At no moment do two do the duties; a fence is one controller's."""
+        own = [(k.name, f) for k in self.controllers.values() if k.alive and (f := k.shard.owns(self.now))]
         assert len(own) < 2, own
         for name, fence in own:
             assert self.fences.setdefault(fence, name) == name and fence == max(self.fences)
             self.counts["owned"] += 1
 
-    def some(self, alive: bool = True) -> Keeper | None:
-        found = [k for k in self.keepers.values() if k.alive is alive]
+    def some(self, alive: bool = True) -> Controller | None:
+        found = [k for k in self.controllers.values() if k.alive is alive]
         return self.rng.choice(found) if found else None
 
     def claim(self) -> None:
-        keeper = self.some()
-        if keeper is not None:
-            known = keeper.part.known
+        controller = self.some()
+        if controller is not None:
+            known = controller.shard.known
             key, group = f"k{self.rng.randrange(3)}", tuple(v.name for v in known.voters)
             try_ = Try(key, f"t{self.number()}", self.now, epoch(known), group)
             self.tries.append(try_)
@@ -130,10 +131,10 @@
             self.send("", name, *message)
 
     def put(self) -> None:
-        keeper = self.some()
-        if keeper is None:
+        controller = self.some()
+        if controller is None:
             return
-        on = parts.body(keeper.part.known).revision
+        on = shard_state.body(controller.shard.known).revision
         revision, digest = on + self.rng.randrange(1, 3), str(self.number()).encode()
 
         def told(end: Ended) -> None:
@@ -144,37 +145,37 @@
 
         id = str(self.number())
         self.waiting[id] = told
-        keeper.do(keeper.part.ask(id, parts.Put(digest, revision, digest, on), 3.0, self.now))
+        controller.do(controller.shard.ask(id, shard_state.Put(digest, revision, digest, on), 3.0, self.now))
 
     def read(self) -> None:
-        keeper, newest = self.some(), self.newest
-        if keeper is None:
+        controller, newest = self.some(), self.newest
+        if controller is None:
             return
 
         def told(end: Ended) -> None:
             if end.value is not None:
-                assert parts.body(end.value).revision >= newest
+                assert shard_state.body(end.value).revision >= newest
                 self.counts["read"] += 1
 
         id = str(self.number())
         self.waiting[id] = told
-        keeper.do(keeper.part.read(id, self.now))
+        controller.do(controller.shard.read(id, self.now))
 
     def play(self, seconds: float, until: Callable[[], bool] = lambda: False) -> None:
         """All goes well: what is sent arrives, and disks take what is written."""
         for _ in range(int(seconds / 0.2)):
             self.now += 0.2
-            for keeper in self.keepers.values():
-                self.tick(keeper)
-                keeper.peers.heard_s = dict.fromkeys(self.keepers, self.now)
-            while self.wires or any(keeper.writes for keeper in self.keepers.values()):
+            for controller in self.controllers.values():
+                self.tick(controller)
+                controller.peers.heard_s = dict.fromkeys(self.controllers, self.now)
+            while self.wires or any(controller.writes for controller in self.controllers.values()):
                 for to, kind, message in [self.wires.pop(0) for _ in list(self.wires)]:
-                    self.said(*message) if kind == "said" else getattr(self.keepers[to], kind)(*message)
+                    self.said(*message) if kind == "said" else getattr(self.controllers[to], kind)(*message)
                 if until():
                     return self.wires.clear()
-                for keeper in self.keepers.values():
-                    while keeper.writes:
-                        keeper.disk_turn()
+                for controller in self.controllers.values():
+                    while controller.writes:
+                        controller.disk_turn()
 
     def pass_time(self, s: float) -> None:
         for try_ in self.tries:
@@ -184,19 +185,19 @@
 
     def down(self, wipe: bool) -> None:
         """Kill one; a disk is lost only while all the others remember."""
-        keeper = self.some()
+        controller = self.some()
         up = [
-            k for k in self.keepers.values() if k.alive and k.part.standing.caught_up and k.part.clean
+            k for k in self.controllers.values() if k.alive and k.shard.standing.caught_up and k.shard.clean
         ]  # fmt: skip
-        if keeper is None or sum(k is not keeper for k in up) < 2:
+        if controller is None or sum(k is not controller for k in up) < 2:
             return
-        keeper.alive = False
+        controller.alive = False
         if wipe:
-            keeper.wipe()
+            controller.wipe()
 
-    def tick(self, keeper: Keeper) -> None:
-        keeper.beat_to(n for n in self.keepers if n != keeper.name and self.rng.random() < 0.3)
-        keeper.tick()
+    def tick(self, controller: Controller) -> None:
+        controller.beat_to(n for n in self.controllers if n != controller.name and self.rng.random() < 0.3)
+        controller.tick()
 
     def step(self, trouble: float) -> None:
         rng, dice = self.rng, self.rng.random()
@@ -206,25 +207,25 @@
             to, kind, message = self.wires[at] if rng.random() < 0.03 * trouble else self.wires.pop(at)
             if kind == "said":
                 self.said(*message)
-            elif self.keepers[to].alive and rng.random() > 0.05 * trouble:
-                getattr(self.keepers[to], kind)(*message)
+            elif self.controllers[to].alive and rng.random() > 0.05 * trouble:
+                getattr(self.controllers[to], kind)(*message)
             return
-        keeper = self.some()
-        if keeper is not None and dice < 0.92:
-            if keeper.writes and rng.random() < 0.9:
-                while keeper.writes and rng.random() < 0.7:
-                    keeper.disk_turn()
+        controller = self.some()
+        if controller is not None and dice < 0.92:
+            if controller.writes and rng.random() < 0.9:
+                while controller.writes and rng.random() < 0.7:
+                    controller.disk_turn()
                 return
             self.now += rng.random() * 0.15
             if rng.random() < 0.02 * trouble:
-                keeper.peers.fit = not keeper.peers.fit
-            self.tick(keeper)
+                controller.peers.fit = not controller.peers.fit
+            self.tick(controller)
             return self.owners()
         if dice < 0.94:
             return self.claim()
         if dice < 0.95 and self.tries:
             try_ = rng.choice(self.tries)
-            known = keeper.part.known if keeper is not None else None
+            known = controller.shard.known if controller is not None else None
             if try_.open and known is not None and epoch(known) > try_.count.epoch:
                 try_.count.anew(epoch(known), tuple(v.name for v in known.voters))
             return self.ask(try_) if try_.open else None
@@ -251,7 +252,7 @@
 
 def test_a_key_that_two_tries_were_given_is_nobodys() -> None:
     """A newcomer that hears of two holders can't tell which one ran: it grants to neither."""
-    slips = Slips(WINDOW_S)
+    slips = OperationKeys(WINDOW_S)
     for holder in ("t1", "t2"):
         slips.load("k", [holder, 0, None])
     for holder in ("t1", "t2", "t3"):
@@ -263,36 +264,36 @@
 
 def test_a_new_owner_waits_for_the_lease_of_the_last_one() -> None:
     """What the last one was acknowledged came before the change; a change of voters ends that, too."""
-    a, b, c, d = (Voter(name, parts.GENESIS) for name in "abcd")
-    first = parts.genesis(SEEDS)
-    part = Part(1, "a", first, Kept(parts.GENESIS), True, Peers(0.0), WINDOW_S, random.Random(1), 10)
+    a, b, c, d = (Voter(name, shard_state.GENESIS) for name in "abcd")
+    first = shard_state.genesis(SEEDS)
+    shard = Shard(1, "a", first, Kept(shard_state.GENESIS), True, Peers(0.0), WINDOW_S, random.Random(1), 10)
 
     def know(value: Value, now: float) -> None:
-        part.heard("b", ["know", parts.pack_value(value)], now)
+        shard.heard("b", ["know", shard_state.pack_value(value)], now)
 
-    mine = Value(1, (a, b, c), parts.Body(0, owner="a", fence=1))
+    mine = Value(1, (a, b, c), shard_state.Body(0, owner="a", fence=1))
     know(mine, 1.0)
-    part.pulse("b", 1.0, 1)
-    assert part.owns(1.0) == 1 and part.owns(1.9) == 1 and part.owns(1.0 + TENURE_S) is None
-    changed = parts.Admit(d, "c", 3)(mine)
-    assert isinstance(changed, Value) and parts.body(changed).fence == 2
-    part.acceptor.kept = Kept(parts.GENESIS, (5, "b"), (5, "b"), changed)
-    assert part.owns(1.5) is None  # who counts may have changed
+    shard.pulse("b", 1.0, 1)
+    assert shard.owns(1.0) == 1 and shard.owns(1.9) == 1 and shard.owns(1.0 + TENURE_S) is None
+    changed = shard_state.Admit(d, "c", 3)(mine)
+    assert isinstance(changed, Value) and shard_state.body(changed).fence == 2
+    shard.acceptor.kept = Kept(shard_state.GENESIS, (5, "b"), (5, "b"), changed)
+    assert shard.owns(1.5) is None  # who counts may have changed
     know(changed, 1.5)
-    part.pulse("b", 1.6, 1)
-    assert part.owns(1.6) == 2  # it was the owner before, too
-    know(Value(3, (a, b, d), parts.Body(1, owner="b", fence=3)), 2.0)
-    know(Value(4, (a, b, d), parts.Body(1, owner="a", fence=4)), 3.0)
+    shard.pulse("b", 1.6, 1)
+    assert shard.owns(1.6) == 2  # it was the owner before, too
+    know(Value(3, (a, b, d), shard_state.Body(1, owner="b", fence=3)), 2.0)
+    know(Value(4, (a, b, d), shard_state.Body(1, owner="a", fence=4)), 3.0)
     for now in (3.1, 3.9, 4.0):
-        part.pulse("b", now, 4)
-        assert part.owns(now) == (4 if now >= 3.0 + TENURE_S else None)
+        shard.pulse("b", now, 4)
+        assert shard.owns(now) == (4 if now >= 3.0 + TENURE_S else None)
 
 
 def test_one_that_was_put_out_learns_anew() -> None:
     """It missed what was granted without it, so it may not come back as one that has caught up."""
     a, b, c, d = (Voter(name, 1) for name in "abcd")
-    first = Value(1, (a, b, c), parts.Body(0, 1))
-    without = Value(2, (a, b, d), parts.Body(1, 1))
+    first = Value(1, (a, b, c), shard_state.Body(0, 1))
+    without = Value(2, (a, b, d), shard_state.Body(1, 1))
     standing = Standing(True)
     assert not standing.put_out(c, first, None) and not standing.put_out(c, first, first)
     assert not standing.put_out(d, first, without)  # hears of its own place late
@@ -305,18 +306,18 @@
 def test_a_disk_lost_long_after_another_at_a_restart_of_all() -> None:
     """Voters before a change that was decided long ago count no more, though all forgot that it was."""
     world = World(random.Random(1))
-    world.keepers.pop("d")
-    a, _, c = world.keepers.values()
+    world.controllers.pop("d")
+    a, _, c = world.controllers.values()
     world.play(2.0)
     a.wipe()
     a.start()
     world.play(6.0)
-    assert a.part.standing.caught_up
+    assert a.shard.standing.caught_up
     c.wipe()
-    for keeper in world.keepers.values():
-        keeper.start()
+    for controller in world.controllers.values():
+        controller.start()
     world.play(6.0)
-    assert all(keeper.part.grants(2) for keeper in world.keepers.values())
+    assert all(controller.shard.grants(2) for controller in world.controllers.values())
     world.claim()
     world.play(1.0)
     assert world.counts["granted"] == 1
@@ -327,20 +328,20 @@
     again once it is over.
     """
     world = World(random.Random(1))
-    world.keepers.pop("d")
+    world.controllers.pop("d")
 
     play = world.play
     play(2.0)
     world.claim()
     play(1.0)
     assert world.counts["granted"] == 1
-    a, b, c = world.keepers.values()
+    a, b, c = world.controllers.values()
     for one in (a, b):
         one.wipe()
         one.start()
-        play(4.0, lambda one=one: one.part.voter in c.part.known.voters)  # type: ignore[misc]
-    assert epoch(c.part.known) == 2 and not a.part.standing.caught_up
-    kept_s = a.part.slips.kept_s
+        play(4.0, lambda one=one: one.shard.voter in c.shard.known.voters)  # type: ignore[misc]
+    assert epoch(c.shard.known) == 2 and not a.shard.standing.caught_up
+    kept_s = a.shard.operation_keys.kept_s
     for _ in range(30):
         play(kept_s / 32)
         world.claim()
@@ -355,7 +356,7 @@
 @given(st.lists(st.tuples(st.sampled_from("wwwsabt"), st.integers(0, 5)), max_size=60))
 def test_what_a_silent_keeper_misses_is_kept_for_it(events: list[tuple[str, int]]) -> None:
     """Beside a list of all writes since 4 s before its silence: none is left out, none is sent for ever."""
-    missed, now, owed, silent = Missed(), 100.0, set[str](), False
+    missed, now, owed, silent = Hints(), 100.0, set[str](), False
     wrote: list[tuple[float, str]] = []
     page: tuple[int, list[str]] | None = None
     for what, n in events:
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -6,23 +6,28 @@
 import doctest
 import importlib
 import json
+import pkgutil
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from athenaeum import folio, parts
-from athenaeum.accessions import LEASE_S, Record, Register, everyone
-from athenaeum.boot import BadBoot, check_boot
-from athenaeum.callslips import SHELF_S, Granted, Held, Slips
-from athenaeum.carrel import read_beat
-from athenaeum.faults import Fault, Kind
+import mesh
+from mesh.control import configuration, shard_state
+from mesh.control.endpoints import LEASE_S, Record, Register, everyone
+from mesh.control.operation_keys import SHELF_S, Granted, Held, OperationKeys
+from mesh.dataplane.proxy import read_beat
+from mesh.errors import Kind, Refusal
+from mesh.settings import BadSettings, check_settings
 from nickelbridge.nested import TARGET, Nested
 
-MODULES = [f"athenaeum.{path.stem}" for path in sorted(Path(folio.__file__).parent.glob("[a-z]*.py"))]
+MODULES = [
+    found.name
+    for found in pkgutil.walk_packages(mesh.__path__, "mesh.")
+    if not found.ispkg and found.name != "mesh.__main__"
+]
 
 
 @pytest.mark.parametrize("name", [*MODULES, "nickelbridge.nested"])
@@ -42,7 +47,7 @@
 @settings(max_examples=200, deadline=None)
 @given(st.lists(STEPS, min_size=15, max_size=80))
 def test_slips(steps: list[tuple[str, str, str, float]]) -> None:
-    slips, now = Slips(WINDOW_S), 1_000.0
+    slips, now = OperationKeys(WINDOW_S), 1_000.0
     slips.turn(now)
     model: dict[str, tuple[str, str | None, float]] = {}  # holder, answer, since when
     for what, key, holder, passed in steps:
@@ -70,21 +75,21 @@
             for over in slips.turn(now):
                 assert now - model.pop(over)[2] >= WINDOW_S
         else:
-            disk = {key: slip.packed() for key, slip in slips.slips.items()}
-            slips = Slips(WINDOW_S)
+            disk = {key: slip.packed() for key, slip in slips.records.items()}
+            slips = OperationKeys(WINDOW_S)
             for key, packed in disk.items():
                 slips.load(key, packed)
             slips.turn(now)
-        assert {k: (s.holder, s.answer) for k, s in slips.slips.items()} == {
+        assert {k: (s.holder, s.answer) for k, s in slips.records.items()} == {
             k: entry[:2] for k, entry in model.items()
         }
 
 
 def test_a_key_is_not_kept_for_long_beyond_its_window() -> None:
-    slips = Slips(WINDOW_S)
+    slips = OperationKeys(WINDOW_S)
     slips.turn(1_000.0)
     slips.claim("k", "t")
-    assert slips.turn(1_000.0 + WINDOW_S + 4 * SHELF_S) == ["k"] and not slips.slips
+    assert slips.turn(1_000.0 + WINDOW_S + 4 * SHELF_S) == ["k"] and not slips.records
 
 
 # Members
@@ -132,8 +137,8 @@
     news: list[tuple[str, str, int]], heard: set[str]
 ) -> None:
     told: dict[str, dict[str, Record]] = {"k": {}, "l": {}}
-    for keeper, name, number in news:
-        told[keeper][name] = record(name, 1, number)
+    for controller, name, number in news:
+        told[controller][name] = record(name, 1, number)
     counted = [r for k, mine in told.items() for r in mine.values() if not heard or k in heard]
     wanted = {name: record(name, 1, max(r.number for r in counted if r.name == name)) for name in
               {r.name for r in counted}}  # fmt: skip
@@ -166,15 +171,15 @@
 
 def test_a_valid_configuration_is_taken_whole() -> None:
     raw = json.dumps(example()).encode()
-    found = folio.check(raw)
-    assert found == folio.parse(raw) and isinstance(found, folio.Folio)
+    found = configuration.check(raw)
+    assert found == configuration.parse(raw) and isinstance(found, configuration.Configuration)
     first, second = found.routes
-    assert first == folio.Route(
+    assert first == configuration.Route(
         "r0", "H.example", "/p0/", "keyed", 300.0, 1, 2_000.0, 2, (("s", 1.0),)
     )  # fmt: skip
     assert second.split == (("s", 90.0), ("t", 10.0)) and not second.repeatable
     assert found.services == {
-        "s": folio.Service("s", "/up", 110, True), "t": folio.Service("t"),
+        "s": configuration.Service("s", "/up", 110, True), "t": configuration.Service("t"),
     }  # fmt: skip
     assert (found.revision, found.limits) == (7, {"idle_timer_ms": 15_000.0})
 
@@ -214,24 +219,28 @@
 def test_an_invalid_configuration_is_refused(path: str, value: Any, named: str) -> None:
     data = copy.deepcopy(example())
     spoil(path, value)(data)
-    found = folio.check(json.dumps(data).encode())
-    assert isinstance(found, Fault) and found.status == 400
+    found = configuration.check(json.dumps(data).encode())
+    assert isinstance(found, Refusal) and found.status == 400
     assert named in found.line and "\n" not in found.line
 
 
 @pytest.mark.parametrize("raw", [json.dumps(example()).encode()[:-9], b"", b"[]", b"\xff", b"[" * 100_000])
 def test_what_is_no_configuration_is_refused(raw: bytes) -> None:
-    found = folio.check(raw)
-    assert isinstance(found, Fault) and found.status == 400
+    found = configuration.check(raw)
+    assert isinstance(found, Refusal) and found.status == 400
 
 
 def test_a_configuration_goes_on_top_of_the_current_one_only() -> None:
-    first = parts.genesis(("a", "b", "c"))
-    taken = parts.Put(b"x", 5, b"X", 0)(first)
-    assert not isinstance(taken, str) and parts.body(taken).revision == 5
-    assert parts.Put(b"x", 5, b"X", 0)(taken) is taken  # asked for again
-    assert parts.Put(b"y", 6, b"Y", 0)(taken) == parts.OTHER_VERSION
-    assert parts.Put(b"y", 5, b"Y", 5)(taken) == parts.Put(b"y", 4, b"Y", 5)(taken) == parts.OLD_VERSION
+    first = shard_state.genesis(("a", "b", "c"))
+    taken = shard_state.Put(b"x", 5, b"X", 0)(first)
+    assert not isinstance(taken, str) and shard_state.body(taken).revision == 5
+    assert shard_state.Put(b"x", 5, b"X", 0)(taken) is taken  # asked for again
+    assert shard_state.Put(b"y", 6, b"Y", 0)(taken) == shard_state.OTHER_VERSION
+    assert (
+        shard_state.Put(b"y", 5, b"Y", 5)(taken)
+        == shard_state.Put(b"y", 4, b"Y", 5)(taken)
+        == shard_state.OLD_VERSION
+    )
 
 
 PATHS = st.text("ab/", max_size=8).map(lambda text: "/" + text)
@@ -239,19 +248,19 @@
 
 @given(st.sets(PATHS.map(lambda path: path if path.endswith("/") else path + "/"), max_size=6), PATHS)
 def test_the_longest_prefix_wins(prefixes: set[str], path: str) -> None:
-    routes = [folio.Route(p, "Host", p, "keyed", 1, 0, 1, 1, (("s", 1),)) for p in prefixes]
-    found = folio.Table(routes).find("hOST:80", path)
+    routes = [configuration.Route(p, "Host", p, "keyed", 1, 0, 1, 1, (("s", 1),)) for p in prefixes]
+    found = configuration.Table(routes).find("hOST:80", path)
     wanted = max((p for p in prefixes if path.startswith(p)), key=len, default=None)
     assert (found.id if found is not None else None) == wanted
-    assert folio.Table(routes).find("other", path) is None
+    assert configuration.Table(routes).find("other", path) is None
 
 
 def test_a_long_configuration() -> None:
     data = example()
     data["access_points"][0]["rule_set"] = [rule(n) for n in range(400)]
-    found = folio.check(json.dumps(data).encode())
-    assert isinstance(found, folio.Folio) and len(found.routes) == 400
-    route = folio.Table(found.routes).find("h.example", "/p399/x/y")
+    found = configuration.check(json.dumps(data).encode())
+    assert isinstance(found, configuration.Configuration) and len(found.routes) == 400
+    route = configuration.Table(found.routes).find("h.example", "/p399/x/y")
     assert route is not None and route.id == "r399"
 
 
@@ -269,7 +278,7 @@
 
 
 def test_settings_are_read_and_unknown_fields_skipped() -> None:
-    boot = check_boot(BOOT)
+    boot = check_settings(BOOT)
     assert (boot.name, boot.seeds, boot.listen) == ("n", ("10.0.0.2",), {"control": ("10.0.0.1", 80)})
     assert (boot.bounds.drain_ms, boot.bounds.key_window_s, boot.descriptors) == (1_500.0, 60.0, 1_024)
 
@@ -285,7 +294,7 @@
     data["network"]["listen_points"]["control"] = f"{point}:80"
     if bind is not None:
         data["own_node"]["bind_ip"] = bind
-    boot = check_boot(data)
+    boot = check_settings(data)
     assert (boot.ip, boot.local_ip, boot.door("control")) == ("10.0.0.1", bind or "10.0.0.1", (bound, 80))
 
 
@@ -302,8 +311,8 @@
 def test_bad_settings_are_named_in_one_line(path: str, value: Any) -> None:
     data = copy.deepcopy(BOOT)
     spoil(path, value)(data)
-    with pytest.raises(BadBoot) as problem:
-        check_boot(data)
+    with pytest.raises(BadSettings) as problem:
+        check_settings(data)
     assert path.replace("/", ".") in str(problem.value) and "\n" not in str(problem.value)
 
 
@@ -320,12 +329,12 @@
 ])  # fmt: skip
 def test_bad_beats(path: str, value: Any, named: str) -> None:
     server = read_beat("i", json.dumps(BEAT).encode())
-    assert not isinstance(server, Fault) and (server[0].capacity, server[1]) == (4, 9)
+    assert not isinstance(server, Refusal) and (server[0].capacity, server[1]) == (4, 9)
     data = copy.deepcopy(BEAT)
     spoil(path, value)(data)
     for raw in (json.dumps(data).encode(), b"{", b"[]", b"[" * 100_000):
         found = read_beat("i", raw)
-        assert isinstance(found, Fault) and found.kind in (Kind.INVALID, Kind.UNREADABLE)
+        assert isinstance(found, Refusal) and found.kind in (Kind.INVALID, Kind.UNREADABLE)
         assert named in found.line or raw[:1] != b"{" or raw == b"{"
 
 
@@ -364,9 +373,9 @@
 
     monkeypatch.delenv("ORCHIDFERRY_BOOT", raising=False)
     for words, status, said in (
-        (["carrel", "--help"], 0, "example:"),
-        (["archive", "--check"], 2, "ORCHIDFERRY_BOOT must name"),
-        (["archive", "--no"], 2, "usage:"),
+        (["proxy", "--help"], 0, "example:"),
+        (["controller", "--check"], 2, "ORCHIDFERRY_BOOT must name"),
+        (["controller", "--no"], 2, "usage:"),
     ):
         monkeypatch.setattr("sys.argv", ["orchidferry", *words])
         assert cli.main() == status
--- a/tests/mesh/test_allowance.py
+++ b/tests/mesh/test_retry_budget.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from athenaeum import allowance as module
-from athenaeum.allowance import DEALT_SHARE, LATE_S, LEASE_S, STATIC_SHARE, Allowances, Dealer, Holder
+from mesh.control import retry_budget as module
+from mesh.control.retry_budget import DEALT_SHARE, LATE_S, LEASE_S, STATIC_SHARE, Dealer, Holder, RetryBudgets
 
 WINDOW_S, SLACK, STEP_S, NODES, ENDS_S = 10.0, 40.0, 0.25, 4, 90.0
 WHOLE = DEALT_SHARE * SLACK
@@ -83,7 +83,7 @@
         self.rng, self.now, self.made = random.Random(seed), 100.0, holder
         self.nodes = [Node(f"n{n}", 1, holder) for n in range(NODES)]
         self.fence, self.sleeps_s = 0, 0.0  # how long a former owner sleeps before it speaks again
-        self.owners: list[tuple[float, Allowances]] = []
+        self.owners: list[tuple[float, RetryBudgets]] = []
         self.late: list[tuple[float, int, Any]] = []
         self.arrivals: list[float] = []
         self.paradise = self.haunted = False
@@ -94,7 +94,7 @@
         if not self.haunted:
             self.owners.clear()
         self.owners = [(self.now + 4.0, owner) for _, owner in self.owners]  # speaks when all have heard
-        self.owners.append((0.0, Allowances(SLACK, WINDOW_S, lambda service, now: fence)))
+        self.owners.append((0.0, RetryBudgets(SLACK, WINDOW_S, lambda service, now: fence)))
 
     def post(self, call: Any, kind: float) -> None:
         dice = 1.0 if self.paradise else self.rng.random()
@@ -113,7 +113,7 @@
             if self.now >= max(since, node.cut_s):
                 self.post(lambda owner=owner: self.answer(owner, node, said), 0.5)
 
-    def answer(self, owner: Allowances, node: Node, said: Any) -> None:
+    def answer(self, owner: RetryBudgets, node: Node, said: Any) -> None:
         if all(owner is not known for _, known in self.owners):
             return  # it knows that it owns nothing any more
         service, name, life, number, used, wanted, held, fence = said
@@ -224,10 +224,10 @@
 
 def test_a_keeper_speaks_only_for_what_it_owns() -> None:
     owned: dict[str, int] = {"a": 3}
-    keeper = Allowances(SLACK, WINDOW_S, lambda service, now: owned.get(service))
+    controller = RetryBudgets(SLACK, WINDOW_S, lambda service, now: owned.get(service))
 
     def ask(service: str, fence: int, now: float) -> Any:
-        return keeper.handle(service, "n", 1, 7, 0.0, 5.0, 2.0, fence, now)
+        return controller.handle(service, "n", 1, 7, 0.0, 5.0, 2.0, fence, now)
 
     assert ask("b", -1, 0.0) is None and ask("a", 4, 0.0) is None
     assert ask("a", 3, 0.0) == ["share", "a", 3, 7, 2.0, LEASE_S]  # learning: what it holds
--- a/tests/mesh/test_tier.py
+++ b/tests/mesh/test_service_client.py
@@ -1,4 +1,4 @@
-"""A tier: for any order of what happens on lines, each request is answered once, and as what it is."""
+"""A service: for any order of what happens on lines, each request is answered once, and as what it is."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from athenaeum import tier as module
-from athenaeum.accessions import DRAINING, IN_SERVICE, Record, Server
-from athenaeum.boot import Bounds
-from athenaeum.folio import Route
-from athenaeum.lines import Said
-from athenaeum.tier import Live, Tier
+from mesh.control.configuration import Route
+from mesh.control.endpoints import DRAINING, IN_SERVICE, Record, Server
+from mesh.dataplane import service_client as module
+from mesh.dataplane.http_connection import Said
+from mesh.dataplane.service_client import Live, ServiceClient
+from mesh.settings import Bounds
 from nickelbridge.interface import Result
 from nickelbridge.logic import NEVER_RAN
 from orchidferry.frontend import Reply
@@ -31,25 +31,25 @@
         self.gone = False
         scene.taken[self.id] = self
         loop = scene.loop
-        self.live: Live = scene.tier.take(
+        self.live: Live = scene.service.take(
             asked(self.id), route, loop.now_ms() + 1_000.0, self.replies.append,
             lambda said, ran: self.ends.append((said, ran)),
         )  # fmt: skip
 
 
 class Scene:
-    """A tier of three servers."""
+    """A service of three servers."""
 
     def __init__(self, patch: pytest.MonkeyPatch, *routes: Route) -> None:
         self.loop, alarms, self.lines = rig()
         patch.setattr(module, "now_ms", self.loop.now_ms)
-        self.tier = Tier("s", "me", "z", Bounds(), self.loop, alarms, self.lines, int)
+        self.service = ServiceClient("s", "me", "z", Bounds(), self.loop, alarms, self.lines, int)
         self.taken: dict[str, Taken] = {}
         self.servers("1", "2", "3")
-        self.tier.configure(list(routes))
+        self.service.configure(list(routes))
 
     def servers(self, *ids: str, state: str = IN_SERVICE, cold_ms: float = 0.0) -> None:
-        self.tier.servers({
+        self.service.servers({
             id: Record(id, 1, 1, "z", "127.0.0.1", 1, Server(id, "s", "z", state, 4, cold_ms)) for id in ids
         })  # fmt: skip
 
@@ -102,7 +102,7 @@
     monkeypatch: pytest.MonkeyPatch, leaving: bool
 ) -> None:
     scene = Scene(monkeypatch, route("idempotent", 1))
-    scene.tier.leaving = leaving
+    scene.service.leaving = leaving
     taken = Taken(scene, route("idempotent", 1))
     [attempt] = scene.out()
     attempt.written = True
@@ -155,7 +155,7 @@
     for attempt in scene.out():
         watch.end(attempt, Result.RESET, None)
     watch.look()
-    assert not scene.tier.live and not scene.tier.out
+    assert not scene.service.live and not scene.service.out
     for taken in scene.taken.values():
         assert len(taken.ends) == 1 and (taken.gone or len(taken.replies) == 1)
         kept, ran = taken.ends[0]
--- a/tests/mesh/test_stop.py
+++ b/tests/mesh/test_stop.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from athenaeum import carrel as module
-from athenaeum.boot import Bounds, check_boot
-from athenaeum.carrel import Carrel
+from mesh.dataplane import proxy as module
+from mesh.dataplane.proxy import Proxy
+from mesh.settings import Bounds, check_settings
 from tests.mesh.test_records import BOOT
 
 
@@ -68,21 +68,21 @@
     async def main() -> None:
         node, point = ("127.0.0.1", 1), {"inbound": ("127.0.0.1", 2)}
         boot = dataclasses.replace(
-            check_boot(BOOT), application=node, listen=point, bounds=Bounds(grace_s=grace_s)
+            check_settings(BOOT), application=node, listen=point, bounds=Bounds(grace_s=grace_s)
         )
-        carrel: Any = Carrel(boot, loop)
+        proxy: Any = Proxy(boot, loop)
         began = loop.now_s
         outbound, inbound = Door(loop, began + stay_s), Door(loop, began + stay_s)
-        carrel._outbound, carrel._inbound = outbound, inbound
+        proxy._outbound, proxy._inbound = outbound, inbound
         said: list[float] = []
-        carrel._publish = lambda: said.append(loop.now_s)
-        stop = loop.create_task(carrel._stop())
+        proxy._publish = lambda: said.append(loop.now_s)
+        stop = loop.create_task(proxy._stop())
         await asyncio.sleep(0.01)
-        assert carrel._leaving and said == [began] and not carrel._gate.leaving and outbound.wound_s < 0
+        assert proxy._leaving and said == [began] and not proxy._gate.leaving and outbound.wound_s < 0
         # What is taken from now on is answered, by its deadline, before the end.
-        assert carrel._stop_ms / 1e3 <= began + grace_s - module.STOP_MARGIN_S
+        assert proxy._stop_ms / 1e3 <= began + grace_s - module.STOP_MARGIN_S
         await stop
-        assert carrel._gate.leaving and loop.now_s <= began + grace_s - module.STOP_MARGIN_S + 0.01
+        assert proxy._gate.leaving and loop.now_s <= began + grace_s - module.STOP_MARGIN_S + 0.01
         assert outbound.wound_s - began >= min(stay_s, module.STOP_TAKE_S, grace_s / 2.0) - 0.01
         assert inbound.wound_s - began == pytest.approx(module.STOP_READY_S, abs=0.01)
         if stay_s < grace_s - module.STOP_MARGIN_S:
--- a/tests/mesh/test_stocktake.py
+++ b/tests/mesh/test_storage_check.py
@@ -1,4 +1,4 @@
-"""A keeper's store is believed, set aside or waited for; a snapshot of it begins a group anew."""
+"""A controller's store is believed, set aside or waited for; a snapshot of it begins a group anew."""
 
 from __future__ import annotations
 
@@ -14,14 +14,16 @@
 import lmdb
 import pytest
 
-from athenaeum import __main__ as program
-from athenaeum import deposit as deposits
-from athenaeum import facsimile, parts, stocktake
-from athenaeum.deposit import FORMAT_KEY, NAMES, Deposit, open_env, pack, put_sealed, wrap
-from athenaeum.facsimile import BadSnapshot
-from athenaeum.faults import BadDeposit
-from athenaeum.group import Standing
-from athenaeum.holding import remembered
+from mesh import __main__ as program
+from mesh.control import shard_state
+from mesh.control.membership import Standing
+from mesh.control.shard import remembered
+from mesh.errors import BadStore
+from mesh.storage import snapshot as snapshots
+from mesh.storage import storage_check
+from mesh.storage import store as store_module
+from mesh.storage.snapshot import BadSnapshot
+from mesh.storage.store import FORMAT_KEY, NAMES, Store, open_env, pack, put_sealed, wrap
 from nickelbridge.register import (
     Accept,
     Accepted,
@@ -35,37 +37,37 @@
     Value,
     Voter,
 )  # fmt: skip
-from tests.mesh.test_deposit import Loop, boot_of, close
+from tests.mesh.test_store import Loop, boot_of, close
 
 FOUNDERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
-BODY = parts.Body(3, 7, b"{}", ((7, b"d"),), "10.0.0.2", 4)
+BODY = shard_state.Body(3, 7, b"{}", ((7, b"d"),), "10.0.0.2", 4)
 OLD = Value(12, (Voter("10.0.0.1", 5), Voter("10.0.0.2", 6)), BODY)
-KEPT = {n: Kept(5, (9, "x"), (8, "y"), OLD) if n != 2 else Kept(5) for n in parts.PARTS}
+KEPT = {n: Kept(5, (9, "x"), (8, "y"), OLD) if n != 2 else Kept(5) for n in shard_state.SHARDS}
 
 
 def fill(folder: Path, keys: int = 300) -> dict[bytes, bytes]:
     loop: Any = Loop()
-    deposit = Deposit(str(folder), loop)
+    store = Store(str(folder), loop)
     rows = {b"k%d" % n: pack([f"t{n}", n, b"x" * (n % 7) * 40]) for n in range(keys)}
     for name, key, value in (
         *(put for n, kept in KEPT.items() for put in remembered(n, kept, True)),
         ("about", b"founders", pack(list(FOUNDERS))), *(("slips", key, raw) for key, raw in rows.items()),
     ):  # fmt: skip
-        deposit.write([(name, key, value)])
-    close(deposit)
+        store.write([(name, key, value)])
+    close(store)
     return rows
 
 
 def stored(folder: Path) -> dict[bytes, bytes]:
     loop: Any = Loop()
-    deposit = Deposit(str(folder), loop)
-    found = dict(deposit.all("slips"))
-    close(deposit)
+    store = Store(str(folder), loop)
+    found = dict(store.all("slips"))
+    close(store)
     return found
 
 
 def rewrite(folder: Path, change: Any) -> None:
-    """Change a store behind the deposit's back."""
+    """Change a store behind the store's back."""
     env = open_env(str(folder))
     dbs = {name: env.open_db(name.encode()) for name in NAMES}
     with env.begin(write=True) as txn:
@@ -91,7 +93,7 @@
 
 
 def no_memory(txn: Any, dbs: Any) -> None:
-    for n in parts.PARTS:
+    for n in shard_state.SHARDS:
         txn.delete(b"kept/%d" % n, db=dbs["about"])
     put_sealed(txn, dbs)
 
@@ -108,16 +110,16 @@
 )  # fmt: skip
 def test_what_can_not_be_believed_is_forgotten(tmp_path: Path, change: Any, why: str) -> None:
     rows = fill(tmp_path)
-    stocktake.prepare(str(tmp_path))
-    assert stored(tmp_path) == rows and not stocktake.forgot(str(tmp_path))
+    storage_check.prepare(str(tmp_path))
+    assert stored(tmp_path) == rows and not storage_check.forgot(str(tmp_path))
     rewrite(tmp_path, change)
-    with pytest.raises(BadDeposit, match=why):
-        stocktake.look(str(tmp_path))
+    with pytest.raises(BadStore, match=why):
+        storage_check.look(str(tmp_path))
     before = (tmp_path / "data.mdb").read_bytes()
-    stocktake.prepare(str(tmp_path))
+    storage_check.prepare(str(tmp_path))
     assert why in (tmp_path / "bad" / "why").read_text()
     assert (tmp_path / "bad" / "data.mdb").read_bytes() == before
-    assert stocktake.forgot(str(tmp_path)) and stored(tmp_path) == {}
+    assert storage_check.forgot(str(tmp_path)) and stored(tmp_path) == {}
 
 
 @pytest.mark.parametrize("seed", range(9))
@@ -134,28 +136,32 @@
         at = at if seed > 2 else 4_096  # once in the second root
         raw[at + 100 :] = rng.randbytes(512)
     file.write_bytes(raw)
-    words = [sys.executable, "-c", f"from athenaeum import stocktake; stocktake.prepare({str(tmp_path)!r})"]
+    words = [
+        sys.executable,
+        "-c",
+        f"from mesh.storage import storage_check; storage_check.prepare({str(tmp_path)!r})",
+    ]
     ends = [subprocess.run(words, timeout=20.0, capture_output=True).returncode]
-    while ends[-1] and len(ends) <= stocktake.DEATHS:  # lmdb may end it
+    while ends[-1] and len(ends) <= storage_check.DEATHS:  # lmdb may end it
         assert ends[-1] < 0
         ends.append(subprocess.run(words, timeout=20.0, capture_output=True).returncode)
     assert not ends[-1]
     found = stored(tmp_path)
-    assert found == ({} if stocktake.forgot(str(tmp_path)) else rows)
+    assert found == ({} if storage_check.forgot(str(tmp_path)) else rows)
 
 
 def test_a_store_that_ends_the_process_is_set_aside(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     fill(tmp_path)
     (tmp_path / "opening").write_bytes(b"x")
-    stocktake.prepare(str(tmp_path))
-    assert not stocktake.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
-    (tmp_path / "opening").write_bytes(b"x" * stocktake.DEATHS)
-    stocktake.prepare(str(tmp_path))
-    assert stocktake.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
+    storage_check.prepare(str(tmp_path))
+    assert not storage_check.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
+    (tmp_path / "opening").write_bytes(b"x" * storage_check.DEATHS)
+    storage_check.prepare(str(tmp_path))
+    assert storage_check.forgot(str(tmp_path)) and not (tmp_path / "opening").exists()
     fill(tmp_path)  # of two that were set aside the newer is kept, and a large one is not
-    monkeypatch.setattr(stocktake, "BAD_MOST", 1)
+    monkeypatch.setattr(storage_check, "BAD_MOST", 1)
     rewrite(tmp_path, no_memory)
-    stocktake.prepare(str(tmp_path))
+    storage_check.prepare(str(tmp_path))
     assert os.listdir(tmp_path / "bad") == ["why"]
 
 
@@ -167,8 +173,8 @@
         txn.put(FORMAT_KEY, wrap("about", FORMAT_KEY, pack(9)), db=dbs["about"])
 
     rewrite(tmp_path, newer)
-    with pytest.raises(BadDeposit, match="format 9 is of a later build"):
-        stocktake.prepare(str(tmp_path))
+    with pytest.raises(BadStore, match="format 9 is of a later build"):
+        storage_check.prepare(str(tmp_path))
     rewrite(tmp_path, put_sealed)
 
     async def opened(problems: list[Exception]) -> bool:
@@ -179,21 +185,21 @@
                 raise problems.pop()
             return real(path, **how)
 
-        monkeypatch.setattr(stocktake, "open_env", open_)
-        monkeypatch.setattr(stocktake, "AGAIN_S", 0.001)
-        return await asyncio.wait_for(stocktake.ready(str(tmp_path), stopping), 10.0)
+        monkeypatch.setattr(storage_check, "open_env", open_)
+        monkeypatch.setattr(storage_check, "AGAIN_S", 0.001)
+        return await asyncio.wait_for(storage_check.ready(str(tmp_path), stopping), 10.0)
 
     assert asyncio.run(opened([OSError(5, "no"), lmdb.Error("Input/output error"), lmdb.DiskError("no")]))
-    assert not stocktake.forgot(str(tmp_path)) and stored(tmp_path) == rows
+    assert not storage_check.forgot(str(tmp_path)) and stored(tmp_path) == rows
 
 
 def test_a_later_builds_database_is_sealed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     rows = fill(tmp_path)
-    for module in (deposits, stocktake):
+    for module in (store_module, storage_check):
         monkeypatch.setattr(module, "NAMES", (*NAMES, "more"))
     for _ in range(2):
-        stocktake.prepare(str(tmp_path))
-        assert stored(tmp_path) == rows and not stocktake.forgot(str(tmp_path))
+        storage_check.prepare(str(tmp_path))
+        assert stored(tmp_path) == rows and not storage_check.forgot(str(tmp_path))
 
 
 def test_a_disk_that_refuses_all_writes_is_no_reason_to_wait(
@@ -209,19 +215,19 @@
 
     monkeypatch.setattr("builtins.open", refuse)
     before = (tmp_path / "data.mdb").read_bytes()
-    stocktake.prepare(str(tmp_path))
+    storage_check.prepare(str(tmp_path))
     assert stored(tmp_path) == rows and (tmp_path / "data.mdb").read_bytes() == before
 
 
 def test_one_that_has_forgotten_is_no_founder(tmp_path: Path) -> None:
     async def start() -> int:
-        found = await program.keeper(boot_of(tmp_path), asyncio.get_running_loop(), asyncio.Event())
+        found = await program.controller(boot_of(tmp_path), asyncio.get_running_loop(), asyncio.Event())
         assert found is not None
-        close(found._deposit)
-        return found._folio.voter.memory
+        close(found._store)
+        return found._configuration_shard.voter.memory
 
     first = asyncio.run(start())
-    assert first == parts.GENESIS
+    assert first == shard_state.GENESIS
     (tmp_path / "data.mdb").write_bytes(b"this is no store" * 1_000)
     second = asyncio.run(start())
     assert second != first and asyncio.run(start()) == second
@@ -239,27 +245,27 @@
 
     rewrite(tmp_path, old)
     loop: Any = Loop()
-    with pytest.raises(BadDeposit, match="not made ready"):
-        Deposit(str(tmp_path), loop)
-    stocktake.prepare(str(tmp_path))
-    stock = stocktake.look(str(tmp_path))
+    with pytest.raises(BadStore, match="not made ready"):
+        Store(str(tmp_path), loop)
+    storage_check.prepare(str(tmp_path))
+    stock = storage_check.look(str(tmp_path))
     assert stock is not None and (stock.format, stock.kept, stock.keys) == (2, KEPT, 50)
     assert stored(tmp_path) == rows
 
 
 def test_a_store_from_before_parts_is_carried_over_by_a_snapshot(tmp_path: Path) -> None:
     def early(txn: Any, dbs: Any) -> None:
-        value = parts.pack_value(OLD)[:7]
+        value = shard_state.pack_value(OLD)[:7]
         for key, record in ((b"kept", [5, [9, "x"], [8, "y"], value]), (b"founders", list(FOUNDERS))):
             txn.put(key, pack(record), db=dbs["about"])
         txn.put(b"k", pack(["t", 1, None]), db=dbs["slips"])
 
     rewrite(tmp_path, early)
-    with pytest.raises(BadDeposit, match="by a snapshot"):
-        stocktake.prepare(str(tmp_path))
-    taken = facsimile.take_from(str(tmp_path), str(tmp_path / "s"))
+    with pytest.raises(BadStore, match="by a snapshot"):
+        storage_check.prepare(str(tmp_path))
+    taken = snapshots.take_from(str(tmp_path), str(tmp_path / "s"))
     assert taken.states[0] == replace(OLD, body=replace(BODY, owner="", fence=0))
-    facsimile.put_into(str(tmp_path / "new"), str(tmp_path / "s"), FOUNDERS)
+    snapshots.put_into(str(tmp_path / "new"), str(tmp_path / "s"), FOUNDERS)
     assert stored(tmp_path / "new") == {b"k": pack(["t", 1, None])}
 
 
@@ -268,42 +274,42 @@
     rows, file = fill(tmp_path, 2_000), tmp_path / "data.mdb"
     gone = [key for n, key in enumerate(rows) if n % 10]
     loop: Any = Loop()
-    deposit = Deposit(str(tmp_path), loop)
-    deposit.write([("slips", key, None) for key in gone])
-    close(deposit)
+    store = Store(str(tmp_path), loop)
+    store.write([("slips", key, None) for key in gone])
+    close(store)
     left, size = {key: raw for key, raw in rows.items() if key not in gone}, file.stat().st_size
-    monkeypatch.setattr(stocktake, "COMPACT_BYTES", 4_096)
+    monkeypatch.setattr(storage_check, "COMPACT_BYTES", 4_096)
 
     def refuse(*words: Any, **more: Any) -> Any:
         raise OSError(28, "no space")
 
     if fails == "rename":
         monkeypatch.setattr("os.rename", refuse)
-        stocktake.prepare(str(tmp_path))
+        storage_check.prepare(str(tmp_path))
     elif fails == "sync":  # the name may not last: nothing may be written to it before it does
         monkeypatch.setattr("os.fsync", refuse)
         for _ in range(2):
-            with pytest.raises(BadDeposit, match="no space"):
-                stocktake.prepare(str(tmp_path))
+            with pytest.raises(BadStore, match="no space"):
+                storage_check.prepare(str(tmp_path))
     elif fails == "copy":
-        monkeypatch.setattr(stocktake, "put_sealed", refuse)
-        stocktake.prepare(str(tmp_path))
+        monkeypatch.setattr(storage_check, "put_sealed", refuse)
+        storage_check.prepare(str(tmp_path))
     else:
-        stocktake.prepare(str(tmp_path))
+        storage_check.prepare(str(tmp_path))
         assert file.stat().st_size < size / 2
     monkeypatch.undo()
-    stocktake.prepare(str(tmp_path))
+    storage_check.prepare(str(tmp_path))
     assert sorted(os.listdir(tmp_path)) == ["data.mdb", "lock"] and stored(tmp_path) == left
 
 
 def test_a_copy_is_made_only_where_both_fit() -> None:
-    def stock(used: int, size: int) -> stocktake.Stock:
-        return stocktake.Stock(2, {}, None, (), frozenset(), 0, used, size)
+    def stock(used: int, size: int) -> storage_check.Stock:
+        return storage_check.Stock(2, {}, None, (), frozenset(), 0, used, size)
 
-    assert stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 0)
-    assert not stocktake.worth_a_copy(stock(70_000_000, 167_000_000), 64_000_000)
-    assert not stocktake.worth_a_copy(stock(100_000_000, 167_000_000), 0)
-    assert not stocktake.worth_a_copy(stock(1_000, 10_000_000), 0)
+    assert storage_check.worth_a_copy(stock(70_000_000, 167_000_000), 0)
+    assert not storage_check.worth_a_copy(stock(70_000_000, 167_000_000), 64_000_000)
+    assert not storage_check.worth_a_copy(stock(100_000_000, 167_000_000), 0)
+    assert not storage_check.worth_a_copy(stock(1_000, 10_000_000), 0)
 
 
 # Snapshots
@@ -312,35 +318,35 @@
 def test_three_restored_keepers_agree_and_outrank_the_lost_group(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(facsimile, "BATCH", 70)
+    monkeypatch.setattr(snapshots, "BATCH", 70)
     rows, path = fill(tmp_path / "old"), str(tmp_path / "s")
-    taken = facsimile.take_from(str(tmp_path / "old"), path)
-    assert facsimile.read_snapshot(path) == taken and taken.states[0] == OLD and taken.states[2].version == 0
+    taken = snapshots.take_from(str(tmp_path / "old"), path)
+    assert snapshots.read_snapshot(path) == taken and taken.states[0] == OLD and taken.states[2].version == 0
     names = {name: tmp_path / name for name in FOUNDERS}
-    kept = {name: facsimile.put_into(str(folder), path, FOUNDERS)[1] for name, folder in names.items()}
+    kept = {name: snapshots.put_into(str(folder), path, FOUNDERS)[1] for name, folder in names.items()}
     for folder in names.values():
-        stocktake.prepare(str(folder))
-        assert stored(folder) == rows and not stocktake.forgot(str(folder))
-    one = kept[FOUNDERS[0]][parts.FOLIO]
+        storage_check.prepare(str(folder))
+        assert stored(folder) == rows and not storage_check.forgot(str(folder))
+    one = kept[FOUNDERS[0]][shard_state.CONFIGURATION]
     assert all(k == kept[FOUNDERS[0]] for k in kept.values()) and one.memory not in (1, 5, 6)
     assert one.value is not None and one.value.version > 12 and one.value.former == ()
-    body = parts.body(one.value)
+    body = shard_state.body(one.value)
     assert body.epoch > 3 and body.fence > 4 and (body.raw, body.taken) == (BODY.raw, BODY.taken)
     assert {n: k.value.version > 2**31 for n, k in kept[FOUNDERS[0]].items() if k.value} == dict.fromkeys(
-        parts.PARTS, True
+        shard_state.SHARDS, True
     )
     # Two of them know it decided, with nothing written, and grant keys; a lone one does not.
     voters = {name: Acceptor(name, kept[name][0]) for name in FOUNDERS}
-    seen = [parts.Seen(v.voter, v.kept.accepted, v.kept.value) for v in voters.values()]
-    known = parts.stands(seen[:2], None, (0, ""), None)
-    assert known == one.value and parts.stands(seen[:1], None, (0, ""), None) is None
-    assert Standing(True).grants(parts.body(known).epoch, voters[FOUNDERS[0]].voter, known, one.value)
+    seen = [shard_state.Seen(v.voter, v.kept.accepted, v.kept.value) for v in voters.values()]
+    known = shard_state.stands(seen[:2], None, (0, ""), None)
+    assert known == one.value and shard_state.stands(seen[:1], None, (0, ""), None) is None
+    assert Standing(True).grants(shard_state.body(known).epoch, voters[FOUNDERS[0]].voter, known, one.value)
     # A survivor of the lost group has no voice, and its ballots and versions are behind.
-    survivor = parts.Seen(Voter("10.0.0.2", 6), (8, "y"), OLD)
-    assert parts.stands([seen[0], survivor], None, (0, ""), None) is None
+    survivor = shard_state.Seen(Voter("10.0.0.2", 6), (8, "y"), OLD)
+    assert shard_state.stands([seen[0], survivor], None, (0, ""), None) is None
     # A change builds on it, whoever of them asks, with no more known than the first state.
-    proposer = Proposer("10.0.0.3 life", parts.genesis(FOUNDERS), random.Random(1))
-    change = parts.Put(b"new", 8, b"e", 7)
+    proposer = Proposer("10.0.0.3 life", shard_state.genesis(FOUNDERS), random.Random(1))
+    change = shard_state.Put(b"new", 8, b"e", 7)
     todo: list[Any] = list(proposer.ask("a", change, 0.0, 1e6))
     now, done = 0.0, None
     while done is None:
@@ -355,15 +361,15 @@
             for answer in answers:
                 if isinstance(answer, Send) and isinstance(answer.message, Promise | Accepted):
                     todo += proposer.handle(answer.message, now)
-    assert parts.body(done).raw == b"new" and done.voters == one.value.voters
+    assert shard_state.body(done).raw == b"new" and done.voters == one.value.voters
 
 
 def test_a_file_or_another_list_makes_other_voters(tmp_path: Path) -> None:
     fill(tmp_path / "old")
-    digests = [facsimile.take_from(str(tmp_path / "old"), str(tmp_path / "s")).digest for _ in range(2)]
-    memories = {facsimile.memory_of(d, names) for d in digests for names in (FOUNDERS, FOUNDERS[:2])}
+    digests = [snapshots.take_from(str(tmp_path / "old"), str(tmp_path / "s")).digest for _ in range(2)]
+    memories = {snapshots.memory_of(d, names) for d in digests for names in (FOUNDERS, FOUNDERS[:2])}
     assert len(memories) == 4
-    assert facsimile.memory_of(digests[0], FOUNDERS) == facsimile.memory_of(digests[0], FOUNDERS[::-1])
+    assert snapshots.memory_of(digests[0], FOUNDERS) == snapshots.memory_of(digests[0], FOUNDERS[::-1])
 
 
 BOOT = """own_node = {{ node_name = "n", ip = "10.0.0.1", zone = "z", data_dir = "{folder}" }}
@@ -379,7 +385,7 @@
     monkeypatch.setenv("ORCHIDFERRY_BOOT", str(boot))
 
     def run(*words: str) -> tuple[int, str, str]:
-        status = program.main(["archive", *words])
+        status = program.main(["controller", *words])
         return (status, *capsys.readouterr())
 
     assert run("--check")[0] == 0 and not folder.exists()
@@ -391,7 +397,7 @@
     assert "part 2: memory 5, caught up, accepted nothing yet" in out
     assert (folder / "data.mdb").read_bytes() == before
     loop: Any = Loop()
-    running = Deposit(str(folder), loop)
+    running = Store(str(folder), loop)
     assert run("--check")[0] == 1 and run("snapshot", "take", path)[0] == 1
     close(running)
     assert run("snapshot", "take", path)[0] == 0
@@ -409,7 +415,7 @@
     for spoilt in (raw[:-40], raw + b"x", raw[:200] + b"\0" + raw[201:]):
         Path(path).write_bytes(spoilt)
         with pytest.raises(BadSnapshot):
-            facsimile.put_into(str(tmp_path / "new"), path, FOUNDERS)
+            snapshots.put_into(str(tmp_path / "new"), path, FOUNDERS)
         assert not (tmp_path / "new").exists()
     Path(path).write_bytes(raw)
     for name in os.listdir(folder):
