--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -37,6 +37,7 @@
 TICK_S = 0.05
 DIAL_S = 0.15
 PUT_S = 4.0
+GROW_S = 5.0  # after the first start the first configuration waits so long for the group to grow
 CONTROLLERS_MOST = 64
 RETRY_AFTER_S = 0.2
 STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
@@ -71,6 +72,7 @@
         )
         self._server: asyncio.Server | None = None
         self._stopping = False
+        self._size_told = False
 
     # Its memory
 
@@ -93,6 +95,7 @@
             self._shards[number] = Shard(
                 number, self._name, shard_state.genesis(names), kept, caught, self._known_peers,
                 settings.bounds.key_window_s, self._rng, MOST // len(shard_state.KEY_SHARDS),
+                settings.group_size,
             )  # fmt: skip
         if puts:
             self._store.write(puts)
@@ -215,6 +218,7 @@
                 self._dial_s[name] = now + DIAL_S
                 self._spawn(self._dial(name))
         self._publisher.tick()
+        self._warn_if_small()
         self._mind_fitness()
         for shard in self._shards.values():
             self._turn(shard)
@@ -381,6 +385,24 @@
 
     # The operator's calls
 
+    def _growing(self) -> bool:
+        """Whether the first configuration has to wait until every group has its size."""
+        if self._configuration_shard.body.revision or self._loop.time() - self._began_s > GROW_S:
+            return False
+        return any(len(shard.known.voters) < shard.size for shard in self._shards.values())
+
+    def _warn_if_small(self) -> None:
+        """Say so once where fewer controllers run than the tolerance asks for."""
+        shard, now = self._configuration_shard, self._loop.time()
+        if self._size_told or now - self._began_s < GROW_S:
+            return
+        self._size_told = True
+        if shard.voter in shard.known.voters and len(shard.known.voters) < shard.size:
+            logger.warning(
+                "controller: the group has {} replicas, term_settings.tolerance.machines = {} needs {}",
+                len(shard.known.voters), self._settings.machines, shard.size,
+            )  # fmt: skip
+
     def _configuration(self, call: Call, rest: str, answer: Callable[[Any], None]) -> None:
         """The one resource here."""
         if rest:
@@ -416,6 +438,8 @@
             body = json.dumps({"revision_number": found.revision}).encode()
             answer(Reply(200, body, JSON))
 
+        if self._growing():
+            return answer(told(Refusal(Kind.STARTING, "the group of controllers is growing"), RETRY_AFTER_S))
         change = shard_state.Put(call.body, found.revision, mark, int(on))
         configuration, id = self._configuration_shard, self._wait_for(done)
         self._do(configuration, configuration.ask(id, change, PUT_S, self._loop.time()))
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -116,10 +116,11 @@
 
     def __init__(
         self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
-        rng: random.Random,
+        rng: random.Random, size: int,
     ) -> None:  # fmt: skip
-        """`first`: the state that all founders begin with."""
+        """`first`: the state that all founders begin with; `size`: voters that the group should have."""
         self.number, self.name, self.peers, self.rng = number, name, peers, rng
+        self.size = size
         self.standing = Standing(caught_up)
         self.acceptor = Acceptor(name, kept, self._object_to)
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
@@ -467,11 +468,12 @@
         names = [v.name for v in self.known.voters]
         dead = [n for n in names if n != self.name and self.peers.dead(n, self.now)]
         instead = joiner.name if joiner.name in names else dead[0] if dead else ""
-        if not instead:
+        if not instead and len(names) >= self.size:
             return
-        self._out.append(Note(f"{joiner.name} asks for a place, instead of {instead}"))
-        intent = None if instead == joiner.name else ["replace", instead]
-        change = shard_state.Admit(joiner, instead, len(names))
+        whose = f", instead of {instead}" if instead else ""
+        self._out.append(Note(f"{joiner.name} asks for a place{whose}"))
+        intent = ["replace", instead] if instead and instead != joiner.name else None
+        change = shard_state.Admit(joiner, instead, max(self.size, len(names)))
         self._ask(f"admit {joiner.name} {joiner.memory}", change, ADMIT_S, "admit", [], intent)
 
     def _settle(self) -> None:
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -29,10 +29,12 @@
 
     def __init__(
         self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
-        window_s: float, rng: random.Random, most: int,
+        window_s: float, rng: random.Random, most: int, size: int,
     ) -> None:  # fmt: skip
-        """`first`: the state that all founders begin with; `most`: keys that it may hold."""
-        super().__init__(number, name, first, kept, caught_up, peers, rng)
+        """`first`: the state that all founders begin with; `most`: keys that it may hold; `size`: voters that
+        the group should have.
+        """
+        super().__init__(number, name, first, kept, caught_up, peers, rng, size)
         self.operation_keys = OperationKeys(window_s, most)
         self.unwritten: dict[str, KeyRecord] = {}  # records that are not surely on disk
         self.missed = Hints()
--- a/mesh/control/subscriber.py
+++ b/mesh/control/subscriber.py
@@ -65,7 +65,7 @@
         dial: Callable[[str, str], None], changed: Callable[[], None], told: Callable[[int, Link], None],
         heads: int = HEADS,
     ) -> None:  # fmt: skip
-        self._name, self._settings, self._zone = name, boot, zone
+        self._name, self._boot_id, self._zone = name, boot, zone
         self._loop, self._rng, self._dial = loop, rng, dial
         self._changed, self._told, self._heads = changed, told, heads
         self.streams: dict[str, Stream] = {}  # by controller
@@ -192,7 +192,7 @@
 
     def _review(self, now: float) -> None:
         self._back_off = {n: entry for n, entry in self._back_off.items() if n in self._members}
-        chain = parents(self._members.values(), self._name, self._settings, self._zone, self._heads)
+        chain = parents(self._members.values(), self._name, self._boot_id, self._zone, self._heads)
         if not chain and self.parent is not None:
             self._leave()
         for record in chain:
@@ -212,7 +212,7 @@
             self._fail(trying, "can't be reached")
         else:
             trying.link, trying.until_s, link.peer = link, self._loop.time() + ANSWER_S, name
-            link.send("follow", self._name, self._settings, self._zone, self._places())
+            link.send("follow", self._name, self._boot_id, self._zone, self._places())
 
     def _places(self) -> list[Any]:
         return [[stream.controller, stream.life, stream.number] for stream in self.streams.values()]
@@ -303,7 +303,7 @@
     def _take_in(self, link: Link, name: str, boot: int, zone: str, places: list[Any]) -> None:
         """Those that come after this node in its row may follow: so no two can follow each other."""
         self._near[link] = zone == self._zone
-        after = rank(self._name, self._settings) < rank(name, boot)
+        after = rank(self._name, self._boot_id) < rank(name, boot)
         if not after or not self._controllers or not self._followers.follow(link, places[:PLACES_MOST]):
             return self._send("tree", link, "full")
         del self._strangers[link]
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -55,9 +55,14 @@
     data_dir: str | None = None
     application: Address | None = None
     service: str = ""
-    machines: int = 1  # losses to be borne at once
+    machines: int = 1  # counted machines whose loss at once must be tolerated
     bind_ip: str = ""  # where it listens and dials from, if others know it by another address; empty: `ip`
 
+    @property
+    def group_size(self) -> int:
+        """How many replicas a shard needs to tolerate the configured losses: 2f + 1."""
+        return 2 * self.machines + 1
+
     @property
     def local_ip(self) -> str:
         """The address that its sockets have."""
--- a/rehearsal/explore/__init__.py
+++ b/rehearsal/explore/__init__.py
@@ -12,9 +12,9 @@
 def arguments(parser: Any) -> None:
     """Give the command's parser its options."""
     parser.add_argument(
-        "--of", choices=("node", "fleet", "slots", "mesh-shards", "mesh-keys"), default="node",
+        "--of", choices=("node", "fleet", "slots", "mesh-shards", "mesh-keys", "worst-days"), default="node",
         help="a node among its peers, the membership of a few nodes, slots among three voters, or keepers of "
-        "the mesh: configurations and duties, or operation keys (node)",
+        "the mesh: configurations and duties, operation keys, or the worst days of both (node)",
     )  # fmt: skip
     parser.add_argument("--nodes", type=int, default=3, metavar="N", help="of a fleet (3)")
     parser.add_argument("--askers", type=int, default=2, metavar="N", help="that want a slot (2)")
--- a/rehearsal/explore/command.py
+++ b/rehearsal/explore/command.py
@@ -26,7 +26,7 @@
 
 def main(args: argparse.Namespace) -> int:
     """Run the command; its exit status."""
-    if args.of.startswith("mesh-"):
+    if args.of.startswith("mesh-") or args.of == "worst-days":
         return _mesh(args)
     if args.of != "node":
         return _pure(args)
@@ -124,10 +124,11 @@
 
 def _mesh(args: argparse.Namespace) -> int:
     """Every interleaving of the controllers of one shard, scene by scene."""
-    from rehearsal.explore import mesh
+    from rehearsal.explore import mesh, worst_days
 
-    scenes = {name: scene for name, scene in mesh.SCENES.items() if scene.of == args.of}
-    breaks = {name: one for name, one in mesh.BREAKS.items() if one.scene in scenes}
+    source: Any = worst_days if args.of == "worst-days" else mesh
+    scenes = {name: scene for name, scene in source.SCENES.items() if scene.of == args.of}
+    breaks = {name: one for name, one in source.BREAKS.items() if one.scene in scenes}
     if args.list_scenes or args.list_breaks:
         for name, one in (scenes if args.list_scenes else breaks).items():
             print(f"{name:26} {one.about}")
@@ -157,7 +158,7 @@
                 progress.update(task, description=told)
 
             left_s = args.seconds - total.seconds
-            found = mesh.search(name, args.faults, kinds, args.break_, left_s, watch, args.workers)
+            found = source.search(name, args.faults, kinds, args.break_, left_s, watch, args.workers)
             console.print(
                 f"{name:12} {found.states} states, {found.runs} runs, {found.wished} of them as wished, "
                 f"in {found.seconds:.1f} s{'' if found.exhausted or found.story else ', not exhausted'}"
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -41,9 +41,12 @@
 class Controller:
     """A process with its disk, which writes when it is told to (`disk_turn`)."""
 
-    def __init__(self, name: str, world: Around, founder: bool, number: int, rng: random.Random) -> None:
-        """`number`: of the shard."""
-        self.name, self.world, self.number, self.rng = name, world, number, rng
+    def __init__(
+        self, name: str, world: Around, founder: bool, number: int, rng: random.Random,
+        seeds: tuple[str, ...] = SEEDS,
+    ) -> None:  # fmt: skip
+        """`number`: of the shard; `seeds`: the founders, as many as the group should have."""
+        self.name, self.world, self.number, self.rng, self.seeds = name, world, number, rng, seeds
         self.disk: dict[tuple[str, bytes], bytes] = {}
         self.put(
             remembered(number, Kept(shard_state.GENESIS if founder else rng.randrange(2, 2**50)), founder)
@@ -64,8 +67,11 @@
         self.peers, self.beats, self.count = Peers(self.world.now), dict[int, float](), 0
         kept = shard_state.unpack_kept(unpack(self.disk["about", f"kept/{self.number}".encode()]))
         caught = ("about", f"caught/{self.number}".encode()) in self.disk
-        first = shard_state.genesis(SEEDS)
-        self.shard = Shard(self.number, self.name, first, kept, caught, self.peers, WINDOW_S, self.rng, 1_000)
+        first = shard_state.genesis(self.seeds)
+        self.shard = Shard(
+            self.number, self.name, first, kept, caught, self.peers, WINDOW_S, self.rng, 1_000,
+            len(self.seeds),
+        )  # fmt: skip
         for (name, key), value in self.disk.items():
             if name == "slips":
                 self.shard.load(key.decode(), unpack(value))
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -34,7 +34,7 @@
 from nickelbridge import register
 from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
 from rehearsal.explore import pure
-from rehearsal.explore.controller import SEEDS, Controller
+from rehearsal.explore.controller import Controller
 from rehearsal.explore.fleet import Middle
 from rehearsal.explore.pure import Found
 
@@ -77,6 +77,12 @@
     spare: bool = False  # there is a fourth controller, in no group
     beyond: bool = False  # disks are lost whenever, not only while all others remember
     kinds: tuple[str, ...] = tuple(k for k in KINDS if k not in ("unfit", "beat"))
+    replicas: int = 3  # of the group at its start, named from a on; a spare one comes after them
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """The founders' names."""
+        return tuple("abcdefghi"[: self.replicas])
 
 
 SCENES = {
@@ -205,7 +211,7 @@
 
     def __init__(self, name: str, world: World) -> None:
         self.name, self.world = name, world
-        self.claims = OperationKeyClient(SEEDS, self.send)
+        self.claims = OperationKeyClient(world.scene.seeds, self.send)
 
     def send(self, to: str, *message: Any) -> None:
         what, rest = message[0], message[1:]
@@ -273,13 +279,15 @@
         self.askers = [Asker("pq"[n], at, then, 2 - n) for n, (at, then) in enumerate(scene.puts)]
         self.tries = [Try(self, f"t{n + 1}", *one) for n, one in enumerate(scene.tries)]
         self.nodes = {node: Node(node, self) for node in dict.fromkeys(one[0] for one in scene.tries)}
-        names = (*SEEDS, "d") if scene.spare else SEEDS
+        seeds = scene.seeds
+        names = (*seeds, "abcdefghij"[len(seeds)]) if scene.spare else seeds
         self.number = shard_state.shard_of(KEY) if self.nodes else scene.shard
         self.controllers: dict[str, Controller] = {}
         for n, name in enumerate(names):
-            self.controllers[name] = Controller(name, self, name in SEEDS, self.number, Dice(n * 1_000))
+            founder = name in seeds
+            self.controllers[name] = Controller(name, self, founder, self.number, Dice(n * 1_000), seeds)
         self.began_s = math.inf  # of the scene
-        self.learns |= {name: set() for name in names if name not in SEEDS}
+        self.learns |= {name: set() for name in names if name not in seeds}
         while not (self.quiet and any(k.shard.owns(self.now) for k in self.controllers.values())):
             self.do(self.actions()[0])
         self.faults, self.began_s = faults, self.now
@@ -385,7 +393,7 @@
 
     @property
     def _newest(self) -> Value:
-        return self.versions[max(self.versions)] if self.versions else shard_state.genesis(SEEDS)
+        return self.versions[max(self.versions)] if self.versions else shard_state.genesis(self.scene.seeds)
 
     # What comes
 
@@ -693,7 +701,7 @@
 
     def _learned(self, name: str) -> bool:
         """Whether one that has forgotten was told all by so many that no majority is missed."""
-        return len(self.learns[name]) >= len(SEEDS) - len(SEEDS) // 2
+        return len(self.learns[name]) >= self.scene.replicas - self.scene.replicas // 2
 
     def print(self) -> bytes:
         """All that it holds but its story; times stand in it."""
--- /dev/null
+++ b/rehearsal/explore/worst_days/__init__.py
@@ -0,0 +1,45 @@
+"""Scenes of the days that break control planes, walked on the shipping code: `explore --of worst-days`.
+
+Each module here has the scenes of one concern, with the worlds that play them and the deliberate breaks that
+they catch: `SCENES` and `BREAKS`. This package joins them and offers what `rehearsal.explore.mesh` does.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+from rehearsal.explore import pure
+from rehearsal.explore.mesh import KINDS, Break, World
+from rehearsal.explore.pure import Found
+from rehearsal.explore.worst_days import hundreds, isolated, one_number, second_loss
+from rehearsal.explore.worst_days.play import Play
+
+MODULES = (isolated, one_number, second_loss, hundreds)
+PLAYS: dict[str, Play] = {name: play for module in MODULES for name, play in module.SCENES.items()}
+SCENES = {name: play.scene for name, play in PLAYS.items()}
+BREAKS: dict[str, Break] = {name: one for module in MODULES for name, one in module.BREAKS.items()}
+
+
+def begin(scene: str, faults: int = 2, kinds: tuple[str, ...] = KINDS) -> World:
+    """A scene, as soon as somebody does the duties of the shard."""
+    play = PLAYS[scene]
+    return play.world(play.scene, faults, tuple(kind for kind in kinds if kind in play.scene.kinds))
+
+
+def search(
+    scene: str, faults: int = 2, kinds: tuple[str, ...] = KINDS, break_: str = "", limit_s: float = 600.0,
+    watch: Callable[[Found], None] = lambda _: None, workers: int = 0,
+) -> Found:  # fmt: skip
+    """Walk all of a scene."""
+    return pure.search(lambda: begin(scene, faults, kinds), broken, break_, limit_s, watch, workers)
+
+
+@contextlib.contextmanager
+def broken(name: str) -> Iterator[None]:
+    """With one of `BREAKS` in force."""
+    with contextlib.ExitStack() as stack:
+        for where, attribute, value in BREAKS[name].patches if name else ():
+            stack.enter_context(mock.patch.object(where, attribute, value))
+        yield
--- /dev/null
+++ b/rehearsal/explore/worst_days/play.py
@@ -0,0 +1,15 @@
+"""What a scene of the worst days is made of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rehearsal.explore.mesh import Scene, World
+
+
+@dataclass(frozen=True)
+class Play:
+    """A scene, and the world that plays it."""
+
+    scene: Scene
+    world: type[World] = World
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -266,7 +266,9 @@
     """What the last one was acknowledged came before the change; a change of voters ends that, too."""
     a, b, c, d = (Voter(name, shard_state.GENESIS) for name in "abcd")
     first = shard_state.genesis(SEEDS)
-    shard = Shard(1, "a", first, Kept(shard_state.GENESIS), True, Peers(0.0), WINDOW_S, random.Random(1), 10)
+    shard = Shard(
+        1, "a", first, Kept(shard_state.GENESIS), True, Peers(0.0), WINDOW_S, random.Random(1), 10, 3
+    )
 
     def know(value: Value, now: float) -> None:
         shard.heard("b", ["know", shard_state.pack_value(value)], now)
