--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 from typing import Any
@@ -17,29 +16,25 @@
 from loguru import logger
 
 from mesh.control import shard_state
-from mesh.control.configuration import check, digest
-from mesh.control.control_api import JSON, Call, ControlDoor, told
+from mesh.control.configuration_resource import ConfigurationResource
+from mesh.control.control_api import ControlDoor
 from mesh.control.operation_keys import MOST
 from mesh.control.publisher import Publisher
 from mesh.control.replica import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from mesh.control.retry_budget import RetryBudgets
 from mesh.control.shard import Shard, remembered
-from mesh.errors import Kind, Refusal
 from mesh.settings import Settings
 from mesh.storage.store import Put, Store, pack
 from mesh.storage.store import unpack as unpack_stored
 from mesh.wire.framing import Link, dial
 from nickelbridge.register import Kept, Value
-from orchidferry.frontend import Reply
 
 BEAT_S = 0.4  # how often a controller tells the others that it lives
 BEATS_MOST = 16  # that may be acknowledged yet
 TICK_S = 0.05
 DIAL_S = 0.15
-PUT_S = 4.0
 GROW_S = 5.0  # after the first start the first configuration waits so long for the group to grow
 CONTROLLERS_MOST = 64
-RETRY_AFTER_S = 0.2
 STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
 
 
@@ -68,7 +63,8 @@
         self._number = 0
         self._beats: dict[int, float] = {}  # when each was sent
         self._door = ControlDoor(
-            {"/orchidferry/configuration": self._configuration}, max(64, settings.descriptors // 4)
+            {"/orchidferry/configuration": ConfigurationResource(self._ask, self._read, self._growing)},
+            max(64, settings.descriptors // 4),
         )
         self._server: asyncio.Server | None = None
         self._stopping = False
@@ -283,6 +279,12 @@
         self._waiting[id] = told
         return id
 
+    def _ask(self, change: shard_state.Change, for_s: float, told: Callable[[Ended], None]) -> None:
+        """Have the configuration's shard changed."""
+        id = self._wait_for(told)
+        shard = self._configuration_shard
+        self._do(shard, shard.ask(id, change, for_s, self._loop.time()))
+
     def _read(self, told: Callable[[Value | None], None]) -> None:
         """The newest configuration for sure."""
         id = self._wait_for(lambda end: told(end.value))
@@ -383,7 +385,7 @@
                 link, rid, shard_state.body(value).revision, shard_state.body(value).raw
             )
 
-    # The operator's calls
+    # The size of the groups
 
     def _growing(self) -> bool:
         """Whether the first configuration has to wait until every group has its size."""
@@ -402,44 +404,3 @@
                 "controller: the group has {} replicas, term_settings.tolerance.machines = {} needs {}",
                 len(shard.known.voters), self._settings.machines, shard.size,
             )  # fmt: skip
-
-    def _configuration(self, call: Call, rest: str, answer: Callable[[Any], None]) -> None:
-        """The one resource here."""
-        if rest:
-            return answer(told(Refusal(Kind.UNKNOWN, rest[:80])))
-        if call.method == b"GET":
-
-            def got(value: Value | None) -> None:
-                if value is None:
-                    answer(told(Refusal(Kind.NO_MAJORITY), RETRY_AFTER_S))
-                elif not shard_state.body(value).revision:
-                    answer(told(Refusal(Kind.UNKNOWN, "there is no configuration yet")))
-                else:
-                    answer(Reply(200, shard_state.body(value).raw, JSON))
-
-            return self._read(got)
-        if call.method != b"PUT":
-            return answer(told(Refusal(Kind.UNREADABLE, "PUT or GET")))
-        on = call.headers.get(b"if-match", b"").strip(b' "')
-        if not on.isdigit():
-            return answer(told(Refusal(Kind.UNREADABLE, "If-Match: a version is needed")))
-        found = check(call.body)
-        if isinstance(found, Refusal):
-            logger.info("configuration: refused, {}", found.line)
-            return answer(told(found))
-        mark = digest(call.body)
-
-        def done(end: Ended) -> None:
-            if end.value is None:
-                return answer(told(Refusal(Kind.LATE, "no majority of controllers answered"), RETRY_AFTER_S))
-            if end.why:
-                kind = Kind.OLD_VERSION if end.why == shard_state.OLD_VERSION else Kind.OTHER_VERSION
-                return answer(told(Refusal(kind, f"{shard_state.body(end.value).revision} is current")))
-            body = json.dumps({"revision_number": found.revision}).encode()
-            answer(Reply(200, body, JSON))
-
-        if self._growing():
-            return answer(told(Refusal(Kind.STARTING, "the group of controllers is growing"), RETRY_AFTER_S))
-        change = shard_state.Put(call.body, found.revision, mark, int(on))
-        configuration, id = self._configuration_shard, self._wait_for(done)
-        self._do(configuration, configuration.ask(id, change, PUT_S, self._loop.time()))
