Keep, send and store a configuration's text compressed

Need: a configuration of 350 routes is 84 KB of JSON and travelled whole in every promise, accept and `know`, down the tree of relays and onto each disk. On links of 3.5 Mbit/s (a model of one uplink a machine) no order of 100 at ten a second was decided by 3, 5 or 11 replicas: a round ended first.

Change: `Body.raw` holds the zlib form from the moment it is taken until a node or a GET expands it, bounded by the size of a control body; the digest stays that of the operator's bytes. What an earlier build stored is told by its first byte. A node expands before it notes the revision, so that a damaged text is fetched again.

tests/mesh/test_storage_check.py: the number of the newest format was written out, now it is FORMAT.

--- a/mesh/control/configuration_resource.py
+++ b/mesh/control/configuration_resource.py
@@ -12,6 +12,7 @@
 
 from mesh.control import shard_state
 from mesh.control.configuration import check, digest
+from mesh.control.configuration_text import compress, expand
 from mesh.control.control_api import JSON, Call, told
 from mesh.control.replica import Ended
 from mesh.errors import Kind, Refusal
@@ -52,7 +53,7 @@
             elif not shard_state.body(value).revision:
                 answer(told(Refusal(Kind.UNKNOWN, "there is no configuration yet")))
             else:
-                answer(Reply(200, shard_state.body(value).raw, JSON))
+                answer(Reply(200, expand(shard_state.body(value).raw), JSON))
 
         self._read(got)
 
@@ -67,7 +68,7 @@
         if self._growing():
             return answer(told(Refusal(Kind.STARTING, "the group of controllers is growing"), RETRY_AFTER_S))
         revision = found.revision
-        change = shard_state.Put(call.body, revision, digest(call.body), int(on))
+        change = shard_state.Put(compress(call.body), revision, digest(call.body), int(on))
         self._ask(change, PUT_S, lambda end: answer(_outcome(end, revision)))
 
 
--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -14,6 +14,7 @@
 
 from loguru import logger
 
+from mesh.control.configuration_text import expand
 from mesh.control.endpoints import Record, everyone
 from mesh.control.operation_key_client import OperationKeyClient
 from mesh.control.subscriber import Subscriber
@@ -311,10 +312,11 @@
             return
         self.settled = self.settled or asked[2]
         if revision > self.revision:
+            text = expand(raw)  # before anything is noted: what can't be read is fetched again
             self.revision = revision
             if raw:
                 self._subscriber.text(revision, raw)
-                self._on_configuration(revision, raw)
+                self._on_configuration(revision, text)
 
     # Operation keys
 
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -66,7 +66,7 @@
 
     epoch: int = 0
     revision: int = 0
-    raw: bytes = b""
+    raw: bytes = b""  # the text, as `configuration_text` keeps it
     taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
     owner: str = ""  # the controller that does the duties of the shard
     fence: int = 0  # of that owner; rises with each, and with each change of voters
--- a/mesh/storage/snapshot.py
+++ b/mesh/storage/snapshot.py
@@ -32,7 +32,8 @@
 from mesh.storage.store import NAMES, InUse, Put, open_env, pack, put_sealed, take_lock, unwrap, wrap
 from nickelbridge.register import Ballot, Kept, Value, Voter
 
-MAGIC, FORMAT = "orchidferry snapshot", 1
+MAGIC = "orchidferry snapshot"
+FORMAT, FORMATS = 2, (1, 2)  # written; read: in the first the configuration's text was never compressed
 # Added to versions; to epochs and fences: a group that changes some times a minute never gets so far.
 AHEAD_VERSION, AHEAD = 2**32, 2**20
 COUNTER = 1  # of the ballot in which the state was accepted; its name is nobody else's
@@ -181,7 +182,7 @@
 def _head(path: str, reader: _Reader) -> tuple[int, dict[int, Value]]:
     match reader.item():
         case [str(magic), int(format_), bytes(), int(keys)] if magic == MAGIC and keys >= 0:
-            if format_ != FORMAT:
+            if format_ not in FORMATS:
                 raise BadSnapshot(f"{path}: format {format_} is not known here")
         case _:
             raise BadSnapshot(f"{path}: it is no snapshot")
--- a/mesh/storage/storage_check.py
+++ b/mesh/storage/storage_check.py
@@ -248,7 +248,7 @@
         if stock.early is not None:
             raise BadStore("it is of a build before parts: carry the group over by a snapshot")
         if stock.format < FORMAT:
-            _bring_up(env, dbs)
+            _bring_up(env, dbs, stock.format)
             logger.info("store: the store was of format {}, it is of {} now", stock.format, FORMAT)
         small = worth_a_copy(stock, _bad_bytes(file)) and _copy(env, part, stock)
     finally:
@@ -274,10 +274,10 @@
         os.truncate(file, whole)
 
 
-def _bring_up(env: lmdb.Environment, dbs: Databases) -> None:
-    """Give the records of the first format their checksums, in one transaction."""
+def _bring_up(env: lmdb.Environment, dbs: Databases, format_: int) -> None:
+    """Give the records of the first format their checksums, and the store its number, in one transaction."""
     with env.begin(write=True) as txn:
-        for name, db in dbs.items():
+        for name, db in dbs.items() if format_ == 1 else ():
             for key, raw in [(bytes(k), bytes(v)) for k, v in txn.cursor(db=db)]:
                 txn.put(key, wrap(name, key, raw), db=db)
         put_sealed(txn, dbs)
--- a/mesh/storage/store.py
+++ b/mesh/storage/store.py
@@ -29,7 +29,9 @@
 
 NAMES = ("about", "slips")
 MAP_BYTES = 160 * 1024 * 1024
-FORMAT = 2  # of a store; the first had neither checksums nor seal, and didn't say its number
+# Of a store. The first had neither checksums nor seal, and didn't say its number; in the second the text of
+# the configuration was never compressed, and a build that knows no third would hand it out as it lies there.
+FORMAT = 3
 FORMAT_KEY, SEAL_KEY = b"format", b"seal"  # records of `about`
 SUM_BYTES = 4
 LOCK = "lock"  # a file of the folder
--- a/tests/mesh/test_storage_check.py
+++ b/tests/mesh/test_storage_check.py
@@ -23,7 +23,7 @@
 from mesh.storage import storage_check
 from mesh.storage import store as store_module
 from mesh.storage.snapshot import BadSnapshot
-from mesh.storage.store import FORMAT_KEY, NAMES, Store, open_env, pack, put_sealed, wrap
+from mesh.storage.store import FORMAT, FORMAT_KEY, NAMES, Store, open_env, pack, put_sealed, wrap
 from nickelbridge.register import (
     Accept,
     Accepted,
@@ -249,7 +249,7 @@
         Store(str(tmp_path), loop)
     storage_check.prepare(str(tmp_path))
     stock = storage_check.look(str(tmp_path))
-    assert stock is not None and (stock.format, stock.kept, stock.keys) == (2, KEPT, 50)
+    assert stock is not None and (stock.format, stock.kept, stock.keys) == (FORMAT, KEPT, 50)
     assert stored(tmp_path) == rows
 
 
