Newcomers learn before they have a place; who leaves stays until its place is taken

- A controller without a place copies the keys ahead, and asks for the place of a dead or a leaving voter once it holds what it can be told; under the new epoch it asks only for what changed since.
Own older memories are replaced at once, as before.
- Key records have a change log; pages are bounded by bytes, the next goes out once the last is on disk, and from the second source on answers are left out and asked for where they lack.
Hints go page by page as they are acknowledged, not one each 0.4 s.
- What is told counts in one epoch only.
Before, a source heard before a learner was put out still counted once it was back.
- A place is asked for on top of the last epoch that the newcomer knows (`Admit.epoch`), so that none comes back without noticing that it was put out.
One voter proposes at first, the others after 0.5 s each.
- SIGTERM: the beat says so, the controller stays a voter until another has its place and its keys, or nobody is there to take it, up to `grace_s` less 1 s.

--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -36,6 +36,8 @@
 GROW_S = 5.0  # after the first start the first configuration waits so long for the group to grow
 CONTROLLERS_MOST = 64
 STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
+LEAVE_MARGIN_S = 1.0  # before the platform kills a controller that still waits for its successor
+LEAVE_LOOK_S = 0.1
 
 
 class Controller:
@@ -134,13 +136,21 @@
         await self._turn_until(stopping, float("inf"))
         logger.info("controller: stopping")
         self._door.close_listener()
-        self._stopping = True
+        self._stopping = self._known_peers.stopping = True
         self._mind_fitness()
-        await self._turn_until(asyncio.Event(), self._loop.time() + STOP_S)
+        await self._leave()
         self._server.close()
         self._store.close()
         logger.info("controller: stopped")
 
+    async def _leave(self) -> None:
+        """Serve on until another has this one's places and all that it holds, or nobody can take them."""
+        began_s = self._loop.time()
+        until_s = began_s + max(STOP_S, self._settings.bounds.grace_s - LEAVE_MARGIN_S)
+        await self._turn_until(asyncio.Event(), began_s + STOP_S)
+        while (now := self._loop.time()) < until_s and any(s.must_stay(now) for s in self._shards.values()):
+            await self._turn_until(asyncio.Event(), min(until_s, now + LEAVE_LOOK_S))
+
     async def _turn_until(self, stopping: asyncio.Event, until_s: float) -> None:
         """The loop that works out the difference between what is and what should be."""
         beats = 0.0
@@ -182,12 +192,15 @@
         if len(self._beats) > BEATS_MOST:
             del self._beats[next(iter(self._beats))]
         versions = [self._shards[n].known.version for n in shard_state.SHARDS]
-        for link in list(self._peers.values()):
+        learning = [n for n in shard_state.SHARDS if not self._shards[n].learned(now)]
+        # One without a place is known by its call alone: it too hears who dies and who leaves.
+        for link in [*({**self._callers, **self._peers}).values()]:
             if link.open:
                 if now - link.heard_s > DEAD_S:
                     link.close()
                 else:
-                    link.send("beat", self._name, self._number, self._known_peers.fit, versions)
+                    fit = self._known_peers.fit
+                    link.send("beat", self._name, self._number, fit, versions, self._stopping, learning)
 
     def _spawn(self, work: Any) -> None:
         task = self._loop.create_task(work)
@@ -360,12 +373,19 @@
             link.peer = str(message[1])
             self._callers[link.peer] = link
 
-    def _heard_beat(self, link: Link, name: str, number: int, fit: bool, versions: list[int]) -> None:
+    def _heard_beat(
+        self, link: Link, name: str, number: int, fit: bool, versions: list[int], leaves: bool,
+        learning: list[int],
+    ) -> None:  # fmt: skip
         known = self._known_peers
         if name not in known.heard_s and len(known.heard_s) >= CONTROLLERS_MOST:
-            del known.heard_s[min(known.heard_s, key=lambda n: known.heard_s[n])]
+            oldest = min(known.heard_s, key=lambda n: known.heard_s[n])
+            del known.heard_s[oldest]
+            known.learning.pop(oldest, None)
         known.heard_s[name] = self._loop.time()
         (known.unfit.discard if fit else known.unfit.add)(name)
+        (known.leaving.add if leaves else known.leaving.discard)(name)
+        known.learning[name] = tuple(learning)
         link.send("pulse", self._name, number, [p.accepted_fence for p in self._shards.values()])
         for shard, version in zip(self._shards.values(), versions, strict=True):
             self._do(shard, shard.catch(version, name))
--- a/mesh/control/hinted_handoff.py
+++ b/mesh/control/hinted_handoff.py
@@ -2,13 +2,14 @@
 
 Each controller notes which keys it wrote of late. While another one is silent, these and all that are written
 meanwhile are kept for it: by key, so that it is handed what stands when it is back and nothing that was given
-back since. Pages go one at a time, each until it is acknowledged. One that misses more than `MOST` is handed
-what is noted; it lacks the rest, which a majority has.
+back since. Pages go one at a time, the next as soon as the last is acknowledged. One that misses more than
+`MOST` is handed what is noted; it lacks the rest, which a majority has.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 RECENT_S = 4.0  # what was written so long before a controller was found silent may have missed it too
@@ -51,8 +52,12 @@
         one.silent, one.page = True, []
         one.keys |= dict.fromkeys(key for at, key in self.recent if at >= now - RECENT_S)
 
-    def page(self, name: str, now: float, most: int) -> tuple[int, list[str]] | None:
-        """The number and the keys of the page that a controller that is back is to be sent now, if one is."""
+    def page(
+        self, name: str, now: float, most: int, fits: Callable[[list[str]], int] = len
+    ) -> tuple[int, list[str]] | None:
+        """The number and the keys of the page that a controller that is back is to be sent now, if one is.
+        `fits`: how many of the first keys a page has room for.
+        """
         one = self.kept.get(name)
         if one is None:
             return None
@@ -63,6 +68,7 @@
             return None
         if not one.page:
             one.page = [key for key, _ in zip(one.keys, range(most), strict=False)]
+            one.page = one.page[: fits(one.page)]
             one.number += 1
         if not one.page:
             del self.kept[name]
--- a/mesh/control/membership.py
+++ b/mesh/control/membership.py
@@ -24,7 +24,7 @@
     """What one controller knows of itself."""
 
     caught_up: bool
-    sources: dict[str, bool] = field(default_factory=dict)  # those that were asked, and whether all came
+    sources: dict[str, bool] = field(default_factory=dict)  # those that told all in this epoch
 
     def grants(self, under: int, voter: Voter, known: Value, accepted: Value | None) -> bool:
         """Whether this controller may grant keys under an epoch."""
@@ -36,19 +36,22 @@
         newest = known.version >= (accepted.version if accepted is not None else 1)
         return self.caught_up and newest and voter not in known.voters
 
-    def to_ask(self, voter: Voter, known: Value, accepted: Value | None) -> list[str]:
-        """The controllers that may still be asked for all keys."""
-        if self.caught_up or voter not in known.voters or epoch(accepted) != epoch(known):
-            return []
-        return [v.name for v in known.voters if v != voter and v.name not in self.sources]
+    def counts(self, voter: Voter, known: Value, accepted: Value | None) -> bool:
+        """Whether what it is told now counts: it is a voter of this epoch, and so are those that tell it."""
+        return voter in known.voters and epoch(accepted) == epoch(known)
 
-    def forget_source(self, name: str) -> None:
-        """It has not sent all: it may be asked again."""
-        if self.sources.get(name) is False:
-            del self.sources[name]
+    def to_ask(self, voter: Voter, known: Value) -> list[str]:
+        """The voters that have yet to tell all, in this epoch."""
+        return [v.name for v in known.voters if v.name != voter.name and not self.sources.get(v.name)]
+
+    def regrouped(self) -> None:
+        """Another epoch: what was told in the last one says nothing of what was granted in that."""
+        self.sources.clear()
+
+    def told_all(self, known: Value) -> int:
+        """How many voters have told all."""
+        return sum(self.sources.get(v.name, False) for v in known.voters)
 
     def enough(self, known: Value) -> bool:
-        """Whether it has heard enough to grant keys, once that is on disk."""
-        return not self.caught_up and sum(self.sources.values()) >= shard_state.sources_needed(
-            len(known.voters)
-        )
+        """Whether that is enough: no majority of old is missed."""
+        return self.told_all(known) >= shard_state.sources_needed(len(known.voters))
--- a/mesh/control/operation_keys.py
+++ b/mesh/control/operation_keys.py
@@ -7,6 +7,9 @@
 
 What is granted must be on disk before the grant leaves: `claim` and its kin return what to write.
 
+Each change of a record has a number of this process's life, so that another controller that holds all up to
+one number can be given what came after it: `changed_since`.
+
 Ages are counted in shelves of `SHELF_S`: the number of the newest rises with steady time and is kept with
 each record, so a restart lengthens a window and never cuts it.
 """
@@ -19,6 +22,7 @@
 SHELF_S = 20.0
 NOBODY = ""  # holds a key that controllers gave to more than one try
 MOST = 200_000  # keys at once; beyond these none is granted
+GIVEN_BACK_MOST = 4_000  # keys given back that are remembered as such
 
 
 @dataclass(slots=True)
@@ -63,6 +67,9 @@
     most: int = MOST
     records: dict[str, KeyRecord] = field(default_factory=dict)
     shelf: int = 0  # the newest
+    sequence: int = 0  # number of the newest change
+    changes: dict[str, int] = field(default_factory=dict)  # the last change of each key, the newest last
+    given_back: dict[str, str] = field(default_factory=dict)  # keys given back of late, and who held them
     _turned_s: float = 0.0
     _shelves: dict[int, dict[str, None]] = field(default_factory=dict)
 
@@ -89,7 +96,24 @@
         if had is not None:
             self._shelves.get(had.shelf, {}).pop(key, None)
         self.records[key] = record
+        self.given_back.pop(key, None)
         self._shelves.setdefault(record.shelf, {})[key] = None
+        self._changed(key)
+
+    def _changed(self, key: str) -> None:
+        self.sequence += 1
+        self.changes.pop(key, None)
+        self.changes[key] = self.sequence
+
+    def changed_since(self, sequence: int) -> list[str]:
+        """The keys that changed after a change, the oldest first; those given back of late among them."""
+        found: list[str] = []
+        for key in reversed(self.changes):
+            if self.changes[key] <= sequence:
+                break
+            found.append(key)
+        found.reverse()
+        return found
 
     def claim(self, key: str, holder: str) -> tuple[Outcome, KeyRecord | None]:
         """Grant a key, or say who has it; with it the record to write first, if one is new."""
@@ -112,6 +136,7 @@
         if had.holder not in (holder, NOBODY) or had.answer is not None:
             return None
         had.holder, had.answer = holder, answer
+        self._changed(key)
         return had
 
     def drop(self, key: str, holder: str) -> bool:
@@ -121,6 +146,11 @@
             return False
         del self.records[key]
         self._shelves.get(had.shelf, {}).pop(key, None)
+        self._changed(key)
+        self.given_back[key] = holder
+        if len(self.given_back) > GIVEN_BACK_MOST:
+            oldest = next(iter(self.given_back))
+            del self.given_back[oldest], self.changes[oldest]
         return True
 
     def turn(self, now_s: float) -> list[str]:
@@ -137,5 +167,5 @@
             keys = self._shelves.pop(number)
             over += keys
             for key in keys:
-                del self.records[key]
+                del self.records[key], self.changes[key]
         return over
--- /dev/null
+++ b/mesh/control/repair.py
@@ -0,0 +1,263 @@
+"""Repair of one controller's half of a shard: learning all keys of the others, giving them to who learns,
+and handing over what a silent controller missed. Pure.
+
+A controller that forgot, or that has no place in the group yet, learns from `sources_needed` others. Without
+a place it copies ahead: that counts for nothing but its word that it is ready. What counts is told under the
+epoch of a group that it is a voter of, by voters that have closed all epochs before; by then that is the
+difference since it copied.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+from mesh.control import key_transfer, shard_state
+from mesh.control.hinted_handoff import Hints
+from mesh.control.key_transfer import GIVEN_BACK, KeyLearner, KeySource, Page, Request, Row
+from mesh.control.membership import epoch
+from mesh.control.operation_keys import KeyRecord, OperationKeys
+from mesh.control.replica import Note, Peers, Replica
+from mesh.storage.store import Put, pack
+from nickelbridge.register import Kept, Value
+
+HINTS_MOST = 4_000  # keys in one page of hints, whatever its bytes
+
+
+class Repair(Replica):
+    """One shard's repair at one controller."""
+
+    def __init__(
+        self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
+        window_s: float, rng: random.Random, most: int, size: int,
+    ) -> None:  # fmt: skip
+        """`first`: the state that all founders begin with; `most`: keys that it may hold; `size`: voters that
+        the group should have.
+        """
+        super().__init__(number, name, first, kept, caught_up, peers, rng, size)
+        self.operation_keys = OperationKeys(window_s, most)
+        self.missed = Hints()
+        self.source = KeySource()
+        self.learner = KeyLearner()
+        self._catching = False  # that it has caught up is on its way to the disk
+
+    @staticmethod
+    def _stored(key: str, record: KeyRecord) -> Put:
+        return "slips", key.encode("latin-1"), pack(record.packed())
+
+    def _regrouped(self, value: Value) -> None:
+        super()._regrouped(value)
+        self.missed.keep_only({voter.name for voter in value.voters})
+        self.standing.regrouped()
+        self.learner.regrouped()
+        self.source.copies.clear()
+
+    # What is known of it
+
+    @property
+    def ready(self) -> bool:
+        """Whether it holds what it can be told before it has a place: all of enough voters, or of all that
+        can tell.
+        """
+        if self.standing.enough(self.known):
+            return True
+        able = [v.name for v in self.known.voters if self.peers.alive(v.name, self.now)]
+        return bool(able) and all(
+            self.standing.sources.get(name) or name in self.learner.refused for name in able
+        )
+
+    def learned(self, now: float) -> bool:
+        """Whether it holds all that voters and those that leave can tell."""
+        return self.standing.caught_up and not self._farewells(now)
+
+    def _farewells(self, now: float) -> list[str]:
+        """Controllers that have just lost their place and live on until this one has what they heard last."""
+        sources, names = self.standing.sources, {v.name for v in self.known.voters}
+        return [
+            name for name in self.learner.cursors
+            if name not in names and name in self.peers.leaving and not sources.get(name)
+            and self.peers.alive(name, now)
+        ]  # fmt: skip
+
+    def must_stay(self, now: float) -> bool:
+        """Whether this controller, told to end, is still needed here: as a voter in whose place another could
+        come, or until the others have all that it holds for them.
+        """
+        names = {voter.name for voter in self.known.voters}
+        others = [name for name in self.peers.heard_s if name != self.name and self.peers.alive(name, now)]
+        if self.voter in self.known.voters:
+            return any(name not in names and name not in self.peers.leaving for name in others)
+        owed = [name for name in others if name in names]
+        return any(
+            name in self.missed.kept or self.number in self.peers.learning.get(name, ()) for name in owed
+        )
+
+    # Learning
+
+    def _learn_keys(self, now: float) -> None:
+        """Ask who has yet to tell what this controller lacks."""
+        self.learner.give_up(now)
+        counted = self.standing.counts(self.voter, self.known, self.acceptor.kept.value)
+        for name in self._farewells(now):
+            self._ask_page(name, False)
+        if self.standing.caught_up:
+            return
+        if not counted and not self._wanted():
+            return self.standing.regrouped()  # what it was told grows old
+        if self.standing.enough(self.known):
+            return
+        names = self.standing.to_ask(self.voter, self.known)
+        for name in sorted(names, key=lambda name: name not in self.peers.leaving):
+            if self.peers.alive(name, now):
+                self._ask_page(name, counted)
+
+    def _ask_page(self, name: str, counted: bool) -> None:
+        if not self.learner.may_ask(name, self.now):
+            return
+        request = self.learner.ask(name, counted, self.now)
+        life, sequence = self.learner.cursors.get(name, ("", 0))
+        brief = not life and bool(self.operation_keys.records)
+        self._say(
+            name, "slips?", self.name, request.number, counted, epoch(self.known), life, sequence, brief
+        )  # fmt: skip
+
+    def _give_page(
+        self, who: Any, name: str, number: int, counted: bool, under: int, life: str, sequence: int,
+        brief: bool,
+    ) -> None:  # fmt: skip
+        if counted and not self.grants(under):
+            # All that it may have forgotten is out of its window by now, as no grant of it counted since.
+            quiet = not self.standing.caught_up and under == epoch(self.known)
+            if quiet and self.now - self.abstains_s > self.operation_keys.kept_s:
+                return self._reply(who, "slips", self.name, number, 0, [], True, self.life, counted)
+        if not (self.grants(under) if counted else self.standing.caught_up or self.peers.stopping):
+            return self._reply(who, "slips-", self.name, number)
+        page = self.source.page(self.operation_keys, name, sequence if life == self.life else 0, brief)
+        self._reply(
+            who, "slips", self.name, number, page.sequence, page.rows, page.last, self.life, counted
+        )  # fmt: skip
+
+    def _take_page(self, name: str, number: int, page: Page, life: str) -> None:
+        request = self.learner.waits(name, number)
+        if request is None or request.page is not None:
+            return
+        request.page, request.life = page, life
+        request.lacking = key_transfer.lacking(self.operation_keys, page.rows)
+        self._go_on(name, request)
+
+    def _go_on(self, name: str, request: Request) -> None:
+        """Ask for the records that a page left out; once all are here, have the page on disk."""
+        assert request.page is not None
+        request.until_s = self.now + key_transfer.WAIT_S
+        if request.lacking:
+            return self._say(name, "records?", self.name, request.number, request.lacking)
+        puts = self._loaded(request.page.rows)
+        self._write(puts or [self._about("catching", b"1")], ("page", name, request))
+
+    def _give_records(self, who: Any, number: int, keys: list[str]) -> None:
+        rows, covered = key_transfer.bounded(self.operation_keys, keys)
+        self._reply(who, "records", self.name, number, rows, covered)
+
+    def _take_records(self, name: str, number: int, rows: list[Row], covered: int) -> None:
+        request = self.learner.waits(name, number)
+        if request is None or request.page is None or not request.lacking:
+            return
+        request.page.rows.extend(rows)
+        request.lacking = request.lacking[max(1, covered) :]
+        self._go_on(name, request)
+
+    def _page_written(self, name: str, request: Request, ok: bool) -> None:
+        if self.learner.requests.get(name) is not request:
+            return
+        if not ok:
+            self.learner.declined(name, request.number, self.now)
+            return
+        self.learner.on_disk(name, request)
+        assert request.page is not None
+        if not request.page.last:
+            return self._ask_page(name, request.counted)
+        self.standing.sources[name] = True
+        self._see_whether_caught_up()
+        self._learn_keys(self.now)
+        if not self.standing.caught_up and self.voter not in self.known.voters and self.ready:
+            self._join()
+
+    def _see_whether_caught_up(self) -> None:
+        counted = self.standing.counts(self.voter, self.known, self.acceptor.kept.value)
+        waits = not self.standing.caught_up and not self._catching
+        if waits and counted and self.standing.enough(self.known):
+            self._catching = True
+            self._write([self._about("caught", b"1")], ("caught", epoch(self.known)))
+
+    def _caught_up(self, under: int, ok: bool) -> None:
+        """What came of writing that it has caught up; void if the group has changed meanwhile."""
+        self._catching = False
+        if not ok:
+            return  # looked at again with time
+        if under != epoch(self.known) or self.voter not in self.known.voters:
+            return self._write([self._about("caught", None)])
+        self.standing.caught_up = True
+        self._out.append(Note(f"caught up with {len(self.operation_keys.records)} keys"))
+
+    def _loaded(self, rows: list[Row]) -> list[Put]:
+        """Take records of another controller; what is to be written of them."""
+        puts: list[Put] = []
+        keys = self.operation_keys
+        for key, (holder, shelf, answer), _ in rows:
+            had = keys.records.get(key)
+            if shelf == GIVEN_BACK:
+                if keys.drop(key, holder):
+                    puts.append(("slips", key.encode("latin-1"), None))
+                continue
+            before = (had.holder, had.answer) if had is not None else None
+            keys.load(key, [holder, shelf, answer])
+            record = keys.records[key]
+            if (record.holder, record.answer) != before:
+                puts.append(self._stored(key, record))
+        return puts
+
+    # What a silent controller missed
+
+    def _mind_missed(self) -> None:
+        """Keep for a silent controller what it misses; hand it over, page by page, once it is back."""
+        for name in self._others():
+            if not any(v.name == name for v in self.known.voters):
+                continue
+            if not self.peers.alive(name, self.now):
+                self.missed.silent(name, self.now)
+            else:
+                self._hand_over(name)
+
+    def _hand_over(self, name: str) -> None:
+        keys = self.operation_keys
+        page = self.missed.page(
+            name, self.now, HINTS_MOST, lambda names: key_transfer.bounded(keys, names)[1]
+        )
+        if page is not None:
+            rows, _ = key_transfer.bounded(keys, page[1], most=math.inf)
+            self._say(name, "missed", self.name, epoch(self.known), page[0], rows)
+
+    def _take_missed(self, who: Any, name: str, under: int, number: int, rows: list[Row]) -> None:
+        if under != epoch(self.known) or not self.standing.caught_up:
+            return  # it is told again, or learns all
+        # What it granted itself stands; the others' word adds to it.
+        puts = self._loaded(
+            [
+                row
+                for row in rows
+                if row[2] or row[1][1] == GIVEN_BACK or row[0] not in self.operation_keys.records
+            ]
+        )
+        if puts:
+            self._write(puts, ("missed", who, number))
+        else:
+            self._reply(who, "missed!", self.name, number)
+
+
+def remembered(number: int, kept: Kept, caught_up: bool) -> list[Put]:
+    """What a shard's new memory puts on disk."""
+    puts: list[Put] = [("about", f"kept/{number}".encode(), pack(shard_state.pack_kept(kept)))]
+    if caught_up:
+        puts.append(("about", f"caught/{number}".encode(), b"1"))
+    return puts
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -29,6 +29,7 @@
 ROUND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a round is two round trips and two syncs
 READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
 JOIN_S = 0.4
+STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +102,9 @@
     heard_s: dict[str, float] = field(default_factory=dict)
     unfit: set[str] = field(default_factory=set)  # that can't do duties, by their own word
     fit: bool = True  # whether this one can: its disk keeps up, it is not stopping
+    leaving: set[str] = field(default_factory=set)  # that were told to end, by their own word
+    stopping: bool = False  # whether this one was
+    learning: dict[str, tuple[int, ...]] = field(default_factory=dict)  # shards that each has yet to learn
 
     def alive(self, name: str, now: float, within_s: float = ALIVE_S) -> bool:
         """Whether a controller was heard within the time."""
@@ -124,8 +128,8 @@
         self.standing = Standing(caught_up)
         self.acceptor = Acceptor(name, kept, self._object_to)
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
-        life = f"{name} {rng.randrange(2**53):x}"
-        self.proposer = Proposer(life, first, rng, ROUND_MS, BACK_OFF_MS)
+        self.life = f"{name} {rng.randrange(2**53):x}"
+        self.proposer = Proposer(self.life, first, rng, ROUND_MS, BACK_OFF_MS)
         self.founder = kept.memory == shard_state.GENESIS
         self.seen = first  # the newest decided state that others were told of
         self.clean = True  # what it keeps is on disk as it is in memory
@@ -144,6 +148,7 @@
         ] = {}  # controllers that acknowledged this owner: when the beat was sent
         self._accepted_s = 0.0  # since when something accepted is not known to be decided
         self._join_s = 0.0
+        self._joiners: dict[Voter, float] = {}  # since when each asks for a place in this epoch
 
     # What it is
 
@@ -256,8 +261,8 @@
                     Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
                 )
                 self._peeked(number, seen)
-            case ["join", name, memory]:
-                self._admit(Voter(name, memory))
+            case ["join", name, memory, under, ready]:
+                self._admit(Voter(name, memory), under, ready)
             case _:
                 raise ValueError(f"no message of a shard: {message[0]!r:.40}")
 
@@ -272,8 +277,14 @@
                 self.standing, self.abstains_s = Standing(False), self.now
                 self._out.append(Note("put out of the group"))
 
+    @property
+    def ready(self) -> bool:
+        """Whether it holds what a newcomer can be told before it has a place."""
+        return True
+
     def _regrouped(self, value: Value) -> None:
         """The shard has another group."""
+        self._joiners.clear()
 
     # Out
 
@@ -298,8 +309,8 @@
     # The register
 
     def _object_to(self, intent: Any) -> str:
-        """Nobody who is alive as far as this controller sees is put out of the group, or out of its
-        duties.
+        """Nobody who is alive as far as this controller sees is put out of the group, unless it says that it
+        leaves, or out of its duties.
         """
         if not isinstance(intent, list) or len(intent) != 2:
             return ""
@@ -308,7 +319,7 @@
         if what == "own":
             fit = self.peers.fit if name == self.name else name not in self.peers.unfit
             return shard_state.ALIVE if alive and fit else ""
-        return shard_state.ALIVE if alive else ""
+        return shard_state.ALIVE if alive and not self._leaves(name) else ""
 
     def _register(self, sender: str, message: Any, who: Any) -> None:
         """A message of the register, from another replica or from this one (`who` None)."""
@@ -444,37 +455,65 @@
                     self._owner_from_s = self.now + TENURE_S
             if epoch(value) != epoch(old):
                 self._regrouped(value)
+                self._join_s = self.now  # to be settled before the next loss
             self._out.append(Changed(old, value))
 
     # The group
 
     def _join(self) -> None:
         """Ask for a place, where this controller has none."""
-        if self.voter in self.known.voters:
+        if self.voter in self.known.voters or (self.peers.stopping and not self.standing.caught_up):
             return
         if self.standing.caught_up:  # it missed what was granted without it, and must not say otherwise
             if self.standing.put_out(self.voter, self.known, self.acceptor.kept.value):
                 self._write([self._about("caught", None)], ("out",))
             return
+        if self._wanted() and not self.ready:
+            return
         for name in self._others():
-            self._say(name, "join", self.name, self.voter.memory)
+            self._say(name, "join", self.name, self.voter.memory, epoch(self.known), self.ready)
+
+    def _leaves(self, name: str) -> bool:
+        return self.peers.stopping if name == self.name else name in self.peers.leaving
+
+    def _vacant(self) -> str:
+        """The voter in whose place another may come, the dead before those that leave; "" for none."""
+        names = [v.name for v in self.known.voters]
+        dead = [n for n in names if n != self.name and self.peers.dead(n, self.now)]
+        return next(iter(dead + [n for n in names if self._leaves(n)]), "")
 
-    def _admit(self, joiner: Voter) -> None:
-        """Another controller asks for a place in the group."""
-        if self.voter not in self.known.voters or joiner in self.known.voters:
+    def _wanted(self) -> bool:
+        """Whether this controller, which has no place, should get ready for one of another's."""
+        names = [v.name for v in self.known.voters]
+        if self.name in names or self.peers.stopping:
+            return False
+        return len(names) < self.size or bool(self._vacant())
+
+    def _admit(self, joiner: Voter, under: int, ready: bool) -> None:
+        """Another controller asks for a place in the group; `under`: the last epoch that it knows."""
+        if self.voter not in self.known.voters or joiner in self.known.voters or under != epoch(self.known):
             return
         if any(what == "admit" for what, _, _ in self._asked.values()):
             return
         names = [v.name for v in self.known.voters]
-        dead = [n for n in names if n != self.name and self.peers.dead(n, self.now)]
-        instead = joiner.name if joiner.name in names else dead[0] if dead else ""
-        if not instead and len(names) >= self.size:
+        # Its own older memory can't vote, so it makes way at once; others only for one that has learned.
+        instead = joiner.name if joiner.name in names else self._vacant()
+        if (instead != joiner.name and not ready) or (not instead and len(names) >= self.size):
+            return
+        if not self._my_turn(joiner):
             return
         whose = f", instead of {instead}" if instead else ""
         self._out.append(Note(f"{joiner.name} asks for a place{whose}"))
         intent = ["replace", instead] if instead and instead != joiner.name else None
-        change = shard_state.Admit(joiner, instead, max(self.size, len(names)))
-        self._ask(f"admit {joiner.name} {joiner.memory}", change, ADMIT_S, "admit", [], intent)
+        change = shard_state.Admit(joiner, instead, max(self.size, len(names)), under)
+        self._ask(f"admit {joiner.name} {joiner.memory} {under}", change, ADMIT_S, "admit", [], intent)
+
+    def _my_turn(self, joiner: Voter) -> bool:
+        """The first of the voters that live acts on a newcomer at once, the others if that does not help."""
+        alive = [v.name for v in self.known.voters
+                 if v.name == self.name or self.peers.alive(v.name, self.now)]  # fmt: skip
+        place = shard_state.ranked(self.number, alive).index(self.name)
+        return self.now - self._joiners.setdefault(joiner, self.now) >= place * STAGGER_S - 1e-6
 
     def _settle(self) -> None:
         """Have a change of voters done with: who starts anew has forgotten that it was decided, and needs the
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -11,20 +11,18 @@
 import random
 from typing import Any
 
-from mesh.control import shard_state
-from mesh.control.hinted_handoff import Hints
-from mesh.control.membership import epoch
-from mesh.control.operation_keys import Granted, Held, KeyRecord, OperationKeys
-from mesh.control.replica import Action, Answer, Note, Peers, Replica
-from mesh.storage.store import Put, pack
+from mesh.control.key_transfer import Page
+from mesh.control.operation_keys import Granted, Held, KeyRecord
+from mesh.control.repair import Repair, remembered
+from mesh.control.replica import Action, Answer, Peers
 from nickelbridge.register import Kept, Value
 
-BATCH = 200  # keys in one message of repair
+__all__ = ["Shard", "remembered"]
+
 AGAIN_S = 1.0  # after the disk refused an answer
-PAGE_S = 2.0  # for a page of another controller's keys
 
 
-class Shard(Replica):
+class Shard(Repair):
     """One shard at one controller."""
 
     def __init__(
@@ -34,13 +32,8 @@
         """`first`: the state that all founders begin with; `most`: keys that it may hold; `size`: voters that
         the group should have.
         """
-        super().__init__(number, name, first, kept, caught_up, peers, rng, size)
-        self.operation_keys = OperationKeys(window_s, most)
+        super().__init__(number, name, first, kept, caught_up, peers, window_s, rng, most, size)
         self.unwritten: dict[str, KeyRecord] = {}  # records that are not surely on disk
-        self.missed = Hints()
-        self._pages: dict[str, tuple[int, float]] = {}  # while catching up: the page asked for, until when
-        self._catching = False  # that it has caught up is on its way to the disk
-        self._giving: dict[str, list[str]] = {}  # the keys that a controller that catches up is given
         self._again: list[tuple[float, str, KeyRecord]] = []  # answers that the disk refused
 
     # Events
@@ -61,14 +54,7 @@
         if self._pass_time(now):
             self._mind_missed()
             self._see_whether_caught_up()
-        for name, (_, until) in list(self._pages.items()):
-            if until <= now:
-                del self._pages[name]
-                self.standing.forget_source(name)
-        for name in self.standing.to_ask(self.voter, self.known, self.acceptor.kept.value):
-            if self.peers.alive(name, now):
-                self.standing.sources[name] = False
-                self._ask_page(name, 0)
+        self._learn_keys(now)
         return self._flush()
 
     def heard(self, who: Any, message: list[Any], now: float) -> list[Action]:
@@ -77,14 +63,21 @@
         """
         self.now = now
         match message:
-            case ["slips?", name, under, at]:
-                self._give_records(who, name, under, at)
-            case ["slips", name, under, at, rows, last]:
-                self._take_records(name, under, at, rows, last)
+            case ["slips?", name, number, counted, under, life, sequence, brief]:
+                self._give_page(who, name, number, counted, under, life, sequence, brief)
+            case ["slips", name, number, sequence, rows, last, life, _]:
+                self._take_page(name, number, Page(rows, sequence, last), life)
+            case ["slips-", name, number]:
+                self.learner.declined(name, number, now)
+            case ["records?", name, number, keys]:
+                self._give_records(who, number, keys)
+            case ["records", name, number, rows, covered]:
+                self._take_records(name, number, rows, covered)
             case ["missed", name, under, number, rows]:
                 self._take_missed(who, name, under, number, rows)
             case ["missed!", name, number]:
                 self.missed.taken(name, number)
+                self._hand_over(name)
             case _:
                 self._take(who, message)
         return self._flush()
@@ -102,26 +95,16 @@
                 self._out.append(Answer(who, ["slip", rid, under, what, None]))
             case ("answer", key, record) if not ok:
                 self._again.append((now + AGAIN_S, key, record))
-            case ("page", name, at, last):
-                self._page_written(name, at, last, ok)
+            case ("page", name, request):
+                self._page_written(name, request, ok)
             case ("missed", who, number) if ok:
                 self._reply(who, "missed!", self.name, number)
-            case ("caught",) if ok:
-                self.standing.caught_up, self._catching = True, False
-                self._out.append(Note(f"caught up with {len(self.operation_keys.records)} keys"))
-            case ("caught",):  # looked at again with time
-                self._catching = False
+            case ("caught", under):
+                self._caught_up(under, ok)
             case _:
                 self._kept(then, ok)
         return self._flush()
 
-    def _regrouped(self, value: Value) -> None:
-        self.missed.keep_only({voter.name for voter in value.voters})
-
-    @staticmethod
-    def _stored(key: str, record: KeyRecord) -> Put:
-        return "slips", key.encode("latin-1"), pack(record.packed())
-
     # Operation keys
 
     def claim(
@@ -165,101 +148,3 @@
             self.unwritten.pop(key, None)
             self._write([("slips", key.encode("latin-1"), None)])
         return self._flush()
-
-    # Repair
-
-    def _mind_missed(self) -> None:
-        """Keep for a silent controller what it misses; hand it over, page by page, once it is back."""
-        for name in self._others():
-            if not any(v.name == name for v in self.known.voters):
-                continue
-            if not self.peers.alive(name, self.now):
-                self.missed.silent(name, self.now)
-                continue
-            page = self.missed.page(name, self.now, BATCH)
-            if page is not None:
-                rows = [
-                    [k, self.operation_keys.records[k].packed()]
-                    for k in page[1]
-                    if k in self.operation_keys.records
-                ]
-                self._say(name, "missed", self.name, epoch(self.known), page[0], rows)
-
-    def _take_missed(self, who: Any, name: str, under: int, number: int, rows: list[Any]) -> None:
-        if under != epoch(self.known) or not self.standing.caught_up:
-            return  # it is told again, or learns all
-        # What it granted itself stands; the others' word adds to it.
-        puts = self._loaded(
-            [row for row in rows if row[1][2] is not None or row[0] not in self.operation_keys.records]
-        )
-        if puts:
-            self._write(puts, ("missed", who, number))
-        else:
-            self._reply(who, "missed!", self.name, number)
-
-    def _loaded(self, rows: list[Any]) -> list[Put]:
-        puts: list[Put] = []
-        for key, packed in rows:
-            had = self.operation_keys.records.get(key)
-            before = (had.holder, had.answer) if had is not None else None
-            self.operation_keys.load(key, packed)
-            record = self.operation_keys.records[key]
-            if (record.holder, record.answer) != before:
-                puts.append(self._stored(key, record))
-        return puts
-
-    def _ask_page(self, name: str, at: int) -> None:
-        """Ask for the next keys; what comes is on disk before more is asked for."""
-        if self.standing.sources.get(name) is not False:
-            return
-        self._pages[name] = (at, self.now + PAGE_S)
-        self._say(name, "slips?", self.name, epoch(self.known), at)
-
-    def _give_records(self, who: Any, name: str, under: int, at: int) -> None:
-        if not self.grants(under):
-            # All that it may have forgotten is out of its window by now, as no grant of it counted since.
-            quiet = not self.standing.caught_up and under == epoch(self.known)
-            if quiet and self.now - self.abstains_s > self.operation_keys.kept_s and not at:
-                self._reply(who, "slips", self.name, under, at, [], True)
-            return
-        if not at:  # what is claimed from now on is claimed without the one that asks
-            self._giving[name] = list(self.operation_keys.records)
-        keys = self._giving.get(name, [])
-        last = at + BATCH >= len(keys)
-        if last:
-            self._giving.pop(name, None)
-        rows = [
-            [k, self.operation_keys.records[k].packed()]
-            for k in keys[at : at + BATCH]
-            if k in self.operation_keys.records
-        ]
-        self._reply(who, "slips", self.name, under, at, rows, last)
-
-    def _take_records(self, name: str, under: int, at: int, rows: list[Any], last: bool) -> None:
-        if self.standing.caught_up or under != epoch(self.known) or self._pages.get(name, (-1,))[0] != at:
-            return
-        del self._pages[name]
-        puts = self._loaded(rows)
-        self._write(puts or [self._about("catching", b"1")], ("page", name, at, last))
-
-    def _page_written(self, name: str, at: int, last: bool, ok: bool) -> None:
-        if not ok:
-            return self.standing.forget_source(name)
-        if not last:
-            return self._ask_page(name, at + BATCH)
-        if name in self.standing.sources:
-            self.standing.sources[name] = True
-        self._see_whether_caught_up()
-
-    def _see_whether_caught_up(self) -> None:
-        if not self._catching and self.standing.enough(self.known):
-            self._catching = True
-            self._write([self._about("caught", b"1")], ("caught",))
-
-
-def remembered(number: int, kept: Kept, caught_up: bool) -> list[Put]:
-    """What a shard's new memory puts on disk."""
-    puts: list[Put] = [("about", f"kept/{number}".encode(), pack(shard_state.pack_kept(kept)))]
-    if caught_up:
-        puts.append(("about", f"caught/{number}".encode(), b"1"))
-    return puts
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -37,6 +37,7 @@
 
 OTHER_VERSION, OLD_VERSION, ALIVE, NO_PLACE = "other version", "old version", "it is alive", "no place"
 OTHER_FENCE = "another owner came first"
+OTHER_GROUP = "the group has changed"
 
 
 def shard_of(name: str) -> int:
@@ -115,16 +116,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """Take a controller into the group, in the place of another name, or of an older memory of its own."""
+    """Take a controller into the group, in the place of another name, or of an older memory of its own, if
+    `epoch` is still the group's: a controller asks on top of the last group that it knows, so that it can't
+    come back into one without having noticed that it was put out.
+    """
 
     joiner: Voter
     instead_of: str
     most: int
+    epoch: int
 
     def __call__(self, before: Value) -> Value | str:
         joiner = self.joiner
         if joiner in before.voters:
             return before
+        if body(before).epoch != self.epoch:
+            return OTHER_GROUP
         gone = joiner.name if any(v.name == joiner.name for v in before.voters) else self.instead_of
         kept = tuple(v for v in before.voters if v.name != gone)
         if len(kept) == len(before.voters) and len(kept) >= self.most:
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -114,8 +114,9 @@
         if len(self.beats) > BEATS_MOST:
             del self.beats[next(iter(self.beats))]
         for name in names:
-            known = self.shard.known.version
-            self.world.send(self.name, name, "beat", self.name, self.count, self.peers.fit, known)
+            known, learned = self.shard.known.version, self.shard.learned(self.world.now)
+            own = (self.peers.fit, known, self.peers.stopping, learned)
+            self.world.send(self.name, name, "beat", self.name, self.count, *own)
 
     # What comes
 
@@ -123,9 +124,11 @@
         """A message of another controller."""
         self.do(self.shard.heard(sender, message, self.world.now))
 
-    def beat(self, sender: str, number: int, fit: bool, version: int) -> None:
+    def beat(self, sender: str, number: int, fit: bool, version: int, leaves: bool, learned: bool) -> None:
         """Another one lives."""
         self.peers.heard_s[sender] = self.world.now
+        (self.peers.leaving.add if leaves else self.peers.leaving.discard)(sender)
+        self.peers.learning[sender] = () if learned else (self.number,)
         (self.peers.unfit.discard if fit else self.peers.unfit.add)(sender)
         self.world.send(self.name, sender, "pulse", self.name, number, self.shard.accepted_fence)
         self.do(self.shard.catch(version, sender))
