Scenes of a second loss: wipes after replacements, leavers with the only copy; six breaks

The first voter that can (lives, remembers, has learned) admits and settles; before, one that had forgotten could be waited for.

--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -509,20 +509,28 @@
         self._ask(f"admit {joiner.name} {joiner.memory} {under}", change, ADMIT_S, "admit", [], intent)
 
     def _my_turn(self, joiner: Voter) -> bool:
-        """The first of the voters that live acts on a newcomer at once, the others if that does not help."""
-        alive = [v.name for v in self.known.voters
-                 if v.name == self.name or self.peers.alive(v.name, self.now)]  # fmt: skip
-        place = shard_state.ranked(self.number, alive).index(self.name)
-        return self.now - self._joiners.setdefault(joiner, self.now) >= place * STAGGER_S - 1e-6
+        """The first of the voters that can acts on a newcomer at once, the others if that does not help."""
+        since = self._joiners.setdefault(joiner, self.now)
+        able = self._able()
+        place = able.index(self.name) if self.name in able else len(able)
+        return self.now - since >= place * STAGGER_S - 1e-6
+
+    def _able(self) -> list[str]:
+        """The voters that can look after the group, in their order: they live, remember and have learned."""
+        forgot = {voter.name for voter in self._joiners}
+        able = [
+            v.name for v in self.known.voters
+            if v.name not in forgot and v.name != self.name and self.peers.alive(v.name, self.now)
+            and self.number not in self.peers.learning.get(v.name, ())
+        ]  # fmt: skip
+        return shard_state.ranked(self.number, able + [self.name] * self.standing.caught_up)
 
     def _settle(self) -> None:
         """Have a change of voters done with: who starts anew has forgotten that it was decided, and needs the
         voters before it too, of whom another may have lost its disk by then."""
         if not self.known.former or self.voter not in self.known.voters or not self.standing.caught_up:
             return
-        alive = [v.name for v in self.known.voters
-                 if v.name == self.name or self.peers.alive(v.name, self.now)]  # fmt: skip
-        if shard_state.ranked(self.number, alive)[0] == self.name:
+        if self._able()[0] == self.name:
             self._ask(f"settle {self.known.version}", shard_state.settle, OWN_S, "settle", [])
 
     # Duties
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -74,7 +74,7 @@
     seconds: float = 0.0  # it lasts at least
     script: tuple[tuple[float, str], ...] = ()  # what happens anyway: a fault, `down` or `up`, and to whom
     shard: int = shard_state.CONFIGURATION  # its number, where no key is tried
-    spare: bool = False  # there is a fourth controller, in no group
+    spare: int = 0  # controllers in no group, named after those of the group
     beyond: bool = False  # disks are lost whenever, not only while all others remember
     kinds: tuple[str, ...] = tuple(k for k in KINDS if k not in ("unfit", "beat"))
     replicas: int = 3  # of the group at its start, named from a on; a spare one comes after them
@@ -102,7 +102,7 @@
     "apart": Scene(
         "mesh-shards", "one is replaced while it is cut off, and is heard again by the owner alone",
         # of this shard a is the owner, and b the next one
-        6.2, seconds=8.0, spare=True, shard=10, kinds=KINDS,
+        6.2, seconds=8.0, spare=1, shard=10, kinds=KINDS,
         script=(
             (0.0, "cut c"), (0.0, "cut a d"),
             (3.65, "beat c"), (3.65, "cut a b"), (3.65, "cut a d"), (3.65, "cut b c"), (3.65, "cut c d"),
@@ -110,7 +110,7 @@
     ),
     "replace": Scene(
         "mesh-shards", "one is away, a spare one takes its place, it comes back",
-        1.0, puts=(("a", "d"),), seconds=4.8, script=((0.0, "down c"), (3.6, "up c")), spare=True,
+        1.0, puts=(("a", "d"),), seconds=4.8, script=((0.0, "down c"), (3.6, "up c")), spare=1,
     ),
     "answered": Scene(
         "mesh-keys", "two try one key at once, runs are answered, a third one comes later",
@@ -126,7 +126,7 @@
     ),
     "moved": Scene(
         "mesh-keys", "one is replaced, a key is claimed, that one comes back, it is tried again",
-        1.0, tries=(("m", 3.4, "broke"), ("n", 8.0, "broke")), spare=True,
+        1.0, tries=(("m", 3.4, "broke"), ("n", 8.0, "broke")), spare=1,
         script=((0.0, "down c"), (4.0, "up c"), (4.4, "down d")),
     ),
     "missed": Scene(
@@ -280,7 +280,7 @@
         self.tries = [Try(self, f"t{n + 1}", *one) for n, one in enumerate(scene.tries)]
         self.nodes = {node: Node(node, self) for node in dict.fromkeys(one[0] for one in scene.tries)}
         seeds = scene.seeds
-        names = (*seeds, "abcdefghij"[len(seeds)]) if scene.spare else seeds
+        names = tuple("abcdefghij"[: len(seeds) + scene.spare])
         self.number = shard_state.shard_of(KEY) if self.nodes else scene.shard
         self.controllers: dict[str, Controller] = {}
         for n, name in enumerate(names):
--- a/rehearsal/explore/worst_days/second_loss.py
+++ b/rehearsal/explore/worst_days/second_loss.py
@@ -2,8 +2,222 @@
 
 from __future__ import annotations
 
-from rehearsal.explore.mesh import Break
+import math
+from typing import Any
+
+from mesh.control import shard_state
+from mesh.control.hinted_handoff import Hints
+from mesh.control.key_transfer import KeyLearner
+from mesh.control.membership import Standing
+from mesh.control.operation_keys import NOBODY
+from mesh.control.repair import Repair
+from mesh.control.replica import Replica
+from mesh.control.shard import Shard
+from nickelbridge.register import Value, Voter
+from rehearsal.explore.mesh import KEY, KINDS, Break, Scene, Try, World
 from rehearsal.explore.worst_days.play import Play
 
-SCENES: dict[str, Play] = {}
-BREAKS: dict[str, Break] = {}
+STOP_S, GRACE_S = 1.0, 5.0  # a controller that was told to end stays so long at least, and at most
+TOLD_ONE = "told-one"  # of a run's answer: the controller that leaves is the only one to hear it
+
+
+class LossWorld(World):
+    """Controllers may be told to end (`leave`). After a day without a fault of its own the group is whole:
+    all its voters live and grant, and a majority holds the key.
+    """
+
+    everybody = False  # every voter is to hold the key, not only a majority
+
+    def __init__(self, scene: Scene, faults: int, kinds: tuple[str, ...]) -> None:
+        self.allowed = faults
+        self.leaving: dict[str, float] = {}
+        super().__init__(scene, faults, kinds)
+
+    def granted(self, one: Try) -> None:
+        super().granted(one)
+        if one.how == TOLD_ONE:
+            self.send(one.node, "a", "done", KEY, one.holder, one.holder)
+
+    def _fault(self, what: str, about: list[str]) -> None:
+        if what != "leave":
+            return super()._fault(what, about)
+        self.note(f"{about[0]} is told to end")
+        self.leaving[about[0]] = self.now
+        self.controllers[about[0]].peers.stopping = True
+        self._beat(about[0])
+
+    def _wait(self) -> None:
+        super()._wait()
+        for name, since in list(self.leaving.items()):
+            controller = self.controllers[name]
+            gone_s = self.now - since
+            stays = gone_s < STOP_S or (gone_s < GRACE_S and controller.shard.must_stay(self.now))
+            if controller.alive and not stays:
+                del self.leaving[name]
+                self.note(f"{name} ends")
+                self._down(name, math.inf)
+
+    def _voters(self) -> list[Shard]:
+        return [self.controllers[voter.name].shard for voter in self._newest.voters]
+
+    def _lacks(self) -> str:
+        """What the group lacks of being whole; "" for nothing."""
+        if not self.ran:
+            return ""
+        for voter in self._newest.voters:
+            controller = self.controllers[voter.name]
+            if not controller.alive or controller.shard.voter != voter:
+                return f"{voter.name} is a voter and gone"
+            if not controller.shard.standing.caught_up:
+                return f"{voter.name} grants nothing"
+        holders = [voter.name for voter, shard in zip(self._newest.voters, self._voters(), strict=True)
+                   if (record := shard.operation_keys.records.get(KEY)) is not None
+                   and record.holder in (self.ran[0], NOBODY)]  # fmt: skip
+        if len(holders) < (len(self._newest.voters) if self.everybody else len(self._newest.voters) // 2 + 1):
+            return f"{' and '.join(holders) or 'nobody'} alone hold the key"
+        if any(one.how == TOLD_ONE for one in self.tries):
+            records = [shard.operation_keys.records.get(KEY) for shard in self._voters()]
+            return (
+                ""
+                if any(record is not None and record.answer for record in records)
+                else "the answer is gone"
+            )
+        return ""
+
+    def ended(self) -> bool:
+        return super().ended() and not self._lacks()
+
+    def finish(self) -> None:
+        lacks = self._lacks()
+        if lacks and self.faults == self.allowed:
+            self.broken(f"whole: {lacks}")
+
+    def print(self) -> bytes:
+        return super().print() + repr(sorted(self.leaving.items())).encode()
+
+
+class ReturnWorld(LossWorld):
+    """Whoever was away has all that it missed handed over."""
+
+    everybody = True
+
+
+class NarrowWorld(LossWorld):
+    """Of all that may come first to a process, two are walked: six controllers send too much for more."""
+
+    def _items(self) -> tuple[str, list[str]]:
+        half, found = super()._items()
+        return half, found[:2]
+
+
+def _scene(
+    about: str, again_s: float, *script: tuple[float, str], how: tuple[str, str] = ("broke", "broke"),
+    hold_s: float = 0.3, spare: int = 1, replicas: int = 3, world: type[World] = LossWorld,
+) -> Play:  # fmt: skip
+    """A key is tried at the start, and again after a while."""
+    tries = (("m", 0.0, how[0]), ("n", again_s, how[1]))
+    scene = Scene(
+        "worst-days", about, hold_s, tries=tries, script=script, kinds=KINDS, spare=spare, replicas=replicas
+    )  # fmt: skip
+    return Play(scene, world)
+
+
+SCENES: dict[str, Play] = {
+    "replaced-wiped": _scene(
+        "one of two that hold a key dies and is replaced; the other one is wiped right after",
+        7.0, (0.0, "cut m c"), (0.3, "down b"), (4.0, "wipe a"),
+    ),
+    "replaced-twice": _scene(
+        "two replacements in a row, each followed by a wipe",
+        14.0, (0.0, "cut m c"), (0.3, "down b"), (4.0, "wipe a"), (8.0, "down c"), (11.6, "wipe d"), spare=2,
+    ),
+    "only-copy": _scene(
+        "one of two that hold a key leaves as planned; the other is wiped catch_up_s after the newcomer came",
+        7.0, (0.0, "cut m c"), (0.1, "down d"), (0.3, "leave a"), (0.3, "up d"), (4.3, "wipe b"),
+    ),
+    "only-answer": _scene(
+        "the one that leaves is the only one that heard the answer of a run",
+        7.0, (0.3, "leave a"), (4.3, "wipe b"), how=(TOLD_ONE, "broke"),
+    ),
+    "returned": _scene(
+        "one is cut off while a key is claimed and comes back; another one is wiped catch_up_s later",
+        8.0, (0.0, "cut c"), (5.8, "wipe a"), hold_s=1.8, spare=0, world=ReturnWorld,
+    ),
+    "two-wiped": _scene(
+        "five: one of three that hold a key is replaced, the two others are wiped at once right after",
+        7.0, (0.0, "cut m d"), (0.0, "cut m e"), (0.3, "down c"), (4.0, "wipe a"), (4.0, "wipe b"),
+        replicas=5, world=NarrowWorld,
+    ),
+}  # fmt: skip
+
+
+# Deliberate breaks
+
+
+def _counts_at_once(self: Repair, value: Value) -> None:
+    _regrouped(self, value)
+    if self.voter in value.voters:
+        self.standing.caught_up = True
+
+
+def _one_source(voters: int) -> int:
+    return 1
+
+
+def _never_stays(self: Repair, now: float) -> bool:
+    return False
+
+
+def _no_page(self: Hints, *args: Any) -> None:
+    return None
+
+
+def _not_the_leaver(self: Repair, now: float) -> list[str]:
+    return []
+
+
+def _without_leavers(self: Standing, voter: Voter, known: Value) -> list[str]:
+    return [name for name in _to_ask(self, voter, known) if name != "a"]
+
+
+def _cursor_ahead(self: KeyLearner, name: str, request: Any) -> None:
+    _on_disk(self, name, request)
+    self.cursors[name] = (request.life, 1 << 40)
+
+
+def _stale_sources(self: Standing) -> None:
+    """What was told before there was a place counts after."""
+
+
+def _dead_only(self: Replica, name: str) -> bool:
+    return False
+
+
+_regrouped, _to_ask, _on_disk = Repair._regrouped, Standing.to_ask, KeyLearner.on_disk
+
+
+def _break(about: str, scene: str, *patches: tuple[Any, str, Any], kinds: str = "", faults: int = 0) -> Break:
+    return Break(about, scene, faults, tuple(kinds.split()), patches)
+
+
+BREAKS: dict[str, Break] = {
+    "votes-before-learning": _break(
+        "a newcomer counts as caught up when it is admitted", "replaced-wiped",
+        (Repair, "_regrouped", _counts_at_once), (Repair, "ready", True),
+    ),
+    "one-source-replaced": _break(
+        "one other is enough to learn from", "replaced-wiped", (shard_state, "sources_needed", _one_source)
+    ),
+    "one-source-of-five": _break(
+        "one other of five is enough to learn from", "two-wiped", (shard_state, "sources_needed", _one_source)
+    ),
+    "leaves-at-once": _break(
+        "who is told to end does not wait, and nobody takes its place while it lives", "only-copy",
+        (Repair, "must_stay", _never_stays), (Replica, "_leaves", _dead_only),
+    ),
+    "hints-dropped": _break("nothing is handed over", "returned", (Hints, "page", _no_page)),
+    "leaver-not-asked": _break(
+        "newcomers learn from those that stay alone", "only-answer",
+        (Standing, "to_ask", _without_leavers), (Repair, "_farewells", _not_the_leaver),
+    ),
+}  # fmt: skip
