Know an order by number, content and base for ever; resend a round instead of beginning anew

Cause: a state lists the last 64 orders, and what was older was refused with 412 when it was sent again, though it was taken. An order was known by number and digest only, so that one refused on its first base and taken on another was acknowledged under both. Copies of an order ran a round each. A round that no majority had answered in 300 ms was given up under a new ballot: with 100 ms one way nothing was ever taken.

Change: mesh/control/order_history.py judges an order beside the orders that were taken: taken, refused for ever, or not known here. What stays true for ever is told from any decided state, so one round ends all orders on one version, and copies share a proposal. What is older than remembered is 504 (`forgotten`), no refusal. A register's round is sent again to those who were silent, under its ballot; back-off starts from what answers take. If-Match takes one version, also in quotes.

Two breaks of explore/mesh.py moved with the rule: any-version patches OrderHistory.verdict, where bases are compared now; any-voter needs a cut, as a lost message no longer keeps the news from the loser.

--- a/mesh/control/configuration_resource.py
+++ b/mesh/control/configuration_resource.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 
 from loguru import logger
@@ -14,6 +15,7 @@
 from mesh.control.configuration import check, digest
 from mesh.control.configuration_text import compress, expand
 from mesh.control.control_api import JSON, Call, told
+from mesh.control.order_history import NUMBER_MOST
 from mesh.control.replica import Ended
 from mesh.errors import Kind, Refusal
 from nickelbridge.register import Value
@@ -21,6 +23,7 @@
 
 PUT_S = 4.0  # for a change to be decided
 RETRY_AFTER_S = 0.2
+VERSION = re.compile(rb'\s*(?:([0-9]{1,16})|"([0-9]{1,16})")\s*')  # of `If-Match`
 
 Answer = Callable[[Reply], None]
 AskForChange = Callable[[shard_state.Change, float, Callable[[Ended], None]], None]
@@ -58,9 +61,9 @@
         self._read(got)
 
     def _put(self, call: Call, answer: Answer) -> None:
-        on = call.headers.get(b"if-match", b"").strip(b' "')
-        if not on.isdigit():
-            return answer(told(Refusal(Kind.UNREADABLE, "If-Match: a version is needed")))
+        on = base_version(call.headers.get(b"if-match", b""))
+        if on is None:
+            return answer(told(Refusal(Kind.UNREADABLE, "If-Match: one version, such as 5, is needed")))
         found = check(call.body)
         if isinstance(found, Refusal):
             logger.info("configuration: refused, {}", found.line)
@@ -68,14 +71,32 @@
         if self._growing():
             return answer(told(Refusal(Kind.STARTING, "the group of controllers is growing"), RETRY_AFTER_S))
         revision = found.revision
-        change = shard_state.Put(compress(call.body), revision, digest(call.body), int(on))
+        if revision > NUMBER_MOST:
+            too_large = f"configuration: revision_number: {NUMBER_MOST} at most"
+            return answer(told(Refusal(Kind.INVALID, too_large)))
+        change = shard_state.Put(compress(call.body), revision, digest(call.body), on)
         self._ask(change, PUT_S, lambda end: answer(_outcome(end, revision)))
 
 
+def base_version(if_match: bytes) -> int | None:
+    """The version that an order builds on; None if the header names none. A weak tag names no version: it
+    stands for all that mean the same.
+
+    >>> base_version(b"5"), base_version(b' "12" '), base_version(b'W/"5"'), base_version(b"5, 6")
+    (5, 12, None, None)
+    """
+    found = VERSION.fullmatch(if_match)
+    version = int(found[1] or found[2]) if found else NUMBER_MOST + 1
+    return version if version <= NUMBER_MOST else None
+
+
 def _outcome(end: Ended, revision: int) -> Reply:
-    """The answer to a change that is over."""
+    """The answer to an order that is over. One that is unclear may have been taken: never a refusal."""
     if end.value is None:
         return told(Refusal(Kind.LATE, "no majority of controllers answered"), RETRY_AFTER_S)
+    if end.why == shard_state.UNKNOWN_ORDER:
+        older = f"revision {revision} is older than what this controller remembers"
+        return told(Refusal(Kind.FORGOTTEN, older), RETRY_AFTER_S)
     if end.why:
         kind = Kind.OLD_VERSION if end.why == shard_state.OLD_VERSION else Kind.OTHER_VERSION
         return told(Refusal(kind, f"{shard_state.body(end.value).revision} is current"))
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -19,6 +19,7 @@
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.control_api import ControlDoor
 from mesh.control.operation_keys import MOST
+from mesh.control.order_records import orders_of
 from mesh.control.publisher import Publisher
 from mesh.control.replica import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from mesh.control.retry_budget import RetryBudgets
@@ -53,6 +54,7 @@
         self._shards: dict[int, Shard] = {}
         self._remember()
         self._load_slips()
+        self._load_orders()
         self._publisher = Publisher(self._name, settings.zone, self._rng.randrange(1, 2**53), loop)
         bounds = settings.bounds
         self._retry_budgets = RetryBudgets(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
@@ -106,6 +108,11 @@
             key = raw.decode("latin-1")
             self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
 
+    def _load_orders(self) -> None:
+        rows = self._store.all("about")
+        for number, shard in self._shards.items():
+            shard.load_orders(orders_of(number, rows))
+
     def _owner_fence(self, service: str, now: float) -> int | None:
         """The fence under which this controller does the duties for a service now; None if it doesn't."""
         return self._shards[shard_state.shard_of(service)].owns(now)
--- /dev/null
+++ b/mesh/control/order_records.py
@@ -0,0 +1,25 @@
+"""Orders that were taken, as records of a controller's store: one small record an order, in `about`.
+
+A record names the order before it, so that those which hang together can be told from what a loss left over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from mesh.control.order_history import Entry
+from mesh.storage.store import Put, pack, unpack
+
+PREFIX = b"order/"
+
+
+def record(shard: int, number: int, entry: Entry | None) -> Put:
+    """What puts an order on disk, or takes it away (None)."""
+    key = PREFIX + f"{shard}/{number:016d}".encode()
+    return "about", key, None if entry is None else pack([entry.digest, entry.base])
+
+
+def orders_of(shard: int, rows: Iterable[tuple[bytes, bytes]]) -> list[tuple[int, Entry]]:
+    """The orders among the records of `about`."""
+    prefix = PREFIX + f"{shard}/".encode()
+    return [(int(key[len(prefix) :]), Entry(*unpack(value))) for key, value in rows if key.startswith(prefix)]
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -16,6 +16,8 @@
 
 from mesh.control import shard_state
 from mesh.control.membership import Standing, epoch
+from mesh.control.order_history import Entry, OrderHistory, Verdict
+from mesh.control.order_records import record
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
 
@@ -26,10 +28,12 @@
 PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
 PEEKS = 20
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
-ROUND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a round is two round trips and two syncs
+RESEND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a voter answers in a round trip and a sync
 READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
 JOIN_S = 0.4
 STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
+ORDERS_PAGE = 256  # orders in one message, or one write
+ORDERS_AGAIN_S = 5.0  # a replica that had none to tell is asked again after so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +133,7 @@
         self.acceptor = Acceptor(name, kept, self._object_to)
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
         self.life = f"{name} {rng.randrange(2**53):x}"
-        self.proposer = Proposer(self.life, first, rng, ROUND_MS, BACK_OFF_MS)
+        self.proposer = Proposer(self.life, first, rng, RESEND_MS, BACK_OFF_MS)
         self.founder = kept.memory == shard_state.GENESIS
         self.seen = first  # the newest decided state that others were told of
         self.clean = True  # what it keeps is on disk as it is in memory
@@ -138,6 +142,9 @@
         self._out: list[Action] = []
         self._mine: deque[Any] = deque()  # messages of the register to itself
         self._asked: dict[str, tuple[str, list[str], float]] = {}  # what it is for, who waits, until when
+        self.history = OrderHistory()
+        self._orders: dict[str, shard_state.Put] = {}  # that wait for their outcome, as `_asked` names them
+        self._orders_asked_s: dict[str, float] = {}  # when a replica was asked for older orders
         self._count = 0
         self._readers: list[str] = []
         self._peeks: dict[int, _Peek] = {}
@@ -198,7 +205,10 @@
     def ask(self, id: str, change: shard_state.Change, for_s: float, now: float) -> list[Action]:
         """Have the state changed; it is `Ended` once, with no value if nothing is known in time."""
         self.now = now
-        self._ask(f"ask {id}", change, for_s, "ask", [id])
+        if isinstance(change, shard_state.Put):
+            self._order(id, change, for_s)
+        else:
+            self._ask(f"ask {id}", change, for_s, "ask", [id])
         return self._flush()
 
     def read(self, id: str, now: float) -> list[Action]:
@@ -241,6 +251,7 @@
             return False
         self._join_s = now + JOIN_S
         self._join()
+        self._mind_history()
         self._settle()
         self._mind_owner()
         return True
@@ -261,6 +272,10 @@
                     Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
                 )
                 self._peeked(number, seen)
+            case ["orders?", floor, digest]:
+                self._tell_orders(who, floor, digest)
+            case ["orders", rows, complete]:
+                self._take_orders(who, rows, complete)
             case ["join", name, memory, under, ready]:
                 self._admit(Voter(name, memory), under, ready)
             case _:
@@ -269,10 +284,13 @@
     def _kept(self, then: tuple[Any, ...], ok: bool) -> None:
         """What came of a write of the replica's own."""
         match then:
-            case ("voted", who, kept, replies) if ok:
+            case ("voted", who, kept, replies, orders) if ok:
                 self.clean = self.clean or kept is self.acceptor.kept
+                self.history.saved(orders)
                 for reply in replies:
                     self._vote_out(who, reply)
+            case ("orders", orders) if ok:
+                self.history.saved(orders)
             case ("out",) if ok:
                 self.standing, self.abstains_s = Standing(False), self.now
                 self._out.append(Note("put out of the group"))
@@ -341,7 +359,9 @@
             return
         self.clean = False
         kept = self.acceptor.kept
-        self._write([self._about("kept", pack(shard_state.pack_kept(kept)))], ("voted", who, kept, replies))
+        orders, puts = self._order_puts()
+        puts.append(self._about("kept", pack(shard_state.pack_kept(kept))))
+        self._write(puts, ("voted", who, kept, replies, orders))
 
     def _vote_out(self, who: Any, reply: Any) -> None:
         if who is None:
@@ -385,6 +405,7 @@
 
     def _end(self, id: str, value: Value | None, why: str) -> None:
         asked = self._asked.pop(id, None)
+        self._orders.pop(id, None)
         if asked is not None:
             self._over(asked[0], asked[1], value, why)
 
@@ -445,6 +466,7 @@
     def _learn(self, value: Value) -> None:
         """A state that was decided."""
         self.proposer.learn(value)
+        self.history.merge(self.body.taken, shard_state.lists_all(self.body))
         old, value = self.seen, self.known
         if value.version > old.version:
             self.seen = value
@@ -457,6 +479,77 @@
                 self._regrouped(value)
                 self._join_s = self.now  # to be settled before the next loss
             self._out.append(Changed(old, value))
+            self._end_orders()
+
+    # Orders
+
+    def load_orders(self, rows: list[tuple[int, Entry]]) -> None:
+        """Orders from its own disk, before anything else."""
+        self.history.load(rows)
+
+    def _order(self, id: str, order: shard_state.Put, for_s: float) -> None:
+        """An order. What is known of it for ever is told at once; copies of it share one proposal."""
+        verdict = self._verdict(order)
+        if verdict.final or verdict is Verdict.UNKNOWN:
+            self._out.append(Ended(id, self.known, shard_state.WHY_NOT.get(verdict, "")))
+            return
+        name = f"order {order.revision} {order.on} {order.digest.hex()}"
+        if name in self._asked:
+            self._asked[name][1].append(id)
+            return
+        self._orders[name] = order
+        self._ask(name, order, for_s, "ask", [id])
+
+    def _verdict(self, order: shard_state.Put) -> Verdict:
+        return order.verdict(self.history, self.body.revision)
+
+    def _end_orders(self) -> None:
+        """Answer the orders of which a newly learned state says for ever what became of them."""
+        for name, order in list(self._orders.items()):
+            verdict = self._verdict(order)
+            if verdict.final:
+                self.proposer.withdraw(name)
+                self._end(name, self.known, shard_state.WHY_NOT.get(verdict, ""))
+
+    def _order_puts(self) -> tuple[list[int], list[Put]]:
+        """The newest orders that are not on disk, with what puts them there."""
+        history = self.history
+        numbers = sorted(history.unsaved)[-ORDERS_PAGE:]
+        puts = [record(self.number, number, history.entries[number]) for number in numbers]
+        outdated, history.outdated = history.outdated[:ORDERS_PAGE], history.outdated[ORDERS_PAGE:]
+        puts += [record(self.number, number, None) for number in outdated if number not in history.entries]
+        return numbers, puts
+
+    def _mind_history(self) -> None:
+        """Ask another replica for orders older than it knows."""
+        if self.history.whole:
+            return
+        for name in self._others():
+            since_s = self.now - self._orders_asked_s.get(name, float("-inf"))
+            if since_s > ORDERS_AGAIN_S and self.peers.alive(name, self.now):
+                self._orders_asked_s[name] = self.now
+                self._say(name, "orders?", *self._oldest_order())
+                return
+
+    def _oldest_order(self) -> tuple[int, bytes]:
+        floor = self.history.floor
+        return floor, self.history.entries[floor].digest
+
+    def _tell_orders(self, who: Any, floor: int, digest: bytes) -> None:
+        found = self.history.before(floor, digest, ORDERS_PAGE)
+        if found is not None:
+            rows, complete = found
+            self._reply(who, "orders", [list(row) for row in rows], complete)
+
+    def _take_orders(self, who: Any, rows: list[Any], complete: bool) -> None:
+        floor = self.history.floor
+        self.history.prepend(tuple((number, digest) for number, digest in rows), complete)
+        if self.history.floor == floor:
+            return
+        orders, puts = self._order_puts()
+        self._write(puts, ("orders", orders))
+        if not self.history.whole:
+            self._reply(who, "orders?", *self._oldest_order())
 
     # The group
 
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from mesh.control.order_history import OrderHistory, Taken, Verdict
 from nickelbridge.register import (
     NONE,
     Accept,
@@ -28,7 +29,9 @@
     majority,
 )  # fmt: skip
 
-TAKEN_MOST = 64  # configurations whose numbers and digests are remembered
+# Orders that each state lists. A list as long as this may be cut: a build with a larger number has to tell
+# by other means which lists are whole.
+TAKEN_MOST = 64
 GENESIS = 1  # memory of a founder at the very first start
 
 CONFIGURATION = 0  # the shard that holds the configuration
@@ -36,6 +39,7 @@
 SHARDS = (CONFIGURATION, *KEY_SHARDS)
 
 OTHER_VERSION, OLD_VERSION, ALIVE, NO_PLACE = "other version", "old version", "it is alive", "no place"
+UNKNOWN_ORDER = "older than is remembered"
 OTHER_FENCE = "another owner came first"
 OTHER_GROUP = "the group has changed"
 
@@ -68,7 +72,7 @@
     epoch: int = 0
     revision: int = 0
     raw: bytes = b""  # the text, as `configuration_text` keeps it
-    taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
+    taken: Taken = ()  # the newest orders, `TAKEN_MOST` at most
     owner: str = ""  # the controller that does the duties of the shard
     fence: int = 0  # of that owner; rises with each, and with each change of voters
 
@@ -90,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Take a configuration on top of version `on`; done already where that very one was taken."""
+    """Take a configuration on top of version `on`; done already where that very order was taken."""
 
     raw: bytes
     revision: int
@@ -98,16 +102,33 @@
     on: int
 
     def __call__(self, before: Value) -> Value | str:
-        old = body(before)
-        if (self.revision, self.digest) in old.taken:
+        old, history = body(before), OrderHistory()
+        history.merge(old.taken, lists_all(old))
+        verdict = self.verdict(history, old.revision)
+        if verdict is Verdict.TAKEN:
             return before
-        if old.revision != self.on:
-            return OTHER_VERSION
-        if self.revision <= old.revision:
-            return OLD_VERSION
+        if verdict is not Verdict.NEW:
+            return WHY_NOT[verdict]
         taken = (*old.taken, (self.revision, self.digest))[-TAKEN_MOST:]
         return _next(before, replace(old, revision=self.revision, raw=self.raw, taken=taken))
 
+    def verdict(self, history: OrderHistory, current: int) -> Verdict:
+        """What is to become of the order while `current` is the newest version."""
+        return history.verdict(self.revision, self.digest, self.on, max(current, history.newest))
+
+
+WHY_NOT = {
+    Verdict.OTHER_VERSION: OTHER_VERSION,
+    Verdict.NOT_YET: OTHER_VERSION,
+    Verdict.OLD_VERSION: OLD_VERSION,
+    Verdict.UNKNOWN: UNKNOWN_ORDER,
+}
+
+
+def lists_all(state: Body) -> bool:
+    """Whether a state lists all orders that were ever taken."""
+    return len(state.taken) < TAKEN_MOST
+
 
 def read(before: Value) -> Value | str:
     """Change nothing: the round itself makes sure that what is told is the newest."""
--- a/mesh/errors.py
+++ b/mesh/errors.py
@@ -19,6 +19,7 @@
     SHED = "it has not run; come back"
     BROKEN = "it may have run"
     LATE = "no answer in time"
+    FORGOTTEN = "whether it was taken is not known here"
     NO_MAJORITY = "too few controllers answered"
     STARTING = "not ready yet"
 
@@ -34,6 +35,7 @@
     Kind.SHED: 503,
     Kind.BROKEN: 502,
     Kind.LATE: 504,
+    Kind.FORGOTTEN: 504,
     Kind.NO_MAJORITY: 503,
     Kind.STARTING: 503,
 }
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -194,7 +194,9 @@
 class _Round:
     ballot: Ballot
     about: _Asked
-    began_ms: float
+    began_ms: float  # of its phase: since when promises or accepts are out
+    due_ms: float  # what was not answered by then is sent again
+    resends: int = 0
     promises: dict[Voter, Promise] = field(default_factory=dict)
     asked: set[str] = field(default_factory=set)  # names
     next: Value | None = None  # once accepts are out
@@ -203,9 +205,11 @@
     refused: str = ""  # why nothing changes
 
 
-ROUND_MS = 500.0  # for a round, before another begins
+RESEND_MS = 500.0  # for voters to answer, before they are asked again; doubled each time, to
+RESEND_MOST_MS = 4_000.0
 BACK_OFF_MS = 400.0  # full jitter, doubled with each round that another one was in the way of, to
 BACK_OFF_MOST_MS = 5_000.0
+BACK_OFF_ANSWERS = 2.0  # it begins with so many times what answers take, if that is more
 ASKED_MOST = 64  # changes that wait at one node
 UNSETTLED = "the voters are changing"  # why another change of them is refused
 
@@ -214,11 +218,12 @@
     """One node's half that asks for changes, one at a time."""
 
     def __init__(
-        self, name: str, first: Value, rng: random.Random, round_ms: float = ROUND_MS,
+        self, name: str, first: Value, rng: random.Random, resend_ms: float = RESEND_MS,
         back_off_ms: float = BACK_OFF_MS,
     ) -> None:  # fmt: skip
         """`first`: the state that the register begins with, the same at all; its voters are asked first."""
-        self._round_ms, self._back_off_ms = round_ms, back_off_ms
+        self._resend_ms, self._back_off_ms = resend_ms, back_off_ms
+        self._answer_ms = 0.0  # how long the voters take to answer, of late
         self.name, self.known, self._first, self._rng = name, first, first, rng
         self._counter = 0  # of the highest ballot seen
         self._waiting: list[_Asked] = []
@@ -232,7 +237,7 @@
         if not self._waiting:
             return float("inf")
         if self._round is not None:
-            return self._round.began_ms + self._round_ms
+            return self._round.due_ms
         return self._again_ms
 
     def ask(self, id: str, change: Change, now: float, for_ms: float, intent: Any = None) -> list[Action]:
@@ -245,6 +250,12 @@
             self._waiting.append(_Asked(id, intent, change, now + for_ms))
         return self.tick(now)
 
+    def withdraw(self, id: str) -> None:
+        """No longer ask for a change: what it would bring about is known already, or can't be any more."""
+        self._waiting = [asked for asked in self._waiting if asked.id != id]
+        if self._round is not None and self._round.about.id == id:
+            self._round = None
+
     def tick(self, now: float) -> list[Action]:
         """Begin a round where one is due; give up on what waited too long."""
         self._waiting = [asked for asked in self._waiting if asked.until_ms > now]
@@ -252,21 +263,37 @@
             self._round = None
         if not self._waiting:
             return []
-        if self._round is not None and now < self._round.began_ms + self._round_ms:
-            return []
-        if self._round is not None:  # no majority answered
-            self._put_off(now)
+        if self._round is not None:
+            return self._resend(self._round, now) if now >= self._round.due_ms else []
         if now < self._again_ms:
             return []
         self._counter += 1
-        self._round = _Round((self._counter, self.name), self._waiting[0], now)
+        ballot = (self._counter, self.name)
+        self._round = _Round(ballot, self._waiting[0], now, now + self._resend_ms)
         return self._prepare(self.known.voters)
 
-    def _put_off(self, now: float) -> None:
+    def _resend(self, round_: _Round, now: float) -> list[Action]:
+        """Ask those again that have not answered, under the same ballot: what comes late still counts."""
+        round_.resends += 1
+        round_.due_ms = now + min(RESEND_MOST_MS, self._resend_ms * 2.0 ** min(round_.resends, 10))
+        if round_.next is not None:
+            accepted = {voter.name for voter in round_.accepted}
+            return [action for action in self._accepts(round_) if action.to not in accepted]
+        silent = sorted(round_.asked - {voter.name for voter in round_.promises})
+        again = [Send(name, Prepare(round_.ballot, round_.about.intent)) for name in silent]
+        return [*again, *self._prepare(self.known.voters)]
+
+    def _put_off(self, round_: _Round, now: float) -> None:
+        """Another one is ahead: leave it the time that its phase takes, and some more, drawn at random."""
+        self._note_answer(now - round_.began_ms)
         self._round = None
         self._tries += 1
-        wait = min(BACK_OFF_MOST_MS, self._back_off_ms * 2.0 ** min(self._tries, 10))
-        self._again_ms = now + wait * self._rng.random()
+        least = max(self._back_off_ms, BACK_OFF_ANSWERS * self._answer_ms)
+        wait = min(BACK_OFF_MOST_MS, least * 2.0 ** min(self._tries, 10))
+        self._again_ms = now + min(self._answer_ms, BACK_OFF_MOST_MS) + wait * self._rng.random()
+
+    def _note_answer(self, took_ms: float) -> None:
+        self._answer_ms = max(took_ms, 0.5 * (self._answer_ms + took_ms))
 
     def _prepare(self, voters: Iterable[Voter]) -> list[Action]:
         assert self._round is not None
@@ -284,7 +311,7 @@
             return []
         if message.promised > round_.ballot:  # another one is ahead: let it be done first
             self._counter = max(self._counter, message.promised[0])
-            self._put_off(now)
+            self._put_off(round_, now)
             return []
         if isinstance(message, Promise):
             round_.promises[message.voter] = message
@@ -325,8 +352,15 @@
             # Nothing changes; but what was read may be held by few, and must stand before it is told.
             round_.refused, after = after, before
         round_.before, round_.next = before, after
+        self._note_answer(now - round_.began_ms)
+        round_.began_ms, round_.due_ms, round_.resends = now, now + self._resend_ms, 0
+        return [*more, *self._accepts(round_)]
+
+    def _accepts(self, round_: _Round) -> list[Send]:
+        before, after = round_.before, round_.next
+        assert before is not None and after is not None
         names = dict.fromkeys(voter.name for voter in (*before.voters, *before.former, *after.voters))
-        return [*more, *(Send(name, Accept(round_.ballot, after)) for name in names)]
+        return [Send(name, Accept(round_.ballot, after)) for name in names]
 
     def _accepted(self, round_: _Round, now: float) -> list[Action]:
         after, before = round_.next, round_.before
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 from mesh.control import shard_state
+from mesh.control.order_records import orders_of
 from mesh.control.replica import Action, Answer, Changed, Ended, Peers, Tell, Write
 from mesh.control.shard import Shard, remembered
 from mesh.storage.store import Put, unpack
@@ -75,6 +76,8 @@
         for (name, key), value in self.disk.items():
             if name == "slips":
                 self.shard.load(key.decode(), unpack(value))
+        rows = [(key, value) for (name, key), value in self.disk.items() if name == "about"]
+        self.shard.load_orders(orders_of(self.number, rows))
 
     def wipe(self) -> None:
         """An empty disk, with a new memory."""
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -29,6 +29,7 @@
 from mesh.control.membership import Standing, epoch
 from mesh.control.operation_key_client import Count, OperationKeyClient
 from mesh.control.operation_keys import OperationKeys
+from mesh.control.order_history import OrderHistory, Verdict
 from mesh.control.replica import Action, Answer, Changed, Ended, Write
 from mesh.control.shard import Shard, remembered
 from nickelbridge import register
@@ -722,7 +723,7 @@
             same = [shard.unwritten[key] is slips.get(key) for key in shard.unwritten]
             for write in controller.writes:
                 match write.then:
-                    case ("voted", _, of, _):
+                    case ("voted", _, of, *_):
                         same.append(of is kept)
                     case (("claim" | "answer"), *_, slip):
                         same.append(any(slip is one for one in slips.values()))
@@ -820,8 +821,11 @@
     return bool(set(voters) & set(given))
 
 
-def _any_version(self: shard_state.Put, before: Value) -> Value | str:
-    return _put(replace(self, on=shard_state.body(before).revision), before)
+def _any_version(self: OrderHistory, number: int, digest: bytes, base: int, current: int) -> Verdict:
+    entry = self.entries.get(number)
+    if number > current or (entry is not None and entry.digest == digest):
+        return Verdict.NEW if number > current else Verdict.TAKEN
+    return _verdict(self, number, digest, base, current)
 
 
 def _alone(self: Shard, now: float) -> int | None:
@@ -894,8 +898,8 @@
 
 
 _admit, _owns = shard_state.Admit.__call__, Shard.owns
-_do, _handle, _promised, _put, _own = (
-    Controller.do, Acceptor.handle, Proposer._promised, shard_state.Put.__call__, shard_state.Own.__call__,
+_do, _handle, _promised, _verdict, _own = (
+    Controller.do, Acceptor.handle, Proposer._promised, OrderHistory.verdict, shard_state.Own.__call__,
 )  # fmt: skip
 _pulse, _hear, _join, _drop, _claim = (
     Shard.pulse, Count.hear, Shard._join, OperationKeys.drop, Shard.claim,
@@ -931,13 +935,13 @@
         "what was accepted is not taken up", "puts", 0, "", (Proposer, "_promised", _not_read)
     ),
     "any-voter": _break(
-        "any one voter is enough for a round", "puts", 1, "lose", (register, "majority", _any_majority)
+        "any one voter is enough for a round", "puts", 1, "cut", (register, "majority", _any_majority)
     ),
     "any-reading": _break(
         "any one voter is enough for a reading", "puts", 1, "cut", (shard_state, "majority", _any_majority)
     ),
     "any-version": _break(
-        "a configuration is taken on top of any", "puts", 0, "", (shard_state.Put, "__call__", _any_version)
+        "a configuration is taken on top of any", "puts", 0, "", (OrderHistory, "verdict", _any_version)
     ),
     "alone": _break("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
     "from-arrival": _break(
--- /dev/null
+++ b/tests/mesh/test_one_number.py
@@ -0,0 +1,373 @@
+"""One number, one content, one answer: histories and whole groups beside plain lists, in any order of events,
+and what the operators' resource says of orders that are badly formed, sent again, or too old to be known.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mesh.control import order_history, shard_state
+from mesh.control.configuration_resource import ConfigurationResource
+from mesh.control.control_api import call
+from mesh.control.order_history import Entry, OrderHistory, Verdict
+from mesh.control.order_records import orders_of, record
+from mesh.control.replica import ORDERS_PAGE, Changed, Ended
+from nickelbridge.register import Value
+from orchidferry.frontend import Reply
+from rehearsal.explore.controller import Controller
+from tests.mesh.test_membership import World
+from tests.mesh.test_records import example
+
+LISTED = 4  # orders that a state lists here
+
+
+# The history, beside a list of all orders
+
+
+class Chain:
+    """All orders that were ever taken."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[int, bytes]] = []
+
+    def take(self, step: int) -> None:
+        number = (self.orders[-1][0] if self.orders else 0) + step
+        self.orders.append((number, b"d%d" % number))
+
+    def truth(self, number: int, digest: bytes, base: int, upto: int) -> bool:
+        """Whether the order is among the first `upto`."""
+        numbers = [0, *(n for n, _ in self.orders[:upto])]
+        at = numbers.index(number) if number in numbers[1:] else 0
+        return at > 0 and numbers[at - 1] == base and self.orders[at - 1][1] == digest
+
+
+class Kept:
+    """A replica's history, with its records on a disk."""
+
+    def __init__(self, chain: Chain) -> None:
+        self.chain, self.disk, self.upto = chain, dict[bytes, bytes](), 0
+        self.history = OrderHistory(most=12)
+
+    def learn(self) -> None:
+        orders = self.chain.orders
+        if self.upto < len(orders):
+            self.upto = len(orders)
+            self.history.merge(tuple(orders[-LISTED:]), len(orders) < LISTED)
+
+    def save(self) -> None:
+        history = self.history
+        puts = [record(0, n, history.entries[n]) for n in history.unsaved]
+        puts += [record(0, n, None) for n in history.outdated if n not in history.entries]
+        history.outdated.clear()
+        history.saved(list(history.unsaved))
+        for _, key, value in puts:
+            self.disk.pop(key, None)
+            if value is not None:
+                self.disk[key] = value
+
+    def restart(self) -> None:
+        self.history = OrderHistory(most=12)
+        self.history.load(orders_of(0, self.disk.items()))
+        newest = self.history.newest
+        self.upto = [0, *(n for n, _ in self.chain.orders)].index(newest)
+
+    def ask(self, other: Kept) -> None:
+        floor = self.history.floor
+        if floor and not self.history.whole:
+            found = other.history.before(floor, self.history.entries[floor].digest, 3)
+            if found is not None:
+                self.history.prepend(*found)
+
+    def check(self) -> None:
+        history, numbers = self.history, [n for n, _ in self.chain.orders]
+        upto, current = self.upto, self.history.newest
+        assert list(history.numbers) == [n for n in numbers[:upto] if n >= (history.floor or 1)]
+        assert len(history.numbers) <= 12
+        for at, number in enumerate(numbers):
+            base = numbers[at - 1] if at else 0
+            for digest, on in ((b"d%d" % number, base), (b"other", base), (b"d%d" % number, base - 1)):
+                if on < 0:
+                    continue
+                verdict = history.verdict(number, digest, on, current)
+                taken = self.chain.truth(number, digest, on, upto)
+                if number > current:
+                    assert verdict in (Verdict.NEW, Verdict.NOT_YET, Verdict.OTHER_VERSION)
+                    assert verdict is not Verdict.OTHER_VERSION or not self.chain.truth(
+                        number, digest, on, len(numbers)
+                    )
+                elif number <= history.floor:
+                    assert verdict is Verdict.UNKNOWN
+                else:
+                    assert verdict is (Verdict.TAKEN if taken else Verdict.OTHER_VERSION)
+            absent = history.verdict(number - 1, b"x", number - 2, current)
+            assert absent is not Verdict.TAKEN
+
+
+EVENTS = st.lists(st.tuples(st.sampled_from("ttttllasrw"), st.integers(0, 2), st.integers(1, 3)), max_size=80)
+
+
+@settings(max_examples=200, deadline=None)
+@given(EVENTS)
+def test_histories_beside_the_list_of_all_orders(events: list[tuple[str, int, int]]) -> None:
+    """Taken, learned, asked for, saved, restarted and wiped in any order: never wrong, at most unsure."""
+    chain = Chain()
+    histories = [Kept(chain) for _ in range(3)]
+    for what, which, step in events:
+        one = histories[which]
+        if what == "t":
+            chain.take(step)
+        elif what == "l":
+            one.learn()
+        elif what == "a":
+            one.ask(histories[(which + step) % 3])
+        elif what == "s":
+            one.save()
+        elif what == "r":
+            one.restart()
+        else:
+            one.disk.clear()
+            one.restart()
+        one.check()
+
+
+@given(st.integers(1, 40), st.integers(1, 5))
+def test_a_wiped_replica_learns_all_again_page_by_page(orders: int, page: int) -> None:
+    chain, kept = Chain(), OrderHistory()
+    for _ in range(orders):
+        chain.take(2)
+        kept.merge(tuple(chain.orders[-LISTED:]), len(chain.orders) < LISTED)
+    assert kept.floor == 0
+    wiped = OrderHistory()
+    wiped.merge(tuple(chain.orders[-LISTED:]), orders < LISTED)
+    for _ in range(orders):
+        if wiped.floor:
+            found = kept.before(wiped.floor, wiped.entries[wiped.floor].digest, page)
+            assert found is not None and len(found[0]) <= page + 1
+            wiped.prepend(*found)
+    assert (wiped.floor, wiped.entries) == (0, kept.entries)
+
+
+# A group of controllers
+
+
+class Orders(World):
+    """Orders sent again, changed under their number, or moved to another base, at any controller."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self.sent: list[shard_state.Put] = []
+        self.acknowledged: list[shard_state.Put] = []
+        self.refused: list[shard_state.Put] = []
+        self.taken_orders: dict[int, tuple[bytes, int]] = {}  # by version: digest and number, as decided
+        self.counts |= {"again": 0, "refused": 0, "unclear": 0}
+
+    def decided(self, name: str, changed: Changed) -> None:
+        super().decided(name, changed)
+        state = shard_state.body(changed.new)
+        if state.revision:
+            known = self.taken_orders.setdefault(state.revision, (state.raw, state.revision))
+            assert known[0] == state.raw, "two contents under one number were taken"
+
+    def _order(self) -> shard_state.Put:
+        rng, dice = self.rng, self.rng.random()
+        newest = max(self.taken_orders, default=0)
+        if dice < 0.45 or not self.sent:
+            mark = str(self.number()).encode()
+            return shard_state.Put(mark, newest + rng.randrange(1, 3), mark, newest)
+        old = rng.choice(self.sent)
+        if dice < 0.8:
+            return old
+        if dice < 0.9:
+            mark = str(self.number()).encode()
+            return replace(old, raw=mark, digest=mark)
+        return replace(old, on=rng.randrange(old.revision))
+
+    def put(self) -> None:
+        controller, order = self.some(), self._order()
+        if controller is None:
+            return
+        self.sent.append(order)
+        id = str(self.number())
+
+        def told(end: Ended) -> None:
+            if end.value is None or end.why == shard_state.UNKNOWN_ORDER:
+                self.counts["unclear"] += 1
+            elif end.why:
+                self.counts["refused"] += 1
+                self.refused.append(order)
+            else:
+                self.counts["again" if order in self.acknowledged else "put"] += 1
+                self.acknowledged.append(order)
+
+        self.waiting[id] = told
+        controller.do(controller.shard.ask(id, order, 3.0, self.now))
+
+    def judge(self) -> None:
+        """Beside the plain list of all orders that were taken."""
+        numbers = [0, *sorted(self.taken_orders)]
+        taken = {(n, self.taken_orders[n][0], base) for base, n in itertools.pairwise(numbers)}
+        for order in self.acknowledged:
+            assert (order.revision, order.digest, order.on) in taken
+        for order in self.refused:
+            assert (order.revision, order.digest, order.on) not in taken
+
+
+def _play(seed: int, trouble: float, steps: int = 2_500) -> Orders:
+    world = Orders(random.Random(seed))
+    with mock.patch.object(shard_state, "TAKEN_MOST", 2):  # a state tells of one order
+        for _ in range(steps):
+            world.step(trouble)
+            if world.rng.random() < 0.05:
+                world.put()
+    return world
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 2**40), st.sampled_from((0.0, 0.5, 1.0)))
+def test_orders_in_any_order_of_events(seed: int, trouble: float) -> None:
+    """What was acknowledged was taken on its base, what was refused never was; wipes, losses and all."""
+    _play(seed, trouble).judge()
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        lambda verdict: Verdict.OTHER_VERSION if verdict is Verdict.UNKNOWN else verdict,
+        lambda verdict: Verdict.TAKEN if verdict is Verdict.UNKNOWN else verdict,
+    ],
+    ids=["short-memory", "believes-all"],
+)
+def test_a_guess_about_forgotten_orders_is_caught(broken: Callable[[Verdict], Verdict]) -> None:
+    verdict = OrderHistory.verdict
+    guess = mock.patch.object(OrderHistory, "verdict", lambda *args: broken(verdict(*args)))
+    with guess, pytest.raises(AssertionError):
+        for seed in range(100):
+            _play(seed, 1.0).judge()
+
+
+def _taken(world: Orders, controller: Controller, order: shard_state.Put) -> bool:
+    """What a controller says of an order, with all going well."""
+    ends: list[Ended] = []
+    id = str(world.number())
+    world.waiting[id] = ends.append
+    controller.do(controller.shard.ask(id, order, 3.0, world.now))
+    world.play(1.0)
+    return bool(ends) and ends[0].value is not None and not ends[0].why
+
+
+def _put(number: int) -> shard_state.Put:
+    mark = str(number).encode()
+    return shard_state.Put(mark, number, mark, number - 1)
+
+
+def test_an_order_of_long_ago_is_known_after_losses_one_after_the_other() -> None:
+    """More orders than states list; each disk lost in turn, with time between; then all are killed."""
+    world = Orders(random.Random(3))
+    world.controllers.pop("d")
+    world.play(2.0)
+    controllers = list(world.controllers.values())
+    for number in range(1, 71):
+        assert _taken(world, controllers[number % 3], _put(number))
+    for one in controllers:
+        one.wipe()
+        one.start()
+        world.play(12.0)
+        assert one.shard.history.floor == 0
+        assert _taken(world, one, _put(1))
+    for one in controllers:
+        one.start()
+    world.play(1.0)
+    for one in controllers:
+        assert _taken(world, one, _put(1)) and _taken(world, one, _put(70))
+        assert not _taken(world, one, replace(_put(1), digest=b"other"))
+
+
+def test_a_history_is_bounded_and_its_oldest_orders_leave_the_disk() -> None:
+    history = OrderHistory(most=5)
+    for number in range(1, 9):
+        history.merge(tuple((n, b"") for n in range(max(1, number - 3), number + 1)), number < LISTED)
+    assert list(history.numbers) == [4, 5, 6, 7, 8] and history.floor == 4 and history.outdated == [1, 2, 3]
+    assert history.verdict(4, b"", 3, 8) is Verdict.UNKNOWN
+    assert history.verdict(5, b"", 4, 8) is Verdict.TAKEN
+    assert history.entries[4] == Entry(b"", -1) and ORDERS_PAGE < order_history.ORDERS_MOST
+
+
+# The resource
+
+
+def _content(number: int, **more: Any) -> bytes:
+    return json.dumps(example() | {"revision_number": number} | more).encode()
+
+
+class Resource:
+    """The operators' resource on a register that takes what may be taken."""
+
+    def __init__(self) -> None:
+        self.value = shard_state.genesis(("a", "b", "c"))
+        self.resource = ConfigurationResource(self._ask, lambda told: told(self.value), lambda: False)
+
+    def _ask(self, change: shard_state.Change, _: float, told: Callable[[Ended], None]) -> None:
+        after = change(self.value)
+        self.value = after if isinstance(after, Value) else self.value
+        told(Ended("1", self.value, after if isinstance(after, str) else ""))
+
+    def put(self, body: bytes, if_match: bytes | None) -> Reply:
+        headers = {} if if_match is None else {b"if-match": if_match}
+        replies: list[Reply] = []
+        self.resource(call(b"PUT", b"/orchidferry/configuration", headers, body), "", replies.append)
+        assert len(replies) == 1
+        return replies[0]
+
+
+@pytest.mark.parametrize(
+    "if_match",
+    [
+        None, b"", b"*", b"five", b"-1", b"+1", b"1.0", b"0x1", b"5, 6", b'"5", "6"', b'W/"0"', b'"0',
+        b'""0""', b"9" * 17, b"9" * 5_000, b"\xb2", b"0;q=1",
+    ],
+)  # fmt: skip
+def test_an_order_without_a_version_is_told_so_in_one_line(if_match: bytes | None) -> None:
+    resource = Resource()
+    reply = resource.put(_content(7), if_match)
+    assert reply.status == 400 and b"If-Match" in reply.body and b"\n" not in reply.body
+    assert shard_state.body(resource.value).revision == 0
+    assert resource.put(_content(7), b"0").status == 200
+
+
+@pytest.mark.parametrize("if_match", [b"0", b'"0"', b" 0 ", b' "0" ', b"000"])
+def test_a_version_may_stand_in_quotes(if_match: bytes) -> None:
+    assert Resource().put(_content(7), if_match).status == 200
+
+
+def test_what_was_taken_is_acknowledged_as_it_was_sent_and_no_other_way() -> None:
+    resource = Resource()
+    assert resource.put(_content(5), b"0").status == 200
+    assert resource.put(_content(7), b"5").status == 200
+    assert resource.put(_content(9), b"7").status == 200
+    for if_match, status in ((b"5", 200), (b'"5"', 200), (b"0", 412), (b"6", 412), (b"7", 400), (b"9", 400)):
+        assert resource.put(_content(7), if_match).status == status, if_match
+    assert resource.put(_content(7) + b"\n", b"5").status == 412  # other bytes are another content
+    assert resource.put(_content(7, trunk_groups=[]), b"5").status == 400  # invalid, whatever its number
+    assert resource.put(_content(8), b"7").status == 412  # never taken
+    assert resource.put(_content(2**53), b"9").status == 400 and resource.put(_content(9), b"7").status == 200
+    assert shard_state.body(resource.value).raw == _content(9)
+
+
+def test_an_order_too_old_to_be_known_has_no_clear_answer() -> None:
+    resource = Resource()
+    with mock.patch.object(shard_state, "TAKEN_MOST", 2):
+        for number in range(1, 5):
+            assert resource.put(_content(number), b"%d" % (number - 1)).status == 200
+        reply = resource.put(_content(2), b"1")
+        assert reply.status == 504 and reply.retry_after_s and b"forgotten" in reply.body
+        assert resource.put(_content(4), b"3").status == 200
