Believe a group that was begun anew over order records on disk; orders load from the store

A replica that knows of no decided state yet runs a round, whatever its disk says.

The property test's operators build on versions that they have read: an order on a version that is not there is 412 (now tested as such), and may be taken later, if it is sent again once that version is there.

--- a/mesh/control/order_history.py
+++ b/mesh/control/order_history.py
@@ -78,6 +78,8 @@
 
     def merge(self, taken: Taken, complete: bool) -> None:
         """Learn the list of a decided state; `complete`: it begins with the first order of all."""
+        if self._contradicted_by(taken):  # a group that was begun anew, from an older snapshot
+            self._forget()
         known = self.newest
         if not taken or taken[-1][0] <= known:
             return
@@ -91,6 +93,12 @@
                 base = self.newest if self.numbers or not self.floor else -1
                 self._append(number, Entry(digest, base))
 
+    def _contradicted_by(self, taken: Taken) -> bool:
+        inside = [(number, digest) for number, digest in taken if self.floor <= number <= self.newest]
+        return any(
+            number not in self.entries or self.entries[number].digest != digest for number, digest in inside
+        )
+
     def prepend(self, older: Taken, complete: bool) -> None:
         """Learn orders that come right before the floor, from another replica; the last one is the floor's
         own.
--- a/mesh/control/order_records.py
+++ b/mesh/control/order_records.py
@@ -8,18 +8,25 @@
 from collections.abc import Iterable
 
 from mesh.control.order_history import Entry
-from mesh.storage.store import Put, pack, unpack
+from mesh.storage.store import Put
 
 PREFIX = b"order/"
+BASE_BYTES = 8  # at the end of a record, behind the digest
 
 
 def record(shard: int, number: int, entry: Entry | None) -> Put:
     """What puts an order on disk, or takes it away (None)."""
     key = PREFIX + f"{shard}/{number:016d}".encode()
-    return "about", key, None if entry is None else pack([entry.digest, entry.base])
+    if entry is None:
+        return "about", key, None
+    return "about", key, entry.digest + entry.base.to_bytes(BASE_BYTES, "big", signed=True)
 
 
 def orders_of(shard: int, rows: Iterable[tuple[bytes, bytes]]) -> list[tuple[int, Entry]]:
     """The orders among the records of `about`."""
     prefix = PREFIX + f"{shard}/".encode()
-    return [(int(key[len(prefix) :]), Entry(*unpack(value))) for key, value in rows if key.startswith(prefix)]
+    return [(int(key[len(prefix) :]), _entry(value)) for key, value in rows if key.startswith(prefix)]
+
+
+def _entry(value: bytes) -> Entry:
+    return Entry(value[:-BASE_BYTES], int.from_bytes(value[-BASE_BYTES:], "big", signed=True))
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -466,11 +466,11 @@
     def _learn(self, value: Value) -> None:
         """A state that was decided."""
         self.proposer.learn(value)
-        self.history.merge(self.body.taken, shard_state.lists_all(self.body))
         old, value = self.seen, self.known
         if value.version > old.version:
             self.seen = value
             before, after = shard_state.body(old), shard_state.body(value)
+            self.history.merge(after.taken, shard_state.lists_all(after))
             if after.fence != before.fence:
                 self._pulsed.clear()
                 if after.fence != before.fence + 1 or before.owner not in ("", after.owner):
@@ -490,7 +490,7 @@
     def _order(self, id: str, order: shard_state.Put, for_s: float) -> None:
         """An order. What is known of it for ever is told at once; copies of it share one proposal."""
         verdict = self._verdict(order)
-        if verdict.final or verdict is Verdict.UNKNOWN:
+        if self.known.version and (verdict.final or verdict is Verdict.UNKNOWN):
             self._out.append(Ended(id, self.known, shard_state.WHY_NOT.get(verdict, "")))
             return
         name = f"order {order.revision} {order.on} {order.digest.hex()}"
--- a/tests/mesh/test_one_number.py
+++ b/tests/mesh/test_one_number.py
@@ -4,11 +4,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import json
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -22,11 +24,14 @@
 from mesh.control.order_history import Entry, OrderHistory, Verdict
 from mesh.control.order_records import orders_of, record
 from mesh.control.replica import ORDERS_PAGE, Changed, Ended
+from mesh.storage import storage_check
+from mesh.storage.store import Store
 from nickelbridge.register import Value
 from orchidferry.frontend import Reply
 from rehearsal.explore.controller import Controller
 from tests.mesh.test_membership import World
 from tests.mesh.test_records import example
+from tests.mesh.test_store import Loop, a_controller, close
 
 LISTED = 4  # orders that a state lists here
 
@@ -190,7 +195,8 @@
         if dice < 0.9:
             mark = str(self.number()).encode()
             return replace(old, raw=mark, digest=mark)
-        return replace(old, on=rng.randrange(old.revision))
+        there = [0, *(number for number in self.taken_orders if number < old.revision)]
+        return replace(old, on=rng.choice(there))  # operators build on what they have read
 
     def put(self) -> None:
         controller, order = self.some(), self._order()
@@ -302,6 +308,35 @@
     assert history.entries[4] == Entry(b"", -1) and ORDERS_PAGE < order_history.ORDERS_MOST
 
 
+def test_a_group_that_was_begun_anew_is_believed_and_not_the_disk() -> None:
+    history = OrderHistory()
+    history.load([(1, Entry(b"a", 0)), (2, Entry(b"b", 1)), (5, Entry(b"c", 2))])
+    history.merge(((1, b"a"), (2, b"b")), True)  # an older state of the same group says nothing new
+    assert list(history.numbers) == [1, 2, 5]
+    history.merge(((1, b"a"), (2, b"b"), (4, b"x")), True)
+    assert list(history.numbers) == [1, 2, 4] and sorted(history.outdated) == [1, 2, 5]
+
+
+def test_orders_are_in_the_store_of_a_controller_that_starts_again(tmp_path: Path) -> None:
+    """Beside the records that the check at the start looks at."""
+    history, loop = OrderHistory(), Loop()
+    history.merge(tuple((n, b"%d" % n) for n in range(1, 200)), True)
+    store = Store(str(tmp_path), loop)  # type: ignore[arg-type]
+    store.write([record(shard_state.CONFIGURATION, n, history.entries[n]) for n in history.numbers])
+    close(store)
+    storage_check.prepare(str(tmp_path))
+    assert not storage_check.forgot(str(tmp_path))
+
+    async def load() -> OrderHistory:
+        controller = a_controller(tmp_path)
+        controller._store.close()
+        return controller._configuration_shard.history
+
+    found = asyncio.run(load())
+    assert found.entries == history.entries and found.floor == 0
+    assert found.verdict(7, b"7", 6, 199) is Verdict.TAKEN
+
+
 # The resource
 
 
@@ -359,6 +394,7 @@
     assert resource.put(_content(7) + b"\n", b"5").status == 412  # other bytes are another content
     assert resource.put(_content(7, trunk_groups=[]), b"5").status == 400  # invalid, whatever its number
     assert resource.put(_content(8), b"7").status == 412  # never taken
+    assert resource.put(_content(20), b"19").status == 412  # on a version that is not there
     assert resource.put(_content(2**53), b"9").status == 400 and resource.put(_content(9), b"7").status == 200
     assert shard_state.body(resource.value).raw == _content(9)
 
