--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
+from mesh.dataplane.attempt import TrackedAttempt
 from mesh.dataplane.http_connection import (
     BELOW,
     KEYED,
@@ -41,7 +42,7 @@
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
 from orchidferry.request import Message
-from orchidferry.upstream import Answer, Attempt
+from orchidferry.upstream import Answer
 
 OVER = 1  # requests beyond its slots that a server is given, so that none of these is idle
 GUESS = 4  # slots of a server that has said nothing yet
@@ -50,7 +51,6 @@
 SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
 LEAST_LEFT_MS = 8.0
 REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
-SERVER = 1  # its number for the pool of lines
 ENDED_MOST = 64
 
 
@@ -73,7 +73,7 @@
         self.owed = False
         if self.attempt is None:
             self._gate.forget(self)
-        elif not self.once or not self.attempt.written:
+        elif not self.once or not self.attempt.begun:
             self.attempt.break_off(Result.CANCELLED)
 
     def reply(self, reply: Reply) -> None:
@@ -85,13 +85,13 @@
             reply.flow.call_off()
 
 
-class Visit(Attempt):
+class Visit(TrackedAttempt):
     """A request on its way to the server."""
 
     __slots__ = ("_gate", "_pass", "headers")
 
     def __init__(self, gate: AdmissionGate, passing: Pass, address: Address, timeout_ms: float) -> None:
-        super().__init__(passing.message, SERVER, address, timeout_ms)
+        super().__init__(passing.message, gate.life, address, timeout_ms, passing.once)
         self._gate, self._pass = gate, passing
         passing.attempt = self
 
@@ -128,6 +128,7 @@
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
         self.server: Server | None = None
+        self.life = 1  # its number for the pool of connections: none is used for another life
         self._sequence = -1
         self._ended: dict[str, None] = {}  # lives that are over, the oldest first
         self._drained_ms = float("inf")  # when its drain was acknowledged
@@ -157,7 +158,8 @@
         self._sequence, self._heard_ms = sequence, now_ms()
         if had is None or had.id != server.id:
             self._drained_ms = float("inf")
-            self._lines.gone(SERVER)
+            self._lines.gone(self.life)
+            self.life += 1
         if server.state == DRAINING:
             self._drained_ms = min(self._drained_ms, now_ms())
         elif had is not None and had.state == GONE:  # it was only taken for gone
--- /dev/null
+++ b/mesh/dataplane/attempt.py
@@ -0,0 +1,53 @@
+"""An attempt that knows whether the first byte of its request may have left this machine.
+
+`orchidferry.upstream.Attempt` draws the line between "never ran" and "may have run" at the last byte
+written. The mesh draws it at the first: a server may begin as soon as it has read a head, and a silence or a
+reset after that proves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from nickelbridge.interface import Result
+from orchidferry.config import Address
+from orchidferry.request import Message
+from orchidferry.upstream import Answer, Attempt
+
+
+class TrackedAttempt(Attempt):
+    """One copy of a request; `once`: it must not run twice."""
+
+    __slots__ = ("_begun", "_untouched", "once")
+
+    def __init__(
+        self, message: Message, server: int, address: Address, timeout_ms: float, once: bool
+    ) -> None:
+        super().__init__(message, server, address, timeout_ms)
+        self.once = once
+        self._begun = False
+        self._untouched: Callable[[], bool] | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether a byte of it may have been sent: from then on it may have run."""
+        if not self._begun and not self.written and self._untouched is not None:
+            self._begun = not self._untouched()
+        return self._begun or self.written
+
+    def begin(self, untouched: Callable[[], bool] | None = None) -> None:
+        """Its bytes were given to the kernel; `untouched` tells whether that has taken none of them yet."""
+        self._untouched = untouched
+        self._begun = untouched is None
+
+    def end(self, result: Result, answer: Answer | None = None) -> None:
+        if result is Result.UNREACHABLE and self.begun:
+            result = Result.RESET
+        super().end(result, answer)
+
+    def break_off(self, result: Result) -> None:
+        _ = self.begun  # asked while there is a connection to ask
+        super().break_off(result)
+
+    def timed_out(self) -> None:
+        self.break_off(Result.TIMEOUT if self.begun else Result.UNREACHABLE)
--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -1,38 +1,35 @@
-"""HTTP of the data plane: requests as they come to a node, and the lines on which they go to servers.
+"""HTTP of the data plane: requests and answers, and the connections on which they go to servers.
 
-Both halves rest on the node's own (`orchidferry.frontend`, `orchidferry.upstream`); here is only what the
-mesh's wire adds: headers that go along unchanged, ids that tell an answer in the wrong place, stamps without
-which a success does not count, and the gate's own word on whether a request ran.
+It rests on the node's own (`orchidferry.upstream`); here is only what the mesh's wire adds: ids that tell an
+answer in the wrong place, stamps without which a success does not count, and the gate's own word on whether a
+request ran. Callers' connections are in `listener`.
 """
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
+from typing import cast
+
+import httptools
 
 from mesh.control.configuration import Route
+from mesh.dataplane.attempt import TrackedAttempt
+from mesh.dataplane.idle_limit import IdleLimit
 from mesh.errors import Refusal
 from nickelbridge.interface import Result
-from orchidferry.flow import Flow, Pool
-from orchidferry.frontend import LIMITS_S, Accept, Caller, Frontend, Reply, Stage
-from orchidferry.request import Message, Unacceptable
-from orchidferry.upstream import Answer, Attempt, Connection, Upstream, framing
+from orchidferry.alarms import Alarms
+from orchidferry.config import Address, now_ms
+from orchidferry.flow import Flow
+from orchidferry.frontend import Reply
+from orchidferry.request import Message
+from orchidferry.upstream import UPLOAD_STALL_S, Answer, Attempt, Connection, Upstream, framing
 
 HELD_ANSWER = 1024 * 1024  # bytes of an answer that are read whole before any of it is passed on
 MARGIN_MS = 4.0  # of the time that a sender has, for the way there and back
-# Headers that concern one connection, or that the system writes itself.
-HOP = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length", b"host",
-))  # fmt: skip
-OWN = frozenset((b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"))
-ONCE = HOP | OWN
-SINGLE = frozenset((
-    b"host", b"content-length", b"transfer-encoding", b"attempt-id", b"operation-key", b"time-remaining",
-    b"target-instance", b"calling-service",
-))  # fmt: skip
-TOKEN = re.compile(rb"[\x21-\x7e]{1,256}")
 MILLISECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # The gate's own headers, which no client or server sees.
 GATE, RANK, PATIENCE, TIMES, LOAD, BELOW, KEYED = (
@@ -41,6 +38,10 @@
 )  # fmt: skip
 PRIVATE = b"orchid-"
 
+SWITCHING, NO_BODY = 101, (204, 304)  # statuses
+LINE_END = b"\r\n"
+TRIED_MOST = 8  # ids that a connection remembers
+
 UNRUN, GONE, LOST, LATE = b"unrun", b"gone", b"lost", b"late"  # what a gate says of a request
 GATE_RESULTS = {
     UNRUN: Result.REFUSED, GONE: Result.MOOT, LOST: Result.RESET, LATE: Result.TIMEOUT,
@@ -76,63 +77,6 @@
         return self.gate is None and self.id is not None and not self.encoded and stamped
 
 
-class Asker(Caller):
-    """A caller of the data plane."""
-
-    def _start_message(self) -> None:
-        super()._start_message()
-        self._along: list[tuple[bytes, bytes]] = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        had = self._headers_done or self._deaf
-        super().on_header(name, value)
-        low = name.lower()
-        if not had and low not in ONCE and not low.startswith(PRIVATE):
-            self._along.append((name, value))
-
-    def _message(self, flow: Flow | None = None) -> Message | Reply:
-        message = super()._message(flow)
-        if isinstance(message, Asked):
-            named = message.headers.get(b"connection", b"").lower()
-            message.along = self._along
-            if named not in (b"", b"close", b"keep-alive"):
-                hop = {part.strip() for part in named.split(b",")}
-                message.along = [header for header in self._along if header[0].lower() not in hop]
-        return message
-
-
-class DataDoor(Frontend):
-    """A listener of the data plane."""
-
-    kind = Asker
-    single = SINGLE
-    limits_s = LIMITS_S | {Stage.IDLE: 60.0, Stage.NEW: 60.0, Stage.READING: 3.0}
-
-    def __init__(self, accept: Accept, most: int, pool: Pool, ready: Callable[[], bool]) -> None:
-        super().__init__({}, accept, ready, most, pool)
-
-    def limit(self, idle_s: float, header_s: float) -> None:
-        """Take the operator's limits."""
-        self.limits_s = LIMITS_S | {
-            Stage.IDLE: idle_s, Stage.NEW: idle_s, Stage.READING: max(header_s, 1.0),
-        }  # fmt: skip
-
-    def read(
-        self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, flow: Flow | None
-    ) -> Message | Reply:
-        """A whole request; `Unacceptable` says what is wrong with it."""
-        id, left = headers.get(b"attempt-id"), headers.get(b"time-remaining")
-        if id is None or not TOKEN.fullmatch(id):
-            raise Unacceptable("Attempt-Id is missing or can't be used")
-        if left is not None and not MILLISECONDS.fullmatch(left):
-            raise Unacceptable("Time-Remaining must be milliseconds")
-        return Asked(
-            method, target, id.decode("latin-1"), "", float(left) if left is not None else 0.0, None, False,
-            headers.get(b"operation-key"), None, body, flow,
-            host=headers.get(b"host", b""), headers=headers,
-        )  # fmt: skip
-
-
 def head(message: Asked, own: list[tuple[bytes, bytes]]) -> bytes:
     """A request as it goes on, with its body unless that flows; `own`: what the system adds."""
     return b"%b %b HTTP/1.1\r\nHost: %b\r\nAttempt-Id: %b\r\n%b%b%b\r\n%b" % (
@@ -143,15 +87,69 @@
     )  # fmt: skip
 
 
+class AnswerParser:
+    """The parser of answers, strict about what comes beside them.
+
+    The library's own skips line ends between messages in silence, and takes a switch of protocols after a
+    whole answer for a fault of that answer.
+    """
+
+    __slots__ = ("_connection", "_parser", "get_status_code", "should_keep_alive")
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+        self._parser = httptools.HttpResponseParser(connection)
+        self.get_status_code = self._parser.get_status_code
+        self.should_keep_alive = self._parser.should_keep_alive
+
+    def feed_data(self, data: bytes) -> None:
+        """Parse what has come; `HttpParserError` also for any byte after a whole answer."""
+        connection = self._connection
+        connection.before_parsing(data)
+        try:
+            if data[-1] not in LINE_END or len(data) == 1:
+                return self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(data)[:-1])
+            if connection.complete:
+                raise httptools.HttpParserError("a line end after the answer")
+            self._parser.feed_data(data[-1:])
+        except httptools.HttpParserUpgrade:
+            if connection.complete:
+                raise httptools.HttpParserError("a switch of protocols after the answer") from None
+            raise
+
+
 class HttpConnection(Connection):
-    """A connection to a server, or to the gate before one."""
+    """A connection to a server, or to the gate before one: one attempt at a time, while it is clean.
 
-    __slots__ = ("_below", "_encoded", "_gate", "_headers", "_id", "_not_run", "_seal", "_skip", "_tainted")
+    Clean is one on which nothing came but whole answers, each to the request that was out and with its id.
+    After anything else (an answer that is early, late, surplus, broken or without an id, a stray byte) it is
+    closed as soon as its attempt has ended.
+    """
+
+    __slots__ = (
+        "_begun", "_below", "_encoded", "_gate", "_headers", "_id", "_not_run", "_rested_ms", "_seal",
+        "_skip", "_tainted", "_tried",
+    )  # fmt: skip
 
     held_most = HELD_ANSWER
+    _pool: HttpConnections
+
+    def __init__(self, pool: HttpConnections, server: int, address: Address) -> None:
+        self._tried: tuple[str, ...] = ()  # ids of the last requests that it carried
+        self._rested_ms = 0.0  # idle time before the attempt at hand
+        self._tainted = False
+        super().__init__(pool, server, address)
+        self._parser = cast(httptools.HttpResponseParser, AnswerParser(self))
+
+    @property
+    def complete(self) -> bool:
+        """Whether the answer at hand has come whole."""
+        return self._complete
 
     def _start_answer(self) -> None:
         super()._start_answer()
+        self._begun = False  # something of the answer at hand has come
         self._start_words()
 
     def _start_words(self) -> None:
@@ -160,19 +158,65 @@
         self._gate: bytes | None = None
         self._seal = self._encoded = self._not_run = self._skip = self._below = False
 
+    # Requests
+
+    def has_tried(self, id: str) -> bool:
+        """Whether it carried a request of this id: a second answer to that one would pass for this one's."""
+        return id in self._tried
+
     def carry(self, attempt: Attempt) -> None:
+        """Write an attempt's request and wait for its answer; the attempt learns whether it has begun."""
+        assert isinstance(attempt, TrackedAttempt)
         self._tainted = False
-        super().carry(attempt)
+        self._tried = (*self._tried[1 - TRIED_MOST :], attempt.message.id)
+        self._attempt = attempt
+        self._start_answer()
+        attempt.carried_by(self.close)
+        request = attempt.head_bytes()
+        self._transport.write(request)
+        if self._transport.is_closing():  # the write itself failed: the kernel took nothing
+            return self._end(Result.UNREACHABLE, reuse=False)
+        attempt.begin(partial(self._untouched, len(request)) if self._paused else None)
+        flow = attempt.message.flow
+        if flow is not None:
+            self._upload = flow
+            flow.attach(self)
+        elif not self._paused:
+            attempt.sent_whole()
+
+    def rested(self, idle_ms: float) -> None:
+        """It has rested for so long before the attempt that it is about to carry."""
+        self._rested_ms = idle_ms
+
+    def _untouched(self, size: int) -> bool:
+        """Whether the kernel has taken nothing yet of a request of that size; no, if that can't be told."""
+        open = not self._lost and not self._transport.is_closing()
+        return open and self._transport.get_write_buffer_size() >= size
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        waits = self._attempt is not None and not self._begun
+        if waits and self._rested_ms > 0.0:
+            self._pool.idle_limit(self.server).forgotten_after(self._rested_ms, now_ms())
+        super().connection_lost(exc)
+
+    # The parser's calls
+
+    def before_parsing(self, data: bytes) -> None:
+        """Bytes are about to be parsed: a line end in front of an answer is none of it."""
+        if not self._begun:
+            self._begun = True
+            self._tainted = self._tainted or data[0] in LINE_END
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._complete:
-            return
+        if self._complete or self._in_body:
+            return  # a trailer stands in for no header
         low = name.lower()
         if low in (b"content-length", b"transfer-encoding", b"connection"):
             return super().on_header(name, value)
         if low == b"keep-alive":
-            return
+            return self._pool.idle_limit(self.server).states(value)
         if low == b"attempt-id":
+            self._spoilt = self._spoilt or self._id is not None  # of two, one is somebody else's
             self._id = value.strip()
             return
         elif low == b"server-seal":
@@ -193,11 +237,27 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        if not self._complete and self._id is not None and self._attempt is not None:
+        if self._complete:
+            return
+        status, bodiless = self._parser.get_status_code(), False
+        if self._attempt is not None:
             # A surplus answer in the place of the one that is due: it is nobody's.
-            self._skip = self._id != self._attempt.message.id.encode("latin-1")
+            self._skip = not self._spoilt and self._is_anothers(self._attempt)
             self._tainted = self._tainted or self._skip
+            bodiless = status >= 200 and self._attempt.message.method == b"HEAD"
+        if bodiless or (status in NO_BODY and not self._framings):
+            self._framings, self._length = 1, None
         super().on_headers_complete()
+        if status == SWITCHING:
+            self._spoilt = True  # nobody asked for that
+        elif bodiless:
+            # The parser waits for a body that never comes: the answer is whole, the connection is done with.
+            self._spoilt = self._spoilt or self._skip
+            self._complete = True
+
+    def _is_anothers(self, attempt: Attempt) -> bool:
+        """Whether the answer at hand bears the id of another request than that of the attempt."""
+        return self._id is not None and self._id != attempt.message.id.encode("latin-1")
 
     def _flows(self) -> bool:
         whole = self._id is not None and self._seal and not self._encoded and not self._skip
@@ -210,7 +270,11 @@
         super().on_message_complete()
         if interim:  # what it says of itself is not the answer's
             self._start_words()
-        self._keep = self._keep and not self._tainted
+        self._keep = self._keep and not self._tainted and self._id is not None
+
+    def _flowed(self) -> None:
+        self.go_on()  # whoever took it may have held back its last piece: the next answer must be read
+        super()._flowed()
 
     def _made(self, body: bytes, flow: Flow | None = None) -> Answer:
         return Said(
@@ -230,10 +294,10 @@
     A success counts only with the server's stamp, and only as the server's own bytes. An answer that does not
     say whose it is proves nothing.
     """
-    if said.gate is not None:
-        return GATE_RESULTS.get(said.gate, Result.ERROR)
     if said.id is None:
         return Result.ERROR
+    if said.gate is not None:
+        return GATE_RESULTS.get(said.gate, Result.ERROR)
     if said.not_run or said.status == 421:
         return Result.REFUSED if said.status != 421 else Result.MOOT
     if said.encoded or (200 <= said.status < 300 and not said.seal):
@@ -242,10 +306,57 @@
 
 
 class HttpConnections(Upstream):
-    """All lines of one kind."""
+    """All connections of one kind."""
 
     kind = HttpConnection
 
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, connect_timeout_ms: float, keepalive_ms: float,
+        room: Callable[[], int], alarms: Alarms, once_idle_ms: float,
+    ) -> None:  # fmt: skip
+        """`once_idle_ms`: what may run once goes on no connection that has rested for longer."""
+        super().__init__(loop, connect_timeout_ms, keepalive_ms, room, alarms)
+        self._once_idle_ms = once_idle_ms
+        self._limits: dict[int, IdleLimit] = {}
+
+    def idle_limit(self, server: int) -> IdleLimit:
+        """What is known of a server's patience with idle connections."""
+        limit = self._limits.get(server)
+        if limit is None:
+            limit = self._limits[server] = IdleLimit(self._idle_limit_ms, self._once_idle_ms)
+        return limit
+
+    def gone(self, server: int) -> None:
+        super().gone(server)
+        self._limits.pop(server, None)
+
+    def send(self, attempt: Attempt, fresh: bool = False) -> None:
+        assert isinstance(attempt, TrackedAttempt)
+        kept = None if fresh else self._kept_for(attempt)
+        if kept is None:  # a new one takes the place of the one that has rested longest
+            return super().send(attempt, fresh=True)
+        self._idle[attempt.server].remove(kept)
+        self._aged.pop(kept, None)
+        attempt.give_up_after(
+            self.alarms, attempt.timeout_ms / 1000.0 if attempt.message.flow is None else UPLOAD_STALL_S
+        )
+        kept.carry(attempt)
+
+    def _kept_for(self, attempt: TrackedAttempt) -> HttpConnection | None:
+        """The connection used last, if it may carry this attempt; those that can carry none are closed."""
+        idle = cast(list[HttpConnection], self._idle.get(attempt.server, []))
+        now, limit = now_ms(), self.idle_limit(attempt.server)
+        while idle:
+            newest = idle[-1]
+            rested_ms = now - newest.idle_since
+            if newest.address == attempt.address and newest.usable() and limit.allows(rested_ms, False, now):
+                if newest.has_tried(attempt.message.id) or not limit.allows(rested_ms, attempt.once, now):
+                    return None
+                newest.rested(rested_ms)
+                return newest
+            newest.close()
+        return None
+
 
 def passed_on(said: Said) -> Reply:
     """A server's answer as it goes to whoever asked."""
--- /dev/null
+++ b/mesh/dataplane/listener.py
@@ -0,0 +1,163 @@
+"""Callers of the data plane: requests as they come to a node, and one answer to each, in their order.
+
+It rests on the node's own (`orchidferry.frontend`). Here is what the mesh adds: headers that go along
+unchanged, and care that a word of the system's own about one request is never read as the answer to another,
+nor as a part of one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from collections.abc import Callable
+
+from mesh.dataplane.http_connection import MILLISECONDS, PRIVATE, Asked
+from mesh.errors import Kind, Refusal
+from orchidferry.flow import Flow, Pool
+from orchidferry.frontend import LIMITS_S, Accept, Caller, Frontend, Reply, Stage
+from orchidferry.request import Message, Unacceptable
+
+# Headers that concern one connection, or that the system writes itself.
+HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length", b"host",
+))  # fmt: skip
+OWN = frozenset((b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"))
+ONCE = HOP | OWN
+SINGLE = frozenset((
+    b"host", b"content-length", b"transfer-encoding", b"attempt-id", b"operation-key", b"time-remaining",
+    b"target-instance", b"calling-service",
+))  # fmt: skip
+TOKEN = re.compile(rb"[\x21-\x7e]{1,256}")
+IDLE_GRACE_S = 1.0  # a caller may send at the end of its idle time, and what it sends takes a while
+
+
+class CallerConnection(Caller):
+    """A caller of the data plane."""
+
+    def __init__(self, frontend: Frontend) -> None:
+        super().__init__(frontend)
+        self._serving: Message | None = None  # the request that the node has
+        self._last_word: Reply | None = None  # for what can't be read, once all before it is answered
+
+    def _start_message(self) -> None:
+        super()._start_message()
+        self._along: list[tuple[bytes, bytes]] = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        had = self._headers_done or self._deaf
+        super().on_header(name, value)
+        low = name.lower()
+        if not had and low not in ONCE and not low.startswith(PRIVATE):
+            self._along.append((name, value))
+
+    def _message(self, flow: Flow | None = None) -> Message | Reply:
+        message = super()._message(flow)
+        if isinstance(message, Asked):
+            named = message.headers.get(b"connection", b"").lower()
+            message.along = self._along
+            if named not in (b"", b"close", b"keep-alive"):
+                hop = {part.strip() for part in named.split(b",")}
+                message.along = [header for header in self._along if header[0].lower() not in hop]
+        return message
+
+    # Answers
+
+    def _take(self, message: Message) -> None:
+        self._serving = message
+        super()._take(message)
+
+    def _write(self, reply: Reply) -> None:
+        if reply.body and self._serving is not None and self._serving.method == b"HEAD":
+            reply = dataclasses.replace(reply, body=b"")  # a body would be read as the next answer
+        super()._write(reply)
+
+    def _serve_next(self) -> None:
+        super()._serve_next()
+        if self._last_word is not None and not self._busy and not self._queue and not self._choked:
+            word, self._last_word = self._last_word, None
+            super()._turn_away(word)
+
+    def _turn_away(self, reply: Reply) -> None:
+        """End the connection with an error for what is being read.
+
+        A caller reads whatever comes first as the answer to its first open request. So the error waits for
+        the answers before it; and where the request being read has been answered, or its answer has begun,
+        there is no place for another word: the connection just ends.
+        """
+        coming = self._in
+        if coming is None or not self._owns(coming):
+            if self._busy or self._queue:
+                return self._turn_away_later(reply)
+            return self._cut() if coming is not None else super()._turn_away(reply)
+        if self._out is not None:
+            return self._cut()
+        if reply.status == 408:  # its beginning is on its way to a server: no promise, then
+            refusal = Refusal(Kind.BROKEN)
+            reply = Reply(refusal.status, refusal.line.encode())
+        super()._turn_away(reply)
+
+    def _owns(self, flow: Flow) -> bool:
+        """Whether the request that the node has is the one whose body is coming."""
+        return self._busy and self._serving is not None and self._serving.flow is flow
+
+    def _turn_away_later(self, reply: Reply) -> None:
+        coming, self._in = self._in, None
+        if coming is not None:  # its request waits in the queue, and is the one that can't be read
+            self._queue.pop()
+            coming.fail()
+        self._deaf, self._last_word = True, reply
+        self._serve_next()
+        self._settle()
+
+    def _cut(self) -> None:
+        """End the connection without a word."""
+        self._deaf = self._closing = self._ended = True
+        self._queue.clear()
+        self._let_go()
+        self._transport.close()
+        self._settle()
+
+
+class Listener(Frontend):
+    """A listener of the data plane."""
+
+    kind = CallerConnection
+    single = SINGLE
+    limits_s = LIMITS_S | {Stage.IDLE: 60.0, Stage.NEW: 60.0, Stage.READING: 3.0}
+
+    def __init__(self, accept: Accept, most: int, pool: Pool, ready: Callable[[], bool]) -> None:
+        super().__init__({}, accept, ready, most, pool)
+        self._idle_s = 0.0  # the operator's limit
+
+    def limit(self, idle_s: float, header_s: float) -> None:
+        """Take the operator's limits. Callers that know a longer idle time may use it once more."""
+        had_s, self._idle_s = self._idle_s, idle_s
+        self._set_limits(max(idle_s, had_s), header_s)
+        if idle_s < had_s:
+            self._loop.call_later(had_s + IDLE_GRACE_S, self._shorten, idle_s, header_s)
+
+    def _shorten(self, idle_s: float, header_s: float) -> None:
+        if self._idle_s == idle_s:
+            self._set_limits(idle_s, header_s)
+
+    def _set_limits(self, idle_s: float, header_s: float) -> None:
+        idle_s += IDLE_GRACE_S
+        self.limits_s = LIMITS_S | {
+            Stage.IDLE: idle_s, Stage.NEW: idle_s, Stage.READING: max(header_s, 1.0),
+        }  # fmt: skip
+
+    def read(
+        self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, flow: Flow | None
+    ) -> Message | Reply:
+        """A whole request; `Unacceptable` says what is wrong with it."""
+        id, left = headers.get(b"attempt-id"), headers.get(b"time-remaining")
+        if id is None or not TOKEN.fullmatch(id):
+            raise Unacceptable("Attempt-Id is missing or can't be used")
+        if left is not None and not MILLISECONDS.fullmatch(left):
+            raise Unacceptable("Time-Remaining must be milliseconds")
+        return Asked(
+            method, target, id.decode("latin-1"), "", float(left) if left is not None else 0.0, None, False,
+            headers.get(b"operation-key"), None, body, flow,
+            host=headers.get(b"host", b""), headers=headers,
+        )  # fmt: skip
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -23,12 +23,12 @@
 from mesh.dataplane.http_connection import (
     MARGIN_MS,
     Asked,
-    DataDoor,
     HttpConnections,
     Said,
     kept_answer,
     own_answer,
 )
+from mesh.dataplane.listener import Listener
 from mesh.dataplane.service_client import Live, ServiceClient
 from mesh.errors import Kind, Refusal
 from mesh.settings import Settings
@@ -39,7 +39,10 @@
 from orchidferry.request import Message
 
 CONNECT_MS = 400.0
-KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a line may idle
+KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a connection may idle
+# What may run once goes on no connection that has rested for longer: to a gate, as long as a node that is cut
+# off may still be listed; to a server, a moment, as some forget idle connections and reset what comes next.
+ONCE_HOP_MS, ONCE_SERVER_MS = 2_000.0, 500.0
 CLAIM_S, CLAIM_SHARE = 1.0, 0.4  # for claiming a key: so long, or this share of the time left
 LOOK_S = 0.5
 BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
@@ -78,9 +81,9 @@
         self._alarms = Alarms(loop)
         self._room_most = max(64, settings.descriptors - SPARE_SOCKETS)
         room = self._room
-        self._hops = HttpConnections(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms)
+        self._hops = HttpConnections(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms, ONCE_HOP_MS)
         self._hops.local_ip = settings.bind_ip or None
-        self._visits = HttpConnections(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms)
+        self._visits = HttpConnections(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms, ONCE_SERVER_MS)
         self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
         self._serial = 0  # the last of these
         self._services: dict[str, ServiceClient] = {}
@@ -91,8 +94,8 @@
         self._record_number = 0
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
         pool = Pool(int(settings.memory_mb * 0.2e6))
-        self._outbound = DataDoor(self._take, self._room_most // 3, pool, lambda: True)
-        self._inbound = DataDoor(self._visit, self._room_most // 3, pool, lambda: True)
+        self._outbound = Listener(self._take, self._room_most // 3, pool, lambda: True)
+        self._inbound = Listener(self._visit, self._room_most // 3, pool, lambda: True)
         self._ready = ControlDoor({"/orchidferry/readiness": self._readiness}, 64)
         self._control = ControlDoor({"/orchidferry/instances": self._instances}, 64)
         assert settings.application is not None
--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -17,6 +17,7 @@
 
 from mesh.control.configuration import Route
 from mesh.control.endpoints import DRAINING, IN_SERVICE, Record
+from mesh.dataplane.attempt import TrackedAttempt
 from mesh.dataplane.http_connection import (
     KEYED,
     MARGIN_MS,
@@ -40,7 +41,7 @@
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
 from orchidferry.turns import Turns
-from orchidferry.upstream import Answer, Attempt
+from orchidferry.upstream import Answer
 
 RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
 SLACK_SHARE = 0.4  # of the slack, over all nodes
@@ -100,13 +101,13 @@
         self.service.overdue(self)
 
 
-class Hop(Attempt):
+class Hop(TrackedAttempt):
     """An attempt on its way to the gate of a server."""
 
     __slots__ = ("_live", "_number", "_sent_ms", "_target")
 
     def __init__(self, live: Live, server: int, target: str, address: Address, timeout_ms: float) -> None:
-        super().__init__(live.message, server, address, timeout_ms)
+        super().__init__(live.message, server, address, timeout_ms, once=not live.route.repeatable)
         self._live, self._target, self._number = live, target, live.attempts
         self._sent_ms = now_ms()
         live.attempts += 1
@@ -124,7 +125,7 @@
             (RANK, b"%d" % live.route.rank),
             (PATIENCE, b"%d" % max(0.0, held)),
         ]
-        if not live.route.repeatable:
+        if self.once:
             own.append((TIMES, b"1"))
         if live.on_end is not None:
             own.append((KEYED, b"1"))
@@ -133,7 +134,7 @@
     def timed_out(self) -> None:
         # Around a planned end what is broken off at work and answered 502 counts as lost.
         live, left_ms = self._live, self._live.ends_ms - now_ms() - MARGIN_MS / 2.0
-        if live.service.leaving and live.owed and self.written and left_ms > 1.0:
+        if live.service.leaving and live.owed and self.begun and left_ms > 1.0:
             return self.go_on_for(left_ms / 1000.0)
         super().timed_out()
 
@@ -146,7 +147,7 @@
         live, service = self._live, self._live.service
         del service.out[live.id, self._number]
         said = answer if isinstance(answer, Said) else None
-        if result not in NEVER_RAN and self.written:
+        if result not in NEVER_RAN and self.begun:
             live.ran = True
         if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             live.said = said
@@ -191,6 +192,7 @@
         self.out: dict[tuple[str, int], Hop] = {}
         self.leaving = False  # the node is to end: what a server may work on is waited for
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
+        self._boots: dict[int, int] = {}  # the life of the process of that gate
         self._ready: set[int] = set()
         self._entries: dict[int, api.ServerEntry] = {}
         self._nested = Nested()
@@ -247,6 +249,7 @@
         entries: dict[int, api.ServerEntry] = {}
         targets: dict[int, tuple[str, Address]] = {}
         near: dict[int, bool] = {}
+        boots: dict[int, int] = {}
         for record in records.values():
             server = record.server
             if server is None or server.service != self.name or server.state not in (IN_SERVICE, DRAINING):
@@ -260,10 +263,15 @@
             health = api.Health.IN_SERVICE if server.state == IN_SERVICE else api.Health.DRAINING
             entries[number] = api.ServerEntry(number, server.zone, health=health, share=share)
             targets[number] = (server.id, (record.ip, record.inbound))
+            boots[number] = record.boot
         changes = [entry for number, entry in entries.items() if self._entries.get(number) != entry]
         gone = [number for number in self._entries if number not in entries]
         self._entries, self._targets, self._near = entries, targets, near
         self._ready = {n for n, entry in entries.items() if entry.health is api.Health.IN_SERVICE}
+        for number, boot in boots.items():
+            if self._boots.get(number, boot) != boot:  # a new process: no connection to the last one lives
+                self._lines.close_idle(number)
+        self._boots = boots
         for number in gone:
             self._cold.pop(number, None)
             self._lines.gone(number)
@@ -363,8 +371,8 @@
         if live.said is not None:
             self.finish(live, passed_on(live.said))
         else:
-            # What was written to a gate may run yet: no promise, then.
-            sent = live.ran or any(self.out[key].written for key in self._out_of(live))
+            # What was begun on its way to a gate may run yet: no promise, then.
+            sent = live.ran or any(self.out[key].begun for key in self._out_of(live))
             kind = Kind.LATE if sent else Kind.SHED
             self.finish(live, own_answer(live.message, Refusal(kind), None if sent else 0.05))
         self.handle(api.ClientGone(live.id))
--- /dev/null
+++ b/tests/mesh/test_answers.py
@@ -0,0 +1,303 @@
+"""Whose an answer is: answers on kept connections, cut at every byte, among the writes of requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from unittest import mock
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mesh.dataplane.http_connection import HELD_ANSWER, HttpConnection, Said
+from nickelbridge.interface import Result
+from orchidferry.upstream import Answer, Connection
+from tests.mesh.fakes import asked
+from tests.mesh.wire_fakes import Peer, Sent, close_all, pool
+
+
+@dataclass(frozen=True)
+class Script:
+    """What a server puts on a connection for one request: its answer and what comes beside it."""
+
+    make: Callable[[bytes, bytes], bytes]  # from the request's id and the tag of its attempt
+    result: Result | None  # None: the attempt isn't ended by it
+    clean: bool = True  # whether the connection may carry another request
+    ends: bool = False  # the server closes after it
+
+
+def answer(
+    id: bytes, body: bytes, status: bytes = b"200 OK", more: bytes = b"", version: bytes = b"1.1"
+) -> bytes:
+    return b"HTTP/%b %b\r\nAttempt-Id: %b\r\nServer-Seal: x\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        version, status, id, more, len(body), body,
+    )  # fmt: skip
+
+
+def chunked(id: bytes, body: bytes, trailers: bytes = b"") -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%b\r\n0\r\n%b\r\n" % (id, len(body), body, trailers)
+    )
+
+
+def bare(id: bytes, status: bytes) -> bytes:
+    return b"HTTP/1.1 %b\r\nAttempt-Id: %b\r\nServer-Seal: x\r\n\r\n" % (status, id)
+
+
+OTHER = answer(b"other", b"other's")
+NO_ID = b"HTTP/1.1 200 OK\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nabcde"
+SCRIPTS: dict[str, Script] = {
+    "length": Script(answer, Result.SERVED),
+    "chunked": Script(chunked, Result.SERVED),
+    "trailers": Script(lambda i, b: chunked(i, b, b"Kind: x\r\n"), Result.SERVED),
+    "trailers that contradict": Script(
+        lambda i, b: chunked(i, b, b"Attempt-Id: t9\r\nConnection: close\r\n"), Result.SERVED, False, True
+    ),
+    "a length in a trailer": Script(
+        lambda i, b: chunked(i, b, b"Content-Length: 1\r\n"), Result.ERROR, False
+    ),
+    "seal in a trailer": Script(
+        lambda i, b: chunked(i, b, b"Server-Seal: y\r\n").replace(b"Server-Seal: x\r\n", b""), Result.ERROR
+    ),
+    "204": Script(lambda i, b: bare(i, b"204 No Content"), Result.SERVED),
+    "304": Script(lambda i, b: bare(i, b"304 Not Modified"), Result.SERVED),
+    "interim": Script(
+        lambda i, b: b"HTTP/1.1 103 Early\r\nAttempt-Id: other\r\n\r\n" * 2 + answer(i, b),
+        Result.SERVED, False,
+    ),
+    "interim without id": Script(
+        lambda i, b: b"HTTP/1.1 100 Continue\r\n\r\n" + answer(i, b), Result.SERVED
+    ),
+    "500": Script(lambda i, b: answer(i, b, b"500 Broken"), Result.ERROR),
+    "404": Script(lambda i, b: answer(i, b, b"404 None"), Result.SERVED),
+    "not executed": Script(lambda i, b: answer(i, b, b"503 Full", b"Not-Executed: 1\r\n"), Result.REFUSED),
+    "421": Script(lambda i, b: answer(i, b, b"421 Other"), Result.MOOT),
+    "says close": Script(
+        lambda i, b: answer(i, b, more=b"Connection: close\r\n"), Result.SERVED, False, True
+    ),
+    "HTTP/1.0": Script(lambda i, b: answer(i, b, version=b"1.0"), Result.SERVED, False, True),
+    "until the close": Script(
+        lambda i, b: bare(i, b"200 OK").replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + b,
+        Result.SERVED, False, True,
+    ),
+    "surplus before": Script(lambda i, b: OTHER + answer(i, b), Result.SERVED, False),
+    "surplus after": Script(lambda i, b: answer(i, b) + OTHER, Result.SERVED, False),
+    "twice": Script(lambda i, b: answer(i, b) * 2, Result.SERVED, False),
+    "refused twice": Script(
+        lambda i, b: answer(i, b, b"503 Full", b"Not-Executed: 1\r\n") * 2, Result.REFUSED, False
+    ),
+    "a line end after": Script(lambda i, b: answer(i, b) + b"\r\n", Result.SERVED, False),
+    "a line end before": Script(lambda i, b: b"\r\n" + answer(i, b), Result.SERVED, False),
+    "a byte after": Script(lambda i, b: answer(i, b) + b"x", Result.SERVED, False),
+    "an upgrade after": Script(
+        lambda i, b: answer(i, b) + b"HTTP/1.1 101 Go\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        Result.SERVED, False,
+    ),
+    "length too short": Script(
+        lambda i, b: answer(i, b).replace(b"\r\n\r\n" + b, b"\r\n\r\n" + b + b"more"), Result.SERVED, False
+    ),
+    "length too long": Script(lambda i, b: answer(i, b + b"yyyy")[:-4], Result.RESET, False, True),
+    "cut chunks": Script(lambda i, b: chunked(i, b)[:-5], Result.RESET, False, True),
+    "cut trailers": Script(
+        lambda i, b: chunked(i, b, b"Connection: close\r\nKind: x\r\n")[:-4], Result.RESET, False, True
+    ),
+    "no id": Script(lambda i, b: NO_ID, Result.ERROR, False),
+    "gate's word without id": Script(
+        lambda i, b: b"HTTP/1.1 503 No\r\nOrchid-Gate: unrun\r\nContent-Length: 0\r\n\r\n",
+        Result.ERROR, False,
+    ),
+    "two ids": Script(lambda i, b: answer(i, b, more=b"Attempt-Id: other\r\n"), Result.ERROR, False),
+    "two ids, ours last": Script(
+        lambda i, b: answer(b"other", b, more=b"Attempt-Id: %b\r\n" % i), Result.ERROR, False
+    ),
+    "101": Script(lambda i, b: bare(i, b"101 Go"), Result.ERROR, False),
+    "101 with upgrade": Script(
+        lambda i, b: b"HTTP/1.1 101 Go\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", Result.ERROR, False
+    ),
+    "noise": Script(lambda i, b: b"\x00\xff\r\n\r\n", Result.ERROR, False),
+    "two lengths": Script(
+        lambda i, b: answer(i, b, more=b"Transfer-Encoding: chunked\r\n"), Result.ERROR, False
+    ),
+}  # fmt: skip
+
+
+class Story:
+    """Requests one after another by the shipping pool, and what a server puts on their connections."""
+
+    def __init__(self) -> None:
+        self.loop, self.pool = pool()
+        self.attempts: list[Sent] = []
+        self.unclean: set[int] = set()  # connections, by id, on which anything unclean was put
+        self.served: dict[int, Peer] = {}
+
+    def __enter__(self) -> Story:
+        return self
+
+    def __exit__(self, *what: object) -> None:
+        close_all(self.pool)
+
+    def ask(self, id: str, method: bytes = b"GET") -> tuple[Sent, Peer]:
+        """Send one request; it must not go on a connection that saw anything unclean."""
+        message = asked(id)
+        message.method = method
+        sent = Sent(message)
+        before = {id_of(peer): len(peer.transport.written) for peer in self.pool.peers}
+        self.pool.send(sent)
+        self.attempts.append(sent)
+        [peer] = [p for p in self.pool.peers if len(p.transport.written) > before.get(id_of(p), 0)]
+        assert id_of(peer) not in self.unclean, "a request went out on a connection that was not clean"
+        return sent, peer
+
+    def check(self) -> None:
+        """An answer reaches the attempt whose id it bears, and that of this very sending, or nobody."""
+        for number, attempt in enumerate(self.attempts):
+            assert len(attempt.ends) <= 1
+            for result, said in attempt.ends:
+                if isinstance(said, Said) and result in (Result.SERVED, Result.REFUSED, Result.MOOT):
+                    assert said.id == attempt.message.id.encode()
+                    assert said.body in (b"", tag(number)), "another's body"
+
+
+def id_of(peer: Peer) -> int:
+    return id(peer)
+
+
+def tag(number: int) -> bytes:
+    return b"body of %d" % number
+
+
+IDS = ("t1", "t2", "t3")
+LATER, UNREAD, READ = 0, 1, 2  # when what is left over arrives: after the next request's write, or before it
+
+
+def play(story: Story, names: list[str], ids: list[str], cuts: list[int], whens: list[int]) -> None:
+    """Each request in turn is answered by its script, in pieces; what is left over comes at any time."""
+    late: list[tuple[Peer, bytes]] = []
+    for number, (name, id) in enumerate(zip(names, ids, strict=True)):
+        script = SCRIPTS[name]
+        sent, peer = story.ask(id)
+        disturbed = False
+        for other, data in late:
+            other.put(data)
+            other.read()
+            story.unclean.add(id_of(other))
+            disturbed = disturbed or other is peer
+        late = []
+        data, at = script.make(id.encode(), tag(number)), 0
+        for cut in [*sorted({c % (len(data) + 1) for c in cuts}), len(data)]:
+            piece, at = data[at:cut], cut
+            when = whens[cut % len(whens)]
+            if sent.ends and piece and (when == LATER or late):
+                late.append((peer, piece))
+                continue
+            peer.put(piece)
+            if sent.ends and piece:
+                story.unclean.add(id_of(peer))
+            if not sent.ends or when == READ:
+                peer.read()
+        if not late:
+            if script.ends:
+                peer.lose()
+            if not script.clean:
+                story.unclean.add(id_of(peer))
+        story.check()
+        if not disturbed:
+            assert [result for result, _ in sent.ends] == [script.result], name
+        elif not sent.ends:
+            peer.lose()
+
+
+@pytest.mark.parametrize("first", SCRIPTS)
+def test_two_answers_cut_at_every_byte(first: str) -> None:
+    """The first of every kind, the second a plain one, and the first's bytes in two pieces, for all cuts."""
+    size = len(SCRIPTS[first].make(b"t1", tag(0)))
+    for cut in range(size + 1):
+        for when in (LATER, UNREAD, READ):
+            with Story() as story:
+                play(story, [first, "length"], ["t1", "t2"], [cut], [when])
+
+
+class Reader:
+    """Takes what flows."""
+
+    def feed(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def broken(self) -> None: ...
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from(sorted(SCRIPTS)), st.sampled_from(IDS)), min_size=2, max_size=5),
+    st.lists(st.integers(0, 300), max_size=6),
+    st.lists(st.integers(0, 2), min_size=1, max_size=4),
+)  # fmt: skip
+def test_any_answers_in_any_pieces(told: list[tuple[str, str]], cuts: list[int], whens: list[int]) -> None:
+    with Story() as story:
+        play(story, [name for name, _ in told], [id for _, id in told], cuts, whens)
+
+
+def test_a_long_answer_whose_reader_holds_it_back_to_the_end_leaves_its_connection_readable() -> None:
+    with Story() as story:
+        sent, peer = story.ask("t1")
+        sent.message.long_answer = True
+        body = b"x" * (HELD_ANSWER + 1)
+        peer.connection.data_received(answer(b"t1", body)[:-1])
+        [(result, said)] = sent.ends
+        assert result is Result.SERVED and said.flow is not None
+        said.flow.attach(Reader())
+        said.flow.choke()
+        peer.connection.data_received(body[-1:])
+        assert story.ask("t2") and story.attempts[1].ends == []
+        peer.put(answer(b"t2", tag(1)))
+        peer.read()
+        story.check()
+        assert story.pool.peers == [peer] and story.attempts[1].ends[0][0] is Result.SERVED
+
+
+def test_head_is_answered_by_a_head_and_its_connection_is_done_with() -> None:
+    with Story() as story:
+        sent, peer = story.ask("t1", b"HEAD")
+        peer.put(answer(b"t1", b"a body that never comes").partition(b"a body")[0])
+        peer.read()
+        assert [(r, a.body) for r, a in sent.ends] == [(Result.SERVED, b"")]
+        _, other = story.ask("t2")
+        assert other is not peer
+
+
+def reuse_always(self: Connection, result: Result, reuse: bool, answer: Answer | None = None) -> None:
+    END(self, result, True, answer)
+
+
+END = Connection._end
+BREAKS: dict[str, tuple[type, str, object, list[str], list[str], int]] = {
+    "reuse-after-surplus": (
+        Connection, "_end", reuse_always, ["surplus after", "length"], ["t1", "t2"], READ,
+    ),
+    "reuse-unread": (
+        Connection, "usable", lambda self: True, ["surplus after", "length"], ["t1", "t2"], UNREAD,
+    ),
+    "id-not-checked": (
+        HttpConnection, "_is_anothers", lambda self, attempt: False,
+        ["surplus before", "length"], ["t1", "t2"], READ,
+    ),
+    "same-id-again": (
+        HttpConnection, "has_tried", lambda self, id: False,
+        ["refused twice", "length"], ["t1", "t1"], LATER,
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", BREAKS)
+def test_a_break_is_seen(name: str) -> None:
+    owner, method, broken, names, ids, when = BREAKS[name]
+    cut = len(answer(b"t1", tag(0), b"503 Full", b"Not-Executed: 1\r\n") if "refused" in names[0] else
+              answer(b"t1", tag(0)))  # fmt: skip
+    cuts = [] if when == READ else [cut]
+    with Story() as story:
+        play(story, names, ids, cuts, [when])
+    with mock.patch.object(owner, method, broken), Story() as story, pytest.raises(AssertionError):
+        play(story, names, ids, cuts, [when])
--- a/tests/mesh/test_http_connection.py
+++ b/tests/mesh/test_http_connection.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from mesh.dataplane.http_connection import Asked, HttpConnection, HttpConnections, Said, judged, passed_on
+from mesh.dataplane.http_connection import HttpConnection, Said, judged, passed_on
 from nickelbridge.interface import Result
-from orchidferry.upstream import Answer, Attempt
-from tests.mesh.fakes import asked, rig, said
+from tests.mesh.fakes import asked, said
+from tests.mesh.wire_fakes import Sent, Transport, pool
 
 ANSWERS: dict[str, tuple[Said, Result]] = {
     "sealed": (said(), Result.SERVED),
@@ -38,48 +38,11 @@
     assert judged(answer) is result
 
 
-class Transport:
-    """Takes what is written; its socket never has anything unread."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.written, self.closed = sock, b"", False
-
-    def get_extra_info(self, name: str) -> socket.socket:
-        return self.sock
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        pass
-
-    def write(self, data: bytes) -> None:
-        self.written += data
-
-    def is_closing(self) -> bool:
-        return self.closed
-
-    def abort(self) -> None:
-        self.closed = True
-
-
-class Sent(Attempt):
-    """Notes how it ends."""
-
-    def __init__(self, message: Asked) -> None:
-        super().__init__(message, 1, ("127.0.0.1", 1), 1_000.0)
-        self.ends: list[tuple[Result, Any]] = []
-
-    def head_bytes(self) -> bytes:
-        return b"GET /x/ HTTP/1.1\r\n\r\n"
-
-    def ended(self, result: Result, answer: Answer | None) -> None:
-        self.ends.append((result, answer))
-
-
 class Scene:
     """A line that carries one attempt, with the id t1."""
 
     def __init__(self, sock: socket.socket) -> None:
-        loop, alarms, _ = rig()
-        self.lines = HttpConnections(loop, 400.0, 10_000.0, lambda: 9, alarms)
+        _, self.lines = pool()
         transport: Any = Transport(sock)
         self.transport = transport
         self.line = HttpConnection(self.lines, 1, ("127.0.0.1", 1))
--- /dev/null
+++ b/tests/mesh/wire_fakes.py
@@ -0,0 +1,163 @@
+"""Connections to servers without a network: bytes are delivered by hand, dials succeed at once."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Coroutine
+from typing import Any
+
+from mesh.dataplane.attempt import TrackedAttempt
+from mesh.dataplane.http_connection import Asked, HttpConnection, HttpConnections
+from nickelbridge.interface import Result
+from orchidferry.upstream import Answer, Attempt
+from tests.mesh.fakes import rig
+
+
+class Transport:
+    """Takes what is written, unless its kernel is told to take less; its socket shows what is unread."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.written, self.closed, self.reading = sock, b"", False, True
+        self.takes: int | None = None  # bytes that the kernel takes of the next write; None: all
+        self.held = b""
+        self.protocol: Any = None
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.sock
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.held)
+
+    def write(self, data: bytes) -> None:
+        taken = len(data) if self.takes is None else min(self.takes, len(data))
+        if self.held:
+            taken = 0
+        self.written += data[:taken]
+        self.held += data[taken:]
+        if self.held:
+            self.protocol.pause_writing()
+
+    def drain(self, size: int) -> None:
+        """The kernel takes more of what was held back."""
+        self.written, self.held = self.written + self.held[:size], self.held[size:]
+        if not self.held:
+            self.protocol.resume_writing()
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+
+class Sent(TrackedAttempt):
+    """An attempt that notes how it ends."""
+
+    def __init__(self, message: Asked, once: bool = False, server: int = 1) -> None:
+        super().__init__(message, server, ("127.0.0.1", 1), 1_000.0, once)
+        self.ends: list[tuple[Result, Any]] = []
+
+    def head_bytes(self) -> bytes:
+        return b"%b /x/ HTTP/1.1\r\nAttempt-Id: %b\r\n\r\n" % (
+            self.message.method, self.message.id.encode(),
+        )  # fmt: skip
+
+    def may_send(self) -> bool:
+        return True
+
+    def ended(self, result: Result, answer: Answer | None) -> None:
+        self.ends.append((result, answer))
+
+
+class Peer:
+    """The server's end of one connection."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.connection = connection
+        ours, self.theirs = socket.socketpair()
+        self.transport = Transport(ours)
+        self.transport.protocol = connection
+        self.carried: list[Attempt] = []
+        connection.connection_made(self.transport)  # type: ignore[arg-type]
+
+    def put(self, data: bytes) -> None:
+        """Bytes arrive; nobody has read them."""
+        if not self.transport.closed:
+            self.theirs.sendall(data)
+
+    def read(self, size: int = 1 << 20) -> None:
+        """The loop reads some of what has arrived, as far as it reads at all."""
+        if self.transport.closed or not self.transport.reading:
+            return
+        self.transport.sock.setblocking(False)
+        try:
+            data = self.transport.sock.recv(size)
+        except BlockingIOError:
+            return
+        if data:
+            self.connection.data_received(data)
+
+    def lose(self, exc: Exception | None = None) -> None:
+        """The connection has ended."""
+        if not self.transport.closed:
+            self.transport.closed = True
+            self.connection.connection_lost(exc)
+
+    def close(self) -> None:
+        self.theirs.close()
+        self.transport.sock.close()
+
+
+class Task:
+    """A coroutine that needs no waiting."""
+
+    def __init__(self, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            work.send(None)
+        except StopIteration:
+            return
+        raise AssertionError("it waits")
+
+    def add_done_callback(self, call: Any) -> None:
+        pass
+
+    def cancel(self) -> None:
+        pass
+
+
+class Pool(HttpConnections):
+    """The shipping pool, but for its dial, which succeeds at once."""
+
+    peers: list[Peer]
+
+    async def _dial(self, attempt: Attempt) -> None:
+        connection = HttpConnection(self, attempt.server, attempt.address)
+        self.peers.append(Peer(connection))
+        self._open.add(connection)
+        connection.carry(attempt)
+
+
+def pool(**more: Any) -> tuple[Any, Pool]:
+    """A loop and a pool on it."""
+    loop, alarms, _ = rig()
+    loop.create_task = Task
+    made = Pool(loop, 400.0, 14_000.0, lambda: 99, alarms, **{"once_idle_ms": 500.0} | more)
+    made.peers = []
+    return loop, made
+
+
+def close_all(made: Pool) -> None:
+    """Give the sockets back."""
+    for peer in made.peers:
+        peer.close()
