--- a/mesh/dataplane/attempt.py
+++ b/mesh/dataplane/attempt.py
@@ -46,7 +46,8 @@
         super().end(result, answer)
 
     def break_off(self, result: Result) -> None:
-        _ = self.begun  # asked while there is a connection to ask
+        if not self.begun:  # asked while there is a connection to ask; nothing goes out on it after that
+            self._untouched = None
         super().break_off(result)
 
     def timed_out(self) -> None:
--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -38,6 +38,7 @@
 )  # fmt: skip
 PRIVATE = b"orchid-"
 
+PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise a caller that its request has not run
 SWITCHING, NO_BODY = 101, (204, 304)  # statuses
 LINE_END = b"\r\n"
 TRIED_MOST = 8  # ids that a connection remembers
@@ -302,7 +303,7 @@
         return Result.REFUSED if said.status != 421 else Result.MOOT
     if said.encoded or (200 <= said.status < 300 and not said.seal):
         return Result.ERROR
-    return Result.ERROR if said.status >= 500 else Result.SERVED
+    return Result.ERROR if said.status >= 500 or said.status in PROMISES else Result.SERVED
 
 
 class HttpConnections(Upstream):
--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -22,6 +22,7 @@
     KEYED,
     MARGIN_MS,
     PATIENCE,
+    PROMISES,
     RANK,
     TIMES,
     Asked,
@@ -149,7 +150,9 @@
         said = answer if isinstance(answer, Said) else None
         if result not in NEVER_RAN and self.begun:
             live.ran = True
-        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+        # A promise that it has not run, without the proof of that, is not passed on as the answer.
+        unproven = said is not None and self.once and said.status in PROMISES
+        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR) and not unproven:
             live.said = said
         if result is Result.SERVED and said is not None:
             service.finish(live, passed_on(said))
@@ -372,9 +375,13 @@
             self.finish(live, passed_on(live.said))
         else:
             # What was begun on its way to a gate may run yet: no promise, then.
-            sent = live.ran or any(self.out[key].begun for key in self._out_of(live))
+            hops = [self.out[key] for key in self._out_of(live)]
+            sent = live.ran or any(hop.begun for hop in hops)
             kind = Kind.LATE if sent else Kind.SHED
             self.finish(live, own_answer(live.message, Refusal(kind), None if sent else 0.05))
+            for hop in hops:
+                if not hop.begun:  # and it never will
+                    hop.break_off(Result.CANCELLED)
         self.handle(api.ClientGone(live.id))
         self.over(live)
 
--- /dev/null
+++ b/tests/mesh/test_sent.py
@@ -0,0 +1,341 @@
+"""What was sent, drawn at the first byte: a request that may run once has one unproven sending, ever."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from mesh.control.endpoints import IN_SERVICE, Record, Server
+from mesh.dataplane import http_connection
+from mesh.dataplane import service_client as module
+from mesh.dataplane.attempt import TrackedAttempt
+from mesh.dataplane.http_connection import HttpConnection, HttpConnections
+from mesh.dataplane.idle_limit import IdleLimit
+from mesh.dataplane.service_client import ServiceClient
+from mesh.settings import Bounds
+from nickelbridge import logic
+from nickelbridge.interface import Result
+from orchidferry import upstream
+from orchidferry.alarms import Alarms
+from orchidferry.flow import Flow
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import asked, route
+from tests.mesh.wire_fakes import Peer, Pool, Sent, close_all, pool
+
+PROMISES = (408, 421, 429, 503)
+
+
+def answer(id: str, status: bytes = b"200 OK", more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %b\r\nAttempt-Id: %b\r\nServer-Seal: x\r\n%bContent-Length: 2\r\n\r\nok" % (
+        status, id.encode(), more,
+    )  # fmt: skip
+
+
+PROOFS: tuple[Callable[[str], bytes], ...] = (
+    lambda id: answer(id, b"503 Full", b"Not-Executed: 1\r\n"),
+    lambda id: answer(id, b"421 Other"),
+    lambda id: answer(id, b"503 No", b"Orchid-Gate: unrun\r\n"),
+    lambda id: answer(id, b"503 No", b"Orchid-Gate: gone\r\n"),
+)
+NO_PROOFS: tuple[Callable[[str], bytes], ...] = (
+    answer,
+    lambda id: answer(id, b"500 Broken"),
+    lambda id: answer(id, b"503 Full"),
+    lambda id: answer(id, b"502 Lost", b"Orchid-Gate: lost\r\n"),
+    lambda id: answer(id, b"504 Late", b"Orchid-Gate: late\r\n"),
+    lambda id: answer(id, b"503 Full", b"Not-Executed: 1\r\n").replace(b"Attempt-Id: ", b"X: "),
+    lambda id: answer("other", b"503 Full", b"Not-Executed: 1\r\n"),
+    lambda id: b"noise\r\n\r\n",
+)
+
+
+class Kernel(Pool):
+    """A pool whose kernel takes as little as it is told, and whose dials fail when told."""
+
+    takes: int | None = None
+    refuses = False
+
+    async def _dial(self, attempt: Any) -> None:
+        if self.refuses:
+            attempt.end(Result.UNREACHABLE)
+            return
+        connection = HttpConnection(self, attempt.server, attempt.address)
+        peer = Peer(connection)
+        peer.transport.takes = self.takes
+        self.peers.append(peer)
+        self._open.add(connection)
+        connection.carry(attempt)
+
+
+@dataclass
+class Sending:
+    """One writing of a request on a connection."""
+
+    id: str
+    peer: Peer
+    start: int
+    proven: bool = False
+
+    @property
+    def begun(self) -> bool:
+        return len(self.peer.transport.written) > self.start
+
+
+class Scene:
+    """The shipping service client over the shipping connections, to three gates that are played."""
+
+    def __init__(self, patch: Any, seed: int) -> None:
+        patch.setattr(module, "random", SimpleNamespace(Random=lambda: random.Random(seed)))
+        self.loop, made = pool()
+        self.pool = Kernel(self.loop, 400.0, 14_000.0, lambda: 99, Alarms(self.loop), 500.0)
+        self.pool.peers = made.peers
+        for place in (module, http_connection, upstream):
+            patch.setattr(place, "now_ms", self.loop.now_ms)
+        self.service = ServiceClient(
+            "s", "me", "z", Bounds(), self.loop, self.pool.alarms, self.pool, int
+        )  # fmt: skip
+        self.kinds = [route("idempotent", 3), route("non_idempotent", 3)]
+        servers = [Server(id, "s", "z", IN_SERVICE, 4, 0.0) for id in "123"]
+        self.service.servers({s.id: Record(s.id, 1, 1, "z", "127.0.0.1", 1, s) for s in servers})
+        self.service.configure(self.kinds)
+        self.replies: dict[str, list[Reply]] = {}
+        self.once: set[str] = set()
+        self.lives: dict[str, Any] = {}
+        self.sendings: list[Sending] = []
+        carry = HttpConnection.carry
+
+        def noted(connection: HttpConnection, attempt: Any) -> None:
+            [peer] = [p for p in self.pool.peers if p.connection is connection]
+            self.sendings.append(Sending(attempt.message.id, peer, len(peer.transport.written)))
+            carry(connection, attempt)
+
+        patch.setattr(HttpConnection, "carry", noted)
+
+    def ask(self, once: bool) -> str:
+        id = f"t{len(self.replies)}"
+        self.replies[id] = []
+        if once:
+            self.once.add(id)
+        self.lives[id] = self.service.take(
+            asked(id), self.kinds[once], self.loop.now_ms() + 1_000.0, self.replies[id].append
+        )
+        return id
+
+    def out(self) -> list[Sending]:
+        """The last sending on each connection, where its attempt is out."""
+        last = {id(sending.peer): sending for sending in self.sendings}
+        return [sending for sending in last.values() if sending.peer.connection._attempt is not None]
+
+    def check(self) -> None:
+        for id in self.replies:
+            begun = [s for s in self.sendings if s.id == id and s.begun]
+            assert len(begun) <= 3
+            unproven = [s for s in begun if not s.proven]
+            if id in self.once:
+                assert len(unproven) <= 1, "sent twice without a proof"
+                assert not unproven or begun[-1] is unproven[0], "sent after what may have run"
+                for reply in self.replies[id]:
+                    assert reply.status not in PROMISES or not unproven, "a promise for what may have run"
+            assert len(self.replies[id]) <= 1
+
+    def step(self, rng: random.Random) -> None:
+        dice, out = rng.random(), self.out()
+        self.pool.takes, self.pool.refuses = rng.choice((None, None, 0, 9)), rng.random() < 0.2
+        if dice < 0.3 or not out:
+            self.ask(rng.random() < 0.7)
+        elif dice < 0.8:
+            self.act(rng, rng.choice(out))
+        elif dice < 0.95:
+            self.loop.pass_ms(rng.choice((1.0, 40.0, 300.0, 1_000.0)))
+        else:
+            self.lives[rng.choice(sorted(self.lives))].caller_gone()
+        self.check()
+
+    def act(self, rng: random.Random, sending: Sending) -> None:
+        peer, dice = sending.peer, rng.random()
+        if peer.transport.held and dice < 0.7:
+            peer.transport.drain(rng.choice((1, 9, 10_000)))
+        elif dice < 0.2:
+            if sending.begun and rng.random() < 0.5:  # a proof that is cut short is none
+                peer.put(rng.choice(PROOFS)(sending.id)[:-1])
+                peer.read()
+            peer.lose(rng.choice((None, ConnectionResetError())))
+        elif sending.begun:
+            proof = rng.random() < 0.5 and not peer.transport.held
+            data = rng.choice(PROOFS if proof else NO_PROOFS)(sending.id)
+            sending.proven = proof
+            cut = rng.randrange(len(data) + 1)
+            peer.put(data[:cut])
+            peer.read()
+            peer.put(data[cut:])
+            peer.read()
+
+
+def play(seed: int) -> None:
+    rng = random.Random(seed)
+    with pytest.MonkeyPatch.context() as patch:
+        scene = Scene(patch, seed)
+        try:
+            for _ in range(60):
+                scene.step(rng)
+            scene.loop.pass_ms(3_000.0)
+            scene.check()
+            for id, replies in scene.replies.items():
+                assert len(replies) == 1 or not scene.lives[id].owed
+        finally:
+            close_all(scene.pool)
+
+
+@settings(max_examples=150, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(st.integers(0, 2**40))
+def test_what_may_run_once_is_never_sent_twice_without_a_proof(seed: int) -> None:
+    play(seed)
+
+
+UNSURE = logic.NEVER_RAN | {Result.RESET, Result.TIMEOUT}
+BREAKS: dict[str, list[tuple[Any, str, Any]]] = {
+    "sent-at-last-byte": [(TrackedAttempt, "begun", property(lambda self: self.written))],
+    "retry-after-silence": [(logic, "NEVER_RAN", UNSURE), (module, "NEVER_RAN", UNSURE)],
+}
+
+
+@pytest.mark.parametrize("name", BREAKS)
+def test_a_break_is_seen(name: str) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        for owner, field, broken in BREAKS[name]:
+            patch.setattr(owner, field, broken)
+        with pytest.raises(AssertionError, match=r"sent|promise"):
+            for seed in range(40):
+                play(seed)
+
+
+# One sending
+
+
+@pytest.mark.parametrize(("taken", "result"), [
+    (None, Result.RESET), (1, Result.RESET), (0, Result.RESET),  # lost: what was in the buffer can't be told
+])  # fmt: skip
+def test_a_reset(taken: int | None, result: Result) -> None:
+    sent, peer = sending(taken)
+    peer.lose(ConnectionResetError())
+    assert [r for r, _ in sent.ends] == [result]
+
+
+@pytest.mark.parametrize(("taken", "later", "result"), [
+    (None, 0, Result.TIMEOUT), (1, 0, Result.TIMEOUT), (0, 0, Result.UNREACHABLE), (0, 1, Result.TIMEOUT),
+])  # fmt: skip
+def test_a_silence(taken: int | None, later: int, result: Result) -> None:
+    """Only if the kernel took no byte of it, it is known never to run: its connection is closed with it."""
+    sent, peer = sending(taken)
+    if later:
+        peer.transport.drain(later)
+    sent.timed_out()
+    assert [r for r, _ in sent.ends] == [result] and peer.transport.closed
+
+
+@pytest.mark.parametrize("cut", ["head", "body", "nothing"])
+def test_a_connection_that_breaks_within_its_answer(cut: str) -> None:
+    sent, peer = sending(None)
+    peer.put({"head": answer("t1")[:30], "body": answer("t1")[:-1], "nothing": b""}[cut])
+    peer.read()
+    peer.lose()
+    assert [r for r, _ in sent.ends] == [Result.RESET]
+
+
+def test_a_long_request_has_begun_with_its_head() -> None:
+    """The node in service would say that it never ran: its last byte is not written."""
+    _, made = pool()
+    sent = Sent(asked("t1"), once=True)
+    sent.message.flow = Flow(mock.Mock(), None, 0.0)
+    made.send(sent)
+    made.peers[0].lose()
+    assert not sent.written and [r for r, _ in sent.ends] == [Result.RESET]
+    close_all(made)
+
+
+def sending(taken: int | None) -> tuple[Sent, Peer]:
+    _, made = pool()
+    kernel = Kernel(made._loop, 400.0, 14_000.0, lambda: 99, made.alarms, 500.0)
+    kernel.peers, kernel.takes = made.peers, taken
+    sent = Sent(asked("t1"), once=True)
+    kernel.send(sent)
+    return sent, kernel.peers[0]
+
+
+@pytest.mark.parametrize("problem", [
+    ConnectionRefusedError(errno.ECONNREFUSED, "refused"), TimeoutError(),
+    OSError(errno.EHOSTUNREACH, "no way"),
+])  # fmt: skip
+def test_a_connection_that_was_never_made_proves_that_nothing_ran(problem: OSError) -> None:
+    async def main() -> list[Result]:
+        loop = asyncio.get_running_loop()
+        lines = HttpConnections(loop, 400.0, 14_000.0, lambda: 9, Alarms(loop), 500.0)
+        with mock.patch.object(loop, "create_connection", side_effect=problem):
+            sent = Sent(asked("t1"), once=True)
+            lines.send(sent)
+            await asyncio.gather(*lines._dials)
+        return [result for result, _ in sent.ends]
+
+    assert asyncio.run(main()) == [Result.UNREACHABLE]
+
+
+# Kept connections
+
+
+@pytest.mark.parametrize(("once", "rested_ms", "keep_alive", "kept"), [
+    (False, 6_900.0, b"", True),
+    (False, 7_100.0, b"", False),
+    (True, 400.0, b"", True),
+    (True, 600.0, b"", False),  # one that the server may have forgotten: a loss could not be made good
+    (False, 1_900.0, b"Keep-Alive: timeout=4\r\n", True),
+    (False, 2_100.0, b"Keep-Alive: timeout=4\r\n", False),  # the server may close it as we write
+    (True, 600.0, b"Keep-Alive: timeout=1\r\n", False),
+])  # fmt: skip
+def test_which_kept_connections_are_used(
+    monkeypatch: pytest.MonkeyPatch, once: bool, rested_ms: float, keep_alive: bytes, kept: bool
+) -> None:
+    loop, made = pool()
+    for place in (http_connection, upstream):
+        monkeypatch.setattr(place, "now_ms", loop.now_ms)
+    made.send(Sent(asked("t1")))
+    made.peers[0].put(answer("t1", more=keep_alive))
+    made.peers[0].read()
+    loop.now_s += rested_ms / 1e3
+    made.send(Sent(asked("t2"), once=once))
+    assert (len(made.peers) == 1) is kept and len(made._open) == 1
+    close_all(made)
+
+
+def test_a_server_that_forgets_idle_connections_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    loop, made = pool()
+    for place in (http_connection, upstream):
+        monkeypatch.setattr(place, "now_ms", loop.now_ms)
+    for number, rest_ms in enumerate((0.0, 1_000.0, 600.0)):
+        loop.now_s += rest_ms / 1e3
+        sent = Sent(asked(f"t{number}"))
+        made.send(sent)
+        if rest_ms == 1_000.0:  # reset: it was forgotten
+            made.peers[-1].lose(ConnectionResetError())
+            assert sent.ends[0][0] is Result.RESET and len(made.peers) == 1
+            made.send(sent := Sent(asked("again")))
+        made.peers[-1].put(answer(sent.message.id))
+        made.peers[-1].read()
+        assert sent.ends[0][0] is Result.SERVED
+    assert len(made.peers) == 3  # the last one did not trust a rest of 600 ms any more
+    close_all(made)
+
+
+def test_a_young_connection_that_dies_teaches_nothing() -> None:
+    limit = IdleLimit(7_000.0, 500.0)
+    limit.forgotten_after(10.0, 0.0)
+    assert limit.allows(400.0, True, 0.0) and limit.allows(6_000.0, False, 0.0)
--- a/tests/mesh/wire_fakes.py
+++ b/tests/mesh/wire_fakes.py
@@ -141,6 +141,12 @@
 
     peers: list[Peer]
 
+    def send(self, attempt: Attempt, fresh: bool = False) -> None:
+        super().send(attempt, fresh)
+        for peer in self.peers:  # the dial is over already
+            if peer.connection._attempt is attempt:
+                attempt.carried_by(peer.connection.close)
+
     async def _dial(self, attempt: Attempt) -> None:
         connection = HttpConnection(self, attempt.server, attempt.address)
         self.peers.append(Peer(connection))
