--- a/mesh/dataplane/idle_limit.py
+++ b/mesh/dataplane/idle_limit.py
@@ -8,7 +8,7 @@
 >>> limit.allows(6_000.0, False, 0.0), limit.allows(6_000.0, True, 0.0), limit.allows(400.0, True, 0.0)
 (True, False, True)
 >>> limit.states(b"timeout=4, max=100")
->>> limit.allows(1_900.0, False, 0.0), limit.allows(2_100.0, False, 0.0)
+>>> limit.allows(2_700.0, False, 0.0), limit.allows(2_900.0, False, 0.0)
 (True, False)
 >>> limit.forgotten_after(1_000.0, 0.0)
 >>> limit.allows(600.0, False, 1.0), limit.allows(600.0, False, 1.0 + FORGOTTEN_FOR_MS)
@@ -20,7 +20,7 @@
 import math
 import re
 
-STATED_SHARE = 0.5  # of the time that a server states: a request that crosses its close ends as a reset
+STATED_SHARE = 0.7  # of the time that a server states: a request that crosses its close ends as a reset
 FORGOTTEN_SHARE = 0.5  # of the time after which a connection was found dead
 LEAST_MS = 250.0  # a connection that died younger than this did not die of resting
 FORGOTTEN_FOR_MS = 30_000.0  # what was found is believed for so long
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -40,9 +40,9 @@
 
 CONNECT_MS = 400.0
 KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a connection may idle
-# What may run once goes on no connection that has rested for longer: to a gate, as long as a node that is cut
-# off may still be listed; to a server, a moment, as some forget idle connections and reset what comes next.
-ONCE_HOP_MS, ONCE_SERVER_MS = 2_000.0, 500.0
+# What may run once goes on no connection that has rested for longer, as nobody can make good what is lost on
+# one that is dead without a sign: as long as a node that is cut off may still be listed.
+ONCE_IDLE_MS = 2_000.0
 CLAIM_S, CLAIM_SHARE = 1.0, 0.4  # for claiming a key: so long, or this share of the time left
 LOOK_S = 0.5
 BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
@@ -81,9 +81,9 @@
         self._alarms = Alarms(loop)
         self._room_most = max(64, settings.descriptors - SPARE_SOCKETS)
         room = self._room
-        self._hops = HttpConnections(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms, ONCE_HOP_MS)
+        self._hops = HttpConnections(loop, CONNECT_MS, KEEP_HOP_MS, room, self._alarms, ONCE_IDLE_MS)
         self._hops.local_ip = settings.bind_ip or None
-        self._visits = HttpConnections(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms, ONCE_SERVER_MS)
+        self._visits = HttpConnections(loop, CONNECT_MS, KEEP_SERVER_MS, room, self._alarms, ONCE_IDLE_MS)
         self._numbers: dict[str, int] = {}  # of servers, for as long as a node lists them
         self._serial = 0  # the last of these
         self._services: dict[str, ServiceClient] = {}
--- /dev/null
+++ b/tests/mesh/test_lives.py
@@ -0,0 +1,87 @@
+"""A connection belongs to one life of a server, and to one life of the process that it leads to."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from mesh.control.endpoints import IN_SERVICE, Record, Server
+from mesh.dataplane import admission, http_connection, service_client
+from mesh.dataplane.admission import AdmissionGate
+from mesh.dataplane.service_client import ServiceClient
+from mesh.settings import Bounds
+from orchidferry import upstream
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import asked, route
+from tests.mesh.test_answers import answer
+from tests.mesh.wire_fakes import Pool, close_all, pool
+
+
+def played_pool(monkeypatch: pytest.MonkeyPatch) -> tuple[Any, Pool]:
+    loop, made = pool()
+    for place in (admission, http_connection, service_client, upstream):
+        monkeypatch.setattr(place, "now_ms", loop.now_ms)
+    return loop, made
+
+
+def beat(gate: AdmissionGate, id: str) -> None:
+    assert gate.beat(Server(id, "s", "z", IN_SERVICE, 4, 0.0), 1) is None
+
+
+def connections_of_two_lives(monkeypatch: pytest.MonkeyPatch) -> int:
+    """A server is replaced at its address while a request is at work; connections that the gate made."""
+    loop, made = played_pool(monkeypatch)
+    gate = AdmissionGate(
+        ("127.0.0.1", 1), Bounds(), 1_000.0, loop, made.alarms, made, lambda: None, lambda: False,
+        lambda message, said: None,
+    )  # fmt: skip
+    replies: list[Reply] = []
+    beat(gate, "i")
+    gate.accept(asked("a"), replies.append)
+    beat(gate, "j")
+    made.peers[0].put(answer(b"a", b"of the life before"))
+    made.peers[0].read()
+    gate.accept(asked("b"), replies.append)
+    made.peers[-1].put(answer(b"b", b"of this life"))
+    made.peers[-1].read()
+    gate.accept(asked("c"), replies.append)  # a life's own connections are used again
+    close_all(made)
+    assert [reply.status for reply in replies] == [200, 200]
+    return len(made.peers)
+
+
+def test_no_connection_of_a_former_life_is_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert connections_of_two_lives(monkeypatch) == 2
+
+
+def test_the_break_reuse_across_lives_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    always = property(lambda self: 1, lambda self, value: None)
+    with mock.patch.object(AdmissionGate, "life", always, create=True):
+        assert connections_of_two_lives(monkeypatch) == 1
+
+
+@pytest.mark.parametrize(("id", "boot", "made_anew"), [("i", 1, False), ("i", 2, True), ("j", 2, True)])
+def test_a_connection_to_a_gate_that_started_anew_is_not_used(
+    monkeypatch: pytest.MonkeyPatch, id: str, boot: int, made_anew: bool
+) -> None:
+    """Its end may have been lost in a cut; what is sent on it is reset, and may have run."""
+    loop, made = played_pool(monkeypatch)
+    numbers = {"i": 1, "j": 2}
+    service = ServiceClient(
+        "s", "me", "z", Bounds(), loop, made.alarms, made, lambda server: numbers[server]
+    )  # fmt: skip
+    kind = route("non_idempotent", 2)
+    for number, (server, life) in enumerate((("i", 1), (id, boot))):
+        listed = Server(server, "s", "z", IN_SERVICE, 4, 0.0)
+        service.servers({"n": Record("n", life, 1, "z", "127.0.0.1", 1, listed)})
+        if not number:
+            service.configure([kind])
+        replies: list[Reply] = []
+        service.take(asked(f"t{number}"), kind, loop.now_ms() + 1_000.0, replies.append)
+        made.peers[-1].put(answer(b"t%d" % number, b"x"))
+        made.peers[-1].read()
+        assert [reply.status for reply in replies] == [200]
+    assert (len(made.peers) == 2) is made_anew
+    close_all(made)
