--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -336,7 +336,7 @@
         kept = None if fresh else self._kept_for(attempt)
         if kept is None:  # a new one takes the place of the one that has rested longest
             return super().send(attempt, fresh=True)
-        self._idle[attempt.server].remove(kept)
+        self._idle[attempt.server].pop()
         self._aged.pop(kept, None)
         attempt.give_up_after(
             self.alarms, attempt.timeout_ms / 1000.0 if attempt.message.flow is None else UPLOAD_STALL_S
@@ -350,11 +350,12 @@
         while idle:
             newest = idle[-1]
             rested_ms = now - newest.idle_since
-            if newest.address == attempt.address and newest.usable() and limit.allows(rested_ms, False, now):
-                if newest.has_tried(attempt.message.id) or not limit.allows(rested_ms, attempt.once, now):
+            if newest.address == attempt.address and newest.usable():
+                if limit.allows(rested_ms, attempt.once, now):
+                    newest.rested(rested_ms)
+                    return None if newest.has_tried(attempt.message.id) else newest
+                if limit.allows(rested_ms, False, now):
                     return None
-                newest.rested(rested_ms)
-                return newest
             newest.close()
         return None
 
--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 from unittest import mock
 
 import pytest
@@ -12,6 +13,7 @@
 
 from mesh.dataplane.http_connection import HELD_ANSWER, HttpConnection, Said
 from nickelbridge.interface import Result
+from orchidferry.flow import Flow
 from orchidferry.upstream import Answer, Connection
 from tests.mesh.fakes import asked
 from tests.mesh.wire_fakes import Peer, Sent, close_all, pool
@@ -222,11 +224,16 @@
 class Reader:
     """Takes what flows."""
 
+    def __init__(self) -> None:
+        self.said: list[str] = []
+
     def feed(self, data: bytes) -> None: ...
 
-    def end(self) -> None: ...
+    def end(self) -> None:
+        self.said.append("end")
 
-    def broken(self) -> None: ...
+    def broken(self) -> None:
+        self.said.append("broken")
 
 
 @settings(max_examples=400, deadline=None)
@@ -258,6 +265,30 @@
         assert story.pool.peers == [peer] and story.attempts[1].ends[0][0] is Result.SERVED
 
 
+@pytest.mark.parametrize("make", [answer, chunked])
+@pytest.mark.parametrize("exc", [None, ConnectionResetError()])
+def test_a_long_answer_that_is_cut_is_not_ended(make: Callable[[bytes, bytes], bytes], exc: Any) -> None:
+    with Story() as story:
+        sent, peer = story.ask("t1")
+        sent.message.long_answer = True
+        peer.connection.data_received(make(b"t1", b"x" * (HELD_ANSWER + 9))[:-8])
+        reader, [(_, said)] = Reader(), sent.ends
+        said.flow.attach(reader)
+        peer.lose(exc)
+        assert reader.said == ["broken"]
+
+
+def test_an_early_answer_is_taken_and_its_connection_closed() -> None:
+    """It comes before the request has gone out whole."""
+    with Story() as story:
+        sent = Sent(asked("t1"))
+        sent.message.flow = Flow(mock.Mock(), None, 0.0)
+        story.pool.send(sent)
+        [peer] = story.pool.peers
+        peer.connection.data_received(answer(b"t1", b"early"))
+        assert sent.ends[0][0] is Result.SERVED and peer.transport.closed
+
+
 def test_head_is_answered_by_a_head_and_its_connection_is_done_with() -> None:
     with Story() as story:
         sent, peer = story.ask("t1", b"HEAD")
