Mesh: an answer that promises without a proof is kept for no repeat

A server's 503 (408, 429) without Not-Executed, answered to a keyed request, was kept for repeats of its key, which would have told them that nothing ran. tests/mesh/test_keys.py.

--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -373,6 +373,8 @@
     """An answer as it is kept for repeats of its key; None for one that isn't."""
     if said is None or said.flow is not None or len(said.body) > ANSWER_MOST:
         return None
+    if said.status in PROMISES:  # it came without a proof: a repeat must not be promised what nobody knows
+        return None
     return [said.status, said.body, [list(header) for header in said.headers]]
 
 
--- a/mesh/dataplane/idle_limit.py
+++ b/mesh/dataplane/idle_limit.py
@@ -30,12 +30,12 @@
 class IdleLimit:
     """What is known of one server's patience with idle connections."""
 
-    __slots__ = ("_found_ms", "_found_until_ms", "_most_ms", "_once_ms", "_stated", "_stated_ms")
+    __slots__ = ("_found_ms", "_found_until_ms", "_longest_ms", "_most_ms", "_once_ms", "_stated")
 
     def __init__(self, most_ms: float, once_ms: float) -> None:
         """`most_ms`: where nothing is known; `once_ms`: for requests that may run once only."""
         self._most_ms, self._once_ms = most_ms, once_ms
-        self._stated, self._stated_ms = b"", math.inf
+        self._stated, self._longest_ms = b"", most_ms
         self._found_ms, self._found_until_ms = math.inf, -math.inf
 
     def states(self, header: bytes) -> None:
@@ -43,7 +43,8 @@
         if header != self._stated:
             self._stated = header
             found = TIMEOUT.search(header)
-            self._stated_ms = float(found[1]) * 1e3 if found is not None else math.inf
+            stated_ms = float(found[1]) * 1e3 if found is not None else math.inf
+            self._longest_ms = min(self._most_ms, STATED_SHARE * stated_ms)
 
     def forgotten_after(self, idle_ms: float, now_ms: float) -> None:
         """A connection that had rested for so long was found dead."""
@@ -56,7 +57,6 @@
 
     def allows(self, idle_ms: float, once: bool, now_ms: float) -> bool:
         """Whether a connection that has rested for so long may carry a request."""
-        most_ms = min(self._most_ms, STATED_SHARE * self._stated_ms)
-        if now_ms < self._found_until_ms:
-            most_ms = min(most_ms, FORGOTTEN_SHARE * self._found_ms)
-        return idle_ms <= (min(most_ms, self._once_ms) if once else most_ms)
+        if idle_ms > self._longest_ms or (once and idle_ms > self._once_ms):
+            return False
+        return now_ms >= self._found_until_ms or idle_ms <= FORGOTTEN_SHARE * self._found_ms
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -13,6 +13,7 @@
 from mesh.control.shard_state import shard_of
 from mesh.dataplane import proxy as module
 from mesh.dataplane import service_client
+from mesh.dataplane.http_connection import kept_answer
 from mesh.dataplane.proxy import Proxy
 from mesh.dataplane.service_client import ServiceClient
 from mesh.settings import Bounds
@@ -134,6 +135,15 @@
     assert scene.replies["b"].status == 409 and len(scene.lines.sent) == 1
 
 
+def test_a_promise_without_its_proof_is_told_to_nobody(scene: Scene) -> None:
+    """The server says 503 and not that it did not run it: neither the caller nor a repeat may believe it."""
+    attempt = scene.run("a")
+    attempt.sent_whole()
+    attempt.end(Result.ERROR, said(503, b"a"))
+    scene.loop.pass_ms(1_001.0)
+    assert scene.replies["a"].status == 502 and scene.news.words == [] and kept_answer(said(503)) is None
+
+
 @pytest.mark.parametrize("end", [refused, not_connected])
 def test_a_key_whose_run_never_began_is_given_back(scene: Scene, end: Callable[[Any], None]) -> None:
     scene.run("a")
