--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -14,7 +14,8 @@
 
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
 from mesh.dataplane.attempt import TrackedAttempt
-from mesh.dataplane.http_connection import (
+from mesh.dataplane.http_connection import HttpConnections
+from mesh.dataplane.messages import (
     BELOW,
     KEYED,
     LATE,
@@ -26,13 +27,12 @@
     TIMES,
     UNRUN,
     Asked,
-    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
-)  # fmt: skip
-from mesh.dataplane.http_connection import (
+)
+from mesh.dataplane.messages import (
     GONE as GATE_GONE,
 )
 from mesh.errors import Kind, Refusal
--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -11,7 +11,11 @@
 import re
 from collections.abc import Callable
 
-from mesh.dataplane.http_connection import MILLISECONDS, PRIVATE, Asked
+from mesh.dataplane.messages import (
+    MILLISECONDS,
+    PRIVATE,
+    Asked,
+)
 from mesh.errors import Kind, Refusal
 from orchidferry.flow import Flow, Pool
 from orchidferry.frontend import LIMITS_S, Accept, Caller, Frontend, Reply, Stage
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -20,15 +20,15 @@
 from mesh.control.control_client import ControlClient
 from mesh.control.endpoints import DRAINING, IN_SERVICE, Record, Server
 from mesh.dataplane.admission import AdmissionGate
-from mesh.dataplane.http_connection import (
+from mesh.dataplane.http_connection import HttpConnections
+from mesh.dataplane.listener import Listener
+from mesh.dataplane.messages import (
     MARGIN_MS,
     Asked,
-    HttpConnections,
     Said,
     kept_answer,
     own_answer,
 )
-from mesh.dataplane.listener import Listener
 from mesh.dataplane.service_client import Live, ServiceClient
 from mesh.errors import Kind, Refusal
 from mesh.settings import Settings
--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -18,7 +18,8 @@
 from mesh.control.configuration import Route
 from mesh.control.endpoints import DRAINING, IN_SERVICE, Record
 from mesh.dataplane.attempt import TrackedAttempt
-from mesh.dataplane.http_connection import (
+from mesh.dataplane.http_connection import HttpConnections
+from mesh.dataplane.messages import (
     KEYED,
     MARGIN_MS,
     PATIENCE,
@@ -26,12 +27,11 @@
     RANK,
     TIMES,
     Asked,
-    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
-)  # fmt: skip
+)
 from mesh.errors import Kind, Refusal
 from mesh.settings import Address, Bounds
 from nickelbridge import interface as api
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -7,7 +7,10 @@
 from typing import Any
 
 from mesh.control.configuration import Route
-from mesh.dataplane.http_connection import Asked, Said
+from mesh.dataplane.messages import (
+    Asked,
+    Said,
+)
 from orchidferry.alarms import Alarms
 from orchidferry.frontend import Reply
 from orchidferry.upstream import Attempt
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -9,7 +9,10 @@
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
 from mesh.dataplane import admission as module
 from mesh.dataplane.admission import AdmissionGate, Pass
-from mesh.dataplane.http_connection import GATE, Said
+from mesh.dataplane.messages import (
+    GATE,
+    Said,
+)
 from mesh.settings import Bounds
 from nickelbridge.interface import Result
 from orchidferry.frontend import Reply
--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -11,7 +11,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.dataplane.http_connection import HELD_ANSWER, HttpConnection, Said
+from mesh.dataplane.http_connection import HELD_ANSWER, HttpConnection
+from mesh.dataplane.messages import (
+    Said,
+)
 from nickelbridge.interface import Result
 from orchidferry.flow import Flow
 from orchidferry.upstream import Answer, Connection
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -12,8 +12,10 @@
 from hypothesis import strategies as st
 
 from mesh.dataplane import service_client as module
-from mesh.dataplane.http_connection import Asked
 from mesh.dataplane.listener import CallerConnection, Listener
+from mesh.dataplane.messages import (
+    Asked,
+)
 from mesh.dataplane.service_client import Live, ServiceClient
 from nickelbridge.interface import Result
 from orchidferry.flow import SHORT_BODY, Flow, Pool
--- a/tests/mesh/test_http_connection.py
+++ b/tests/mesh/test_http_connection.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from mesh.dataplane.http_connection import HttpConnection, Said, judged, passed_on
+from mesh.dataplane.http_connection import HttpConnection
+from mesh.dataplane.messages import (
+    Said,
+    judged,
+    passed_on,
+)
 from nickelbridge.interface import Result
 from tests.mesh.fakes import asked, said
 from tests.mesh.wire_fakes import Sent, Transport, pool
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -13,7 +13,9 @@
 from mesh.control.shard_state import shard_of
 from mesh.dataplane import proxy as module
 from mesh.dataplane import service_client
-from mesh.dataplane.http_connection import kept_answer
+from mesh.dataplane.messages import (
+    kept_answer,
+)
 from mesh.dataplane.proxy import Proxy
 from mesh.dataplane.service_client import ServiceClient
 from mesh.settings import Bounds
--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -12,7 +12,9 @@
 from mesh.control.configuration import Route
 from mesh.control.endpoints import DRAINING, IN_SERVICE, Record, Server
 from mesh.dataplane import service_client as module
-from mesh.dataplane.http_connection import Said
+from mesh.dataplane.messages import (
+    Said,
+)
 from mesh.dataplane.service_client import Live, ServiceClient
 from mesh.settings import Bounds
 from nickelbridge.interface import Result
--- a/tests/mesh/wire_fakes.py
+++ b/tests/mesh/wire_fakes.py
@@ -7,7 +7,10 @@
 from typing import Any
 
 from mesh.dataplane.attempt import TrackedAttempt
-from mesh.dataplane.http_connection import Asked, HttpConnection, HttpConnections
+from mesh.dataplane.http_connection import HttpConnection, HttpConnections
+from mesh.dataplane.messages import (
+    Asked,
+)
 from nickelbridge.interface import Result
 from orchidferry.upstream import Answer, Attempt
 from tests.mesh.fakes import rig
