--- a/mesh/dataplane/messages.py
+++ b/mesh/dataplane/messages.py
@@ -1,7 +1,7 @@
 """Requests and answers of the data plane, and what an answer means for its attempt. No I/O.
 
-Here is what the mesh's wire adds to HTTP: headers that go along unchanged, stamps without which a success does
-not count, proofs that a request has not run, and the gate's own words.
+Here is what the mesh's wire adds to HTTP: headers that go along unchanged, stamps without which a success
+does not count, proofs that a request has not run, and the gate's own words.
 """
 
 from __future__ import annotations
