--- /dev/null
+++ b/mesh/control/order_book.py
@@ -0,0 +1,86 @@
+"""A replica's orders: those that wait for their outcome, and the history of those that were taken, with what
+it has to put on disk and to ask of other replicas. Pure.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from mesh.control.order_history import OrderHistory, Verdict
+from mesh.control.order_records import record
+from mesh.control.shard_state import WHY_NOT, Body, Put, lists_all
+from mesh.storage.store import Put as Stored
+
+PAGE = 256  # orders in one message, or one write
+AGAIN_S = 5.0  # a replica that had no older orders to tell is asked again after so long
+
+
+@dataclass
+class OrderBook:
+    """The orders of one shard at one replica."""
+
+    shard: int
+    history: OrderHistory = field(default_factory=OrderHistory)
+    waiting: dict[str, Put] = field(default_factory=dict)  # by the name of the proposal
+    asked_s: dict[str, float] = field(default_factory=dict)  # when each replica was asked for older orders
+
+    @staticmethod
+    def name(order: Put) -> str:
+        """The same for all copies of an order."""
+        return f"order {order.revision} {order.on} {order.digest.hex()}"
+
+    def verdict(self, order: Put, state: Body) -> Verdict:
+        """What is to become of an order, as of a decided state."""
+        return order.verdict(self.history, state.revision)
+
+    def learn(self, state: Body) -> None:
+        """A newer state was decided."""
+        self.history.merge(state.taken, lists_all(state))
+
+    def settled(self, state: Body) -> list[tuple[str, str]]:
+        """The proposals of which it is known for ever what became of them, and why they were refused, if
+        they were.
+        """
+        found = [(name, self.verdict(order, state)) for name, order in self.waiting.items()]
+        return [(name, WHY_NOT.get(verdict, "")) for name, verdict in found if verdict.final]
+
+    # On disk
+
+    def puts(self) -> tuple[list[int], list[Stored]]:
+        """The newest orders that are not on disk, with what puts them there."""
+        history = self.history
+        numbers = sorted(history.unsaved)[-PAGE:]
+        puts = [record(self.shard, number, history.entries[number]) for number in numbers]
+        outdated, history.outdated = history.outdated[:PAGE], history.outdated[PAGE:]
+        puts += [record(self.shard, number, None) for number in outdated if number not in history.entries]
+        return numbers, puts
+
+    # With other replicas
+
+    def to_ask(self, names: Iterable[str], now: float) -> str | None:
+        """Who of these is asked next for orders older than this one knows; None for nobody."""
+        if self.history.whole:
+            return None
+        for name in names:
+            if now - self.asked_s.get(name, float("-inf")) > AGAIN_S:
+                self.asked_s[name] = now
+                return name
+        return None
+
+    def oldest(self) -> list[Any]:
+        """What is sent with the asking: number and digest of the oldest order that is known."""
+        floor = self.history.floor
+        return [floor, self.history.entries[floor].digest]
+
+    def page(self, floor: int, digest: bytes) -> list[Any] | None:
+        """What another replica, whose oldest order this is, is told; None for nothing."""
+        found = self.history.before(floor, digest, PAGE)
+        return None if found is None else [[list(row) for row in found[0]], found[1]]
+
+    def take_page(self, rows: list[Any], complete: bool) -> bool:
+        """Learn older orders; whether there was anything new."""
+        floor = self.history.floor
+        self.history.prepend(tuple((number, digest) for number, digest in rows), complete)
+        return self.history.floor != floor
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -16,8 +16,8 @@
 
 from mesh.control import shard_state
 from mesh.control.membership import Standing, epoch
-from mesh.control.order_history import Entry, OrderHistory, Verdict
-from mesh.control.order_records import record
+from mesh.control.order_book import OrderBook
+from mesh.control.order_history import Entry, Verdict
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
 
@@ -32,8 +32,6 @@
 READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
 JOIN_S = 0.4
 STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
-ORDERS_PAGE = 256  # orders in one message, or one write
-ORDERS_AGAIN_S = 5.0  # a replica that had none to tell is asked again after so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,9 +140,7 @@
         self._out: list[Action] = []
         self._mine: deque[Any] = deque()  # messages of the register to itself
         self._asked: dict[str, tuple[str, list[str], float]] = {}  # what it is for, who waits, until when
-        self.history = OrderHistory()
-        self._orders: dict[str, shard_state.Put] = {}  # that wait for their outcome, as `_asked` names them
-        self._orders_asked_s: dict[str, float] = {}  # when a replica was asked for older orders
+        self.orders = OrderBook(number)
         self._count = 0
         self._readers: list[str] = []
         self._peeks: dict[int, _Peek] = {}
@@ -251,7 +247,7 @@
             return False
         self._join_s = now + JOIN_S
         self._join()
-        self._mind_history()
+        self._mind_orders()
         self._settle()
         self._mind_owner()
         return True
@@ -286,11 +282,11 @@
         match then:
             case ("voted", who, kept, replies, orders) if ok:
                 self.clean = self.clean or kept is self.acceptor.kept
-                self.history.saved(orders)
+                self.orders.history.saved(orders)
                 for reply in replies:
                     self._vote_out(who, reply)
             case ("orders", orders) if ok:
-                self.history.saved(orders)
+                self.orders.history.saved(orders)
             case ("out",) if ok:
                 self.standing, self.abstains_s = Standing(False), self.now
                 self._out.append(Note("put out of the group"))
@@ -359,7 +355,7 @@
             return
         self.clean = False
         kept = self.acceptor.kept
-        orders, puts = self._order_puts()
+        orders, puts = self.orders.puts()
         puts.append(self._about("kept", pack(shard_state.pack_kept(kept))))
         self._write(puts, ("voted", who, kept, replies, orders))
 
@@ -405,7 +401,7 @@
 
     def _end(self, id: str, value: Value | None, why: str) -> None:
         asked = self._asked.pop(id, None)
-        self._orders.pop(id, None)
+        self.orders.waiting.pop(id, None)
         if asked is not None:
             self._over(asked[0], asked[1], value, why)
 
@@ -470,7 +466,7 @@
         if value.version > old.version:
             self.seen = value
             before, after = shard_state.body(old), shard_state.body(value)
-            self.history.merge(after.taken, shard_state.lists_all(after))
+            self.orders.learn(after)
             if after.fence != before.fence:
                 self._pulsed.clear()
                 if after.fence != before.fence + 1 or before.owner not in ("", after.owner):
@@ -485,71 +481,44 @@
 
     def load_orders(self, rows: list[tuple[int, Entry]]) -> None:
         """Orders from its own disk, before anything else."""
-        self.history.load(rows)
+        self.orders.history.load(rows)
 
     def _order(self, id: str, order: shard_state.Put, for_s: float) -> None:
         """An order. What is known of it for ever is told at once; copies of it share one proposal."""
-        verdict = self._verdict(order)
+        verdict = self.orders.verdict(order, self.body)
         if self.known.version and (verdict.final or verdict is Verdict.UNKNOWN):
             self._out.append(Ended(id, self.known, shard_state.WHY_NOT.get(verdict, "")))
             return
-        name = f"order {order.revision} {order.on} {order.digest.hex()}"
+        name = self.orders.name(order)
         if name in self._asked:
             self._asked[name][1].append(id)
             return
-        self._orders[name] = order
+        self.orders.waiting[name] = order
         self._ask(name, order, for_s, "ask", [id])
 
-    def _verdict(self, order: shard_state.Put) -> Verdict:
-        return order.verdict(self.history, self.body.revision)
-
     def _end_orders(self) -> None:
         """Answer the orders of which a newly learned state says for ever what became of them."""
-        for name, order in list(self._orders.items()):
-            verdict = self._verdict(order)
-            if verdict.final:
-                self.proposer.withdraw(name)
-                self._end(name, self.known, shard_state.WHY_NOT.get(verdict, ""))
-
-    def _order_puts(self) -> tuple[list[int], list[Put]]:
-        """The newest orders that are not on disk, with what puts them there."""
-        history = self.history
-        numbers = sorted(history.unsaved)[-ORDERS_PAGE:]
-        puts = [record(self.number, number, history.entries[number]) for number in numbers]
-        outdated, history.outdated = history.outdated[:ORDERS_PAGE], history.outdated[ORDERS_PAGE:]
-        puts += [record(self.number, number, None) for number in outdated if number not in history.entries]
-        return numbers, puts
-
-    def _mind_history(self) -> None:
-        """Ask another replica for orders older than it knows."""
-        if self.history.whole:
-            return
-        for name in self._others():
-            since_s = self.now - self._orders_asked_s.get(name, float("-inf"))
-            if since_s > ORDERS_AGAIN_S and self.peers.alive(name, self.now):
-                self._orders_asked_s[name] = self.now
-                self._say(name, "orders?", *self._oldest_order())
-                return
+        for name, why in self.orders.settled(self.body):
+            self.proposer.withdraw(name)
+            self._end(name, self.known, why)
 
-    def _oldest_order(self) -> tuple[int, bytes]:
-        floor = self.history.floor
-        return floor, self.history.entries[floor].digest
+    def _mind_orders(self) -> None:
+        """Ask another replica for orders older than it knows."""
+        name = self.orders.to_ask([n for n in self._others() if self.peers.alive(n, self.now)], self.now)
+        if name is not None:
+            self._say(name, "orders?", *self.orders.oldest())
 
     def _tell_orders(self, who: Any, floor: int, digest: bytes) -> None:
-        found = self.history.before(floor, digest, ORDERS_PAGE)
-        if found is not None:
-            rows, complete = found
-            self._reply(who, "orders", [list(row) for row in rows], complete)
+        page = self.orders.page(floor, digest)
+        if page is not None:
+            self._reply(who, "orders", *page)
 
     def _take_orders(self, who: Any, rows: list[Any], complete: bool) -> None:
-        floor = self.history.floor
-        self.history.prepend(tuple((number, digest) for number, digest in rows), complete)
-        if self.history.floor == floor:
-            return
-        orders, puts = self._order_puts()
-        self._write(puts, ("orders", orders))
-        if not self.history.whole:
-            self._reply(who, "orders?", *self._oldest_order())
+        if self.orders.take_page(rows, complete):
+            numbers, puts = self.orders.puts()
+            self._write(puts, ("orders", numbers))
+            if not self.orders.history.whole:
+                self._reply(who, "orders?", *self.orders.oldest())
 
     # The group
 
--- a/rehearsal/explore/worst_days/one_number.py
+++ b/rehearsal/explore/worst_days/one_number.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from mesh.control import shard_state
+from mesh.control.order_book import OrderBook
 from mesh.control.order_history import OrderHistory, Taken, Verdict
 from mesh.control.replica import Changed, Ended, Replica
 from rehearsal.explore.mesh import Break, Scene, World
@@ -320,18 +321,20 @@
     return None
 
 
-def _nothing_saved(self: Replica) -> tuple[list[int], list[Any]]:
+def _nothing_saved(self: OrderBook) -> tuple[list[int], list[Any]]:
     return [], []
 
 
-def _told_before_decided(self: Replica, order: shard_state.Put) -> Verdict:
+def _told_before_decided(self: Replica, id: str, order: shard_state.Put, for_s: float) -> None:
     accepted = self.acceptor.kept.value
-    state = shard_state.body(accepted) if accepted is not None else self.body
-    return Verdict.TAKEN if state.raw == order.raw else _replica_verdict(self, order)
+    if accepted is not None and shard_state.body(accepted).raw == order.raw:
+        self._out.append(Ended(id, accepted))
+    else:
+        _order(self, id, order, for_s)
 
 
 _verdict, _merge = OrderHistory.verdict, OrderHistory.merge
-_replica_verdict = Replica._verdict
+_order = Replica._order
 
 
 def _break(about: str, scene: str, *patches: tuple[Any, str, Any], faults: int = 0, kinds: str = "") -> Break:
@@ -354,13 +357,13 @@
         (OrderHistory, "merge", _gap_unseen), (OrderHistory, "_forget", _never),
     ),
     "not-asked": _break(
-        "a replica that forgot asks nobody", "wiped-replica", (Replica, "_mind_history", _never)
+        "a replica that forgot asks nobody", "wiped-replica", (Replica, "_mind_orders", _never)
     ),
     "not-saved": _break(
-        "orders are not put on disk", "all-killed", (Replica, "_order_puts", _nothing_saved)
+        "orders are not put on disk", "all-killed", (OrderBook, "puts", _nothing_saved)
     ),
     "told-early": _break(
         "an order counts as taken once its replica has accepted it", "minority",
-        (Replica, "_verdict", _told_before_decided), faults=1, kinds="cut",
+        (Replica, "_order", _told_before_decided), faults=1, kinds="cut",
     ),
 }  # fmt: skip
--- a/tests/mesh/test_one_number.py
+++ b/tests/mesh/test_one_number.py
@@ -18,13 +18,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.control import order_history, shard_state
+from mesh.control import order_book, order_history, shard_state
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.configuration_text import expand
 from mesh.control.control_api import call
 from mesh.control.order_history import Entry, OrderHistory, Verdict
 from mesh.control.order_records import orders_of, record
-from mesh.control.replica import ORDERS_PAGE, Changed, Ended
+from mesh.control.replica import Changed, Ended
 from mesh.storage import storage_check
 from mesh.storage.store import Store
 from nickelbridge.register import Value
@@ -289,7 +289,7 @@
         one.wipe()
         one.start()
         world.play(12.0)
-        assert one.shard.history.floor == 0
+        assert one.shard.orders.history.floor == 0
         assert _taken(world, one, _put(1))
     for one in controllers:
         one.start()
@@ -306,7 +306,7 @@
     assert list(history.numbers) == [4, 5, 6, 7, 8] and history.floor == 4 and history.outdated == [1, 2, 3]
     assert history.verdict(4, b"", 3, 8) is Verdict.UNKNOWN
     assert history.verdict(5, b"", 4, 8) is Verdict.TAKEN
-    assert history.entries[4] == Entry(b"", -1) and ORDERS_PAGE < order_history.ORDERS_MOST
+    assert history.entries[4] == Entry(b"", -1) and order_book.PAGE < order_history.ORDERS_MOST
 
 
 def test_a_group_that_was_begun_anew_is_believed_and_not_the_disk() -> None:
@@ -331,7 +331,7 @@
     async def load() -> OrderHistory:
         controller = a_controller(tmp_path)
         controller._store.close()
-        return controller._configuration_shard.history
+        return controller._configuration_shard.orders.history
 
     found = asyncio.run(load())
     assert found.entries == history.entries and found.floor == 0
