A role that has ended ends its process at once; a watch outside the interpreter ends what hangs

Cause: a process that said it had stopped was at times still there at the platform's kill. After that word it took its loop and the interpreter down. The watch over that was a Python thread: it never came to act while the interpreter's lock was held, and not once the interpreter was being taken down (both measured: 8.3 s for a hold-up of 8 s, in place of 0.3 s). On a processor five times slower the taking down alone comes near the 0.4 s that a proxy leaves itself.

Change: once its role has ended the process leaves by os._exit, all being on disk or said. From the first SIGTERM on faulthandler's watch, which needs no interpreter, writes the stacks and ends the process 0.2 s before the platform would. A controller's last second and its wait for the disk stay within the grace.

--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -4,17 +4,16 @@
 
 import asyncio
 import dataclasses
-import faulthandler
 import os
 import signal
 import sys
-import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
 import uvloop
 from loguru import logger
 
 from mesh.errors import BadStore
+from mesh.process_end import end_now, stop_on_sigterm
 from mesh.settings import BadSettings, Settings, read_settings
 from orchidferry.collector import settle
 
@@ -34,7 +33,6 @@
 example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry controller --check"""
 POINTS = {"proxy": ("outbound", "inbound", "ready", "control"), "controller": ("control",)}
 ROLES = tuple(POINTS)
-END_S = 0.3  # for a process to end after its role has; the platform kills 0.4 s after a node has
 FILE_S = 3.0  # how often the settings file is looked at
 
 
@@ -57,11 +55,11 @@
             raise BadSettings(f"network.listen_points.{name}: this role needs one")
 
 
-async def serve(role: str, settings: Settings) -> None:
-    """Run a role until SIGTERM."""
+async def serve(role: str, settings: Settings) -> NoReturn:
+    """Run a role until SIGTERM; the process ends with it."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    stop_on_sigterm(loop, stopping, settings.bounds.grace_s)
     one: Proxy | Controller | None
     if role == "proxy":
         from mesh.dataplane.proxy import Proxy
@@ -70,28 +68,14 @@
     else:
         one = await controller(settings, loop, stopping)
     if one is None:
-        return
+        logger.info("{}: stopped before it began", role)
+        end_now()
     loop.add_signal_handler(signal.SIGHUP, reread, role, one)
     watch_file(loop, role, one, changed_at())
     running = one.run(stopping)
     settle()
     await running
-    end_surely()
-
-
-def end_surely() -> None:
-    """A role that has ended owes nothing more: taking the loop and the interpreter down gets `END_S`, and
-    what holds it up is told.
-    """
-
-    def leave() -> None:
-        logger.error("the process did not end by itself; where it stood:")
-        faulthandler.dump_traceback()
-        os._exit(0)
-
-    timer = threading.Timer(END_S, leave)
-    timer.daemon = True
-    timer.start()
+    end_now()
 
 
 async def controller(
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -39,6 +39,7 @@
 STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
 LEAVE_MARGIN_S = 1.0  # before the platform kills a controller that still waits for its successor
 LEAVE_LOOK_S = 0.1
+STOP_MARGIN_S = 0.4  # of the grace time, kept for the process's own end
 
 
 class Controller:
@@ -142,12 +143,13 @@
         self._mind_fitness()
         await self._turn_until(stopping, float("inf"))
         logger.info("controller: stopping")
+        ends_s = self._loop.time() + self._settings.bounds.grace_s - STOP_MARGIN_S
         self._door.close_listener()
         self._stopping = self._known_peers.stopping = True
         self._mind_fitness()
         await self._leave()
         self._server.close()
-        self._store.close()
+        self._store.close(max(0.0, ends_s - self._loop.time()))
         logger.info("controller: stopped")
 
     async def _leave(self) -> None:
--- a/mesh/storage/store.py
+++ b/mesh/storage/store.py
@@ -43,6 +43,7 @@
 STUCK_S = 0.6  # a write that has waited for so long: the disk is ailing
 PROMPT_S, WELL_S = 0.3, 1.0  # well again once no write has waited longer than this, for so long
 PROBE_S = 0.2  # while ailing with nothing to write, how often the disk is tried
+CLOSE_S = 2.0  # for what waits to be written, when the store is closed
 ROOM_SHARE = 0.8  # of the pages in use: beyond it there is no `room` for new keys
 KEEP_SHARE = 0.9  # beyond it nothing is put into `slips` at all: what is left is for votes and for deletes
 
@@ -252,14 +253,14 @@
             self._bytes -= sum(job.size for job in self._jobs if job.chore)
             self._jobs, self._chores = [job for job in self._jobs if not job.chore], 0
 
-    def close(self) -> None:
-        """Write what waits, and end."""
+    def close(self, limit_s: float = CLOSE_S) -> None:
+        """Write what waits, for so long and `CLOSE_S` at most, and end."""
         with self._wake:
             self._ending = True
             self._wake.notify()
         if self._timer is not None:
             self._timer.cancel()
-        self._thread.join(2.0)
+        self._thread.join(min(limit_s, CLOSE_S))
         if not self._thread.is_alive():
             self._lock.close()
 
