--- a/tests/mesh/test_process_end.py
+++ b/tests/mesh/test_process_end.py
@@ -157,6 +157,22 @@
         assert process.ended()[0] == 0
 
 
+def test_told_on_a_slow_processor_while_callers_stay(process: Process) -> None:
+    """With a tenth of a core for itself it is done before the kill."""
+    process.until(process.serves)
+    name = "outbound" if process.machine.role == "sidecar" else "control"
+    with socket.create_connection((process.machine.bind, getattr(process.places, name)), 2.0) as caller:
+        caller.sendall(b"GET /a")
+        process.signal(signal.SIGTERM)
+        until = time.monotonic() + GRACE_S
+        while process._child.poll() is None and time.monotonic() < until:
+            process.signal(signal.SIGSTOP)
+            time.sleep(0.045)
+            process.signal(signal.SIGCONT)
+            time.sleep(0.005)
+        assert process._child.poll() == 0, process.log()
+
+
 @pytest.fixture
 def controller(tmp_path: Path) -> Iterator[Process]:
     """A controller that is not started yet."""
