--- a/rehearsal/judge/books.py
+++ b/rehearsal/judge/books.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from rehearsal.judge.touch import ALL, out_of_touch
@@ -202,7 +202,8 @@
                 lines.append((end.t, f"no answer: {end.how}"))
         return [f"{self.at(t):9.3f} s  {text}" for t, text in sorted(lines)]
 
-    def broke(self, finding: Finding, t: float, id: str, what: str) -> None:
+    def broke(self, finding: Finding, t: float, id: str, what: str, story: Sequence[str] = ()) -> None:
+        """Note a break; its story is that of the request `id`, if there is one."""
         finding.count += 1
         if len(finding.broken) < MOST_TOLD:
-            finding.broken.append(Break(self.at(t), id, what, self.story(id) if id else []))
+            finding.broken.append(Break(self.at(t), id, what, self.story(id) if id else list(story)))
--- a/rehearsal/judge/control_calls.py
+++ b/rehearsal/judge/control_calls.py
@@ -39,10 +39,20 @@
         if 400 <= call.status < 500 and call.status not in UNCLEAR:
             ago = call.t - taken[call.content]
             what = f"version {call.revision}, taken {ago:.1f} s before, sent again to {call.machine}"
-            books.broke(finding, call.t, "", f"{what}: {call.status}")
+            books.broke(finding, call.t, "", f"{what}: {call.status}", _story(books, call))
     return finding
 
 
+def _story(books: Books, call: ControlCall) -> list[str]:
+    """All calls with what this one carried, in order."""
+    same = [one for one in books.control_calls if one.content == call.content]
+    return [
+        f"{books.at(one.t):9.3f} s  {one.operator} to {one.machine}: {one.status or one.how}"
+        f" after {one.until - one.t:.3f} s{', lost on its way' if one.lost else ''}"
+        for one in same
+    ]
+
+
 def isolated_calls(books: Books) -> list[ControlCall]:
     """Calls at controllers that ran and could be reached, and had had no path to a majority for long."""
     found = []
@@ -70,7 +80,8 @@
         if call.how in SILENT:
             books.broke(finding, call.t, "", f"{what} at {call.machine}, alone: no answer in {took:.1f} s")
         elif call.revision and 200 <= call.status < 300 and taken[call.content] == call.until:
-            books.broke(finding, call.t, "", f"{what} was acknowledged by {call.machine}, alone")
+            alone = f"{what} was acknowledged by {call.machine}, alone"
+            books.broke(finding, call.t, "", alone, _story(books, call))
     return finding
 
 
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -336,6 +336,16 @@
     assert not verdict.broken
 
 
+def test_the_story_of_an_order_that_was_sent_again() -> None:
+    run = clean()
+    called(control_call(36.0, 36.1, "core2", 412, NEW))(run)
+    assert judge(record(run)).rules["resent"].broken[0].story == [
+        "   11.000 s  o to core: 200 after 0.200 s",
+        "   26.000 s  o to core2: 200 after 0.100 s",
+        "   27.000 s  o to core2: 412 after 0.100 s",
+    ]
+
+
 CORES = ("core", "core2", "core3")
 
 
