--- a/tests/mesh/test_worst_days.py
+++ b/tests/mesh/test_worst_days.py
@@ -3,21 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
+import time
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from mesh.control.configuration import check
 from mesh.settings import check_settings
+from rehearsal.mesh.ask import CALL_S, Scene
 from rehearsal.mesh.changes import LONG_AGO, Changes
 from rehearsal.mesh.configuration import MARKERS, build, content, following, lookup, markers
-from rehearsal.mesh.day import DAYS, Day, machines, ports
-from rehearsal.mesh.facts import Put
+from rehearsal.mesh.day import DAYS, Day, Trouble, machines, ports
+from rehearsal.mesh.facts import ControlCall, Fact, Put
+from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.processes import SEEDS, settings
+from rehearsal.mesh.run import free_ports
 from rehearsal.mesh.table import CLOSING, ISOLATED_S, WORST_BLOCKS, table
+from rehearsal.mesh.worst_days import _isolated, _pairs
+from rehearsal.wire import Request, ServerSide
+from rehearsal.world.addresses import claim
 
 WORST = [day for day in DAYS.values() if day.drawn == "worst"]
 
@@ -76,3 +85,63 @@
         assert len(set(chosen)) > 50
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("day", WORST, ids=[day.name for day in WORST])
+def test_isolations_cut_no_more_than_may_be_lost_in_all_ways(day: Day) -> None:
+    cores, sidecars = machines(day, 64, 7)
+    drawn, counts = set(), set()
+    for seed in range(100):
+        platform = SimpleNamespace(gone=())
+        play: Any = SimpleNamespace(seed=seed, day=day, cores=cores, sidecars=sidecars, platform=platform)
+        chosen = _isolated(play, Trouble(0.1, "isolate"))
+        pairs, words = _pairs(play, chosen)
+        names, controllers = {one.name for one in chosen}, {one.name for one in cores}
+        assert 1 <= len(names) <= day.tolerance
+        assert pairs and all(names & set(pair) for pair in pairs)
+        # From every other controller, in one direction at least.
+        assert {frozenset(pair) for pair in pairs} >= {
+            frozenset((one, other)) for one in names for other in controllers - names
+        }
+        with_nodes = any(not set(pair) <= controllers for pair in pairs)
+        assert with_nodes == ("from all" in words)
+        drawn.add((with_nodes, words.rsplit(", ", 1)[1]))
+        counts.add(len(names))
+    assert len(drawn) == 6 and counts == set(range(1, day.tolerance + 1))
+
+
+def test_an_order_whose_answer_is_lost_is_sent_again_as_it_was() -> None:
+    day, facts, bodies = DAYS["worst-days"], list[Fact](), list[bytes]()
+    config = build(day, 7, 5, False)
+
+    async def main() -> Put:
+        block, held = claim()
+        with contextlib.closing(held):
+            cores, _ = machines(day, block.number, 7)
+            places = free_ports([machine.ip for machine in cores])
+
+            def asked(connection: ServerSide, request: Request) -> None:
+                bodies.append(request.body + request.headers["if-match"].encode())
+                connection.answer(200, b"{}")
+
+            def side() -> ServerSide:
+                return ServerSide(asked, lambda _: None, lambda _: None)
+
+            loop = asyncio.get_running_loop()
+            servers = [await loop.create_server(side, one.ip, places.control) for one in cores]
+            scene = Scene(7, places, facts.append, time.monotonic())
+            operator = Operator(scene, cores, "operator-1", f"127.{block.number}.200.1")
+            put = await operator.put(config, 3, True, 10.0, cores[2], lost=1)
+            await operator.resend(put, cores[1])
+            for server in servers:
+                server.close()
+            return put
+
+    put = asyncio.run(main())
+    calls = [fact for fact in facts if isinstance(fact, ControlCall)]
+    assert len(bodies) == 3 and len(set(bodies)) == 1 and bodies[0].endswith(b"3")
+    assert [(call.status, call.lost) for call in calls] == [(200, True), (200, False), (200, False)]
+    assert calls[0].machine == machines(day, 64, 7)[0][2].name
+    assert {call.content for call in calls} == {content(config)}
+    assert [fact for fact in facts if isinstance(fact, Put)] == [put]
+    assert put.acked is not None and put.acked - put.t >= CALL_S and put.status == 200
