Copies of keys go out once, not twice: brief pages till the end of a source; tests of the parts

A copy's second source was asked for whole pages from its second page on, and the first and second at once: brief pages now last until a source is copied to its end, and one source is copied at a time. Records that a brief page left out are asked for 256 at a time.

`python -m rehearsal.bench.second_loss` measures a loss on the shipping shards in virtual time.

--- a/mesh/control/key_transfer.py
+++ b/mesh/control/key_transfer.py
@@ -16,6 +16,8 @@
 PAGE_BYTES = 96 * 1024  # of the rows of one page
 ROW_BYTES = 24  # of a row beside its strings
 GIVEN_BACK = -1  # in place of a shelf: the holder gave the key back unrun
+ASKED_MOST = 256  # records asked for at once
+BRIEF_FROM = 500  # keys that a learner holds, from which on it asks for pages without answers
 WAIT_S = 1.0  # for a page, before its source is asked again
 DECLINED_S = 0.15  # after a source had nothing to give, before it is asked again
 
@@ -121,8 +123,10 @@
     """A learner's half."""
 
     cursors: dict[str, tuple[str, int]] = field(default_factory=dict)  # by source: its life, the change
+    copied: set[str] = field(default_factory=set)  # sources that have been copied to their end once
     requests: dict[str, Request] = field(default_factory=dict)
     again_s: dict[str, float] = field(default_factory=dict)  # when a source may be asked again
+    briefly: set[str] = field(default_factory=set)  # sources that are copied without answers
     refused: set[str] = field(default_factory=set)  # sources that had nothing to give when asked last
     number: int = 0
 
@@ -140,7 +144,13 @@
         """Whether a source can be asked now. One at a time is copied from; a difference is asked of all."""
         if name in self.requests or now < self.again_s.get(name, 0.0):
             return False
-        return name in self.cursors or all(other in self.cursors for other in self.requests)
+        return name in self.copied or self.copied.issuperset(self.requests)
+
+    def brief(self, name: str, held: int) -> bool:
+        """Whether a source's pages should leave the answers out: a learner with so many keys has most."""
+        if name not in self.cursors and (self.copied or held >= BRIEF_FROM):
+            self.briefly.add(name)
+        return name in self.briefly and name not in self.copied
 
     def ask(self, name: str, counted: bool, now: float) -> Request:
         """A new request to a source."""
@@ -169,6 +179,8 @@
             del self.requests[name]
         self.cursors[name] = (request.life, request.page.sequence)
         self.refused.discard(name)
+        if request.page.last:
+            self.copied.add(name)
 
 
 def lacking(keys: OperationKeys, rows: list[Row]) -> list[str]:
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -108,7 +108,9 @@
         if self.standing.enough(self.known):
             return
         names = self.standing.to_ask(self.voter, self.known)
-        for name in sorted(names, key=lambda name: name not in self.peers.leaving):
+        # Who leaves comes first, then who is being copied from.
+        cursors, leaving = self.learner.cursors, self.peers.leaving
+        for name in sorted(names, key=lambda name: (name not in leaving, name not in cursors)):
             if self.peers.alive(name, now):
                 self._ask_page(name, counted)
 
@@ -117,7 +119,7 @@
             return
         request = self.learner.ask(name, counted, self.now)
         life, sequence = self.learner.cursors.get(name, ("", 0))
-        brief = not life and bool(self.operation_keys.records)
+        brief = self.learner.brief(name, len(self.operation_keys.records))
         self._say(
             name, "slips?", self.name, request.number, counted, epoch(self.known), life, sequence, brief
         )  # fmt: skip
@@ -151,7 +153,8 @@
         assert request.page is not None
         request.until_s = self.now + key_transfer.WAIT_S
         if request.lacking:
-            return self._say(name, "records?", self.name, request.number, request.lacking)
+            first = request.lacking[: key_transfer.ASKED_MOST]
+            return self._say(name, "records?", self.name, request.number, first)
         puts = self._loaded(request.page.rows)
         self._write(puts or [self._about("catching", b"1")], ("page", name, request))
 
--- /dev/null
+++ b/rehearsal/bench/second_loss.py
@@ -0,0 +1,315 @@
+"""`python -m rehearsal.bench.second_loss`: how long a replica that lost its disk, or a newcomer in the place
+of one that leaves, takes to hold all keys and to grant again.
+
+The shipping shards in virtual time. Each step's processor time is measured here (messages packed and read,
+lmdb transactions) and charged to its machine at `SHARE` of a core; a commit takes `SYNC_S` and a page for
+each record longer, a message `HOP_S` and its bytes. Keyed calls go on meanwhile.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import hashlib
+import heapq
+import random
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from mesh.control import shard_state
+from mesh.control.replica import Action, Answer, Peers, Tell, Write
+from mesh.control.shard import Shard, remembered
+from mesh.storage.store import NAMES, open_env, put_sealed, wrap
+from nickelbridge.register import Kept
+
+SHARE = 0.245  # of a core: what a controller has
+SYNC_S, DISK_BYTES_S = 0.001, 60e6
+PAGE = 4_096  # of the store: what the least write costs
+HOP_S, LINK_BYTES_S = 0.0005, 125e6
+BEAT_S, TICK_S = 0.4, 0.05
+WINDOW_S, KEPT_S = 60.0, 140.0
+ANSWER = 1_500  # bytes
+RUN_S = 0.05  # from a grant to the run's answer
+SETTLE_S = 2.5  # before the loss
+MOST_S = 40.0  # after it
+KEYS_MOST = 1_000_000
+
+
+class World:
+    """Machines, and what is to come."""
+
+    def __init__(self, replicas: int, spare: int, rate: float, seed: int, folder: str) -> None:
+        self.now, self._count, self._queue = 1.0, 0, list[tuple[float, int, Callable[[], None]]]()
+        self.rng, self.rate, self.claims = random.Random(seed), rate, 0
+        names = "abcdefghi"[: replicas + spare]
+        self.seeds = tuple(names[:replicas])
+        self.machines = {name: Machine(name, self, name in self.seeds, folder) for name in names}
+        self.granted: dict[str, set[str]] = {}  # keys and who said yours
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._queue, (when, self._count, what))
+
+    def play(self, until: float, done: Callable[[], bool] = lambda: False) -> None:
+        """Go on until then, or until it is done."""
+        while self._queue and self._queue[0][0] <= until and not done():
+            self.now, _, what = heapq.heappop(self._queue)
+            what()
+
+    def preload(self) -> None:
+        """All keys that a day leaves behind, at all founders."""
+        for number in range(int(self.rate * KEPT_S)):
+            key = key_of(number)
+            for name in self.seeds:
+                shard = self.machines[name].shards[shard_state.shard_of(key)]
+                shard.load(key, [f"node {number}", 0, [200, [], self.rng.randbytes(ANSWER)]])
+
+    def claim(self) -> None:
+        """A node claims a key at all controllers, and tells them the answer once it ran."""
+        self.at(self.now + self.rng.expovariate(self.rate), self.claim)
+        self.claims += 1
+        key, holder = key_of(-self.claims), f"node {self.claims}"
+        answer = [200, [], self.rng.randbytes(ANSWER)]
+        for machine in self.machines.values():
+            if machine.alive:
+                shard = machine.shards[shard_state.shard_of(key)]
+                machine.claim(shard, key, holder)
+                self.at(self.now + RUN_S, lambda m=machine, s=shard: m.done(s, key, holder, answer))  # type: ignore[misc]
+
+
+def key_of(number: int) -> str:
+    """Keys come in no order."""
+    return hashlib.blake2b(str(number).encode(), digest_size=16).hexdigest()
+
+
+@dataclass
+class Cost:
+    """What one machine has spent since it was last asked."""
+
+    cpu_s: float = 0.0
+    sent: int = 0
+    written: int = 0
+    pages: int = 0
+
+
+class Machine:
+    """A controller's process with its disk, on a processor of its own."""
+
+    def __init__(self, name: str, world: World, founder: bool, folder: str) -> None:
+        self.name, self.world, self.founder, self.folder = name, world, founder, folder
+        self.alive, self.life, self.free_s, self.disk_busy = False, 0, 0.0, False
+        self.cost = Cost()
+
+    def start(self, founder: bool) -> None:
+        """A new memory, on an empty disk."""
+        self.alive, self.life = True, self.life + 1
+        self.free_s, self.disk_busy, self.jobs = self.world.now, False, list[tuple[Shard, Write]]()
+        self.env = open_env(tempfile.mkdtemp(dir=self.folder))
+        with self.env.begin(write=True) as txn:
+            self.dbs = {name: self.env.open_db(name.encode(), txn=txn) for name in NAMES}
+            put_sealed(txn, self.dbs)
+        self.peers, rng = Peers(self.world.now), self.world.rng
+        first, self.shards = shard_state.genesis(self.world.seeds), dict[int, Shard]()
+        for number in shard_state.KEY_SHARDS:
+            kept = Kept(shard_state.GENESIS if founder else rng.randrange(2, 2**50))
+            self.shards[number] = Shard(
+                number, self.name, first, kept, founder, self.peers, WINDOW_S, rng, KEYS_MOST,
+                len(self.world.seeds),
+            )  # fmt: skip
+            self.jobs.append((self.shards[number], Write(remembered(number, kept, founder))))
+        self.beats, self.number = dict[int, float](), 0
+        self._each(BEAT_S, self.beat, self.life)
+        self._each(TICK_S, self.tick, self.life)
+
+    def _each(self, every_s: float, what: Callable[[], None], life: int) -> None:
+        if self.alive and self.life == life:
+            self.run(what)
+            self.world.at(self.world.now + every_s, lambda: self._each(every_s, what, life))
+
+    def run(self, what: Callable[[], Any]) -> None:
+        """Do it as soon as the processor is free, and charge it."""
+        life, start = self.life, max(self.world.now, self.free_s)
+        if start > self.world.now:
+            return self.world.at(start, lambda: self.run(what) if self.alive and self.life == life else None)
+        began = time.thread_time()
+        what()
+        took = time.thread_time() - began
+        self.cost.cpu_s += took
+        self.free_s = self.world.now + took / SHARE
+        if self.jobs and not self.disk_busy:
+            self.commit()
+
+    def do(self, shard: Shard, actions: list[Action]) -> None:
+        """What a shard wants done."""
+        for action in actions:
+            if isinstance(action, Tell | Answer) and isinstance(action.to, str):
+                self.send(action.to, action.message)
+            elif isinstance(action, Write):
+                self.jobs.append((shard, action))
+
+    def send(self, to: str, message: list[Any]) -> None:
+        """To another machine; packed here, read there."""
+        other, data, sender = self.world.machines[to], cbor2.dumps(message), self.name
+        self.cost.sent += len(data)
+        life = other.life
+        arrives = max(self.world.now, self.free_s) + HOP_S + len(data) / LINK_BYTES_S
+
+        def take() -> None:
+            if other.alive and other.life == life:
+                other.run(lambda: other.heard(sender, cbor2.loads(data)))
+
+        self.world.at(arrives, take)
+
+    def commit(self) -> None:
+        """All that waits, in one transaction."""
+        jobs, self.jobs, self.disk_busy = self.jobs, [], True
+        life, size, began = self.life, 0, time.thread_time()
+        with self.env.begin(write=True) as txn:
+            put_sealed(txn, self.dbs)
+            for _, write in jobs:
+                for name, key, value in write.puts:
+                    size += max(PAGE, len(key) + len(value or b""))  # keys come in no order
+                    if value is None:
+                        txn.delete(key, db=self.dbs[name])
+                    else:
+                        txn.put(key, wrap(name, key, value), db=self.dbs[name])
+        took = time.thread_time() - began
+        self.cost.cpu_s += took
+        self.cost.written += size
+        self.free_s = max(self.free_s, self.world.now) + took / SHARE
+
+        def told() -> None:
+            self.disk_busy = False
+            for shard, write in jobs:
+                if write.then is not None:
+                    self.do(shard, shard.written(write.then, True, self.world.now))
+
+        def synced() -> None:
+            if self.alive and self.life == life:
+                self.run(told)
+
+        self.world.at(self.free_s + SYNC_S + size / DISK_BYTES_S, synced)
+
+    # What comes
+
+    def tick(self) -> None:
+        for shard in self.shards.values():
+            self.do(shard, shard.tick(self.world.now))
+
+    def beat(self) -> None:
+        self.number += 1
+        self.beats[self.number] = self.world.now
+        versions = [s.known.version for s in self.shards.values()]
+        learning = [n for n, s in self.shards.items() if not s.learned(self.world.now)]
+        for other in self.world.machines.values():
+            if other is not self and other.alive:
+                self.send(other.name, ["beat", self.number, versions, self.peers.stopping, learning])
+
+    def heard(self, sender: str, message: list[Any]) -> None:
+        now = self.world.now
+        match message:
+            case ["beat", number, versions, leaves, learning]:
+                self.peers.heard_s[sender] = now
+                (self.peers.leaving.add if leaves else self.peers.leaving.discard)(sender)
+                self.peers.learning[sender] = tuple(learning)
+                self.send(sender, ["pulse", number, [s.accepted_fence for s in self.shards.values()]])
+                for shard, version in zip(self.shards.values(), versions, strict=True):
+                    self.do(shard, shard.catch(version, sender))
+            case ["pulse", number, fences]:
+                for shard, fence in zip(self.shards.values(), fences, strict=True):
+                    shard.pulse(sender, self.beats.get(number, 0.0), fence)
+            case ["part", number, *rest]:
+                self.cost.pages += rest[0] in ("slips", "records", "missed")
+                shard = self.shards[number]
+                self.do(shard, shard.heard(sender, rest, now))
+
+    def claim(self, shard: Shard, key: str, holder: str) -> None:
+        under = shard.body.epoch
+        self.run(lambda: self.do(shard, shard.claim(None, 0, under, key, holder, True, self.world.now)))
+
+    def done(self, shard: Shard, key: str, holder: str, answer: Any) -> None:
+        if self.alive and shard in self.shards.values():
+            self.run(
+                lambda: self.do(
+                    shard, shard.done(key, holder, cbor2.loads(cbor2.dumps(answer)), self.world.now)
+                )
+            )
+
+    @property
+    def keys(self) -> int:
+        return sum(len(shard.operation_keys.records) for shard in self.shards.values())
+
+    @property
+    def grants(self) -> bool:
+        return all(shard.grants(shard.body.epoch) for shard in self.shards.values())
+
+
+def measured(how: str, replicas: int, rate: float, seed: int, folder: str) -> dict[str, Any]:
+    """One loss: `wiped`, `two wiped` or `leaves`."""
+    world = World(replicas, int(how == "leaves"), rate, seed, folder)
+    for name in world.seeds:
+        world.machines[name].start(True)
+    world.preload()
+    gc.collect()
+    gc.freeze()
+    world.at(world.now + 0.5, world.claim)
+    world.play(world.now + SETTLE_S)
+    lost = [world.machines[name] for name in world.seeds[: 2 if how == "two wiped" else 1]]
+    back = lost
+    if how == "leaves":
+        lost[0].peers.stopping = True
+        back = [world.machines["abcdefghi"[replicas]]]
+    for machine in back:
+        machine.alive = False
+        machine.start(False)
+    began = world.now
+    others = [m for m in world.machines.values() if m.alive and m not in back and m not in lost]
+    for machine in world.machines.values():
+        machine.cost = Cost()
+    at: list[float] = []
+
+    def done() -> bool:
+        at.extend([world.now - began] * (len([m for m in back if m.grants]) - len(at)))
+        return len(at) == len(back)
+
+    world.play(began + MOST_S, done)
+    held = min(m.keys for m in back) / max(1, max(m.keys for m in others))
+    sender = max(others, key=lambda m: m.cost.cpu_s)
+    return {
+        "how": how, "replicas": replicas, "rate": rate,
+        "keys": max(m.keys for m in others), "share held": held,
+        "granting after s": at[-1] if len(at) == len(back) else None,
+        "newcomer cpu s": max(m.cost.cpu_s for m in back), "most of a source cpu s": sender.cost.cpu_s,
+        "MB sent by all": sum(m.cost.sent for m in world.machines.values()) / 1e6,
+        "newcomer MB written": max(m.cost.written for m in back) / 1e6,
+    }  # fmt: skip
+
+
+def main() -> int:
+    """Print a row a loss."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rate", type=float, action="append", help="keyed calls a second")
+    parser.add_argument("--replicas", type=int, action="append")
+    parser.add_argument("--how", action="append", choices=("wiped", "two wiped", "leaves"))
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    for replicas in args.replicas or [3, 5]:
+        for how in args.how or ["wiped", "leaves", "two wiped"]:
+            if how == "two wiped" and replicas < 5:
+                continue
+            for rate in args.rate or [100.0, 150.0]:
+                with tempfile.TemporaryDirectory() as folder:
+                    row = measured(how, replicas, rate, args.seed, folder)
+                    told = (f"{k} {v:.3g}" if isinstance(v, float) else f"{k} {v}" for k, v in row.items())
+                    print("; ".join(told), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/mesh/test_key_transfer.py
@@ -0,0 +1,100 @@
+"""Keys copied from one controller to another while both go on, and who may learn what."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mesh.control import key_transfer
+from mesh.control.key_transfer import GIVEN_BACK, PAGE_BYTES, KeyLearner, KeySource, Page, bounded, lacking
+from mesh.control.operation_keys import SHELF_S, OperationKeys
+
+KEYS = [f"k{n}" for n in range(12)]
+
+
+def copy(source: OperationKeys, giver: KeySource, to: OperationKeys, at: int, brief: bool) -> Page:
+    page = giver.page(source, "x", at, brief)
+    rows = page.rows + bounded(source, lacking(to, page.rows))[0]
+    for key, (holder, shelf, answer), _ in rows:
+        if shelf == GIVEN_BACK:
+            to.drop(key, holder)
+        else:
+            to.load(key, [holder, shelf, answer])
+    return page
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("cccdbpppt"), st.sampled_from(KEYS)), max_size=80), st.booleans())
+def test_a_copy_holds_what_its_source_holds(events: list[tuple[str, str]], brief: bool) -> None:
+    """Pages lost on their way or not, keys claimed, answered, given back and expired between them."""
+    source, to, giver, at, now = OperationKeys(60.0), OperationKeys(60.0), KeySource(), 0, 1.0
+    big = b"x" * (PAGE_BYTES // 3)  # three records a page
+    for n, (what, key) in enumerate(events):
+        record = source.records.get(key)
+        if what == "c":
+            source.claim(key, f"t{n}")
+        elif what == "d":
+            source.done(key, record.holder if record else f"t{n}", big)
+        elif what == "b" and record is not None:
+            source.drop(key, record.holder)
+        elif what == "t":
+            now += SHELF_S
+            source.turn(now)
+        elif what == "p":
+            page = copy(source, giver, to, at, brief)
+            at = page.sequence if n % 3 else at  # lost, or not: it is given again
+    for _ in range(len(KEYS) + 2):
+        page = copy(source, giver, to, at, brief)
+        at = page.sequence
+    assert page.last and at == source.sequence
+    for key, record in source.records.items():
+        assert to.records[key].answer == record.answer
+        assert to.records[key].holder in (record.holder, "")
+    for key, held in to.records.items():  # what the source let go by age alone goes by age here too
+        assert key in source.records or held.answer is not None or key not in source.given_back
+
+
+def test_a_page_is_bounded_and_no_difference_is_left_out() -> None:
+    source, giver = OperationKeys(60.0), KeySource()
+    for n in range(500):
+        source.claim(f"key {n}", "t")
+        source.done(f"key {n}", "t", bytes(1_500))
+    at, pages, keys = 0, 0, set[str]()
+    while True:
+        page = giver.page(source, "x", at, False)
+        assert sum(map(key_transfer.weight, page.rows)) < PAGE_BYTES + 2_000
+        at, pages = page.sequence, pages + 1
+        keys |= {row[0] for row in page.rows}
+        if pages == 3:
+            source.claim("new", "t")  # comes after all that stood
+        if page.last:
+            break
+    assert len(keys) == 501 and 7 < pages < 12
+    source.drop("new", "t")
+    page = giver.page(source, "x", at, False)
+    assert page.rows == [["new", ["t", GIVEN_BACK, None], False]] and page.last
+    assert not giver.page(source, "x", page.sequence, False).rows and not giver.copies
+
+
+def test_one_source_at_a_time_until_it_has_been_copied() -> None:
+    learner = KeyLearner()
+    first = learner.ask("a", False, 0.0)
+    assert not learner.may_ask("b", 0.0) and not learner.brief("a", 0)
+    first.page, first.life = Page([], 7, False), "life"
+    learner.on_disk("a", first)
+    assert learner.cursors == {"a": ("life", 7)} and not learner.copied
+    again = learner.ask("a", False, 0.0)
+    again.page, again.life = Page([], 9, True), "life"
+    learner.on_disk("a", again)
+    assert learner.may_ask("b", 0.0) and learner.brief("b", 3)
+    learner.ask("b", True, 0.0)
+    assert learner.may_ask("a", 0.0)  # the difference does not wait
+    number = learner.requests["b"].number
+    assert learner.declined("b", number, 0.0) and not learner.declined("b", number, 0.0)
+    assert not learner.may_ask("b", 0.1) and learner.may_ask("b", 0.2)
+    learner.ask("b", True, 0.2)
+    learner.regrouped()
+    assert learner.waits("b", learner.number) is None and learner.cursors == {"a": ("life", 9)}
+    learner.ask("b", True, 0.2)
+    learner.give_up(0.2 + key_transfer.WAIT_S)
+    assert not learner.requests
