--- a/rehearsal/bench/order_duels.py
+++ b/rehearsal/bench/order_duels.py
@@ -38,6 +38,7 @@
     slow_sync_s: tuple[float, float] | None = None  # of the first controller's disk
     same: bool = False  # all operators send the very same order
     at_owner: bool = False  # all go to the owner first
+    killed_s: tuple[float, float] | None = None  # when the first controller ends, after the orders came
 
 
 CONDITIONS = tuple(
@@ -50,6 +51,8 @@
         ("links of 200 ms one way", {"link_s": (0.18, 0.22)}),
         ("one slow disk, links of 200 ms", {"slow_sync_s": (0.025, 0.030), "link_s": (0.18, 0.22)}),
         ("copies of one order", {"same": True, "link_s": (0.09, 0.11)}),
+        ("one killed within 20 ms", {"killed_s": (0.0, 0.02)}),
+        ("one killed, links of 200 ms", {"killed_s": (0.0, 1.0), "link_s": (0.18, 0.22)}),
     )
 )
 
@@ -101,7 +104,12 @@
             call()
             self._mind_disks()
 
+    def _kill(self, name: str) -> None:
+        self.controllers[name].alive = False
+
     def _tick(self, name: str) -> None:
+        if not self.controllers[name].alive:
+            return
         self.controllers[name].tick()
         self._at(TICK_S, self._tick, name)
         self._mind_due(name)
@@ -113,16 +121,18 @@
             self._at(max(0.002, wait_s), self._due, name)
 
     def _due(self, name: str) -> None:
-        if self.controllers[name].shard.due_s <= self.now:
+        if self.controllers[name].alive and self.controllers[name].shard.due_s <= self.now:
             self.controllers[name].tick()
 
     def _beat(self, name: str) -> None:
+        if not self.controllers[name].alive:
+            return
         self.controllers[name].beat_to(n for n in self.controllers if n != name)
         self._at(BEAT_S, self._beat, name)
 
     def _mind_disks(self) -> None:
         for name, controller in self.controllers.items():
-            if controller.writes and not self._syncing[name]:
+            if controller.alive and controller.writes and not self._syncing[name]:
                 self._syncing[name] = True
                 slow = self.conditions.slow_sync_s
                 sync_s = self.rng.uniform(*slow) if slow and name == "a" else self.conditions.sync_s
@@ -130,6 +140,8 @@
 
     def _synced(self, name: str, writes: int) -> None:
         self._syncing[name] = False
+        if not self.controllers[name].alive:
+            return
         for _ in range(writes):
             self.controllers[name].disk_turn()
 
@@ -144,7 +156,11 @@
         link = (sender, to)
         due_s = max(self._free_s.get(link, 0.0), self.now + self.rng.uniform(*self.conditions.link_s))
         self._free_s[link] = due_s
-        self._at(due_s - self.now, getattr(self.controllers[to], kind), *message)
+        self._at(due_s - self.now, self._deliver, to, kind, message)
+
+    def _deliver(self, to: str, kind: str, message: tuple[Any, ...]) -> None:
+        if self.controllers[to].alive:
+            getattr(self.controllers[to], kind)(*message)
 
     def answer(self, name: str, answer: Answer) -> None:
         """A controller answers another one."""
@@ -177,6 +193,8 @@
         one.waits = f"{one.name}{one.tries}"
         self._at(SILENCE_S, self._silent, one, one.waits)
         controller = self.controllers[name]
+        if not controller.alive:
+            return
         controller.do(controller.shard.ask(one.waits, one.order, PUT_S, self.now))
 
     def _silent(self, one: Operator, waits: str) -> None:
@@ -189,6 +207,8 @@
         self.run_until(SETTLED_S)
         self._began_s = self.now
         self.ballots.clear()
+        if self.conditions.killed_s is not None:
+            self._at(self.rng.uniform(*self.conditions.killed_s), self._kill, "a")
         for n in range(self.conditions.orders):
             mark = b"0" if self.conditions.same else str(n).encode()
             order = shard_state.Put(mark, 5 if self.conditions.same else 5 + n // 2, mark, 0)
