Name a state by its ballot where the receiver has it

Need: a change carried its predecessor's whole state in each promise and its own a second time in `know`, to voters that had both.

Change: a proposer says in `Prepare` which ballot it has accepted and gets no copy of that state; an `Accept` to a voter that promised with a state carries what differs from it; a voter that was asked to accept a ballot is told of its decision by the ballot alone, and asks (`know?`) where it has accepted another. One ballot proposes one state, so the name is exact; what can't be resolved is dropped as if lost, never taken for "nothing accepted".

--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -14,12 +14,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mesh.control import shard_state
+from mesh.control import shard_state, value_references
 from mesh.control.membership import Standing, epoch
 from mesh.control.order_history import Entry, OrderHistory, Verdict
 from mesh.control.order_records import record
+from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
-from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
+from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
 
 ALIVE_S = 1.5  # a controller that was heard within this is alive
 DEAD_S = 2.5  # one that was not is dead, as far as this one knows
@@ -134,6 +135,7 @@
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
         self.life = f"{name} {rng.randrange(2**53):x}"
         self.proposer = Proposer(self.life, first, rng, RESEND_MS, BACK_OFF_MS)
+        self._references = ValueReferences()
         self.founder = kept.memory == shard_state.GENESIS
         self.seen = first  # the newest decided state that others were told of
         self.clean = True  # what it keeps is on disk as it is in memory
@@ -260,11 +262,16 @@
         """A message between replicas; `ValueError` and its like for a bad one."""
         match message:
             case ["reg", sender, packed]:
-                self._register(sender, shard_state.unpack_message(packed), who)
+                self._heard_register(sender, packed, who)
             case ["know", packed]:
                 value = shard_state.unpack_value(packed)
                 if value is not None:
                     self._learn(value)
+            case ["decided", ballot, version]:
+                self._decided(who, tuple(ballot), version)
+            case ["know?", version]:
+                if version < self.known.version:
+                    self._reply(who, "know", shard_state.pack_value(self.known))
             case ["peek", number, has]:
                 self._tell_peek(who, number, tuple(has))
             case ["peeked", number, [name, memory], accepted, packed]:
@@ -339,6 +346,18 @@
             return shard_state.ALIVE if alive and fit else ""
         return shard_state.ALIVE if alive and not self._leaves(name) else ""
 
+    def _heard_register(self, sender: str, packed: list[Any], who: Any) -> None:
+        """A message of the register as another replica sent it; one that can't be resolved is lost."""
+        kept = self.acceptor.kept
+        message = value_references.unpack(packed, kept)
+        if message is None:
+            refused = value_references.refusal(packed, self.voter, kept)
+            return self._vote_out(who, refused) if refused is not None and self.clean else None
+        if isinstance(message, Promise):
+            message = self._references.resolve(sender, message)
+        if message is not None:
+            self._register(sender, message, who)
+
     def _register(self, sender: str, message: Any, who: Any) -> None:
         """A message of the register, from another replica or from this one (`who` None)."""
         if hasattr(message, "promised"):
@@ -375,14 +394,34 @@
                 if action.to == self.name:
                     self._mine.append(action.message)
                 else:
-                    self._say(action.to, "reg", self.name, shard_state.pack_message(action.message))
+                    packed = self._references.pack(action.to, action.message, self.acceptor.kept)
+                    self._say(action.to, "reg", self.name, packed)
             elif isinstance(action, Done):
                 if action.value.version > self.seen.version:  # before anybody is answered
-                    for name in self._others():
-                        self._say(name, "know", shard_state.pack_value(action.value))
+                    self._tell_decided(action.value)
                 self._learn(action.value)
                 self._end(action.id, action.value, action.why)
 
+    def _tell_decided(self, value: Value) -> None:
+        """Tell the others of a state: by its ballot, where they were asked to accept it."""
+        kept, whole = self.acceptor.kept, None
+        for name in self._others():
+            if kept.value == value and self._references.knows_ballot(name, kept.accepted):
+                self._say(name, "decided", list(kept.accepted), value.version)
+            else:
+                whole = whole or shard_state.pack_value(value)
+                self._say(name, "know", whole)
+
+    def _decided(self, who: Any, ballot: Any, version: int) -> None:
+        """The state of a ballot was decided; whoever has not accepted that asks for it."""
+        kept = self.acceptor.kept
+        if version <= self.known.version:
+            return
+        if ballot == kept.accepted and kept.value is not None:
+            self._learn(kept.value)
+        else:
+            self._reply(who, "know?", self.known.version)
+
     def _others(self) -> list[str]:
         """The other controllers that have to do with this shard."""
         names = dict.fromkeys([v.name for v in (*self.known.voters, *self.known.former)])
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -231,29 +231,45 @@
 # Over the wire and on disk
 
 
-def pack_value(value: Value | None) -> Any:
-    """A value as a list."""
+def pack_value(value: Value | None, base: Value | None = None) -> Any:
+    """A value as a list; of what is large, only what `base` has not, which the reader must have then."""
     if value is None:
         return None
     b = body(value)
+    raw: bytes | None = b.raw
+    taken: list[Any] = [list(t) for t in b.taken]
+    if base is not None:
+        dropped = _dropped(b.taken, body(base).taken)
+        taken = [dropped, taken[len(body(base).taken) - dropped :]]
+        raw = b.raw if b.raw != body(base).raw else None
     return [
-        value.version, [[v.name, v.memory] for v in value.voters], b.epoch, b.revision, b.raw,
-        [list(t) for t in b.taken], [[v.name, v.memory] for v in value.former], b.owner, b.fence,
+        value.version, [[v.name, v.memory] for v in value.voters], b.epoch, b.revision, raw,
+        taken, [[v.name, v.memory] for v in value.former], b.owner, b.fence,
     ]  # fmt: skip
 
 
-def unpack_value(packed: Any) -> Value | None:
-    """The value in a list."""
+def unpack_value(packed: Any, base: Value | None = None) -> Value | None:
+    """The value in a list; `base` as it was packed on."""
     if packed is None:
         return None
     version, voters, epoch, revision, raw, taken, former, owner, fence = packed
+    before: Taken = ()
+    if base is not None:
+        dropped, taken = taken
+        before = body(base).taken[dropped:]
+        raw = raw if raw is not None else body(base).raw
     return Value(
         version, tuple(Voter(name, memory) for name, memory in voters),
-        Body(epoch, revision, raw, tuple((number, digest) for number, digest in taken), owner, fence),
+        Body(epoch, revision, raw, (*before, *((number, digest) for number, digest in taken)), owner, fence),
         tuple(Voter(name, memory) for name, memory in former),
     )  # fmt: skip
 
 
+def _dropped(taken: Taken, base: Taken) -> int:
+    """How many of the oldest of `base` are gone, where `taken` goes on with the rest of it."""
+    return next(n for n in range(len(base) + 1) if taken[: len(base) - n] == base[n:])
+
+
 def pack_kept(kept: Kept) -> Any:
     """All that a voter must not forget, as a list."""
     return [kept.memory, list(kept.promised), list(kept.accepted), pack_value(kept.value)]
@@ -269,7 +285,7 @@
     """A message between voters as a list."""
     match message:
         case Prepare():
-            return ["p", list(message.ballot), message.intent]
+            return ["p", list(message.ballot), message.intent, list(message.has)]
         case Promise():
             return [
                 "P", list(message.ballot), [message.voter.name, message.voter.memory], list(message.promised),
@@ -286,8 +302,8 @@
 def unpack_message(packed: list[Any]) -> Message:
     """The message in a list; `ValueError` for one that is none."""
     match packed:
-        case ["p", [counter, who], intent]:
-            return Prepare((counter, who), intent)
+        case ["p", [counter, who], intent, [has, whose]]:
+            return Prepare((counter, who), intent, (has, whose))
         case ["P", [counter, who], [name, memory], promised, accepted, value, objection]:
             return Promise(
                 (counter, who), Voter(name, memory), tuple(promised), tuple(accepted) or NONE,
--- /dev/null
+++ b/mesh/control/value_references.py
@@ -0,0 +1,86 @@
+"""States that a message names by their ballot, because the receiver has them.
+
+One ballot proposes one state, so whoever has accepted a ballot has its state. A proposer says with `Prepare`
+which ballot it has accepted itself, and gets no copy of that state; an `Accept` to a voter that promised with
+some state carries what differs from it; whoever was asked to accept a ballot is told of its decision by the
+ballot alone. What can't be resolved is never taken for "no state": it is dropped, as if it were lost. Pure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from mesh.control import shard_state
+from nickelbridge.register import (
+    NONE,
+    Accept,
+    Accepted,
+    Ballot,
+    Kept,
+    Message,
+    Prepare,
+    Promise,
+    Value,
+    Voter,
+)  # fmt: skip
+
+
+@dataclass(slots=True)
+class ValueReferences:
+    """What one replica may refer to in the round that it proposes."""
+
+    ballot: Ballot = NONE  # of the round
+    accepted: Ballot = NONE  # that this replica had accepted when the round began, and its state
+    value: Value | None = None
+    held: dict[str, tuple[Ballot, Value]] = field(default_factory=dict)  # by voter: what it promised with
+    asked: set[str] = field(default_factory=set)  # voters that were sent an accept
+
+    def pack(self, to: str, message: Message, kept: Kept) -> list[Any]:
+        """A message of the register as it goes out; `kept`: what this replica has accepted."""
+        if isinstance(message, Prepare):
+            if message.ballot != self.ballot:
+                self.ballot, self.accepted, self.value = message.ballot, kept.accepted, kept.value
+                self.held, self.asked = {}, set()
+            message = replace(message, has=self.accepted)
+        elif isinstance(message, Accept) and message.ballot == self.ballot:
+            self.asked.add(to)
+            if to in self.held:
+                base, value = self.held[to]
+                return ["a", list(message.ballot), shard_state.pack_value(message.value, value), list(base)]
+        return shard_state.pack_message(message)
+
+    def resolve(self, sender: str, promise: Promise) -> Promise | None:
+        """A promise with its state; None if it is named and not known here."""
+        if promise.ballot != self.ballot or promise.accepted == NONE:
+            return promise
+        value = promise.value
+        if value is None and promise.accepted == self.accepted:
+            value = self.value
+        if value is None:
+            return None
+        self.held[sender] = (promise.accepted, value)
+        return replace(promise, value=value)
+
+    def knows_ballot(self, name: str, ballot: Ballot) -> bool:
+        """Whether a voter was asked to accept this ballot, in this replica's newest round."""
+        return ballot == self.ballot and name in self.asked
+
+
+def unpack(packed: list[Any], kept: Kept) -> Message | None:
+    """A message that came; None for one that builds on a state which this voter has not accepted."""
+    match packed:
+        case ["a", [counter, who], value, [base, whose]]:
+            if (counter, who) == kept.accepted and kept.value is not None:  # sent again
+                return Accept(kept.accepted, kept.value)
+            if (base, whose) == kept.accepted:
+                found = shard_state.unpack_value(value, kept.value)
+                return Accept((counter, who), found) if found is not None else None
+            return None
+    return shard_state.unpack_message(packed)
+
+
+def refusal(packed: list[Any], voter: Voter, kept: Kept) -> Accepted | None:
+    """The answer to an accept that can't be resolved, where its ballot would be refused anyway."""
+    ballot: Ballot = (packed[1][0], packed[1][1])
+    return Accepted(ballot, voter, kept.promised) if ballot < kept.promised else None
--- a/nickelbridge/register.py
+++ b/nickelbridge/register.py
@@ -62,11 +62,14 @@
 
     ballot: Ballot
     intent: Any = None
+    has: Ballot = NONE  # a ballot whose state the asker has: it needs no copy of that
 
 
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """The answer. `promised`: above the ballot asked for, it is a refusal."""
+    """The answer. `promised`: above the ballot asked for, it is a refusal. `value` None with something
+    accepted: the asker has said that it has that ballot's; whoever receives it fills it in.
+    """
 
     ballot: Ballot
     voter: Voter
@@ -165,7 +168,8 @@
                 return [Send(sender, Promise(ballot, self.voter, kept.promised))]
             saved = self._keep(Kept(kept.memory, ballot, kept.accepted, kept.value))
             objection = self._object_to(message.intent) if message.intent is not None else ""
-            promise = Promise(ballot, self.voter, ballot, kept.accepted, kept.value, objection)
+            value = kept.value if kept.accepted != message.has else None
+            promise = Promise(ballot, self.voter, ballot, kept.accepted, value, objection)
             return [*saved, Send(sender, promise)]
         if ballot < kept.promised:
             return [Send(sender, Accepted(ballot, self.voter, kept.promised))]
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mesh.control import configuration_text, shard_state
 from mesh.control.configuration import digest
@@ -16,11 +18,12 @@
 from mesh.control.control_api import call
 from mesh.control.replica import Ended
 from mesh.control.shard import remembered
+from mesh.control.value_references import ValueReferences, refusal, unpack
 from mesh.storage import snapshot as snapshots
 from mesh.storage import storage_check
 from mesh.storage import store as store_module
 from mesh.storage.store import FORMAT, Store, pack
-from nickelbridge.register import Kept, Value, Voter
+from nickelbridge.register import Accept, Accepted, Kept, Prepare, Promise, Value, Voter
 from rehearsal.model.replica_group import ReplicaGroup, example
 from tests.mesh.test_store import Loop, close
 
@@ -100,10 +103,62 @@
             snapshots.read_snapshot(str(tmp_path / "new"))
 
 
+# What messages name instead of carrying
+
+TAKEN = st.lists(st.tuples(st.integers(0, 9), st.binary(max_size=2)), max_size=6).map(tuple)
+BODIES = st.builds(
+    shard_state.Body, st.integers(0, 3), st.integers(0, 9), st.sampled_from([b"", b"a", b"b"]), TAKEN,
+    st.sampled_from(["", "a"]), st.integers(0, 3),
+)  # fmt: skip
+VOTERS = tuple(Voter(name, shard_state.GENESIS) for name in "abc")
+VALUE = Value(0, VOTERS, shard_state.Body())
+
+
+@given(BODIES, BODIES)
+def test_a_state_packed_on_any_other_is_read_as_it_was(new: shard_state.Body, old: shard_state.Body) -> None:
+    value, base = Value(2, VOTERS, new), Value(1, VOTERS, old)
+    assert shard_state.unpack_value(shard_state.pack_value(value, base), base) == value
+    assert shard_state.unpack_value(shard_state.pack_value(value)) == value
+
+
+def test_what_is_named_and_not_known_is_lost_and_never_nothing() -> None:
+    old, new = (Value(n, VOTERS, shard_state.Body(revision=n, raw=b"%d" % n)) for n in (1, 2))
+    own = Kept(1, (3, "p"), (2, "x"), old)
+    references = ValueReferences()
+    asked = unpack(references.pack("b", Prepare((4, "p")), own), own)
+    assert asked == Prepare((4, "p"), None, (2, "x"))
+    same = Promise((4, "p"), VOTERS[1], (4, "p"), (2, "x"), None)
+    assert references.resolve("b", same) == Promise((4, "p"), VOTERS[1], (4, "p"), (2, "x"), old)
+    assert references.resolve("c", Promise((4, "p"), VOTERS[2], (4, "p"), (1, "y"), None)) is None
+    small = references.pack("b", Accept((4, "p"), new), own)
+    whole = references.pack("c", Accept((4, "p"), new), own)
+    promised = Kept(1, (4, "p"), (2, "x"), old)
+    assert unpack(small, promised) == unpack(whole, Kept(9)) == Accept((4, "p"), new)
+    assert unpack(small, Kept(1, (4, "p"), (4, "p"), new)) == Accept((4, "p"), new)  # sent again
+    for other in (Kept(9), Kept(1, (5, "q"), (5, "q"), old)):  # wiped since; it has accepted another
+        assert unpack(small, other) is None
+    assert refusal(small, VOTERS[1], Kept(1, (5, "q"))) == Accepted((4, "p"), VOTERS[1], (5, "q"))
+    assert refusal(small, VOTERS[1], Kept(9)) is None
+    assert [references.knows_ballot(name, (4, "p")) for name in "abc"] == [False, True, True]
+
+
+def test_a_voter_that_lost_the_accept_asks_for_the_state_of_the_ballot() -> None:
+    group = ReplicaGroup(3)
+    group.run(4.05)  # the next beats are far
+    group.put("b", "1", put_of(1))
+    group.run(0.0045)  # all have promised
+    group.dark.add("c")
+    group.run(0.0045)
+    group.dark.clear()
+    group.run(0.011)
+    assert group.controllers["c"].shard.body.revision == 1 and group.bytes["know?"]
+    assert shard_state.body(group.controllers["c"].shard.acceptor.kept.value or VALUE).revision == 0
+
+
 # What a change costs
 
 
-@pytest.mark.parametrize(("replicas", "most"), [(3, 45_000), (5, 90_000), (11, 225_000)])
+@pytest.mark.parametrize(("replicas", "most"), [(3, 16_000), (5, 32_000), (11, 80_000)])
 def test_bytes_of_one_change(replicas: int, most: int) -> None:
     group = ReplicaGroup(replicas)
     group.run(4.0)
