Test of an ailing disk in lockstep with the store's thread

Cause: test_an_ailing_disk_is_told_once_and_until_it_keeps_up moved its own clock at each word of a thread that probed the disk every real millisecond. A main thread that was held up for 50 ms met some tens of words with one time stamp and failed in all three forms; two writes could also fall into one transaction. The fault is the test's, the store's clock is the loop's.

Change: the thread's timed waits run out when the test says so, and the second write waits until the first has reached the disk. Stricter: the disk is told well after 1.2 to 1.6 s by the test's clock, where 1.0 to 2.2 s passed before.

--- a/tests/mesh/test_store.py
+++ b/tests/mesh/test_store.py
@@ -43,11 +43,12 @@
     def __init__(self, env: Any) -> None:
         self.env, self.times = env, 0
         self.error: Exception = lmdb.DiskError("refused")
-        self.hung = threading.Event()
+        self.hung, self.reached = threading.Event(), threading.Event()
         self.hung.set()
 
     def begin(self, **options: Any) -> Any:
         if options.get("write") and "parent" not in options:
+            self.reached.set()
             assert self.hung.wait(10.0)
             if self.times:
                 self.times -= 1
@@ -153,9 +154,48 @@
     close(store)
 
 
+class Turns(threading.Condition):
+    """A condition whose timed waits run out when the test says so, not by real time."""
+
+    over = 0  # timed waits that may run out
+
+    def wait(self, timeout: float | None = None) -> bool:
+        if timeout is not None and self.over:
+            self.over -= 1
+            return False
+        super().wait()
+        if timeout is not None and self.over:
+            self.over -= 1
+            return False
+        return True
+
+    def wait_for(self, predicate: Callable[[], Any], timeout: float | None = None) -> Any:
+        return predicate()
+
+    def turn(self) -> None:
+        """Let one timed wait run out."""
+        with self:
+            self.over += 1
+            self.notify()
+
+
+@pytest.fixture
+def lockstep(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[tuple[Loop, Any, Any]]:
+    """A stage whose thread tries the disk once for each `turn` of `store._wake`."""
+    loop: Any = Loop()
+    with monkeypatch.context() as patch:
+        patch.setattr(threading, "Condition", Turns)
+        store = Store(str(tmp_path), loop)
+    disk: Any = Failing(store._env)
+    store._env = disk
+    yield loop, store, disk
+    disk.hung.set()
+    close(store)
+
+
 @pytest.mark.parametrize("how", ["hangs", "refuses", "panics"])
-def test_an_ailing_disk_is_told_once_and_until_it_keeps_up(stage: Any, how: str) -> None:
-    loop, store, disk = stage
+def test_an_ailing_disk_is_told_once_and_until_it_keeps_up(lockstep: Any, how: str) -> None:
+    loop, store, disk = lockstep
     lines: list[str] = []
     logger.add(lines.append, format="{message}")
     told: list[bool] = []
@@ -164,6 +204,7 @@
     else:
         disk.times, disk.error = 1, (lmdb.PanicError if how == "panics" else lmdb.DiskError)("refused")
     store.write([("slips", b"a", b"1")], told.append)
+    assert disk.reached.wait(10.0)  # so that the second write is one of its own
     loop.pass_(0.5)
     if how == "hangs":
         store.write([("slips", b"b", b"1")], told.append)
@@ -172,13 +213,16 @@
         assert store.stuck_s(loop.now) == pytest.approx(0.7) and store.ailing and len(lines) == 1
         disk.hung.set()
     loop.step()
+    if how != "hangs":
+        store._wake.turn()
     loop.step()  # the second write, or the first probe
     assert store.stuck_s(loop.now) == 0 and store.ailing
     assert told == ([True, True] if how == "hangs" else [False])
     since = loop.now
     while store.ailing:  # with nothing to write the seal alone is tried
+        store._wake.turn()
         loop.step(0.3)
-    assert 1.0 <= loop.now - since < 2.2
+    assert 1.2 <= loop.now - since < 1.6
     store.write([("slips", b"c", b"1")], told.append)
     while len(told) < 2 + (how == "hangs"):
         loop.step()
