Test 600 changes with a dark, a wiped and a killed replica, and a node dark through 500

Need: nothing showed what a member pays that missed hundreds of changes.

Change: tests in tests/mesh/test_hundreds.py play 600 configurations of 350 routes at ten a second over 3 and 5 shipping replicas in virtual time, links of 3.5 Mbit/s, one replica with the shipping store in a folder: dark from 50 to 550, wiped at 560, the owner killed at 570 for 4 s.

A node dark through 500 changes fetched one text.

--- a/rehearsal/model/replica_group.py
+++ b/rehearsal/model/replica_group.py
@@ -11,12 +11,14 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from mesh.control import shard_state
 from mesh.control.replica import Answer, Changed, Ended
 from mesh.wire.framing import pack
 from rehearsal.explore.controller import Controller
+from rehearsal.model.stored_controller import StoredController
 
 BEAT_S, TICK_S = 0.4, 0.05
 SYNC_S, DELAY_S = 0.001, 0.002
@@ -47,24 +49,34 @@
 class ReplicaGroup:
     """So many founders, and a clock that `run` moves."""
 
-    def __init__(self, replicas: int, bits_per_s: float = float("inf"), seed: int = 1) -> None:
+    def __init__(
+        self, replicas: int, bits_per_s: float = float("inf"), seed: int = 1, folder: Path | None = None
+    ) -> None:
+        """`folder`: where the last replica has a real store; None: all disks are in memory."""
         self.now, self.bits_per_s, self.rng = 1.0, bits_per_s, random.Random(seed)
         self.seeds = tuple("abcdefghijk"[:replicas])
         self.bytes = Counter[str]()  # sent between replicas, by kind of message
         self.link_bytes = Counter[tuple[str, str]]()
         self.ended: dict[str, tuple[float, Ended]] = {}
         self.dark: set[str] = set()  # that hear nobody and are heard by nobody
-        self.decided_states: dict[int, Any] = {}
+        self.owners: list[tuple[int, str]] = []  # fences under which duties were done, in their order
         self._free_s: dict[str, float] = {}  # when each machine has sent what it has
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
+        self._states: dict[int, Any] = {}  # decided, by version
         self.controllers: dict[str, Controller] = {name: self._controller(name) for name in self.seeds}
+        if folder is not None:
+            last = self.seeds[-1]
+            self.controllers[last] = StoredController(folder, *self._arguments(last))
         for name in self.seeds:
             self._beat(name)
             self._tick(name)
 
+    def _arguments(self, name: str) -> tuple[Any, ...]:
+        return name, self, True, shard_state.CONFIGURATION, self.rng, self.seeds
+
     def _controller(self, name: str) -> Controller:
-        return Controller(name, self, True, shard_state.CONFIGURATION, self.rng, self.seeds)
+        return Controller(*self._arguments(name))
 
     # Time
 
@@ -106,6 +118,24 @@
         if self.controllers[name].alive:
             self.controllers[name].tick()
             self._sync(name)
+        self._judge()
+
+    def _judge(self) -> None:
+        """One owner at a time, and fences only rise."""
+        now = [(fence, name) for name, one in self.controllers.items()
+               if one.alive and (fence := one.shard.owns(self.now)) is not None]  # fmt: skip
+        assert len(now) < 2, now
+        if now and now[0] not in self.owners[-1:]:
+            assert not self.owners or now[0][0] > self.owners[-1][0], (self.owners, now)
+            self.owners += now
+
+    def kill(self, name: str, for_s: float = 0.1, wipe: bool = False) -> None:
+        """End a process; it begins anew later, its disk kept or empty."""
+        controller = self.controllers[name]
+        controller.alive, controller.writes = False, []
+        if wipe:
+            controller.wipe()
+        self.at(self.now + for_s, controller.start)
 
     def _sync(self, name: str) -> None:
         """Have the writes that wait reach the disk."""
@@ -147,7 +177,7 @@
 
     def decided(self, name: str, changed: Changed) -> None:
         """Whoever learns a version learns the same."""
-        assert self.decided_states.setdefault(changed.new.version, changed.new) == changed.new
+        assert self._states.setdefault(changed.new.version, changed.new) == changed.new
 
     def told(self, name: str, end: Ended) -> None:
         """A change or a reading is over."""
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -4,6 +4,7 @@
 
 import json
 import zlib
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.configuration_text import TEXT_MOST, compress, expand
 from mesh.control.control_api import call
+from mesh.control.fanout_tree import LOG
 from mesh.control.replica import Ended
 from mesh.control.shard import remembered
 from mesh.control.value_references import ValueReferences, refusal, unpack
@@ -24,7 +26,10 @@
 from mesh.storage import store as store_module
 from mesh.storage.store import FORMAT, Store, pack
 from nickelbridge.register import Accept, Accepted, Kept, Prepare, Promise, Value, Voter
+from rehearsal.explore.controller import Controller
+from rehearsal.model.relays import World
 from rehearsal.model.replica_group import ReplicaGroup, example
+from rehearsal.model.stored_controller import StoredController
 from tests.mesh.test_store import Loop, close
 
 
@@ -181,3 +186,101 @@
     assert all(group.ended[str(n)][1].value and not group.ended[str(n)][1].why for n in range(1, 101))
     assert max(waits) < 1.0, max(waits)
     assert configuration_text.LEVEL == 6
+
+
+# Hundreds of changes, and who missed them
+
+
+def knows(controller: Controller, version: int) -> bool:
+    """Whether a replica knows this version of the state, or a later one."""
+    return controller.shard.known.version >= version
+
+
+def acknowledged(group: ReplicaGroup, asker: str, revision: int) -> float:
+    """Have a revision taken, at the pace of ten a second; the seconds until it was."""
+    id, began = f"put {revision} {group.now}", group.now
+    group.put(asker, id, put_of(revision))
+    group.run(0.1)
+    group.run_until(lambda: id in group.ended, 5.0)
+    at, end = group.ended[id]
+    assert end.value is not None and not end.why, (revision, end)
+    return at - began
+
+
+@pytest.mark.parametrize("replicas", [3, 5])
+def test_a_day_of_600_changes_with_a_dark_a_wiped_and_a_killed_replica(replicas: int, tmp_path: Path) -> None:
+    group = ReplicaGroup(replicas, bits_per_s=3.5e6, folder=tmp_path / "data")
+    group.run(4.0)
+    last = group.seeds[-1]
+    away = group.controllers[last]
+    assert isinstance(away, StoredController)
+
+    def heard() -> int:
+        return sum(size for (_, to), size in group.link_bytes.items() if to == last)
+
+    slowest = 0.0
+    for revision in range(1, 601):
+        if revision == 50:
+            group.dark.add(last)
+        elif revision == 300:
+            group.read(last, "dark")  # has no answer of what it knows
+        elif revision == 550:
+            assert group.ended["dark"][1].value is None and away.shard.body.revision == 49
+            group.dark.clear()
+            group.read(last, "back")
+            before, newest = heard(), group.controllers["a"].shard.known.version
+            caught_s = group.run_until(partial(knows, away, newest), 1.0)
+            state = len(pack(shard_state.pack_value(away.shard.known)))
+            assert caught_s < 0.5 and heard() - before < (replicas - 1) * 1.1 * state < replicas * 10_000
+            group.run_until(lambda: "back" in group.ended, 3.0)
+            found = group.ended["back"][1].value
+            assert found is not None and shard_state.body(found).revision == 549
+        elif revision == 560:
+            group.kill(last, wipe=True)
+        elif revision == 570:
+            fence, owner = group.owners[-1]
+            assert away.shard.voter in away.shard.known.voters  # it has a place again
+            group.kill(owner, for_s=4.0)
+        alive = [name for name in group.seeds if name not in group.dark and group.controllers[name].alive]
+        slowest = max(slowest, acknowledged(group, alive[revision % 2], revision))
+    group.run(5.0)
+    assert slowest < 2.0, slowest
+    assert [fence for fence, _ in group.owners] == sorted({fence for fence, _ in group.owners})
+    assert group.owners[-1][0] > fence and all(
+        one.shard.body.revision == 600 and one.shard.standing.caught_up for one in group.controllers.values()
+    )
+    assert away.file_bytes < 200_000  # of 50 MB that were taken
+    group.kill(last)
+    group.run(1.0)
+    assert away.opened_s < 2.0 and away.shard.body.revision == 600
+    away.close()
+
+
+def test_a_node_that_was_dark_through_500_changes_fetches_once() -> None:
+    world = World(3, 1)
+    nodes = [world.start(f"n{n}", 0) for n in range(20)]
+    world.run(12.0)
+    dark, fetched = nodes[7], list[int]()
+    take = dark._configuration_shard
+
+    def counted(rid: int, revision: int, raw: bytes) -> None:
+        fetched.append(revision)
+        take(rid, revision, raw)
+
+    dark._configuration_shard = counted  # type: ignore[method-assign]
+    others = [*world.nodes, *world.controllers]
+    for revision in range(1, 501):
+        for controller in world.controllers.values():
+            controller.revise(revision, b"text")
+        if revision == 1:
+            world.run(1.0)
+            assert dark.revision == 1
+            world.cuts = {pair for name in others for pair in ((dark.name, name), (name, dark.name))}
+        world.run(0.1)
+    assert dark.revision == 1 and {node.revision for node in nodes if node is not dark} == {500}
+    fetched.clear()
+    world.cuts.clear()
+    world.run(4.0)
+    assert dark.revision == 500 and [revision for revision in fetched if revision > 1] == [500]
+    assert all(len(one.stream._log) <= LOG for one in world.controllers.values())
+    assert all(len(stream._log) <= LOG for node in nodes for stream in node.subscriber.streams.values())
