Names of a store's files are synced before anything in them is told as written

Cause: a new data.mdb, and its folder, were never followed by a sync of their folders. After a loss of power each may be lost by itself, and with it promises, accepted states and keys that were acknowledged: a founder began anew as if it had never voted.

A controller that can't make its store says why once, not twice a second.

--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -102,13 +102,16 @@
     from mesh.storage import storage_check
 
     assert settings.data_dir is not None
+    said = ""
     while await storage_check.ready(settings.data_dir, stopping):
         if storage_check.forgot(settings.data_dir):
             settings = dataclasses.replace(settings, first_start=False)
         try:
             return Controller(settings, loop)
         except BadStore as problem:
-            logger.error("store: {}; looked at again", problem)
+            if str(problem) != said:
+                logger.error("store: {}; looked at again", problem)
+            said = str(problem)
             await asyncio.sleep(storage_check.AGAIN_S)
     return None
 
--- a/mesh/storage/snapshot.py
+++ b/mesh/storage/snapshot.py
@@ -28,8 +28,22 @@
 from mesh.control.shard import remembered
 from mesh.errors import BadStore
 from mesh.settings import BadSettings, Settings, read_settings
-from mesh.storage.storage_check import PART, STORE, survey, sync_folder
-from mesh.storage.store import NAMES, InUse, Put, open_env, pack, put_sealed, take_lock, unwrap, wrap
+from mesh.storage.storage_check import survey
+from mesh.storage.store import (
+    NAMES,
+    PART,
+    STORE,
+    InUse,
+    Put,
+    open_env,
+    pack,
+    put_sealed,
+    sync_folder,
+    sync_names,
+    take_lock,
+    unwrap,
+    wrap,
+)  # fmt: skip
 from nickelbridge.register import Ballot, Kept, Value, Voter
 
 MAGIC = "orchidferry snapshot"
@@ -253,7 +267,7 @@
         finally:
             env.close()
         os.rename(part, os.path.join(folder, STORE))
-        sync_folder(folder)
+        sync_names(folder)
     except (OSError, lmdb.Error, BadStore) as problem:
         with contextlib.suppress(OSError):
             os.remove(os.path.join(folder, PART))
--- a/mesh/storage/storage_check.py
+++ b/mesh/storage/storage_check.py
@@ -27,12 +27,15 @@
     FORMAT_KEY,
     LOCK,
     NAMES,
+    PART,
     SEAL_KEY,
+    STORE,
     Damaged,
     Databases,
     InUse,
     open_env,
     put_sealed,
+    sync_folder,
     take_lock,
     unpack,
     unwrap,
@@ -41,7 +44,7 @@
 )  # fmt: skip
 from nickelbridge.register import Kept, Value
 
-STORE, PART, TRIES, RENAMED = "data.mdb", "data.part", "opening", "renamed"  # files of data_dir
+TRIES, RENAMED = "opening", "renamed"  # files of data_dir
 BAD = "bad"  # a folder there
 DISK_BYTES = 250_000_000  # of a disk of 256 MB
 BAD_MOST = 64_000_000  # a larger store that was set aside isn't kept
@@ -339,6 +342,7 @@
     os.makedirs(bad, exist_ok=True)
     with open(os.path.join(bad, "why"), "w", encoding="utf-8") as note:
         note.write(why + "\n")
+    sync_folder(folder)  # that this controller has forgotten lasts before its store goes
     kept = os.path.join(bad, STORE)
     os.replace(os.path.join(folder, STORE), kept)
     if os.stat(kept).st_size > BAD_MOST:
@@ -348,15 +352,6 @@
     logger.error("store: {}: {}; set aside, this controller has forgotten", folder, why)
 
 
-def sync_folder(folder: str) -> None:
-    """Have renamed and removed names last. `OSError`."""
-    number = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(number)
-    finally:
-        os.close(number)
-
-
 def _remove(path: str) -> None:
     if os.path.exists(path):
         os.remove(path)
--- a/mesh/storage/store.py
+++ b/mesh/storage/store.py
@@ -34,7 +34,7 @@
 FORMAT = 3
 FORMAT_KEY, SEAL_KEY = b"format", b"seal"  # records of `about`
 SUM_BYTES = 4
-LOCK = "lock"  # a file of the folder
+STORE, PART, LOCK = "data.mdb", "data.part", "lock"  # files of the folder
 WAITING_MOST = 20_000  # writes that wait for the disk; more are answered as failed
 WAITING_BYTES = 16 * 1024 * 1024  # the same in bytes, those that are being written counted in
 JOB_BYTES = 64  # counted for a write beside its keys and values
@@ -79,6 +79,22 @@
     )  # fmt: skip
 
 
+def sync_folder(folder: str) -> None:
+    """Have renamed and removed names last. `OSError`."""
+    number = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(number)
+    finally:
+        os.close(number)
+
+
+def sync_names(folder: str) -> None:
+    """Have the names in a folder last, and its own. `OSError`."""
+    sync_folder(folder)
+    with contextlib.suppress(PermissionError):  # of whoever made the folder, who sees to its name
+        sync_folder(os.path.dirname(os.path.abspath(folder)))
+
+
 def wrap(name: str, key: bytes, value: bytes) -> bytes:
     """A value as it lies on disk: behind the checksum of where it belongs and of itself."""
     return _sum(name, key, value) + value
@@ -152,6 +168,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._dbs: Databases = {}
         self._used = 0  # pages
+        self._names_last = False  # the folder was synced in this life
         try:
             os.makedirs(folder, exist_ok=True)
             self._lock = take_lock(folder)
@@ -169,6 +186,8 @@
         self._thread.start()
 
     def _open(self) -> None:
+        if not os.path.exists(os.path.join(self._folder, STORE)):
+            self._make()
         self._env = open_env(self._folder)
         self._page = int(self._env.stat()["psize"])
         self._pages = MAP_BYTES // self._page
@@ -189,6 +208,18 @@
         with self._env.begin() as txn:
             self._used = used_pages(txn, self._dbs)
 
+    def _make(self) -> None:
+        """An empty store: whole under its name, or not there at all."""
+        part = os.path.join(self._folder, PART)
+        env = open_env(part, file=True)
+        try:
+            with env.begin(write=True) as txn:
+                put_sealed(txn, {name: env.open_db(name.encode(), txn=txn) for name in NAMES})
+            env.sync(True)
+        finally:
+            env.close()
+        os.rename(part, os.path.join(self._folder, STORE))
+
     def read(self, name: str, key: bytes) -> bytes | None:
         """One value. `Damaged`."""
         with self._opening, self._env.begin(db=self._dbs[name]) as txn:
@@ -293,6 +324,9 @@
     def _commit(self, jobs: list[_Job]) -> list[bool] | None:
         """Which of these are on disk; None if the disk took nothing."""
         try:
+            if not self._names_last:  # nothing is told as written in a file whose name may be lost
+                sync_names(self._folder)
+                self._names_last = True
             return self._piecewise(jobs, [PIECES])
         except (lmdb.Error, OSError) as problem:
             self._problem = str(problem)
--- a/rehearsal/model/stored_controller.py
+++ b/rehearsal/model/stored_controller.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from mesh.storage import storage_check
-from mesh.storage.store import Put, Store
+from mesh.storage.store import STORE, Put, Store
 from rehearsal.explore.controller import Controller
 
 WAIT_S = 10.0  # of real time, for the store's thread
@@ -96,4 +96,4 @@
     @property
     def file_bytes(self) -> int:
         """The size of the store's file."""
-        return (self.folder / storage_check.STORE).stat().st_size
+        return (self.folder / STORE).stat().st_size
--- /dev/null
+++ b/tests/mesh/test_power_loss.py
@@ -0,0 +1,200 @@
+"""A loss of power at each change of names in a controller's folder: what was told as written is there after
+it, or the controller knows that it has forgotten."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mesh.control import shard_state
+from mesh.control.shard import remembered
+from mesh.errors import BadStore
+from mesh.storage import snapshot as snapshots
+from mesh.storage import storage_check
+from mesh.storage import store as store_module
+from mesh.storage.store import Store, pack
+from nickelbridge.register import Kept
+from rehearsal.model.lost_names import Names, NamesDisk, make
+from tests.mesh.test_store import Loop, close
+
+FOUNDERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+class Crashes:
+    """Looks at all that a loss of power may leave, each time as a controller that starts again does."""
+
+    def __init__(self, top: Path, folder: str = "data") -> None:
+        self.top, self.folder, self.beside = top, folder, top.parent / "left"
+        self.told: dict[bytes, bytes] = {}  # what was told as written
+        self.may_forget = False
+        self.looks = 0
+        self.lost: list[str] = []
+
+    def __call__(self, trees: list[Names]) -> None:
+        for tree in trees:
+            self.looks += 1
+            make(tree, self.beside)
+            data = self.beside / self.folder
+            storage_check.prepare(str(data))
+            if storage_check.forgot(str(data)):
+                if not self.may_forget:
+                    self.lost.append(f"set aside in {sorted(tree)}")
+            elif missing := self.told.items() - read_all(data).items():
+                self.lost.append(f"{sorted(missing)} in {sorted(tree)}")
+
+
+def read_all(folder: Path) -> dict[bytes, bytes]:
+    """The records of a folder that a controller would go by."""
+    loop: Any = Loop()
+    store = Store(str(folder), loop)
+    found = dict(store.all("about"))
+    close(store)
+    return found
+
+
+def put(store: Store, crashes: Crashes, key: bytes, value: bytes) -> None:
+    """Write a record, with a loss of power right after it was told."""
+    told: list[bool] = []
+    store.write([("about", key, value)], told.append)
+    loop: Any = store._loop
+    while not told:
+        loop.step()
+    assert told == [True]
+    crashes.told[key] = value
+
+
+def test_the_first_words_of_a_new_store_outlast_a_loss_of_power(tmp_path: Path) -> None:
+    top = tmp_path / "disk"
+    top.mkdir()
+    crashes = Crashes(top)
+    with NamesDisk(top, crashes) as disk:
+        for n in range(2):  # the second life finds the file as the first one left it
+            loop: Any = Loop()
+            storage_check.prepare(str(top / "data"))
+            store = Store(str(top / "data"), loop)
+            for key in (b"first", b"second"):
+                put(store, crashes, key, b"promised %d" % n)
+                disk.crash()
+            close(store)
+    assert not crashes.lost and crashes.looks > 10
+
+
+@pytest.mark.parametrize("killed", [False, True])
+def test_a_compaction_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, killed: bool) -> None:
+    top = tmp_path / "disk"
+    top.mkdir()
+    crashes, loop = Crashes(top), Loop()
+    folder, any_loop = top / "data", loop
+    with NamesDisk(top, crashes) as disk:
+        store = Store(str(folder), any_loop)  # type: ignore[arg-type]
+        for n in range(40):
+            store.write([("slips", b"k%d" % n, b"x" * 4_000)])
+        put(store, crashes, b"kept/0", b"first")
+        store.write([("slips", b"k%d" % n, None) for n in range(40)])
+        put(store, crashes, b"kept/0", pack([5, [0, ""], [0, ""], None]))
+        close(store)
+        monkeypatch.setattr(storage_check, "COMPACT_BYTES", 4_096)
+        size = (folder / "data.mdb").stat().st_size
+        if killed:  # right after the rename, and the next life writes
+            with monkeypatch.context() as patch:
+                patch.setattr(storage_check, "sync_folder", _end)
+                with pytest.raises(KeyboardInterrupt):
+                    storage_check.prepare(str(folder))
+        storage_check.prepare(str(folder))
+        assert (folder / "data.mdb").stat().st_size < size
+        store = Store(str(folder), any_loop)  # type: ignore[arg-type]
+        put(store, crashes, b"later", b"word")
+        disk.crash()
+        close(store)
+    assert not crashes.lost and crashes.looks > 10
+
+
+def _end(folder: str) -> None:
+    raise KeyboardInterrupt
+
+
+def test_what_is_set_aside_is_not_forgotten_twice(tmp_path: Path) -> None:
+    top = tmp_path / "disk"
+    top.mkdir()
+    crashes, loop = Crashes(top), Loop()
+    folder, any_loop = top / "data", loop
+    with NamesDisk(top, crashes):
+        store = Store(str(folder), any_loop)  # type: ignore[arg-type]
+        put(store, crashes, b"kept/0", pack([5, [0, ""], [0, ""], None]))
+        close(store)
+        crashes.may_forget = True
+        file = folder / "data.mdb"
+        file.write_bytes(b"\xff" * file.stat().st_size)
+        storage_check.prepare(str(folder))
+    assert storage_check.forgot(str(folder)) and not crashes.lost and crashes.looks > 10
+
+
+def test_a_snapshot_put_back_outlasts_a_loss_of_power(tmp_path: Path) -> None:
+    old, top, loop = tmp_path / "old", tmp_path / "disk", Loop()
+    top.mkdir()
+    any_loop: Any = loop
+    store = Store(str(old), any_loop)
+    for number in shard_state.SHARDS:
+        store.write(remembered(number, Kept(5), True))
+    store.write([("about", b"founders", pack(list(FOUNDERS)))])
+    close(store)
+    snapshots.take_from(str(old), str(tmp_path / "file"))
+    crashes = Crashes(top)
+    with NamesDisk(top, crashes) as disk:
+        snapshots.put_into(str(top / "data"), str(tmp_path / "file"), FOUNDERS)
+        crashes.told = {b"founders": pack(sorted(FOUNDERS))}
+        disk.crash()
+    assert not crashes.lost and crashes.looks > 3
+
+
+@pytest.mark.parametrize("broken", ["no-names-synced", "parent-not-synced", "bad-not-synced"])
+def test_a_missing_sync_is_found_out(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, broken: str) -> None:
+    if broken == "no-names-synced":
+        monkeypatch.setattr(store_module, "sync_names", lambda folder: None)
+    elif broken == "parent-not-synced":
+        monkeypatch.setattr(snapshots, "sync_names", store_module.sync_folder)
+    else:
+        monkeypatch.setattr(storage_check, "sync_folder", lambda folder: None)
+    test = {
+        "no-names-synced": test_the_first_words_of_a_new_store_outlast_a_loss_of_power,
+        "parent-not-synced": test_a_snapshot_put_back_outlasts_a_loss_of_power,
+        "bad-not-synced": test_what_is_set_aside_is_not_forgotten_twice,
+    }[broken]
+    with pytest.raises(AssertionError):
+        test(tmp_path)
+
+
+# A full disk from the very first write on
+
+
+def test_a_controller_without_a_store_waits_for_room(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(*words: Any, **more: Any) -> Any:
+        raise OSError(errno.ENOSPC, "no space")
+
+    folder, loop = str(tmp_path / "data"), Loop()
+    any_loop: Any = loop
+    for name in ("makedirs", "open_env", "sync_names"):
+        with monkeypatch.context() as patch:
+            if name == "makedirs":
+                patch.setattr("os.makedirs", refuse)
+            else:
+                patch.setattr(store_module, name, refuse)
+            if name == "sync_names":  # it opens, and takes nothing
+                store, told = Store(folder, any_loop), list[bool]()
+                store.write([("about", b"k", b"v")], told.append)
+                while not told:
+                    loop.step()
+                assert told == [False] and store.failing_since_s
+                patch.undo()
+                store.write([("about", b"k", b"v")], told.append)
+                while store.failing_since_s:
+                    loop.step()
+                assert told[-1]
+                close(store)
+            else:
+                with pytest.raises(BadStore, match="no space"):
+                    Store(folder, any_loop)
+    assert read_all(Path(folder))[b"k"] == b"v"
