--- a/mesh/control/key_transfer.py
+++ b/mesh/control/key_transfer.py
@@ -13,7 +13,7 @@
 
 from mesh.control.operation_keys import OperationKeys
 
-PAGE_BYTES = 96 * 1024  # of the rows of one page
+PAGE_BYTES = 128 * 1024  # of the rows of one page
 ROW_BYTES = 24  # of a row beside its strings
 GIVEN_BACK = -1  # in place of a shelf: the holder gave the key back unrun
 ASKED_MOST = 256  # records asked for at once
--- a/rehearsal/bench/second_loss.py
+++ b/rehearsal/bench/second_loss.py
@@ -12,6 +12,7 @@
 import gc
 import hashlib
 import heapq
+import os
 import random
 import sys
 import tempfile
@@ -28,6 +29,7 @@
 from mesh.storage.store import NAMES, open_env, put_sealed, wrap
 from nickelbridge.register import Kept
 
+DISK = "ORCHIDFERRY_BENCH_DISK"  # names a folder in memory, as for `orchidferry bench mesh`
 SHARE = 0.245  # of a core: what a controller has
 SYNC_S, DISK_BYTES_S = 0.001, 60e6
 PAGE = 4_096  # of the store: what the least write costs
@@ -304,7 +306,7 @@
             if how == "two wiped" and replicas < 5:
                 continue
             for rate in args.rate or [100.0, 150.0]:
-                with tempfile.TemporaryDirectory() as folder:
+                with tempfile.TemporaryDirectory(dir=os.environ.get(DISK)) as folder:
                     row = measured(how, replicas, rate, args.seed, folder)
                     told = (f"{k} {v:.3g}" if isinstance(v, float) else f"{k} {v}" for k, v in row.items())
                     print("; ".join(told), flush=True)
