orchidferry capacity: what each role of the mesh costs by size, and the slopes

The command runs real controllers and proxies over loopback whose other nodes are hollow (links, records, leases, heads that fetch the text), whole fleets of 2 regions with 4 zones in virtual time, calls beside a bare forwarder with a profile by hops, and, when asked for, special hours.

The model of the tree asked for a configuration's text again at the second controller's word of it, which the shipping ControlClient does not: it now looks at the revision as that one does.

--- a/rehearsal/bench/mesh_fleet.py
+++ b/rehearsal/bench/mesh_fleet.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -149,13 +150,13 @@
 
     def __init__(
         self, cores: int, servers: tuple[int, int] = (0, 0), sync_ms: float = 0.0, disk: str | None = None,
-        relay: bool = False,
+        relay: bool = False, proxy_command: Callable[[Path, str], tuple[str, ...]] | None = None,
     ) -> None:  # fmt: skip
         """`sync_ms`: how much longer a controller's commit takes; `disk`: where its files are, if not where
-        `ORCHIDFERRY_BENCH_DISK` says.
+        `ORCHIDFERRY_BENCH_DISK` says; `proxy_command`: a proxy's, by the fleet's folder and its machine.
         """
         self._day = Day("bench", "", 0.0, (), cores=cores, servers=servers)
-        self._sync_ms, self._relay = sync_ms, relay
+        self._sync_ms, self._relay, self._proxy_command = sync_ms, relay, proxy_command
         self._disk = DISK if disk is None and DISK and Path(DISK).is_dir() else disk
         self._held: Any = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -203,6 +204,8 @@
             if machine.role == "core" and self._sync_ms:
                 node.command = (sys.executable, "-B", "-m", "rehearsal.bench.mesh_load", "slow",
                                 str(self._sync_ms))  # fmt: skip
+            if machine.role == "sidecar" and self._proxy_command is not None:
+                node.command = self._proxy_command(self.folder, machine.name)
             self.nodes[machine.name] = node
         await asyncio.gather(*(node.start() for node in self.nodes.values()))
         if self.sidecars:
--- /dev/null
+++ b/rehearsal/capacity/__init__.py
@@ -0,0 +1,50 @@
+"""`orchidferry capacity`: what each role of the mesh costs by size, and the slopes that it has."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+from typing import Any
+
+ABOUT = "what each role of the mesh costs at 12 to 1,500 nodes, and the slopes by nodes, services and calls"
+EXAMPLE = "orchidferry capacity --json capacity.json --plot capacity.png"
+
+
+def arguments(parser: Any) -> None:
+    """Give the command's parser its options."""
+    parser.add_argument(
+        "--nodes", default="12,100,300,740,1500", metavar="LIST", help="sizes (12,100,300,740,1500)"
+    )
+    parser.add_argument(
+        "--services", default="2,50,150", metavar="LIST", help="at the size nearest 740 (2,50,150)"
+    )
+    parser.add_argument(
+        "--calls", default="50,100,200", metavar="LIST", help="calls a second at one node (50,100,200)"
+    )
+    parser.add_argument(
+        "--only", metavar="NAME,...", help="of processes, fleets, hours, calls (processes, fleets, calls)"
+    )
+    parser.add_argument("--seconds", type=float, default=3.0, metavar="S", help="of each measurement (3)")
+    parser.add_argument("--json", metavar="FILE", help="write the figures there")
+    parser.add_argument("--plot", metavar="FILE.png", help="draw them there")
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run the command; its exit status."""
+    from rehearsal.capacity.plan import BadPlan, read_plan
+    from rehearsal.mesh.processes import missing
+
+    try:
+        plan = read_plan(args.nodes, args.services, args.calls, args.only, args.seconds)
+        for path in (args.json, args.plot):
+            if path and not Path(path).resolve().parent.is_dir():
+                raise BadPlan(f"{path}: no such folder")
+        if lacking := missing():
+            raise BadPlan(f"the library {lacking} is missing: pip install 'orchidferry[mesh]'")
+    except BadPlan as problem:
+        print(f"orchidferry capacity: {problem}", file=sys.stderr)
+        return 2
+    from rehearsal.capacity import run
+
+    return run.main(plan, args.json, args.plot)
--- /dev/null
+++ b/rehearsal/capacity/hops.py
@@ -0,0 +1,73 @@
+"""A proxy's profile by the hops of a call: a function's own time goes to the hop that its module does.
+
+Built-in functions count for whoever called them. What the event loop itself takes (polling, reading sockets)
+is no Python function and not in a profile.
+"""
+
+from __future__ import annotations
+
+import marshal
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+ACCEPT, ROUTE, PICK, KEY = "accept and read", "route", "pick, budgets, outcome", "key"
+WRITE, GATE, ANSWER, LEASES, OTHER = "write to the next hop", "gate", "answer", "leases and news", "other"
+Function = tuple[str, int, str]  # file, line, name
+
+FUNCTIONS = {  # where one module does the work of two hops
+    ("orchidferry/frontend.py", "_write"): ANSWER,
+    ("orchidferry/frontend.py", "_answer"): ANSWER,
+    ("orchidferry/frontend.py", "_give"): ANSWER,
+    ("orchidferry/frontend.py", "render"): ANSWER,
+    ("orchidferry/frontend.py", "_settle"): ANSWER,
+    ("orchidferry/upstream.py", "data_received"): ANSWER,
+    ("orchidferry/upstream.py", "on_header"): ANSWER,
+    ("orchidferry/upstream.py", "on_message_complete"): ANSWER,
+    ("dataplane/http_connection.py", "passed_on"): ANSWER,
+    ("dataplane/http_connection.py", "kept_answer"): KEY,
+    ("dataplane/http_connection.py", "on_header"): ACCEPT,
+    ("dataplane/http_connection.py", "read"): ACCEPT,
+    ("dataplane/http_connection.py", "_message"): ACCEPT,
+    ("dataplane/http_connection.py", "head"): WRITE,
+    ("dataplane/service_client.py", "head_bytes"): WRITE,
+    ("dataplane/proxy.py", "_claim"): KEY,
+    ("dataplane/proxy.py", "over"): KEY,
+    ("dataplane/proxy.py", "claimed"): KEY,
+    ("control/control_client.py", "_send"): KEY,
+    ("control/control_client.py", "claim"): KEY,
+}
+MODULES = (
+    ("orchidferry/frontend.py", ACCEPT), ("orchidferry/request.py", ACCEPT),
+    ("dataplane/proxy.py", ROUTE), ("control/configuration.py", ROUTE),
+    ("dataplane/service_client.py", PICK), ("nickelbridge/", PICK), ("orchidferry/turns.py", PICK),
+    ("orchidferry/alarms.py", PICK), ("dataplane/admission.py", GATE),
+    ("dataplane/http_connection.py", WRITE), ("orchidferry/upstream.py", WRITE),
+    ("control/operation_key_client.py", KEY), ("control/shard_state.py", KEY), ("wire/framing.py", KEY),
+    ("control/", LEASES),
+)  # fmt: skip
+
+
+def hop_of(function: Function) -> str:
+    """The hop that a function of the program works for.
+
+    >>> hop_of(("orchidferry/frontend.py", 1, "_write")), hop_of(("mesh/dataplane/proxy.py", 1, "_take"))
+    ('answer', 'route')
+    """
+    file, _, name = function
+    for (end, one), hop in FUNCTIONS.items():
+        if name == one and file.endswith(end):
+            return hop
+    return next((hop for part, hop in MODULES if part in file), OTHER)
+
+
+def shares(path: Path) -> dict[str, float]:
+    """Seconds by hop, of a profile's file."""
+    stats: dict[Function, Any] = marshal.loads(path.read_bytes())
+    found: Counter[str] = Counter()
+    for function, (_, _, own_s, _, callers) in stats.items():
+        if function[0] != "~":
+            found[hop_of(function)] += own_s
+        for caller, (_, _, spent_s, _) in callers.items() if function[0] == "~" else ():
+            found[hop_of(caller) if caller[0] != "~" else OTHER] += spent_s
+    return dict(sorted(found.items(), key=lambda entry: -entry[1]))
--- /dev/null
+++ b/rehearsal/capacity/profiled.py
@@ -0,0 +1,34 @@
+"""A proxy under the interpreter's profiler: `python -m rehearsal.capacity.profiled FILE`.
+
+It profiles from the first SIGUSR1 to the second, and then writes what it found to FILE.
+"""
+
+from __future__ import annotations
+
+import cProfile
+import signal
+import sys
+import time
+from typing import Any
+
+from mesh.__main__ import main
+
+
+def run(path: str) -> int:
+    """Be a proxy, profiled between two signals."""
+    profile, state = cProfile.Profile(time.thread_time), {"on": False}
+
+    def signalled(number: int, frame: Any) -> None:
+        if state["on"]:
+            profile.disable()
+            profile.dump_stats(path)
+        else:
+            profile.enable()
+        state["on"] = not state["on"]
+
+    signal.signal(signal.SIGUSR1, signalled)
+    return main(["proxy"])
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1]))
--- /dev/null
+++ b/rehearsal/capacity/regions.py
@@ -0,0 +1,177 @@
+"""A fleet over two regions of four zones in virtual time, with what each process says and what it costs.
+
+The processes are those of `rehearsal.model.relays`: the shipping publisher, subscriber, fan-out tree and
+lists of members. Delays are assumed (one way), CPU is that of the pure code alone: no sockets, no HTTP.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Container
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from rehearsal.capacity.plan import CONTROLLERS
+from rehearsal.model.relays import Controller, Node, Process, World
+
+REGIONS, ZONES = 2, 8  # zones of all regions
+IN_ZONE_S, BETWEEN_ZONES_S, BETWEEN_REGIONS_S = 0.0002, 0.0009, 0.035
+CONTROLLER_ZONES = (0, 1, 2, 4, 5)  # three in the first region, two in the second
+ZONE, REGION, FAR = "zone", "region", "regions"  # a link within a zone, between zones, between regions
+
+
+def region_of(zone: str) -> int:
+    """The region of a zone of the model, `z0` to `z7`.
+
+    >>> region_of("z3"), region_of("z4")
+    (0, 1)
+    """
+    return int(zone[1:]) * REGIONS // ZONES
+
+
+@dataclass(slots=True)
+class Use:
+    """What one process has used: CPU of its pure code, messages and bytes by kind of link."""
+
+    cpu_s: float = 0.0
+    out: Counter[str] = field(default_factory=Counter)  # bytes, by kind of link
+    into: Counter[str] = field(default_factory=Counter)
+    messages_out: int = 0
+    messages_in: int = 0
+
+
+class Metered(Process):
+    """A process whose CPU is counted."""
+
+    use: Use
+    _running = False
+
+    def run(self, call: Callable[[], object]) -> None:
+        if self._running:
+            return super().run(call)
+        self._running, began = True, time.thread_time()
+        try:
+            super().run(call)
+        finally:
+            self._running = False
+            self.use.cpu_s += time.thread_time() - began
+
+
+class MeteredController(Metered, Controller):
+    """A controller's publisher."""
+
+    def __init__(self, world: World, name: str, zone: int) -> None:
+        self.use = Use()
+        super().__init__(world, name, zone)
+
+
+class MeteredNode(Metered, Node):
+    """A node's subscriber, its leases and its links."""
+
+    def __init__(self, world: Fleet, name: str, zone: int, heads: int) -> None:
+        self.use = Use()
+        self.fleet = world
+        super().__init__(world, name, zone, heads)
+
+    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
+        had = self.revision
+        super()._configuration_shard(rid, revision, raw)
+        if self.revision > had:
+            self.fleet.in_force[self.revision, self.name] = self.world.now
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether other nodes follow this one."""
+        return bool(self.subscriber._followers.places)
+
+
+class BetweenRegions(Container[tuple[str, str]]):
+    """The pairs of processes that are cut off from each other while regions are apart."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def __contains__(self, pair: object) -> bool:
+        assert isinstance(pair, tuple)
+        fleet = self._fleet
+        return fleet.apart and fleet.region(pair[0]) != fleet.region(pair[1])
+
+    def __and__(self, pairs: set[tuple[str, str]]) -> set[tuple[str, str]]:
+        return {pair for pair in pairs if pair in self}
+
+
+class Fleet(World):
+    """Five controllers and so many nodes, spread evenly over eight zones."""
+
+    def __init__(self, nodes: int, seed: int = 1, spread_s: float = 1.0) -> None:
+        super().__init__(seed, ZONES, lazy=True)
+        self.apart = False
+        cuts: Any = BetweenRegions(self)
+        self.cuts = cuts
+        self.in_force: dict[tuple[int, str], float] = {}  # when a node had a revision
+        self._regions: dict[str, int] = {}
+        self._size = 0  # of the message that is being sent
+        self._queue.clear()
+        self.controllers = {}
+        for number, zone in enumerate(CONTROLLER_ZONES[:CONTROLLERS]):
+            name = f"k{number}"
+            self._regions[name] = region_of(f"z{zone}")
+            self.controllers[name] = MeteredController(self, name, zone)
+        self.names = [f"n{number}" for number in range(nodes)]
+        for number, name in enumerate(self.names):
+            self.at(self.now + spread_s * self.rng.random(), partial(self.start, name, number % ZONES))
+
+    def start(self, name: str, zone: int) -> Node:
+        self._regions[name] = region_of(f"z{zone}")
+        node = self.nodes[name] = MeteredNode(self, name, zone, self.heads)
+        return node
+
+    def region(self, name: str) -> int:
+        """Of a process, by name."""
+        return self._regions[name]
+
+    def read(self, data: bytes) -> Any:
+        self._size = len(data)
+        return super().read(data)
+
+    def delay(self, one: Process, other: Process) -> float:
+        """Of a link, one way; called once for each message, so that it is counted here."""
+        if one.zone == other.zone:
+            kind, delay = ZONE, IN_ZONE_S
+        elif region_of(one.zone) == region_of(other.zone):
+            kind, delay = REGION, BETWEEN_ZONES_S
+        else:
+            kind, delay = FAR, BETWEEN_REGIONS_S
+        size, self._size = self._size, 0
+        if size and isinstance(one, Metered) and isinstance(other, Metered):
+            one.use.out[kind] += size
+            one.use.messages_out += 1
+            other.use.into[kind] += size
+            other.use.messages_in += 1
+        return delay
+
+    # What is asked of it
+
+    def decide(self, revision: int, text: bytes) -> float:
+        """A configuration is decided at the first controller, and told to the others; when."""
+        first = self.controllers["k0"]
+        for controller in self.controllers.values():
+            delay = self.delay(first, controller) if controller is not first else 0.0
+            self.at(self.now + delay, partial(controller.revise, revision, text))
+        return self.now
+
+    def live(self) -> list[MeteredNode]:
+        """All nodes that run."""
+        return [node for node in self.nodes.values() if isinstance(node, MeteredNode) and node.alive]
+
+    def reset(self) -> None:
+        """Count anew."""
+        for process in (*self.live(), *self.controllers.values()):
+            assert isinstance(process, Metered)
+            process.use = Use()
+
+    def members_known(self) -> list[int]:
+        """How many members each live node's streams list, all controllers taken together."""
+        return [len(node.members) for node in self.live()]
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -11,7 +11,7 @@
 import os
 import sys
 
-from rehearsal import control, explore, fleet, traffic
+from rehearsal import capacity, control, explore, fleet, traffic
 
 EXAMPLES = {
     "rehearse": "orchidferry rehearse slow-server --seed 7 --report slow.html",
@@ -23,6 +23,7 @@
     "traffic": traffic,
     "explore": explore,
     "fleet": fleet,
+    "capacity": capacity,
 }  # each brings its arguments, and no library
 
 
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -315,7 +315,7 @@
 
     def _told(self, revision: int, link: Any) -> None:
         self.wanted = max(self.wanted, revision)
-        if self.world.now - self._asked_s > ASK_S:
+        if self.wanted > self.revision and self.world.now - self._asked_s > ASK_S:
             self._ask(link)
 
     def _ask(self, link: End) -> None:
