--- a/rehearsal/capacity/calls.py
+++ b/rehearsal/capacity/calls.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import signal
+import statistics
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -64,14 +65,19 @@
     async def _rate(self, rate: int, ways: list[tuple[str, Address, list[int], Write]]) -> None:
         direct: dict[str, Any] = {}
         bare_us = 0.0
+        idle_s = 0.0  # of a controller, while nobody claims
         for name, address, pids, write in ways:
             found = await self._ask(address, rate, pids, write)
             if name == DIRECT:
-                direct = found
+                direct, idle_s = found, statistics.fmean(found["controllers"])
             else:
                 for quantile in ("p50_ms", "p99_ms"):
                     value = found[quantile] - direct[quantile]
                     self._add(rate, f"{name}: added, {quantile[:3]}", "ms", value, found["note"])
+            if name == KEYED:
+                claims_s = max(0.0, statistics.fmean(found["controllers"]) - idle_s)
+                share = 100.0 * claims_s / self._seconds
+                self._add(rate, "keyed calls: CPU of each controller", "%", share, role="controller")
             if pids:
                 total = 1e6 * sum(found["cpu"]) / found["asked"]
                 self._add(rate, f"{name}: CPU", "us a call", total, found["note"])
@@ -84,15 +90,17 @@
         self._serial += 1
         await ask_all(address, rate, WARM_S, False, f"w{self._serial}-", write=write)
         meter = Meter(pids) if pids else None
+        controllers = Meter(self._fleet.pids(self._fleet.cores))
         found = await ask_all(address, rate, self._seconds, False, f"m{self._serial}-", write=write)
         found["cpu"] = meter.read()[0] if meter is not None else []
+        found["controllers"] = controllers.read()[0]
         found["note"] = f"failed {found['failed']}" if found["failed"] else ""
         if found["p50_ms"] is None:
             raise ValueError(f"no call to {address} was answered: {found['why']}")
         return found
 
-    def _add(self, at: float, name: str, unit: str, value: float, note: str = "") -> None:
-        self.figures.append(Figure("call", name, unit, BY_CALLS, at, value, note=note))
+    def _add(self, at: float, name: str, unit: str, value: float, note: str = "", role: str = "call") -> None:
+        self.figures.append(Figure(role, name, unit, BY_CALLS, at, value, note=note))
 
 
 async def measure(rates: tuple[int, ...], seconds: float) -> list[Figure]:
--- a/rehearsal/capacity/fleets.py
+++ b/rehearsal/capacity/fleets.py
@@ -17,7 +17,7 @@
 from rehearsal.bench.mesh import quantile
 from rehearsal.capacity.figures import BY_NODES, VIRTUAL, Figure
 from rehearsal.capacity.regions import FAR, REGION, ZONE, Fleet, MeteredNode, Use
-from rehearsal.capacity.texts import text
+from rehearsal.capacity.texts import kept, one_route, text
 
 Add = Callable[..., None]
 SETTLE_S, IDLE_S, END_S = 14.0, 4.0, 1.5
@@ -37,7 +37,9 @@
     fleet.run(IDLE_S)
     idle = _idle(fleet, add)
     _record_changes(fleet, add)
-    _configurations(fleet, text(services), idle, add)
+    add("proxy", "configuration: as the operator sends it", "bytes", float(len(text(services))))
+    add("proxy", "configuration: one route of it", "bytes", float(len(one_route(services))))
+    _configurations(fleet, kept(services), idle, add)
     _relays(fleet, add)
     peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
     add("tool", "whole fleet in virtual time: peak memory", "MB", peak_mb)
@@ -106,7 +108,7 @@
     add("proxy", "configuration: every node, p50", "ms", quantile(took, 0.5))
     add("proxy", "configuration: every node, p99", "ms", quantile(took, 0.99))
     add("proxy", "configuration: last node", "ms", max(took))
-    add("proxy", "configuration: text", "bytes", float(len(raw)))
+    add("proxy", "configuration: as kept and passed on", "bytes", float(len(raw)))
     nodes, controllers = [node.use for node in fleet.live()], _controllers(fleet)
     each = float(CONFIGURATIONS)
     into = _mean(use.into.total() for use in nodes) / each - END_S * idle["proxy in"]
--- a/rehearsal/capacity/hours.py
+++ b/rehearsal/capacity/hours.py
@@ -8,6 +8,7 @@
 import json
 import statistics
 import sys
+from collections.abc import Iterator
 from dataclasses import asdict
 from functools import partial
 
@@ -16,7 +17,7 @@
 from rehearsal.capacity.figures import BY_NODES, VIRTUAL, Figure
 from rehearsal.capacity.plan import services_of
 from rehearsal.capacity.regions import ZONES, Fleet, Metered, MeteredNode, Use, region_of
-from rehearsal.capacity.texts import text
+from rehearsal.capacity.texts import kept
 
 SETTLE_S = 16.0
 LOOK_S = 0.5  # how often it is looked whether everybody knows
@@ -132,7 +133,7 @@
     hour = Hour("regions apart", nodes)
     fleet = hour.fleet
     first = [node for node in fleet.live() if region_of(node.zone) == 0]
-    raw, revision = text(services_of(nodes)), 0
+    raw, revision = kept(services_of(nodes)), 0
     hour.begin()
     fleet.apart = True
     until, records_s, next_s = fleet.now + apart_s, fleet.now, fleet.now + 5.0
@@ -167,10 +168,12 @@
             controller.revise(revision, raw)
 
 
-def measure(nodes: int, apart_s: float = APART_S) -> list[Figure]:
-    """All hours at one size."""
+def measure(nodes: int, apart_s: float = APART_S) -> Iterator[Figure]:
+    """All hours at one size, as they are played."""
     assert nodes >= ZONES
-    return [*zone_gone(nodes), *all_restarted(nodes), *regions_apart(nodes, apart_s)]
+    yield from zone_gone(nodes)
+    yield from all_restarted(nodes)
+    yield from regions_apart(nodes, apart_s)
 
 
 def main() -> None:
