--- a/mesh/control/endpoints.py
+++ b/mesh/control/endpoints.py
@@ -103,6 +103,21 @@
         return [lease.record for lease in self.leases.values()]
 
 
+def by_service(members: dict[str, Record]) -> dict[str, dict[str, Record]]:
+    """Records of nodes with a server, by its service: one walk for all services together.
+
+    >>> server = Server("i", "s", "z", IN_SERVICE, 1, 0.0)
+    >>> beside, alone = Record("a", 1, 1, "z", "", 0, server), Record("b", 1, 1, "z", "", 0, None)
+    >>> by_service({"a": beside, "b": alone}) == {"s": {"a": beside}}
+    True
+    """
+    found: dict[str, dict[str, Record]] = {}
+    for name, record in members.items():
+        if record.server is not None:
+            found.setdefault(record.server.service, {})[name] = record
+    return found
+
+
 def everyone(told: dict[str, dict[str, Record]], heard: set[str]) -> dict[str, Record]:
     """Every node's newest record, of what controllers say by name: those that are heard; all, if none is.
 
@@ -113,8 +128,15 @@
     for controller, mine in told.items():
         if heard and controller not in heard:
             continue
+        if not found:
+            found = dict(mine)
+            continue
+        if mine == found:  # quick where both hold the same objects (`Subscriber` sees to that)
+            continue
         for name, record in mine.items():
             had = found.get(name)
+            if had is record:
+                continue
             if had is None or (had.boot == record.boot and had.number < record.number):
                 found[name] = record
     return found
