--- a/rehearsal/explore/worst_days/hundreds.py
+++ b/rehearsal/explore/worst_days/hundreds.py
@@ -102,11 +102,14 @@
     sends = ((*_climb("a", 0.0, 0.2, 0.2, 0.2), Send(Order(5, "c5", 4), "b", 4.12)),)
 
 
-_KINDS = ("kill", "cut", "lose")
+_KINDS = ("kill", "power", "wipe", "cut", "oneway", "freeze", "lose", "late")
+_FEWER = ("kill", "cut", "lose")  # all others are not exhausted within five minutes
 
 
-def _scene(about: str, seconds: float, script: tuple[tuple[float, str], ...]) -> Scene:
-    return Scene("worst-days", about, 1.2, seconds=seconds, script=script, kinds=_KINDS)
+def _scene(
+    about: str, seconds: float, script: tuple[tuple[float, str], ...], kinds: tuple[str, ...] = _KINDS
+) -> Scene:
+    return Scene("worst-days", about, 1.2, seconds=seconds, script=script, kinds=kinds)
 
 
 SCENES: dict[str, Play] = {
@@ -120,7 +123,7 @@
     ),
     "hundreds-wiped": Play(
         _scene("a replica is wiped, and the owner killed soon after", 3.4,
-               ((0.3, "wipe c"), (1.8, "kill b"))),
+               ((0.3, "wipe c"), (1.8, "kill b")), _FEWER),
         Wiped,
     ),
     "hundreds-owner": Play(
