Contact with a majority before an order or a reading is served; isolated controllers explored

A controller that was cut off polled a reading for 2 s and an order for 4 s before it answered; callers take a second of silence for a refusal.

Without, a call is answered 503 out_of_contact at once, and those that wait are ended as contact ends: readings 503, orders 504 unclear, and not gone on with.

--- a/mesh/control/configuration_resource.py
+++ b/mesh/control/configuration_resource.py
@@ -15,11 +15,11 @@
 from mesh.control import shard_state
 from mesh.control.configuration import check, digest
 from mesh.control.configuration_text import compress, expand
+from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT
 from mesh.control.control_api import JSON, Call, told
 from mesh.control.order_history import NUMBER_MOST
 from mesh.control.replica import Ended
 from mesh.errors import Kind, Refusal
-from nickelbridge.register import Value
 from orchidferry.frontend import Reply
 
 PUT_S = 4.0  # for a change to be decided
@@ -29,7 +29,7 @@
 
 Answer = Callable[[Reply], None]
 AskForChange = Callable[[shard_state.Change, float, Callable[[Ended], None]], None]
-Read = Callable[[Callable[[Value | None], None]], None]
+Read = Callable[[Callable[[Ended], None]], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +43,14 @@
 class ConfigurationResource:
     """The handler of one controller."""
 
-    def __init__(self, ask: AskForChange, read: Read, growing: Callable[[], bool]) -> None:
+    def __init__(
+        self, ask: AskForChange, read: Read, growing: Callable[[], bool], in_contact: Callable[[], bool]
+    ) -> None:
         """`ask`: have the shard changed within some seconds; `read`: its newest state for sure; `growing`:
-        whether the groups are still smaller than the tolerance needs.
+        whether the groups are still smaller than the tolerance needs; `in_contact`: whether a majority of
+        the controllers has lately acknowledged this one.
         """
-        self._ask, self._read, self._growing = ask, read, growing
+        self._ask, self._read, self._growing, self._in_contact = ask, read, growing, in_contact
         self._checked: dict[bytes, Checked] = {}  # by digest, the newest last
 
     def __call__(self, call: Call, rest: str, answer: Answer) -> None:
@@ -61,13 +64,15 @@
         return answer(told(Refusal(Kind.UNREADABLE, "PUT or GET")))
 
     def _get(self, answer: Answer) -> None:
-        def got(value: Value | None) -> None:
-            if value is None:
-                answer(told(Refusal(Kind.NO_MAJORITY), RETRY_AFTER_S))
-            elif not shard_state.body(value).revision:
+        def got(end: Ended) -> None:
+            if end.value is None:
+                lost = end.why in (OUT_OF_CONTACT, LOST_CONTACT)
+                kind = Kind.OUT_OF_CONTACT if lost else Kind.NO_MAJORITY
+                answer(told(Refusal(kind), RETRY_AFTER_S))
+            elif not shard_state.body(end.value).revision:
                 answer(told(Refusal(Kind.UNKNOWN, "there is no configuration yet")))
             else:
-                answer(Reply(200, expand(shard_state.body(value).raw), JSON))
+                answer(Reply(200, expand(shard_state.body(end.value).raw), JSON))
 
         self._read(got)
 
@@ -75,6 +80,8 @@
         on = base_version(call.headers.get(b"if-match", b""))
         if on is None:
             return answer(told(Refusal(Kind.UNREADABLE, "If-Match: one version, such as 5, is needed")))
+        if not self._in_contact():  # before the work of checking it
+            return answer(told(Refusal(Kind.OUT_OF_CONTACT), RETRY_AFTER_S))
         mark = digest(call.body)
         found = self._checked.get(mark) or self._check(mark, call.body)
         if isinstance(found, Refusal):
@@ -113,7 +120,8 @@
 def _outcome(end: Ended, revision: int) -> Reply:
     """The answer to an order that is over. One that is unclear may have been taken: never a refusal."""
     if end.value is None:
-        return told(Refusal(Kind.LATE, "no majority of controllers answered"), RETRY_AFTER_S)
+        kind = Kind.OUT_OF_CONTACT if end.why == OUT_OF_CONTACT else Kind.UNCLEAR
+        return told(Refusal(kind), RETRY_AFTER_S)
     if end.why == shard_state.UNKNOWN_ORDER:
         older = f"revision {revision} is older than what this controller remembers"
         return told(Refusal(Kind.FORGOTTEN, older), RETRY_AFTER_S)
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -68,7 +68,7 @@
         self._number = 0
         self._beats: dict[int, float] = {}  # when each was sent
         self._door = ControlDoor(
-            {"/orchidferry/configuration": ConfigurationResource(self._ask, self._read, self._growing)},
+            {"/orchidferry/configuration": self._configuration_resource()},
             max(64, settings.descriptors // 4),
         )
         self._server: asyncio.Server | None = None
@@ -118,6 +118,13 @@
         """The fence under which this controller does the duties for a service now; None if it doesn't."""
         return self._shards[shard_state.shard_of(service)].owns(now)
 
+    def _configuration_resource(self) -> ConfigurationResource:
+        return ConfigurationResource(self._ask, self._read, self._growing, self._in_contact)
+
+    def _in_contact(self) -> bool:
+        """Whether a majority of the configuration's voters has lately acknowledged this controller."""
+        return self._configuration_shard.in_contact(self._loop.time())
+
     @property
     def _configuration_shard(self) -> Shard:
         return self._shards[shard_state.CONFIGURATION]
@@ -307,9 +314,9 @@
         shard = self._configuration_shard
         self._do(shard, shard.ask(id, change, for_s, self._loop.time()))
 
-    def _read(self, told: Callable[[Value | None], None]) -> None:
+    def _read(self, told: Callable[[Ended], None]) -> None:
         """The newest configuration for sure."""
-        id = self._wait_for(lambda end: told(end.value))
+        id = self._wait_for(told)
         self._do(self._configuration_shard, self._configuration_shard.read(id, self._loop.time()))
 
     # Links
@@ -375,7 +382,7 @@
                 self._tell_group(shard, link)
         elif kind == "read":
             rid = message[1]
-            self._read(lambda value: self._tell_configuration(link, rid, value))
+            self._read(lambda end: self._tell_configuration(link, rid, end.value))
         elif kind == "fetch":
             self._tell_configuration(link, message[1], self._configuration_shard.known)
         elif kind == "controller":
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -15,9 +15,11 @@
 from typing import Any
 
 from mesh.control import shard_state, value_references
+from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT, Contact
 from mesh.control.membership import Standing, epoch
 from mesh.control.order_book import OrderBook
 from mesh.control.order_history import Entry, Verdict
+from mesh.control.reading import PEEK_S, READING_S, Reading
 from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
@@ -26,11 +28,9 @@
 DEAD_S = 2.5  # one that was not is dead, as far as this one knows
 TENURE_S = 1.0  # an owner's lease, from when it sent the beat that a majority acknowledged; under ALIVE_S
 SETTLE_S = 0.8  # after its start a controller does not ask for duties
-PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
-PEEKS = 20
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
 RESEND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a voter answers in a round trip and a sync
-READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
+ADMIT_S, OWN_S = 1.9, 1.5
 JOIN_S = 0.4
 STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
 
@@ -69,7 +69,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A change or a reading that was asked for here is over; `value` None: nothing is known in time."""
+    """A change or a reading that was asked for here is over; `value` None: nothing is known in time, and
+    what was asked for may come true yet unless `why` is `OUT_OF_CONTACT`.
+    """
 
     id: str
     value: Value | None
@@ -86,17 +88,6 @@
 Action = Tell | Answer | Write | Changed | Ended | Note
 
 
-@dataclass(slots=True)
-class _Peek:
-    """What voters say that they have accepted."""
-
-    kept: Kept
-    readers: list[str]
-    until_s: float
-    again: int
-    seen: list[shard_state.Seen] = field(default_factory=list)
-
-
 @dataclass(slots=True)
 class Peers:
     """What a controller knows of the others, the same for all shard_state."""
@@ -108,6 +99,7 @@
     leaving: set[str] = field(default_factory=set)  # that were told to end, by their own word
     stopping: bool = False  # whether this one was
     learning: dict[str, tuple[int, ...]] = field(default_factory=dict)  # shards that each has yet to learn
+    contact: Contact = field(default_factory=Contact)
 
     def alive(self, name: str, now: float, within_s: float = ALIVE_S) -> bool:
         """Whether a controller was heard within the time."""
@@ -145,8 +137,9 @@
         self.orders = OrderBook(number)
         self._count = 0
         self._readers: list[str] = []
-        self._peeks: dict[int, _Peek] = {}
-        self._reading = False
+        self._reads: dict[str, float] = {}  # readings that callers wait for: until when
+        self._reading: Reading | None = None  # that voters are asked for
+        self._busy_reading = False  # a reading or its round is out
         self._owner_from_s = float("-inf")  # before that the last owner may still do the duties
         self._pulsed: dict[
             str, float
@@ -195,30 +188,49 @@
     @property
     def due_s(self) -> float:
         """When `tick` is wanted before its turn; infinite for never."""
-        peeks = min((peek.until_s for peek in self._peeks.values()), default=float("inf"))
-        return min(self.proposer.due_ms / 1000.0, peeks)
+        due = min([self.proposer.due_ms / 1000.0, *self._reads.values()])
+        if self._reading is not None:
+            due = min(due, self._reading.again_s, self._reading.until_s)
+        if self._reads or any(what == "ask" for what, _, _ in self._asked.values()):
+            due = min(due, self.peers.contact.until_s(self.known.voters, self.voter))
+        return due
+
+    def in_contact(self, now: float) -> bool:
+        """Whether a majority of the voters has lately acknowledged this controller."""
+        return self.peers.contact.holds(self.known.voters, self.voter, now)
 
     # Events
 
     def ask(self, id: str, change: shard_state.Change, for_s: float, now: float) -> list[Action]:
-        """Have the state changed; it is `Ended` once, with no value if nothing is known in time."""
+        """Have the state changed; it is `Ended` once, with no value if nothing is known in time, or contact
+        with a majority is lost before. Out of contact nothing is begun.
+        """
         self.now = now
-        if isinstance(change, shard_state.Put):
+        if not self.in_contact(now):
+            self._out.append(Ended(id, None, OUT_OF_CONTACT))
+        elif isinstance(change, shard_state.Put):
             self._order(id, change, for_s)
         else:
             self._ask(f"ask {id}", change, for_s, "ask", [id])
         return self._flush()
 
     def read(self, id: str, now: float) -> list[Action]:
-        """The newest state for sure; those that ask while a reading is out share the next one."""
+        """The newest state for sure, within `READING_S`; those that ask while a reading is out share the
+        next one.
+        """
         self.now = now
-        self._read(id)
+        if self.in_contact(now):
+            self._reads[id] = now + READING_S
+            self._read(id)
+        else:
+            self._out.append(Ended(id, None, OUT_OF_CONTACT))
         return self._flush()
 
     def pulse(self, name: str, sent_s: float, fence: int) -> None:
         """A controller has acknowledged the beat that was sent then, and has voted for no fence above
         this.
         """
+        self.peers.contact.hear(name, sent_s)
         if fence <= self.body.fence:
             self._pulsed[name] = max(sent_s, self._pulsed.get(name, float("-inf")))
 
@@ -231,12 +243,13 @@
     def _pass_time(self, now: float) -> bool:
         """Do what is due; whether it is also time for what is done now and then."""
         self.now = now
+        if not self.in_contact(now):
+            self._end_calls()
         for id, (_, _, until) in list(self._asked.items()):
             if until <= now:
                 self._end(id, None, "")
         self._act(self.proposer.tick(now * 1000.0))
-        for number in [n for n, peek in self._peeks.items() if peek.until_s <= now]:
-            self._peek_over(self._peeks.pop(number))
+        self._pass_reading_time()
         value = self.acceptor.kept.value
         if value is None or value.version <= self.known.version:
             self._accepted_s = 0.0
@@ -274,7 +287,8 @@
                 seen = shard_state.Seen(
                     Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
                 )
-                self._peeked(number, seen)
+                if self._reading is not None and self._reading.number == number:
+                    self._peeked(self._reading, seen)
             case ["orders?", floor, digest]:
                 self._tell_orders(who, floor, digest)
             case ["orders", rows, complete]:
@@ -445,31 +459,64 @@
             self._over(asked[0], asked[1], value, why)
 
     def _over(self, what: str, waiting: list[str], value: Value | None, why: str) -> None:
-        if what in ("ask", "read"):
-            self._out += [Ended(id, value, why) for id in waiting if id]
+        if what == "ask":
+            self._out += [self._ended(id, value, why) for id in waiting]
         if what == "read":
+            for id in waiting:
+                if self._reads.pop(id, None) is not None:
+                    self._out.append(self._ended(id, value, why))
+            self._next_read()
+
+    def _ended(self, id: str, value: Value | None, why: str) -> Ended:
+        """Without contact nothing is confirmed, though it may be known: its caller was owed its word
+        before.
+        """
+        return Ended(id, value, why) if self.in_contact(self.now) else Ended(id, None, LOST_CONTACT)
+
+    def _end_calls(self) -> None:
+        """Contact is lost: callers are told at once, and what only they wait for is not gone on with."""
+        for id, (what, waiting, _) in list(self._asked.items()):
+            if what == "ask" or (what == "read" and "" not in waiting):
+                del self._asked[id]
+                self.orders.waiting.pop(id, None)
+                self.proposer.withdraw(id)
+                self._busy_reading = self._busy_reading and what != "read"
+                if what == "ask":
+                    self._out += [Ended(one, None, LOST_CONTACT) for one in waiting]
+        self._out += [Ended(id, None, LOST_CONTACT) for id in self._reads]
+        self._reads.clear()
+        if self._reading is not None and "" not in self._reading.readers:
+            self._reading, self._busy_reading = None, False
+        self._readers = [id for id in self._readers if not id]
+        if self._readers and not self._busy_reading:
             self._next_read()
 
+    # Readings
+
     def _read(self, id: str) -> None:
+        """`id` is of a caller, or "" to learn what was decided."""
         self._readers.append(id)
-        if not self._reading:
+        if not self._busy_reading:
             self._next_read()
 
     def _next_read(self) -> None:
-        waiting, self._readers = self._readers, []
-        self._reading = bool(waiting)
-        if waiting:
-            self._peek(waiting, PEEKS)
-
-    def _peek(self, readers: list[str], again: int) -> None:
         """Look at what the voters have accepted; where that settles nothing, run a round."""
-        self._count += 1
-        number, kept = self._count, self.acceptor.kept
-        self._peeks[number] = _Peek(kept, readers, self.now + PEEK_S, again)
+        readers, self._readers = self._readers, []
+        self._reading, self._busy_reading = None, bool(readers)
+        if readers:
+            self._count += 1
+            self._reading = Reading(
+                self._count, self.acceptor.kept, readers, self.now + READING_S, self.now + PEEK_S
+            )
+            self._peek(self._reading)
+
+    def _peek(self, reading: Reading) -> None:
         for name in self._others():
-            self._say(name, "peek", number, list(kept.accepted))
+            self._say(name, "peek", reading.number, list(reading.kept.accepted))
         if self.clean:
-            self._peeked(number, shard_state.Seen(self.voter, kept.accepted, None))
+            kept = self.acceptor.kept
+            value = None if kept.accepted == reading.kept.accepted else kept.value
+            self._peeked(reading, shard_state.Seen(self.voter, kept.accepted, value))
 
     def _tell_peek(self, who: Any, number: int, has: Any) -> None:
         kept = self.acceptor.kept
@@ -477,26 +524,30 @@
             value = None if has == kept.accepted else shard_state.pack_value(kept.value)
             self._reply(who, "peeked", number, [self.name, kept.memory], list(kept.accepted), value)
 
-    def _peeked(self, number: int, seen: shard_state.Seen) -> None:
-        peek = self._peeks.get(number)
-        if peek is None:
-            return
-        peek.seen.append(seen)
-        first = self.known if self.founder and not self.known.version else None
-        value = shard_state.stands(peek.seen, peek.kept.value, peek.kept.accepted, first)
+    def _peeked(self, reading: Reading, seen: shard_state.Seen) -> None:
+        reading.hear(seen)
+        value = reading.found(self.known if self.founder and not self.known.version else None)
         if value is not None:
-            del self._peeks[number]
             self._learn(value)
-            self._over("read", peek.readers, self.known, "")
-
-    def _peek_over(self, peek: _Peek) -> None:
-        if 2 * len(peek.seen) > len(self.known.voters):  # enough have answered, and differ
-            self._count += 1
-            self._ask(f"read {self._count}", shard_state.read, READ_S, "read", peek.readers)
-        elif peek.again:
-            self._peek(peek.readers, peek.again - 1)
-        else:
-            self._over("read", peek.readers, None, "")
+            self._over("read", reading.readers, self.known, "")
+
+    def _pass_reading_time(self) -> None:
+        """Ask voters again, or run a round; give up on what waited too long."""
+        now, reading = self.now, self._reading
+        for id in [id for id, until in self._reads.items() if until <= now]:
+            del self._reads[id]
+            self._out.append(Ended(id, None, ""))
+        if reading is None:
+            return
+        if reading.until_s <= now:
+            self._over("read", reading.readers, None, "")
+        elif reading.again_s <= now and reading.enough(self.known.voters):
+            self._reading = None
+            id, for_s = f"read {reading.number}", reading.until_s - now
+            self._ask(id, shard_state.read, for_s, "read", reading.readers)
+        elif reading.again_s <= now:
+            reading.again_s = now + PEEK_S
+            self._peek(reading)
 
     def _learn(self, value: Value) -> None:
         """A state that was decided."""
--- a/mesh/errors.py
+++ b/mesh/errors.py
@@ -21,6 +21,8 @@
     LATE = "no answer in time"
     FORGOTTEN = "whether it was taken is not known here"
     NO_MAJORITY = "too few controllers answered"
+    OUT_OF_CONTACT = "this controller hears no majority; nothing was begun, ask another one"
+    UNCLEAR = "it may be in force or not; send the very same again"
     STARTING = "not ready yet"
 
 
@@ -37,6 +39,8 @@
     Kind.LATE: 504,
     Kind.FORGOTTEN: 504,
     Kind.NO_MAJORITY: 503,
+    Kind.OUT_OF_CONTACT: 503,
+    Kind.UNCLEAR: 504,
     Kind.STARTING: 503,
 }
 
--- /dev/null
+++ b/tests/mesh/test_contact.py
@@ -0,0 +1,203 @@
+"""Contact with a majority: what counts, and what operators are told without it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from mesh.control import shard_state
+from mesh.control.configuration_resource import ConfigurationResource
+from mesh.control.contact import CONTACT_S, LOST_CONTACT, OUT_OF_CONTACT, Contact
+from mesh.control.control_api import call
+from mesh.control.reading import READING_S
+from mesh.control.replica import Answer, Ended
+from nickelbridge.register import Voter
+from orchidferry.frontend import Reply
+from rehearsal.explore import worst_days
+from rehearsal.explore.controller import Controller
+from rehearsal.explore.mesh import Dice
+
+FIVE = tuple(Voter(name, 1) for name in "abcde")
+
+
+@pytest.mark.parametrize(
+    ("voters", "sent", "until"),
+    [
+        (FIVE[:1], {}, float("inf")),
+        (FIVE[:3], {}, float("-inf")),
+        (FIVE[:3], {"b": 10.0}, 10.0 + CONTACT_S),
+        (FIVE[:3], {"b": 10.0, "c": 11.0}, 11.0 + CONTACT_S),
+        (FIVE, {"b": 10.0}, float("-inf")),
+        (FIVE, {"b": 10.0, "c": 11.0, "e": 12.0}, 11.0 + CONTACT_S),
+        (FIVE, {"x": 10.0, "y": 10.0}, float("-inf")),  # no voters
+        (FIVE[1:4], {"b": 10.0}, float("-inf")),  # a itself is no voter: two others are needed
+        (FIVE[1:4], {"b": 10.0, "c": 11.0}, 10.0 + CONTACT_S),
+    ],
+)
+def test_contact_ends_a_while_after_a_majority_s_beat_was_sent(
+    voters: tuple[Voter, ...], sent: dict[str, float], until: float
+) -> None:
+    contact = Contact(dict(sent))
+    assert contact.until_s(voters, FIVE[0]) == until
+    assert contact.holds(voters, FIVE[0], min(until, 100.0) - 0.001) is (until > float("-inf"))
+    assert not contact.holds(voters, FIVE[0], until)
+
+
+def test_an_old_acknowledgement_takes_nothing_back_and_gives_nothing() -> None:
+    contact = Contact()
+    contact.hear("b", 10.0)
+    contact.hear("b", 9.0)
+    assert contact.since_s(FIVE[:3], FIVE[0]) == 10.0
+
+
+class Alone:
+    """What one controller's process says, with nobody round it."""
+
+    def __init__(self) -> None:
+        self.now = 1.0
+        self.ended: list[Ended] = []
+        self.peeks: list[int] = []
+        self.controller = Controller("a", self, True, 0, Dice())
+
+    def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
+        if kind == "heard" and message[1][0] == "peek":
+            self.peeks.append(message[1][1])
+
+    def answer(self, name: str, answer: Answer) -> None:
+        pass
+
+    def decided(self, name: str, changed: Any) -> None:
+        pass
+
+    def told(self, name: str, end: Ended) -> None:
+        self.ended.append(end)
+
+    def tick(self, seconds: float) -> None:
+        self.now += seconds
+        self.controller.tick()
+
+
+def test_a_process_that_wakes_serves_nothing_on_contact_from_before() -> None:
+    world = Alone()
+    shard = world.controller.shard
+    world.controller.beat_to("bc")
+    world.now += 5.0  # frozen; the acknowledgements of that beat are in its buffers
+    for name in "bc":
+        world.controller.pulse(name, 1, 0)
+    world.controller.do(shard.read("r", world.now))
+    world.controller.do(shard.ask("p", shard_state.Put(b"x", 1, b"x", 0), 4.0, world.now))
+    assert world.ended == [Ended("r", None, OUT_OF_CONTACT), Ended("p", None, OUT_OF_CONTACT)]
+    assert not world.peeks and not shard.proposer.due_ms < float("inf")
+    world.controller.beat_to("bc")
+    world.controller.pulse("b", 2, 0)
+    world.controller.do(shard.read("r2", world.now))
+    assert len(world.ended) == 2 and world.peeks
+
+
+def test_who_waits_is_told_as_soon_as_contact_is_lost() -> None:
+    world = Alone()
+    shard = world.controller.shard
+    world.controller.beat_to("bc")
+    world.controller.pulse("b", 1, 0)
+    world.now += CONTACT_S - 0.3
+    world.controller.do(shard.read("r", world.now))
+    world.controller.do(shard.ask("p", shard_state.Put(b"x", 1, b"x", 0), 4.0, world.now))
+    assert shard.due_s <= 1.0 + CONTACT_S and not world.ended
+    world.tick(0.29)
+    assert not world.ended
+    world.tick(0.02)
+    assert {(end.id, end.value, end.why) for end in world.ended} == {
+        ("r", None, LOST_CONTACT), ("p", None, LOST_CONTACT),
+    }  # fmt: skip
+    assert shard.proposer.due_ms == float("inf")  # and the order is not gone on with
+
+
+def test_a_reading_over_a_slow_link_takes_its_answers_when_they_come() -> None:
+    """Answers that took longer than the pause between two questions were thrown away: no reading ended."""
+    world = Alone()
+    shard = world.controller.shard
+
+    def beat() -> None:
+        world.controller.beat_to("bc")
+        world.controller.pulse("b", world.controller.count, 0)
+
+    beat()
+    world.controller.do(shard.read("r", world.now))
+    for _ in range(4):
+        world.tick(0.1)
+        beat()
+    assert len(world.peeks) > 2 and not world.ended
+    answer = ["peeked", world.peeks[0], ["b", shard_state.GENESIS], [0, ""], None]
+    world.controller.heard("b", answer)
+    assert [(end.id, end.value) for end in world.ended] == [("r", shard.known)]
+
+
+def test_a_reading_in_contact_that_is_not_settled_ends_in_time() -> None:
+    world = Alone()
+    shard = world.controller.shard
+    world.controller.do([])
+    for _ in range(9):
+        world.controller.beat_to("bc")
+        world.controller.pulse("b", world.controller.count, 0)
+        if not world.controller.count > 1:
+            world.controller.do(shard.read("r", world.now))
+        assert not world.ended or world.now - 1.0 > READING_S - 1e-6
+        world.tick(0.1)
+    assert world.ended == [Ended("r", None, "")]
+
+
+BODY = json.dumps({"revision_number": 2, "access_points": [], "trunk_groups": []}).encode()
+
+
+@pytest.mark.parametrize(
+    ("method", "contact", "end", "status", "error"),
+    [
+        (b"GET", True, Ended("", None, OUT_OF_CONTACT), 503, "out_of_contact"),
+        (b"GET", True, Ended("", None, LOST_CONTACT), 503, "out_of_contact"),
+        (b"GET", True, Ended("", None, ""), 503, "no_majority"),
+        (b"PUT", False, None, 503, "out_of_contact"),
+        (b"PUT", True, Ended("", None, OUT_OF_CONTACT), 503, "out_of_contact"),
+        (b"PUT", True, Ended("", None, LOST_CONTACT), 504, "unclear"),
+        (b"PUT", True, Ended("", None, ""), 504, "unclear"),
+        (
+            b"PUT", True, Ended("", shard_state.genesis(("a",)), shard_state.OTHER_VERSION), 412,
+            "other_version",
+        ),
+    ],
+)  # fmt: skip
+def test_what_an_operator_is_told(
+    method: bytes, contact: bool, end: Ended | None, status: int, error: str
+) -> None:
+    """503: nothing was begun. 504: it may be in force. 4xx: it never will be."""
+
+    def over(*rest: Any) -> None:
+        assert end is not None
+        rest[-1](end)
+
+    resource = ConfigurationResource(over, over, lambda: False, lambda: contact)
+    told: list[Reply] = []
+    resource(call(method, b"/", {b"if-match": b"0"}, BODY), "", told.append)
+    [reply] = told
+    assert (reply.status, json.loads(reply.body)["error"]) == (status, error)
+    assert reply.retry_after_s is not None or status == 412
+
+
+@pytest.mark.parametrize("scene", list(worst_days.isolated.SCENES))
+def test_an_isolated_controller_in_every_interleaving_without_a_fault(scene: str) -> None:
+    found = worst_days.search(scene, 0, workers=1)
+    assert found.exhausted and not found.violations, found.story
+    assert found.runs == found.wished > 0
+
+
+@pytest.mark.parametrize("name", worst_days.isolated.BREAKS)
+def test_each_break_of_contact_is_caught(name: str) -> None:
+    one = worst_days.BREAKS[name]
+    found = worst_days.search(one.scene, one.faults, one.kinds, name, 60.0, workers=2)
+    assert found.violations, name
+
+
+def test_an_isolated_controller_under_one_fault() -> None:
+    found = worst_days.search("isolated-at-once", 1, ("cut", "oneway"), limit_s=60.0, workers=2)
+    assert found.exhausted and not found.violations, found.story
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -69,7 +69,7 @@
         state[0] = found
         told(Ended("", found))
 
-    resource = ConfigurationResource(ask, lambda told: told(state[0]), lambda: False)
+    resource = ConfigurationResource(ask, lambda told: told(Ended("", state[0])), lambda: False, lambda: True)
     text = b" \n" + example(1)
     resource(call(b"PUT", b"/", {b"if-match": b"0"}, text), "", replies.append)
     resource(call(b"GET", b"/", {}, b""), "", replies.append)
--- a/tests/mesh/test_one_number.py
+++ b/tests/mesh/test_one_number.py
@@ -350,7 +350,9 @@
 
     def __init__(self) -> None:
         self.value = shard_state.genesis(("a", "b", "c"))
-        self.resource = ConfigurationResource(self._ask, lambda told: told(self.value), lambda: False)
+        self.resource = ConfigurationResource(
+            self._ask, lambda told: told(Ended("", self.value)), lambda: False, lambda: True
+        )
 
     def _ask(self, change: shard_state.Change, _: float, told: Callable[[Ended], None]) -> None:
         after = change(self.value)
