Nodes ask controllers in contact for a configuration, and take a text that comes late

A node threw a configuration away that took over 0.4 s to come, and asked another controller for the whole text again, every 0.4 s: where relays or links are full, more was asked for and nothing arrived. It also drew the controller at random, an isolated one among them.

Now a lease's answer carries how long ago that controller was in contact with a majority; a node asks one that is in contact and has told of the revision. It waits while bytes come (1.5 s at most), and takes whatever is newer whenever it comes. tests/mesh/test_control_client.py: the test of the late text failed on the code before.

--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from mesh.control.configuration_text import expand
+from mesh.control.contact import CONTACT_S
 from mesh.control.endpoints import Record, everyone
 from mesh.control.operation_key_client import OperationKeyClient
 from mesh.control.subscriber import Subscriber
@@ -24,7 +25,10 @@
 RENEW_S = 0.5
 QUIET_S = 1.6  # a controller that answers nothing for so long is not heard
 TICK_S = 0.1
-ASK_S = 0.4  # for one answer, before another controller is asked
+ASK_S = 0.4  # for one answer to begin, before another controller is asked
+ASK_MOST_S = 1.5  # for all of it, while its bytes come
+STALLED_S = 0.15  # nothing has come for so long
+FRESH_S = 1.2  # a controller's word of its contact counts for so long
 CONTROLLERS_MOST = 16
 
 
@@ -39,6 +43,26 @@
     knows: tuple[int, int] = (0, -1)  # boot and number of the record that it has
     next_dial_s: float = 0.0
     next_renew_s: float = 0.0
+    contact_s: float = float("-inf")  # when it was surely in contact with a majority, by its own word
+    told_s: float = float("-inf")  # when it said so
+
+    def in_contact(self, now: float) -> bool:
+        """Whether it has lately said that it is in contact with a majority of controllers."""
+        return now - self.told_s < FRESH_S and self.told_s - self.contact_s < CONTACT_S
+
+
+@dataclass(slots=True)
+class Fetch:
+    """A configuration that was asked for."""
+
+    link: Link
+    asked_s: float
+    read: bool  # with a majority
+
+    def over(self, now: float) -> bool:
+        """Whether to ask somebody else: nothing comes, or it takes too long."""
+        stalled = now - self.link.heard_s > STALLED_S or not self.link.open
+        return now > self.asked_s + (ASK_S if stalled else ASK_MOST_S)
 
 
 class ControlClient:
@@ -73,9 +97,8 @@
         self._number = 0
         self._rid = 0
         self.revision = -1  # the newest that this node has
-        self._fetching: dict[
-            int, tuple[str, float, bool]
-        ] = {}  # by rid: controller, until when, whether read
+        self._fetching: dict[int, Fetch] = {}  # by rid
+        self._reads: set[int] = set()  # all that were asked for with a majority, until one is answered
         self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wanted = 0  # the newest revision that was heard of
@@ -131,9 +154,8 @@
                 controller.next_renew_s = now + RENEW_S * turn
                 self._renew(controller)
         self._subscriber.tick()
-        for rid, (_, until, _) in list(self._fetching.items()):
-            if until < now:
-                del self._fetching[rid]
+        for rid in [rid for rid, fetch in self._fetching.items() if fetch.over(now)]:
+            del self._fetching[rid]
         if (not self.settled or self._wanted > self.revision) and not self._fetching:
             self._fetch(None, "fetch" if self.settled else "read")
         self.claims.tick(now)
@@ -164,7 +186,8 @@
         if controller is not None and controller.link is link:
             controller.link = None
             self._subscriber.down(controller.name)
-            for rid in [rid for rid, asked in self._fetching.items() if asked[0] == controller.name]:
+            controller.told_s = float("-inf")
+            for rid in [rid for rid, fetch in self._fetching.items() if fetch.link is link]:
                 del self._fetching[rid]
             self._look()
 
@@ -182,7 +205,10 @@
         if kind == "slip":
             self.claims.hear(controller.name, *message[1:])
         elif kind == "lease":
-            number, known, warm, life, news = message[1:]
+            number, known, warm, life, news, age_ms = message[1:]
+            now = self._loop.time()
+            controller.told_s = now
+            controller.contact_s = now - age_ms / 1e3 if age_ms is not None else float("-inf")
             if self._record is not None:
                 controller.knows = (self._record.boot, number) if known else (0, -1)
                 if not known:
@@ -288,31 +314,44 @@
 
     def _fetch(self, controller: Controller | None, how: str) -> None:
         if controller is None:
-            open_ = [k for k in self._controllers.values() if k.link is not None and k.link.open]
-            if not open_:
-                return
-            controller = self._rng.choice(open_)
-        if controller.link is not None:
-            self._ask(controller.link, controller.name, how)
-
-    def _ask(self, link: Link, name: str, how: str) -> None:
+            controller = self._pick()
+        if controller is not None and controller.link is not None:
+            self._ask(controller.link, how)
+
+    def _pick(self) -> Controller | None:
+        """Whom to ask: one that is in contact and has told of what is wanted, if there is one; else any that
+        is in contact; else any.
+        """
+        now, streams = self._loop.time(), self._subscriber.streams
+        open_ = [k for k in self._controllers.values() if k.link is not None and k.link.open]
+        fresh = [k for k in open_ if k.in_contact(now)] or open_
+        knowing = [k for k in fresh if k.name in streams and streams[k.name].revision >= self._wanted]
+        return self._rng.choice(knowing or fresh) if fresh else None
+
+    def _ask(self, link: Link, how: str) -> None:
         self._rid += 1
-        self._fetching[self._rid] = (name, self._loop.time() + ASK_S, how == "read")
+        self._fetching[self._rid] = Fetch(link, self._loop.time(), how == "read")
+        if how == "read":
+            self._reads.add(self._rid)
         link.send(how, self._rid, self._wanted)
 
     def _version(self, revision: int, link: Link) -> None:
         """There is a configuration of this number: its text is fetched from whoever told so."""
         self._wanted = max(self._wanted, revision)
-        if self._wanted > self.revision and not any(not read for _, _, read in self._fetching.values()):
-            self._ask(link, str(link.peer), "fetch")
+        if self._wanted > self.revision and all(fetch.read for fetch in self._fetching.values()):
+            self._ask(link, "fetch")
 
     def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
-        asked = self._fetching.pop(rid, None)
-        if asked is None or revision < 0:
+        """One that was asked for is here, late perhaps: what was decided is taken whenever it comes."""
+        self._fetching.pop(rid, None)
+        if revision < 0:
             return
-        self.settled = self.settled or asked[2]
-        if revision > self.revision:
-            text = expand(raw)  # before anything is noted: what can't be read is fetched again
+        newer = revision > self.revision
+        text = expand(raw) if newer else b""  # before anything is noted: what can't be read is fetched again
+        if rid in self._reads:
+            self.settled = True
+            self._reads.clear()
+        if newer:
             self.revision = revision
             if raw:
                 self._subscriber.text(revision, raw)
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -56,7 +56,9 @@
         self._remember()
         self._load_slips()
         self._load_orders()
-        self._publisher = Publisher(self._name, settings.zone, self._rng.randrange(1, 2**53), loop)
+        self._publisher = Publisher(
+            self._name, settings.zone, self._rng.randrange(1, 2**53), loop, self._contact_age_ms
+        )
         bounds = settings.bounds
         self._retry_budgets = RetryBudgets(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
         self._peers: dict[str, Link] = {}  # controllers that this one dialled,
@@ -125,6 +127,14 @@
         """Whether a majority of the configuration's voters has lately acknowledged this controller."""
         return self._configuration_shard.in_contact(self._loop.time())
 
+    def _contact_age_ms(self) -> int | None:
+        """How long ago the newest beat was sent that a majority has acknowledged; None for never."""
+        shard = self._configuration_shard
+        since_s = self._known_peers.contact.since_s(shard.known.voters, shard.voter)
+        if since_s == float("-inf"):
+            return None
+        return max(0, round(1e3 * (self._loop.time() - since_s))) if since_s < float("inf") else 0
+
     @property
     def _configuration_shard(self) -> Shard:
         return self._shards[shard_state.CONFIGURATION]
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -22,8 +23,14 @@
 class Publisher:
     """What one controller tells nodes; `life` is this life's own number."""
 
-    def __init__(self, name: str, zone: str, life: int, loop: asyncio.AbstractEventLoop) -> None:
-        self._zone, self._loop = zone, loop
+    def __init__(
+        self, name: str, zone: str, life: int, loop: asyncio.AbstractEventLoop,
+        contact_age_ms: Callable[[], int | None] = lambda: 0,
+    ) -> None:  # fmt: skip
+        """`contact_age_ms`: how long ago a majority of controllers was surely in contact with this one; None
+        for never.
+        """
+        self._zone, self._loop, self._contact_age_ms = zone, loop, contact_age_ms
         self._began_s = loop.time()
         self._tell_s = 0.0  # when news may be told again
         self._telling = False  # it is to be told then
@@ -66,7 +73,9 @@
             self._send("news", link, pack(change.packed()))
 
     def renew(self, link: Link, number: int, name: str, boot: int, packed: Any) -> None:
-        """A node renews its lease, with its record if that is new; the answer says how far the news is."""
+        """A node renews its lease, with its record if that is new; the answer says how far the news is, and
+        how old this controller's word is.
+        """
         now, known = self._loop.time(), True
         if packed is None:
             known = self._members.renew(name, boot, number, now)
@@ -76,7 +85,7 @@
                 self._stream.step([record])
                 self._tell()
         stream = self._stream
-        lease = ["lease", number, known, self.warm, stream.life, stream.number]
+        lease = ["lease", number, known, self.warm, stream.life, stream.number, self._contact_age_ms()]
         self._send("lease", link, pack(lease))
 
     def revise(self, revision: int) -> None:
--- a/rehearsal/explore/worst_days/isolated.py
+++ b/rehearsal/explore/worst_days/isolated.py
@@ -89,7 +89,8 @@
     @property
     def over(self) -> bool:
         asked = all(one.outcome for one in self.operators.values())
-        return super().over and asked and not self.attempts
+        owed = any(one.arrived_s < float("inf") for one in self.attempts.values())  # others were lost
+        return super().over and asked and not owed
 
     def ended(self) -> bool:
         return all(one.outcome in ("confirmed", "refused", "read") for one in self.operators.values())
@@ -274,7 +275,7 @@
         TWO_ORDERS + ", s read 0 ab",
         "0.0 call p, 0.01 cut a, 0.4 call q, 3.0 call r, 12.0 call s",
         seconds=21.6,
-        kinds=(),
+        kinds=("kill", "lose"),
     ),
     "isolated-briefly": _scene(
         "the same for 2 s, with faults",
@@ -314,7 +315,15 @@
         "p put 2 ab, q put 3 bc, r read 0 a",
         "0.0 call p, 0.0 freeze a, 4.5 call r, 4.5 call q",
         seconds=5.4,
-        kinds=("cut",),
+        kinds=(),
+    ),
+    "frozen-briefly": _scene(
+        "the same for 2 s, with faults",
+        2.0,
+        "p put 2 ab, q put 3 bc, r read 0 a",
+        "0.0 call p, 0.0 freeze a, 1.5 call r, 1.5 call q",
+        seconds=2.4,
+        kinds=("lose", "cut"),
     ),
     "halves": _scene(
         "five replicas, two of them cut off from the other three",
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -260,7 +260,7 @@
 
     def _from_keeper(self, end: Any, message: Any) -> None:
         if message[0] == "lease":
-            number, known, _, life, news = message[1:]
+            number, known, _, life, news, _ = message[1:]
             if known:
                 self._has[end.peer] = (self.boot, number)
             else:
--- /dev/null
+++ b/tests/mesh/test_control_client.py
@@ -0,0 +1,150 @@
+"""A node that reaches an isolated controller among others, or that one alone."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import pytest
+
+from mesh.control.contact import CONTACT_S
+from mesh.control.control_client import ASK_MOST_S, ASK_S, TICK_S, ControlClient
+from mesh.control.endpoints import LEASE_S, Record
+from mesh.control.publisher import Publisher
+from mesh.settings import check_settings
+from tests.mesh.fakes import Loop
+from tests.mesh.test_records import BOOT
+
+NAMES = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+AGE_MS = round(1e3 * CONTACT_S)
+
+
+class Wire:
+    """A node's end of a link to a controller; notes what is sent."""
+
+    def __init__(self, loop: Any, peer: str) -> None:
+        self.loop, self.peer, self.open, self.heard_s = loop, peer, True, loop.time()
+        self.sent: list[list[Any]] = []
+
+    def send(self, *message: Any) -> None:
+        self.sent.append(list(message))
+
+    def asked(self) -> list[list[Any]]:
+        """What was asked of the configuration."""
+        return [message for message in self.sent if message[0] in ("read", "fetch")]
+
+    def close(self) -> None:
+        self.open = False
+
+
+class Rig:
+    """One node with links to these controllers."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.loop = cast(Any, Loop())
+        self.texts: list[tuple[int, bytes]] = []
+        settings = check_settings(BOOT)
+        self.node = ControlClient(
+            settings, self.loop, lambda members: None, lambda n, raw: self.texts.append((n, raw))
+        )
+        self.node._controllers.clear()
+        self.node.reseed(names)
+        self.wires = {name: Wire(self.loop, name) for name in names}
+        for name, controller in self.node._controllers.items():
+            wire: Any = self.wires[name]
+            controller.link = wire
+            self.node._subscriber.up(name, wire)
+
+    def tell(self, name: str, *message: Any) -> None:
+        """A controller's message comes."""
+        wire: Any = self.wires[name]
+        wire.heard_s = self.loop.time()
+        self.node._take(wire, list(message))
+
+    def lease(self, name: str, age_ms: int | None, revision: int = 0) -> None:
+        """A controller answers a renewal, and has told of this revision."""
+        self.tell(name, "lease", 1, True, True, 7, 0, age_ms)
+        self.node._subscriber.streams[name].revision = revision
+
+    def ticks(self, count: int) -> None:
+        """Time passes; all controllers show that they live."""
+        for _ in range(count):
+            self.loop.pass_ms(1e3 * TICK_S)
+
+
+def test_a_node_that_reaches_only_an_isolated_controller_is_not_settled() -> None:
+    rig = Rig(NAMES[:1])
+    rig.node.start()
+    for _ in range(100):
+        rig.lease(NAMES[0], AGE_MS, 5)
+        for _, rid, _ in rig.wires[NAMES[0]].asked()[-1:]:
+            rig.tell(NAMES[0], "folio", rid, -1, b"")
+        rig.ticks(1)
+    assert {message[0] for message in rig.wires[NAMES[0]].asked()} == {"read"}
+    assert not rig.node.settled and not rig.texts
+
+
+@pytest.mark.parametrize("age_ms", [AGE_MS, None])
+def test_a_controller_out_of_contact_is_not_asked_while_another_is_in_contact(age_ms: int | None) -> None:
+    rig = Rig(NAMES)
+    rig.node.settled, rig.node._wanted = True, 6
+    for number, name in enumerate(NAMES):
+        rig.lease(name, age_ms if not number else 100, 5 + number)
+    for _ in range(40):
+        assert rig.node._pick().name in NAMES[1:]  # type: ignore[union-attr]
+    rig.node._wanted = 7  # only the third has told of it
+    assert {rig.node._pick().name for _ in range(40)} == {NAMES[2]}  # type: ignore[union-attr]
+    rig.ticks(1)
+    rig.node._tick()
+    assert [len(rig.wires[name].asked()) for name in NAMES] == [0, 0, 1]
+
+
+def test_a_text_that_comes_late_is_taken_and_is_not_asked_for_again_while_it_comes() -> None:
+    """It was thrown away after 0.4 s and asked for again: over a full link no text ever arrived."""
+    rig = Rig(NAMES[:2])
+    rig.node.settled = True
+    first: Any = rig.wires[NAMES[0]]
+    rig.node._version(3, first)
+    asked = first.asked()
+    began_s = rig.loop.time()
+    rig.node.start()
+    while rig.loop.time() < began_s + ASK_MOST_S - TICK_S:
+        first.heard_s = rig.loop.time()  # bytes of it
+        rig.wires[NAMES[1]].heard_s = rig.loop.time()
+        rig.ticks(1)
+        assert first.asked() == asked and not rig.wires[NAMES[1]].asked()
+    rig.ticks(3)
+    assert len(first.asked()) + len(rig.wires[NAMES[1]].asked()) > 1  # it has taken too long
+    rig.tell(NAMES[0], "folio", asked[0][1], 3, b"text")
+    assert rig.texts == [(3, b"text")]
+
+
+def test_one_that_says_nothing_is_not_waited_for() -> None:
+    rig = Rig(NAMES[:2])
+    rig.node.settled = True
+    first: Any = rig.wires[NAMES[0]]
+    rig.lease(NAMES[1], 100, 3)
+    rig.node._version(3, first)
+    rig.node.start()
+    for _ in range(round((ASK_S + 2 * TICK_S) / TICK_S)):
+        rig.wires[NAMES[1]].heard_s = rig.loop.time()
+        rig.ticks(1)
+    assert len(rig.wires[NAMES[1]].asked()) == 1
+
+
+def test_an_isolated_controller_keeps_no_dead_node_listed() -> None:
+    """Leases are cut by its own steady clock, whether it hears other controllers or not."""
+    loop: Any = Loop()
+    publisher = Publisher("k", "z", 7, loop, lambda: None)
+
+    class Link:
+        def send_packed(self, data: bytes) -> None:
+            """To nobody."""
+
+    link: Any = Link()
+    dead, live = (Record(name, 1, 1, "z", "", 0, None) for name in ("dead", "live"))
+    publisher.renew(link, 1, "dead", 1, dead.packed())
+    for _ in range(round(LEASE_S / 0.5) + 1):
+        publisher.renew(link, 1, "live", 1, live.packed())
+        loop.pass_ms(500.0)
+        publisher.tick()
+    assert [record.name for record in publisher._members.records()] == ["live"]
