--- a/rehearsal/capacity/hollow.py
+++ b/rehearsal/capacity/hollow.py
@@ -78,7 +78,7 @@
         traffic.down_messages += 1
         traffic.down[kind] += len(pack(message))
         if kind == "lease":
-            number, known, _, life, _ = message[1:]
+            number, known, _, life, *_ = message[1:]
             self._has[link.peer] = number if known else -1
             if not known:
                 self.renew(link.peer)
