Links name the number of their protocol in the first message

Messages between processes have changed (states named by ballot, a lease's answer, repair by cursors) and nothing on the wire told the builds apart.

--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -245,7 +245,9 @@
     async def listen(self) -> None:
         """Let other nodes follow this one; `OSError` if the internal port is taken."""
         self._server = await self._loop.create_server(
-            lambda: Link(self._below, self._subscriber.lost_follower, self._subscriber.stranger),
+            lambda: Link(
+                self._below, self._subscriber.lost_follower, self._subscriber.stranger, accepted=True
+            ),
             self._settings.local_ip, self._settings.internal_port,
         )  # fmt: skip
 
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -144,7 +144,7 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop; then let others take over, and end."""
         self._server = await self._loop.create_server(
-            lambda: Link(self._heard, self._lost),
+            lambda: Link(self._heard, self._lost, accepted=True),
             self._settings.local_ip,
             self._settings.internal_port,
             backlog=512,
--- a/mesh/wire/framing.py
+++ b/mesh/wire/framing.py
@@ -1,7 +1,8 @@
 """What the system's own processes say to each other: length-prefixed cbor2 over TCP, on an internal port.
 
-A message is a list: its kind, then its fields. Links are kept; a link that is silent is ended by whoever
-keeps it, as each side sends something at least every `QUIET_S`.
+The first message of a link, from whoever dialled, names the number of the protocol: processes of builds that
+differ in it do not talk. A message is a list: its kind, then its fields. Links are kept; a link that is silent
+is ended by whoever keeps it, as each side sends something at least every `QUIET_S`.
 """
 
 from __future__ import annotations
@@ -12,10 +13,13 @@
 from typing import Any, cast
 
 import cbor2
+from loguru import logger
 
 MOST = 16 * 1024 * 1024  # bytes of one message
 CHOKED = 8 * 1024 * 1024  # bytes that may wait for a peer that does not read
 USER_TIMEOUT_MS = 2_000
+PROTOCOL = 2  # rises with each change that an earlier build would misread
+GREETING = "protocol"  # the kind of the first message
 
 
 def pack(message: list[Any]) -> bytes:
@@ -29,9 +33,11 @@
 
     def __init__(
         self, heard: Callable[[Link, list[Any]], None], lost: Callable[[Link], None],
-        made: Callable[[Link], None] | None = None,
+        made: Callable[[Link], None] | None = None, accepted: bool = False,
     ) -> None:  # fmt: skip
+        """`accepted`: the other side dialled, so that its first message is to name the protocol."""
         self._heard, self._lost, self._made = heard, lost, made
+        self._awaits_greeting = accepted
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.peer: Any = None  # whoever keeps the link notes here who it is
@@ -72,11 +78,27 @@
                 return self.close()
             at += 4 + size
             if isinstance(message, list) and message:
-                self._heard(self, message)
+                self._take(message)
             if not self.open:
                 return
         del buffer[:at]
 
+    def _take(self, message: list[Any]) -> None:
+        if not self._awaits_greeting:
+            return self._heard(self, message)
+        self._awaits_greeting = False
+        if message != [GREETING, PROTOCOL]:
+            spoken = message[1] if message[0] == GREETING and len(message) == 2 else "none"
+            logger.warning(
+                "link: {} speaks protocol {!s:.20}, {} is needed: it is of another build",
+                self._peer_address(), spoken, PROTOCOL,
+            )  # fmt: skip
+            self.close()
+
+    def _peer_address(self) -> str:
+        name = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return str(name[0]) if name else "a peer"
+
     def send(self, *message: Any) -> None:
         """Send a message; nothing if the link is down."""
         if self.open:
@@ -112,4 +134,5 @@
     except OSError:
         link.close()
         return None
+    link.send(GREETING, PROTOCOL)
     return link
