--- a/rehearsal/capacity/fleets.py
+++ b/rehearsal/capacity/fleets.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import resource
 import statistics
@@ -146,6 +147,7 @@
 def main() -> None:
     """Measure one size; print it."""
     logger.disable("mesh")
+    gc.disable()  # a collection walks the whole fleet, and would count for the process that it falls on
     nodes, services = map(int, sys.argv[1:3])
     for figure in measure(nodes, services):
         print(json.dumps(asdict(figure)), flush=True)
--- a/rehearsal/capacity/hours.py
+++ b/rehearsal/capacity/hours.py
@@ -1,14 +1,15 @@
 """Special hours of a large fleet in virtual time: a zone gone, everybody restarted, regions apart.
 
-`python -m rehearsal.capacity.hours NODES` prints figures as JSON, one a line.
+`python -m rehearsal.capacity.hours NODES [HOUR...]` prints figures as JSON, one a line.
 """
 
 from __future__ import annotations
 
+import gc
 import json
 import statistics
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import asdict
 from functools import partial
 
@@ -19,6 +20,7 @@
 from rehearsal.capacity.regions import ZONES, Fleet, Metered, MeteredNode, Use, region_of
 from rehearsal.capacity.texts import kept
 
+ZONE, RESTARTS, APART = HOURS = ("zone", "restarts", "apart")
 SETTLE_S = 16.0
 LOOK_S = 0.5  # how often it is looked whether everybody knows
 KNOWN_S = 40.0  # after that it is given up
@@ -168,18 +170,22 @@
             controller.revise(revision, raw)
 
 
-def measure(nodes: int, apart_s: float = APART_S) -> Iterator[Figure]:
-    """All hours at one size, as they are played."""
+def measure(nodes: int, apart_s: float = APART_S, names: Sequence[str] = HOURS) -> Iterator[Figure]:
+    """Hours at one size, as they are played."""
     assert nodes >= ZONES
-    yield from zone_gone(nodes)
-    yield from all_restarted(nodes)
-    yield from regions_apart(nodes, apart_s)
+    if ZONE in names:
+        yield from zone_gone(nodes)
+    if RESTARTS in names:
+        yield from all_restarted(nodes)
+    if APART in names:
+        yield from regions_apart(nodes, apart_s)
 
 
 def main() -> None:
-    """Play the hours; print their figures."""
+    """Play the hours that are named, or all; print their figures."""
     logger.disable("mesh")
-    for figure in measure(int(sys.argv[1])):
+    gc.disable()  # a collection walks the whole fleet, and would count for the process that it falls on
+    for figure in measure(int(sys.argv[1]), names=sys.argv[2:] or HOURS):
         print(json.dumps(asdict(figure)), flush=True)
 
 
--- a/rehearsal/capacity/profiled.py
+++ b/rehearsal/capacity/profiled.py
@@ -1,6 +1,6 @@
 """A proxy under the interpreter's profiler: `python -m rehearsal.capacity.profiled FILE`.
 
-It profiles from the first SIGUSR1 to the second, and then writes what it found to FILE.
+It profiles from one SIGUSR1 to the next, and then writes what it found to FILE and begins anew.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
         if state["on"]:
             profile.disable()
             profile.dump_stats(path)
+            profile.clear()
         else:
             profile.enable()
         state["on"] = not state["on"]
