--- a/mesh/wire/framing.py
+++ b/mesh/wire/framing.py
@@ -1,8 +1,8 @@
 """What the system's own processes say to each other: length-prefixed cbor2 over TCP, on an internal port.
 
-The first message of a link, from whoever dialled, names the number of the protocol: processes of builds that
-differ in it do not talk. A message is a list: its kind, then its fields. Links are kept; one that is silent is
-ended by whoever keeps it, as each side sends something at least every `QUIET_S`.
+The first message of a link, from whoever dialled, names the number of the protocol: processes of builds
+that differ in it do not talk. A message is a list: its kind, then its fields. Links are kept; one that is
+silent is ended by whoever keeps it, as each side sends something at least every `QUIET_S`.
 """
 
 from __future__ import annotations
