Exploration of the mesh: scenes and breaks in modules of their own

rehearsal/explore/mesh.py had 991 lines of three concerns. Scenes and kinds of fault are now in mesh_scenes.py, deliberate breaks in mesh_breaks.py; mesh.py keeps the world and exports the same names. Four entries of BREAKS that stood two on a line are laid out one by one. No logic changed.

--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import copyreg
 import functools
 import hashlib
@@ -17,31 +16,30 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, fields, is_dataclass, replace
+from dataclasses import dataclass, field, fields, is_dataclass
 from itertools import combinations, permutations
 from operator import attrgetter
 from types import NoneType
 from typing import Any
-from unittest import mock
 
 from mesh.control import operation_key_client, operation_keys, replica, shard_state
 from mesh.control import shard as shard_module
-from mesh.control.membership import Standing, epoch
-from mesh.control.operation_key_client import Count, OperationKeyClient
-from mesh.control.operation_keys import OperationKeys
-from mesh.control.order_history import OrderHistory, Verdict
-from mesh.control.replica import Action, Answer, Changed, Ended, Write
-from mesh.control.shard import Shard, remembered
+from mesh.control.membership import epoch
+from mesh.control.operation_key_client import OperationKeyClient
+from mesh.control.replica import Answer, Changed, Ended
 from nickelbridge import register
-from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
+from nickelbridge.register import Proposer, Value
 from rehearsal.explore import pure
 from rehearsal.explore.controller import Controller
 from rehearsal.explore.fleet import Middle
+from rehearsal.explore.mesh_breaks import BREAKS, Break, broken
+from rehearsal.explore.mesh_scenes import KINDS, SCENES, Scene
 from rehearsal.explore.pure import Found
 
+__all__ = ["BREAKS", "KINDS", "SCENES", "Break", "Scene", "World", "begin", "broken", "search"]
+
 GRID_S = 0.4  # beats, and what a shard does now and then
 LEAST_S = 0.02  # that time moves
-KINDS = ("kill", "power", "wipe", "cut", "oneway", "freeze", "unfit", "beat", "lose", "late")
 KEY = "k"
 
 
@@ -60,101 +58,6 @@
             _fast(_kind)
 
 
-@dataclass(frozen=True)
-class Scene:
-    """What is played. `puts`: who puts a configuration where, and reads where; `tries`: of one key, at which
-    node, when, and what becomes of a run (`done`, `broke`, `drop`).
-    """
-
-    of: str
-    about: str
-    hold_s: float  # that a cut or a frozen process lasts
-    puts: tuple[tuple[str, str], ...] = ()
-    tries: tuple[tuple[str, float, str], ...] = ()
-    for_s: float = 0.9  # that a node asks for a key
-    seconds: float = 0.0  # it lasts at least
-    script: tuple[tuple[float, str], ...] = ()  # what happens anyway: a fault, `down` or `up`, and to whom
-    shard: int = shard_state.CONFIGURATION  # its number, where no key is tried
-    spare: int = 0  # controllers in no group, named after those of the group
-    beyond: bool = False  # disks are lost whenever, not only while all others remember
-    kinds: tuple[str, ...] = tuple(k for k in KINDS if k not in ("unfit", "beat"))
-    replicas: int = 3  # of the group at its start, named from a on; a spare one comes after them
-
-    @property
-    def seeds(self) -> tuple[str, ...]:
-        """The founders' names."""
-        return tuple("abcdefghi"[: self.replicas])
-
-
-SCENES = {
-    "puts": Scene(
-        "mesh-shards", "two put a configuration on one version at two controllers, and read at others",
-        1.0, puts=(("a", "b"), ("b", "c")),
-    ),
-    "duties": Scene("mesh-shards", "the duties of the shard move", 4.2, seconds=6.0, kinds=KINDS),
-    "unwell": Scene(
-        "mesh-shards", "an owner can't do its duties for a while",
-        1.0, seconds=2.0, script=((0.1, "unfit b"), (0.5, "unfit b")), kinds=KINDS,
-    ),
-    "comes-back": Scene(
-        "mesh-shards", "an owner is cut off, and heard again while another one takes its duties",
-        3.4, seconds=4.4, script=((0.0, "cut a b"), (0.0, "cut b c")), kinds=KINDS,
-    ),
-    "apart": Scene(
-        "mesh-shards", "one is replaced while it is cut off, and is heard again by the owner alone",
-        # of this shard a is the owner, and b the next one
-        6.2, seconds=8.0, spare=1, shard=10, kinds=KINDS,
-        script=(
-            (0.0, "cut c"), (0.0, "cut a d"),
-            (3.65, "beat c"), (3.65, "cut a b"), (3.65, "cut a d"), (3.65, "cut b c"), (3.65, "cut c d"),
-        ),
-    ),
-    "replace": Scene(
-        "mesh-shards", "one is away, a spare one takes its place, it comes back",
-        1.0, puts=(("a", "d"),), seconds=4.8, script=((0.0, "down c"), (3.6, "up c")), spare=1,
-    ),
-    "answered": Scene(
-        "mesh-keys", "two try one key at once, runs are answered, a third one comes later",
-        1.0, tries=(("m", 0.0, "done"), ("n", 0.0, "done"), ("m", 2.4, "done")),
-    ),
-    "broken-off": Scene(
-        "mesh-keys", "a run breaks off, two try its key again",
-        1.0, tries=(("m", 0.0, "broke"), ("n", 0.0, "broke"), ("n", 2.4, "broke")),
-    ),
-    "given-back": Scene(
-        "mesh-keys", "a key is given back unrun, and tried again by two",
-        1.0, tries=(("m", 0.0, "drop"), ("m", 0.9, "done"), ("n", 0.9, "done")),
-    ),
-    "moved": Scene(
-        "mesh-keys", "one is replaced, a key is claimed, that one comes back, it is tried again",
-        1.0, tries=(("m", 3.4, "broke"), ("n", 8.0, "broke")), spare=1,
-        script=((0.0, "down c"), (4.0, "up c"), (4.4, "down d")),
-    ),
-    "missed": Scene(
-        "mesh-keys", "a controller does not hear of a claim",
-        1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"),),
-    ),
-    "slow": Scene(
-        "mesh-keys", "a controller does not hear of a claim, and the disk of another one is slow",
-        1.0, tries=(("m", 0.0, "broke"), ("n", 1.0, "broke")), script=((0.0, "cut m c"), (0.0, "late a")),
-    ),
-    "learning": Scene(
-        "mesh-keys", "one that granted a key forgets it, and can hear only one that missed it",
-        2.0, tries=(("m", 0.0, "broke"), ("n", 1.6, "broke")),
-        script=((0.0, "cut m c"), (0.1, "wipe b"), (0.1, "cut a b")),
-    ),
-    "epochs": Scene(
-        "mesh-keys", "the group changes while a claim is out",
-        1.4, tries=(("m", 0.0, "broke"), ("n", 1.2, "broke")), for_s=2.2,
-        script=((0.0, "cut m a"), (0.0, "cut m b"), (0.05, "cut m c"), (0.1, "wipe c"), (1.2, "cut n a")),
-    ),
-    "beyond": Scene(
-        "mesh-keys", "as answered, where any disks may be lost: whoever forgot says nothing",
-        1.0, tries=(("m", 0.0, "broke"), ("n", 2.4, "broke")), beyond=True,
-    ),
-}  # fmt: skip
-
-
 class Dice(Middle):
     """Chance in the middle; what is drawn as a name is another one each time."""
 
@@ -782,210 +685,3 @@
 ) -> Found:  # fmt: skip
     """Walk all of a scene."""
     return pure.search(lambda: begin(scene, faults, kinds), broken, break_, limit_s, watch, workers)
-
-
-# Deliberate breaks
-
-
-def _same_memory(self: Controller) -> None:
-    memory = self.shard.voter.memory
-    self.disk = {}
-    self.put(remembered(self.number, Kept(memory), False))
-
-
-def _full_memory(self: Controller) -> None:
-    self.disk = {}
-    self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), True))
-
-
-def _unsynced(self: Controller, actions: list[Action]) -> None:
-    for action in actions:
-        if isinstance(action, Write) and action.then is not None:
-            _do(self, [Write(action.puts)])
-            self.do(self.shard.written(action.then, True, self.world.now))
-        else:
-            _do(self, [action])
-
-
-def _forgets_promise(self: Acceptor, message: Any, sender: str) -> list[register.Action]:
-    self.kept = replace(self.kept, promised=register.NONE)
-    return _handle(self, message, sender)
-
-
-def _not_read(self: Proposer, round_: Any, now: float) -> list[register.Action]:
-    round_.promises = {v: replace(p, accepted=register.NONE, value=None) for v, p in round_.promises.items()}
-    return _promised(self, round_, now)
-
-
-def _any_majority(voters: Any, given: Any) -> bool:
-    return bool(set(voters) & set(given))
-
-
-def _any_version(self: OrderHistory, number: int, digest: bytes, base: int, current: int) -> Verdict:
-    entry = self.entries.get(number)
-    if number > current or (entry is not None and entry.digest == digest):
-        return Verdict.NEW if number > current else Verdict.TAKEN
-    return _verdict(self, number, digest, base, current)
-
-
-def _alone(self: Shard, now: float) -> int | None:
-    own = self.body
-    return own.fence if own.owner == self.name and self.accepted_fence == own.fence else None
-
-
-def _from_arrival(self: Controller, sender: str, number: int, fence: int) -> None:
-    self.shard.pulse(sender, self.world.now, fence)
-
-
-def _long_lease(self: Shard, now: float) -> int | None:
-    with mock.patch.object(replica, "TENURE_S", 5.0):
-        return _owns(self, now)
-
-
-def _at_once(self: Shard, now: float) -> int | None:
-    self._owner_from_s = -math.inf
-    return _owns(self, now)
-
-
-def _same_voters_fence(self: shard_state.Admit, before: Value) -> Value | str:
-    after = _admit(self, before)
-    if isinstance(after, str) or after is before:
-        return after
-    return replace(after, body=replace(shard_state.body(after), fence=shard_state.body(before).fence))
-
-
-def _same_fence(self: shard_state.Own, before: Value) -> Value | str:
-    after = _own(self, before)
-    if isinstance(after, str) or after is before:
-        return after
-    return replace(after, body=replace(shard_state.body(after), fence=max(1, self.fence)))
-
-
-def _any_one(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
-    return "yours" if what == "yours" else _hear(self, name, epoch_, what, answer)
-
-
-def _mixed(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
-    return _hear(self, name, self.epoch, what, answer)
-
-
-def _counts_on(self: Count, epoch_: int, group: tuple[str, ...]) -> None:
-    self.epoch, self.group = epoch_, group
-
-
-def _one_source(voters: int) -> int:
-    return 1
-
-
-def _not_put_out(self: Standing, voter: Voter, known: Value, accepted: Value | None) -> bool:
-    return False
-
-
-def _joins(self: Shard) -> None:
-    caught, self.standing.caught_up = self.standing.caught_up, False
-    _join(self)
-    self.standing.caught_up = caught
-
-
-def _drops_any(self: OperationKeys, key: str, holder: str) -> bool:
-    had = self.records.get(key)
-    return _drop(self, key, had.holder if had is not None else holder)
-
-
-def _at_its_word(self: Shard, *args: Any) -> list[Action]:
-    self.unwritten.clear()
-    return _claim(self, *args)
-
-
-_admit, _owns = shard_state.Admit.__call__, Shard.owns
-_do, _handle, _promised, _verdict, _own = (
-    Controller.do, Acceptor.handle, Proposer._promised, OrderHistory.verdict, shard_state.Own.__call__,
-)  # fmt: skip
-_pulse, _hear, _join, _drop, _claim = (
-    Shard.pulse, Count.hear, Shard._join, OperationKeys.drop, Shard.claim,
-)  # fmt: skip
-
-
-@dataclass(frozen=True)
-class Break:
-    """A deliberate one. `scene`, `faults`, `kinds`: the small world that catches it."""
-
-    about: str
-    scene: str
-    faults: int
-    kinds: tuple[str, ...]
-    patches: tuple[tuple[Any, str, Any], ...]
-
-
-def _break(about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]) -> Break:
-    return Break(about, scene, faults, tuple(kinds.split()), patches)
-
-
-BREAKS = {
-    "vote-forgotten": _break(
-        "an empty disk votes as before", "puts", 2, "wipe lose", (Controller, "wipe", _same_memory)
-    ),
-    "unsynced": _break(
-        "promises leave before they are on disk", "puts", 2, "kill lose", (Controller, "do", _unsynced)
-    ),
-    "promise-forgotten": _break(
-        "promises are not kept", "puts", 0, "", (Acceptor, "handle", _forgets_promise)
-    ),
-    "not-read": _break(
-        "what was accepted is not taken up", "puts", 0, "", (Proposer, "_promised", _not_read)
-    ),
-    "any-voter": _break(
-        "any one voter is enough for a round", "puts", 1, "cut", (register, "majority", _any_majority)
-    ),
-    "any-reading": _break(
-        "any one voter is enough for a reading", "puts", 1, "cut", (shard_state, "majority", _any_majority)
-    ),
-    "any-version": _break(
-        "a configuration is taken on top of any", "puts", 0, "", (OrderHistory, "verdict", _any_version)
-    ),
-    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
-    "from-arrival": _break(
-        "a lease runs from when a pulse came", "duties", 1, "freeze", (Controller, "pulse", _from_arrival)
-    ),
-    "long-lease": _break(
-        "a lease is longer than the next one waits", "duties", 1, "cut", (Shard, "owns", _long_lease)
-    ),
-    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Shard, "owns", _at_once)),
-    "voters-unfenced": _break(
-        "a change of voters leaves the fence", "apart", 1, "lose",
-        (shard_state.Admit, "__call__", _same_voters_fence),
-    ),
-    "same-fence": _break("fences do not rise", "duties", 1, "cut", (shard_state.Own, "__call__",
-    _same_fence)), "any-one": _break("any one controller grants a key", "answered", 1, "lose", (Count,
-    "hear", _any_one)), "mixed": _break(
-        "words of two epochs count together", "epochs", 0, "",
-        (Count, "hear", _mixed), (Count, "anew", _counts_on),
-    ),
-    "remembers": _break(
-        "an empty disk counts as caught up", "answered", 1, "wipe",
-        (Controller, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Shard, "_join", _joins),
-    ),
-    "one-source": _break(
-        "one other is enough to learn from", "learning", 0, "", (shard_state, "sources_needed", _one_source)
-    ),
-    "back-as-before": _break(
-        "one that was put out comes back as caught up", "moved", 0, "",
-        (Standing, "put_out", _not_put_out), (Shard, "_join", _joins), (Shard, "ready", True),
-    ),
-    "drops-any": _break("any try may give a key back", "broken-off", 0, "", (OperationKeys, "drop",
-    _drops_any)), "at-its-word": _break(
-        "a grant leaves before its record is written", "slow", 1, "kill", (Shard, "claim", _at_its_word)
-    ),
-    "unsynced-keys": _break(
-        "a grant leaves before it is on disk", "missed", 1, "kill", (Controller, "do", _unsynced)
-    ),
-}  # fmt: skip
-
-
-@contextlib.contextmanager
-def broken(name: str) -> Iterator[None]:
-    """With one of `BREAKS` in force."""
-    with contextlib.ExitStack() as stack:
-        for where, attribute, value in BREAKS[name].patches if name else ():
-            stack.enter_context(mock.patch.object(where, attribute, value))
-        yield
--- /dev/null
+++ b/rehearsal/explore/mesh_breaks.py
@@ -0,0 +1,231 @@
+"""Deliberate breaks of the mesh's shipping code, each of which the exploration of a small scene catches."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest import mock
+
+from mesh.control import replica, shard_state
+from mesh.control.membership import Standing
+from mesh.control.operation_key_client import Count
+from mesh.control.operation_keys import OperationKeys
+from mesh.control.order_history import OrderHistory, Verdict
+from mesh.control.replica import Action, Write
+from mesh.control.shard import Shard, remembered
+from nickelbridge import register
+from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
+from rehearsal.explore.controller import Controller
+
+
+def _same_memory(self: Controller) -> None:
+    memory = self.shard.voter.memory
+    self.disk = {}
+    self.put(remembered(self.number, Kept(memory), False))
+
+
+def _full_memory(self: Controller) -> None:
+    self.disk = {}
+    self.put(remembered(self.number, Kept(self.rng.randrange(2, 2**50)), True))
+
+
+def _unsynced(self: Controller, actions: list[Action]) -> None:
+    for action in actions:
+        if isinstance(action, Write) and action.then is not None:
+            _do(self, [Write(action.puts)])
+            self.do(self.shard.written(action.then, True, self.world.now))
+        else:
+            _do(self, [action])
+
+
+def _forgets_promise(self: Acceptor, message: Any, sender: str) -> list[register.Action]:
+    self.kept = replace(self.kept, promised=register.NONE)
+    return _handle(self, message, sender)
+
+
+def _not_read(self: Proposer, round_: Any, now: float) -> list[register.Action]:
+    round_.promises = {v: replace(p, accepted=register.NONE, value=None) for v, p in round_.promises.items()}
+    return _promised(self, round_, now)
+
+
+def _any_majority(voters: Any, given: Any) -> bool:
+    return bool(set(voters) & set(given))
+
+
+def _any_version(self: OrderHistory, number: int, digest: bytes, base: int, current: int) -> Verdict:
+    entry = self.entries.get(number)
+    if number > current or (entry is not None and entry.digest == digest):
+        return Verdict.NEW if number > current else Verdict.TAKEN
+    return _verdict(self, number, digest, base, current)
+
+
+def _alone(self: Shard, now: float) -> int | None:
+    own = self.body
+    return own.fence if own.owner == self.name and self.accepted_fence == own.fence else None
+
+
+def _from_arrival(self: Controller, sender: str, number: int, fence: int) -> None:
+    self.shard.pulse(sender, self.world.now, fence)
+
+
+def _long_lease(self: Shard, now: float) -> int | None:
+    with mock.patch.object(replica, "TENURE_S", 5.0):
+        return _owns(self, now)
+
+
+def _at_once(self: Shard, now: float) -> int | None:
+    self._owner_from_s = -math.inf
+    return _owns(self, now)
+
+
+def _same_voters_fence(self: shard_state.Admit, before: Value) -> Value | str:
+    after = _admit(self, before)
+    if isinstance(after, str) or after is before:
+        return after
+    return replace(after, body=replace(shard_state.body(after), fence=shard_state.body(before).fence))
+
+
+def _same_fence(self: shard_state.Own, before: Value) -> Value | str:
+    after = _own(self, before)
+    if isinstance(after, str) or after is before:
+        return after
+    return replace(after, body=replace(shard_state.body(after), fence=max(1, self.fence)))
+
+
+def _any_one(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
+    return "yours" if what == "yours" else _hear(self, name, epoch_, what, answer)
+
+
+def _mixed(self: Count, name: str, epoch_: int, what: str, answer: Any) -> str:
+    return _hear(self, name, self.epoch, what, answer)
+
+
+def _counts_on(self: Count, epoch_: int, group: tuple[str, ...]) -> None:
+    self.epoch, self.group = epoch_, group
+
+
+def _one_source(voters: int) -> int:
+    return 1
+
+
+def _not_put_out(self: Standing, voter: Voter, known: Value, accepted: Value | None) -> bool:
+    return False
+
+
+def _joins(self: Shard) -> None:
+    caught, self.standing.caught_up = self.standing.caught_up, False
+    _join(self)
+    self.standing.caught_up = caught
+
+
+def _drops_any(self: OperationKeys, key: str, holder: str) -> bool:
+    had = self.records.get(key)
+    return _drop(self, key, had.holder if had is not None else holder)
+
+
+def _at_its_word(self: Shard, *args: Any) -> list[Action]:
+    self.unwritten.clear()
+    return _claim(self, *args)
+
+
+_admit, _owns = shard_state.Admit.__call__, Shard.owns
+_do, _handle, _promised, _verdict, _own = (
+    Controller.do, Acceptor.handle, Proposer._promised, OrderHistory.verdict, shard_state.Own.__call__,
+)  # fmt: skip
+_pulse, _hear, _join, _drop, _claim = (
+    Shard.pulse, Count.hear, Shard._join, OperationKeys.drop, Shard.claim,
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Break:
+    """A deliberate one. `scene`, `faults`, `kinds`: the small world that catches it."""
+
+    about: str
+    scene: str
+    faults: int
+    kinds: tuple[str, ...]
+    patches: tuple[tuple[Any, str, Any], ...]
+
+
+def _break(about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]) -> Break:
+    return Break(about, scene, faults, tuple(kinds.split()), patches)
+
+
+BREAKS = {
+    "vote-forgotten": _break(
+        "an empty disk votes as before", "puts", 2, "wipe lose", (Controller, "wipe", _same_memory)
+    ),
+    "unsynced": _break(
+        "promises leave before they are on disk", "puts", 2, "kill lose", (Controller, "do", _unsynced)
+    ),
+    "promise-forgotten": _break(
+        "promises are not kept", "puts", 0, "", (Acceptor, "handle", _forgets_promise)
+    ),
+    "not-read": _break(
+        "what was accepted is not taken up", "puts", 0, "", (Proposer, "_promised", _not_read)
+    ),
+    "any-voter": _break(
+        "any one voter is enough for a round", "puts", 1, "cut", (register, "majority", _any_majority)
+    ),
+    "any-reading": _break(
+        "any one voter is enough for a reading", "puts", 1, "cut", (shard_state, "majority", _any_majority)
+    ),
+    "any-version": _break(
+        "a configuration is taken on top of any", "puts", 0, "", (OrderHistory, "verdict", _any_version)
+    ),
+    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
+    "from-arrival": _break(
+        "a lease runs from when a pulse came", "duties", 1, "freeze", (Controller, "pulse", _from_arrival)
+    ),
+    "long-lease": _break(
+        "a lease is longer than the next one waits", "duties", 1, "cut", (Shard, "owns", _long_lease)
+    ),
+    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Shard, "owns", _at_once)),
+    "voters-unfenced": _break(
+        "a change of voters leaves the fence", "apart", 1, "lose",
+        (shard_state.Admit, "__call__", _same_voters_fence),
+    ),
+    "same-fence": _break(
+        "fences do not rise", "duties", 1, "cut", (shard_state.Own, "__call__", _same_fence)
+    ),
+    "any-one": _break(
+        "any one controller grants a key", "answered", 1, "lose", (Count, "hear", _any_one)
+    ),
+    "mixed": _break(
+        "words of two epochs count together", "epochs", 0, "",
+        (Count, "hear", _mixed), (Count, "anew", _counts_on),
+    ),
+    "remembers": _break(
+        "an empty disk counts as caught up", "answered", 1, "wipe",
+        (Controller, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Shard, "_join", _joins),
+    ),
+    "one-source": _break(
+        "one other is enough to learn from", "learning", 0, "", (shard_state, "sources_needed", _one_source)
+    ),
+    "back-as-before": _break(
+        "one that was put out comes back as caught up", "moved", 0, "",
+        (Standing, "put_out", _not_put_out), (Shard, "_join", _joins), (Shard, "ready", True),
+    ),
+    "drops-any": _break(
+        "any try may give a key back", "broken-off", 0, "", (OperationKeys, "drop", _drops_any)
+    ),
+    "at-its-word": _break(
+        "a grant leaves before its record is written", "slow", 1, "kill", (Shard, "claim", _at_its_word)
+    ),
+    "unsynced-keys": _break(
+        "a grant leaves before it is on disk", "missed", 1, "kill", (Controller, "do", _unsynced)
+    ),
+}  # fmt: skip
+
+
+@contextlib.contextmanager
+def broken(name: str) -> Iterator[None]:
+    """With one of `BREAKS` in force."""
+    with contextlib.ExitStack() as stack:
+        for where, attribute, value in BREAKS[name].patches if name else ():
+            stack.enter_context(mock.patch.object(where, attribute, value))
+        yield
