Actions and Peers of a replica in modules of their own

replica.py held the actions that it returns and what a controller knows of the others. They are now in mesh/control/actions.py and mesh/control/peers.py, with ALIVE_S and DEAD_S; imports follow. No logic changed.

--- a/mesh/control/configuration_resource.py
+++ b/mesh/control/configuration_resource.py
@@ -13,12 +13,12 @@
 from loguru import logger
 
 from mesh.control import shard_state
+from mesh.control.actions import Ended
 from mesh.control.configuration import check, digest
 from mesh.control.configuration_text import compress, expand
 from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT
 from mesh.control.control_api import JSON, Call, told
 from mesh.control.order_history import NUMBER_MOST
-from mesh.control.replica import Ended
 from mesh.errors import Kind, Refusal
 from orchidferry.frontend import Reply
 
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -16,12 +16,13 @@
 from loguru import logger
 
 from mesh.control import shard_state
+from mesh.control.actions import Action, Answer, Changed, Ended, Note, Tell, Write
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.control_api import ControlDoor
 from mesh.control.operation_keys import MOST
 from mesh.control.order_records import orders_of
+from mesh.control.peers import DEAD_S, Peers
 from mesh.control.publisher import Publisher
-from mesh.control.replica import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from mesh.control.retry_budget import RetryBudgets
 from mesh.control.shard import Shard, remembered
 from mesh.settings import Settings
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -14,11 +14,13 @@
 from typing import Any
 
 from mesh.control import key_transfer, shard_state
+from mesh.control.actions import Note
 from mesh.control.hinted_handoff import Hints
 from mesh.control.key_transfer import GIVEN_BACK, KeyLearner, KeySource, Page, Request, Row
 from mesh.control.membership import epoch
 from mesh.control.operation_keys import KeyRecord, OperationKeys
-from mesh.control.replica import Note, Peers, Replica
+from mesh.control.peers import Peers
+from mesh.control.replica import Replica
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Kept, Value
 
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -11,21 +11,20 @@
 
 import random
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Any
 
 from mesh.control import shard_state, value_references
-from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT, Contact
+from mesh.control.actions import Action, Answer, Changed, Ended, Note, Tell, Write
+from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT
 from mesh.control.membership import Standing, epoch
 from mesh.control.order_book import OrderBook
 from mesh.control.order_history import Entry, Verdict
+from mesh.control.peers import Peers
 from mesh.control.reading import PEEK_S, READING_S, Reading
 from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
 
-ALIVE_S = 1.5  # a controller that was heard within this is alive
-DEAD_S = 2.5  # one that was not is dead, as far as this one knows
 TENURE_S = 1.0  # an owner's lease, from when it sent the beat that a majority acknowledged; under ALIVE_S
 SETTLE_S = 0.8  # after its start a controller does not ask for duties
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
@@ -35,81 +34,6 @@
 STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
 
 
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """To another controller; lost if there is no link to it."""
-
-    to: str
-    message: list[Any]
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """To whoever sent what this answers."""
-
-    to: Any
-    message: list[Any]
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Put these on disk, together; `written` wants `then` back with what came of it, unless it is None."""
-
-    puts: list[Put]
-    then: tuple[Any, ...] | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Changed:
-    """A newer state is known to be decided."""
-
-    old: Value
-    new: Value
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """A change or a reading that was asked for here is over; `value` None: nothing is known in time, and
-    what was asked for may come true yet unless `why` is `OUT_OF_CONTACT`.
-    """
-
-    id: str
-    value: Value | None
-    why: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Note:
-    """A line for the log."""
-
-    text: str
-
-
-Action = Tell | Answer | Write | Changed | Ended | Note
-
-
-@dataclass(slots=True)
-class Peers:
-    """What a controller knows of the others, the same for all shard_state."""
-
-    began_s: float
-    heard_s: dict[str, float] = field(default_factory=dict)
-    unfit: set[str] = field(default_factory=set)  # that can't do duties, by their own word
-    fit: bool = True  # whether this one can: its disk keeps up, it is not stopping
-    leaving: set[str] = field(default_factory=set)  # that were told to end, by their own word
-    stopping: bool = False  # whether this one was
-    learning: dict[str, tuple[int, ...]] = field(default_factory=dict)  # shards that each has yet to learn
-    contact: Contact = field(default_factory=Contact)
-
-    def alive(self, name: str, now: float, within_s: float = ALIVE_S) -> bool:
-        """Whether a controller was heard within the time."""
-        return now - self.heard_s.get(name, float("-inf")) < within_s
-
-    def dead(self, name: str, now: float) -> bool:
-        """Whether it has been silent for long; one that was never heard, since the start."""
-        return now - self.heard_s.get(name, self.began_s) > DEAD_S
-
-
 class Replica:
     """One controller in the group of one shard."""
 
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -11,10 +11,11 @@
 import random
 from typing import Any
 
+from mesh.control.actions import Action, Answer
 from mesh.control.key_transfer import Page
 from mesh.control.operation_keys import Granted, Held, KeyRecord
+from mesh.control.peers import Peers
 from mesh.control.repair import Repair, remembered
-from mesh.control.replica import Action, Answer, Peers
 from nickelbridge.register import Kept, Value
 
 __all__ = ["Shard", "remembered"]
--- a/rehearsal/bench/order_duels.py
+++ b/rehearsal/bench/order_duels.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from mesh.control import shard_state
+from mesh.control.actions import Answer, Changed, Ended
 from mesh.control.configuration_resource import PUT_S
-from mesh.control.replica import Answer, Changed, Ended
 from rehearsal.explore.controller import Controller
 
 ACK_MS = 5_000.0  # the bound that deployments give
--- a/rehearsal/bench/second_loss.py
+++ b/rehearsal/bench/second_loss.py
@@ -24,7 +24,8 @@
 import cbor2
 
 from mesh.control import shard_state
-from mesh.control.replica import Action, Answer, Peers, Tell, Write
+from mesh.control.actions import Action, Answer, Tell, Write
+from mesh.control.peers import Peers
 from mesh.control.shard import Shard, remembered
 from mesh.storage.store import NAMES, open_env, put_sealed, wrap
 from nickelbridge.register import Kept
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -10,8 +10,9 @@
 from typing import Any, Protocol
 
 from mesh.control import shard_state
+from mesh.control.actions import Action, Answer, Changed, Ended, Tell, Write
 from mesh.control.order_records import orders_of
-from mesh.control.replica import Action, Answer, Changed, Ended, Peers, Tell, Write
+from mesh.control.peers import Peers
 from mesh.control.shard import Shard, remembered
 from mesh.storage.store import Put, unpack
 from nickelbridge.register import Kept
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -22,11 +22,11 @@
 from types import NoneType
 from typing import Any
 
-from mesh.control import operation_key_client, operation_keys, replica, shard_state
+from mesh.control import actions, operation_key_client, operation_keys, peers, replica, shard_state
 from mesh.control import shard as shard_module
+from mesh.control.actions import Answer, Changed, Ended
 from mesh.control.membership import epoch
 from mesh.control.operation_key_client import OperationKeyClient
-from mesh.control.replica import Answer, Changed, Ended
 from nickelbridge import register
 from nickelbridge.register import Proposer, Value
 from rehearsal.explore import pure
@@ -52,7 +52,9 @@
     copyreg.pickle(kind, lambda one: (kind, fields_of(one)))
 
 
-for _module in (register, shard_state, replica, shard_module, operation_keys, operation_key_client):
+for _module in (
+    register, shard_state, actions, peers, replica, shard_module, operation_keys, operation_key_client,
+):  # fmt: skip
     for _kind in vars(_module).values():
         if isinstance(_kind, type) and is_dataclass(_kind) and "__slots__" in vars(_kind):
             _fast(_kind)
--- a/rehearsal/explore/mesh_breaks.py
+++ b/rehearsal/explore/mesh_breaks.py
@@ -10,11 +10,11 @@
 from unittest import mock
 
 from mesh.control import replica, shard_state
+from mesh.control.actions import Action, Write
 from mesh.control.membership import Standing
 from mesh.control.operation_key_client import Count
 from mesh.control.operation_keys import OperationKeys
 from mesh.control.order_history import OrderHistory, Verdict
-from mesh.control.replica import Action, Write
 from mesh.control.shard import Shard, remembered
 from nickelbridge import register
 from nickelbridge.register import Acceptor, Kept, Proposer, Value, Voter
--- a/rehearsal/explore/worst_days/isolated.py
+++ b/rehearsal/explore/worst_days/isolated.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from mesh.control import shard_state
+from mesh.control.actions import Action, Ended
 from mesh.control.contact import CONTACT_S, Contact
-from mesh.control.replica import Action, Ended, Replica
+from mesh.control.replica import Replica
 from mesh.control.shard import Shard
 from mesh.storage.store import unpack
 from rehearsal.explore.controller import Controller
--- a/rehearsal/explore/worst_days/one_number.py
+++ b/rehearsal/explore/worst_days/one_number.py
@@ -12,10 +12,11 @@
 from unittest import mock
 
 from mesh.control import shard_state
+from mesh.control.actions import Changed, Ended
 from mesh.control.contact import OUT_OF_CONTACT
 from mesh.control.order_book import OrderBook
 from mesh.control.order_history import OrderHistory, Taken, Verdict
-from mesh.control.replica import Changed, Ended, Replica
+from mesh.control.replica import Replica
 from rehearsal.explore.mesh import Break, Scene, World
 from rehearsal.explore.worst_days.play import Play
 
--- a/rehearsal/model/replica_group.py
+++ b/rehearsal/model/replica_group.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from mesh.control import shard_state
-from mesh.control.replica import Answer, Changed, Ended
+from mesh.control.actions import Answer, Changed, Ended
 from mesh.wire.framing import pack
 from rehearsal.explore.controller import Controller
 from rehearsal.model.stored_controller import StoredController
--- a/tests/mesh/test_contact.py
+++ b/tests/mesh/test_contact.py
@@ -8,11 +8,11 @@
 import pytest
 
 from mesh.control import shard_state
+from mesh.control.actions import Answer, Ended
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.contact import CONTACT_S, LOST_CONTACT, OUT_OF_CONTACT, Contact
 from mesh.control.control_api import call
 from mesh.control.reading import READING_S
-from mesh.control.replica import Answer, Ended
 from nickelbridge.register import Voter
 from orchidferry.frontend import Reply
 from rehearsal.explore import worst_days
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -13,13 +13,13 @@
 from hypothesis import strategies as st
 
 from mesh.control import configuration_text, shard_state
+from mesh.control.actions import Ended
 from mesh.control.configuration import digest
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.configuration_text import TEXT_MOST, compress, expand
 from mesh.control.contact import OUT_OF_CONTACT
 from mesh.control.control_api import call
 from mesh.control.fanout_tree import LOG
-from mesh.control.replica import Ended
 from mesh.control.shard import remembered
 from mesh.control.value_references import ValueReferences, refusal, unpack
 from mesh.storage import snapshot as snapshots
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -16,11 +16,13 @@
 from hypothesis import strategies as st
 
 from mesh.control import shard_state
+from mesh.control.actions import Answer, Changed, Ended
 from mesh.control.hinted_handoff import RECENT_S, Hints
 from mesh.control.membership import Standing, epoch
 from mesh.control.operation_key_client import Count
 from mesh.control.operation_keys import Held, OperationKeys
-from mesh.control.replica import TENURE_S, Answer, Changed, Ended, Peers
+from mesh.control.peers import Peers
+from mesh.control.replica import TENURE_S
 from mesh.control.shard import Shard
 from nickelbridge.register import Kept, Value, Voter
 from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
--- a/tests/mesh/test_one_number.py
+++ b/tests/mesh/test_one_number.py
@@ -19,13 +19,13 @@
 from hypothesis import strategies as st
 
 from mesh.control import configuration, configuration_resource, order_book, order_history, shard_state
+from mesh.control.actions import Changed, Ended
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.configuration_text import expand
 from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT
 from mesh.control.control_api import call
 from mesh.control.order_history import Entry, OrderHistory, Verdict
 from mesh.control.order_records import orders_of, record
-from mesh.control.replica import Changed, Ended
 from mesh.storage import storage_check
 from mesh.storage.store import Store
 from nickelbridge.register import Value
--- a/tests/mesh/test_second_loss.py
+++ b/tests/mesh/test_second_loss.py
@@ -12,9 +12,10 @@
 
 from mesh.control import controller as module
 from mesh.control import shard_state
+from mesh.control.actions import Tell
 from mesh.control.controller import Controller
 from mesh.control.membership import Standing
-from mesh.control.replica import Peers, Tell
+from mesh.control.peers import Peers
 from mesh.control.shard import Shard
 from mesh.settings import Bounds
 from nickelbridge.register import Kept, Value, Voter
