--- a/mesh/control/operation_key_client.py
+++ b/mesh/control/operation_key_client.py
@@ -91,7 +91,7 @@
         self._rid = 0
 
     def names(self) -> set[str]:
-        """All controllers of all shard_state."""
+        """All controllers of all shards."""
         return {name for group in self.groups.values() for name in group.names}
 
     def group(
--- a/mesh/control/retry_budget.py
+++ b/mesh/control/retry_budget.py
@@ -1,4 +1,4 @@
-"""The shard of a service's further tries that the owner of the service deals to the nodes, on leases. Pure.
+"""Shares of a service's further tries, which the owner of the service deals to the nodes, on leases. Pure.
 
 A share is so many tries in any window, and ends with its lease. What a node may have spent counts for one
 window more, so the dealer gives that to others only then. At any time the most that each node may have held
@@ -28,7 +28,7 @@
 LATE_S = 1.0  # a try may arrive so long after it was sent: gates hold, and links are slow
 STATIC_SHARE = 0.15  # of the slack: cut over all nodes beforehand, for those that hear no dealer
 DEALT_SHARE = 0.75  # of the slack: what dealers deal. Never spent twice, as these two are apart
-FLOOR_SHARE = 0.25  # of an equal shard, for whoever asks
+FLOOR_SHARE = 0.25  # of an equal share, for whoever asks
 HEADROOM = 1.5  # times what a node wanted, so that it finds room when it needs more
 LEVEL_S = 0.5  # how often shares are worked out anew
 MIL = 1000  # shares are counted in thousandths: sums are exact
--- a/mesh/storage/snapshot.py
+++ b/mesh/storage/snapshot.py
@@ -63,7 +63,7 @@
     """What a file holds, its keys left where they are."""
 
     digest: bytes
-    states: dict[int, Value]  # by part
+    states: dict[int, Value]  # by shard
     keys: int
 
     @property
@@ -221,7 +221,7 @@
 
 
 def restored(snapshot: Snapshot, founders: tuple[str, ...]) -> dict[int, Kept]:
-    """What each founder remembers of each part: its state, as one that all of them accepted in one round."""
+    """What each founder remembers of each shard: its state, as one that all of them accepted in one round."""
     memory = memory_of(snapshot.digest, founders)
     voters = tuple(Voter(name, memory) for name in sorted(founders))
     ballot: Ballot = (COUNTER, f"restored {snapshot.digest.hex()[:32]}")
--- a/mesh/storage/storage_check.py
+++ b/mesh/storage/storage_check.py
@@ -65,16 +65,16 @@
     """What a store holds."""
 
     format: int
-    kept: dict[int, Kept]  # by part; empty: nothing was written yet
-    early: Kept | None  # of a build before the state was cut into parts
+    kept: dict[int, Kept]  # by shard; empty: nothing was written yet
+    early: Kept | None  # of a build before the state was cut into shards
     founders: tuple[str, ...]
-    caught_up: frozenset[int]  # parts
+    caught_up: frozenset[int]  # shards that it has caught up in
     keys: int
     used_bytes: int
     file_bytes: int
 
     def lines(self) -> list[str]:
-        """One line a part of it, for the operator."""
+        """What it holds, in lines for the operator: one for each shard among them."""
         if not self.kept and self.early is None:
             return [f"store: format {self.format}, empty"]
         found = [f"store: format {self.format}, {self.used_bytes} bytes used of {self.file_bytes}"]
