Who may come into a shard's group: decisions in group_changes.GroupView

replica.py decided who is vacant, wanted, able and whose turn it is among its other work. GroupView is a frozen view of one moment that is handed what it needs; Replica keeps the messages and proposals. The break leaves-at-once now patches GroupView.leaves, as Replica._leaves is gone.

--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -105,7 +105,7 @@
             self._ask_page(name, False)
         if self.standing.caught_up:
             return
-        if not counted and not self._wanted():
+        if not counted and not self._group().wanted():
             return self.standing.regrouped()  # what it was told grows old
         if self.standing.enough(self.known):
             return
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -16,6 +16,7 @@
 from mesh.control import shard_state, value_references
 from mesh.control.actions import Action, Answer, Changed, Ended, Note, Tell, Write
 from mesh.control.contact import LOST_CONTACT, OUT_OF_CONTACT
+from mesh.control.group_changes import GroupView
 from mesh.control.membership import Standing, epoch
 from mesh.control.order_book import OrderBook
 from mesh.control.order_history import Entry, Verdict
@@ -31,7 +32,6 @@
 RESEND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a voter answers in a round trip and a sync
 ADMIT_S, OWN_S = 1.9, 1.5
 JOIN_S = 0.4
-STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
 
 
 class Replica:
@@ -278,7 +278,7 @@
         if what == "own":
             fit = self.peers.fit if name == self.name else name not in self.peers.unfit
             return shard_state.ALIVE if alive and fit else ""
-        return shard_state.ALIVE if alive and not self._leaves(name) else ""
+        return shard_state.ALIVE if alive and not self._group().leaves(name) else ""
 
     def _heard_register(self, sender: str, packed: list[Any], who: Any) -> None:
         """A message of the register as another replica sent it; one that can't be resolved is lost."""
@@ -544,69 +544,42 @@
             if self.standing.put_out(self.voter, self.known, self.acceptor.kept.value):
                 self._write([self._about("caught", None)], ("out",))
             return
-        if self._wanted() and not self.ready:
+        if self._group().wanted() and not self.ready:
             return
         for name in self._others():
             self._say(name, "join", self.name, self.voter.memory, epoch(self.known), self.ready)
 
-    def _leaves(self, name: str) -> bool:
-        return self.peers.stopping if name == self.name else name in self.peers.leaving
-
-    def _vacant(self) -> str:
-        """The voter in whose place another may come, the dead before those that leave; "" for none."""
-        names = [v.name for v in self.known.voters]
-        dead = [n for n in names if n != self.name and self.peers.dead(n, self.now)]
-        return next(iter(dead + [n for n in names if self._leaves(n)]), "")
-
-    def _wanted(self) -> bool:
-        """Whether this controller, which has no place, should get ready for one of another's."""
-        names = [v.name for v in self.known.voters]
-        if self.name in names or self.peers.stopping:
-            return False
-        return len(names) < self.size or bool(self._vacant())
+    def _group(self) -> GroupView:
+        """The group as this controller sees it now."""
+        return GroupView(
+            self.number, self.name, self.size, self.known, self.peers, self.standing.caught_up, self.now
+        )
 
     def _admit(self, joiner: Voter, under: int, ready: bool) -> None:
         """Another controller asks for a place in the group; `under`: the last epoch that it knows."""
-        if self.voter not in self.known.voters or joiner in self.known.voters or under != epoch(self.known):
+        if self.voter not in self.known.voters:
             return
         if any(what == "admit" for what, _, _ in self._asked.values()):
             return
-        names = [v.name for v in self.known.voters]
-        # Its own older memory can't vote, so it makes way at once; others only for one that has learned.
-        instead = joiner.name if joiner.name in names else self._vacant()
-        if (instead != joiner.name and not ready) or (not instead and len(names) >= self.size):
+        group = self._group()
+        instead = group.place_for(joiner, under, ready)
+        if instead is None:
             return
-        if not self._my_turn(joiner):
+        since_s = self._joiners.setdefault(joiner, self.now)
+        if not group.is_turn(self._joiners, since_s):
             return
         whose = f", instead of {instead}" if instead else ""
         self._out.append(Note(f"{joiner.name} asks for a place{whose}"))
         intent = ["replace", instead] if instead and instead != joiner.name else None
-        change = shard_state.Admit(joiner, instead, max(self.size, len(names)), under)
+        change = shard_state.Admit(joiner, instead, max(self.size, len(group.names)), under)
         self._ask(f"admit {joiner.name} {joiner.memory} {under}", change, ADMIT_S, "admit", [], intent)
 
-    def _my_turn(self, joiner: Voter) -> bool:
-        """The first of the voters that can acts on a newcomer at once, the others if that does not help."""
-        since = self._joiners.setdefault(joiner, self.now)
-        able = self._able()
-        place = able.index(self.name) if self.name in able else len(able)
-        return self.now - since >= place * STAGGER_S - 1e-6
-
-    def _able(self) -> list[str]:
-        """The voters that can look after the group, in their order: they live, remember and have learned."""
-        forgot = {voter.name for voter in self._joiners}
-        able = [
-            v.name for v in self.known.voters
-            if v.name not in forgot and v.name != self.name and self.peers.alive(v.name, self.now)
-            and self.number not in self.peers.learning.get(v.name, ())
-        ]  # fmt: skip
-        return shard_state.ranked(self.number, able + [self.name] * self.standing.caught_up)
-
     def _settle(self) -> None:
         """Have a change of voters done with: who starts anew has forgotten that it was decided, and needs the
         voters before it too, of whom another may have lost its disk by then."""
         if not self.known.former or self.voter not in self.known.voters or not self.standing.caught_up:
             return
-        if self._able()[0] == self.name:
+        if self._group().able(self._joiners)[0] == self.name:
             self._ask(f"settle {self.known.version}", shard_state.settle, OWN_S, "settle", [])
 
     # Duties
--- a/rehearsal/explore/worst_days/second_loss.py
+++ b/rehearsal/explore/worst_days/second_loss.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 from mesh.control import shard_state
+from mesh.control.group_changes import GroupView
 from mesh.control.hinted_handoff import Hints
 from mesh.control.key_transfer import KeyLearner
 from mesh.control.membership import Standing
 from mesh.control.operation_keys import NOBODY
 from mesh.control.repair import Repair
-from mesh.control.replica import Replica
 from mesh.control.shard import Shard
 from nickelbridge.register import Value, Voter
 from rehearsal.explore.mesh import KEY, KINDS, Break, Scene, Try, World
@@ -189,7 +189,7 @@
     """What was told before there was a place counts after."""
 
 
-def _dead_only(self: Replica, name: str) -> bool:
+def _dead_only(self: GroupView, name: str) -> bool:
     return False
 
 
@@ -213,7 +213,7 @@
     ),
     "leaves-at-once": _break(
         "who is told to end does not wait, and nobody takes its place while it lives", "only-copy",
-        (Repair, "must_stay", _never_stays), (Replica, "_leaves", _dead_only),
+        (Repair, "must_stay", _never_stays), (GroupView, "leaves", _dead_only),
     ),
     "hints-dropped": _break("nothing is handed over", "returned", (Hints, "page", _no_page)),
     "leaver-not-asked": _break(
