--- a/rehearsal/explore/worst_days/second_loss.py
+++ b/rehearsal/explore/worst_days/second_loss.py
@@ -8,7 +8,6 @@
 from mesh.control import shard_state
 from mesh.control.group_changes import GroupView
 from mesh.control.hinted_handoff import Hints
-from mesh.control.key_transfer import KeyLearner
 from mesh.control.membership import Standing
 from mesh.control.operation_keys import NOBODY
 from mesh.control.repair import Repair
@@ -180,20 +179,11 @@
     return [name for name in _to_ask(self, voter, known) if name != "a"]
 
 
-def _cursor_ahead(self: KeyLearner, name: str, request: Any) -> None:
-    _on_disk(self, name, request)
-    self.cursors[name] = (request.life, 1 << 40)
-
-
-def _stale_sources(self: Standing) -> None:
-    """What was told before there was a place counts after."""
-
-
 def _dead_only(self: GroupView, name: str) -> bool:
     return False
 
 
-_regrouped, _to_ask, _on_disk = Repair._regrouped, Standing.to_ask, KeyLearner.on_disk
+_regrouped, _to_ask = Repair._regrouped, Standing.to_ask
 
 
 def _break(about: str, scene: str, *patches: tuple[Any, str, Any], kinds: str = "", faults: int = 0) -> Break:
