--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -39,11 +39,13 @@
 class World:
     """Controllers, what is on its way between them, and what was said."""
 
-    def __init__(self, rng: random.Random) -> None:
+    beats, turn_s = 0.3, 0.15  # of the others that a beat goes to; the longest pause between two turns
+
+    def __init__(self, rng: random.Random, seeds: tuple[str, ...] = SEEDS, spares: str = "d") -> None:
         self.rng, self.now, self._number = rng, 1.0, 0
         self.controllers: dict[str, Controller] = {}
-        for name in (*SEEDS, "d"):
-            self.controllers[name] = Controller(name, self, name in SEEDS, 1, rng)
+        for name in (*seeds, *spares):
+            self.controllers[name] = Controller(name, self, name in seeds, 1, rng, seeds)
         self.wires: list[tuple[str, str, tuple[Any, ...]]] = []
         self.tries: list[Try] = []
         self.granted: dict[str, list[Try]] = {}
@@ -198,27 +200,33 @@
             controller.wipe()
 
     def tick(self, controller: Controller) -> None:
-        controller.beat_to(n for n in self.controllers if n != controller.name and self.rng.random() < 0.3)
+        controller.beat_to(
+            n for n in self.controllers if n != controller.name and self.rng.random() < self.beats
+        )
         controller.tick()
 
+    def deliver(self, trouble: float) -> None:
+        """A message arrives, or is lost, or arrives and is still on its way."""
+        rng = self.rng
+        # Mostly in order, so that something comes of it.
+        at = 0 if rng.random() < 0.8 else rng.randrange(len(self.wires))
+        to, kind, message = self.wires[at] if rng.random() < 0.03 * trouble else self.wires.pop(at)
+        if kind == "said":
+            self.said(*message)
+        elif self.controllers[to].alive and rng.random() > 0.05 * trouble:
+            getattr(self.controllers[to], kind)(*message)
+
     def step(self, trouble: float) -> None:
         rng, dice = self.rng, self.rng.random()
         if self.wires and dice < 0.8:
-            # Mostly in order, so that something comes of it.
-            at = 0 if rng.random() < 0.8 else rng.randrange(len(self.wires))
-            to, kind, message = self.wires[at] if rng.random() < 0.03 * trouble else self.wires.pop(at)
-            if kind == "said":
-                self.said(*message)
-            elif self.controllers[to].alive and rng.random() > 0.05 * trouble:
-                getattr(self.controllers[to], kind)(*message)
-            return
+            return self.deliver(trouble)
         controller = self.some()
         if controller is not None and dice < 0.92:
             if controller.writes and rng.random() < 0.9:
                 while controller.writes and rng.random() < 0.7:
                     controller.disk_turn()
                 return
-            self.now += rng.random() * 0.15
+            self.now += rng.random() * self.turn_s
             if rng.random() < 0.02 * trouble:
                 controller.peers.fit = not controller.peers.fit
             self.tick(controller)
