--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -176,7 +176,27 @@
     assert sum(group.bytes.values()) < 5 * most, group.bytes
 
 
-def test_eight_in_flight_and_ten_a_second_do_not_choke_a_thin_link() -> None:
+@pytest.mark.parametrize("replicas", [3, 5])
+@pytest.mark.parametrize("different", [False, True], ids=["copies", "different"])
+def test_eight_orders_at_once_on_one_base_do_not_choke_a_thin_link(replicas: int, different: bool) -> None:
+    """Copies of one order are all acknowledged; of different ones one is, and the others are refused."""
+    group = ReplicaGroup(replicas, bits_per_s=3.5e6)
+    group.run(4.0)
+    texts = [example(n if different else 1) for n in range(1, 9)]
+    for n, text in enumerate(texts):
+        number = 1 + n % 2 if different else 1  # some under one number, some under another
+        order = shard_state.Put(compress(text), number, digest(text), 0)
+        group.put(group.seeds[n % replicas], str(n), order)
+    group.run(4.0)
+    ends = [group.ended[str(n)] for n in range(8)]
+    taken = [texts[n] for n, (_, end) in enumerate(ends) if end.value is not None and not end.why]
+    refused = [end for _, end in ends if end.why == shard_state.OTHER_VERSION]
+    assert (len(taken), len(refused)) == ((1, 7) if different else (8, 0)), ends
+    assert all(expand(one.shard.body.raw) == taken[0] for one in group.controllers.values())
+    assert max(at for at, _ in ends) - 5.0 < (2.0 if different else 1.0), [at - 5.0 for at, _ in ends]
+
+
+def test_ten_changes_a_second_do_not_choke_a_thin_link() -> None:
     group = ReplicaGroup(3, bits_per_s=3.5e6)
     group.run(4.0)
     for revision in range(1, 101):
