Losses in any order: Ended from the module that it moved to

Result: mypy is clean; test_membership, test_membership_losses, test_hundreds and the scenes of a second loss pass.

--- a/tests/mesh/test_membership_losses.py
+++ b/tests/mesh/test_membership_losses.py
@@ -19,9 +19,9 @@
 from hypothesis import strategies as st
 
 from mesh.control import shard_state
+from mesh.control.actions import Ended
 from mesh.control.order_history import OrderHistory, Verdict
 from mesh.control.repair import Repair
-from mesh.control.replica import Ended
 from nickelbridge.register import Value, Voter
 from rehearsal.explore.controller import Controller
 from tests.mesh.test_membership import World
