--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -19,6 +19,7 @@
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.control_api import ControlDoor
 from mesh.control.operation_keys import MOST
+from mesh.control.order_records import orders_of
 from mesh.control.publisher import Publisher
 from mesh.control.replica import DEAD_S, Action, Answer, Changed, Ended, Note, Peers, Tell, Write
 from mesh.control.retry_budget import RetryBudgets
@@ -38,6 +39,7 @@
 STOP_S = 1.0  # after SIGTERM, for calls that are under way and for others to take over duties
 LEAVE_MARGIN_S = 1.0  # before the platform kills a controller that still waits for its successor
 LEAVE_LOOK_S = 0.1
+STOP_MARGIN_S = 0.4  # of the grace time, kept for the process's own end
 
 
 class Controller:
@@ -53,6 +55,7 @@
         self._shards: dict[int, Shard] = {}
         self._remember()
         self._load_slips()
+        self._load_orders()
         self._publisher = Publisher(self._name, settings.zone, self._rng.randrange(1, 2**53), loop)
         bounds = settings.bounds
         self._retry_budgets = RetryBudgets(bounds.retry_slack, bounds.retry_window_s, self._owner_fence)
@@ -106,6 +109,11 @@
             key = raw.decode("latin-1")
             self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
 
+    def _load_orders(self) -> None:
+        rows = self._store.all("about")
+        for number, shard in self._shards.items():
+            shard.load_orders(orders_of(number, rows))
+
     def _owner_fence(self, service: str, now: float) -> int | None:
         """The fence under which this controller does the duties for a service now; None if it doesn't."""
         return self._shards[shard_state.shard_of(service)].owns(now)
@@ -135,12 +143,13 @@
         self._mind_fitness()
         await self._turn_until(stopping, float("inf"))
         logger.info("controller: stopping")
+        ends_s = self._loop.time() + self._settings.bounds.grace_s - STOP_MARGIN_S
         self._door.close_listener()
         self._stopping = self._known_peers.stopping = True
         self._mind_fitness()
         await self._leave()
         self._server.close()
-        self._store.close()
+        self._store.close(max(0.0, ends_s - self._loop.time()))
         logger.info("controller: stopped")
 
     async def _leave(self) -> None:
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -14,10 +14,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mesh.control import shard_state
+from mesh.control import shard_state, value_references
 from mesh.control.membership import Standing, epoch
+from mesh.control.order_book import OrderBook
+from mesh.control.order_history import Entry, Verdict
+from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
-from nickelbridge.register import Acceptor, Done, Kept, Proposer, Save, Send, Value, Voter
+from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
 
 ALIVE_S = 1.5  # a controller that was heard within this is alive
 DEAD_S = 2.5  # one that was not is dead, as far as this one knows
@@ -26,7 +29,7 @@
 PEEK_S = 0.1  # for voters to say what they have accepted, before they are asked again or a round is run
 PEEKS = 20
 LEARN_S = 0.15  # what was accepted and isn't known to be decided is looked at after so long
-ROUND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a round is two round trips and two syncs
+RESEND_MS, BACK_OFF_MS = 300.0, 20.0  # of the register: a voter answers in a round trip and a sync
 READ_S, ADMIT_S, OWN_S = 3.0, 1.9, 1.5
 JOIN_S = 0.4
 STAGGER_S = 0.5  # a voter acts on a newcomer's asking so much later for each that comes before it
@@ -129,7 +132,8 @@
         self.acceptor = Acceptor(name, kept, self._object_to)
         # A life's ballots are its own: what an earlier one began and forgot may still be on its way.
         self.life = f"{name} {rng.randrange(2**53):x}"
-        self.proposer = Proposer(self.life, first, rng, ROUND_MS, BACK_OFF_MS)
+        self.proposer = Proposer(self.life, first, rng, RESEND_MS, BACK_OFF_MS)
+        self._references = ValueReferences()
         self.founder = kept.memory == shard_state.GENESIS
         self.seen = first  # the newest decided state that others were told of
         self.clean = True  # what it keeps is on disk as it is in memory
@@ -138,6 +142,7 @@
         self._out: list[Action] = []
         self._mine: deque[Any] = deque()  # messages of the register to itself
         self._asked: dict[str, tuple[str, list[str], float]] = {}  # what it is for, who waits, until when
+        self.orders = OrderBook(number)
         self._count = 0
         self._readers: list[str] = []
         self._peeks: dict[int, _Peek] = {}
@@ -198,7 +203,10 @@
     def ask(self, id: str, change: shard_state.Change, for_s: float, now: float) -> list[Action]:
         """Have the state changed; it is `Ended` once, with no value if nothing is known in time."""
         self.now = now
-        self._ask(f"ask {id}", change, for_s, "ask", [id])
+        if isinstance(change, shard_state.Put):
+            self._order(id, change, for_s)
+        else:
+            self._ask(f"ask {id}", change, for_s, "ask", [id])
         return self._flush()
 
     def read(self, id: str, now: float) -> list[Action]:
@@ -241,6 +249,7 @@
             return False
         self._join_s = now + JOIN_S
         self._join()
+        self._mind_orders()
         self._settle()
         self._mind_owner()
         return True
@@ -249,11 +258,16 @@
         """A message between replicas; `ValueError` and its like for a bad one."""
         match message:
             case ["reg", sender, packed]:
-                self._register(sender, shard_state.unpack_message(packed), who)
+                self._heard_register(sender, packed, who)
             case ["know", packed]:
                 value = shard_state.unpack_value(packed)
                 if value is not None:
                     self._learn(value)
+            case ["decided", ballot, version]:
+                self._decided(who, tuple(ballot), version)
+            case ["know?", version]:
+                if version < self.known.version:
+                    self._reply(who, "know", shard_state.pack_value(self.known))
             case ["peek", number, has]:
                 self._tell_peek(who, number, tuple(has))
             case ["peeked", number, [name, memory], accepted, packed]:
@@ -261,6 +275,10 @@
                     Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
                 )
                 self._peeked(number, seen)
+            case ["orders?", floor, digest]:
+                self._tell_orders(who, floor, digest)
+            case ["orders", rows, complete]:
+                self._take_orders(who, rows, complete)
             case ["join", name, memory, under, ready]:
                 self._admit(Voter(name, memory), under, ready)
             case _:
@@ -269,10 +287,13 @@
     def _kept(self, then: tuple[Any, ...], ok: bool) -> None:
         """What came of a write of the replica's own."""
         match then:
-            case ("voted", who, kept, replies) if ok:
+            case ("voted", who, kept, replies, orders) if ok:
                 self.clean = self.clean or kept is self.acceptor.kept
+                self.orders.history.saved(orders)
                 for reply in replies:
                     self._vote_out(who, reply)
+            case ("orders", orders) if ok:
+                self.orders.history.saved(orders)
             case ("out",) if ok:
                 self.standing, self.abstains_s = Standing(False), self.now
                 self._out.append(Note("put out of the group"))
@@ -321,6 +342,18 @@
             return shard_state.ALIVE if alive and fit else ""
         return shard_state.ALIVE if alive and not self._leaves(name) else ""
 
+    def _heard_register(self, sender: str, packed: list[Any], who: Any) -> None:
+        """A message of the register as another replica sent it; one that can't be resolved is lost."""
+        kept = self.acceptor.kept
+        message = value_references.unpack(packed, kept)
+        if message is None:
+            refused = value_references.refusal(packed, self.voter, kept)
+            return self._vote_out(who, refused) if refused is not None and self.clean else None
+        if isinstance(message, Promise):
+            message = self._references.resolve(sender, message)
+        if message is not None:
+            self._register(sender, message, who)
+
     def _register(self, sender: str, message: Any, who: Any) -> None:
         """A message of the register, from another replica or from this one (`who` None)."""
         if hasattr(message, "promised"):
@@ -341,7 +374,9 @@
             return
         self.clean = False
         kept = self.acceptor.kept
-        self._write([self._about("kept", pack(shard_state.pack_kept(kept)))], ("voted", who, kept, replies))
+        orders, puts = self.orders.puts()
+        puts.append(self._about("kept", pack(shard_state.pack_kept(kept))))
+        self._write(puts, ("voted", who, kept, replies, orders))
 
     def _vote_out(self, who: Any, reply: Any) -> None:
         if who is None:
@@ -355,14 +390,34 @@
                 if action.to == self.name:
                     self._mine.append(action.message)
                 else:
-                    self._say(action.to, "reg", self.name, shard_state.pack_message(action.message))
+                    packed = self._references.pack(action.to, action.message, self.acceptor.kept)
+                    self._say(action.to, "reg", self.name, packed)
             elif isinstance(action, Done):
                 if action.value.version > self.seen.version:  # before anybody is answered
-                    for name in self._others():
-                        self._say(name, "know", shard_state.pack_value(action.value))
+                    self._tell_decided(action.value)
                 self._learn(action.value)
                 self._end(action.id, action.value, action.why)
 
+    def _tell_decided(self, value: Value) -> None:
+        """Tell the others of a state: by its ballot, where they were asked to accept it."""
+        kept, whole = self.acceptor.kept, None
+        for name in self._others():
+            if kept.value == value and self._references.knows_ballot(name, kept.accepted):
+                self._say(name, "decided", list(kept.accepted), value.version)
+            else:
+                whole = whole or shard_state.pack_value(value)
+                self._say(name, "know", whole)
+
+    def _decided(self, who: Any, ballot: Any, version: int) -> None:
+        """The state of a ballot was decided; whoever has not accepted that asks for it."""
+        kept = self.acceptor.kept
+        if version <= self.known.version:
+            return
+        if ballot == kept.accepted and kept.value is not None:
+            self._learn(kept.value)
+        else:
+            self._reply(who, "know?", self.known.version)
+
     def _others(self) -> list[str]:
         """The other controllers that have to do with this shard."""
         names = dict.fromkeys([v.name for v in (*self.known.voters, *self.known.former)])
@@ -385,6 +440,7 @@
 
     def _end(self, id: str, value: Value | None, why: str) -> None:
         asked = self._asked.pop(id, None)
+        self.orders.waiting.pop(id, None)
         if asked is not None:
             self._over(asked[0], asked[1], value, why)
 
@@ -449,6 +505,7 @@
         if value.version > old.version:
             self.seen = value
             before, after = shard_state.body(old), shard_state.body(value)
+            self.orders.learn(after)
             if after.fence != before.fence:
                 self._pulsed.clear()
                 if after.fence != before.fence + 1 or before.owner not in ("", after.owner):
@@ -457,6 +514,50 @@
                 self._regrouped(value)
                 self._join_s = self.now  # to be settled before the next loss
             self._out.append(Changed(old, value))
+            self._end_orders()
+
+    # Orders
+
+    def load_orders(self, rows: list[tuple[int, Entry]]) -> None:
+        """Orders from its own disk, before anything else."""
+        self.orders.history.load(rows)
+
+    def _order(self, id: str, order: shard_state.Put, for_s: float) -> None:
+        """An order. What is known of it for ever is told at once; copies of it share one proposal."""
+        verdict = self.orders.verdict(order, self.body)
+        if self.known.version and (verdict.final or verdict is Verdict.UNKNOWN):
+            self._out.append(Ended(id, self.known, shard_state.WHY_NOT.get(verdict, "")))
+            return
+        name = self.orders.name(order)
+        if name in self._asked:
+            self._asked[name][1].append(id)
+            return
+        self.orders.waiting[name] = order
+        self._ask(name, order, for_s, "ask", [id])
+
+    def _end_orders(self) -> None:
+        """Answer the orders of which a newly learned state says for ever what became of them."""
+        for name, why in self.orders.settled(self.body):
+            self.proposer.withdraw(name)
+            self._end(name, self.known, why)
+
+    def _mind_orders(self) -> None:
+        """Ask another replica for orders older than it knows."""
+        name = self.orders.to_ask([n for n in self._others() if self.peers.alive(n, self.now)], self.now)
+        if name is not None:
+            self._say(name, "orders?", *self.orders.oldest())
+
+    def _tell_orders(self, who: Any, floor: int, digest: bytes) -> None:
+        page = self.orders.page(floor, digest)
+        if page is not None:
+            self._reply(who, "orders", *page)
+
+    def _take_orders(self, who: Any, rows: list[Any], complete: bool) -> None:
+        if self.orders.take_page(rows, complete):
+            numbers, puts = self.orders.puts()
+            self._write(puts, ("orders", numbers))
+            if not self.orders.history.whole:
+                self._reply(who, "orders?", *self.orders.oldest())
 
     # The group
 
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from mesh.control.order_history import OrderHistory, Taken, Verdict
 from nickelbridge.register import (
     NONE,
     Accept,
@@ -28,7 +29,9 @@
     majority,
 )  # fmt: skip
 
-TAKEN_MOST = 64  # configurations whose numbers and digests are remembered
+# Orders that each state lists. A list as long as this may be cut: a build with a larger number has to tell
+# by other means which lists are whole.
+TAKEN_MOST = 64
 GENESIS = 1  # memory of a founder at the very first start
 
 CONFIGURATION = 0  # the shard that holds the configuration
@@ -36,6 +39,7 @@
 SHARDS = (CONFIGURATION, *KEY_SHARDS)
 
 OTHER_VERSION, OLD_VERSION, ALIVE, NO_PLACE = "other version", "old version", "it is alive", "no place"
+UNKNOWN_ORDER = "older than is remembered"
 OTHER_FENCE = "another owner came first"
 OTHER_GROUP = "the group has changed"
 
@@ -68,7 +72,7 @@
     epoch: int = 0
     revision: int = 0
     raw: bytes = b""  # the text, as `configuration_text` keeps it
-    taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
+    taken: Taken = ()  # the newest orders, `TAKEN_MOST` at most
     owner: str = ""  # the controller that does the duties of the shard
     fence: int = 0  # of that owner; rises with each, and with each change of voters
 
@@ -90,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Take a configuration on top of version `on`; done already where that very one was taken."""
+    """Take a configuration on top of version `on`; done already where that very order was taken."""
 
     raw: bytes
     revision: int
@@ -98,16 +102,33 @@
     on: int
 
     def __call__(self, before: Value) -> Value | str:
-        old = body(before)
-        if (self.revision, self.digest) in old.taken:
+        old, history = body(before), OrderHistory()
+        history.merge(old.taken, lists_all(old))
+        verdict = self.verdict(history, old.revision)
+        if verdict is Verdict.TAKEN:
             return before
-        if old.revision != self.on:
-            return OTHER_VERSION
-        if self.revision <= old.revision:
-            return OLD_VERSION
+        if verdict is not Verdict.NEW:
+            return WHY_NOT[verdict]
         taken = (*old.taken, (self.revision, self.digest))[-TAKEN_MOST:]
         return _next(before, replace(old, revision=self.revision, raw=self.raw, taken=taken))
 
+    def verdict(self, history: OrderHistory, current: int) -> Verdict:
+        """What is to become of the order while `current` is the newest version."""
+        return history.verdict(self.revision, self.digest, self.on, max(current, history.newest))
+
+
+WHY_NOT = {
+    Verdict.OTHER_VERSION: OTHER_VERSION,
+    Verdict.NOT_YET: OTHER_VERSION,
+    Verdict.OLD_VERSION: OLD_VERSION,
+    Verdict.UNKNOWN: UNKNOWN_ORDER,
+}
+
+
+def lists_all(state: Body) -> bool:
+    """Whether a state lists all orders that were ever taken."""
+    return len(state.taken) < TAKEN_MOST
+
 
 def read(before: Value) -> Value | str:
     """Change nothing: the round itself makes sure that what is told is the newest."""
@@ -210,29 +231,45 @@
 # Over the wire and on disk
 
 
-def pack_value(value: Value | None) -> Any:
-    """A value as a list."""
+def pack_value(value: Value | None, base: Value | None = None) -> Any:
+    """A value as a list; of what is large, only what `base` has not, which the reader must have then."""
     if value is None:
         return None
     b = body(value)
+    raw: bytes | None = b.raw
+    taken: list[Any] = [list(t) for t in b.taken]
+    if base is not None:
+        dropped = _dropped(b.taken, body(base).taken)
+        taken = [dropped, taken[len(body(base).taken) - dropped :]]
+        raw = b.raw if b.raw != body(base).raw else None
     return [
-        value.version, [[v.name, v.memory] for v in value.voters], b.epoch, b.revision, b.raw,
-        [list(t) for t in b.taken], [[v.name, v.memory] for v in value.former], b.owner, b.fence,
+        value.version, [[v.name, v.memory] for v in value.voters], b.epoch, b.revision, raw,
+        taken, [[v.name, v.memory] for v in value.former], b.owner, b.fence,
     ]  # fmt: skip
 
 
-def unpack_value(packed: Any) -> Value | None:
-    """The value in a list."""
+def unpack_value(packed: Any, base: Value | None = None) -> Value | None:
+    """The value in a list; `base` as it was packed on."""
     if packed is None:
         return None
     version, voters, epoch, revision, raw, taken, former, owner, fence = packed
+    before: Taken = ()
+    if base is not None:
+        dropped, taken = taken
+        before = body(base).taken[dropped:]
+        raw = raw if raw is not None else body(base).raw
     return Value(
         version, tuple(Voter(name, memory) for name, memory in voters),
-        Body(epoch, revision, raw, tuple((number, digest) for number, digest in taken), owner, fence),
+        Body(epoch, revision, raw, (*before, *((number, digest) for number, digest in taken)), owner, fence),
         tuple(Voter(name, memory) for name, memory in former),
     )  # fmt: skip
 
 
+def _dropped(taken: Taken, base: Taken) -> int:
+    """How many of the oldest of `base` are gone, where `taken` goes on with the rest of it."""
+    return next(n for n in range(len(base) + 1) if taken[: len(base) - n] == base[n:])
+
+
 def pack_kept(kept: Kept) -> Any:
     """All that a voter must not forget, as a list."""
     return [kept.memory, list(kept.promised), list(kept.accepted), pack_value(kept.value)]
@@ -248,7 +285,7 @@
     """A message between voters as a list."""
     match message:
         case Prepare():
-            return ["p", list(message.ballot), message.intent]
+            return ["p", list(message.ballot), message.intent, list(message.has)]
         case Promise():
             return [
                 "P", list(message.ballot), [message.voter.name, message.voter.memory], list(message.promised),
@@ -265,8 +302,8 @@
 def unpack_message(packed: list[Any]) -> Message:
     """The message in a list; `ValueError` for one that is none."""
     match packed:
-        case ["p", [counter, who], intent]:
-            return Prepare((counter, who), intent)
+        case ["p", [counter, who], intent, [has, whose]]:
+            return Prepare((counter, who), intent, (has, whose))
         case ["P", [counter, who], [name, memory], promised, accepted, value, objection]:
             return Promise(
                 (counter, who), Voter(name, memory), tuple(promised), tuple(accepted) or NONE,
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -4,24 +4,32 @@
 
 import json
 import zlib
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mesh.control import configuration_text, shard_state
 from mesh.control.configuration import digest
 from mesh.control.configuration_resource import ConfigurationResource
 from mesh.control.configuration_text import TEXT_MOST, compress, expand
 from mesh.control.control_api import call
+from mesh.control.fanout_tree import LOG
 from mesh.control.replica import Ended
 from mesh.control.shard import remembered
+from mesh.control.value_references import ValueReferences, refusal, unpack
 from mesh.storage import snapshot as snapshots
 from mesh.storage import storage_check
 from mesh.storage import store as store_module
 from mesh.storage.store import FORMAT, Store, pack
-from nickelbridge.register import Kept, Value, Voter
+from nickelbridge.register import Accept, Accepted, Kept, Prepare, Promise, Value, Voter
+from rehearsal.explore.controller import Controller
+from rehearsal.model.relays import World
 from rehearsal.model.replica_group import ReplicaGroup, example
+from rehearsal.model.stored_controller import StoredController
 from tests.mesh.test_store import Loop, close
 
 
@@ -100,10 +108,62 @@
             snapshots.read_snapshot(str(tmp_path / "new"))
 
 
+# What messages name instead of carrying
+
+TAKEN = st.lists(st.tuples(st.integers(0, 9), st.binary(max_size=2)), max_size=6).map(tuple)
+BODIES = st.builds(
+    shard_state.Body, st.integers(0, 3), st.integers(0, 9), st.sampled_from([b"", b"a", b"b"]), TAKEN,
+    st.sampled_from(["", "a"]), st.integers(0, 3),
+)  # fmt: skip
+VOTERS = tuple(Voter(name, shard_state.GENESIS) for name in "abc")
+VALUE = Value(0, VOTERS, shard_state.Body())
+
+
+@given(BODIES, BODIES)
+def test_a_state_packed_on_any_other_is_read_as_it_was(new: shard_state.Body, old: shard_state.Body) -> None:
+    value, base = Value(2, VOTERS, new), Value(1, VOTERS, old)
+    assert shard_state.unpack_value(shard_state.pack_value(value, base), base) == value
+    assert shard_state.unpack_value(shard_state.pack_value(value)) == value
+
+
+def test_what_is_named_and_not_known_is_lost_and_never_nothing() -> None:
+    old, new = (Value(n, VOTERS, shard_state.Body(revision=n, raw=b"%d" % n)) for n in (1, 2))
+    own = Kept(1, (3, "p"), (2, "x"), old)
+    references = ValueReferences()
+    asked = unpack(references.pack("b", Prepare((4, "p")), own), own)
+    assert asked == Prepare((4, "p"), None, (2, "x"))
+    same = Promise((4, "p"), VOTERS[1], (4, "p"), (2, "x"), None)
+    assert references.resolve("b", same) == Promise((4, "p"), VOTERS[1], (4, "p"), (2, "x"), old)
+    assert references.resolve("c", Promise((4, "p"), VOTERS[2], (4, "p"), (1, "y"), None)) is None
+    small = references.pack("b", Accept((4, "p"), new), own)
+    whole = references.pack("c", Accept((4, "p"), new), own)
+    promised = Kept(1, (4, "p"), (2, "x"), old)
+    assert unpack(small, promised) == unpack(whole, Kept(9)) == Accept((4, "p"), new)
+    assert unpack(small, Kept(1, (4, "p"), (4, "p"), new)) == Accept((4, "p"), new)  # sent again
+    for other in (Kept(9), Kept(1, (5, "q"), (5, "q"), old)):  # wiped since; it has accepted another
+        assert unpack(small, other) is None
+    assert refusal(small, VOTERS[1], Kept(1, (5, "q"))) == Accepted((4, "p"), VOTERS[1], (5, "q"))
+    assert refusal(small, VOTERS[1], Kept(9)) is None
+    assert [references.knows_ballot(name, (4, "p")) for name in "abc"] == [False, True, True]
+
+
+def test_a_voter_that_lost_the_accept_asks_for_the_state_of_the_ballot() -> None:
+    group = ReplicaGroup(3)
+    group.run(4.05)  # the next beats are far
+    group.put("b", "1", put_of(1))
+    group.run(0.0045)  # all have promised
+    group.dark.add("c")
+    group.run(0.0045)
+    group.dark.clear()
+    group.run(0.011)
+    assert group.controllers["c"].shard.body.revision == 1 and group.bytes["know?"]
+    assert shard_state.body(group.controllers["c"].shard.acceptor.kept.value or VALUE).revision == 0
+
+
 # What a change costs
 
 
-@pytest.mark.parametrize(("replicas", "most"), [(3, 45_000), (5, 90_000), (11, 225_000)])
+@pytest.mark.parametrize(("replicas", "most"), [(3, 16_000), (5, 32_000), (11, 80_000)])
 def test_bytes_of_one_change(replicas: int, most: int) -> None:
     group = ReplicaGroup(replicas)
     group.run(4.0)
@@ -126,3 +186,101 @@
     assert all(group.ended[str(n)][1].value and not group.ended[str(n)][1].why for n in range(1, 101))
     assert max(waits) < 1.0, max(waits)
     assert configuration_text.LEVEL == 6
+
+
+# Hundreds of changes, and who missed them
+
+
+def knows(controller: Controller, version: int) -> bool:
+    """Whether a replica knows this version of the state, or a later one."""
+    return controller.shard.known.version >= version
+
+
+def acknowledged(group: ReplicaGroup, asker: str, revision: int) -> float:
+    """Have a revision taken, at the pace of ten a second; the seconds until it was."""
+    id, began = f"put {revision} {group.now}", group.now
+    group.put(asker, id, put_of(revision))
+    group.run(0.1)
+    group.run_until(lambda: id in group.ended, 5.0)
+    at, end = group.ended[id]
+    assert end.value is not None and not end.why, (revision, end)
+    return at - began
+
+
+@pytest.mark.parametrize("replicas", [3, 5])
+def test_a_day_of_600_changes_with_a_dark_a_wiped_and_a_killed_replica(replicas: int, tmp_path: Path) -> None:
+    group = ReplicaGroup(replicas, bits_per_s=3.5e6, folder=tmp_path / "data")
+    group.run(4.0)
+    last = group.seeds[-1]
+    away = group.controllers[last]
+    assert isinstance(away, StoredController)
+
+    def heard() -> int:
+        return sum(size for (_, to), size in group.link_bytes.items() if to == last)
+
+    slowest = 0.0
+    for revision in range(1, 601):
+        if revision == 50:
+            group.dark.add(last)
+        elif revision == 300:
+            group.read(last, "dark")  # has no answer of what it knows
+        elif revision == 550:
+            assert group.ended["dark"][1].value is None and away.shard.body.revision == 49
+            group.dark.clear()
+            group.read(last, "back")
+            before, newest = heard(), group.controllers["a"].shard.known.version
+            caught_s = group.run_until(partial(knows, away, newest), 1.0)
+            state = len(pack(shard_state.pack_value(away.shard.known)))
+            assert caught_s < 0.5 and heard() - before < (replicas - 1) * 1.1 * state < replicas * 10_000
+            group.run_until(lambda: "back" in group.ended, 3.0)
+            found = group.ended["back"][1].value
+            assert found is not None and shard_state.body(found).revision == 549
+        elif revision == 560:
+            group.kill(last, wipe=True)
+        elif revision == 570:
+            fence, owner = group.owners[-1]
+            assert away.shard.voter in away.shard.known.voters  # it has a place again
+            group.kill(owner, for_s=4.0)
+        alive = [name for name in group.seeds if name not in group.dark and group.controllers[name].alive]
+        slowest = max(slowest, acknowledged(group, alive[revision % 2], revision))
+    group.run(5.0)
+    assert slowest < 2.0, slowest
+    assert [fence for fence, _ in group.owners] == sorted({fence for fence, _ in group.owners})
+    assert group.owners[-1][0] > fence and all(
+        one.shard.body.revision == 600 and one.shard.standing.caught_up for one in group.controllers.values()
+    )
+    assert away.file_bytes < 200_000  # of 50 MB that were taken
+    group.kill(last)
+    group.run(1.0)
+    assert away.opened_s < 2.0 and away.shard.body.revision == 600
+    away.close()
+
+
+def test_a_node_that_was_dark_through_500_changes_fetches_once() -> None:
+    world = World(3, 1)
+    nodes = [world.start(f"n{n}", 0) for n in range(20)]
+    world.run(12.0)
+    dark, fetched = nodes[7], list[int]()
+    take = dark._configuration_shard
+
+    def counted(rid: int, revision: int, raw: bytes) -> None:
+        fetched.append(revision)
+        take(rid, revision, raw)
+
+    dark._configuration_shard = counted  # type: ignore[method-assign]
+    others = [*world.nodes, *world.controllers]
+    for revision in range(1, 501):
+        for controller in world.controllers.values():
+            controller.revise(revision, b"text")
+        if revision == 1:
+            world.run(1.0)
+            assert dark.revision == 1
+            world.cuts = {pair for name in others for pair in ((dark.name, name), (name, dark.name))}
+        world.run(0.1)
+    assert dark.revision == 1 and {node.revision for node in nodes if node is not dark} == {500}
+    fetched.clear()
+    world.cuts.clear()
+    world.run(4.0)
+    assert dark.revision == 500 and [revision for revision in fetched if revision > 1] == [500]
+    assert all(len(one.stream._log) <= LOG for one in world.controllers.values())
+    assert all(len(stream._log) <= LOG for node in nodes for stream in node.subscriber.streams.values())
