--- /dev/null
+++ b/tests/mesh/test_members_by_service.py
@@ -0,0 +1,144 @@
+"""Each service of a node is told of its own servers alone, and knows what it knew when told of everybody."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import Any
+
+import pytest
+
+from mesh.control.configuration import Route
+from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Record, Server, everyone
+from mesh.dataplane import service_client as module
+from mesh.dataplane.proxy import Proxy
+from mesh.dataplane.service_client import ServiceClient
+from mesh.settings import Bounds, check_settings
+from rehearsal.model.relays import World
+from tests.mesh.fakes import rig, route
+from tests.mesh.test_records import BOOT
+
+SERVICES = ("s", "t", "u")
+
+
+class Told(ServiceClient):
+    """Counts what it is told."""
+
+    lists = 0
+
+    def servers(self, records: dict[str, Record]) -> None:
+        self.lists += 1
+        super().servers(records)
+
+
+def known(client: ServiceClient) -> Any:
+    """What a service knows of its servers, by their own ids."""
+    ids = {number: id for number, (id, _) in client._targets.items()}
+    entries = {ids[n]: dataclasses.replace(entry, server=0) for n, entry in client._entries.items()}
+    return {ids[n] for n in client._ready}, entries, sorted(client._targets.values()), client._slack()
+
+
+def step(rng: random.Random, members: dict[str, Record], number: int) -> dict[str, Record]:
+    """Some node comes, goes, restarts, or its server changes, also to another service."""
+    after, name = dict(members), f"n{rng.randrange(12)}"
+    if name in after and rng.random() < 0.3:
+        del after[name]
+        return after
+    boot = rng.randrange(3)
+    state = rng.choice((IN_SERVICE, IN_SERVICE, DRAINING, GONE))
+    server = Server(f"{name}-{boot}", rng.choice(SERVICES), "z", state, 4, rng.choice((0.0, 3_000.0)))
+    after[name] = Record(name, boot, number, "z", "127.0.0.1", 1, rng.choice((server, server, None)))
+    return after
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_grouped_lists_give_what_whole_lists_gave(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    rng = random.Random(seed)
+    loop, alarms, lines = rig()
+    monkeypatch.setattr(module, "now_ms", loop.now_ms)
+    settings = dataclasses.replace(check_settings(BOOT), application=("127.0.0.1", 1))
+    proxy: Any = Proxy(settings, loop)
+    numbers: dict[str, int] = {}
+    plain, grouped = (
+        {name: Told(name, "me", "z", Bounds(), loop, alarms, lines, number) for name in SERVICES}
+        for number in (lambda id: numbers.setdefault(id, len(numbers)), proxy._number)
+    )
+    proxy._services = grouped
+    routes: list[Route] = [route()]
+    for client in (*plain.values(), *grouped.values()):
+        client.configure(routes)
+    members: dict[str, Record] = {}
+    for number in range(60):
+        members = step(rng, members, number)
+        proxy._on_members(members)
+        for client in plain.values():
+            client.servers(members)
+            client.members(len(members))
+        loop.pass_ms(rng.choice((0.0, 50.0, 2_000.0)))
+        assert [known(c) for c in grouped.values()] == [known(c) for c in plain.values()]
+    assert sum(c.lists for c in grouped.values()) < sum(c.lists for c in plain.values())
+
+
+def test_a_new_service_sets_one_timer_for_its_slack_however_many_nodes_join(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    loop, alarms, lines = rig()
+    monkeypatch.setattr(module, "now_ms", loop.now_ms)
+    client = ServiceClient("s", "me", "z", Bounds(), loop, alarms, lines, int)
+    client.configure([route()])
+    settled: list[float] = []
+    settle = client._settle
+
+    def noted() -> None:
+        settled.append(loop.time())
+        settle()
+
+    monkeypatch.setattr(client, "_settle", noted)
+    began, timers = loop.time(), len(loop._calls)
+    for count in range(2, 700):
+        client.members(count)
+    assert len(loop._calls) == timers and not settled
+    assert client._slack() == 0.0
+    loop.pass_ms(Bounds().retry_window_s * 1e3 + 1.0)
+    assert len(settled) == 1 and loop.time() > began
+    assert client._slack() == pytest.approx(0.4 * Bounds().retry_slack / (1.5 * 699))
+    client.members(1_000)
+    assert client._slack() == pytest.approx(0.4 * Bounds().retry_slack / (1.5 * 1_000))
+
+
+def plainly(told: dict[str, dict[str, Record]], heard: set[str]) -> dict[str, Record]:
+    """`everyone` without its short cuts."""
+    found: dict[str, Record] = {}
+    for controller, mine in told.items():
+        for name, record in mine.items() if not heard or controller in heard else ():
+            had = found.get(name)
+            if had is None or (had.boot == record.boot and had.number < record.number):
+                found[name] = record
+    return found
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_everyone_is_what_the_plain_walk_finds(seed: int) -> None:
+    rng = random.Random(seed)
+    records = [Record(f"n{n}", boot, number, "z", "", 1, None) for n in range(4) for boot in (1, 2)
+               for number in (1, 2)]  # fmt: skip
+    for _ in range(50):
+        told = {f"k{k}": {r.name: r for r in rng.sample(records, rng.randrange(6))} for k in range(3)}
+        if rng.random() < 0.5:  # other objects, the same records
+            told["k2"] = {name: dataclasses.replace(record) for name, record in told["k0"].items()}
+        heard = set(rng.sample(sorted(told), rng.randrange(4)))
+        assert everyone(told, heard) == plainly(told, heard)
+        assert list(everyone(told, heard)) == list(plainly(told, heard))
+
+
+def test_a_node_keeps_one_copy_of_a_record_that_all_controllers_tell_of() -> None:
+    world = World(1, 2)
+    for n in range(4):
+        world.start(f"n{n}", n % 2)
+    world.run(5.0)
+    world.nodes["n1"].publish()
+    world.run(5.0)
+    for node in world.nodes.values():
+        for name in world.nodes:
+            copies = [stream.records[name] for stream in node.subscriber.streams.values()]
+            assert len(copies) == 3 and len({id(record) for record in copies}) == 1
