--- /dev/null
+++ b/mesh/control/shard.py
@@ -0,0 +1,150 @@
+"""One controller's half of one shard of the state: its replica in the group, the keys of the shard, and
+their repair.
+
+Pure: events in, actions out, in the order in which they are to be done; clock and chance are handed in, and
+all that it holds can be copied. Whoever runs it does the actions and tells it what came of a `Write`. What a
+message promises is on disk before the message leaves.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from mesh.control.key_transfer import Page
+from mesh.control.operation_keys import Granted, Held, KeyRecord
+from mesh.control.repair import Repair, remembered
+from mesh.control.replica import Action, Answer, Peers
+from nickelbridge.register import Kept, Value
+
+__all__ = ["Shard", "remembered"]
+
+AGAIN_S = 1.0  # after the disk refused an answer
+
+
+class Shard(Repair):
+    """One shard at one controller."""
+
+    def __init__(
+        self, number: int, name: str, first: Value, kept: Kept, caught_up: bool, peers: Peers,
+        window_s: float, rng: random.Random, most: int, size: int,
+    ) -> None:  # fmt: skip
+        """`first`: the state that all founders begin with; `most`: keys that it may hold; `size`: voters that
+        the group should have.
+        """
+        super().__init__(number, name, first, kept, caught_up, peers, window_s, rng, most, size)
+        self.unwritten: dict[str, KeyRecord] = {}  # records that are not surely on disk
+        self._again: list[tuple[float, str, KeyRecord]] = []  # answers that the disk refused
+
+    # Events
+
+    def load(self, key: str, packed: list[Any]) -> None:
+        """A record from its own disk, before anything else."""
+        self.operation_keys.load(key, packed)
+
+    def tick(self, now: float) -> list[Action]:
+        """Let time pass."""
+        over = self.operation_keys.turn(now)
+        if over:
+            self._write([("slips", key.encode("latin-1"), None) for key in over])
+        for due, key, record in self._again:
+            if due <= now and self.operation_keys.records.get(key) is record:
+                self._write([self._stored(key, record)], ("answer", key, record))
+        self._again = [one for one in self._again if one[0] > now]
+        if self._pass_time(now):
+            self._mind_missed()
+            self._see_whether_caught_up()
+        self._learn_keys(now)
+        return self._flush()
+
+    def heard(self, who: Any, message: list[Any], now: float) -> list[Action]:
+        """A message of another controller; `who` takes the answer. `ValueError` and its like for a bad
+        one.
+        """
+        self.now = now
+        match message:
+            case ["slips?", name, number, counted, under, life, sequence, brief]:
+                self._give_page(who, name, number, counted, under, life, sequence, brief)
+            case ["slips", name, number, sequence, rows, last, life, _]:
+                self._take_page(name, number, Page(rows, sequence, last), life)
+            case ["slips-", name, number]:
+                self.learner.declined(name, number, now)
+            case ["records?", name, number, keys]:
+                self._give_records(who, number, keys)
+            case ["records", name, number, rows, covered]:
+                self._take_records(name, number, rows, covered)
+            case ["missed", name, under, number, rows]:
+                self._take_missed(who, name, under, number, rows)
+            case ["missed!", name, number]:
+                self.missed.taken(name, number)
+                self._hand_over(name)
+            case _:
+                self._take(who, message)
+        return self._flush()
+
+    def written(self, then: tuple[Any, ...], ok: bool, now: float) -> list[Action]:
+        """What came of a write."""
+        self.now = now
+        match then:
+            case ("claim", who, rid, under, key, holder, record) if ok:
+                if self.unwritten.get(key) is record:
+                    del self.unwritten[key]
+                # While the disk was at work the key may have been given back, or the group have changed.
+                mine = self.operation_keys.records.get(key) is record and holder == record.holder  # type: ignore[union-attr]
+                what = "yours" if mine and self.grants(under) else "wait"
+                self._out.append(Answer(who, ["slip", rid, under, what, None]))
+            case ("answer", key, record) if not ok:
+                self._again.append((now + AGAIN_S, key, record))
+            case ("page", name, request):
+                self._page_written(name, request, ok)
+            case ("missed", who, number) if ok:
+                self._reply(who, "missed!", self.name, number)
+            case ("caught", under):
+                self._caught_up(under, ok)
+            case _:
+                self._kept(then, ok)
+        return self._flush()
+
+    # Operation keys
+
+    def claim(
+        self, who: Any, rid: int, under: int, key: str, holder: str, room: bool, now: float
+    ) -> list[Action]:
+        """A try wants a key; `room`: whether the disk has room for another."""
+        self.now = now
+
+        def say(what: str, answer: Any = None) -> list[Action]:
+            self._out.append(Answer(who, ["slip", rid, under, what, answer]))
+            return self._flush()
+
+        if not self.grants(under) or (not room and key not in self.operation_keys.records):
+            return say("wait")
+        outcome, new = self.operation_keys.claim(key, holder)
+        if isinstance(outcome, Held):
+            return say("held", outcome.answer)
+        if not isinstance(outcome, Granted):
+            return say("wait")
+        record = self.operation_keys.records[key]
+        if new is None and self.unwritten.get(key) is not record:
+            return say("yours")
+        self.unwritten[key] = record
+        self.missed.wrote(key, now)
+        self._write([self._stored(key, record)], ("claim", who, rid, under, key, holder, record))
+        return self._flush()
+
+    def done(self, key: str, holder: str, answer: Any, now: float) -> list[Action]:
+        """A key's first run was answered."""
+        self.now = now
+        record = self.operation_keys.done(key, holder, answer)
+        if record is not None:
+            self.missed.wrote(key, now)
+            self._write([self._stored(key, record)], ("answer", key, record))
+        return self._flush()
+
+    def drop(self, key: str, holder: str, now: float) -> list[Action]:
+        """A try gives its key back: it has not run and never will."""
+        self.now = now
+        if self.operation_keys.drop(key, holder):
+            self.unwritten.pop(key, None)
+            self._write([("slips", key.encode("latin-1"), None)])
+        return self._flush()
--- a/athenaeum/parts.py
+++ b/mesh/control/shard_state.py
@@ -1,9 +1,10 @@
-"""The parts that the state is cut into, each with a group of keepers: what may become of one, how it travels.
+"""The shards that the state is cut into, each with a group of controllers: what may become of one, how it
+travels.
 
-Part 0 holds the configuration, the others operation keys, by a hash of the key; what is kept for a service
+Shard 0 holds the configuration, the others operation keys, by a hash of the key; what is kept for a service
 goes by a hash of its name. The state of each is the body of a `register.Value` (a register that a majority
 agrees on, no log): the epoch of the group, which rises with every change of its voters, who owns the duties
-of the part, under a fence that rises with every owner and every change of voters, and in part 0 the newest
+of the shard, under a fence that rises with every owner and every change of voters, and in shard 0 the newest
 configuration. Everything here is pure; changes are data, so that a world that holds them can be copied.
 """
 
@@ -14,6 +15,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from mesh.control.order_history import OrderHistory, Taken, Verdict
 from nickelbridge.register import (
     NONE,
     Accept,
@@ -27,47 +29,51 @@
     majority,
 )  # fmt: skip
 
-TAKEN_MOST = 64  # configurations whose numbers and digests are remembered
+# Orders that each state lists. A list as long as this may be cut: a build with a larger number has to tell
+# by other means which lists are whole.
+TAKEN_MOST = 64
 GENESIS = 1  # memory of a founder at the very first start
 
-FOLIO = 0  # the part that holds the configuration
-KEY_PARTS = (1, 2, 3)
-PARTS = (FOLIO, *KEY_PARTS)
+CONFIGURATION = 0  # the shard that holds the configuration
+KEY_SHARDS = (1, 2, 3)
+SHARDS = (CONFIGURATION, *KEY_SHARDS)
 
 OTHER_VERSION, OLD_VERSION, ALIVE, NO_PLACE = "other version", "old version", "it is alive", "no place"
+UNKNOWN_ORDER = "older than is remembered"
 OTHER_FENCE = "another owner came first"
+OTHER_GROUP = "the group has changed"
 
 
-def part_of(name: str) -> int:
-    """The part of an operation key, or of a service by its name.
+def shard_of(name: str) -> int:
+    """The shard of an operation key, or of a service by its name.
 
     A key goes by itself, not by its service: a route may be split or moved while its keys live on.
 
-    >>> {part_of(f"k{n}") for n in range(40)} == set(KEY_PARTS)
+    >>> {shard_of(f"k{n}") for n in range(40)} == set(KEY_SHARDS)
     True
     """
     mark = hashlib.blake2b(name.encode("utf-8", "surrogateescape"), digest_size=8).digest()
-    return KEY_PARTS[int.from_bytes(mark, "big") % len(KEY_PARTS)]
+    return KEY_SHARDS[int.from_bytes(mark, "big") % len(KEY_SHARDS)]
 
 
-def ranked(part: int, names: list[str]) -> list[str]:
-    """Who comes first as the owner of a part: duties spread over the keepers.
+def ranked(shard: int, names: list[str]) -> list[str]:
+    """Who comes first as the owner of a shard: duties spread over the controllers.
 
     >>> sorted(ranked(1, ["a", "b", "c"]))
     ['a', 'b', 'c']
     """
-    return sorted(names, key=lambda n: hashlib.blake2b(f"{part} {n}".encode(), digest_size=8).digest())
+    return sorted(names, key=lambda n: hashlib.blake2b(f"{shard} {n}".encode(), digest_size=8).digest())
 
 
 @dataclass(frozen=True, slots=True)
 class Body:
-    """The state of the part."""
+    """The state of the shard."""
 
     epoch: int = 0
     revision: int = 0
-    raw: bytes = b""
-    taken: tuple[tuple[int, bytes], ...] = ()  # number and digest of each that was taken, the newest last
-    owner: str = ""  # the keeper that does the duties of the part
+    raw: bytes = b""  # the text, as `configuration_text` keeps it
+    taken: Taken = ()  # the newest orders, `TAKEN_MOST` at most
+    owner: str = ""  # the controller that does the duties of the shard
     fence: int = 0  # of that owner; rises with each, and with each change of voters
 
 
@@ -88,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Take a configuration on top of version `on`; done already where that very one was taken."""
+    """Take a configuration on top of version `on`; done already where that very order was taken."""
 
     raw: bytes
     revision: int
@@ -96,16 +102,33 @@
     on: int
 
     def __call__(self, before: Value) -> Value | str:
-        old = body(before)
-        if (self.revision, self.digest) in old.taken:
+        old, history = body(before), OrderHistory()
+        history.merge(old.taken, lists_all(old))
+        verdict = self.verdict(history, old.revision)
+        if verdict is Verdict.TAKEN:
             return before
-        if old.revision != self.on:
-            return OTHER_VERSION
-        if self.revision <= old.revision:
-            return OLD_VERSION
+        if verdict is not Verdict.NEW:
+            return WHY_NOT[verdict]
         taken = (*old.taken, (self.revision, self.digest))[-TAKEN_MOST:]
         return _next(before, replace(old, revision=self.revision, raw=self.raw, taken=taken))
 
+    def verdict(self, history: OrderHistory, current: int) -> Verdict:
+        """What is to become of the order while `current` is the newest version."""
+        return history.verdict(self.revision, self.digest, self.on, max(current, history.newest))
+
+
+WHY_NOT = {
+    Verdict.OTHER_VERSION: OTHER_VERSION,
+    Verdict.NOT_YET: OTHER_VERSION,
+    Verdict.OLD_VERSION: OLD_VERSION,
+    Verdict.UNKNOWN: UNKNOWN_ORDER,
+}
+
+
+def lists_all(state: Body) -> bool:
+    """Whether a state lists all orders that were ever taken."""
+    return len(state.taken) < TAKEN_MOST
+
 
 def read(before: Value) -> Value | str:
     """Change nothing: the round itself makes sure that what is told is the newest."""
@@ -114,16 +137,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """Take a keeper into the group, in the place of another name, or of an older memory of its own."""
+    """Take a controller into the group, in the place of another name, or of an older memory of its own, if
+    `epoch` is still the group's: a controller asks on top of the last group that it knows, so that it can't
+    come back into one without having noticed that it was put out.
+    """
 
     joiner: Voter
     instead_of: str
     most: int
+    epoch: int
 
     def __call__(self, before: Value) -> Value | str:
         joiner = self.joiner
         if joiner in before.voters:
             return before
+        if body(before).epoch != self.epoch:
+            return OTHER_GROUP
         gone = joiner.name if any(v.name == joiner.name for v in before.voters) else self.instead_of
         kept = tuple(v for v in before.voters if v.name != gone)
         if len(kept) == len(before.voters) and len(kept) >= self.most:
@@ -140,7 +169,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Own:
-    """Give the duties of the part to a keeper, under the next fence, if `fence` is still the owner's."""
+    """Give the duties of the shard to a controller, under the next fence, if `fence` is still the owner's."""
 
     name: str
     fence: int
@@ -191,7 +220,7 @@
 
 
 def sources_needed(voters: int) -> int:
-    """How many keepers that remember a newcomer must hear, so that no majority of old is missed.
+    """How many controllers that remember a newcomer must hear, so that no majority of old is missed.
 
     >>> sources_needed(3), sources_needed(5)
     (2, 3)
--- a/athenaeum/gate.py
+++ b/mesh/dataplane/admission.py
@@ -12,10 +12,9 @@
 
 from loguru import logger
 
-from athenaeum.accessions import DRAINING, GONE, IN_SERVICE, Server
-from athenaeum.boot import Address, Bounds
-from athenaeum.faults import Fault, Kind
-from athenaeum.lines import (
+from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
+from mesh.dataplane.attempt import TrackedAttempt
+from mesh.dataplane.http_connection import (
     BELOW,
     KEYED,
     LATE,
@@ -27,21 +26,23 @@
     TIMES,
     UNRUN,
     Asked,
-    Lines,
+    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
 )  # fmt: skip
-from athenaeum.lines import (
+from mesh.dataplane.http_connection import (
     GONE as GATE_GONE,
 )
+from mesh.errors import Kind, Refusal
+from mesh.settings import Address, Bounds
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
 from orchidferry.request import Message
-from orchidferry.upstream import Answer, Attempt
+from orchidferry.upstream import Answer
 
 OVER = 1  # requests beyond its slots that a server is given, so that none of these is idle
 GUESS = 4  # slots of a server that has said nothing yet
@@ -50,7 +51,6 @@
 SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
 LEAST_LEFT_MS = 8.0
 REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
-SERVER = 1  # its number for the pool of lines
 ENDED_MOST = 64
 
 
@@ -59,7 +59,7 @@
 
     __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "timer")
 
-    def __init__(self, gate: Gate, message: Asked, answer: Callable[[Reply], None]) -> None:
+    def __init__(self, gate: AdmissionGate, message: Asked, answer: Callable[[Reply], None]) -> None:
         self._gate, self.message, self.answer = gate, message, answer
         self.ends_ms = now_ms() + message.budget_ms
         rank = message.headers.get(RANK, b"9")
@@ -73,7 +73,7 @@
         self.owed = False
         if self.attempt is None:
             self._gate.forget(self)
-        elif not self.once or not self.attempt.written:
+        elif not self.once or not self.attempt.begun:
             self.attempt.break_off(Result.CANCELLED)
 
     def reply(self, reply: Reply) -> None:
@@ -85,13 +85,13 @@
             reply.flow.call_off()
 
 
-class Visit(Attempt):
+class Visit(TrackedAttempt):
     """A request on its way to the server."""
 
     __slots__ = ("_gate", "_pass", "headers")
 
-    def __init__(self, gate: Gate, passing: Pass, address: Address, timeout_ms: float) -> None:
-        super().__init__(passing.message, SERVER, address, timeout_ms)
+    def __init__(self, gate: AdmissionGate, passing: Pass, address: Address, timeout_ms: float) -> None:
+        super().__init__(passing.message, gate.life, address, timeout_ms, passing.once)
         self._gate, self._pass = gate, passing
         passing.attempt = self
 
@@ -113,12 +113,12 @@
         self._gate.left(self._pass, result, answer if isinstance(answer, Said) else None)
 
 
-class Gate:
+class AdmissionGate:
     """What is known of the server, and what waits for it."""
 
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
-        alarms: Alarms, lines: Lines, changed: Callable[[], None], below: Callable[[], bool],
+        alarms: Alarms, lines: HttpConnections, changed: Callable[[], None], below: Callable[[], bool],
         orphan: Callable[[Asked, Said], None],
     ) -> None:  # fmt: skip
         """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
@@ -128,6 +128,7 @@
         self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
         self.server: Server | None = None
+        self.life = 1  # its number for the pool of connections: none is used for another life
         self._sequence = -1
         self._ended: dict[str, None] = {}  # lives that are over, the oldest first
         self._drained_ms = float("inf")  # when its drain was acknowledged
@@ -142,7 +143,7 @@
 
     # Beats
 
-    def beat(self, server: Server, sequence: int) -> Fault | None:
+    def beat(self, server: Server, sequence: int) -> Refusal | None:
         """Take a server's word of itself; None if it is acknowledged."""
         had = self.server
         if server.id in self._ended:
@@ -157,7 +158,8 @@
         self._sequence, self._heard_ms = sequence, now_ms()
         if had is None or had.id != server.id:
             self._drained_ms = float("inf")
-            self._lines.gone(SERVER)
+            self._lines.gone(self.life)
+            self.life += 1
         if server.state == DRAINING:
             self._drained_ms = min(self._drained_ms, now_ms())
         elif had is not None and had.state == GONE:  # it was only taken for gone
@@ -232,7 +234,7 @@
 
     def _turn_away(self, passing: Pass, why: bytes) -> None:
         load = self._waiting
-        passing.reply(own_answer(passing.message, Fault(Kind.SHED), gate=why, load=load))
+        passing.reply(own_answer(passing.message, Refusal(Kind.SHED), gate=why, load=load))
 
     def _hold(self, passing: Pass) -> None:
         """Let it wait for a moment; the lowest rank goes where there is no room to wait."""
@@ -308,13 +310,13 @@
                     reply.more.append((BELOW, b"1"))
                 return reply
             if result is Result.REFUSED:
-                return own_answer(message, Fault(Kind.SHED), gate=UNRUN, load=self._waiting)
+                return own_answer(message, Refusal(Kind.SHED), gate=UNRUN, load=self._waiting)
         if said is not None and said.flow is not None:
             said.flow.call_off()
         if result is Result.MOOT:
-            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+            return own_answer(message, Refusal(Kind.SHED), gate=GATE_GONE)
         if result is Result.UNREACHABLE:
-            return own_answer(message, Fault(Kind.SHED), gate=GATE_GONE)
+            return own_answer(message, Refusal(Kind.SHED), gate=GATE_GONE)
         if result is Result.TIMEOUT:
-            return own_answer(message, Fault(Kind.LATE), gate=LATE)
-        return own_answer(message, Fault(Kind.BROKEN), gate=LOST)
+            return own_answer(message, Refusal(Kind.LATE), gate=LATE)
+        return own_answer(message, Refusal(Kind.BROKEN), gate=LOST)
--- a/athenaeum/tier.py
+++ b/mesh/dataplane/service_client.py
@@ -15,23 +15,25 @@
 
 from loguru import logger
 
-from athenaeum.accessions import DRAINING, IN_SERVICE, Record
-from athenaeum.boot import Address, Bounds
-from athenaeum.faults import Fault, Kind
-from athenaeum.folio import Route
-from athenaeum.lines import (
+from mesh.control.configuration import Route
+from mesh.control.endpoints import DRAINING, IN_SERVICE, Record
+from mesh.dataplane.attempt import TrackedAttempt
+from mesh.dataplane.http_connection import (
     KEYED,
     MARGIN_MS,
     PATIENCE,
+    PROMISES,
     RANK,
     TIMES,
     Asked,
-    Lines,
+    HttpConnections,
     Said,
     head,
     own_answer,
     passed_on,
 )  # fmt: skip
+from mesh.errors import Kind, Refusal
+from mesh.settings import Address, Bounds
 from nickelbridge import interface as api
 from nickelbridge.interface import Repeat, Result
 from nickelbridge.logic import NEVER_RAN, Balancer
@@ -40,7 +42,7 @@
 from orchidferry.config import now_ms
 from orchidferry.frontend import Reply
 from orchidferry.turns import Turns
-from orchidferry.upstream import Answer, Attempt
+from orchidferry.upstream import Answer
 
 RATIO_SHARE = 0.4  # of the ratio of further tries: a repeated run's own calls are repeats elsewhere
 SLACK_SHARE = 0.4  # of the slack, over all nodes
@@ -58,7 +60,7 @@
 
 
 def _not_handled(event: api.Event) -> None:
-    logger.exception("tier: handling {}", type(event).__name__)
+    logger.exception("service: handling {}", type(event).__name__)
 
 
 def class_name(route: Route) -> str:
@@ -80,37 +82,37 @@
 
     __slots__ = (
         "answer", "attempts", "backstop", "began_ms", "ends_ms", "id", "message", "on_end", "owed", "ran",
-        "route", "said", "tier",
+        "route", "said", "service",
     )  # fmt: skip
 
     def __init__(
-        self, tier: Tier, id: str, message: Asked, route: Route, ends_ms: float,
+        self, service: ServiceClient, id: str, message: Asked, route: Route, ends_ms: float,
         answer: Callable[[Reply], None], on_end: Callable[[Said | None, bool], None] | None,
     ) -> None:  # fmt: skip
-        self.tier, self.id, self.message, self.route = tier, id, message, route
+        self.service, self.id, self.message, self.route = service, id, message, route
         self.began_ms, self.ends_ms, self.answer = now_ms(), ends_ms, answer
         self.on_end = on_end  # hears the answer of a run, if there is one, and whether it may have run
         self.owed, self.ran, self.attempts, self.backstop = True, False, 0, 0
         self.said: Said | None = None  # the last answer of a server that ran it
 
     def caller_gone(self) -> None:
-        self.tier.caller_gone(self)
+        self.service.caller_gone(self)
 
     def overdue(self) -> None:
-        self.tier.overdue(self)
+        self.service.overdue(self)
 
 
-class Hop(Attempt):
+class Hop(TrackedAttempt):
     """An attempt on its way to the gate of a server."""
 
     __slots__ = ("_live", "_number", "_sent_ms", "_target")
 
     def __init__(self, live: Live, server: int, target: str, address: Address, timeout_ms: float) -> None:
-        super().__init__(live.message, server, address, timeout_ms)
+        super().__init__(live.message, server, address, timeout_ms, once=not live.route.repeatable)
         self._live, self._target, self._number = live, target, live.attempts
         self._sent_ms = now_ms()
         live.attempts += 1
-        live.tier.out[live.id, self._number] = self
+        live.service.out[live.id, self._number] = self
 
     def head_bytes(self) -> bytes:
         live = self._live
@@ -120,11 +122,11 @@
         own = [
             (b"Time-Remaining", b"%d" % left_ms),
             (b"Target-Instance", self._target.encode("latin-1")),
-            (b"Calling-Service", live.tier.caller),
+            (b"Calling-Service", live.service.caller),
             (RANK, b"%d" % live.route.rank),
             (PATIENCE, b"%d" % max(0.0, held)),
         ]
-        if not live.route.repeatable:
+        if self.once:
             own.append((TIMES, b"1"))
         if live.on_end is not None:
             own.append((KEYED, b"1"))
@@ -133,50 +135,52 @@
     def timed_out(self) -> None:
         # Around a planned end what is broken off at work and answered 502 counts as lost.
         live, left_ms = self._live, self._live.ends_ms - now_ms() - MARGIN_MS / 2.0
-        if live.tier.leaving and live.owed and self.written and left_ms > 1.0:
+        if live.service.leaving and live.owed and self.begun and left_ms > 1.0:
             return self.go_on_for(left_ms / 1000.0)
         super().timed_out()
 
     def may_send(self) -> bool:
         flow = self.message.flow
         beginnable = flow is None or flow.can_begin()
-        return beginnable and self._live.owed and self._live.tier.serves(self.server)
+        return beginnable and self._live.owed and self._live.service.serves(self.server)
 
     def ended(self, result: Result, answer: Answer | None) -> None:
-        live, tier = self._live, self._live.tier
-        del tier.out[live.id, self._number]
+        live, service = self._live, self._live.service
+        del service.out[live.id, self._number]
         said = answer if isinstance(answer, Said) else None
-        if result not in NEVER_RAN and self.written:
+        if result not in NEVER_RAN and self.begun:
             live.ran = True
-        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
+        # A promise that it has not run, without the proof of that, is not passed on as the answer.
+        unproven = said is not None and self.once and said.status in PROMISES
+        if said is not None and said.whole and result in (Result.SERVED, Result.ERROR) and not unproven:
             live.said = said
         if result is Result.SERVED and said is not None:
-            tier.finish(live, passed_on(said))
+            service.finish(live, passed_on(said))
         if result in (Result.SERVED, Result.ERROR) and said is not None:
-            tier.outcome(live, result is Result.ERROR and said.below)
+            service.outcome(live, result is Result.ERROR and said.below)
         if said is not None and said.flow is not None and not said.flow.fed_by_now():
             said.flow.call_off()
         flow = self.message.flow
         spent = flow is not None and (flow.spent or flow.over)
         report = said.report if said is not None else None
         if report is not None:
-            tier.crowd(self.server, report["queue"])
-        tier.handle(
+            service.crowd(self.server, report["queue"])
+        service.handle(
             api.AttemptEnded(
                 live.id, self._number, self.server, result, now_ms() - self._sent_ms, not live.owed, report,
                 spent,
             )
         )  # fmt: skip
         if not live.owed:
-            tier.over(live)
+            service.over(live)
 
 
-class Tier:
+class ServiceClient:
     """One service."""
 
     def __init__(
         self, name: str, caller: str, zone: str, bounds: Bounds, loop: asyncio.AbstractEventLoop,
-        alarms: Alarms, lines: Lines, numbers: Callable[[str], int],
+        alarms: Alarms, lines: HttpConnections, numbers: Callable[[str], int],
     ) -> None:  # fmt: skip
         self.name, self.caller, self._zone = name, caller.encode("latin-1"), zone
         self._bounds, self._loop, self._alarms = bounds, loop, alarms
@@ -191,6 +195,7 @@
         self.out: dict[tuple[str, int], Hop] = {}
         self.leaving = False  # the node is to end: what a server may work on is waited for
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
+        self._boots: dict[int, int] = {}  # the life of the process of that gate
         self._ready: set[int] = set()
         self._entries: dict[int, api.ServerEntry] = {}
         self._nested = Nested()
@@ -200,7 +205,7 @@
         self._pull, self._pulled_ms, self._waiting = PULLS[0][1], -math.inf, 0.0
         self._cold: dict[int, float] = {}  # until when
 
-    # What the tier is told
+    # What the service is told
 
     def configure(self, routes: list[Route]) -> None:
         """Serve these routes from now on; requests that were taken keep theirs."""
@@ -247,6 +252,7 @@
         entries: dict[int, api.ServerEntry] = {}
         targets: dict[int, tuple[str, Address]] = {}
         near: dict[int, bool] = {}
+        boots: dict[int, int] = {}
         for record in records.values():
             server = record.server
             if server is None or server.service != self.name or server.state not in (IN_SERVICE, DRAINING):
@@ -260,10 +266,15 @@
             health = api.Health.IN_SERVICE if server.state == IN_SERVICE else api.Health.DRAINING
             entries[number] = api.ServerEntry(number, server.zone, health=health, share=share)
             targets[number] = (server.id, (record.ip, record.inbound))
+            boots[number] = record.boot
         changes = [entry for number, entry in entries.items() if self._entries.get(number) != entry]
         gone = [number for number in self._entries if number not in entries]
         self._entries, self._targets, self._near = entries, targets, near
         self._ready = {n for n, entry in entries.items() if entry.health is api.Health.IN_SERVICE}
+        for number, boot in boots.items():
+            if self._boots.get(number, boot) != boot:  # a new process: no connection to the last one lives
+                self._lines.close_idle(number)
+        self._boots = boots
         for number in gone:
             self._cold.pop(number, None)
             self._lines.gone(number)
@@ -322,7 +333,7 @@
         live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
         name = class_name(route)
         if self._balancer is None or name not in self._balancer.classes:
-            self.finish(live, own_answer(message, Fault(Kind.SHED, "the route has just changed"), 0.05))
+            self.finish(live, own_answer(message, Refusal(Kind.SHED, "the route has just changed"), 0.05))
             self.over(live)
             return live
         if self._rng.random() < self._nested.shed(name, now_ms()):
@@ -363,10 +374,14 @@
         if live.said is not None:
             self.finish(live, passed_on(live.said))
         else:
-            # What was written to a gate may run yet: no promise, then.
-            sent = live.ran or any(self.out[key].written for key in self._out_of(live))
+            # What was begun on its way to a gate may run yet: no promise, then.
+            hops = [self.out[key] for key in self._out_of(live)]
+            sent = live.ran or any(hop.begun for hop in hops)
             kind = Kind.LATE if sent else Kind.SHED
-            self.finish(live, own_answer(live.message, Fault(kind), None if sent else 0.05))
+            self.finish(live, own_answer(live.message, Refusal(kind), None if sent else 0.05))
+            for hop in hops:
+                if not hop.begun:  # and it never will
+                    hop.break_off(Result.CANCELLED)
         self.handle(api.ClientGone(live.id))
         self.over(live)
 
@@ -413,10 +428,10 @@
         if live.said is not None:
             return self.finish(live, passed_on(live.said))
         if live.ran:
-            return self.finish(live, own_answer(live.message, Fault(Kind.BROKEN)))
+            return self.finish(live, own_answer(live.message, Refusal(Kind.BROKEN)))
         self.turned_away_ms = now_ms()
         wait_s = min(retry_after_ms, max(20.0, 0.2 * (live.ends_ms - now_ms()))) / 1000.0
-        self.finish(live, own_answer(live.message, Fault(Kind.SHED), wait_s))
+        self.finish(live, own_answer(live.message, Refusal(Kind.SHED), wait_s))
 
     def _send(self, action: api.Send) -> None:
         live, number = self.live.get(action.id), action.server
--- a/athenaeum/faults.py
+++ b/mesh/errors.py
@@ -19,7 +19,8 @@
     SHED = "it has not run; come back"
     BROKEN = "it may have run"
     LATE = "no answer in time"
-    NO_MAJORITY = "too few keepers answered"
+    FORGOTTEN = "whether it was taken is not known here"
+    NO_MAJORITY = "too few controllers answered"
     STARTING = "not ready yet"
 
 
@@ -34,17 +35,18 @@
     Kind.SHED: 503,
     Kind.BROKEN: 502,
     Kind.LATE: 504,
+    Kind.FORGOTTEN: 504,
     Kind.NO_MAJORITY: 503,
     Kind.STARTING: 503,
 }
 
 
-class BadDeposit(Exception):
-    """A keeper's store can't be opened; one line that names the folder."""
+class BadStore(Exception):
+    """A controller's store can't be opened; one line that names the folder."""
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Refusal:
     """A call that was turned down, and what to tell whoever made it."""
 
     kind: Kind
