--- a/rehearsal/explore/mesh_breaks.py
+++ b/rehearsal/explore/mesh_breaks.py
@@ -151,81 +151,96 @@
     patches: tuple[tuple[Any, str, Any], ...]
 
 
-def _break(about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]) -> Break:
+def break_under_faults(
+    about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]
+) -> Break:
+    """A break that its scene catches with so many faults of these kinds, named in one string."""
     return Break(about, scene, faults, tuple(kinds.split()), patches)
 
 
+def deliberate_break(
+    about: str, scene: str, *patches: tuple[Any, str, Any], faults: int = 0, kinds: str = ""
+) -> Break:
+    """A break that its scene catches, as a rule without a fault."""
+    return break_under_faults(about, scene, faults, kinds, *patches)
+
+
 BREAKS = {
-    "vote-forgotten": _break(
+    "vote-forgotten": break_under_faults(
         "an empty disk votes as before", "puts", 2, "wipe lose", (Controller, "wipe", _same_memory)
     ),
-    "unsynced": _break(
+    "unsynced": break_under_faults(
         "promises leave before they are on disk", "puts", 2, "kill lose", (Controller, "do", _unsynced)
     ),
-    "promise-forgotten": _break(
+    "promise-forgotten": break_under_faults(
         "promises are not kept", "puts", 0, "", (Acceptor, "handle", _forgets_promise)
     ),
-    "not-read": _break(
+    "not-read": break_under_faults(
         "what was accepted is not taken up", "puts", 0, "", (Proposer, "_promised", _not_read)
     ),
-    "any-voter": _break(
+    "any-voter": break_under_faults(
         "any one voter is enough for a round", "puts", 1, "cut", (register, "majority", _any_majority)
     ),
-    "any-reading": _break(
+    "any-reading": break_under_faults(
         "any one voter is enough for a reading", "puts", 1, "cut", (shard_state, "majority", _any_majority)
     ),
-    "any-version": _break(
+    "any-version": break_under_faults(
         "a configuration is taken on top of any", "puts", 0, "", (OrderHistory, "verdict", _any_version)
     ),
-    "alone": _break("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
-    "from-arrival": _break(
+    "alone": break_under_faults("an owner asks nobody", "duties", 1, "cut", (Shard, "owns", _alone)),
+    "from-arrival": break_under_faults(
         "a lease runs from when a pulse came", "duties", 1, "freeze", (Controller, "pulse", _from_arrival)
     ),
-    "long-lease": _break(
+    "long-lease": break_under_faults(
         "a lease is longer than the next one waits", "duties", 1, "cut", (Shard, "owns", _long_lease)
     ),
-    "at-once": _break("a new owner does not wait", "unwell", 1, "cut", (Shard, "owns", _at_once)),
-    "voters-unfenced": _break(
+    "at-once": break_under_faults("a new owner does not wait", "unwell", 1, "cut", (Shard, "owns", _at_once)),
+    "voters-unfenced": break_under_faults(
         "a change of voters leaves the fence", "apart", 1, "lose",
         (shard_state.Admit, "__call__", _same_voters_fence),
     ),
-    "same-fence": _break(
+    "same-fence": break_under_faults(
         "fences do not rise", "duties", 1, "cut", (shard_state.Own, "__call__", _same_fence)
     ),
-    "any-one": _break(
+    "any-one": break_under_faults(
         "any one controller grants a key", "answered", 1, "lose", (Count, "hear", _any_one)
     ),
-    "mixed": _break(
+    "mixed": break_under_faults(
         "words of two epochs count together", "epochs", 0, "",
         (Count, "hear", _mixed), (Count, "anew", _counts_on),
     ),
-    "remembers": _break(
+    "remembers": break_under_faults(
         "an empty disk counts as caught up", "answered", 1, "wipe",
         (Controller, "wipe", _full_memory), (Standing, "put_out", _not_put_out), (Shard, "_join", _joins),
     ),
-    "one-source": _break(
+    "one-source": break_under_faults(
         "one other is enough to learn from", "learning", 0, "", (shard_state, "sources_needed", _one_source)
     ),
-    "back-as-before": _break(
+    "back-as-before": break_under_faults(
         "one that was put out comes back as caught up", "moved", 0, "",
         (Standing, "put_out", _not_put_out), (Shard, "_join", _joins), (Shard, "ready", True),
     ),
-    "drops-any": _break(
+    "drops-any": break_under_faults(
         "any try may give a key back", "broken-off", 0, "", (OperationKeys, "drop", _drops_any)
     ),
-    "at-its-word": _break(
+    "at-its-word": break_under_faults(
         "a grant leaves before its record is written", "slow", 1, "kill", (Shard, "claim", _at_its_word)
     ),
-    "unsynced-keys": _break(
+    "unsynced-keys": break_under_faults(
         "a grant leaves before it is on disk", "missed", 1, "kill", (Controller, "do", _unsynced)
     ),
 }  # fmt: skip
 
 
 @contextlib.contextmanager
-def broken(name: str) -> Iterator[None]:
-    """With one of `BREAKS` in force."""
+def in_force(one: Break | None) -> Iterator[None]:
+    """With a deliberate break in force; None: with none."""
     with contextlib.ExitStack() as stack:
-        for where, attribute, value in BREAKS[name].patches if name else ():
+        for where, attribute, value in one.patches if one is not None else ():
             stack.enter_context(mock.patch.object(where, attribute, value))
         yield
+
+
+def broken(name: str) -> contextlib.AbstractContextManager[None]:
+    """With one of `BREAKS` in force; "" for none."""
+    return in_force(BREAKS[name] if name else None)
--- a/rehearsal/explore/worst_days/__init__.py
+++ b/rehearsal/explore/worst_days/__init__.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Callable, Iterator
-from unittest import mock
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 
 from rehearsal.explore import pure
 from rehearsal.explore.mesh import KINDS, Break, World
+from rehearsal.explore.mesh_breaks import in_force
 from rehearsal.explore.pure import Found
 from rehearsal.explore.worst_days import hundreds, isolated, one_number, second_loss
 from rehearsal.explore.worst_days.play import Play
@@ -36,10 +36,6 @@
     return pure.search(lambda: begin(scene, faults, kinds), broken, break_, limit_s, watch, workers)
 
 
-@contextlib.contextmanager
-def broken(name: str) -> Iterator[None]:
-    """With one of `BREAKS` in force."""
-    with contextlib.ExitStack() as stack:
-        for where, attribute, value in BREAKS[name].patches if name else ():
-            stack.enter_context(mock.patch.object(where, attribute, value))
-        yield
+def broken(name: str) -> AbstractContextManager[None]:
+    """With one of `BREAKS` in force; "" for none."""
+    return in_force(BREAKS[name] if name else None)
--- a/rehearsal/explore/worst_days/hundreds.py
+++ b/rehearsal/explore/worst_days/hundreds.py
@@ -18,6 +18,7 @@
 from nickelbridge.register import Accept, Acceptor, Prepare, Promise
 from nickelbridge.register import Send as SendMessage
 from rehearsal.explore.mesh import Break, Scene
+from rehearsal.explore.mesh_breaks import deliberate_break
 from rehearsal.explore.worst_days.one_number import Operator, Order, Orders, Send
 from rehearsal.explore.worst_days.play import Play
 
@@ -168,22 +169,18 @@
 _handle = Acceptor.handle
 
 
-def _break(about: str, scene: str, *patches: tuple[Any, str, Any]) -> Break:
-    return Break(about, scene, 0, (), patches)
-
-
 BREAKS: dict[str, Break] = {
-    "leads-with-old": _break(
+    "leads-with-old": deliberate_break(
         "an owner acts by the fence on its own disk", "hundreds-owner", (Shard, "owns", _owns_by_its_disk)
     ),
-    "reads-own": _break(
+    "reads-own": deliberate_break(
         "a replica answers readings from what it knows", "hundreds-dark", (Replica, "_read", _reads_own)
     ),
-    "never-catches-up": _break(
+    "never-catches-up": deliberate_break(
         "a beat of a replica that is behind is not answered", "hundreds-unasked",
         (Replica, "catch", _tells_nothing),
     ),
-    "named-is-nothing": _break(
+    "named-is-nothing": deliberate_break(
         "a state that a promise names by its ballot counts as none", "hundreds-dark",
         (Acceptor, "handle", _names_all), (ValueReferences, "resolve", _nothing_for_unknown),
     ),
--- a/rehearsal/explore/worst_days/isolated.py
+++ b/rehearsal/explore/worst_days/isolated.py
@@ -18,6 +18,7 @@
 from mesh.storage.store import unpack
 from rehearsal.explore.controller import Controller
 from rehearsal.explore.mesh import Break, Mail, Scene, World
+from rehearsal.explore.mesh_breaks import break_under_faults
 from rehearsal.explore.worst_days.play import Play
 
 SILENCE_S = 1.0  # after which a caller goes on to another controller
@@ -380,32 +381,28 @@
 _ask = Shard.ask
 
 
-def _break(about: str, scene: str, faults: int, kinds: str, *patches: tuple[Any, str, Any]) -> Break:
-    return Break(about, scene, faults, tuple(kinds.split()), patches)
-
-
 BREAKS: dict[str, Break] = {
-    "serves-without-contact": _break(
+    "serves-without-contact": break_under_faults(
         "contact is not asked for", "isolated", 0, "", (Contact, "holds", _always)
     ),
-    "contact-from-arrival": _break(
+    "contact-from-arrival": break_under_faults(
         "contact runs from when an acknowledgement came", "frozen", 0, "",
         (Controller, "pulse", _from_arrival),
     ),
-    "silent-wait": _break(
+    "silent-wait": break_under_faults(
         "who waits is not told that contact is lost", "isolated", 0, "",
         (Replica, "_end_calls", _keeps_waiting),
     ),
-    "contact-with-one": _break(
+    "contact-with-one": break_under_faults(
         "one other is enough for contact", "halves", 0, "", (Contact, "since_s", _any_one)
     ),
-    "reads-by-contact": _break(
+    "reads-by-contact": break_under_faults(
         "a reading is answered by contact alone", "isolated-briefly", 0, "", (Shard, "read", _local_read)
     ),
-    "confirms-by-contact": _break(
+    "confirms-by-contact": break_under_faults(
         "an order is confirmed by contact alone", "isolated-briefly", 0, "", (Shard, "ask", _confirms_early)
     ),
-    "unclear-as-refused": _break(
+    "unclear-as-refused": break_under_faults(
         "what is unclear is told as refused", "isolated-at-once", 1, "cut oneway",
         (Replica, "_end_calls", _says_refused),
     ),
--- a/rehearsal/explore/worst_days/one_number.py
+++ b/rehearsal/explore/worst_days/one_number.py
@@ -18,6 +18,7 @@
 from mesh.control.order_history import OrderHistory, Taken, Verdict
 from mesh.control.replica import Replica
 from rehearsal.explore.mesh import Break, Scene, World
+from rehearsal.explore.mesh_breaks import deliberate_break
 from rehearsal.explore.worst_days.play import Play
 
 LISTED = 3  # orders that a state lists in these scenes, so that lists are cut early
@@ -340,32 +341,30 @@
 _order = Replica._order
 
 
-def _break(about: str, scene: str, *patches: tuple[Any, str, Any], faults: int = 0, kinds: str = "") -> Break:
-    return Break(about, scene, faults, tuple(kinds.split()), patches)
-
-
 BREAKS: dict[str, Break] = {
-    "number-only": _break(
+    "number-only": deliberate_break(
         "digests are not compared", "two-contents", (OrderHistory, "verdict", _number_only)
     ),
-    "any-version": _break(
+    "any-version": deliberate_break(
         "an order is taken on top of any version", "two-numbers", (OrderHistory, "verdict", _any_version)
     ),
-    "any-base": _break("bases are not compared", "other-base", (OrderHistory, "verdict", _any_base)),
-    "short-memory": _break(
+    "any-base": deliberate_break(
+        "bases are not compared", "other-base", (OrderHistory, "verdict", _any_base)
+    ),
+    "short-memory": deliberate_break(
         "what is older than remembered is refused", "dark-replica", (OrderHistory, "verdict", _short_memory)
     ),
-    "gap-unseen": _break(
+    "gap-unseen": deliberate_break(
         "a list that does not reach what is known is joined to it", "dark-replica",
         (OrderHistory, "merge", _gap_unseen), (OrderHistory, "_forget", _never),
     ),
-    "not-asked": _break(
+    "not-asked": deliberate_break(
         "a replica that forgot asks nobody", "wiped-replica", (Replica, "_mind_orders", _never)
     ),
-    "not-saved": _break(
+    "not-saved": deliberate_break(
         "orders are not put on disk", "all-killed", (OrderBook, "puts", _nothing_saved)
     ),
-    "told-early": _break(
+    "told-early": deliberate_break(
         "an order counts as taken once its replica has accepted it", "minority",
         (Replica, "_order", _told_before_decided), faults=1, kinds="cut",
     ),
--- a/rehearsal/explore/worst_days/second_loss.py
+++ b/rehearsal/explore/worst_days/second_loss.py
@@ -14,6 +14,7 @@
 from mesh.control.shard import Shard
 from nickelbridge.register import Value, Voter
 from rehearsal.explore.mesh import KEY, KINDS, Break, Scene, Try, World
+from rehearsal.explore.mesh_breaks import deliberate_break
 from rehearsal.explore.worst_days.play import Play
 
 STOP_S, GRACE_S = 1.0, 5.0  # a controller that was told to end stays so long at least, and at most
@@ -186,27 +187,23 @@
 _regrouped, _to_ask = Repair._regrouped, Standing.to_ask
 
 
-def _break(about: str, scene: str, *patches: tuple[Any, str, Any], kinds: str = "", faults: int = 0) -> Break:
-    return Break(about, scene, faults, tuple(kinds.split()), patches)
-
-
 BREAKS: dict[str, Break] = {
-    "votes-before-learning": _break(
+    "votes-before-learning": deliberate_break(
         "a newcomer counts as caught up when it is admitted", "replaced-wiped",
         (Repair, "_regrouped", _counts_at_once), (Repair, "ready", True),
     ),
-    "one-source-replaced": _break(
+    "one-source-replaced": deliberate_break(
         "one other is enough to learn from", "replaced-wiped", (shard_state, "sources_needed", _one_source)
     ),
-    "one-source-of-five": _break(
+    "one-source-of-five": deliberate_break(
         "one other of five is enough to learn from", "two-wiped", (shard_state, "sources_needed", _one_source)
     ),
-    "leaves-at-once": _break(
+    "leaves-at-once": deliberate_break(
         "who is told to end does not wait, and nobody takes its place while it lives", "only-copy",
         (Repair, "must_stay", _never_stays), (GroupView, "leaves", _dead_only),
     ),
-    "hints-dropped": _break("nothing is handed over", "returned", (Hints, "page", _no_page)),
-    "leaver-not-asked": _break(
+    "hints-dropped": deliberate_break("nothing is handed over", "returned", (Hints, "page", _no_page)),
+    "leaver-not-asked": deliberate_break(
         "newcomers learn from those that stay alone", "only-answer",
         (Standing, "to_ask", _without_leavers), (Repair, "_farewells", _not_the_leaver),
     ),
