--- a/rehearsal/capacity/__init__.py
+++ b/rehearsal/capacity/__init__.py
@@ -22,11 +22,12 @@
     parser.add_argument(
         "--calls", default="50,100,200", metavar="LIST", help="calls a second at one node (50,100,200)"
     )
+    parser.add_argument("--only", metavar="NAME,...", help="of processes, fleets, hours, calls, claims (all)")
     parser.add_argument(
-        "--only", metavar="NAME,...", help="of processes, fleets, hours, calls (processes, fleets, calls)"
+        "--seconds", type=float, default=1.0, metavar="S", help="of each round of a measurement (1)"
     )
-    parser.add_argument("--seconds", type=float, default=3.0, metavar="S", help="of each measurement (3)")
     parser.add_argument("--json", metavar="FILE", help="write the figures there")
+    parser.add_argument("--compare", nargs=2, metavar="FILE", help="two runs' files: which figures agree")
     parser.add_argument("--plot", metavar="FILE.png", help="draw them there")
 
 
@@ -35,6 +36,10 @@
     from rehearsal.capacity.plan import BadPlan, read_plan
     from rehearsal.mesh.processes import missing
 
+    if args.compare:
+        from rehearsal.capacity import compare
+
+        return compare.main(*args.compare)
     try:
         plan = read_plan(args.nodes, args.services, args.calls, args.only, args.seconds)
         for path in (args.json, args.plot):
--- a/rehearsal/capacity/calls.py
+++ b/rehearsal/capacity/calls.py
@@ -1,7 +1,7 @@
 """What a call costs a node by the rate of calls, beside a bare forwarder, and where the time goes.
 
-One client, one server that answers at once, the same bytes through each way, by turns. What a way adds to a
-call is its quantile less that of the server asked directly, at the same rate in the same run.
+One client, one server that answers at once, the same bytes through each way, by turns in each round. What a
+way adds to a call is its quantile less that of the server asked directly, at the same rate in the same round.
 """
 
 from __future__ import annotations
@@ -12,19 +12,29 @@
 import statistics
 import sys
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from rehearsal.bench import forward
 from rehearsal.bench.forward import ask_all
 from rehearsal.bench.mesh import READS, SAVES
 from rehearsal.bench.mesh_fleet import Fleet, Meter
 from rehearsal.capacity.figures import BY_CALLS, Figure
-from rehearsal.capacity.hops import shares
+from rehearsal.capacity.hops import ACCEPT, ANSWER, GATE, KEY, PICK, WRITE, shares
+from rehearsal.capacity.reference import Speed
+from rehearsal.capacity.rounds import Rounds
 from rehearsal.wire import Address
 
 SYNC_MS = 1.0
-WARM_S = 0.5
+WARM_S = 0.2
+ROUNDS = 5
+PROFILES = 3
+HOPS_TOLD = {  # the hops that are a twentieth or more of a profile; the others are told together
+    "reads, outbound": (ACCEPT, PICK, WRITE, ANSWER),
+    "reads, inbound": (ACCEPT, WRITE, GATE, ANSWER),
+    "keyed, outbound": (ACCEPT, PICK, KEY, WRITE, ANSWER),
+    "keyed, inbound": (ACCEPT, WRITE, GATE, ANSWER),
+}
 DIRECT, BARE, ONE, TWO, KEYED = (
     "server asked directly", "bare forwarder", "one machine", "two machines", "two machines, keyed"
 )  # fmt: skip
@@ -33,108 +43,154 @@
 Write = Callable[[int, str], bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class Way:
+    """One way to the server, and the processes on it."""
+
+    name: str
+    address: Address
+    pids: list[int]
+    write: Write
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What one load of calls over one way found."""
+
+    p50_ms: float
+    p99_ms: float
+    way_s: float  # CPU of the way's processes together, at the reference's speed
+    controller_s: float  # and of a controller
+    asked: int
+    failed: int
+
+
 class Calls:
-    """The ways to one server, and what each has cost."""
+    """The ways to one server, and what each has cost, in rounds in which all ways take turns."""
 
-    def __init__(self, fleet: Fleet, seconds: float) -> None:
-        self._fleet, self._seconds = fleet, seconds
+    def __init__(self, fleet: Fleet, seconds: float, speed: Speed) -> None:
+        self._fleet, self._seconds, self._speed = fleet, seconds, speed
         self._near, self._far = fleet.sidecars
         self._serial = 0
-        self.figures: list[Figure] = []
 
-    async def run(self, rates: tuple[int, ...]) -> None:
+    async def run(self, rates: tuple[int, ...]) -> list[Figure]:
         """All ways at all rates."""
         bench = forward.Bench(self._fleet.block, self._fleet.folder, 0)
         bench.servers = [(self._near.ip, self._fleet.ports.application)]
+        found = {rate: Rounds() for rate in rates}
         try:
-            bare, address = await bench.start("bare")
-            near, far = (self._fleet.pids([machine])[0] for machine in (self._near, self._far))
-            outbound = self._fleet.ports.outbound
-            ways: list[tuple[str, Address, list[int], Write]] = [
-                (DIRECT, bench.servers[0], [], READS),
-                (BARE, address, [bare.pid], READS),
-                (ONE, (self._near.ip, outbound), [near], READS),
-                (TWO, (self._far.ip, outbound), [far, near], READS),
-                (KEYED, (self._far.ip, outbound), [far, near], SAVES),
-            ]
-            for rate in rates:
-                await self._rate(rate, ways)
+            ways = await self._ways(bench)
+            for _ in range(ROUNDS):
+                for rate, rounds in found.items():
+                    await self._round(rate, ways, rounds)
         finally:
             await bench.close()
-
-    async def _rate(self, rate: int, ways: list[tuple[str, Address, list[int], Write]]) -> None:
-        direct: dict[str, Any] = {}
-        bare_us = 0.0
-        idle_s = 0.0  # of a controller, while nobody claims
-        for name, address, pids, write in ways:
-            found = await self._ask(address, rate, pids, write)
-            if name == DIRECT:
-                direct, idle_s = found, statistics.fmean(found["controllers"])
-            else:
-                for quantile in ("p50_ms", "p99_ms"):
-                    value = found[quantile] - direct[quantile]
-                    self._add(rate, f"{name}: added, {quantile[:3]}", "ms", value, found["note"])
-            if name == KEYED:
-                claims_s = max(0.0, statistics.fmean(found["controllers"]) - idle_s)
-                share = 100.0 * claims_s / self._seconds
-                self._add(rate, "keyed calls: CPU of each controller", "%", share, role="controller")
-            if pids:
-                total = 1e6 * sum(found["cpu"]) / found["asked"]
-                self._add(rate, f"{name}: CPU", "us a call", total, found["note"])
-                self._add(rate, f"{name}: CPU of a core", "%", 100.0 * sum(found["cpu"]) / self._seconds)
-                bare_us = total if name == BARE else bare_us
-                if name != BARE:
-                    self._add(rate, f"{name}: CPU, times bare", "times", total / bare_us)
-
-    async def _ask(self, address: Address, rate: float, pids: list[int], write: Write) -> dict[str, Any]:
+        return [figure for rate, rounds in found.items() for figure in rounds.figures(BY_CALLS, rate)]
+
+    async def _ways(self, bench: forward.Bench) -> list[Way]:
+        bare, bare_address = await bench.start("bare")
+        near, far = (self._fleet.pids([machine])[0] for machine in (self._near, self._far))
+        outbound = self._fleet.ports.outbound
+        return [
+            Way(DIRECT, bench.servers[0], [], READS),
+            Way(BARE, bare_address, [bare.pid], READS),
+            Way(ONE, (self._near.ip, outbound), [near], READS),
+            Way(TWO, (self._far.ip, outbound), [far, near], READS),
+            Way(KEYED, (self._far.ip, outbound), [far, near], SAVES),
+        ]
+
+    async def _round(self, rate: int, ways: list[Way], rounds: Rounds) -> None:
+        """All ways once at one rate; the server asked directly comes first, the bare forwarder next."""
+        found = {way.name: await self._ask(way, rate) for way in ways}
+        direct, bare = found[DIRECT], found[BARE]
+        for way in ways[1:]:
+            one = found[way.name]
+            rounds.add("call", f"{way.name}: added, p50", "ms", one.p50_ms - direct.p50_ms)
+            rounds.add("call", f"{way.name}: added, p99", "ms", one.p99_ms - direct.p99_ms)
+            rounds.add("call", f"{way.name}: CPU", "us a call", 1e6 * one.way_s / one.asked)
+            rounds.add("call", f"{way.name}: CPU of a core", "%", 100.0 * one.way_s * rate / one.asked)
+            rounds.add("call", f"{way.name}: not answered", "calls", one.failed)
+            if way.name != BARE:
+                times = one.way_s / one.asked / (bare.way_s / bare.asked)
+                rounds.add("call", f"{way.name}: CPU, times bare", "times", times)
+        claims_s = found[KEYED].controller_s - direct.controller_s
+        us = 1e6 * claims_s / found[KEYED].asked
+        rounds.add("controller", "keyed calls: CPU of each controller", "us a call", us)
+
+    async def _ask(self, way: Way, rate: float) -> Asked:
         self._serial += 1
-        await ask_all(address, rate, WARM_S, False, f"w{self._serial}-", write=write)
-        meter = Meter(pids) if pids else None
+        await ask_all(way.address, rate, WARM_S, False, f"w{self._serial}-", write=way.write)
+        self._speed.slowness()
+        meter = Meter(way.pids) if way.pids else None
         controllers = Meter(self._fleet.pids(self._fleet.cores))
-        found = await ask_all(address, rate, self._seconds, False, f"m{self._serial}-", write=write)
-        found["cpu"] = meter.read()[0] if meter is not None else []
-        found["controllers"] = controllers.read()[0]
-        found["note"] = f"failed {found['failed']}" if found["failed"] else ""
+        found = await ask_all(way.address, rate, self._seconds, False, f"m{self._serial}-", write=way.write)
+        spent_s = sum(meter.read()[0]) if meter is not None else 0.0
+        controllers_s = controllers.read()[0]
+        slowness = self._speed.slowness()
         if found["p50_ms"] is None:
-            raise ValueError(f"no call to {address} was answered: {found['why']}")
-        return found
-
-    def _add(self, at: float, name: str, unit: str, value: float, note: str = "", role: str = "call") -> None:
-        self.figures.append(Figure(role, name, unit, BY_CALLS, at, value, note=note))
+            raise ValueError(f"no call to {way.address} was answered: {found['why']}")
+        return Asked(
+            found["p50_ms"], found["p99_ms"], spent_s / slowness,
+            statistics.fmean(controllers_s) / slowness, found["asked"], found["failed"],
+        )  # fmt: skip
 
 
 async def measure(rates: tuple[int, ...], seconds: float) -> list[Figure]:
     """The figures of all rates, and the shares of a call's CPU at one."""
-    async with Fleet(3, (1, 1), SYNC_MS) as fleet:
-        calls = Calls(fleet, seconds)
-        await calls.run(rates)
-    return calls.figures + await profile(seconds)
+    speed = Speed()
+    keeping = asyncio.get_running_loop().create_task(speed.keep())
+    try:
+        async with Fleet(3, (1, 1), SYNC_MS) as fleet:
+            found = await Calls(fleet, seconds, speed).run(rates)
+    finally:
+        keeping.cancel()
+    return found + await profile(seconds)
 
 
 async def profile(seconds: float) -> list[Figure]:
     """Where a call's time goes in a proxy, by its hops; the profiler makes short functions dearer."""
     fleet = Fleet(3, (1, 1), SYNC_MS, proxy_command=_profiled)
-    found: list[Figure] = []
+    rounds = Rounds()
     async with fleet:
-        near, far = fleet.sidecars
-        address = (far.ip, fleet.ports.outbound)
+        address = (fleet.sidecars[1].ip, fleet.ports.outbound)
         for kind, write in (("reads", READS), ("keyed", SAVES)):
             await ask_all(address, PROFILED_RATE, WARM_S, False, f"w{kind}-", write=write)
-            files = [fleet.folder / f"{machine.name}.profile" for machine in (far, near)]
-            pids = fleet.pids([far, near])
-            for pid in pids:
-                os.kill(pid, signal.SIGUSR1)
-            result = await ask_all(address, PROFILED_RATE, seconds, False, f"m{kind}-", write=write)
-            for pid in pids:
-                os.kill(pid, signal.SIGUSR1)
-            for role, file in zip(("outbound", "inbound"), files, strict=True):
-                await _there(file)
-                for hop, spent in shares(file).items():
-                    us = 1e6 * spent / max(1, result["asked"])
-                    name = f"{kind}, {role}, profiled: {hop}"
-                    found.append(Figure("call", name, "us a call", BY_CALLS, PROFILED_RATE, us))
-                file.unlink()
-    return found
+            for number in range(PROFILES):
+                tag = f"m{kind}-{number}-"
+                outbound, inbound = await _profile_once(fleet, address, seconds, tag, write)
+                _add_shares(rounds, f"{kind}, outbound", outbound)
+                _add_shares(rounds, f"{kind}, inbound", inbound)
+    return rounds.figures(BY_CALLS, PROFILED_RATE)
+
+
+async def _profile_once(
+    fleet: Fleet, address: Address, seconds: float, tag: str, write: Write
+) -> tuple[dict[str, float], dict[str, float]]:
+    """Seconds by hop in the caller's proxy and in the server's, while calls go on."""
+    near, far = fleet.sidecars
+    files = [fleet.folder / f"{machine.name}.profile" for machine in (far, near)]
+    pids = fleet.pids([far, near])
+    for pid in pids:
+        os.kill(pid, signal.SIGUSR1)
+    await ask_all(address, PROFILED_RATE, seconds, False, tag, write=write)
+    for pid in pids:
+        os.kill(pid, signal.SIGUSR1)
+    found = []
+    for file in files:
+        await _there(file)
+        found.append(shares(file))
+        file.unlink()
+    return found[0], found[1]
+
+
+def _add_shares(rounds: Rounds, name: str, found: dict[str, float]) -> None:
+    """Each hop of some length as a share of all."""
+    total = sum(found.values())
+    long = {hop: spent for hop, spent in found.items() if hop in HOPS_TOLD[name]}
+    for hop, spent in long.items():
+        rounds.add("call", f"{name}, profiled: {hop}", "% of the profile", 100.0 * spent / total)
+    rest = 100.0 * (total - sum(long.values())) / total
+    rounds.add("call", f"{name}, profiled: all else", "% of the profile", rest)
 
 
 def _profiled(folder: Path, name: str) -> tuple[str, ...]:
--- a/rehearsal/capacity/figures.py
+++ b/rehearsal/capacity/figures.py
@@ -8,11 +8,20 @@
 from typing import Any
 
 from rehearsal.capacity.fit import Fit, line
-from rehearsal.capacity.plan import TARGET_NODES, TARGET_SERVICES
+from rehearsal.capacity.plan import TARGET_CALLS, TARGET_CLAIMS, TARGET_NODES, TARGET_SERVICES
 
-BY_NODES, BY_SERVICES, BY_CALLS = "nodes", "services", "calls"
-TARGETS = {BY_NODES: TARGET_NODES, BY_SERVICES: TARGET_SERVICES, BY_CALLS: 64}
+AXES = BY_NODES, BY_SERVICES, BY_CALLS, BY_CLAIMS = "nodes", "services", "calls", "claims"
+TARGETS = {
+    BY_NODES: TARGET_NODES, BY_SERVICES: TARGET_SERVICES, BY_CALLS: TARGET_CALLS, BY_CLAIMS: TARGET_CLAIMS,
+}  # fmt: skip
 REAL, VIRTUAL = "real", "virtual"
+CLAIMED = 0.12  # half of an interval, as a share of the median: up to that a figure claims a value
+CELL = 16  # width of a column
+EXPLAINED = (
+    "* in virtual time; a..b: least and most of the rounds, where they differ by more than "
+    f"{2 * CLAIMED:.0%} of the median; processor time at the reference's speed"
+)
+UNKNOWN = 3.0  # an interval whose ends differ by more than this many times tells nothing
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +36,34 @@
     value: float
     time: str = REAL
     note: str = ""
+    low: float | None = None  # the least and the most of several rounds; None where it is counted, not timed
+    high: float | None = None
+
+    @property
+    def claims(self) -> bool:
+        """Whether it claims a value, and not just an interval."""
+        if self.low is None or self.high is None:
+            return True
+        return self.high - self.low <= 2.0 * CLAIMED * abs(self.value)
+
+    @property
+    def unknown(self) -> bool:
+        """Whether its rounds differ so much that they tell nothing."""
+        if self.claims or self.low is None or self.high is None:
+            return False
+        return self.low <= 0.0 or self.high > UNKNOWN * self.low
+
+    def told(self) -> str:
+        """As a cell of the table.
+
+        >>> figures = [Figure("proxy", "x", "ms", "nodes", 12, 2.0, low=a, high=b)
+        ...            for a, b in ((1.9, 2.1), (1.0, 2.5), (-1.0, 9.0))]
+        >>> [one.told() for one in figures]
+        ['2', '1..2.5', 'unknown']
+        """
+        if self.claims:
+            return f"{self.value:.4g}"
+        return "unknown" if self.unknown else f"{self.low:.4g}..{self.high:.4g}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,28 +92,30 @@
     """A line for each role, name and axis with two sizes or more."""
     groups: dict[tuple[str, str, str, str], list[tuple[float, float]]] = {}
     for one in figures:
+        if one.unknown:
+            continue
         groups.setdefault((one.role, one.name, one.unit, one.axis), []).append((one.at, one.value))
     return [Slope(*key, line(points)) for key, points in groups.items() if len({x for x, _ in points}) > 1]
 
 
 def table(figures: list[Figure]) -> str:
-    """Rows by role and name, a column a size."""
+    """Rows by role and name, a column for each size."""
     lines = []
-    for axis in (BY_NODES, BY_SERVICES, BY_CALLS):
+    for axis in AXES:
         some = [one for one in figures if one.axis == axis]
         if not some:
             continue
         sizes = sorted({one.at for one in some})
-        lines.append(f"by {axis:55}" + "".join(f"{size:>11g}" for size in sizes))
+        lines.append(f"by {axis:55}" + "".join(f"{size:>{CELL}g}" for size in sizes))
         rows = dict.fromkeys((one.role, one.name, one.unit, one.time) for one in some)
         for role, name, unit, time in rows:
             found = {
-                o.at: o.value for o in some if (o.role, o.name, o.unit, o.time) == (role, name, unit, time)
+                o.at: o.told() for o in some if (o.role, o.name, o.unit, o.time) == (role, name, unit, time)
             }
-            cells = "".join(f"{found[size]:>11.4g}" if size in found else f"{'-':>11}" for size in sizes)
+            cells = "".join(f"{found.get(size, '-'):>{CELL}}" for size in sizes)
             mark = " *" if time == VIRTUAL else ""
             lines.append(f"{role:10} {name:47}{cells} {unit}{mark}")
-    return "\n".join([*lines, "* in virtual time"])
+    return "\n".join([*lines, EXPLAINED])
 
 
 def packed(figures: list[Figure], lines: list[Slope]) -> dict[str, Any]:
--- a/rehearsal/capacity/plan.py
+++ b/rehearsal/capacity/plan.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 
-PARTS = ("processes", "fleets", "hours", "calls")
-USUAL = ("processes", "fleets", "calls")
+PARTS = ("processes", "fleets", "hours", "calls", "claims")
 TARGET_NODES, TARGET_SERVICES = 740, 150
+TARGET_CALLS = 64  # a second at one node: 47,000 over 740
+TARGET_CLAIMS = 9_400  # a second: one call in five, as on the sites' own days
 SERVICES_MOST = 1_000
 CONTROLLERS = 5  # of a fleet in virtual time: the machines that are set aside
 RECORD_BYTES = 300  # of one node's copy of one record, with its place in a dictionary: a bound, not a figure
@@ -55,7 +56,7 @@
 
 def read_plan(nodes: str, services: str, calls: str, only: str | None, seconds: float) -> Plan:
     """A plan out of the command's words; `BadPlan` names the option."""
-    parts = USUAL if only is None else tuple(only.split(","))
+    parts = PARTS if only is None else tuple(only.split(","))
     for part in parts:
         if part not in PARTS:
             raise BadPlan(f"--only {part}: not one of {', '.join(PARTS)}")
--- a/rehearsal/capacity/processes.py
+++ b/rehearsal/capacity/processes.py
@@ -1,7 +1,8 @@
 """Real controllers and proxies over loopback, in fleets whose other nodes are hollow.
 
-CPU is the kernel's count for all threads of a process. Three controllers, as today's group has; two real
-proxies, heads of zones of their own, so that each takes all news from the controllers.
+CPU is the kernel's count for all threads of a process, at the reference's speed (`reference`). Three
+controllers, as today's group has; two real proxies, heads of zones of their own, so that each takes all
+news from the controllers.
 """
 
 from __future__ import annotations
@@ -9,30 +10,31 @@
 import asyncio
 import statistics
 import time
-from collections.abc import Callable
 
 from rehearsal.bench.mesh_fleet import HOST, READY_S, Fleet, Meter
 from rehearsal.capacity.figures import BY_NODES, BY_SERVICES, Figure
 from rehearsal.capacity.hollow import Hollow, Traffic
 from rehearsal.capacity.plan import services_of
+from rehearsal.capacity.reference import Speed
+from rehearsal.capacity.rounds import Rounds
 from rehearsal.capacity.texts import names, whole
 from rehearsal.mesh.ask import call
-from rehearsal.mesh.day import Machine
 
 CONTROLLERS, PROXIES = 3, (1, 1)
 SYNC_MS = 1.0  # that a controller's commit takes longer
-SETTLE_S = 2.5
-CHANGES_A_SECOND = 10
-CONFIGURATIONS = 5
+SETTLE_S = 2.0
+ROUNDS = 5
+CHANGES_A_SECOND = 40
+CONFIGURATIONS = 2  # of each round
+CONFIGURED_S = 0.2  # after a configuration has come, for all work that it makes
 KNOWN_S = 5.0
-Add = Callable[..., None]
 
 
 class Measured:
     """One fleet of real and hollow nodes, and the figures that it has given."""
 
     def __init__(self, fleet: Fleet, nodes: int, services: int, axis: str, seconds: float) -> None:
-        self._fleet, self._nodes, self._axis, self._seconds = fleet, nodes, axis, seconds
+        self._fleet, self._axis, self._seconds = fleet, axis, seconds
         own = sorted({machine.service for machine in fleet.sidecars})
         self._services = [*own, *names(services - len(own))]
         first = fleet.cores[0].ip.split(".")
@@ -42,90 +44,95 @@
             fleet.ports.internal, own_ip, fleet.ports.inbound,
         )  # fmt: skip
         self._at = float(nodes if axis == BY_NODES else services)
-        self.figures: list[Figure] = []
+        self._roles = (("controller", fleet.cores), ("proxy", fleet.sidecars))
+        self._speed, self._rounds = Speed(), Rounds()
+        self._changed = 0  # nodes whose record has changed
 
-    def _add(self, role: str, name: str, unit: str, value: float, note: str = "") -> None:
-        self.figures.append(Figure(role, name, unit, self._axis, self._at, value, note=note))
-
-    def _roles(self) -> list[tuple[str, list[Machine]]]:
-        return [("controller", self._fleet.cores), ("proxy", self._fleet.sidecars)]
-
-    async def run(self) -> None:
-        """Join, rest, change records, change configurations; then read the memory."""
+    async def run(self) -> list[Figure]:
+        """Join; then, in each round, rest, change records, change configurations; then read the memory."""
+        speed = asyncio.get_running_loop().create_task(self._speed.keep())
         try:
             await self._put()
             await asyncio.sleep(SETTLE_S)
             await self._join()
-            idle = await self._idle()
-            await self._record_changes(idle)
-            await self._configurations(idle)
-            for role, machines in self._roles():
-                self._add(role, "peak memory", "MB", max(self._fleet.peaks(machines)))
+            for _ in range(ROUNDS):
+                idle = await self._idle()
+                await self._record_changes(idle)
+                await self._configurations(idle)
+            for role, machines in self._roles:
+                self._rounds.add(role, "peak memory", "MB", *self._fleet.peaks(machines))
             self._hollow.check()
         finally:
+            speed.cancel()
             self._hollow.close()
+        return self._rounds.figures(self._axis, self._at)
+
+    def _begin(self) -> list[tuple[str, Meter]]:
+        """Meters of all roles, beside a new look at the machine's speed."""
+        self._speed.slowness()
+        return [(role, self._fleet.meter(machines)) for role, machines in self._roles]
+
+    def _used(self, meters: list[tuple[str, Meter]]) -> dict[str, list[float]]:
+        """CPU seconds of each process by role, at the reference's speed."""
+        used = {role: meter.read()[0] for role, meter in meters}
+        slowness = self._speed.slowness()
+        return {role: [cpu_s / slowness for cpu_s in some] for role, some in used.items()}
 
     async def _join(self) -> None:
-        meters = [(role, self._fleet.meter(machines)) for role, machines in self._roles()]
+        meters = self._begin()
         took = await self._hollow.join()
         await asyncio.sleep(SETTLE_S)
-        for role, meter in meters:
-            self._add(role, "whole fleet joins: CPU", "s", max(meter.read()[0]))
-        self._add("controller", "whole fleet joins: time to connect", "s", took)
+        for role, used in self._used(meters).items():
+            self._rounds.add(role, "whole fleet joins: CPU", "s", *used)
+        self._rounds.add("controller", "whole fleet joins: time to connect, once", "s", took)
 
     async def _idle(self) -> dict[str, float]:
         """CPU a second of each role, with leases alone."""
-        meters = [(role, self._fleet.meter(machines)) for role, machines in self._roles()]
-        before = _totals(self._hollow.traffic)
+        meters, before = self._begin(), _totals(self._hollow.traffic)
         began = time.monotonic()
         await asyncio.sleep(self._seconds)
         passed = time.monotonic() - began
+        idle = {role: statistics.fmean(used) / passed for role, used in self._used(meters).items()}
+        for role, share in idle.items():
+            self._rounds.add(role, "leases alone: CPU", "% of a core", 100.0 * share)
         now = _totals(self._hollow.traffic)
-        idle = {}
-        for role, meter in meters:
-            idle[role] = statistics.fmean(meter.read()[0]) / passed
-            self._add(role, "leases alone: CPU", "% of a core", 100.0 * idle[role])
         bytes_up, bytes_down, up, down = ((b - a) / passed for a, b in zip(before, now, strict=True))
-        self._add("controller", "leases alone: messages in", "a second", up / CONTROLLERS)
-        self._add("controller", "leases alone: messages out", "a second", down / CONTROLLERS)
-        self._add("controller", "leases alone: bytes in", "B/s", bytes_up / CONTROLLERS)
-        self._add("controller", "leases alone: bytes out", "B/s", bytes_down / CONTROLLERS)
-        count = len(self._hollow.nodes)
-        self._add("proxy", "leases alone: bytes in and out", "B/s", (bytes_up + bytes_down) / count)
+        add, count = self._rounds.add, len(self._hollow.nodes)
+        add("controller", "leases alone: messages in", "a second", up / CONTROLLERS)
+        add("controller", "leases alone: messages out", "a second", down / CONTROLLERS)
+        add("controller", "leases alone: bytes in", "B/s", bytes_up / CONTROLLERS)
+        add("controller", "leases alone: bytes out", "B/s", bytes_down / CONTROLLERS)
+        add("proxy", "leases alone: bytes in and out", "B/s", (bytes_up + bytes_down) / count)
         return idle
 
     async def _record_changes(self, idle: dict[str, float]) -> None:
-        meters = [(role, self._fleet.meter(machines)) for role, machines in self._roles()]
-        began, count = time.monotonic(), max(4, round(CHANGES_A_SECOND * self._seconds))
-        for number in range(count):
-            self._hollow.nodes[number * 7 % len(self._hollow.nodes)].publish()
+        meters, began = self._begin(), time.monotonic()
+        count = max(4, round(CHANGES_A_SECOND * self._seconds))
+        for _ in range(count):
+            self._changed += 7
+            self._hollow.nodes[self._changed % len(self._hollow.nodes)].publish()
             await asyncio.sleep(1.0 / CHANGES_A_SECOND)
         self._changes("record change", meters, count, idle, time.monotonic() - began)
 
     def _changes(
         self, what: str, meters: list[tuple[str, Meter]], count: int, idle: dict[str, float], passed: float
     ) -> None:
-        for role, meter in meters:
-            spent = statistics.fmean(meter.read()[0]) - idle[role] * passed
-            self._add(role, f"{what}: CPU", "ms a change", max(0.0, 1e3 * spent / count))
+        """What one change costs, over what goes on without it."""
+        for role, used in self._used(meters).items():
+            spent_s = statistics.fmean(used) - idle[role] * passed
+            self._rounds.add(role, f"{what}: CPU", "ms a change", 1e3 * spent_s / count)
 
     async def _configurations(self, idle: dict[str, float]) -> None:
-        meters = [(role, self._fleet.meter(machines)) for role, machines in self._roles()]
-        began, took, acknowledged = time.monotonic(), list[float](), list[float]()
+        meters, began = self._begin(), time.monotonic()
         for _ in range(CONFIGURATIONS):
             sent = time.monotonic()
             done = await self._put()
-            acknowledged.append(1e3 * (done - sent))
+            self._rounds.add("controller", "configuration: to its acknowledgement", "ms", 1e3 * (done - sent))
             heads = await self._hollow.texts(self._fleet.revision, KNOWN_S)
             if len(heads) < self._hollow.heads:
                 raise ValueError(f"revision {self._fleet.revision} came to {len(heads)} heads")
-            took.append(1e3 * (max(heads) - done))
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(CONFIGURED_S)
         self._changes("configuration", meters, CONFIGURATIONS, idle, time.monotonic() - began)
-        self._add(
-            "controller", "configuration: to its acknowledgement", "ms", statistics.median(acknowledged)
-        )
-        self._add("relay", "configuration: to the last head", "ms", statistics.median(took))
 
     async def _put(self) -> float:
         """Have the next configuration taken; when that was acknowledged."""
@@ -151,9 +158,7 @@
 async def measure(nodes: int, services: int, axis: str, seconds: float) -> list[Figure]:
     """The figures of one fleet; its processes are gone when this ends."""
     async with Fleet(CONTROLLERS, PROXIES, SYNC_MS) as fleet:
-        measured = Measured(fleet, nodes, services, axis, seconds)
-        await measured.run()
-        return measured.figures
+        return await Measured(fleet, nodes, services, axis, seconds).run()
 
 
 async def by_nodes(nodes: int, seconds: float) -> list[Figure]:
--- a/rehearsal/capacity/regions.py
+++ b/rehearsal/capacity/regions.py
@@ -2,6 +2,7 @@
 
 The processes are those of `rehearsal.model.relays`: the shipping publisher, subscriber, fan-out tree and
 lists of members. Delays are assumed (one way), CPU is that of the pure code alone: no sockets, no HTTP.
+Reading a message counts for each process that it comes to, also where the model reads it once for all.
 """
 
 from __future__ import annotations
@@ -14,10 +15,11 @@
 from typing import Any
 
 from rehearsal.capacity.plan import CONTROLLERS
-from rehearsal.model.relays import Controller, Node, Process, World
+from rehearsal.model.relays import LOST_S, Controller, End, Node, Process, World
 
 REGIONS, ZONES = 2, 8  # zones of all regions
 IN_ZONE_S, BETWEEN_ZONES_S, BETWEEN_REGIONS_S = 0.0002, 0.0009, 0.035
+AFTER_LOST_S = 0.001
 CONTROLLER_ZONES = (0, 1, 2, 4, 5)  # three in the first region, two in the second
 ZONE, REGION, FAR = "zone", "region", "regions"  # a link within a zone, between zones, between regions
 
@@ -107,7 +109,10 @@
 
     def __init__(self, nodes: int, seed: int = 1, spread_s: float = 1.0) -> None:
         super().__init__(seed, ZONES, lazy=True)
-        self.apart = False
+        self._apart = False
+        self._stuck: list[End] = []  # their senders have given them up; tried again when the regions meet
+        self._read_s = 0.0  # what it took to read the message that is being sent
+        self._unread_s = 0.0  # and how much of that was counted for its sender
         cuts: Any = BetweenRegions(self)
         self.cuts = cuts
         self.in_force: dict[tuple[int, str], float] = {}  # when a node had a revision
@@ -132,9 +137,35 @@
         """Of a process, by name."""
         return self._regions[name]
 
+    @property
+    def apart(self) -> bool:
+        """Whether the regions are cut off from each other."""
+        return self._apart
+
+    @apart.setter
+    def apart(self, apart: bool) -> None:
+        self._apart = apart
+        if not apart:
+            stuck, self._stuck = self._stuck, []
+            for end in stuck:
+                self.at(self.now, end.arrive)
+
+    def try_again(self, end: End, lost: bool) -> None:
+        """Once when its sender is to give it up, and then when the regions meet: not each 10 ms."""
+        if lost:
+            self._stuck.append(end)
+        else:
+            self.at(self.now + LOST_S + AFTER_LOST_S, end.arrive)
+
     def read(self, data: bytes) -> Any:
         self._size = len(data)
-        return super().read(data)
+        if self._read[0] is data:
+            return self._read[1]
+        began = time.thread_time()
+        message = super().read(data)
+        self._read_s = time.thread_time() - began
+        self._unread_s = self._read_s  # it was not the sender that spent this
+        return message
 
     def delay(self, one: Process, other: Process) -> float:
         """Of a link, one way; called once for each message, so that it is counted here."""
@@ -146,6 +177,9 @@
             kind, delay = FAR, BETWEEN_REGIONS_S
         size, self._size = self._size, 0
         if size and isinstance(one, Metered) and isinstance(other, Metered):
+            one.use.cpu_s -= self._unread_s
+            other.use.cpu_s += self._read_s
+            self._unread_s = 0.0
             one.use.out[kind] += size
             one.use.messages_out += 1
             other.use.into[kind] += size
--- a/rehearsal/capacity/run.py
+++ b/rehearsal/capacity/run.py
@@ -10,17 +10,20 @@
 import sys
 import time
 from collections.abc import Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import uvloop
 
-from rehearsal.capacity import calls, processes
+from rehearsal.capacity import calls, claims, processes
 from rehearsal.capacity.figures import Figure, packed, plot, slopes, table
 from rehearsal.capacity.plan import Plan, services_of
 from rehearsal.mesh.processes import ROOT
+from rehearsal.world.nodes import in_child
 
 LINE_MOST = 2**20
+DESCRIPTORS = 256  # of a process in virtual time, which opens none
 
 
 async def virtual(module: str, *words: str) -> list[Figure]:
@@ -28,6 +31,8 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", f"rehearsal.capacity.{module}", *words, cwd=ROOT,
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, limit=LINE_MOST,
+        env=os.environ | {"PYTHONHASHSEED": "0"}, start_new_session=True,
+        preexec_fn=partial(in_child, DESCRIPTORS),
     )  # fmt: skip
     try:
         out, problem = await process.communicate()
@@ -38,7 +43,7 @@
     finally:
         if process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                process.kill()
+                os.killpg(process.pid, signal.SIGKILL)  # with those that it has forked
             await process.wait()
 
 
@@ -63,24 +68,42 @@
     return found
 
 
-async def measure(plan: Plan) -> list[Figure]:
-    """All parts of a plan."""
-    found: list[Figure] = []
-    beside: list[asyncio.Task[list[Figure]]] = []
+async def in_virtual_time(plan: Plan) -> list[Figure]:
+    """Special hours, and beside them fleets of all sizes."""
     async with asyncio.TaskGroup() as group:
-        if "fleets" in plan.parts:
-            beside.append(group.create_task(fleets(plan)))
-        if "processes" in plan.parts:
-            beside.append(group.create_task(real(plan)))
-    for task in beside:
-        found += task.result()
+        wide = [group.create_task(hours(plan))] if "hours" in plan.parts else []
+        sizes = [group.create_task(fleets(plan))] if "fleets" in plan.parts else []
+    return [figure for task in (*sizes, *wide) for figure in task.result()]
+
+
+async def hours(plan: Plan) -> list[Figure]:
+    """Special hours at the size nearest to the target's."""
+    found = await virtual("hours", str(plan.wide))
+    _say(f"hours of {plan.wide} nodes in virtual time")
+    return found
+
+
+async def with_processes(plan: Plan) -> list[Figure]:
+    """What is measured on real processes, one part after the other."""
+    found: list[Figure] = []
+    if "processes" in plan.parts:
+        found += await real(plan)
     if "calls" in plan.parts:
         found += await calls.measure(plan.calls, plan.seconds)
-    if "hours" in plan.parts:
-        found += await virtual("hours", str(plan.wide))
+        _say("calls")
+    if "claims" in plan.parts:
+        found += await claims.measure(plan.seconds)
+        _say("claims")
     return found
 
 
+async def measure(plan: Plan) -> list[Figure]:
+    """All parts of a plan."""
+    async with asyncio.TaskGroup() as group:
+        parts = [group.create_task(part(plan)) for part in (in_virtual_time, with_processes)]
+    return [figure for part in parts for figure in part.result()]
+
+
 async def until_told(work: Coroutine[Any, Any, list[Figure]]) -> list[Figure] | None:
     """Do it; None if told to end, once its processes are gone."""
     loop = asyncio.get_running_loop()
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -26,6 +26,7 @@
 EVERYBODY = 1_000_000  # as heads: there is no tree
 LOST_S = USER_TIMEOUT_MS / 1e3  # a link that gets nothing through for so long ends
 IN_ZONE_S, BETWEEN_S = 0.001, 0.0014  # one way
+STUCK_S = 0.01  # before a message that met a cut is tried again
 MESSAGE_S = 30e-6  # of a sender's time for one message: assumed
 
 
@@ -37,7 +38,7 @@
         self.frozen, self.alive, self.mute = False, True, False
         self.waiting: list[Callable[[], None]] = []
         self.busy_s = 0.0  # until when it is at sending
-        self.links: set[End] = set()
+        self.links: dict[End, None] = {}  # in the order of their making, so that one seed gives one run
 
     def time(self) -> float:
         return self.world.now
@@ -90,7 +91,7 @@
         self.other: End
         self._stuck_s = 0.0  # since when nothing gets through
         self._queue: list[tuple[float, Any]] = []  # on their way: when, and the message, None for the end
-        owner.links.add(self)
+        owner.links[self] = None
 
     def send(self, *message: Any) -> None:
         if self.open:
@@ -109,20 +110,21 @@
     def _go(self, when: float, message: Any) -> None:
         self._queue.append((when, message))
         if len(self._queue) == 1:
-            self.owner.world.at(when, self._arrive)
+            self.owner.world.at(when, self.arrive)
 
-    def _arrive(self) -> None:
+    def arrive(self) -> None:
         """The oldest message is due at the other end."""
         world, there = self.owner.world, self.other
         if (self.owner.name, there.owner.name) in world.cuts:
             self._stuck_s = self._stuck_s or world.now
-            if world.now - self._stuck_s > LOST_S:
+            lost = world.now - self._stuck_s > LOST_S
+            if lost:
                 self._end()
-            return world.at(world.now + 0.01, self._arrive)
+            return world.try_again(self, lost)
         self._stuck_s = 0.0
         _, message = self._queue.pop(0)
         if self._queue:
-            world.at(max(world.now, self._queue[0][0]), self._arrive)
+            world.at(max(world.now, self._queue[0][0]), self.arrive)
         there.owner.run(lambda: there.take(message))
 
     def take(self, message: Any) -> None:
@@ -135,7 +137,7 @@
     def _end(self) -> None:
         if self.open:
             self.open = False
-            self.owner.links.discard(self)
+            self.owner.links.pop(self, None)
             self.owner.run(lambda: self._lost(self))
 
     def close(self) -> None:
@@ -367,6 +369,10 @@
             self._read = (data, cbor2.loads(data[4:]))
         return self._read[1]
 
+    def try_again(self, end: End, lost: bool) -> None:
+        """A message did not get through a cut; `lost`: its sender has given up the link."""
+        self.at(self.now + STUCK_S, end.arrive)
+
     def delay(self, one: Process, other: Process) -> float:
         """Of a link, one way."""
         return IN_ZONE_S if one.zone == other.zone else BETWEEN_S
--- a/tests/rehearsal/test_capacity.py
+++ b/tests/rehearsal/test_capacity.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from rehearsal.capacity import fleets, hours, processes
+from rehearsal.capacity.compare import compared
 from rehearsal.capacity.figures import Figure, slopes, table
 from rehearsal.capacity.fit import line
 from rehearsal.capacity.plan import BadPlan, read_plan
@@ -80,6 +81,32 @@
     assert all(one.value == 0.0 for one in figures if one.name.endswith("nodes that do not know all"))
 
 
+def test_two_runs_in_virtual_time_count_the_same() -> None:
+    """The hash of words is drawn anew in each process, as on two days."""
+    found = []
+    for seed in ("1", "2"):
+        command = [sys.executable, "-m", "rehearsal.capacity.hours", "16", "zone"]
+        environment = os.environ | {"PYTHONHASHSEED": seed}
+        ended = subprocess.run(command, env=environment, capture_output=True, check=True, timeout=60)
+        figures = [Figure(**json.loads(words)) for words in ended.stdout.splitlines()]
+        found.append([one for one in figures if "CPU" not in one.name])
+    assert found[0] == found[1] and len(found[0]) >= 8
+
+
+def test_two_runs_agree_by_values_or_by_intervals_and_what_does_not_is_told() -> None:
+    def run(*values: tuple[float, float, float]) -> list[Figure]:
+        return [
+            Figure("proxy", f"x{n}", "ms", "nodes", 12, value, low=low, high=high)
+            for n, (value, low, high) in enumerate(values)
+        ]
+
+    first = run((10.0, 9.9, 10.1), (10.0, 5.0, 12.0), (1.0, -1.0, 2.0), (10.0, 9.9, 10.1))
+    second = run((11.0, 10.9, 11.1), (14.0, 11.0, 19.0), (1.0, -1.0, 2.0), (13.0, 12.9, 13.1))
+    found = compared(first, second)
+    assert (found.claimed, found.intervals, found.unknown, found.lacking) == (2, 1, 1, 0)
+    assert len(found.apart) == 1 and "x3" in found.apart[0]
+
+
 def test_a_small_fleet_of_real_processes_gives_figures_and_ends_them() -> None:
     before = _children()
     figures = asyncio.run(processes.measure(20, 4, "nodes", 0.5))
