--- a/rehearsal/capacity/processes.py
+++ b/rehearsal/capacity/processes.py
@@ -24,7 +24,7 @@
 SYNC_MS = 1.0  # that a controller's commit takes longer
 SETTLE_S = 2.0
 ROUNDS = 5
-CHANGES_A_SECOND = 40
+CHANGES_A_SECOND, CHANGES_SHARE = 40, 0.5  # so long, of a round's time, as the servers' beats take all of it
 CONFIGURATIONS = 2  # of each round
 CONFIGURED_S = 0.2  # after a configuration has come, for all work that it makes
 KNOWN_S = 5.0
@@ -107,7 +107,7 @@
 
     async def _record_changes(self, idle: dict[str, float]) -> None:
         meters, began = self._begin(), time.monotonic()
-        count = max(4, round(CHANGES_A_SECOND * self._seconds))
+        count = max(4, round(CHANGES_A_SECOND * CHANGES_SHARE * self._seconds))
         for _ in range(count):
             self._changed += 7
             self._hollow.nodes[self._changed % len(self._hollow.nodes)].publish()
--- a/rehearsal/capacity/run.py
+++ b/rehearsal/capacity/run.py
@@ -23,6 +23,7 @@
 from rehearsal.world.nodes import in_child
 
 LINE_MOST = 2**20
+SHARE_OF_ROUND = 0.6  # of the seconds of a round, for calls and for claims: many loads are asked by turns
 DESCRIPTORS = 256  # of a process in virtual time, which opens none
 
 
@@ -89,10 +90,10 @@
     if "processes" in plan.parts:
         found += await real(plan)
     if "calls" in plan.parts:
-        found += await calls.measure(plan.calls, plan.seconds)
+        found += await calls.measure(plan.calls, SHARE_OF_ROUND * plan.seconds)
         _say("calls")
     if "claims" in plan.parts:
-        found += await claims.measure(plan.seconds)
+        found += await claims.measure(SHARE_OF_ROUND * plan.seconds)
         _say("claims")
     return found
 
