--- a/rehearsal/bench/drawn_days.py
+++ b/rehearsal/bench/drawn_days.py
@@ -9,7 +9,7 @@
 
 import random
 import tomllib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +22,7 @@
     "bad_config", "big_config", "config_change", "config_race", "config_storm", "hup", "release", "roll_term",
     "scale_in", "scale_out", "seed_turnover",
 })  # fmt: skip
+CONTRACTS = {"idle_race": "pool", "srv_flap": "health"}  # kinds that a site has only under a contract
 FIRST_S = 1.5  # from the start of traffic to the first trouble
 TARGET = ("leader", "reader", "turn", "seed", "")  # which machine a trouble of the core strikes
 MEANWHILE = ("meet", "race", "hard", "drain", "")  # what is sent to it around that
@@ -73,9 +74,12 @@
 
 
 def _rolling_restart(rng: random.Random) -> Entry:
-    entry = {"share": between(rng, 0.3, 1), "x": float(rng.randint(1, 4)), "gap_s": between(rng, 0.4, 1.5)}
-    core = {"on": "core", "x": 1.0, "gap_s": between(rng, 1.5, 4)} if rng.random() < 0.4 else {}
-    return entry | core | {"how": words(rng, ("busy", "remove", ""), MEANWHILE)}
+    if rng.random() < 0.4:
+        how = words(rng, ("busy", "remove", ""), MEANWHILE)
+        return {"on": "core", "share": 1.0, "x": 1.0, "gap_s": between(rng, 1.5, 4), "how": how}
+    how = words(rng, ("busy", ""), MEANWHILE)
+    gap_s, at_once = between(rng, 0.4, 1.5), float(rng.randint(1, 4))
+    return {"share": between(rng, 0.3, 1), "x": at_once, "gap_s": gap_s, "how": how}
 
 
 def _storm(rng: random.Random) -> Entry:
@@ -153,9 +157,10 @@
 )  # fmt: skip
 
 
-def troubles(theme: str, length_s: float, rng: random.Random) -> Iterator[Entry]:
+def troubles(theme: str, length_s: float, contracts: Collection[str], rng: random.Random) -> Iterator[Entry]:
     """The entries of a day of one theme, each with its moment."""
-    kinds = [*THEMES[theme], *rng.choices(sorted(KINDS), k=rng.randint(2, 4 if THEMES[theme] else 8))]
+    others = rng.choices(sorted(KINDS), k=rng.randint(2, 4 if THEMES[theme] else 8))
+    kinds = [kind for kind in (*THEMES[theme], *others) if CONTRACTS.get(kind, "base") in contracts]
     if rng.random() < 0.5:
         kinds.append(rng.choice(kinds))  # the same trouble twice
     for kind in kinds:
@@ -169,7 +174,8 @@
     """One day of a site, with the traffic of one of its own days."""
     rng = random.Random(f"{site['name']} {theme} {seed}")
     base = rng.choice([day for day in site["day"] if day["slot"] != "scale"])
-    entries = sorted(troubles(theme, site["length_s"], rng), key=lambda entry: float(entry["at"]))
+    drawn = troubles(theme, site["length_s"], site["contracts"], rng)
+    entries = sorted(drawn, key=lambda entry: float(entry["at"]))
     day = {key: value for key, value in base.items() if key not in ("plan", "faults", "closing")}
     day |= {
         "name": f"{theme}-{seed}",
--- a/tests/rehearsal/test_drawn_days.py
+++ b/tests/rehearsal/test_drawn_days.py
@@ -14,6 +14,7 @@
 SITE = {
     "name": "small",
     "length_s": LENGTH_S,
+    "contracts": ["base", "keys", "pool"],
     "day": [
         {
             "name": "trouble-1", "slot": "trouble", "seed": 1, "plan": [], "faults": [{"kind": "release"}],
@@ -36,6 +37,7 @@
     assert {entry["kind"] for entry in day["plan"]} <= drawn_days.PLANNED_KINDS
     assert not {entry["kind"] for entry in day["faults"]} & drawn_days.PLANNED_KINDS
     kinds = [entry["kind"] for entry in entries]
+    assert "srv_flap" not in kinds  # this site has no contract on health
     for wanted in drawn_days.THEMES[theme]:
         assert wanted.split()[0] in kinds
     if "core_cut 20" in drawn_days.THEMES[theme]:
