Fleet: a suspicion ends also when the tick for its end comes a rounding early

A tick may ring an alarm up to 0.01 ms early, but the end of a suspicion compared the clock exactly, found itself too early and was never rung again: a node that died stayed suspected for ever unless another one told of its loss.

The end now allows for the rounding of the tick and of the times that are moved after a stall (nickelbridge/fleet/swim.py, one condition). The loopback test closes the killed node's sockets and timers, and wants both survivors to find out. New tests hand ticks in early and stop both survivors at 40 moments after a death; the first fails on the code before.

--- a/nickelbridge/fleet/swim.py
+++ b/nickelbridge/fleet/swim.py
@@ -644,7 +644,11 @@
 
     def _time_up(self, name: str, now: float) -> None:
         suspicion, entry = self._suspicions.get(name), self.members.get(name)
-        if suspicion is not None and entry is not None and now >= suspicion.ends_ms():
+        if suspicion is None or entry is None:
+            return
+        # Nothing rings again for this end: a tick may be early by one rounding, the end that `moved` summed
+        # up late by less than another.
+        if now + 2.0 * ROUNDING_MS >= suspicion.ends_ms():
             self._set(replace(entry, status=Status.LOST, by=self.me.name), self.me.name, now)
 
     # Words about this node
--- a/tests/fleet/test_shell.py
+++ b/tests/fleet/test_shell.py
@@ -82,6 +82,22 @@
         udp.sendto(data, to._setup.listen)
 
 
+def kill(one: Peers) -> None:
+    """End a node without a word: sockets are closed, timers and tasks called off, as after SIGKILL."""
+    assert one._udp is not None and one._server is not None and one._store is not None
+    one.fleet.left = True  # an exchange that is under way is not answered any more
+    one._loop.remove_reader(one._udp)
+    one._udp.close()
+    one._udp = None
+    one._server.close()
+    for timer in (one._timer, *one._timers.values()):
+        if timer is not None:
+            timer.cancel()
+    for task in one._tasks:
+        task.cancel()
+    one._store.close()
+
+
 def test_three_find_each_other_one_leaves_one_dies_and_returns_with_a_higher_incarnation(
     tmp_path: Path,
 ) -> None:
@@ -98,12 +114,8 @@
             await again.listen()
             again.start()
             await until(lambda: all_know([*made[:2], again], 3))
-            # Killed: nothing is said, and the others find out.
-            again._loop.remove_reader(again._udp)  # type: ignore[arg-type]
-            again._timer.cancel()  # type: ignore[union-attr]
-            again.fleet.left = True
-            await until(lambda: made[0].fleet.members["n2"].status is Status.LOST)
-            await again.close()
+            kill(again)
+            await until(lambda: all(one.fleet.members["n2"].status is Status.LOST for one in made[:2]))
 
     run(test())
 
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -16,7 +16,7 @@
 from nickelbridge.fleet.messages import Kind, Message
 from nickelbridge.fleet.rumours import MOST, Rumours, times
 from nickelbridge.fleet.suspicion import Suspicion, Timing
-from nickelbridge.fleet.swim import Fleet
+from nickelbridge.fleet.swim import ROUNDING_MS, Fleet
 from rehearsal.explore import fleet as explore
 from rehearsal.model.fleet import Net, half
 from rehearsal.world.links import LinkFault
@@ -93,6 +93,30 @@
     assert ("n4", "LOST") not in words and ("n4", "SUSPECT") not in words
 
 
+@pytest.mark.parametrize("early_ms", [0.0, ROUNDING_MS / 3.0, ROUNDING_MS])
+def test_a_tick_that_is_early_by_a_rounding_still_ends_a_suspicion(early_ms: float) -> None:
+    fleet, _ = begun()
+    now = 10_000.0
+    while now < 40_000.0 and fleet.members["peer"].here:
+        now = max(now, fleet.due_ms - early_ms)
+        fleet.handle(api.Tick(), now)
+    assert fleet.members["peer"].status is Status.LOST and now < 15_000.0
+
+
+def test_a_dead_node_is_lost_wherever_the_others_stand_still() -> None:
+    """All of a process stands still once, as its machine does; what comes meanwhile waits in its buffers."""
+    for step in range(40):
+        made = net(3, 7)
+        made.kill("n2")
+        made.run(made.now + 0.1 * step)
+        for name in ("n0", "n1"):
+            made.pause(name, 1.7)
+        made.run(made.now + 1.7 + 8.0)
+        for name in ("n0", "n1"):
+            fleet = made.nodes[name].fleet
+            assert fleet.members["n2"].status is Status.LOST and fleet.size == 2, f"{name}, step {step}"
+
+
 def test_all_restarted_within_a_second_and_without_a_disk_are_known_as_new() -> None:
     made = net()
     before = {node.name: node.fleet.me.life for node in made.running()}
