--- a/tests/peers.py
+++ b/tests/peers.py
@@ -249,6 +249,13 @@
     return env
 
 
+def patient() -> list[dict[str, Any]]:
+    """The usual classes with an objective that no stop of the machine for some seconds exceeds: answers that
+    are late by that alone take no room from the requests after them.
+    """
+    return [cls | {"objective_ms": 15_000.0} for cls in settings()["classes"]]
+
+
 # One class of each kind of effect: safe, keyed by zone, by cell and everywhere, unsafe.
 EFFECTS = ("read", "save", "save-cell", "save-all", "pay")
 
