--- a/tests/h3/test_front.py
+++ b/tests/h3/test_front.py
@@ -759,7 +759,7 @@
 def test_on_a_bad_path_every_request_is_answered_exactly_once(tmp_path: Path, trouble: Trouble) -> None:
     async def test() -> None:
         servers = roomy()
-        # Time limits of its own would have the node send again what may run twice after its machine stood still.
+        # With time limits of its own the node sends again what may run twice, once its machine stood still.
         calm: dict[str, Any] = {"classes": patient(), "permissions": {"may_cancel": False}}
         async with scene(tmp_path, *servers, **calm) as made:
             caller = await made.connect(trouble=trouble, seed=5)
