A request whose caller has left is withdrawn from gate and server

Closing the hop to the gate withdraws what is held there and ends the work on what may be repeated; what may run once is let run by the gate, and a keyed request as a whole, since repeats of its key are owed its answer.

--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -371,12 +371,13 @@
 
     def over(self, live: Live) -> None:
         """Nothing more happens to a request once none of its attempts is out: who waits for that hears."""
-        if live.on_end is not None and not self._out_of(live):
+        if live.on_end is not None and not self._hops_of(live):
             on_end, live.on_end = live.on_end, None
             on_end(live.said, live.ran)
 
-    def _out_of(self, live: Live) -> list[tuple[str, int]]:
-        return [(live.id, n) for n in range(live.attempts) if (live.id, n) in self.out]
+    def _hops_of(self, live: Live) -> list[Hop]:
+        """The attempts of a request that are out."""
+        return [hop for n in range(live.attempts) if (hop := self.out.get((live.id, n))) is not None]
 
     def overdue(self, live: Live) -> None:
         """Its time is over."""
@@ -386,7 +387,7 @@
             self.finish(live, passed_on(live.said))
         else:
             # What was begun on its way to a gate may run yet: no promise, then.
-            hops = [self.out[key] for key in self._out_of(live)]
+            hops = self._hops_of(live)
             sent = live.ran or any(hop.begun for hop in hops)
             kind = Kind.LATE if sent else Kind.SHED
             self.finish(live, own_answer(live.message, Refusal(kind), None if sent else 0.05))
@@ -397,13 +398,22 @@
         self.over(live)
 
     def caller_gone(self, live: Live) -> None:
-        """Nobody waits for the answer. What may not run twice is let run, and its answer is kept."""
-        if live.owed:
-            live.owed = False
-            self._alarms.cancel(live.backstop)
-            self.live.pop(live.id, None)
-            self.handle(api.ClientGone(live.id))
-            self.over(live)
+        """Nobody waits for the answer: no attempt of it is to reach a server from now on.
+
+        Closing the connection to the gate withdraws an attempt that is held there, and ends the work on one
+        that may be repeated; the gate lets the others run. A keyed request is let run from here, as repeats
+        of its key are owed the answer.
+        """
+        if not live.owed:
+            return
+        live.owed = False
+        self._alarms.cancel(live.backstop)
+        self.live.pop(live.id, None)
+        self.handle(api.ClientGone(live.id))
+        for hop in self._hops_of(live):
+            if live.on_end is None or not hop.begun:
+                hop.break_off(Result.CANCELLED)
+        self.over(live)
 
     # The module
 
