--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -188,6 +188,8 @@
             bodiless = status >= 200 and self._attempt.message.method == b"HEAD"
         if bodiless or (status in NO_BODY and not self._framings):
             self._framings, self._length = 1, None
+        if status >= 200 and not self._framings:
+            self._to_close = True  # its body ends with the connection (RFC 9112, section 6.3)
         super().on_headers_complete()
         if status == SWITCHING:
             self._spoilt = True  # nobody asked for that
--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -163,5 +163,5 @@
         return Asked(
             method, target, id.decode("latin-1"), "", float(left) if left is not None else 0.0, None, False,
             headers.get(b"operation-key"), None, body, flow,
-            host=headers.get(b"host", b""), headers=headers,
+            host=headers.get(b"host", b""), headers=headers, untimed=left is None,
         )  # fmt: skip
--- a/mesh/dataplane/messages.py
+++ b/mesh/dataplane/messages.py
@@ -41,6 +41,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     along: list[tuple[bytes, bytes]] = field(default_factory=list)  # what goes on unchanged
     route: Route | None = None
+    untimed: bool = False  # its sender has not said how long it waits: `budget_ms` says nothing
 
 
 @dataclass(slots=True)
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -251,7 +251,7 @@
             answer(own_answer(message, Refusal(Kind.NO_ROUTE)))
             return Nobody()
         message.cls, message.route = route.id, route
-        left_ms = message.budget_ms or route.guard_ms
+        left_ms = route.guard_ms if message.untimed else message.budget_ms
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
         client = self._services[self._pick_service(route)]
         if route.kind == "keyed" and message.key is not None:
--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -87,6 +87,10 @@
         lambda i, b: bare(i, b"200 OK").replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + b,
         Result.SERVED, False, True,
     ),
+    "until the close, unsaid": Script(lambda i, b: bare(i, b"200 OK") + b, Result.SERVED, False, True),
+    "until the close, HTTP/1.0": Script(
+        lambda i, b: bare(i, b"200 OK").replace(b"1.1", b"1.0") + b, Result.SERVED, False, True
+    ),
     "surplus before": Script(lambda i, b: OTHER + answer(i, b), Result.SERVED, False),
     "surplus after": Script(lambda i, b: answer(i, b) + OTHER, Result.SERVED, False),
     "twice": Script(lambda i, b: answer(i, b) * 2, Result.SERVED, False),
@@ -281,6 +285,30 @@
         assert reader.said == ["broken"]
 
 
+@pytest.mark.parametrize("said_close", [b"", b"Connection: close\r\n"])
+@pytest.mark.parametrize("size", [3, HELD_ANSWER + 9])
+@pytest.mark.parametrize("exc", [None, ConnectionResetError()])
+def test_an_answer_without_length_is_whole_at_a_clean_end_only(
+    said_close: bytes, size: int, exc: Any
+) -> None:
+    with Story() as story:
+        sent, peer = story.ask("t1")
+        sent.message.long_answer = True
+        head = bare(b"t1", b"200 OK").replace(b"\r\n\r\n", b"\r\n%b\r\n" % said_close)
+        peer.connection.data_received(head + b"x" * size)
+        reader = Reader()
+        if size > HELD_ANSWER:
+            sent.ends[0][1].flow.attach(reader)
+        peer.lose(exc)
+        [(result, said)] = sent.ends
+        if size > HELD_ANSWER:
+            assert (result, reader.said) == (Result.SERVED, ["end" if exc is None else "broken"])
+        elif exc is None:
+            assert (result, said.body) == (Result.SERVED, b"xxx")
+        else:
+            assert (result, said) == (Result.RESET, None)
+
+
 def test_an_early_answer_is_taken_and_its_connection_closed() -> None:
     """It comes before the request has gone out whole."""
     with Story() as story:
--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -24,7 +24,7 @@
 
 
 class Taken:
-    """A request, and what came of it; `keyed`: its end is heard, as repeats of its key are owed its answer."""
+    """A request, and what came of it; `keyed`: its end is heard, as repeats are owed its answer."""
 
     def __init__(self, scene: Scene, route: Route, keyed: bool = True) -> None:
         self.route, self.id, self.keyed = route, f"t{len(scene.taken)}", keyed
--- /dev/null
+++ b/tests/mesh/test_time_remaining.py
@@ -0,0 +1,113 @@
+"""`Time-Remaining`: servers are handed what is left, never more than the client or the route gives."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+
+from mesh.control.configuration import Configuration, Table
+from mesh.control.endpoints import IN_SERVICE, Record, Server
+from mesh.dataplane import admission, service_client
+from mesh.dataplane import proxy as module
+from mesh.dataplane.admission import AdmissionGate
+from mesh.dataplane.listener import Listener
+from mesh.dataplane.messages import MARGIN_MS, Asked
+from mesh.dataplane.proxy import Proxy
+from mesh.dataplane.service_client import ServiceClient
+from mesh.settings import Bounds
+from nickelbridge.interface import Result
+from orchidferry.flow import Pool
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import rig, route
+
+ADDRESS = ("127.0.0.1", 1)
+
+
+class Scene:
+    """A node and the gate of a server, up to what each writes."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, kind: str = "idempotent") -> None:
+        self.loop, alarms, self.lines = rig()
+        for place in (module, service_client, admission):
+            patch.setattr(place, "now_ms", self.loop.now_ms)
+        service = ServiceClient("s", "me", "z", Bounds(), self.loop, alarms, self.lines, int)
+        servers = {n: Server(n, "s", "z", IN_SERVICE, 4, 0.0) for n in ("1", "2")}
+        service.servers({n: Record(n, 1, 1, "z", "127.0.0.1", 1, one) for n, one in servers.items()})
+        routes = [route(kind)]  # 1,000 ms
+        service.configure(routes)
+        proxy: Any = Proxy.__new__(Proxy)
+        proxy._configuration, proxy._table = Configuration(1), Table(routes)
+        proxy._services, proxy._stop_ms = {"s": service}, math.inf
+        self.proxy = proxy
+        self.gate = AdmissionGate(
+            ADDRESS, Bounds(), 1_000.0, self.loop, alarms, self.lines,
+            lambda: None, lambda: False, lambda message, answer: None,
+        )  # fmt: skip
+        self.replies: list[Reply] = []
+
+    def ask(self, left: bytes | None) -> None:
+        """A client's request."""
+        headers = {b"host": b"h", b"attempt-id": b"t1"} | ({b"time-remaining": left} if left else {})
+        message = read(headers)
+        self.proxy._take(message, self.replies.append)
+
+    def handed(self) -> list[float]:
+        """What the attempts so far say is left."""
+        return [left_of(attempt.head_bytes()) for attempt in self.lines.sent]
+
+
+def read(headers: dict[bytes, bytes]) -> Asked:
+    listener = Listener(lambda message, answer: None, 9, Pool(0), lambda: True)  # type: ignore[arg-type,return-value]
+    message = listener.read(b"GET", b"/x/", headers, b"", None)
+    assert isinstance(message, Asked)
+    return message
+
+
+def left_of(head: bytes) -> float:
+    [line] = [line for line in head.split(b"\r\n") if line.lower().startswith(b"time-remaining: ")]
+    return float(line.partition(b": ")[2])
+
+
+@pytest.mark.parametrize(("left", "most"), [
+    (b"300", 300.0), (b"99999", 1_000.0), (None, 1_000.0), (b"30.5", 30.5),
+])  # fmt: skip
+def test_a_server_is_handed_what_is_left(
+    monkeypatch: pytest.MonkeyPatch, left: bytes | None, most: float
+) -> None:
+    scene = Scene(monkeypatch)
+    scene.ask(left)
+    assert 0.0 < most - scene.handed()[0] <= 3 * MARGIN_MS
+
+
+def test_a_client_that_waits_no_longer_is_not_given_the_routes_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    scene.ask(b"0")
+    scene.loop.pass_ms(1.0)
+    assert all(left <= 1.0 for left in scene.handed()) and [r.status for r in scene.replies] == [503]
+
+
+def test_a_later_send_is_handed_what_is_left_then(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    scene.loop.pass_ms(
+        1e3 * Bounds().retry_window_s + 1.0
+    )  # a node that has just started sends nothing again
+    scene.ask(b"900")
+    scene.loop.pass_ms(100.0)
+    [first] = scene.lines.sent
+    first.end(Result.UNREACHABLE)
+    scene.loop.pass_ms(400.0)
+    _, second = scene.handed()  # as its head is written now
+    assert second <= 900.0 - 500.0
+
+
+def test_a_gate_hands_on_what_is_left_after_a_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    scene.gate.beat(Server("i", "s", "z", IN_SERVICE, 1, 0.0), 1)
+    for _ in range(3):
+        named = {b"time-remaining": b"700", b"attempt-id": b"t", b"orchid-patience": b"500"}
+        scene.gate.accept(read(named), scene.replies.append)
+    scene.loop.pass_ms(300.0)
+    scene.lines.sent[0].end(Result.RESET)
+    assert left_of(scene.lines.sent[-1].head_bytes()) <= 400.0
