Gate: a drain is final, a late beat of a former life replaces nobody for good

A process that has just started hears a late beat of a former life after the first one of the server that lives, and took that one for over: its later beats were acknowledged and ignored for as long as it lived. A life that was replaced, not signed off, is taken back once the other one has been silent for 1.5 beats, with the time of its drain. A drain that was acknowledged is final: a later in_service of the same life left its record in service while the gate turned all away. What is held for a server that has signed off, or is silent or refuses connections, is offered elsewhere at once, not after its patience. The list of former lives is bounded also for DELETE.

--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import math
 from collections.abc import Callable
 
 from loguru import logger
@@ -51,7 +53,19 @@
 SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
 LEAST_LEFT_MS = 8.0
 REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
-ENDED_MOST = 64
+FORMER_MOST = 64
+# A life that another one replaced is taken back if the other one has said nothing for so many beats: beats
+# come late, and the first that a process hears may be the last one of a server that is gone.
+REPLACED_BEATS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerLife:
+    """A life of the server that signed off, or that another one has replaced."""
+
+    signed_off: bool
+    sequence: int  # of the last call that was heard of it
+    drained_ms: float  # when its drain was acknowledged
 
 
 class Pass:
@@ -130,8 +144,8 @@
         self.server: Server | None = None
         self.life = 1  # its number for the pool of connections: none is used for another life
         self._sequence = -1
-        self._ended: dict[str, None] = {}  # lives that are over, the oldest first
-        self._drained_ms = float("inf")  # when its drain was acknowledged
+        self._former: dict[str, FormerLife] = {}  # by id, the oldest first
+        self._drained_ms = math.inf  # when its drain was acknowledged
         self._heard_ms = now_ms()
         self._refused = 0  # connections in a row
         self.inside = 0  # requests at the server
@@ -146,24 +160,16 @@
     def beat(self, server: Server, sequence: int) -> Refusal | None:
         """Take a server's word of itself; None if it is acknowledged."""
         had = self.server
-        if server.id in self._ended:
+        same_life = had is not None and had.id == server.id
+        if same_life and (sequence <= self._sequence or server.id in self._former):
+            return None  # late
+        if not same_life and not self._begin_life(server.id, sequence):
             return None  # late: its end stays its end
-        if had is not None and had.id == server.id:
-            if sequence <= self._sequence:
-                return None
-        elif had is not None:
-            self._ended[had.id] = None
-            while len(self._ended) > ENDED_MOST:
-                del self._ended[next(iter(self._ended))]
         self._sequence, self._heard_ms = sequence, now_ms()
-        if had is None or had.id != server.id:
-            self._drained_ms = float("inf")
-            self._lines.gone(self.life)
-            self.life += 1
         if server.state == DRAINING:
             self._drained_ms = min(self._drained_ms, now_ms())
-        elif had is not None and had.state == GONE:  # it was only taken for gone
-            self._drained_ms = float("inf")
+        elif self._drained_ms < math.inf:  # a drain that was acknowledged is final
+            server = dataclasses.replace(server, state=DRAINING)
         alike = had is not None and (had.id, had.state, had.service, had.capacity) == (
             server.id, server.state, server.service, server.capacity,
         )  # fmt: skip
@@ -174,9 +180,33 @@
         self._let_in()
         return None
 
+    def _begin_life(self, id: str, sequence: int) -> bool:
+        """Take another life of the server in the place of the one before it; whether it counts."""
+        former = self._former.get(id)
+        if former is not None:
+            silent_ms = now_ms() - self._heard_ms
+            replaced = not former.signed_off and sequence > former.sequence
+            if not replaced or silent_ms < REPLACED_BEATS * self._beat_ms:
+                return False
+            del self._former[id]
+        if self.server is not None and self.server.id not in self._former:
+            self._note_former(self.server.id, signed_off=False)
+        self._drained_ms = former.drained_ms if former is not None else math.inf
+        self._lines.gone(self.life)
+        self.life += 1
+        return True
+
+    def _note_former(self, id: str, signed_off: bool) -> None:
+        current = self.server is not None and self.server.id == id
+        sequence, drained_ms = (self._sequence, self._drained_ms) if current else (-1, math.inf)
+        self._former.pop(id, None)
+        self._former[id] = FormerLife(signed_off, sequence, drained_ms)
+        while len(self._former) > FORMER_MOST:
+            del self._former[next(iter(self._former))]
+
     def end(self, id: str) -> None:
         """A server has signed off."""
-        self._ended[id] = None
+        self._note_former(id, signed_off=True)
         if self.server is not None and self.server.id == id:
             self._gone("has signed off")
 
@@ -193,9 +223,9 @@
         assert self.server is not None
         had = self.server
         logger.info("gate: server {} {}", had.id, why)
-        self.server = Server(had.id, had.service, had.zone, GONE, had.capacity, 0.0, had.version)
-        self._drained_ms = min(self._drained_ms, now_ms())
+        self.server = dataclasses.replace(had, state=GONE, cold_left_ms=0.0)
         self._changed()
+        self._turn_away_held()
 
     # Requests
 
@@ -270,6 +300,12 @@
             self._waiting -= 1
             del self._held[passing.rank][passing.place]
 
+    def _turn_away_held(self) -> None:
+        """What waits for a server that is gone is offered to another one at once."""
+        for passing in [passing for line in self._held.values() for passing in line.values()]:
+            self.forget(passing)
+            self._turn_away(passing, GATE_GONE)
+
     def _let_in(self) -> None:
         while self._waiting and self.inside < self._slots():
             first = min(rank for rank, line in self._held.items() if line)
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -135,6 +138,59 @@
     assert scene.state == GONE
 
 
+@pytest.mark.parametrize(("steps", "state", "id"), [
+    # call: id, sequence, state; a number: so many ms pass
+    ([("i", 1, DRAINING), 1_000, ("i", 2, IN_SERVICE)], DRAINING, "i"),  # a drain is final
+    ([("i", 1, IN_SERVICE), ("i", None, ""), 9_000, ("i", 2, IN_SERVICE)], GONE, "i"),
+    ([("i", None, ""), ("i", 2, IN_SERVICE)], "", ""),  # signed off with this process before it sent a beat
+    ([("i", 1, IN_SERVICE), 900, ("j", 1, IN_SERVICE), 2_000, ("i", 2, IN_SERVICE)], IN_SERVICE, "i"),
+    ([("i", 1, IN_SERVICE), 900, ("j", 1, IN_SERVICE), 900, ("i", 2, IN_SERVICE)], IN_SERVICE, "j"),
+    # A process that has just started hears the last beat of a former life after the first of the new one.
+    ([("j", 4, IN_SERVICE), ("i", 9, IN_SERVICE), 1_000, ("j", 5, IN_SERVICE), 1_000, ("j", 6, IN_SERVICE)],
+     IN_SERVICE, "j"),
+    ([("j", 4, DRAINING), ("i", 9, IN_SERVICE), 2_000, ("j", 5, DRAINING)], DRAINING, "j"),
+])  # fmt: skip
+def test_calls_that_come_late(scene: Scene, steps: list[Any], state: str, id: str) -> None:
+    for step in steps:
+        if isinstance(step, int):
+            scene.loop.pass_ms(float(step))
+        elif step[1] is None:
+            scene.gate.end(step[0])
+        else:
+            scene.beat(step[1], step[2], step[0])
+    assert (scene.state, scene.gate.server.id if scene.gate.server is not None else "") == (state, id)
+
+
+def test_a_drain_is_counted_from_its_first_word_though_another_life_was_heard_of(scene: Scene) -> None:
+    scene.beat(1, DRAINING, "j")
+    scene.beat(9, IN_SERVICE, "i")  # the last word of a life before it
+    scene.loop.pass_ms(1_600.0)  # over `DRAIN_SHARE` of the time
+    scene.beat(2, DRAINING, "j")
+    scene.ask("a", target_instance=b"j")
+    assert (scene.state, scene.word("a")) == (DRAINING, b"gone")
+
+
+@pytest.mark.parametrize("end", [
+    lambda gate: gate.end("i"),  # some never say that they drain
+    lambda gate: (setattr(gate, "_heard_ms", 0.0), gate.look()),
+], ids=["signed off", "silent"])  # fmt: skip
+def test_a_server_that_is_gone_is_sent_nothing_and_what_is_inside_ends(
+    scene: Scene, end: Callable[[AdmissionGate], Any]
+) -> None:
+    scene.beat(1)
+    for id in "ab":
+        scene.ask(id)
+    scene.ask("held", orchid_patience=b"9000", time_remaining=b"9000")
+    end(scene.gate)
+    scene.ask("late")
+    assert scene.inside() == ["a", "b"]  # it serves on
+    assert [scene.word(id) for id in ("held", "late")] == [b"gone", b"gone"]
+    for attempt in scene.lines.sent:
+        attempt.sent_whole()
+        attempt.end(Result.SERVED, said(id=attempt.message.id.encode()))
+    assert [scene.replies[id].status for id in "ab"] == [200, 200] and len(scene.lines.sent) == 2
+
+
 def test_a_beat_brings_back_what_was_taken_for_gone(scene: Scene) -> None:
     scene.beat(1)
     scene.loop.pass_ms(3_600.0)
