Gate: work for a caller that has left ends after 0.3 s, at once where its slot is wanted

So the gate lets the server work on for 0.3 s while nobody wants its slot, and ends the work at once when somebody does: the next one that comes takes the place of the oldest of them.

--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -53,6 +53,9 @@
 SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
 LEAST_LEFT_MS = 8.0
 REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
+# A server may work on for nobody for so long, while nobody waits for its slot: an answer that comes leaves
+# its connection usable, and new ones are priced. The rules allow 0.5 s from when the client has left.
+ABANDONED_S = 0.3
 FORMER_MOST = 64
 # A life that another one replaced is taken back if the other one has said nothing for so many beats: beats
 # come late, and the first that a process hears may be the last one of a server that is gone.
@@ -87,8 +90,10 @@
         self.owed = False
         if self.attempt is None:
             self._gate.forget(self)
-        elif not self.once or not self.attempt.begun:
+        elif not self.attempt.begun:
             self.attempt.break_off(Result.CANCELLED)
+        elif not self.once:
+            self._gate.abandon(self, self.attempt)
 
     def reply(self, reply: Reply) -> None:
         """The one answer."""
@@ -149,6 +154,7 @@
         self._heard_ms = now_ms()
         self._refused = 0  # connections in a row
         self.inside = 0  # requests at the server
+        self._abandoned: dict[Pass, Visit] = {}  # those that nobody waits for, the oldest first
         self._held: dict[int, dict[int, Pass]] = {}  # by rank, in the order in which they came
         self._waiting = 0
         self._serial = 0
@@ -252,12 +258,25 @@
             why = UNRUN
         if why is not None:
             self._turn_away(passing, why)
-        elif self.inside < self._slots():
+        elif self._has_room():
             self._enter(passing)
         else:
             self._hold(passing)
         return passing
 
+    def _has_room(self) -> bool:
+        """Whether the server can be given one more, if need be in the place of one that nobody waits for."""
+        if self.inside >= self._slots() and self._abandoned:
+            next(iter(self._abandoned.values())).break_off(Result.CANCELLED)
+        return self.inside < self._slots()
+
+    def abandon(self, passing: Pass, visit: Visit) -> None:
+        """Nobody waits for a request at the server that may be repeated: its work is to end soon."""
+        if self._waiting or self.inside >= self._slots():
+            return visit.break_off(Result.CANCELLED)
+        self._abandoned[passing] = visit
+        self._alarms.after(ABANDONED_S, lambda: visit.break_off(Result.CANCELLED))
+
     def _slots(self) -> int:
         capacity = self.server.capacity if self.server is not None else GUESS
         return max(1, capacity) + OVER
@@ -327,6 +346,7 @@
     def left(self, passing: Pass, result: Result, said: Said | None) -> None:
         """A request is out of the server, one way or another."""
         self.inside -= 1
+        self._abandoned.pop(passing, None)
         keyed = not passing.owed and KEYED in passing.message.headers
         if keyed and said is not None and said.whole and result in (Result.SERVED, Result.ERROR):
             self._orphan(passing.message, said)
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -170,12 +170,19 @@
     assert (scene.state, scene.word("a")) == (DRAINING, b"gone")
 
 
-@pytest.mark.parametrize("end", [
-    lambda gate: gate.end("i"),  # some never say that they drain
-    lambda gate: (setattr(gate, "_heard_ms", 0.0), gate.look()),
-], ids=["signed off", "silent"])  # fmt: skip
+def signs_off(gate: AdmissionGate) -> None:
+    """Some do so without ever saying that they drain."""
+    gate.end("i")
+
+
+def falls_silent(gate: AdmissionGate) -> None:
+    gate._heard_ms = 0.0
+    gate.look()
+
+
+@pytest.mark.parametrize("end", [signs_off, falls_silent])
 def test_a_server_that_is_gone_is_sent_nothing_and_what_is_inside_ends(
-    scene: Scene, end: Callable[[AdmissionGate], Any]
+    scene: Scene, end: Callable[[AdmissionGate], None]
 ) -> None:
     scene.beat(1)
     for id in "ab":
@@ -214,6 +221,28 @@
     assert scene.inside() == ["a"] and not scene.replies
 
 
+@pytest.mark.parametrize(("others", "later", "after_ms", "inside"), [
+    (0, 0, 290.0, ["a"]), (0, 0, 310.0, []),  # with slots free its answer is waited for, for a while
+    (1, 0, 0.0, ["0"]),  # no slot is free
+    (0, 1, 0.0, ["a", "later"]), (0, 2, 0.0, ["later", "later"]),  # it makes room
+])  # fmt: skip
+def test_work_for_a_caller_that_has_left_ends(
+    scene: Scene, others: int, later: int, after_ms: float, inside: list[str]
+) -> None:
+    scene.beat(1)
+    passing = scene.ask("a")
+    for n in range(others):
+        scene.ask(str(n))
+    assert passing.attempt is not None
+    passing.attempt.sent_whole()
+    passing.caller_gone()
+    for _ in range(later):
+        scene.ask("later")
+    scene.loop.pass_ms(after_ms)
+    assert scene.inside() == inside and not scene.gate._abandoned.keys() - {passing}
+    assert scene.gate.inside == len(inside) and not scene.replies
+
+
 @pytest.mark.parametrize(("headers", "gone", "answer", "kept"), [
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t"), [("t", 200)]),
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, False, said(id=b"t"), []),  # its sender tells it
