Callers may send what limit_set allows; a long request's server has its time from the last byte

A node now takes the operator's limits, larger or smaller, and the gate lets in what nodes took under any of them. Flow and frontend got a parameter each; without one they are as before.

--- a/mesh/dataplane/attempt.py
+++ b/mesh/dataplane/attempt.py
@@ -45,6 +45,12 @@
             result = Result.RESET
         super().end(result, answer)
 
+    def sent_whole(self) -> None:
+        """Its last byte is written: the server has its time from now on."""
+        super().sent_whole()
+        if self.message.flow is not None:  # until now only a body that stood still was given up
+            self.go_on_for(self.timeout_ms / 1000.0)
+
     def break_off(self, result: Result) -> None:
         if not self.begun:  # asked while there is a connection to ask; nothing goes out on it after that
             self._untouched = None
--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -134,6 +134,10 @@
         super().__init__({}, accept, ready, most, pool)
         self._idle_s = 0.0  # the operator's limit
 
+    def limit_sizes(self, head: int, body: int) -> None:
+        """Take the operator's limits on what a caller may send, in bytes."""
+        self.head_most, self.body_most = head, body
+
     def limit(self, idle_s: float, header_s: float) -> None:
         """Take the operator's limits. Callers that know a longer idle time may use it once more."""
         had_s, self._idle_s = self._idle_s, idle_s
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -34,9 +34,10 @@
 from mesh.settings import Settings
 from orchidferry.alarms import Alarms
 from orchidferry.config import now_ms
-from orchidferry.flow import Pool
+from orchidferry.flow import LONG_BODY, Pool
 from orchidferry.frontend import Reply
 from orchidferry.request import Message
+from orchidferry.upstream import MAX_HEAD
 
 CONNECT_MS = 400.0
 KEEP_HOP_MS, KEEP_SERVER_MS = 60_000.0, 14_000.0  # half of this a connection may idle
@@ -48,6 +49,7 @@
 BELOW_MS = 500.0  # so long a call from this machine that was turned away explains its server's errors
 STARTING_S = 0.6  # when to come back to a node that has no configuration yet
 SPARE_SOCKETS = 300
+OWN_HEADERS = 2_048  # bytes of the headers that nodes add on the way to a gate
 STOP_READY_S = 0.3  # after SIGTERM: so long the gate goes on to take requests
 STOP_TAKE_S = 2.4  # and so long new requests are taken: callers hear of it after two looks at readiness
 STOP_MARGIN_S = 0.4  # before the platform kills
@@ -235,8 +237,21 @@
         for name in [n for n in self._services if n not in by_service and not self._services[n].live]:
             del self._services[name]
         self._configuration, self._table = configuration, Table(configuration.routes)
-        idle_s = configuration.limits.get("idle_timer_ms", 60_000.0) / 1000.0
-        self._outbound.limit(idle_s, configuration.limits.get("header_timer_ms", 3_000.0) / 1000.0)
+        self._limit(configuration.limits)
+
+    def _limit(self, limits: dict[str, float]) -> None:
+        """Take the operator's `limit_set`."""
+        idle_s = limits.get("idle_timer_ms", 60_000.0) / 1000.0
+        self._outbound.limit(idle_s, limits.get("header_timer_ms", 3_000.0) / 1000.0)
+        head, body = (
+            int(limits.get("max_header_bytes", MAX_HEAD)),
+            int(limits.get("max_body_bytes", LONG_BODY)),
+        )
+        self._outbound.limit_sizes(head, body)
+        # What a node took under limits that this one does not know any more, or not yet, is let in.
+        self._inbound.limit_sizes(
+            max(self._inbound.head_most, head + OWN_HEADERS), max(self._inbound.longest_body, body)
+        )
 
     # Outbound
 
--- a/orchidferry/flow.py
+++ b/orchidferry/flow.py
@@ -74,13 +74,20 @@
     """One body on its way. `length` in bytes, None where the sender doesn't say."""
 
     __slots__ = (
-        "_borrowed", "_choked", "_held", "_kept", "_pool", "_sink", "_waiting", "began_s", "complete",
-        "length", "moved_s", "on_complete", "on_over", "over", "passed", "size", "source", "spent",
+        "_borrowed", "_choked", "_held", "_kept", "_most", "_pool", "_sink", "_waiting", "began_s",
+        "complete", "length", "moved_s", "on_complete", "on_over", "over", "passed", "size", "source",
+        "spent",
     )  # fmt: skip
 
-    def __init__(self, source: Source, length: int | None, now_s: float, pool: Pool | None = None) -> None:
-        """`pool`: where memory comes from for what is kept; None: nothing is kept, as there is one sink."""
+    def __init__(
+        self, source: Source, length: int | None, now_s: float, pool: Pool | None = None,
+        most: int | None = None,
+    ) -> None:  # fmt: skip
+        """`pool`: where memory comes from for what is kept; None: nothing is kept, as there is one sink.
+        `most`: bytes that a body may have whose length is not known; None: `LONG_BODY`.
+        """
         self.source, self.length, self._pool = source, length, pool
+        self._most = LONG_BODY if most is None else most
         self.size = self.passed = 0  # bytes that came in, and that the sink was fed
         self.complete = self.over = self._choked = self._held = False
         self.spent = False  # the beginning is not there any more: no other sink can be fed
@@ -98,7 +105,7 @@
         """A piece has come. `TooLong` if that is more than may: whoever pushes then ends the flow."""
         if self.over:
             return
-        if self.size + len(data) > (LONG_BODY if self.length is None else self.length):
+        if self.size + len(data) > (self._most if self.length is None else self.length):
             raise TooLong
         self.size += len(data)
         self.moved_s = now_s
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -32,6 +32,7 @@
 SWEEP_S = 0.2  # how often stages are looked at; limits are late by so much at most
 READY_PATH = b"/-/ready"
 OWN_PATHS = b"/-/"
+TOO_LONG = "the body is too long"
 
 
 STATUS_LINES = {
@@ -145,7 +146,7 @@
         # The parser hands out a header once it is whole: one without end shows only in what was fed.
         if not self._headers_done and not self._completed:
             self._head += len(data)
-            if self._head > MAX_HEAD:
+            if self._head > self._frontend.head_most:
                 self._reject(431, "headers too large")
         if self._refusal is not None:
             self._turn_away(self._refusal)
@@ -291,7 +292,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         self._fields += len(name) + len(value)
-        if self._fields > MAX_HEAD:
+        if self._fields > self._frontend.head_most:
             self._reject(431, "headers too large")
         elif self._headers_done:
             return  # a trailer: nothing here asks for them, and none may stand in for a header
@@ -302,7 +303,7 @@
 
     def on_headers_complete(self) -> None:
         self._headers_done = True
-        if len(self._target) > MAX_HEAD:
+        if len(self._target) > self._frontend.head_most:
             self._reject(431, "target too long")
         if b"transfer-encoding" in self._headers:
             try:
@@ -310,8 +311,8 @@
             except Unacceptable as problem:
                 self._reject(400, str(problem))
         length = self._headers.get(b"content-length")
-        if length is not None and length.isdigit() and int(length[:12]) > LONG_BODY:
-            self._reject(413, "body over 32 MiB")
+        if length is not None and length.isdigit() and int(length[:12]) > self._frontend.longest_body:
+            self._reject(413, TOO_LONG)
         elif self._headers.get(b"expect", b"").lower() == b"100-continue" and not self._deaf:
             self._expects()
         self._frontend.progress(self)
@@ -328,7 +329,7 @@
             try:
                 self._in.push(body, self._frontend.now_s())
             except TooLong:
-                self._reject(413, "body over 32 MiB")
+                self._reject(413, TOO_LONG)
             return
         self._body.append(body)
         if self._size > self._frontend.held_most:
@@ -343,8 +344,9 @@
         """The body is too long to hold: the request is taken now, and the rest goes through as it comes."""
         length = self._headers.get(b"content-length")
         flow = Flow(
-            self, int(length) if length is not None else None, self._frontend.now_s(), self._frontend.pool
-        )
+            self, int(length) if length is not None else None, self._frontend.now_s(), self._frontend.pool,
+            self._frontend.longest_body,
+        )  # fmt: skip
         pieces, self._body = self._body, []
         if len(self._queue) >= MOST_PIPELINED:
             return self._reject(400, "too many requests sent ahead")
@@ -355,7 +357,7 @@
         except Unacceptable as problem:
             return self._reject(400, str(problem))
         except TooLong:
-            return self._reject(413, "body over 32 MiB")
+            return self._reject(413, TOO_LONG)
         self._in = flow
         self._queue.append(message)
         self._serve_next()
@@ -475,6 +477,8 @@
     kind: type[Caller] = Caller  # what its connections speak
     single = SINGLE  # headers that may come once
     held_most = MAX_BODY  # bytes of a request that are read whole; a longer one flows
+    head_most = MAX_HEAD  # bytes of a head
+    body_most: int | None = None  # bytes of a body; None: `LONG_BODY`
     limits_s = LIMITS_S  # how long each stage may last
 
     def __init__(
@@ -503,6 +507,11 @@
         host, port = server.sockets[0].getsockname()[:2]
         return host, port
 
+    @property
+    def longest_body(self) -> int:
+        """Bytes of the longest body that is taken."""
+        return LONG_BODY if self.body_most is None else self.body_most
+
     def count(self) -> int:
         """Callers' connections that are open."""
         return sum(map(len, self._stages.values()))
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -253,6 +253,41 @@
     assert line.transport.ended and line.listener.limits_s[Stage.IDLE] == 2.0
 
 
+MIB = 1024 * 1024
+
+
+@pytest.mark.parametrize(("head", "body", "head_size", "body_size", "status"), [
+    (16_384, 64 * MIB, 16_000, 60 * MIB, None),
+    (32_768, 64 * MIB, 30_000, 3, None),
+    (32_768, 64 * MIB, 33_000, 3, 431),
+    (16_384, 64 * MIB, 10, 65 * MIB, 413),
+    (4_096, MIB, 5_000, 3, 431),
+    (4_096, MIB, 10, MIB + 1, 413),
+])  # fmt: skip
+def test_the_operators_limits_bound_what_a_caller_may_send(
+    head: int, body: int, head_size: int, body_size: int, status: int | None
+) -> None:
+    """A request inside them is proper: an error for it would be denied service."""
+    line = Line()
+    line.listener.limit_sizes(head, body)
+    more = b"Kind: %b\r\nContent-Length: %d\r\n" % (b"x" * head_size, body_size)
+    line.send(request(b"a", b"POST", more, b"y" * min(body_size, 2 * SHORT_BODY)))
+    if status is None:
+        assert [owed.message.id for owed in line.taken] == ["a"] and line.transport.written == b""
+    else:
+        assert [answer[0] for answer in line.answers()] == [status] and not line.taken
+
+
+def test_a_body_of_no_stated_length_is_bounded_too() -> None:
+    line = Line()
+    line.listener.limit_sizes(4_096, 3 * SHORT_BODY)
+    piece = b"%x\r\n%b\r\n" % (SHORT_BODY, b"y" * SHORT_BODY)
+    line.send(request(b"a", b"POST", b"Transfer-Encoding: chunked\r\n", 3 * piece))
+    assert line.transport.written == b"" and len(line.taken) == 1
+    line.send(piece)
+    assert [answer[0] for answer in line.answers()] == [413] and line.taken[0].gone
+
+
 KINDS: dict[str, Callable[[bytes], bytes]] = {
     "get": lambda id: request(id),
     "head": lambda id: request(id, b"HEAD"),
--- a/tests/mesh/test_sent.py
+++ b/tests/mesh/test_sent.py
@@ -27,7 +27,7 @@
 from nickelbridge.interface import Result
 from orchidferry import upstream
 from orchidferry.alarms import Alarms
-from orchidferry.flow import Flow
+from orchidferry.flow import SHORT_BODY, Flow
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import asked, route
 from tests.mesh.wire_fakes import Peer, Pool, Sent, close_all, pool
@@ -270,6 +270,24 @@
     close_all(made)
 
 
+def test_a_long_request_has_its_time_from_its_last_byte() -> None:
+    """While the body moves only a standstill counts; then the server may work for as long as the rest."""
+    loop, made = pool()
+    sent = Sent(asked("t1"))
+    sent.timeout_ms = 6_000.0
+    flow = sent.message.flow = Flow(mock.Mock(), None, loop.time())
+    made.send(sent)
+    for _ in range(8):
+        loop.pass_ms(1_000.0)
+        flow.push(b"x" * SHORT_BODY, loop.time())
+    flow.finish()
+    loop.pass_ms(5_900.0)
+    assert sent.written and not sent.ends
+    loop.pass_ms(200.0)
+    assert [r for r, _ in sent.ends] == [Result.TIMEOUT]
+    close_all(made)
+
+
 def sending(taken: int | None) -> tuple[Sent, Peer]:
     _, made = pool()
     kernel = Kernel(made._loop, 400.0, 14_000.0, lambda: 99, made.alarms, 500.0)
