Configurations with a shared identifier or no time-out are refused; settings and answers checked

Two routes or two services under one identifier were taken, and of two services one was silently dropped; a guard_timer_ms of 0, with which nothing can be served, was valid too. They are 400 now, each with a line that names the field. The settings file's change is told by size and file number too, not by the time of day alone, which jumps; a port that is none and a beat interval of 0 are named. The text of a fault is cut at 500 characters: with a state of 9,000 the answer to a beat was 9 KB, where callers read 4. tests/mesh/test_proxy.py holds what had no test: 503 before a configuration is known, final answers by guard_timer_ms, readiness from SIGTERM on, answers of beats, a settings file that changes without a signal.

--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -34,6 +34,7 @@
 POINTS = {"proxy": ("outbound", "inbound", "ready", "control"), "controller": ("control",)}
 ROLES = tuple(POINTS)
 FILE_S = 3.0  # how often the settings file is looked at
+FileMark = tuple[int, int, int] | None  # when it was written, its size, its number on the disk
 
 
 def settings_file() -> Settings:
@@ -71,7 +72,7 @@
         logger.info("{}: stopped before it began", role)
         end_now()
     loop.add_signal_handler(signal.SIGHUP, reread, role, one)
-    watch_file(loop, role, one, changed_at())
+    watch_file(loop, role, one, file_mark())
     running = one.run(stopping)
     settle()
     await running
@@ -130,17 +131,18 @@
     logger.info("{}: settings read again", role)
 
 
-def changed_at() -> float:
-    """When the settings file was last written, as far as can be told."""
+def file_mark() -> FileMark:
+    """What tells the settings file as it is now from what it was; None if there is none."""
     try:
-        return os.stat(os.environ.get("ORCHIDFERRY_BOOT", "")).st_mtime
+        found = os.stat(os.environ.get("ORCHIDFERRY_BOOT", ""))
     except OSError:
-        return 0.0
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
 
 
-def watch_file(loop: asyncio.AbstractEventLoop, role: str, one: Proxy | Controller, seen: float) -> None:
+def watch_file(loop: asyncio.AbstractEventLoop, role: str, one: Proxy | Controller, seen: FileMark) -> None:
     """The file may change without a signal."""
-    now = changed_at()
+    now = file_mark()
     if now != seen:
         reread(role, one)
     loop.call_later(FILE_S, watch_file, loop, role, one, now)
--- a/mesh/control/configuration.py
+++ b/mesh/control/configuration.py
@@ -161,7 +161,7 @@
         class Treatment(Open):
             service_name = fields.String()
             weighted_split = fields.List(fields.Nested(Split), validate=validate.Length(min=1))
-            guard_timer_ms = fields.Float(required=True, validate=least)
+            guard_timer_ms = fields.Float(required=True, validate=validate.Range(min=0, min_inclusive=False))
             max_attempts = fields.Integer(required=True, validate=above)
 
         class Rule(Open):
@@ -207,23 +207,28 @@
         configuration = parse(raw)
     except (KeyError, TypeError, ValueError) as problem:
         return Refusal(Kind.INVALID, f"configuration: {problem!r}")
+    if len(configuration.services) < len(data["trunk_groups"]):
+        return Refusal(Kind.INVALID, "configuration: trunk_groups: an identifier is there twice")
     return _whole(configuration) or configuration
 
 
 def _whole(configuration: Configuration) -> Refusal | None:
     """What holds between the parts of a configuration."""
-    seen = set()
+    identifiers, places = set(), set()
     for route in configuration.routes:
         where = f"configuration: route {route.id}"
+        if route.id in identifiers:
+            return Refusal(Kind.INVALID, f"{where}: its identifier is there twice")
+        identifiers.add(route.id)
         for service, _ in route.split:
             if service not in configuration.services:
                 return Refusal(Kind.INVALID, f"{where}: service {service} is not in trunk_groups")
         if sum(share for _, share in route.split) <= 0:
             return Refusal(Kind.INVALID, f"{where}: weighted_split has no share above 0")
         place = (route.host.lower(), route.prefix)
-        if place in seen:
+        if place in places:
             return Refusal(Kind.INVALID, f"{where}: path_prefix {route.prefix} is there twice")
-        seen.add(place)
+        places.add(place)
         if route.aim_ms - route.guard_ms >= AIM_OVER_MS:
             return Refusal(Kind.INVALID, f"{where}: target_ms lies a minute or more over guard_timer_ms")
     return None
--- a/mesh/control/control_api.py
+++ b/mesh/control/control_api.py
@@ -22,6 +22,7 @@
 SINGLE = frozenset((
     b"host", b"content-length", b"transfer-encoding", b"content-type", b"if-match",
 ))  # fmt: skip
+DETAIL_MOST = 500  # characters of a fault: callers read 4 KiB at most, and it may quote them
 OWED_MOST_S = 20.0  # a control call that is not answered by then is answered as broken
 
 
@@ -47,7 +48,8 @@
 
 def told(refusal: Refusal, retry_after_s: float | None = None) -> Reply:
     """A fault as an answer."""
-    body = json.dumps({"error": refusal.kind.name.lower(), "detail": refusal.line}).encode()
+    detail = refusal.line[:DETAIL_MOST]
+    body = json.dumps({"error": refusal.kind.name.lower(), "detail": detail}).encode()
     return Reply(refusal.status, body, JSON, retry_after_s)
 
 
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -77,11 +77,15 @@
 def address(text: Any, field: str) -> Address:
     """`10.0.0.1:80` as host and port; `BadSettings` names the field."""
     host, _, port = str(text).rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not _is_port(int(port)):
         raise BadSettings(f"{field}: {text!r} is no address")
     return host, int(port)
 
 
+def _is_port(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < 65536
+
+
 def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
     value = data.get(name)
     if not isinstance(value, dict):
@@ -128,11 +132,15 @@
     if not isinstance(bind_ip, str) or not bind_ip:
         raise BadSettings("own_node.bind_ip: a text is needed")
     ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
-    if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
+    if not isinstance(ports, list) or not ports or not all(map(_is_port, ports)):
         raise BadSettings("network.internal_ports: a list of ports is needed")
     if not isinstance(seeds, list):
         raise BadSettings("network.seed_nodes: a list of addresses is needed")
     points = _part(network, "listen_points", "network.")
+    platform = _part(data, "platform_settings", "")
+    beat_ms = _number(platform, "beat_interval_ms", 1_500, "platform_settings")
+    if not beat_ms:
+        raise BadSettings("platform_settings.beat_interval_ms: a number above 0 is needed")
     application = node.get("application")
     return Settings(
         name=node["node_name"],
@@ -144,7 +152,7 @@
         internal_port=ports[0],
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
         bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
-        beat_ms=_number(_part(data, "platform_settings", ""), "beat_interval_ms", 1_500, "platform_settings"),
+        beat_ms=beat_ms,
         descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
         data_dir=node.get("data_dir"),
--- /dev/null
+++ b/tests/mesh/test_proxy.py
@@ -0,0 +1,175 @@
+"""What a node answers of itself: readiness, requests that it can't pass on, and when it ends them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from mesh import __main__ as program
+from mesh.control.configuration import Configuration, Table
+from mesh.control.control_api import Call, call
+from mesh.dataplane import proxy as module
+from mesh.dataplane.proxy import Proxy
+from orchidferry.frontend import Reply
+from tests.mesh.fakes import Loop, asked, route
+from tests.mesh.test_service_client import Scene as ServiceScene
+
+
+class Claims:
+    """Claims of keys that no controller answers."""
+
+    def claim(self, key: str, holder: str, for_s: float, told: Callable[[str, Any], None]) -> None:
+        self.for_s, self.told = for_s, told
+
+
+class Scene:
+    """A node with one service and three servers, of which each takes what it is sent and says nothing."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, kind: str = "idempotent") -> None:
+        self.scene = ServiceScene(patch, route(kind, 1))
+        self.loop = self.scene.loop
+        patch.setattr(module, "now_ms", self.loop.now_ms)
+        self.claims = Claims()
+        proxy: Any = Proxy.__new__(Proxy)
+        proxy._services, proxy._stop_ms, proxy._leaving = {"s": self.scene.service}, math.inf, False
+        proxy._configuration, proxy._table, proxy._news = (
+            Configuration(1),
+            Table([route(kind, 1)]),
+            self.claims,
+        )
+        self.proxy = proxy
+        self.replies: list[tuple[float, Reply]] = []
+
+    def ask(self, path: bytes = b"/x/1", left_ms: float = 9_000.0, key: bytes | None = None) -> Any:
+        message = asked()
+        message.target, message.budget_ms, message.key = path, left_ms, key
+        asked_ms = self.loop.now_ms()
+        return self.proxy._take(
+            message, lambda reply: self.replies.append((self.loop.now_ms() - asked_ms, reply))
+        )
+
+
+@pytest.mark.parametrize("path", [b"/x/1", b"/none/"])
+def test_a_node_without_a_configuration_denies_nothing(monkeypatch: pytest.MonkeyPatch, path: bytes) -> None:
+    """401, 403 or 404 for what a configuration that it does not know may allow would be wrong."""
+    scene = Scene(monkeypatch)
+    scene.proxy._configuration = None
+    scene.ask(path)
+    [(_, reply)] = scene.replies
+    assert reply.status == 503 and reply.retry_after_s and not scene.scene.lines.sent
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "download", "non_idempotent"])
+@pytest.mark.parametrize(("written", "status"), [(False, 503), (True, 504)])
+def test_a_request_has_its_final_answer_by_the_routes_guard_timer(
+    monkeypatch: pytest.MonkeyPatch, kind: str, written: bool, status: int
+) -> None:
+    """Its client would wait for longer; its server says nothing."""
+    scene = Scene(monkeypatch, kind)
+    scene.ask()
+    [attempt] = scene.scene.out()
+    if written:
+        attempt.sent_whole()
+    attempt.go_on_for(60.0)
+    scene.loop.pass_ms(1_100.0)  # 1,000 ms is the route's
+    [(after_ms, reply)] = scene.replies
+    assert after_ms <= 1_000.5 and reply.status == status
+
+
+def test_a_keyed_request_whose_claim_is_not_answered_is_refused_within_its_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch, "keyed")
+    scene.ask(key=b"k")
+    assert 0.0 < scene.claims.for_s <= 0.4
+    scene.claims.told("none", None)
+    [(_, reply)] = scene.replies
+    assert reply.status == 503 and not scene.scene.lines.sent
+
+
+@pytest.mark.parametrize(("configured", "settled", "served", "leaving", "status"), [
+    (True, True, True, False, 200), (False, True, True, False, 503), (True, False, True, False, 503),
+    (True, True, False, False, 503), (True, True, True, True, 503),
+])  # fmt: skip
+def test_when_a_node_is_ready(
+    monkeypatch: pytest.MonkeyPatch, configured: bool, settled: bool, served: bool, leaving: bool, status: int
+) -> None:
+    """`leaving`: from SIGTERM on, while the process lives."""
+    scene = Scene(monkeypatch)
+    if not configured:
+        scene.proxy._configuration = None
+    if not served:
+        scene.scene.servers()
+    scene.proxy._news, scene.proxy._leaving = SimpleNamespace(settled=settled), leaving
+    replies: list[Reply] = []
+    scene.proxy._readiness(call(b"GET", b"/orchidferry/readiness", {}, b""), "", replies.append)
+    assert [reply.status for reply in replies] == [status]
+
+
+BEAT = (
+    b'{"information": {"service_name": "s", "capacity": 4},'
+    b' "condition": {"state": "in_service", "call_sequence": 1}}'
+)
+
+
+@pytest.mark.parametrize(("method", "rest", "body", "status"), [
+    (b"PUT", "i", BEAT, 200), (b"DELETE", "i", b"", 200), (b"PUT", "i", b"{", 400), (b"GET", "i", b"", 400),
+    (b"PUT", "", BEAT, 404), (b"PUT", "i", BEAT.replace(b"in_service", b"x" * 9_000), 400),
+])  # fmt: skip
+def test_a_servers_calls_are_answered_at_once_and_shortly(
+    method: bytes, rest: str, body: bytes, status: int
+) -> None:
+    proxy: Any = Proxy.__new__(Proxy)
+    proxy._gate = SimpleNamespace(beat=lambda server, sequence: None, end=lambda id: None)
+    replies: list[Reply] = []
+    made: Call = call(method, b"/orchidferry/instances/" + rest.encode(), {}, body)
+    proxy._instances(made, rest, replies.append)
+    assert [reply.status for reply in replies] == [status] and len(replies[0].body) < 3_500
+
+
+def test_a_settings_file_that_changes_without_a_signal_is_read_again(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Any
+) -> None:
+    """One that can't be used changes nothing, and is read again once it is whole."""
+    seen: list[tuple[str, ...]] = []
+    one: Any = SimpleNamespace(reread=lambda settings: seen.append(settings.seeds))
+    loop: Any = Loop()
+    path = tmp_path / "local.toml"
+    monkeypatch.setenv("ORCHIDFERRY_BOOT", str(path))
+    monkeypatch.setattr(program, "check_role", lambda role, settings: None)
+    path.write_text(BOOT % "10.0.0.2")
+    program.watch_file(loop, "proxy", one, program.file_mark())
+    loop.pass_ms(10_000.0)
+    assert seen == []
+    for text, wanted in (
+        (BOOT % "10.0.0.3", ["10.0.0.3"]),
+        (BOOT[:-9], ["10.0.0.3"]),
+        (BOOT % "10.0.0.4", ["10.0.0.3", "10.0.0.4"]),
+    ):
+        path.write_text(text)
+        loop.pass_ms(1e3 * program.FILE_S)
+        assert [seed for seeds in seen for seed in seeds] == wanted
+
+
+BOOT = """
+[own_node]
+node_name = "n"
+ip = "10.0.0.1"
+zone = "z"
+[network]
+internal_ports = [7380]
+[term_settings]
+[platform_settings]
+beat_interval_ms = 1500
+[network.listen_points]
+[own_node.limit_set]
+[network.zones]
+[term_settings.bound_set]
+[unknown]
+seed_nodes = 1
+[more]
+""".replace("internal_ports = [7380]", 'internal_ports = [7380]\nseed_nodes = ["%s:80"]')
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -208,6 +208,10 @@
     (f"{FIRST}/target_ms", float("nan"), "target_ms"),
     (f"{FIRST}/treatment", {"service_name": "s", "max_attempts": 1}, "guard_timer_ms"),
     (f"{FIRST}/treatment", {"guard_timer_ms": 1, "max_attempts": 1}, "service_name"),
+    (f"{FIRST}/identifier", "r1", "r1: its identifier is there twice"),
+    (f"{TREATMENT}/guard_timer_ms", 0, "guard_timer_ms"),
+    (f"{TREATMENT}/max_attempts", -1, "max_attempts"),
+    ("trunk_groups/1/identifier", "s", "trunk_groups: an identifier"),
     ("revision_number", "7", "revision_number"),
     ("revision_number", 0, "revision_number"),
     ("access_points", {}, "access_points"),
@@ -273,7 +277,7 @@
         "listen_points": {"control": "10.0.0.1:80"},
     },
     "term_settings": {"bound_set": {"drain_ms": 1_500, "odd": "x"}, "tolerance": {"machines": 1}},
-    "odd": 3,
+    "platform_settings": {"beat_interval_ms": 1_500, "entry": "odd"}, "odd": 3,
 }  # fmt: skip
 
 
@@ -302,7 +306,8 @@
     ("own_node", 3), ("own_node/bind_ip", ""), ("own_node/bind_ip", 4),
     ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
     ("own_node/application", "10.0.0.1"), ("own_node/limit_set", []), ("own_node/limit_set/memory_mb", "x"),
-    ("network/internal_ports", []), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
+    ("network/internal_ports", []), ("network/internal_ports", [0]), ("network/internal_ports", [True]),
+    ("platform_settings/beat_interval_ms", 0), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
     ("network/listen_points", []), ("network/listen_points/control", "10.0.0.1:²"),
     ("network/listen_points/control", "10.0.0.1:70000"), ("term_settings/bound_set", [1]),
     ("term_settings/bound_set/drain_ms", True), ("term_settings/bound_set/drain_ms", float("nan")),
