Test: what a server receives and a caller gets back, over both nodes between them

No test said that method, path, body, Attempt-Id and the caller's headers arrive unchanged, that Calling-Service and Target-Instance are the system's whatever was sent, and that neither its own headers nor those of one connection reach a server. It held; nothing in the code is changed.

--- /dev/null
+++ b/tests/mesh/test_passed_on.py
@@ -0,0 +1,121 @@
+"""What a server receives of a request, and a caller of an answer, over both nodes between them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httptools
+import pytest
+
+from mesh.control.endpoints import IN_SERVICE, Server
+from mesh.dataplane import admission
+from mesh.dataplane.admission import AdmissionGate
+from mesh.settings import Bounds
+from nickelbridge.interface import Result
+from tests.mesh.fakes import rig, route, said
+from tests.mesh.test_callers import Line
+from tests.mesh.test_service_client import Scene
+
+
+class Received:
+    """A request as a server's parser reads it."""
+
+    def __init__(self, data: bytes) -> None:
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body, self.target, self.whole = b"", b"", 0
+        parser = httptools.HttpRequestParser(self)
+        parser.feed_data(data)
+        self.method = parser.get_method()
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name.lower(), value))
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.whole += 1
+
+    def of(self, name: bytes) -> list[bytes]:
+        return [value for had, value in self.headers if had == name]
+
+
+class Way:
+    """A caller's connection to a node, that node's attempt, a connection to the gate, its attempt."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.scene = Scene(patch, route())
+        ends_ms = self.scene.loop.now_ms() + 900.0
+        self.caller = Line(lambda message, answer: self._take(message, answer, ends_ms))
+        loop, alarms, self.lines = rig()
+        patch.setattr(admission, "now_ms", loop.now_ms)
+        gate = AdmissionGate(
+            ("127.0.0.1", 1), Bounds(), 1_000.0, loop, alarms, self.lines,
+            lambda: None, lambda: False, lambda message, answer: None,
+        )  # fmt: skip
+        gate.beat(Server(self.scene_server(), "s", "z", IN_SERVICE, 4, 0.0), 1)
+        self.gate, self.inbound = gate, Line(gate.accept)
+
+    def scene_server(self) -> str:
+        return "1"
+
+    def _take(self, message: Any, answer: Any, ends_ms: float) -> Any:
+        return self.scene.service.take(message, route(), ends_ms, answer)
+
+    def send(self, data: bytes) -> Received:
+        """What the server gets of a request."""
+        self.scene.servers(self.scene_server())
+        self.caller.send(data)
+        [hop] = self.scene.out()
+        self.inbound.send(hop.head_bytes())
+        [visit] = self.lines.sent
+        return Received(visit.head_bytes())
+
+
+PLAIN = b"Host: Shop.example:80\r\nAttempt-Id: 9c41\r\nTime-Remaining: 800\r\n"
+REQUESTS = {
+    "plain": (b"GET /x/2f?q=%2F&r HTTP/1.1\r\n" + PLAIN, b""),
+    "a body": (b"POST /x/ HTTP/1.1\r\n" + PLAIN + b"Content-Length: 5\r\n", b"a\x00b\r\n"),
+    "chunks": (b"PUT /x/ HTTP/1.1\r\n" + PLAIN + b"Transfer-Encoding: chunked\r\n", b"a\x00b\r\n"),
+    "an empty body": (b"POST /x/ HTTP/1.1\r\n" + PLAIN + b"Content-Length: 0\r\n", b""),
+}
+
+
+@pytest.mark.parametrize("name", REQUESTS)
+def test_a_request_arrives_unchanged(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
+    head, body = REQUESTS[name]
+    sent = body if b"chunked" not in head else b"2\r\n%b\r\n3\r\n%b\r\n0\r\n\r\n" % (body[:2], body[2:])
+    more = (
+        b"Operation-Key: k-5512\r\nAccept: a\r\nAccept: b\r\nKind: \xff x\r\n"
+        # What the system says itself, whatever was sent, and what concerns this connection alone.
+        b"Calling-Service: other\r\nTarget-Instance: i-9\r\nOrchid-Rank: 0\r\nOrchid-Gate: unrun\r\n"
+        b"Connection: keep-alive, Hop\r\nHop: 1\r\nKeep-Alive: 5\r\nTE: trailers\r\n"
+    )
+    got = Way(monkeypatch).send(head + more + b"\r\n" + sent)
+    method, target, _ = head.split(b" ", 2)
+    assert (got.method, got.target, got.body, got.whole) == (method, target, body, 1)
+    for header, values in {
+        b"host": [b"Shop.example:80"], b"attempt-id": [b"9c41"], b"operation-key": [b"k-5512"],
+        b"accept": [b"a", b"b"], b"kind": [b"\xff x"],
+        b"calling-service": [b"me"], b"target-instance": [b"1"], b"hop": [], b"keep-alive": [], b"te": [],
+    }.items():  # fmt: skip
+        assert got.of(header) == values, header
+    assert len(got.of(b"time-remaining")) == 1 and not [n for n, _ in got.headers if n.startswith(b"orchid")]
+
+
+@pytest.mark.parametrize("status", [200, 206, 302, 404, 500])
+def test_an_answer_returns_unchanged(monkeypatch: pytest.MonkeyPatch, status: int) -> None:
+    way = Way(monkeypatch)
+    way.send(REQUESTS["plain"][0] + b"\r\n")
+    [visit], answer = way.lines.sent, said(status, b"9c41")
+    answer.headers = [(b"Server-Seal", b"3e1b"), (b"Content-Type", b"a/b"), (b"Kind", b"1"), (b"Kind", b"2")]
+    answer.body = b"the server's bytes"
+    visit.sent_whole()
+    visit.end(Result.ERROR if status >= 500 else Result.SERVED, answer)
+    written = way.inbound.transport.written
+    assert written.startswith(b"HTTP/1.1 %d" % status) and written.endswith(b"\r\n\r\nthe server's bytes")
+    for line in (b"Server-Seal: 3e1b", b"Content-Type: a/b", b"Kind: 1\r\nKind: 2", b"Attempt-Id: 9c41"):
+        assert written.count(line) == 1
