--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import math
 import random
@@ -172,8 +173,11 @@
         logger.info("proxy: stopped")
 
     def reread(self, settings: Settings) -> None:
-        """The settings file has changed: other controllers may be named there."""
+        """The settings file has changed: other controllers may be named there, or another service."""
         self._news.reseed(settings.seeds)
+        self._settings = dataclasses.replace(self._settings, service=settings.service)
+        for client in self._services.values():
+            client.caller = settings.service.encode("latin-1")
 
     def _look(self) -> None:
         self._loop.call_later(LOOK_S, self._look)
--- a/tests/mesh/test_proxy.py
+++ b/tests/mesh/test_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Callable
 from types import SimpleNamespace
@@ -14,8 +15,10 @@
 from mesh.control.control_api import Call, call
 from mesh.dataplane import proxy as module
 from mesh.dataplane.proxy import Proxy
+from mesh.settings import check_settings
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import Loop, asked, route
+from tests.mesh.test_records import BOOT as BOOT_TABLES
 from tests.mesh.test_service_client import Scene as ServiceScene
 
 
@@ -110,6 +113,21 @@
     assert [reply.status for reply in replies] == [status]
 
 
+def test_settings_that_change_name_controllers_and_the_callers_service(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    seeds: list[tuple[str, ...]] = []
+    scene.proxy._settings, scene.proxy._news = (
+        check_settings(BOOT_TABLES),
+        SimpleNamespace(reseed=seeds.append),
+    )
+    scene.proxy.reread(dataclasses.replace(check_settings(BOOT_TABLES), service="other", seeds=("10.0.0.9",)))
+    scene.ask()
+    [attempt] = scene.scene.out()
+    assert seeds == [("10.0.0.9",)] and b"Calling-Service: other\r\n" in attempt.head_bytes()
+
+
 BEAT = (
     b'{"information": {"service_name": "s", "capacity": 4},'
     b' "condition": {"state": "in_service", "call_sequence": 1}}'
