--- a/tests/mesh/test_proxy.py
+++ b/tests/mesh/test_proxy.py
@@ -113,7 +113,7 @@
     assert [reply.status for reply in replies] == [status]
 
 
-def test_settings_that_change_name_controllers_and_the_callers_service(
+def test_settings_that_change_name_controllers_and_the_service(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     scene = Scene(monkeypatch)
