--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -28,8 +28,8 @@
     RANK,
     TIMES,
     UNRUN,
-    Asked,
-    Said,
+    ProxiedRequest,
+    ServerResponse,
     head,
     own_answer,
     passed_on,
@@ -71,18 +71,18 @@
     drained_ms: float  # when its drain was acknowledged
 
 
-class Pass:
+class GateRequest:
     """A request at the gate."""
 
     __slots__ = ("_gate", "answer", "attempt", "ends_ms", "message", "once", "owed", "place", "rank", "timer")
 
-    def __init__(self, gate: AdmissionGate, message: Asked, answer: Callable[[Reply], None]) -> None:
+    def __init__(self, gate: AdmissionGate, message: ProxiedRequest, answer: Callable[[Reply], None]) -> None:
         self._gate, self.message, self.answer = gate, message, answer
         self.ends_ms = now_ms() + message.budget_ms
         rank = message.headers.get(RANK, b"9")
         self.rank = int(rank) if rank.isdigit() else 9
         self.once = TIMES in message.headers
-        self.attempt: Visit | None = None
+        self.attempt: ServerAttempt | None = None
         self.owed, self.timer, self.place = True, 0, 0
 
     def caller_gone(self) -> None:
@@ -104,12 +104,14 @@
             reply.flow.call_off()
 
 
-class Visit(TrackedAttempt):
+class ServerAttempt(TrackedAttempt):
     """A request on its way to the server."""
 
     __slots__ = ("_gate", "_pass", "headers")
 
-    def __init__(self, gate: AdmissionGate, passing: Pass, address: Address, timeout_ms: float) -> None:
+    def __init__(
+        self, gate: AdmissionGate, passing: GateRequest, address: Address, timeout_ms: float
+    ) -> None:
         super().__init__(passing.message, gate.life, address, timeout_ms, passing.once)
         self._gate, self._pass = gate, passing
         passing.attempt = self
@@ -129,7 +131,7 @@
         return self._pass.owed and self._gate.open_for(self._pass.message) is None
 
     def ended(self, result: Result, answer: Answer | None) -> None:
-        self._gate.left(self._pass, result, answer if isinstance(answer, Said) else None)
+        self._gate.left(self._pass, result, answer if isinstance(answer, ServerResponse) else None)
 
 
 class AdmissionGate:
@@ -138,7 +140,7 @@
     def __init__(
         self, application: Address, bounds: Bounds, beat_ms: float, loop: asyncio.AbstractEventLoop,
         alarms: Alarms, lines: HttpConnections, changed: Callable[[], None], below: Callable[[], bool],
-        orphan: Callable[[Asked, Said], None],
+        orphan: Callable[[ProxiedRequest, ServerResponse], None],
     ) -> None:  # fmt: skip
         """`below`: whether calls from this machine were turned away lately. `orphan` takes the server's
         answer to a request whose key is claimed, and whose sender is gone.
@@ -154,8 +156,10 @@
         self._heard_ms = now_ms()
         self._refused = 0  # connections in a row
         self.inside = 0  # requests at the server
-        self._abandoned: dict[Pass, Visit] = {}  # those that nobody waits for, the oldest first
-        self._held: dict[int, dict[int, Pass]] = {}  # by rank, in the order in which they came
+        self._abandoned: dict[
+            GateRequest, ServerAttempt
+        ] = {}  # those that nobody waits for, the oldest first
+        self._held: dict[int, dict[int, GateRequest]] = {}  # by rank, in the order in which they came
         self._waiting = 0
         self._serial = 0
         self.leaving = False
@@ -235,7 +239,7 @@
 
     # Requests
 
-    def open_for(self, message: Asked) -> bytes | None:
+    def open_for(self, message: ProxiedRequest) -> bytes | None:
         """None if a request may go in; else what to say of it."""
         server, target = self.server, message.headers.get(b"target-instance")
         if server is not None:
@@ -247,10 +251,10 @@
                 return GATE_GONE
         return None
 
-    def accept(self, message: Message, answer: Callable[[Reply], None]) -> Pass:
+    def accept(self, message: Message, answer: Callable[[Reply], None]) -> GateRequest:
         """Take a request."""
-        assert isinstance(message, Asked)
-        passing = Pass(self, message, answer)
+        assert isinstance(message, ProxiedRequest)
+        passing = GateRequest(self, message, answer)
         why = self.open_for(message)
         if why is None and self.leaving:
             why = GATE_GONE
@@ -270,7 +274,7 @@
             next(iter(self._abandoned.values())).break_off(Result.CANCELLED)
         return self.inside < self._slots()
 
-    def abandon(self, passing: Pass, visit: Visit) -> None:
+    def abandon(self, passing: GateRequest, visit: ServerAttempt) -> None:
         """Nobody waits for a request at the server that may be repeated: its work is to end soon."""
         if self._waiting or self.inside >= self._slots():
             return visit.break_off(Result.CANCELLED)
@@ -281,11 +285,11 @@
         capacity = self.server.capacity if self.server is not None else GUESS
         return max(1, capacity) + OVER
 
-    def _turn_away(self, passing: Pass, why: bytes) -> None:
+    def _turn_away(self, passing: GateRequest, why: bytes) -> None:
         load = self._waiting
         passing.reply(own_answer(passing.message, Refusal(Kind.SHED), gate=why, load=load))
 
-    def _hold(self, passing: Pass) -> None:
+    def _hold(self, passing: GateRequest) -> None:
         """Let it wait for a moment; the lowest rank goes where there is no room to wait."""
         patience = passing.message.headers.get(PATIENCE, b"0")
         wait_ms = min(
@@ -306,12 +310,12 @@
         self._held.setdefault(passing.rank, {})[passing.place] = passing
         passing.timer = self._alarms.after(wait_ms / 1000.0, lambda: self._waited(passing))
 
-    def _waited(self, passing: Pass) -> None:
+    def _waited(self, passing: GateRequest) -> None:
         if passing.timer and passing.attempt is None and passing.owed:
             self.forget(passing)
             self._turn_away(passing, UNRUN)
 
-    def forget(self, passing: Pass) -> None:
+    def forget(self, passing: GateRequest) -> None:
         """Nobody waits for one that is held."""
         if passing.timer:
             self._alarms.cancel(passing.timer)
@@ -336,14 +340,14 @@
             else:
                 self._enter(passing)
 
-    def _enter(self, passing: Pass) -> None:
+    def _enter(self, passing: GateRequest) -> None:
         self.inside += 1
         self.passed += 1
         left_ms = passing.ends_ms - now_ms() + MARGIN_MS
-        visit = Visit(self, passing, self._application, max(1.0, left_ms))
+        visit = ServerAttempt(self, passing, self._application, max(1.0, left_ms))
         self._lines.send(visit)
 
-    def left(self, passing: Pass, result: Result, said: Said | None) -> None:
+    def left(self, passing: GateRequest, result: Result, said: ServerResponse | None) -> None:
         """A request is out of the server, one way or another."""
         self.inside -= 1
         self._abandoned.pop(passing, None)
@@ -356,7 +360,7 @@
             self._gone("can't be reached")
         self._let_in()
 
-    def _word(self, passing: Pass, result: Result, said: Said | None) -> Reply:
+    def _word(self, passing: GateRequest, result: Result, said: ServerResponse | None) -> Reply:
         message = passing.message
         if said is not None and result in (Result.SERVED, Result.ERROR, Result.REFUSED):
             if result is not Result.REFUSED and said.id is not None:
--- a/mesh/dataplane/http_connection.py
+++ b/mesh/dataplane/http_connection.py
@@ -15,7 +15,7 @@
 
 from mesh.dataplane.attempt import TrackedAttempt
 from mesh.dataplane.idle_limit import IdleLimit
-from mesh.dataplane.messages import BELOW, GATE, LOAD, MILLISECONDS, Said, judged
+from mesh.dataplane.messages import BELOW, GATE, LOAD, MILLISECONDS, ServerResponse, judged
 from nickelbridge.interface import Result
 from orchidferry.alarms import Alarms
 from orchidferry.config import Address, now_ms
@@ -220,13 +220,13 @@
         super()._flowed()
 
     def _made(self, body: bytes, flow: Flow | None = None) -> Answer:
-        return Said(
+        return ServerResponse(
             self._status, body, None, self._report, flow, None, self._headers, self._seal, self._encoded,
             self._id, self._not_run, self._gate, self._below,
         )  # fmt: skip
 
     def _judged(self, answer: Answer) -> Result:
-        assert isinstance(answer, Said)
+        assert isinstance(answer, ServerResponse)
         # One in the place of the one that is due can also end with the line.
         return Result.RESET if self._skip else judged(answer)
 
--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -14,7 +14,7 @@
 from mesh.dataplane.messages import (
     MILLISECONDS,
     PRIVATE,
-    Asked,
+    ProxiedRequest,
 )
 from mesh.errors import Kind, Refusal
 from orchidferry.flow import Flow, Pool
@@ -57,7 +57,7 @@
 
     def _message(self, flow: Flow | None = None) -> Message | Reply:
         message = super()._message(flow)
-        if isinstance(message, Asked):
+        if isinstance(message, ProxiedRequest):
             named = message.headers.get(b"connection", b"").lower()
             message.along = self._along
             if named not in (b"", b"close", b"keep-alive"):
@@ -164,7 +164,7 @@
             raise Unacceptable("Attempt-Id is missing or can't be used")
         if left is not None and not MILLISECONDS.fullmatch(left):
             raise Unacceptable("Time-Remaining must be milliseconds")
-        return Asked(
+        return ProxiedRequest(
             method, target, id.decode("latin-1"), "", float(left) if left is not None else 0.0, None, False,
             headers.get(b"operation-key"), None, body, flow,
             host=headers.get(b"host", b""), headers=headers, untimed=left is None,
--- a/mesh/dataplane/messages.py
+++ b/mesh/dataplane/messages.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True)
-class Asked(Message):
+class ProxiedRequest(Message):
     """A request on its way."""
 
     host: bytes = b""
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class Said(Answer):
+class ServerResponse(Answer):
     """A server's answer, or its gate's."""
 
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
@@ -63,7 +63,7 @@
         return self.gate is None and self.id is not None and not self.encoded and stamped
 
 
-def head(message: Asked, own: list[tuple[bytes, bytes]]) -> bytes:
+def head(message: ProxiedRequest, own: list[tuple[bytes, bytes]]) -> bytes:
     """A request as it goes on, with its body unless that flows; `own`: what the system adds."""
     return b"%b %b HTTP/1.1\r\nHost: %b\r\nAttempt-Id: %b\r\n%b%b%b\r\n%b" % (
         message.method, message.target, message.host, message.id.encode("latin-1"),
@@ -73,7 +73,7 @@
     )  # fmt: skip
 
 
-def judged(said: Said) -> Result:
+def judged(said: ServerResponse) -> Result:
     """What an answer means for its attempt.
 
     A success counts only with the server's stamp, and only as the server's own bytes. An answer that does not
@@ -90,13 +90,13 @@
     return Result.ERROR if said.status >= 500 or said.status in PROMISES else Result.SERVED
 
 
-def passed_on(said: Said) -> Reply:
+def passed_on(said: ServerResponse) -> Reply:
     """A server's answer as it goes to whoever asked."""
     more = [*said.headers, (b"Attempt-Id", said.id)] if said.id is not None else said.headers
     return Reply(said.status, said.body, flow=said.flow, more=more)
 
 
-def kept_answer(said: Said | None) -> list[object] | None:
+def kept_answer(said: ServerResponse | None) -> list[object] | None:
     """An answer as it is kept for repeats of its key; None for one that isn't."""
     if said is None or said.flow is not None or len(said.body) > ANSWER_MOST:
         return None
--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -25,12 +25,12 @@
 from mesh.dataplane.listener import Listener
 from mesh.dataplane.messages import (
     MARGIN_MS,
-    Asked,
-    Said,
+    ProxiedRequest,
+    ServerResponse,
     kept_answer,
     own_answer,
 )
-from mesh.dataplane.service_client import Live, ServiceClient
+from mesh.dataplane.service_client import PendingRequest, ServiceClient
 from mesh.errors import Kind, Refusal
 from mesh.settings import Settings
 from orchidferry.alarms import Alarms
@@ -56,12 +56,12 @@
 STOP_MARGIN_S = 0.4  # before the platform kills
 
 
-class Waiting:
+class PendingClaim:
     """A keyed request whose key is being claimed."""
 
     def __init__(self) -> None:
         self.gone = False
-        self.live: Live | None = None
+        self.live: PendingRequest | None = None
 
     def caller_gone(self) -> None:
         self.gone = True
@@ -69,7 +69,7 @@
             self.live.caller_gone()
 
 
-class Nobody:
+class NothingOwed:
     """Nothing is owed."""
 
     def caller_gone(self) -> None:
@@ -120,7 +120,7 @@
         others = [service for name, service in self._services.items() if name != self._settings.service]
         return any(now_ms() - service.turned_away_ms < BELOW_MS for service in others)
 
-    def _orphan(self, message: Asked, said: Said) -> None:
+    def _orphan(self, message: ProxiedRequest, said: ServerResponse) -> None:
         """The server here answered a keyed request whose node is gone: its repeats are told from here."""
         if message.key is not None and (kept := kept_answer(said)) is not None:
             self._news.claims.done(message.key.decode("latin-1"), message.id, kept)
@@ -260,15 +260,15 @@
     # Outbound
 
     def _take(self, message: Message, answer: Callable[[Reply], None]) -> Any:
-        assert isinstance(message, Asked)
+        assert isinstance(message, ProxiedRequest)
         if self._configuration is None:
             answer(own_answer(message, Refusal(Kind.STARTING), STARTING_S))
-            return Nobody()
+            return NothingOwed()
         path = message.target.partition(b"?")[0].decode("latin-1")
         route = self._table.find(message.host.decode("latin-1"), path)
         if route is None:
             answer(own_answer(message, Refusal(Kind.NO_ROUTE)))
-            return Nobody()
+            return NothingOwed()
         message.cls, message.route = route.id, route
         left_ms = route.guard_ms if message.untimed else message.budget_ms
         ends_ms = min(now_ms() + max(0.0, min(left_ms - MARGIN_MS, route.guard_ms)), self._stop_ms)
@@ -285,18 +285,18 @@
 
     def _claim(
         self,
-        message: Asked,
+        message: ProxiedRequest,
         route: Route,
         client: ServiceClient,
         ends_ms: float,
         answer: Callable[[Reply], None],
-    ) -> Waiting:
+    ) -> PendingClaim:
         """A key is claimed before its first run, and its answer kept after it."""
         assert message.key is not None
         key, holder = message.key.decode("latin-1"), message.id
-        waiting = Waiting()
+        waiting = PendingClaim()
 
-        def over(said: Said | None, ran: bool) -> None:
+        def over(said: ServerResponse | None, ran: bool) -> None:
             if (kept := kept_answer(said)) is not None:
                 self._news.claims.done(key, holder, kept)
             elif not ran:
@@ -318,7 +318,7 @@
         self._news.claim(key, holder, max(0.0, min(CLAIM_S, CLAIM_SHARE * left_s)), claimed)
         return waiting
 
-    def _repeat(self, message: Asked, kept: Any) -> Reply:
+    def _repeat(self, message: ProxiedRequest, kept: Any) -> Reply:
         if kept is None:
             return own_answer(message, Refusal(Kind.KEY_AT_WORK), 0.1)
         status, body, headers = kept
--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -26,8 +26,8 @@
     PROMISES,
     RANK,
     TIMES,
-    Asked,
-    Said,
+    ProxiedRequest,
+    ServerResponse,
     head,
     own_answer,
     passed_on,
@@ -80,7 +80,7 @@
     )  # fmt: skip
 
 
-class Live:
+class PendingRequest:
     """A request that is owed its answer."""
 
     __slots__ = (
@@ -89,14 +89,14 @@
     )  # fmt: skip
 
     def __init__(
-        self, service: ServiceClient, id: str, message: Asked, route: Route, ends_ms: float,
-        answer: Callable[[Reply], None], on_end: Callable[[Said | None, bool], None] | None,
+        self, service: ServiceClient, id: str, message: ProxiedRequest, route: Route, ends_ms: float,
+        answer: Callable[[Reply], None], on_end: Callable[[ServerResponse | None, bool], None] | None,
     ) -> None:  # fmt: skip
         self.service, self.id, self.message, self.route = service, id, message, route
         self.began_ms, self.ends_ms, self.answer = now_ms(), ends_ms, answer
         self.on_end = on_end  # hears the answer of a run, if there is one, and whether it may have run
         self.owed, self.ran, self.attempts, self.backstop = True, False, 0, 0
-        self.said: Said | None = None  # the last answer of a server that ran it
+        self.said: ServerResponse | None = None  # the last answer of a server that ran it
 
     def caller_gone(self) -> None:
         self.service.caller_gone(self)
@@ -105,12 +105,14 @@
         self.service.overdue(self)
 
 
-class Hop(TrackedAttempt):
+class GateAttempt(TrackedAttempt):
     """An attempt on its way to the gate of a server."""
 
     __slots__ = ("_live", "_number", "_sent_ms", "_target")
 
-    def __init__(self, live: Live, server: int, target: str, address: Address, timeout_ms: float) -> None:
+    def __init__(
+        self, live: PendingRequest, server: int, target: str, address: Address, timeout_ms: float
+    ) -> None:
         super().__init__(live.message, server, address, timeout_ms, once=not live.route.repeatable)
         self._live, self._target, self._number = live, target, live.attempts
         self._sent_ms = now_ms()
@@ -150,7 +152,7 @@
     def ended(self, result: Result, answer: Answer | None) -> None:
         live, service = self._live, self._live.service
         del service.out[live.id, self._number]
-        said = answer if isinstance(answer, Said) else None
+        said = answer if isinstance(answer, ServerResponse) else None
         if result not in NEVER_RAN and self.begun:
             live.ran = True
         # A promise that it has not run, without the proof of that, is not passed on as the answer.
@@ -194,8 +196,8 @@
         self._balancer: Balancer | None = None
         self._turns: Turns | None = None
         self._serial = 0
-        self.live: dict[str, Live] = {}
-        self.out: dict[tuple[str, int], Hop] = {}
+        self.live: dict[str, PendingRequest] = {}
+        self.out: dict[tuple[str, int], GateAttempt] = {}
         self.leaving = False  # the node is to end: what a server may work on is waited for
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
         self._boots: dict[int, int] = {}  # the life of the process of that gate
@@ -337,12 +339,12 @@
     # Requests
 
     def take(
-        self, message: Asked, route: Route, ends_ms: float, answer: Callable[[Reply], None],
-        on_end: Callable[[Said | None, bool], None] | None = None,
-    ) -> Live:  # fmt: skip
+        self, message: ProxiedRequest, route: Route, ends_ms: float, answer: Callable[[Reply], None],
+        on_end: Callable[[ServerResponse | None, bool], None] | None = None,
+    ) -> PendingRequest:  # fmt: skip
         """Take a request; it is answered once, now or later."""
         self._serial += 1
-        live = Live(self, f"{self._serial}", message, route, ends_ms, answer, on_end)
+        live = PendingRequest(self, f"{self._serial}", message, route, ends_ms, answer, on_end)
         self.live[live.id] = live
         live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
         name = class_name(route)
@@ -360,14 +362,14 @@
             self._alarms.after(NO_SERVER_SHARE * left_ms / 1000.0, lambda: self._without_server(live))
         return live
 
-    def _without_server(self, live: Live) -> None:
+    def _without_server(self, live: PendingRequest) -> None:
         """It has waited for a server for long, and there is none: its caller may come again."""
         if live.owed and not live.attempts and not self._ready:
             self._unserved(live, (live.ends_ms - now_ms()) / 4.0)
             self.handle(api.ClientGone(live.id))
             self.over(live)
 
-    def finish(self, live: Live, reply: Reply) -> None:
+    def finish(self, live: PendingRequest, reply: Reply) -> None:
         """Answer a request, if that is still owed."""
         if live.owed:
             live.owed = False
@@ -375,23 +377,23 @@
             self.live.pop(live.id, None)
             live.answer(reply)
 
-    def outcome(self, live: Live, below: bool) -> None:
+    def outcome(self, live: PendingRequest, below: bool) -> None:
         """A server has answered; `below`: with an error, as calls of its own were turned away."""
         self._nested.outcome(class_name(live.route), below, now_ms())
         if below:  # asking again elsewhere would only add to it
             self._unserved(live, 0.0)
 
-    def over(self, live: Live) -> None:
+    def over(self, live: PendingRequest) -> None:
         """Nothing more happens to a request once none of its attempts is out: who waits for that hears."""
         if live.on_end is not None and not self._hops_of(live):
             on_end, live.on_end = live.on_end, None
             on_end(live.said, live.ran)
 
-    def _hops_of(self, live: Live) -> list[Hop]:
+    def _hops_of(self, live: PendingRequest) -> list[GateAttempt]:
         """The attempts of a request that are out."""
         return [hop for n in range(live.attempts) if (hop := self.out.get((live.id, n))) is not None]
 
-    def overdue(self, live: Live) -> None:
+    def overdue(self, live: PendingRequest) -> None:
         """Its time is over."""
         if not live.owed:
             return
@@ -409,7 +411,7 @@
         self.handle(api.ClientGone(live.id))
         self.over(live)
 
-    def caller_gone(self, live: Live) -> None:
+    def caller_gone(self, live: PendingRequest) -> None:
         """Nobody waits for the answer: no attempt of it is to reach a server from now on.
 
         Closing the connection to the gate withdraws an attempt that is held there, and ends the work on one
@@ -456,7 +458,7 @@
             case _:
                 pass
 
-    def _unserved(self, live: Live, retry_after_ms: float) -> None:
+    def _unserved(self, live: PendingRequest, retry_after_ms: float) -> None:
         """The module has given it up: answered at once, and as what it is."""
         if live.said is not None:
             return self.finish(live, passed_on(live.said))
@@ -477,4 +479,4 @@
             return self.over(live)
         timeout_ms = min(action.timeout_ms, live.ends_ms - now_ms() - MARGIN_MS / 2.0)
         target, address = self._targets[number]
-        self._lines.send(Hop(live, number, target, address, max(0.0, timeout_ms)))
+        self._lines.send(GateAttempt(live, number, target, address, max(0.0, timeout_ms)))
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -8,8 +8,8 @@
 
 from mesh.control.configuration import Route
 from mesh.dataplane.messages import (
-    Asked,
-    Said,
+    ProxiedRequest,
+    ServerResponse,
 )
 from orchidferry.alarms import Alarms
 from orchidferry.frontend import Reply
@@ -81,17 +81,17 @@
     return loop, alarms, FakeLines(alarms)
 
 
-def asked(id: str = "t1", **headers: bytes) -> Asked:
+def asked(id: str = "t1", **headers: bytes) -> ProxiedRequest:
     """A request with these headers."""
     named = {name.replace("_", "-").encode(): value for name, value in headers.items()}
-    return Asked(
+    return ProxiedRequest(
         b"GET", b"/x/", id, "", 1_000.0, None, False, None, None, b"", host=b"h", headers=named
     )  # fmt: skip
 
 
-def said(status: int = 200, id: bytes | None = b"t1", seal: bool = True, **more: Any) -> Said:
+def said(status: int = 200, id: bytes | None = b"t1", seal: bool = True, **more: Any) -> ServerResponse:
     """A server's answer."""
-    return Said(status, b"", None, None, seal=seal, id=id, **more)
+    return ServerResponse(status, b"", None, None, seal=seal, id=id, **more)
 
 
 def route(kind: str = "idempotent", attempts: int = 3, **more: Any) -> Route:
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -11,10 +11,10 @@
 
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
 from mesh.dataplane import admission as module
-from mesh.dataplane.admission import AdmissionGate, Pass
+from mesh.dataplane.admission import AdmissionGate, GateRequest
 from mesh.dataplane.messages import (
     GATE,
-    Said,
+    ServerResponse,
 )
 from mesh.settings import Bounds
 from nickelbridge.interface import Result
@@ -44,7 +44,7 @@
     def beat(self, sequence: int, state: str = IN_SERVICE, id: str = "i") -> None:
         assert self.gate.beat(Server(id, "s", "z", state, 1, 0.0), sequence) is None
 
-    def ask(self, id: str, **headers: bytes) -> Pass:
+    def ask(self, id: str, **headers: bytes) -> GateRequest:
         def answer(reply: Reply) -> None:
             assert id not in self.replies
             self.replies[id] = reply
@@ -250,7 +250,7 @@
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t", seal=False), []),  # not the server's
 ])  # fmt: skip
 def test_the_answer_of_a_key_whose_node_is_gone_is_kept(
-    scene: Scene, headers: dict[str, bytes], gone: bool, answer: Said, kept: list[tuple[str, int]]
+    scene: Scene, headers: dict[str, bytes], gone: bool, answer: ServerResponse, kept: list[tuple[str, int]]
 ) -> None:
     """Else its repeats would be told for the whole window that the first run is at work."""
     scene.beat(1)
--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -13,7 +13,7 @@
 
 from mesh.dataplane.http_connection import HELD_ANSWER, HttpConnection
 from mesh.dataplane.messages import (
-    Said,
+    ServerResponse,
 )
 from nickelbridge.interface import Result
 from orchidferry.flow import Flow
@@ -164,7 +164,11 @@
         for number, attempt in enumerate(self.attempts):
             assert len(attempt.ends) <= 1
             for result, said in attempt.ends:
-                if isinstance(said, Said) and result in (Result.SERVED, Result.REFUSED, Result.MOOT):
+                if isinstance(said, ServerResponse) and result in (
+                    Result.SERVED,
+                    Result.REFUSED,
+                    Result.MOOT,
+                ):
                     assert said.id == attempt.message.id.encode()
                     assert said.body in (b"", tag(number)), "another's body"
 
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -14,9 +14,9 @@
 from mesh.dataplane import service_client as module
 from mesh.dataplane.listener import CallerConnection, Listener
 from mesh.dataplane.messages import (
-    Asked,
+    ProxiedRequest,
 )
-from mesh.dataplane.service_client import Live, ServiceClient
+from mesh.dataplane.service_client import PendingRequest, ServiceClient
 from nickelbridge.interface import Result
 from orchidferry.flow import SHORT_BODY, Flow, Pool
 from orchidferry.frontend import Caller, Reply, Stage
@@ -67,7 +67,7 @@
     """A request that the node has."""
 
     def __init__(self, message: Message, answer: Callable[[Reply], None]) -> None:
-        assert isinstance(message, Asked)
+        assert isinstance(message, ProxiedRequest)
         self.message, self.answer, self.gone = message, answer, False
         if message.flow is not None:
             message.flow.attach(Sink())
@@ -362,8 +362,8 @@
         kind = route("non_idempotent", 2)
         self.scene = ServiceScene(patch, kind)
 
-        def accept(message: Message, answer: Callable[[Reply], None]) -> Live:
-            assert isinstance(message, Asked)
+        def accept(message: Message, answer: Callable[[Reply], None]) -> PendingRequest:
+            assert isinstance(message, ProxiedRequest)
             return self.scene.service.take(message, kind, self.scene.loop.now_ms() + 500.0, answer)
 
         self.line = Line(accept)
@@ -383,7 +383,7 @@
         return self.line.answers()
 
 
-def finish_always(self: ServiceClient, live: Live, reply: Reply) -> None:
+def finish_always(self: ServiceClient, live: PendingRequest, reply: Reply) -> None:
     live.answer(reply)
 
 
--- a/tests/mesh/test_http_connection.py
+++ b/tests/mesh/test_http_connection.py
@@ -10,7 +10,7 @@
 
 from mesh.dataplane.http_connection import HttpConnection
 from mesh.dataplane.messages import (
-    Said,
+    ServerResponse,
     judged,
     passed_on,
 )
@@ -18,7 +18,7 @@
 from tests.mesh.fakes import asked, said
 from tests.mesh.wire_fakes import Sent, Transport, pool
 
-ANSWERS: dict[str, tuple[Said, Result]] = {
+ANSWERS: dict[str, tuple[ServerResponse, Result]] = {
     "sealed": (said(), Result.SERVED),
     "no seal": (said(seal=False), Result.ERROR),
     "encoded": (said(encoded=True), Result.ERROR),
--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -13,9 +13,9 @@
 from mesh.control.endpoints import DRAINING, IN_SERVICE, Record, Server
 from mesh.dataplane import service_client as module
 from mesh.dataplane.messages import (
-    Said,
+    ServerResponse,
 )
-from mesh.dataplane.service_client import Live, ServiceClient
+from mesh.dataplane.service_client import PendingRequest, ServiceClient
 from mesh.settings import Bounds
 from nickelbridge.interface import Result
 from nickelbridge.logic import NEVER_RAN
@@ -29,11 +29,11 @@
     def __init__(self, scene: Scene, route: Route, keyed: bool = True) -> None:
         self.route, self.id, self.keyed = route, f"t{len(scene.taken)}", keyed
         self.replies: list[Reply] = []
-        self.ends: list[tuple[Said | None, bool]] = []
+        self.ends: list[tuple[ServerResponse | None, bool]] = []
         self.gone = False
         scene.taken[self.id] = self
         loop = scene.loop
-        self.live: Live = scene.service.take(
+        self.live: PendingRequest = scene.service.take(
             asked(self.id), route, loop.now_ms() + 1_000.0, self.replies.append,
             (lambda said, ran: self.ends.append((said, ran))) if keyed else None,
         )  # fmt: skip
@@ -65,7 +65,7 @@
 WRITTEN = (Result.SERVED, Result.ERROR, Result.REFUSED, Result.MOOT, Result.RESET, Result.TIMEOUT)
 
 
-def an_answer(result: Result, id: str, dice: float) -> Said | None:
+def an_answer(result: Result, id: str, dice: float) -> ServerResponse | None:
     if result is Result.SERVED:
         return said(id=id.encode())
     if result is Result.ERROR:
@@ -94,7 +94,7 @@
                     a.written and not a.over for a in self.scene.of(id)
                 )
 
-    def end(self, attempt: Any, result: Result, answer: Said | None) -> None:
+    def end(self, attempt: Any, result: Result, answer: ServerResponse | None) -> None:
         taken = self.scene.taken[attempt.message.id]
         if result not in NEVER_RAN and not taken.route.repeatable:
             self.may_have_run.add(taken.id)
--- a/tests/mesh/test_time_remaining.py
+++ b/tests/mesh/test_time_remaining.py
@@ -13,7 +13,7 @@
 from mesh.dataplane import proxy as module
 from mesh.dataplane.admission import AdmissionGate
 from mesh.dataplane.listener import Listener
-from mesh.dataplane.messages import MARGIN_MS, Asked
+from mesh.dataplane.messages import MARGIN_MS, ProxiedRequest
 from mesh.dataplane.proxy import Proxy
 from mesh.dataplane.service_client import ServiceClient
 from mesh.settings import Bounds
@@ -58,10 +58,10 @@
         return [left_of(attempt.head_bytes()) for attempt in self.lines.sent]
 
 
-def read(headers: dict[bytes, bytes]) -> Asked:
+def read(headers: dict[bytes, bytes]) -> ProxiedRequest:
     listener = Listener(lambda message, answer: None, 9, Pool(0), lambda: True)  # type: ignore[arg-type,return-value]
     message = listener.read(b"GET", b"/x/", headers, b"", None)
-    assert isinstance(message, Asked)
+    assert isinstance(message, ProxiedRequest)
     return message
 
 
--- a/tests/mesh/wire_fakes.py
+++ b/tests/mesh/wire_fakes.py
@@ -9,7 +9,7 @@
 from mesh.dataplane.attempt import TrackedAttempt
 from mesh.dataplane.http_connection import HttpConnection, HttpConnections
 from mesh.dataplane.messages import (
-    Asked,
+    ProxiedRequest,
 )
 from nickelbridge.interface import Result
 from orchidferry.upstream import Answer, Attempt
@@ -67,7 +67,7 @@
 class Sent(TrackedAttempt):
     """An attempt that notes how it ends."""
 
-    def __init__(self, message: Asked, once: bool = False, server: int = 1) -> None:
+    def __init__(self, message: ProxiedRequest, once: bool = False, server: int = 1) -> None:
         super().__init__(message, server, ("127.0.0.1", 1), 1_000.0, once)
         self.ends: list[tuple[Result, Any]] = []
 
