Gate: what its server says of itself is a pure module of its own

The gate held the lives, beats and drain of its server beside the queue of requests. ServerRegistration has the first, with the clock handed in and one closed list of what a beat changes; the gate keeps connections, slots and the queue, and is 50 lines shorter.

--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import math
 from collections.abc import Callable
 
 from loguru import logger
 
-from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
+from mesh.control.endpoints import GONE, Server
 from mesh.dataplane.attempt import TrackedAttempt
 from mesh.dataplane.http_connection import HttpConnections
 from mesh.dataplane.messages import (
@@ -37,6 +35,7 @@
 from mesh.dataplane.messages import (
     GONE as GATE_GONE,
 )
+from mesh.dataplane.server_registration import Heard, ServerRegistration
 from mesh.errors import Kind, Refusal
 from mesh.settings import Address, Bounds
 from nickelbridge.interface import Result
@@ -50,25 +49,11 @@
 GUESS = 4  # slots of a server that has said nothing yet
 DRAIN_SHARE = 0.75  # of the time in which a drained server may still be reached
 HELD_SLOTS = 4  # times its slots: the most that wait here
-SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
 LEAST_LEFT_MS = 8.0
 REFUSED = 2  # connections in a row that a server refused, after which it is gone until its next beat
 # A server may work on for nobody for so long, while nobody waits for its slot: an answer that comes leaves
 # its connection usable, and new ones are priced. The rules allow 0.5 s from when the client has left.
 ABANDONED_S = 0.3
-FORMER_MOST = 64
-# A life that another one replaced is taken back if the other one has said nothing for so many beats: beats
-# come late, and the first that a process hears may be the last one of a server that is gone.
-REPLACED_BEATS = 1.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FormerLife:
-    """A life of the server that signed off, or that another one has replaced."""
-
-    signed_off: bool
-    sequence: int  # of the last call that was heard of it
-    drained_ms: float  # when its drain was acknowledged
 
 
 class GateRequest:
@@ -146,94 +131,56 @@
         answer to a request whose key is claimed, and whose sender is gone.
         """
         self._below, self._orphan = below, orphan
-        self._application, self._bounds, self._beat_ms = application, bounds, beat_ms
+        self._application, self._bounds = application, bounds
         self._loop, self._alarms, self._lines, self._changed = loop, alarms, lines, changed
-        self.server: Server | None = None
+        self._registration = ServerRegistration(beat_ms, now_ms())
         self.life = 1  # its number for the pool of connections: none is used for another life
-        self._sequence = -1
-        self._former: dict[str, FormerLife] = {}  # by id, the oldest first
-        self._drained_ms = math.inf  # when its drain was acknowledged
-        self._heard_ms = now_ms()
         self._refused = 0  # connections in a row
         self.inside = 0  # requests at the server
-        self._abandoned: dict[
-            GateRequest, ServerAttempt
-        ] = {}  # those that nobody waits for, the oldest first
+        # Of these, those that nobody waits for, the oldest first.
+        self._abandoned: dict[GateRequest, ServerAttempt] = {}
         self._held: dict[int, dict[int, GateRequest]] = {}  # by rank, in the order in which they came
         self._waiting = 0
         self._serial = 0
         self.leaving = False
         self.passed = 0  # requests that went in, since the start
 
-    # Beats
+    @property
+    def server(self) -> Server | None:
+        """The server here, as it was last heard of."""
+        return self._registration.server
+
+    # Calls of the server
 
     def beat(self, server: Server, sequence: int) -> Refusal | None:
         """Take a server's word of itself; None if it is acknowledged."""
-        had = self.server
-        same_life = had is not None and had.id == server.id
-        if same_life and (sequence <= self._sequence or server.id in self._former):
-            return None  # late
-        if not same_life and not self._begin_life(server.id, sequence):
-            return None  # late: its end stays its end
-        self._sequence, self._heard_ms = sequence, now_ms()
-        if server.state == DRAINING:
-            self._drained_ms = min(self._drained_ms, now_ms())
-        elif self._drained_ms < math.inf:  # a drain that was acknowledged is final
-            server = dataclasses.replace(server, state=DRAINING)
-        alike = had is not None and (had.id, had.state, had.service, had.capacity) == (
-            server.id, server.state, server.service, server.capacity,
-        )  # fmt: skip
-        if not alike:
-            self.server = server
-            logger.info("gate: server {} of {} is {}", server.id, server.service, server.state)
+        heard = self._registration.beat(server, sequence, now_ms())
+        if heard is Heard.LATE:
+            return None
+        if heard is Heard.NEW_LIFE:
+            self._lines.gone(self.life)
+            self.life += 1
+        if heard is not Heard.SAME:
+            assert self.server is not None
+            logger.info("gate: server {} of {} is {}", server.id, server.service, self.server.state)
             self._changed()
         self._let_in()
         return None
 
-    def _begin_life(self, id: str, sequence: int) -> bool:
-        """Take another life of the server in the place of the one before it; whether it counts."""
-        former = self._former.get(id)
-        if former is not None:
-            silent_ms = now_ms() - self._heard_ms
-            replaced = not former.signed_off and sequence > former.sequence
-            if not replaced or silent_ms < REPLACED_BEATS * self._beat_ms:
-                return False
-            del self._former[id]
-        if self.server is not None and self.server.id not in self._former:
-            self._note_former(self.server.id, signed_off=False)
-        self._drained_ms = former.drained_ms if former is not None else math.inf
-        self._lines.gone(self.life)
-        self.life += 1
-        return True
-
-    def _note_former(self, id: str, signed_off: bool) -> None:
-        current = self.server is not None and self.server.id == id
-        sequence, drained_ms = (self._sequence, self._drained_ms) if current else (-1, math.inf)
-        self._former.pop(id, None)
-        self._former[id] = FormerLife(signed_off, sequence, drained_ms)
-        while len(self._former) > FORMER_MOST:
-            del self._former[next(iter(self._former))]
-
     def end(self, id: str) -> None:
         """A server has signed off."""
-        self._note_former(id, signed_off=True)
-        if self.server is not None and self.server.id == id:
+        if self._registration.sign_off(id):
             self._gone("has signed off")
 
     def look(self) -> None:
         """A server that says nothing for long is gone; called now and then."""
-        silent = now_ms() - self._heard_ms > SILENT_BEATS * self._beat_ms
-        if silent and self.server is not None and self.server.state != GONE:
+        if self._registration.is_silent(now_ms()):
             self._gone("is silent")
 
-    def _serving(self) -> bool:
-        return self.server is not None and self.server.state == IN_SERVICE
-
     def _gone(self, why: str) -> None:
         assert self.server is not None
-        had = self.server
-        logger.info("gate: server {} {}", had.id, why)
-        self.server = dataclasses.replace(had, state=GONE, cold_left_ms=0.0)
+        logger.info("gate: server {} {}", self.server.id, why)
+        self._registration.take_for_gone()
         self._changed()
         self._turn_away_held()
 
@@ -247,7 +194,7 @@
                 return GATE_GONE
             if server.state == GONE:
                 return GATE_GONE
-            if now_ms() > self._drained_ms + DRAIN_SHARE * self._bounds.drain_ms:
+            if self._registration.drained_for_ms(now_ms()) > DRAIN_SHARE * self._bounds.drain_ms:
                 return GATE_GONE
         return None
 
@@ -356,7 +303,7 @@
             self._orphan(passing.message, said)
         passing.reply(self._word(passing, result, said))
         self._refused = self._refused + 1 if result is Result.UNREACHABLE else 0
-        if self._refused >= REFUSED and not self.inside and self._serving():
+        if self._refused >= REFUSED and not self.inside and self._registration.serving:
             self._gone("can't be reached")
         self._let_in()
 
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -176,7 +176,7 @@
 
 
 def falls_silent(gate: AdmissionGate) -> None:
-    gate._heard_ms = 0.0
+    gate._registration.heard_ms = 0.0
     gate.look()
 
 
--- a/tests/mesh/test_passed_on.py
+++ b/tests/mesh/test_passed_on.py
@@ -92,7 +92,7 @@
         b"Operation-Key: k-5512\r\nAccept: a\r\nAccept: b\r\nKind: \xff x\r\n"
         # What the system says itself, whatever was sent, and what concerns this connection alone.
         b"Calling-Service: other\r\nTarget-Instance: i-9\r\nOrchid-Rank: 0\r\nOrchid-Gate: unrun\r\n"
-        b"Connection: keep-alive, GateAttempt\r\nHop: 1\r\nKeep-Alive: 5\r\nTE: trailers\r\n"
+        b"Connection: keep-alive, Hop\r\nHop: 1\r\nKeep-Alive: 5\r\nTE: trailers\r\n"
     )
     got = Way(monkeypatch).send(head + more + b"\r\n" + sent)
     method, target, _ = head.split(b" ", 2)
