Simulation of news while a controller is isolated and nodes restart

A simulated run with the shipping shard, publisher, node's client and tree of relays now measures it, over links of a given rate and on shares of a core, which rehearsal/model/relays.py has learned for this.

--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,8 @@
 FRESH_S = 1.2  # a controller's word of its contact counts for so long
 CONTROLLERS_MOST = 16
 
+Dial = Callable[..., Awaitable[Link | None]]  # called as `framing.dial`
+
 
 @dataclass(slots=True)
 class Controller:
@@ -74,10 +76,14 @@
         loop: asyncio.AbstractEventLoop,
         on_members: Callable[[dict[str, Record]], None],
         on_configuration: Callable[[int, bytes], None],
+        dial: Dial = dial,
+        rng: random.Random | None = None,
     ) -> None:
+        """`dial` and `rng`: handed in by simulations."""
+        self._dial_link = dial
         self._settings, self._loop = settings, loop
         self._on_members, self._on_configuration = on_members, on_configuration
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         self.boot_id = self._rng.randrange(1, 2**53)
         self._controllers: dict[str, Controller] = {name: Controller(name) for name in settings.seeds}
         self._seeds = settings.seeds
@@ -162,7 +168,7 @@
 
     async def _dial(self, controller: Controller) -> None:
         try:
-            link = await dial(
+            link = await self._dial_link(
                 self._heard,
                 self._lost,
                 controller.name,
@@ -272,7 +278,7 @@
         async def work() -> None:
             link = None
             try:
-                link = await dial(
+                link = await self._dial_link(
                     self._above,
                     self._subscriber.lost_parent,
                     ip,
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
@@ -29,14 +31,33 @@
 MESSAGE_S = 30e-6  # of a sender's time for one message: assumed
 
 
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """What bounds a process: its link, its share of a core, and the work of a message on a whole core."""
+
+    bits_per_s: float = math.inf
+    core_share: float = 1.0
+    receive_s: float = 0.0
+
+    @property
+    def bounded(self) -> bool:
+        """Whether messages wait for anything at their receiver."""
+        return self.bits_per_s < math.inf or self.receive_s > 0.0
+
+
+UNBOUNDED = Machine()
+
+
 class Process:
     """One process, with as much of a loop as the parts ask for; nothing of it runs while it is frozen."""
 
-    def __init__(self, world: World, name: str, zone: int) -> None:
-        self.world, self.name, self.zone = world, name, f"z{zone}"
+    def __init__(self, world: World, name: str, zone: int, machine: Machine = UNBOUNDED) -> None:
+        self.world, self.name, self.zone, self.machine = world, name, f"z{zone}", machine
         self.frozen, self.alive, self.mute = False, True, False
         self.waiting: list[Callable[[], None]] = []
         self.busy_s = 0.0  # until when it is at sending
+        self._received_s = 0.0  # until when its link is at receiving
+        self._worked_s = 0.0  # until when it is at handling what it received
         self.links: set[End] = set()
 
     def time(self) -> float:
@@ -52,6 +73,27 @@
         elif self.alive:
             call()
 
+    def send_out(self, size: int) -> float:
+        """Put a message of so many bytes on the machine's link, after those before it; when it has left."""
+        machine = self.machine
+        spent_s = MESSAGE_S / machine.core_share + 8 * size / machine.bits_per_s
+        self.busy_s = max(self.world.now, self.busy_s) + spent_s
+        return self.busy_s
+
+    def receive(self, size: int, call: Callable[[], object]) -> None:
+        """Have a message handled once the link has taken it in and those before it are done."""
+        machine = self.machine
+        if not machine.bounded:
+            return self.run(call)
+        self._received_s = max(self.world.now, self._received_s + 8 * size / machine.bits_per_s)
+        self._worked_s = max(self._received_s, self._worked_s) + machine.receive_s / machine.core_share
+        self.world.at(self._worked_s, lambda: self.run(call))
+
+    def work(self, seconds: float) -> float:
+        """Spend so much time of a whole core; when that is done."""
+        self._worked_s = max(self.world.now, self._worked_s) + seconds / self.machine.core_share
+        return self._worked_s
+
     def freeze(self) -> None:
         self.frozen = True
 
@@ -89,7 +131,8 @@
         self.heard_s = owner.world.now
         self.other: End
         self._stuck_s = 0.0  # since when nothing gets through
-        self._queue: list[tuple[float, Any]] = []  # on their way: when, and the message, None for the end
+        # On their way: when, the message (None for the end), and its bytes.
+        self._queue: list[tuple[float, Any, int]] = []
         owner.links.add(self)
 
     def send(self, *message: Any) -> None:
@@ -103,11 +146,11 @@
         message = world.read(data)
         if owner.mute and message[0] == "news":
             return
-        owner.busy_s = max(world.now, owner.busy_s) + MESSAGE_S
-        self._go(owner.busy_s + world.delay(owner, self.other.owner), message)
+        left_s = owner.send_out(len(data))
+        self._go(left_s + world.delay(owner, self.other.owner), message, len(data))
 
-    def _go(self, when: float, message: Any) -> None:
-        self._queue.append((when, message))
+    def _go(self, when: float, message: Any, size: int = 0) -> None:
+        self._queue.append((when, message, size))
         if len(self._queue) == 1:
             self.owner.world.at(when, self._arrive)
 
@@ -120,10 +163,10 @@
                 self._end()
             return world.at(world.now + 0.01, self._arrive)
         self._stuck_s = 0.0
-        _, message = self._queue.pop(0)
+        _, message, size = self._queue.pop(0)
         if self._queue:
             world.at(max(world.now, self._queue[0][0]), self._arrive)
-        there.owner.run(lambda: there.take(message))
+        there.owner.receive(size, lambda: there.take(message))
 
     def take(self, message: Any) -> None:
         if message is None:
@@ -333,17 +376,22 @@
 class World:
     """Controllers k0 to k2, nodes, and what is on its way."""
 
-    def __init__(self, seed: int, zones: int, heads: int = HEADS, lazy: bool = False) -> None:
+    controllers: dict[str, Any]
+    nodes: dict[str, Any]
+
+    def __init__(
+        self, seed: int, zones: int, heads: int = HEADS, lazy: bool = False, controllers: int = 3
+    ) -> None:
         self.rng, self.now, self.heads, self.lazy = random.Random(seed), 100.0, heads, lazy
         self._queue: list[tuple[float, int, Callable[[], object]]] = []
         self._serial = 0
         self._read: tuple[bytes, Any] = (b"", None)
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.zones = zones
-        self.controllers: dict[str, Controller] = {}
-        for n in range(3):
+        self.controllers = {}
+        for n in range(controllers):
             self.controllers[f"k{n}"] = Controller(self, f"k{n}", n % zones)
-        self.nodes: dict[str, Node] = {}
+        self.nodes = {}
         self.watching = False
         self.began: dict[tuple[str, int, int], float] = {}  # of each change, by controller, life and number
         self.came: dict[tuple[str, int, int], dict[str, float]] = {}  # and when it came to each node
