Give-backs of keys are sent again until they are acknowledged

A give-back that was lost with its link left the key answering 409 for the whole window. Each now has a number of the node's process, is acknowledged once the key is off the controller's disk, and goes out again on a new link and after 1 s, until all controllers of the shard have acknowledged it or would have forgotten the key. A controller frees a key for its own holder only, and notes who gave back, so that a claim that comes after its give-back, or comes back with another controller's keys, takes nothing. The protocol's number rises to 3.

The model in test_records.py knows late claims now.

--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -87,7 +87,7 @@
         self.boot_id = self._rng.randrange(1, 2**53)
         self._controllers: dict[str, Controller] = {name: Controller(name) for name in settings.seeds}
         self._seeds = settings.seeds
-        self.claims = OperationKeyClient(settings.seeds, self._send)
+        self.claims = OperationKeyClient(settings.seeds, self._send, settings.bounds.key_window_s)
         self._subscriber = Subscriber(
             settings.name,
             self.boot_id,
@@ -183,7 +183,7 @@
                 self._subscriber.up(controller.name, link)
                 if not self.settled:
                     self._fetch(controller, "read")
-                self.claims.linked(controller.name)
+                self.claims.linked(controller.name, self._loop.time())
         finally:
             controller.dialling = False
 
@@ -210,6 +210,8 @@
             return
         if kind == "slip":
             self.claims.hear(controller.name, *message[1:])
+        elif kind == "dropped":
+            self.claims.give_backs.acknowledged(controller.name, message[1])
         elif kind == "lease":
             number, known, warm, life, news, age_ms = message[1:]
             now = self._loop.time()
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -358,9 +358,9 @@
             shard = self._shards[shard_state.shard_of(key)]
             self._do(shard, shard.done(key, holder, answer, now))
         elif kind == "drop":
-            key, holder = message[1:]
+            give_back, key, holder = message[1:]
             shard = self._shards[shard_state.shard_of(key)]
-            self._do(shard, shard.drop(key, holder, now))
+            self._do(shard, shard.drop(link, give_back, key, holder, now))
         elif kind == "share?":
             service, node, life, number, used, wanted, held, fence = message[1:]
             share = self._retry_budgets.handle(
--- a/mesh/control/operation_key_client.py
+++ b/mesh/control/operation_key_client.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 from mesh.control import shard_state
+from mesh.control.give_backs import GiveBacks
+from mesh.control.operation_keys import longest_kept_s
 
 AGAIN_S = 0.12  # a controller that could not say is asked again
 OPEN_MOST = 20_000  # claims at once
@@ -84,11 +86,14 @@
     it.
     """
 
-    def __init__(self, seeds: tuple[str, ...], send: Callable[..., None]) -> None:
+    def __init__(self, seeds: tuple[str, ...], send: Callable[..., None], window_s: float) -> None:
+        """`window_s`: for how long a key is kept at least."""
         self.groups = {shard: Group(-1, seeds) for shard in shard_state.SHARDS}
         self._send = send
         self._open: dict[int, Claim] = {}
         self._rid = 0
+        self._now = 0.0  # as of the last event that told it
+        self.give_backs = GiveBacks(longest_kept_s(window_s), send)
 
     def names(self) -> set[str]:
         """All controllers of all shards."""
@@ -118,7 +123,7 @@
         """
         if len(self._open) >= OPEN_MOST:
             return told("none", None)
-        self._rid += 1
+        self._rid, self._now = self._rid + 1, now
         shard = shard_state.shard_of(key)
         group = self.groups[shard]
         claim = Claim(self._rid, shard, key, holder, told, Count(group.epoch, group.names), now + for_s, now)
@@ -127,14 +132,17 @@
 
     def tick(self, now: float) -> None:
         """Ask again, and give up on what took too long."""
+        self._now = now
         for claim in list(self._open.values()):
             if now >= claim.until_s:
                 self._end(claim, "none", None)
             elif now >= claim.again_s:
                 self._ask(claim, now)
+        self.give_backs.tick(self.names(), now)
 
-    def linked(self, name: str) -> None:
-        """There is a new link to a controller."""
+    def linked(self, name: str, now: float) -> None:
+        """There is a new link to a controller. What was given back goes first: claims may wait for it."""
+        self.give_backs.linked(name, now)
         for claim in self._open.values():
             if name in claim.count.group:
                 self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
@@ -163,12 +171,9 @@
 
     def drop(self, key: str, holder: str) -> None:
         """Give a key back: this try has not run and never will."""
-        self._tell_all(key, "drop", key, holder)
+        self.give_backs.add(key, holder, self.groups[shard_state.shard_of(key)].names, self._now)
 
     def done(self, key: str, holder: str, answer: Any) -> None:
         """Keep the answer of a key's first run."""
-        self._tell_all(key, "done", key, holder, answer)
-
-    def _tell_all(self, key: str, *message: Any) -> None:
         for name in self.groups[shard_state.shard_of(key)].names:
-            self._send(name, *message)
+            self._send(name, "done", key, holder, answer)
--- a/mesh/control/operation_keys.py
+++ b/mesh/control/operation_keys.py
@@ -56,7 +56,21 @@
     """There is no room for another key."""
 
 
-Outcome = Granted | Held | Full
+@dataclass(frozen=True, slots=True)
+class GivenBack:
+    """This try has given the key back: its claim has come late."""
+
+
+Outcome = Granted | Held | Full | GivenBack
+
+
+def longest_kept_s(window_s: float) -> float:
+    """The longest that a record is kept.
+
+    >>> longest_kept_s(60.0)
+    140.0
+    """
+    return (int(window_s / SHELF_S) + 4) * SHELF_S
 
 
 @dataclass
@@ -76,12 +90,16 @@
     @property
     def kept_s(self) -> float:
         """The longest that a record is kept."""
-        return (int(self.window_s / SHELF_S) + 4) * SHELF_S
+        return longest_kept_s(self.window_s)
 
     def load(self, key: str, packed: list[Any]) -> None:
-        """Take a record as another controller or the disk has it; an answer is never lost by it."""
+        """Take a record as another controller or the disk has it; an answer is never lost by it, and what was
+        given back here does not return by one who has not heard of that.
+        """
         holder, shelf, answer = packed
         self.shelf = max(self.shelf, shelf)
+        if answer is None and self.given_back.get(key) == holder:
+            return
         had = self.records.get(key)
         if had is not None and had.answer is not None:
             return
@@ -120,6 +138,8 @@
         had = self.records.get(key)
         if had is not None:
             return (Granted() if had.holder == holder else Held(had.holder, had.answer)), None
+        if self.given_back.get(key) == holder:
+            return GivenBack(), None
         if len(self.records) >= self.most:
             return Full(), None
         record = KeyRecord(holder, self.shelf)
@@ -140,18 +160,25 @@
         return had
 
     def drop(self, key: str, holder: str) -> bool:
-        """Give a key back that never ran; whether there is a record to delete."""
+        """Give a key back that never ran; whether there is a record to delete. One that is not known here is
+        noted all the same: its claim may come late, from the node or with another controller's keys.
+        """
         had = self.records.get(key)
-        if had is None or had.holder != holder or had.answer is not None:
+        if had is not None and (had.holder != holder or had.answer is not None):
             return False
-        del self.records[key]
-        self._shelves.get(had.shelf, {}).pop(key, None)
+        if had is not None:
+            del self.records[key]
+            self._shelves.get(had.shelf, {}).pop(key, None)
+        self._note_given_back(key, holder)
+        return had is not None
+
+    def _note_given_back(self, key: str, holder: str) -> None:
         self._changed(key)
+        self.given_back.pop(key, None)
         self.given_back[key] = holder
         if len(self.given_back) > GIVEN_BACK_MOST:
             oldest = next(iter(self.given_back))
             del self.given_back[oldest], self.changes[oldest]
-        return True
 
     def turn(self, now_s: float) -> list[str]:
         """Let time pass; the keys whose window is over, to be deleted on disk."""
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -217,8 +217,8 @@
                 continue
             before = (had.holder, had.answer) if had is not None else None
             keys.load(key, [holder, shelf, answer])
-            record = keys.records[key]
-            if (record.holder, record.answer) != before:
+            record = keys.records.get(key)  # none, where its holder has given it back here
+            if record is not None and (record.holder, record.answer) != before:
                 puts.append(self._stored(key, record))
         return puts
 
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -100,6 +100,8 @@
                 self._page_written(name, request, ok)
             case ("missed", who, number) if ok:
                 self._reply(who, "missed!", self.name, number)
+            case ("given back", who, give_back) if ok:
+                self._out.append(Answer(who, ["dropped", give_back]))
             case ("caught", under):
                 self._caught_up(under, ok)
             case _:
@@ -142,10 +144,15 @@
             self._write([self._stored(key, record)], ("answer", key, record))
         return self._flush()
 
-    def drop(self, key: str, holder: str, now: float) -> list[Action]:
-        """A try gives its key back: it has not run and never will."""
+    def drop(self, who: Any, give_back: int, key: str, holder: str, now: float) -> list[Action]:
+        """A try gives its key back: it has not run and never will. `who` hears once that is on disk; when it
+        comes again, the write of the first time may have failed.
+        """
         self.now = now
         if self.operation_keys.drop(key, holder):
             self.unwritten.pop(key, None)
-            self._write([("slips", key.encode("latin-1"), None)])
+        if self.operation_keys.given_back.get(key) == holder:
+            self._write([("slips", key.encode("latin-1"), None)], ("given back", who, give_back))
+        else:
+            self._out.append(Answer(who, ["dropped", give_back]))
         return self._flush()
--- a/mesh/wire/framing.py
+++ b/mesh/wire/framing.py
@@ -18,7 +18,7 @@
 MOST = 16 * 1024 * 1024  # bytes of one message
 CHOKED = 8 * 1024 * 1024  # bytes that may wait for a peer that does not read
 USER_TIMEOUT_MS = 2_000
-PROTOCOL = 2  # rises with each change that an earlier build would misread
+PROTOCOL = 3  # rises with each change that an earlier build would misread
 GREETING = "protocol"  # the kind of the first message
 
 
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -150,6 +150,6 @@
         """A key's run was answered."""
         self.do(self.shard.done(key, holder, answer, self.world.now))
 
-    def drop(self, key: str, holder: str) -> None:
+    def drop(self, who: Any, give_back: int, key: str, holder: str) -> None:
         """A key is given back."""
-        self.do(self.shard.drop(key, holder, self.world.now))
+        self.do(self.shard.drop(who, give_back, key, holder, self.world.now))
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -30,7 +30,7 @@
 from nickelbridge import register
 from nickelbridge.register import Proposer, Value
 from rehearsal.explore import pure
-from rehearsal.explore.controller import Controller
+from rehearsal.explore.controller import WINDOW_S, Controller
 from rehearsal.explore.fleet import Middle
 from rehearsal.explore.mesh_breaks import BREAKS, Break, broken
 from rehearsal.explore.mesh_scenes import KINDS, SCENES, Scene
@@ -117,11 +117,12 @@
 
     def __init__(self, name: str, world: World) -> None:
         self.name, self.world = name, world
-        self.claims = OperationKeyClient(world.scene.seeds, self.send)
+        self.claims = OperationKeyClient(world.scene.seeds, self.send, WINDOW_S)
 
     def send(self, to: str, *message: Any) -> None:
         what, rest = message[0], message[1:]
-        self.world.send(self.name, to, what, *((self.name, *rest) if what == "claim" else rest))
+        answered = what in ("claim", "drop")
+        self.world.send(self.name, to, what, *((self.name, *rest) if answered else rest))
 
 
 @dataclass
@@ -393,6 +394,8 @@
             node = self.nodes[mail.to].claims
             if mail.what == "slip":
                 node.hear(mail.sender, *mail.message)
+            elif mail.what == "dropped":
+                node.give_backs.acknowledged(mail.sender, *mail.message)
             else:
                 number, under, names, owner, fence = mail.message
                 node.group(number, under, names, owner, fence, self.now)
@@ -478,7 +481,10 @@
     def answer(self, name: str, answer: Answer) -> None:
         """A controller answers whoever asked it."""
         to = answer.to
-        if to in self.nodes:
+        if to in self.nodes and answer.message[0] == "dropped":
+            if self._open(name, to):
+                self.next.append(Mail(name, to, "dropped", tuple(answer.message[1:]), True))
+        elif to in self.nodes:
             if answer.message[3] == "yours" and name in self.learns and not self._learned(name):
                 self.broken(
                     f"abstains: {name} grants a key, and has learned from {sorted(self.learns[name])}"
@@ -638,7 +644,8 @@
             ]  # fmt: skip
         for node in self.nodes.values():
             open_ = node.claims._open.values()
-            held += [node.claims.groups[self.number], node.claims._rid]
+            backs = node.claims.give_backs
+            held += [node.claims.groups[self.number], node.claims._rid, backs._number, backs._waiting]
             held += [(c.rid, c.holder, c.count, c.until_s, c.again_s) for c in open_]
         return hashlib.blake2b(marshal.dumps(_plain(held), 2), digest_size=16).digest()
 
--- /dev/null
+++ b/tests/mesh/test_give_backs.py
@@ -0,0 +1,143 @@
+"""Keys that are given back while links break: each becomes free at every controller, nobody else's does."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from mesh.control import give_backs
+from mesh.control.actions import Answer
+from mesh.control.give_backs import AGAIN_S, GiveBacks
+from mesh.control.operation_key_client import OperationKeyClient
+from mesh.control.operation_keys import longest_kept_s
+from mesh.control.shard_state import shard_of
+from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
+from rehearsal.explore.mesh import Dice
+
+KEY = "k"
+
+
+class Group:
+    """Three controllers, and nodes with links to each that can be cut."""
+
+    def __init__(self) -> None:
+        self.now = 1.0
+        self.cut: set[tuple[str, str]] = set()  # node, controller
+        self.nodes: dict[str, OperationKeyClient] = {}
+        number, dice = shard_of(KEY), Dice(1)
+        self.controllers = {name: Controller(name, self, True, number, dice, SEEDS) for name in SEEDS}
+        for name in ("m", "n"):
+            self.nodes[name] = OperationKeyClient(SEEDS, self._sender(name), WINDOW_S)
+            self.nodes[name].group(number, 0, SEEDS, "", 0, self.now)
+
+    def _sender(self, node: str) -> Any:
+        def send(to: str, what: str, *rest: Any) -> None:
+            if (node, to) not in self.cut:
+                controller = self.controllers[to]
+                getattr(controller, what)(*((node, *rest) if what in ("claim", "drop") else rest))
+                while controller.writes:
+                    controller.disk_turn()
+
+        return send
+
+    def answer(self, name: str, answer: Answer) -> None:
+        """A controller answers a node."""
+        node = str(answer.to)
+        if (node, name) in self.cut:
+            return
+        if answer.message[0] == "dropped":
+            self.nodes[node].give_backs.acknowledged(name, answer.message[1])
+        else:
+            self.nodes[node].hear(name, *answer.message[1:])
+
+    def send(self, *message: Any) -> None:
+        """Controllers say nothing to each other here."""
+
+    decided = told = send
+
+    def claim(self, node: str, holder: str) -> str:
+        """What a claim ends with at once."""
+        said: list[str] = []
+        self.nodes[node].claim(KEY, holder, 0.5, lambda what, _: said.append(what), self.now)
+        return "".join(said)
+
+    def pass_s(self, seconds: float) -> None:
+        """Time passes at the nodes."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.1
+            for node in self.nodes.values():
+                node.tick(self.now)
+
+    def holders(self) -> list[str]:
+        """Who holds the key, at each controller that has it."""
+        records = [controller.shard.operation_keys.records for controller in self.controllers.values()]
+        return [held[KEY].holder for held in records if KEY in held]
+
+
+@pytest.fixture
+def group() -> Group:
+    return Group()
+
+
+def test_a_give_back_that_was_lost_with_its_links_goes_out_on_the_new_ones(group: Group) -> None:
+    """The key answered 409 for the whole window."""
+    assert group.claim("m", "t1") == "yours"
+    group.cut = {("m", "a"), ("m", "b")}
+    group.nodes["m"].drop(KEY, "t1")
+    assert group.claim("n", "t2") == "held" and group.holders() == ["t1", "t1"]
+    group.cut.clear()
+    for name in ("a", "b"):
+        group.nodes["m"].linked(name, group.now)
+    assert group.claim("n", "t3") == "yours"
+    assert group.holders() == ["t3"] * 3
+
+
+def test_one_that_is_not_acknowledged_goes_out_again_on_the_same_link(group: Group) -> None:
+    assert group.claim("m", "t1") == "yours"
+    refused = group.controllers["a"]
+    refused.disk_turn, written = lambda: refused.writes.clear(), refused.disk_turn  # type: ignore[method-assign]
+    group.nodes["m"].drop(KEY, "t1")
+    assert len(group.nodes["m"].give_backs) == 1
+    refused.disk_turn = written  # type: ignore[method-assign]
+    group.pass_s(AGAIN_S + 0.2)
+    assert not group.nodes["m"].give_backs
+    refused.start()  # and it is off the disk
+    assert not group.holders()
+
+
+def test_a_late_one_frees_nobody_elses_key(group: Group) -> None:
+    assert group.claim("m", "t1") == "yours"
+    group.cut = {("m", "a")}
+    group.nodes["m"].drop(KEY, "t1")
+    assert group.claim("n", "t2") == "yours"  # of two, while the third says that t1 holds it
+    group.cut.clear()
+    group.pass_s(AGAIN_S + 0.2)
+    assert not group.nodes["m"].give_backs and group.holders() == ["t2", "t2"]
+    group.nodes["m"].drop(KEY, "t1")
+    assert group.holders() == ["t2", "t2"] and group.claim("m", "t3") == "held"
+
+
+def test_a_claim_that_comes_after_its_give_back_takes_nothing(group: Group) -> None:
+    """It waited in the buffers of an earlier link, or came with another controller's keys."""
+    group.nodes["m"].drop(KEY, "t1")
+    for controller in group.controllers.values():
+        controller.claim("m", 99, 0, KEY, "t1")
+        controller.shard.load(KEY, ["t1", 0, None])
+    assert not group.holders() and group.claim("n", "t2") == "yours"
+
+
+def test_the_list_is_bounded_and_ends_with_the_window(group: Group, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(give_backs, "MOST", 3)
+    sent: list[tuple[Any, ...]] = []
+    backs = GiveBacks(longest_kept_s(WINDOW_S), lambda *message: sent.append(message))
+    for number in range(5):
+        backs.add(f"k{number}", "t", ("a", "b"), 0.0)
+    backs.tick({"a"}, 0.1)  # b is a controller no more
+    assert len(backs) == 3
+    sent.clear()
+    backs.linked("a", 0.5)
+    assert [message[:2] + message[3:4] for message in sent] == [("a", "drop", f"k{n}") for n in (2, 3, 4)]
+    backs.tick({"a"}, longest_kept_s(WINDOW_S) + 0.1)
+    assert not backs
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -182,12 +182,13 @@
                 if node not in deaf:
                     nodes[node].hear(name, rid, epoch, what, None)
             elif word == "drop" and node not in deaf:
-                keys[name].drop(*rest)
+                _, key, holder = rest
+                keys[name].drop(key, holder)
 
         return send
 
     for node in heard:
-        nodes[node] = OperationKeyClient(names, sender(node))
+        nodes[node] = OperationKeyClient(names, sender(node), 60.0)
     nodes["a"].claim("k", "ta", 1.0, lambda what, _: heard["a"].append(what), 0.0)
     nodes["b"].claim("k", "tb", 1.0, lambda what, _: heard["b"].append(what), 0.1)
     assert heard == {"a": [], "b": ["held"]}
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -65,6 +65,8 @@
             self.wires.append((to, kind, message))
 
     def answer(self, name: str, answer: Answer) -> None:
+        if answer.message[0] == "dropped":
+            return
         if isinstance(answer.to, Try):
             self.wires.append(("", "said", (answer.to, name, *answer.message[2:])))
         else:
@@ -118,7 +120,7 @@
                 self.tell_all(try_, "done", try_.key, try_.holder, try_.holder)
             elif how < 0.7:  # it never ran after all
                 self.granted[try_.key].remove(try_)
-                self.tell_all(try_, "drop", try_.key, try_.holder)
+                self.tell_all(try_, "drop", try_, 0, try_.key, try_.holder)
             try_.open = False
         elif end:
             answers = [t.holder for t in self.granted.get(try_.key, [])]
@@ -128,7 +130,7 @@
     def give_up(self, try_: Try) -> None:
         if try_.open:
             try_.open = False
-            self.tell_all(try_, "drop", try_.key, try_.holder)
+            self.tell_all(try_, "drop", try_, 0, try_.key, try_.holder)
 
     def tell_all(self, try_: Try, *message: Any) -> None:
         for name in try_.count.group:
--- a/tests/mesh/test_membership_losses.py
+++ b/tests/mesh/test_membership_losses.py
@@ -237,5 +237,5 @@
         for where, attribute, value in patches:
             stack.enter_context(mock.patch.object(where, attribute, value))
         with pytest.raises(AssertionError):
-            for seed in range(40):
+            for seed in range(400):  # some one in a hundred meets the second of these
                 play(seed, THREE, 1.0)
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -17,7 +17,7 @@
 import mesh
 from mesh.control import configuration, shard_state
 from mesh.control.endpoints import LEASE_S, Record, Register, everyone
-from mesh.control.operation_keys import SHELF_S, Granted, Held, OperationKeys
+from mesh.control.operation_keys import SHELF_S, GivenBack, Granted, Held, OperationKeys
 from mesh.dataplane.proxy import read_beat
 from mesh.errors import Kind, Refusal
 from mesh.settings import BadSettings, check_settings
@@ -50,10 +50,15 @@
     slips, now = OperationKeys(WINDOW_S), 1_000.0
     slips.turn(now)
     model: dict[str, tuple[str, str | None, float]] = {}  # holder, answer, since when
+    given_back: dict[str, str] = {}  # the last try that did so, while nobody has the key
     for what, key, holder, passed in steps:
         had = model.get(key)
         if what == "claim":
             outcome, written = slips.claim(key, holder)
+            if had is None and given_back.get(key) == holder:  # it came late
+                assert (outcome, written) == (GivenBack(), None)
+                continue
+            given_back.pop(key, None)
             if had is None:
                 model[key] = (holder, None, now)
             mine = had is None or had[0] == holder
@@ -64,12 +69,15 @@
             new = had is None or (had[0] == holder and had[1] is None)
             assert (slip is not None) is new
             if new:
+                given_back.pop(key, None)
                 model[key] = (holder, f"by {holder}", now if had is None else had[2])
         elif what == "drop":
             gone = had is not None and had[:2] == (holder, None)
             assert slips.drop(key, holder) is gone
             if gone:
                 del model[key]
+            if gone or had is None:
+                given_back[key] = holder
         elif what == "turn":
             now += passed
             for over in slips.turn(now):
@@ -80,6 +88,7 @@
             for key, packed in disk.items():
                 slips.load(key, packed)
             slips.turn(now)
+            given_back.clear()
         assert {k: (s.holder, s.answer) for k, s in slips.records.items()} == {
             k: entry[:2] for k, entry in model.items()
         }
