A node that starts asks for the number first, then for one text

Each controller sent the whole text of the configuration to a node that started, as all are asked for a reading and whoever answers first counts. A reading is answered by the newest revision alone now; the node fetches the text from the first that answered, and is settled once it has that revision or a newer one.

With six controllers that is one text in place of six.

--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -104,8 +104,8 @@
         self._rid = 0
         self.revision = -1  # the newest that this node has
         self._fetching: dict[int, Fetch] = {}  # by rid
-        self._reads: set[int] = set()  # all that were asked for with a majority, until one is answered
-        self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
+        self._first: int | None = None  # a revision as new as any acknowledged at its start, by a majority
+        self.settled = False  # it has that one or a newer one
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wanted = 0  # the newest revision that was heard of
 
@@ -162,8 +162,10 @@
         self._subscriber.tick()
         for rid in [rid for rid, fetch in self._fetching.items() if fetch.over(now)]:
             del self._fetching[rid]
-        if (not self.settled or self._wanted > self.revision) and not self._fetching:
-            self._fetch(None, "fetch" if self.settled else "read")
+        if not self._fetching and not self.settled and self._first is None:
+            self._fetch(None, "read")
+        elif not self._fetching and self._wanted > self.revision:
+            self._fetch(None, "fetch")
         self.claims.tick(now)
 
     async def _dial(self, controller: Controller) -> None:
@@ -181,7 +183,7 @@
                 link.send("hello", self._settings.name)
                 self._renew(controller)
                 self._subscriber.up(controller.name, link)
-                if not self.settled:
+                if self._first is None and not self.settled:
                     self._fetch(controller, "read")
                 self.claims.linked(controller.name, self._loop.time())
         finally:
@@ -227,6 +229,8 @@
                 self._look()
         elif kind == "news":
             self._subscriber.from_keeper(link, message)
+        elif kind == "newest":
+            self._read_number(link, *message[1:])
         elif kind == "folio":
             self._configuration_shard(*message[1:])
         elif kind == "group":
@@ -341,8 +345,6 @@
     def _ask(self, link: Link, how: str) -> None:
         self._rid += 1
         self._fetching[self._rid] = Fetch(link, self._loop.time(), how == "read")
-        if how == "read":
-            self._reads.add(self._rid)
         link.send(how, self._rid, self._wanted)
 
     def _version(self, revision: int, link: Link) -> None:
@@ -351,6 +353,24 @@
         if self._wanted > self.revision and all(fetch.read for fetch in self._fetching.values()):
             self._ask(link, "fetch")
 
+    def _read_number(self, link: Link, rid: int, revision: int) -> None:
+        """A controller has read the newest revision, as this node starts. All are asked, and whoever answers
+        first is the one that the text is fetched from.
+        """
+        self._fetching.pop(rid, None)
+        if revision < 0 or self._first is not None:
+            return
+        self._first, self._wanted = revision, max(self._wanted, revision)
+        self._fetching = {number: fetch for number, fetch in self._fetching.items() if not fetch.read}
+        if not revision:  # there is none yet
+            self.revision = max(self.revision, revision)
+        self._settle()
+        if self._wanted > self.revision and not self._fetching:
+            self._ask(link, "fetch")
+
+    def _settle(self) -> None:
+        self.settled = self.settled or (self._first is not None and self.revision >= self._first)
+
     def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
         """One that was asked for is here, late perhaps: what was decided is taken whenever it comes."""
         self._fetching.pop(rid, None)
@@ -358,11 +378,9 @@
             return
         newer = revision > self.revision
         text = expand(raw) if newer else b""  # before anything is noted: what can't be read is fetched again
-        if rid in self._reads:
-            self.settled = True
-            self._reads.clear()
         if newer:
             self.revision = revision
+            self._settle()
             if raw:
                 self._subscriber.text(revision, raw)
                 self._on_configuration(revision, text)
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -43,6 +43,11 @@
 STOP_MARGIN_S = 0.4  # of the grace time, kept for the process's own end
 
 
+def newest_revision(end: Ended) -> int:
+    """The newest revision by a reading that is over; -1 where nothing was read."""
+    return shard_state.body(end.value).revision if end.value is not None else -1
+
+
 class Controller:
     """One controller."""
 
@@ -393,9 +398,9 @@
                 self._tell_group(shard, link)
         elif kind == "read":
             rid = message[1]
-            self._read(lambda end: self._tell_configuration(link, rid, end.value))
+            self._read(lambda end: self._publisher.tell_revision(link, rid, newest_revision(end)))
         elif kind == "fetch":
-            self._tell_configuration(link, message[1], self._configuration_shard.known)
+            self._tell_configuration(link, message[1])
         elif kind == "controller":
             link.peer = str(message[1])
             self._callers[link.peer] = link
@@ -424,13 +429,9 @@
         names = [v.name for v in shard.known.voters]
         self._publisher.tell_group(["group", shard.number, own.epoch, names, own.owner, own.fence], link)
 
-    def _tell_configuration(self, link: Link, rid: int, value: Value | None) -> None:
-        if value is None:
-            self._publisher.tell_configuration(link, rid, -1, b"")
-        else:
-            self._publisher.tell_configuration(
-                link, rid, shard_state.body(value).revision, shard_state.body(value).raw
-            )
+    def _tell_configuration(self, link: Link, rid: int) -> None:
+        state = self._configuration_shard.body
+        self._publisher.tell_configuration(link, rid, state.revision, state.raw)
 
     # The size of the groups
 
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -110,6 +110,10 @@
         for one in [link] if link is not None else list(self._nodes):
             self._send("group", one, data)
 
+    def tell_revision(self, link: Link, rid: int, revision: int) -> None:
+        """Answer one that asked for the newest revision; -1 says that there is no telling."""
+        self._send("number", link, pack(["newest", rid, revision]))
+
     def tell_configuration(self, link: Link, rid: int, revision: int, raw: bytes) -> None:
         """Answer one that asked for the configuration; a revision of -1 says that there is no telling."""
         self._send("text", link, pack(["folio", rid, revision, raw]))
--- a/rehearsal/model/configuration_rollout.py
+++ b/rehearsal/model/configuration_rollout.py
@@ -21,6 +21,7 @@
 from mesh.control.configuration import digest
 from mesh.control.configuration_text import compress
 from mesh.control.control_client import ControlClient
+from mesh.control.controller import newest_revision
 from mesh.control.endpoints import IN_SERVICE, Record, Server
 from mesh.control.publisher import Publisher
 from mesh.settings import Bounds, Settings
@@ -213,20 +214,16 @@
             self.publisher.hello(end, rest[0])
             self._tell_group(end)
         elif kind == "read":
-            id = self.rollout.wait_for(lambda ended: self._tell_text(end, rest[0], ended.value))
+            tell = self.publisher.tell_revision
+            id = self.rollout.wait_for(lambda ended: tell(end, rest[0], newest_revision(ended)))
             self.replica.do(self.replica.shard.read(id, self.time()))
             self.sync()
         elif kind == "fetch":
-            self._tell_text(end, rest[0], self.replica.shard.known)
+            state = self.replica.shard.body
+            self.publisher.tell_configuration(end, rest[0], state.revision, state.raw)
         else:
             getattr(self.publisher, kind)(end, *rest)
 
-    def _tell_text(self, link: Any, rid: int, value: Any) -> None:
-        if value is None:
-            return self.publisher.tell_configuration(link, rid, -1, b"")
-        state = shard_state.body(value)
-        self.publisher.tell_configuration(link, rid, state.revision, state.raw)
-
 
 class NodeProcess(Process):
     """A node's shipping `ControlClient`."""
--- a/tests/mesh/test_control_client.py
+++ b/tests/mesh/test_control_client.py
@@ -77,12 +77,59 @@
     for _ in range(100):
         rig.lease(NAMES[0], AGE_MS, 5)
         for _, rid, _ in rig.wires[NAMES[0]].asked()[-1:]:
-            rig.tell(NAMES[0], "folio", rid, -1, b"")
+            rig.tell(NAMES[0], "newest", rid, -1)
         rig.ticks(1)
     assert {message[0] for message in rig.wires[NAMES[0]].asked()} == {"read"}
     assert not rig.node.settled and not rig.texts
 
 
+def read_everywhere(rig: Rig) -> list[int]:
+    """What a node asks on each new link at its start; the numbers of its questions."""
+    for controller in rig.node._controllers.values():
+        rig.node._fetch(controller, "read")
+    return [rig.wires[name].asked()[0][1] for name in NAMES]
+
+
+def test_a_node_that_starts_asks_all_for_the_number_and_one_for_the_text() -> None:
+    """Each of the controllers sent it the whole text."""
+    rig = Rig(NAMES)
+    rids = read_everywhere(rig)
+    rig.tell(NAMES[1], "newest", rids[1], 5)
+    rig.tell(NAMES[0], "newest", rids[0], 5)
+    assert [[how for how, _, _ in rig.wires[name].asked()] for name in NAMES] == [
+        ["read"], ["read", "fetch"], ["read"]
+    ]  # fmt: skip
+    assert not rig.node.settled
+    rig.tell(NAMES[1], "folio", rig.wires[NAMES[1]].asked()[1][1], 5, b"text")
+    assert rig.node.settled and rig.texts == [(5, b"text")]
+
+
+def test_a_text_older_than_the_number_read_does_not_settle_a_node() -> None:
+    """The controller that told the number is gone, and another one has not heard of that revision."""
+    rig = Rig(NAMES)
+    rids = read_everywhere(rig)
+    rig.tell(NAMES[0], "newest", rids[0], 5)
+    rig.node._lost(cast(Any, rig.wires[NAMES[0]]))
+    rig.node._controllers[NAMES[0]].dialling = True
+    for name in NAMES[1:]:
+        rig.lease(name, 100)
+    for revision, settled in ((4, False), (5, True)):
+        rig.node._tick()
+        asked = [wire for wire in (rig.wires[name] for name in NAMES[1:]) if wire.asked()[-1][0] == "fetch"]
+        rid = max(wire.asked()[-1][1] for wire in asked)
+        wire = next(wire for wire in asked if wire.asked()[-1][1] == rid)
+        rig.tell(wire.peer, "folio", rid, revision, b"text")
+        assert rig.node.settled is settled
+
+
+def test_a_node_of_a_mesh_without_a_configuration_is_settled_by_the_number_alone() -> None:
+    rig = Rig(NAMES)
+    rids = read_everywhere(rig)
+    rig.tell(NAMES[2], "newest", rids[2], 0)
+    assert rig.node.settled and not rig.texts
+    assert all(len(wire.asked()) == 1 for wire in rig.wires.values())
+
+
 @pytest.mark.parametrize("age_ms", [AGE_MS, None])
 def test_a_controller_out_of_contact_is_not_asked_while_another_is_in_contact(age_ms: int | None) -> None:
     rig = Rig(NAMES)
