--- a/rehearsal/judge/mesh.py
+++ b/rehearsal/judge/mesh.py
@@ -16,7 +16,8 @@
 
 from rehearsal.judge.books import Books, Finding
 from rehearsal.judge.control_calls import figures as call_figures
-from rehearsal.judge.control_calls import isolated, resent
+from rehearsal.judge.control_calls import isolated, one_answer, resent
+from rehearsal.judge.fresh import fresh
 from rehearsal.judge.orders import acks, config, drain, lost
 from rehearsal.judge.requests import REFUSALS, denied, mixed, refused, route, twice, unasked
 from rehearsal.mesh.configuration import lookup
@@ -115,8 +116,9 @@
 
 RULES: dict[str, Callable[[Books], Finding]] = {
     "mixed": mixed, "unasked": unasked, "twice": twice, "refused": refused, "denied": denied,
-    "route": route, "drain": drain, "lost": lost, "config": config, "acks": acks, "resent": resent,
-    "isolated": isolated, "budget": budget, "recover": recover, "stays_up": stays_up,
+    "route": route, "drain": drain, "lost": lost, "config": config, "fresh": fresh, "acks": acks,
+    "resent": resent, "one_answer": one_answer, "isolated": isolated, "budget": budget,
+    "recover": recover, "stays_up": stays_up,
 }  # fmt: skip
 
 
--- a/rehearsal/judge/orders.py
+++ b/rehearsal/judge/orders.py
@@ -171,7 +171,7 @@
         seen.append((read.t, number))
 
 
-def _handled(books: Books, id: str) -> tuple[float, Callable[[Config, Sent], bool], str] | None:
+def handled(books: Books, id: str) -> tuple[float, Callable[[Config, Sent], bool], str] | None:
     """How a request was handled: when, by what configurations that is allowed, in words."""
     runs = [run for run in books.by_id.get(id, ()) if run.began is not None]
     if runs:
@@ -200,10 +200,10 @@
     wrong = [put for put in books.puts if not put.valid or put.status == 412]
     found = []
     for id, sent in books.sent.items():
-        handled = _handled(books, id)
-        if handled is None:
+        how = handled(books, id)
+        if how is None:
             continue
-        t, allows, words = handled
+        t, allows, words = how
         by = [put.revision for put in valid if put.status != 412 and allows(put.config, sent)]
         found.append((sent, words, by))
         current = books.may_be_in_force(sent.t, books.ended(id))
--- a/rehearsal/mesh/changes.py
+++ b/rehearsal/mesh/changes.py
@@ -29,6 +29,7 @@
 LONG_AGO = 66  # orders since: what remembers some dozens has forgotten such an order
 TO_ISOLATED = 0.3  # of orders, those that go to an isolated controller first
 STEP_MOST = 3
+MANY_AGAIN = 3  # orders from before many changes that are sent again after them, to each controller
 AGAIN = 8  # old orders that are sent again at a day's end
 GONE_FOR = 6  # versions since the route of one was dropped
 
@@ -48,6 +49,7 @@
         self._acked: list[Put] = []
         self._orders: set[asyncio.Task[None]] = set()
         self._going: list[asyncio.Task[None]] = []
+        self._many = False  # many changes in a row are made; the stream waits
         self.isolated: list[Machine] = []  # controllers that are cut off now
 
     def next_number(self) -> int:
@@ -65,8 +67,25 @@
         for task in self._going:
             task.cancel()
         self._going = []
-        if self._orders:
-            await asyncio.wait(set(self._orders))
+        await self._settled()
+
+    async def many(self, count: int, limit_s: float) -> str:
+        """So many changes in a row while there is time, then the last orders from before once more at each
+        controller; how many, in words.
+        """
+        old, acknowledged, until = self._acked[-MANY_AGAIN:], 0, self._scene.now() + limit_s
+        self._many = True
+        try:
+            await self._settled()
+            while acknowledged < count and self._scene.now() < until:
+                number = self.next_number()
+                acknowledged += await self._order(acknowledged % 2, number, "", number, lost=False)
+            for n, order in enumerate(old):
+                for core in self._cores:
+                    await self._operators[n % 2].resend(order, core)
+        finally:
+            self._many = False
+        return f"{acknowledged} in a row"
 
     async def send_again(self) -> None:
         """Some of the acknowledged orders once more, the first and the last of them among these."""
@@ -75,6 +94,11 @@
         for n in chosen:
             await self._operators[n % 2].resend(self._acked[n])
 
+    async def _settled(self) -> None:
+        """Wait for the orders under way."""
+        if self._orders:
+            await asyncio.wait(set(self._orders))
+
     def _draw(self, *what: object, high: float = 1.0) -> float:
         return draws.uniform(self._scene.seed, "changes", *what, high=high)
 
@@ -91,13 +115,14 @@
         while True:
             turn += 1
             await asyncio.sleep(low + self._draw("pause", turn, high=high - low))
-            if len(self._orders) > IN_FLIGHT_MOST - 3:
+            if self._many or len(self._orders) > IN_FLIGHT_MOST - 3:
                 continue
             number, first = self.next_number(), turn % 2
-            self._send(self._order(first, number, "", turn))
+            self._send(self._order(first, number, "", turn, self._lost(turn)))
             if self._draw("race", turn) < RACE:
                 same = self._draw("same", turn) < SAME_NUMBER
-                self._send(self._order(1 - first, number if same else self.next_number(), "b", turn))
+                number = number if same else self.next_number()
+                self._send(self._order(1 - first, number, "b", turn, self._lost(turn, "b")))
             if self._acked and self._draw("again", turn) < RESEND:
                 old = self._acked[self._old(turn)]
                 self._send(self._operators[first].resend(old, self._at(turn, "again")))
@@ -115,17 +140,22 @@
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
 
-    async def _order(self, by: int, number: int, tag: str, turn: int) -> None:
+    def _lost(self, turn: int, tag: str = "") -> bool:
+        """Whether the answer to an order is lost."""
+        return self._draw("lost", turn, tag) < LOST
+
+    async def _order(self, by: int, number: int, tag: str, turn: int, lost: bool) -> bool:
+        """Send a change on top of the newest version; whether it was acknowledged."""
         head, base = self._head, int(self._head["revision_number"])
         config = following(self._day, self._scene.seed, number, head, tag)
-        lost = int(self._draw("lost", turn, tag) < LOST)
         operator = self._operators[by]
-        put = await operator.put(config, base, True, ORDER_S, self._at(turn, tag), lost)
+        put = await operator.put(config, base, True, ORDER_S, self._at(turn, tag), int(lost))
         if put.acked is not None:
             self._acked.append(put)
             self._build_on(config)
         elif (found := await operator.read()) is not None:
             self._build_on(found)
+        return put.acked is not None
 
     def _build_on(self, config: Config) -> None:
         if config["revision_number"] > self._head["revision_number"]:
--- a/rehearsal/mesh/day.py
+++ b/rehearsal/mesh/day.py
@@ -120,7 +120,7 @@
         Day(
             "worst-days",
             "a controller cut off for 20 s under a stream of changes, replacements, wipes, a closing loss",
-            80.0,
+            105.0,
             (),
             bounds=Bounds(recovery_s=6),
             drawn="worst",
@@ -129,7 +129,7 @@
         Day(
             "worst-days-two",
             "the same with 5 controllers, of which two are lost at once",
-            80.0,
+            105.0,
             (),
             cores=5,
             bounds=Bounds(recovery_s=6),
--- a/rehearsal/mesh/facts.py
+++ b/rehearsal/mesh/facts.py
@@ -182,6 +182,8 @@
     status: int  # 0: no answer
     how: str  # answer, or why there was none: timeout, refused, reset, closed, silent, broken
     lost: bool = False  # the kit lost the answer on its way: the operator has heard nothing
+    error: str = ""  # the kind of refusal that the answer names
+    retry_after: str = ""  # when to come back, as the answer says it
 
 
 @dataclass(slots=True)
--- a/rehearsal/mesh/links.py
+++ b/rehearsal/mesh/links.py
@@ -22,6 +22,7 @@
 CHOKED = 64 * 1024  # and that wait for whoever does not read
 MOST_LINES = 4_096  # relayed connections, over all machines
 DIAL_S = 1.0
+BROKEN_S = 0.005  # from the first half of a chunk to the reset, so that the half arrives
 PROBE_S = 0.02  # how often a port that refused is looked at
 BACKLOG = 512
 
@@ -34,6 +35,7 @@
 
     cut: bool = False
     delay_s: float = 0.0
+    broken_chunk: int = 0  # of each connection: the one in whose middle it is reset, from 1; 0: none
 
 
 SOUND = Fault()
@@ -52,6 +54,7 @@
         self._size = 0
         self._over = self._broke = False  # its peer has ended it; by a reset
         self._choked = False  # its peer does not read
+        self._chunks = 0  # read since its direction breaks connections
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -66,6 +69,13 @@
         return self._transport is not None
 
     def data_received(self, data: bytes) -> None:
+        if broken_chunk := self._links.fault(self.pair).broken_chunk:
+            self._chunks += 1
+            if self._chunks > broken_chunk:
+                return  # the reset is on its way
+            if self._chunks == broken_chunk:
+                data = data[: len(data) // 2]
+                self._links.at(self._links.now() + BROKEN_S, self._reset)
         self._held.append((self._links.now() + self._links.fault(self.pair).delay_s, data))
         self._size += len(data)
         if self._size > HELD_MOST and self._transport is not None:
@@ -124,6 +134,12 @@
         if self._over and not self.other.up:
             self._lost()
 
+    def _reset(self) -> None:
+        """Reset both sides."""
+        self.end(True)
+        self.other.end(True)
+        self._lost()
+
     def end(self, reset: bool) -> None:
         """End it at once, as a process that dies does or with a reset."""
         self._over = True
--- a/rehearsal/mesh/operator.py
+++ b/rehearsal/mesh/operator.py
@@ -19,6 +19,17 @@
 READ_EVERY_S = 0.5
 
 
+def error_kind(outcome: Outcome) -> str:
+    """The kind of refusal that an answer names; empty: it names none."""
+    if outcome.how != "answer" or outcome.status < 400:
+        return ""
+    try:
+        found = json.loads(outcome.body)
+    except ValueError:
+        return ""
+    return str(found.get("error", "")) if isinstance(found, dict) else ""
+
+
 class Operator:
     """One of the operators; `name` tells them apart."""
 
@@ -54,6 +65,7 @@
                 0 if order is None else order.revision,
                 "" if order is None else content(order.config),
                 outcome.status if answered else 0, outcome.how, lose and answered,
+                error_kind(outcome), outcome.headers.get("retry-after", ""),
             )
         )  # fmt: skip
         if lose and answered:
--- a/rehearsal/mesh/run.py
+++ b/rehearsal/mesh/run.py
@@ -17,16 +17,20 @@
 from rehearsal.mesh.ask import Scene
 from rehearsal.mesh.changes import Changes
 from rehearsal.mesh.clients import Clients, Platform
+from rehearsal.mesh.closing_deeds import CLOSING_DEEDS
 from rehearsal.mesh.configuration import build
 from rehearsal.mesh.day import KINDS, Day, Machine, Ports, Trouble, machines, ports
-from rehearsal.mesh.deeds import DEEDS, FIRST
+from rehearsal.mesh.deeds import FIRST
 from rehearsal.mesh.facts import Event, Record
+from rehearsal.mesh.link_deeds import LINK_DEEDS
 from rehearsal.mesh.links import Links
 from rehearsal.mesh.operator import Operator
+from rehearsal.mesh.planned_deeds import PLANNED_DEEDS
+from rehearsal.mesh.process_deeds import PROCESS_DEEDS
 from rehearsal.mesh.processes import AGAIN_S, MOST_STARTS, Node
 from rehearsal.mesh.servers import Server
 from rehearsal.mesh.table import UNPLANNED, table
-from rehearsal.mesh.worst_days import WORST
+from rehearsal.mesh.worst_days import WORST_DEEDS
 from rehearsal.world.addresses import Block, NoAddresses, claim
 
 START_S = 10.0  # from the machines' start to the traffic, at most; earlier where all is ready
@@ -36,6 +40,7 @@
 MORE_S = 45.0  # beyond the traffic: a run that has not ended by then is cut off
 OPERATORS = ("operator-1", "operator-2")
 FIRST_PORT, LAST_PORT, STEP = 8140, 12000, 60
+DEEDS = PLANNED_DEEDS | PROCESS_DEEDS | LINK_DEEDS | CLOSING_DEEDS | WORST_DEEDS
 
 
 class CutOff(Exception):
@@ -200,7 +205,7 @@
                 rest = self.scene.now() + self.day.bounds.catch_up_s
 
     async def _play(self, trouble: Trouble) -> None:
-        deed = (DEEDS | WORST)[trouble.do]
+        deed = DEEDS[trouble.do]
         at = self.scene.now()
         event = Event(at, at + trouble.for_s, trouble.do, trouble.whom)
         self.record.facts.append(event)
--- a/rehearsal/mesh/servers.py
+++ b/rehearsal/mesh/servers.py
@@ -3,25 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import deque
 from dataclasses import dataclass
 from random import Random
 
 from rehearsal import draws
-from rehearsal.mesh.ask import LEAST_LEFT_S, Scene, call
+from rehearsal.mesh import call_faults
+from rehearsal.mesh.ask import LEAST_LEFT_S, Scene
+from rehearsal.mesh.call_faults import CallFault
 from rehearsal.mesh.configuration import host, prefix
 from rehearsal.mesh.day import KINDS, Day, Kind, Machine
-from rehearsal.mesh.facts import Arrived, Began, Done, Dropped, Notice, Sent, ServerEnd, Turned, digest
+from rehearsal.mesh.facts import Arrived, Began, Done, Dropped, Sent, ServerEnd, Turned, digest
+from rehearsal.mesh.registration import Registration
 from rehearsal.wire import Address, Request, ServerSide
 
 IDLE_S = 5  # after which a server closes a connection, and says so
 QUEUE = 2  # requests that may wait, for each slot
-COLD_S, COLD = 2.0, 2.0  # how long a server is slow from its start, and how much
+COLD = 2.0  # how much slower a cold server is
+HALF_SENT_S = 0.005  # from half an answer to the reset, so that the half arrives
+SILENT_MORE_S = 0.5  # that a silent call is held beyond its time
 CLOSES = 0.02  # of answers that end their connection
-LEAVE_MORE_S = 0.6  # that a leaving server serves beyond `drain_ms`
-LEAVE_MOST_S = 6.0  # after which it goes without an acknowledgement
-MOST_ACK = 4096  # bytes of an acknowledgement
 BY_NAME = {kind.name: kind for kind in KINDS}
 
 
@@ -35,6 +36,7 @@
     kind: Kind
     ends: float
     task: asyncio.Task[None] | None = None
+    fault: CallFault | None = None
 
 
 class Server:
@@ -46,27 +48,29 @@
         self.address: Address = (machine.ip, scene.ports.application)
         self.slots = day.slots[day.names.index(machine.service.rpartition("-")[0])]
         self.speed = draws.uniform(scene.seed, "speed", machine.name, low=0.8, high=1.25)
-        self.state = "in_service"
+        self.registration = Registration(scene, day, machine, self.id, self.address, self.slots)
+        self.faulty = False  # calls that may not be repeated break off here, by `call_faults`
         self.closed = False
         self._prefixes = {prefix(scene.seed, kind.name): kind for kind in KINDS}
         self._busy: dict[ServerSide, _Job] = {}  # what holds a slot, or a place in the queue
         self._waiting: deque[_Job] = deque()
         self._at_work = 0
         self._connections: dict[ServerSide, float] = {}  # since when each is idle
-        self._sequence = 0
-        self._beat_address: Address | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._born = scene.now()
-        self._left = asyncio.Event()
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self._born = self.scene.now()
+        self.registration.born()
         self._server = await loop.create_server(
             lambda: ServerSide(self._on_request, self._on_lost, self._on_made), *self.address
         )
-        self._task(self._beats())
+        self._task(self.registration.beats())
+
+    @property
+    def state(self) -> str:
+        """Its place in the list: in service, or draining."""
+        return self.registration.state
 
     def _task(self, work: object) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
@@ -127,8 +131,18 @@
             job.ends = now + max(0.0, float(headers.get("time-remaining", "1000"))) / 1000.0
         except ValueError:
             return self._turn(job, 400)
+        if self.faulty and not kind.repeatable:
+            job.fault = call_faults.drawn(self.scene.seed, id)
+        if job.fault is CallFault.RESET_UNRUN:
+            return self._break_off(job)
         self._take(job)
 
+    def _break_off(self, job: _Job) -> None:
+        """Reset its connection; a run under way ends with it."""
+        self._busy.pop(job.connection, None)
+        self.scene.note(Dropped(self.scene.now(), job.n))
+        job.connection.reset()
+
     def _take(self, job: _Job) -> None:
         if self._at_work >= self.slots and len(self._waiting) >= self.slots * QUEUE:
             return self._turn(job, 503)
@@ -176,7 +190,7 @@
     def _work_s(self, job: _Job) -> float:
         id = job.request.headers["attempt-id"]
         drawn = draws.log_normal(job.kind.work_ms / 1000.0, 0.4, self.scene.seed, "work", id)
-        cold = COLD if self.scene.now() - self._born < COLD_S else 1.0
+        cold = COLD if self.registration.cold_s else 1.0
         return drawn * cold / self.speed
 
     async def _run(self, job: _Job) -> None:
@@ -188,10 +202,26 @@
         await asyncio.sleep(max(0.0, min(work / 2.0, job.ends - scene.now())))
         if calls and scene.now() < job.ends and not await self._inner(job, BY_NAME[job.kind.calls]):
             status = 500
+        if job.fault is CallFault.RESET_HALF_RUN:
+            return self._break_off(job)
         await asyncio.sleep(max(0.0, min(work / 2.0, job.ends - scene.now())))
         if scene.now() >= job.ends:
             status = 504
-        self._answer(job, status)
+        if job.fault is None:
+            return self._answer(job, status)
+        if job.fault is CallFault.RESET_IN_ANSWER:
+            self._answer_half(job, status)
+            await asyncio.sleep(HALF_SENT_S)
+        elif job.fault is CallFault.SILENT:
+            await asyncio.sleep(max(0.0, job.ends - scene.now()) + SILENT_MORE_S)
+        self._break_off(job)
+
+    def _answer_half(self, job: _Job, status: int) -> None:
+        """Write the head of an answer and half of its body."""
+        id, body = job.request.headers["attempt-id"], Random(job.n).randbytes(job.kind.size)
+        head = f"HTTP/1.1 {status} -\r\nAttempt-Id: {id}\r\nContent-Length: {len(body)}\r\n\r\n"
+        if not job.connection.transport.is_closing():
+            job.connection.transport.write(head.encode() + body[: len(body) // 2])
 
     async def _inner(self, job: _Job, kind: Kind) -> bool:
         """Ask another service, by the own machine's node; whether it answered."""
@@ -228,61 +258,10 @@
         if leaving:
             connection.transport.close()
 
-    # Its place in the list
-
-    async def _say(self, state: str) -> bool:
-        """One call at its machine's node, or where that told it to; whether it was acknowledged."""
-        scene = self.scene
-        self._sequence += 1
-        own = (self.machine.bind, scene.ports.control)
-        where, at, sequence = self._beat_address or own, scene.now(), self._sequence
-        pool, path = scene.pool(self.machine), f"/orchidferry/instances/{self.id}"
-        if state == "gone":
-            outcome, by = await call(pool, where, "DELETE", path)
-        else:
-            cold = max(0.0, COLD_S - (at - self._born))
-            payload = {
-                "address": f"{self.address[0]}:{self.address[1]}",
-                "information": {"service_name": self.machine.service, "revision_number": "v1",
-                                "zone": self.machine.zone, "capacity": self.slots},
-                "condition": {"state": state, "call_sequence": sequence,
-                              "cold_left_ms": round(cold * 1000.0)},
-            }  # fmt: skip
-            outcome, by = await call(pool, where, "PUT", path, payload)
-        good = outcome.how == "answer" and 200 <= outcome.status < 300 and len(outcome.body) <= MOST_ACK
-        acked = scene.now() if good else None
-        scene.note(Notice(at, self.id, self.machine.name, state, sequence, acked, f"{by[0]}:{by[1]}"))
-        if not good:
-            self._beat_address = None  # it held until a beat failed there
-            return False
-        try:
-            to = json.loads(outcome.body).get("beat_address", "")
-            ip, _, port = to.rpartition(":")
-            self._beat_address = (ip, int(port)) if ip else self._beat_address
-        except (ValueError, AttributeError):
-            pass
-        return True
-
-    async def _beats(self) -> None:
-        every = self.day.beat_ms / 1000.0
-        while self.state == "in_service":
-            good = await self._say("in_service")
-            await asyncio.sleep(every if good else 0.3)
-
-    async def leave(self) -> bool:
-        """Its planned end; whether its leave was acknowledged."""
-        self.state = "draining"
-        pause, until, acked = 0.1, self.scene.now() + LEAVE_MOST_S, False
-        while not acked and self.scene.now() < until:
-            acked = await self._say("draining")
-            if not acked:
-                await asyncio.sleep(pause)
-                pause = min(1.0, pause * 2.0)
-        if acked:
-            await asyncio.sleep(self.day.bounds.drain_ms / 1000.0 + LEAVE_MORE_S)
-        await self._say("gone")
+    async def leave(self) -> None:
+        """Its planned end."""
+        await self.registration.leave()
         self.end()
-        return acked
 
     def end(self) -> None:
         """Close all, at once."""
--- a/rehearsal/mesh/table.py
+++ b/rehearsal/mesh/table.py
@@ -13,7 +13,7 @@
 }  # fmt: skip
 """What may be lost in the middle of a drawn day, and for how long, in seconds."""
 CLOSING = ("after-ack-kill", "after-ack-wipe")
-UNPLANNED = frozenset((*LOSSES, *CLOSING, "isolate"))
+UNPLANNED = frozenset((*LOSSES, *CLOSING, "isolate", "reset-calls"))
 PLANNED = {"change": 3.5, "drain": 6.0}  # each comes once; how long they take, about
 BEGIN_S, END_S = 1.0, 14.0  # of traffic before the first trouble, and from the closing one on
 START_S = 0.6  # that a process takes to come back, about
@@ -50,20 +50,25 @@
 
 
 ISOLATED_S = 20.0  # that controllers are cut off
+MANY_S, RESET_CALLS_S = 12.0, 6.0  # for which changes are made in a row, at most; and calls are broken off
+WORST_S = {"isolate": ISOLATED_S, "many-changes": MANY_S, "reset-calls": RESET_CALLS_S}
+SHORT_S = 0.5  # of the other troubles
 WORST_END_S, AGAIN_END_S = 20.0, 6.0  # from the closing loss, from the last resends to the traffic's end
-WORST_BLOCKS = (("isolate",), ("replace-planned", "wipe"), ("replace", "wipe"))
+WORST_BLOCKS = (
+    ("isolate",), ("replace-planned", "wipe"), ("replace", "wipe"), ("many-changes",), ("reset-calls",),
+)  # fmt: skip
 
 
 def _worst(day: Day, seed: int, seconds: float) -> list[Trouble]:
-    """A stream of changes, and under it an isolation and replacements with a loss right after each, in an
-    order of the seed's; a closing loss; orders sent again after it.
+    """A stream of changes, and under it, in an order of the seed's, an isolation, replacements with a loss
+    right after each, hundreds of changes, calls broken off; a closing loss; orders sent again after it.
     """
     rng = Random(draws.number(seed, "table", day.name))
     blocks = rng.sample(WORST_BLOCKS, len(WORST_BLOCKS))
     found, t = [Trouble(BEGIN_S / seconds, "changes")], BEGIN_S + 0.5
     for block in blocks:
         for do in block:
-            for_s = ISOLATED_S if do == "isolate" else 0.5
+            for_s = WORST_S.get(do, SHORT_S)
             # Distinct times tell two troubles of one kind apart, in what they draw.
             found.append(Trouble(t / seconds, do, for_s=for_s))
             t += for_s + START_S
--- a/rehearsal/mesh/worst_days.py
+++ b/rehearsal/mesh/worst_days.py
@@ -1,4 +1,6 @@
-"""Deeds of the worst days: a stream of changes, and controllers that are isolated under it."""
+"""Deeds of the worst days: a stream of changes, hundreds of them in a row, controllers isolated under it,
+calls that may not be repeated broken off.
+"""
 
 from __future__ import annotations
 
@@ -7,13 +9,18 @@
 
 from rehearsal import draws
 from rehearsal.mesh.day import Machine, Trouble
-from rehearsal.mesh.deeds import Deed, both, harm, live
+from rehearsal.mesh.deeds import Deed, choose, live
+from rehearsal.mesh.link_deeds import both, harm
 from rehearsal.mesh.links import Fault, Pair
 
 if TYPE_CHECKING:
     from rehearsal.mesh.run import Play
 
-RESTARTS = 3  # of nodes, during an isolation
+RELEASE = 0.5  # of isolations during which all nodes are released anew; else some are restarted
+RELEASE_PAUSE_S = 0.5  # from one node's new start to the next one's end
+RESTARTS = 3  # of nodes, during an isolation without a release
+MANY = 300  # changes in a row
+BROKEN_CHUNKS = 2, 4  # which chunk of a connection between nodes is broken in its middle
 WAYS = ("both ways", "to it", "from it")
 TELL = 0.5  # of restarts that begin with SIGTERM in place of a kill
 
@@ -24,6 +31,11 @@
     return ""
 
 
+async def _many_changes(play: Play, trouble: Trouble) -> str:
+    """Changes in a row, each once the one before is acknowledged; then orders from before them again."""
+    return await play.changes.many(MANY, trouble.for_s)
+
+
 async def _send_again(play: Play, trouble: Trouble) -> str:
     """Orders that were acknowledged are sent again."""
     await play.changes.send_again()
@@ -53,11 +65,16 @@
 
 
 async def _isolate(play: Play, trouble: Trouble) -> str:
-    """Controllers are cut off; nodes are started anew meanwhile, some with settings that name these first."""
+    """Controllers are cut off; nodes are started anew meanwhile: all in order, or some at any moment."""
     machines = _isolated(play, trouble)
     pairs, words = _pairs(play, machines)
     play.changes.isolated = machines
-    restarts = [asyncio.ensure_future(_restart(play, machines[0], n, trouble.for_s)) for n in range(RESTARTS)]
+    if draws.uniform(play.seed, "release") < RELEASE:
+        restarts = [asyncio.ensure_future(_release(play, machines[0], trouble.for_s))]
+    else:
+        restarts = [
+            asyncio.ensure_future(_restart(play, machines[0], n, trouble.for_s)) for n in range(RESTARTS)
+        ]
     try:
         await harm(play, "cut", pairs, Fault(cut=True), trouble.for_s)
     finally:
@@ -82,4 +99,58 @@
     return node.machine.name + (" (its first seed isolated)" if node.first_seed else "")
 
 
-WORST: dict[str, Deed] = {"changes": _changes, "isolate": _isolate, "send-again": _send_again}
+async def _release(play: Play, isolated: Machine, for_s: float) -> str:
+    """All nodes in turn are told to end and started anew, while there is time; every other one is told of the
+    isolated controller first.
+    """
+    until, released = play.scene.now() + for_s, 0
+    for number, machine in enumerate(live(play)):
+        if play.scene.now() >= until:
+            break
+        node = play.nodes[machine.name]
+        node.first_seed = isolated if number % 2 == 0 else None
+        await node.stop()
+        await node.start()
+        released += 1
+        await asyncio.sleep(RELEASE_PAUSE_S)
+    return f"a release of {released} nodes"
+
+
+# Calls that may not be repeated
+
+
+def _broken_pairs(play: Play) -> list[Pair]:
+    """One direction, by the seed, of each link between two nodes: requests break off on the connections that
+    its sender has dialled, answers on the others.
+    """
+    names = [machine.name for machine in live(play)]
+    found = []
+    for n, one in enumerate(names):
+        for other in names[n + 1 :]:
+            forth = draws.uniform(play.seed, "broken", one, other) < 0.5
+            found.append((one, other) if forth else (other, one))
+    return found
+
+
+async def _reset_calls(play: Play, trouble: Trouble) -> str:
+    """Servers break off calls that may not be repeated; at first connections between nodes are reset in the
+    middle of what they carry, too.
+    """
+    servers = [server for server in play.servers.values() if not server.closed]
+    low, high = BROKEN_CHUNKS
+    chunk = low + choose(play, trouble, high - low + 1, "chunk")
+    for server in servers:
+        server.faulty = True
+    try:
+        await harm(play, "reset", _broken_pairs(play), Fault(broken_chunk=chunk), trouble.for_s / 2.0)
+        await asyncio.sleep(trouble.for_s / 2.0)
+    finally:
+        for server in servers:
+            server.faulty = False
+    return f"at {len(servers)} servers; between nodes in chunk {chunk}"
+
+
+WORST_DEEDS: dict[str, Deed] = {
+    "changes": _changes, "many-changes": _many_changes, "isolate": _isolate, "reset-calls": _reset_calls,
+    "send-again": _send_again,
+}  # fmt: skip
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -90,6 +90,7 @@
 def clean() -> Scene:
     """A run in which each rule has something to check, and none is broken."""
     run = Scene()
+    run.facts += [Process(9.0, "m3", "killed"), Process(9.5, "m3", "start")]
     run.served("a", 10.0, "feed-read")
     run.served("b", 10.5, "stream-read", "i-3", "m3")
     run.served("k1", 11.0, "episode-publish", "i-2", "m2", "key")
@@ -125,12 +126,13 @@
 
 def control_call(
     t: float, until: float, machine: str, status: int, config: Config | None = None, how: str = "answer",
-    lost: bool = False,
+    lost: bool = False, retry_after: str = "1",
 ) -> ControlCall:  # fmt: skip
     """An operator's call; with no configuration a reading."""
     revision = 0 if config is None else config["revision_number"]
     sent = "" if config is None else content(config)
-    return ControlCall(t, until, "o", machine, revision, sent, status, how, lost)
+    retry_after = retry_after if status == 503 else ""
+    return ControlCall(t, until, "o", machine, revision, sent, status, how, lost, "", retry_after)
 
 
 def called(*what: ControlCall) -> Break:
@@ -211,6 +213,12 @@
         run.run(f"z{n}", 15.4, "i-3")
 
 
+def old_after_start(run: Scene) -> None:
+    """A node that has just been started anew goes by the first version; nothing else binds it yet."""
+    run.facts += [Process(25.5, "m2", "killed"), Process(25.6, "m2", "start")]
+    old_route("z", 25.8)(run)
+
+
 def nothing_served(run: Scene) -> None:
     late = [fact.id for fact in run.facts if isinstance(fact, Sent) and fact.t > 31.5]
     run.facts = [
@@ -267,6 +275,19 @@
     ("isolated", "silence", called(control_call(37.0, 38.0, "core3", 0, how="timeout"))),
     ("isolated", "no connection", called(control_call(37.0, 38.0, "core3", 0, NEW, how="silent"))),
     ("isolated", "it acknowledged", called(control_call(37.0, 37.1, "core3", 200, LATER))),
+    ("isolated", "it does not say when to come back", called(
+        control_call(37.0, 37.1, "core3", 503, retry_after=""))),
+    ("one_answer", "two contents under one number, one unheard", called(
+        control_call(26.0, 26.1, "core", 200, OLD | {"revision_number": 7}, lost=True))),
+    ("one_answer", "two on top of one, one unheard", lambda run: run.facts.extend((
+        Put(20.0, "q", 12, 3, True, LATER, 26.2, None, 0),
+        control_call(26.0, 26.1, "core", 200, LATER, lost=True)))),
+    ("one_answer", "refused, then acknowledged", called(
+        control_call(26.0, 26.1, "core", 412, LATER), control_call(27.0, 27.1, "core2", 200, LATER))),
+    ("one_answer", "refused, and read", lambda run: run.facts.extend((
+        Put(26.0, "q", 12, 7, True, LATER, 27.0, None, 412), control_call(26.0, 26.1, "core", 412, LATER),
+        Read(28.0, LATER, 27.9)))),
+    ("fresh", "an old version after a start", old_after_start),
     ("acks", "a version too late", lambda run: run.facts.append(
         Put(24.0, "q", 12, 7, True, NEW | {"revision_number": 12}, 29.9, 29.9, 200))),
     ("acks", "a first version too late", change_first),
--- a/tests/mesh/test_worst_days.py
+++ b/tests/mesh/test_worst_days.py
@@ -34,19 +34,20 @@
 @pytest.mark.parametrize("day", WORST, ids=[day.name for day in WORST])
 def test_each_table_has_all_its_troubles_and_the_orders_differ(day: Day) -> None:
     drawn = set()
-    for seed in range(60):
+    for seed in range(2400):
         found = table(day, seed, day.seconds)
         assert found == table(day, seed, day.seconds)
         whats = [one.do for one in found]
         assert sorted(whats[1:-2]) == sorted(what for block in WORST_BLOCKS for what in block)
         assert whats[0] == "changes" and whats[-2] in CLOSING and whats[-1] == "send-again"
         assert {one.for_s for one in found if one.do == "isolate"} == {ISOLATED_S}
+        assert found[-2].at * day.seconds >= found[-3].at * day.seconds + found[-3].for_s
         for one, following_one in itertools.pairwise(found):
             gap_s = (following_one.at - one.at) * day.seconds
             planned = one.do in ("replace-planned", "changes", *CLOSING)
             assert gap_s >= one.for_s + (0.0 if planned else day.bounds.catch_up_s)
         drawn.add(tuple(whats))
-    assert len(drawn) == 12  # orders of three blocks, two closing losses
+    assert len(drawn) == 240  # orders of five blocks, two closing losses
 
 
 @pytest.mark.parametrize("day", WORST, ids=[day.name for day in WORST])
