Tests: broken chunks of links, call faults of servers, changes in a row

The kit's new faults had no test of their own. A half direction is broken in its second chunk in virtual time, each call fault is met by one call at a real stand-in server, and changes in a row are followed beside operators that acknowledge all.

--- a/tests/mesh/test_links.py
+++ b/tests/mesh/test_links.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from rehearsal.mesh.day import DAYS, Machine, Ports, machines
-from rehearsal.mesh.links import HELD_MOST, SOUND, Fault, Half, Links
+from rehearsal.mesh.links import BROKEN_S, HELD_MOST, SOUND, Fault, Half, Links
 from rehearsal.mesh.run import free_ports
 from rehearsal.mesh.table import CLOSING, LOSSES, PLANNED, UNPLANNED, table
 from rehearsal.world.addresses import claim
@@ -139,6 +139,22 @@
     assert far.closed and not far.written
 
 
+def test_half_of_a_broken_chunk_is_passed_on_and_both_sides_are_reset() -> None:
+    world, lost = World(), list[int]()
+    one, other = (Half(world, ("a", "b"), lambda: lost.append(1)) for _ in "ab")  # type: ignore[arg-type]
+    one.other, other.other = other, one
+    near, far = Transport(), Transport()
+    one.connection_made(near)  # type: ignore[arg-type]
+    other.connection_made(far)  # type: ignore[arg-type]
+    one.data_received(b"sound ")
+    world.ails = Fault(broken_chunk=2)
+    for chunk in (b"first ", b"second", b"third "):
+        one.data_received(chunk)
+    assert far.written == b"sound first sec" and not far.closed
+    world.pass_on(BROKEN_S)
+    assert near.closed and far.closed and lost and far.written == b"sound first sec"
+
+
 class Echo(asyncio.Protocol):
     made = 0
 
--- a/tests/mesh/test_worst_days.py
+++ b/tests/mesh/test_worst_days.py
@@ -15,17 +15,21 @@
 
 from mesh.control.configuration import check
 from mesh.settings import check_settings
-from rehearsal.mesh.ask import CALL_S, Scene
-from rehearsal.mesh.changes import LONG_AGO, Changes
-from rehearsal.mesh.configuration import MARKERS, build, content, following, lookup, markers
-from rehearsal.mesh.day import DAYS, Day, Trouble, machines, ports
-from rehearsal.mesh.facts import ControlCall, Fact, Put
+from rehearsal.mesh import call_faults, servers
+from rehearsal.mesh.ask import CALL_S, Scene, message
+from rehearsal.mesh.call_faults import CallFault
+from rehearsal.mesh.changes import LONG_AGO, MANY_AGAIN, Changes
+from rehearsal.mesh.configuration import MARKERS, build, content, following, lookup, markers, prefix
+from rehearsal.mesh.day import DAYS, KINDS, Day, Trouble, machines, ports
+from rehearsal.mesh.deeds import FIRST
+from rehearsal.mesh.facts import Arrived, Began, ControlCall, Dropped, Fact, Put, Sent
 from rehearsal.mesh.operator import Operator
 from rehearsal.mesh.processes import SEEDS, settings
 from rehearsal.mesh.run import free_ports
+from rehearsal.mesh.servers import Server
 from rehearsal.mesh.table import CLOSING, ISOLATED_S, WORST_BLOCKS, table
 from rehearsal.mesh.worst_days import _isolated, _pairs
-from rehearsal.wire import Request, ServerSide
+from rehearsal.wire import AskerSide, Outcome, Request, ServerSide
 from rehearsal.world.addresses import claim
 
 WORST = [day for day in DAYS.values() if day.drawn == "worst"]
@@ -129,13 +133,13 @@
                 return ServerSide(asked, lambda _: None, lambda _: None)
 
             loop = asyncio.get_running_loop()
-            servers = [await loop.create_server(side, one.ip, places.control) for one in cores]
+            listeners = [await loop.create_server(side, one.ip, places.control) for one in cores]
             scene = Scene(7, places, facts.append, time.monotonic())
             operator = Operator(scene, cores, "operator-1", f"127.{block.number}.200.1")
             put = await operator.put(config, 3, True, 10.0, cores[2], lost=1)
             await operator.resend(put, cores[1])
-            for server in servers:
-                server.close()
+            for listener in listeners:
+                listener.close()
             return put
 
     put = asyncio.run(main())
@@ -146,3 +150,72 @@
     assert {call.content for call in calls} == {content(config)}
     assert [fact for fact in facts if isinstance(fact, Put)] == [put]
     assert put.acked is not None and put.acked - put.t >= CALL_S and put.status == 200
+
+
+def test_many_changes_build_on_each_other_and_older_orders_are_sent_again_everywhere() -> None:
+    day, resent = DAYS["worst-days"], list[tuple[int, str]]()
+    orders = list[tuple[int, int]]()
+
+    class Acknowledging:
+        async def put(self, config: Any, base: int, *_: Any) -> Put:
+            orders.append((base, config["revision_number"]))
+            return Put(0.0, "o", config["revision_number"], base, True, config, 0.0, 0.0, 200)
+
+        async def resend(self, order: Put, at: Any) -> None:
+            resent.append((order.revision, at.name))
+
+    async def main() -> str:
+        scene: Any = SimpleNamespace(seed=7, now=lambda: 0.0)
+        operators: Any = (Acknowledging(), Acknowledging())
+        nobody: Any = None
+        cores, _ = machines(day, 64, 7)
+        changes = Changes(scene, day, cores, operators, nobody, nobody)
+        await changes.many(MANY_AGAIN, 1.0)
+        return await changes.many(200, 1.0)
+
+    assert asyncio.run(main()) == "200 in a row"
+    assert len(orders) == 200 + MANY_AGAIN and orders[0][0] == FIRST
+    assert all(before[1] == after[0] < after[1] for before, after in itertools.pairwise(orders))
+    assert {revision for revision, _ in resent} == {revision for _, revision in orders[:MANY_AGAIN]}
+    assert len(resent) == len(set(resent)) == MANY_AGAIN * day.cores
+
+
+@pytest.mark.parametrize("fault", CallFault)
+def test_a_faulty_server_breaks_off_calls_that_may_not_be_repeated(
+    fault: CallFault, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What it did is in the record, and nobody hears a whole answer."""
+    monkeypatch.setattr(servers, "SILENT_MORE_S", 0.0)
+    day, facts = DAYS["worst-days"], list[Fact]()
+    id = next(id for id in map(str, range(1000)) if call_faults.drawn(7, id) is fault)
+    charge = next(kind for kind in KINDS if kind.route_type == "non_idempotent")
+
+    async def main() -> list[Outcome]:
+        block, held = claim()
+        with contextlib.closing(held):
+            machine = machines(day, block.number, 7)[1][0]
+            scene = Scene(7, free_ports([machine.ip]), facts.append, time.monotonic())
+            server = Server(scene, day, machine)
+            server.faulty = True
+            await server.start()
+            outcomes = []
+            for route in (charge, KINDS[0]):
+                sent = Sent(
+                    scene.now(), id if route is charge else "read", route.name, machine.name, "h",
+                    "POST" if route is charge else "GET", f"{prefix(7, route.name)}x", "", "",
+                    route.repeatable, scene.now() + (0.05 if route is charge else 1.0), id, 0.0,
+                )  # fmt: skip
+                connection = await scene.pool(machine).connection(server.address)
+                assert isinstance(connection, AskerSide)
+                asked = connection.ask(sent.id, message(sent, scene.now(), b"", False))
+                outcomes.append(await asked)
+            server.end()
+            scene.close()
+            return outcomes
+
+    broken, sound = asyncio.run(main())
+    assert sound.how == "answer" and sound.status == 200
+    assert broken.how == ("broken" if fault is CallFault.RESET_IN_ANSWER else "reset")
+    number = next(fact.n for fact in facts if isinstance(fact, Arrived) and fact.id == id)
+    own = [type(fact) for fact in facts if getattr(fact, "n", None) == number]
+    assert own == [Arrived, Dropped] if fault is CallFault.RESET_UNRUN else [Arrived, Began, Dropped]
