--- a/rehearsal/judge/books.py
+++ b/rehearsal/judge/books.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from rehearsal.judge.touch import ALL, out_of_touch
+from rehearsal.mesh.configuration import RouteTable, Rule
 from rehearsal.mesh.facts import (
     Answered,
     Arrived,
@@ -94,6 +95,11 @@
         )
         acked = [put for put in self.puts if put.acked is not None]
         self.acked = sorted(acked, key=lambda put: put.revision)
+        self._routes = {id(put): RouteTable(put.config) for put in self.puts}
+
+    def rule(self, put: Put, sent: Sent) -> Rule | None:
+        """The route that a version has for a request; None: it has none."""
+        return self._routes[id(put)].find(sent.host, sent.path)
 
     def _put(self, fact: Fact) -> None:
         match fact:
--- a/rehearsal/judge/fresh.py
+++ b/rehearsal/judge/fresh.py
@@ -34,7 +34,7 @@
             put for put in books.puts
             if put.valid and put.status != 412 and put.revision >= floor and put.t <= books.ended(id)
         ]  # fmt: skip
-        if not any(allows(put.config, sent) for put in versions):
+        if not any(allows(put, sent) for put in versions):
             since = sent.t - lives[life - 1]
             at = f"at {sent.machine}, {since:.1f} s after its start"
             books.broke(finding, t, id, f"{words} {at}, as no version from {floor} on has it")
--- a/rehearsal/judge/mesh.py
+++ b/rehearsal/judge/mesh.py
@@ -20,7 +20,6 @@
 from rehearsal.judge.fresh import fresh
 from rehearsal.judge.orders import acks, config, drain, lost
 from rehearsal.judge.requests import REFUSALS, denied, mixed, refused, route, twice, unasked
-from rehearsal.mesh.configuration import lookup
 from rehearsal.mesh.day import PROBE
 from rehearsal.mesh.facts import (
     Answered,
@@ -48,7 +47,7 @@
     for sent in books.sent.values():
         services: set[str] = set()
         for put in books.may_be_in_force(sent.t, sent.t):
-            rule = lookup(put.config, sent.host, sent.path)
+            rule = books.rule(put, sent)
             services |= rule.services if rule is not None else set()
         for service in services:
             asked[service].append(sent.t)
--- a/rehearsal/judge/orders.py
+++ b/rehearsal/judge/orders.py
@@ -8,7 +8,7 @@
 
 from rehearsal.judge.books import Books, Finding
 from rehearsal.judge.touch import ALL
-from rehearsal.mesh.configuration import Config, lookup, routes
+from rehearsal.mesh.configuration import routes
 from rehearsal.mesh.facts import (
     Answered,
     Cut,
@@ -171,20 +171,20 @@
         seen.append((read.t, number))
 
 
-def handled(books: Books, id: str) -> tuple[float, Callable[[Config, Sent], bool], str] | None:
+def handled(books: Books, id: str) -> tuple[float, Callable[[Put, Sent], bool], str] | None:
     """How a request was handled: when, by what configurations that is allowed, in words."""
     runs = [run for run in books.by_id.get(id, ()) if run.began is not None]
     if runs:
         services = {run.arrived.service for run in runs}
 
-        def ran(one: Config, sent: Sent) -> bool:
-            rule = lookup(one, sent.host, sent.path)
+        def ran(put: Put, sent: Sent) -> bool:
+            rule = books.rule(put, sent)
             return rule is not None and services <= rule.services
 
         return runs[0].began or 0.0, ran, f"run by {', '.join(sorted(services))}"
     end = books.ends.get(id)
     if isinstance(end, Answered) and end.status == 404:
-        return end.t, lambda one, sent: lookup(one, sent.host, sent.path) is None, "refused with 404"
+        return end.t, lambda put, sent: books.rule(put, sent) is None, "refused with 404"
     return None
 
 
@@ -204,15 +204,15 @@
         if how is None:
             continue
         t, allows, words = how
-        by = [put.revision for put in valid if put.status != 412 and allows(put.config, sent)]
+        by = [put.revision for put in valid if put.status != 412 and allows(put, sent)]
         found.append((sent, words, by))
         current = books.may_be_in_force(sent.t, books.ended(id))
         if current and books.in_touch(sent.t, t, sent.machine):
             finding.checked += 1
-            if not any(allows(put.config, sent) for put in current):
+            if not any(allows(put, sent) for put in current):
                 old = [put.revision for put in current]
                 books.broke(finding, t, id, f"{words} at {sent.machine}, as none of versions {old} has it")
-        if not by and any(allows(put.config, sent) for put in wrong):
+        if not by and any(allows(put, sent) for put in wrong):
             books.broke(finding, t, id, f"{words}, as only a configuration that was refused has it")
         if by and books.by_id.get(id) and by[0] > valid[0].revision:
             effects[sent.machine].append((t, by[0]))
--- a/rehearsal/judge/requests.py
+++ b/rehearsal/judge/requests.py
@@ -6,7 +6,6 @@
 from collections import defaultdict
 
 from rehearsal.judge.books import Books, Finding, Run
-from rehearsal.mesh.configuration import lookup
 from rehearsal.mesh.facts import (
     Answered,
     Sent,
@@ -126,7 +125,7 @@
         if any(run.done is not None and run.done.status == end.status for run in books.by_id.get(id, ())):
             continue  # the server's own
         versions = books.may_be_in_force(sent.t, end.t)
-        allowed = versions and all(lookup(put.config, sent.host, sent.path) for put in versions)
+        allowed = versions and all(books.rule(put, sent) for put in versions)
         if allowed and books.in_touch(sent.t, end.t, sent.machine):
             found.append((end, id))
     if len(found) > MOST_OWN + finding.checked / 500.0:
@@ -145,7 +144,7 @@
             books.broke(finding, got.t, got.id, f"server {got.server} ran what was meant for {got.target}")
         if sent is None:
             continue  # rule `unasked`
-        rules = [lookup(put.config, sent.host, sent.path) for put in books.puts]
+        rules = (books.rule(put, sent) for put in books.puts)
         if not any(rule is not None and got.service in rule.services for rule in rules):
             books.broke(finding, got.t, got.id, f"no configuration ever let it go to {got.service}")
     return finding
--- a/rehearsal/mesh/configuration.py
+++ b/rehearsal/mesh/configuration.py
@@ -98,23 +98,35 @@
     return config | {"revision_number": revision, "access_points": [point | {"rule_set": rules}]}
 
 
-def lookup(config: Config, name: str, path: str) -> Rule | None:
-    """The route of a request: of that host, the longest prefix that begins its path."""
-    best: dict[str, Any] | None = None
-    for point in config["access_points"]:
-        if point["host_name"] != name:
-            continue
-        for rule in point["rule_set"]:
-            begins = rule["criteria"]["path_prefix"]
-            longer = best is None or len(begins) > len(best["criteria"]["path_prefix"])
-            if path.startswith(begins) and longer:
-                best = rule
-    if best is None:
+class RouteTable:
+    """The routes of one configuration, for many look-ups."""
+
+    def __init__(self, config: Config) -> None:
+        self._by_host: dict[str, list[tuple[str, Rule]]] = {}
+        for point in config["access_points"]:
+            rules = self._by_host.setdefault(point["host_name"], [])
+            rules += [(rule["criteria"]["path_prefix"], _rule(rule)) for rule in point["rule_set"]]
+        for rules in self._by_host.values():
+            rules.sort(key=lambda one: -len(one[0]))  # stable: of two alike the first counts
+
+    def find(self, name: str, path: str) -> Rule | None:
+        """The route of a request: of that host, the longest prefix that begins its path."""
+        for prefix, rule in self._by_host.get(name, ()):
+            if path.startswith(prefix):
+                return rule
         return None
-    to = best["treatment"]
+
+
+def _rule(rule: dict[str, Any]) -> Rule:
+    to = rule["treatment"]
     split = to.get("weighted_split")
     services = [part["service_name"] for part in split] if split else [to["service_name"]]
-    return Rule(frozenset(services), best["route_type"])
+    return Rule(frozenset(services), rule["route_type"])
+
+
+def lookup(config: Config, name: str, path: str) -> Rule | None:
+    """The route of one request in a configuration."""
+    return RouteTable(config).find(name, path)
 
 
 def content(config: Config) -> str:
--- a/rehearsal/mesh/day.py
+++ b/rehearsal/mesh/day.py
@@ -1,6 +1,6 @@
 """What a day on the mesh is made of: machines, services, kinds of request, and a table of troubles. Pure.
 
-A new scenario is an entry of `DAYS`; `deeds.py` has what a trouble may name.
+A new scenario is an entry of `DAYS`; `DEEDS` of `run.py` has what a trouble may name.
 """
 
 from __future__ import annotations
