--- a/rehearsal/judge/orders.py
+++ b/rehearsal/judge/orders.py
@@ -197,6 +197,7 @@
         if fact.what == "start":
             lives[fact.machine].append(fact.t)
     valid = sorted((put for put in books.puts if put.valid), key=lambda put: put.revision)
+    proper = [put for put in valid if put.status != 412]
     wrong = [put for put in books.puts if not put.valid or put.status == 412]
     found = []
     for id, sent in books.sent.items():
@@ -204,26 +205,28 @@
         if how is None:
             continue
         t, allows, words = how
-        by = [put.revision for put in valid if put.status != 412 and allows(put, sent)]
-        found.append((sent, words, by))
+        oldest = next((put.revision for put in proper if allows(put, sent)), None)
+        newest = next((put.revision for put in reversed(proper) if allows(put, sent)), None)
+        if newest is not None:
+            found.append((sent, words, newest))
         current = books.may_be_in_force(sent.t, books.ended(id))
         if current and books.in_touch(sent.t, t, sent.machine):
             finding.checked += 1
             if not any(allows(put, sent) for put in current):
                 old = [put.revision for put in current]
                 books.broke(finding, t, id, f"{words} at {sent.machine}, as none of versions {old} has it")
-        if not by and any(allows(put, sent) for put in wrong):
+        if oldest is None and any(allows(put, sent) for put in wrong):
             books.broke(finding, t, id, f"{words}, as only a configuration that was refused has it")
-        if by and books.by_id.get(id) and by[0] > valid[0].revision:
-            effects[sent.machine].append((t, by[0]))
+        if oldest is not None and books.by_id.get(id) and oldest > valid[0].revision:
+            effects[sent.machine].append((t, oldest))
     for machine, seen in effects.items():
         seen.sort()
-        for sent, words, by in found:
-            if sent.machine != machine or not by:
+        for sent, words, newest in found:
+            if sent.machine != machine:
                 continue
             life = max((t for t in lives[machine] if t <= sent.t), default=-math.inf)
             known = [version for t, version in seen if life <= t < sent.t - slack]
-            if known and max(by) < max(known):
+            if known and newest < max(known):
                 books.broke(finding, sent.t, sent.id, f"{words}, though {machine} was at {max(known)} before")
 
 
