Rehearsal: one set of tasks in place of four

Clients, servers, links and a run each kept their tasks in a set of their own, with three type ignores. They share TaskSet now; a run's hears what a task raised.

--- a/rehearsal/judge/touch.py
+++ b/rehearsal/judge/touch.py
@@ -44,7 +44,7 @@
         }
         for pair in harm.links:
             for machine, other in (pair, pair[::-1]):
-                # A cut counts where it is from a keeper that reaches over half of the core.
+                # A cut counts where it is from a controller that reaches over half of the core.
                 if machine in mine and (harm.what != "cut" or other in core - apart):
                     found[machine].append((harm.t, harm.until + contact_s))
     return found
--- a/rehearsal/mesh/clients.py
+++ b/rehearsal/mesh/clients.py
@@ -12,6 +12,7 @@
 from rehearsal.mesh.configuration import NEVER, NEW, OLD, host, prefix
 from rehearsal.mesh.day import KINDS, PROBE, Kind, Machine
 from rehearsal.mesh.facts import Ready, Sent, digest
+from rehearsal.mesh.tasks import TaskSet
 from rehearsal.wire import Outcome, get
 
 PROBE_S, MISSES = 1.0, 2  # how often readiness is asked for, and how many misses take a machine out
@@ -87,7 +88,7 @@
     ) -> None:
         self._scene, self._platform, self._again_s = scene, platform, again_s
         self._arrivals = arrivals(scene.seed, seconds)
-        self._open: set[asyncio.Task[None]] = set()
+        self._open = TaskSet()
         self._probes = 0
         self.counts = Counter[str]()
 
@@ -97,21 +98,14 @@
             wait = start + arrival.t - self._scene.now()
             if wait > 0:
                 await asyncio.sleep(wait)
-            self._spawn(self._client(arrival, start + arrival.t))
+            self._open.spawn(self._client(arrival, start + arrival.t))
 
     async def rest(self, limit_s: float) -> None:
         """Wait for what is open."""
-        if self._open:
-            await asyncio.wait(set(self._open), timeout=limit_s)
+        await self._open.wait(limit_s)
 
     def close(self) -> None:
-        for task in set(self._open):
-            task.cancel()
-
-    def _spawn(self, work: object) -> None:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
-        self._open.add(task)
-        task.add_done_callback(self._open.discard)
+        self._open.cancel()
 
     def _machine(self, name: str, beside: Machine | None = None) -> Machine | None:
         there = [m for m in self._platform.there() if beside is None or m.name != beside.name]
@@ -182,7 +176,7 @@
                     host(scene.seed), "GET", f"{path}{root}", digest(b""), "", True, now + 2.0, root, now,
                     owed=False,
                 )  # fmt: skip
-                self._spawn(self._probe(machine, sent))
+                self._open.spawn(self._probe(machine, sent))
 
     async def _probe(self, machine: Machine, sent: Sent) -> None:
         await self._scene.ask(machine, sent, b"", False, False)
--- a/rehearsal/mesh/links.py
+++ b/rehearsal/mesh/links.py
@@ -16,6 +16,7 @@
 from typing import cast
 
 from rehearsal.mesh.day import Machine, Ports
+from rehearsal.mesh.tasks import TaskSet
 from rehearsal.wire import ABORT
 
 HELD_MOST = 256 * 1024  # bytes that one direction of a connection holds; past that its sender is not read
@@ -178,7 +179,7 @@
         if not self._dialled:
             if not any(self.links.fault(half.pair).cut for half in (self.near, self.far)):
                 self._dialled = True
-                self.links.spawn(self._dial())
+                self.links.tasks.spawn(self._dial())
             return
         self.near.flush()
         self.far.flush()
@@ -219,7 +220,7 @@
             self._server.close()
             self._server = None
         if not self._closed and (self._probing is None or self._probing.done()):
-            self._probing = self.links.spawn(self._probe())
+            self._probing = self.links.tasks.spawn(self._probe())
 
     async def _probe(self) -> None:
         loop = asyncio.get_running_loop()
@@ -253,7 +254,7 @@
         self._doors: dict[str, list[Door]] = {}
         self.lines: set[Line] = set()
         self._faults: dict[Pair, Fault] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.tasks = TaskSet()
 
     def now(self) -> float:
         """The loop's clock, in seconds."""
@@ -263,12 +264,6 @@
         """Have it called at that time of this clock."""
         return self._loop.call_at(due, then)
 
-    def spawn(self, work: object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = self._loop.create_task(work)  # type: ignore[arg-type]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def add(self, machine: Machine) -> None:
         """Relay to a machine from when its process listens."""
         self.names[machine.bind] = machine.name
@@ -317,5 +312,4 @@
                 door.close()
         for line in list(self.lines):
             line.end(False)
-        for task in set(self._tasks):
-            task.cancel()
+        self.tasks.cancel()
--- a/rehearsal/mesh/run.py
+++ b/rehearsal/mesh/run.py
@@ -30,6 +30,7 @@
 from rehearsal.mesh.processes import AGAIN_S, MOST_STARTS, Node
 from rehearsal.mesh.servers import Server
 from rehearsal.mesh.table import UNPLANNED, table
+from rehearsal.mesh.tasks import TaskSet
 from rehearsal.mesh.worst_days import WORST_DEEDS
 from rehearsal.world.addresses import Block, NoAddresses, claim
 
@@ -115,7 +116,7 @@
             self.scene, day, self.cores, (self.operator, self.other), self.clients, self.spawn
         )
         self.cut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet(self._failed)
         self._closing = False
 
     def add(self, machine: Machine, founds: bool) -> Node:
@@ -140,15 +141,10 @@
         async def run() -> None:
             await work
 
-        task = asyncio.get_running_loop().create_task(run())
-        self._tasks.add(task)
-        task.add_done_callback(self._over)
-        return task
+        return self._tasks.spawn(run())
 
-    def _over(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (problem := task.exception()) is not None:
-            self.cut_off(f"the kit failed: {problem!r:.200}")
+    def _failed(self, problem: BaseException) -> None:
+        self.cut_off(f"the kit failed: {problem!r:.200}")
 
     def _died(self, node: Node, status: int) -> None:
         """A process ended by itself: it is started again, as the platform does."""
@@ -242,8 +238,7 @@
         self._closing = True
         self.progress.phase = "ending"
         self.clients.close()
-        for task in set(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for server in self.servers.values():
             server.end()
         await asyncio.gather(*(node.stop() for node in self.nodes.values()), return_exceptions=True)
--- a/rehearsal/mesh/servers.py
+++ b/rehearsal/mesh/servers.py
@@ -15,6 +15,7 @@
 from rehearsal.mesh.day import KINDS, Day, Kind, Machine
 from rehearsal.mesh.facts import Arrived, Began, Done, Dropped, Sent, ServerEnd, Turned, digest
 from rehearsal.mesh.registration import Registration
+from rehearsal.mesh.tasks import TaskSet
 from rehearsal.wire import Address, Request, ServerSide
 
 IDLE_S = 5  # after which a server closes a connection, and says so
@@ -57,7 +58,7 @@
         self._at_work = 0
         self._connections: dict[ServerSide, float] = {}  # since when each is idle
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -65,19 +66,13 @@
         self._server = await loop.create_server(
             lambda: ServerSide(self._on_request, self._on_lost, self._on_made), *self.address
         )
-        self._task(self.registration.beats())
+        self._tasks.spawn(self.registration.beats())
 
     @property
     def state(self) -> str:
         """Its place in the list: in service, or draining."""
         return self.registration.state
 
-    def _task(self, work: object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     # Connections
 
     def _on_made(self, connection: ServerSide) -> None:
@@ -158,7 +153,7 @@
                 self._turn(job, 503)
                 continue
             self._at_work += 1
-            job.task = self._task(self._serve(job))
+            job.task = self._tasks.spawn(self._serve(job))
 
     def _turn(self, job: _Job, status: int) -> None:
         """Say that it has not run, and never will."""
@@ -273,7 +268,4 @@
             self._server.close()
         for connection in list(self._connections):
             connection.transport.abort()
-        mine = asyncio.current_task()
-        for task in list(self._tasks):
-            if task is not mine:
-                task.cancel()
+        self._tasks.cancel()
