--- a/rehearsal/mesh/command.py
+++ b/rehearsal/mesh/command.py
@@ -19,7 +19,8 @@
 from rehearsal.mesh import seeds
 from rehearsal.mesh.day import DAYS, Day
 from rehearsal.mesh.processes import missing
-from rehearsal.mesh.run import Played, Progress, play
+from rehearsal.mesh.run import Progress
+from rehearsal.mesh.session import Played, play
 from rehearsal.report.tables import CLASS_HEAD, percent
 from rehearsal.usage import Usage, kept_folder
 from rehearsal.world.addresses import NoAddresses
--- a/rehearsal/mesh/run.py
+++ b/rehearsal/mesh/run.py
@@ -1,17 +1,12 @@
-"""One run on the mesh from beginning to end, bounded in time; all processes end with it, come what may."""
+"""A day being played on the mesh: all of the kit's parts in a run, its course and its end."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import gc
-import shutil
-import signal
 import socket
-import tempfile
 import time
 from collections.abc import Awaitable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from rehearsal.mesh.ask import Scene
@@ -32,13 +27,12 @@
 from rehearsal.mesh.table import UNPLANNED, table
 from rehearsal.mesh.tasks import TaskSet
 from rehearsal.mesh.worst_days import WORST_DEEDS
-from rehearsal.world.addresses import Block, NoAddresses, claim
+from rehearsal.world.addresses import Block, NoAddresses
 
 START_S = 10.0  # from the machines' start to the traffic, at most; earlier where all is ready
 LEAD_S = 3.0  # after that: servers have said that they are warm
 TICK_S = 0.02
 REST_S = 6.0  # for what is open after the last arrival
-MORE_S = 45.0  # beyond the traffic: a run that has not ended by then is cut off
 OPERATORS = ("operator-1", "operator-2")
 FIRST_PORT, LAST_PORT, STEP = 8140, 12000, 60
 DEEDS = PLANNED_DEEDS | PROCESS_DEEDS | LINK_DEEDS | CLOSING_DEEDS | WORST_DEEDS
@@ -59,16 +53,6 @@
     now: str = ""
 
 
-@dataclass
-class Played:
-    """A run's record, and what the kernel said of its processes."""
-
-    record: Record
-    interrupted: bool = False
-    usage: dict[str, tuple[float, float]] = field(default_factory=dict)  # CPU seconds, most MB, by machine
-    notes: list[str] = field(default_factory=list)
-
-
 def free_ports(ips: list[str]) -> Ports:
     """Ports that nobody has, at all of these addresses."""
     for base in range(FIRST_PORT, LAST_PORT, STEP):
@@ -249,60 +233,3 @@
         """Whatever is still there."""
         for node in self.nodes.values():
             node.kill("killed")
-
-
-async def play(day: Day, seed: int, seconds: float, progress: Progress, keep: Path | None = None) -> Played:
-    """Play a day once. SIGINT and SIGTERM end it early; what was seen until then is judged."""
-    block, held = claim()
-    folder = Path(tempfile.mkdtemp(prefix="orchidferry-mesh-")) if keep is None else keep
-    loop = asyncio.get_running_loop()
-    caught: list[int] = []
-    the: Play | None = None
-    try:
-        the = Play(day, seed, seconds, block, folder, progress)
-        found = the.record
-
-        def signalled(number: int) -> None:
-            caught.append(number)
-            assert the is not None
-            the.cut_off(f"stopped by {signal.Signals(number).name}")
-
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, signalled, number)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 50, 100)  # the record only grows: looking through it again stops the run
-        work: asyncio.Task[object] = loop.create_task(the.whole())
-        cut = loop.create_task(the.until_cut())
-        most = seconds + MORE_S
-        done, _ = await asyncio.wait([work, cut], timeout=most, return_when=asyncio.FIRST_COMPLETED)
-        found.end = found.end or the.scene.now()
-        why = "" if work in done else "it did not come to its end"
-        if work not in done and cut in done:
-            why = str(cut.result())
-        cut.cancel()
-        work.cancel()
-        try:
-            await work
-        except CutOff as reason:
-            why = str(reason)
-        except asyncio.CancelledError:
-            pass
-        found.complete, found.why = not why, why
-        # What the mesh does of being ended is seen, but what clients see of it is not judged.
-        await asyncio.wait_for(the.close(), day.bounds.grace_s + 4.0)
-        usage = {name: (node.cpu_s, node.most_mb) for name, node in the.nodes.items()}
-        if keep is not None:
-            (keep / "record.jsonl").write_text(found.lines())
-        notes = [f"{name}: {line[:200]}" for name, node in the.nodes.items() for line in node.tail(200)
-                 if "Traceback" in line or "ERROR" in line]  # fmt: skip
-        return Played(found, bool(caught), usage, notes)
-    finally:
-        if the is not None:
-            the.kill()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.remove_signal_handler(number)
-        with contextlib.suppress(OSError):
-            held.close()
-        if keep is None:
-            shutil.rmtree(folder, ignore_errors=True)
--- a/rehearsal/mesh/seeds.py
+++ b/rehearsal/mesh/seeds.py
@@ -11,7 +11,7 @@
 from rich.console import Console
 
 from rehearsal.judge.mesh import Verdict, as_json
-from rehearsal.mesh.run import Played
+from rehearsal.mesh.session import Played
 from rehearsal.report.tables import percent
 
 MOST = 1_000
--- /dev/null
+++ b/rehearsal/mesh/session.py
@@ -0,0 +1,116 @@
+"""One run on the mesh from beginning to end, bounded in time; all processes end with it, come what may."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import shutil
+import signal
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from rehearsal.mesh.day import Day
+from rehearsal.mesh.facts import Record
+from rehearsal.mesh.run import CutOff, Play, Progress
+from rehearsal.world.addresses import claim
+
+MORE_S = 45.0  # beyond the traffic: a run that has not ended by then is cut off
+CLOSE_S = 4.0  # beyond their grace, in which all processes have been ended
+SIGNALS = (signal.SIGINT, signal.SIGTERM)
+LOG_LINES, LINE_MOST = 200, 200  # of a process's log that are looked through; characters of one that is told
+
+
+@dataclass
+class Played:
+    """A run's record, and what the kernel said of its processes."""
+
+    record: Record
+    interrupted: bool = False
+    usage: dict[str, tuple[float, float]] = field(default_factory=dict)  # CPU seconds, most MB, by machine
+    notes: list[str] = field(default_factory=list)
+
+
+async def play(day: Day, seed: int, seconds: float, progress: Progress, keep: Path | None = None) -> Played:
+    """Play a day once. SIGINT and SIGTERM end it early; what was seen until then is judged."""
+    block, held = claim()
+    folder = Path(tempfile.mkdtemp(prefix="orchidferry-mesh-")) if keep is None else keep
+    run: Play | None = None
+    try:
+        run = Play(day, seed, seconds, block, folder, progress)
+        with _cut_off_by_signals(run) as caught:
+            _collect_seldom()
+            why = await _course(run, seconds + MORE_S)
+            run.record.complete, run.record.why = not why, why
+            # What the mesh does of being ended is seen, but what clients see of it is not judged.
+            await asyncio.wait_for(run.close(), day.bounds.grace_s + CLOSE_S)
+        if keep is not None:
+            (keep / "record.jsonl").write_text(run.record.lines())
+        usage = {name: (node.cpu_s, node.most_mb) for name, node in run.nodes.items()}
+        return Played(run.record, bool(caught), usage, _problems_logged(run))
+    finally:
+        if run is not None:
+            run.kill()
+        with contextlib.suppress(OSError):
+            held.close()
+        if keep is None:
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+@contextlib.contextmanager
+def _cut_off_by_signals(run: Play) -> Iterator[list[int]]:
+    """Have a run cut off by these signals; yields those that came."""
+    loop = asyncio.get_running_loop()
+    caught: list[int] = []
+
+    def signalled(number: int) -> None:
+        caught.append(number)
+        run.cut_off(f"stopped by {signal.Signals(number).name}")
+
+    for number in SIGNALS:
+        loop.add_signal_handler(number, signalled, number)
+    try:
+        yield caught
+    finally:
+        for number in SIGNALS:
+            loop.remove_signal_handler(number)
+
+
+def _collect_seldom() -> None:
+    """The record only grows: looking through it again would stop the run."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 50, 100)
+
+
+async def _course(run: Play, most_s: float) -> str:
+    """Play all of it; why it did not come to its end, or nothing."""
+    loop = asyncio.get_running_loop()
+    work: asyncio.Task[object] = loop.create_task(run.whole())
+    cut = loop.create_task(run.until_cut())
+    done, _ = await asyncio.wait([work, cut], timeout=most_s, return_when=asyncio.FIRST_COMPLETED)
+    run.record.end = run.record.end or run.scene.now()
+    why = "" if work in done else "it did not come to its end"
+    if work not in done and cut in done:
+        why = str(cut.result())
+    cut.cancel()
+    work.cancel()
+    try:
+        await work
+    except CutOff as reason:
+        why = str(reason)
+    except asyncio.CancelledError:
+        pass
+    return why
+
+
+def _problems_logged(run: Play) -> list[str]:
+    """Lines of processes' logs that tell of an exception."""
+    return [
+        f"{name}: {line[:LINE_MOST]}"
+        for name, node in run.nodes.items()
+        for line in node.tail(LOG_LINES)
+        if "Traceback" in line or "ERROR" in line
+    ]
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -33,7 +33,7 @@
     ServerEnd,
     Turned,
 )
-from rehearsal.mesh.run import Played
+from rehearsal.mesh.session import Played
 
 DAY, SEED = DAYS["mesh-calm"], 7
 A, B = names(DAY, SEED)
