--- a/rehearsal/mesh/servers.py
+++ b/rehearsal/mesh/servers.py
@@ -43,9 +43,11 @@
 class Server:
     """One server, in one life."""
 
-    def __init__(self, scene: Scene, day: Day, machine: Machine) -> None:
-        self.scene, self.day, self.machine = scene, day, machine
-        self.id = f"i-{draws.number(scene.seed, 'server', machine.name) & 0xFFFFFFFF:08x}"
+    def __init__(self, scene: Scene, day: Day, machine: Machine, life: int = 0) -> None:
+        """`life`: how many servers there were on this machine before."""
+        self.scene, self.day, self.machine, self._life = scene, day, machine, life
+        name = machine.name if life == 0 else f"{machine.name}, life {life}"
+        self.id = f"i-{draws.number(scene.seed, 'server', name) & 0xFFFFFFFF:08x}"
         self.address: Address = (machine.ip, scene.ports.application)
         self.slots = day.slots[day.names.index(machine.service.rpartition("-")[0])]
         self.speed = draws.uniform(scene.seed, "speed", machine.name, low=0.8, high=1.25)
@@ -258,6 +260,10 @@
         await self.registration.leave()
         self.end()
 
+    def successor(self) -> Server:
+        """The server that takes its place on its machine, not started yet."""
+        return Server(self.scene, self.day, self.machine, self._life + 1)
+
     def end(self) -> None:
         """Close all, at once."""
         if self.closed:
--- a/rehearsal/mesh/worst_days.py
+++ b/rehearsal/mesh/worst_days.py
@@ -16,9 +16,9 @@
 if TYPE_CHECKING:
     from rehearsal.mesh.run import Play
 
-RELEASE = 0.5  # of isolations during which all nodes are released anew; else some are restarted
-RELEASE_PAUSE_S = 0.5  # from one node's new start to the next one's end
-RESTARTS = 3  # of nodes, during an isolation without a release
+ROLLING = 0.5  # of isolations during which all nodes are restarted in turn; else some at any moment
+ROLLING_PAUSE_S = 0.5  # from one node's new start to the next one's end
+RESTARTS = 3  # of nodes, during an isolation without a rolling restart
 MANY = 300  # changes in a row
 BROKEN_CHUNKS = 2, 4  # which chunk of a connection between nodes is broken in its middle
 WAYS = ("both ways", "to it", "from it")
@@ -65,22 +65,23 @@
 
 
 async def _isolate(play: Play, trouble: Trouble) -> str:
-    """Controllers are cut off; nodes are started anew meanwhile: all in order, or some at any moment."""
+    """Controllers are cut off; meanwhile a service's servers are replaced one after another, and nodes are
+    started anew: all in turn, or some at any moment.
+    """
     machines = _isolated(play, trouble)
     pairs, words = _pairs(play, machines)
     play.changes.isolated = machines
-    if draws.uniform(play.seed, "release") < RELEASE:
-        restarts = [asyncio.ensure_future(_release(play, machines[0], trouble.for_s))]
+    if draws.uniform(play.seed, "rolling") < ROLLING:
+        work = [_rolling_restart(play, machines[0], trouble.for_s)]
     else:
-        restarts = [
-            asyncio.ensure_future(_restart(play, machines[0], n, trouble.for_s)) for n in range(RESTARTS)
-        ]
+        work = [_restart(play, machines[0], number, trouble.for_s) for number in range(RESTARTS)]
+    meanwhile = [asyncio.ensure_future(one) for one in (*work, _release(play, trouble.for_s))]
     try:
         await harm(play, "cut", pairs, Fault(cut=True), trouble.for_s)
     finally:
         play.changes.isolated = []
-        restarted = await asyncio.gather(*restarts)
-    return f"{words}; meanwhile new: {', '.join(restarted)}"
+        renewed = await asyncio.gather(*meanwhile)
+    return f"{words}; meanwhile new: {', '.join(renewed)}"
 
 
 async def _restart(play: Play, isolated: Machine, number: int, for_s: float) -> str:
@@ -99,11 +100,11 @@
     return node.machine.name + (" (its first seed isolated)" if node.first_seed else "")
 
 
-async def _release(play: Play, isolated: Machine, for_s: float) -> str:
+async def _rolling_restart(play: Play, isolated: Machine, for_s: float) -> str:
     """All nodes in turn are told to end and started anew, while there is time; every other one is told of the
     isolated controller first.
     """
-    until, released = play.scene.now() + for_s, 0
+    until, restarted = play.scene.now() + for_s, 0
     for number, machine in enumerate(live(play)):
         if play.scene.now() >= until:
             break
@@ -111,9 +112,27 @@
         node.first_seed = isolated if number % 2 == 0 else None
         await node.stop()
         await node.start()
-        released += 1
-        await asyncio.sleep(RELEASE_PAUSE_S)
-    return f"a release of {released} nodes"
+        restarted += 1
+        await asyncio.sleep(ROLLING_PAUSE_S)
+    return f"{restarted} nodes in turn"
+
+
+async def _release(play: Play, for_s: float) -> str:
+    """The servers of one service are replaced one after another, while there is time: each leaves, and
+    another one starts at its address.
+    """
+    until, replaced = play.scene.now() + for_s, 0
+    services = list(dict.fromkeys(machine.service for machine in live(play)))
+    service = services[int(draws.uniform(play.seed, "release", high=len(services)))]
+    for machine in live(play):
+        if machine.service != service or play.scene.now() >= until:
+            continue
+        server = play.servers[machine.name]
+        await server.leave()
+        play.servers[machine.name] = server.successor()
+        await play.servers[machine.name].start()
+        replaced += 1
+    return f"{replaced} servers of {service}"
 
 
 # Calls that may not be repeated
--- a/tests/mesh/test_worst_days.py
+++ b/tests/mesh/test_worst_days.py
@@ -219,3 +219,23 @@
     number = next(fact.n for fact in facts if isinstance(fact, Arrived) and fact.id == id)
     own = [type(fact) for fact in facts if getattr(fact, "n", None) == number]
     assert own == [Arrived, Dropped] if fault is CallFault.RESET_UNRUN else [Arrived, Began, Dropped]
+
+
+def test_a_servers_successor_starts_at_its_address_as_another_one() -> None:
+    async def main() -> None:
+        block, held = claim()
+        with contextlib.closing(held):
+            machine = machines(DAYS["worst-days"], block.number, 7)[1][0]
+            scene = Scene(7, free_ports([machine.ip]), list[Fact]().append, time.monotonic())
+            ids, server = set[str](), Server(scene, DAYS["worst-days"], machine)
+            for _ in range(3):
+                await server.start()
+                connection = await scene.pool(machine).connection(server.address, fresh=True)
+                assert isinstance(connection, AskerSide)
+                ids.add(server.id)
+                server.end()
+                server = server.successor()
+            scene.close()
+            assert len(ids) == 3
+
+    asyncio.run(main())
