--- a/rehearsal/mesh/link_deeds.py
+++ b/rehearsal/mesh/link_deeds.py
@@ -9,7 +9,7 @@
 from rehearsal.mesh.day import Trouble
 from rehearsal.mesh.deeds import Deed, choose, live, machine_of
 from rehearsal.mesh.facts import Harm
-from rehearsal.mesh.links import SOUND, Fault, Pair
+from rehearsal.mesh.relay import SOUND, Fault, Pair
 
 if TYPE_CHECKING:
     from rehearsal.mesh.run import Play
--- a/rehearsal/mesh/worst_days.py
+++ b/rehearsal/mesh/worst_days.py
@@ -11,7 +11,7 @@
 from rehearsal.mesh.day import Machine, Trouble
 from rehearsal.mesh.deeds import Deed, choose, live
 from rehearsal.mesh.link_deeds import both, harm
-from rehearsal.mesh.links import Fault, Pair
+from rehearsal.mesh.relay import Fault, Pair
 
 if TYPE_CHECKING:
     from rehearsal.mesh.run import Play
--- a/tests/mesh/test_links.py
+++ b/tests/mesh/test_links.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from rehearsal.mesh.day import DAYS, Machine, Ports, machines
-from rehearsal.mesh.links import BROKEN_S, HELD_MOST, SOUND, Fault, Half, Links
+from rehearsal.mesh.links import Links
+from rehearsal.mesh.relay import BROKEN_S, HELD_MOST, SOUND, Fault, Half
 from rehearsal.mesh.run import free_ports
 from rehearsal.mesh.table import CLOSING, LOSSES, PLANNED, UNPLANNED, table
 from rehearsal.world.addresses import claim
