--- a/rehearsal/judge/mesh.py
+++ b/rehearsal/judge/mesh.py
@@ -16,10 +16,10 @@
 
 from rehearsal.judge.books import Books, Finding
 from rehearsal.judge.control_calls import figures as call_figures
-from rehearsal.judge.control_calls import isolated, resent
+from rehearsal.judge.control_calls import isolated, one_answer, resent
+from rehearsal.judge.fresh import fresh
 from rehearsal.judge.orders import acks, config, drain, lost
 from rehearsal.judge.requests import REFUSALS, denied, mixed, refused, route, twice, unasked
-from rehearsal.mesh.configuration import lookup
 from rehearsal.mesh.day import PROBE
 from rehearsal.mesh.facts import (
     Answered,
@@ -47,7 +47,7 @@
     for sent in books.sent.values():
         services: set[str] = set()
         for put in books.may_be_in_force(sent.t, sent.t):
-            rule = lookup(put.config, sent.host, sent.path)
+            rule = books.rule(put, sent)
             services |= rule.services if rule is not None else set()
         for service in services:
             asked[service].append(sent.t)
@@ -115,8 +115,9 @@
 
 RULES: dict[str, Callable[[Books], Finding]] = {
     "mixed": mixed, "unasked": unasked, "twice": twice, "refused": refused, "denied": denied,
-    "route": route, "drain": drain, "lost": lost, "config": config, "acks": acks, "resent": resent,
-    "isolated": isolated, "budget": budget, "recover": recover, "stays_up": stays_up,
+    "route": route, "drain": drain, "lost": lost, "config": config, "fresh": fresh, "acks": acks,
+    "resent": resent, "one_answer": one_answer, "isolated": isolated, "budget": budget,
+    "recover": recover, "stays_up": stays_up,
 }  # fmt: skip
 
 
