Storage: modules by concern, records in place of tuples

The form on disk, the format number and the log lines are the same.

Tests: imports follow; one class and the modules of four patched names are named anew, no assertion changed.

--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -103,7 +103,7 @@
 def check_store(folder: str) -> int:
     """Tell what a controller's store holds, with nothing written; the exit status."""
     from mesh.storage import storage_check
-    from mesh.storage.store import InUse
+    from mesh.storage.environment import InUse
 
     try:
         stock = storage_check.look(folder)
@@ -150,7 +150,7 @@
     """The program."""
     words = sys.argv[1:] if arguments is None else arguments
     if words[:2] == ["controller", "snapshot"]:
-        from mesh.storage.snapshot import main as snapshot
+        from mesh.storage.snapshot_command import main as snapshot
 
         return snapshot(words[2:])
     if not words or words[0] not in ROLES or any(word != "--check" for word in words[1:]):
--- /dev/null
+++ b/mesh/storage/record_format.py
@@ -0,0 +1,64 @@
+"""How records lie on disk: a checksum before each value, and a seal in each transaction.
+
+The seal is a record that holds the number of its own transaction. A meta page that is older or newer than
+the tree beside it does not match the seal, which `inspection` looks for before a store is used.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+import cbor2
+
+from mesh.errors import BadStore
+from mesh.storage.environment import ABOUT, Databases
+
+# Format 1 had neither checksums nor a seal, and no record of its number. In format 2 the configuration's
+# text was never compressed: a build that does not know format 3 would hand out the compressed bytes.
+FORMAT = 3
+FORMAT_KEY, SEAL_KEY = b"format", b"seal"  # records of `about`
+CHECKSUM_BYTES = 4
+
+Put = tuple[str, bytes, bytes | None]  # database, key, value; None deletes
+
+
+class Damaged(BadStore):
+    """The content of a store can't be trusted; one line that names the directory and the damage."""
+
+
+def pack(value: Any) -> bytes:
+    """A value as it is stored."""
+    return cbor2.dumps(value)
+
+
+def unpack(raw: bytes) -> Any:
+    """The value that was stored."""
+    return cbor2.loads(raw)
+
+
+def wrap(name: str, key: bytes, value: bytes) -> bytes:
+    """A value as it lies on disk: behind the checksum of database, key and value."""
+    return _checksum(name, key, value) + value
+
+
+def unwrap(name: str, key: bytes, raw: bytes) -> bytes:
+    """The value of a record. `Damaged` names the record if its checksum is wrong.
+
+    >>> unwrap("about", b"k", wrap("about", b"k", b"v"))
+    b'v'
+    """
+    value = raw[CHECKSUM_BYTES:]
+    if len(raw) < CHECKSUM_BYTES or raw[:CHECKSUM_BYTES] != _checksum(name, key, value):
+        raise Damaged(f"record {key[:40]!r} of {name} has a wrong checksum")
+    return value
+
+
+def _checksum(name: str, key: bytes, value: bytes) -> bytes:
+    return zlib.crc32(value, zlib.crc32(key, zlib.crc32(name.encode()))).to_bytes(CHECKSUM_BYTES, "big")
+
+
+def put_sealed(txn: Any, dbs: Databases) -> None:
+    """Write the records that every transaction renews: the format, and the transaction's number."""
+    for key, value in ((FORMAT_KEY, FORMAT), (SEAL_KEY, txn.id())):
+        txn.put(key, wrap(ABOUT, key, pack(value)), db=dbs[ABOUT])
--- a/mesh/storage/storage_check.py
+++ b/mesh/storage/storage_check.py
@@ -1,9 +1,9 @@
-"""A controller's store looked through before it is used: what it holds, whether it can be believed, its size.
+"""Has a controller's store checked before it is used, repaired where that is safe, and compacted.
 
-What can't be believed is set aside, and the controller goes on as one that has forgotten: a wrong memory
-would break its word, an end of the process would only come again, and a wiped disk is a loss that the
-group bears. What can't be read at the moment, or was written by a later build, is left as it is and waited
-for.
+A store that can't be trusted is moved to `bad`, and the controller goes on as one that has forgotten: a wrong
+memory would break its promises, an end of the process would only repeat itself, and a lost disk is a loss
+that the group survives. What can't be read at the moment, or was written by a later build, is left as it is
+and waited for.
 """
 
 from __future__ import annotations
@@ -13,198 +13,53 @@
 import os
 import sys
 import threading
-from dataclasses import dataclass
-from typing import Any
 
 import lmdb
-from cbor2 import CBORDecodeError
 from loguru import logger
 
-from mesh.control import shard_state
 from mesh.errors import BadStore
-from mesh.storage.store import (
-    FORMAT,
-    FORMAT_KEY,
+from mesh.storage.environment import (
     LOCK,
     NAMES,
     PART,
-    SEAL_KEY,
     STORE,
-    Damaged,
     Databases,
     InUse,
     open_env,
-    put_sealed,
+    size_by_meta_pages,
     sync_folder,
     take_lock,
-    unpack,
-    unwrap,
-    used_pages,
-    wrap,
-)  # fmt: skip
-from nickelbridge.register import Kept, Value
+)
+from mesh.storage.inspection import BROKEN, StoreContents, inspect
+from mesh.storage.record_format import FORMAT, Damaged, put_sealed, wrap
 
 TRIES, RENAMED = "opening", "renamed"  # files of data_dir
-BAD = "bad"  # a folder there
+BAD = "bad"  # a directory there
 DISK_BYTES = 250_000_000  # of a disk of 256 MB
-BAD_MOST = 64_000_000  # a larger store that was set aside isn't kept
-COMPACT_SHARE, COMPACT_BYTES = 0.5, 16 * 1024 * 1024  # free pages; a smaller file isn't worth a copy
-DEATHS = 2  # so often in a row the process ended while it looked: the store is why
+BAD_MOST = 64_000_000  # bytes; a larger store that was moved to `bad` isn't kept
+COMPACT_SHARE = 0.5  # of the file that must be free for a compact copy
+COMPACT_BYTES = 16 * 1024 * 1024  # a smaller file isn't worth a copy
+COPY_OVERHEAD = 1.05  # what a compact copy may take beyond the used pages
+DEATHS = 2  # so often in a row the process ended during the check: the store is the cause
 AGAIN_S = 0.5  # after a store could not be opened
-PAGE, ROOT_BYTES, ROOT_FIELDS = 4096, 152, (32, 136)  # of lmdb 0.9: its two roots, size of map and last page
-ROOT_MOST = 2**32  # bytes; above any store's
-BROKEN = (
-    lmdb.CorruptedError, lmdb.InvalidError, lmdb.VersionMismatchError, lmdb.PageNotFoundError,
-    lmdb.PageFullError, lmdb.IncompatibleError, lmdb.CursorFullError, lmdb.BadTxnError, lmdb.BadValsizeError,
-    lmdb.PanicError, lmdb.NotFoundError,
-)  # fmt: skip
-
-
-@dataclass(frozen=True, slots=True)
-class Stock:
-    """What a store holds."""
-
-    format: int
-    kept: dict[int, Kept]  # by shard; empty: nothing was written yet
-    early: Kept | None  # of a build before the state was cut into shards
-    founders: tuple[str, ...]
-    caught_up: frozenset[int]  # shards that it has caught up in
-    keys: int
-    used_bytes: int
-    file_bytes: int
-
-    def lines(self) -> list[str]:
-        """What it holds, in lines for the operator: one for each shard among them."""
-        if not self.kept and self.early is None:
-            return [f"store: format {self.format}, empty"]
-        found = [f"store: format {self.format}, {self.used_bytes} bytes used of {self.file_bytes}"]
-        for number, kept in self.kept.items():
-            caught = "caught up" if number in self.caught_up else "not caught up"
-            found.append(f"part {number}: memory {kept.memory}, {caught}, accepted {_line(kept.value)}")
-        if self.early is not None:
-            found.append(f"before parts: memory {self.early.memory}, accepted {_line(self.early.value)}")
-        return [*found, f"founders: {' '.join(self.founders)}", f"keys: {self.keys}"]
-
-
-def _line(value: Value | None) -> str:
-    if value is None:
-        return "nothing yet"
-    body, voters = shard_state.body(value), " ".join(v.name for v in value.voters)
-    duties = f"owner {body.owner or 'none'} under fence {body.fence}"
-    return f"version {value.version}, epoch {body.epoch}, revision {body.revision}, {duties}, voters {voters}"
-
-
-def survey(env: lmdb.Environment, file: str) -> tuple[Stock, Databases]:
-    """Read all of a store; nothing is written. `Damaged` says what is wrong with it."""
-    try:
-        return _survey(env, file)
-    except BROKEN as problem:
-        raise Damaged(str(problem)) from None
-
-
-def _survey(env: lmdb.Environment, file: str) -> tuple[Stock, Databases]:
-    dbs: Databases = {}
-    page, newest = env.stat()["psize"], env.info()["last_txnid"]
-    for name in NAMES:
-        try:
-            dbs[name] = env.open_db(name.encode(), create=False)
-        except lmdb.NotFoundError:  # made when the store is opened
-            continue
-    records: dict[str, dict[bytes, bytes]] = {"about": {}}
-    keys = 0
-    with env.begin() as txn:
-        about = dbs.get("about")
-        raws = {bytes(k): bytes(v) for k, v in txn.cursor(db=about)} if about is not None else {}
-        format_ = _format(raws)
-        sealed = format_ > 1
-        for key, raw in raws.items():
-            records["about"][key] = unwrap("about", key, raw) if sealed else raw
-        if "slips" in dbs:
-            for key, raw in txn.cursor(db=dbs["slips"]):
-                keys += 1
-                value = unwrap("slips", bytes(key), bytes(raw)) if sealed else bytes(raw)
-                if not sealed or keys % 64 == 1:
-                    _slip(bytes(key), value)
-            if keys != txn.stat(dbs["slips"])["entries"]:
-                raise Damaged(f"{keys} keys were found and {txn.stat(dbs['slips'])['entries']} are counted")
-        used = used_pages(txn, dbs)
-    known = records["about"]
-    seal = _read(known, SEAL_KEY, int) if sealed else newest
-    if raws and seal != newest:
-        raise Damaged(f"the root is that of transaction {seal}, the number beside it {newest}")
-    numbers = [n for n in shard_state.SHARDS if _key("kept", n) in known]
-    kept = {n: _read(known, _key("kept", n), _kept) for n in numbers}
-    early = _read(known, b"kept", _kept) if not numbers and not sealed else None
-    founders = _read(known, b"founders", _names) or ()
-    if keys and not kept and early is None:
-        raise Damaged("there are keys, and the records 'kept' of about are missing")
-    caught = frozenset(n for n in shard_state.SHARDS if _key("caught", n) in known)
-    size = os.stat(file).st_size
-    return Stock(format_, kept, early, founders, caught, keys, used * page, size), dbs
-
-
-def _key(name: str, number: int) -> bytes:
-    return f"{name}/{number}".encode()
-
-
-def _format(raws: dict[bytes, bytes]) -> int:
-    if not raws:
-        return FORMAT
-    if FORMAT_KEY not in raws:
-        return 1
-    found: int | None = _read({FORMAT_KEY: unwrap("about", FORMAT_KEY, raws[FORMAT_KEY])}, FORMAT_KEY, int)
-    if found is None or found > FORMAT:
-        raise BadStore(f"format {found} is of a later build, {FORMAT} is the newest known here")
-    return found
-
-
-def _read(records: dict[bytes, bytes], key: bytes, check: Any) -> Any:
-    if key not in records:
-        return None
-    try:
-        return check(unpack(records[key]))
-    except (CBORDecodeError, ValueError, TypeError, KeyError, IndexError) as problem:
-        raise Damaged(f"record {key.decode()!r} of about can't be read: {problem}") from None
-
-
-def _kept(packed: Any) -> Kept:
-    memory, promised, accepted, value = packed
-    if value is not None and len(value) == 7:  # before owners
-        value = [*value, "", 0]
-    kept = shard_state.unpack_kept([memory, promised, accepted, value])
-    if not isinstance(memory, int) or len(kept.promised) != 2 or len(kept.accepted) != 2:
-        raise ValueError("it is no voter's memory")
-    return kept
-
-
-def _names(packed: Any) -> tuple[str, ...]:
-    if not isinstance(packed, list) or not all(isinstance(name, str) for name in packed):
-        raise ValueError("it is no list of names")
-    return tuple(packed)
-
-
-def _slip(key: bytes, value: bytes) -> None:
-    try:
-        holder, shelf, _answer = unpack(value)
-    except (CBORDecodeError, ValueError, TypeError) as problem:
-        raise Damaged(f"key {key[:40]!r} can't be read: {problem}") from None
-    if not isinstance(holder, str) or not isinstance(shelf, int):
-        raise Damaged(f"key {key[:40]!r} is none")
-
+# lmdb 0.9: its two meta pages, and where the size of the map and the last page's number stand in them
+PAGE, META_BYTES, META_FIELDS, FIELD_BYTES = 4096, 152, (32, 136), 8
+MAX_META_BYTES = 2**32  # above any store's size
 
 # Before a controller starts
 
 
 def forgot(folder: str) -> bool:
-    """Whether a store was set aside here: the controller is no founder any more, whatever its settings
+    """Whether a store was moved to `bad` here: the controller is no founder any more, whatever its settings
     say.
     """
     return os.path.isdir(os.path.join(folder, BAD))
 
 
 def prepare(folder: str) -> None:
-    """Have the store of a folder in a state to be opened: believed, of this format, and not too large; or
-    none. `BadStore` if that can't be at the moment.
+    """Have no store in a directory, or one that can be opened: verified, of this format, not too large.
+
+    `BadStore` if that can't be done at the moment.
     """
     try:
         os.makedirs(folder, exist_ok=True)
@@ -222,15 +77,15 @@
         _remove(os.path.join(folder, RENAMED))
     if not os.path.exists(file):
         return
-    # lmdb ends the process on some damages: that must not go on for ever.
+    # lmdb ends the process on some kinds of damage: that must not repeat itself for ever.
     deaths = os.stat(tries).st_size if os.path.exists(tries) else 0
     try:
         if deaths >= DEATHS:
             raise Damaged(f"the process ended {deaths} times while it looked at it")
-        # A disk that refuses this is no reason to wait: what it has can be read.
+        # A disk that refuses this is no reason to wait: its contents can still be read.
         with contextlib.suppress(OSError), open(tries, "ab") as count:
             count.write(b"x")
-        _look_through(file, part)
+        _check_file(file, part)
     except Damaged as problem:
         set_aside(folder, str(problem))
     except BadStore as problem:
@@ -239,62 +94,64 @@
         _remove(tries)
 
 
-def _look_through(file: str, part: str) -> None:
-    _look_at_roots(file)
+def _check_file(file: str, part: str) -> None:
+    _check_meta_pages(file)
     try:
         env = open_env(file, file=True)
     except BROKEN as problem:
         raise Damaged(str(problem)) from None
     try:
-        _fill(env, file)
-        stock, dbs = survey(env, file)
-        if stock.early is not None:
+        _extend_to_full_size(env, file)
+        inspection = inspect(env, file, NAMES)
+        contents = inspection.contents
+        if contents.early is not None:
             raise BadStore("it is of a build before parts: carry the group over by a snapshot")
-        if stock.format < FORMAT:
-            _bring_up(env, dbs, stock.format)
-            logger.info("store: the store was of format {}, it is of {} now", stock.format, FORMAT)
-        small = worth_a_copy(stock, _bad_bytes(file)) and _copy(env, part, stock)
+        if contents.format < FORMAT:
+            _migrate(env, inspection.dbs, contents.format)
+            logger.info("store: the store was of format {}, it is of {} now", contents.format, FORMAT)
+        copied = worth_a_copy(contents, _bad_bytes(file)) and _copy(env, part, contents)
     finally:
         env.close()
-    if small and _replace(part, file):
-        logger.info("store: compact now, {} bytes of {} were used", stock.used_bytes, stock.file_bytes)
+    if copied and _replace(part, file):
+        logger.info("store: compact now, {} bytes of {} were used", contents.used_bytes, contents.file_bytes)
 
 
-def _look_at_roots(file: str) -> None:
-    """lmdb maps as much as its roots say, and tells too much of that as a want of memory."""
+def _check_meta_pages(file: str) -> None:
+    """lmdb maps as much as its meta pages say, and reports a size that is too large as a lack of memory."""
     with open(file, "rb") as raw:
         pages = raw.read(2 * PAGE)
-    for at in range(0, len(pages) - ROOT_BYTES, PAGE):
-        map_bytes, last = (int.from_bytes(pages[at + n : at + n + 8], sys.byteorder) for n in ROOT_FIELDS)
-        if map_bytes > ROOT_MOST or last * PAGE > ROOT_MOST:
+    for page in range(0, len(pages) - META_BYTES, PAGE):
+        starts = [page + field for field in META_FIELDS]
+        map_bytes, last = (int.from_bytes(pages[at : at + FIELD_BYTES], sys.byteorder) for at in starts)
+        if map_bytes > MAX_META_BYTES or last * PAGE > MAX_META_BYTES:
             raise Damaged("a root names more pages than a store has")
 
 
-def _fill(env: lmdb.Environment, file: str) -> None:
-    """A file shorter than its root says would end the process where the rest is read; zeros are found out."""
-    whole = (env.info()["last_pgno"] + 1) * env.stat()["psize"]
+def _extend_to_full_size(env: lmdb.Environment, file: str) -> None:
+    """Reading beyond the end of a truncated file would end the process; zeros are detected as damage."""
+    whole = size_by_meta_pages(env)
     if os.stat(file).st_size < whole:
         os.truncate(file, whole)
 
 
-def _bring_up(env: lmdb.Environment, dbs: Databases, format_: int) -> None:
-    """Give the records of the first format their checksums, and the store its number, in one transaction."""
+def _migrate(env: lmdb.Environment, dbs: Databases, old_format: int) -> None:
+    """Give the records of format 1 their checksums, and the store its number, in one transaction."""
     with env.begin(write=True) as txn:
-        for name, db in dbs.items() if format_ == 1 else ():
+        for name, db in dbs.items() if old_format == 1 else ():
             for key, raw in [(bytes(k), bytes(v)) for k, v in txn.cursor(db=db)]:
                 txn.put(key, wrap(name, key, raw), db=db)
         put_sealed(txn, dbs)
 
 
-def worth_a_copy(stock: Stock, beside: int) -> bool:
-    """Whether a smaller copy pays, and fits on the disk beside the file and what else is there, in bytes."""
-    free = stock.file_bytes - stock.used_bytes
-    fits = stock.file_bytes + 1.05 * stock.used_bytes + beside <= DISK_BYTES
-    return stock.file_bytes >= COMPACT_BYTES and free > COMPACT_SHARE * stock.file_bytes and fits
+def worth_a_copy(contents: StoreContents, other_bytes: int) -> bool:
+    """Whether a compact copy pays, and fits on the disk beside the file and so many other bytes."""
+    free = contents.file_bytes - contents.used_bytes
+    fits = contents.file_bytes + COPY_OVERHEAD * contents.used_bytes + other_bytes <= DISK_BYTES
+    return contents.file_bytes >= COMPACT_BYTES and free > COMPACT_SHARE * contents.file_bytes and fits
 
 
-def _copy(env: lmdb.Environment, part: str, stock: Stock) -> bool:
-    """Write a compact copy, sealed, read back and synced; whether that went well. The old one stays."""
+def _copy(env: lmdb.Environment, part: str, contents: StoreContents) -> bool:
+    """Write a compact copy, sealed, read back and synced; whether that succeeded. The old file stays."""
     try:
         with open(part, "wb") as out:
             env.copyfd(out.fileno(), compact=True)
@@ -303,9 +160,7 @@
             dbs = {name: copy.open_db(name.encode()) for name in NAMES}
             with copy.begin(write=True) as txn:
                 put_sealed(txn, dbs)
-            found, _ = survey(copy, part)
-            if (found.kept, found.keys, found.caught_up) != (stock.kept, stock.keys, stock.caught_up):
-                raise Damaged("the copy is not like the store")
+            _require_same(inspect(copy, part, NAMES).contents, contents)
             copy.sync(True)
         finally:
             copy.close()
@@ -316,9 +171,16 @@
         return False
 
 
+def _require_same(copy: StoreContents, store: StoreContents) -> None:
+    if (copy.kept, copy.keys, copy.caught_up) != (store.kept, store.keys, store.caught_up):
+        raise Damaged("the copy is not like the store")
+
+
 def _replace(part: str, file: str) -> bool:
-    """Give the copy the store's name, for good; False if the old one stays. `OSError` if that may not last:
-    nothing may be written to it before a later try has seen to that.
+    """Give the copy the store's name durably; False if the old file stays.
+
+    `OSError` if the new name may not be durable: nothing may be written to the file before a later call has
+    synced the directory.
     """
     folder = os.path.dirname(file)
     renamed = os.path.join(folder, RENAMED)
@@ -337,12 +199,12 @@
 
 
 def set_aside(folder: str, why: str) -> None:
-    """Put the store away under `bad`, where one is kept, unless it is large. `OSError`."""
+    """Move the store to `bad`, where the latest one is kept, unless it is large. `OSError`."""
     bad = os.path.join(folder, BAD)
     os.makedirs(bad, exist_ok=True)
     with open(os.path.join(bad, "why"), "w", encoding="utf-8") as note:
         note.write(why + "\n")
-    sync_folder(folder)  # that this controller has forgotten lasts before its store goes
+    sync_folder(folder)  # it is durable that this controller has forgotten, before its store goes
     kept = os.path.join(bad, STORE)
     os.replace(os.path.join(folder, STORE), kept)
     if os.stat(kept).st_size > BAD_MOST:
@@ -364,10 +226,10 @@
 
 async def ready(folder: str, stopping: asyncio.Event) -> bool:
     """Prepare a store in a thread of its own, for as long as that takes; False if told to stop before."""
-    loop, said = asyncio.get_running_loop(), ""
+    loop, last_problem = asyncio.get_running_loop(), ""
     while not stopping.is_set():
         done: asyncio.Future[str] = loop.create_future()
-        threading.Thread(target=_prepare_beside, args=(folder, loop, done), daemon=True).start()
+        threading.Thread(target=_prepare_in_thread, args=(folder, loop, done), daemon=True).start()
         stop = loop.create_task(stopping.wait())
         await asyncio.wait((done, stop), return_when=asyncio.FIRST_COMPLETED)
         stop.cancel()
@@ -376,48 +238,46 @@
         problem = done.result()
         if not problem:
             return True
-        if problem != said:
+        if problem != last_problem:
             logger.error("store: {}; waiting for it", problem)
-            said = problem
-        try:
+            last_problem = problem
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(AGAIN_S):
                 await stopping.wait()
-        except TimeoutError:
-            pass
     return False
 
 
-def _prepare_beside(folder: str, loop: asyncio.AbstractEventLoop, done: asyncio.Future[str]) -> None:
+def _prepare_in_thread(folder: str, loop: asyncio.AbstractEventLoop, done: asyncio.Future[str]) -> None:
     try:
         prepare(folder)
         problem = ""
     except BadStore as found:
         problem = str(found)
     with contextlib.suppress(RuntimeError):  # the loop has ended
-        loop.call_soon_threadsafe(_say, done, problem)
+        loop.call_soon_threadsafe(_set_result, done, problem)
 
 
-def _say(done: asyncio.Future[str], problem: str) -> None:
+def _set_result(done: asyncio.Future[str], problem: str) -> None:
     if not done.done():
         done.set_result(problem)
 
 
-# Beside a controller that does not run
+# While no controller runs
 
 
-def look(folder: str) -> Stock | None:
-    """What the store of a folder holds, with nothing written; None if there is none. `BadStore`."""
+def look(folder: str) -> StoreContents | None:
+    """What the store of a directory holds, with nothing written; None if there is none. `BadStore`."""
     file, locked = os.path.join(folder, STORE), os.path.exists(os.path.join(folder, LOCK))
     if not os.path.exists(file):
         return None
     try:
         with take_lock(folder, "rb") if locked else contextlib.nullcontext():
-            _look_at_roots(file)
+            _check_meta_pages(file)
             env = open_env(file, file=True, readonly=True)
             try:
-                if os.stat(file).st_size < (env.info()["last_pgno"] + 1) * env.stat()["psize"]:
+                if os.stat(file).st_size < size_by_meta_pages(env):
                     raise Damaged("the file is shorter than its root says")
-                return survey(env, file)[0]
+                return inspect(env, file, NAMES).contents
             finally:
                 env.close()
     except (OSError, lmdb.Error) as problem:
--- a/rehearsal/bench/second_loss.py
+++ b/rehearsal/bench/second_loss.py
@@ -27,7 +27,8 @@
 from mesh.control.actions import Action, Answer, Tell, Write
 from mesh.control.peers import Peers
 from mesh.control.shard import Shard, remembered
-from mesh.storage.store import NAMES, open_env, put_sealed, wrap
+from mesh.storage.environment import NAMES, open_env
+from mesh.storage.record_format import put_sealed, wrap
 from nickelbridge.register import Kept
 
 DISK = "ORCHIDFERRY_BENCH_DISK"  # names a folder in memory, as for `orchidferry bench mesh`
--- a/rehearsal/model/stored_controller.py
+++ b/rehearsal/model/stored_controller.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from mesh.storage import storage_check
-from mesh.storage.store import STORE, Put, Store
+from mesh.storage.environment import STORE
+from mesh.storage.store import Put, Store
 from rehearsal.explore.controller import Controller
 
 WAIT_S = 10.0  # of real time, for the store's thread
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -22,10 +22,10 @@
 from mesh.control.fanout_tree import LOG
 from mesh.control.shard import remembered
 from mesh.control.value_references import ValueReferences, refusal, unpack
+from mesh.storage import record_format, snapshot_file, storage_check
 from mesh.storage import snapshot as snapshots
-from mesh.storage import storage_check
-from mesh.storage import store as store_module
-from mesh.storage.store import FORMAT, Store, pack
+from mesh.storage.record_format import FORMAT, pack
+from mesh.storage.store import Store
 from nickelbridge.register import Accept, Accepted, Kept, Prepare, Promise, Value, Voter
 from rehearsal.explore.controller import Controller
 from rehearsal.model.relays import World
@@ -87,8 +87,8 @@
     body = shard_state.Body(3, 7, text, ((7, digest(text)),), "10.0.0.2", 4)
     kept = Kept(5, (9, "x"), (8, "y"), Value(12, (Voter("10.0.0.1", 5),), body))
     with monkeypatch.context() as before:
-        before.setattr(store_module, "FORMAT", 2)
-        before.setattr(snapshots, "FORMAT", 1)
+        before.setattr(record_format, "FORMAT", 2)
+        before.setattr(snapshot_file, "FORMAT", 1)
         store = Store(folder, loop)
         for number in shard_state.SHARDS:
             store.write(remembered(number, kept, True))
@@ -104,7 +104,7 @@
     assert expand(shard_state.body(old).raw) == text
     snapshots.take_from(folder, str(tmp_path / "new"))
     with monkeypatch.context() as before:
-        before.setattr(snapshots, "FORMATS", (1,))
+        before.setattr(snapshot_file, "FORMATS", (1,))
         with pytest.raises(snapshots.BadSnapshot, match="format 2 is not known here"):
             snapshots.read_snapshot(str(tmp_path / "new"))
 
--- a/tests/mesh/test_power_loss.py
+++ b/tests/mesh/test_power_loss.py
@@ -12,8 +12,8 @@
 from mesh.control import shard_state
 from mesh.control.shard import remembered
 from mesh.errors import BadStore
+from mesh.storage import environment, storage_check
 from mesh.storage import snapshot as snapshots
-from mesh.storage import storage_check
 from mesh.storage import store as store_module
 from mesh.storage.store import Store, pack
 from nickelbridge.register import Kept
@@ -155,7 +155,7 @@
     if broken == "no-names-synced":
         monkeypatch.setattr(store_module, "sync_names", lambda folder: None)
     elif broken == "parent-not-synced":
-        monkeypatch.setattr(snapshots, "sync_names", store_module.sync_folder)
+        monkeypatch.setattr(snapshots, "sync_names", environment.sync_folder)
     else:
         monkeypatch.setattr(storage_check, "sync_folder", lambda folder: None)
     test = {
--- a/tests/mesh/test_storage_check.py
+++ b/tests/mesh/test_storage_check.py
@@ -19,11 +19,13 @@
 from mesh.control.membership import Standing
 from mesh.control.shard import remembered
 from mesh.errors import BadStore
+from mesh.storage import inspection, storage_check
 from mesh.storage import snapshot as snapshots
-from mesh.storage import storage_check
 from mesh.storage import store as store_module
+from mesh.storage.environment import NAMES, open_env
+from mesh.storage.record_format import FORMAT, FORMAT_KEY, pack, put_sealed, wrap
 from mesh.storage.snapshot import BadSnapshot
-from mesh.storage.store import FORMAT, FORMAT_KEY, NAMES, Store, open_env, pack, put_sealed, wrap
+from mesh.storage.store import Store
 from nickelbridge.register import (
     Accept,
     Accepted,
@@ -303,8 +305,8 @@
 
 
 def test_a_copy_is_made_only_where_both_fit() -> None:
-    def stock(used: int, size: int) -> storage_check.Stock:
-        return storage_check.Stock(2, {}, None, (), frozenset(), 0, used, size)
+    def stock(used: int, size: int) -> inspection.StoreContents:
+        return inspection.StoreContents(2, {}, None, (), frozenset(), 0, used, size)
 
     assert storage_check.worth_a_copy(stock(70_000_000, 167_000_000), 0)
     assert not storage_check.worth_a_copy(stock(70_000_000, 167_000_000), 64_000_000)
