Rehearsal: the scenario module is a package of six, one job each

One file of 677 lines held readers of values, tables, the timeline, the checks and the loader. They are modules of rehearsal.scenario now, and the names that others import from there stay; limits are called MAX, readers by what they read, and the check of a whole scenario is a function a concern.

Behaviour and texts are the same: the tests of scenarios, plans, replays and the command line pass unchanged.

--- a/rehearsal/rehearse.py
+++ b/rehearsal/rehearse.py
@@ -26,7 +26,7 @@
 from rehearsal.report import terminal
 from rehearsal.scenario import (
     FAULTS,
-    MOST_SECONDS,
+    MAX_SECONDS,
     BadScenario,
     FleetSide,
     Scenario,
@@ -130,9 +130,9 @@
     if args.seed is not None and not 0 <= args.seed < 2**63:
         raise Usage(f"--seed {args.seed}: not within 0 to 2^63 - 1")
     if args.seconds is not None and not (
-        math.isfinite(args.seconds) and LEAST_SECONDS <= args.seconds <= MOST_SECONDS
+        math.isfinite(args.seconds) and LEAST_SECONDS <= args.seconds <= MAX_SECONDS
     ):
-        raise Usage(f"--seconds {args.seconds:g}: not within {LEAST_SECONDS:g} to {MOST_SECONDS:g}")
+        raise Usage(f"--seconds {args.seconds:g}: not within {LEAST_SECONDS:g} to {MAX_SECONDS:g}")
     if args.loss is not None and not 0.0 <= args.loss <= 0.5:
         raise Usage(f"--loss {args.loss:g}: not within 0 to 0.5")
     scenario = scenario.altered(args.seed, args.seconds, args.protocol, args.loss)
--- /dev/null
+++ b/rehearsal/scenario/model.py
@@ -0,0 +1,103 @@
+"""A whole scenario as one typed value, with its defaults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from rehearsal.scenario.checks import BadScenario, check_scenario
+from rehearsal.scenario.tables import (
+    ChainSide,
+    Class,
+    Clients,
+    ControlSide,
+    DiscoverySide,
+    FleetSide,
+    Front,
+    Limits,
+    Load,
+    Network,
+    NodeSide,
+    PoolSide,
+    Rules,
+    Tier,
+    Traffic,
+)
+from rehearsal.scenario.timeline import Step
+from rehearsal.scenario.values import POSITIVE_S, BadValue, integer, line_of_text, setting, short_name
+from rehearsal.traffic.guard import Guard
+
+
+def _default_classes() -> tuple[Class, ...]:
+    return (
+        Class("ler-feed", 0.50, 0.120, 1.2, 3.0, "safe", worth=1.0, late_worth=0.2, group="all"),
+        Class("salvar-episodio", 0.33, 0.180, 1.5, 4.0, "keyed", worth=2.0, late_worth=0.5),
+        Class("repasse-socio", 0.17, 0.250, 2.5, 6.0, "unsafe", worth=8.0, late_worth=0.3, group="all"),
+    )
+
+
+def _default_tiers() -> tuple[Tier, ...]:
+    return (
+        Tier("entrada", 6, 0.34, 1.5),
+        Tier("catalogo", 8, 0.30, 1.0),
+        Tier("registro", 10, 0.36, 0.0),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """All of a scenario."""
+
+    name: str = setting(short_name)
+    about: str = setting(line_of_text, "a scenario of one's own")
+    length_s: float = setting(
+        POSITIVE_S, 20.0, file_key="length"
+    )  # of arrivals; the run ends when all is answered
+    seed: int = setting(integer(0, 2**63 - 1), 1)
+    classes: tuple[Class, ...] = field(default_factory=_default_classes)
+    tiers: tuple[Tier, ...] = field(default_factory=_default_tiers)
+    load: Load = field(default_factory=Load)
+    clients: Clients = field(default_factory=Clients)
+    front: Front = field(default_factory=Front)
+    network: Network = field(default_factory=Network)
+    discovery: DiscoverySide = field(default_factory=DiscoverySide)
+    control: ControlSide = field(default_factory=ControlSide)
+    chain: ChainSide = field(default_factory=ChainSide)
+    pools: PoolSide = field(default_factory=PoolSide)
+    fleet: FleetSide = field(default_factory=FleetSide)
+    rules: Rules = field(default_factory=Rules)
+    node: NodeSide = field(default_factory=NodeSide)
+    limits: Limits = field(default_factory=Limits)
+    timeline: tuple[Step, ...] = ()
+    traffic: tuple[Traffic, ...] = ()
+    # From the command line alone: where recorded traffic may go, methods and paths there, the run's id.
+    guard: Guard = field(default_factory=Guard)
+    paths: tuple[tuple[str, tuple[str, str]], ...] = ()
+    run: str = ""
+    workers: int = setting(integer(1, 32), 2)  # processes that the stand-in servers share
+
+    @property
+    def new_from(self) -> int:
+        """The first place of the first tier that is of the new pool; behind the last where there is none."""
+        servers = self.tiers[0].servers
+        return servers - round(self.pools.share * servers) if self.pools.on else servers
+
+    def tier_number(self, name: str) -> int:
+        """The place of the tier of that name."""
+        return next(n for n, tier in enumerate(self.tiers) if tier.name == name)
+
+    def altered(
+        self, seed: int | None, length_s: float | None, protocol: str | None = None, loss: float | None = None
+    ) -> Scenario:
+        """With another seed, length, protocol or loss; `BadScenario` if its timeline does not fit."""
+        changed = self if seed is None else replace(self, seed=seed)
+        if protocol is not None:
+            changed = replace(changed, network=replace(changed.network, protocol=protocol))
+        if loss is not None:
+            changed = replace(changed, network=replace(changed.network, loss=loss))
+        if length_s is not None:
+            changed = replace(changed, length_s=length_s)
+        try:
+            check_scenario(changed)
+        except BadValue as problem:
+            raise BadScenario(f"{self.name}: {problem}") from None
+        return changed
--- a/rehearsal/world/plan.py
+++ b/rehearsal/world/plan.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from rehearsal import draws
-from rehearsal.scenario import FAULTS, MOST_SERVERS, Scenario
+from rehearsal.scenario import FAULTS, MAX_SERVERS, Scenario
 from rehearsal.scenario import Step as Entry
 from rehearsal.world.links import LinkFault
 
@@ -94,8 +94,8 @@
         number = self.numbers.setdefault((tier, place), len(self.numbers))
         server = Server(name, tier, place % cells, speed, place, number, start)
         self.servers.append(server)
-        if len(self.servers) > MOST_SERVERS:
-            raise ValueError(f"timeline: over {MOST_SERVERS} servers, new ones counted")
+        if len(self.servers) > MAX_SERVERS:
+            raise ValueError(f"timeline: over {MAX_SERVERS} servers, new ones counted")
         return server
 
     def act(self, t: float, do: str, whom: str, value: float = 0.0, entry: int = -1) -> None:
