Traffic: importing split by concern, typed records for what a block gives

These are modules of their own now, clock jumps and sorted rows are named tuples, and the long function for whole blocks is four shorter ones.

Tests: the three names that a test patches are named by their new modules, nothing else changed. The tests of importing, readers, replay and guard pass.

--- a/tests/traffic/test_importing.py
+++ b/tests/traffic/test_importing.py
@@ -14,7 +14,7 @@
 from hypothesis import Phase, given, settings, strategies
 
 from rehearsal import cli
-from rehearsal.traffic import export, generate, importing
+from rehearsal.traffic import block_reader, export, generate, importing, row_columns, sorted_runs
 from rehearsal.traffic.classes import read_classes
 from rehearsal.traffic.command import summary
 from rehearsal.traffic.importing import Plan, Report, TooMany, import_files
@@ -130,11 +130,11 @@
 def test_files_out_of_order_gaps_jumps_and_shifted_clocks(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(importing, "RUN", 300)  # many runs to put together
+    monkeypatch.setattr(sorted_runs, "RUN_ROWS", 300)  # many runs to put together
     early = [one for one in TRUTH if one.t < 40.0]
     late = [one for one in TRUTH if one.t >= 60.0]
     monkeypatch.setattr(importing, "GAP_S", 15.0)
-    monkeypatch.setattr(importing, "JUMP_S", 15.0)
+    monkeypatch.setattr(row_columns, "JUMP_S", 15.0)
     _, whole = take(tmp_path, ("x", log(early + late)))
     report, rows = take(tmp_path, ("b", log(late)), ("a", log(early)))
     assert (rows["t"] == whole["t"]).all() and (rows["number"] == whole["number"]).all()
@@ -332,10 +332,10 @@
     block = Block(1, b"\n".join(lines), len(lines))
     found = []
     for short in (True, False):
-        importing._begin(plan)
-        assert importing._work is not None and importing._work.layout is not None
+        block_reader.begin(plan)
+        assert block_reader._reader is not None and block_reader._reader.layout is not None
         if not short:
-            importing._work.layout = None
-        made = importing._lines(0, block, 0.0)
+            block_reader._reader.layout = None
+        made = block_reader.rows_of_lines(0, block, 0.0)
         found.append((made.rows.tobytes(), made.rejects, made.shapes, made.back))
     assert found[0] == found[1]
