Traffic: forms of access logs split into values, fields, strings and maps

formats.py held five jobs in 481 lines: reading values, building an entry, format strings of Apache and nginx, maps of JSON and columns, and the choice among them. Each has a module now, and formats.py keeps the choice and the names that others import.

--- a/rehearsal/traffic/block_reader.py
+++ b/rehearsal/traffic/block_reader.py
@@ -15,17 +15,9 @@
 import numpy as np
 
 from rehearsal.traffic.entry import EARLIEST, LATEST, MOST_SECONDS, MOST_TEXT, Entry, Reject
-from rehearsal.traffic.formats import (
-    Layout,
-    Parser,
-    address_of,
-    clf_time,
-    compile_format,
-    layout_of,
-    split_request,
-    unescaped,
-)  # fmt: skip
+from rehearsal.traffic.formats import Layout, Parser, compile_format, layout_of
 from rehearsal.traffic.import_plan import Plan
+from rehearsal.traffic.log_values import address_of, clf_time, split_request, unescaped
 from rehearsal.traffic.recording import Rows
 from rehearsal.traffic.row_columns import ClockJump, Columns, FastRows
 from rehearsal.traffic.sources import LINE_MOST, Block
--- a/rehearsal/traffic/har.py
+++ b/rehearsal/traffic/har.py
@@ -23,7 +23,7 @@
     status_of,
     target_of,
 )  # fmt: skip
-from rehearsal.traffic.formats import address_of
+from rehearsal.traffic.log_values import address_of
 
 MOST_DEPTH = 64
 SCHEMES = ("http://", "https://")
--- /dev/null
+++ b/rehearsal/traffic/log_fields.py
@@ -0,0 +1,55 @@
+"""The fields of an access log's form, and an entry made of their values. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from datetime import tzinfo
+from typing import Any
+
+from rehearsal.traffic.entry import MOST_TEXT, Entry, duration, method_of, size_of, status_of, target_of
+from rehearsal.traffic.log_values import address_of, any_time, number, split_request
+
+Parser = Callable[[bytes], Entry]
+
+KEYS = ("start", "end", "took", "request", "method", "target", "status", "sent", "received", "address",
+        "agent", "host", "aborted", "spread")  # fmt: skip
+NEEDED = ({"start", "end"}, {"request", "target"})  # one of each
+SPREAD_STEP_S = 1e-9  # above 0, so that it shows, and less than a recording's microsecond
+NO_ANSWER = (0, 499)  # statuses of requests whose client left
+
+
+class BadFormat(Exception):
+    """A form that can't be; the text names the part."""
+
+
+def build(values: Mapping[str, Any], zone: tzinfo) -> Entry:
+    """An entry from values by key; a time may be a number of seconds already."""
+    took_s = values.get("took")
+    if took_s is not None:
+        took_s = duration(took_s)
+    if "end" in values:
+        start, step = any_time(values["end"], zone)
+        start -= took_s or 0.0
+    else:
+        start, step = any_time(values.get("start"), zone)
+    if "request" in values:
+        method, target = split_request(values["request"])
+    else:
+        method, target = method_of(str(values.get("method", "GET"))), target_of(str(values.get("target", "")))
+    status = status_of(int(number(values.get("status"))))
+    if values.get("spread"):
+        step = SPREAD_STEP_S
+    fields = {key: str(value)[:MOST_TEXT] for key, value in values.items() if key not in KEYS}
+    return Entry(
+        start, took_s, method, target, status, size_of(int(number(values.get("sent")))),
+        size_of(int(number(values.get("received")))), address_of(str(values.get("address", ""))),
+        str(values.get("agent", ""))[:MOST_TEXT], str(values.get("host", ""))[:MOST_TEXT], fields or None,
+        step, status in NO_ANSWER or bool(values.get("aborted")),
+    )  # fmt: skip
+
+
+def require_keys(keys: set[str], text: str) -> None:
+    """Check that a form names what an entry needs. `BadFormat`."""
+    for one in NEEDED:
+        if not one & keys:
+            raise BadFormat(f"{text[:60]!r} lacks {' or '.join(sorted(one))}")
--- /dev/null
+++ b/rehearsal/traffic/log_values.py
@@ -0,0 +1,106 @@
+"""Values as access logs write them: times, numbers, addresses, request lines. No I/O."""
+
+from __future__ import annotations
+
+import calendar
+import functools
+import re
+from datetime import datetime, tzinfo
+from typing import Any
+
+from rehearsal.traffic.entry import MOST_TEXT, Reject, method_of, moment, target_of
+
+UNITS = {"s": 1.0, "ms": 1e-3, "us": 1e-6, "ns": 1e-9}
+MONTHS = {name: at for at, name in enumerate(calendar.month_abbr) if name}
+CLF_TIME = r"\d{2}/[A-Za-z]{3}/\d{4}:\d{2}:\d{2}:\d{2} [+-]\d{4}"
+CLF = re.compile(CLF_TIME, re.ASCII)
+
+
+@functools.lru_cache(maxsize=4_096)  # a busy log has hundreds of lines a second
+def clf_time(text: str) -> float:
+    """`10/Oct/2026:13:55:36 -0300`, in seconds since 1970."""
+    try:
+        if not CLF.fullmatch(text):
+            raise ValueError
+        day, month, year = int(text[:2]), MONTHS[text[3:6]], int(text[7:11])
+        hour, minute, second = int(text[12:14]), int(text[15:17]), int(text[18:20])
+        zone = int(text[22:24]) * 3600 + int(text[24:26]) * 60
+        if second > 60 or minute > 59 or hour > 23:
+            raise ValueError
+        datetime(year, month, day)
+        at = calendar.timegm((year, month, day, hour, minute, second)) - (-zone if text[21] == "-" else zone)
+    except (ValueError, KeyError, IndexError):
+        raise Reject("a time that can't be read") from None
+    return moment(float(at))
+
+
+def any_time(value: Any, zone: tzinfo) -> tuple[float, float]:
+    """A time in any usual form, and how finely it is written: epoch in s, ms, us or ns, ISO 8601, CLF."""
+    if isinstance(value, bool) or value is None:
+        raise Reject("no time")
+    if not isinstance(value, str):
+        return _epoch(float(value)), 0.0 if float(value) % 1.0 or value > 1e11 else 1.0
+    text = value.strip("[] ")
+    if re.fullmatch(r"\d{9,19}(\.\d+)?", text):
+        return _epoch(float(text)), 1.0 if len(text) == 10 else 0.0
+    if CLF.fullmatch(text):
+        return clf_time(text), 1.0
+    try:
+        found = datetime.fromisoformat(text)
+    except ValueError:
+        raise Reject("a time that can't be read") from None
+    if found.tzinfo is None:
+        found = found.replace(tzinfo=zone)
+    return moment(found.timestamp()), 0.0 if "." in text or "," in text else 1.0
+
+
+def _epoch(value: float) -> float:
+    for limit, unit in ((1e11, 1.0), (1e14, 1e-3), (1e17, 1e-6)):
+        if value < limit:
+            return moment(value * unit)
+    return moment(value * 1e-9)
+
+
+def number(value: Any) -> float:
+    """A number, or `-` for none."""
+    if value in ("-", "", None):
+        return 0.0
+    try:
+        found = float(value)
+    except (TypeError, ValueError):
+        raise Reject("a number that can't be read") from None
+    if found != found or found in (float("inf"), float("-inf")):
+        raise Reject("a number that can't be read")
+    return found
+
+
+def address_of(text: str) -> str:
+    """A client's address without its port; of a list as proxies make one, the first."""
+    text = text.partition(",")[0].strip()
+    if text.startswith("["):
+        return text[1:].partition("]")[0]
+    if text.count(":") == 1:
+        text = text.partition(":")[0]
+    return "" if text == "-" else text[:MOST_TEXT]
+
+
+ESCAPE = re.compile(r"\\(?:x([0-9a-fA-F]{2})|(.))")
+PLAIN = {"n": "\n", "t": "\t", "r": "\r", "b": "\b", "v": "\v"}
+
+
+def unescaped(text: str) -> str:
+    """What a server wrote as `\\x22`, `\\"` and the like."""
+    if "\\" not in text:
+        return text
+    return ESCAPE.sub(lambda m: chr(int(m[1], 16)) if m[1] else PLAIN.get(m[2], m[2]), text)
+
+
+def split_request(text: str) -> tuple[str, str]:
+    """Method and target of a request line."""
+    method, _, rest = text.partition(" ")
+    target, _, version = rest.rpartition(" ")
+    if not version.startswith("HTTP/"):
+        target = rest
+    if not method or not target or " " in target:
+        raise Reject("a request line that can't be read")
+    return method_of(method), target_of(target)
--- /dev/null
+++ b/rehearsal/traffic/string_formats.py
@@ -0,0 +1,194 @@
+"""Forms given as a format string of Apache or nginx, which becomes a pattern. No I/O."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import tzinfo
+from typing import Any
+
+from rehearsal.traffic.entry import Entry, Reject
+from rehearsal.traffic.log_fields import BadFormat, Parser, build, require_keys
+from rehearsal.traffic.log_values import CLF_TIME, UNITS, number, unescaped
+
+MAX_FIELDS = 64
+MAX_QUOTES = 24  # of a line that is not in the strict form
+QUOTED = r'[^"\\\n]*+(?:\\.[^"\\\n]*+)*+'  # what stands between quotes, with a server's escapes
+
+APACHE = re.compile(r"%([!\d,]*)([<>]?)(?:\{([^}]*)\})?(\^[A-Za-z]{2}|[A-Za-z%])")
+NGINX = re.compile(r"\$(?:\{(\w+)\}|(\w+))")
+
+APACHE_KEYS = {"h": "address", "a": "address", "t": "start", "r": "request", "s": "status", "b": "sent",
+               "B": "sent", "D": "took:us", "T": "took:s", "m": "method", "U": "target", "v": "host",
+               "V": "host", "q": "query"}  # fmt: skip
+NGINX_KEYS = {
+    "remote_addr": "address", "realip_remote_addr": "address", "time_local": "end", "time_iso8601": "end",
+    "msec": "end", "request": "request", "status": "status", "body_bytes_sent": "sent",
+    "request_length": "received", "request_time": "took:s", "request_method": "method",
+    "request_uri": "target", "uri": "target", "args": "query", "query_string": "query", "host": "host",
+    "http_host": "host", "server_name": "host", "http_user_agent": "agent",
+}  # fmt: skip
+
+
+def _apache_key(match: re.Match[str]) -> str:
+    name, kind = match[3], match[4]
+    if kind == "t" and name:
+        word = name.removeprefix("begin:").removeprefix("end:")
+        side = "end" if name.startswith("end:") else "start"
+        if word in ("sec", "msec", "usec", "msec_frac", "usec_frac"):
+            return "" if word.endswith("_frac") else side
+        raise BadFormat(f"%{{{name}}}t: only sec, msec and usec can be read back")
+    if kind == "T" and name:
+        return f"took:{name}" if name in UNITS else ""
+    if kind == "i" and name:
+        lower = name.lower()
+        return {"user-agent": "agent", "host": "host"}.get(lower, lower)
+    if kind == "C" and name:
+        return name.lower()
+    return "" if name and kind != "a" else APACHE_KEYS.get(kind, "")
+
+
+def _parts(text: str) -> list[tuple[str, str]]:
+    """Literals and keys in their order: ("text", literal) or ("key", key, '' for one that is not needed)."""
+    nginx = "$" in text and "%" not in text
+    found: list[tuple[str, str]] = []
+    at = 0
+    for match in (NGINX if nginx else APACHE).finditer(text):
+        found.append(("text", text[at : match.start()]))
+        at = match.end()
+        if nginx:
+            name = match[1] or match[2]
+            key = NGINX_KEYS.get(name, "")
+            if not key and name.startswith(("http_", "cookie_")):
+                key = name.partition("_")[2].replace("_", "-") if name[0] == "h" else name.partition("_")[2]
+            found.append(("key", key))
+        elif match[4] == "%":
+            found.append(("text", "%"))
+        else:
+            key = _apache_key(match)
+            if match[4] == "t" and not match[3]:
+                found += [("text", "["), ("key", "start"), ("text", "]")]
+            else:
+                found.append(("key", key))
+    found.append(("text", text[at:]))
+    joined: list[tuple[str, str]] = []
+    for kind, value in found:
+        if kind == "text" and joined and joined[-1][0] == "text":
+            joined[-1] = ("text", joined[-1][1] + value)
+        else:
+            joined.append((kind, value))
+    return joined
+
+
+def _pattern(parts: Sequence[tuple[str, str]], quoted: str) -> str:
+    """The pattern of a format; `quoted` is what stands between quotes."""
+    found = []
+    for at, (kind, value) in enumerate(parts):
+        if kind == "text":
+            found.append(re.escape(value))
+            continue
+        before = parts[at - 1][1] if at else ""
+        after = parts[at + 1][1] if at + 1 < len(parts) else ""
+        # Possessive, as what follows is never in the class: nothing to go back for, nothing to remember.
+        if before.endswith('"') and after.startswith('"'):
+            inner = quoted
+        elif before.endswith("[") and after.startswith("]"):
+            inner = r"[^\]\n]*+"
+        elif not after:
+            inner = r".*"
+        elif value in ("start", "end"):
+            inner = rf"(?:{CLF_TIME}|[^{re.escape(after[0])}\n]*)"
+        else:
+            inner = rf"[^{re.escape(after[0])}\n]*+"
+        found.append(f"({inner})")
+    return "".join(found)
+
+
+def string_format(text: str, zone: tzinfo) -> Parser:
+    """The parser of an Apache or nginx format string."""
+    parts = _parts(text)
+    keys = [value for kind, value in parts if kind == "key"]
+    if len(keys) > MAX_FIELDS:
+        raise BadFormat(f"{len(keys)} fields, {MAX_FIELDS} at most")
+    if not any(keys):
+        raise BadFormat(f"{text!r:.60} names no field")
+    require_keys({key.partition(":")[0] for key in keys if key}, text)
+    strict = re.compile(_pattern(parts, QUOTED))
+    # Servers that escape nothing write a `"` as it is. Read so only where there is one way to read it.
+    lazy = re.compile(_pattern(parts, r".*?"))
+    greedy = re.compile(_pattern(parts, r".*"))
+
+    def parse(line: bytes) -> Entry:
+        text = line.decode("utf-8", "replace").rstrip("\r")
+        match = strict.fullmatch(text)
+        if match is None:
+            # Bounded, as it is tried at every quote: a line made for it would take hours.
+            if text.count('"') > MAX_QUOTES:
+                raise Reject("quotes that can be read in two ways")
+            match = lazy.fullmatch(text)
+            if match is None:
+                raise Reject("not in this format")
+            other = greedy.fullmatch(text)
+            if other is None or other.groups() != match.groups():
+                raise Reject("quotes that can be read in two ways")
+        values: dict[str, Any] = {}
+        for key, value in zip(keys, match.groups(), strict=True):
+            if key and (value != "-" or key == "sent") and (value or key not in values):
+                name, _, unit = key.partition(":")
+                if name in ("start", "end") and name in values and "." not in value:
+                    continue  # the same time again, less finely
+                values[name] = number(value) * UNITS[unit] if unit else unescaped(value)
+        if "query" in values and "request" not in values:
+            query = str(values["query"]).lstrip("?")
+            if query and "?" not in values.get("target", ""):
+                values["target"] = f"{values.get('target', '')}?{query}"
+        values.pop("query", None)
+        if "request" in keys and "request" not in values:  # `-`: the server could read none
+            raise Reject("a request line that can't be read")
+        return build(values, zone)
+
+    return parse
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Where the usual fields of a string format stand among its pattern's groups; -1: nowhere."""
+
+    pattern: re.Pattern[bytes]  # matches every line of a block; the last group is one in another form
+    time: int
+    epoch: bool  # seconds since 1970 with a fraction, else CLF's
+    ends: bool  # of the request's end
+    request: int
+    status: int
+    sent: int
+    address: int
+    agent: int
+    took: int
+    unit: float  # of it, in seconds
+
+
+def string_layout(text: str, wanted: frozenset[str]) -> Layout | None:
+    """The layout of a format string, if all that matters in it are usual fields; None else."""
+    parts = _parts(text)
+    names = [value.partition(":") for kind, value in parts if kind == "key"]
+    unusual = {"method", "target", "query", "received"} | wanted
+    keys = [name for name, _, _ in names]
+    at = {key: n for n, key in enumerate(keys)}  # of a time that is there twice, the last
+    units = [unit for name, _, unit in names if name == "took"]
+    if set(keys) & unusual or ("start" in at) == ("end" in at) or len(units) > 1:
+        return None
+    if not {"request", "status", "sent", "address"} <= set(keys):
+        return None
+    side = "end" if "end" in at else "start"
+    epochs = [name for name in re.findall(r"\$(\w+)", text) if name == "msec"]
+    if ("%{" in text and re.search(r"%\{[^}]*\}t", text)) or "time_iso8601" in text:
+        return None
+    if epochs and text.rfind("$msec") < max(text.rfind("$time_local"), 0):
+        return None  # the finer one comes first
+    return Layout(
+        re.compile(rb"^(?:%b|(.*))$" % _pattern(parts, QUOTED).encode(), re.MULTILINE), at[side],
+        bool(epochs), side == "end",
+        at["request"], at["status"], at["sent"], at["address"], at.get("agent", -1), at.get("took", -1),
+        UNITS[units[0]] if units else 1.0,
+    )  # fmt: skip
