--- a/rehearsal/bench/forward.py
+++ b/rehearsal/bench/forward.py
@@ -60,7 +60,7 @@
             lambda: ServerSide(requested, lambda _: None, lambda _: None), host, port, backlog=256
         )
         if files is not None:
-            from rehearsal.quic.peers import H3Server
+            from rehearsal.quic.server import H3Server
 
             await H3Server(files, requested, lambda _: None, lambda _: None).start((host, port))
     print("ready", flush=True)
--- a/rehearsal/bench/quic.py
+++ b/rehearsal/bench/quic.py
@@ -24,7 +24,8 @@
 from rehearsal.bench.forward import BUDGET_S, LATE_MS, WARM_S, Bench, ask_all, cpu_s, rss_kb, scenario
 from rehearsal.exchange import body_of, message
 from rehearsal.quic import certs
-from rehearsal.quic.peers import AskerConnection, AskerStream, H3Pool, connect
+from rehearsal.quic.client import AskerConnection, AskerStream, connect
+from rehearsal.quic.pool import H3Pool
 from rehearsal.wire import Address, Outcome, Pool
 from rehearsal.world.addresses import claim
 
--- a/rehearsal/exchange.py
+++ b/rehearsal/exchange.py
@@ -16,8 +16,9 @@
 
 if TYPE_CHECKING:
     from rehearsal.quic.certs import Files
+    from rehearsal.quic.client import AskerStream
     from rehearsal.quic.faults import Trouble
-    from rehearsal.quic.peers import AskerStream, H3Pool
+    from rehearsal.quic.pool import H3Pool
 
 
 def body_of(seed: int, id: str) -> bytes:
@@ -113,7 +114,7 @@
         return self._pools[node]
 
     def _h3_pool(self, extra: Callable[[str], None], node: str) -> H3Pool:
-        from rehearsal.quic.peers import H3Pool
+        from rehearsal.quic.pool import H3Pool
 
         assert self._files is not None
         seed = draws.number(self.scenario.seed, "path", node, self.recorder.path.stem)
--- a/rehearsal/world/standin.py
+++ b/rehearsal/world/standin.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from rehearsal.quic.certs import Files
-    from rehearsal.quic.peers import H3Server, ServerStream
+    from rehearsal.quic.server import H3Server, ServerStream
 
 BACKLOG = 1024
 RUNS_ALL_THE_SAME = 0.5  # of the requests whose connection is reset are worked on, and their answer lost
@@ -83,7 +83,7 @@
             lambda: ServerSide(self._requested, self._lost, self._made), *address, backlog=BACKLOG
         )
         if self._files is not None:
-            from rehearsal.quic.peers import H3Server
+            from rehearsal.quic.server import H3Server
 
             seed = draws.number(self._scenario.seed, "path", self.server.name)
             self._quic = H3Server(
--- a/tests/h3/scene.py
+++ b/tests/h3/scene.py
@@ -15,7 +15,7 @@
 from orchidferry.config import read_config
 from orchidferry.h3.settings import Front, Http3, Servers
 from orchidferry.node import Node
-from rehearsal.quic import certs, peers
+from rehearsal.quic import certs, client, server
 from rehearsal.quic.faults import Trouble
 from rehearsal.wire import Outcome, Request
 from tests import peers as h1
@@ -36,7 +36,7 @@
         self.lost: list[Any] = []
         self.hold = asyncio.Event()  # cleared: requests wait
         self.hold.set()
-        self.quic = peers.H3Server(files(), self._requested, self.lost.append, lambda _: None, **changes)
+        self.quic = server.H3Server(files(), self._requested, self.lost.append, lambda _: None, **changes)
         self.tasks: set[asyncio.Task[None]] = set()
         self.answers: list[Any] = []  # used up one by one, then 200
 
@@ -74,12 +74,12 @@
     world: World
     node: Node
     address: tuple[str, int]
-    askers: list[peers.AskerConnection] = field(default_factory=list)
+    askers: list[client.AskerConnection] = field(default_factory=list)
 
-    async def connect(self, **options: Any) -> peers.AskerConnection:
+    async def connect(self, **options: Any) -> client.AskerConnection:
         """A caller's connection."""
         options.setdefault("limit_s", LIMIT_S)
-        made = await peers.connect(self.address, str(files().ca), **options)
+        made = await client.connect(self.address, str(files().ca), **options)
         self.askers.append(made)
         return made
 
@@ -96,15 +96,15 @@
         )  # fmt: skip
 
 
-async def ask(connection: peers.AskerConnection, *args: Any, **kwargs: Any) -> Outcome:
+async def ask(connection: client.AskerConnection, *args: Any, **kwargs: Any) -> Outcome:
     """One request as over HTTP/1.1 (`tests.peers.request`), on a stream of its own."""
-    stream = peers.AskerStream(connection)
+    stream = client.AskerStream(connection)
     return await asyncio.wait_for(stream.ask("", h1.request(*args, **kwargs)), LIMIT_S)
 
 
-def begin(connection: peers.AskerConnection, *args: Any, **kwargs: Any) -> peers.AskerStream:
+def begin(connection: client.AskerConnection, *args: Any, **kwargs: Any) -> client.AskerStream:
     """Send one, and wait for nothing; its outcome is in `waiting`."""
-    stream = peers.AskerStream(connection)
+    stream = client.AskerStream(connection)
     stream.ask("", h1.request(*args, **kwargs))
     return stream
 
--- a/tests/h3/test_front.py
+++ b/tests/h3/test_front.py
@@ -19,7 +19,7 @@
 from orchidferry.h3 import front
 from orchidferry.h3.front import Listener
 from orchidferry.h3.shell import reset_token
-from rehearsal.quic import peers
+from rehearsal.quic import client
 from rehearsal.quic.faults import Trouble
 from tests.h3.scene import Scene, ask, begin, files, scene
 from tests.peers import EFFECTS, LIMIT_S, RESET, Server, answer, effects, run, until
@@ -33,13 +33,16 @@
 
 
 def raw(
-    connection: peers.AskerConnection, headers: list[tuple[bytes, bytes]], body: bytes = b"", end: bool = True
+    connection: client.AskerConnection,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes = b"",
+    end: bool = True,
 ) -> int:
     """A request whose headers the library's client would refuse to write."""
     assert connection.http is not None
     http, quic = connection.http, connection._quic
     id = quic.get_next_available_stream_id()
-    stream = peers.AskerStream(connection)
+    stream = client.AskerStream(connection)
     stream.stream, stream.waiting = id, asyncio.get_running_loop().create_future()
     connection.streams[id] = stream
     data = encode_frame(FrameType.HEADERS, http._encode_headers(id, headers))
@@ -50,7 +53,7 @@
     return id
 
 
-async def outcome(connection: peers.AskerConnection, id: int) -> Any:
+async def outcome(connection: client.AskerConnection, id: int) -> Any:
     waiting = connection.streams[id].waiting
     assert waiting is not None
     return await asyncio.wait_for(waiting, LIMIT_S)
@@ -163,7 +166,7 @@
             caller = await made.connect()
             quic = caller._quic
             id = quic.get_next_available_stream_id()
-            stream = peers.AskerStream(caller, stream=id, waiting=asyncio.get_running_loop().create_future())
+            stream = client.AskerStream(caller, stream=id, waiting=asyncio.get_running_loop().create_future())
             caller.streams[id] = stream
             quic.send_stream_data(
                 id, encode_uint_var(FrameType.HEADERS) + encode_uint_var(1 << 20) + b"x" * 2000
@@ -240,7 +243,7 @@
                 f"POST /save HTTP/1.1\r\nHost: x\r\nX-Call-Id: second\r\nX-Budget: 5\r\n{again}"
                 "Content-Length: 1\r\n\r\nx"
             ).encode()
-            retry = peers.AskerStream(caller)
+            retry = client.AskerStream(caller)
             assert (await asyncio.wait_for(retry.ask("", message), LIMIT_S)).status == 200
             keys = [seen.headers["idempotency-key"] for seen in server.seen]
             assert keys == ["key-first"] * 2
@@ -694,12 +697,12 @@
             new = certs.make(tmp_path / "new")
             ready._front = type(ready._front)(ready._front.listen, new.certificate, new.key, 64, 60)
             made.node.reconfigure(made.node._config)
-            caller = await peers.connect(made.address, str(new.ca), limit_s=LIMIT_S)
+            caller = await client.connect(made.address, str(new.ca), limit_s=LIMIT_S)
             made.askers.append(caller)
             assert (await ask(caller, "new")).status == 200
             new.certificate.write_text("no certificate\n")
             made.node.reconfigure(made.node._config)
-            again = await peers.connect(made.address, str(new.ca), limit_s=LIMIT_S)
+            again = await client.connect(made.address, str(new.ca), limit_s=LIMIT_S)
             made.askers.append(again)
             assert (await ask(again, "old-stays")).status == 200
 
@@ -713,7 +716,7 @@
         stranger = certs.make(tmp_path / "stranger")
         async with scene(tmp_path, Server(name="s0")) as made:
             with pytest.raises(ConnectionError):
-                await peers.connect(made.address, str(stranger.ca), limit_s=LIMIT_S)
+                await client.connect(made.address, str(stranger.ca), limit_s=LIMIT_S)
             await until(lambda: not listener(made)._connections and not listener(made)._half_open)
 
     run(test())
