--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -202,13 +202,11 @@
             due = loop.time() + TICK_S
             await asyncio.sleep(TICK_S)
             now = loop.time()
-            self.progress.t = self.deployment.recorder.now() - self.deployment.start
+            self.progress.t = recorder.now() - self.deployment.start
             if now - due > STALL_S:
-                self.deployment.recorder.put(
-                    Lag(self.deployment.recorder.now(), "director", "stall", now - due)
-                )
+                recorder.put(Lag(recorder.now(), "director", "stall", now - due))
             if now - flushed > FLUSH_S:
-                self.deployment.recorder.flush()
+                recorder.flush()
                 flushed = now
             if now - looked >= WINDOW_S:
                 looked = now
