--- /dev/null
+++ b/rehearsal/explore/dead_messages.py
@@ -0,0 +1,37 @@
+"""Messages under way that change nothing any more, whenever they come, and answers nothing.
+
+Delivering one commutes with all else that may happen, and so does losing it or holding it up: an
+exploration may take it for delivered as soon as it is dead, and nothing that can be told apart is left out.
+Each rule here rests on something that only rises while the receiver lives; a receiver that dies loses what
+was on its way to it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mesh.control.shard import Shard
+from nickelbridge.register import Ballot
+
+VERSION_AT = 0  # of a packed state
+
+
+def is_dead(message: Any, receiver: Shard) -> bool:
+    """Whether a message between replicas does nothing at its receiver, now and later."""
+    match message:
+        case ["know", packed]:  # versions that are known only rise
+            return packed is not None and packed[VERSION_AT] <= receiver.known.version
+        case ["decided", _, version]:
+            return bool(version <= receiver.known.version)
+        case ["peeked", number, *_]:  # each reading has a number of its own
+            reading = receiver._reading
+            return reading is None or reading.number != number
+        case ["reg", _, [("P" | "A"), [counter, name], *_]]:  # each round has a ballot of its own
+            return ballot_of_round(receiver) != (counter, name)
+    return False
+
+
+def ballot_of_round(shard: Shard) -> Ballot | None:
+    """The ballot of the round that a shard's proposer runs; None for none."""
+    round_ = shard.proposer._round
+    return round_.ballot if round_ is not None else None
