--- a/rehearsal/capacity/figures.py
+++ b/rehearsal/capacity/figures.py
@@ -19,8 +19,8 @@
 CLAIMED = 0.12  # half of an interval, as a share of the median: up to that a figure claims a value
 NAME, CELL = 60, 16  # widths of columns
 EXPLAINED = (
-    "* in virtual time; (a): taken once, claims nothing; a..b: least and most of the rounds, where they differ by more than "
-    f"{2 * CLAIMED:.0%} of the median; processor time at the reference's speed"
+    "* in virtual time; (a): taken once, claims nothing; a..b: least and most of the rounds, where they "
+    f"differ by more than {2 * CLAIMED:.0%} of the median; processor time at the reference's speed"
 )
 UNKNOWN = 3.0  # an interval whose ends differ by more than this many times tells nothing
 
