--- a/rehearsal/capacity/run.py
+++ b/rehearsal/capacity/run.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Coroutine
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -17,7 +18,7 @@
 import uvloop
 
 from rehearsal.capacity import calls, claims, processes
-from rehearsal.capacity.figures import Figure, packed, plot, slopes, table
+from rehearsal.capacity.figures import BY_SERVICES, Figure, packed, plot, slopes, table
 from rehearsal.capacity.plan import Plan, services_of
 from rehearsal.mesh.processes import ROOT
 from rehearsal.world.nodes import in_child
@@ -61,7 +62,10 @@
     """Each size with real controllers and proxies, then the number of services at one size."""
     found: list[Figure] = []
     for nodes in plan.nodes:
-        found += await processes.by_nodes(nodes, plan.seconds)
+        of_size = await processes.by_nodes(nodes, plan.seconds)
+        found += of_size
+        if nodes == plan.wide:
+            found += [replace(one, axis=BY_SERVICES, at=services_of(nodes)) for one in of_size]
         _say(f"{nodes} nodes round real processes")
     for services in plan.services:
         found += await processes.by_services(plan.wide, services, plan.seconds)
