capacity: a test that hours which were forked end with the command

The hours are processes of a process; told to end, the command ends the whole session that it started. The test starts them at 160 nodes, sends SIGTERM once they are there and finds none of them.

--- a/tests/rehearsal/test_capacity.py
+++ b/tests/rehearsal/test_capacity.py
@@ -128,6 +128,20 @@
     assert started and not [pid for pid in started if _runs(pid)]
 
 
+def test_told_to_end_it_ends_the_hours_that_were_forked_too() -> None:
+    command = subprocess.Popen([*COMMAND, "--nodes", "160", "--only", "hours"], stderr=subprocess.DEVNULL)
+    deadline = time.monotonic() + 30.0
+    started: list[int] = []
+    while len(started) < 3 and time.monotonic() < deadline:
+        time.sleep(0.1)
+        started = [pid for one in _children(command.pid) for pid in (one, *_children(one))]
+    command.send_signal(signal.SIGTERM)
+    assert command.wait(30) == 130
+    while any(map(_runs, started)) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert len(started) >= 3 and not any(map(_runs, started))
+
+
 def test_the_figures_come_as_json(tmp_path: Path) -> None:
     file = tmp_path / "figures.json"
     words = ("--nodes", "8,16", "--only", "fleets", "--json", str(file), "--plot", str(tmp_path / "a.png"))
