--- a/mesh/control/actions.py
+++ b/mesh/control/actions.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from mesh.storage.store import Put
+from mesh.wire.messages import KeyGrant, ShardMessage
 from nickelbridge.register import Value
 
 
@@ -14,7 +15,7 @@
     """To another controller; lost if there is no link to it."""
 
     to: str
-    message: list[Any]
+    message: ShardMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +23,7 @@
     """To whoever sent what this answers."""
 
     to: Any
-    message: list[Any]
+    message: ShardMessage | KeyGrant
 
 
 @dataclass(frozen=True, slots=True)
--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -21,6 +21,19 @@
 from mesh.control.subscriber import Subscriber
 from mesh.settings import Settings
 from mesh.wire.framing import Link, dial
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationRead,
+    ConfigurationText,
+    Group,
+    KeyGrant,
+    Lease,
+    LeaseRenewal,
+    Message,
+    News,
+    NodeHello,
+    kind_of,
+)
 
 RENEW_S = 0.5
 QUIET_S = 1.6  # a controller that answers nothing for so long is not heard
@@ -126,7 +139,7 @@
         if record is None or link is None or not link.open:
             return
         same = controller.knows == (record.boot, record.number)
-        link.send("renew", record.number, record.name, record.boot, None if same else record.packed())
+        link.send(LeaseRenewal(record.number, record.name, record.boot, None if same else record))
 
     # Links
 
@@ -157,7 +170,7 @@
         for rid in [rid for rid, fetch in self._fetching.items() if fetch.over(now)]:
             del self._fetching[rid]
         if (not self.settled or self._wanted > self.revision) and not self._fetching:
-            self._fetch(None, "fetch" if self.settled else "read")
+            self._fetch(None, read=not self.settled)
         self.claims.tick(now)
 
     async def _dial(self, controller: Controller) -> None:
@@ -172,11 +185,11 @@
             if link is not None:
                 link.peer = controller.name
                 controller.link, controller.knows, controller.warm = link, (0, -1), False
-                link.send("hello", self._settings.name)
+                link.send(NodeHello(self._settings.name))
                 self._renew(controller)
                 self._subscriber.up(controller.name, link)
                 if not self.settled:
-                    self._fetch(controller, "read")
+                    self._fetch(controller, read=True)
                 self.claims.linked(controller.name)
         finally:
             controller.dialling = False
@@ -191,42 +204,48 @@
                 del self._fetching[rid]
             self._look()
 
-    def _heard(self, link: Link, message: list[Any]) -> None:
+    def _heard(self, link: Link, message: Message) -> None:
         try:
             self._take(link, message)
         except (ValueError, TypeError, KeyError, IndexError) as problem:
-            logger.warning("control_client: a message {!r} can't be read: {}", message[0], problem)
+            logger.warning("control_client: a {} can't be taken: {}", kind_of(message), problem)
             link.close()
 
-    def _take(self, link: Link, message: list[Any]) -> None:
-        kind, controller = message[0], self._controllers.get(link.peer)
+    def _take(self, link: Link, message: Message) -> None:
+        controller = self._controllers.get(link.peer)
         if controller is None or controller.link is not link:
             return
-        if kind == "slip":
-            self.claims.hear(controller.name, *message[1:])
-        elif kind == "lease":
-            number, known, warm, life, news, age_ms = message[1:]
-            now = self._loop.time()
-            controller.told_s = now
-            controller.contact_s = now - age_ms / 1e3 if age_ms is not None else float("-inf")
-            if self._record is not None:
-                controller.knows = (self._record.boot, number) if known else (0, -1)
-                if not known:
-                    self._renew(controller)
-            self._subscriber.lease(controller.name, life, news)
-            if warm and not controller.warm:
-                controller.warm = True
-                self._look()
-        elif kind == "news":
-            self._subscriber.from_keeper(link, message)
-        elif kind == "folio":
-            self._configuration_shard(*message[1:])
-        elif kind == "group":
-            shard, epoch, names, owner, fence = message[1:]
-            self._group(shard, epoch, tuple(names), owner, fence)
-
-    def _group(self, shard: int, epoch: int, names: tuple[str, ...], owner: str, fence: int) -> None:
-        if not self.claims.group(shard, epoch, names, owner, fence, self._loop.time()):
+        match message:
+            case KeyGrant():
+                self.claims.hear(
+                    controller.name, message.request, message.epoch, message.outcome, message.answer
+                )
+            case Lease():
+                self._take_lease(controller, message)
+            case News():
+                self._subscriber.from_controller(link, message)
+            case ConfigurationText():
+                self._take_text(message)
+            case Group():
+                self._group(message)
+
+    def _take_lease(self, controller: Controller, lease: Lease) -> None:
+        """A controller has renewed the lease."""
+        now, age_ms = self._loop.time(), lease.contact_age_ms
+        controller.told_s = now
+        controller.contact_s = now - age_ms / 1e3 if age_ms is not None else float("-inf")
+        if self._record is not None:
+            controller.knows = (self._record.boot, lease.number) if lease.known else (0, -1)
+            if not lease.known:
+                self._renew(controller)
+        self._subscriber.lease(controller.name, lease.life, lease.news)
+        if lease.warm and not controller.warm:
+            controller.warm = True
+            self._look()
+
+    def _group(self, group: Group) -> None:
+        shard, epoch, names, owner, fence = group.shard, group.epoch, group.names, group.owner, group.fence
+        if not self.claims.group(shard, epoch, tuple(names), owner, fence, self._loop.time()):
             return
         logger.info(
             "control_client: shard {}: epoch {}, controllers {}, owner {} under fence {}",
@@ -235,10 +254,10 @@
         for name in names[:CONTROLLERS_MOST]:
             self._controllers.setdefault(name, Controller(name))
 
-    def _send(self, name: str, *message: Any) -> None:
+    def _send(self, name: str, message: Message) -> None:
         controller = self._controllers.get(name)
         if controller is not None and controller.link is not None:
-            controller.link.send(*message)
+            controller.link.send(message)
 
     # The tree of relays
 
@@ -251,21 +270,21 @@
             self._settings.local_ip, self._settings.internal_port,
         )  # fmt: skip
 
-    def _below(self, link: Link, message: list[Any]) -> None:
+    def _below(self, link: Link, message: Message) -> None:
         try:
             self._subscriber.from_follower(link, message)
         except (ValueError, TypeError, KeyError, IndexError) as problem:
-            logger.warning("control_client: a follower's {!r} can't be read: {}", message[0], problem)
+            logger.warning("control_client: a follower's {} can't be taken: {}", kind_of(message), problem)
             link.close()
 
-    def _above(self, link: Link, message: list[Any]) -> None:
+    def _above(self, link: Link, message: Message) -> None:
         try:
-            if message[0] == "folio":
-                self._configuration_shard(*message[1:])
+            if isinstance(message, ConfigurationText):
+                self._take_text(message)
             else:
                 self._subscriber.from_parent(link, message)
         except (ValueError, TypeError, KeyError, IndexError) as problem:
-            logger.warning("control_client: a parent's {!r} can't be read: {}", message[0], problem)
+            logger.warning("control_client: a parent's {} can't be taken: {}", kind_of(message), problem)
             link.close()
 
     def _dial_parent(self, name: str, ip: str) -> None:
@@ -314,11 +333,11 @@
 
     # The configuration
 
-    def _fetch(self, controller: Controller | None, how: str) -> None:
+    def _fetch(self, controller: Controller | None, read: bool) -> None:
         if controller is None:
             controller = self._pick()
         if controller is not None and controller.link is not None:
-            self._ask(controller.link, how)
+            self._ask(controller.link, read)
 
     def _pick(self) -> Controller | None:
         """Whom to ask: one that is in contact and has told of what is wanted, if there is one; else any that
@@ -330,21 +349,24 @@
         knowing = [k for k in fresh if k.name in streams and streams[k.name].revision >= self._wanted]
         return self._rng.choice(knowing or fresh) if fresh else None
 
-    def _ask(self, link: Link, how: str) -> None:
+    def _ask(self, link: Link, read: bool) -> None:
+        """Ask for a configuration; `read`: confirmed by a majority."""
         self._rid += 1
-        self._fetching[self._rid] = Fetch(link, self._loop.time(), how == "read")
-        if how == "read":
+        self._fetching[self._rid] = Fetch(link, self._loop.time(), read)
+        if read:
             self._reads.add(self._rid)
-        link.send(how, self._rid, self._wanted)
+        kind = ConfigurationRead if read else ConfigurationFetch
+        link.send(kind(self._rid, self._wanted))
 
     def _version(self, revision: int, link: Link) -> None:
         """There is a configuration of this number: its text is fetched from whoever told so."""
         self._wanted = max(self._wanted, revision)
         if self._wanted > self.revision and all(fetch.read for fetch in self._fetching.values()):
-            self._ask(link, "fetch")
+            self._ask(link, read=False)
 
-    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
+    def _take_text(self, message: ConfigurationText) -> None:
         """One that was asked for is here, late perhaps: what was decided is taken whenever it comes."""
+        rid, revision, raw = message.request, message.revision, message.text
         self._fetching.pop(rid, None)
         if revision < 0:
             return
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -29,6 +29,27 @@
 from mesh.storage.store import Put, Store, pack
 from mesh.storage.store import unpack as unpack_stored
 from mesh.wire.framing import Link, dial
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationRead,
+    ConfigurationText,
+    ControllerHello,
+    Group,
+    Heartbeat,
+    HeartbeatAck,
+    KeyAnswer,
+    KeyClaim,
+    KeyRelease,
+    LeaseRenewal,
+    Message,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    NodeHello,
+    RetryShareRequest,
+    ShardMessage,
+    kind_of,
+)
 from nickelbridge.register import Kept, Value
 
 BEAT_S = 0.4  # how often a controller tells the others that it lives
@@ -55,7 +76,7 @@
         self._known_peers = Peers(self._began_s)
         self._shards: dict[int, Shard] = {}
         self._remember()
-        self._load_slips()
+        self._load_keys()
         self._load_orders()
         self._publisher = Publisher(
             self._name, settings.zone, self._rng.randrange(1, 2**53), loop, self._contact_age_ms
@@ -77,6 +98,7 @@
         self._server: asyncio.Server | None = None
         self._stopping = False
         self._size_told = False
+        self._handlers = self._message_handlers()
 
     # Its memory
 
@@ -107,7 +129,7 @@
                 "controller: a new memory, {}", "as a founder" if founder else "to be filled by others"
             )
 
-    def _load_slips(self) -> None:
+    def _load_keys(self) -> None:
         for raw, packed in self._store.all("slips"):
             key = raw.decode("latin-1")
             self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
@@ -227,7 +249,7 @@
                     link.close()
                 else:
                     fit = self._known_peers.fit
-                    link.send("beat", self._name, self._number, fit, versions, self._stopping, learning)
+                    link.send(Heartbeat(self._name, self._number, fit, versions, self._stopping, learning))
 
     def _spawn(self, work: Any) -> None:
         task = self._loop.create_task(work)
@@ -242,7 +264,7 @@
             if link is not None:
                 link.peer = name
                 self._peers[name] = link
-                link.send("controller", self._name)
+                link.send(ControllerHello(self._name))
                 self._beat()
         finally:
             self._dialling.discard(name)
@@ -280,9 +302,9 @@
                 case Tell():
                     link = self._peers.get(action.to) or self._callers.get(action.to)
                     if link is not None:
-                        link.send(*action.message)
+                        link.send(action.message)
                 case Answer():
-                    action.to.send(*action.message)
+                    action.to.send(action.message)
                 case Write():
                     self._write(shard, action)
                 case Changed():
@@ -332,11 +354,14 @@
 
     # Links
 
-    def _heard(self, link: Link, message: list[Any]) -> None:
+    def _heard(self, link: Link, message: Message) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return
         try:
-            self._take(link, message)
+            handler(link, message)
         except (ValueError, TypeError, KeyError, IndexError) as problem:
-            logger.warning("controller: a message {!r} can't be read: {}", message[0], problem)
+            logger.warning("controller: a {} can't be taken: {}", kind_of(message), problem)
             link.close()
 
     def _lost(self, link: Link) -> None:
@@ -345,92 +370,107 @@
             if links.get(link.peer) is link:
                 del links[link.peer]
 
-    def _take(self, link: Link, message: list[Any]) -> None:
-        kind, now = message[0], self._loop.time()
-        if kind == "claim":
-            rid, under, key, holder = message[1:]
-            shard = self._shards[shard_state.shard_of(key)]
-            self._do(shard, shard.claim(link, rid, under, key, holder, self._store.room, now))
-            if under != shard.body.epoch:
-                self._tell_group(shard, link)
-        elif kind == "done":
-            key, holder, answer = message[1:]
-            shard = self._shards[shard_state.shard_of(key)]
-            self._do(shard, shard.done(key, holder, answer, now))
-        elif kind == "drop":
-            key, holder = message[1:]
-            shard = self._shards[shard_state.shard_of(key)]
-            self._do(shard, shard.drop(key, holder, now))
-        elif kind == "share?":
-            service, node, life, number, used, wanted, held, fence = message[1:]
-            share = self._retry_budgets.handle(
-                service, node, life, number, used, wanted, held, fence, now
-            )  # fmt: skip
-            if share is not None:
-                link.send(*share)
-        elif kind == "renew":
-            self._publisher.renew(link, *message[1:])
-        elif kind == "since":
-            self._publisher.since(link, *message[1:])
-        elif kind == "follow":
-            self._publisher.follow(link, *message[1:])
-        elif kind == "unfollow":
-            self._publisher.unfollow(link)
-        elif kind == "part":
-            shard = self._shards[message[1]]
-            self._do(shard, shard.heard(link, message[2:], now))
-        elif kind == "beat":
-            self._heard_beat(link, *message[1:])
-        elif kind == "pulse":
-            name, number, fences = message[1:]
-            sent_s = self._beats.get(number)
-            if sent_s is not None:
-                for shard, fence in zip(self._shards.values(), fences, strict=True):
-                    shard.pulse(name, sent_s, fence)
-        elif kind == "hello":
-            self._publisher.hello(link, message[1])
-            for shard in self._shards.values():
-                self._tell_group(shard, link)
-        elif kind == "read":
-            rid = message[1]
-            self._read(lambda end: self._tell_configuration(link, rid, end.value))
-        elif kind == "fetch":
-            self._tell_configuration(link, message[1], self._configuration_shard.known)
-        elif kind == "controller":
-            link.peer = str(message[1])
-            self._callers[link.peer] = link
-
-    def _heard_beat(
-        self, link: Link, name: str, number: int, fit: bool, versions: list[int], leaves: bool,
-        learning: list[int],
-    ) -> None:  # fmt: skip
-        known = self._known_peers
+    def _message_handlers(self) -> dict[type[Message], Callable[[Link, Any], None]]:
+        """What is done with each kind of message that controllers and nodes send here."""
+        return {
+            KeyClaim: self._take_claim,
+            KeyAnswer: self._take_answer,
+            KeyRelease: self._take_release,
+            RetryShareRequest: self._deal_retry_share,
+            LeaseRenewal: self._publisher.renew,
+            NewsRequest: self._publisher.since,
+            NewsSubscription: self._publisher.follow,
+            NewsUnsubscription: lambda link, _: self._publisher.unfollow(link),
+            ShardMessage: self._take_shard_message,
+            Heartbeat: self._take_heartbeat,
+            HeartbeatAck: self._take_heartbeat_ack,
+            NodeHello: self._greet_node,
+            ConfigurationRead: self._read_configuration,
+            ConfigurationFetch: self._fetch_configuration,
+            ControllerHello: self._greet_controller,
+        }
+
+    # Other controllers
+
+    def _take_shard_message(self, link: Link, message: ShardMessage) -> None:
+        shard = self._shards[message.shard]
+        self._do(shard, shard.heard(link, message.body, self._loop.time()))
+
+    def _take_heartbeat(self, link: Link, beat: Heartbeat) -> None:
+        self._note_peer(beat)
+        fences = [shard.accepted_fence for shard in self._shards.values()]
+        link.send(HeartbeatAck(self._name, beat.number, fences))
+        for shard, version in zip(self._shards.values(), beat.versions, strict=True):
+            self._do(shard, shard.catch(version, beat.name))
+
+    def _note_peer(self, beat: Heartbeat) -> None:
+        """What a heartbeat says of its sender."""
+        known, name = self._known_peers, beat.name
         if name not in known.heard_s and len(known.heard_s) >= CONTROLLERS_MOST:
             oldest = min(known.heard_s, key=lambda n: known.heard_s[n])
             del known.heard_s[oldest]
             known.learning.pop(oldest, None)
         known.heard_s[name] = self._loop.time()
-        (known.unfit.discard if fit else known.unfit.add)(name)
-        (known.leaving.add if leaves else known.leaving.discard)(name)
-        known.learning[name] = tuple(learning)
-        link.send("pulse", self._name, number, [p.accepted_fence for p in self._shards.values()])
-        for shard, version in zip(self._shards.values(), versions, strict=True):
-            self._do(shard, shard.catch(version, name))
+        (known.unfit.discard if beat.fit else known.unfit.add)(name)
+        (known.leaving.add if beat.leaving else known.leaving.discard)(name)
+        known.learning[name] = tuple(beat.learning)
+
+    def _take_heartbeat_ack(self, link: Link, ack: HeartbeatAck) -> None:
+        sent_s = self._beats.get(ack.number)
+        if sent_s is not None:
+            for shard, fence in zip(self._shards.values(), ack.fences, strict=True):
+                shard.pulse(ack.name, sent_s, fence)
+
+    def _greet_controller(self, link: Link, hello: ControllerHello) -> None:
+        link.peer = hello.name
+        self._callers[link.peer] = link
+
+    # Operation keys and retries
+
+    def _take_claim(self, link: Link, claim: KeyClaim) -> None:
+        shard, now = self._shards[shard_state.shard_of(claim.key)], self._loop.time()
+        room = self._store.room
+        self._do(shard, shard.claim(link, claim.request, claim.epoch, claim.key, claim.holder, room, now))
+        if claim.epoch != shard.body.epoch:
+            self._tell_group(shard, link)
+
+    def _take_answer(self, link: Link, message: KeyAnswer) -> None:
+        shard = self._shards[shard_state.shard_of(message.key)]
+        self._do(shard, shard.done(message.key, message.holder, message.answer, self._loop.time()))
+
+    def _take_release(self, link: Link, message: KeyRelease) -> None:
+        shard = self._shards[shard_state.shard_of(message.key)]
+        self._do(shard, shard.drop(message.key, message.holder, self._loop.time()))
+
+    def _deal_retry_share(self, link: Link, request: RetryShareRequest) -> None:
+        share = self._retry_budgets.handle(request, self._loop.time())
+        if share is not None:
+            link.send(share)
 
     # Nodes
 
+    def _greet_node(self, link: Link, hello: NodeHello) -> None:
+        self._publisher.hello(link, hello.name)
+        for shard in self._shards.values():
+            self._tell_group(shard, link)
+
+    def _read_configuration(self, link: Link, message: ConfigurationRead) -> None:
+        self._read(lambda end: self._tell_configuration(link, message.request, end.value))
+
+    def _fetch_configuration(self, link: Link, message: ConfigurationFetch) -> None:
+        self._tell_configuration(link, message.request, self._configuration_shard.known)
+
     def _tell_group(self, shard: Shard, link: Link | None = None) -> None:
         own = shard.body
         names = [v.name for v in shard.known.voters]
-        self._publisher.tell_group(["group", shard.number, own.epoch, names, own.owner, own.fence], link)
+        self._publisher.tell_group(Group(shard.number, own.epoch, names, own.owner, own.fence), link)
 
     def _tell_configuration(self, link: Link, rid: int, value: Value | None) -> None:
-        if value is None:
-            self._publisher.tell_configuration(link, rid, -1, b"")
-        else:
-            self._publisher.tell_configuration(
-                link, rid, shard_state.body(value).revision, shard_state.body(value).raw
-            )
+        text = ConfigurationText(rid, -1, b"")  # there is no telling
+        if value is not None:
+            state = shard_state.body(value)
+            text = ConfigurationText(rid, state.revision, state.raw)
+        self._publisher.tell_configuration(link, text)
 
     # The size of the groups
 
--- a/mesh/control/endpoints.py
+++ b/mesh/control/endpoints.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
+
+import msgspec
 
 LEASE_S = 2.0  # a node that has renewed nothing for so long is a member no more
 NODES_MOST = 4_096
@@ -17,8 +18,7 @@
 IN_SERVICE, DRAINING, GONE = "in_service", "draining", "gone"
 
 
-@dataclass(frozen=True, slots=True)
-class Server:
+class Server(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """A server as the node beside it knows it."""
 
     id: str
@@ -29,15 +29,8 @@
     cold_left_ms: float
     version: str = ""
 
-    def packed(self) -> list[Any]:
-        """As it goes over the wire."""
-        return [
-            self.id, self.service, self.zone, self.state, self.capacity, self.cold_left_ms, self.version,
-        ]  # fmt: skip
-
 
-@dataclass(frozen=True, slots=True)
-class Record:
+class Record(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """A node's own word of itself."""
 
     name: str
@@ -48,17 +41,6 @@
     inbound: int  # port
     server: Server | None
 
-    def packed(self) -> list[Any]:
-        """As it goes over the wire."""
-        server = self.server.packed() if self.server is not None else None
-        return [self.name, self.boot, self.number, self.zone, self.ip, self.inbound, server]
-
-
-def unpack(packed: list[Any]) -> Record:
-    """A record as it came; `ValueError` or `TypeError` for one that is none."""
-    name, boot, number, zone, ip, inbound, server = packed
-    return Record(name, boot, number, zone, ip, inbound, Server(*server) if server is not None else None)
-
 
 @dataclass(slots=True)
 class _Lease:
--- a/mesh/control/fanout_tree.py
+++ b/mesh/control/fanout_tree.py
@@ -12,9 +12,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import Any, Generic, TypeVar
+from typing import Generic, TypeVar
 
-from mesh.control.endpoints import Record, unpack
+import msgspec
+
+from mesh.control.endpoints import Record
 
 HEADS = 2  # nodes of a zone that follow the controllers themselves
 FANOUT = 8
@@ -56,8 +58,7 @@
     return chain
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """What changed in a controller's stream after `since`, up to `number`; with `since` -1 it is all there
     is.
     """
@@ -70,28 +71,9 @@
     gone: list[str]
     revision: int  # of the configuration, as the controller knows it; 0 for none
 
-    def packed(self) -> list[Any]:
-        """As a message."""
-        entries = [record.packed() for record in self.entries]
-        return [
-            "news",
-            self.controller,
-            self.life,
-            self.since,
-            self.number,
-            entries,
-            self.gone,
-            self.revision,
-        ]
-
-
-def unpack_change(
-    controller: str, life: int, since: int, number: int, entries: list[Any], gone: list[str], revision: int
-) -> Change:
-    """A change as it came, without the message's kind; `ValueError` or `TypeError` for one that is none."""
-    if not (isinstance(life, int) and -1 <= since < number and isinstance(revision, int)):
-        raise ValueError("a change without its place")
-    return Change(controller, life, since, number, [unpack(r) for r in entries], list(gone), revision)
+    def __post_init__(self) -> None:
+        if not -1 <= self.since < self.number:
+            raise ValueError("a change ends after its beginning")
 
 
 class Stream:
--- a/mesh/control/key_transfer.py
+++ b/mesh/control/key_transfer.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from mesh.control.operation_keys import OperationKeys
+from mesh.wire.shard_messages import KeyRow
 
 PAGE_BYTES = 128 * 1024  # of the rows of one page
 ROW_BYTES = 24  # of a row beside its strings
@@ -21,8 +22,6 @@
 WAIT_S = 1.0  # for a page, before its source is asked again
 DECLINED_S = 0.15  # after a source had nothing to give, before it is asked again
 
-Row = list[Any]  # key, [holder, shelf, answer], whether there is an answer (left out of a brief page)
-
 
 def weight(value: Any) -> int:
     """About how many bytes a part of a row has in a message."""
@@ -35,9 +34,9 @@
 
 def bounded(
     keys: OperationKeys, names: list[str], brief: bool = False, most: float = PAGE_BYTES
-) -> tuple[list[Row], int]:
+) -> tuple[list[KeyRow], int]:
     """Rows of the first of these keys, as many as a page holds; and how many keys that covers."""
-    rows: list[Row] = []
+    rows: list[KeyRow] = []
     size = covered = 0
     for key in names:
         if size >= most:
@@ -46,10 +45,10 @@
         record = keys.records.get(key)
         if record is not None:
             answer = None if brief else record.answer
-            rows.append([key, [record.holder, record.shelf, answer], record.answer is not None])
+            rows.append((key, (record.holder, record.shelf, answer), record.answer is not None))
             size += ROW_BYTES + len(key) + len(record.holder) + weight(answer)
         elif key in keys.given_back:
-            rows.append([key, [keys.given_back[key], GIVEN_BACK, None], False])
+            rows.append((key, (keys.given_back[key], GIVEN_BACK, None), False))
             size += ROW_BYTES + len(key)
     return rows, covered
 
@@ -60,7 +59,7 @@
     source's newest.
     """
 
-    rows: list[Row]
+    rows: list[KeyRow]
     sequence: int
     last: bool
 
@@ -183,7 +182,7 @@
             self.copied.add(name)
 
 
-def lacking(keys: OperationKeys, rows: list[Row]) -> list[str]:
+def lacking(keys: OperationKeys, rows: list[KeyRow]) -> list[str]:
     """The keys whose answers a brief page left out and this controller does not have."""
     found: list[str] = []
     for key, (_, _, answer), answered in rows:
--- a/mesh/control/operation_key_client.py
+++ b/mesh/control/operation_key_client.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from mesh.control import shard_state
+from mesh.wire.messages import KeyAnswer, KeyClaim, KeyRelease, Message
 
 AGAIN_S = 0.12  # a controller that could not say is asked again
 OPEN_MOST = 20_000  # claims at once
@@ -78,13 +79,18 @@
     until_s: float
     again_s: float
 
+    @property
+    def message(self) -> KeyClaim:
+        """Asks a controller of the group."""
+        return KeyClaim(self.rid, self.count.epoch, self.key, self.holder)
+
 
 class OperationKeyClient:
     """All claims of one node. `send` puts a message to a controller by name, lost if there is no link to
     it.
     """
 
-    def __init__(self, seeds: tuple[str, ...], send: Callable[..., None]) -> None:
+    def __init__(self, seeds: tuple[str, ...], send: Callable[[str, Message], None]) -> None:
         self.groups = {shard: Group(-1, seeds) for shard in shard_state.SHARDS}
         self._send = send
         self._open: dict[int, Claim] = {}
@@ -137,13 +143,13 @@
         """There is a new link to a controller."""
         for claim in self._open.values():
             if name in claim.count.group:
-                self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
+                self._send(name, claim.message)
 
     def _ask(self, claim: Claim, now: float) -> None:
         claim.again_s = now + AGAIN_S
         for name in claim.count.group:
             if claim.count.open(name):
-                self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
+                self._send(name, claim.message)
 
     def hear(self, name: str, rid: int, epoch: int, what: str, answer: Any) -> None:
         """A controller's word on a claim."""
@@ -163,12 +169,12 @@
 
     def drop(self, key: str, holder: str) -> None:
         """Give a key back: this try has not run and never will."""
-        self._tell_all(key, "drop", key, holder)
+        self._tell_all(key, KeyRelease(key, holder))
 
     def done(self, key: str, holder: str, answer: Any) -> None:
         """Keep the answer of a key's first run."""
-        self._tell_all(key, "done", key, holder, answer)
+        self._tell_all(key, KeyAnswer(key, holder, answer))
 
-    def _tell_all(self, key: str, *message: Any) -> None:
+    def _tell_all(self, key: str, message: Message) -> None:
         for name in self.groups[shard_state.shard_of(key)].names:
-            self._send(name, *message)
+            self._send(name, message)
--- a/mesh/control/order_book.py
+++ b/mesh/control/order_book.py
@@ -6,12 +6,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
 
 from mesh.control.order_history import OrderHistory, Verdict
 from mesh.control.order_records import record
 from mesh.control.shard_state import WHY_NOT, Body, Put, lists_all
 from mesh.storage.store import Put as Stored
+from mesh.wire.shard_messages import Orders, OrdersRequest
 
 PAGE = 256  # orders in one message, or one write
 AGAIN_S = 5.0  # a replica that had no older orders to tell is asked again after so long
@@ -69,18 +69,18 @@
                 return name
         return None
 
-    def oldest(self) -> list[Any]:
-        """What is sent with the asking: number and digest of the oldest order that is known."""
+    def older_request(self) -> OrdersRequest:
+        """Asks for the orders before the oldest one that is known."""
         floor = self.history.floor
-        return [floor, self.history.entries[floor].digest]
+        return OrdersRequest(floor, self.history.entries[floor].digest)
 
-    def page(self, floor: int, digest: bytes) -> list[Any] | None:
-        """What another replica, whose oldest order this is, is told; None for nothing."""
-        found = self.history.before(floor, digest, PAGE)
-        return None if found is None else [[list(row) for row in found[0]], found[1]]
+    def page(self, request: OrdersRequest) -> Orders | None:
+        """What another replica is told that asks for older orders; None for nothing."""
+        found = self.history.before(request.number, request.digest, PAGE)
+        return None if found is None else Orders(list(found[0]), found[1])
 
-    def take_page(self, rows: list[Any], complete: bool) -> bool:
+    def take_page(self, page: Orders) -> bool:
         """Learn older orders; whether there was anything new."""
         floor = self.history.floor
-        self.history.prepend(tuple((number, digest) for number, digest in rows), complete)
+        self.history.prepend(tuple(page.orders), page.complete)
         return self.history.floor != floor
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -9,13 +9,23 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from loguru import logger
 
-from mesh.control.endpoints import LEASE_S, NODES_MOST, Register, unpack
+from mesh.control.endpoints import LEASE_S, NODES_MOST, Register
 from mesh.control.fanout_tree import Change, Followers, Stream, Tally
-from mesh.wire.framing import Link, pack
+from mesh.wire.codec import encode
+from mesh.wire.framing import Link
+from mesh.wire.messages import (
+    ConfigurationText,
+    Group,
+    Lease,
+    LeaseRenewal,
+    Message,
+    News,
+    NewsRequest,
+    NewsSubscription,
+)
 
 PACE_S = 100e-6  # for each follower, between two tellings: about a third of the time goes into them at most
 
@@ -54,39 +64,36 @@
         self._nodes.pop(link, None)
         self._followers.leave(link)
 
-    def follow(self, link: Link, life: int, number: int) -> None:
+    def follow(self, link: Link, place: NewsSubscription) -> None:
         """Tell this node what came after its place, and all news from now on."""
         stream = self._stream
-        self._followers.follow(
-            link, [(stream.controller, stream.life, number if life == stream.life else -1)]
-        )
+        number = place.number if place.life == stream.life else -1
+        self._followers.follow(link, [(stream.controller, stream.life, number)])
         self._tell()
 
     def unfollow(self, link: Link) -> None:
         """It has its news from elsewhere."""
         self._followers.leave(link)
 
-    def since(self, link: Link, life: int, number: int) -> None:
+    def since(self, link: Link, place: NewsRequest) -> None:
         """Tell this node once what it has missed."""
-        change = self._stream.after(life, number)
+        change = self._stream.after(place.life, place.number)
         if change is not None:
-            self._send("news", link, pack(change.packed()))
+            self._send("news", link, News(change))
 
-    def renew(self, link: Link, number: int, name: str, boot: int, packed: Any) -> None:
+    def renew(self, link: Link, renewal: LeaseRenewal) -> None:
         """A node renews its lease, with its record if that is new; the answer says how far the news is, and
         how old this controller's word is.
         """
-        now, known = self._loop.time(), True
-        if packed is None:
-            known = self._members.renew(name, boot, number, now)
-        else:
-            record = unpack(packed)
-            if self._members.hear(record, now):
-                self._stream.step([record])
-                self._tell()
+        now, known, number = self._loop.time(), True, renewal.number
+        if renewal.record is None:
+            known = self._members.renew(renewal.name, renewal.boot, number, now)
+        elif self._members.hear(renewal.record, now):
+            self._stream.step([renewal.record])
+            self._tell()
         stream = self._stream
-        lease = ["lease", number, known, self.warm, stream.life, stream.number, self._contact_age_ms()]
-        self._send("lease", link, pack(lease))
+        lease = Lease(number, known, self.warm, stream.life, stream.number, self._contact_age_ms())
+        self._send("lease", link, lease)
 
     def revise(self, revision: int) -> None:
         """There is a new configuration."""
@@ -102,17 +109,17 @@
             self._stream.step(gone=late)
             self._tell()
 
-    def tell_group(self, message: list[Any], link: Link | None = None) -> None:
+    def tell_group(self, group: Group, link: Link | None = None) -> None:
         """Tell one node, or all, of a group of controllers: claims wait for it, so it comes by no other
         way.
         """
-        data = pack(message)
+        data = encode(group)
         for one in [link] if link is not None else list(self._nodes):
-            self._send("group", one, data)
+            self._send_encoded("group", one, data)
 
-    def tell_configuration(self, link: Link, rid: int, revision: int, raw: bytes) -> None:
-        """Answer one that asked for the configuration; a revision of -1 says that there is no telling."""
-        self._send("text", link, pack(["folio", rid, revision, raw]))
+    def tell_configuration(self, link: Link, text: ConfigurationText) -> None:
+        """Answer one that asked for the configuration."""
+        self._send("text", link, text)
 
     def _tell(self) -> None:
         """Tell what is new; soon after the last time, later and in one, as when a whole fleet comes back."""
@@ -125,15 +132,18 @@
         self._tell_s = now + PACE_S * len(self._followers.places)
         due: list[tuple[Change, list[Link]]] = self._followers.due(self._stream)
         for change, links in due:
-            data = pack(change.packed())
+            data = encode(News(change))
             for link in links:
-                self._send("news", link, data)
+                self._send_encoded("news", link, data)
 
     def _tell_late(self) -> None:
         self._telling, self._tell_s = False, 0.0
         self._tell()
 
-    def _send(self, kind: str, link: Link, data: bytes) -> None:
+    def _send(self, kind: str, link: Link, message: Message) -> None:
+        self._send_encoded(kind, link, encode(message))
+
+    def _send_encoded(self, kind: str, link: Link, data: bytes) -> None:
         lease = self._members.leases.get(self._nodes.get(link, ""))
         self.tally.count(kind, lease is not None and lease.record.zone == self._zone, len(data))
         link.send_packed(data)
--- a/mesh/control/reading.py
+++ b/mesh/control/reading.py
@@ -13,7 +13,7 @@
 from mesh.control.shard_state import Seen
 from nickelbridge.register import Kept, Value, Voter
 
-PEEK_S = 0.1  # for voters to answer, before they are asked again or a round is run
+ASK_AGAIN_S = 0.1  # for voters to answer, before they are asked again or a round is run
 READING_S = 0.8  # for all of it: a caller goes on after a second of silence
 
 
--- /dev/null
+++ b/mesh/control/register_messages.py
@@ -0,0 +1,54 @@
+"""The messages between a shard's voters as they travel, and back. Pure."""
+
+from __future__ import annotations
+
+from mesh.control.shard_state import pack_value, unpack_value
+from mesh.wire.shard_messages import (
+    PackedVoter,
+    RegisterAccept,
+    RegisterAccepted,
+    RegisterBody,
+    RegisterPrepare,
+    RegisterPromise,
+)
+from nickelbridge.register import Accept, Accepted, Message, Prepare, Promise, Voter
+
+
+def pack_voter(voter: Voter) -> PackedVoter:
+    """A voter as it travels."""
+    return voter.name, voter.memory
+
+
+def pack_message(message: Message) -> RegisterBody:
+    """A message between voters as it travels, with its whole state."""
+    match message:
+        case Prepare():
+            return RegisterPrepare(message.ballot, message.intent, message.has)
+        case Promise():
+            return RegisterPromise(
+                message.ballot, pack_voter(message.voter), message.promised, message.accepted,
+                pack_value(message.value), message.objection,
+            )  # fmt: skip
+        case Accept():
+            return RegisterAccept(message.ballot, pack_value(message.value), None)
+        case Accepted():
+            return RegisterAccepted(message.ballot, pack_voter(message.voter), message.promised)
+
+
+def unpack_message(body: RegisterBody) -> Message:
+    """The message that travelled; `ValueError` for one without its state."""
+    match body:
+        case RegisterPrepare():
+            return Prepare(body.ballot, body.intent, body.has)
+        case RegisterPromise():
+            return Promise(
+                body.ballot, Voter(*body.voter), body.promised, body.accepted, unpack_value(body.state),
+                body.objection,
+            )  # fmt: skip
+        case RegisterAccepted():
+            return Accepted(body.ballot, Voter(*body.voter), body.promised)
+        case RegisterAccept():
+            value = unpack_value(body.state)
+            if value is None:
+                raise ValueError("accept: state: there is none")
+            return Accept(body.ballot, value)
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -16,12 +16,22 @@
 from mesh.control import key_transfer, shard_state
 from mesh.control.actions import Note
 from mesh.control.hinted_handoff import Hints
-from mesh.control.key_transfer import GIVEN_BACK, KeyLearner, KeySource, Page, Request, Row
+from mesh.control.key_transfer import GIVEN_BACK, KeyLearner, KeySource, Page, Request
 from mesh.control.membership import epoch
 from mesh.control.operation_keys import KeyRecord, OperationKeys
 from mesh.control.peers import Peers
 from mesh.control.replica import Replica
 from mesh.storage.store import Put, pack
+from mesh.wire.shard_messages import (
+    Handoff,
+    HandoffAck,
+    KeyPage,
+    KeyPageRefusal,
+    KeyPageRequest,
+    KeyRecords,
+    KeyRecordsRequest,
+    KeyRow,
+)
 from nickelbridge.register import Kept, Value
 
 HINTS_MOST = 4_000  # keys in one page of hints, whatever its bytes
@@ -39,7 +49,7 @@
         """
         super().__init__(number, name, first, kept, caught_up, peers, rng, size)
         self.operation_keys = OperationKeys(window_s, most)
-        self.missed = Hints()
+        self.hints = Hints()
         self.source = KeySource()
         self.learner = KeyLearner()
         self._catching = False  # that it has caught up is on its way to the disk
@@ -50,7 +60,7 @@
 
     def _regrouped(self, value: Value) -> None:
         super()._regrouped(value)
-        self.missed.keep_only({voter.name for voter in value.voters})
+        self.hints.keep_only({voter.name for voter in value.voters})
         self.standing.regrouped()
         self.learner.regrouped()
         self.source.copies.clear()
@@ -92,7 +102,7 @@
             return any(name not in names and name not in self.peers.leaving for name in others)
         owed = [name for name in others if name in names]
         return any(
-            name in self.missed.kept or self.number in self.peers.learning.get(name, ()) for name in owed
+            name in self.hints.kept or self.number in self.peers.learning.get(name, ()) for name in owed
         )
 
     # Learning
@@ -123,32 +133,44 @@
         life, sequence = self.learner.cursors.get(name, ("", 0))
         brief = self.learner.brief(name, len(self.operation_keys.records))
         self._say(
-            name, "slips?", self.name, request.number, counted, epoch(self.known), life, sequence, brief
-        )  # fmt: skip
+            name,
+            KeyPageRequest(self.name, request.number, counted, epoch(self.known), life, sequence, brief),
+        )
 
-    def _give_page(
-        self, who: Any, name: str, number: int, counted: bool, under: int, life: str, sequence: int,
-        brief: bool,
-    ) -> None:  # fmt: skip
-        if counted and not self.grants(under):
-            # All that it may have forgotten is out of its window by now, as no grant of it counted since.
-            quiet = not self.standing.caught_up and under == epoch(self.known)
-            if quiet and self.now - self.abstains_s > self.operation_keys.kept_s:
-                return self._reply(who, "slips", self.name, number, 0, [], True, self.life, counted)
-        if not (self.grants(under) if counted else self.standing.caught_up or self.peers.stopping):
-            return self._reply(who, "slips-", self.name, number)
-        page = self.source.page(self.operation_keys, name, sequence if life == self.life else 0, brief)
-        self._reply(
-            who, "slips", self.name, number, page.sequence, page.rows, page.last, self.life, counted
-        )  # fmt: skip
-
-    def _take_page(self, name: str, number: int, page: Page, life: str) -> None:
-        request = self.learner.waits(name, number)
+    def _give_page(self, who: Any, request: KeyPageRequest) -> None:
+        if self._granted_nothing_that_counts(request):
+            return self._reply(who, self._page_of(request, Page([], 0, True)))
+        if not self._may_tell(request):
+            return self._reply(who, KeyPageRefusal(self.name, request.number))
+        sequence = request.sequence if request.life == self.life else 0
+        page = self.source.page(self.operation_keys, request.name, sequence, request.brief)
+        self._reply(who, self._page_of(request, page))
+
+    def _granted_nothing_that_counts(self, request: KeyPageRequest) -> bool:
+        """Whether all that this controller may have forgotten is out of its window, as it grants nothing."""
+        if not request.counted or self.grants(request.epoch):
+            return False
+        quiet = not self.standing.caught_up and request.epoch == epoch(self.known)
+        return quiet and self.now - self.abstains_s > self.operation_keys.kept_s
+
+    def _may_tell(self, request: KeyPageRequest) -> bool:
+        if request.counted:
+            return self.grants(request.epoch)
+        return self.standing.caught_up or self.peers.stopping
+
+    def _page_of(self, request: KeyPageRequest, page: Page) -> KeyPage:
+        return KeyPage(
+            self.name, request.number, page.sequence, page.rows, page.last, self.life, request.counted
+        )
+
+    def _take_page(self, message: KeyPage) -> None:
+        request = self.learner.waits(message.name, message.number)
         if request is None or request.page is not None:
             return
-        request.page, request.life = page, life
-        request.lacking = key_transfer.lacking(self.operation_keys, page.rows)
-        self._go_on(name, request)
+        request.page = Page(message.rows, message.sequence, message.last)
+        request.life = message.life
+        request.lacking = key_transfer.lacking(self.operation_keys, message.rows)
+        self._go_on(message.name, request)
 
     def _go_on(self, name: str, request: Request) -> None:
         """Ask for the records that a page left out; once all are here, have the page on disk."""
@@ -156,21 +178,21 @@
         request.until_s = self.now + key_transfer.WAIT_S
         if request.lacking:
             first = request.lacking[: key_transfer.ASKED_MOST]
-            return self._say(name, "records?", self.name, request.number, first)
+            return self._say(name, KeyRecordsRequest(self.name, request.number, first))
         puts = self._loaded(request.page.rows)
         self._write(puts or [self._about("catching", b"1")], ("page", name, request))
 
-    def _give_records(self, who: Any, number: int, keys: list[str]) -> None:
-        rows, covered = key_transfer.bounded(self.operation_keys, keys)
-        self._reply(who, "records", self.name, number, rows, covered)
+    def _give_records(self, who: Any, request: KeyRecordsRequest) -> None:
+        rows, covered = key_transfer.bounded(self.operation_keys, request.keys)
+        self._reply(who, KeyRecords(self.name, request.number, rows, covered))
 
-    def _take_records(self, name: str, number: int, rows: list[Row], covered: int) -> None:
-        request = self.learner.waits(name, number)
+    def _take_records(self, message: KeyRecords) -> None:
+        request = self.learner.waits(message.name, message.number)
         if request is None or request.page is None or not request.lacking:
             return
-        request.page.rows.extend(rows)
-        request.lacking = request.lacking[max(1, covered) :]
-        self._go_on(name, request)
+        request.page.rows.extend(message.rows)
+        request.lacking = request.lacking[max(1, message.covered) :]
+        self._go_on(message.name, request)
 
     def _page_written(self, name: str, request: Request, ok: bool) -> None:
         if self.learner.requests.get(name) is not request:
@@ -205,7 +227,7 @@
         self.standing.caught_up = True
         self._out.append(Note(f"caught up with {len(self.operation_keys.records)} keys"))
 
-    def _loaded(self, rows: list[Row]) -> list[Put]:
+    def _loaded(self, rows: list[KeyRow]) -> list[Put]:
         """Take records of another controller; what is to be written of them."""
         puts: list[Put] = []
         keys = self.operation_keys
@@ -224,40 +246,36 @@
 
     # What a silent controller missed
 
-    def _mind_missed(self) -> None:
+    def _mind_silent(self) -> None:
         """Keep for a silent controller what it misses; hand it over, page by page, once it is back."""
         for name in self._others():
             if not any(v.name == name for v in self.known.voters):
                 continue
             if not self.peers.alive(name, self.now):
-                self.missed.silent(name, self.now)
+                self.hints.silent(name, self.now)
             else:
                 self._hand_over(name)
 
     def _hand_over(self, name: str) -> None:
         keys = self.operation_keys
-        page = self.missed.page(
-            name, self.now, HINTS_MOST, lambda names: key_transfer.bounded(keys, names)[1]
-        )
+        page = self.hints.page(name, self.now, HINTS_MOST, lambda names: key_transfer.bounded(keys, names)[1])
         if page is not None:
             rows, _ = key_transfer.bounded(keys, page[1], most=math.inf)
-            self._say(name, "missed", self.name, epoch(self.known), page[0], rows)
+            self._say(name, Handoff(self.name, epoch(self.known), page[0], rows))
 
-    def _take_missed(self, who: Any, name: str, under: int, number: int, rows: list[Row]) -> None:
-        if under != epoch(self.known) or not self.standing.caught_up:
+    def _take_handoff(self, who: Any, handoff: Handoff) -> None:
+        if handoff.epoch != epoch(self.known) or not self.standing.caught_up:
             return  # it is told again, or learns all
-        # What it granted itself stands; the others' word adds to it.
-        puts = self._loaded(
-            [
-                row
-                for row in rows
-                if row[2] or row[1][1] == GIVEN_BACK or row[0] not in self.operation_keys.records
-            ]
-        )
+        puts = self._loaded([row for row in handoff.rows if self._adds(row)])
         if puts:
-            self._write(puts, ("missed", who, number))
+            self._write(puts, ("handoff", who, handoff.number))
         else:
-            self._reply(who, "missed!", self.name, number)
+            self._reply(who, HandoffAck(self.name, handoff.number))
+
+    def _adds(self, row: KeyRow) -> bool:
+        """Whether another controller's word adds to what this one holds; what it granted itself stands."""
+        key, (_, shelf, _), answered = row
+        return answered or shelf == GIVEN_BACK or key not in self.operation_keys.records
 
 
 def remembered(number: int, kept: Kept, caught_up: bool) -> list[Put]:
--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -21,9 +21,23 @@
 from mesh.control.order_book import OrderBook
 from mesh.control.order_history import Entry, Verdict
 from mesh.control.peers import Peers
-from mesh.control.reading import PEEK_S, READING_S, Reading
+from mesh.control.reading import ASK_AGAIN_S, READING_S, Reading
+from mesh.control.register_messages import pack_message, pack_voter
 from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
+from mesh.wire.messages import ShardMessage
+from mesh.wire.shard_messages import (
+    AcceptedState,
+    AcceptedStateRequest,
+    DecidedBallot,
+    DecidedState,
+    DecidedStateRequest,
+    JoinRequest,
+    Orders,
+    OrdersRequest,
+    RegisterMessage,
+    ShardBody,
+)
 from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
 
 TENURE_S = 1.0  # an owner's lease, from when it sent the beat that a majority acknowledged; under ALIVE_S
@@ -161,7 +175,7 @@
     def catch(self, version: int, name: str) -> list[Action]:
         """Another controller's beat says what it knows: it is told what it has missed."""
         if version < self.known.version:
-            self._say(name, "know", shard_state.pack_value(self.known))
+            self._say(name, self._decided_state(self.known))
         return self._flush()
 
     def _pass_time(self, now: float) -> bool:
@@ -191,36 +205,30 @@
         self._mind_owner()
         return True
 
-    def _take(self, who: Any, message: list[Any]) -> None:
+    def _take(self, who: Any, message: ShardBody) -> None:
         """A message between replicas; `ValueError` and its like for a bad one."""
         match message:
-            case ["reg", sender, packed]:
-                self._heard_register(sender, packed, who)
-            case ["know", packed]:
-                value = shard_state.unpack_value(packed)
+            case RegisterMessage():
+                self._heard_register(message, who)
+            case DecidedState():
+                value = shard_state.unpack_value(message.state)
                 if value is not None:
                     self._learn(value)
-            case ["decided", ballot, version]:
-                self._decided(who, tuple(ballot), version)
-            case ["know?", version]:
-                if version < self.known.version:
-                    self._reply(who, "know", shard_state.pack_value(self.known))
-            case ["peek", number, has]:
-                self._tell_peek(who, number, tuple(has))
-            case ["peeked", number, [name, memory], accepted, packed]:
-                seen = shard_state.Seen(
-                    Voter(name, memory), tuple(accepted), shard_state.unpack_value(packed)
-                )
-                if self._reading is not None and self._reading.number == number:
-                    self._peeked(self._reading, seen)
-            case ["orders?", floor, digest]:
-                self._tell_orders(who, floor, digest)
-            case ["orders", rows, complete]:
-                self._take_orders(who, rows, complete)
-            case ["join", name, memory, under, ready]:
-                self._admit(Voter(name, memory), under, ready)
-            case _:
-                raise ValueError(f"no message of a shard: {message[0]!r:.40}")
+            case DecidedBallot():
+                self._decided(who, message)
+            case DecidedStateRequest():
+                if message.version < self.known.version:
+                    self._reply(who, self._decided_state(self.known))
+            case AcceptedStateRequest():
+                self._tell_accepted(who, message)
+            case AcceptedState():
+                self._heard_accepted(message)
+            case OrdersRequest():
+                self._tell_orders(who, message)
+            case Orders():
+                self._take_orders(who, message)
+            case JoinRequest():
+                self._admit(Voter(message.name, message.memory), message.epoch, message.ready)
 
     def _kept(self, then: tuple[Any, ...], ok: bool) -> None:
         """What came of a write of the replica's own."""
@@ -253,11 +261,11 @@
         out, self._out = self._out, []
         return out
 
-    def _say(self, to: str, *message: Any) -> None:
-        self._out.append(Tell(to, ["part", self.number, *message]))
+    def _say(self, to: str, body: ShardBody) -> None:
+        self._out.append(Tell(to, ShardMessage(self.number, body)))
 
-    def _reply(self, who: Any, *message: Any) -> None:
-        self._out.append(Answer(who, ["part", self.number, *message]))
+    def _reply(self, who: Any, body: ShardBody) -> None:
+        self._out.append(Answer(who, ShardMessage(self.number, body)))
 
     def _write(self, puts: list[Put], then: tuple[Any, ...] | None = None) -> None:
         self._out.append(Write(puts, then))
@@ -280,17 +288,17 @@
             return shard_state.ALIVE if alive and fit else ""
         return shard_state.ALIVE if alive and not self._group().leaves(name) else ""
 
-    def _heard_register(self, sender: str, packed: list[Any], who: Any) -> None:
+    def _heard_register(self, envelope: RegisterMessage, who: Any) -> None:
         """A message of the register as another replica sent it; one that can't be resolved is lost."""
         kept = self.acceptor.kept
-        message = value_references.unpack(packed, kept)
+        message = value_references.unpack(envelope.body, kept)
         if message is None:
-            refused = value_references.refusal(packed, self.voter, kept)
+            refused = value_references.refusal(envelope.body, self.voter, kept)
             return self._vote_out(who, refused) if refused is not None and self.clean else None
         if isinstance(message, Promise):
-            message = self._references.resolve(sender, message)
+            message = self._references.resolve(envelope.sender, message)
         if message is not None:
-            self._register(sender, message, who)
+            self._register(envelope.sender, message, who)
 
     def _register(self, sender: str, message: Any, who: Any) -> None:
         """A message of the register, from another replica or from this one (`who` None)."""
@@ -320,7 +328,7 @@
         if who is None:
             self._mine.append(reply)
         else:
-            self._reply(who, "reg", self.name, shard_state.pack_message(reply))
+            self._reply(who, RegisterMessage(self.name, pack_message(reply)))
 
     def _act(self, actions: list[Any]) -> None:
         for action in actions:
@@ -328,8 +336,8 @@
                 if action.to == self.name:
                     self._mine.append(action.message)
                 else:
-                    packed = self._references.pack(action.to, action.message, self.acceptor.kept)
-                    self._say(action.to, "reg", self.name, packed)
+                    body = self._references.pack(action.to, action.message, self.acceptor.kept)
+                    self._say(action.to, RegisterMessage(self.name, body))
             elif isinstance(action, Done):
                 if action.value.version > self.seen.version:  # before anybody is answered
                     self._tell_decided(action.value)
@@ -341,20 +349,24 @@
         kept, whole = self.acceptor.kept, None
         for name in self._others():
             if kept.value == value and self._references.knows_ballot(name, kept.accepted):
-                self._say(name, "decided", list(kept.accepted), value.version)
+                self._say(name, DecidedBallot(kept.accepted, value.version))
             else:
-                whole = whole or shard_state.pack_value(value)
-                self._say(name, "know", whole)
+                whole = whole or self._decided_state(value)
+                self._say(name, whole)
 
-    def _decided(self, who: Any, ballot: Any, version: int) -> None:
+    @staticmethod
+    def _decided_state(value: Value) -> DecidedState:
+        return DecidedState(shard_state.pack_value(value))
+
+    def _decided(self, who: Any, decided: DecidedBallot) -> None:
         """The state of a ballot was decided; whoever has not accepted that asks for it."""
         kept = self.acceptor.kept
-        if version <= self.known.version:
+        if decided.version <= self.known.version:
             return
-        if ballot == kept.accepted and kept.value is not None:
+        if decided.ballot == kept.accepted and kept.value is not None:
             self._learn(kept.value)
         else:
-            self._reply(who, "know?", self.known.version)
+            self._reply(who, DecidedStateRequest(self.known.version))
 
     def _others(self) -> list[str]:
         """The other controllers that have to do with this shard."""
@@ -430,25 +442,31 @@
         if readers:
             self._count += 1
             self._reading = Reading(
-                self._count, self.acceptor.kept, readers, self.now + READING_S, self.now + PEEK_S
+                self._count, self.acceptor.kept, readers, self.now + READING_S, self.now + ASK_AGAIN_S
             )
-            self._peek(self._reading)
+            self._ask_accepted(self._reading)
 
-    def _peek(self, reading: Reading) -> None:
+    def _ask_accepted(self, reading: Reading) -> None:
         for name in self._others():
-            self._say(name, "peek", reading.number, list(reading.kept.accepted))
+            self._say(name, AcceptedStateRequest(reading.number, reading.kept.accepted))
         if self.clean:
             kept = self.acceptor.kept
             value = None if kept.accepted == reading.kept.accepted else kept.value
-            self._peeked(reading, shard_state.Seen(self.voter, kept.accepted, value))
+            self._take_accepted(reading, shard_state.Seen(self.voter, kept.accepted, value))
 
-    def _tell_peek(self, who: Any, number: int, has: Any) -> None:
+    def _tell_accepted(self, who: Any, request: AcceptedStateRequest) -> None:
         kept = self.acceptor.kept
         if self.clean:
-            value = None if has == kept.accepted else shard_state.pack_value(kept.value)
-            self._reply(who, "peeked", number, [self.name, kept.memory], list(kept.accepted), value)
+            state = None if request.has == kept.accepted else shard_state.pack_value(kept.value)
+            answer = AcceptedState(request.reading, pack_voter(self.voter), kept.accepted, state)
+            self._reply(who, answer)
+
+    def _heard_accepted(self, answer: AcceptedState) -> None:
+        seen = shard_state.Seen(Voter(*answer.voter), answer.accepted, shard_state.unpack_value(answer.state))
+        if self._reading is not None and self._reading.number == answer.reading:
+            self._take_accepted(self._reading, seen)
 
-    def _peeked(self, reading: Reading, seen: shard_state.Seen) -> None:
+    def _take_accepted(self, reading: Reading, seen: shard_state.Seen) -> None:
         reading.hear(seen)
         value = reading.found(self.known if self.founder and not self.known.version else None)
         if value is not None:
@@ -470,8 +488,8 @@
             id, for_s = f"read {reading.number}", reading.until_s - now
             self._ask(id, shard_state.read, for_s, "read", reading.readers)
         elif reading.again_s <= now:
-            reading.again_s = now + PEEK_S
-            self._peek(reading)
+            reading.again_s = now + ASK_AGAIN_S
+            self._ask_accepted(reading)
 
     def _learn(self, value: Value) -> None:
         """A state that was decided."""
@@ -520,19 +538,19 @@
         """Ask another replica for orders older than it knows."""
         name = self.orders.to_ask([n for n in self._others() if self.peers.alive(n, self.now)], self.now)
         if name is not None:
-            self._say(name, "orders?", *self.orders.oldest())
+            self._say(name, self.orders.older_request())
 
-    def _tell_orders(self, who: Any, floor: int, digest: bytes) -> None:
-        page = self.orders.page(floor, digest)
+    def _tell_orders(self, who: Any, request: OrdersRequest) -> None:
+        page = self.orders.page(request)
         if page is not None:
-            self._reply(who, "orders", *page)
+            self._reply(who, page)
 
-    def _take_orders(self, who: Any, rows: list[Any], complete: bool) -> None:
-        if self.orders.take_page(rows, complete):
+    def _take_orders(self, who: Any, page: Orders) -> None:
+        if self.orders.take_page(page):
             numbers, puts = self.orders.puts()
             self._write(puts, ("orders", numbers))
             if not self.orders.history.whole:
-                self._reply(who, "orders?", *self.orders.oldest())
+                self._reply(who, self.orders.older_request())
 
     # The group
 
@@ -547,7 +565,7 @@
         if self._group().wanted() and not self.ready:
             return
         for name in self._others():
-            self._say(name, "join", self.name, self.voter.memory, epoch(self.known), self.ready)
+            self._say(name, JoinRequest(self.name, self.voter.memory, epoch(self.known), self.ready))
 
     def _group(self) -> GroupView:
         """The group as this controller sees it now."""
--- a/mesh/control/retry_budget.py
+++ b/mesh/control/retry_budget.py
@@ -22,7 +22,8 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+
+from mesh.wire.messages import RetryShare, RetryShareRequest
 
 LEASE_S = 3.0  # of a share, for the node counted from when it asked
 LATE_S = 1.0  # a try may arrive so long after it was sent: gates hold, and links are slow
@@ -221,13 +222,11 @@
         self._whole, self._window_s, self._owner_fence = dealt(retry_slack), window_s, owner_fence
         self._dealers: dict[str, tuple[int, Dealer]] = {}
 
-    def handle(
-        self, service: str, node: str, life: int, number: int, used: float, wanted: float, held: float,
-        fence: int, now_s: float,
-    ) -> list[Any] | None:  # fmt: skip
-        """The answer to a node's `share?`, or None: this controller does not own it, or must not speak."""
+    def handle(self, request: RetryShareRequest, now_s: float) -> RetryShare | None:
+        """The answer to a node, or None: this controller does not own the service, or must not speak."""
+        service = request.service
         own = self._owner_fence(service, now_s)
-        if own is None or fence > own:
+        if own is None or request.fence > own:
             self._dealers.pop(service, None)
             return None
         had = self._dealers.get(service)
@@ -236,5 +235,6 @@
                 oldest = min(self._dealers, key=lambda name: self._dealers[name][1].heard_s)
                 del self._dealers[oldest]
             had = self._dealers[service] = (own, Dealer(self._whole, self._window_s, now_s))
-        amount = had[1].deal(str(node), int(life), max(float(used), float(wanted)), float(held), now_s)
-        return None if amount is None else ["share", service, own, number, amount, LEASE_S]
+        wanted = max(request.used, request.wanted)
+        amount = had[1].deal(request.node, request.life, wanted, request.held, now_s)
+        return None if amount is None else RetryShare(service, own, request.number, amount, LEASE_S)
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -12,10 +12,20 @@
 from typing import Any
 
 from mesh.control.actions import Action, Answer
-from mesh.control.key_transfer import Page
 from mesh.control.operation_keys import Granted, Held, KeyRecord
 from mesh.control.peers import Peers
 from mesh.control.repair import Repair, remembered
+from mesh.wire.messages import KeyGrant
+from mesh.wire.shard_messages import (
+    Handoff,
+    HandoffAck,
+    KeyPage,
+    KeyPageRefusal,
+    KeyPageRequest,
+    KeyRecords,
+    KeyRecordsRequest,
+    ShardBody,
+)
 from nickelbridge.register import Kept, Value
 
 __all__ = ["Shard", "remembered"]
@@ -53,32 +63,32 @@
                 self._write([self._stored(key, record)], ("answer", key, record))
         self._again = [one for one in self._again if one[0] > now]
         if self._pass_time(now):
-            self._mind_missed()
+            self._mind_silent()
             self._see_whether_caught_up()
         self._learn_keys(now)
         return self._flush()
 
-    def heard(self, who: Any, message: list[Any], now: float) -> list[Action]:
+    def heard(self, who: Any, message: ShardBody, now: float) -> list[Action]:
         """A message of another controller; `who` takes the answer. `ValueError` and its like for a bad
         one.
         """
         self.now = now
         match message:
-            case ["slips?", name, number, counted, under, life, sequence, brief]:
-                self._give_page(who, name, number, counted, under, life, sequence, brief)
-            case ["slips", name, number, sequence, rows, last, life, _]:
-                self._take_page(name, number, Page(rows, sequence, last), life)
-            case ["slips-", name, number]:
-                self.learner.declined(name, number, now)
-            case ["records?", name, number, keys]:
-                self._give_records(who, number, keys)
-            case ["records", name, number, rows, covered]:
-                self._take_records(name, number, rows, covered)
-            case ["missed", name, under, number, rows]:
-                self._take_missed(who, name, under, number, rows)
-            case ["missed!", name, number]:
-                self.missed.taken(name, number)
-                self._hand_over(name)
+            case KeyPageRequest():
+                self._give_page(who, message)
+            case KeyPage():
+                self._take_page(message)
+            case KeyPageRefusal():
+                self.learner.declined(message.name, message.number, now)
+            case KeyRecordsRequest():
+                self._give_records(who, message)
+            case KeyRecords():
+                self._take_records(message)
+            case Handoff():
+                self._take_handoff(who, message)
+            case HandoffAck():
+                self.hints.taken(message.name, message.number)
+                self._hand_over(message.name)
             case _:
                 self._take(who, message)
         return self._flush()
@@ -93,13 +103,13 @@
                 # While the disk was at work the key may have been given back, or the group have changed.
                 mine = self.operation_keys.records.get(key) is record and holder == record.holder  # type: ignore[union-attr]
                 what = "yours" if mine and self.grants(under) else "wait"
-                self._out.append(Answer(who, ["slip", rid, under, what, None]))
+                self._out.append(Answer(who, KeyGrant(rid, under, what, None)))
             case ("answer", key, record) if not ok:
                 self._again.append((now + AGAIN_S, key, record))
             case ("page", name, request):
                 self._page_written(name, request, ok)
-            case ("missed", who, number) if ok:
-                self._reply(who, "missed!", self.name, number)
+            case ("handoff", who, number) if ok:
+                self._reply(who, HandoffAck(self.name, number))
             case ("caught", under):
                 self._caught_up(under, ok)
             case _:
@@ -115,7 +125,7 @@
         self.now = now
 
         def say(what: str, answer: Any = None) -> list[Action]:
-            self._out.append(Answer(who, ["slip", rid, under, what, answer]))
+            self._out.append(Answer(who, KeyGrant(rid, under, what, answer)))
             return self._flush()
 
         if not self.grants(under) or (not room and key not in self.operation_keys.records):
@@ -129,7 +139,7 @@
         if new is None and self.unwritten.get(key) is not record:
             return say("yours")
         self.unwritten[key] = record
-        self.missed.wrote(key, now)
+        self.hints.wrote(key, now)
         self._write([self._stored(key, record)], ("claim", who, rid, under, key, holder, record))
         return self._flush()
 
@@ -138,7 +148,7 @@
         self.now = now
         record = self.operation_keys.done(key, holder, answer)
         if record is not None:
-            self.missed.wrote(key, now)
+            self.hints.wrote(key, now)
             self._write([self._stored(key, record)], ("answer", key, record))
         return self._flush()
 
--- a/mesh/control/shard_state.py
+++ b/mesh/control/shard_state.py
@@ -16,18 +16,7 @@
 from typing import Any
 
 from mesh.control.order_history import OrderHistory, Taken, Verdict
-from nickelbridge.register import (
-    NONE,
-    Accept,
-    Accepted,
-    Kept,
-    Message,
-    Prepare,
-    Promise,
-    Value,
-    Voter,
-    majority,
-)  # fmt: skip
+from nickelbridge.register import NONE, Kept, Value, Voter, majority
 
 # Orders that each state lists. A list as long as this may be cut: a build with a larger number has to tell
 # by other means which lists are whole.
@@ -279,40 +268,3 @@
     """What a voter has not forgotten."""
     memory, promised, accepted, value = packed
     return Kept(memory, tuple(promised), tuple(accepted), unpack_value(value))
-
-
-def pack_message(message: Message) -> list[Any]:
-    """A message between voters as a list."""
-    match message:
-        case Prepare():
-            return ["p", list(message.ballot), message.intent, list(message.has)]
-        case Promise():
-            return [
-                "P", list(message.ballot), [message.voter.name, message.voter.memory], list(message.promised),
-                list(message.accepted), pack_value(message.value), message.objection,
-            ]  # fmt: skip
-        case Accept():
-            return ["a", list(message.ballot), pack_value(message.value)]
-        case Accepted():
-            return [
-                "A", list(message.ballot), [message.voter.name, message.voter.memory], list(message.promised),
-            ]  # fmt: skip
-
-
-def unpack_message(packed: list[Any]) -> Message:
-    """The message in a list; `ValueError` for one that is none."""
-    match packed:
-        case ["p", [counter, who], intent, [has, whose]]:
-            return Prepare((counter, who), intent, (has, whose))
-        case ["P", [counter, who], [name, memory], promised, accepted, value, objection]:
-            return Promise(
-                (counter, who), Voter(name, memory), tuple(promised), tuple(accepted) or NONE,
-                unpack_value(value), objection,
-            )  # fmt: skip
-        case ["a", [counter, who], value]:
-            found = unpack_value(value)
-            if found is not None:
-                return Accept((counter, who), found)
-        case ["A", [counter, who], [name, memory], promised]:
-            return Accepted((counter, who), Voter(name, memory), tuple(promised))
-    raise ValueError("no message between voters")
--- a/mesh/control/subscriber.py
+++ b/mesh/control/subscriber.py
@@ -11,9 +11,9 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
-from typing import Any
+from dataclasses import dataclass
 
+import msgspec
 from loguru import logger
 
 from mesh.control.endpoints import Record
@@ -26,9 +26,24 @@
     Tally,
     parents,
     rank,
-    unpack_change,
 )
-from mesh.wire.framing import Link, pack
+from mesh.wire.codec import encode
+from mesh.wire.framing import Link
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Message,
+    News,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    Position,
+    RelayAccepted,
+    RelayAlive,
+    RelayFull,
+    RelayPositions,
+    RelaySubscription,
+)
 
 CATCH_S = 0.15  # for news to come down the tree, once a controller has said how far it is
 SETTLE_S = 1.0  # after its start a node takes its news from controllers for so long
@@ -39,7 +54,7 @@
 BACK_OFF_S, BACK_OFF_MOST_S = 4.0, 60.0  # before a parent is tried again, doubling
 STRANGER_S = 3.0  # one that has connected and not said what it wants is cut off
 LINKS_MOST = 4 * FOLLOWERS_MOST
-PLACES_MOST = 32
+POSITIONS_MOST = 32
 CHOKED = 1024 * 1024  # bytes that may wait for a follower that does not read
 
 
@@ -92,7 +107,7 @@
         self.streams.setdefault(controller, Stream(controller))
         self._controllers[controller] = link
         self._following.discard(controller)
-        self._follow_keepers()
+        self._follow_controllers()
 
     def down(self, controller: str) -> None:
         """It is gone."""
@@ -116,7 +131,7 @@
     def _begin(self, stream: Stream, life: int) -> None:
         """A controller has named a new life: only now a parent may tell of it."""
         stream.begin(life)
-        self._say_places()
+        self._say_positions()
 
     def _catch(self, controller: str, life: int, number: int) -> None:
         """Ask all controllers for what has not come: a parent may hold back the news of each of them."""
@@ -126,7 +141,7 @@
             return
         for name, link in self._controllers.items():
             if name == controller or self.parent is not None:
-                link.send("since", self.streams[name].life, self.streams[name].number)
+                link.send(NewsRequest(self.streams[name].life, self.streams[name].number))
         parent, now = self.parent, self._loop.time()
         if parent is None or now < parent.struck_s + STRIKE_S:
             return
@@ -135,14 +150,14 @@
             return self._fail(parent, "has no news")
         if parent.until_s == math.inf:
             parent.until_s = now + ANSWER_S
-            self._say_places()
+            self._say_positions()
 
-    def from_keeper(self, link: Link, message: list[Any]) -> None:
+    def from_controller(self, link: Link, news: News) -> None:
         """A controller's news, over its own link."""
-        self._news(link, message, True)
+        self._news(link, news, True)
 
-    def _news(self, link: Link, message: list[Any], direct: bool) -> None:
-        change = self._shared(unpack_change(*message[1:]))
+    def _news(self, link: Link, news: News, direct: bool) -> None:
+        change = self._shared(news.change)
         stream = self.streams.get(change.controller)
         if stream is None:
             return
@@ -169,18 +184,19 @@
                     return had
             return record
 
-        return replace(change, entries=[known(record) for record in change.entries])
+        entries = [known(record) for record in change.entries]
+        return msgspec.structs.replace(change, entries=entries)
 
-    def _follow_keepers(self) -> None:
+    def _follow_controllers(self) -> None:
         """Follow the controllers if there is no parent, and only then."""
         for controller, link in self._controllers.items():
             stream = self.streams[controller]
             if self.parent is None and controller not in self._following:
                 self._following.add(controller)
-                link.send("follow", stream.life, stream.number)
+                link.send(NewsSubscription(stream.life, stream.number))
             elif self.parent is not None and controller in self._following:
                 self._following.discard(controller)
-                link.send("unfollow")
+                link.send(NewsUnsubscription())
 
     # The parent
 
@@ -226,35 +242,40 @@
             self._fail(trying, "can't be reached")
         else:
             trying.link, trying.until_s, link.peer = link, self._loop.time() + ANSWER_S, name
-            link.send("follow", self._name, self._boot_id, self._zone, self._places())
+            link.send(RelaySubscription(self._name, self._boot_id, self._zone, self._positions()))
 
-    def _places(self) -> list[Any]:
-        return [[stream.controller, stream.life, stream.number] for stream in self.streams.values()]
+    def _positions(self) -> list[Position]:
+        return [(stream.controller, stream.life, stream.number) for stream in self.streams.values()]
 
-    def _say_places(self) -> None:
+    def _say_positions(self) -> None:
         """Say how far this node is; whoever is asked to be its parent hears of it too."""
         for one in (self.parent, self._trying):
             if one is not None and one.link is not None:
-                one.link.send("have", self._places())
+                one.link.send(RelayPositions(self._positions()))
 
-    def from_parent(self, link: Link, message: list[Any]) -> None:
+    def from_parent(self, link: Link, message: Message) -> None:
         """A parent's message, all but the configuration's text."""
-        kind, parent, trying = message[0], self.parent, self._trying
+        parent, trying = self.parent, self._trying
         if trying is not None and link is trying.link:
-            if kind == "followed":
-                trying.until_s, self._trying, self.parent = math.inf, None, trying
-                self._back_off.pop(trying.record.name, None)
-                if parent is not None and parent.link is not None:
-                    parent.link.close()
-                self._follow_keepers()
-            elif kind == "full":
+            if isinstance(message, RelayAccepted):
+                self._accepted_by(trying)
+            elif isinstance(message, RelayFull):
                 self._fail(trying, "takes nobody in")
         elif parent is not None and link is parent.link:
-            if kind == "here":
+            if isinstance(message, RelayAlive):
                 parent.until_s = math.inf
-            elif kind == "news":
+            elif isinstance(message, News):
                 self._news(link, message, False)
 
+    def _accepted_by(self, parent: Parent) -> None:
+        """Follow this parent from now on."""
+        before = self.parent
+        parent.until_s, self._trying, self.parent = math.inf, None, parent
+        self._back_off.pop(parent.record.name, None)
+        if before is not None and before.link is not None:
+            before.link.close()
+        self._follow_controllers()
+
     def lost_parent(self, link: Link) -> None:
         """A link to a parent is down."""
         for one in (self.parent, self._trying):
@@ -277,7 +298,7 @@
 
     def _leave(self) -> None:
         parent, self.parent = self.parent, None
-        self._follow_keepers()
+        self._follow_controllers()
         if parent is not None and parent.link is not None:
             parent.link.close()
 
@@ -298,39 +319,38 @@
         if not self._followers.places:
             self._text = (self._text[0], None)
 
-    def from_follower(self, link: Link, message: list[Any]) -> None:
+    def from_follower(self, link: Link, message: Message) -> None:
         """A message from below."""
-        kind = message[0]
-        if kind == "follow" and link in self._strangers:
-            self._take_in(link, *message[1:])
+        if isinstance(message, RelaySubscription) and link in self._strangers:
+            self._take_in(link, message)
         elif link not in self._followers.places:
             return
-        elif kind == "have":
-            self._followers.follow(link, message[1][:PLACES_MOST])
+        elif isinstance(message, RelayPositions):
+            self._followers.follow(link, message.positions[:POSITIONS_MOST])
             self._pass_on(self.streams.values())
-            self._send("tree", link, "here")
-        elif kind == "fetch":
-            rid, revision = message[1:]
-            self._asking[link] = (rid, revision)
+            self._send("tree", link, RelayAlive())
+        elif isinstance(message, ConfigurationFetch):
+            self._asking[link] = (message.request, message.revision)
             self._give_text()
 
-    def _take_in(self, link: Link, name: str, boot: int, zone: str, places: list[Any]) -> None:
+    def _take_in(self, link: Link, asked: RelaySubscription) -> None:
         """Those that come after this node in its row may follow: so no two can follow each other."""
-        self._near[link] = zone == self._zone
-        after = rank(self._name, self._boot_id) < rank(name, boot)
-        if not after or not self._controllers or not self._followers.follow(link, places[:PLACES_MOST]):
-            return self._send("tree", link, "full")
+        self._near[link] = asked.zone == self._zone
+        after = rank(self._name, self._boot_id) < rank(asked.name, asked.boot)
+        positions = asked.positions[:POSITIONS_MOST]
+        if not after or not self._controllers or not self._followers.follow(link, positions):
+            return self._send("tree", link, RelayFull())
         del self._strangers[link]
         link.choked = CHOKED
-        self._send("tree", link, "followed")
+        self._send("tree", link, RelayAccepted())
         self._pass_on(self.streams.values())
 
     def _pass_on(self, streams: Iterable[Stream]) -> None:
         for stream in streams:
             for change, links in self._followers.due(stream):
-                data = pack(change.packed())
+                data = encode(News(change))
                 for link in links:
-                    self._send_packed("news", link, data)
+                    self._send_encoded("news", link, data)
 
     def text(self, revision: int, raw: bytes) -> None:
         """The configuration's text is here."""
@@ -347,11 +367,11 @@
             del self._asking[link]
             if raw is None or known < revision:
                 known, raw = -1, b""
-            self._send("text", link, "folio", rid, known, raw)
+            self._send("text", link, ConfigurationText(rid, known, raw))
 
-    def _send(self, kind: str, link: Link, *message: Any) -> None:
-        self._send_packed(kind, link, pack(list(message)))
+    def _send(self, kind: str, link: Link, message: Message) -> None:
+        self._send_encoded(kind, link, encode(message))
 
-    def _send_packed(self, kind: str, link: Link, data: bytes) -> None:
+    def _send_encoded(self, kind: str, link: Link, data: bytes) -> None:
         self.tally.count(kind, self._near.get(link, False), len(data))
         link.send_packed(data)
--- a/mesh/control/value_references.py
+++ b/mesh/control/value_references.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from typing import Any
 
-from mesh.control import shard_state
+from mesh.control.register_messages import pack_message, unpack_message
+from mesh.control.shard_state import pack_value, unpack_value
+from mesh.wire.shard_messages import RegisterAccept, RegisterBody
 from nickelbridge.register import (
     NONE,
     Accept,
@@ -36,7 +37,7 @@
     held: dict[str, tuple[Ballot, Value]] = field(default_factory=dict)  # by voter: what it promised with
     asked: set[str] = field(default_factory=set)  # voters that were sent an accept
 
-    def pack(self, to: str, message: Message, kept: Kept) -> list[Any]:
+    def pack(self, to: str, message: Message, kept: Kept) -> RegisterBody:
         """A message of the register as it goes out; `kept`: what this replica has accepted."""
         if isinstance(message, Prepare):
             if message.ballot != self.ballot:
@@ -47,8 +48,8 @@
             self.asked.add(to)
             if to in self.held:
                 base, value = self.held[to]
-                return ["a", list(message.ballot), shard_state.pack_value(message.value, value), list(base)]
-        return shard_state.pack_message(message)
+                return RegisterAccept(message.ballot, pack_value(message.value, value), base)
+        return pack_message(message)
 
     def resolve(self, sender: str, promise: Promise) -> Promise | None:
         """A promise with its state; None if it is named and not known here."""
@@ -67,20 +68,18 @@
         return ballot == self.ballot and name in self.asked
 
 
-def unpack(packed: list[Any], kept: Kept) -> Message | None:
+def unpack(body: RegisterBody, kept: Kept) -> Message | None:
     """A message that came; None for one that builds on a state which this voter has not accepted."""
-    match packed:
-        case ["a", [counter, who], value, [base, whose]]:
-            if (counter, who) == kept.accepted and kept.value is not None:  # sent again
-                return Accept(kept.accepted, kept.value)
-            if (base, whose) == kept.accepted:
-                found = shard_state.unpack_value(value, kept.value)
-                return Accept((counter, who), found) if found is not None else None
-            return None
-    return shard_state.unpack_message(packed)
+    if not isinstance(body, RegisterAccept) or body.base is None:
+        return unpack_message(body)
+    if body.ballot == kept.accepted and kept.value is not None:  # sent again
+        return Accept(kept.accepted, kept.value)
+    if body.base != kept.accepted:
+        return None
+    value = unpack_value(body.state, kept.value)
+    return Accept(body.ballot, value) if value is not None else None
 
 
-def refusal(packed: list[Any], voter: Voter, kept: Kept) -> Accepted | None:
+def refusal(body: RegisterBody, voter: Voter, kept: Kept) -> Accepted | None:
     """The answer to an accept that can't be resolved, where its ballot would be refused anyway."""
-    ballot: Ballot = (packed[1][0], packed[1][1])
-    return Accepted(ballot, voter, kept.promised) if ballot < kept.promised else None
+    return Accepted(body.ballot, voter, kept.promised) if body.ballot < kept.promised else None
--- a/mesh/wire/framing.py
+++ b/mesh/wire/framing.py
@@ -1,7 +1,7 @@
-"""What the system's own processes say to each other: length-prefixed cbor2 over TCP, on an internal port.
+"""Links between the system's own processes: messages with a length in front over TCP, on an internal port.
 
 The first message of a link, from whoever dialled, names the number of the protocol: processes of builds
-that differ in it do not talk. A message is a list: its kind, then its fields. Links are kept; one that is
+that differ in it do not talk. A message that can't be read closes its link. Links are kept; one that is
 silent is ended by whoever keeps it, as each side sends something at least every `QUIET_S`.
 """
 
@@ -12,27 +12,22 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-import cbor2
 from loguru import logger
 
+from mesh.wire.codec import LENGTH_BYTES, UnreadableMessage, decode, encode, spoken_protocol
+from mesh.wire.messages import Greeting, Message
+
 MOST = 16 * 1024 * 1024  # bytes of one message
 CHOKED = 8 * 1024 * 1024  # bytes that may wait for a peer that does not read
 USER_TIMEOUT_MS = 2_000
-PROTOCOL = 2  # rises with each change that an earlier build would misread
-GREETING = "protocol"  # the kind of the first message
-
-
-def pack(message: list[Any]) -> bytes:
-    """A message as it goes out."""
-    body = cbor2.dumps(message)
-    return len(body).to_bytes(4, "big") + body
+PROTOCOL = 3  # rises with each change that an earlier build would misread
 
 
 class Link(asyncio.Protocol):
     """One connection between two processes of the system."""
 
     def __init__(
-        self, heard: Callable[[Link, list[Any]], None], lost: Callable[[Link], None],
+        self, heard: Callable[[Link, Message], None], lost: Callable[[Link], None],
         made: Callable[[Link], None] | None = None, accepted: bool = False,
     ) -> None:  # fmt: skip
         """`accepted`: the other side dialled, so that its first message is to name the protocol."""
@@ -66,32 +61,36 @@
         buffer = self._buffer
         buffer += data
         at = 0
-        while len(buffer) - at >= 4:
-            size = int.from_bytes(buffer[at : at + 4], "big")
+        while len(buffer) - at >= LENGTH_BYTES:
+            begin = at + LENGTH_BYTES
+            size = int.from_bytes(buffer[at:begin], "big")
             if size > MOST:
                 return self.close()
-            if len(buffer) - at - 4 < size:
+            if len(buffer) - begin < size:
                 break
-            try:
-                message = cbor2.loads(bytes(buffer[at + 4 : at + 4 + size]))
-            except (ValueError, EOFError):  # what cbor2 raises for what it can't read
-                return self.close()
-            at += 4 + size
-            if isinstance(message, list) and message:
-                self._take(message)
+            at = begin + size
+            self._take(bytes(buffer[begin:at]))
             if not self.open:
                 return
         del buffer[:at]
 
-    def _take(self, message: list[Any]) -> None:
-        if not self._awaits_greeting:
-            return self._heard(self, message)
+    def _take(self, body: bytes) -> None:
+        if self._awaits_greeting:
+            return self._greeted(body)
+        try:
+            message = decode(body)
+        except UnreadableMessage as problem:
+            logger.warning("link: a message of {} can't be read: {}", self._peer_address(), problem)
+            return self.close()
+        self._heard(self, message)
+
+    def _greeted(self, body: bytes) -> None:
         self._awaits_greeting = False
-        if message != [GREETING, PROTOCOL]:
-            spoken = message[1] if message[0] == GREETING and len(message) == 2 else "none"
+        spoken = spoken_protocol(body)
+        if spoken != PROTOCOL:
             logger.warning(
                 "link: {} speaks protocol {!s:.20}, {} is needed: it is of another build",
-                self._peer_address(), spoken, PROTOCOL,
+                self._peer_address(), "none" if spoken is None else spoken, PROTOCOL,
             )  # fmt: skip
             self.close()
 
@@ -99,13 +98,13 @@
         name = self._transport.get_extra_info("peername") if self._transport is not None else None
         return str(name[0]) if name else "a peer"
 
-    def send(self, *message: Any) -> None:
+    def send(self, message: Message) -> None:
         """Send a message; nothing if the link is down."""
         if self.open:
-            self.send_packed(pack(list(message)))
+            self.send_packed(encode(message))
 
     def send_packed(self, data: bytes) -> None:
-        """The same for one that was packed once for many."""
+        """The same for one that was encoded once for many."""
         if self._transport is not None and self.open:
             if self._transport.get_write_buffer_size() > self.choked:
                 return self.close()
@@ -122,7 +121,7 @@
 
 
 async def dial(
-    heard: Callable[[Link, list[Any]], None], lost: Callable[[Link], None], host: str, port: int,
+    heard: Callable[[Link, Message], None], lost: Callable[[Link], None], host: str, port: int,
     own_ip: str, wait_s: float = 1.0,
 ) -> Link | None:  # fmt: skip
     """A new link; None if there is none within the time."""
@@ -134,5 +133,5 @@
     except OSError:
         link.close()
         return None
-    link.send(GREETING, PROTOCOL)
+    link.send(Greeting(PROTOCOL))
     return link
--- a/rehearsal/bench/order_duels.py
+++ b/rehearsal/bench/order_duels.py
@@ -15,6 +15,8 @@
 from mesh.control import shard_state
 from mesh.control.actions import Answer, Changed, Ended
 from mesh.control.configuration_resource import PUT_S
+from mesh.wire.messages import ShardMessage
+from mesh.wire.shard_messages import RegisterMessage, RegisterPrepare
 from rehearsal.explore.controller import Controller
 
 ACK_MS = 5_000.0  # the bound that deployments give
@@ -151,8 +153,10 @@
         """Messages of a link stay in their order."""
         if to not in self.controllers:
             return
-        if kind == "heard" and message[1][0] == "reg" and message[1][2][0] == "p":
-            self.ballots.add(tuple(message[1][2][1]))
+        if kind == "heard" and isinstance(message[1], RegisterMessage):
+            body = message[1].body
+            if isinstance(body, RegisterPrepare):
+                self.ballots.add(body.ballot)
         link = (sender, to)
         due_s = max(self._free_s.get(link, 0.0), self.now + self.rng.uniform(*self.conditions.link_s))
         self._free_s[link] = due_s
@@ -164,7 +168,8 @@
 
     def answer(self, name: str, answer: Answer) -> None:
         """A controller answers another one."""
-        self.send(name, answer.to, "heard", name, answer.message[2:])
+        assert isinstance(answer.message, ShardMessage)
+        self.send(name, answer.to, "heard", name, answer.message.body)
 
     def decided(self, name: str, changed: Changed) -> None:
         """Nothing here hangs on it."""
--- a/rehearsal/bench/second_loss.py
+++ b/rehearsal/bench/second_loss.py
@@ -28,6 +28,9 @@
 from mesh.control.peers import Peers
 from mesh.control.shard import Shard, remembered
 from mesh.storage.store import NAMES, open_env, put_sealed, wrap
+from mesh.wire.codec import LENGTH_BYTES, decode, encode
+from mesh.wire.messages import Heartbeat, HeartbeatAck, Message, ShardMessage
+from mesh.wire.shard_messages import Handoff, KeyPage, KeyRecords
 from nickelbridge.register import Kept
 
 DISK = "ORCHIDFERRY_BENCH_DISK"  # names a folder in memory, as for `orchidferry bench mesh`
@@ -156,16 +159,16 @@
             elif isinstance(action, Write):
                 self.jobs.append((shard, action))
 
-    def send(self, to: str, message: list[Any]) -> None:
-        """To another machine; packed here, read there."""
-        other, data, sender = self.world.machines[to], cbor2.dumps(message), self.name
+    def send(self, to: str, message: Message) -> None:
+        """To another machine; encoded here, decoded there."""
+        other, data, sender = self.world.machines[to], encode(message)[LENGTH_BYTES:], self.name
         self.cost.sent += len(data)
         life = other.life
         arrives = max(self.world.now, self.free_s) + HOP_S + len(data) / LINK_BYTES_S
 
         def take() -> None:
             if other.alive and other.life == life:
-                other.run(lambda: other.heard(sender, cbor2.loads(data)))
+                other.run(lambda: other.heard(sender, decode(data)))
 
         self.world.at(arrives, take)
 
@@ -210,27 +213,29 @@
         self.beats[self.number] = self.world.now
         versions = [s.known.version for s in self.shards.values()]
         learning = [n for n, s in self.shards.items() if not s.learned(self.world.now)]
+        beat = Heartbeat(self.name, self.number, True, versions, self.peers.stopping, learning)
         for other in self.world.machines.values():
             if other is not self and other.alive:
-                self.send(other.name, ["beat", self.number, versions, self.peers.stopping, learning])
+                self.send(other.name, beat)
 
-    def heard(self, sender: str, message: list[Any]) -> None:
+    def heard(self, sender: str, message: Message) -> None:
         now = self.world.now
         match message:
-            case ["beat", number, versions, leaves, learning]:
+            case Heartbeat():
                 self.peers.heard_s[sender] = now
-                (self.peers.leaving.add if leaves else self.peers.leaving.discard)(sender)
-                self.peers.learning[sender] = tuple(learning)
-                self.send(sender, ["pulse", number, [s.accepted_fence for s in self.shards.values()]])
-                for shard, version in zip(self.shards.values(), versions, strict=True):
+                (self.peers.leaving.add if message.leaving else self.peers.leaving.discard)(sender)
+                self.peers.learning[sender] = tuple(message.learning)
+                fences = [s.accepted_fence for s in self.shards.values()]
+                self.send(sender, HeartbeatAck(self.name, message.number, fences))
+                for shard, version in zip(self.shards.values(), message.versions, strict=True):
                     self.do(shard, shard.catch(version, sender))
-            case ["pulse", number, fences]:
-                for shard, fence in zip(self.shards.values(), fences, strict=True):
-                    shard.pulse(sender, self.beats.get(number, 0.0), fence)
-            case ["part", number, *rest]:
-                self.cost.pages += rest[0] in ("slips", "records", "missed")
-                shard = self.shards[number]
-                self.do(shard, shard.heard(sender, rest, now))
+            case HeartbeatAck():
+                for shard, fence in zip(self.shards.values(), message.fences, strict=True):
+                    shard.pulse(sender, self.beats.get(message.number, 0.0), fence)
+            case ShardMessage():
+                self.cost.pages += isinstance(message.body, KeyPage | KeyRecords | Handoff)
+                shard = self.shards[message.shard]
+                self.do(shard, shard.heard(sender, message.body, now))
 
     def claim(self, shard: Shard, key: str, holder: str) -> None:
         under = shard.body.epoch
--- a/rehearsal/capacity/hollow.py
+++ b/rehearsal/capacity/hollow.py
@@ -9,13 +9,26 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import dataclass, field, replace
-from typing import Any
+from dataclasses import dataclass, field
+
+from msgspec import structs
 
 from mesh.control.control_client import RENEW_S
 from mesh.control.endpoints import IN_SERVICE, Record, Server
 from mesh.control.fanout_tree import HEADS
-from mesh.wire.framing import Link, dial, pack
+from mesh.wire.codec import encode
+from mesh.wire.framing import Link, dial
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Lease,
+    LeaseRenewal,
+    Message,
+    News,
+    NewsSubscription,
+    NodeHello,
+    kind_of,
+)
 
 ZONES = tuple(f"hollow-{number}" for number in range(8))
 SLOTS = 8
@@ -50,12 +63,12 @@
         """There is a link to a controller."""
         link.peer = controller
         self.links[controller] = link
-        self._send(link, "hello", self.name)
+        self._send(link, NodeHello(self.name))
         self.renew(controller)
 
     def publish(self) -> None:
         """Its record changes."""
-        self.record = replace(self.record, number=self.record.number + 1)
+        self.record = structs.replace(self.record, number=self.record.number + 1)
         for controller in self.links:
             self.renew(controller)
 
@@ -63,33 +76,36 @@
         """Renew the lease at one controller."""
         record = self.record
         same = self._has.get(controller) == record.number
-        packed = None if same else record.packed()
-        self._send(self.links[controller], "renew", record.number, record.name, record.boot, packed)
+        renewal = LeaseRenewal(record.number, record.name, record.boot, None if same else record)
+        self._send(self.links[controller], renewal)
 
-    def _send(self, link: Link, *message: Any) -> None:
-        data = pack(list(message))
-        self._crowd.traffic.up[str(message[0])] += len(data)
+    def _send(self, link: Link, message: Message) -> None:
+        data = encode(message)
+        self._crowd.traffic.up[kind_of(message)] += len(data)
         self._crowd.traffic.up_messages += 1
         link.send_packed(data)
 
-    def heard(self, link: Link, message: list[Any]) -> None:
+    def heard(self, link: Link, message: Message) -> None:
         """A controller's message."""
-        kind, traffic = message[0], self._crowd.traffic
+        traffic = self._crowd.traffic
         traffic.down_messages += 1
-        traffic.down[kind] += len(pack(message))
-        if kind == "lease":
-            number, known, _, life, *_ = message[1:]
-            self._has[link.peer] = number if known else -1
-            if not known:
-                self.renew(link.peer)
-            if self.head and link.peer not in self._followed:
-                self._followed.add(link.peer)
-                self._send(link, "follow", life, -1)
-        elif kind == "news" and message[7] > self.revision:
-            self.revision = message[7]
-            self._send(link, "fetch", 1, self.revision)
-        elif kind == "folio":
-            self._crowd.got_text(message[2])
+        traffic.down[kind_of(message)] += len(encode(message))
+        match message:
+            case Lease():
+                self._take_lease(link, message)
+            case News() if message.change.revision > self.revision:
+                self.revision = message.change.revision
+                self._send(link, ConfigurationFetch(1, self.revision))
+            case ConfigurationText():
+                self._crowd.got_text(message.revision)
+
+    def _take_lease(self, link: Link, lease: Lease) -> None:
+        self._has[link.peer] = lease.number if lease.known else -1
+        if not lease.known:
+            self.renew(link.peer)
+        if self.head and link.peer not in self._followed:
+            self._followed.add(link.peer)
+            self._send(link, NewsSubscription(lease.life, -1))
 
 
 class Hollow:
--- a/rehearsal/capacity/regions.py
+++ b/rehearsal/capacity/regions.py
@@ -13,6 +13,7 @@
 from functools import partial
 from typing import Any
 
+from mesh.wire.messages import ConfigurationText
 from rehearsal.capacity.plan import CONTROLLERS
 from rehearsal.model.relays import Controller, Node, Process, World
 
@@ -75,9 +76,9 @@
         self.fleet = world
         super().__init__(world, name, zone, heads)
 
-    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
+    def _take_text(self, message: ConfigurationText) -> None:
         had = self.revision
-        super()._configuration_shard(rid, revision, raw)
+        super()._take_text(message)
         if self.revision > had:
             self.fleet.in_force[self.revision, self.name] = self.world.now
 
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -15,6 +15,7 @@
 from mesh.control.peers import Peers
 from mesh.control.shard import Shard, remembered
 from mesh.storage.store import Put, unpack
+from mesh.wire.shard_messages import ShardBody
 from nickelbridge.register import Kept
 
 WINDOW_S = 60.0
@@ -90,7 +91,7 @@
         for action in actions:
             match action:
                 case Tell():
-                    self.world.send(self.name, action.to, "heard", self.name, action.message[2:])
+                    self.world.send(self.name, action.to, "heard", self.name, action.message.body)
                 case Answer():
                     self.world.answer(self.name, action)
                 case Write():
@@ -124,7 +125,7 @@
 
     # What comes
 
-    def heard(self, sender: str, message: list[Any]) -> None:
+    def heard(self, sender: str, message: ShardBody) -> None:
         """A message of another controller."""
         self.do(self.shard.heard(sender, message, self.world.now))
 
--- a/rehearsal/explore/mesh.py
+++ b/rehearsal/explore/mesh.py
@@ -22,11 +22,15 @@
 from types import NoneType
 from typing import Any
 
+import msgspec
+
 from mesh.control import actions, operation_key_client, operation_keys, peers, replica, shard_state
 from mesh.control import shard as shard_module
 from mesh.control.actions import Answer, Changed, Ended
 from mesh.control.membership import epoch
 from mesh.control.operation_key_client import OperationKeyClient
+from mesh.wire.messages import KeyAnswer, KeyClaim, KeyGrant, KeyRelease, Message
+from mesh.wire.shard_messages import KeyPage, tag_of
 from nickelbridge import register
 from nickelbridge.register import Proposer, Value
 from rehearsal.explore import pure
@@ -88,8 +92,8 @@
 
     @property
     def told(self) -> str:
-        body = self.message[-1] if self.what == "heard" else (self.what, *self.message)
-        return f"{body[0]} from {self.sender} to {self.to}"
+        kind = tag_of(self.message[-1]) if self.what == "heard" else self.what
+        return f"{kind} from {self.sender} to {self.to}"
 
 
 @dataclass
@@ -119,9 +123,16 @@
         self.name, self.world = name, world
         self.claims = OperationKeyClient(world.scene.seeds, self.send)
 
-    def send(self, to: str, *message: Any) -> None:
-        what, rest = message[0], message[1:]
-        self.world.send(self.name, to, what, *((self.name, *rest) if what == "claim" else rest))
+    def send(self, to: str, message: Message) -> None:
+        """As the method of a controller that takes it."""
+        world, name = self.world, self.name
+        match message:
+            case KeyClaim():
+                world.send(name, to, "claim", name, *msgspec.structs.astuple(message))
+            case KeyAnswer():
+                world.send(name, to, "done", *msgspec.structs.astuple(message))
+            case KeyRelease():
+                world.send(name, to, "drop", *msgspec.structs.astuple(message))
 
 
 @dataclass
@@ -391,7 +402,7 @@
         self.touched = mail.to
         if mail.to in self.nodes:
             node = self.nodes[mail.to].claims
-            if mail.what == "slip":
+            if mail.what == "grant":
                 node.hear(mail.sender, *mail.message)
             else:
                 number, under, names, owner, fence = mail.message
@@ -399,9 +410,9 @@
             return
         controller = self.controllers[mail.to]
         if mail.what == "heard":
-            message = mail.message[1]
+            page = mail.message[1]
             # What it is told before it has a place does not count.
-            if message[0] == "slips" and message[5] and message[7] and mail.to in self.learns:
+            if isinstance(page, KeyPage) and page.last and page.counted and mail.to in self.learns:
                 self.learns[mail.to].add(mail.sender)
         getattr(controller, mail.what)(*mail.message)
         if mail.what == "claim" and mail.message[2] != controller.shard.body.epoch:
@@ -477,16 +488,16 @@
 
     def answer(self, name: str, answer: Answer) -> None:
         """A controller answers whoever asked it."""
-        to = answer.to
-        if to in self.nodes:
-            if answer.message[3] == "yours" and name in self.learns and not self._learned(name):
+        to, message = answer.to, answer.message
+        if isinstance(message, KeyGrant):
+            if message.outcome == "yours" and name in self.learns and not self._learned(name):
                 self.broken(
                     f"abstains: {name} grants a key, and has learned from {sorted(self.learns[name])}"
                 )
             if self._open(name, to):
-                self.next.append(Mail(name, to, "slip", tuple(answer.message[1:]), True))
+                self.next.append(Mail(name, to, "grant", msgspec.structs.astuple(message), True))
         elif self._open(name, to):
-            self.next.append(Mail(name, to, "heard", (name, answer.message[2:]), True))
+            self.next.append(Mail(name, to, "heard", (name, message.body), True))
 
     def _tell_group(self, controller: Controller, node: str) -> None:
         """As the controller does when something changes, and to whoever comes back to it."""
@@ -623,15 +634,15 @@
         for controller in self.controllers.values():
             shard, kept = controller.shard, controller.shard.acceptor.kept
             inside = [v for k, v in vars(shard).items() if k not in ("acceptor", "rng", "peers")]
-            slips = shard.operation_keys.records
+            records = shard.operation_keys.records
             # Which of two equal ones is meant, where the shard looks at that.
-            same = [shard.unwritten[key] is slips.get(key) for key in shard.unwritten]
+            same = [shard.unwritten[key] is records.get(key) for key in shard.unwritten]
             for write in controller.writes:
                 match write.then:
                     case ("voted", _, of, *_):
                         same.append(of is kept)
-                    case (("claim" | "answer"), *_, slip):
-                        same.append(any(slip is one for one in slips.values()))
+                    case (("claim" | "answer"), *_, record):
+                        same.append(any(record is one for one in records.values()))
             held += [
                 controller.alive, sorted(controller.disk.items()), controller.writes, controller.beats,
                 controller.peers, controller.rng, kept, inside, same,
@@ -662,6 +673,7 @@
     names = _fields.get(kind)
     if names is None:
         names = tuple(x.name for x in fields(one)) if is_dataclass(one) else ()
+        names = kind.__struct_fields__ if issubclass(kind, msgspec.Struct) else names
         _fields[kind] = names
     if not names and kind is Dice:
         return one.count
--- a/rehearsal/model/relays.py
+++ b/rehearsal/model/relays.py
@@ -12,14 +12,25 @@
 from collections.abc import Callable
 from typing import Any
 
-import cbor2
-
 from mesh.control.control_client import ASK_S, QUIET_S, RENEW_S, TICK_S
 from mesh.control.endpoints import Record, everyone
 from mesh.control.fanout_tree import HEADS
 from mesh.control.publisher import Publisher
 from mesh.control.subscriber import Subscriber
-from mesh.wire.framing import USER_TIMEOUT_MS, pack
+from mesh.wire.codec import LENGTH_BYTES, decode, encode
+from mesh.wire.framing import USER_TIMEOUT_MS
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Lease,
+    LeaseRenewal,
+    Message,
+    News,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    NodeHello,
+)
 
 DIAL_S = 0.15
 LAZY_S = 5.0  # in a large fleet a node looks at who is there so often, not at each change
@@ -92,16 +103,16 @@
         self._queue: list[tuple[float, Any]] = []  # on their way: when, and the message, None for the end
         owner.links.add(self)
 
-    def send(self, *message: Any) -> None:
+    def send(self, message: Message) -> None:
         if self.open:
-            self.send_packed(pack(list(message)))
+            self.send_packed(encode(message))
 
     def send_packed(self, data: bytes) -> None:
         owner, world = self.owner, self.owner.world
         if not self.open:
             return
         message = world.read(data)
-        if owner.mute and message[0] == "news":
+        if owner.mute and isinstance(message, News):
             return
         owner.busy_s = max(world.now, owner.busy_s) + MESSAGE_S
         self._go(owner.busy_s + world.delay(owner, self.other.owner), message)
@@ -176,11 +187,21 @@
         self.publisher.lost(end)
 
     def heard(self, end: Any, message: Any) -> None:
-        kind, rest = message[0], message[1:]
-        if kind == "fetch":
-            self.publisher.tell_configuration(end, rest[0], self.revision, self.text)
-        else:
-            getattr(self.publisher, kind)(end, *rest)
+        publisher = self.publisher
+        match message:
+            case ConfigurationFetch():
+                text = ConfigurationText(message.request, self.revision, self.text)
+                publisher.tell_configuration(end, text)
+            case NodeHello():
+                publisher.hello(end, message.name)
+            case LeaseRenewal():
+                publisher.renew(end, message)
+            case NewsSubscription():
+                publisher.follow(end, message)
+            case NewsUnsubscription():
+                publisher.unfollow(end)
+            case NewsRequest():
+                publisher.since(end, message)
         self.world.stepped(self)
 
 
@@ -225,7 +246,7 @@
         record = self.record
         same = self._has.get(name) == (record.boot, record.number)
         self.controllers[name].send(
-            "renew", record.number, record.name, record.boot, None if same else record.packed()
+            LeaseRenewal(record.number, record.name, record.boot, None if same else record)
         )
 
     def _tick(self) -> None:
@@ -237,45 +258,45 @@
                     self.controllers[name].close()
             elif now >= due_s:
                 self._dial_s[name] = now + 1.0
-                self.world.dial(self, name, self._from_keeper, self._lost_keeper, self._dialled_keeper)
+                self.world.dial(self, name, self._from_controller, self._lost_controller, self._dialled)
         self.subscriber.tick()
         if self.wanted > self.revision and now - self._asked_s > ASK_S and self.controllers:
             self._ask(self.rng.choice(list(self.controllers.values())))
 
-    def _dialled_keeper(self, name: str, link: Any) -> None:
+    def _dialled(self, name: str, link: Any) -> None:
         if link is not None:
             link.peer = name
             self.controllers[name] = link
             self._has.pop(name, None)
-            link.send("hello", self.name)
+            link.send(NodeHello(self.name))
             self._renew(name)
             self.subscriber.up(name, link)
 
-    def _lost_keeper(self, end: End) -> None:
+    def _lost_controller(self, end: End) -> None:
         if self.controllers.get(end.peer) is end:
             del self.controllers[end.peer]
             self._dial_s[end.peer] = self.world.now + DIAL_S
             self.subscriber.down(end.peer)
             self._look()
 
-    def _from_keeper(self, end: Any, message: Any) -> None:
-        if message[0] == "lease":
-            number, known, _, life, news, _ = message[1:]
-            if known:
-                self._has[end.peer] = (self.boot, number)
-            else:
-                self._has.pop(end.peer, None)
-                self._renew(end.peer)
-            self.subscriber.lease(end.peer, life, news)
-        elif message[0] == "folio":
-            self._configuration_shard(*message[1:])
-        else:
-            self.subscriber.from_keeper(end, message)
+    def _from_controller(self, end: Any, message: Any) -> None:
+        match message:
+            case Lease():
+                if message.known:
+                    self._has[end.peer] = (self.boot, message.number)
+                else:
+                    self._has.pop(end.peer, None)
+                    self._renew(end.peer)
+                self.subscriber.lease(end.peer, message.life, message.news)
+            case ConfigurationText():
+                self._take_text(message)
+            case News():
+                self.subscriber.from_controller(end, message)
 
     def _dial_node(self, name: str, ip: str) -> None:
         def heard(end: Any, message: Any) -> None:
-            if message[0] == "folio":
-                self._configuration_shard(*message[1:])
+            if isinstance(message, ConfigurationText):
+                self._take_text(message)
             else:
                 self.subscriber.from_parent(end, message)
 
@@ -320,14 +341,14 @@
 
     def _ask(self, link: End) -> None:
         self._asked_s, self._rid = self.world.now, self._rid + 1
-        link.send("fetch", self._rid, self.wanted)
+        link.send(ConfigurationFetch(self._rid, self.wanted))
 
-    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
-        if rid == self._rid:
+    def _take_text(self, message: ConfigurationText) -> None:
+        if message.request == self._rid:
             self._asked_s = -ASK_S
-        if revision > self.revision:
-            self.revision = revision
-            self.subscriber.text(revision, raw)
+        if message.revision > self.revision:
+            self.revision = message.revision
+            self.subscriber.text(message.revision, message.text)
 
 
 class World:
@@ -364,7 +385,7 @@
     def read(self, data: bytes) -> Any:
         """A message as it comes; what goes to many is read once."""
         if self._read[0] is not data:
-            self._read = (data, cbor2.loads(data[4:]))
+            self._read = (data, decode(data[LENGTH_BYTES:]))
         return self._read[1]
 
     def delay(self, one: Process, other: Process) -> float:
--- a/rehearsal/model/replica_group.py
+++ b/rehearsal/model/replica_group.py
@@ -16,7 +16,9 @@
 
 from mesh.control import shard_state
 from mesh.control.actions import Answer, Changed, Ended
-from mesh.wire.framing import pack
+from mesh.wire.codec import encode
+from mesh.wire.messages import Heartbeat, HeartbeatAck, Message, ShardMessage
+from mesh.wire.shard_messages import tag_of
 from rehearsal.explore.controller import Controller
 from rehearsal.model.stored_controller import StoredController
 
@@ -155,8 +157,8 @@
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
         """A message between replicas."""
-        size = len(pack([kind, *message]))
-        self.bytes[message[1][0] if kind == "heard" else kind] += size
+        size = len(self._encoded(kind, message))
+        self.bytes[tag_of(message[1]) if kind == "heard" else kind] += size
         self.link_bytes[sender, to] += size
         if not self._alive(sender) or not self._alive(to):
             return
@@ -165,6 +167,22 @@
         life = self.controllers[to].shard
         self.at(free + DELAY_S, lambda: self._deliver(to, life, kind, message))
 
+    @staticmethod
+    def _encoded(kind: str, message: tuple[Any, ...]) -> bytes:
+        """The bytes of a message between replicas."""
+        found: Message
+        match kind:
+            case "beat":
+                name, number, fit, version, leaving, learned = message
+                learning = [] if learned else [shard_state.CONFIGURATION]
+                found = Heartbeat(name, number, fit, [version], leaving, learning)
+            case "pulse":
+                name, number, fence = message
+                found = HeartbeatAck(name, number, [fence])
+            case _:
+                found = ShardMessage(shard_state.CONFIGURATION, message[1])
+        return encode(found)
+
     def _deliver(self, to: str, life: Any, kind: str, message: tuple[Any, ...]) -> None:
         controller = self.controllers[to]
         if self._alive(to) and controller.shard is life:
@@ -173,7 +191,8 @@
 
     def answer(self, name: str, answer: Answer) -> None:
         """An answer, on the link of whoever asked."""
-        self.send(name, str(answer.to), "heard", name, answer.message[2:])
+        assert isinstance(answer.message, ShardMessage)
+        self.send(name, str(answer.to), "heard", name, answer.message.body)
 
     def decided(self, name: str, changed: Changed) -> None:
         """Whoever learns a version learns the same."""
--- a/tests/mesh/test_bench_mesh.py
+++ b/tests/mesh/test_bench_mesh.py
@@ -12,7 +12,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mesh.wire.framing import pack
 from rehearsal.bench import mesh
 from rehearsal.bench.mesh_fleet import Counting, Fleet, pump, used
 
@@ -94,11 +93,12 @@
 
 
 @given(
-    st.lists(st.tuples(st.sampled_from(("renew", "lease")), st.binary(max_size=40)), max_size=8),
+    st.lists(st.tuples(st.sampled_from(("lease_renewal", "lease")), st.binary(max_size=40)), max_size=8),
     st.integers(1, 50),
 )
 def test_the_relay_hands_on_every_byte_and_counts_it_once(said: list[tuple[str, bytes]], cut: int) -> None:
-    whole = b"".join(pack([kind, body]) for kind, body in said)
+    bodies = [cbor2.dumps([kind, body]) for kind, body in said]
+    whole = b"".join(len(body).to_bytes(4, "big") + body for body in bodies)
     sink, counts = Sink(), Counting().up
 
     async def run() -> None:
@@ -110,7 +110,7 @@
 
     asyncio.run(run())
     assert sink.got == whole and sink.aborted and counts.total() == len(whole)
-    for kind in ("renew", "lease"):
+    for kind in ("lease_renewal", "lease"):
         assert counts[kind] == sum(4 + len(cbor2.dumps([k, body])) for k, body in said if k == kind)
 
 
--- a/tests/mesh/test_contact.py
+++ b/tests/mesh/test_contact.py
@@ -13,6 +13,7 @@
 from mesh.control.contact import CONTACT_S, LOST_CONTACT, OUT_OF_CONTACT, Contact
 from mesh.control.control_api import call
 from mesh.control.reading import READING_S
+from mesh.wire.shard_messages import AcceptedState, AcceptedStateRequest
 from nickelbridge.register import Voter
 from orchidferry.frontend import Reply
 from rehearsal.explore import worst_days
@@ -58,12 +59,12 @@
     def __init__(self) -> None:
         self.now = 1.0
         self.ended: list[Ended] = []
-        self.peeks: list[int] = []
+        self.readings: list[int] = []
         self.controller = Controller("a", self, True, 0, Dice())
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
-        if kind == "heard" and message[1][0] == "peek":
-            self.peeks.append(message[1][1])
+        if kind == "heard" and isinstance(message[1], AcceptedStateRequest):
+            self.readings.append(message[1].reading)
 
     def answer(self, name: str, answer: Answer) -> None:
         pass
@@ -89,11 +90,11 @@
     world.controller.do(shard.read("r", world.now))
     world.controller.do(shard.ask("p", shard_state.Put(b"x", 1, b"x", 0), 4.0, world.now))
     assert world.ended == [Ended("r", None, OUT_OF_CONTACT), Ended("p", None, OUT_OF_CONTACT)]
-    assert not world.peeks and not shard.proposer.due_ms < float("inf")
+    assert not world.readings and not shard.proposer.due_ms < float("inf")
     world.controller.beat_to("bc")
     world.controller.pulse("b", 2, 0)
     world.controller.do(shard.read("r2", world.now))
-    assert len(world.ended) == 2 and world.peeks
+    assert len(world.ended) == 2 and world.readings
 
 
 def test_who_waits_is_told_as_soon_as_contact_is_lost() -> None:
@@ -128,8 +129,8 @@
     for _ in range(4):
         world.tick(0.1)
         beat()
-    assert len(world.peeks) > 2 and not world.ended
-    answer = ["peeked", world.peeks[0], ["b", shard_state.GENESIS], [0, ""], None]
+    assert len(world.readings) > 2 and not world.ended
+    answer = AcceptedState(world.readings[0], ("b", shard_state.GENESIS), (0, ""), None)
     world.controller.heard("b", answer)
     assert [(end.id, end.value) for end in world.ended] == [("r", shard.known)]
 
--- a/tests/mesh/test_control_client.py
+++ b/tests/mesh/test_control_client.py
@@ -11,6 +11,14 @@
 from mesh.control.endpoints import LEASE_S, Record
 from mesh.control.publisher import Publisher
 from mesh.settings import check_settings
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationRead,
+    ConfigurationText,
+    Lease,
+    LeaseRenewal,
+    Message,
+)
 from tests.mesh.fakes import Loop
 from tests.mesh.test_records import BOOT
 
@@ -23,14 +31,14 @@
 
     def __init__(self, loop: Any, peer: str) -> None:
         self.loop, self.peer, self.open, self.heard_s = loop, peer, True, loop.time()
-        self.sent: list[list[Any]] = []
+        self.sent: list[Message] = []
 
-    def send(self, *message: Any) -> None:
-        self.sent.append(list(message))
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
 
-    def asked(self) -> list[list[Any]]:
+    def asked(self) -> list[ConfigurationRead | ConfigurationFetch]:
         """What was asked of the configuration."""
-        return [message for message in self.sent if message[0] in ("read", "fetch")]
+        return [m for m in self.sent if isinstance(m, ConfigurationRead | ConfigurationFetch)]
 
     def close(self) -> None:
         self.open = False
@@ -54,15 +62,15 @@
             controller.link = wire
             self.node._subscriber.up(name, wire)
 
-    def tell(self, name: str, *message: Any) -> None:
+    def tell(self, name: str, message: Message) -> None:
         """A controller's message comes."""
         wire: Any = self.wires[name]
         wire.heard_s = self.loop.time()
-        self.node._take(wire, list(message))
+        self.node._take(wire, message)
 
     def lease(self, name: str, age_ms: int | None, revision: int = 0) -> None:
         """A controller answers a renewal, and has told of this revision."""
-        self.tell(name, "lease", 1, True, True, 7, 0, age_ms)
+        self.tell(name, Lease(1, True, True, 7, 0, age_ms))
         self.node._subscriber.streams[name].revision = revision
 
     def ticks(self, count: int) -> None:
@@ -76,10 +84,10 @@
     rig.node.start()
     for _ in range(100):
         rig.lease(NAMES[0], AGE_MS, 5)
-        for _, rid, _ in rig.wires[NAMES[0]].asked()[-1:]:
-            rig.tell(NAMES[0], "folio", rid, -1, b"")
+        for asked in rig.wires[NAMES[0]].asked()[-1:]:
+            rig.tell(NAMES[0], ConfigurationText(asked.request, -1, b""))
         rig.ticks(1)
-    assert {message[0] for message in rig.wires[NAMES[0]].asked()} == {"read"}
+    assert {type(message) for message in rig.wires[NAMES[0]].asked()} == {ConfigurationRead}
     assert not rig.node.settled and not rig.texts
 
 
@@ -114,7 +122,7 @@
         assert first.asked() == asked and not rig.wires[NAMES[1]].asked()
     rig.ticks(3)
     assert len(first.asked()) + len(rig.wires[NAMES[1]].asked()) > 1  # it has taken too long
-    rig.tell(NAMES[0], "folio", asked[0][1], 3, b"text")
+    rig.tell(NAMES[0], ConfigurationText(asked[0].request, 3, b"text"))
     assert rig.texts == [(3, b"text")]
 
 
@@ -142,9 +150,9 @@
 
     link: Any = Link()
     dead, live = (Record(name, 1, 1, "z", "", 0, None) for name in ("dead", "live"))
-    publisher.renew(link, 1, "dead", 1, dead.packed())
+    publisher.renew(link, LeaseRenewal(1, "dead", 1, dead))
     for _ in range(round(LEASE_S / 0.5) + 1):
-        publisher.renew(link, 1, "live", 1, live.packed())
+        publisher.renew(link, LeaseRenewal(1, "live", 1, live))
         loop.pass_ms(500.0)
         publisher.tick()
     assert [record.name for record in publisher._members.records()] == ["live"]
--- a/tests/mesh/test_fanout_tree.py
+++ b/tests/mesh/test_fanout_tree.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 from typing import Any
 
-import cbor2
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -28,13 +27,25 @@
     FOLLOWERS_MOST,
     HEADS,
     LOG,
+    Change,
     Followers,
     Stream,
     parents,
     rank,
-    unpack_change,
 )
 from mesh.control.subscriber import CATCH_S, STRIKES, Subscriber
+from mesh.wire.codec import LENGTH_BYTES, decode, encode
+from mesh.wire.messages import (
+    Message,
+    News,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    RelayAccepted,
+    RelayAlive,
+    RelayFull,
+    RelaySubscription,
+)
 from rehearsal.model.relays import BETWEEN_S, Node, World
 from tests.mesh.test_store import a_controller as real_keeper
 
@@ -45,6 +56,12 @@
     return Record(name, boot, number, zone, "10.0.0.1", 1, None)
 
 
+def travelled(change: Change) -> Change:
+    news = decode(encode(News(change))[LENGTH_BYTES:])
+    assert isinstance(news, News)
+    return news.change
+
+
 def fleet(seed: int, nodes: int, zones: int, settle_s: float = 25.0) -> World:
     world = World(seed, zones)
     for n in range(nodes):
@@ -205,14 +222,18 @@
     """One end of a link, which notes what is sent."""
 
     def __init__(self) -> None:
-        self.sent: list[Any] = []
+        self.sent: list[Message] = []
         self.closed, self.choked, self.peer = False, 0, ""
 
-    def send(self, *message: Any) -> None:
-        self.sent.append(list(message))
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
 
     def send_packed(self, data: bytes) -> None:
-        self.sent.append(cbor2.loads(data[4:]))
+        self.sent.append(decode(data[LENGTH_BYTES:]))
+
+    def kinds(self) -> list[type[Message]]:
+        """Of all that was sent."""
+        return [type(message) for message in self.sent]
 
     def close(self) -> None:
         self.closed = True
@@ -237,9 +258,9 @@
         subscriber, _ = lone(one, 1)
         link = Wire()
         subscriber.stranger(link)
-        subscriber.from_follower(link, ["follow", other, 1, "z", []])
-        answers.append(link.sent[0][0])
-    assert sorted(answers) == ["followed", "full"]
+        subscriber.from_follower(link, RelaySubscription(other, 1, "z", []))
+        answers.append(link.sent[0])
+    assert RelayAccepted() in answers and RelayFull() in answers
 
 
 def test_a_full_relay_sends_others_elsewhere() -> None:
@@ -248,16 +269,16 @@
     links = [Wire() for _ in below]
     for name, link in zip(below, links, strict=True):
         subscriber.stranger(link)
-        subscriber.from_follower(link, ["follow", name, 1, "z", []])
-    assert [link.sent[0][0] for link in links] == ["followed"] * FOLLOWERS_MOST + ["full"] * 2
+        subscriber.from_follower(link, RelaySubscription(name, 1, "z", []))
+    assert [link.sent[0] for link in links] == [RelayAccepted()] * FOLLOWERS_MOST + [RelayFull()] * 2
     subscriber._loop.world.run(5.0)
     subscriber.tick()
     assert [link.closed for link in links] == [False] * FOLLOWERS_MOST + [True] * 2
     subscriber.lost_follower(links[0])
     again = Wire()
     subscriber.stranger(again)
-    subscriber.from_follower(again, ["follow", below[-1], 1, "z", []])
-    assert again.sent[0] == ["followed"]
+    subscriber.from_follower(again, RelaySubscription(below[-1], 1, "z", []))
+    assert again.sent[0] == RelayAccepted()
 
 
 def test_a_node_that_is_turned_away_goes_up_and_comes_back() -> None:
@@ -266,28 +287,28 @@
     me = row[HEADS + HEADS * FANOUT + 3]
     subscriber, dialled = lone(me.name, 1)
     controller = subscriber._controllers["k"]
-    assert [message[0] for message in controller.sent] == ["follow"]
+    assert controller.kinds() == [NewsSubscription]
     subscriber.members({r.name: r for r in row})
     first, second = [r.name for r in parents(row, me.name, 1, "z")]
 
-    def ask(name: str, answer: str) -> Wire:
+    def ask(name: str, answer: Message) -> Wire:
         subscriber._loop.world.run(16.0)
         subscriber.tick()
         assert dialled[-1] == name
         link = Wire()
         subscriber.dialled(name, link)
-        subscriber.from_parent(link, [answer])
+        subscriber.from_parent(link, answer)
         return link
 
-    assert ask(first, "full").closed
+    assert ask(first, RelayFull()).closed
     subscriber._back_off[first] = (1e9, 1.0)
-    above = ask(second, "followed")
-    assert [message[0] for message in controller.sent] == ["follow", "unfollow"] and not above.closed
+    above = ask(second, RelayAccepted())
+    assert controller.kinds() == [NewsSubscription, NewsUnsubscription] and not above.closed
     subscriber._back_off.clear()
-    near = ask(first, "followed")
+    near = ask(first, RelayAccepted())
     assert above.closed and subscriber.parent.record.name == first
     subscriber.lost_parent(near)
-    assert [message[0] for message in controller.sent] == ["follow", "unfollow", "follow"]
+    assert controller.kinds() == [NewsSubscription, NewsUnsubscription, NewsSubscription]
     subscriber._loop.world.run(0.11)
     subscriber.tick()
     assert dialled[-1] == second
@@ -304,22 +325,22 @@
     subscriber.tick()
     link = Wire()
     subscriber.dialled(subscriber._trying.record.name, link)
-    subscriber.from_parent(link, ["followed"])
+    subscriber.from_parent(link, RelayAccepted())
     controller, number = subscriber._controllers["k"], 1
-    subscriber.from_keeper(controller, ["news", "k", 7, -1, number, [], [], 0])
+    subscriber.from_controller(controller, News(Change("k", 7, -1, number, [], [], 0)))
     for gap in range(STRIKES):
         if gap and useful:
             number += 1
-            subscriber.from_parent(link, ["news", "k", 7, number - 1, number, [], [], 0])
+            subscriber.from_parent(link, News(Change("k", 7, number - 1, number, [], [], 0)))
         assert subscriber.parent is not None
         subscriber.lease("k", 7, number + 1)
         subscriber._loop.world.run(0.5)
-        assert ["since", 7, number] in controller.sent
-        subscriber.from_parent(link, ["here"])
+        assert NewsRequest(7, number) in controller.sent
+        subscriber.from_parent(link, RelayAlive())
         number += 1
-        subscriber.from_keeper(controller, ["news", "k", 7, number - 1, number, [], [], 0])
+        subscriber.from_controller(controller, News(Change("k", 7, number - 1, number, [], [], 0)))
     assert (subscriber.parent is not None) is useful and link.closed is not useful
-    assert controller.sent[-1][0] == ("since" if useful else "follow")
+    assert controller.kinds()[-1] is (NewsRequest if useful else NewsSubscription)
 
 
 def test_a_configuration_comes_down_the_tree_over_sockets(
@@ -341,14 +362,14 @@
         serving = loop.create_task(controller.run(stopping))
         texts: list[asyncio.Future[bytes]] = []
         nodes: list[ControlClient] = []
-        follow_keepers = Subscriber._follow_keepers
+        follow_controllers = Subscriber._follow_controllers
 
         def followed(self: Subscriber) -> None:
-            follow_keepers(self)
+            follow_controllers(self)
             if sum(node._subscriber.parent is not None for node in nodes) == 2:
                 formed.set()
 
-        monkeypatch.setattr(Subscriber, "_follow_keepers", followed)
+        monkeypatch.setattr(Subscriber, "_follow_controllers", followed)
         for n in range(2, 6):
             boot = dataclasses.replace(controller._settings, name=f"n{n}", ip=f"127.0.0.{n}")
             text = loop.create_future()
@@ -396,12 +417,12 @@
         if change is not None:
             far = source is stream and stream.number - copy.number > LOG
             assert change.since == (-1 if far else copy.number) or source is not stream
-            assert copy.take(unpack_change(*change.packed()[1:]))
+            assert copy.take(travelled(change))
             assert copy.records == source.records and copy.number == source.number
         assert source.after(source.life, source.number) is None
     assert stream.records == truth
     whole = stream.after(8, 3)  # of another life: all
     assert whole is not None and whole.since == -1
-    assert not copies[0].take(unpack_change("k", 8, -1, 5, [], [], 0))
+    assert not copies[0].take(Change("k", 8, -1, 5, [], [], 0))
     number = copies[0].number
-    assert not copies[0].take(unpack_change("k", 7, number + 1, number + 2, [], [], 0))  # a step is missing
+    assert not copies[0].take(Change("k", 7, number + 1, number + 2, [], [], 0))  # a step is missing
--- a/tests/mesh/test_framing.py
+++ b/tests/mesh/test_framing.py
@@ -1,14 +1,20 @@
-"""The first message of a link between two processes: the number of the protocol."""
+"""The first message of a link between two processes, and messages that can't be read."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import Any
 
+import cbor2
 import pytest
 from loguru import logger
 
-from mesh.wire.framing import GREETING, PROTOCOL, Link, dial, pack
+from mesh.wire.codec import as_list
+from mesh.wire.framing import PROTOCOL, Link, dial
+from mesh.wire.messages import Greeting, KeyRelease, Message, kind_of
+
+RELEASE = KeyRelease("key", "holder")
+GREETING = [kind_of(Greeting), PROTOCOL]
 
 
 class Transport:
@@ -30,16 +36,17 @@
         return ("10.0.0.9", 7380) if name == "peername" else None
 
 
-def accepted(*messages: list[Any]) -> tuple[list[list[Any]], bool, list[str]]:
+def accepted(*messages: Any) -> tuple[list[Message], bool, list[str]]:
     """What an accepted link hands on of these messages, whether it ends, and what is logged."""
-    heard: list[list[Any]] = []
+    heard: list[Message] = []
     lines: list[str] = []
 
     async def main() -> bool:
         link = Link(lambda _, message: heard.append(message), lambda _: None, accepted=True)
         transport: Any = Transport()
         link.connection_made(transport)
-        link.data_received(b"".join(pack(message) for message in messages))
+        bodies = [m if isinstance(m, bytes) else cbor2.dumps(m) for m in messages]
+        link.data_received(b"".join(len(body).to_bytes(4, "big") + body for body in bodies))
         return bool(transport.closed)
 
     sink = logger.add(lines.append, format="{message}")
@@ -50,28 +57,52 @@
 
 
 def test_the_greeting_opens_a_link_and_is_handed_to_nobody() -> None:
-    assert accepted([GREETING, PROTOCOL], ["beat", 1]) == ([["beat", 1]], False, [])
+    assert accepted(GREETING, as_list(RELEASE)) == ([RELEASE], False, [])
 
 
 @pytest.mark.parametrize(("first", "told"), [
-    ([GREETING, PROTOCOL + 1], str(PROTOCOL + 1)),
-    ([GREETING, "x" * 1000], "x" * 20 + ","),
-    ([GREETING], "none"),
-    (["beat", 1], "none"),  # the builds before had no such message
+    ([GREETING[0], PROTOCOL + 1], str(PROTOCOL + 1)),
+    ([GREETING[0], PROTOCOL - 1], str(PROTOCOL - 1)),
+    ([GREETING[0], "x" * 1000], "x" * 20 + ","),
+    (GREETING[:1], "none"),
+    (as_list(RELEASE), "none"),  # the first builds had no such message
+    (b"\xff", "none"),
 ])  # fmt: skip
-def test_another_build_is_told_of_in_one_line_and_hears_nothing(first: list[Any], told: str) -> None:
-    heard, closed, lines = accepted(first, ["beat", 1])
+def test_another_build_is_told_of_in_one_line_and_hears_nothing(first: Any, told: str) -> None:
+    heard, closed, lines = accepted(first, as_list(RELEASE))
     assert heard == [] and closed
     assert len(lines) == 1 and "10.0.0.9" in lines[0] and f"protocol {told}" in lines[0]
 
 
+@pytest.mark.parametrize(("bad", "told"), [
+    (["key_release", "key", 7], "key_release: holder: Expected `str`, got `int`"),
+    (["key_release", "key"], "key_release: Expected `array` of at least length 3, got 2"),
+    (["key_release", "key", "a", "b"], "key_release: Expected `array` of at most length "),
+    (["configuration_text", 1, 2, "YQ=="], "configuration_text: text: Expected `bytes`, got `str`"),
+    (["shard", 1, ["handoff_ack", "a", "x"]], "shard: body: handoff_ack: number: Expected `int`, got `str`"),
+    (["shard", 1, ["peek", 3, 4]], "shard: body: kind: Invalid value 'peek'"),
+    (["shard", 1, 7], "shard: body: Expected `array`, got `int`"),
+    (["news", ["c", 1, 5, 5, [], [], 0]], "news: change: a change ends after its beginning"),
+    (["heartbeat", "a", 1, True, [1, "x"], False, []], "heartbeat: versions[1]: Expected `int`, got `str`"),
+    (["peek", 1], "no message of kind 'peek'"),
+    ({"kind": "lease"}, "a message is a list that begins with its kind"),
+    (b"\xff", "no CBOR: "),
+])  # fmt: skip
+def test_a_message_that_cant_be_read_ends_its_link_with_one_line_that_names_the_field(
+    bad: Any, told: str
+) -> None:
+    heard, closed, lines = accepted(GREETING, as_list(RELEASE), bad, as_list(RELEASE))
+    assert heard == [RELEASE] and closed
+    assert len(lines) == 1 and lines[0].startswith(f"link: a message of 10.0.0.9 can't be read: {told}")
+
+
 def test_whoever_dials_greets_first() -> None:
-    async def main() -> list[list[Any]]:
-        heard: list[list[Any]] = []
+    async def main() -> list[Message]:
+        heard: list[Message] = []
         loop = asyncio.get_running_loop()
         come = asyncio.Event()
 
-        def hear(_: Link, message: list[Any]) -> None:
+        def hear(_: Link, message: Message) -> None:
             heard.append(message)
             come.set()
 
@@ -79,11 +110,11 @@
         port = server.sockets[0].getsockname()[1]
         link = await dial(lambda *_: None, lambda _: None, "127.0.0.1", port, "127.0.0.1")
         assert link is not None
-        link.send("beat", 1)
+        link.send(RELEASE)
         async with asyncio.timeout(10.0):
             await come.wait()
         link.close()
         server.close()
         return heard
 
-    assert asyncio.run(main()) == [["beat", 1]]
+    assert asyncio.run(main()) == [RELEASE]
--- a/tests/mesh/test_hundreds.py
+++ b/tests/mesh/test_hundreds.py
@@ -26,6 +26,7 @@
 from mesh.storage import storage_check
 from mesh.storage import store as store_module
 from mesh.storage.store import FORMAT, Store, pack
+from mesh.wire.messages import ConfigurationText
 from nickelbridge.register import Accept, Accepted, Kept, Prepare, Promise, Value, Voter
 from rehearsal.explore.controller import Controller
 from rehearsal.model.relays import World
@@ -157,7 +158,7 @@
     group.run(0.0045)
     group.dark.clear()
     group.run(0.011)
-    assert group.controllers["c"].shard.body.revision == 1 and group.bytes["know?"]
+    assert group.controllers["c"].shard.body.revision == 1 and group.bytes["decided_state_request"]
     assert shard_state.body(group.controllers["c"].shard.acceptor.kept.value or VALUE).revision == 0
 
 
@@ -285,13 +286,13 @@
     nodes = [world.start(f"n{n}", 0) for n in range(20)]
     world.run(12.0)
     dark, fetched = nodes[7], list[int]()
-    take = dark._configuration_shard
+    take = dark._take_text
 
-    def counted(rid: int, revision: int, raw: bytes) -> None:
-        fetched.append(revision)
-        take(rid, revision, raw)
+    def counted(message: ConfigurationText) -> None:
+        fetched.append(message.revision)
+        take(message)
 
-    dark._configuration_shard = counted  # type: ignore[method-assign]
+    dark._take_text = counted  # type: ignore[method-assign]
     others = [*world.nodes, *world.controllers]
     for revision in range(1, 501):
         for controller in world.controllers.values():
--- a/tests/mesh/test_key_transfer.py
+++ b/tests/mesh/test_key_transfer.py
@@ -77,7 +77,7 @@
     assert len(keys) == 501 and pages == math.ceil(500 * 1_532 / PAGE_BYTES) + 1  # one for what is new
     source.drop("new", "t")
     page = giver.page(source, "x", at, False)
-    assert page.rows == [["new", ["t", GIVEN_BACK, None], False]] and page.last
+    assert page.rows == [("new", ("t", GIVEN_BACK, None), False)] and page.last
     assert not giver.page(source, "x", page.sequence, False).rows and not giver.copies
 
 
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -19,6 +19,7 @@
 from mesh.dataplane.proxy import Proxy
 from mesh.dataplane.service_client import ServiceClient
 from mesh.settings import Bounds
+from mesh.wire.messages import KeyClaim, KeyRelease, Message
 from nickelbridge.interface import Result
 from orchidferry.frontend import Reply
 from tests.mesh.fakes import asked, header, rig, route, said
@@ -174,15 +175,14 @@
     deaf = {"a"}
 
     def sender(node: str) -> Callable[..., None]:
-        def send(name: str, word: str, *rest: Any) -> None:
-            if word == "claim":
-                rid, epoch, key, holder = rest
-                outcome, _ = keys[name].claim(key, holder)
+        def send(name: str, message: Message) -> None:
+            if isinstance(message, KeyClaim):
+                outcome, _ = keys[name].claim(message.key, message.holder)
                 what = "yours" if isinstance(outcome, Granted) else "held"
                 if node not in deaf:
-                    nodes[node].hear(name, rid, epoch, what, None)
-            elif word == "drop" and node not in deaf:
-                keys[name].drop(*rest)
+                    nodes[node].hear(name, message.request, message.epoch, what, None)
+            elif isinstance(message, KeyRelease) and node not in deaf:
+                keys[name].drop(message.key, message.holder)
 
         return send
 
--- a/tests/mesh/test_members_by_service.py
+++ b/tests/mesh/test_members_by_service.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 
+import msgspec
 import pytest
 
 from mesh.control.configuration import Route
@@ -125,7 +126,7 @@
     for _ in range(50):
         told = {f"k{k}": {r.name: r for r in rng.sample(records, rng.randrange(6))} for k in range(3)}
         if rng.random() < 0.5:  # other objects, the same records
-            told["k2"] = {name: dataclasses.replace(record) for name, record in told["k0"].items()}
+            told["k2"] = {name: msgspec.structs.replace(record) for name, record in told["k0"].items()}
         heard = set(rng.sample(sorted(told), rng.randrange(4)))
         assert everyone(told, heard) == plainly(told, heard)
         assert list(everyone(told, heard)) == list(plainly(told, heard))
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -24,6 +24,8 @@
 from mesh.control.peers import Peers
 from mesh.control.replica import TENURE_S
 from mesh.control.shard import Shard
+from mesh.wire.messages import KeyGrant
+from mesh.wire.shard_messages import DecidedState
 from nickelbridge.register import Kept, Value, Voter
 from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
 
@@ -65,10 +67,12 @@
             self.wires.append((to, kind, message))
 
     def answer(self, name: str, answer: Answer) -> None:
-        if isinstance(answer.to, Try):
-            self.wires.append(("", "said", (answer.to, name, *answer.message[2:])))
+        message = answer.message
+        if isinstance(message, KeyGrant):
+            said = (answer.to, name, message.epoch, message.outcome, message.answer)
+            self.wires.append(("", "said", said))
         else:
-            self.send(name, answer.to, "heard", name, answer.message[2:])
+            self.send(name, answer.to, "heard", name, message.body)
 
     def told(self, name: str, end: Ended) -> None:
         if end.id in self.waiting:
@@ -281,7 +285,7 @@
     )
 
     def know(value: Value, now: float) -> None:
-        shard.heard("b", ["know", shard_state.pack_value(value)], now)
+        shard.heard("b", DecidedState(shard_state.pack_value(value)), now)
 
     mine = Value(1, (a, b, c), shard_state.Body(0, owner="a", fence=1))
     know(mine, 1.0)
--- a/tests/mesh/test_retry_budget.py
+++ b/tests/mesh/test_retry_budget.py
@@ -11,6 +11,7 @@
 
 from mesh.control import retry_budget as module
 from mesh.control.retry_budget import DEALT_SHARE, LATE_S, LEASE_S, STATIC_SHARE, Dealer, Holder, RetryBudgets
+from mesh.wire.messages import RetryShare, RetryShareRequest
 
 WINDOW_S, SLACK, STEP_S, NODES, ENDS_S = 10.0, 40.0, 0.25, 4, 90.0
 WHOLE = DEALT_SHARE * SLACK
@@ -108,25 +109,24 @@
         holder = node.holder
         number = holder.ask(self.now)
         used, wanted = float(node.used(self.now)), node.used(self.now) + node.hunger
-        said: Any = ("s", node.name, node.life, number, used, wanted, holder.held(self.now), holder.fence)
+        held, fence = holder.held(self.now), holder.fence
+        request = RetryShareRequest("s", node.name, node.life, number, used, wanted, held, fence)
         for since, owner in self.owners:
             if self.now >= max(since, node.cut_s):
-                self.post(lambda owner=owner: self.answer(owner, node, said), 0.5)
+                self.post(lambda owner=owner: self.answer(owner, node, request), 0.5)
 
-    def answer(self, owner: RetryBudgets, node: Node, said: Any) -> None:
+    def answer(self, owner: RetryBudgets, node: Node, request: RetryShareRequest) -> None:
         if all(owner is not known for _, known in self.owners):
             return  # it knows that it owns nothing any more
-        service, name, life, number, used, wanted, held, fence = said
-        reply = owner.handle(service, name, life, number, used, wanted, held, fence, self.now)
+        reply = owner.handle(request, self.now)
         if reply is not None:
             self.post(lambda: self.hear(node, reply), 1.0)
 
-    def hear(self, node: Node, reply: Any) -> None:
+    def hear(self, node: Node, reply: RetryShare) -> None:
         if node.asleep_s > self.now:
             self.late.append((node.asleep_s, 0, lambda: self.hear(node, reply)))
         else:
-            _, _, fence, number, amount, for_s = reply
-            node.holder.hear(fence, number, amount, for_s, self.now)
+            node.holder.hear(reply.fence, reply.number, reply.amount, reply.lease_s, self.now)
 
     def step(self) -> None:
         self.now += STEP_S
@@ -227,9 +227,9 @@
     controller = RetryBudgets(SLACK, WINDOW_S, lambda service, now: owned.get(service))
 
     def ask(service: str, fence: int, now: float) -> Any:
-        return controller.handle(service, "n", 1, 7, 0.0, 5.0, 2.0, fence, now)
+        return controller.handle(RetryShareRequest(service, "n", 1, 7, 0.0, 5.0, 2.0, fence), now)
 
     assert ask("b", -1, 0.0) is None and ask("a", 4, 0.0) is None
-    assert ask("a", 3, 0.0) == ["share", "a", 3, 7, 2.0, LEASE_S]  # learning: what it holds
-    assert ask("a", 3, LEASE_S + WINDOW_S + LATE_S)[4] > 2.0
+    assert ask("a", 3, 0.0) == RetryShare("a", 3, 7, 2.0, LEASE_S)  # learning: what it holds
+    assert ask("a", 3, LEASE_S + WINDOW_S + LATE_S).amount > 2.0
     assert STATIC_SHARE + DEALT_SHARE < 1.0
--- a/tests/mesh/test_second_loss.py
+++ b/tests/mesh/test_second_loss.py
@@ -18,6 +18,7 @@
 from mesh.control.peers import Peers
 from mesh.control.shard import Shard
 from mesh.settings import Bounds
+from mesh.wire.shard_messages import DecidedState, JoinRequest, RegisterMessage
 from nickelbridge.register import Kept, Value, Voter
 from rehearsal.explore.controller import SEEDS, WINDOW_S
 from tests.mesh.test_stop import Clock, played
@@ -35,12 +36,12 @@
 
 
 def know(one: Shard, value: Value, now: float = 1.0) -> None:
-    one.heard(None, ["know", shard_state.pack_value(value)], now)
+    one.heard(None, DecidedState(shard_state.pack_value(value)), now)
 
 
 def proposes(one: Shard, joiner: Voter, under: int, ready: bool, now: float) -> bool:
-    done = one.heard(None, ["join", joiner.name, joiner.memory, under, ready], now)
-    return any(isinstance(action, Tell) and action.message[2] == "reg" for action in done)
+    done = one.heard(None, JoinRequest(joiner.name, joiner.memory, under, ready), now)
+    return any(isinstance(a, Tell) and isinstance(a.message.body, RegisterMessage) for a in done)
 
 
 @pytest.mark.parametrize("leaves", [False, True])
@@ -113,7 +114,7 @@
     assert one.must_stay(1.1)
     one.peers.learning["d"] = (2,)
     assert not one.must_stay(1.1)
-    one.missed.silent("c", 1.0)
+    one.hints.silent("c", 1.0)
     assert one.must_stay(1.1)
 
 
--- a/tests/mesh/test_store.py
+++ b/tests/mesh/test_store.py
@@ -22,6 +22,7 @@
 from mesh.settings import Settings, check_settings
 from mesh.storage import store as store_module
 from mesh.storage.store import Put, Store
+from mesh.wire.shard_messages import DecidedState
 from nickelbridge.register import Value, Voter
 from tests.mesh.test_records import BOOT
 
@@ -338,8 +339,9 @@
         controller = a_controller(tmp_path)
         shard = controller._shards[1]
         assert shard.grants(0)
-        know = ["know", shard_state.pack_value(Value(1, (Voter("127.0.0.2", 1),), shard_state.Body(1)))]
-        controller._do(shard, shard.heard(None, know, 0.0))
+        state = Value(1, (Voter("127.0.0.2", 1),), shard_state.Body(1))
+        known = DecidedState(shard_state.pack_value(state))
+        controller._do(shard, shard.heard(None, known, 0.0))
         controller._do(shard, shard.tick(10.0))
         assert await write(controller._store, [])  # and so is what was written before
         assert not shard.standing.caught_up and controller._store.read("about", b"caught/1") is None
