Replica: the register's half, readings and duties are modules of their own; messages in the docs

The register's half (votes, decided states, changes, readings) is register_replica now, the state of readings is in reading, the owner's lease in duties; what is proposed is a type in place of a tuple. replica.py has 314 lines.

--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -26,7 +26,7 @@
 from mesh.control.retry_budget import RetryBudgets
 from mesh.control.shard import Shard, remembered
 from mesh.settings import Settings
-from mesh.storage.store import Put, Store, pack
+from mesh.storage.store import OPERATION_KEYS, Put, Store, pack
 from mesh.storage.store import unpack as unpack_stored
 from mesh.wire.framing import Link, dial
 from mesh.wire.messages import (
@@ -130,7 +130,7 @@
             )
 
     def _load_keys(self) -> None:
-        for raw, packed in self._store.all("slips"):
+        for raw, packed in self._store.all(OPERATION_KEYS):
             key = raw.decode("latin-1")
             self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
 
--- a/mesh/control/reading.py
+++ b/mesh/control/reading.py
@@ -14,6 +14,7 @@
 from nickelbridge.register import Kept, Value, Voter
 
 ASK_AGAIN_S = 0.1  # for voters to answer, before they are asked again or a round is run
+SELF = ""  # the reader of a reading that the replica runs for itself
 READING_S = 0.8  # for all of it: a caller goes on after a second of silence
 
 
@@ -41,3 +42,50 @@
     def enough(self, voters: tuple[Voter, ...]) -> bool:
         """Whether so many have answered that only a round can settle it."""
         return 2 * len(self.seen) > len(voters)
+
+
+@dataclass
+class Readings:
+    """The readings of one replica: who waits for one, and the one that is out. A reader is a caller's id, or
+    `SELF`.
+    """
+
+    count: int = 0
+    queued: list[str] = field(default_factory=list)  # readers that share the next reading
+    until_s: dict[str, float] = field(default_factory=dict)  # callers that wait: until when
+    current: Reading | None = None  # that voters are asked for
+    busy: bool = False  # a reading, or the round that it came to, is out
+
+    @property
+    def due_s(self) -> float:
+        """When something is to be done; infinite for never."""
+        dues = [*self.until_s.values()]
+        if self.current is not None:
+            dues += [self.current.again_s, self.current.until_s]
+        return min(dues, default=float("inf"))
+
+    def begin(self, kept: Kept, now: float) -> Reading | None:
+        """Begin the next one; None if nobody waits for it. `kept`: what the replica has accepted."""
+        readers, self.queued = self.queued, []
+        self.current, self.busy = None, bool(readers)
+        if readers:
+            self.count += 1
+            self.current = Reading(self.count, kept, readers, now + READING_S, now + ASK_AGAIN_S)
+        return self.current
+
+    def answered(self, readers: list[str]) -> list[str]:
+        """A reading is over; the callers among its readers that still wait for it."""
+        return [reader for reader in readers if self.until_s.pop(reader, None) is not None]
+
+    def expired(self, now: float) -> list[str]:
+        """Callers that have waited too long, and wait no more."""
+        late = [caller for caller, until_s in self.until_s.items() if until_s <= now]
+        return self.answered(late)
+
+    def drop_callers(self) -> list[str]:
+        """No caller waits any more; what the replica itself wants to know is gone on with."""
+        callers = self.answered(list(self.until_s))
+        if self.current is not None and SELF not in self.current.readers:
+            self.current, self.busy = None, False
+        self.queued = [reader for reader in self.queued if reader == SELF]
+        return callers
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -21,7 +21,7 @@
 from mesh.control.operation_keys import KeyRecord, OperationKeys
 from mesh.control.peers import Peers
 from mesh.control.replica import Replica
-from mesh.storage.store import Put, pack
+from mesh.storage.store import OPERATION_KEYS, Put, pack
 from mesh.wire.shard_messages import (
     Handoff,
     HandoffAck,
@@ -56,7 +56,7 @@
 
     @staticmethod
     def _stored(key: str, record: KeyRecord) -> Put:
-        return "slips", key.encode("latin-1"), pack(record.packed())
+        return OPERATION_KEYS, key.encode("latin-1"), pack(record.packed())
 
     def _regrouped(self, value: Value) -> None:
         super()._regrouped(value)
@@ -235,7 +235,7 @@
             had = keys.records.get(key)
             if shelf == GIVEN_BACK:
                 if keys.drop(key, holder):
-                    puts.append(("slips", key.encode("latin-1"), None))
+                    puts.append((OPERATION_KEYS, key.encode("latin-1"), None))
                 continue
             before = (had.holder, had.answer) if had is not None else None
             keys.load(key, [holder, shelf, answer])
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -15,6 +15,7 @@
 from mesh.control.operation_keys import Granted, Held, KeyRecord
 from mesh.control.peers import Peers
 from mesh.control.repair import Repair, remembered
+from mesh.storage.store import OPERATION_KEYS
 from mesh.wire.messages import KeyGrant
 from mesh.wire.shard_messages import (
     Handoff,
@@ -57,7 +58,7 @@
         """Let time pass."""
         over = self.operation_keys.turn(now)
         if over:
-            self._write([("slips", key.encode("latin-1"), None) for key in over])
+            self._write([(OPERATION_KEYS, key.encode("latin-1"), None) for key in over])
         for due, key, record in self._again:
             if due <= now and self.operation_keys.records.get(key) is record:
                 self._write([self._stored(key, record)], ("answer", key, record))
@@ -157,5 +158,5 @@
         self.now = now
         if self.operation_keys.drop(key, holder):
             self.unwritten.pop(key, None)
-            self._write([("slips", key.encode("latin-1"), None)])
+            self._write([(OPERATION_KEYS, key.encode("latin-1"), None)])
         return self._flush()
--- a/mesh/storage/store.py
+++ b/mesh/storage/store.py
@@ -27,7 +27,8 @@
 
 from mesh.errors import BadStore
 
-NAMES = ("about", "slips")
+OPERATION_KEYS = "slips"  # the table of keys and answers; its name on disk stays as it was
+NAMES = ("about", OPERATION_KEYS)
 MAP_BYTES = 160 * 1024 * 1024
 # Of a store. The first had neither checksums nor seal, and didn't say its number; in the second the text of
 # the configuration was never compressed, and a build that knows no third would hand it out as it lies there.
--- a/rehearsal/explore/mesh_breaks.py
+++ b/rehearsal/explore/mesh_breaks.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest import mock
 
-from mesh.control import replica, shard_state
+from mesh.control import duties, shard_state
 from mesh.control.actions import Action, Write
 from mesh.control.membership import Standing
 from mesh.control.operation_key_client import Count
@@ -72,12 +72,12 @@
 
 
 def _long_lease(self: Shard, now: float) -> int | None:
-    with mock.patch.object(replica, "TENURE_S", 5.0):
+    with mock.patch.object(duties, "TENURE_S", 5.0):
         return _owns(self, now)
 
 
 def _at_once(self: Shard, now: float) -> int | None:
-    self._owner_from_s = -math.inf
+    self._owner_lease.from_s = -math.inf
     return _owns(self, now)
 
 
--- a/rehearsal/explore/worst_days/hundreds.py
+++ b/rehearsal/explore/worst_days/hundreds.py
@@ -146,7 +146,7 @@
 
 
 def _reads_own(self: Replica, id: str) -> None:
-    self._over("read", [id], self.known, "")
+    self._end_reading([id], self.known, "")
 
 
 def _tells_nothing(self: Replica, version: int, name: str) -> list[Any]:
--- a/rehearsal/explore/worst_days/isolated.py
+++ b/rehearsal/explore/worst_days/isolated.py
@@ -13,6 +13,7 @@
 from mesh.control import shard_state
 from mesh.control.actions import Action, Ended
 from mesh.control.contact import CONTACT_S, Contact
+from mesh.control.register_replica import Purpose
 from mesh.control.replica import Replica
 from mesh.control.shard import Shard
 from mesh.storage.store import unpack
@@ -372,10 +373,10 @@
 
 def _says_refused(self: Replica) -> None:
     """What contact was lost over is told as refused, and goes on."""
-    for id, (what, waiting, until) in list(self._asked.items()):
-        if what == "ask" and waiting:
-            self._out += [Ended(one, self.known, shard_state.OTHER_VERSION) for one in waiting]
-            self._asked[id] = (what, [], until)
+    for proposal in self._proposals.values():
+        if proposal.purpose is Purpose.CALL:
+            self._out += [Ended(one, self.known, shard_state.OTHER_VERSION) for one in proposal.waiting]
+            proposal.waiting = []
 
 
 _ask = Shard.ask
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -17,12 +17,12 @@
 
 from mesh.control import shard_state
 from mesh.control.actions import Answer, Changed, Ended
+from mesh.control.duties import TENURE_S
 from mesh.control.hinted_handoff import RECENT_S, Hints
 from mesh.control.membership import Standing, epoch
 from mesh.control.operation_key_client import Count
 from mesh.control.operation_keys import Held, OperationKeys
 from mesh.control.peers import Peers
-from mesh.control.replica import TENURE_S
 from mesh.control.shard import Shard
 from mesh.wire.messages import KeyGrant
 from mesh.wire.shard_messages import DecidedState
