--- a/mesh/control/actions.py
+++ b/mesh/control/actions.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mesh.storage.store import Put
-from mesh.wire.messages import KeyGrant, ShardMessage
+from mesh.wire.messages import KeyGrant, KeyReleaseAck, ShardMessage
 from nickelbridge.register import Value
 
 
@@ -23,7 +23,7 @@
     """To whoever sent what this answers."""
 
     to: Any
-    message: ShardMessage | KeyGrant
+    message: ShardMessage | KeyGrant | KeyReleaseAck
 
 
 @dataclass(frozen=True, slots=True)
--- a/mesh/control/control_client.py
+++ b/mesh/control/control_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,15 +23,17 @@
 from mesh.wire.framing import Link, dial
 from mesh.wire.messages import (
     ConfigurationFetch,
-    ConfigurationRead,
     ConfigurationText,
     Group,
     KeyGrant,
+    KeyReleaseAck,
     Lease,
     LeaseRenewal,
     Message,
     News,
     NodeHello,
+    Revision,
+    RevisionRead,
     kind_of,
 )
 
@@ -44,6 +46,8 @@
 FRESH_S = 1.2  # a controller's word of its contact counts for so long
 CONTROLLERS_MOST = 16
 
+Dial = Callable[..., Awaitable[Link | None]]  # called as `framing.dial`
+
 
 @dataclass(slots=True)
 class Controller:
@@ -87,14 +91,18 @@
         loop: asyncio.AbstractEventLoop,
         on_members: Callable[[dict[str, Record]], None],
         on_configuration: Callable[[int, bytes], None],
+        dial: Dial = dial,
+        rng: random.Random | None = None,
     ) -> None:
+        """`dial` and `rng`: handed in by simulations."""
+        self._dial_link = dial
         self._settings, self._loop = settings, loop
         self._on_members, self._on_configuration = on_members, on_configuration
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         self.boot_id = self._rng.randrange(1, 2**53)
         self._controllers: dict[str, Controller] = {name: Controller(name) for name in settings.seeds}
         self._seeds = settings.seeds
-        self.claims = OperationKeyClient(settings.seeds, self._send)
+        self.claims = OperationKeyClient(settings.seeds, self._send, settings.bounds.key_window_s)
         self._subscriber = Subscriber(
             settings.name,
             self.boot_id,
@@ -111,8 +119,8 @@
         self._rid = 0
         self.revision = -1  # the newest that this node has
         self._fetching: dict[int, Fetch] = {}  # by rid
-        self._reads: set[int] = set()  # all that were asked for with a majority, until one is answered
-        self.settled = False  # it has read a configuration that is as new as any acknowledged at its start
+        self._first: int | None = None  # a revision as new as any acknowledged at its start, by a majority
+        self.settled = False  # it has that one or a newer one
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wanted = 0  # the newest revision that was heard of
 
@@ -169,13 +177,15 @@
         self._subscriber.tick()
         for rid in [rid for rid, fetch in self._fetching.items() if fetch.over(now)]:
             del self._fetching[rid]
-        if (not self.settled or self._wanted > self.revision) and not self._fetching:
-            self._fetch(None, read=not self.settled)
+        if not self._fetching and not self.settled and self._first is None:
+            self._fetch(None, read=True)
+        elif not self._fetching and self._wanted > self.revision:
+            self._fetch(None, read=False)
         self.claims.tick(now)
 
     async def _dial(self, controller: Controller) -> None:
         try:
-            link = await dial(
+            link = await self._dial_link(
                 self._heard,
                 self._lost,
                 controller.name,
@@ -188,9 +198,9 @@
                 link.send(NodeHello(self._settings.name))
                 self._renew(controller)
                 self._subscriber.up(controller.name, link)
-                if not self.settled:
+                if self._first is None and not self.settled:
                     self._fetch(controller, read=True)
-                self.claims.linked(controller.name)
+                self.claims.linked(controller.name, self._loop.time())
         finally:
             controller.dialling = False
 
@@ -220,10 +230,14 @@
                 self.claims.hear(
                     controller.name, message.request, message.epoch, message.outcome, message.answer
                 )
+            case KeyReleaseAck():
+                self.claims.give_backs.acknowledged(controller.name, message.number)
             case Lease():
                 self._take_lease(controller, message)
             case News():
                 self._subscriber.from_controller(link, message)
+            case Revision():
+                self._take_revision(link, message)
             case ConfigurationText():
                 self._take_text(message)
             case Group():
@@ -291,7 +305,7 @@
         async def work() -> None:
             link = None
             try:
-                link = await dial(
+                link = await self._dial_link(
                     self._above,
                     self._subscriber.lost_parent,
                     ip,
@@ -350,13 +364,10 @@
         return self._rng.choice(knowing or fresh) if fresh else None
 
     def _ask(self, link: Link, read: bool) -> None:
-        """Ask for a configuration; `read`: confirmed by a majority."""
+        """Ask for a configuration, or (`read`) for the number of the newest, confirmed by a majority."""
         self._rid += 1
         self._fetching[self._rid] = Fetch(link, self._loop.time(), read)
-        if read:
-            self._reads.add(self._rid)
-        kind = ConfigurationRead if read else ConfigurationFetch
-        link.send(kind(self._rid, self._wanted))
+        link.send(RevisionRead(self._rid) if read else ConfigurationFetch(self._rid, self._wanted))
 
     def _version(self, revision: int, link: Link) -> None:
         """There is a configuration of this number: its text is fetched from whoever told so."""
@@ -364,6 +375,25 @@
         if self._wanted > self.revision and all(fetch.read for fetch in self._fetching.values()):
             self._ask(link, read=False)
 
+    def _take_revision(self, link: Link, message: Revision) -> None:
+        """A controller has read the newest revision, as this node starts. All are asked, and whoever answers
+        first is the one that the text is fetched from.
+        """
+        revision = message.revision
+        self._fetching.pop(message.request, None)
+        if revision < 0 or self._first is not None:
+            return
+        self._first, self._wanted = revision, max(self._wanted, revision)
+        self._fetching = {number: fetch for number, fetch in self._fetching.items() if not fetch.read}
+        if not revision:  # there is none yet
+            self.revision = max(self.revision, revision)
+        self._settle()
+        if self._wanted > self.revision and not self._fetching:
+            self._ask(link, read=False)
+
+    def _settle(self) -> None:
+        self.settled = self.settled or (self._first is not None and self.revision >= self._first)
+
     def _take_text(self, message: ConfigurationText) -> None:
         """One that was asked for is here, late perhaps: what was decided is taken whenever it comes."""
         rid, revision, raw = message.request, message.revision, message.text
@@ -372,11 +402,9 @@
             return
         newer = revision > self.revision
         text = expand(raw) if newer else b""  # before anything is noted: what can't be read is fetched again
-        if rid in self._reads:
-            self.settled = True
-            self._reads.clear()
         if newer:
             self.revision = revision
+            self._settle()
             if raw:
                 self._subscriber.text(revision, raw)
                 self._on_configuration(revision, text)
--- a/mesh/control/controller.py
+++ b/mesh/control/controller.py
@@ -26,12 +26,12 @@
 from mesh.control.retry_budget import RetryBudgets
 from mesh.control.shard import Shard, remembered
 from mesh.settings import Settings
-from mesh.storage.store import OPERATION_KEYS, Put, Store, pack
+from mesh.storage.environment import KEYS
+from mesh.storage.store import Put, Store, pack
 from mesh.storage.store import unpack as unpack_stored
 from mesh.wire.framing import Link, dial
 from mesh.wire.messages import (
     ConfigurationFetch,
-    ConfigurationRead,
     ConfigurationText,
     ControllerHello,
     Group,
@@ -47,6 +47,8 @@
     NewsUnsubscription,
     NodeHello,
     RetryShareRequest,
+    Revision,
+    RevisionRead,
     ShardMessage,
     kind_of,
 )
@@ -64,6 +66,11 @@
 STOP_MARGIN_S = 0.4  # of the grace time, kept for the process's own end
 
 
+def newest_revision(end: Ended) -> int:
+    """The newest revision by a reading that is over; -1 where nothing was read."""
+    return shard_state.body(end.value).revision if end.value is not None else -1
+
+
 class Controller:
     """One controller."""
 
@@ -130,7 +137,7 @@
             )
 
     def _load_keys(self) -> None:
-        for raw, packed in self._store.all(OPERATION_KEYS):
+        for raw, packed in self._store.all(KEYS):
             key = raw.decode("latin-1")
             self._shards[shard_state.shard_of(key)].load(key, unpack_stored(packed))
 
@@ -385,7 +392,7 @@
             Heartbeat: self._take_heartbeat,
             HeartbeatAck: self._take_heartbeat_ack,
             NodeHello: self._greet_node,
-            ConfigurationRead: self._read_configuration,
+            RevisionRead: self._read_revision,
             ConfigurationFetch: self._fetch_configuration,
             ControllerHello: self._greet_controller,
         }
@@ -440,7 +447,7 @@
 
     def _take_release(self, link: Link, message: KeyRelease) -> None:
         shard = self._shards[shard_state.shard_of(message.key)]
-        self._do(shard, shard.drop(message.key, message.holder, self._loop.time()))
+        self._do(shard, shard.drop(link, message.number, message.key, message.holder, self._loop.time()))
 
     def _deal_retry_share(self, link: Link, request: RetryShareRequest) -> None:
         share = self._retry_budgets.handle(request, self._loop.time())
@@ -454,24 +461,22 @@
         for shard in self._shards.values():
             self._tell_group(shard, link)
 
-    def _read_configuration(self, link: Link, message: ConfigurationRead) -> None:
-        self._read(lambda end: self._tell_configuration(link, message.request, end.value))
+    def _read_revision(self, link: Link, message: RevisionRead) -> None:
+        def tell(end: Ended) -> None:
+            self._publisher.tell_revision(link, Revision(message.request, newest_revision(end)))
+
+        self._read(tell)
 
     def _fetch_configuration(self, link: Link, message: ConfigurationFetch) -> None:
-        self._tell_configuration(link, message.request, self._configuration_shard.known)
+        state = self._configuration_shard.body
+        text = ConfigurationText(message.request, state.revision, state.raw)
+        self._publisher.tell_configuration(link, text)
 
     def _tell_group(self, shard: Shard, link: Link | None = None) -> None:
         own = shard.body
         names = [v.name for v in shard.known.voters]
         self._publisher.tell_group(Group(shard.number, own.epoch, names, own.owner, own.fence), link)
 
-    def _tell_configuration(self, link: Link, rid: int, value: Value | None) -> None:
-        text = ConfigurationText(rid, -1, b"")  # there is no telling
-        if value is not None:
-            state = shard_state.body(value)
-            text = ConfigurationText(rid, state.revision, state.raw)
-        self._publisher.tell_configuration(link, text)
-
     # The size of the groups
 
     def _growing(self) -> bool:
--- a/mesh/control/operation_key_client.py
+++ b/mesh/control/operation_key_client.py
@@ -14,7 +14,9 @@
 from typing import Any
 
 from mesh.control import shard_state
-from mesh.wire.messages import KeyAnswer, KeyClaim, KeyRelease, Message
+from mesh.control.give_backs import GiveBacks
+from mesh.control.operation_keys import longest_kept_s
+from mesh.wire.messages import KeyAnswer, KeyClaim, Message
 
 AGAIN_S = 0.12  # a controller that could not say is asked again
 OPEN_MOST = 20_000  # claims at once
@@ -90,11 +92,14 @@
     it.
     """
 
-    def __init__(self, seeds: tuple[str, ...], send: Callable[[str, Message], None]) -> None:
+    def __init__(self, seeds: tuple[str, ...], send: Callable[[str, Message], None], window_s: float) -> None:
+        """`window_s`: for how long a key is kept at least."""
         self.groups = {shard: Group(-1, seeds) for shard in shard_state.SHARDS}
         self._send = send
         self._open: dict[int, Claim] = {}
         self._rid = 0
+        self._now = 0.0  # as of the last event that told it
+        self.give_backs = GiveBacks(longest_kept_s(window_s), send)
 
     def names(self) -> set[str]:
         """All controllers of all shards."""
@@ -124,7 +129,7 @@
         """
         if len(self._open) >= OPEN_MOST:
             return told("none", None)
-        self._rid += 1
+        self._rid, self._now = self._rid + 1, now
         shard = shard_state.shard_of(key)
         group = self.groups[shard]
         claim = Claim(self._rid, shard, key, holder, told, Count(group.epoch, group.names), now + for_s, now)
@@ -133,14 +138,17 @@
 
     def tick(self, now: float) -> None:
         """Ask again, and give up on what took too long."""
+        self._now = now
         for claim in list(self._open.values()):
             if now >= claim.until_s:
                 self._end(claim, "none", None)
             elif now >= claim.again_s:
                 self._ask(claim, now)
+        self.give_backs.tick(self.names(), now)
 
-    def linked(self, name: str) -> None:
-        """There is a new link to a controller."""
+    def linked(self, name: str, now: float) -> None:
+        """There is a new link to a controller. What was given back goes first: claims may wait for it."""
+        self.give_backs.linked(name, now)
         for claim in self._open.values():
             if name in claim.count.group:
                 self._send(name, claim.message)
@@ -169,12 +177,10 @@
 
     def drop(self, key: str, holder: str) -> None:
         """Give a key back: this try has not run and never will."""
-        self._tell_all(key, KeyRelease(key, holder))
+        self.give_backs.add(key, holder, self.groups[shard_state.shard_of(key)].names, self._now)
 
     def done(self, key: str, holder: str, answer: Any) -> None:
         """Keep the answer of a key's first run."""
-        self._tell_all(key, KeyAnswer(key, holder, answer))
-
-    def _tell_all(self, key: str, message: Message) -> None:
+        message = KeyAnswer(key, holder, answer)
         for name in self.groups[shard_state.shard_of(key)].names:
             self._send(name, message)
--- a/mesh/control/publisher.py
+++ b/mesh/control/publisher.py
@@ -25,6 +25,7 @@
     News,
     NewsRequest,
     NewsSubscription,
+    Revision,
 )
 
 PACE_S = 100e-6  # for each follower, between two tellings: about a third of the time goes into them at most
@@ -117,6 +118,10 @@
         for one in [link] if link is not None else list(self._nodes):
             self._send_encoded("group", one, data)
 
+    def tell_revision(self, link: Link, revision: Revision) -> None:
+        """Answer one that asked for the newest revision."""
+        self._send("number", link, revision)
+
     def tell_configuration(self, link: Link, text: ConfigurationText) -> None:
         """Answer one that asked for the configuration."""
         self._send("text", link, text)
--- a/mesh/control/repair.py
+++ b/mesh/control/repair.py
@@ -21,7 +21,8 @@
 from mesh.control.operation_keys import KeyRecord, OperationKeys
 from mesh.control.peers import Peers
 from mesh.control.replica import Replica
-from mesh.storage.store import OPERATION_KEYS, Put, pack
+from mesh.storage.environment import KEYS
+from mesh.storage.store import Put, pack
 from mesh.wire.shard_messages import (
     Handoff,
     HandoffAck,
@@ -56,7 +57,7 @@
 
     @staticmethod
     def _stored(key: str, record: KeyRecord) -> Put:
-        return OPERATION_KEYS, key.encode("latin-1"), pack(record.packed())
+        return KEYS, key.encode("latin-1"), pack(record.packed())
 
     def _regrouped(self, value: Value) -> None:
         super()._regrouped(value)
@@ -235,12 +236,12 @@
             had = keys.records.get(key)
             if shelf == GIVEN_BACK:
                 if keys.drop(key, holder):
-                    puts.append((OPERATION_KEYS, key.encode("latin-1"), None))
+                    puts.append((KEYS, key.encode("latin-1"), None))
                 continue
             before = (had.holder, had.answer) if had is not None else None
             keys.load(key, [holder, shelf, answer])
-            record = keys.records[key]
-            if (record.holder, record.answer) != before:
+            record = keys.records.get(key)  # none, where its holder has given it back here
+            if record is not None and (record.holder, record.answer) != before:
                 puts.append(self._stored(key, record))
         return puts
 
--- a/mesh/control/shard.py
+++ b/mesh/control/shard.py
@@ -15,8 +15,8 @@
 from mesh.control.operation_keys import Granted, Held, KeyRecord
 from mesh.control.peers import Peers
 from mesh.control.repair import Repair, remembered
-from mesh.storage.store import OPERATION_KEYS
-from mesh.wire.messages import KeyGrant
+from mesh.storage.environment import KEYS
+from mesh.wire.messages import KeyGrant, KeyReleaseAck
 from mesh.wire.shard_messages import (
     Handoff,
     HandoffAck,
@@ -58,7 +58,7 @@
         """Let time pass."""
         over = self.operation_keys.turn(now)
         if over:
-            self._write([(OPERATION_KEYS, key.encode("latin-1"), None) for key in over])
+            self._write([(KEYS, key.encode("latin-1"), None) for key in over])
         for due, key, record in self._again:
             if due <= now and self.operation_keys.records.get(key) is record:
                 self._write([self._stored(key, record)], ("answer", key, record))
@@ -111,6 +111,8 @@
                 self._page_written(name, request, ok)
             case ("handoff", who, number) if ok:
                 self._reply(who, HandoffAck(self.name, number))
+            case ("given back", who, give_back) if ok:
+                self._out.append(Answer(who, KeyReleaseAck(give_back)))
             case ("caught", under):
                 self._caught_up(under, ok)
             case _:
@@ -153,10 +155,15 @@
             self._write([self._stored(key, record)], ("answer", key, record))
         return self._flush()
 
-    def drop(self, key: str, holder: str, now: float) -> list[Action]:
-        """A try gives its key back: it has not run and never will."""
+    def drop(self, who: Any, give_back: int, key: str, holder: str, now: float) -> list[Action]:
+        """A try gives its key back: it has not run and never will. `who` hears once that is on disk; when it
+        comes again, the write of the first time may have failed.
+        """
         self.now = now
         if self.operation_keys.drop(key, holder):
             self.unwritten.pop(key, None)
-            self._write([(OPERATION_KEYS, key.encode("latin-1"), None)])
+        if self.operation_keys.given_back.get(key) == holder:
+            self._write([(KEYS, key.encode("latin-1"), None)], ("given back", who, give_back))
+        else:
+            self._out.append(Answer(who, KeyReleaseAck(give_back)))
         return self._flush()
--- a/mesh/wire/framing.py
+++ b/mesh/wire/framing.py
@@ -20,7 +20,7 @@
 MOST = 16 * 1024 * 1024  # bytes of one message
 CHOKED = 8 * 1024 * 1024  # bytes that may wait for a peer that does not read
 USER_TIMEOUT_MS = 2_000
-PROTOCOL = 3  # rises with each change that an earlier build would misread
+PROTOCOL = 4  # rises with each change that an earlier build would misread
 
 
 class Link(asyncio.Protocol):
--- a/mesh/wire/messages.py
+++ b/mesh/wire/messages.py
@@ -90,11 +90,17 @@
     fence: int  # under which that one owns it
 
 
-class ConfigurationRead(Message, frozen=True, tag="configuration_read"):
-    """A node asks for the newest configuration, confirmed by a majority."""
+class RevisionRead(Message, frozen=True, tag="revision_read"):
+    """A node that starts asks for the newest revision, confirmed by a majority."""
 
     request: int  # to be named in the answer
-    revision: int  # the newest that the node has heard of
+
+
+class Revision(Message, frozen=True, tag="revision"):
+    """The answer to `RevisionRead`."""
+
+    request: int  # that is answered
+    revision: int  # of the newest configuration; 0: there is none, -1: there is no telling
 
 
 class ConfigurationFetch(Message, frozen=True, tag="configuration_fetch"):
@@ -105,7 +111,7 @@
 
 
 class ConfigurationText(Message, frozen=True, tag="configuration_text"):
-    """The answer to `ConfigurationRead` and `ConfigurationFetch`."""
+    """The answer to `ConfigurationFetch`."""
 
     request: int  # that is answered
     revision: int  # -1: there is no telling
@@ -142,12 +148,19 @@
 
 
 class KeyRelease(Message, frozen=True, tag="key_release"):
-    """A try gives its key back: it has not run and never will."""
+    """A try gives its key back: it has not run and never will. It is sent until it is acknowledged."""
 
+    number: int  # of the node's process, to be named in the answer
     key: str  # the operation key
     holder: str  # the try
 
 
+class KeyReleaseAck(Message, frozen=True, tag="key_release_ack"):
+    """A key that was given back is off the controller's disk."""
+
+    number: int  # of the release
+
+
 class RetryShareRequest(Message, frozen=True, tag="retry_share_request"):
     """A node asks the owner of a service for a share of its retries."""
 
@@ -238,7 +251,8 @@
 
 MESSAGES: tuple[type[Message], ...] = (
     Greeting, NodeHello, LeaseRenewal, Lease, NewsSubscription, NewsUnsubscription, NewsRequest, News, Group,
-    ConfigurationRead, ConfigurationFetch, ConfigurationText, KeyClaim, KeyGrant, KeyAnswer, KeyRelease,
+    RevisionRead, Revision, ConfigurationFetch, ConfigurationText, KeyClaim, KeyGrant, KeyAnswer, KeyRelease,
+    KeyReleaseAck,
     RetryShareRequest, RetryShare, ControllerHello, Heartbeat, HeartbeatAck, ShardMessage, RelaySubscription,
     RelayAccepted, RelayFull, RelayPositions, RelayAlive,
 )  # fmt: skip
