--- a/mesh/control/give_backs.py
+++ b/mesh/control/give_backs.py
@@ -6,19 +6,20 @@
 the key by itself. A controller frees a key for its holder only, so one that comes late frees nobody else's.
 
 >>> sent = []
->>> backs = GiveBacks(60.0, lambda *message: sent.append(message))
+>>> backs = GiveBacks(60.0, lambda name, message: sent.append((name, message.number)))
 >>> backs.add("k", "t1", ("a", "b"), 0.0)
 >>> backs.acknowledged("a", 1), backs.linked("b", 1.0), len(backs)
 (None, None, 1)
 >>> sent
-[('a', 'drop', 1, 'k', 't1'), ('b', 'drop', 1, 'k', 't1'), ('b', 'drop', 1, 'k', 't1')]
+[('a', 1), ('b', 1), ('b', 1)]
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
+
+from mesh.wire.messages import KeyRelease, Message
 
 MOST = 4_000  # that are kept; beyond these the oldest is sent no more
 AGAIN_S = 1.0  # after an attempt that was not acknowledged
@@ -35,15 +36,15 @@
     until_s: float
     again_s: dict[str, float]  # by controller that has not acknowledged it: when it is sent again
 
-    def message(self) -> tuple[Any, ...]:
+    def message(self) -> KeyRelease:
         """As it goes out."""
-        return "drop", self.number, self.key, self.holder
+        return KeyRelease(self.number, self.key, self.holder)
 
 
 class GiveBacks:
     """All that one node's process has given back and that was not acknowledged yet."""
 
-    def __init__(self, kept_s: float, send: Callable[..., None]) -> None:
+    def __init__(self, kept_s: float, send: Callable[[str, Message], None]) -> None:
         """`kept_s`: the longest that a controller keeps a key; `send`: put a message to a controller by name,
         lost if there is no link to it.
         """
@@ -64,7 +65,7 @@
         one = GiveBack(self._number, key, holder, now + self._kept_s, again_s)
         self._waiting[one.number] = one
         for name in asked:
-            self._send(name, *one.message())
+            self._send(name, one.message())
 
     def acknowledged(self, name: str, number: int) -> None:
         """A controller has it off its disk."""
@@ -95,4 +96,4 @@
         due = [one for one in self._waiting.values() if one.again_s.get(name, float("inf")) <= now]
         for one in due[:AT_ONCE]:
             one.again_s[name] = now + AGAIN_S
-            self._send(name, *one.message())
+            self._send(name, one.message())
--- a/mesh/dataplane/server_registration.py
+++ b/mesh/dataplane/server_registration.py
@@ -14,10 +14,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
+from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import structs
+
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
 
 SILENT_BEATS = 3.5  # a server that sent no beat for so long is gone
@@ -36,7 +38,7 @@
     NEW_LIFE = "the server: this life replaces the one before it"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True)
 class FormerLife:
     """A life of the server that signed off, or that another one has replaced."""
 
@@ -73,7 +75,7 @@
         if server.state == DRAINING:
             self._drained_ms = min(self._drained_ms, now_ms)
         elif self._drained_ms < math.inf:  # a drain that was acknowledged is final
-            server = dataclasses.replace(server, state=DRAINING)
+            server = structs.replace(server, state=DRAINING)
         if had is not None and _told(had) == _told(server):
             return Heard.SAME
         self.server = server
@@ -87,7 +89,7 @@
     def take_for_gone(self) -> None:
         """The server has signed off, is silent, or can't be reached; only the first is final."""
         assert self.server is not None
-        self.server = dataclasses.replace(self.server, state=GONE, cold_left_ms=0.0)
+        self.server = structs.replace(self.server, state=GONE, cold_left_ms=0.0)
 
     def is_silent(self, now_ms: float) -> bool:
         """Whether the server has said nothing for so long that it is taken for gone, and was not before."""
--- a/rehearsal/explore/dead_messages.py
+++ b/rehearsal/explore/dead_messages.py
@@ -8,26 +8,33 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from mesh.control.shard import Shard
+from mesh.wire.shard_messages import (
+    AcceptedState,
+    DecidedBallot,
+    DecidedState,
+    RegisterAccepted,
+    RegisterMessage,
+    RegisterPromise,
+    ShardBody,
+)
 from nickelbridge.register import Ballot
 
 VERSION_AT = 0  # of a packed state
 
 
-def is_dead(message: Any, receiver: Shard) -> bool:
+def is_dead(message: ShardBody, receiver: Shard) -> bool:
     """Whether a message between replicas does nothing at its receiver, now and later."""
     match message:
-        case ["know", packed]:  # versions that are known only rise
-            return packed is not None and packed[VERSION_AT] <= receiver.known.version
-        case ["decided", _, version]:
-            return bool(version <= receiver.known.version)
-        case ["peeked", number, *_]:  # each reading has a number of its own
-            reading = receiver._reading
-            return reading is None or reading.number != number
-        case ["reg", _, [("P" | "A"), [counter, name], *_]]:  # each round has a ballot of its own
-            return ballot_of_round(receiver) != (counter, name)
+        case DecidedState():  # versions that are known only rise
+            return message.state is not None and message.state[VERSION_AT] <= receiver.known.version
+        case DecidedBallot():
+            return message.version <= receiver.known.version
+        case AcceptedState():  # each reading has a number of its own
+            reading = receiver._readings.current
+            return reading is None or reading.number != message.reading
+        case RegisterMessage(body=RegisterPromise() | RegisterAccepted()):  # each round has its own ballot
+            return ballot_of_round(receiver) != message.body.ballot
     return False
 
 
--- a/rehearsal/model/configuration_rollout.py
+++ b/rehearsal/model/configuration_rollout.py
@@ -25,10 +25,22 @@
 from mesh.control.endpoints import IN_SERVICE, Record, Server
 from mesh.control.publisher import Publisher
 from mesh.settings import Bounds, Settings
-from mesh.wire.framing import pack
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Group,
+    LeaseRenewal,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    NodeHello,
+    Revision,
+    RevisionRead,
+    ShardMessage,
+)
 from rehearsal.explore.controller import Controller as Replica
 from rehearsal.model.relays import Machine, Process, World
-from rehearsal.model.replica_group import BEAT_S, SYNC_S, TICK_S, example
+from rehearsal.model.replica_group import BEAT_S, SYNC_S, TICK_S, encoded, example
 
 ZONES = 3
 NODES, CONTROLLERS, VOTERS, SEEDS = 74, 6, 5, 3
@@ -188,7 +200,8 @@
         names = [voter.name for voter in shard.known.voters]
         for number in shard_state.SHARDS:
             own = shard.body
-            self.publisher.tell_group(["group", number, own.epoch, names, own.owner, own.fence], link)
+            group = Group(number, own.epoch, names, own.owner, own.fence)
+            self.publisher.tell_group(group, link)
 
     def order(self, change: shard_state.Put, told: Callable[[Ended], None]) -> None:
         """An operator's order comes: it is checked, then voted on."""
@@ -209,20 +222,33 @@
         self.publisher.lost(end)
 
     def heard(self, end: Any, message: Any) -> None:
-        kind, rest = message[0], message[1:]
-        if kind == "hello":
-            self.publisher.hello(end, rest[0])
-            self._tell_group(end)
-        elif kind == "read":
-            tell = self.publisher.tell_revision
-            id = self.rollout.wait_for(lambda ended: tell(end, rest[0], newest_revision(ended)))
-            self.replica.do(self.replica.shard.read(id, self.time()))
-            self.sync()
-        elif kind == "fetch":
-            state = self.replica.shard.body
-            self.publisher.tell_configuration(end, rest[0], state.revision, state.raw)
-        else:
-            getattr(self.publisher, kind)(end, *rest)
+        publisher = self.publisher
+        match message:
+            case NodeHello():
+                publisher.hello(end, message.name)
+                self._tell_group(end)
+            case RevisionRead():
+                self._read_revision(end, message.request)
+            case ConfigurationFetch():
+                state = self.replica.shard.body
+                text = ConfigurationText(message.request, state.revision, state.raw)
+                publisher.tell_configuration(end, text)
+            case LeaseRenewal():
+                publisher.renew(end, message)
+            case NewsSubscription():
+                publisher.follow(end, message)
+            case NewsUnsubscription():
+                publisher.unfollow(end)
+            case NewsRequest():
+                publisher.since(end, message)
+
+    def _read_revision(self, end: Any, request: int) -> None:
+        def tell(ended: Ended) -> None:
+            self.publisher.tell_revision(end, Revision(request, newest_revision(ended)))
+
+        id = self.rollout.wait_for(tell)
+        self.replica.do(self.replica.shard.read(id, self.time()))
+        self.sync()
 
 
 class NodeProcess(Process):
@@ -325,7 +351,7 @@
         one, other = self.controllers[sender], self.controllers[to]
         if (sender, to) in self.cuts:
             return
-        size = len(pack([kind, *message]))
+        size = len(encoded(kind, message))
 
         def handle() -> None:
             getattr(other.replica, kind)(*message)
@@ -335,7 +361,8 @@
 
     def answer(self, name: str, answer: Answer) -> None:
         """A replica's answer, on the link of whoever asked."""
-        self.send(name, str(answer.to), "heard", name, answer.message[2:])
+        assert isinstance(answer.message, ShardMessage)
+        self.send(name, str(answer.to), "heard", name, answer.message.body)
 
     def decided(self, name: str, changed: Changed) -> None:
         """A replica has learned a newer state."""
--- a/tests/mesh/test_control_client.py
+++ b/tests/mesh/test_control_client.py
@@ -11,6 +11,15 @@
 from mesh.control.endpoints import LEASE_S, Record
 from mesh.control.publisher import Publisher
 from mesh.settings import check_settings
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Lease,
+    LeaseRenewal,
+    Message,
+    Revision,
+    RevisionRead,
+)
 from tests.mesh.fakes import Loop
 from tests.mesh.test_records import BOOT
 
@@ -23,14 +32,14 @@
 
     def __init__(self, loop: Any, peer: str) -> None:
         self.loop, self.peer, self.open, self.heard_s = loop, peer, True, loop.time()
-        self.sent: list[list[Any]] = []
+        self.sent: list[Message] = []
 
-    def send(self, *message: Any) -> None:
-        self.sent.append(list(message))
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
 
-    def asked(self) -> list[list[Any]]:
+    def asked(self) -> list[RevisionRead | ConfigurationFetch]:
         """What was asked of the configuration."""
-        return [message for message in self.sent if message[0] in ("read", "fetch")]
+        return [m for m in self.sent if isinstance(m, RevisionRead | ConfigurationFetch)]
 
     def close(self) -> None:
         self.open = False
@@ -54,15 +63,15 @@
             controller.link = wire
             self.node._subscriber.up(name, wire)
 
-    def tell(self, name: str, *message: Any) -> None:
+    def tell(self, name: str, message: Message) -> None:
         """A controller's message comes."""
         wire: Any = self.wires[name]
         wire.heard_s = self.loop.time()
-        self.node._take(wire, list(message))
+        self.node._take(wire, message)
 
     def lease(self, name: str, age_ms: int | None, revision: int = 0) -> None:
         """A controller answers a renewal, and has told of this revision."""
-        self.tell(name, "lease", 1, True, True, 7, 0, age_ms)
+        self.tell(name, Lease(1, True, True, 7, 0, age_ms))
         self.node._subscriber.streams[name].revision = revision
 
     def ticks(self, count: int) -> None:
@@ -76,31 +85,31 @@
     rig.node.start()
     for _ in range(100):
         rig.lease(NAMES[0], AGE_MS, 5)
-        for _, rid, _ in rig.wires[NAMES[0]].asked()[-1:]:
-            rig.tell(NAMES[0], "newest", rid, -1)
+        for asked in rig.wires[NAMES[0]].asked()[-1:]:
+            rig.tell(NAMES[0], Revision(asked.request, -1))
         rig.ticks(1)
-    assert {message[0] for message in rig.wires[NAMES[0]].asked()} == {"read"}
+    assert {type(message) for message in rig.wires[NAMES[0]].asked()} == {RevisionRead}
     assert not rig.node.settled and not rig.texts
 
 
 def read_everywhere(rig: Rig) -> list[int]:
     """What a node asks on each new link at its start; the numbers of its questions."""
     for controller in rig.node._controllers.values():
-        rig.node._fetch(controller, "read")
-    return [rig.wires[name].asked()[0][1] for name in NAMES]
+        rig.node._fetch(controller, read=True)
+    return [rig.wires[name].asked()[0].request for name in NAMES]
 
 
 def test_a_node_that_starts_asks_all_for_the_number_and_one_for_the_text() -> None:
     """Each of the controllers sent it the whole text."""
     rig = Rig(NAMES)
     rids = read_everywhere(rig)
-    rig.tell(NAMES[1], "newest", rids[1], 5)
-    rig.tell(NAMES[0], "newest", rids[0], 5)
-    assert [[how for how, _, _ in rig.wires[name].asked()] for name in NAMES] == [
-        ["read"], ["read", "fetch"], ["read"]
+    rig.tell(NAMES[1], Revision(rids[1], 5))
+    rig.tell(NAMES[0], Revision(rids[0], 5))
+    assert [[type(asked) for asked in rig.wires[name].asked()] for name in NAMES] == [
+        [RevisionRead], [RevisionRead, ConfigurationFetch], [RevisionRead]
     ]  # fmt: skip
     assert not rig.node.settled
-    rig.tell(NAMES[1], "folio", rig.wires[NAMES[1]].asked()[1][1], 5, b"text")
+    rig.tell(NAMES[1], ConfigurationText(rig.wires[NAMES[1]].asked()[1].request, 5, b"text"))
     assert rig.node.settled and rig.texts == [(5, b"text")]
 
 
@@ -108,24 +117,24 @@
     """The controller that told the number is gone, and another one has not heard of that revision."""
     rig = Rig(NAMES)
     rids = read_everywhere(rig)
-    rig.tell(NAMES[0], "newest", rids[0], 5)
+    rig.tell(NAMES[0], Revision(rids[0], 5))
     rig.node._lost(cast(Any, rig.wires[NAMES[0]]))
     rig.node._controllers[NAMES[0]].dialling = True
     for name in NAMES[1:]:
         rig.lease(name, 100)
     for revision, settled in ((4, False), (5, True)):
         rig.node._tick()
-        asked = [wire for wire in (rig.wires[name] for name in NAMES[1:]) if wire.asked()[-1][0] == "fetch"]
-        rid = max(wire.asked()[-1][1] for wire in asked)
-        wire = next(wire for wire in asked if wire.asked()[-1][1] == rid)
-        rig.tell(wire.peer, "folio", rid, revision, b"text")
+        last = {name: rig.wires[name].asked()[-1] for name in NAMES[1:]}
+        fetches = {name: asked for name, asked in last.items() if isinstance(asked, ConfigurationFetch)}
+        name = max(fetches, key=lambda name: fetches[name].request)
+        rig.tell(name, ConfigurationText(fetches[name].request, revision, b"text"))
         assert rig.node.settled is settled
 
 
 def test_a_node_of_a_mesh_without_a_configuration_is_settled_by_the_number_alone() -> None:
     rig = Rig(NAMES)
     rids = read_everywhere(rig)
-    rig.tell(NAMES[2], "newest", rids[2], 0)
+    rig.tell(NAMES[2], Revision(rids[2], 0))
     assert rig.node.settled and not rig.texts
     assert all(len(wire.asked()) == 1 for wire in rig.wires.values())
 
@@ -161,7 +170,7 @@
         assert first.asked() == asked and not rig.wires[NAMES[1]].asked()
     rig.ticks(3)
     assert len(first.asked()) + len(rig.wires[NAMES[1]].asked()) > 1  # it has taken too long
-    rig.tell(NAMES[0], "folio", asked[0][1], 3, b"text")
+    rig.tell(NAMES[0], ConfigurationText(asked[0].request, 3, b"text"))
     assert rig.texts == [(3, b"text")]
 
 
@@ -189,9 +198,9 @@
 
     link: Any = Link()
     dead, live = (Record(name, 1, 1, "z", "", 0, None) for name in ("dead", "live"))
-    publisher.renew(link, 1, "dead", 1, dead.packed())
+    publisher.renew(link, LeaseRenewal(1, "dead", 1, dead))
     for _ in range(round(LEASE_S / 0.5) + 1):
-        publisher.renew(link, 1, "live", 1, live.packed())
+        publisher.renew(link, LeaseRenewal(1, "live", 1, live))
         loop.pass_ms(500.0)
         publisher.tick()
     assert [record.name for record in publisher._members.records()] == ["live"]
