--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -239,3 +239,35 @@
     assert not taken.ends and not attempt.over
     attempt.end(Result.SERVED, said(id=taken.id.encode()))
     assert [(said and said.status, ran) for said, ran in taken.ends] == [(200, True)] and not taken.replies
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_nodes_further_tries_stay_within_its_part_of_the_budget(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Most attempts fail or are turned away; each window of the rule's length is looked at."""
+    rng, scene, bounds = random.Random(seed), Scene(monkeypatch, route("idempotent", 3)), Bounds()
+    scene.service.members(2)
+    began_ms, window_ms = scene.loop.now_ms(), 1e3 * bounds.retry_window_s
+    first: list[float] = []
+    further: list[float] = []
+    ids: set[str] = set()
+    for step in range(1_500):
+        if rng.random() < (0.9 if step % 500 < 250 else 0.1):
+            Taken(scene, route("idempotent", 3), keyed=False)
+        scene.loop.pass_ms(25.0)
+        sent, scene.lines.sent[:] = list(scene.lines.sent), []
+        for attempt in sent:
+            (further if attempt.message.id in ids else first).append(scene.loop.now_ms())
+            ids.add(attempt.message.id)
+        for attempt in sent:
+            attempt.sent_whole()
+            refused = rng.random() < 0.3
+            answer = said(503, attempt.message.id.encode(), gate=b"unrun") if refused else None
+            attempt.end(Result.REFUSED if refused else Result.RESET, answer)
+    assert len(further) > 20
+    for end_ms in further:
+        within = [at for at in further if end_ms - window_ms < at <= end_ms]
+        asked_for = sum(end_ms - window_ms < at <= end_ms for at in first)
+        slack = 0.0 if end_ms < began_ms + window_ms else bounds.retry_slack / module.SPARE_NODES / 2
+        assert len(within) <= 0.4 * (bounds.retry_ratio * asked_for + slack) + 1
