Idle limits that change in quick succession leave callers the longest one they know

A shorter idle_timer_ms takes effect after the longer one that callers may know has run out. A third change within that time counted from the second alone: of 5 s, 1 s, 2 s within a second it closed connections at 3 s that callers may take up again until 4. The longest limit that anybody may know is kept until it has run out since the last change.

--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -132,7 +132,8 @@
 
     def __init__(self, accept: Accept, most: int, pool: Pool, ready: Callable[[], bool]) -> None:
         super().__init__({}, accept, ready, most, pool)
-        self._idle_s = 0.0  # the operator's limit
+        self._idle_s = 0.0  # the longest that callers may know of
+        self._changes = 0  # of the operator's limits
 
     def limit_sizes(self, head: int, body: int) -> None:
         """Take the operator's limits on what a caller may send, in bytes."""
@@ -140,16 +141,19 @@
 
     def limit(self, idle_s: float, header_s: float) -> None:
         """Take the operator's limits. Callers that know a longer idle time may use it once more."""
-        had_s, self._idle_s = self._idle_s, idle_s
-        self._set_limits(max(idle_s, had_s), header_s)
-        if idle_s < had_s:
-            self._loop.call_later(had_s + IDLE_GRACE_S, self._shorten, idle_s, header_s)
-
-    def _shorten(self, idle_s: float, header_s: float) -> None:
-        if self._idle_s == idle_s:
+        self._changes += 1
+        longest_s = max(idle_s, self._idle_s)
+        self._set_limits(longest_s, header_s)
+        if idle_s < longest_s:
+            wait_s = longest_s + IDLE_GRACE_S
+            self._loop.call_later(wait_s, self._shorten, self._changes, idle_s, header_s)
+
+    def _shorten(self, change: int, idle_s: float, header_s: float) -> None:
+        if self._changes == change:
             self._set_limits(idle_s, header_s)
 
     def _set_limits(self, idle_s: float, header_s: float) -> None:
+        self._idle_s = idle_s
         idle_s += IDLE_GRACE_S
         self.limits_s = LIMITS_S | {
             Stage.IDLE: idle_s, Stage.NEW: idle_s, Stage.READING: max(header_s, 1.0),
--- a/tests/mesh/test_callers.py
+++ b/tests/mesh/test_callers.py
@@ -253,6 +253,24 @@
     assert line.transport.ended and line.listener.limits_s[Stage.IDLE] == 2.0
 
 
+@pytest.mark.parametrize("limits", [(1.0,), (1.0, 2.0), (1.0, 5.0, 1.0), (2.0, 1.0, 2.0)])
+def test_limits_in_quick_succession_leave_callers_the_longest_that_they_know(
+    limits: tuple[float, ...],
+) -> None:
+    line = Line()  # 5 s
+    line.send(request(b"a"))
+    line.open[0].reply()
+    for idle_s in limits:
+        line.loop.pass_ms(1_300.0 / len(limits))
+        line.listener.limit(idle_s, 3.0)
+    line.loop.pass_ms(2_700.0)  # four fifths of 5 s in all
+    line.send(request(b"b"))
+    line.open[0].reply()
+    assert [id for _, id, _ in line.answers()] == [b"a", b"b"]
+    line.loop.pass_ms(8_000.0)
+    assert line.transport.ended and line.listener.limits_s[Stage.IDLE] == limits[-1] + 1.0
+
+
 MIB = 1024 * 1024
 
 
