--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -59,6 +59,7 @@
 # Of its time: how long a request is held while no server of its service is known. Its caller then has time
 # for another try; one that is held for over half of its time without being offered costs all of its worth.
 NO_SERVER_SHARE = 0.45
+WAIT_SHARE, LEAST_WAIT_MS = 0.2, 20.0  # of the time left: the longest that a caller is told to wait
 SHED_AGAIN_SHARE = 0.2  # of the aim: when to come back after being shed for what is below
 
 
@@ -365,7 +366,7 @@
     def _without_server(self, live: PendingRequest) -> None:
         """It has waited for a server for long, and there is none: its caller may come again."""
         if live.owed and not live.attempts and not self._ready:
-            self._unserved(live, (live.ends_ms - now_ms()) / 4.0)
+            self._unserved(live, math.inf)  # as late as a caller may be told to come back
             self.handle(api.ClientGone(live.id))
             self.over(live)
 
@@ -465,7 +466,8 @@
         if live.ran:
             return self.finish(live, own_answer(live.message, Refusal(Kind.BROKEN)))
         self.turned_away_ms = now_ms()
-        wait_s = min(retry_after_ms, max(20.0, 0.2 * (live.ends_ms - now_ms()))) / 1000.0
+        longest_ms = max(LEAST_WAIT_MS, WAIT_SHARE * (live.ends_ms - now_ms()))
+        wait_s = min(retry_after_ms, longest_ms) / 1000.0
         self.finish(live, own_answer(live.message, Refusal(Kind.SHED), wait_s))
 
     def _send(self, action: api.Send) -> None:
