--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -56,9 +56,6 @@
 COLD_SHARE = 0.5  # of its part, for a server that says it is slow from its start
 PATIENCE_SHARES = (0.75, 0.75, 0.24)  # of the aim, by rank: how long a gate may hold a request for room
 LATE_WORTH = 0.3
-# Of its time: how long a request is held while no server of its service is known. Its caller then has time
-# for another try; one that is held for over half of its time without being offered costs all of its worth.
-NO_SERVER_SHARE = 0.45
 WAIT_SHARE, LEAST_WAIT_MS = 0.2, 20.0  # of the time left: the longest that a caller is told to wait
 SHED_AGAIN_SHARE = 0.2  # of the aim: when to come back after being shed for what is below
 
@@ -359,17 +356,8 @@
             return live
         left_ms = max(0.0, ends_ms - now_ms())
         self.handle(api.Request(live.id, name, left_ms, upload=message.flow is not None))
-        if live.owed and not self._ready:
-            self._alarms.after(NO_SERVER_SHARE * left_ms / 1000.0, lambda: self._without_server(live))
         return live
 
-    def _without_server(self, live: PendingRequest) -> None:
-        """It has waited for a server for long, and there is none: its caller may come again."""
-        if live.owed and not live.attempts and not self._ready:
-            self._unserved(live, math.inf)  # as late as a caller may be told to come back
-            self.handle(api.ClientGone(live.id))
-            self.over(live)
-
     def finish(self, live: PendingRequest, reply: Reply) -> None:
         """Answer a request, if that is still owed."""
         if live.owed:
--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -170,26 +170,6 @@
             assert taken.replies[0].status == kept.status
 
 
-@pytest.mark.parametrize("state", ["draining", "none"])
-@pytest.mark.parametrize("returns_ms", [None, 300.0, 449.0])
-def test_a_request_for_which_there_is_no_server_is_not_held_to_its_end(
-    monkeypatch: pytest.MonkeyPatch, state: str, returns_ms: float | None
-) -> None:
-    scene = Scene(monkeypatch, route("idempotent", 2))
-    scene.servers(*("12" if state == "draining" else ""), state=DRAINING)
-    taken = Taken(scene, route("idempotent", 2))  # it has 1,000 ms
-    scene.loop.pass_ms(returns_ms or 449.0)
-    assert not taken.replies
-    if returns_ms is not None:
-        scene.servers("3")
-        scene.loop.pass_ms(400.0)
-        assert len(scene.of(taken.id)) == 1 and not taken.replies
-        return
-    scene.loop.pass_ms(2.0)
-    assert [(r.status, bool(r.retry_after_s)) for r in taken.replies] == [(503, True)]
-    assert taken.ends == [(None, False)] and not scene.service.live
-
-
 def test_what_was_not_written_is_refused_and_what_was_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
     scene = Scene(monkeypatch, route("non_idempotent", 2))
     unwritten, written = (Taken(scene, route("non_idempotent", 2)) for _ in range(2))
