--- a/rehearsal/mesh/run.py
+++ b/rehearsal/mesh/run.py
@@ -1,41 +1,41 @@
-"""One run on the mesh from beginning to end, bounded in time; all processes end with it, come what may."""
+"""A day being played on the mesh: all of the kit's parts in a run, its course and its end."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import gc
-import shutil
-import signal
 import socket
-import tempfile
 import time
 from collections.abc import Awaitable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from rehearsal.mesh.ask import Scene
 from rehearsal.mesh.changes import Changes
 from rehearsal.mesh.clients import Clients, Platform
+from rehearsal.mesh.closing_deeds import CLOSING_DEEDS
 from rehearsal.mesh.configuration import build
 from rehearsal.mesh.day import KINDS, Day, Machine, Ports, Trouble, machines, ports
-from rehearsal.mesh.deeds import DEEDS, FIRST
+from rehearsal.mesh.deeds import FIRST
 from rehearsal.mesh.facts import Event, Record
+from rehearsal.mesh.link_deeds import LINK_DEEDS
 from rehearsal.mesh.links import Links
 from rehearsal.mesh.operator import Operator
+from rehearsal.mesh.planned_deeds import PLANNED_DEEDS
+from rehearsal.mesh.process_deeds import PROCESS_DEEDS
 from rehearsal.mesh.processes import AGAIN_S, MOST_STARTS, Node
 from rehearsal.mesh.servers import Server
 from rehearsal.mesh.table import UNPLANNED, table
-from rehearsal.mesh.worst_days import WORST
-from rehearsal.world.addresses import Block, NoAddresses, claim
+from rehearsal.mesh.tasks import TaskSet
+from rehearsal.mesh.worst_days import WORST_DEEDS
+from rehearsal.world.addresses import Block, NoAddresses
 
 START_S = 10.0  # from the machines' start to the traffic, at most; earlier where all is ready
 LEAD_S = 3.0  # after that: servers have said that they are warm
 TICK_S = 0.02
 REST_S = 6.0  # for what is open after the last arrival
-MORE_S = 45.0  # beyond the traffic: a run that has not ended by then is cut off
 OPERATORS = ("operator-1", "operator-2")
 FIRST_PORT, LAST_PORT, STEP = 8140, 12000, 60
+DEEDS = PLANNED_DEEDS | PROCESS_DEEDS | LINK_DEEDS | CLOSING_DEEDS | WORST_DEEDS
 
 
 class CutOff(Exception):
@@ -53,16 +53,6 @@
     now: str = ""
 
 
-@dataclass
-class Played:
-    """A run's record, and what the kernel said of its processes."""
-
-    record: Record
-    interrupted: bool = False
-    usage: dict[str, tuple[float, float]] = field(default_factory=dict)  # CPU seconds, most MB, by machine
-    notes: list[str] = field(default_factory=list)
-
-
 def free_ports(ips: list[str]) -> Ports:
     """Ports that nobody has, at all of these addresses."""
     for base in range(FIRST_PORT, LAST_PORT, STEP):
@@ -110,7 +100,7 @@
             self.scene, day, self.cores, (self.operator, self.other), self.clients, self.spawn
         )
         self.cut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet(self._failed)
         self._closing = False
 
     def add(self, machine: Machine, founds: bool) -> Node:
@@ -135,15 +125,10 @@
         async def run() -> None:
             await work
 
-        task = asyncio.get_running_loop().create_task(run())
-        self._tasks.add(task)
-        task.add_done_callback(self._over)
-        return task
+        return self._tasks.spawn(run())
 
-    def _over(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (problem := task.exception()) is not None:
-            self.cut_off(f"the kit failed: {problem!r:.200}")
+    def _failed(self, problem: BaseException) -> None:
+        self.cut_off(f"the kit failed: {problem!r:.200}")
 
     def _died(self, node: Node, status: int) -> None:
         """A process ended by itself: it is started again, as the platform does."""
@@ -200,7 +185,7 @@
                 rest = self.scene.now() + self.day.bounds.catch_up_s
 
     async def _play(self, trouble: Trouble) -> None:
-        deed = (DEEDS | WORST)[trouble.do]
+        deed = DEEDS[trouble.do]
         at = self.scene.now()
         event = Event(at, at + trouble.for_s, trouble.do, trouble.whom)
         self.record.facts.append(event)
@@ -237,8 +222,7 @@
         self._closing = True
         self.progress.phase = "ending"
         self.clients.close()
-        for task in set(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for server in self.servers.values():
             server.end()
         await asyncio.gather(*(node.stop() for node in self.nodes.values()), return_exceptions=True)
@@ -249,60 +233,3 @@
         """Whatever is still there."""
         for node in self.nodes.values():
             node.kill("killed")
-
-
-async def play(day: Day, seed: int, seconds: float, progress: Progress, keep: Path | None = None) -> Played:
-    """Play a day once. SIGINT and SIGTERM end it early; what was seen until then is judged."""
-    block, held = claim()
-    folder = Path(tempfile.mkdtemp(prefix="orchidferry-mesh-")) if keep is None else keep
-    loop = asyncio.get_running_loop()
-    caught: list[int] = []
-    the: Play | None = None
-    try:
-        the = Play(day, seed, seconds, block, folder, progress)
-        found = the.record
-
-        def signalled(number: int) -> None:
-            caught.append(number)
-            assert the is not None
-            the.cut_off(f"stopped by {signal.Signals(number).name}")
-
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, signalled, number)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 50, 100)  # the record only grows: looking through it again stops the run
-        work: asyncio.Task[object] = loop.create_task(the.whole())
-        cut = loop.create_task(the.until_cut())
-        most = seconds + MORE_S
-        done, _ = await asyncio.wait([work, cut], timeout=most, return_when=asyncio.FIRST_COMPLETED)
-        found.end = found.end or the.scene.now()
-        why = "" if work in done else "it did not come to its end"
-        if work not in done and cut in done:
-            why = str(cut.result())
-        cut.cancel()
-        work.cancel()
-        try:
-            await work
-        except CutOff as reason:
-            why = str(reason)
-        except asyncio.CancelledError:
-            pass
-        found.complete, found.why = not why, why
-        # What the mesh does of being ended is seen, but what clients see of it is not judged.
-        await asyncio.wait_for(the.close(), day.bounds.grace_s + 4.0)
-        usage = {name: (node.cpu_s, node.most_mb) for name, node in the.nodes.items()}
-        if keep is not None:
-            (keep / "record.jsonl").write_text(found.lines())
-        notes = [f"{name}: {line[:200]}" for name, node in the.nodes.items() for line in node.tail(200)
-                 if "Traceback" in line or "ERROR" in line]  # fmt: skip
-        return Played(found, bool(caught), usage, notes)
-    finally:
-        if the is not None:
-            the.kill()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.remove_signal_handler(number)
-        with contextlib.suppress(OSError):
-            held.close()
-        if keep is None:
-            shutil.rmtree(folder, ignore_errors=True)
