--- a/rehearsal/capacity/fleets.py
+++ b/rehearsal/capacity/fleets.py
@@ -24,7 +24,7 @@
 IDLE_S, END_S = 4.0, 1.5
 CHANGES, GAP_S = 8, 0.3
 CONFIGURATIONS = 2
-RENEW, LEASE, NEWS = "renew", "lease", "news"  # kinds of messages, as they go over the wire
+RENEW, LEASE, NEWS = "lease_renewal", "lease", "news"  # kinds of messages, as they go over the wire
 
 
 def measure(nodes: int, services: int) -> list[Figure]:
--- a/rehearsal/capacity/regions.py
+++ b/rehearsal/capacity/regions.py
@@ -10,11 +10,14 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Container
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
+from msgspec.structs import replace
+
 from mesh.control.endpoints import IN_SERVICE, Server
+from mesh.wire.messages import ConfigurationText, kind_of
 from rehearsal.capacity.plan import CONTROLLERS, services_of
 from rehearsal.capacity.texts import names
 from rehearsal.model.relays import LOST_S, Controller, End, Node, Process, World
@@ -91,9 +94,9 @@
         for name in self.controllers:
             self._renew(name)
 
-    def _configuration_shard(self, rid: int, revision: int, raw: bytes) -> None:
+    def _take_text(self, message: ConfigurationText) -> None:
         had = self.revision
-        super()._configuration_shard(rid, revision, raw)
+        super()._take_text(message)
         if self.revision > had:
             self.fleet.in_force[self.revision, self.name] = self.world.now
 
@@ -183,7 +186,7 @@
             return self._read[1]
         began = time.thread_time()
         message = super().read(data)
-        self._kind = str(message[0])
+        self._kind = kind_of(message)
         self._read_s = time.thread_time() - began
         self._unread_s = self._read_s  # it was not the sender that spent this
         return message
