--- a/rehearsal/capacity/fleets.py
+++ b/rehearsal/capacity/fleets.py
@@ -17,11 +17,13 @@
 
 from rehearsal.bench.mesh import quantile
 from rehearsal.capacity.figures import BY_NODES, VIRTUAL, Figure
+from rehearsal.capacity.reference import Speed
 from rehearsal.capacity.regions import FAR, REGION, ZONE, Fleet, MeteredNode, Use
 from rehearsal.capacity.texts import kept, one_route, text
 
 Add = Callable[..., None]
 IDLE_S, END_S = 4.0, 1.5
+IDLE_SLICES = 80  # of the idle time, each with a look at the machine's speed
 CHANGES, GAP_S = 8, 0.3
 CONFIGURATIONS = 2
 RENEW, LEASE, NEWS = "lease_renewal", "lease", "news"  # kinds of messages, as they go over the wire
@@ -36,8 +38,11 @@
 
     fleet.settle()
     fleet.reset()
-    fleet.run(IDLE_S)
-    idle = _idle(fleet, add)
+    speed = Speed()
+    for _ in range(IDLE_SLICES):
+        fleet.run(IDLE_S / IDLE_SLICES)
+        speed.burst()
+    idle = _idle(fleet, add, speed.slowness())
     _record_changes(fleet, add)
     add("proxy", "configuration: as the operator sends it", "bytes", float(len(text(services))))
     add("proxy", "configuration: one route of it", "bytes", float(len(one_route(services))))
@@ -62,7 +67,7 @@
     return statistics.fmean(some) if some else 0.0
 
 
-def _idle(fleet: Fleet, add: Add) -> dict[str, float]:
+def _idle(fleet: Fleet, add: Add, slowness: float) -> dict[str, float]:
     """Leases alone; bytes a second that come in or go out, by role and way."""
     idle: dict[str, float] = {}
     for role, uses in (("proxy", [node.use for node in fleet.live()]), ("controller", _controllers(fleet))):
@@ -72,7 +77,8 @@
         idle[f"{role} out"] = _mean(use.out.total() for use in uses) / IDLE_S
         add(role, "idle: bytes in", "B/s", idle[f"{role} in"])
         add(role, "idle: bytes out", "B/s", idle[f"{role} out"])
-        add(role, "idle: CPU of the pure code", "% of a core", 100.0 * _mean(u.cpu_s for u in uses) / IDLE_S)
+        share = 100.0 * _mean(u.cpu_s for u in uses) / IDLE_S / slowness
+        add(role, "idle: CPU of the pure code", "% of a core", share)
         for kind, name in ((RENEW, "renewal"), (LEASE, "answer to a renewal")):
             if any(use.kinds[kind] for use in uses):
                 add(role, f"message: {name}", "bytes", _message_bytes(uses, kind))
