--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -22,6 +22,7 @@
 from mesh.control.order_history import Entry, Verdict
 from mesh.control.peers import Peers
 from mesh.control.reading import PEEK_S, READING_S, Reading
+from mesh.control.state_teller import StateTeller
 from mesh.control.value_references import ValueReferences
 from mesh.storage.store import Put, pack
 from nickelbridge.register import Acceptor, Done, Kept, Promise, Proposer, Save, Send, Value, Voter
@@ -59,6 +60,7 @@
         self._mine: deque[Any] = deque()  # messages of the register to itself
         self._asked: dict[str, tuple[str, list[str], float]] = {}  # what it is for, who waits, until when
         self.orders = OrderBook(number)
+        self._teller = StateTeller()
         self._count = 0
         self._readers: list[str] = []
         self._reads: dict[str, float] = {}  # readings that callers wait for: until when
@@ -159,9 +161,11 @@
             self._pulsed[name] = max(sent_s, self._pulsed.get(name, float("-inf")))
 
     def catch(self, version: int, name: str) -> list[Action]:
-        """Another controller's beat says what it knows: it is told what it has missed."""
-        if version < self.known.version:
-            self._say(name, "know", shard_state.pack_value(self.known))
+        """Another controller's beat says what it knows: where that is more, one is asked for all of it."""
+        if version > self.known.version:
+            others = [n for n in self._others() if n != name and self.peers.alive(n, self.now)]
+            if self._teller.asks(name, others, self.now):
+                self._say(name, "know?", self.known.version)
         return self._flush()
 
     def _pass_time(self, now: float) -> bool:
@@ -479,6 +483,7 @@
         old, value = self.seen, self.known
         if value.version > old.version:
             self.seen = value
+            self._teller.answered()
             before, after = shard_state.body(old), shard_state.body(value)
             self.orders.learn(after)
             if after.fence != before.fence:
--- a/rehearsal/explore/worst_days/hundreds.py
+++ b/rehearsal/explore/worst_days/hundreds.py
@@ -177,7 +177,7 @@
         "a replica answers readings from what it knows", "hundreds-dark", (Replica, "_read", _reads_own)
     ),
     "never-catches-up": deliberate_break(
-        "a beat of a replica that is behind is not answered", "hundreds-unasked",
+        "a replica that is behind asks for nothing", "hundreds-unasked",
         (Replica, "catch", _tells_nothing),
     ),
     "named-is-nothing": deliberate_break(
--- /dev/null
+++ b/tests/mesh/test_state_teller.py
@@ -0,0 +1,61 @@
+"""A replica that returns is told the whole state by one of the others."""
+
+from __future__ import annotations
+
+import pytest
+
+from mesh.control import shard_state
+from mesh.control.configuration import digest
+from mesh.control.configuration_text import compress
+from mesh.control.state_teller import TELL_S
+from mesh.wire.framing import pack
+from rehearsal.model.replica_group import BEAT_S, ReplicaGroup, example
+
+RETURNS = "e"
+
+
+def missed_changes(replicas: int) -> ReplicaGroup:
+    """A group of which one replica is dark through three changes."""
+    group = ReplicaGroup(replicas)
+    group.run(3.0)
+    group.dark.add(RETURNS)
+    for revision in (1, 2, 3):
+        text = example(revision)
+        group.put("a", str(revision), shard_state.Put(compress(text), revision, digest(text), revision - 1))
+        group.run_until(lambda revision=revision: str(revision) in group.ended, 5.0)  # type: ignore[misc]
+    group.run(3.0)
+    return group
+
+
+def returned(group: ReplicaGroup) -> bool:
+    """Whether the one that was dark knows all."""
+    return group.controllers[RETURNS].shard.body.revision == 3
+
+
+@pytest.mark.parametrize("replicas", [5, 11])
+def test_one_replica_tells_it_all(replicas: int) -> None:
+    """Each of the others did."""
+    group = missed_changes(replicas)
+    whole = len(pack(["know", shard_state.pack_value(group.controllers["a"].shard.known)]))
+    before = group.bytes["know"]
+    group.dark.clear()
+    group.run_until(lambda: returned(group), BEAT_S + 0.1)
+    group.run(3.0)
+    assert group.bytes["know"] - before < 1.5 * whole
+
+
+def test_another_one_tells_it_where_the_first_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    group = missed_changes(5)
+    send, silent = group.send, list[str]()
+
+    def lossy(sender: str, to: str, kind: str, *message: object) -> None:
+        if to == RETURNS and kind == "heard" and message[1][0] == "know":  # type: ignore[index]
+            silent.append(sender)
+            if sender == silent[0]:
+                return
+        send(sender, to, kind, *message)
+
+    monkeypatch.setattr(group, "send", lossy)
+    group.dark.clear()
+    took_s = group.run_until(lambda: returned(group), 3.0)
+    assert len(set(silent)) == 2 and took_s < TELL_S + 2.0 * BEAT_S
