--- a/rehearsal/model/configuration_rollout.py
+++ b/rehearsal/model/configuration_rollout.py
@@ -36,6 +36,7 @@
 CHANGE_EVERY_S = 0.5
 PUT_S = 4.0  # for an order to be decided
 START_S = 1.0  # of a process that was killed, until it dials: assumed
+READY_LOOK_S = 0.01
 SERVER_BEAT_S = 1.5  # a new node hears of the server beside it within this
 
 # Work on a whole core, measured (docs/design/worst-days.md).
@@ -242,6 +243,7 @@
         rng = random.Random(world.rng.random())
         self.client = ControlClient(settings, loop, lambda members: None, self._take_text, self._dial, rng)
         self.client.start()
+        self._look_at_ready()
         self._publish(1, None)
         server = Server(f"{name}-{self.client.boot_id:x}", "catalogo", self.zone, IN_SERVICE, 3, 0.0, "v1")
         self.call_later(rng.random() * SERVER_BEAT_S, self._publish, 2, server)
@@ -266,7 +268,11 @@
     def _serve_by(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
         self.served_s.append((self.time(), revision))
-        self.rollout.look_at_ready(self)
+
+    def _look_at_ready(self) -> None:
+        if self.ready:
+            return self.rollout.node_ready(self)
+        self.call_later(READY_LOOK_S, self._look_at_ready)
 
     @property
     def ready(self) -> bool:
@@ -390,9 +396,9 @@
         old.kill()
         self.at(self.now + START_S, lambda: self._start_node(name, int(old.zone[1:])))
 
-    def look_at_ready(self, node: NodeProcess) -> None:
-        """A node has put a configuration in force."""
-        if node.name in self._killed_s and node.ready and node.name not in self.outcome.ready_s:
+    def node_ready(self, node: NodeProcess) -> None:
+        """A node serves from now on."""
+        if node.name in self._killed_s:
             self.outcome.ready_s[node.name] = self.now - self._killed_s[node.name]
 
     def _order(self, revision: int) -> None:
