--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from mesh.control.endpoints import DRAINING, GONE, IN_SERVICE, Server
 from mesh.dataplane import admission as module
-from mesh.dataplane.admission import AdmissionGate, Pass
+from mesh.dataplane.admission import AdmissionGate, GateRequest
 from mesh.dataplane.messages import (
     GATE,
-    Said,
+    ServerResponse,
 )
 from mesh.settings import Bounds
 from nickelbridge.interface import Result
@@ -41,7 +44,7 @@
     def beat(self, sequence: int, state: str = IN_SERVICE, id: str = "i") -> None:
         assert self.gate.beat(Server(id, "s", "z", state, 1, 0.0), sequence) is None
 
-    def ask(self, id: str, **headers: bytes) -> Pass:
+    def ask(self, id: str, **headers: bytes) -> GateRequest:
         def answer(reply: Reply) -> None:
             assert id not in self.replies
             self.replies[id] = reply
@@ -135,6 +138,66 @@
     assert scene.state == GONE
 
 
+@pytest.mark.parametrize(("steps", "state", "id"), [
+    # call: id, sequence, state; a number: so many ms pass
+    ([("i", 1, DRAINING), 1_000, ("i", 2, IN_SERVICE)], DRAINING, "i"),  # a drain is final
+    ([("i", 1, IN_SERVICE), ("i", None, ""), 9_000, ("i", 2, IN_SERVICE)], GONE, "i"),
+    ([("i", None, ""), ("i", 2, IN_SERVICE)], "", ""),  # signed off with this process before it sent a beat
+    ([("i", 1, IN_SERVICE), 900, ("j", 1, IN_SERVICE), 2_000, ("i", 2, IN_SERVICE)], IN_SERVICE, "i"),
+    ([("i", 1, IN_SERVICE), 900, ("j", 1, IN_SERVICE), 900, ("i", 2, IN_SERVICE)], IN_SERVICE, "j"),
+    # A process that has just started hears the last beat of a former life after the first of the new one.
+    ([("j", 4, IN_SERVICE), ("i", 9, IN_SERVICE), 1_000, ("j", 5, IN_SERVICE), 1_000, ("j", 6, IN_SERVICE)],
+     IN_SERVICE, "j"),
+    ([("j", 4, DRAINING), ("i", 9, IN_SERVICE), 2_000, ("j", 5, DRAINING)], DRAINING, "j"),
+])  # fmt: skip
+def test_calls_that_come_late(scene: Scene, steps: list[Any], state: str, id: str) -> None:
+    for step in steps:
+        if isinstance(step, int):
+            scene.loop.pass_ms(float(step))
+        elif step[1] is None:
+            scene.gate.end(step[0])
+        else:
+            scene.beat(step[1], step[2], step[0])
+    assert (scene.state, scene.gate.server.id if scene.gate.server is not None else "") == (state, id)
+
+
+def test_a_drain_is_counted_from_its_first_word_though_another_life_was_heard_of(scene: Scene) -> None:
+    scene.beat(1, DRAINING, "j")
+    scene.beat(9, IN_SERVICE, "i")  # the last word of a life before it
+    scene.loop.pass_ms(1_600.0)  # over `DRAIN_SHARE` of the time
+    scene.beat(2, DRAINING, "j")
+    scene.ask("a", target_instance=b"j")
+    assert (scene.state, scene.word("a")) == (DRAINING, b"gone")
+
+
+def signs_off(gate: AdmissionGate) -> None:
+    """Some do so without ever saying that they drain."""
+    gate.end("i")
+
+
+def falls_silent(gate: AdmissionGate) -> None:
+    gate._registration.heard_ms = 0.0
+    gate.look()
+
+
+@pytest.mark.parametrize("end", [signs_off, falls_silent])
+def test_a_server_that_is_gone_is_sent_nothing_and_what_is_inside_ends(
+    scene: Scene, end: Callable[[AdmissionGate], None]
+) -> None:
+    scene.beat(1)
+    for id in "ab":
+        scene.ask(id)
+    scene.ask("held", orchid_patience=b"9000", time_remaining=b"9000")
+    end(scene.gate)
+    scene.ask("late")
+    assert scene.inside() == ["a", "b"]  # it serves on
+    assert [scene.word(id) for id in ("held", "late")] == [b"gone", b"gone"]
+    for attempt in scene.lines.sent:
+        attempt.sent_whole()
+        attempt.end(Result.SERVED, said(id=attempt.message.id.encode()))
+    assert [scene.replies[id].status for id in "ab"] == [200, 200] and len(scene.lines.sent) == 2
+
+
 def test_a_beat_brings_back_what_was_taken_for_gone(scene: Scene) -> None:
     scene.beat(1)
     scene.loop.pass_ms(3_600.0)
@@ -158,6 +221,28 @@
     assert scene.inside() == ["a"] and not scene.replies
 
 
+@pytest.mark.parametrize(("others", "later", "after_ms", "inside"), [
+    (0, 0, 290.0, ["a"]), (0, 0, 310.0, []),  # with slots free its answer is waited for, for a while
+    (1, 0, 0.0, ["0"]),  # no slot is free
+    (0, 1, 0.0, ["a", "later"]), (0, 2, 0.0, ["later", "later"]),  # it makes room
+])  # fmt: skip
+def test_work_for_a_caller_that_has_left_ends(
+    scene: Scene, others: int, later: int, after_ms: float, inside: list[str]
+) -> None:
+    scene.beat(1)
+    passing = scene.ask("a")
+    for n in range(others):
+        scene.ask(str(n))
+    assert passing.attempt is not None
+    passing.attempt.sent_whole()
+    passing.caller_gone()
+    for _ in range(later):
+        scene.ask("later")
+    scene.loop.pass_ms(after_ms)
+    assert scene.inside() == inside and not scene.gate._abandoned.keys() - {passing}
+    assert scene.gate.inside == len(inside) and not scene.replies
+
+
 @pytest.mark.parametrize(("headers", "gone", "answer", "kept"), [
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t"), [("t", 200)]),
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, False, said(id=b"t"), []),  # its sender tells it
@@ -165,7 +250,7 @@
     ({"orchid_once": b"1", "orchid_keyed": b"1"}, True, said(id=b"t", seal=False), []),  # not the server's
 ])  # fmt: skip
 def test_the_answer_of_a_key_whose_node_is_gone_is_kept(
-    scene: Scene, headers: dict[str, bytes], gone: bool, answer: Said, kept: list[tuple[str, int]]
+    scene: Scene, headers: dict[str, bytes], gone: bool, answer: ServerResponse, kept: list[tuple[str, int]]
 ) -> None:
     """Else its repeats would be told for the whole window that the first run is at work."""
     scene.beat(1)
