--- a/mesh/control/replica.py
+++ b/mesh/control/replica.py
@@ -18,6 +18,7 @@
 from mesh.control.peers import Peers
 from mesh.control.reading import READING_S
 from mesh.control.register_replica import Purpose, RegisterReplica
+from mesh.control.state_teller import StateTeller
 from mesh.wire.shard_messages import (
     AcceptedState,
     AcceptedStateRequest,
@@ -50,6 +51,7 @@
         self.standing = Standing(caught_up)
         self.abstains_s = peers.began_s  # since when it has granted nothing, if it has not caught up
         self._owner_lease = OwnerLease()
+        self._teller = StateTeller()
         self._join_s = 0.0
         self._joiners: dict[Voter, float] = {}  # since when each asks for a place in this epoch
 
@@ -108,9 +110,11 @@
             self._owner_lease.acknowledge(name, sent_s)
 
     def catch(self, version: int, name: str) -> list[Action]:
-        """Another controller's beat says what it knows: it is told what it has missed."""
-        if version < self.known.version:
-            self._say(name, self._decided_state(self.known))
+        """Another controller's beat says what it knows: where that is more, one is asked for all of it."""
+        if version > self.known.version:
+            others = [n for n in self._others() if n != name and self.peers.alive(n, self.now)]
+            if self._teller.asks(name, others, self.now):
+                self._say(name, DecidedStateRequest(self.known.version))
         return self._flush()
 
     def _pass_time(self, now: float) -> bool:
@@ -174,6 +178,7 @@
 
     def _learned(self, old: Value, new: Value) -> None:
         """A newer state was decided."""
+        self._teller.answered()
         self._owner_lease.learn(shard_state.body(old), shard_state.body(new), self.now)
         if epoch(new) != epoch(old):
             self._regrouped(new)
