Judge: a refusal of what a server had read and not turned away breaks a rule

A refusal says that a call has not run, and only the server, by turning it away, can prove that; the judge looked at runs alone, so a refusal after a reset before the run passed.

--- a/rehearsal/judge/requests.py
+++ b/rehearsal/judge/requests.py
@@ -94,7 +94,9 @@
 
 
 def refused(books: Books) -> Finding:
-    """What was refused has not run and never will."""
+    """What was refused has not run and never will, and whoever refused it knew: each server that read it said
+    that it has not run it.
+    """
     finding = Finding()
     for id, end in books.ends.items():
         sent = books.sent[id]
@@ -108,6 +110,10 @@
                     finding, end.t, id, f"answered {end.status}, and it {when} at {run.arrived.server}"
                 )
                 break
+            if run.turned is None and run.arrived.t <= end.t:
+                what = f"answered {end.status}, though {run.arrived.server} had read it"
+                books.broke(finding, end.t, id, f"{what} and did not turn it away")
+                break
     return finding
 
 
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -241,6 +241,8 @@
     ("twice", "a key that ran twice", lambda run: run.run("k2", 11.55)),
     ("refused", "what had run", lambda run: run.run("r", 12.15)),
     ("refused", "what ran later", lambda run: run.run("r", 12.4)),
+    ("refused", "what a server had read and not turned away", lambda run: run.facts.append(
+        Arrived(12.15, 90, "r", "i-2", A, "m2", "POST", f"{prefix(SEED, 'member-charge')}x", "b", A, "", "i-2"))),
     ("denied", "six of few", many_denied),
     ("route", "another service", change_last(Arrived, "a", service=B)),
     ("route", "another server than was meant", change_last(Arrived, "a", target="i-9")),
