--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -186,6 +186,11 @@
     run.facts.append(Turned(32.3, 90, 503))
 
 
+def read_only(run: Scene) -> None:
+    path = f"{prefix(SEED, 'member-charge')}x"
+    run.facts.append(Arrived(12.15, 90, "r", "i-2", A, "m2", "POST", path, "b", A, "", "i-2"))
+
+
 def many_denied(run: Scene) -> None:
     for n in range(6):
         run.sent(f"z{n}", 15.0, "feed-read")
@@ -241,8 +246,7 @@
     ("twice", "a key that ran twice", lambda run: run.run("k2", 11.55)),
     ("refused", "what had run", lambda run: run.run("r", 12.15)),
     ("refused", "what ran later", lambda run: run.run("r", 12.4)),
-    ("refused", "what a server had read and not turned away", lambda run: run.facts.append(
-        Arrived(12.15, 90, "r", "i-2", A, "m2", "POST", f"{prefix(SEED, 'member-charge')}x", "b", A, "", "i-2"))),
+    ("refused", "what a server had read and not turned away", read_only),
     ("denied", "six of few", many_denied),
     ("route", "another service", change_last(Arrived, "a", service=B)),
     ("route", "another server than was meant", change_last(Arrived, "a", target="i-9")),
