--- a/mesh/dataplane/listener.py
+++ b/mesh/dataplane/listener.py
@@ -14,7 +14,7 @@
 from mesh.dataplane.messages import (
     MILLISECONDS,
     PRIVATE,
-    Asked,
+    ProxiedRequest,
 )
 from mesh.errors import Kind, Refusal
 from orchidferry.flow import Flow, Pool
@@ -57,7 +57,7 @@
 
     def _message(self, flow: Flow | None = None) -> Message | Reply:
         message = super()._message(flow)
-        if isinstance(message, Asked):
+        if isinstance(message, ProxiedRequest):
             named = message.headers.get(b"connection", b"").lower()
             message.along = self._along
             if named not in (b"", b"close", b"keep-alive"):
@@ -134,6 +134,10 @@
         super().__init__({}, accept, ready, most, pool)
         self._idle_s = 0.0  # the operator's limit
 
+    def limit_sizes(self, head: int, body: int) -> None:
+        """Take the operator's limits on what a caller may send, in bytes."""
+        self.head_most, self.body_most = head, body
+
     def limit(self, idle_s: float, header_s: float) -> None:
         """Take the operator's limits. Callers that know a longer idle time may use it once more."""
         had_s, self._idle_s = self._idle_s, idle_s
@@ -160,8 +164,8 @@
             raise Unacceptable("Attempt-Id is missing or can't be used")
         if left is not None and not MILLISECONDS.fullmatch(left):
             raise Unacceptable("Time-Remaining must be milliseconds")
-        return Asked(
+        return ProxiedRequest(
             method, target, id.decode("latin-1"), "", float(left) if left is not None else 0.0, None, False,
             headers.get(b"operation-key"), None, body, flow,
-            host=headers.get(b"host", b""), headers=headers,
+            host=headers.get(b"host", b""), headers=headers, untimed=left is None,
         )  # fmt: skip
--- a/tests/mesh/test_records.py
+++ b/tests/mesh/test_records.py
@@ -17,7 +17,7 @@
 import mesh
 from mesh.control import configuration, shard_state
 from mesh.control.endpoints import LEASE_S, Record, Register, everyone
-from mesh.control.operation_keys import SHELF_S, Granted, Held, OperationKeys
+from mesh.control.operation_keys import SHELF_S, GivenBack, Granted, Held, OperationKeys
 from mesh.dataplane.proxy import read_beat
 from mesh.errors import Kind, Refusal
 from mesh.settings import BadSettings, check_settings
@@ -50,10 +50,15 @@
     slips, now = OperationKeys(WINDOW_S), 1_000.0
     slips.turn(now)
     model: dict[str, tuple[str, str | None, float]] = {}  # holder, answer, since when
+    given_back: dict[str, str] = {}  # the last try that did so, while nobody has the key
     for what, key, holder, passed in steps:
         had = model.get(key)
         if what == "claim":
             outcome, written = slips.claim(key, holder)
+            if had is None and given_back.get(key) == holder:  # it came late
+                assert (outcome, written) == (GivenBack(), None)
+                continue
+            given_back.pop(key, None)
             if had is None:
                 model[key] = (holder, None, now)
             mine = had is None or had[0] == holder
@@ -64,12 +69,15 @@
             new = had is None or (had[0] == holder and had[1] is None)
             assert (slip is not None) is new
             if new:
+                given_back.pop(key, None)
                 model[key] = (holder, f"by {holder}", now if had is None else had[2])
         elif what == "drop":
             gone = had is not None and had[:2] == (holder, None)
             assert slips.drop(key, holder) is gone
             if gone:
                 del model[key]
+            if gone or had is None:
+                given_back[key] = holder
         elif what == "turn":
             now += passed
             for over in slips.turn(now):
@@ -80,6 +88,7 @@
             for key, packed in disk.items():
                 slips.load(key, packed)
             slips.turn(now)
+            given_back.clear()
         assert {k: (s.holder, s.answer) for k, s in slips.records.items()} == {
             k: entry[:2] for k, entry in model.items()
         }
@@ -208,6 +217,10 @@
     (f"{FIRST}/target_ms", float("nan"), "target_ms"),
     (f"{FIRST}/treatment", {"service_name": "s", "max_attempts": 1}, "guard_timer_ms"),
     (f"{FIRST}/treatment", {"guard_timer_ms": 1, "max_attempts": 1}, "service_name"),
+    (f"{FIRST}/identifier", "r1", "r1: its identifier is there twice"),
+    (f"{TREATMENT}/guard_timer_ms", 0, "guard_timer_ms"),
+    (f"{TREATMENT}/max_attempts", -1, "max_attempts"),
+    ("trunk_groups/1/identifier", "s", "trunk_groups: an identifier"),
     ("revision_number", "7", "revision_number"),
     ("revision_number", 0, "revision_number"),
     ("access_points", {}, "access_points"),
@@ -273,7 +286,7 @@
         "listen_points": {"control": "10.0.0.1:80"},
     },
     "term_settings": {"bound_set": {"drain_ms": 1_500, "odd": "x"}, "tolerance": {"machines": 1}},
-    "odd": 3,
+    "platform_settings": {"beat_interval_ms": 1_500, "entry": "odd"}, "odd": 3,
 }  # fmt: skip
 
 
@@ -302,7 +315,8 @@
     ("own_node", 3), ("own_node/bind_ip", ""), ("own_node/bind_ip", 4),
     ("network", None), ("own_node/node_name", ""), ("own_node/ip", 4),
     ("own_node/application", "10.0.0.1"), ("own_node/limit_set", []), ("own_node/limit_set/memory_mb", "x"),
-    ("network/internal_ports", []), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
+    ("network/internal_ports", []), ("network/internal_ports", [0]), ("network/internal_ports", [True]),
+    ("platform_settings/beat_interval_ms", 0), ("network/seed_nodes", "a"), ("network/seed_nodes", ["a"]),
     ("network/listen_points", []), ("network/listen_points/control", "10.0.0.1:²"),
     ("network/listen_points/control", "10.0.0.1:70000"), ("term_settings/bound_set", [1]),
     ("term_settings/bound_set/drain_ms", True), ("term_settings/bound_set/drain_ms", float("nan")),
