--- a/rehearsal/mesh/seeds.py
+++ b/rehearsal/mesh/seeds.py
@@ -10,6 +10,8 @@
 
 from rich.console import Console
 
+from rehearsal.judge.books import Books
+from rehearsal.judge.control_calls import figures
 from rehearsal.judge.mesh import Verdict, as_json
 from rehearsal.mesh.session import Played
 from rehearsal.report.tables import percent
@@ -56,10 +58,24 @@
     return (
         f"seed {one.seed}: {one.word}; service {percent(one.service)}, {len(verdict.books.sent)} tries, "
         f"{acked} of {len(puts)} versions acknowledged, {one.checked['twice']} runs of what may run once, "
-        f"stall {record.stall_s * 1000.0:.0f} ms, starved {record.starved:.2f}; {', '.join(one.deeds)}"
+        f"stall {record.stall_s * 1000.0:.0f} ms, starved {record.starved:.2f}{_control(verdict.books)}; "
+        f"{', '.join(one.deeds)}"
     )
 
 
+def _control(books: Books) -> str:
+    """Calls at isolated controllers by their answers, and orders sent again; empty: there were none."""
+    found, told = figures(books), ""
+    if found["alone"]:
+        answers = ", ".join(f"{count} {name}" for name, count in found["alone_answers"].items())
+        told += f"; isolated: {answers}, {found['alone_slowest_ms']:.0f} ms at most"
+    if found["sent_again"]:
+        told += (
+            f"; {found['sent_again']} orders sent again, after up to {found['sent_again_after_most']} others"
+        )
+    return told
+
+
 def summary(runs: list[Ended]) -> list[str]:
     """What all of them come to."""
     words = Counter(one.word.split()[0] for one in runs)
--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -447,5 +447,6 @@
     assert [line.split(";")[0] for line in lines if line.startswith("seed ")][-3:] == [
         "seed 1: held", "seed 2: BROKEN twice", "seed 3: void",
     ]  # fmt: skip
+    assert "; isolated: 1 503, 100 ms at most; 1 orders sent again, after up to 0 others; " in lines[0]
     assert "3 seeds: 1 BROKEN, 1 held, 1 void" in lines
     assert lines[-1] == "rules broken: twice in 1"
