--- a/tests/mesh/test_judge_mesh.py
+++ b/tests/mesh/test_judge_mesh.py
@@ -186,6 +186,11 @@
     run.facts.append(Turned(32.3, 90, 503))
 
 
+def read_only(run: Scene) -> None:
+    path = f"{prefix(SEED, 'member-charge')}x"
+    run.facts.append(Arrived(12.15, 90, "r", "i-2", A, "m2", "POST", path, "b", A, "", "i-2"))
+
+
 def many_denied(run: Scene) -> None:
     for n in range(6):
         run.sent(f"z{n}", 15.0, "feed-read")
@@ -241,6 +246,7 @@
     ("twice", "a key that ran twice", lambda run: run.run("k2", 11.55)),
     ("refused", "what had run", lambda run: run.run("r", 12.15)),
     ("refused", "what ran later", lambda run: run.run("r", 12.4)),
+    ("refused", "what a server had read and not turned away", read_only),
     ("denied", "six of few", many_denied),
     ("route", "another service", change_last(Arrived, "a", service=B)),
     ("route", "another server than was meant", change_last(Arrived, "a", target="i-9")),
@@ -441,5 +447,6 @@
     assert [line.split(";")[0] for line in lines if line.startswith("seed ")][-3:] == [
         "seed 1: held", "seed 2: BROKEN twice", "seed 3: void",
     ]  # fmt: skip
+    assert "; isolated: 1 503, 100 ms at most; 1 orders sent again, after up to 0 others; " in lines[0]
     assert "3 seeds: 1 BROKEN, 1 held, 1 void" in lines
     assert lines[-1] == "rules broken: twice in 1"
