Words: rollout service, admission and controllers in place of house names

Names of an earlier house style were left: a desk that takes rollouts, Holding for the admission of calls, keepers for controllers, and pages that named classes and log prefixes that are gone. The standard names stand there now, in code, benches, pages and the two log lines of the admission gate.

Tests: names follow, no assertion changed.

--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -169,7 +169,7 @@
         )  # fmt: skip
         if not alike:
             self.server = server
-            logger.info("gate: server {} of {} is {}", server.id, server.service, server.state)
+            logger.info("admission: server {} of {} is {}", server.id, server.service, server.state)
             self._changed()
         self._let_in()
         return None
@@ -192,7 +192,7 @@
     def _gone(self, why: str) -> None:
         assert self.server is not None
         had = self.server
-        logger.info("gate: server {} {}", had.id, why)
+        logger.info("admission: server {} {}", had.id, why)
         self.server = Server(had.id, had.service, had.zone, GONE, had.capacity, 0.0, had.version)
         self._drained_ms = min(self._drained_ms, now_ms())
         self._changed()
--- a/mesh/storage/inspection.py
+++ b/mesh/storage/inspection.py
@@ -132,10 +132,10 @@
 
 def _verify_key(key: bytes, value: bytes) -> None:
     try:
-        holder, shelf, _answer = unpack(value)
+        holder, time_slot, _answer = unpack(value)
     except (CBORDecodeError, ValueError, TypeError) as problem:
         raise Damaged(f"key {key[:40]!r} can't be read: {problem}") from None
-    if not isinstance(holder, str) or not isinstance(shelf, int):
+    if not isinstance(holder, str) or not isinstance(time_slot, int):
         raise Damaged(f"key {key[:40]!r} is none")
 
 
--- a/nickelbridge/holding.py
+++ b/nickelbridge/admission.py
@@ -20,7 +20,7 @@
 RESERVE = 0.15  # of the window is kept for the class of most value
 
 
-class Holding:
+class Admission:
     """What of the clients' calls this copy lets through now, by what an answer is worth.
 
     `spares`: no call is held or shed for delay, as a refusal would waste what was done for it above.
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -2,20 +2,20 @@
 
 Here stands what becomes of a request: the gate that every send passes, retries, and how it ends. Its parts
 decide one thing each: `delay` how much may be out, `listing` which servers are this copy's, `judgement` what
-they are worth, `calls` which calls are late, `cold` what cold servers get, `pick` whom to send to, `holding`
-who waits and who is shed. docs/design.md says what is kept of RTDC, changed and why."""
+they are worth, `calls` which calls are late, `cold` what cold servers get, `pick` whom to send to,
+`admission` who waits and who is shed. docs/design.md says what is kept of RTDC, changed and why."""
 
 from __future__ import annotations
 
 import random
 
 from nickelbridge import interface as api
+from nickelbridge.admission import Admission
 from nickelbridge.averages import SlidingCount
 from nickelbridge.calls import Call, Outstanding
 from nickelbridge.chain import Chain, Why
 from nickelbridge.cold import ColdStart
 from nickelbridge.delay import ADDED, PHASE_MARGIN, SAMPLES, START, WINDOW_SHARE, DelayController
-from nickelbridge.holding import Holding
 from nickelbridge.interface import Group, ListKind, Repeat, Result
 from nickelbridge.judgement import Judgement, Server
 from nickelbridge.listing import GUESTS, SLICES, Fleet
@@ -55,8 +55,8 @@
         # Deeper a refusal wastes work done above, unless it is known what that work was for.
         spares = settings.tier > 0 and not (chain is not None and chain.limits.shed)
         parts = self.fleet, self.controller, self.judgement, self.outstanding
-        self.holding = Holding(settings, spares, rng, *parts)
-        self._record = self.holding.record
+        self.admission = Admission(settings, spares, rng, *parts)
+        self._record = self.admission.record
         self._working = False  # a timer is out for the rest of a long list
         # A tick to spare at both edges of the window that the budget of attempts is counted over.
         self._taken = SlidingCount(settings.resend_span_ms - settings.tick_ms)
@@ -107,7 +107,7 @@
         self.classes |= named
         self.judgement.change(new.classes)
         self.outstanding.change(named)
-        self.holding.change(new, self.classes)
+        self.admission.change(new, self.classes)
         self.cold.settings = new
         self.fleet.regroup(new)
         if (old.ramp_time_ms, old.start_capacity) != (new.ramp_time_ms, new.start_capacity):
@@ -128,32 +128,32 @@
         call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
         self._record.asked(event.cls)
         self._taken.add(now)
-        call.over_share = self.holding.over_share(event.tenant, now)
+        call.over_share = self.admission.over_share(event.tenant, now)
         if self.chain is not None:
             why = self.chain.take(call.id, event.carried, event.cls, call.cls.worth, event.ttl_ms, now)
             if why is not None: return self._end(call, why)
             call.weight = self.chain.weight(call.id, call.cls.worth)
-            self.holding.weighed(call.weight)
-        if self.holding.shed(call, now): return self._end(call)
+            self.admission.weighed(call.weight)
+        if self.admission.shed(call, now): return self._end(call)
         self._attempt(call, now)
 
     def _attempt(self, call: Call, now: float) -> None:
         if self.chain is not None and not self.chain.may_send(call.id, now): return self._end(call)
-        crowded = self.holding.crowded(call, now)
+        crowded = self.admission.crowded(call, now)
         server = None if crowded else self.picker.pick(call)
         if crowded or (server is None and call.ran_ms is None and self.fleet.ready):
-            wait_ms = self.holding.hold(call, now)
+            wait_ms = self.admission.hold(call, now)
             (self._set_timer(call, wait_ms) if wait_ms > 0.0 else self._end(call))
         elif server is None or not self._send(call, server, now):
             self._wait_or_end(call, now)
 
     def _release(self, now: float) -> None:
         """Send held calls as room comes up, those of most worth first."""
-        for queue in self.holding.queues():
+        for queue in self.admission.queues():
             while queue:
                 call = queue[0]
                 if call.held and call.id in self._calls:
-                    crowded = self.holding.crowded(call, now)
+                    crowded = self.admission.crowded(call, now)
                     server = None if crowded else self.picker.pick(call)
                     if server is None:
                         break
--- a/rehearsal/bench/mesh.py
+++ b/rehearsal/bench/mesh.py
@@ -95,12 +95,12 @@
     if granted < GRANTED * asked:
         lost["broken"] = True
     busy = [load["granted"] / load["seconds"] for load in loads]
-    cpu = [cpu for load in loads for cpu in load["keeper_us"]]
+    cpu = [cpu for load in loads for cpu in load["controller_us"]]
     wrote = [b for load in loads for b in load["written"]]  # nothing where the disk is of memory
     most = SHARE / statistics.median(cpu) * 1e6
     return [
         row("claims", f"{name}: granted", "a second", busy,
-            keeper_busy=f"{max(s for load in loads for s in load['keeper_share']):.0%}",
+            controller_busy=f"{max(s for load in loads for s in load['controller_share']):.0%}",
             claimer_busy=f"{max(load['cpu_s'] / load['seconds'] for load in loads):.0%}",
             waited_for_a_core=f"{max(load['waited'] for load in loads):.0%}", **lost),
         row("claims", f"{name}: CPU of a controller", "us a claim", cpu, core_machine=f"{most:.0f}/s"),
@@ -144,8 +144,8 @@
                         )  # fmt: skip
                         spent, load["waited"] = meter.read()
                         count = max(1, load["granted"])
-                        load["keeper_us"] = [s / count * 1e6 for s in spent]
-                        load["keeper_share"] = [s / load["seconds"] for s in spent]
+                        load["controller_us"] = [s / count * 1e6 for s in spent]
+                        load["controller_share"] = [s / load["seconds"] for s in spent]
                         load["written"] = [
                             (written_bytes(pid) - was) / count for pid, was in zip(pids, wrote, strict=True)
                         ]
@@ -206,7 +206,7 @@
             result = await ask_all(address, REQUESTS, seconds, False, f"m{serial}-", write=write)
             spent, result["waited"] = meter.read()
             result["cpu_us"] = [s / result["asked"] * 1e6 for s in spent]
-            result["keeper_us"] = [s / result["asked"] * 1e6 for s in controllers.read()[0]]
+            result["controller_us"] = [s / result["asked"] * 1e6 for s in controllers.read()[0]]
             found.setdefault(name, []).append(result)
 
         try:
@@ -254,7 +254,9 @@
         if (waited := max(one["waited"] for one in some)) > WAITED:
             more["waited_for_a_core"] = f"{waited:.0%}"
         if name.startswith("proxy") and name.endswith("keyed"):
-            more["each_keeper_us"] = round(statistics.median(k for one in some for k in one["keeper_us"]), 1)
+            more["each_controller_us"] = round(
+                statistics.median(k for one in some for k in one["controller_us"]), 1
+            )
         rows.append(row("requests", f"{name}: CPU", "us a request", total,
                         ratio=round(statistics.median(total) / bare, 2), **more))  # fmt: skip
         rows.append(row("requests", f"{name}: p50", "ms", [one["p50_ms"] or 0.0 for one in some]))
@@ -441,7 +443,7 @@
             more: Row = {"broken": True, "missed": one.missed} if one.missed else {}
             rows.append(row("news", f"{name}: p50 of the last node", "ms", [one.p50_ms], **more))
             rows.append(row("news", f"{name}: p99 of the last node", "ms", [one.p99_ms],
-                            keeper_bytes=one.keeper_bytes))  # fmt: skip
+                            controller_bytes=one.controller_bytes))  # fmt: skip
     finally:
         logger.enable("mesh")
     return rows
--- a/rehearsal/bench/mesh_news.py
+++ b/rehearsal/bench/mesh_news.py
@@ -39,12 +39,12 @@
     last_ms: float  # the longest of all
     late: int  # changes that took over 20 ms
     missed: int  # changes that did not come to somebody within the run
-    keeper_messages: float  # of news that a controller sends a change of its own
-    keeper_bytes: float
-    keeper_lease_bytes_s: float  # answers to renewals, a second
+    controller_messages: float  # of news that a controller sends a change of its own
+    controller_bytes: float
+    controller_lease_bytes_s: float  # answers to renewals, a second
     relay_bytes: float  # of news that all nodes send on, a change
     between_bytes: float  # of news between zones, by all, a change
-    text_keeper_bytes: int  # of one configuration of 64 KiB, by all controllers
+    text_controller_bytes: int  # of one configuration of 64 KiB, by all controllers
     text_between_bytes: int
 
 
@@ -63,7 +63,9 @@
     text = [_sent(world, "text", near) for near in (True, False)]
     world.run(END_S)
     text = [_sent(world, "text", near) - had for near, had in zip((True, False), text, strict=True)]
-    text_keeper = sum(_bytes(controller.publisher.tally, "text") for controller in world.controllers.values())
+    text_controller = sum(
+        _bytes(controller.publisher.tally, "text") for controller in world.controllers.values()
+    )
     assert all(node.revision == 1 for node in world.nodes.values())
 
     world.watch()
@@ -100,12 +102,12 @@
         took.append(1e3 * (max((at for at in came if at is not None), default=began) - began))
     took.sort()
     steps = len(took)
-    messages, keeper_bytes, lease, relay, between = (b - a for a, b in zip(before, after, strict=True))
+    messages, controller_bytes, lease, relay, between = (b - a for a, b in zip(before, after, strict=True))
     return News(
         nodes, zones, seed, tree, frozen, steps,
         _at(took, 0.5), _at(took, 0.99), _at(took, 1.0), sum(ms > LATE_MS for ms in took), missed,
-        round(messages / steps, 1), round(keeper_bytes / steps), round(lease / 3 / (passed_s + END_S)),
-        round(relay / steps), round(between / steps), text_keeper, text[1],
+        round(messages / steps, 1), round(controller_bytes / steps), round(lease / 3 / (passed_s + END_S)),
+        round(relay / steps), round(between / steps), text_controller, text[1],
     )  # fmt: skip
 
 
--- a/rehearsal/control/operate.py
+++ b/rehearsal/control/operate.py
@@ -14,8 +14,8 @@
 
 from nickelbridge.settings import Malformed
 from orchidferry.config import Address, address
-from rehearsal.control.desk import Desk, call
 from rehearsal.control.files import BadVersion, comparable, differences, read_version
+from rehearsal.control.rollout_service import RolloutService, call
 from rehearsal.control.service import Service
 
 ASK_S = 5.0  # for what the service holds
@@ -32,7 +32,7 @@
     base = read_version(args.file)
     service = Service()
     service.address = _loopback(address(args.listen))
-    Desk(service, base)
+    RolloutService(service, base)
     stopping, loop = asyncio.Event(), asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
--- a/rehearsal/control/desk.py
+++ b/rehearsal/control/rollout_service.py
@@ -40,7 +40,7 @@
 from rehearsal.control.service import Held, Service, Word
 from rehearsal.wire import get as ask
 
-NAME = "orchidferry.standin.v1.Desk"
+NAME = "orchidferry.standin.v1.Rollout"
 DOOR_S = 1.0  # for a door's answer
 DOORS_MOST, AT_ONCE = 10_000, 64
 LINES_MOST = 10_000  # of one rollout that wait to be read
@@ -94,7 +94,7 @@
     return name, Reading(ready == 200, good, failed)
 
 
-class Desk:
+class RolloutService:
     """Takes pushes, one at a time, to the nodes of a stand-in service."""
 
     def __init__(self, service: Service, base: Version) -> None:
@@ -223,7 +223,7 @@
 
 
 async def call(where: Address, method: str, request: dict[str, Any], wait_s: float) -> AsyncIterator[Any]:
-    """One call of a desk, its answers one by one; `grpc.RpcError` with the desk's reason if it won't."""
+    """One call of the service, its answers one by one; `grpc.RpcError` with its reason where it refuses."""
     async with grpc.aio.insecure_channel(f"{where[0]}:{where[1]}") as channel:
         path = f"/{NAME}/{method}"
         if method == "Push":
--- a/rehearsal/explore/controller.py
+++ b/rehearsal/explore/controller.py
@@ -1,4 +1,4 @@
-"""A controller's process with its disk in memory, round one shipping `holding.Shard`: it does what the
+"""A controller's process with its disk in memory, round one shipping `shard.Shard`: it does what the
 shard wants as `Controller` does, and leaves clock, chance and the way between processes to the world that
 it stands in.
 """
--- a/rehearsal/explore/world.py
+++ b/rehearsal/explore/world.py
@@ -178,7 +178,7 @@
     def _wrap(self) -> None:
         """See all that passes between node and module."""
         balancer, chance = self.node._balancer, _Fixed(1)
-        for part in (balancer, balancer.fleet, balancer.judgement, balancer.picker, balancer.holding):
+        for part in (balancer, balancer.fleet, balancer.judgement, balancer.picker, balancer.admission):
             part._rng = chance
         inner = balancer.handle
 
--- a/rehearsal/process.py
+++ b/rehearsal/process.py
@@ -76,7 +76,7 @@
         sys.stdout.flush()
 
     worker = make(script, Block(script.block), recorder, say, index)
-    keeper = loop.create_task(_keep(worker, recorder, name))
+    recording = loop.create_task(_keep(worker, recorder, name))
     orders: set[asyncio.Task[None]] = set()
     gc.collect()
     gc.freeze()
@@ -92,9 +92,9 @@
     finally:
         for task in set(orders):
             task.cancel()
-        keeper.cancel()
+        recording.cancel()
         with contextlib.suppress(asyncio.CancelledError):
-            await keeper
+            await recording
         await worker.close()
         recorder.close()
 
--- a/tests/control/test_live.py
+++ b/tests/control/test_live.py
@@ -110,8 +110,8 @@
     made = helpers.Node(tenants=[tenant])
     made.ask("a", tenant="t")
     change(made, tenants=[tenant, api.Tenant("u", 0.1, 5.0)])
-    assert set(made.balancer.holding.quotas) == {"t", "u"}
-    assert made.balancer.holding.quotas["t"][1].tokens < 1.0
+    assert set(made.balancer.admission.quotas) == {"t", "u"}
+    assert made.balancer.admission.quotas["t"][1].tokens < 1.0
     change(made, tenants=[])
     made.ask("b", tenant="t")
 
--- a/tests/control/test_push.py
+++ b/tests/control/test_push.py
@@ -17,9 +17,9 @@
 from nickelbridge.versions import Part
 from orchidferry.control.store import Store
 from orchidferry.door import Door
-from rehearsal.control import desk as desk_module
-from rehearsal.control.desk import Desk, read_door
+from rehearsal.control import rollout_service
 from rehearsal.control.files import BadVersion, comparable, differences, from_form, read_version
+from rehearsal.control.rollout_service import RolloutService, read_door
 from rehearsal.control.service import Service
 from tests import peers
 from tests.control.scene import POOL, Told, endpoint, file, run
@@ -31,7 +31,7 @@
 
 @pytest.fixture(autouse=True)
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(desk_module, "LOOK_MS", 20.0)
+    monkeypatch.setattr(rollout_service, "LOOK_MS", 20.0)
 
 
 def form(version: str, *numbers: int, **changes: Any) -> Json:
@@ -59,10 +59,10 @@
 
 
 class Fleet:
-    """A stand-in with a desk, agents with doors, and answers that the nodes are made to count."""
+    """A stand-in with its rollout service, agents with doors, and answers that nodes are made to count."""
 
-    def __init__(self, service: Service, desk: Desk, agents: list[Told]) -> None:
-        self.service, self.desk, self.agents = service, desk, agents
+    def __init__(self, service: Service, rollouts: RolloutService, agents: list[Told]) -> None:
+        self.service, self.rollouts, self.agents = service, rollouts, agents
         self.where = f"{service.address[0]}:{service.address[1]}"
         self.doors: list[str] = []
         self.made: list[Door] = []
@@ -104,10 +104,10 @@
 async def fleet() -> AsyncIterator[Fleet]:
     """Four nodes that hold v1."""
     service = Service()
-    desk = Desk(service, from_form(form("v1", 1, 2)))
+    rollouts = RolloutService(service, from_form(form("v1", 1, 2)))
     await service.start()
     agents = [Told(service, f"n{at}", None) for at in range(NODES)]
-    made = Fleet(service, desk, agents)
+    made = Fleet(service, rollouts, agents)
     try:
         for agent in agents:
             agent.start()
@@ -129,13 +129,13 @@
             code, out, err = await made.push(v2)
             assert code == 0, out + err
             assert "v2 is on all 4 nodes" in out and "wave 2 of 2" in out
-            assert made.held() == ["v2"] * NODES and made.desk.base.version == "v2"
+            assert made.held() == ["v2"] * NODES and made.rollouts.base.version == "v2"
             assert all(agent.held(Part.SETTINGS) == "v1" for agent in made.agents)  # as it was: not sent anew
 
             made.failing = {"v3"}
             code, out, _ = await made.push(write(tmp_path, form("v3", 4)))
             assert code == 1 and "answers failed" in out and "given back" in out
-            assert made.held() == ["v2"] * NODES and made.desk.base.version == "v2"
+            assert made.held() == ["v2"] * NODES and made.rollouts.base.version == "v2"
             assert sum(any(m.entry.server == made.agents[0].servers()[-1].entry.server for m in c.members())
                        for a in made.agents for c in a.applied) >= NODES  # fmt: skip
 
@@ -159,7 +159,7 @@
             assert code == 1 and "refused it: it could not be applied: no room" in text
             for agent in made.agents:
                 agent.problem = ""
-            assert not made.service.views and made.desk.rollout is not None and made.desk.rollout.over
+            assert not made.service.views and made.rollouts.rollout is not None and made.rollouts.rollout.over
 
     run(test())
 
@@ -178,7 +178,7 @@
             process.kill()
             await process.wait()
             await until(lambda: made.held() == ["v1"] * NODES)
-            assert made.desk.rollout is not None and "has gone" in made.desk.rollout.reason
+            assert made.rollouts.rollout is not None and "has gone" in made.rollouts.rollout.reason
             code, out, _ = await made.push(path)  # and the next one may come
             assert code == 0, out
 
--- a/tests/mesh/test_bench_mesh.py
+++ b/tests/mesh/test_bench_mesh.py
@@ -29,7 +29,7 @@
     return {
         "asked": asked, "granted": granted, "seconds": 2.0, "late": [0.0],
         "took": [0.001 * n for n in range(1, granted + 1)],
-        "cpu_s": 0.1, "keeper_us": [100.0, 200.0, 300.0], "keeper_share": [0.1], "waited": 0.0,
+        "cpu_s": 0.1, "controller_us": [100.0, 200.0, 300.0], "controller_share": [0.1], "waited": 0.0,
         "written": [0.0], **more,
     }  # fmt: skip
 
@@ -54,7 +54,7 @@
         "p50_ms": 1.0,
         "p99_ms": 2.0,
         "waited": 0.0,
-        "keeper_us": [7.0],
+        "controller_us": [7.0],
     }
     found = {
         "bare forwarder, reads": [one | {"cpu_us": [us]} for us in (80.0, 100.0, 900.0)],
@@ -64,7 +64,7 @@
     assert (bare["median"], bare["ratio"]) == (100.0, 1.0) and "broken" not in bare
     assert (both["median"], both["ratio"]) == (500.0, 5.0) and both["broken"]
     assert (both["failed"], both["why"]) == ("2 of 100", "503")
-    assert (both["outbound_us"], both["inbound_us"], both["each_keeper_us"]) == (300.0, 200.0, 7.0)
+    assert (both["outbound_us"], both["inbound_us"], both["each_controller_us"]) == (300.0, 200.0, 7.0)
 
 
 def test_news_that_a_node_never_heard_breaks_its_row() -> None:
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -1,7 +1,7 @@
 """The group of controllers in any order of events: messages late, lost or twice, and controllers killed
 and wiped.
 
-The controllers here are the real halves (`holding.Shard`), on disks in memory that write when they are
+The controllers here are the real halves (`shard.Shard`), on disks in memory that write when they are
 told to; askers count as nodes do (`claims`). What was granted, taken and read, and who owned the duties
 when, is checked against a plain record of it.
 """
