Command line: help for each role, bad settings with their file, one way to stop

A newcomer found no help for the roles: the program's own help did not name them, and one text served both. Each has its own now, and the overview. What a role lacks in its settings was told without the file; a data directory that is no text, an infinite count and a port out of range ended in a traceback. All are one line with file and field now.

Two pieces of code that stood more than once, stopping work in order on a signal, serve from one module.

--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import os
 import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn
@@ -14,45 +13,44 @@
 
 from mesh.errors import BadStore
 from mesh.process_end import end_now, stop_on_sigterm
-from mesh.settings import BadSettings, Settings, read_settings
+from mesh.role_settings import ROLES, changed_at, settings_for
+from mesh.settings import BadSettings, Settings
 from orchidferry.collector import settle
 
 if TYPE_CHECKING:
     from mesh.control.controller import Controller
     from mesh.dataplane.proxy import Proxy
 
-HELP = """orchidferry proxy|controller [--check]
-orchidferry controller snapshot take|put FILE ...
+OVERVIEW = """usage: orchidferry proxy [--check]
+       orchidferry controller [--check]
+       orchidferry controller snapshot take|put FILE ...
 
-A role of the mesh, from the settings file that ORCHIDFERRY_BOOT names: `proxy`, the node beside a server;
-`controller`, a controller of the mesh's state. --check reads the settings, and a controller's store if
-there is one, and ends: 0, all can be used; 1, the settings can, and the store is in use; 2, something
-can't, which is named. `snapshot` writes what a stopped controller knows to a file, or begins a lost group
-anew from one: see its --help.
+The roles of the mesh. Each reads the settings file that ORCHIDFERRY_BOOT names, and runs until SIGTERM;
+`orchidferry ROLE --help` says more."""
+HELP = {
+    "proxy": """usage: orchidferry proxy [--check]
 
-example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry controller --check"""
-POINTS = {"proxy": ("outbound", "inbound", "ready", "control"), "controller": ("control",)}
-ROLES = tuple(POINTS)
-FILE_S = 3.0  # how often the settings file is looked at
+Run the node beside a server: it sends the server's calls to other services, and takes the calls to it.
+The settings file that ORCHIDFERRY_BOOT names is read again on SIGHUP, and when it changes.
 
+  --check   read the settings, say whether they can be used, and end: 0 if so, 2 with one line if not
 
-def settings_file() -> Settings:
-    """The settings file that ORCHIDFERRY_BOOT names."""
-    path = os.environ.get("ORCHIDFERRY_BOOT")
-    if not path:
-        raise BadSettings("ORCHIDFERRY_BOOT must name the settings file")
-    return read_settings(path)
+example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry proxy""",
+    "controller": """usage: orchidferry controller [--check]
+       orchidferry controller snapshot take|put FILE ...
 
+Run a controller: one of the replicas of the mesh's configuration, membership and operation keys.
+The settings file that ORCHIDFERRY_BOOT names is read again on SIGHUP, and when it changes.
 
-def check_role(role: str, settings: Settings) -> None:
-    """What a role cannot do without; `BadSettings` names the field."""
-    if role == "controller" and settings.data_dir is None:
-        raise BadSettings("own_node.data_dir: a controller needs one")
-    if role == "proxy" and settings.application is None:
-        raise BadSettings("own_node.application: a node needs one")
-    for name in POINTS[role]:
-        if name not in settings.listen:
-            raise BadSettings(f"network.listen_points.{name}: this role needs one")
+  --check   read the settings, then the store if there is one; say what it holds, and end: 0 if all can be
+            used, 1 if the store is in use, 2 with one line if something can't be used
+  snapshot  write what a stopped controller knows to a file, or begin a lost group anew from one: see
+            `orchidferry controller snapshot --help`
+
+example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry controller --check""",
+}
+HELP_WORDS = (["--help"], ["-h"])
+WATCH_S = 3.0  # how often the settings file is looked at
 
 
 async def serve(role: str, settings: Settings) -> NoReturn:
@@ -60,19 +58,19 @@
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     stop_on_sigterm(loop, stopping, settings.bounds.grace_s)
-    one: Proxy | Controller | None
+    server: Proxy | Controller | None
     if role == "proxy":
         from mesh.dataplane.proxy import Proxy
 
-        one = Proxy(settings, loop)
+        server = Proxy(settings, loop)
     else:
-        one = await controller(settings, loop, stopping)
-    if one is None:
+        server = await controller(settings, loop, stopping)
+    if server is None:
         logger.info("{}: stopped before it began", role)
         end_now()
-    loop.add_signal_handler(signal.SIGHUP, reread, role, one)
-    watch_file(loop, role, one, changed_at())
-    running = one.run(stopping)
+    loop.add_signal_handler(signal.SIGHUP, reread, role, server)
+    watch_file(loop, role, server, changed_at())
+    running = server.run(stopping)
     settle()
     await running
     end_now()
@@ -86,100 +84,100 @@
     from mesh.storage import storage_check
 
     assert settings.data_dir is not None
-    said = ""
+    last_problem = ""
     while await storage_check.ready(settings.data_dir, stopping):
         if storage_check.forgot(settings.data_dir):
             settings = dataclasses.replace(settings, first_start=False)
         try:
             return Controller(settings, loop)
         except BadStore as problem:
-            if str(problem) != said:
+            if str(problem) != last_problem:
                 logger.error("store: {}; looked at again", problem)
-            said = str(problem)
+            last_problem = str(problem)
             await asyncio.sleep(storage_check.AGAIN_S)
     return None
 
 
 def check_store(folder: str) -> int:
-    """Tell what a controller's store holds, with nothing written; the exit status."""
+    """Print what a controller's store holds, with nothing written; the exit status."""
     from mesh.storage import storage_check
     from mesh.storage.environment import InUse
 
     try:
-        stock = storage_check.look(folder)
+        contents = storage_check.look(folder)
     except InUse as problem:
         print(f"store: {problem}; it is not looked at")
         return 1
     except BadStore as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
-    for line in stock.lines() if stock is not None else ["store: none yet"]:
+    for line in contents.lines() if contents is not None else ["store: none yet"]:
         print(line)
     return 0
 
 
-def reread(role: str, one: Proxy | Controller) -> None:
-    """Take the settings file as it is now; one that can't be used changes nothing."""
+def reread(role: str, server: Proxy | Controller) -> None:
+    """Use the settings file as it is now; one that can't be used changes nothing."""
     try:
-        settings = settings_file()
-        check_role(role, settings)
+        settings = settings_for(role)
     except BadSettings as problem:
         logger.error("{}: the old settings stay: {}", role, problem)
         return
-    one.reread(settings)
+    server.reread(settings)
     logger.info("{}: settings read again", role)
 
 
-def changed_at() -> float:
-    """When the settings file was last written, as far as can be told."""
-    try:
-        return os.stat(os.environ.get("ORCHIDFERRY_BOOT", "")).st_mtime
-    except OSError:
-        return 0.0
-
-
-def watch_file(loop: asyncio.AbstractEventLoop, role: str, one: Proxy | Controller, seen: float) -> None:
-    """The file may change without a signal."""
+def watch_file(loop: asyncio.AbstractEventLoop, role: str, server: Proxy | Controller, seen: float) -> None:
+    """Read the settings again whenever their file has changed: there may be no signal."""
     now = changed_at()
     if now != seen:
-        reread(role, one)
-    loop.call_later(FILE_S, watch_file, loop, role, one, now)
+        reread(role, server)
+    loop.call_later(WATCH_S, watch_file, loop, role, server, now)
+
+
+def check(role: str, settings: Settings) -> int:
+    """Print whether a role could run; the exit status."""
+    print(f"{settings.name}: {settings.role} in {settings.zone}, settings can be used")
+    if role == "controller" and settings.data_dir is not None:
+        return check_store(settings.data_dir)
+    return 0
+
+
+def run(role: str, settings: Settings) -> int:
+    """Run a role; the exit status if it could not begin."""
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
+    try:
+        uvloop.run(serve(role, settings))
+    except (OSError, BadStore) as problem:
+        print(f"orchidferry: {problem}", file=sys.stderr)
+        return 1
+    return 0
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """The program."""
+    """The program; its exit status."""
     words = sys.argv[1:] if arguments is None else arguments
     if words[:2] == ["controller", "snapshot"]:
         from mesh.storage.snapshot_command import main as snapshot
 
         return snapshot(words[2:])
-    if not words or words[0] not in ROLES or any(word != "--check" for word in words[1:]):
-        if words[:1] and words[0] in ROLES and words[1:] in (["--help"], ["-h"]):
-            print(HELP)
-            return 0
+    if words in HELP_WORDS:
+        print(OVERVIEW)
+        return 0
+    role, options = words[0] if words else "", words[1:]
+    if role in ROLES and options in HELP_WORDS:
+        print(HELP[role])
+        return 0
+    if role not in ROLES or any(option != "--check" for option in options):
         print(f"orchidferry: usage: {'|'.join(ROLES)} [--check|--help]", file=sys.stderr)
         return 2
     try:
-        settings = settings_file()
-        check_role(words[0], settings)
-        if words[1:]:
-            print(f"{settings.name}: {settings.role} in {settings.zone}, settings can be used")
-            return (
-                check_store(settings.data_dir)
-                if words[0] == "controller" and settings.data_dir is not None
-                else 0
-            )
+        settings = settings_for(role)
     except BadSettings as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
-    try:
-        uvloop.run(serve(words[0], settings))
-    except (OSError, BadStore) as problem:
-        print(f"orchidferry: {problem}", file=sys.stderr)
-        return 1
-    return 0
+    return check(role, settings) if options else run(role, settings)
 
 
 if __name__ == "__main__":
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 Address = tuple[str, int]
+PORTS = 65536
 
 
 class BadSettings(Exception):
@@ -77,7 +79,7 @@
 def address(text: Any, field: str) -> Address:
     """`10.0.0.1:80` as host and port; `BadSettings` names the field."""
     host, _, port = str(text).rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < PORTS:
         raise BadSettings(f"{field}: {text!r} is no address")
     return host, int(port)
 
@@ -103,6 +105,17 @@
     return float(value)
 
 
+def _whole(table: dict[str, Any], name: str, default: int, where: str) -> int:
+    value = _number(table, name, default, where)
+    if not math.isfinite(value):
+        raise BadSettings(f"{where}.{name}: {value!r} is no whole number")
+    return int(value)
+
+
+def _is_port(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < PORTS
+
+
 def read_settings(path: str) -> Settings:
     """Read and check the settings file; `BadSettings` says what is wrong in one line."""
     try:
@@ -127,8 +140,11 @@
     bind_ip = node.get("bind_ip", node["ip"])
     if not isinstance(bind_ip, str) or not bind_ip:
         raise BadSettings("own_node.bind_ip: a text is needed")
+    data_dir = node.get("data_dir")
+    if data_dir is not None and (not isinstance(data_dir, str) or not data_dir):
+        raise BadSettings("own_node.data_dir: a text is needed")
     ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
-    if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
+    if not isinstance(ports, list) or not ports or not all(map(_is_port, ports)):
         raise BadSettings("network.internal_ports: a list of ports is needed")
     if not isinstance(seeds, list):
         raise BadSettings("network.seed_nodes: a list of addresses is needed")
@@ -145,11 +161,11 @@
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
         bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
         beat_ms=_number(_part(data, "platform_settings", ""), "beat_interval_ms", 1_500, "platform_settings"),
-        descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
+        descriptors=_whole(limits, "file_descriptors", 1_024, "own_node.limit_set"),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
-        data_dir=node.get("data_dir"),
+        data_dir=data_dir,
         application=address(application, "own_node.application") if application else None,
         service=str(node.get("service_name", "")),
-        machines=int(_number(losses, "machines", 1, "term_settings.tolerance")),
+        machines=_whole(losses, "machines", 1, "term_settings.tolerance"),
         bind_ip="" if bind_ip == node["ip"] else bind_ip,
     )
--- a/mesh/storage/snapshot_command.py
+++ b/mesh/storage/snapshot_command.py
@@ -4,11 +4,11 @@
 
 import importlib
 import ipaddress
-import os
 import sys
 
 from mesh.control import shard_state
 from mesh.errors import BadStore
+from mesh.role_settings import DATA_DIR_MISSING, settings_path
 from mesh.settings import BadSettings, Settings, read_settings
 from mesh.storage.environment import InUse
 from mesh.storage.snapshot import put_into, take_from
@@ -36,13 +36,11 @@
 
 def _settings() -> tuple[Settings, str]:
     """The settings, and the directory that they name for the store."""
-    path = os.environ.get("ORCHIDFERRY_BOOT")
-    if not path:
-        raise BadSettings("ORCHIDFERRY_BOOT must name the settings file")
-    boot = read_settings(path)
-    if boot.data_dir is None:
-        raise BadSettings(f"{path}: own_node.data_dir: a controller needs one")
-    return boot, boot.data_dir
+    path = settings_path()
+    settings = read_settings(path)
+    if settings.data_dir is None:
+        raise BadSettings(f"{path}: {DATA_DIR_MISSING}")
+    return settings, settings.data_dir
 
 
 def take(file: str) -> int:
@@ -68,14 +66,14 @@
     example: ORCHIDFERRY_BOOT=local.toml orchidferry controller snapshot put monday.snapshot
     --founders 10.0.0.1,10.0.0.2,10.0.0.9 --majority-is-gone
 
-    :param file: what `take` wrote
+    :param file: a file that `snapshot take` wrote
     :param founders: IP numbers of the controllers of the new group, this one among them
     :param majority_is_gone: say that the old group can't come back
     """
-    boot, folder = _settings()
+    settings, folder = _settings()
     if not majority_is_gone:
         raise BadSnapshot("--majority-is-gone is missing: two groups at once would both grant keys")
-    names = read_founders(founders, boot.ip, boot.machines)
+    names = read_founders(founders, settings.ip, settings.machines)
     snapshot, kept = put_into(folder, file, names)
     memory = kept[shard_state.CONFIGURATION].memory
     print(f"{folder}: {snapshot.line}; memory {memory}, the same at all of {' '.join(sorted(names))}?")
--- a/rehearsal/bench/mesh.py
+++ b/rehearsal/bench/mesh.py
@@ -10,7 +10,6 @@
 import asyncio
 import importlib
 import importlib.util
-import signal
 import statistics
 import tempfile
 import time
@@ -27,6 +26,7 @@
 from rehearsal.exchange import message
 from rehearsal.mesh.day import Machine
 from rehearsal.mesh.processes import missing
+from rehearsal.stop_signals import until_stopped
 from rehearsal.wire import Address, Outcome
 
 Row = dict[str, Any]
@@ -495,28 +495,6 @@
     return names
 
 
-async def stoppable(work: Coroutine[Any, Any, list[Row]]) -> list[Row]:
-    """Do it; told to end, end its processes first and raise `InterruptedError`."""
-    loop = asyncio.get_running_loop()
-    task, told = loop.create_task(work), []
-
-    def stop() -> None:
-        told.append(True)
-        task.cancel()
-
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop)
-    try:
-        return await task
-    except asyncio.CancelledError:
-        if told:
-            raise InterruptedError from None
-        raise
-    finally:
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.remove_signal_handler(number)
-
-
 def main(args: argparse.Namespace) -> list[Row]:
     """The command; its figures. A row is broken if claims or requests failed or news did not arrive."""
     names = chosen(args.only)
@@ -533,7 +511,7 @@
     for name in names:
         print(f"{name}:", flush=True)
         began = time.monotonic()
-        rows += uvloop.run(stoppable(MEASURES[name](args.seconds, args.turns)))
+        rows += uvloop.run(until_stopped(MEASURES[name](args.seconds, args.turns)))
         if name == "news":
             rows += virtual(nodes)
         print(f"  in {time.monotonic() - began:.0f} s", flush=True)
--- a/rehearsal/capacity/run.py
+++ b/rehearsal/capacity/run.py
@@ -6,12 +6,9 @@
 import contextlib
 import json
 import os
-import signal
 import sys
 import time
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any
 
 import uvloop
 
@@ -19,6 +16,7 @@
 from rehearsal.capacity.figures import Figure, packed, plot, slopes, table
 from rehearsal.capacity.plan import Plan, services_of
 from rehearsal.mesh.processes import ROOT
+from rehearsal.stop_signals import Stopped, until_stopped
 
 LINE_MOST = 2**20
 
@@ -81,36 +79,17 @@
     return found
 
 
-async def until_told(work: Coroutine[Any, Any, list[Figure]]) -> list[Figure] | None:
-    """Do it; None if told to end, once its processes are gone."""
-    loop = asyncio.get_running_loop()
-    task, told = loop.create_task(work), asyncio.Event()
-
-    def stop() -> None:
-        told.set()
-        task.cancel()
-
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop)
-    try:
-        return await task
-    except asyncio.CancelledError:
-        if not told.is_set():
-            raise
-        return None
-
-
 def main(plan: Plan, json_file: str | None, plot_file: str | None) -> int:
     """Measure, print, write; the exit status."""
     began = time.monotonic()
     _say(f"{os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}")
     try:
-        figures = uvloop.run(until_told(measure(plan)))
+        figures = uvloop.run(until_stopped(measure(plan)))
+    except Stopped:
+        return 130
     except (ValueError, OSError, ExceptionGroup) as problem:
         print(f"orchidferry capacity: {_first(problem)}", file=sys.stderr)
         return 1
-    if figures is None:
-        return 130
     lines = slopes(figures)
     print(table(figures))
     for one in lines:
--- a/rehearsal/cli.py
+++ b/rehearsal/cli.py
@@ -39,7 +39,8 @@
     parser = _Parser(
         prog="orchidferry",
         description="A load-balancing node, and its test and rehearsal kit. With no command: the node, "
-        "from the file that NODE_CONFIG names.",
+        "from the file that NODE_CONFIG names. The roles of the mesh are `orchidferry proxy` and "
+        "`orchidferry controller`: see their --help.",
         epilog=f"example: {EXAMPLES['rehearse']}",
     )
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
--- /dev/null
+++ b/rehearsal/stop_signals.py
@@ -0,0 +1,48 @@
+"""Ending a run in order when the process is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+
+
+class Stopped(InterruptedError):
+    """The process was told to stop; the text names the signal."""
+
+
+@contextlib.contextmanager
+def on_stop_signals(stop: Callable[[signal.Signals], None]) -> Iterator[None]:
+    """Have `stop` called on the running loop for SIGINT and SIGTERM, in place of what they do else."""
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop, number)
+    try:
+        yield
+    finally:
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+
+
+async def until_stopped(work: Coroutine[Any, Any, T]) -> T:
+    """Do this work; told to stop, cancel it, wait until it has cleaned up, and raise `Stopped`."""
+    task = asyncio.get_running_loop().create_task(work)
+    stopped: list[signal.Signals] = []
+
+    def stop(number: signal.Signals) -> None:
+        stopped.append(number)
+        task.cancel()
+
+    with on_stop_signals(stop):
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if stopped:
+                raise Stopped(f"stopped by {stopped[0].name}") from None
+            raise
--- a/rehearsal/world/director.py
+++ b/rehearsal/world/director.py
@@ -8,6 +8,7 @@
 import json
 import shutil
 import signal
+import socket
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -15,6 +16,7 @@
 from rehearsal.process import STALL_S, TICK_S, Order, Script, monotonic_at
 from rehearsal.record import FLUSH_S, Incident, Lag, read_folder
 from rehearsal.scenario import Scenario
+from rehearsal.stop_signals import on_stop_signals
 from rehearsal.traffic.guard import new_key
 from rehearsal.world.acts import ActPlayer
 from rehearsal.world.addresses import Block, claim
@@ -280,17 +282,19 @@
     folder.mkdir(parents=True, exist_ok=True)
     loop = asyncio.get_running_loop()
     director = Director(plan, folder, block, progress)
-    caught: list[int] = []
+    caught: list[signal.Signals] = []
 
-    def signalled(number: int) -> None:
+    def signalled(number: signal.Signals) -> None:
         caught.append(number)
-        director.deployment.cut_off(f"stopped by {signal.Signals(number).name}")
+        director.deployment.cut_off(f"stopped by {number.name}")
 
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, signalled, number)
     gc.freeze()
     complete, why = False, ""
-    try:
+    with contextlib.ExitStack() as cleaning:
+        if keep is None:
+            cleaning.callback(shutil.rmtree, folder, ignore_errors=True)
+        cleaning.callback(_release, held)
+        cleaning.enter_context(on_stop_signals(signalled))
         work = loop.create_task(_whole(director))
         cut = loop.create_task(director.until_cut())
         done, _ = await asyncio.wait({work, cut}, return_when=asyncio.FIRST_COMPLETED)
@@ -312,13 +316,11 @@
             director.processes() + director.workers(), director.notes(),
             versions, director.journals(), director.deployment.zero,
         )  # fmt: skip
-    finally:
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.remove_signal_handler(number)
-        with contextlib.suppress(OSError):
-            held.close()
-        if keep is None:
-            shutil.rmtree(folder, ignore_errors=True)
+
+
+def _release(block: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        block.close()
 
 
 async def _whole(director: Director) -> None:
--- /dev/null
+++ b/tests/rehearsal/test_stop_signals.py
@@ -0,0 +1,36 @@
+"""Work that is told to stop cleans up first, and says by which signal."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from rehearsal.stop_signals import STOP_SIGNALS, Stopped, until_stopped
+
+
+@pytest.mark.parametrize("number", STOP_SIGNALS)
+def test_work_that_is_told_to_stop_cleans_up_first(number: signal.Signals) -> None:
+    steps: list[str] = []
+
+    async def work() -> None:
+        os.kill(os.getpid(), number)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await asyncio.sleep(0)
+            steps.append("cleaned up")
+
+    before = signal.getsignal(number)
+    with pytest.raises(Stopped, match=number.name):
+        asyncio.run(until_stopped(work()))
+    assert steps == ["cleaned up"] and signal.getsignal(number) is before
+
+
+def test_work_that_ends_by_itself_gives_its_result() -> None:
+    async def work() -> int:
+        return 7
+
+    assert asyncio.run(until_stopped(work())) == 7
