--- a/mesh/__main__.py
+++ b/mesh/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import os
 import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn
@@ -13,7 +14,7 @@
 
 from mesh.errors import BadStore
 from mesh.process_end import end_now, stop_on_sigterm
-from mesh.role_settings import ROLES, changed_at, settings_for
+from mesh.role_settings import ROLES, VARIABLE, settings_for
 from mesh.settings import BadSettings, Settings
 from orchidferry.collector import settle
 
@@ -50,7 +51,8 @@
 example: ORCHIDFERRY_BOOT=/etc/orchidferry/local.toml orchidferry controller --check""",
 }
 HELP_WORDS = (["--help"], ["-h"])
-WATCH_S = 3.0  # how often the settings file is looked at
+FILE_S = 3.0  # how often the settings file is looked at
+FileMark = tuple[int, int, int] | None  # when it was written, its size, its number on the disk
 
 
 async def serve(role: str, settings: Settings) -> NoReturn:
@@ -69,7 +71,7 @@
         logger.info("{}: stopped before it began", role)
         end_now()
     loop.add_signal_handler(signal.SIGHUP, reread, role, server)
-    watch_file(loop, role, server, changed_at())
+    watch_file(loop, role, server, file_mark())
     running = server.run(stopping)
     settle()
     await running
@@ -127,12 +129,23 @@
     logger.info("{}: settings read again", role)
 
 
-def watch_file(loop: asyncio.AbstractEventLoop, role: str, server: Proxy | Controller, seen: float) -> None:
+def file_mark() -> FileMark:
+    """What tells the settings file as it is now from what it was; None if there is none."""
+    try:
+        found = os.stat(os.environ.get(VARIABLE, ""))
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
+
+
+def watch_file(
+    loop: asyncio.AbstractEventLoop, role: str, server: Proxy | Controller, seen: FileMark
+) -> None:
     """Read the settings again whenever their file has changed: there may be no signal."""
-    now = changed_at()
+    now = file_mark()
     if now != seen:
         reread(role, server)
-    loop.call_later(WATCH_S, watch_file, loop, role, server, now)
+    loop.call_later(FILE_S, watch_file, loop, role, server, now)
 
 
 def check(role: str, settings: Settings) -> int:
--- a/mesh/role_settings.py
+++ b/mesh/role_settings.py
@@ -40,11 +40,3 @@
     for name in LISTEN_POINTS[role]:
         if name not in settings.listen:
             raise BadSettings(f"network.listen_points.{name}: this role needs one")
-
-
-def changed_at() -> float:
-    """When the settings file was last written, as far as can be told."""
-    try:
-        return os.stat(os.environ.get(VARIABLE, "")).st_mtime
-    except OSError:
-        return 0.0
--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -79,11 +79,15 @@
 def address(text: Any, field: str) -> Address:
     """`10.0.0.1:80` as host and port; `BadSettings` names the field."""
     host, _, port = str(text).rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < PORTS:
+    if not host or not (port.isascii() and port.isdigit()) or not _is_port(int(port)):
         raise BadSettings(f"{field}: {text!r} is no address")
     return host, int(port)
 
 
+def _is_port(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < PORTS
+
+
 def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
     value = data.get(name)
     if not isinstance(value, dict):
@@ -112,10 +116,6 @@
     return int(value)
 
 
-def _is_port(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < PORTS
-
-
 def read_settings(path: str) -> Settings:
     """Read and check the settings file; `BadSettings` says what is wrong in one line."""
     try:
@@ -149,6 +149,10 @@
     if not isinstance(seeds, list):
         raise BadSettings("network.seed_nodes: a list of addresses is needed")
     points = _part(network, "listen_points", "network.")
+    platform = _part(data, "platform_settings", "")
+    beat_ms = _number(platform, "beat_interval_ms", 1_500, "platform_settings")
+    if not beat_ms:
+        raise BadSettings("platform_settings.beat_interval_ms: a number above 0 is needed")
     application = node.get("application")
     return Settings(
         name=node["node_name"],
@@ -160,7 +164,7 @@
         internal_port=ports[0],
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
         bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
-        beat_ms=_number(_part(data, "platform_settings", ""), "beat_interval_ms", 1_500, "platform_settings"),
+        beat_ms=beat_ms,
         descriptors=_whole(limits, "file_descriptors", 1_024, "own_node.limit_set"),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
         data_dir=data_dir,
