--- a/mesh/dataplane/admission.py
+++ b/mesh/dataplane/admission.py
@@ -162,7 +162,7 @@
             self.life += 1
         if heard is not Heard.SAME:
             assert self.server is not None
-            logger.info("gate: server {} of {} is {}", server.id, server.service, self.server.state)
+            logger.info("admission: server {} of {} is {}", server.id, server.service, self.server.state)
             self._changed()
         self._let_in()
         return None
@@ -179,7 +179,7 @@
 
     def _gone(self, why: str) -> None:
         assert self.server is not None
-        logger.info("gate: server {} {}", self.server.id, why)
+        logger.info("admission: server {} {}", self.server.id, why)
         self._registration.take_for_gone()
         self._changed()
         self._turn_away_held()
