--- a/rehearsal/explore/pure.py
+++ b/rehearsal/explore/pure.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from rehearsal.explore.seen import SLOTS, Seen, fingerprint
+
 SHARED = 256  # worlds from which on the processes of a search go on by themselves
 
 
@@ -70,7 +72,7 @@
 _Todo = tuple[bytes, str]  # a world, and what is to come next in it; "" for nothing
 
 
-def _go_on(stack: list[_Todo], found: Found, seen: set[bytes], until_s: float, many: float) -> list[_Todo]:
+def _go_on(stack: list[_Todo], found: Found, seen: Seen, until_s: float, many: float) -> list[_Todo]:
     """Walk on from these until none or `many` are left, or something is broken; the rest. Depth first, but
     where the rest is to be shared out, what parts early comes first: its stories are the shortest."""
     while stack and len(stack) < many and time.monotonic() < until_s:
@@ -79,10 +81,8 @@
         if label:
             world.do(label)
         while not world.violations:
-            print_ = world.print()
-            if print_ in seen:
+            if not seen.add(fingerprint(world.print())):
                 break
-            seen.add(print_)
             if world.over:
                 world.finish()
                 found.runs += 1
@@ -101,13 +101,14 @@
     return stack
 
 
-_seen: set[bytes] = set()  # of the search that this process has a share in
+_seen: Seen | None = None  # of the search that this process has a share in
 
 
 def _share(job: tuple[_Todo, Broken, str, float]) -> Found:
-    """One process's part: all that follows from one world, but what it has walked before."""
+    """One process's part: all that follows from one world, but what any process has walked before."""
     todo, broken, break_, until_s = job
     found = Found()
+    assert _seen is not None
     with broken(break_):
         found.exhausted = not _go_on([todo], found, _seen, until_s, math.inf) and not found.violations
     return found
@@ -117,11 +118,11 @@
     begin: Callable[[], World], broken: Broken, break_: str = "", limit_s: float = 600.0,
     watch: Callable[[Found], None] = lambda _: None, workers: int = 0,
 ) -> Found:  # fmt: skip
-    """Walk all that a world can do; ends with the first violation. Processes share no table of states, so
-    what two of them reach is walked twice."""
+    """Walk all that a world can do; ends with the first violation. Processes share the table of states, so
+    what two of them reach is walked by the first one."""
     global _seen
     found, began = Found(), time.monotonic()
-    _seen = set()
+    _seen = Seen()
     until_s = began + limit_s
     with broken(break_):
         stack = _go_on([(pickle.dumps(begin()), "")], found, _seen, until_s, SHARED)
@@ -136,5 +137,7 @@
                 watch(found)
                 if found.violations:
                     break
+    if found.states > SLOTS // 2:
+        found.exhausted = False  # the table may have been full
     found.seconds = time.monotonic() - began
     return found
--- a/rehearsal/explore/search.py
+++ b/rehearsal/explore/search.py
@@ -15,7 +15,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
@@ -24,10 +24,10 @@
 
 from rehearsal.explore.breaks import broken
 from rehearsal.explore.loop import Spin
+from rehearsal.explore.seen import SLOTS, Seen
 from rehearsal.explore.state import fingerprint
 from rehearsal.explore.world import Small, Violation, World
 
-SLOTS = 1 << 24  # of the table of states seen: 128 MB, filled by a half at most
 DEPTH_MOST = 60
 GIVE = 24  # paths that a process keeps for itself; what is beyond goes to others that have none
 IDLE_S = 0.05
@@ -35,34 +35,6 @@
 COUNTED = ("states", "transitions", "runs", "depth")
 
 
-class Seen:
-    """States seen, as 64-bit fingerprints in memory that processes share: open addressing, no locks. Two that
-    write one slot at the same moment lose one entry, and one state is walked twice."""
-
-    def __init__(self, slots: int = SLOTS) -> None:
-        self._raw = multiprocessing.RawArray("Q", slots)
-        self._mask = slots - 1
-
-    def add(self, print_: int) -> bool:
-        """Whether it is new. A full table says so of everything, and finds no more."""
-        table = np.frombuffer(self._raw, np.uint64)
-        at = print_ & self._mask
-        for _ in range(64):
-            held = int(table[at])
-            if held == print_:
-                return False
-            if held == 0:
-                table[at] = print_
-                return True
-            at = (at + 1) & self._mask
-        return True
-
-    def held(self) -> Iterator[int]:
-        """All of them."""
-        table = np.frombuffer(self._raw, np.uint64)
-        yield from table[table != 0].tolist()
-
-
 @dataclass
 class Totals:
     """What a search has done."""
--- a/rehearsal/explore/worst_days/isolated.py
+++ b/rehearsal/explore/worst_days/isolated.py
@@ -317,7 +317,7 @@
         "p put 2 ab, q put 3 bc, r read 0 a",
         "0.0 call p, 0.0 freeze a, 4.5 call r, 4.5 call q",
         seconds=5.4,
-        kinds=(),
+        kinds=("lose", "cut"),
     ),
     "frozen-briefly": _scene(
         "the same for 2 s, with faults",
