--- a/tests/explore/test_explore.py
+++ b/tests/explore/test_explore.py
@@ -14,7 +14,8 @@
 
 from rehearsal.cli import main
 from rehearsal.explore.breaks import BREAKS, broken
-from rehearsal.explore.search import Seen, play, search, shrink, wander
+from rehearsal.explore.search import play, search, shrink, wander
+from rehearsal.explore.seen import Seen
 from rehearsal.explore.state import fingerprint
 from rehearsal.explore.world import Small, World
 
