--- a/mesh/control/operation_key_client.py
+++ b/mesh/control/operation_key_client.py
@@ -16,6 +16,7 @@
 from mesh.control import shard_state
 from mesh.control.give_backs import GiveBacks
 from mesh.control.operation_keys import longest_kept_s
+from mesh.wire.messages import KeyAnswer, KeyClaim, Message
 
 AGAIN_S = 0.12  # a controller that could not say is asked again
 OPEN_MOST = 20_000  # claims at once
@@ -80,13 +81,18 @@
     until_s: float
     again_s: float
 
+    @property
+    def message(self) -> KeyClaim:
+        """Asks a controller of the group."""
+        return KeyClaim(self.rid, self.count.epoch, self.key, self.holder)
+
 
 class OperationKeyClient:
     """All claims of one node. `send` puts a message to a controller by name, lost if there is no link to
     it.
     """
 
-    def __init__(self, seeds: tuple[str, ...], send: Callable[..., None], window_s: float) -> None:
+    def __init__(self, seeds: tuple[str, ...], send: Callable[[str, Message], None], window_s: float) -> None:
         """`window_s`: for how long a key is kept at least."""
         self.groups = {shard: Group(-1, seeds) for shard in shard_state.SHARDS}
         self._send = send
@@ -145,13 +151,13 @@
         self.give_backs.linked(name, now)
         for claim in self._open.values():
             if name in claim.count.group:
-                self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
+                self._send(name, claim.message)
 
     def _ask(self, claim: Claim, now: float) -> None:
         claim.again_s = now + AGAIN_S
         for name in claim.count.group:
             if claim.count.open(name):
-                self._send(name, "claim", claim.rid, claim.count.epoch, claim.key, claim.holder)
+                self._send(name, claim.message)
 
     def hear(self, name: str, rid: int, epoch: int, what: str, answer: Any) -> None:
         """A controller's word on a claim."""
@@ -175,5 +181,6 @@
 
     def done(self, key: str, holder: str, answer: Any) -> None:
         """Keep the answer of a key's first run."""
+        message = KeyAnswer(key, holder, answer)
         for name in self.groups[shard_state.shard_of(key)].names:
-            self._send(name, "done", key, holder, answer)
+            self._send(name, message)
--- a/tests/mesh/test_give_backs.py
+++ b/tests/mesh/test_give_backs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import astuple
 
 from mesh.control import give_backs
 from mesh.control.actions import Answer
@@ -12,6 +13,7 @@
 from mesh.control.operation_key_client import OperationKeyClient
 from mesh.control.operation_keys import longest_kept_s
 from mesh.control.shard_state import shard_of
+from mesh.wire.messages import KeyAnswer, KeyClaim, KeyGrant, KeyRelease, KeyReleaseAck, Message
 from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
 from rehearsal.explore.mesh import Dice
 
@@ -32,10 +34,16 @@
             self.nodes[name].group(number, 0, SEEDS, "", 0, self.now)
 
     def _sender(self, node: str) -> Any:
-        def send(to: str, what: str, *rest: Any) -> None:
+        def send(to: str, message: Message) -> None:
             if (node, to) not in self.cut:
                 controller = self.controllers[to]
-                getattr(controller, what)(*((node, *rest) if what in ("claim", "drop") else rest))
+                match message:
+                    case KeyClaim():
+                        controller.claim(node, *astuple(message))
+                    case KeyRelease():
+                        controller.drop(node, *astuple(message))
+                    case KeyAnswer():
+                        controller.done(*astuple(message))
                 while controller.writes:
                     controller.disk_turn()
 
@@ -46,10 +54,11 @@
         node = str(answer.to)
         if (node, name) in self.cut:
             return
-        if answer.message[0] == "dropped":
-            self.nodes[node].give_backs.acknowledged(name, answer.message[1])
-        else:
-            self.nodes[node].hear(name, *answer.message[1:])
+        message = answer.message
+        if isinstance(message, KeyReleaseAck):
+            self.nodes[node].give_backs.acknowledged(name, message.number)
+        elif isinstance(message, KeyGrant):
+            self.nodes[node].hear(name, *astuple(message))
 
     def send(self, *message: Any) -> None:
         """Controllers say nothing to each other here."""
@@ -130,14 +139,14 @@
 
 def test_the_list_is_bounded_and_ends_with_the_window(group: Group, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(give_backs, "MOST", 3)
-    sent: list[tuple[Any, ...]] = []
-    backs = GiveBacks(longest_kept_s(WINDOW_S), lambda *message: sent.append(message))
+    sent: list[tuple[str, Message]] = []
+    backs = GiveBacks(longest_kept_s(WINDOW_S), lambda name, message: sent.append((name, message)))
     for number in range(5):
         backs.add(f"k{number}", "t", ("a", "b"), 0.0)
     backs.tick({"a"}, 0.1)  # b is a controller no more
     assert len(backs) == 3
     sent.clear()
     backs.linked("a", 0.5)
-    assert [message[:2] + message[3:4] for message in sent] == [("a", "drop", f"k{n}") for n in (2, 3, 4)]
+    assert sent == [("a", KeyRelease(n + 1, f"k{n}", "t")) for n in (2, 3, 4)]
     backs.tick({"a"}, longest_kept_s(WINDOW_S) + 0.1)
     assert not backs
--- a/tests/mesh/test_state_teller.py
+++ b/tests/mesh/test_state_teller.py
@@ -8,7 +8,7 @@
 from mesh.control.configuration import digest
 from mesh.control.configuration_text import compress
 from mesh.control.state_teller import TELL_S
-from mesh.wire.framing import pack
+from mesh.wire.shard_messages import DecidedState
 from rehearsal.model.replica_group import BEAT_S, ReplicaGroup, example
 
 RETURNS = "e"
@@ -36,12 +36,12 @@
 def test_one_replica_tells_it_all(replicas: int) -> None:
     """Each of the others did."""
     group = missed_changes(replicas)
-    whole = len(pack(["know", shard_state.pack_value(group.controllers["a"].shard.known)]))
-    before = group.bytes["know"]
+    whole = len(shard_state.body(group.controllers["a"].shard.known).raw)
+    before = group.bytes["decided_state"]
     group.dark.clear()
     group.run_until(lambda: returned(group), BEAT_S + 0.1)
     group.run(3.0)
-    assert group.bytes["know"] - before < 1.5 * whole
+    assert group.bytes["decided_state"] - before < 1.5 * whole
 
 
 def test_another_one_tells_it_where_the_first_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -49,7 +49,7 @@
     send, silent = group.send, list[str]()
 
     def lossy(sender: str, to: str, kind: str, *message: object) -> None:
-        if to == RETURNS and kind == "heard" and message[1][0] == "know":  # type: ignore[index]
+        if to == RETURNS and kind == "heard" and isinstance(message[1], DecidedState):
             silent.append(sender)
             if sender == silent[0]:
                 return
