--- a/mesh/settings.py
+++ b/mesh/settings.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 Address = tuple[str, int]
+PORTS = 65536
 
 
 class BadSettings(Exception):
@@ -83,7 +85,7 @@
 
 
 def _is_port(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < 65536
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < PORTS
 
 
 def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
@@ -107,6 +109,13 @@
     return float(value)
 
 
+def _whole(table: dict[str, Any], name: str, default: int, where: str) -> int:
+    value = _number(table, name, default, where)
+    if not math.isfinite(value):
+        raise BadSettings(f"{where}.{name}: {value!r} is no whole number")
+    return int(value)
+
+
 def read_settings(path: str) -> Settings:
     """Read and check the settings file; `BadSettings` says what is wrong in one line."""
     try:
@@ -131,6 +140,9 @@
     bind_ip = node.get("bind_ip", node["ip"])
     if not isinstance(bind_ip, str) or not bind_ip:
         raise BadSettings("own_node.bind_ip: a text is needed")
+    data_dir = node.get("data_dir")
+    if data_dir is not None and (not isinstance(data_dir, str) or not data_dir):
+        raise BadSettings("own_node.data_dir: a text is needed")
     ports, seeds = network.get("internal_ports"), network.get("seed_nodes")
     if not isinstance(ports, list) or not ports or not all(map(_is_port, ports)):
         raise BadSettings("network.internal_ports: a list of ports is needed")
@@ -153,11 +165,11 @@
         seeds=tuple(dict.fromkeys(address(seed, "network.seed_nodes")[0] for seed in seeds)),
         bounds=Bounds(**{n: _number(bounds, n, d, "term_settings.bound_set") for n, d in BOUNDS}),
         beat_ms=beat_ms,
-        descriptors=int(_number(limits, "file_descriptors", 1_024, "own_node.limit_set")),
+        descriptors=_whole(limits, "file_descriptors", 1_024, "own_node.limit_set"),
         memory_mb=_number(limits, "memory_mb", 256, "own_node.limit_set"),
-        data_dir=node.get("data_dir"),
+        data_dir=data_dir,
         application=address(application, "own_node.application") if application else None,
         service=str(node.get("service_name", "")),
-        machines=int(_number(losses, "machines", 1, "term_settings.tolerance")),
+        machines=_whole(losses, "machines", 1, "term_settings.tolerance"),
         bind_ip="" if bind_ip == node["ip"] else bind_ip,
     )
--- a/tests/mesh/test_proxy.py
+++ b/tests/mesh/test_proxy.py
@@ -11,6 +11,7 @@
 import pytest
 
 from mesh import __main__ as program
+from mesh import role_settings
 from mesh.control.configuration import Configuration, Table
 from mesh.control.control_api import Call, call
 from mesh.dataplane import proxy as module
@@ -158,7 +159,7 @@
     loop: Any = Loop()
     path = tmp_path / "local.toml"
     monkeypatch.setenv("ORCHIDFERRY_BOOT", str(path))
-    monkeypatch.setattr(program, "check_role", lambda role, settings: None)
+    monkeypatch.setattr(role_settings, "check_role", lambda role, settings: None)
     path.write_text(BOOT % "10.0.0.2")
     program.watch_file(loop, "proxy", one, program.file_mark())
     loop.pass_ms(10_000.0)
--- a/tests/mesh/test_state_teller.py
+++ b/tests/mesh/test_state_teller.py
@@ -8,7 +8,9 @@
 from mesh.control.configuration import digest
 from mesh.control.configuration_text import compress
 from mesh.control.state_teller import TELL_S
-from mesh.wire.shard_messages import DecidedState
+from mesh.wire.codec import encode
+from mesh.wire.messages import ShardMessage
+from mesh.wire.shard_messages import DecidedState, tag_of
 from rehearsal.model.replica_group import BEAT_S, ReplicaGroup, example
 
 RETURNS = "e"
@@ -36,12 +38,13 @@
 def test_one_replica_tells_it_all(replicas: int) -> None:
     """Each of the others did."""
     group = missed_changes(replicas)
-    whole = len(shard_state.body(group.controllers["a"].shard.known).raw)
-    before = group.bytes["decided_state"]
+    state = DecidedState(shard_state.pack_value(group.controllers["a"].shard.known))
+    whole = len(encode(ShardMessage(0, state)))
+    before = group.bytes[tag_of(DecidedState)]
     group.dark.clear()
     group.run_until(lambda: returned(group), BEAT_S + 0.1)
     group.run(3.0)
-    assert group.bytes["decided_state"] - before < 1.5 * whole
+    assert group.bytes[tag_of(DecidedState)] - before < 1.5 * whole
 
 
 def test_another_one_tells_it_where_the_first_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
