--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -17,13 +17,15 @@
 
 from mesh.control import shard_state
 from mesh.control.actions import Answer, Changed, Ended
+from mesh.control.duties import TENURE_S
 from mesh.control.hinted_handoff import RECENT_S, Hints
 from mesh.control.membership import Standing, epoch
 from mesh.control.operation_key_client import Count
 from mesh.control.operation_keys import Held, OperationKeys
 from mesh.control.peers import Peers
-from mesh.control.replica import TENURE_S
 from mesh.control.shard import Shard
+from mesh.wire.messages import KeyGrant, KeyReleaseAck
+from mesh.wire.shard_messages import DecidedState
 from nickelbridge.register import Kept, Value, Voter
 from rehearsal.explore.controller import SEEDS, WINDOW_S, Controller
 
@@ -65,12 +67,14 @@
             self.wires.append((to, kind, message))
 
     def answer(self, name: str, answer: Answer) -> None:
-        if answer.message[0] == "dropped":
+        message = answer.message
+        if isinstance(message, KeyReleaseAck):
             return
-        if isinstance(answer.to, Try):
-            self.wires.append(("", "said", (answer.to, name, *answer.message[2:])))
+        if isinstance(message, KeyGrant):
+            said = (answer.to, name, message.epoch, message.outcome, message.answer)
+            self.wires.append(("", "said", said))
         else:
-            self.send(name, answer.to, "heard", name, answer.message[2:])
+            self.send(name, answer.to, "heard", name, message.body)
 
     def told(self, name: str, end: Ended) -> None:
         if end.id in self.waiting:
@@ -283,7 +287,7 @@
     )
 
     def know(value: Value, now: float) -> None:
-        shard.heard("b", ["know", shard_state.pack_value(value)], now)
+        shard.heard("b", DecidedState(shard_state.pack_value(value)), now)
 
     mine = Value(1, (a, b, c), shard_state.Body(0, owner="a", fence=1))
     know(mine, 1.0)
