--- a/rehearsal/explore/worst_days/hundreds.py
+++ b/rehearsal/explore/worst_days/hundreds.py
@@ -143,7 +143,7 @@
 
 
 def _reads_own(self: Replica, id: str) -> None:
-    self._over("read", [id], self.known, "")
+    self._end_reading([id], self.known, "")
 
 
 def _tells_nothing(self: Replica, version: int, name: str) -> list[Any]:
@@ -174,7 +174,7 @@
         "a replica answers readings from what it knows", "hundreds-dark", (Replica, "_read", _reads_own)
     ),
     "never-catches-up": deliberate_break(
-        "a beat of a replica that is behind is not answered", "hundreds-unasked",
+        "a replica that is behind asks for nothing", "hundreds-unasked",
         (Replica, "catch", _tells_nothing),
     ),
     "named-is-nothing": deliberate_break(
--- a/rehearsal/model/configuration_rollout.py
+++ b/rehearsal/model/configuration_rollout.py
@@ -25,10 +25,22 @@
 from mesh.control.endpoints import IN_SERVICE, Record, Server
 from mesh.control.publisher import Publisher
 from mesh.settings import Bounds, Settings
-from mesh.wire.framing import pack
+from mesh.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationText,
+    Group,
+    LeaseRenewal,
+    NewsRequest,
+    NewsSubscription,
+    NewsUnsubscription,
+    NodeHello,
+    Revision,
+    RevisionRead,
+    ShardMessage,
+)
 from rehearsal.explore.controller import Controller as Replica
 from rehearsal.model.relays import Machine, Process, World
-from rehearsal.model.replica_group import BEAT_S, SYNC_S, TICK_S, example
+from rehearsal.model.replica_group import BEAT_S, SYNC_S, TICK_S, encoded, example
 
 ZONES = 3
 NODES, CONTROLLERS, VOTERS, SEEDS = 74, 6, 5, 3
@@ -36,6 +48,7 @@
 CHANGE_EVERY_S = 0.5
 PUT_S = 4.0  # for an order to be decided
 START_S = 1.0  # of a process that was killed, until it dials: assumed
+READY_LOOK_S = 0.01
 SERVER_BEAT_S = 1.5  # a new node hears of the server beside it within this
 
 # Work on a whole core, measured (docs/design/worst-days.md).
@@ -188,7 +201,8 @@
         names = [voter.name for voter in shard.known.voters]
         for number in shard_state.SHARDS:
             own = shard.body
-            self.publisher.tell_group(["group", number, own.epoch, names, own.owner, own.fence], link)
+            group = Group(number, own.epoch, names, own.owner, own.fence)
+            self.publisher.tell_group(group, link)
 
     def order(self, change: shard_state.Put, told: Callable[[Ended], None]) -> None:
         """An operator's order comes: it is checked, then voted on."""
@@ -209,20 +223,33 @@
         self.publisher.lost(end)
 
     def heard(self, end: Any, message: Any) -> None:
-        kind, rest = message[0], message[1:]
-        if kind == "hello":
-            self.publisher.hello(end, rest[0])
-            self._tell_group(end)
-        elif kind == "read":
-            tell = self.publisher.tell_revision
-            id = self.rollout.wait_for(lambda ended: tell(end, rest[0], newest_revision(ended)))
-            self.replica.do(self.replica.shard.read(id, self.time()))
-            self.sync()
-        elif kind == "fetch":
-            state = self.replica.shard.body
-            self.publisher.tell_configuration(end, rest[0], state.revision, state.raw)
-        else:
-            getattr(self.publisher, kind)(end, *rest)
+        publisher = self.publisher
+        match message:
+            case NodeHello():
+                publisher.hello(end, message.name)
+                self._tell_group(end)
+            case RevisionRead():
+                self._read_revision(end, message.request)
+            case ConfigurationFetch():
+                state = self.replica.shard.body
+                text = ConfigurationText(message.request, state.revision, state.raw)
+                publisher.tell_configuration(end, text)
+            case LeaseRenewal():
+                publisher.renew(end, message)
+            case NewsSubscription():
+                publisher.follow(end, message)
+            case NewsUnsubscription():
+                publisher.unfollow(end)
+            case NewsRequest():
+                publisher.since(end, message)
+
+    def _read_revision(self, end: Any, request: int) -> None:
+        def tell(ended: Ended) -> None:
+            self.publisher.tell_revision(end, Revision(request, newest_revision(ended)))
+
+        id = self.rollout.wait_for(tell)
+        self.replica.do(self.replica.shard.read(id, self.time()))
+        self.sync()
 
 
 class NodeProcess(Process):
@@ -242,6 +269,7 @@
         rng = random.Random(world.rng.random())
         self.client = ControlClient(settings, loop, lambda members: None, self._take_text, self._dial, rng)
         self.client.start()
+        self._look_at_ready()
         self._publish(1, None)
         server = Server(f"{name}-{self.client.boot_id:x}", "catalogo", self.zone, IN_SERVICE, 3, 0.0, "v1")
         self.call_later(rng.random() * SERVER_BEAT_S, self._publish, 2, server)
@@ -266,7 +294,11 @@
     def _serve_by(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
         self.served_s.append((self.time(), revision))
-        self.rollout.look_at_ready(self)
+
+    def _look_at_ready(self) -> None:
+        if self.ready:
+            return self.rollout.node_ready(self)
+        self.call_later(READY_LOOK_S, self._look_at_ready)
 
     @property
     def ready(self) -> bool:
@@ -325,7 +357,7 @@
         one, other = self.controllers[sender], self.controllers[to]
         if (sender, to) in self.cuts:
             return
-        size = len(pack([kind, *message]))
+        size = len(encoded(kind, message))
 
         def handle() -> None:
             getattr(other.replica, kind)(*message)
@@ -335,7 +367,8 @@
 
     def answer(self, name: str, answer: Answer) -> None:
         """A replica's answer, on the link of whoever asked."""
-        self.send(name, str(answer.to), "heard", name, answer.message[2:])
+        assert isinstance(answer.message, ShardMessage)
+        self.send(name, str(answer.to), "heard", name, answer.message.body)
 
     def decided(self, name: str, changed: Changed) -> None:
         """A replica has learned a newer state."""
@@ -390,9 +423,9 @@
         old.kill()
         self.at(self.now + START_S, lambda: self._start_node(name, int(old.zone[1:])))
 
-    def look_at_ready(self, node: NodeProcess) -> None:
-        """A node has put a configuration in force."""
-        if node.name in self._killed_s and node.ready and node.name not in self.outcome.ready_s:
+    def node_ready(self, node: NodeProcess) -> None:
+        """A node serves from now on."""
+        if node.name in self._killed_s:
             self.outcome.ready_s[node.name] = self.now - self._killed_s[node.name]
 
     def _order(self, revision: int) -> None:
