--- a/rehearsal/capacity/regions.py
+++ b/rehearsal/capacity/regions.py
@@ -2,6 +2,7 @@
 
 The processes are those of `rehearsal.model.relays`: the shipping publisher, subscriber, fan-out tree and
 lists of members. Delays are assumed (one way), CPU is that of the pure code alone: no sockets, no HTTP.
+Reading a message counts for each process that it comes to, also where the model reads it once for all.
 """
 
 from __future__ import annotations
@@ -13,12 +14,20 @@
 from functools import partial
 from typing import Any
 
-from mesh.wire.messages import ConfigurationText
-from rehearsal.capacity.plan import CONTROLLERS
-from rehearsal.model.relays import Controller, Node, Process, World
+from msgspec.structs import replace
+
+from mesh.control.endpoints import IN_SERVICE, Server
+from mesh.wire.messages import ConfigurationText, kind_of
+from rehearsal.capacity.plan import CONTROLLERS, services_of
+from rehearsal.capacity.texts import names
+from rehearsal.model.relays import LOST_S, Controller, End, Node, Process, World
 
 REGIONS, ZONES = 2, 8  # zones of all regions
 IN_ZONE_S, BETWEEN_ZONES_S, BETWEEN_REGIONS_S = 0.0002, 0.0009, 0.035
+AFTER_LOST_S = 0.001
+SLOTS = 64  # of each server
+START_S = 0.3  # in which all nodes of a new fleet start
+KNOWN_S, PLACED_S = 0.9, 3.1  # until all nodes are told of, and until each has its place in the tree
 CONTROLLER_ZONES = (0, 1, 2, 4, 5)  # three in the first region, two in the second
 ZONE, REGION, FAR = "zone", "region", "regions"  # a link within a zone, between zones, between regions
 
@@ -41,6 +50,8 @@
     into: Counter[str] = field(default_factory=Counter)
     messages_out: int = 0
     messages_in: int = 0
+    kinds: Counter[str] = field(default_factory=Counter)  # messages that came in, by kind
+    kind_bytes: Counter[str] = field(default_factory=Counter)
 
 
 class Metered(Process):
@@ -75,6 +86,13 @@
         self.use = Use()
         self.fleet = world
         super().__init__(world, name, zone, heads)
+        self.record = replace(self.record, server=world.server_of(name, zone))
+
+    def publish(self) -> None:
+        """The state of its server changes."""
+        self.record = replace(self.record, number=self.record.number + 1)
+        for name in self.controllers:
+            self._renew(name)
 
     def _take_text(self, message: ConfigurationText) -> None:
         had = self.revision
@@ -106,36 +124,72 @@
 class Fleet(World):
     """Five controllers and so many nodes, spread evenly over eight zones."""
 
-    def __init__(self, nodes: int, seed: int = 1, spread_s: float = 1.0) -> None:
+    def __init__(self, nodes: int, seed: int = 1) -> None:
         super().__init__(seed, ZONES, lazy=True)
-        self.apart = False
+        self._apart = False
+        self._stuck: list[End] = []  # their senders have given them up; tried again when the regions meet
+        self._read_s = 0.0  # what it took to read the message that is being sent
+        self._unread_s = 0.0  # and how much of that was counted for its sender
         cuts: Any = BetweenRegions(self)
         self.cuts = cuts
         self.in_force: dict[tuple[int, str], float] = {}  # when a node had a revision
         self._regions: dict[str, int] = {}
-        self._size = 0  # of the message that is being sent
+        self._size, self._kind = 0, ""  # of the message that is being sent
         self._queue.clear()
         self.controllers = {}
         for number, zone in enumerate(CONTROLLER_ZONES[:CONTROLLERS]):
             name = f"k{number}"
             self._regions[name] = region_of(f"z{zone}")
             self.controllers[name] = MeteredController(self, name, zone)
+        self._services = names(services_of(nodes))
         self.names = [f"n{number}" for number in range(nodes)]
         for number, name in enumerate(self.names):
-            self.at(self.now + spread_s * self.rng.random(), partial(self.start, name, number % ZONES))
+            self.at(self.now + START_S * self.rng.random(), partial(self.start, name, number % ZONES))
 
     def start(self, name: str, zone: int) -> Node:
         self._regions[name] = region_of(f"z{zone}")
         node = self.nodes[name] = MeteredNode(self, name, zone, self.heads)
         return node
 
+    def server_of(self, node: str, zone: int) -> Server:
+        """The server beside a node; services take turns."""
+        service = self._services[int(node[1:]) % len(self._services)]
+        return Server(f"i-{node}", service, f"z{zone}", IN_SERVICE, SLOTS, 0.0, "v1")
+
     def region(self, name: str) -> int:
         """Of a process, by name."""
         return self._regions[name]
 
+    @property
+    def apart(self) -> bool:
+        """Whether the regions are cut off from each other."""
+        return self._apart
+
+    @apart.setter
+    def apart(self, apart: bool) -> None:
+        self._apart = apart
+        if not apart:
+            stuck, self._stuck = self._stuck, []
+            for end in stuck:
+                self.at(self.now, end.arrive)
+
+    def try_again(self, end: End, lost: bool) -> None:
+        """Once when its sender is to give it up, and then when the regions meet: not each 10 ms."""
+        if lost:
+            self._stuck.append(end)
+        else:
+            self.at(self.now + LOST_S + AFTER_LOST_S, end.arrive)
+
     def read(self, data: bytes) -> Any:
         self._size = len(data)
-        return super().read(data)
+        if self._read[0] is data:
+            return self._read[1]
+        began = time.thread_time()
+        message = super().read(data)
+        self._kind = kind_of(message)
+        self._read_s = time.thread_time() - began
+        self._unread_s = self._read_s  # it was not the sender that spent this
+        return message
 
     def delay(self, one: Process, other: Process) -> float:
         """Of a link, one way; called once for each message, so that it is counted here."""
@@ -147,14 +201,29 @@
             kind, delay = FAR, BETWEEN_REGIONS_S
         size, self._size = self._size, 0
         if size and isinstance(one, Metered) and isinstance(other, Metered):
+            one.use.cpu_s -= self._unread_s
+            other.use.cpu_s += self._read_s
+            self._unread_s = 0.0
             one.use.out[kind] += size
             one.use.messages_out += 1
             other.use.into[kind] += size
             other.use.messages_in += 1
+            other.use.kinds[self._kind] += 1
+            other.use.kind_bytes[self._kind] += size
         return delay
 
     # What is asked of it
 
+    def settle(self) -> None:
+        """All start, learn of each other and take their places in the tree.
+
+        In a model of this size nodes look at who is there each few seconds only; here they do so at once.
+        """
+        self.run(KNOWN_S)
+        for node in self.live():
+            node.look()
+        self.run(PLACED_S)
+
     def decide(self, revision: int, text: bytes) -> float:
         """A configuration is decided at the first controller, and told to the others; when."""
         first = self.controllers["k0"]
--- a/rehearsal/capacity/run.py
+++ b/rehearsal/capacity/run.py
@@ -6,19 +6,25 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 import time
+from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import uvloop
 
-from rehearsal.capacity import calls, processes
-from rehearsal.capacity.figures import Figure, packed, plot, slopes, table
+from rehearsal.capacity import calls, claims, processes
+from rehearsal.capacity.figures import BY_SERVICES, Figure, packed, plot, slopes, table
 from rehearsal.capacity.plan import Plan, services_of
 from rehearsal.mesh.processes import ROOT
 from rehearsal.stop_signals import Stopped, until_stopped
+from rehearsal.world.nodes import in_child
 
 LINE_MOST = 2**20
+SHARE_OF_ROUND = 0.6  # of the seconds of a round, for calls and for claims: many loads are asked by turns
+DESCRIPTORS = 256  # of a process in virtual time, which opens none
 
 
 async def virtual(module: str, *words: str) -> list[Figure]:
@@ -26,6 +32,8 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", f"rehearsal.capacity.{module}", *words, cwd=ROOT,
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, limit=LINE_MOST,
+        env=os.environ | {"PYTHONHASHSEED": "0"}, start_new_session=True,
+        preexec_fn=partial(in_child, DESCRIPTORS),
     )  # fmt: skip
     try:
         out, problem = await process.communicate()
@@ -36,7 +44,7 @@
     finally:
         if process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                process.kill()
+                os.killpg(process.pid, signal.SIGKILL)  # with those that it has forked
             await process.wait()
 
 
@@ -53,7 +61,10 @@
     """Each size with real controllers and proxies, then the number of services at one size."""
     found: list[Figure] = []
     for nodes in plan.nodes:
-        found += await processes.by_nodes(nodes, plan.seconds)
+        of_size = await processes.by_nodes(nodes, plan.seconds)
+        found += of_size
+        if nodes == plan.wide:
+            found += [replace(one, axis=BY_SERVICES, at=services_of(nodes)) for one in of_size]
         _say(f"{nodes} nodes round real processes")
     for services in plan.services:
         found += await processes.by_services(plan.wide, services, plan.seconds)
@@ -61,24 +72,42 @@
     return found
 
 
-async def measure(plan: Plan) -> list[Figure]:
-    """All parts of a plan."""
-    found: list[Figure] = []
-    beside: list[asyncio.Task[list[Figure]]] = []
+async def in_virtual_time(plan: Plan) -> list[Figure]:
+    """Special hours, and beside them fleets of all sizes."""
     async with asyncio.TaskGroup() as group:
-        if "fleets" in plan.parts:
-            beside.append(group.create_task(fleets(plan)))
-        if "processes" in plan.parts:
-            beside.append(group.create_task(real(plan)))
-    for task in beside:
-        found += task.result()
+        wide = [group.create_task(hours(plan))] if "hours" in plan.parts else []
+        sizes = [group.create_task(fleets(plan))] if "fleets" in plan.parts else []
+    return [figure for task in (*sizes, *wide) for figure in task.result()]
+
+
+async def hours(plan: Plan) -> list[Figure]:
+    """Special hours at the size nearest to the target's."""
+    found = await virtual("hours", str(plan.wide))
+    _say(f"hours of {plan.wide} nodes in virtual time")
+    return found
+
+
+async def with_processes(plan: Plan) -> list[Figure]:
+    """What is measured on real processes, one part after the other."""
+    found: list[Figure] = []
+    if "processes" in plan.parts:
+        found += await real(plan)
     if "calls" in plan.parts:
-        found += await calls.measure(plan.calls, plan.seconds)
-    if "hours" in plan.parts:
-        found += await virtual("hours", str(plan.wide))
+        found += await calls.measure(plan.calls, SHARE_OF_ROUND * plan.seconds)
+        _say("calls")
+    if "claims" in plan.parts:
+        found += await claims.measure(SHARE_OF_ROUND * plan.seconds)
+        _say("claims")
     return found
 
 
+async def measure(plan: Plan) -> list[Figure]:
+    """All parts of a plan."""
+    async with asyncio.TaskGroup() as group:
+        parts = [group.create_task(part(plan)) for part in (in_virtual_time, with_processes)]
+    return [figure for part in parts for figure in part.result()]
+
+
 def main(plan: Plan, json_file: str | None, plot_file: str | None) -> int:
     """Measure, print, write; the exit status."""
     began = time.monotonic()
--- a/tests/rehearsal/test_capacity.py
+++ b/tests/rehearsal/test_capacity.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from rehearsal.capacity import fleets, hours, processes
+from rehearsal.capacity.compare import compared
 from rehearsal.capacity.figures import Figure, slopes, table
 from rehearsal.capacity.fit import line
 from rehearsal.capacity.plan import BadPlan, read_plan
@@ -80,6 +81,32 @@
     assert all(one.value == 0.0 for one in figures if one.name.endswith("nodes that do not know all"))
 
 
+def test_two_runs_in_virtual_time_count_the_same() -> None:
+    """The hash of words is drawn anew in each process, as on two days."""
+    found = []
+    for seed in ("1", "2"):
+        command = [sys.executable, "-m", "rehearsal.capacity.hours", "16", "zone"]
+        environment = os.environ | {"PYTHONHASHSEED": seed}
+        ended = subprocess.run(command, env=environment, capture_output=True, check=True, timeout=60)
+        figures = [Figure(**json.loads(words)) for words in ended.stdout.splitlines()]
+        found.append([one for one in figures if "CPU" not in one.name])
+    assert found[0] == found[1] and len(found[0]) >= 8
+
+
+def test_two_runs_agree_by_values_or_by_intervals_and_what_does_not_is_told() -> None:
+    def run(*values: tuple[float, float, float]) -> list[Figure]:
+        return [
+            Figure("proxy", f"x{n}", "ms", "nodes", 12, value, low=low, high=high)
+            for n, (value, low, high) in enumerate(values)
+        ]
+
+    first = run((10.0, 9.9, 10.1), (10.0, 5.0, 12.0), (1.0, -1.0, 2.0), (10.0, 9.9, 10.1))
+    second = run((11.0, 10.9, 11.1), (14.0, 11.0, 19.0), (1.0, -1.0, 2.0), (13.0, 12.9, 13.1))
+    found = compared(first, second)
+    assert (found.claimed, found.intervals, found.unknown, found.lacking) == (2, 1, 1, 0)
+    assert len(found.apart) == 1 and "x3" in found.apart[0]
+
+
 def test_a_small_fleet_of_real_processes_gives_figures_and_ends_them() -> None:
     before = _children()
     figures = asyncio.run(processes.measure(20, 4, "nodes", 0.5))
@@ -101,6 +128,20 @@
     assert started and not [pid for pid in started if _runs(pid)]
 
 
+def test_told_to_end_it_ends_the_hours_that_were_forked_too() -> None:
+    command = subprocess.Popen([*COMMAND, "--nodes", "160", "--only", "hours"], stderr=subprocess.DEVNULL)
+    deadline = time.monotonic() + 30.0
+    started: list[int] = []
+    while len(started) < 3 and time.monotonic() < deadline:
+        time.sleep(0.1)
+        started = [pid for one in _children(command.pid) for pid in (one, *_children(one))]
+    command.send_signal(signal.SIGTERM)
+    assert command.wait(30) == 130
+    while any(map(_runs, started)) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert len(started) >= 3 and not any(map(_runs, started))
+
+
 def test_the_figures_come_as_json(tmp_path: Path) -> None:
     file = tmp_path / "figures.json"
     words = ("--nodes", "8,16", "--only", "fleets", "--json", str(file), "--plot", str(tmp_path / "a.png"))
