A node that is to end answers what a silent server owes before it does

A server that is still at work then is at work in the second half of the grace. The test fails on the code before.

--- a/mesh/dataplane/proxy.py
+++ b/mesh/dataplane/proxy.py
@@ -153,7 +153,7 @@
         logger.info("proxy: stopping")
         self._leaving = True
         for client in self._services.values():
-            client.leaving = True
+            client.stop_by(self._stop_ms)
         self._publish()
         await asyncio.sleep(STOP_READY_S)
         self._gate.leaving = True
@@ -236,7 +236,8 @@
                 )  # fmt: skip
                 client.servers(self._by_service.get(name, {}))
                 client.members(len(self._members))
-                client.leaving = self._leaving
+                if self._leaving:
+                    client.stop_by(self._stop_ms)
             client.configure(routes)
         for name in [n for n in self._services if n not in by_service and not self._services[n].live]:
             del self._services[name]
--- a/mesh/dataplane/service_client.py
+++ b/mesh/dataplane/service_client.py
@@ -197,6 +197,7 @@
         self.live: dict[str, PendingRequest] = {}
         self.out: dict[tuple[str, int], GateAttempt] = {}
         self.leaving = False  # the node is to end: what a server may work on is waited for
+        self._stop_ms = math.inf  # and by then all is answered
         self._targets: dict[int, tuple[str, Address]] = {}  # server's id and its gate, by number
         self._boots: dict[int, int] = {}  # the life of the process of that gate
         self._ready: set[int] = set()
@@ -342,6 +343,7 @@
     ) -> PendingRequest:  # fmt: skip
         """Take a request; it is answered once, now or later."""
         self._serial += 1
+        ends_ms = min(ends_ms, self._stop_ms)
         live = PendingRequest(self, f"{self._serial}", message, route, ends_ms, answer, on_end)
         self.live[live.id] = live
         live.backstop = self._alarms.after((ends_ms - now_ms()) / 1000.0, live.overdue)
@@ -378,6 +380,18 @@
             on_end, live.on_end = live.on_end, None
             on_end(live.said, live.ran)
 
+    def stop_by(self, stop_ms: float) -> None:
+        """The node is to end: whatever is still owed then is answered, as its connections close after it.
+
+        A server may have lost its answer, so the silence of one would else outlast the node.
+        """
+        self.leaving, self._stop_ms = True, stop_ms
+        for live in self.live.values():
+            if live.ends_ms > stop_ms:
+                live.ends_ms = stop_ms
+                self._alarms.cancel(live.backstop)
+                live.backstop = self._alarms.after((stop_ms - now_ms()) / 1000.0, live.overdue)
+
     def _hops_of(self, live: PendingRequest) -> list[GateAttempt]:
         """The attempts of a request that are out."""
         return [hop for n in range(live.attempts) if (hop := self.out.get((live.id, n))) is not None]
--- a/tests/mesh/test_service_client.py
+++ b/tests/mesh/test_service_client.py
@@ -251,3 +251,28 @@
         asked_for = sum(end_ms - window_ms < at <= end_ms for at in first)
         slack = 0.0 if end_ms < began_ms + window_ms else bounds.retry_slack / module.SPARE_NODES / 2
         assert len(within) <= 0.4 * (bounds.retry_ratio * asked_for + slack) + 1
+
+
+@pytest.mark.parametrize(("kind", "taken_before", "written", "status"), [
+    ("idempotent", True, True, 504), ("non_idempotent", True, True, 504), ("keyed", True, True, 504),
+    ("idempotent", False, True, 502), ("non_idempotent", False, True, 502), ("keyed", False, True, 502),
+    ("idempotent", True, False, 503), ("idempotent", False, False, 503),
+])  # fmt: skip
+def test_what_a_silent_server_owes_is_answered_before_the_node_ends(
+    monkeypatch: pytest.MonkeyPatch, kind: str, taken_before: bool, written: bool, status: int
+) -> None:
+    """Its deadline lies beyond the end of the process: the connection would close without an answer."""
+    scene = Scene(monkeypatch, route(kind, 1))
+    stop_ms = scene.loop.now_ms() + 400.0
+    if not taken_before:
+        scene.service.stop_by(stop_ms)
+    taken = Taken(scene, route(kind, 1))
+    [attempt] = scene.out()
+    if written:
+        attempt.sent_whole()
+    if taken_before:
+        scene.service.stop_by(stop_ms)
+    scene.loop.pass_ms(350.0)
+    assert not taken.replies
+    scene.loop.pass_ms(51.0)
+    assert [reply.status for reply in taken.replies] == [status]
