Log and count connections that end while their client is owed something

Need: no log told which side closed first when an answer was cut. Change: each such end has a cause, what was owed, the bytes unsent, ages and the configuration's revision: one log line (20 a second at most) and one counter; a body that fails says why. No change of logic.

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -11,9 +11,12 @@
 import re
 from collections.abc import Callable
 
+from loguru import logger
+
 from orchidferry.mesh.dataplane.messages import MILLISECONDS, PRIVATE_HEADER_PREFIX, ProxiedRequest
 from orchidferry.mesh.errors import Rejection, RejectionReason
 from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
+from orchidferry.node.connection_end import EndCause, IncompleteEnd
 from orchidferry.node.flow import Flow, MemoryPool
 from orchidferry.node.frontend import Frontend
 from orchidferry.node.reply import Reply
@@ -52,6 +55,8 @@
 ATTEMPT_ID = re.compile(rb"[\x21-\x7e]{1,256}")
 IDLE_GRACE_S = 1.0  # a caller may send at the end of its idle time, and what it sends takes a while
 MIN_HEADER_TIMEOUT_S = 1.0
+MAX_LOGGED_ENDS = 20  # incomplete ends that a listener logs in `LOGGED_ENDS_WINDOW_S`; all are counted
+LOGGED_ENDS_WINDOW_S = 1.0
 
 
 class CallerConnection(ClientConnection):
@@ -139,6 +144,7 @@
         self._update_stage()
 
     def _close_without_reply(self) -> None:
+        self._report_end(EndCause.INVALID_INPUT)
         self._input_closed = True
         self._closing = True
         self._finished = True
@@ -156,9 +162,19 @@
     limits_s = LIMITS_S | {Stage.IDLE: 60.0, Stage.NEW: 60.0, Stage.READING: 3.0}
 
     def __init__(
-        self, accept: Accept, max_connections: int, pool: MemoryPool, ready: Callable[[], bool]
+        self,
+        accept: Accept,
+        max_connections: int,
+        pool: MemoryPool,
+        ready: Callable[[], bool],
+        name: str = "outbound",
     ) -> None:
+        """:param name: of the listener, for logs."""
         super().__init__({}, accept, ready, max_connections, pool)
+        self.name = name
+        self.revision = 0  # of the configuration in force, for logs
+        self._logged_ends = 0  # in the window that began last
+        self._logged_ends_since_s = 0.0
         self._idle_timeout_s = 0.0  # the longest that callers may know of
         self._timeout_changes = 0  # by the operator
 
@@ -188,6 +204,29 @@
             Stage.READING: max(header_s, MIN_HEADER_TIMEOUT_S),
         }
 
+    def report_incomplete_end(self, end: IncompleteEnd) -> None:
+        """Log it, unless many were logged just now."""
+        now_s = self._loop.time()
+        if now_s - self._logged_ends_since_s >= LOGGED_ENDS_WINDOW_S:
+            self._logged_ends_since_s = now_s
+            self._logged_ends = 0
+        self._logged_ends += 1
+        if self._logged_ends > MAX_LOGGED_ENDS:
+            return
+        logger.warning(
+            "listener: response incomplete, listener={} cause={} owed={} detail={} unsent_bytes={} "
+            "stage_age_ms={:.0f} connection_age_ms={:.0f} connections={} revision={}",
+            self.name,
+            end.cause.value,
+            end.owed.value,
+            end.detail or "none",
+            end.unsent_bytes,
+            end.stage_age_s * 1000.0,
+            end.connection_age_s * 1000.0,
+            self.count(),
+            self.revision,
+        )
+
     def read(
         self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, flow: Flow | None
     ) -> Message | Reply:
--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -24,6 +24,7 @@
 from orchidferry.mesh.dataplane.keyed_requests import KeyedRequests
 from orchidferry.mesh.dataplane.listener import Listener
 from orchidferry.mesh.dataplane.messages import TRANSIT_MARGIN_MS, ProxiedRequest, refusal_reply
+from orchidferry.mesh.dataplane.proxy_metrics import METRICS_TYPE, render_metrics
 from orchidferry.mesh.dataplane.registration_api import PATH as REGISTRATION_PATH
 from orchidferry.mesh.dataplane.registration_api import RegistrationApi
 from orchidferry.mesh.dataplane.service_client import ClientContext, ServiceClient
@@ -37,6 +38,8 @@
 from orchidferry.node.request import Message
 from orchidferry.node.timer_queue import TimerQueue
 
+READINESS_PATH = "/orchidferry/readiness"
+METRICS_PATH = "/orchidferry/metrics"
 CONNECT_TIMEOUT_MS = 400.0
 # Half of this a connection may be idle.
 GATE_KEEPALIVE_MS = 60_000.0
@@ -116,9 +119,9 @@
     def _create_listeners(self) -> None:
         body_memory = MemoryPool(int(self._settings.memory_mb * BODY_MEMORY_BYTES_PER_MB))
         max_callers = self._max_sockets // 3
-        self._outbound = Listener(self._accept, max_callers, body_memory, lambda: True)
-        self._inbound = Listener(self._gate.accept, max_callers, body_memory, lambda: True)
-        readiness = {"/orchidferry/readiness": self._readiness}
+        self._outbound = Listener(self._accept, max_callers, body_memory, lambda: True, "outbound")
+        self._inbound = Listener(self._gate.accept, max_callers, body_memory, lambda: True, "inbound")
+        readiness = {READINESS_PATH: self._readiness, METRICS_PATH: self._metrics}
         registration = {REGISTRATION_PATH: RegistrationApi(self._gate).handle}
         self._readiness_listener = ControlServer(readiness, CONTROL_CONNECTIONS)
         self._control_listener = ControlServer(registration, CONTROL_CONNECTIONS)
@@ -202,6 +205,16 @@
         ready = configured and served and not self._draining
         answer(Reply(200, b"ready") if ready else Reply(503, b"not ready"))
 
+    def _metrics(self, call: ControlRequest, rest: str, answer: Callable[[Reply], None]) -> None:
+        revision = self._configuration.revision if self._configuration is not None else 0
+        text = render_metrics(
+            [self._outbound, self._inbound],
+            {"gate": self._gate_connections, "server": self._server_connections},
+            self._gate.in_flight,
+            revision,
+        )
+        answer(Reply(200, text, METRICS_TYPE))
+
     # Control state
 
     def _publish(self) -> None:
@@ -265,6 +278,7 @@
         for name in removed:
             del self._services[name]
         self._configuration = configuration
+        self._outbound.revision = self._inbound.revision = revision
         self._table = RouteTable(configuration.routes)
         self._apply_limits(configuration.limits)
 
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from orchidferry.node.connection_end import EndCause, Owed
 from orchidferry.node.flow import BodyTooLongError, Flow
 from orchidferry.node.http1 import LAST_CHUNK, chunk
 from orchidferry.node.reply import Reply, render
@@ -89,6 +90,8 @@
         self._request_flow: Flow | None = None  # the body of a long request
         self._response_flow: Flow | None = None  # the body of a long answer
         self._body_progress = 0  # bytes of a body since its stage was restarted
+        self._opened_s = frontend.now_s()
+        self._end_reported = False  # whether the frontend knows that it ended with its client owed something
         self._start_message()
 
     def _start_message(self) -> None:
@@ -153,11 +156,35 @@
             self._update_stage()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._report_end(EndCause.CLIENT_CLOSED)
         self._input_closed = True
         self._queue.clear()
         self._frontend.connection_closed(self)
         self._release_request()
 
+    @property
+    def age_s(self) -> float:
+        """For how long it has been open."""
+        return self._frontend.now_s() - self._opened_s
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    def owed(self) -> Owed | None:
+        """What its client is owed; None if nothing."""
+        if self._response_flow is not None or self._write_paused or self.unsent_bytes:
+            return Owed.REST_OF_RESPONSE
+        return Owed.RESPONSE if self._busy or self._queue else None
+
+    def _report_end(self, cause: EndCause, detail: str = "") -> None:
+        """Let the frontend know, once, if it ends while its client is owed something."""
+        owed = self.owed()
+        if owed is not None and not self._end_reported:
+            self._end_reported = True
+            self._frontend.ended_incomplete(self, cause, owed, detail)
+
     def _release_request(self) -> None:
         """Notify the node that nobody waits for the request it has, and end both flows."""
         pending = self._pending
@@ -213,6 +240,8 @@
 
     def flow_failed(self) -> None:
         """Close, so that the client learns that the answer is not complete."""
+        failure = self._response_flow.failure if self._response_flow is not None else None
+        self._report_end(EndCause.RESPONSE_FAILED, failure.value if failure is not None else "")
         self._response_flow = None
         self._input_closed = True
         self._closing = True
@@ -254,7 +283,7 @@
     def on_stage_timeout(self) -> None:
         """End the connection, as its stage has lasted too long."""
         if self.stage is Stage.LEAVING or self.stage is Stage.BLOCKED:
-            self.abort()
+            self.abort(EndCause.STAGE_TIMEOUT)
         elif self._reading:
             self._close_with_error(Reply(408, b"the request took too long to come"))
         else:
@@ -262,8 +291,9 @@
             self._transport.close()
             self._update_stage()
 
-    def abort(self) -> None:
+    def abort(self, cause: EndCause) -> None:
         """Close now, whatever it carries."""
+        self._report_end(cause)
         self._input_closed = True
         self._finished = True
         self._frontend.connection_closed(self)  # now: its socket counts as free
--- a/orchidferry/node/flow.py
+++ b/orchidferry/node/flow.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 from orchidferry.errors import OrchidferryError
@@ -30,6 +31,16 @@
     """More came than a flow may have, or than its sender announced."""
 
 
+class FlowFailure(Enum):
+    """Why the rest of a body never came."""
+
+    SOURCE_CLOSED = "source_closed"  # its sender's connection was closed
+    SOURCE_RESET = "source_reset"  # its sender's connection was reset
+    MALFORMED = "malformed"  # what came was not HTTP, or too long
+    TRUNCATED = "truncated"  # it ended before its stated length
+    DROPPED = "dropped"  # it was given up here
+
+
 class Source(Protocol):
     """Where a body comes from."""
 
@@ -89,6 +100,7 @@
         "_source_paused",
         "_unfed",
         "complete",
+        "failure",
         "fed_bytes",
         "last_progress_s",
         "length",
@@ -124,6 +136,7 @@
         self.fed_bytes = 0  # to the present sink
         self.complete = False  # whether the last byte has come
         self.over = False  # whether nothing more happens
+        self.failure: FlowFailure | None = None  # why it failed, if it did
         self.spent = False  # whether the beginning is not kept any more, and no other sink can be fed
         self._sink_blocked = False
         self._source_paused = False
@@ -190,8 +203,10 @@
         if self._sink is not None:
             self._sink.end()
 
-    def fail(self) -> None:
-        """Learn that the rest never comes."""
+    def fail(self, failure: FlowFailure = FlowFailure.DROPPED) -> None:
+        """Learn that the rest never comes, and why."""
+        if not self.over:
+            self.failure = failure
         if self._end(False) and self._sink is not None:
             self._sink.flow_failed()
 
--- a/orchidferry/node/frontend.py
+++ b/orchidferry/node/frontend.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from orchidferry.balancing import interface as api
 from orchidferry.node.address import Address
 from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
+from orchidferry.node.connection_end import EndCause, IncompleteEnd, Owed
 from orchidferry.node.flow import LONG_BODY, Flow, MemoryPool
 from orchidferry.node.http1 import MAX_BODY, MAX_HEAD
 from orchidferry.node.reply import Reply
@@ -56,7 +58,7 @@
         self.classes = classes
         self.accept = accept
         self._ready = ready
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self.pool = pool
         self.alt_svc: bytes | None = None  # value of the header `Alt-Svc` (RFC 7838)
         self._stages: dict[Stage, dict[ClientConnection, float]] = {stage: {} for stage in Stage}
@@ -65,6 +67,9 @@
         self._not_ready = False
         self._closing = False
         self._empty = asyncio.Event()
+        self.evicted = 0  # connections closed for new ones, at the limit
+        # Connections that ended while their client was owed something.
+        self.incomplete_ends: Counter[tuple[EndCause, Owed]] = Counter()
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept connections from now on.
@@ -90,6 +95,10 @@
         """Return the number of open connections."""
         return sum(map(len, self._stages.values()))
 
+    def count_in(self, stage: Stage) -> int:
+        """Return the number of open connections in a stage."""
+        return len(self._stages[stage])
+
     def read(
         self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, flow: Flow | None
     ) -> Message | Reply:
@@ -116,9 +125,10 @@
         self._stages[Stage.NEW][connection] = self._loop.time()
         if self._closing:
             connection.close_gracefully()
-        elif self.count() > self._max_connections:
+        elif self.count() > self.max_connections:
             others = (c for stage in EVICTION_ORDER for c in self._stages[stage] if c is not connection)
-            next(others, connection).abort()
+            self.evicted += 1
+            next(others, connection).abort(EndCause.EVICTED)
 
     def set_stage(self, connection: ClientConnection, stage: Stage) -> None:
         """Set what a connection waits for; if that is new, its time begins anew."""
@@ -137,6 +147,22 @@
             del self._stages[connection.stage][connection]
             self._stages[connection.stage][connection] = self._loop.time()
 
+    def ended_incomplete(
+        self, connection: ClientConnection, cause: EndCause, owed: Owed, detail: str
+    ) -> None:
+        """Learn that a connection ends while its client is owed something."""
+        self.incomplete_ends[cause, owed] += 1
+        since_s = (
+            self._loop.time() if connection.stage is None else self._stages[connection.stage][connection]
+        )
+        stage_age_s = self._loop.time() - since_s
+        self.report_incomplete_end(
+            IncompleteEnd(cause, owed, detail, connection.unsent_bytes, stage_age_s, connection.age_s)
+        )
+
+    def report_incomplete_end(self, end: IncompleteEnd) -> None:
+        """Log such an end; a node in service only counts them."""
+
     def connection_closed(self, connection: ClientConnection) -> None:
         """Remove a connection."""
         if connection.stage is not None:
@@ -185,4 +211,4 @@
         """Close all connections at once."""
         for stage in Stage:
             for connection in list(self._stages[stage]):
-                connection.abort()
+                connection.abort(EndCause.SHUTDOWN)
--- a/orchidferry/node/upstream_connection.py
+++ b/orchidferry/node/upstream_connection.py
@@ -15,7 +15,7 @@
 from orchidferry.balancing.interface import Result
 from orchidferry.node.address import Address
 from orchidferry.node.attempt import Attempt, UpstreamResponse
-from orchidferry.node.flow import LONG_BODY, BodyTooLongError, Flow
+from orchidferry.node.flow import LONG_BODY, BodyTooLongError, Flow, FlowFailure
 from orchidferry.node.http1 import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, classify_response, read_report
 
 if TYPE_CHECKING:
@@ -134,7 +134,7 @@
             self._keep = False  # more than the response came
         if self._response_flow is not None:
             if self._malformed:
-                self._response_flow.fail()
+                self._response_flow.fail(FlowFailure.MALFORMED)
                 self.close()
             elif self._complete:
                 self._stream_finished()
@@ -157,7 +157,7 @@
                 self._complete = True
                 return self._response_complete()
         if self._response_flow is not None:
-            self._response_flow.fail()
+            self._response_flow.fail(FlowFailure.SOURCE_CLOSED if exc is None else FlowFailure.SOURCE_RESET)
         if self._attempt is not None:
             result = Result.RESET if self._attempt.written else Result.UNREACHABLE
             self._finish_attempt(result, reuse=False)
@@ -274,7 +274,7 @@
             self.close()
         if flow is not None:
             if flow.length is not None and flow.received_bytes < flow.length:
-                flow.fail()
+                flow.fail(FlowFailure.TRUNCATED)
             flow.finish()
 
     # Outcomes
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -51,6 +51,9 @@
 
     abort = close
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None: ...
 
     def resume_reading(self) -> None: ...
