No connection is closed while its client is owed something

Root cause: a listener sought the connection to close for a new one by stage, and a response that is handed over to the transport but not sent counted as waiting for nothing; those even came before idle ones. Class: a connection is closed beside the end of the request that owns it. Change: only a connection whose client is owed nothing, and has nothing unread in the socket, makes room; if there is none, the new one is refused. The same cause elsewhere: the limits of 8 s and 2 s for reading a response hold from the last 32 KB that the client has read; idle connections and those of a stopping listener are not closed over a request that has just come; a last response is not reset by what came after its request.

--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -24,7 +25,7 @@
     from orchidferry.node.frontend import Frontend
 
 MAX_PIPELINED = 8  # requests sent ahead on one connection; the protocol sets no limit
-PROGRESS = 32 * 1024  # bytes of a body after which the time of its stage begins anew
+PROGRESS = 32 * 1024  # bytes that a client sends or reads after which the time of its stage begins anew
 TOO_LONG = "the body is too long"
 
 
@@ -90,6 +91,7 @@
         self._request_flow: Flow | None = None  # the body of a long request
         self._response_flow: Flow | None = None  # the body of a long answer
         self._body_progress = 0  # bytes of a body since its stage was restarted
+        self._unsent_at_start = 0  # bytes that the client had to read when the time of its stage began
         self._opened_s = frontend.now_s()
         self._end_reported = False  # whether the frontend knows that it ended with its client owed something
         self._start_message()
@@ -178,6 +180,18 @@
             return Owed.REST_OF_RESPONSE
         return Owed.RESPONSE if self._busy or self._queue else None
 
+    def is_evictable(self) -> bool:
+        """Whether it may be closed for another: its client is owed nothing, and has sent nothing more."""
+        return self.owed() is None and not self._input_waiting()
+
+    def _input_waiting(self) -> bool:
+        """Whether something that the client has sent, or its end, waits to be read by the event loop."""
+        if self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _report_end(self, cause: EndCause, detail: str = "") -> None:
         """Let the frontend know, once, if it ends while its client is owed something."""
         owed = self.owed()
@@ -234,7 +248,7 @@
             self._transport.write(LAST_CHUNK)
         flow.delivered()
         if self._closing and not self._queue and not self._reading:
-            self._transport.close()
+            self._close_after_output()
         self._serve_next()
         self._update_stage()
 
@@ -271,25 +285,55 @@
             stage = Stage.NEW
         else:
             stage = Stage.READING if self._reading else Stage.IDLE
+        if stage is not self.stage:
+            self._unsent_at_start = self.unsent_bytes
         self._frontend.set_stage(self, stage)
 
     def close_gracefully(self) -> None:
         """Close after the requests at hand; now if there are none."""
         self._closing = True
         if not self._busy and not self._reading and not self._queue:
+            self._close_if_quiet()
+
+    def _close_if_quiet(self) -> None:
+        """Close unless the client has just sent something: that is read, served and then closed."""
+        if not self._input_waiting():
             self._transport.close()
             self._update_stage()
 
+    def _close_after_output(self) -> None:
+        """Close once all that was written is sent.
+
+        To close while input waits would reset the connection, and the kernel would drop what it has not sent.
+        So the sending side ends first, and the rest is read and dropped until the client closes.
+        """
+        if not self._input_waiting():
+            return self._transport.close()
+        self._input_closed = True
+        self._finished = True
+        self._transport.resume_reading()
+        self._transport.write_eof()
+        return None
+
     def on_stage_timeout(self) -> None:
         """End the connection, as its stage has lasted too long."""
         if self.stage is Stage.LEAVING or self.stage is Stage.BLOCKED:
-            self.abort(EndCause.STAGE_TIMEOUT)
+            self._end_unless_client_reads()
         elif self._reading:
             self._close_with_error(Reply(408, b"the request took too long to come"))
         else:
             self._closing = True
-            self._transport.close()
-            self._update_stage()
+            self._close_if_quiet()
+
+    def _end_unless_client_reads(self) -> None:
+        """Give a client that still reads its response more time; end the connection of one that does not."""
+        unsent = self.unsent_bytes
+        wanted = min(PROGRESS, self._unsent_at_start)
+        if unsent and self._unsent_at_start - unsent >= wanted:
+            self._unsent_at_start = unsent
+            self._frontend.extend_stage(self)
+        else:
+            self.abort(EndCause.STAGE_TIMEOUT)
 
     def abort(self, cause: EndCause) -> None:
         """Close now, whatever it carries."""
@@ -411,7 +455,7 @@
         flow.finish()
         if self._closing and not self._busy and not self._queue:  # it was answered before
             self._input_closed = True
-            self._transport.close()
+            self._close_after_output()
 
     # Requests and answers
 
@@ -505,4 +549,4 @@
         close = self._closing and not self._queue and (early or not self._reading)
         self._transport.write(render(reply, close, self._frontend.alt_svc))
         if close and not early:
-            self._transport.close()
+            self._close_after_output()
--- a/orchidferry/node/frontend.py
+++ b/orchidferry/node/frontend.py
@@ -1,8 +1,8 @@
 """The listener for clients in HTTP/1.1, and the time limits of their connections.
 
 A connection waits for one thing at a time, its stage (see `client_connection`). The frontend keeps the
-connections of a stage in the order in which they came to it. One sweep ends those over their limit, and the
-first of a stage is the one to be closed when sockets run short.
+connections of a stage in the order in which they came to it. One sweep ends those over their limit. When
+sockets run short, the first of a stage whose client is owed nothing is closed.
 """
 
 from __future__ import annotations
@@ -25,8 +25,9 @@
 READY_PATH = b"/-/ready"
 NODE_PATHS = b"/-/"  # begins the paths of the node's own pages
 
-# Which connection is closed for a new one at the limit: those that never asked first, then the longest idle.
-EVICTION_ORDER = (Stage.LEAVING, Stage.BLOCKED, Stage.NEW, Stage.IDLE)
+# Where a connection to close for a new one is sought: clients that never asked, then the longest idle. The
+# stage does not tell that a client is owed nothing: a response may be handed over and not sent yet.
+EVICTION_ORDER = (Stage.LEAVING, Stage.NEW, Stage.IDLE)
 
 
 class Frontend:
@@ -52,7 +53,7 @@
         :param classes: request classes by name.
         :param accept: passes a request to the node.
         :param ready: returns whether the node can serve requests.
-        :param max_connections: beyond it a connection that waits for no answer is closed.
+        :param max_connections: beyond it a connection whose client is owed nothing is closed.
         :param pool: memory for long requests.
         """
         self.classes = classes
@@ -120,15 +121,19 @@
         return Reply(200, b"ready") if self._ready() and not self._not_ready else Reply(500, b"not ready")
 
     def connection_opened(self, connection: ClientConnection) -> None:
-        """Add a connection; beyond the limit one that waits for no answer is closed."""
+        """Add a connection; beyond the limit one whose client is owed nothing is closed."""
         connection.stage = Stage.NEW
         self._stages[Stage.NEW][connection] = self._loop.time()
         if self._closing:
             connection.close_gracefully()
         elif self.count() > self.max_connections:
-            others = (c for stage in EVICTION_ORDER for c in self._stages[stage] if c is not connection)
-            self.evicted += 1
-            next(others, connection).abort(EndCause.EVICTED)
+            self._evict(connection)
+
+    def _evict(self, newest: ClientConnection) -> None:
+        """Close a connection whose client is owed nothing; the newest one if there is no other."""
+        self.evicted += 1
+        others = (c for stage in EVICTION_ORDER for c in self._stages[stage] if c is not newest)
+        next((c for c in others if c.is_evictable()), newest).abort(EndCause.EVICTED)
 
     def set_stage(self, connection: ClientConnection, stage: Stage) -> None:
         """Set what a connection waits for; if that is new, its time begins anew."""
@@ -144,6 +149,11 @@
     def restart_stage(self, connection: ClientConnection) -> None:
         """Let the time of a stage begin anew, as more of a request has come."""
         if connection.stage is Stage.READING or connection.stage is Stage.NEW:
+            self.extend_stage(connection)
+
+    def extend_stage(self, connection: ClientConnection) -> None:
+        """Let the time of a connection's stage begin anew."""
+        if connection.stage is not None:
             del self._stages[connection.stage][connection]
             self._stages[connection.stage][connection] = self._loop.time()
 
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
@@ -29,6 +30,9 @@
 ID = b"Attempt-Id"
 
 
+QUIET_SOCKET, _OTHER_END = socket.socketpair()  # nothing is ever sent on it
+
+
 class Transport:
     """What a caller has been sent."""
 
@@ -54,6 +58,10 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def get_extra_info(self, name: str) -> Any:
+        assert name == "socket"
+        return QUIET_SOCKET
+
     def pause_reading(self) -> None: ...
 
     def resume_reading(self) -> None: ...
