Judge: a cut answer at any time is a break; what broke off before a SIGTERM is not lost by it

Cause: a cut was judged only beside planned work; and a 502 counted as lost by a shutdown although the server's connection had ended 0.1 and 0.5 s before the SIGTERM (an attempt that had timed out). Measured: two new breaks are caught, one scene is no break; tests of the judge pass.

--- a/orchidferry/testkit/judge/mesh/shutdown_rules.py
+++ b/orchidferry/testkit/judge/mesh/shutdown_rules.py
@@ -16,6 +16,9 @@
 """How much longer than its bound the effect of planned work is looked for."""
 
 DEADLINE_SLACK_S = 0.01
+LAST_GRACE_FRACTION = 5.0 / 6.0
+"""Of the grace: what a server still works on after it may be cut by the end of the process."""
+
 MAX_CLOSE_RATIO = 3.0
 """How many times as many requests as usual may be closed around a change of configuration."""
 
@@ -85,11 +88,35 @@
             if _was_read(trace, sent, end):
                 problem = f"closed {end.t - shutdown.t:.3f} s after the SIGTERM"
                 trace.report(finding, end.t, request_id, problem)
-        elif end.status in (500, 502, 504) and not end.seal and _in_progress(trace, request_id, end.t):
+        elif end.status in (500, 502, 504) and not end.seal and _broken_off(trace, request_id, shutdown.t):
             problem = f"answered {end.status} after the SIGTERM, while it was run"
             trace.report(finding, end.t, request_id, problem)
 
 
+def nothing_is_cut(trace: MeshTrace) -> Finding:
+    """With no fault about, no request that a process has read ends without a complete answer, at any time."""
+    finding = Finding()
+    grace_s = trace.bounds.grace_s
+    for request_id, sent in trace.requests.items():
+        end = trace.ends.get(request_id)
+        if end is None or trace.had_unplanned_event(sent.t, end.t):
+            continue
+        finding.checked += 1
+        if not isinstance(end, NoAnswer) or not _was_read(trace, sent, end):
+            continue
+        shutdown_t = _last_shutdown(trace, sent.machine, end.t)
+        late_t = math.inf if shutdown_t is None else shutdown_t + grace_s * LAST_GRACE_FRACTION
+        if not _is_excused(trace, sent, end, late_t):
+            trace.report(finding, end.t, request_id, f"its connection ended: {end.how}")
+    return finding
+
+
+def _last_shutdown(trace: MeshTrace, machine: str, t: float) -> float | None:
+    """When a machine's process was last told to shut down before a time; None if it never was."""
+    times = [fact.t for fact in trace.processes if fact.what == "term" and fact.machine == machine]
+    return max((term_t for term_t in times if term_t <= t), default=None)
+
+
 def _was_read(trace: MeshTrace, sent: Sent, end: NoAnswer) -> bool:
     """Whether a connection closed under a request that must have been read."""
     slack = trace.bounds.loss_slack_ms / 1000.0
@@ -97,10 +124,16 @@
     return end.how in CLOSED_UNDER_REQUEST and end.t < sent.ends and (forwarded or end.t - sent.t > slack)
 
 
-def _in_progress(trace: MeshTrace, request_id: str, t: float) -> bool:
-    """Whether a server was at work on a request."""
-    runs = [run for run in trace.executed_runs_of(request_id) if run.began is not None and run.began <= t]
-    return any((run.done is None or run.done.t > t) for run in runs)
+def _broken_off(trace: MeshTrace, request_id: str, shutdown_t: float) -> bool:
+    """Whether a server still worked on a request when the shutdown began, and has not answered it."""
+    end_t = trace.end_time(request_id)
+    return any(
+        run.began is not None
+        and run.began <= end_t
+        and (run.done is None or run.done.t > end_t)
+        and (run.dropped is None or run.dropped >= shutdown_t)
+        for run in trace.executed_runs_of(request_id)
+    )
 
 
 def _is_excused(trace: MeshTrace, sent: Sent, end: Answered | NoAnswer, half: float) -> bool:
--- a/orchidferry/testkit/judge/mesh/verdict.py
+++ b/orchidferry/testkit/judge/mesh/verdict.py
@@ -32,6 +32,7 @@
 )
 from orchidferry.testkit.judge.mesh.shutdown_rules import (
     drained_servers_get_nothing,
+    nothing_is_cut,
     planned_work_loses_nothing,
 )
 from orchidferry.testkit.judge.mesh.trace import MeshTrace
@@ -52,6 +53,7 @@
     "route": executed_where_routed,
     "drain": drained_servers_get_nothing,
     "lost": planned_work_loses_nothing,
+    "cut": nothing_is_cut,
     "config": configuration_consistent,
     "fresh": restarted_nodes_current,
     "acks": acknowledged_in_time,
--- a/tests/testkit/judge/test_mesh.py
+++ b/tests/testkit/judge/test_mesh.py
@@ -27,6 +27,7 @@
     Began,
     ControlCall,
     Done,
+    Dropped,
     Event,
     Extra,
     Fact,
@@ -211,6 +212,13 @@
     run.answer("z", 33.5, 502)
 
 
+def cut_in_the_middle(run: Scene) -> None:
+    """With no planned work about."""
+    run.sent("z", 27.0, "feed-read", "m1")
+    run.run("z", 27.01)
+    run.facts.append(NoAnswer(27.12, "z", "broken"))
+
+
 def not_found(run: Scene) -> None:
     run.sent("z", 26.0, "feed-read")
     run.answer("z", 26.1, 404)
@@ -295,6 +303,8 @@
     ("drain", "a request after the bound", turned_late),
     ("lost", "closed after a SIGTERM", cut_short),
     ("lost", "502 after a SIGTERM", cut_with_502),
+    ("cut", "an answer that broke off", cut_in_the_middle),
+    ("cut", "closed after a SIGTERM", cut_short),
     ("config", "the old service after the bound", old_route("z", 22.5)),
     ("config", "back to the old one", old_route("z", 25.5)),
     ("config", "404 of a route that is there", not_found),
@@ -447,6 +457,16 @@
     assert as_json(verdict)["rules"][rule]["broken"][0]["what"]
 
 
+def test_what_was_broken_off_before_a_shutdown_is_not_lost_by_it() -> None:
+    """An attempt that had timed out counted as one that the shutdown broke off."""
+    run = clean()
+    run.sent("z", 32.2, "feed-read", "m2")
+    n = run.run("z", 32.3, work=None)
+    run.facts.append(Dropped(32.9, n))  # the SIGTERM comes at 33.0
+    run.answer("z", 33.5, 502)
+    assert "lost" not in judge(record(run)).broken_rules
+
+
 UNDISTURBED: list[tuple[str, list[Fact]]] = [
     (
         "the winner of two under one number is read",
