A soak on real processes: restarts, reloads and changes in series that overlap

Need: nothing played planned work in series that overlap, with callers that stay at a machine until its process is gone.

--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,16 @@
 # are printed and passed over.
 KNOWN_RED = $(shell cut -d, -f1 KNOWN-RED.txt 2>/dev/null)
 
-# gRPC starts threads: its tests have processes of their own, as others fork with work to do in between.
+# gRPC starts threads: its tests have processes of their own, as others fork with work to do in between. The soak
+# plays real processes on the clock, so nothing else runs beside it.
+SOAK = tests/testkit/mesh/test_soak.py
+
 test: $(VENV)/dev
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 	PATH="$(CURDIR)/$(BIN):$$PATH" && ruff check . && ruff format --check . && lint-imports && mypy && \
-		pytest -n 4 --ignore tests/node/control $(addprefix --deselect=,$(KNOWN_RED)) && \
-		pytest -n 4 tests/node/control
+		pytest -n 4 --ignore tests/node/control --ignore $(SOAK) $(addprefix --deselect=,$(KNOWN_RED)) && \
+		pytest -n 4 tests/node/control && \
+		pytest $(SOAK)
 
 venv: $(VENV)/dev
 
--- a/orchidferry/testkit/mesh/actions/__init__.py
+++ b/orchidferry/testkit/mesh/actions/__init__.py
@@ -11,9 +11,10 @@
 from orchidferry.testkit.mesh.actions.links import LINK_ACTIONS
 from orchidferry.testkit.mesh.actions.planned import PLANNED_ACTIONS
 from orchidferry.testkit.mesh.actions.processes import PROCESS_ACTIONS
+from orchidferry.testkit.mesh.actions.rolling import ROLLING_ACTIONS
 from orchidferry.testkit.mesh.actions.targets import Action
 
 ACTIONS: dict[str, Action] = (
-    PLANNED_ACTIONS | PROCESS_ACTIONS | LINK_ACTIONS | CLOSING_ACTIONS | ISOLATION_ACTIONS
+    PLANNED_ACTIONS | PROCESS_ACTIONS | LINK_ACTIONS | CLOSING_ACTIONS | ISOLATION_ACTIONS | ROLLING_ACTIONS
 )
 """All actions, by their names in schedules and records."""
--- a/orchidferry/testkit/mesh/clients.py
+++ b/orchidferry/testkit/mesh/clients.py
@@ -196,14 +196,14 @@
         kind = request.kind
         machine = self._any_machine(request.root, other_than)
         backoff = MIN_RETRY_BACKOFF_S
-        body = b"" if kind.repeatable else self._body(request.subject)
+        body = b"" if kind.repeatable else self.body(request.subject)
         chunked = seeded_random.uniform(context.seed, "chunks", request.root) < CHUNKED_SHARE
         for number in range(1 + kind.repeats):
             if machine is None or request.ends - context.now() < MIN_REMAINING_S:
                 break
             if machine.name not in {m.name for m in self._platform.available()}:
                 machine = self._any_machine(f"{request.root}.{number}") or machine
-            sent = self._attempt(request, number, machine, body)
+            sent = self.attempt(request, number, machine, body)
             outcome = await context.send(machine, sent, body, chunked, number > 0)
             if outcome.how == "answer" and 200 <= outcome.status < 300:
                 return machine, True
@@ -217,7 +217,11 @@
             await asyncio.sleep(max(0.0, min(pause, request.ends - context.now())))
         return machine, False
 
-    def _attempt(self, request: ClientRequest, number: int, machine: Machine, body: bytes) -> Sent:
+    def attempt(self, request: ClientRequest, number: int, machine: Machine, body: bytes) -> Sent:
+        """The record of an attempt at a machine, which is not sent yet.
+
+        :param number: how many attempts of the request were made before
+        """
         seed = self._context.seed
         kind = request.kind
         query = f"of={seeded_random.integer(seed, 'of', request.subject):x}"
@@ -238,7 +242,8 @@
             owed=request.counts,
         )
 
-    def _body(self, name: str) -> bytes:
+    def body(self, name: str) -> bytes:
+        """A body by the seed and a name."""
         rng = Random(seeded_random.integer(self._context.seed, "body", name))
         return rng.randbytes(rng.randint(MIN_BODY_BYTES, MAX_BODY_BYTES))
 
--- a/orchidferry/testkit/mesh/context.py
+++ b/orchidferry/testkit/mesh/context.py
@@ -54,14 +54,33 @@
         for pool in self._pools.values():
             pool.close()
 
-    async def send(self, machine: Machine, sent: Sent, body: bytes, chunked: bool, fresh: bool) -> Outcome:
+    def separate_pool(self, machine: Machine, receive_buffer: int, read_pause_s: float) -> Pool:
+        """A new pool of connections from a machine; it is swept and closed with the others.
+
+        :param receive_buffer: bytes of a response that the kernel takes before they are read
+        :param read_pause_s: between the first bytes of a response and the rest
+        """
+        pool = Pool(self._on_extra_bytes, machine.ip, receive_buffer, read_pause_s)
+        self._pools[f"{machine.name} {len(self._pools)}"] = pool
+        return pool
+
+    async def send(
+        self,
+        machine: Machine,
+        sent: Sent,
+        body: bytes,
+        chunked: bool,
+        fresh: bool,
+        pool: Pool | None = None,
+    ) -> Outcome:
         """Make one attempt, for as long as its client waits, and record what came of it.
 
         :param machine: at whose `outbound` it is sent
         :param chunked: its body is sent in chunks
         :param fresh: on a new connection
+        :param pool: of the connections that may carry it; None: that of the machine
         """
-        outcome = await self._send(machine, sent, body, chunked, fresh)
+        outcome = await self._send(machine, sent, body, chunked, fresh, pool or self.pool(machine))
         if outcome.how == "answer":
             headers = outcome.headers
             self.record(
@@ -79,8 +98,9 @@
             self.record(NoAnswer(self.now(), sent.id, outcome.how))
         return outcome
 
-    async def _send(self, machine: Machine, sent: Sent, body: bytes, chunked: bool, fresh: bool) -> Outcome:
-        pool = self.pool(machine)
+    async def _send(
+        self, machine: Machine, sent: Sent, body: bytes, chunked: bool, fresh: bool, pool: Pool
+    ) -> Outcome:
         address = (machine.bind, self.ports.outbound)
         sent.t = self.now()
         self.record(sent)
--- a/orchidferry/testkit/mesh/day.py
+++ b/orchidferry/testkit/mesh/day.py
@@ -85,7 +85,11 @@
     bounds: Bounds = field(default_factory=Bounds)
     beat_ms: int = 1500
     max_connections: int = 130
-    drawn: str = ""  # losses or worst: the schedule is drawn by the seed, in place of `schedule`
+    drawn: str = ""  # losses, worst or soak: the schedule is drawn by the seed, in place of `schedule`
+    overlapping: bool = False  # an action does not wait for the end of the one before
+    sessions: int = 0  # callers that stay at each sidecar machine, whatever its readiness
+    large_share: float = 0.0  # of downloads, those whose response no socket's buffer holds
+    proxy_descriptors: int = 0  # that a proxy may have open; 0: as many as on any day
     again_s: tuple[float, float] = (0.1, 2.5)  # how much later a keyed request is sent once more
     tolerance: int = 1  # controllers that may be lost at once
 
@@ -142,6 +146,32 @@
             again_s=(0.1, 15.0),
             tolerance=2,
         ),
+        Day(
+            "mesh-soak",
+            "planned work only, in series that overlap: restarts, SIGHUPs, changes; callers that stay",
+            16.0,
+            (),
+            servers=(5, 4),
+            drawn="soak",
+            overlapping=True,
+            sessions=5,
+            large_share=0.06,
+            proxy_descriptors=400,
+        ),
+        Day(
+            "mesh-soak-wide",
+            "the same with 185 processes",
+            40.0,
+            (),
+            cores=5,
+            servers=(120, 60),
+            drawn="soak",
+            overlapping=True,
+            sessions=1,
+            large_share=0.06,
+            proxy_descriptors=330,
+            tolerance=2,
+        ),
     )
 }
 
--- a/orchidferry/testkit/mesh/environment.py
+++ b/orchidferry/testkit/mesh/environment.py
@@ -17,6 +17,7 @@
 from orchidferry.testkit.mesh.operator import Operator
 from orchidferry.testkit.mesh.processes import MAX_STARTS, RESTART_DELAY_S, Node
 from orchidferry.testkit.mesh.servers import Server
+from orchidferry.testkit.mesh.sessions import Sessions
 from orchidferry.testkit.mesh.tasks import TaskSet
 from orchidferry.testkit.world.addresses import Block, NoFreeAddressesError
 
@@ -73,6 +74,7 @@
         self.servers = {machine.name: Server(self.context, day, machine) for machine in self.sidecars}
         self.platform = Platform(self.context, self.sidecars)
         self.clients = Clients(self.context, self.platform, seconds, day.again_s)
+        self.sessions = Sessions(self.context, self.clients, self.sidecars, day.sessions)
         self.operator = self._new_operator(1)
         self.other_operator = self._new_operator(2)
         operators = (self.operator, self.other_operator)
--- a/orchidferry/testkit/mesh/processes.py
+++ b/orchidferry/testkit/mesh/processes.py
@@ -16,7 +16,7 @@
 from orchidferry.testkit.mesh.context import RunContext
 from orchidferry.testkit.mesh.day import Day, Machine
 from orchidferry.testkit.mesh.facts import Process
-from orchidferry.testkit.mesh.settings_file import LIMITS, settings
+from orchidferry.testkit.mesh.settings_file import limits, settings
 from orchidferry.testkit.mesh.spawn import ChildProcess, spawn
 
 COMMANDS = {
@@ -89,6 +89,7 @@
         self._process: ChildProcess | None = None
         self._watcher: asyncio.Task[None] | None = None
         self._end_expected = False
+        self.stopping = False  # its process was terminated, and none was started since
         self.starts = 0
         self.cpu_s = 0.0  # of all its processes
         self.peak_memory_mb = 0.0
@@ -133,11 +134,12 @@
         self._first_start = False
         self.starts += 1
         self._end_expected = False
+        self.stopping = False
         env = {name: os.environ[name] for name in PASSED_ENVIRONMENT if name in os.environ}
         if (built := ROOT / BUILT_DEPENDENCIES).is_dir():
             env["PYTHONPATH"] = str(built)
         env["ORCHIDFERRY_BOOT"] = str(path)
-        max_descriptors = int(LIMITS[self.machine.role]["file_descriptors"])
+        max_descriptors = int(limits(self._day, self.machine.role)["file_descriptors"])
         with (self._home / "log").open("ab") as log:
             self._process = await spawn(self.command, env, ROOT, log, max_descriptors)
         self._record("start", again)
@@ -207,6 +209,11 @@
         """Let its process go on (SIGCONT)."""
         self._signal(signal.SIGCONT, "resumed")
 
+    def reload(self) -> None:
+        """Write its settings file anew, and have its process read it (SIGHUP)."""
+        self.write_settings()
+        self._signal(signal.SIGHUP, "reloaded")
+
     def _signal(self, number: signal.Signals, what: str) -> None:
         if self.pid is not None:
             os.kill(self.pid, number)
@@ -219,6 +226,7 @@
         if process is None or self.pid is None:
             return
         self._end_expected = True
+        self.stopping = True
         self._record("term")
         process.send_signal(signal.SIGCONT)
         process.send_signal(signal.SIGTERM)
--- a/orchidferry/testkit/mesh/run.py
+++ b/orchidferry/testkit/mesh/run.py
@@ -68,7 +68,9 @@
         env.starting = False
         start = env.record.start = env.context.now()
         env.spawn(self._play_schedule(start))
+        sessions = env.spawn(env.sessions.play(start + env.seconds))
         await env.clients.play(start)
+        await sessions
         await env.clients.drain(DRAIN_S)
         env.record.end = env.context.now()
         self._progress.phase = "reading back"
@@ -108,6 +110,9 @@
         for scheduled in schedule(env.day, env.seed, env.seconds):
             due = max(start + scheduled.at * env.seconds, earliest)
             await asyncio.sleep(max(0.0, due - env.context.now()))
+            if env.day.overlapping:
+                env.spawn(self._play_action(scheduled))
+                continue
             await self._play_action(scheduled)
             if scheduled.action in UNPLANNED:
                 earliest = env.context.now() + env.day.bounds.catch_up_s
--- a/orchidferry/testkit/mesh/schedule.py
+++ b/orchidferry/testkit/mesh/schedule.py
@@ -40,6 +40,8 @@
 
     :param seconds: of traffic
     """
+    if day.drawn == "soak":
+        return _soak_day(day, seed, seconds)
     if day.drawn == "worst":
         return _worst_day(day, seed, seconds)
     if day.drawn:
@@ -126,3 +128,27 @@
     )
     found.append(ScheduledAction((seconds - RESEND_BEFORE_END_S) / seconds, "send-again"))
     return found
+
+
+RESTARTS_PER_MACHINE_S = 0.12
+"""Of a soak: how often a second a proxy is restarted, about."""
+
+MAX_RESTARTS_PER_S = 4.0
+RELOADS_PER_S = 0.5
+LAST_RESTART_BEFORE_END_S = 1.0
+STOP_CHANGES_BEFORE_END_S = 0.5
+
+
+def _soak_day(day: Day, seed: int, seconds: float) -> list[ScheduledAction]:
+    """A stream of changes, and over all of it restarts of proxies and reloads at times by the seed."""
+    rng = Random(seeded_random.integer(seed, "table", day.name))
+    last_s = seconds - LAST_RESTART_BEFORE_END_S
+    restarts_per_s = min(MAX_RESTARTS_PER_S, RESTARTS_PER_MACHINE_S * sum(day.servers))
+    found = [ScheduledAction(0.0, "changes")]
+    for action, rate in (("restart", restarts_per_s), ("reload", RELOADS_PER_S)):
+        t = rng.expovariate(rate)
+        while t < last_s:
+            found.append(ScheduledAction(t / seconds, action))
+            t += rng.expovariate(rate)
+    found.append(ScheduledAction((seconds - STOP_CHANGES_BEFORE_END_S) / seconds, "stop-changes"))
+    return sorted(found, key=lambda scheduled: scheduled.at)
--- a/orchidferry/testkit/mesh/servers.py
+++ b/orchidferry/testkit/mesh/servers.py
@@ -39,6 +39,9 @@
 CHUNKED_SHARE = 0.3
 """Of the answers to downloads."""
 
+LARGE_RESPONSE_BYTES = 5_000_000
+"""More than the kernel takes at once for a peer that has not read yet."""
+
 ERROR_BODY_BYTES = 20
 HEALTH_PATH = "/health"
 HEALTH_TIMEOUT_S = 1.0
@@ -315,14 +318,15 @@
     def _answer(self, job: _Job, status: int) -> None:
         context = self._context
         factor = seeded_random.uniform(context.seed, "size", job.id, low=0.8, high=1.2)
-        size = round(factor * job.kind.size)
+        download = job.kind.route_type == "download"
+        large = download and seeded_random.uniform(context.seed, "large", job.id) < self._day.large_share
+        size = round(factor * (LARGE_RESPONSE_BYTES if large else job.kind.size))
         body = Random(job.number).randbytes(size if status == 200 else ERROR_BODY_BYTES)
         seal = f"{job.number:x}.{seeded_random.integer(context.seed, 'seal', job.number):016x}"
         context.record(Done(context.now(), job.number, status, seal, digest(body)))
         closes = not self.in_service or seeded_random.uniform(context.seed, "closes", job.id) < CLOSE_SHARE
         headers = f"Attempt-Id: {job.id}\r\nServer-Seal: {seal}\r\n"
         headers += "Connection: close\r\n" if closes else f"Keep-Alive: timeout={IDLE_TIMEOUT_S}\r\n"
-        download = job.kind.route_type == "download"
         if download and seeded_random.uniform(context.seed, "chunked", job.id) < CHUNKED_SHARE:
             self._answer_chunked(job, status, headers, body)
         else:
--- a/orchidferry/testkit/mesh/settings_file.py
+++ b/orchidferry/testkit/mesh/settings_file.py
@@ -30,6 +30,14 @@
 }
 """Limits of machines by their class."""
 
+
+def limits(day: Day, role: str) -> dict[str, Any]:
+    """The limits of a day's machines of a class."""
+    if role == "sidecar" and day.proxy_descriptors:
+        return LIMITS[role] | {"file_descriptors": day.proxy_descriptors}
+    return LIMITS[role]
+
+
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "keys"]
 
 
@@ -65,7 +73,7 @@
     return to_toml(
         {
             "own_node": _node_table(ports, machine, first_start, data),
-            "own_node.limit_set": LIMITS[machine.role],
+            "own_node.limit_set": limits(day, machine.role),
             "network": {
                 "internal_ports": [ports.internal, ports.last_internal],
                 "seed_nodes": [f"{seed.ip}:{ports.control}" for seed in seeds],
--- a/orchidferry/testkit/wire.py
+++ b/orchidferry/testkit/wire.py
@@ -18,7 +18,8 @@
 
 Address = tuple[str, int]
 CONNECT_S = 1.0  # for a connection to come up on loopback, where it takes microseconds
-MAX_MESSAGE = 256 * 1024  # bytes of one message; the protocol has 64 KiB of body and 16 of head
+MAX_REQUEST = 256 * 1024  # bytes of one request; the protocol has 64 KiB of body and 16 of head
+MAX_RESPONSE = 8 * 1024 * 1024  # bytes of one response
 ABORT = struct.pack("ii", 1, 0)  # SO_LINGER: a close that is a reset
 
 
@@ -70,7 +71,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reset()
-        if self._size > MAX_MESSAGE:
+        if self._size > MAX_REQUEST:
             self.reset()
 
     def on_message_begin(self) -> None:
@@ -127,8 +128,9 @@
 class AskerSide(asyncio.Protocol):
     """An asker's connection: one request at a time."""
 
-    def __init__(self, on_extra: Callable[[str], None]) -> None:
+    def __init__(self, on_extra: Callable[[str], None], read_pause_s: float = 0.0) -> None:
         self._on_extra = on_extra  # told the id of what was asked last
+        self._read_pause_s = read_pause_s  # after the first bytes of a response
         self.transport: asyncio.Transport
         self.alive = False
         self.used = 0
@@ -161,6 +163,9 @@
         if self._waiting is None:
             self._told_extra()
             return None
+        if not self._size and self._read_pause_s:
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_later(self._read_pause_s, self._resume_reading)
         self._size += len(data)
         try:
             self._parser.feed_data(data)
@@ -172,10 +177,14 @@
             self._end("answer")
             if self._extra:
                 self._told_extra()
-        elif self._size > MAX_MESSAGE:
+        elif self._size > MAX_RESPONSE:
             self._end("broken")
         return None
 
+    def _resume_reading(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def _told_extra(self) -> None:
         """What nobody asked for can't be told apart from the next answer: the connection is done with."""
         if self.alive:
@@ -231,8 +240,16 @@
     MAX_IDLE = 256
     IDLE_S = 5.0  # a node closes an idle connection after 10 s: kept for less, a request seldom crosses that
 
-    def __init__(self, on_extra: Callable[[str], None], local: str | None = None) -> None:
+    def __init__(
+        self,
+        on_extra: Callable[[str], None],
+        local: str | None = None,
+        receive_buffer: int = 0,
+        read_pause_s: float = 0.0,
+    ) -> None:
         self._on_extra = on_extra
+        self._receive_buffer = receive_buffer  # bytes; 0: the kernel's choice
+        self._read_pause_s = read_pause_s  # after the first bytes of a response
         self._local = None if local is None else (local, 0)  # the address that its connections come from
         self._idle: dict[Address, list[tuple[float, AskerSide]]] = {}
 
@@ -244,17 +261,33 @@
             if kept.alive and time.monotonic() - since < self.IDLE_S:
                 return kept
             kept.drop()
-        made = AskerSide(self._on_extra)
-        loop = asyncio.get_running_loop()
+        made = AskerSide(self._on_extra, self._read_pause_s)
         try:
             async with asyncio.timeout(CONNECT_S):
-                await loop.create_connection(lambda: made, *address, local_addr=self._local)
+                await self._connect(made, address)
         except TimeoutError:
             return Outcome("silent", time.monotonic())
         except OSError:
             return Outcome("refused", time.monotonic())
         return made
 
+    async def _connect(self, made: AskerSide, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        if not self._receive_buffer:
+            await loop.create_connection(lambda: made, *address, local_addr=self._local)
+            return
+        sock = socket.socket()
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
+            if self._local is not None:
+                sock.bind(self._local)
+            await loop.sock_connect(sock, address)
+            await loop.create_connection(lambda: made, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+
     def put_back(self, address: Address, connection: AskerSide) -> None:
         """Keep a connection for the next request, if it can carry one."""
         idle = self._idle.setdefault(address, [])
--- /dev/null
+++ b/tests/testkit/mesh/test_soak.py
@@ -0,0 +1,61 @@
+"""A short soak on real processes: planned work in series that overlap, and nothing is cut."""
+
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from orchidferry.testkit.judge.mesh.verdict import Verdict, judge
+from orchidferry.testkit.mesh.day import DAYS, Day
+from orchidferry.testkit.mesh.run import Progress
+from orchidferry.testkit.mesh.schedule import schedule
+from orchidferry.testkit.mesh.session import play
+
+SECONDS = 8.0
+MAX_PLAYS = 4  # of a seed, while the machine was too busy for its verdict to say all
+TIMELESS_RULES = ("cut", "mixed", "unasked", "twice", "refused", "route", "stays_up")
+"""What breaks these is a fault however slow the machine was."""
+
+SOAKS = [day for day in DAYS.values() if day.drawn == "soak"]
+
+
+def soak(seed: int, folder: Path) -> Verdict:
+    """The verdict on the first play that says something, or on the last; timeless rules hold in each."""
+    for number in range(MAX_PLAYS):
+        kept = folder / f"play-{number}"
+        kept.mkdir()
+        completed = uvloop.run(play(DAYS["mesh-soak"], seed, SECONDS, Progress(), kept))
+        verdict = judge(completed.record)
+        found = {rule: verdict.rules[rule].violations for rule in TIMELESS_RULES}
+        assert not any(found.values()), found
+        if not verdict.void:
+            break
+    return verdict
+
+
+@pytest.mark.parametrize("seed", [1, 2, 4])
+def test_restarts_reloads_and_changes_cut_nothing(seed: int, tmp_path: Path) -> None:
+    verdict = soak(seed, tmp_path)
+    assert verdict.record.complete, verdict.record.why
+    found = {rule: finding.violations for rule, finding in verdict.rules.items() if not finding.passed}
+    assert not found
+    assert verdict.rules["cut"].checked and verdict.rules["lost"].checked
+
+
+@pytest.mark.parametrize("day", SOAKS, ids=[day.name for day in SOAKS])
+def test_the_series_of_a_soak_overlap_and_differ_by_the_seed(day: Day) -> None:
+    """Restarts take seconds: some begin before the ones before them can have ended."""
+    drawn = set()
+    for seed in range(200):
+        found = schedule(day, seed, day.seconds)
+        assert found == schedule(day, seed, day.seconds)
+        assert found[0].action == "changes" and found[-1].action == "stop-changes"
+        assert {one.action for one in found} >= {"restart"}
+        times = [one.at * day.seconds for one in found if one.action == "restart"]
+        assert times == sorted(times)
+        drawn.add(tuple(times))
+        assert any(b - a < 2.0 for a, b in itertools.pairwise(times))
+    assert len(drawn) == 200
