SIGHUP while a process starts does not end it

Cause: SIGHUP was handled from when the role served; until then its default action ended the process, for a controller for as long as it waited for its store. Change: it is handled before the program's modules are imported, and served once the role can reload; the settings file's version is taken before it is read, so that a change in between is seen. The same in the node in service.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -8,7 +8,7 @@
 import importlib
 import sys
 
-from orchidferry.node.main import main as run_node
+from orchidferry.node.reload_signal import ReloadSignal
 
 
 def main() -> int:
@@ -17,7 +17,10 @@
     :returns: the exit status of the program.
     """
     if len(sys.argv) < 2:
-        return run_node()
+        reload_signal = ReloadSignal()  # before the node is imported: SIGHUP would end the process until then
+        from orchidferry.node.main import main as run_node
+
+        return run_node(reload_signal)
     try:
         command_line = importlib.import_module("orchidferry.testkit.cli")
     except ModuleNotFoundError:
--- a/orchidferry/mesh/program.py
+++ b/orchidferry/mesh/program.py
@@ -1,13 +1,13 @@
-"""The roles of the mesh: `python -m orchidferry.mesh proxy|controller`."""
+"""The roles of the mesh: a proxy or a controller, by the command line."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
 import os
-import signal
 import sys
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, NoReturn
 
 import uvloop
@@ -18,6 +18,7 @@
 from orchidferry.mesh.role_settings import ROLES, SETTINGS_VARIABLE, settings_for
 from orchidferry.mesh.settings import MeshSettingsError, Settings
 from orchidferry.node.garbage_collector import freeze_startup_objects
+from orchidferry.node.reload_signal import ReloadSignal
 
 if TYPE_CHECKING:
     from orchidferry.mesh.control.controller import Controller
@@ -64,8 +65,13 @@
     inode: int
 
 
-async def serve(role: str, settings: Settings) -> NoReturn:
-    """Run a role until SIGTERM; the process ends with it."""
+async def serve(
+    role: str, settings: Settings, version: FileVersion | None, reload_signal: ReloadSignal
+) -> NoReturn:
+    """Run a role until SIGTERM; the process ends with it.
+
+    :param version: of the settings file, from before it was read
+    """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     stop_on_sigterm(loop, stopping, settings.bounds.grace_s)
@@ -79,8 +85,8 @@
     if server is None:
         logger.info("{}: stopped before it began", role)
         exit_now()
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, role, server)
-    watch_settings_file(loop, role, server, settings_file_version())
+    reload_signal.connect(loop, partial(reload_settings, role, server))
+    watch_settings_file(loop, role, server, version)
     running = server.run(stopping)
     freeze_startup_objects()
     await running
@@ -173,22 +179,26 @@
     return 0
 
 
-def run(role: str, settings: Settings) -> int:
-    """Run a role; return the exit status if it could not begin."""
+def run(role: str, settings: Settings, version: FileVersion | None, reload_signal: ReloadSignal) -> int:
+    """Run a role; return the exit status if it could not begin.
+
+    :param version: of the settings file, from before it was read
+    """
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
     try:
-        uvloop.run(serve(role, settings))
+        uvloop.run(serve(role, settings, version, reload_signal))
     except (OSError, StoreError) as error:
         print(f"orchidferry: {error}", file=sys.stderr)
         return 1
     return 0
 
 
-def main(arguments: list[str] | None = None) -> int:
+def main(arguments: list[str] | None = None, reload_signal: ReloadSignal | None = None) -> int:
     """Run the program.
 
     :param arguments: of the command line; None for those of the process
+    :param reload_signal: from the start of the process on; None: from now on
     :returns: the exit status
     """
     words = sys.argv[1:] if arguments is None else arguments
@@ -207,13 +217,12 @@
     if role not in ROLES or any(option != "--check" for option in options):
         print(f"orchidferry: usage: {'|'.join(ROLES)} [--check|--help]", file=sys.stderr)
         return 2
+    version = settings_file_version()
     try:
         settings = settings_for(role)
     except MeshSettingsError as error:
         print(f"orchidferry: {error}", file=sys.stderr)
         return 2
-    return check(role, settings) if options else run(role, settings)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+    if options:
+        return check(role, settings)
+    return run(role, settings, version, reload_signal or ReloadSignal())
--- a/orchidferry/node/main.py
+++ b/orchidferry/node/main.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import sys
+from functools import partial
 
 import uvloop
 
@@ -19,6 +20,7 @@
 from orchidferry.node.extensions import Extensions, read_extensions
 from orchidferry.node.garbage_collector import freeze_startup_objects
 from orchidferry.node.node import Node
+from orchidferry.node.reload_signal import ReloadSignal
 
 EXIT_OK = 0
 EXIT_CONFIG = 2  # the configuration or an address can't be used
@@ -36,7 +38,7 @@
         super().__init__(f"can't listen on {address[0]}:{address[1]}: {problem}")
 
 
-async def run(path: str) -> int:
+async def run(path: str, reload_signal: ReloadSignal) -> int:
     """Serve until SIGTERM.
 
     :param path: of the configuration file.
@@ -50,7 +52,7 @@
         stopping = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         node = Node(config, loop, extensions)
-        loop.add_signal_handler(signal.SIGHUP, reload, node, path)
+        reload_signal.connect(loop, partial(reload, node, path))
         listening = await _listen(node, config, extensions)
     except (ConfigError, ListenError) as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
@@ -125,13 +127,14 @@
     loop.call_at(next_s, watch_lag, loop, next_s)
 
 
-def main() -> int:
+def main(reload_signal: ReloadSignal | None = None) -> int:
     """Run the node.
 
+    :param reload_signal: from the start of the process on; None: from now on.
     :returns: the exit status: 0 after a stop, 2 for a configuration or an address that can't be used.
     """
     path = os.environ.get("NODE_CONFIG")
     if not path:
         print("orchidferry: NODE_CONFIG must name the configuration file", file=sys.stderr)
         return EXIT_CONFIG
-    return uvloop.run(run(path))
+    return uvloop.run(run(path, reload_signal or ReloadSignal()))
--- a/tests/mesh/dataplane/test_proxy.py
+++ b/tests/mesh/dataplane/test_proxy.py
@@ -10,8 +10,7 @@
 
 import pytest
 
-from orchidferry.mesh import __main__ as program
-from orchidferry.mesh import role_settings
+from orchidferry.mesh import program, role_settings
 from orchidferry.mesh.control.configuration import Configuration, RouteTable
 from orchidferry.mesh.control.control_api import control_request
 from orchidferry.mesh.control.operation_keys import ClaimOutcome
--- a/tests/mesh/storage/test_quarantine.py
+++ b/tests/mesh/storage/test_quarantine.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from orchidferry.mesh import __main__ as program
+from orchidferry.mesh import program
 from orchidferry.mesh.control import shard_state
 from orchidferry.mesh.storage import quarantine, storage_check
 from tests.mesh.control.fakes import controller_settings
--- a/tests/mesh/storage/test_snapshot_command.py
+++ b/tests/mesh/storage/test_snapshot_command.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from orchidferry.mesh import __main__ as program
+from orchidferry.mesh import program
 from orchidferry.mesh.storage import snapshot as snapshots
 from orchidferry.mesh.storage.snapshot_file import SnapshotError
 from orchidferry.mesh.storage.store import Store
--- a/tests/mesh/test_main.py
+++ b/tests/mesh/test_main.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from orchidferry.mesh import __main__ as program
+from orchidferry.mesh import program
 
 OWN_NODE = 'node_name = "n", ip = "10.0.0.1", zone = "z"'
 SETTINGS = """own_node = {{ {own_node} }}
