Operation keys: claims are dated when they come, and all late releases are remembered

The two known failures. (1) A key granted twice in a modelled run, a fault of the code: a claim that was handled before the first tick after a pause of 56 s or more was dated by the last tick, so a majority let it go 49 s after the grant. The clock is brought up to date before a claim, an answer and a message now. (2) A copy kept a claim that was released before the last release, a fault of the code: only the last release of a key was remembered, by the source and against late claims. All of the last 4,000 releases are.

--- a/orchidferry/mesh/control/key_transfer.py
+++ b/orchidferry/mesh/control/key_transfer.py
@@ -86,14 +86,15 @@
         if size >= max_bytes:
             break
         covered += 1
+        # Releases first: the claim that stands came after them.
+        for holder in keys.released.get(name, ()):
+            rows.append((name, (holder, RELEASED, None), False))
+            size += ROW_OVERHEAD_BYTES + len(name) + len(holder)
         record = keys.records.get(name)
         if record is not None:
             answer = None if omit_answers else record.answer
             rows.append((name, (record.holder, record.age_bucket, answer), record.answer is not None))
             size += ROW_OVERHEAD_BYTES + len(name) + len(record.holder) + approximate_size(answer)
-        elif name in keys.released:
-            rows.append((name, (keys.released[name], RELEASED, None), False))
-            size += ROW_OVERHEAD_BYTES + len(name)
     return RowBatch(rows, covered)
 
 
--- a/orchidferry/mesh/control/operation_keys.py
+++ b/orchidferry/mesh/control/operation_keys.py
@@ -14,6 +14,8 @@
 
 The age of a record is counted in buckets of `AGE_BUCKET_S`. The number of the newest bucket rises with
 monotonic time and is stored with each record, so a restart lengthens a record's retention and never cuts it.
+Time has to be brought up to date by `OperationKeys.advance` before a record is made: dated by an earlier
+moment it would expire too early.
 """
 
 from __future__ import annotations
@@ -25,7 +27,7 @@
 AGE_BUCKET_S = 20.0
 UNKNOWN_HOLDER = ""  # of a key that controllers granted to more than one attempt
 MAX_KEYS = 200_000  # at once; beyond these none is granted
-MAX_RELEASED = 4_000  # released keys that are remembered as such
+MAX_RELEASES = 4_000  # that are remembered
 
 
 class ClaimOutcome(StrEnum):
@@ -94,7 +96,9 @@
     newest_bucket: int = 0
     sequence: int = 0  # number of the newest change
     changes: dict[str, int] = field(default_factory=dict)  # the last change of each key, the newest last
-    released: dict[str, str] = field(default_factory=dict)  # keys released lately, and their last holders
+    # Keys released lately, the last one at the end, and the holders that released each.
+    released: dict[str, dict[str, None]] = field(default_factory=dict)
+    _release_count: int = 0
     _bucket_began_s: float = 0.0
     _keys_by_bucket: dict[int, dict[str, None]] = field(default_factory=dict)
 
@@ -113,7 +117,7 @@
         """
         holder, age_bucket, answer = packed
         self.newest_bucket = max(self.newest_bucket, age_bucket)
-        if answer is None and self.released.get(key) == holder:
+        if answer is None and self.was_released_by(key, holder):
             return
         existing = self.records.get(key)
         if existing is not None and existing.answer is not None:
@@ -145,7 +149,7 @@
             granted = existing.holder == holder
             status = ClaimStatus.GRANTED if granted else ClaimStatus.HELD_BY_OTHER
             return ClaimResult(status, existing)
-        if self.released.get(key) == holder:
+        if self.was_released_by(key, holder):
             return ClaimResult(ClaimStatus.ALREADY_RELEASED)
         if len(self.records) >= self.max_keys:
             return ClaimResult(ClaimStatus.TABLE_FULL)
@@ -187,16 +191,24 @@
         self._remember_release(key, holder)
         return existing is not None
 
-    def expire(self, now_s: float) -> list[str]:
-        """Let time pass.
+    def was_released_by(self, key: str, holder: str) -> bool:
+        """Whether a holder is known to have released a key lately."""
+        return holder in self.released.get(key, ())
 
-        :returns: the keys whose retention is over, to be deleted on disk
-        """
+    def advance(self, now_s: float) -> None:
+        """Let time pass. Records that are made from now on count from this moment."""
         if not self._bucket_began_s:
             self._bucket_began_s = now_s
         while now_s - self._bucket_began_s >= AGE_BUCKET_S:
             self._bucket_began_s += AGE_BUCKET_S
             self.newest_bucket += 1
+
+    def expire(self, now_s: float) -> list[str]:
+        """Let time pass, and remove what is too old.
+
+        :returns: the keys whose retention is over, to be deleted on disk
+        """
+        self.advance(now_s)
         # A record's bucket began AGE_BUCKET_S before it at most; one more for an attempt that was sent later.
         last_expired = self.newest_bucket - int(self.window_s / AGE_BUCKET_S) - 3
         expired: list[str] = []
@@ -205,7 +217,8 @@
             expired += keys
             for key in keys:
                 del self.records[key]
-                del self.changes[key]
+                if key not in self.released:
+                    del self.changes[key]
         return expired
 
     def _put(self, key: str, record: KeyRecord) -> None:
@@ -213,7 +226,6 @@
         if existing is not None:
             self._keys_by_bucket.get(existing.age_bucket, {}).pop(key, None)
         self.records[key] = record
-        self.released.pop(key, None)
         self._keys_by_bucket.setdefault(record.age_bucket, {})[key] = None
         self._number_change(key)
 
@@ -224,9 +236,12 @@
 
     def _remember_release(self, key: str, holder: str) -> None:
         self._number_change(key)
-        self.released.pop(key, None)
-        self.released[key] = holder
-        if len(self.released) > MAX_RELEASED:
+        holders = self.released.pop(key, {})
+        self._release_count += holder not in holders
+        holders[holder] = None
+        self.released[key] = holders
+        while self._release_count > MAX_RELEASES:
             oldest = next(iter(self.released))
-            del self.released[oldest]
-            del self.changes[oldest]
+            self._release_count -= len(self.released.pop(oldest))
+            if oldest not in self.records:
+                del self.changes[oldest]
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -107,7 +107,7 @@
         :param now: seconds on the clock of the event loop.
         :raises ValueError: for a malformed message; also TypeError, KeyError or IndexError.
         """
-        self.context.now = now
+        self._advance(now)
         match message:
             case KeyPageRequest():
                 self._handle_page_request(sender, message)
@@ -153,6 +153,11 @@
                 self._replica_written(completion, ok)
         return self._take_actions()
 
+    def _advance(self, now: float) -> None:
+        """Bring the clock up to date: after a pause of the process messages may come before the next tick."""
+        self.context.now = now
+        self.operation_keys.advance(now)
+
     # Operation keys
 
     def claim_key(self, sender: Any, claim: KeyClaim, has_capacity: bool, now: float) -> list[Action]:
@@ -162,7 +167,7 @@
         :param has_capacity: whether the disk has room for another record.
         :param now: seconds on the clock of the event loop.
         """
-        self.context.now = now
+        self._advance(now)
         key = claim.key
         if not self.grants(claim.epoch) or (not has_capacity and key not in self.operation_keys.records):
             return self._answer_claim(sender, claim, ClaimOutcome.RETRY)
@@ -205,7 +210,7 @@
 
         :param now: seconds on the clock of the event loop.
         """
-        self.context.now = now
+        self._advance(now)
         record = self.operation_keys.record_answer(message.key, message.attempt_id, message.answer)
         if record is not None:
             self.hints.record_write(message.key, now)
@@ -225,7 +230,7 @@
         key = release.key
         if self.operation_keys.release(key, release.attempt_id):
             self.unsaved_records.pop(key, None)
-        if self.operation_keys.released.get(key) == release.attempt_id:
+        if self.operation_keys.was_released_by(key, release.attempt_id):
             self.context.write([deletion_of(key)], KeyReleaseSaved(sender, release.number))
         else:
             self.context.actions.append(SendReply(sender, KeyReleaseAck(release.number)))
