--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -20,6 +19,7 @@
 from orchidferry.node.http1 import LAST_CHUNK, chunk
 from orchidferry.node.reply import Reply, render
 from orchidferry.node.request import Message, RequestError, check_framing
+from orchidferry.node.unread_input import UnreadInput
 
 if TYPE_CHECKING:
     from orchidferry.node.frontend import Frontend
@@ -186,11 +186,7 @@
 
     def _input_waiting(self) -> bool:
         """Whether something that the client has sent, or its end, waits to be read by the event loop."""
-        if self._transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return not self._transport.is_closing() and UnreadInput(self._transport).waits()
 
     def _report_end(self, cause: EndCause, detail: str = "") -> None:
         """Let the frontend know, once, if it ends while its client is owed something."""
--- a/orchidferry/node/upstream_connection.py
+++ b/orchidferry/node/upstream_connection.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -17,6 +16,7 @@
 from orchidferry.node.attempt import Attempt, UpstreamResponse
 from orchidferry.node.flow import LONG_BODY, BodyTooLongError, Flow, FlowFailure
 from orchidferry.node.http1 import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, classify_response, read_report
+from orchidferry.node.unread_input import UnreadInput
 
 if TYPE_CHECKING:
     from orchidferry.node.upstream import Upstream
@@ -45,7 +45,6 @@
         "_malformed",
         "_parser",
         "_paused",
-        "_poll",
         "_rejected",
         "_report",
         "_response_flow",
@@ -54,6 +53,7 @@
         "_status",
         "_transport",
         "_type",
+        "_unread_input",
         "_upload",
         "_uploaded_s",
         "_upstream",
@@ -102,8 +102,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self._lost = False
-        self._poll = select.poll()
-        self._poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._unread_input = UnreadInput(self._transport)
         # Nothing may wait in the transport unnoticed: at a limit of 0 a write reaches the socket at once, and
         # `pause_writing` is called if some of it did not fit.
         self._transport.set_write_buffer_limits(0)
@@ -182,7 +181,7 @@
         """
         if self._lost or self._transport.is_closing():
             return False
-        return not self._poll.poll(0)
+        return not self._unread_input.waits()
 
     def send_attempt(self, attempt: Attempt) -> None:
         """Write an attempt's request and wait for its response."""
--- a/orchidferry/testkit/explore/loop.py
+++ b/orchidferry/testkit/explore/loop.py
@@ -57,6 +57,9 @@
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """Nothing is ever held back here."""
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.closing
 
--- a/orchidferry/testkit/explore/world.py
+++ b/orchidferry/testkit/explore/world.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 import orchidferry.node.clock
-import orchidferry.node.upstream_connection
+import orchidferry.node.unread_input
 from orchidferry.balancing import interface as api
 from orchidferry.node.address import parse_address
 from orchidferry.node.config import Config
@@ -39,7 +39,7 @@
 END_S = 8.0  # after the last choice: all that is under way must have come to its end
 # Timers that come round by themselves: time does not stop for them.
 BACKGROUND = ("Frontend._sweep", "Upstream._sweep", "Discovery._silent")
-PATCHED = ((orchidferry.node.clock, "time"), (orchidferry.node.upstream_connection, "select"))
+PATCHED = ((orchidferry.node.clock, "time"), (orchidferry.node.unread_input, "select"))
 KINDS = {"read": api.Repeat.SAFE, "pay": api.Repeat.UNSAFE, "save": api.Repeat.KEYED}
 
 
