A proxy that ends closes its listener first, and its gate's connections last

Cause, the same as of the cut answers: connections were closed beside the end of what they carried. The gate's idle ones were closed 0.3 s after SIGTERM, under requests of other proxies on their way (may have run: 502 for what may not be repeated); from 2.4 s on new clients were accepted and closed at once. Change: the gate rejects as not run and keeps its connections until the clients' listener is closed; listeners close before their connections do; what is cut at the end may be at work in the last sixth of any grace. At its limit the administration's listener closes no connection that is being answered.

--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -62,6 +62,7 @@
 STOP_ADMITTING_S = 0.3
 STOP_TAKING_S = 2.4
 STOP_MARGIN_S = 0.4  # before the platform kills
+MAX_STOP_MARGIN_FRACTION = 1.0 / 12.0  # of the grace: what is cut may be at work in its last sixth alone
 
 
 class NoPendingRequest:
@@ -164,16 +165,18 @@
         """Drain: the platform looks at readiness once a second, and kills after the grace time."""
         started_s = self._loop.time()
         grace_s = self._settings.bounds.grace_s
-        end_s = started_s + grace_s - STOP_MARGIN_S
-        self._stop_ms = now_ms() + (grace_s - 2.0 * STOP_MARGIN_S) * 1000.0
+        margin_s = min(STOP_MARGIN_S, MAX_STOP_MARGIN_FRACTION * grace_s)
+        end_s = started_s + grace_s - margin_s
+        self._stop_ms = now_ms() + (grace_s - 2.0 * margin_s) * 1000.0
         logger.info("proxy: draining, grace_s={}", grace_s)
         self._draining = True
         for client in self._services.values():
             client.drain_until(self._stop_ms)
         self._publish()
         await asyncio.sleep(STOP_ADMITTING_S)
+        # From now on the gate rejects as not run. Its connections stay open: a request that crosses the end
+        # of one on its way may have run for all that its sender knows.
         self._gate.draining = True
-        inbound = self._loop.create_task(self._inbound.close_gracefully())
         try:
             async with asyncio.timeout_at(started_s + min(STOP_TAKING_S, grace_s / 2.0)):
                 await self._outbound.wait_closed()
@@ -181,13 +184,17 @@
             pass
         try:
             async with asyncio.timeout_at(end_s):
-                await self._outbound.close_gracefully()
-                await inbound
+                await self._close_listener(self._outbound)
+                await self._close_listener(self._inbound)
         except TimeoutError:
             logger.warning("proxy: drain timed out, callers={}", self._outbound.count())
-            inbound.cancel()
         logger.info("proxy: stopped")
 
+    async def _close_listener(self, listener: Listener) -> None:
+        """Accept no more connections, and close those that are open, each after its last response."""
+        listener.close_listener()
+        await listener.close_gracefully()
+
     def reload_settings(self, settings: Settings) -> None:
         """The settings file has changed: other controllers may be named there, or another service."""
         self._control_client.set_seeds(settings.seeds)
--- a/orchidferry/node/admin_server.py
+++ b/orchidferry/node/admin_server.py
@@ -42,7 +42,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._size = 0  # bytes of the request so far
-        self._answered = False
+        self.answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -50,7 +50,7 @@
         self._server.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._answered:
+        if self.answered:
             return
         self._size += len(data)
         try:
@@ -77,9 +77,9 @@
         return None
 
     def _answer(self, status: int, text: bytes) -> None:
-        if self._answered or self._transport is None:
+        if self.answered or self._transport is None:
             return
-        self._answered = True
+        self.answered = True
         self._transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"
             b"Connection: close\r\n\r\n%b" % (status, PHRASES[status], len(text), text)
@@ -88,7 +88,7 @@
 
     def _on_timeout(self) -> None:
         """Answer a client that did not send a request in time; close one that does not read its answer."""
-        if self._answered:
+        if self.answered:
             self.abort()
         else:
             self._answer(408, b"the call took too long to come\n")
@@ -130,10 +130,10 @@
         return len(self._connections) + (self._server is not None)
 
     def connection_opened(self, connection: AdminConnection) -> None:
-        """Add a connection; beyond the limit the one open for the longest time is closed."""
+        """Add a connection; beyond the limit the oldest one that is not answered yet is closed."""
         self._connections[connection] = None
         if len(self._connections) > MAX_CONNECTIONS:
-            next(iter(self._connections)).abort()
+            next((c for c in self._connections if not c.answered), connection).abort()
 
     def connection_closed(self, connection: AdminConnection) -> None:
         """Remove a connection."""
