--- a/orchidferry/mesh/process_end.py
+++ b/orchidferry/mesh/process_end.py
@@ -15,7 +15,8 @@
 
 from loguru import logger
 
-EXIT_MARGIN_S = 0.2  # before the platform kills the process; a proxy is done 0.2 s earlier
+EXIT_MARGIN_S = 0.2  # before the platform kills the process; a proxy is done as long before that
+MAX_EXIT_MARGIN_FRACTION = 1.0 / 24.0  # of the grace: half of the proxy's own margin
 MIN_EXIT_LIMIT_S = 0.01
 
 
@@ -31,7 +32,7 @@
     def on_sigterm() -> None:
         if not stopping.is_set():
             stopping.set()
-            exit_within(grace_s - EXIT_MARGIN_S)
+            exit_within(grace_s - min(EXIT_MARGIN_S, MAX_EXIT_MARGIN_FRACTION * grace_s))
 
     loop.add_signal_handler(signal.SIGTERM, on_sigterm)
 
