--- a/orchidferry/mesh/process_end.py
+++ b/orchidferry/mesh/process_end.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 EXIT_MARGIN_S = 0.2  # before the platform kills the process; a proxy is done as long before that
-MAX_EXIT_MARGIN_FRACTION = 1.0 / 24.0  # of the grace: half of the proxy's own margin
+MAX_EXIT_MARGIN_FRACTION = 0.04  # of the grace: less than half of the proxy's own margin
 MIN_EXIT_LIMIT_S = 0.01
 
 
