--- a/orchidferry/testkit/bench/bare.py
+++ b/orchidferry/testkit/bench/bare.py
@@ -19,6 +19,7 @@
 
 
 def address(text: str) -> Address:
+    """The address that a text names."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
@@ -32,9 +33,11 @@
         self.caller: Caller | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
 
     def carry(self, caller: Caller, message: bytes) -> None:
+        """Write a request, and remember whose response comes next."""
         self.caller = caller
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
@@ -42,6 +45,7 @@
         self.transport.write(message)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
         self._parser.feed_data(data)
         if self._done and self.caller is not None:
             caller = self.caller
@@ -50,12 +54,15 @@
             caller.answer(self._parser.get_status_code(), b"".join(self._body))
 
     def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """The message has come completely."""
         self._done = True
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         if self in self._pool:
             self._pool.remove(self)
         if self.caller is not None:
@@ -71,27 +78,34 @@
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
         self._parser.feed_data(data)
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         self._target = b""
         self._headers: list[bytes] = []
         self._body: list[bytes] = []
 
     def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
         if name.lower() not in (b"host", b"content-length", b"connection"):
             self._headers += [name, b": ", value, b"\r\n"]
 
     def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """The message has come completely."""
         body = b"".join(self._body)
         method = self._parser.get_method()
         length = b"Content-Length: %d\r\n" % len(body) if body or method != b"GET" else b""
@@ -99,6 +113,7 @@
         self._forwarder.forward(self, head + b"\r\n" + body)
 
     def answer(self, status: int, body: bytes) -> None:
+        """Write a response."""
         self.transport.write(b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
 
 
@@ -111,6 +126,7 @@
         self._dials: set[asyncio.Task[None]] = set()
 
     def forward(self, caller: Caller, message: bytes) -> None:
+        """Send a request to the next server in turn."""
         server = next(self._turn)
         pool = self._pools[server]
         if pool:
@@ -131,6 +147,7 @@
 
 
 async def run(listen: Address, servers: list[Address]) -> None:
+    """Forward requests until the process is ended."""
     forwarder = Forwarder(servers)
     server = await asyncio.get_running_loop().create_server(lambda: Caller(forwarder), *listen, backlog=1024)
     await server.serve_forever()
--- a/orchidferry/testkit/bench/decisions.py
+++ b/orchidferry/testkit/bench/decisions.py
@@ -79,9 +79,11 @@
     def entry(
         self, id: int, health: api.Health = api.Health.IN_SERVICE, started: float | None = None
     ) -> api.ServerEntry:
+        """A server as it is listed."""
         return api.ServerEntry(id, "z", "k", id % self.cells, health, 1.0, started)
 
     def do(self, event: api.Event) -> None:
+        """Give the module an event, and carry out its actions."""
         began = time.perf_counter()
         actions = self.balancer.handle(event, self.now)
         spent = time.perf_counter() - began
@@ -102,6 +104,7 @@
                 )
 
     def push(self, delay_ms: float, event: api.Event) -> None:
+        """Have an event given to the module later."""
         self.order += 1
         heapq.heappush(self.due, (self.now + delay_ms, self.order, event))
 
--- a/orchidferry/testkit/bench/peers.py
+++ b/orchidferry/testkit/bench/peers.py
@@ -61,6 +61,7 @@
             self._loop.add_reader(udp, self._readable, n)
 
     async def start(self) -> None:
+        """Listen."""
         for n, fleet in enumerate(self._fleets):
 
             def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: int = n) -> Any:
@@ -99,6 +100,7 @@
         writer.close()
 
     def close(self) -> None:
+        """Close it."""
         for timer in self._timers.values():
             timer.cancel()
         for udp in self._udp:
--- a/orchidferry/testkit/bench/second_loss.py
+++ b/orchidferry/testkit/bench/second_loss.py
@@ -69,6 +69,7 @@
         self.granted: dict[str, set[str]] = {}  # keys and who said yours
 
     def at(self, when: float, what: Callable[[], None]) -> None:
+        """Have something called at a time."""
         self._count += 1
         heapq.heappush(self._queue, (when, self._count, what))
 
@@ -226,10 +227,12 @@
     # What comes
 
     def tick(self) -> None:
+        """Let each shard do what is due."""
         for shard in self.shards.values():
             self.do(shard, shard.tick(self.world.now))
 
     def beat(self) -> None:
+        """Send a heartbeat to the others."""
         self.number += 1
         self.beats[self.number] = self.world.now
         versions = [s.known.version for s in self.shards.values()]
@@ -240,6 +243,7 @@
                 self.send(other.name, beat)
 
     def heard(self, sender: str, message: Message) -> None:
+        """Take a message."""
         now = self.world.now
         match message:
             case Heartbeat():
@@ -259,6 +263,7 @@
                 self.do(shard, shard.receive(sender, message.body, now))
 
     def claim(self, shard: Shard, key: str, holder: str) -> None:
+        """Claim a key."""
         under = shard.body.epoch
 
         def claim() -> None:
@@ -268,6 +273,7 @@
         self.run(claim)
 
     def done(self, shard: Shard, key: str, holder: str, answer: Any) -> None:
+        """Record the answer of a key."""
         if self.alive and shard in self.shards.values():
 
             def record() -> None:
@@ -278,10 +284,12 @@
 
     @property
     def keys(self) -> int:
+        """How many keys it holds."""
         return sum(len(shard.operation_keys.records) for shard in self.shards.values())
 
     @property
     def grants(self) -> bool:
+        """Whether it grants keys now."""
         return all(shard.grants(shard.body.epoch) for shard in self.shards.values())
 
 
--- a/orchidferry/testkit/capacity/regions.py
+++ b/orchidferry/testkit/capacity/regions.py
@@ -72,6 +72,7 @@
     _running = False
 
     def run(self, call: Callable[[], object]) -> None:
+        """Time a call."""
         if self._running:
             return super().run(call)
         self._running, began = True, time.thread_time()
@@ -160,6 +161,7 @@
             self.at(self.now + START_S * self.rng.random(), partial(self.start, name, number % ZONES))
 
     def start(self, name: str, zone: int) -> Node:
+        """Start a node."""
         self._regions[name] = region_of(f"z{zone}")
         node = self.nodes[name] = MeteredNode(self, name, zone, self.heads)
         return node
@@ -195,6 +197,7 @@
             self.at(self.now + LOST_S + AFTER_LOST_S, end.arrive)
 
     def read(self, data: bytes) -> Any:
+        """Decode a message, and count its bytes."""
         self._size = len(data)
         if self._read[0] is data:
             return self._read[1]
--- a/orchidferry/testkit/control/rollout_service.py
+++ b/orchidferry/testkit/control/rollout_service.py
@@ -46,6 +46,7 @@
 
 
 def now_ms() -> float:
+    """The time on the monotonic clock in milliseconds."""
     return time.monotonic() * 1000.0
 
 
--- a/orchidferry/testkit/control/worker.py
+++ b/orchidferry/testkit/control/worker.py
@@ -42,6 +42,7 @@
         self._heard = 0
 
     async def handle_order(self, order: Order) -> None:
+        """Carry out an order."""
         match order["do"]:
             case "listen":
                 self._endpoints = order["endpoints"]
@@ -99,6 +100,7 @@
         """Nothing."""
 
     async def close(self) -> None:
+        """Close it."""
         if self._playing is not None:
             self._playing.cancel()
         await self._control.service.stop()
--- a/orchidferry/testkit/explore/fleet.py
+++ b/orchidferry/testkit/explore/fleet.py
@@ -45,12 +45,15 @@
     """Chance that always falls in the middle."""
 
     def random(self) -> float:
+        """Always the same."""
         return 0.5
 
     def shuffle(self, x: Any) -> None:
+        """Leave the order as it is."""
         pass
 
     def sample(self, population: Any, k: int, **_: Any) -> Any:
+        """The first ones."""
         return list(population)[:k]
 
 
@@ -86,6 +89,7 @@
 
     @property
     def over(self) -> bool:
+        """Whether nothing more can happen."""
         return self.now > FAULTS_UNTIL_MS or not self.faults
 
     def actions(self) -> list[str]:
@@ -114,6 +118,7 @@
         return found
 
     def apply(self, label: str) -> None:
+        """Play one of the actions, by its label."""
         what, _, about = label.partition(" ")
         n = int(about or 0)
         if what not in ("wait", "deliver"):
--- a/orchidferry/testkit/explore/loop.py
+++ b/orchidferry/testkit/explore/loop.py
@@ -45,25 +45,31 @@
     # The node's side
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Keep what the node writes."""
         if not self.closing:
             self.out += data
 
     def write_eof(self) -> None:
+        """Note that the node ends its sending."""
         self.eof_written = True
 
     def can_write_eof(self) -> bool:
+        """It can."""
         return True
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """Nothing is ever held back here."""
 
     def get_write_buffer_size(self) -> int:
+        """Nothing is ever held back here."""
         return 0
 
     def is_closing(self) -> bool:
+        """Whether the node has closed it, or it is lost."""
         return self.closing
 
     def close(self) -> None:
+        """Close it."""
         if not self.closing:
             self.closing = True
             self.loop.call_soon(self._lost, None)
@@ -77,9 +83,11 @@
         """See `pause_reading`."""
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """The wire itself stands for the socket."""
         return self if name == "socket" else default
 
     def fileno(self) -> int:
+        """Its number."""
         return self.number
 
     def _lost(self, problem: Exception | None) -> None:
@@ -90,6 +98,7 @@
     # The peer's side: the bytes are on their way at once, and read in the loop's own time
 
     def feed(self, data: bytes) -> None:
+        """The peer has sent something."""
         self.unread = True
         self.loop.call_soon(self._read, data)
 
@@ -125,9 +134,11 @@
         self._wire: Wire | None = None
 
     def register(self, number: int, events: int) -> None:
+        """Look at the wire of that number."""
         self._wire = next((wire for wire in self._loop.wires if wire.number == number), None)
 
     def poll(self, timeout: float) -> list[int]:
+        """Something where the wire has input that was not read."""
         return [1] if self._wire is not None and self._wire.unread else []
 
 
@@ -141,9 +152,11 @@
         self.sockets = [self]
 
     def getsockname(self) -> Address:
+        """The address."""
         return self.address
 
     def close(self) -> None:
+        """Close it."""
         self.open = False
 
 
@@ -182,18 +195,23 @@
     # What asyncio asks of a loop
 
     def time(self) -> float:
+        """The virtual time in seconds."""
         return self.now
 
     def get_debug(self) -> bool:
+        """Never."""
         return False
 
     def is_running(self) -> bool:
+        """It counts as running."""
         return True
 
     def is_closed(self) -> bool:
+        """It never closes."""
         return False
 
     def call_soon(self, callback: Any, *args: Any, context: Context | None = None) -> asyncio.Handle:  # type: ignore[override]
+        """Call back in the next iteration."""
         handle = asyncio.Handle(callback, args, self, context)
         self.ready.append(handle)
         return handle
@@ -201,6 +219,7 @@
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
+        """Call back at a time."""
         handle = asyncio.TimerHandle(when, callback, args, self, context)
         heapq.heappush(self.timers, (when, next(self._serial), handle))
         return handle
@@ -208,26 +227,32 @@
     def call_later(  # type: ignore[override]
         self, delay: float, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
+        """Call back after a delay."""
         return self.call_at(self.now + max(0.0, delay), callback, *args, context=context)
 
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
         """Cancelled ones are passed over when they come up."""
 
     def create_future(self) -> asyncio.Future[Any]:
+        """A future of this loop."""
         return asyncio.Future(loop=self)
 
     def create_task(self, coro: Any, *, name: str | None = None, context: Context | None = None) -> Any:
+        """A task of this loop; it is kept until it is done."""
         task = asyncio.Task(coro, loop=self, name=name, context=context)
         self.tasks.append(task)
         return task
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep an error that nobody handled."""
         self.problems.append(f"{context.get('message')}: {context.get('exception')!r}"[:300])
 
     def default_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep an error that nobody handled."""
         self.call_exception_handler(context)
 
     async def create_connection(self, make: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        """Dial: the explorer says what comes of it."""
         done: asyncio.Future[Wire] = self.create_future()
         dial = Dial(make, (host, port), done)
         self.dials.append(dial)
@@ -239,6 +264,7 @@
         return wire, wire.protocol
 
     async def create_server(self, make: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        """Listen."""
         listener = Listener(make, (host, port))
         self.listeners.append(listener)
         return listener
--- a/orchidferry/testkit/explore/search.py
+++ b/orchidferry/testkit/explore/search.py
@@ -54,6 +54,7 @@
     rest: list[list[str]] = field(default_factory=list)  # paths that were left then
 
     def take(self, other: Totals) -> None:
+        """Add the totals of another part of the search."""
         self.states += other.states
         self.transitions += other.transitions
         self.runs += other.runs
--- a/orchidferry/testkit/explore/slots.py
+++ b/orchidferry/testkit/explore/slots.py
@@ -107,6 +107,7 @@
 
     @property
     def over(self) -> bool:
+        """Whether nothing more can happen."""
         return all(asker.step == "over" for asker in self.askers.values())
 
     def actions(self) -> list[str]:
@@ -130,6 +131,7 @@
         return found
 
     def apply(self, label: str) -> None:
+        """Play one of the actions, by its label."""
         what, _, about = label.partition(" ")
         if what not in ("deliver", "wait"):
             self.faults -= 1
--- a/orchidferry/testkit/explore/worst_days/hundreds.py
+++ b/orchidferry/testkit/explore/worst_days/hundreds.py
@@ -45,6 +45,7 @@
             operators.append(Operator("r", [], at, step="read", until_s=self.began_s + since_s))
 
     def apply(self, label: str) -> None:
+        """Play one of the actions, by its label."""
         with mock.patch.object(shard_state, "MAX_LISTED_ORDERS", LISTED):
             super(Orders, self).apply(label)
 
@@ -70,9 +71,11 @@
         return "" if len(owners) == 1 else f"duties are done by {owners}"
 
     def succeeded(self) -> bool:
+        """Whether this run shows what the scene is about."""
         return super().succeeded() and not self._behind()
 
     def finish(self) -> None:
+        """Let all that is under way come to its end, and judge it."""
         super().finish()
         if self.unharmed and (behind := self._behind()):
             self.report_violation(f"behind: {behind}")
--- a/orchidferry/testkit/explore/worst_days/isolated.py
+++ b/orchidferry/testkit/explore/worst_days/isolated.py
@@ -94,14 +94,17 @@
 
     @property
     def over(self) -> bool:
+        """Whether nothing more can happen."""
         asked = all(one.outcome for one in self.operators.values())
         owed = any(one.arrived_s < float("inf") for one in self.attempts.values())  # others were lost
         return super().over and asked and not owed
 
     def succeeded(self) -> bool:
+        """Whether this run shows what the scene is about."""
         return all(one.outcome in ("confirmed", "refused", "read") for one in self.operators.values())
 
     def fingerprint(self) -> bytes:
+        """A digest of the state: equal ones have the same futures."""
         held = (
             sorted(map(repr, self.operators.values())),
             sorted(map(repr, self.attempts.values())),
@@ -121,6 +124,7 @@
             super()._apply_fault(what, about)
 
     def stop_process(self, name: str, for_s: float) -> None:
+        """Let a controller do nothing for a time."""
         super().stop_process(name, for_s)
         for attempt in [one for one in self.attempts.values() if one.at == name]:
             del self.attempts[attempt.id]
@@ -162,6 +166,7 @@
         return None
 
     def request_ended(self, name: str, end: RequestEnded) -> None:
+        """Take the end of a request that was made at a controller."""
         attempt = self.attempts.pop(end.id, None)
         if attempt is None:
             return None
@@ -232,6 +237,7 @@
     # Contact, as it is seen from outside
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
+        """Send a message."""
         if kind == ControllerCall.HEARTBEAT:
             self.record.sent[sender, message[1]] = self.now
             old = [key for key, when in self.record.sent.items() if when < self.now - 10.0]
--- a/orchidferry/testkit/explore/worst_days/one_number.py
+++ b/orchidferry/testkit/explore/worst_days/one_number.py
@@ -91,6 +91,7 @@
         self._begin_step()
 
     def apply(self, label: str) -> None:
+        """Play one of the actions, by its label."""
         with mock.patch.object(shard_state, "MAX_LISTED_ORDERS", LISTED):
             super().apply(label)
 
@@ -126,6 +127,7 @@
         client.until_s = self.now
 
     def request_ended(self, name: str, end: RequestEnded) -> None:
+        """Take the end of a request that was made at a controller."""
         operator: Any = next((o for o in self.clients if o.waits == f"{name} {end.id}"), None)
         if operator is None:
             return
@@ -182,6 +184,7 @@
                 self.report_violation(f"refused: {order} was refused, and was taken")
 
     def state_changed(self, name: str, changed: StateChanged) -> None:
+        """Take note that a controller knows a newer state."""
         super().state_changed(name, changed)
         state = shard_state.body(changed.new)
         if state.revision:
@@ -189,13 +192,16 @@
             self._judge_refused()
 
     def fingerprint(self) -> bytes:
+        """A digest of the state: equal ones have the same futures."""
         judged = repr((sorted(self.chain.items()), self.acknowledged, self.refused))
         return super().fingerprint() + judged.encode()
 
     def succeeded(self) -> bool:
+        """Whether this run shows what the scene is about."""
         return all(operator.read for operator in self.clients) and bool(self.acknowledged)
 
     def finish(self) -> None:
+        """Let all that is under way come to its end, and judge it."""
         if self.unharmed and self.must_hear and not self.succeeded():
             self.report_violation(f"unclear: {[operator.told for operator in self.clients]}")  # type: ignore[attr-defined]
 
--- a/orchidferry/testkit/explore/worst_days/second_loss.py
+++ b/orchidferry/testkit/explore/worst_days/second_loss.py
@@ -40,6 +40,7 @@
         super().__init__(scene, faults, kinds)
 
     def key_granted(self, one: KeyRequest) -> None:
+        """Take note that a key was granted."""
         super().key_granted(one)
         if one.how == ANSWER_AT_ONE:
             self.send(one.node, "a", ControllerCall.RECORD_ANSWER, KEY, one.holder, one.holder)
@@ -97,14 +98,17 @@
         return ""
 
     def succeeded(self) -> bool:
+        """Whether this run shows what the scene is about."""
         return super().succeeded() and not self._missing()
 
     def finish(self) -> None:
+        """Let all that is under way come to its end, and judge it."""
         missing = self._missing()
         if missing and self.faults_left == self.faults_allowed:
             self.report_violation(f"whole: {missing}")
 
     def fingerprint(self) -> bytes:
+        """A digest of the state: equal ones have the same futures."""
         return super().fingerprint() + repr(sorted(self.ending_since.items())).encode()
 
 
@@ -124,6 +128,7 @@
         self.messages = by_link(self.messages)  # so that equal fingerprints have the same choices
 
     def next_items(self) -> tuple[str, list[str]]:
+        """What may come next."""
         receiver, items = super().next_items()
         return receiver, items[: self.max_choices]
 
--- a/orchidferry/testkit/model/configuration_rollout.py
+++ b/orchidferry/testkit/model/configuration_rollout.py
@@ -235,9 +235,11 @@
         return sum(size for (kind, _), (_, size) in self.publisher.traffic.sent.items() if kind == "text")
 
     def gone(self, end: Any) -> None:
+        """A link has ended."""
         self.publisher.disconnected(end)
 
     def heard(self, end: Any, message: Any) -> None:
+        """Take a message."""
         publisher = self.publisher
         match message:
             case NodeHello():
@@ -336,12 +338,15 @@
         return len(self.client._subscriber.relay.followers.positions)
 
     def accept(self, end: Any) -> None:
+        """Take a new link."""
         self.client._subscriber.relay.connected(end)
 
     def heard(self, end: Any, message: Any) -> None:
+        """Take a message."""
         self.client._received_from_follower(end, message)
 
     def gone(self, end: Any) -> None:
+        """A link has ended."""
         self.client._subscriber.relay.disconnected(end)
 
 
@@ -376,6 +381,7 @@
     # What the processes ask of their world
 
     def delay(self, one: Process, other: Process) -> float:
+        """The time in seconds that a message takes from one process to another."""
         return WITHIN_ZONE_S if one.zone == other.zone else BETWEEN_ZONES_S
 
     def send(self, sender: str, to: str, kind: str, *message: Any) -> None:
--- a/orchidferry/testkit/model/relays.py
+++ b/orchidferry/testkit/model/relays.py
@@ -82,9 +82,11 @@
         self.links: dict[End, None] = {}  # in the order of their making, so that one seed gives one run
 
     def time(self) -> float:
+        """The virtual time in seconds."""
         return self.world.now
 
     def call_later(self, delay: float, call: Callable[..., object], *args: Any) -> None:
+        """Call back after a delay."""
         self.world.at(self.world.now + delay, lambda: self.run(lambda: call(*args)))
 
     def run(self, call: Callable[[], object]) -> None:
@@ -117,9 +119,11 @@
         return self._worked_s
 
     def freeze(self) -> None:
+        """Stop the process where it is."""
         self.frozen = True
 
     def thaw(self) -> None:
+        """Let the process go on."""
         self.frozen = False
         waiting = self.waiting
         self.waiting = []
@@ -166,10 +170,12 @@
         owner.links[self] = None
 
     def send(self, message: Message) -> None:
+        """Send a message."""
         if self.open:
             self.send_encoded(encode(message))
 
     def send_encoded(self, data: bytes) -> None:
+        """Send a message that is encoded already."""
         owner = self.owner
         world = self.owner.world
         if not self.open:
@@ -203,6 +209,7 @@
         return None
 
     def take(self, message: Any) -> None:
+        """Take a message that has arrived; None: the other end has closed."""
         if message is None:
             self._end()
         elif self.open:
@@ -237,6 +244,7 @@
 
     @property
     def stream(self) -> Any:
+        """The stream of changes of its members."""
         return self.publisher._stream
 
     def _tick(self) -> None:
@@ -252,9 +260,11 @@
         self.world.stepped(self)
 
     def gone(self, end: Any) -> None:
+        """A link has ended."""
         self.publisher.disconnected(end)
 
     def heard(self, end: Any, message: Any) -> None:
+        """Take a message."""
         publisher = self.publisher
         match message:
             case ConfigurationFetch():
@@ -378,12 +388,15 @@
         self.world.dial(self, ip, heard, self.subscriber.parent_disconnected, dialled)
 
     def accept(self, end: Any) -> None:
+        """Take a new link."""
         self.subscriber.relay.connected(end)
 
     def heard(self, end: Any, message: Any) -> None:
+        """Take a message."""
         self.subscriber.relay.received(end, message)
 
     def gone(self, end: Any) -> None:
+        """A link has ended."""
         self.subscriber.relay.disconnected(end)
 
     def _changed(self) -> None:
@@ -453,6 +466,7 @@
         self.came: dict[tuple[str, int, int], dict[str, float]] = {}  # and when it came to each node
 
     def at(self, when: float, call: Callable[[], object]) -> None:
+        """Have something called at a time."""
         self._serial += 1
         heapq.heappush(self._queue, (when, self._serial, call))
 
--- a/orchidferry/testkit/quic/client.py
+++ b/orchidferry/testkit/quic/client.py
@@ -89,10 +89,12 @@
         self._on_extra = on_extra
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         faulty = FaultyTransport(cast(asyncio.DatagramTransport, transport), self.path)
         super().connection_made(cast(asyncio.BaseTransport, faulty))
 
     def datagram_received(self, data: bytes | str, addr: Any) -> None:
+        """Take a datagram."""
         along(self.back, self._deliver, data, addr)
 
     def _deliver(self, data: bytes | str, addr: Any) -> None:
@@ -120,6 +122,7 @@
             self._transport.close()
 
     def begin(self, asker: AskerStream, headers: list[Header], body: bytes) -> int:
+        """Send a request; returns the number of its stream."""
         assert self.http is not None
         self.used = time.monotonic()
         if self.unheard_since is None:
@@ -142,6 +145,7 @@
             self.transmit()
 
     def quic_event_received(self, event: QuicEvent) -> None:
+        """Take an event of the connection."""
         if isinstance(event, ProtocolNegotiated) and self.http is None:
             self.http = H3Connection(self._quic)
         elif isinstance(event, HandshakeCompleted):
--- a/orchidferry/testkit/wire.py
+++ b/orchidferry/testkit/wire.py
@@ -60,11 +60,13 @@
         self._first = first
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
         self.open = True
         self._on_made(self)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
         self._now = time.monotonic()
         self._size += len(data)
         try:
@@ -75,18 +77,23 @@
             self.reset()
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         self._begin(self._now)
 
     def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """The message has come completely."""
         method = self._parser.get_method().decode()
         target = self._target.decode("latin-1")
         request = Request(method, target, self._headers, b"".join(self._body), self._first, self._now)
@@ -94,6 +101,7 @@
         self._on_request(self, request)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         if self.open:
             self.open = False
             self._on_lost(self)
@@ -147,6 +155,7 @@
         self._complete = self._keep = self._extra = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
         self.alive = True
 
@@ -160,6 +169,7 @@
         return self._waiting
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
         if self._waiting is None:
             self._told_extra()
             return None
@@ -192,6 +202,7 @@
             self.drop()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         self.alive = False
         if self._size:
             self._end("broken")
@@ -218,18 +229,22 @@
         self.transport.abort()
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         if self._complete:
             self._extra = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
         if not self._complete:
             self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
         if not self._complete:
             self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """The message has come completely."""
         if not self._complete and self._parser.get_status_code() >= 200:
             self._complete, self._keep = True, self._parser.should_keep_alive()
 
@@ -306,6 +321,7 @@
                 del self._idle[address]
 
     def close(self) -> None:
+        """Close all kept connections."""
         for idle in self._idle.values():
             for _, connection in idle:
                 connection.drop()
