At its limit a listener looks at eight connections of a stage at most

Cause, found by reading: each new connection over the limit looked through all connections of a stage until one could go. In a crowd that comes in one iteration of the event loop none of the newest can (each has sent something that is not read yet), so the cost rose with the square of the crowd. Change: the eight oldest of each stage are looked at.

--- a/orchidferry/node/frontend.py
+++ b/orchidferry/node/frontend.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from itertools import islice
 
 from orchidferry.balancing import interface as api
 from orchidferry.node.address import Address
@@ -28,6 +29,7 @@
 # Where a connection to close for a new one is sought: clients that never asked, then the longest idle. The
 # stage does not tell that a client is owed nothing: a response may be handed over and not sent yet.
 EVICTION_ORDER = (Stage.LEAVING, Stage.NEW, Stage.IDLE)
+MAX_CANDIDATES = 8  # of each stage that are looked at, the oldest first: a crowd may come at once
 
 
 class Frontend:
@@ -132,8 +134,9 @@
     def _evict(self, newest: ClientConnection) -> None:
         """Close a connection whose client is owed nothing; the newest one if there is no other."""
         self.evicted += 1
-        others = (c for stage in EVICTION_ORDER for c in self._stages[stage] if c is not newest)
-        next((c for c in others if c.is_evictable()), newest).abort(EndCause.EVICTED)
+        oldest = (c for stage in EVICTION_ORDER for c in islice(self._stages[stage], MAX_CANDIDATES))
+        others = (c for c in oldest if c is not newest and c.is_evictable())
+        next(others, newest).abort(EndCause.EVICTED)
 
     def set_stage(self, connection: ClientConnection, stage: Stage) -> None:
         """Set what a connection waits for; if that is new, its time begins anew."""
--- a/tests/mesh/dataplane/test_connection_limit.py
+++ b/tests/mesh/dataplane/test_connection_limit.py
@@ -27,10 +27,11 @@
 
 import pytest
 
-from orchidferry.mesh.dataplane.listener import Listener
+from orchidferry.mesh.dataplane.listener import CallerConnection, Listener
 from orchidferry.node.client_connection import Stage
 from orchidferry.node.connection_end import EndCause, Owed
 from orchidferry.node.flow import Flow, MemoryPool
+from orchidferry.node.frontend import MAX_CANDIDATES
 from orchidferry.node.reply import Reply
 from orchidferry.node.request import Message
 
@@ -179,6 +180,32 @@
     asyncio.run(play())
 
 
+def test_a_crowd_at_the_limit_costs_each_of_its_connections_a_bounded_look(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All that come in one iteration have sent something that is not read yet: none of these makes room."""
+    looks: list[int] = []
+
+    def never(self: CallerConnection) -> bool:
+        looks.append(1)
+        return False
+
+    monkeypatch.setattr(CallerConnection, "is_evictable", never)
+
+    async def play() -> None:
+        async with scene() as played:
+            played.listener.max_connections = 4 * MAX_CANDIDATES
+            clients = [await played.connect() for _ in range(4 * MAX_CANDIDATES)]
+            await played.reaches(lambda: played.listener.count() == len(clients))
+            for number in range(1, MAX_CANDIDATES):
+                await played.connect()
+                await played.reaches(lambda number=number: played.listener.evicted == number)  # type: ignore[misc]
+            assert len(looks) <= MAX_CANDIDATES * played.listener.evicted
+            assert played.listener.count() == len(clients)
+
+    asyncio.run(play())
+
+
 def test_connections_that_end_while_their_client_is_owed_something_are_counted() -> None:
     """What the metrics say of a connection that is ended by the listener."""
 
