--- a/orchidferry/testkit/mesh/processes.py
+++ b/orchidferry/testkit/mesh/processes.py
@@ -35,6 +35,9 @@
 MAX_SEEDS = 3
 """Controllers that a settings file names."""
 
+INTERPRETER_START_S = 0.5
+"""In which an interpreter has started, on a slow machine too."""
+
 RESTART_DELAY_S = 0.5
 MAX_STARTS = 20
 """Starts of one machine's process over a run."""
@@ -210,9 +213,22 @@
         self._signal(signal.SIGCONT, "resumed")
 
     def reload(self) -> None:
-        """Write its settings file anew, and have its process read it (SIGHUP)."""
+        """Write its settings file anew, and have its process read it (SIGHUP).
+
+        While the interpreter itself starts no program can handle a signal, so the process is spared then.
+        """
         self.write_settings()
-        self._signal(signal.SIGHUP, "reloaded")
+        young = self._context.now() - self._started_at < INTERPRETER_START_S
+        if not young or self._handles_reload():
+            self._signal(signal.SIGHUP, "reloaded")
+
+    def _handles_reload(self) -> bool:
+        """Whether its process has a handler of SIGHUP by now, as the kernel says."""
+        with contextlib.suppress(OSError, ValueError):
+            for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+                if line.startswith("SigCgt:"):
+                    return bool(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+        return False
 
     def _signal(self, number: signal.Signals, what: str) -> None:
         if self.pid is not None:
