Sight: responses given up half-way, the limit of connections, ends under open connections

A listener at its limit of connections says so once in 10 s, and a proxy whose grace time is over reports the connections that it ends.

--- a/orchidferry/mesh/dataplane/attempt.py
+++ b/orchidferry/mesh/dataplane/attempt.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from orchidferry.balancing.interface import Result
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause
 from orchidferry.node.address import Address
 from orchidferry.node.attempt import Attempt, UpstreamResponse
 from orchidferry.node.request import Message
@@ -18,7 +19,7 @@
 class TrackedAttempt(Attempt):
     """One copy of a request on its way to one server."""
 
-    __slots__ = ("_kernel_took_nothing", "_possibly_sent", "at_most_once")
+    __slots__ = ("_kernel_took_nothing", "_possibly_sent", "at_most_once", "timed_out")
 
     def __init__(
         self, message: Message, server: int, address: Address, timeout_ms: float, at_most_once: bool
@@ -26,6 +27,7 @@
         """`at_most_once`: the request must not run twice."""
         super().__init__(message, server, address, timeout_ms)
         self.at_most_once = at_most_once
+        self.timed_out = False  # its own time was over before it had ended
         self._possibly_sent = False
         self._kernel_took_nothing: Callable[[], bool] | None = None
 
@@ -36,6 +38,10 @@
             self._possibly_sent = not self._kernel_took_nothing()
         return self._possibly_sent or self.written
 
+    def abandon_cause(self) -> AbandonCause:
+        """Why it is given up, while it is."""
+        return AbandonCause.TIMEOUT if self.timed_out else AbandonCause.CLIENT_CLOSED
+
     def request_written(self, kernel_took_nothing: Callable[[], bool] | None = None) -> None:
         """Its connection has written the request.
 
@@ -67,4 +73,5 @@
 
     def on_timeout(self) -> None:
         """End it as timed out, or as unreachable if nothing of it was sent."""
+        self.timed_out = True
         self.abort(Result.TIMEOUT if self.possibly_sent else Result.UNREACHABLE)
--- a/orchidferry/mesh/dataplane/connection_pool.py
+++ b/orchidferry/mesh/dataplane/connection_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonedResponses
 from orchidferry.mesh.dataplane.attempt import TrackedAttempt
 from orchidferry.mesh.dataplane.http_connection import HttpConnection
 from orchidferry.mesh.dataplane.idle_limit import IdleLimit
@@ -29,13 +30,16 @@
         free_sockets: Callable[[], int],
         timers: TimerQueue,
         at_most_once_idle_ms: float,
+        name: str = "gate",
     ) -> None:
         """:param free_sockets: how many more connections there may be.
 
         :param at_most_once_idle_ms: what may run at most once goes on no connection that was idle for longer.
+        :param name: of the pool, for logs.
         """
         super().__init__(loop, connect_timeout_ms, keepalive_ms, free_sockets, timers)
         self._at_most_once_idle_ms = at_most_once_idle_ms
+        self.abandoned_responses = AbandonedResponses(name)
         self._idle_limits: dict[int, IdleLimit] = {}  # by server
 
     def idle_limit(self, server: int) -> IdleLimit:
--- a/orchidferry/mesh/dataplane/http_connection.py
+++ b/orchidferry/mesh/dataplane/http_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from orchidferry.balancing.interface import Result
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonedResponse
 from orchidferry.mesh.dataplane.attempt import TrackedAttempt
 from orchidferry.mesh.dataplane.messages import (
     DEPENDENCY_SHED_HEADER,
@@ -55,8 +56,9 @@
         "_headers",
         "_idle_ms",
         "_not_executed",
-        "_response_begun",
+        "_response_bytes",
         "_sealed",
+        "_sent_ms",
         "_surplus",
         "_tainted",
     )
@@ -68,6 +70,7 @@
         self._carried_ids: tuple[str, ...] = ()  # of the last requests that it carried
         self._idle_ms = 0.0  # idle time before the current attempt
         self._tainted = False
+        self._sent_ms = 0.0  # when the current attempt was written
         super().__init__(pool, server, address)
         self._parser = cast(httptools.HttpResponseParser, ResponseParser(self))
 
@@ -78,7 +81,7 @@
 
     def _reset_response(self) -> None:
         super()._reset_response()
-        self._response_begun = False
+        self._response_bytes = 0  # that have come of the response and what preceded it
         self._reset_headers()
 
     def _reset_headers(self) -> None:
@@ -108,7 +111,8 @@
         self._carried_ids = (*self._carried_ids[1 - MAX_CARRIED_IDS :], attempt.message.id)
         self._attempt = attempt
         self._reset_response()
-        attempt.set_cancel_io(self.close)
+        attempt.set_cancel_io(partial(self._abandon, attempt))
+        self._sent_ms = now_ms()
         request = attempt.head_bytes()
         self._transport.write(request)
         if self._transport.is_closing():  # the write itself failed: the kernel took nothing
@@ -122,6 +126,19 @@
             attempt.on_sent()
         return None
 
+    def _abandon(self, attempt: TrackedAttempt) -> None:
+        """Close, as the attempt that it carries is given up."""
+        if self._response_bytes:
+            response = AbandonedResponse(
+                attempt.abandon_cause(),
+                attempt.message.id,
+                self.address,
+                self._response_bytes,
+                now_ms() - self._sent_ms,
+            )
+            self._upstream.abandoned_responses.record(response, self._upstream.now_s())
+        self.close()
+
     def _kernel_took_nothing(self, size: int) -> bool:
         """Whether all of a request of that size is still buffered; False if that can't be told."""
         open = not self._lost and not self._transport.is_closing()
@@ -129,7 +146,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection has ended; one that was reused may have been forgotten by its server."""
-        unanswered = self._attempt is not None and not self._response_begun
+        unanswered = self._attempt is not None and not self._response_bytes
         if unanswered and self._idle_ms > 0.0:
             self._upstream.idle_limit(self.server).closed_after(self._idle_ms, now_ms())
         super().connection_lost(exc)
@@ -138,9 +155,9 @@
 
     def before_parsing(self, data: bytes) -> None:
         """Bytes are about to be parsed: a line end in front of a response is no part of it."""
-        if not self._response_begun:
-            self._response_begun = True
+        if not self._response_bytes:
             self._tainted = self._tainted or data[0] in LINE_END
+        self._response_bytes += len(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; those that the mesh writes itself are not forwarded."""
--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -15,6 +15,7 @@
 
 from orchidferry.mesh.dataplane.messages import MILLISECONDS, PRIVATE_HEADER_PREFIX, ProxiedRequest
 from orchidferry.mesh.errors import Rejection, RejectionReason
+from orchidferry.mesh.log_limit import LogLimit
 from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
 from orchidferry.node.connection_end import EndCause, IncompleteEnd
 from orchidferry.node.flow import Flow, MemoryPool
@@ -57,6 +58,7 @@
 MIN_HEADER_TIMEOUT_S = 1.0
 MAX_LOGGED_ENDS = 20  # incomplete ends that a listener logs in `LOGGED_ENDS_WINDOW_S`; all are counted
 LOGGED_ENDS_WINDOW_S = 1.0
+LOGGED_LIMIT_WINDOW_S = 10.0  # a listener at its limit of connections says so once in this time
 
 
 class CallerConnection(ClientConnection):
@@ -144,7 +146,7 @@
         self._update_stage()
 
     def _close_without_reply(self) -> None:
-        self._report_end(EndCause.INVALID_INPUT)
+        self.report_end(EndCause.INVALID_INPUT)
         self._input_closed = True
         self._closing = True
         self._finished = True
@@ -173,8 +175,8 @@
         super().__init__({}, accept, ready, max_connections, pool)
         self.name = name
         self.revision = 0  # of the configuration in force, for logs
-        self._logged_ends = 0  # in the window that began last
-        self._logged_ends_since_s = 0.0
+        self._end_log_limit = LogLimit(MAX_LOGGED_ENDS, LOGGED_ENDS_WINDOW_S)
+        self._limit_log_limit = LogLimit(1, LOGGED_LIMIT_WINDOW_S)
         self._idle_timeout_s = 0.0  # the longest that callers may know of
         self._timeout_changes = 0  # by the operator
 
@@ -204,14 +206,23 @@
             Stage.READING: max(header_s, MIN_HEADER_TIMEOUT_S),
         }
 
+    def report_eviction(self) -> None:
+        """Log that the limit of connections is reached, unless it was logged lately."""
+        if not self._limit_log_limit.allows(self._loop.time()):
+            return
+        logger.warning(
+            "listener: limit of connections reached, listener={} connections={} idle={} evicted={} "
+            "revision={}",
+            self.name,
+            self.max_connections,
+            self.count_in(Stage.IDLE),
+            self.evicted,
+            self.revision,
+        )
+
     def report_incomplete_end(self, end: IncompleteEnd) -> None:
         """Log it, unless many were logged just now."""
-        now_s = self._loop.time()
-        if now_s - self._logged_ends_since_s >= LOGGED_ENDS_WINDOW_S:
-            self._logged_ends_since_s = now_s
-            self._logged_ends = 0
-        self._logged_ends += 1
-        if self._logged_ends > MAX_LOGGED_ENDS:
+        if not self._end_log_limit.allows(self._loop.time()):
             return
         logger.warning(
             "listener: response incomplete, listener={} cause={} owed={} detail={} unsent_bytes={} "
--- a/orchidferry/mesh/dataplane/pending_request.py
+++ b/orchidferry/mesh/dataplane/pending_request.py
@@ -9,6 +9,7 @@
 from orchidferry.balancing.interface import Result
 from orchidferry.balancing.logic import NEVER_RAN
 from orchidferry.mesh.control.configuration import Route
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause
 from orchidferry.mesh.dataplane.attempt import TrackedAttempt
 from orchidferry.mesh.dataplane.endpoint_table import Endpoint
 from orchidferry.mesh.dataplane.messages import (
@@ -44,6 +45,7 @@
         "answer",
         "attempts",
         "awaited",
+        "closed_by",
         "deadline_timer",
         "deadline_ms",
         "id",
@@ -74,6 +76,7 @@
         self.answer = answer
         self.on_ended = on_ended
         self.awaited = True  # its caller still waits for the reply
+        self.closed_by = AbandonCause.SUPERSEDED  # why its attempts are given up, once it is not awaited
         self.may_have_run = False
         self.attempts = 0  # made so far
         self.deadline_timer = 0
@@ -138,6 +141,10 @@
         super().on_timeout()
         return None
 
+    def abandon_cause(self) -> AbandonCause:
+        """Why it is given up, while it is."""
+        return AbandonCause.TIMEOUT if self.timed_out else self._request.closed_by
+
     def may_send(self) -> bool:
         """Whether it is still awaited, its server in service, and its body there from the start."""
         flow = self.message.flow
--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -81,9 +81,9 @@
         self._rng = random.Random()
         self._timers = TimerQueue(loop)
         self._max_sockets = max(MIN_SOCKETS, settings.max_file_descriptors - RESERVED_SOCKETS)
-        self._gate_connections = self._connection_pool(GATE_KEEPALIVE_MS)
+        self._gate_connections = self._connection_pool("gate", GATE_KEEPALIVE_MS)
         self._gate_connections.local_ip = settings.bind_ip or None
-        self._server_connections = self._connection_pool(SERVER_KEEPALIVE_MS)
+        self._server_connections = self._connection_pool("server", SERVER_KEEPALIVE_MS)
         self._server_numbers: dict[str, int] = {}  # by id, for as long as a node lists the server
         self._last_server_number = 0
         self._services: dict[str, ServiceClient] = {}
@@ -107,7 +107,7 @@
         )
         self._create_listeners()
 
-    def _connection_pool(self, keepalive_ms: float) -> HttpConnectionPool:
+    def _connection_pool(self, name: str, keepalive_ms: float) -> HttpConnectionPool:
         return HttpConnectionPool(
             self._loop,
             CONNECT_TIMEOUT_MS,
@@ -115,6 +115,7 @@
             self._free_sockets,
             self._timers,
             AT_MOST_ONCE_IDLE_MS,
+            name,
         )
 
     def _create_listeners(self) -> None:
@@ -188,6 +189,8 @@
                 await self._close_listener(self._inbound)
         except TimeoutError:
             logger.warning("proxy: drain timed out, callers={}", self._outbound.count())
+            for listener in (self._outbound, self._inbound):
+                listener.report_open_connections()
         logger.info("proxy: stopped")
 
     async def _close_listener(self, listener: Listener) -> None:
--- a/orchidferry/mesh/dataplane/proxy_metrics.py
+++ b/orchidferry/mesh/dataplane/proxy_metrics.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause
 from orchidferry.mesh.dataplane.connection_pool import HttpConnectionPool
 from orchidferry.mesh.dataplane.listener import Listener
 from orchidferry.node.client_connection import Stage
@@ -29,6 +30,9 @@
         lines += _listener_metrics(listener)
     for name, pool in pools.items():
         lines.append(f"proxy.pool.{name}.connections={pool.count()}")
+        for cause in AbandonCause:
+            count = pool.abandoned_responses.by_cause[cause]
+            lines.append(f"proxy.pool.{name}.abandoned.{cause.value}={count}")
     return "\n".join([*lines, ""]).encode()
 
 
--- a/orchidferry/mesh/dataplane/service_client.py
+++ b/orchidferry/mesh/dataplane/service_client.py
@@ -21,6 +21,7 @@
 from orchidferry.balancing.nested import Nested
 from orchidferry.mesh.control.configuration import Route
 from orchidferry.mesh.control.endpoints import NodeRecord
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause
 from orchidferry.mesh.dataplane.connection_pool import HttpConnectionPool
 from orchidferry.mesh.dataplane.endpoint_table import EndpointTable
 from orchidferry.mesh.dataplane.messages import (
@@ -209,10 +210,15 @@
         self._last_request += 1
         return f"{self._last_request}"
 
-    def finish(self, request: PendingRequest, reply: Reply) -> None:
-        """Answer a request, if it is still awaited."""
+    def finish(
+        self, request: PendingRequest, reply: Reply, cause: AbandonCause = AbandonCause.ANSWERED
+    ) -> None:
+        """Answer a request, if it is still awaited.
+
+        :param cause: why its attempts that are still under way are given up.
+        """
         if request.awaited:
-            self._withdraw(request)
+            self._withdraw(request, cause)
             request.answer(reply)
 
     def server_answered(self, request: PendingRequest, dependency_shed: bool) -> None:
@@ -233,14 +239,16 @@
         if not request.awaited:
             return
         if request.response is not None:
-            self.finish(request, forwarded_reply(request.response))
+            self.finish(request, forwarded_reply(request.response), AbandonCause.DEADLINE)
         else:
             # What was begun on its way to a gate may run yet, so its caller is not told that it did not.
             attempts = self._attempts_of(request)
             sent = request.may_have_run or any(attempt.possibly_sent for attempt in attempts)
             refusal = Rejection(RejectionReason.TIMEOUT if sent else RejectionReason.NOT_EXECUTED)
             retry_after_s = None if sent else SHORT_RETRY_AFTER_S
-            self.finish(request, refusal_reply(request.message, refusal, retry_after_s))
+            self.finish(
+                request, refusal_reply(request.message, refusal, retry_after_s), AbandonCause.DEADLINE
+            )
             for attempt in attempts:
                 if not attempt.possibly_sent:  # and it never will be
                     attempt.abort(Result.CANCELLED)
@@ -256,15 +264,16 @@
         """
         if not request.awaited:
             return
-        self._withdraw(request)
+        self._withdraw(request, AbandonCause.CLIENT_CLOSED)
         self.handle(api.ClientGone(request.id))
         for attempt in self._attempts_of(request):
             if request.on_ended is None or not attempt.possibly_sent:
                 attempt.abort(Result.CANCELLED)
         self.attempts_changed(request)
 
-    def _withdraw(self, request: PendingRequest) -> None:
+    def _withdraw(self, request: PendingRequest, cause: AbandonCause) -> None:
         request.awaited = False
+        request.closed_by = cause
         self._timers.cancel(request.deadline_timer)
         self.pending.pop(request.id, None)
 
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -158,7 +158,7 @@
             self._update_stage()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._report_end(EndCause.CLIENT_CLOSED)
+        self.report_end(EndCause.CLIENT_CLOSED)
         self._input_closed = True
         self._queue.clear()
         self._frontend.connection_closed(self)
@@ -188,7 +188,7 @@
         """Whether something that the client has sent, or its end, waits to be read by the event loop."""
         return not self._transport.is_closing() and UnreadInput(self._transport).waits()
 
-    def _report_end(self, cause: EndCause, detail: str = "") -> None:
+    def report_end(self, cause: EndCause, detail: str = "") -> None:
         """Let the frontend know, once, if it ends while its client is owed something."""
         owed = self.owed()
         if owed is not None and not self._end_reported:
@@ -251,7 +251,7 @@
     def flow_failed(self) -> None:
         """Close, so that the client learns that the answer is not complete."""
         failure = self._response_flow.failure if self._response_flow is not None else None
-        self._report_end(EndCause.RESPONSE_FAILED, failure.value if failure is not None else "")
+        self.report_end(EndCause.RESPONSE_FAILED, failure.value if failure is not None else "")
         self._response_flow = None
         self._input_closed = True
         self._closing = True
@@ -333,7 +333,7 @@
 
     def abort(self, cause: EndCause) -> None:
         """Close now, whatever it carries."""
-        self._report_end(cause)
+        self.report_end(cause)
         self._input_closed = True
         self._finished = True
         self._frontend.connection_closed(self)  # now: its socket counts as free
--- a/orchidferry/node/frontend.py
+++ b/orchidferry/node/frontend.py
@@ -134,6 +134,7 @@
     def _evict(self, newest: ClientConnection) -> None:
         """Close a connection whose client is owed nothing; the newest one if there is no other."""
         self.evicted += 1
+        self.report_eviction()
         oldest = (c for stage in EVICTION_ORDER for c in islice(self._stages[stage], MAX_CANDIDATES))
         others = (c for c in oldest if c is not newest and c.is_evictable())
         next(others, newest).abort(EndCause.EVICTED)
@@ -173,6 +174,15 @@
             IncompleteEnd(cause, owed, detail, connection.unsent_bytes, stage_age_s, connection.age_s)
         )
 
+    def report_eviction(self) -> None:
+        """Log that a connection is closed for a new one; a node in service only counts them."""
+
+    def report_open_connections(self) -> None:
+        """Report those whose client is owed something, as the process ends over them."""
+        for stage in Stage:
+            for connection in self._stages[stage]:
+                connection.report_end(EndCause.SHUTDOWN)
+
     def report_incomplete_end(self, end: IncompleteEnd) -> None:
         """Log such an end; a node in service only counts them."""
 
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -429,7 +429,7 @@
         return self.harness.answers()
 
 
-def finish_always(self: ServiceClient, live: PendingRequest, reply: Reply) -> None:
+def finish_always(self: ServiceClient, live: PendingRequest, reply: Reply, *cause: object) -> None:
     live.answer(reply)
 
 
--- a/tests/mesh/dataplane/test_proxy_metrics.py
+++ b/tests/mesh/dataplane/test_proxy_metrics.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause, AbandonedResponses
 from orchidferry.mesh.dataplane.proxy_metrics import render_metrics
 from orchidferry.node.connection_end import EndCause, IncompleteEnd, Owed
 from orchidferry.node.flow import Flow, FlowFailure
@@ -16,7 +18,9 @@
     harness = CallerHarness()
     harness.send(request(b"a"))
     harness.listener.incomplete_ends[EndCause.EVICTED, Owed.REST_OF_RESPONSE] = 2
-    pool: Any = harness.listener  # counts, as a pool does
+    abandoned = AbandonedResponses("gate")
+    abandoned.by_cause[AbandonCause.TIMEOUT] = 4
+    pool: Any = SimpleNamespace(count=lambda: 1, abandoned_responses=abandoned)
     lines = render_metrics([harness.listener], {"gate": pool}, 3, 35).decode().splitlines()
     metrics = {name: int(value) for name, value in (line.split("=") for line in lines)}
     assert metrics["proxy.configuration.revision"] == 35 and metrics["proxy.gate.in_flight"] == 3
@@ -25,6 +29,8 @@
     assert metrics["proxy.outbound.incomplete.evicted.rest_of_response"] == 2
     assert metrics["proxy.outbound.incomplete.client_closed.response"] == 0
     assert metrics["proxy.pool.gate.connections"] == 1
+    assert metrics["proxy.pool.gate.abandoned.timeout"] == 4
+    assert metrics["proxy.pool.gate.abandoned.deadline"] == 0
 
 
 def test_an_incomplete_end_is_reported_with_cause_reason_and_age(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/mesh/dataplane/test_proxy_stop.py
+++ b/tests/mesh/dataplane/test_proxy_stop.py
@@ -43,6 +43,7 @@
         self.disconnect_s = disconnect_s
         self.closing_s = -1.0
         self.refusing_s = -1.0
+        self.reported_s = -1.0
 
     def count(self) -> int:
         return int(self.loop.now_s < self.disconnect_s)
@@ -53,6 +54,9 @@
     def close_listener(self) -> None:
         self.refusing_s = self.loop.now_s
 
+    def report_open_connections(self) -> None:
+        self.reported_s = self.loop.now_s
+
     async def close_gracefully(self) -> None:
         self.closing_s = self.loop.now_s
         await self.wait_closed()
@@ -106,5 +110,8 @@
         assert (outbound.refusing_s, inbound.refusing_s) == (outbound.closing_s, inbound.closing_s)
         if stay_s < grace_s - margin_s:
             assert loop.now_s - began < max(stay_s, module.STOP_ADMITTING_S) + 0.02
+        # What the process ends over is reported.
+        cut = stay_s > grace_s - margin_s
+        assert (outbound.reported_s >= began, inbound.reported_s >= began) == (cut, cut)
 
     played(loop, main())
