--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -54,6 +54,9 @@
 }
 
 
+STAGES_OF_READING_CLIENTS = (Stage.BLOCKED, Stage.LEAVING)  # they last while the client still reads
+
+
 class RequestHandle(Protocol):
     """A request that the node has accepted, as its client's connection knows it."""
 
@@ -281,7 +284,7 @@
             stage = Stage.NEW
         else:
             stage = Stage.READING if self._reading else Stage.IDLE
-        if stage is not self.stage:
+        if stage is not self.stage and stage in STAGES_OF_READING_CLIENTS:
             self._unsent_at_start = self.unsent_bytes
         self._frontend.set_stage(self, stage)
 
@@ -313,7 +316,7 @@
 
     def on_stage_timeout(self) -> None:
         """End the connection, as its stage has lasted too long."""
-        if self.stage is Stage.LEAVING or self.stage is Stage.BLOCKED:
+        if self.stage in STAGES_OF_READING_CLIENTS:
             self._end_unless_client_reads()
         elif self._reading:
             self._close_with_error(Reply(408, b"the request took too long to come"))
--- a/tests/mesh/dataplane/test_connection_limit.py
+++ b/tests/mesh/dataplane/test_connection_limit.py
@@ -1,21 +1,21 @@
 """A listener at its limit of connections: which one it closes for a new one.
 
-Symptom: a download that a server had answered with 200 was cut in the middle, beside a change of the
-configuration and restarts of other proxies.
-
-Sequence: proxies in front of two thirds of the servers restart. Callers are rejected and try again, each time
-on a new connection, until the listener has as many connections as it may have; most of them stay idle for a
-minute. From then on each new connection closes another one. A response of 90 KB is handed to the transport in
-one piece, and takes some milliseconds to go out; its connection is closed in these.
-
-Cause: the connections to be closed were sought by stage, and a connection whose response is handed over but
-not sent counted as waiting for nothing ("leaving", "blocked"). These stages even came before the idle ones.
-
-What settled it, of two answers cut in one run, at the milliseconds of their loss:
-    listener: response incomplete, listener=outbound cause=evicted owed=rest_of_response unsent_bytes=82136
-        stage_age_ms=1 connection_age_ms=167 connections=1267
-    listener: response incomplete, listener=outbound cause=evicted owed=rest_of_response unsent_bytes=11061
-        stage_age_ms=1 connection_age_ms=31 connections=1267
+A download that a server had answered with 200 was cut in the middle by the proxy that had taken it, at the
+end of a day, just as a configuration was sent. Through the day servers had gone, and callers that were
+rejected had tried again, each time on a new connection; such a connection stays open for a minute. So the
+listener with the most callers comes to its limit of 1,266 connections after half a minute, and from then on
+each new connection closes another one. The one to be closed was sought by stage, and a connection whose
+response was handed over but not sent counted as waiting for nothing: "blocked" came even before the idle
+ones. A response of 90 KB takes some milliseconds to go out, and its connection was closed in these.
+
+Days with four changes, no restart and fewer servers, on the sources before the repair, with a print where a
+connection is closed; at 32.0 s the last configuration is sent:
+    32.2848 sidecar-nadi-hall-4 abort by=connection_opened stage=BLOCKED unsent=65263 open=1267
+    32.3008 sidecar-nadi-hall-4 abort by=connection_opened stage=BLOCKED unsent=130799 open=1267
+    32.4597 sidecar-nadi-hall-4 abort by=connection_opened stage=BLOCKED unsent=130799 open=1267
+The first of these days after the repair: the same listeners at their limit, idle ones closed, no answer cut.
+    26.9065 sidecar-nadi-hall-3 listener: limit of connections reached, connections=1266 idle=1226 evicted=1
+    28.8475 sidecar-nadi-hall-4 listener: limit of connections reached, connections=1266 idle=1243 evicted=1
 """
 
 from __future__ import annotations
--- a/tests/testkit/mesh/test_soak.py
+++ b/tests/testkit/mesh/test_soak.py
@@ -36,7 +36,7 @@
     return verdict
 
 
-@pytest.mark.parametrize("seed", [1, 2, 4])
+@pytest.mark.parametrize("seed", [1, 2, 4, 302])
 def test_restarts_reloads_and_changes_cut_nothing(seed: int, tmp_path: Path) -> None:
     verdict = soak(seed, tmp_path)
     assert verdict.record.complete, verdict.record.why
