--- a/orchidferry/testkit/bench/mesh_news.py
+++ b/orchidferry/testkit/bench/mesh_news.py
@@ -13,7 +13,8 @@
 from orchidferry.mesh.control.fanout_tree import HEADS
 from orchidferry.mesh.control.traffic_counter import TrafficCounter
 from orchidferry.testkit.judge.quantiles import quantile
-from orchidferry.testkit.model.relays import BETWEEN_S, EVERYBODY, Node, World
+from orchidferry.testkit.model.fanout_world import BETWEEN_S, World
+from orchidferry.testkit.model.subscribing_node import HEADS_WITHOUT_TREE, Node
 
 SETTLE_S = 30.0
 GAP_S = 0.2  # between nodes' changes; each is a change at all three controllers
@@ -57,13 +58,16 @@
 ) -> News:
     """Play one fleet: `changes` nodes' changes, with this share of all nodes, relays all, frozen in turn."""
     rng = random.Random(seed)
-    world = World(seed, zones, HEADS if tree else EVERYBODY, lazy=True)
+    world = World(seed, zones, HEADS if tree else HEADS_WITHOUT_TREE, checks_members_rarely=True)
     for n in range(nodes):
         world.at(world.now + rng.random(), partial(world.start, f"sidecar-{n % zones}-{n}", n % zones))
     world.run(SETTLE_S)
     raw = rng.randbytes(TEXT)
     for name, controller in world.controllers.items():  # one has it decided, and tells the others
-        world.at(world.now + (BETWEEN_S if name != "k0" else 0.0), partial(controller.revise, 1, raw))
+        world.at(
+            world.now + (BETWEEN_S if name != "k0" else 0.0),
+            partial(controller.configuration_decided, 1, raw),
+        )
     text = [_sent(world, "text", near) for near in (True, False)]
     world.run(END_S)
     text = [_sent(world, "text", near) - had for near, had in zip((True, False), text, strict=True)]
@@ -72,7 +76,7 @@
     )
     assert all(node.revision == 1 for node in world.nodes.values())
 
-    world.watch()
+    world.record_changes()
     before = _figures(world)
     stopped: list[tuple[str, float, float]] = []
     down: list[Node] = []
@@ -103,9 +107,9 @@
     after = _figures(world)
     took = []
     missed = 0
-    for key, began in world.began.items():
+    for key, began in world.change_times_s.items():
         out = {name for name, since, until in stopped if since - 1.0 < began < until}
-        came = [world.came.get(key, {}).get(name) for name in world.nodes if name not in out]
+        came = [world.arrival_times_s.get(key, {}).get(name) for name in world.nodes if name not in out]
         missed += None in came
         took.append(1e3 * (max((at for at in came if at is not None), default=began) - began))
     took.sort()
--- a/orchidferry/testkit/capacity/fleets.py
+++ b/orchidferry/testkit/capacity/fleets.py
@@ -94,7 +94,7 @@
 
 def _record_changes(fleet: Fleet, add: Add) -> None:
     """One node's record changes; from its first controller's word of it to the last node."""
-    fleet.watch()
+    fleet.record_changes()
     fleet.reset()
     for _ in range(CHANGES):
         fleet.rng.choice(fleet.live()).publish()
@@ -108,14 +108,14 @@
     add("proxy", "record change: bytes of news in", "B a change", size / CHANGES)
     took = []
     missed = 0
-    for key, began in fleet.began.items():
-        came = [fleet.came.get(key, {}).get(name) for name in fleet.nodes]
+    for key, began in fleet.change_times_s.items():
+        came = [fleet.arrival_times_s.get(key, {}).get(name) for name in fleet.nodes]
         missed += None in came
         took += [1e3 * (at - began) for at in came if at is not None]
     last = [
-        1e3 * (max(fleet.came[key].values()) - began)
-        for key, began in fleet.began.items()
-        if key in fleet.came
+        1e3 * (max(fleet.arrival_times_s[key].values()) - began)
+        for key, began in fleet.change_times_s.items()
+        if key in fleet.arrival_times_s
     ]
     add("proxy", "record change: every node, p50", "ms", quantile(took, 0.5))
     add("proxy", "record change: every node, p99", "ms", quantile(took, 0.99))
--- a/orchidferry/testkit/capacity/hours.py
+++ b/orchidferry/testkit/capacity/hours.py
@@ -121,7 +121,7 @@
         names = {node.name for node in self.fleet.live()}
         unknowing = 0
         for node in self.fleet.live():
-            node.look()
+            node.update_members()
             unknowing += set(node.members) != names
         return unknowing
 
@@ -222,7 +222,7 @@
     def _tell_controllers(self, region: int) -> None:
         for controller in self._fleet.controllers.values():
             if region_of(controller.zone) == region:
-                controller.revise(self._revision, self._raw)
+                controller.configuration_decided(self._revision, self._raw)
 
     def _meet(self) -> None:
         hour = self._hour
--- a/orchidferry/testkit/capacity/regions.py
+++ b/orchidferry/testkit/capacity/regions.py
@@ -1,9 +1,9 @@
 """A fleet over two regions of four zones in virtual time, with what each process says and what it costs.
 
-The processes are those of `orchidferry.testkit.model.relays`: the shipping publisher, subscriber, fan-out
-tree and
-lists of members. Delays are assumed (one way), CPU is that of the pure code alone: no sockets, no HTTP.
-Reading a message counts for each process that it comes to, also where the model reads it once for all.
+The processes are those of `orchidferry.testkit.model.fanout_world`: the shipping publisher, subscriber,
+fan-out tree and lists of members. Delays are assumed (one way), CPU is that of the pure code alone: no
+sockets, no HTTP. Reading a message counts for each process that it comes to, also where the model reads it
+once for all.
 """
 
 from __future__ import annotations
@@ -22,7 +22,11 @@
 from orchidferry.mesh.wire.shard_messages import tag_of
 from orchidferry.testkit.capacity.plan import CONTROLLERS, services_of
 from orchidferry.testkit.capacity.texts import names
-from orchidferry.testkit.model.relays import LOST_S, Controller, End, Node, Process, World
+from orchidferry.testkit.model.fanout_world import World
+from orchidferry.testkit.model.publishing_controller import Controller
+from orchidferry.testkit.model.subscribing_node import Node
+from orchidferry.testkit.model.virtual_link import LINK_TIMEOUT_S, LinkEnd
+from orchidferry.testkit.model.virtual_process import Process
 
 # zones of all regions
 REGIONS = 2
@@ -30,7 +34,7 @@
 IN_ZONE_S = 0.0002
 BETWEEN_ZONES_S = 0.0009
 BETWEEN_REGIONS_S = 0.035
-AFTER_LOST_S = 0.001
+AFTER_TIMEOUT_S = 0.001
 SLOTS = 64  # of each server
 START_S = 0.3  # in which all nodes of a new fleet start
 # until all nodes are told of, and until each has its place in the tree
@@ -106,9 +110,9 @@
         for name in self.controllers:
             self._renew(name)
 
-    def _take_text(self, message: ConfigurationText) -> None:
+    def _configuration_received(self, message: ConfigurationText) -> None:
         had = self.revision
-        super()._take_text(message)
+        super()._configuration_received(message)
         if self.revision > had:
             self.fleet.in_force[self.revision, self.name] = self.world.now
 
@@ -137,9 +141,11 @@
     """Five controllers and so many nodes, spread evenly over eight zones."""
 
     def __init__(self, nodes: int, seed: int = 1) -> None:
-        super().__init__(seed, ZONES, lazy=True)
+        super().__init__(seed, ZONES, checks_members_rarely=True)
         self._apart = False
-        self._stuck: list[End] = []  # their senders have given them up; tried again when the regions meet
+        self._given_up: list[
+            LinkEnd
+        ] = []  # their senders have given them up; tried again when the regions meet
         self._read_s = 0.0  # what it took to read the message that is being sent
         self._unread_s = 0.0  # and how much of that was counted for its sender
         cuts: Any = BetweenRegions(self)
@@ -184,17 +190,17 @@
     def apart(self, apart: bool) -> None:
         self._apart = apart
         if not apart:
-            stuck = self._stuck
-            self._stuck = []
-            for end in stuck:
+            given_up = self._given_up
+            self._given_up = []
+            for end in given_up:
                 self.at(self.now, end.arrive)
 
-    def try_again(self, end: End, lost: bool) -> None:
+    def retry_later(self, end: LinkEnd, lost: bool) -> None:
         """Once when its sender is to give it up, and then when the regions meet: not each 10 ms."""
         if lost:
-            self._stuck.append(end)
+            self._given_up.append(end)
         else:
-            self.at(self.now + LOST_S + AFTER_LOST_S, end.arrive)
+            self.at(self.now + LINK_TIMEOUT_S + AFTER_TIMEOUT_S, end.arrive)
 
     def read(self, data: bytes) -> Any:
         """Decode a message, and count its bytes."""
@@ -242,7 +248,7 @@
         """
         self.run(KNOWN_S)
         for node in self.live():
-            node.look()
+            node.update_members()
         self.run(PLACED_S)
 
     def decide(self, revision: int, text: bytes) -> float:
@@ -250,7 +256,7 @@
         first = self.controllers["k0"]
         for controller in self.controllers.values():
             delay = self.delay(first, controller) if controller is not first else 0.0
-            self.at(self.now + delay, partial(controller.revise, revision, text))
+            self.at(self.now + delay, partial(controller.configuration_decided, revision, text))
         return self.now
 
     def live(self) -> list[MeteredNode]:
--- a/orchidferry/testkit/explore/command.py
+++ b/orchidferry/testkit/explore/command.py
@@ -14,10 +14,10 @@
 from rich.progress import Progress, TextColumn
 
 from orchidferry.errors import OrchidferryError
-from orchidferry.testkit.explore import search
+from orchidferry.testkit.explore import counterexample, random_walk, search
 from orchidferry.testkit.explore.breaks import BREAKS
 from orchidferry.testkit.explore.properties import PROPERTIES
-from orchidferry.testkit.explore.search import Totals
+from orchidferry.testkit.explore.search_totals import Totals
 from orchidferry.testkit.explore.world_search import SearchResult
 from orchidferry.testkit.explore.world_size import WorldSize
 
@@ -189,7 +189,7 @@
             progress.update(task, description=f"{level[0]} events: {told}, {rate:.0f} states/s")
 
         if args.walk is not None:
-            return search.wander(size, args.walk, args.seed, args.break_, watch)
+            return random_walk.random_walk(size, args.walk, args.seed, args.break_, watch)
         found = Totals()
         # By the number of disturbances: what few of them do is found first, and told by the shortest story.
         for events in range(0 if args.keep is None else size.events, size.events + 1):
@@ -249,7 +249,7 @@
         return 0
     _story(console, found.counterexample)
     if args.out is not None:
-        search.write(Path(args.out), found.counterexample)
+        counterexample.write(Path(args.out), found.counterexample)
         console.print(f"written to {args.out}; again: orchidferry explore --replay {args.out}")
     return 1
 
@@ -278,9 +278,9 @@
         raise _UsageError(f"{path}: is no counterexample: {problem!s:.80}") from None
     if break_ and break_ not in BREAKS:
         raise _UsageError(f"{path}: no such break {break_!r:.40}")
-    world = search.play(size, steps, break_, to_end=True)
+    world = counterexample.play(size, steps, break_, to_end=True)
     for t, what in world.story:
-        console.print(f"  {t - 1_000.0:9.3f} s  {what}", markup=False)
+        console.print(f"  {t - counterexample.START_S:9.3f} s  {what}", markup=False)
     for violation in world.violations:
         console.print(f"broken: {violation.name}: {violation.what}", markup=False)
     if not world.violations:
--- a/orchidferry/testkit/explore/search.py
+++ b/orchidferry/testkit/explore/search.py
@@ -12,189 +12,138 @@
 import multiprocessing
 import os
 import queue
-import random
 import time
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import numpy as np
-
+from orchidferry.testkit.explore import kept_search
 from orchidferry.testkit.explore.breaks import broken
+from orchidferry.testkit.explore.counterexample import describe
 from orchidferry.testkit.explore.loop import LoopNeverRestsError
 from orchidferry.testkit.explore.properties import Violation
+from orchidferry.testkit.explore.search_totals import MAX_DEPTH, Totals
 from orchidferry.testkit.explore.state import fingerprint
 from orchidferry.testkit.explore.state_table import SLOTS, StateTable
 from orchidferry.testkit.explore.world import World
 from orchidferry.testkit.explore.world_size import WorldSize
 
-MAX_DEPTH = 60
-GIVE = 24  # paths that a process keeps for itself; what is beyond goes to others that have none
+MAX_OWN_PATHS = 24  # that a process keeps for itself; what is beyond goes to others that have none
 IDLE_S = 0.05
-TELL_S = 2.0
-COUNTED = ("states", "transitions", "runs", "depth", "too_long")
-
+REPORT_S = 2.0
+JOIN_S = 5.0
 
-@dataclass
-class Totals:
-    """What a search has done."""
 
-    states: int = 0
-    transitions: int = 0
-    runs: int = 0
-    depth: int = 0
-    too_long: int = 0  # runs that were left after `MAX_DEPTH` choices
-    exhausted: bool = False
-    violations: Counter[str] = field(default_factory=Counter)
-    counterexample: dict[str, Any] | None = None  # the shortest
-    outcomes: set[str] = field(default_factory=set)
-    seconds: float = 0.0
-    why: str = ""  # the whole search was cut
-    rest: list[list[str]] = field(default_factory=list)  # paths that were left then
+@dataclass(frozen=True)
+class _Order:
+    """What is searched, for all processes of a search."""
 
-    @property
-    def gap(self) -> str:
-        """Why not all was walked; empty if it was."""
-        return self.why or (f"a run of over {MAX_DEPTH} choices" if self.too_long else "")
+    size: WorldSize
+    seen: StateTable | None  # None: states are not told apart
+    break_: str
+    first_only: bool  # the first counterexample ends the search
+    until_s: float  # by the steady clock
 
-    def take(self, other: Totals) -> None:
-        """Add the totals of another part of the search."""
-        self.states += other.states
-        self.transitions += other.transitions
-        self.runs += other.runs
-        self.depth = max(self.depth, other.depth)
-        self.too_long += other.too_long
-        self.violations += other.violations
-        self.outcomes |= other.outcomes
-        self.rest += other.rest
-        found = other.counterexample
-        mine = self.counterexample
-        if found is not None and (mine is None or len(found["path"]) < len(mine["path"])):
-            self.counterexample = found
 
+@dataclass(frozen=True)
+class _Exchange:
+    """What the processes of a search have in common."""
 
-def play(size: WorldSize, path: list[str], break_: str = "", to_end: bool = False) -> World:
-    """A run by its path, to its end if nothing more can come; `to_end`: whatever could, unless broken."""
-    with broken(break_):
-        world = World(size)
-        for label in path:
-            world.do(label)
-        if world.over or not world.actions() or (to_end and not world.violations):
-            world.finish()
-    return world
+    jobs: Any  # lists of paths that a process without any may take
+    results: Any  # pairs: whether it is a process's last, and its totals since the one before
+    waiting: Any  # how many processes have nothing to do
+    ends: Any  # set once all are to end
 
 
-def story(
-    size: WorldSize, path: list[str], world: World, violation: Violation, break_: str
-) -> dict[str, Any]:
-    """A counterexample, for people and for `--replay`."""
-    return {
-        "format": 1,
-        "small": asdict(size),
-        "break": break_,
-        "path": path,
-        "violation": asdict(violation),
-        "story": [{"at_s": round(t - 1_000.0, 6), "what": what} for t, what in world.story],
-    }
-
-
-def walk(
-    size: WorldSize,
-    prefix: list[str],
-    seen: StateTable | None,
-    totals: Totals,
-    break_: str,
-    first_only: bool,
-) -> list[list[str]]:
-    """One run from a prefix on to an end or a state that was seen; the paths that it leaves for later."""
+def walk(order: _Order, prefix: list[str], totals: Totals) -> list[list[str]]:
+    """Play one run from a prefix on, to an end or a state that was seen; return the paths left for later."""
     later: list[list[str]] = []
     path = list(prefix)
     world: World | None = None
     try:
-        world = World(size)
+        world = World(order.size)
         for label in prefix:
             world.do(label)
         totals.runs += 1
-        while True:
-            totals.transitions += 1
-            totals.depth = max(totals.depth, len(path))
-            if world.violations:
-                break
-            if path and seen is not None and not seen.add(fingerprint(world)):
-                return later
-            totals.states += 1
-            actions = [] if world.over else world.actions()
-            if not actions:
-                world.finish()
-                totals.outcomes.add(json.dumps(world.outcome()))
-                break
-            if len(path) >= MAX_DEPTH:
-                totals.too_long += 1
-                break
-            later += [[*path, label] for label, _ in actions[1:]]
-            path.append(actions[0][0])
-            world.do(path[-1])
+        if _walk_on(order, world, path, later, totals):
+            return later
     except LoopNeverRestsError as problem:
         if world is not None:
             world.violations.append(Violation("at-rest", str(problem)))
     if world is not None and world.violations:
-        totals.violations.update(v.name for v in world.violations)
-        found = story(size, path, world, world.violations[0], break_)
-        one = Totals(counterexample=found)
-        totals.take(one)
-        if first_only:
+        totals.violations.update(violation.name for violation in world.violations)
+        totals.add_counterexample(describe(order.size, path, world, world.violations[0], order.break_))
+        if order.first_only:
             return []
     return later
 
 
-def _work(
-    size: WorldSize,
-    seen: StateTable | None,
-    break_: str,
-    first_only: bool,
-    until_s: float,
-    jobs: Any,
-    results: Any,
-    waiting: Any,
-    ends: Any,
-) -> None:
-    """One process: its own paths, depth first; some for others where they have none."""
+def _walk_on(order: _Order, world: World, path: list[str], later: list[list[str]], totals: Totals) -> bool:
+    """Take the first choice of each state; return whether it came to a state that was seen before."""
+    while True:
+        totals.transitions += 1
+        totals.depth = max(totals.depth, len(path))
+        if world.violations:
+            return False
+        if path and order.seen is not None and not order.seen.add(fingerprint(world)):
+            return True
+        totals.states += 1
+        actions = [] if world.over else world.actions()
+        if not actions:
+            world.finish()
+            totals.outcomes.add(json.dumps(world.outcome()))
+            return False
+        if len(path) >= MAX_DEPTH:
+            totals.too_long += 1
+            return False
+        later += [[*path, label] for label, _ in actions[1:]]
+        path.append(actions[0][0])
+        world.do(path[-1])
+
+
+def _take_job(exchange: _Exchange) -> list[list[str]] | None:
+    """Wait for paths of another process; None if the search ends before."""
+    with exchange.waiting.get_lock():
+        exchange.waiting.value += 1
+    while not exchange.ends.is_set():
+        with contextlib.suppress(queue.Empty):
+            paths: list[list[str]] = exchange.jobs.get(timeout=IDLE_S)
+            with exchange.waiting.get_lock():
+                exchange.waiting.value -= 1
+            return paths
+    return None
+
+
+def _work(order: _Order, exchange: _Exchange) -> None:
+    """Run one process: its own paths, depth first; some for others where they have none."""
     stack: list[list[str]] = []
     totals = Totals()
-    told = time.monotonic()
-    with broken(break_):
-        while not ends.is_set():
+    reported_s = time.monotonic()
+    with broken(order.break_):
+        while not exchange.ends.is_set():
             if not stack:
-                with waiting.get_lock():
-                    waiting.value += 1
-                got = None
-                while got is None and not ends.is_set():
-                    with contextlib.suppress(queue.Empty):
-                        got = jobs.get(timeout=IDLE_S)
-                if got is None:
+                paths = _take_job(exchange)
+                if paths is None:
                     break
-                with waiting.get_lock():
-                    waiting.value -= 1
-                stack = got
-            stack += walk(size, stack.pop(), seen, totals, break_, first_only)
-            if first_only and totals.counterexample is not None:
+                stack = paths
+            stack += walk(order, stack.pop(), totals)
+            if order.first_only and totals.counterexample is not None:
                 stack.clear()
-                ends.set()
-            if len(stack) > GIVE and waiting.value > 0 and jobs.empty():
+                exchange.ends.set()
+            if len(stack) > MAX_OWN_PATHS and exchange.waiting.value > 0 and exchange.jobs.empty():
                 half = len(stack) // 2
-                jobs.put(stack[:half])  # the oldest: the largest parts of the tree
+                exchange.jobs.put(stack[:half])  # the oldest: the largest parts of the tree
                 del stack[:half]
-            if time.monotonic() - told > TELL_S:
-                results.put(("so far", totals))
+            if time.monotonic() - reported_s > REPORT_S:
+                exchange.results.put((False, totals))
                 totals = Totals()
-                told = time.monotonic()
-            if time.monotonic() > until_s:
+                reported_s = time.monotonic()
+            if time.monotonic() > order.until_s:
                 totals.why = "its time was over"
-                ends.set()
+                exchange.ends.set()
     totals.rest = stack
-    results.put(("end", totals))
+    exchange.results.put((True, totals))
 
 
 def search(
@@ -208,165 +157,70 @@
     watch: Callable[[Totals], None] = lambda _: None,
     keep: Path | None = None,
 ) -> Totals:
-    """Walk all that a small world can do. `exhausted` only if nothing was cut.
-
-    `keep`: a file that a search which is cut leaves what it has in, and the next one goes on from.
+    """Walk all that a small world can do.
+
+    :param workers: processes; 0: one a core.
+    :param merge: tell states apart, and go on from each once.
+    :param first_only: end at the first counterexample.
+    :param slots: of the table of states.
+    :param watch: is given the totals now and then.
+    :param keep: a file that a search which is cut leaves what it has in, and the next one goes on from.
+    :returns: the totals, `exhausted` only if nothing was cut.
     """
     workers = workers or len(os.sched_getaffinity(0))
-    began = time.monotonic()
+    began_s = time.monotonic()
     seen = StateTable(slots) if merge else None
-    total, first = Totals(), list[list[str]]([[]])
+    total = Totals()
+    first: list[list[str]] = [[]]
     if keep is not None and keep.exists():
-        total, first = _load(keep, size, seen)
+        total, first = kept_search.load(keep, size, seen)
     context = multiprocessing.get_context("fork")
-    jobs, results = context.Queue(), context.Queue()
-    waiting, ends = context.Value("i", 0), context.Event()
-    jobs.put(first)
-    args = (size, seen, break_, first_only, began + limit_s, jobs, results, waiting, ends)
-    processes = [context.Process(target=_work, args=args, daemon=True) for _ in range(workers)]
+    exchange = _Exchange(context.Queue(), context.Queue(), context.Value("i", 0), context.Event())
+    exchange.jobs.put(first)
+    order = _Order(size, seen, break_, first_only, began_s + limit_s)
+    processes = [context.Process(target=_work, args=(order, exchange), daemon=True) for _ in range(workers)]
     for process in processes:
         process.start()
-    left = workers
-    while left:
-        with contextlib.suppress(queue.Empty):
-            kind, part = results.get(timeout=4 * IDLE_S)
-            total.take(part)
-            total.why = total.why or part.why
-            total.seconds = time.monotonic() - began
-            left -= kind == "end"
-            watch(total)
-        # All wait and nothing is under way: it is done. Looked at twice, as a job may be on its way.
-        if waiting.value == workers and jobs.empty() and not ends.is_set():
-            time.sleep(2 * IDLE_S)
-            if waiting.value == workers and jobs.empty():
-                ends.set()
-        if left and not any(process.is_alive() for process in processes) and results.empty():
-            total.why = total.why or "a process of the search died"
-            break
+    _collect(exchange, processes, total, began_s, watch)
     for process in processes:
-        process.join(5.0)
-    total.seconds = time.monotonic() - began
+        process.join(JOIN_S)
+    total.seconds = time.monotonic() - began_s
     if merge and total.states > slots // 2:
         total.why = total.why or "the table of states is full"
     if total.rest and not total.why and total.counterexample is None:
         total.why = "it was ended"
     if keep is not None:
-        _keep(keep, size, seen, total)
+        kept_search.save(keep, size, seen, total)
     total.exhausted = not total.gap and total.counterexample is None
     return total
 
 
-def _keep(path: Path, size: WorldSize, seen: StateTable | None, total: Totals) -> None:
-    """Leave a cut search for the next one; a whole one leaves nothing."""
-    if not total.rest or total.counterexample is not None:
-        path.unlink(missing_ok=True)
-        return
-    head = {
-        "format": 1,
-        "small": asdict(size),
-        "rest": total.rest,
-        "outcomes": sorted(total.outcomes),
-        **{name: getattr(total, name) for name in COUNTED},
-    }
-    states = np.array(list(seen.keys()) if seen is not None else [], np.uint64)
-    part = path.with_name(path.name + ".part")
-    with part.open("wb") as out:
-        np.savez_compressed(out, head=np.array(json.dumps(head)), states=states)
-    part.replace(path)
-
-
-def _load(path: Path, size: WorldSize, seen: StateTable | None) -> tuple[Totals, list[list[str]]]:
-    """`ValueError` if it is another world's, or none."""
-    try:
-        with np.load(path) as data:
-            head = json.loads(str(data["head"]))
-            states = data["states"]
-    except (OSError, KeyError, ValueError) as problem:
-        raise ValueError(f"{path}: no search that can be gone on with: {problem!s:.80}") from None
-    if head.get("format") != 1 or head["small"] != json.loads(json.dumps(asdict(size))):
-        raise ValueError(f"{path}: is of another world")
-    for print_ in states.tolist() if seen is not None else ():
-        seen.add(print_)  # type: ignore[union-attr]
-    total = Totals(**{name: head.get(name, 0) for name in COUNTED}, outcomes=set(head["outcomes"]))
-    return total, head["rest"]
-
-
-def wander(
-    size: WorldSize,
-    seconds: float,
-    seed: int,
-    break_: str = "",
-    watch: Callable[[Totals], None] = lambda _: None,
-) -> Totals:
-    """Random runs for a while, by PCT's priorities (Burckhardt et al., 2010).
-
-    Each kind of action has one, and a few times in a run the first of them falls to the last.
-    """
-    totals, began, number = Totals(), time.monotonic(), 0
-    with broken(break_):
-        while time.monotonic() - began < seconds and totals.counterexample is None:
-            rng = random.Random(f"{seed}/{number}")
-            number += 1
-            path: list[str] = []
-            world = World(size)
-            ranks: dict[str, float] = {}
-            changes = {rng.randrange(MAX_DEPTH // 2) for _ in range(size.events)}
-            while not world.over and not world.violations and (actions := world.actions()):
-                for label, cost in actions:
-                    ranks.setdefault(label, rng.random() - 0.3 * cost)
-                label = max((label for label, _ in actions), key=ranks.__getitem__)
-                if len(path) in changes:
-                    ranks[label] = -1.0
-                    label = max((label for label, _ in actions), key=ranks.__getitem__)
-                path.append(label)
-                world.do(label)
-                totals.transitions += 1
-                if len(path) >= MAX_DEPTH:
-                    break
-            else:
-                if not world.violations:
-                    world.finish()
-            totals.runs += 1
-            totals.depth = max(totals.depth, len(path))
-            if world.violations:
-                totals.violations.update(v.name for v in world.violations)
-                short = shrink(size, path, world.violations[0].name, break_)
-                again = play(size, short, break_, to_end=True)
-                totals.counterexample = story(size, short, again, again.violations[0], break_)
-            totals.seconds = time.monotonic() - began
-            if number % 50 == 0:
-                watch(totals)
-    return totals
-
-
-def shrink(size: WorldSize, path: list[str], name: str, break_: str) -> list[str]:
-    """A shorter path to the same violation.
-
-    Parts left out while it stays one, halves first (ddmin of Zeller and Hildebrandt, 2002).
-    """
-
-    def fails(some: list[str]) -> bool:
-        try:
-            world = play(size, some, break_, to_end=True)
-        except (ValueError, IndexError, StopIteration, LoopNeverRestsError):
-            return False
-        return any(v.name == name for v in world.violations)
-
-    part_length = max(1, len(path) // 2)
-    while part_length:
-        at = 0
-        while at < len(path):
-            some = path[:at] + path[at + part_length :]
-            if fails(some):
-                path = some
-            else:
-                at += part_length
-        part_length //= 2
-    return path
+def _collect(
+    exchange: _Exchange,
+    processes: list[Any],
+    total: Totals,
+    began_s: float,
+    watch: Callable[[Totals], None],
+) -> None:
+    """Add up what the processes report, and end them once nothing is left."""
+    running = len(processes)
+    while running:
+        with contextlib.suppress(queue.Empty):
+            is_last, part = exchange.results.get(timeout=4 * IDLE_S)
+            total.add(part)
+            total.why = total.why or part.why
+            total.seconds = time.monotonic() - began_s
+            running -= is_last
+            watch(total)
+        # All wait and nothing is under way: it is done. Looked at twice, as a job may be on its way.
+        if _all_wait(exchange, len(processes)) and not exchange.ends.is_set():
+            time.sleep(2 * IDLE_S)
+            if _all_wait(exchange, len(processes)):
+                exchange.ends.set()
+        if running and not any(process.is_alive() for process in processes) and exchange.results.empty():
+            total.why = total.why or "a process of the search died"
+            return
 
 
-def write(path: Path, found: dict[str, Any]) -> None:
-    """A counterexample to a file, whole."""
-    part = path.with_name(path.name + ".part")
-    part.write_text(json.dumps(found, indent=1) + "\n", encoding="utf-8")
-    part.replace(path)
+def _all_wait(exchange: _Exchange, workers: int) -> bool:
+    return bool(exchange.waiting.value == workers and exchange.jobs.empty())
--- a/orchidferry/testkit/model/configuration_rollout.py
+++ b/orchidferry/testkit/model/configuration_rollout.py
@@ -1,8 +1,8 @@
 """How long a new configuration takes to reach all nodes while a controller is isolated and nodes restart.
 
 Controllers and nodes in virtual time: the shipping `Shard` of the configuration, `Publisher`, `ControlClient`
-and tree of relays, over links of a given rate and on shares of a core (`relays.Machine`). Constants of cost
-were measured on a whole core; each use divides them by the machine's share. One seed gives one run.
+and tree of relays, over links of a given rate and on shares of a core (`virtual_process.Machine`). Constants
+of cost were measured on a whole core; each use divides them by the machine's share. One seed gives one run.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 )
 from orchidferry.testkit.explore.controller import Controller as Replica
 from orchidferry.testkit.explore.controller import ControllerCall
-from orchidferry.testkit.model.relays import Machine, Process, World
+from orchidferry.testkit.model.fanout_world import World
 from orchidferry.testkit.model.replica_group import (
     DISK_SYNC_S,
     HEARTBEAT_INTERVAL_S,
@@ -48,6 +48,7 @@
     encode_call,
     example_configuration,
 )
+from orchidferry.testkit.model.virtual_process import Machine, Process
 
 ZONES = 3
 NODES = 74
@@ -234,11 +235,11 @@
         """Of configurations' texts that were sent to nodes."""
         return sum(size for (kind, _), (_, size) in self.publisher.traffic.sent.items() if kind == "text")
 
-    def gone(self, end: Any) -> None:
+    def disconnected(self, end: Any) -> None:
         """A link has ended."""
         self.publisher.disconnected(end)
 
-    def heard(self, end: Any, message: Any) -> None:
+    def received(self, end: Any, message: Any) -> None:
         """Take a message."""
         publisher = self.publisher
         match message:
@@ -293,7 +294,9 @@
         )
         loop: Any = self
         rng = random.Random(world.rng.random())
-        self.client = ControlClient(settings, loop, lambda members: None, self._take_text, self._dial, rng)
+        self.client = ControlClient(
+            settings, loop, lambda members: None, self._configuration_received, self._dial, rng
+        )
         self.client.start()
         self._look_at_ready()
         self._publish(1, None)
@@ -308,12 +311,12 @@
         record = NodeRecord(self.name, self.client.boot_id, number, self.zone, self.name, 1, server)
         self.client.publish(record)
 
-    def _dial(self, heard: Any, lost: Any, host: str, port: int, own_ip: str) -> Pending:
+    def _dial(self, on_message: Any, on_lost: Any, host: str, port: int, own_ip: str) -> Pending:
         pending = Pending()
-        self.world.dial(self, host, heard, lost, lambda name, link: pending.finish(link))
+        self.world.dial(self, host, on_message, on_lost, lambda name, link: pending.finish(link))
         return pending
 
-    def _take_text(self, revision: int, text: bytes) -> None:
+    def _configuration_received(self, revision: int, text: bytes) -> None:
         done_s = self.work(APPLY_S)
         self.world.at(done_s, lambda: self.run(lambda: self._serve_by(revision)))
 
@@ -341,11 +344,11 @@
         """Take a new link."""
         self.client._subscriber.relay.connected(end)
 
-    def heard(self, end: Any, message: Any) -> None:
+    def received(self, end: Any, message: Any) -> None:
         """Take a message."""
         self.client._received_from_follower(end, message)
 
-    def gone(self, end: Any) -> None:
+    def disconnected(self, end: Any) -> None:
         """A link has ended."""
         self.client._subscriber.relay.disconnected(end)
 
--- /dev/null
+++ b/orchidferry/testkit/model/fanout_world.py
@@ -0,0 +1,155 @@
+"""Publishers of controllers and subscribers of nodes in virtual time, over links that can be cut.
+
+The publisher, subscriber and relay are the shipping ones (`orchidferry.mesh.control`), and each message is
+encoded. One seed gives one run.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+from orchidferry.mesh.control.fanout_tree import HEADS
+from orchidferry.mesh.wire.codec import LENGTH_BYTES, decode
+from orchidferry.testkit.model.publishing_controller import Controller
+from orchidferry.testkit.model.subscribing_node import Node
+from orchidferry.testkit.model.virtual_link import LinkEnd
+from orchidferry.testkit.model.virtual_process import Process
+
+# one way
+IN_ZONE_S = 0.001
+BETWEEN_S = 0.0014
+CUT_RETRY_S = 0.01  # before a message that met a cut is tried again
+HANDSHAKE_S = 0.002  # until a link that is dialled is up
+REFUSED_S = 1.0  # until a dial over a cut is given up
+
+
+class World:
+    """Controllers k0 to k2, nodes, and what is on its way."""
+
+    controllers: dict[str, Any]
+    nodes: dict[str, Any]
+
+    def __init__(
+        self,
+        seed: int,
+        zones: int,
+        heads: int = HEADS,
+        checks_members_rarely: bool = False,
+        controllers: int = 3,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.heads = heads
+        self.checks_members_rarely = checks_members_rarely
+        self._queue: list[tuple[float, int, Callable[[], object]]] = []
+        self._serial = 0
+        self._read: tuple[bytes, Any] = (b"", None)
+        self.cuts: set[tuple[str, str]] = set()  # from, to
+        self.zones = zones
+        self.controllers = {}
+        for n in range(controllers):
+            self.controllers[f"k{n}"] = Controller(self, f"k{n}", n % zones)
+        self.nodes = {}
+        self.recording = False
+        # When each change began, by controller, incarnation and number, and when it came to each node.
+        self.change_times_s: dict[tuple[str, int, int], float] = {}
+        self.arrival_times_s: dict[tuple[str, int, int], dict[str, float]] = {}
+
+    def at(self, when: float, call: Callable[[], object]) -> None:
+        """Have something called at a time."""
+        self._serial += 1
+        heapq.heappush(self._queue, (when, self._serial, call))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._queue[0][0] <= until:
+            when, _, call = heapq.heappop(self._queue)
+            self.now = max(self.now, when)
+            call()
+        self.now = until
+
+    def read(self, data: bytes) -> Any:
+        """A message as it comes; what goes to many is read once."""
+        if self._read[0] is not data:
+            self._read = (data, decode(data[LENGTH_BYTES:]))
+        return self._read[1]
+
+    def retry_later(self, end: LinkEnd, lost: bool) -> None:
+        """A message did not get through a cut; `lost`: its sender has given up the link."""
+        self.at(self.now + CUT_RETRY_S, end.arrive)
+
+    def delay(self, one: Process, other: Process) -> float:
+        """Of a link, one way."""
+        return IN_ZONE_S if one.zone == other.zone else BETWEEN_S
+
+    def start(self, name: str, zone: int) -> Node:
+        """A node's process begins, for the first time or again."""
+        node = self.nodes[name] = Node(self, name, zone, self.heads)
+        return node
+
+    def restart(self, name: str) -> None:
+        """A controller loses all that it has in memory."""
+        old = self.controllers[name]
+        old.kill()
+        new = self.controllers[name] = Controller(self, name, int(old.zone[1:]))
+        if old.revision:
+            new.configuration_decided(old.revision, old.text)
+
+    def dial(
+        self,
+        owner: Process,
+        name: str,
+        on_message: Callable[[Any, Any], None],
+        on_lost: Callable[[Any], None],
+        on_dialled: Callable[[str, LinkEnd | None], None],
+    ) -> None:
+        """A new link, after two ways; None for one that is down or does not answer."""
+
+        def made() -> None:
+            there: Process | None = self.controllers.get(name) or self.nodes.get(name)
+            if there is None or not there.alive or not owner.alive:
+                return owner.run(lambda: on_dialled(name, None))
+            if self.cuts & {(owner.name, name), (name, owner.name)}:
+                return self.at(self.now + REFUSED_S, lambda: owner.run(lambda: on_dialled(name, None)))
+            here = LinkEnd(owner, on_message, on_lost)
+            far = LinkEnd(there, there.received, there.disconnected)
+            here.other = far
+            far.other = here
+            there.run(lambda: there.accept(far))
+            owner.run(lambda: on_dialled(name, here))
+            return None
+
+        self.at(self.now + HANDSHAKE_S, made)
+
+    def record_changes(self) -> None:
+        """Note from now on when changes begin and come."""
+        self.recording = True
+        self.change_times_s.clear()
+        self.arrival_times_s.clear()
+        for controller in self.controllers.values():
+            controller.recorded_number = controller.stream.number
+        for node in self.nodes.values():
+            for stream in node.subscriber.streams.values():
+                node.seen_numbers[stream.controller, stream.incarnation] = stream.number
+
+    def stream_changed(self, controller: Controller) -> None:
+        """A controller's stream may have gone on."""
+        stream = controller.stream
+        if self.recording and stream.number > controller.recorded_number:
+            self.change_times_s[stream.controller, stream.incarnation, stream.number] = self.now
+            controller.recorded_number = stream.number
+
+    def updates_arrived(self, node: Node) -> None:
+        """A node has received updates of some controller."""
+        if not self.recording:
+            return
+        for stream in node.subscriber.streams.values():
+            had = node.seen_numbers.get((stream.controller, stream.incarnation), stream.number - 1)
+            node.seen_numbers[stream.controller, stream.incarnation] = stream.number
+            for number in range(had + 1, stream.number + 1):
+                key = (stream.controller, stream.incarnation, number)
+                self.arrival_times_s.setdefault(key, {})[node.name] = self.now
--- /dev/null
+++ b/orchidferry/testkit/model/virtual_link.py
@@ -0,0 +1,95 @@
+"""A link between two processes in virtual time, which can be cut one way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from orchidferry.mesh.wire.codec import encode
+from orchidferry.mesh.wire.framing import USER_TIMEOUT_MS
+from orchidferry.mesh.wire.messages import Message, Update
+
+if TYPE_CHECKING:
+    from orchidferry.testkit.model.virtual_process import Process
+
+LINK_TIMEOUT_S = USER_TIMEOUT_MS / 1e3  # a link that gets nothing through for so long ends
+
+
+class LinkEnd:
+    """One process's end of a link: what `wire.Link` is to its owner."""
+
+    def __init__(
+        self, owner: Process, on_message: Callable[[Any, Any], None], on_lost: Callable[[Any], None]
+    ) -> None:
+        self.owner = owner
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self.open = True
+        self.peer = ""
+        self.max_unsent_bytes = 0
+        self.last_received_s = owner.world.now
+        self.other: LinkEnd
+        self._blocked_since_s = 0.0  # since when nothing gets through
+        # On their way: when, the message (None for the end), and its bytes.
+        self._queue: list[tuple[float, Any, int]] = []
+        owner.links[self] = None
+
+    def send(self, message: Message) -> None:
+        """Send a message."""
+        if self.open:
+            self.send_encoded(encode(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a message that is encoded already."""
+        owner = self.owner
+        world = self.owner.world
+        if not self.open:
+            return
+        message = world.read(data)
+        if owner.withholds_updates and isinstance(message, Update):
+            return
+        left_s = owner.send_out(len(data))
+        self._go(left_s + world.delay(owner, self.other.owner), message, len(data))
+
+    def _go(self, when: float, message: Any, size: int = 0) -> None:
+        self._queue.append((when, message, size))
+        if len(self._queue) == 1:
+            self.owner.world.at(when, self.arrive)
+
+    def arrive(self) -> None:
+        """The oldest message is due at the other end."""
+        world = self.owner.world
+        there = self.other
+        if (self.owner.name, there.owner.name) in world.cuts:
+            self._blocked_since_s = self._blocked_since_s or world.now
+            lost = world.now - self._blocked_since_s > LINK_TIMEOUT_S
+            if lost:
+                self._end()
+            return world.retry_later(self, lost)
+        self._blocked_since_s = 0.0
+        _, message, size = self._queue.pop(0)
+        if self._queue:
+            world.at(max(world.now, self._queue[0][0]), self.arrive)
+        there.owner.receive(size, lambda: there.take(message))
+        return None
+
+    def take(self, message: Any) -> None:
+        """Take a message that has updates_arrived; None: the other end has closed."""
+        if message is None:
+            self._end()
+        elif self.open:
+            self.last_received_s = self.owner.world.now
+            self._on_message(self, message)
+
+    def _end(self) -> None:
+        if self.open:
+            self.open = False
+            self.owner.links.pop(self, None)
+            self.owner.run(lambda: self._on_lost(self))
+
+    def close(self) -> None:
+        """End it; what is on its way is lost, and the other end hears of it when something gets through."""
+        if self.open:
+            self._end()
+            del self._queue[1:]
+            self._go(self.owner.world.now + self.owner.world.delay(self.owner, self.other.owner), None)
--- a/tests/mesh/control/fakes.py
+++ b/tests/mesh/control/fakes.py
@@ -18,7 +18,7 @@
     Message,
     Update,
 )
-from orchidferry.testkit.model.relays import World
+from orchidferry.testkit.model.fanout_world import World
 from tests.mesh.examples import SETTINGS_TABLES
 
 
--- a/tests/mesh/control/test_replica.py
+++ b/tests/mesh/control/test_replica.py
@@ -15,7 +15,7 @@
 from orchidferry.mesh.storage.record_format import pack
 from orchidferry.mesh.wire.messages import ConfigurationText
 from orchidferry.testkit.explore.controller import Controller
-from orchidferry.testkit.model.relays import World
+from orchidferry.testkit.model.fanout_world import World
 from orchidferry.testkit.model.replica_group import ReplicaGroup, example_configuration
 from orchidferry.testkit.model.stored_controller import StoredController
 
@@ -163,17 +163,17 @@
     nodes = [world.start(f"n{n}", 0) for n in range(20)]
     world.run(12.0)
     dark, fetched = nodes[7], list[int]()
-    take = dark._take_text
+    take = dark._configuration_received
 
     def counted(message: ConfigurationText) -> None:
         fetched.append(message.revision)
         take(message)
 
-    dark._take_text = counted  # type: ignore[method-assign]
+    dark._configuration_received = counted  # type: ignore[method-assign]
     others = [*world.nodes, *world.controllers]
     for revision in range(1, 501):
         for controller in world.controllers.values():
-            controller.revise(revision, b"text")
+            controller.configuration_decided(revision, b"text")
         if revision == 1:
             world.run(1.0)
             assert dark.revision == 1
--- a/tests/mesh/control/test_subscriber.py
+++ b/tests/mesh/control/test_subscriber.py
@@ -1,7 +1,7 @@
 """Subscriptions down the fan-out tree, beside a plain model: what each node last announced, known to all.
 
 Controllers' publishers and nodes' subscribers are the shipping ones, in virtual time
-(`orchidferry.testkit.model.relays`).
+(`orchidferry.testkit.model.fanout_world`).
 """
 
 from __future__ import annotations
@@ -34,7 +34,8 @@
     UpdateSubscription,
     UpdateUnsubscription,
 )
-from orchidferry.testkit.model.relays import BETWEEN_S, Node, World
+from orchidferry.testkit.model.fanout_world import BETWEEN_S, World
+from orchidferry.testkit.model.subscribing_node import Node
 from tests.mesh.control.fakes import RecordingLink, make_controller, make_subscriber, record
 
 RENEWED_S = 0.5 + CATCH_UP_DELAY_S + 0.02  # a renewal, the wait, and the ways
@@ -84,7 +85,7 @@
         elif step in ("freeze", "thaw") and node.alive:
             getattr(node, step)()
         elif step == "mute":
-            node.mute = not node.mute
+            node.withholds_updates = not node.withholds_updates
         elif step == "cut":
             world.cuts.add((name, rng.choice([*world.nodes, *world.controllers])))
             world.cuts.add((rng.choice([*world.nodes, *world.controllers]), name))
@@ -97,11 +98,11 @@
         elif step == "revise":
             revision += 1
             for controller in world.controllers.values():
-                controller.revise(revision, b"x" * revision)
+                controller.configuration_decided(revision, b"x" * revision)
         world.run(rng.choice((0.0, 0.01, 0.3, 2.5)))
     world.cuts.clear()
     for node in world.nodes.values():
-        node.mute = False
+        node.withholds_updates = False
         node.thaw()
     world.run(8.0)
     agreed(world)
@@ -117,22 +118,22 @@
     hit = {node.name for node in some[::2]}
     for node in some[::2]:
         if trouble == "mute":
-            node.mute = True
+            node.withholds_updates = True
         elif trouble == "deaf":
             world.cuts |= {(controller, node.name) for controller in world.controllers}
         else:
             getattr(node, trouble)()
     [one, *_] = [node for name, node in world.nodes.items() if name not in hit]
-    world.watch()
+    world.record_changes()
     for wait_s in (0.9, 1.7, 1.0):
-        world.began.clear()
+        world.change_times_s.clear()
         one.publish()
         world.run(wait_s)
-        changes = [key for key, began in world.began.items() if began < world.now - RENEWED_S]
+        changes = [key for key, began in world.change_times_s.items() if began < world.now - RENEWED_S]
         assert len(changes) >= 3
         for key in changes:
             for name in world.nodes.keys() - hit:
-                assert world.came[key][name] - world.began[key] < RENEWED_S
+                assert world.arrival_times_s[key][name] - world.change_times_s[key] < RENEWED_S
         left = {
             n.subscriber.parent.record.name
             for n in world.nodes.values()
@@ -145,11 +146,11 @@
     world = fleet(1, 60, 2)
     followed = [len(controller.publisher._followers.positions) for controller in world.controllers.values()]
     assert followed == [HEADS * 2] * 3
-    world.watch()
+    world.record_changes()
     sent = [controller.publisher.traffic.messages("news") for controller in world.controllers.values()]
     world.nodes["n7"].publish()
     for controller in world.controllers.values():
-        controller.revise(1, b"text")
+        controller.configuration_decided(1, b"text")
     world.run(0.1)
     agreed(world)
     after = [controller.publisher.traffic.messages("news") for controller in world.controllers.values()]
@@ -158,12 +159,19 @@
     assert sum(texts) == HEADS * 2
     world.restart("k0")
     world.run(8.0)
-    world.began.clear()
+    world.change_times_s.clear()
     world.nodes["n7"].publish()
     world.run(0.1)
     agreed(world)
-    assert sum(key[:2] == ("k0", world.controllers["k0"].stream.incarnation) for key in world.began) == 1
-    hops = max(world.came[key][name] - began for key, began in world.began.items() for name in world.nodes)
+    assert (
+        sum(key[:2] == ("k0", world.controllers["k0"].stream.incarnation) for key in world.change_times_s)
+        == 1
+    )
+    hops = max(
+        world.arrival_times_s[key][name] - began
+        for key, began in world.change_times_s.items()
+        for name in world.nodes
+    )
     assert hops < 5 * BETWEEN_S
 
 
--- a/tests/testkit/explore/test_explore.py
+++ b/tests/testkit/explore/test_explore.py
@@ -14,7 +14,9 @@
 
 from orchidferry.testkit.cli import main
 from orchidferry.testkit.explore.breaks import BREAKS, broken
-from orchidferry.testkit.explore.search import play, search, shrink, wander
+from orchidferry.testkit.explore.counterexample import play
+from orchidferry.testkit.explore.random_walk import random_walk, shrink
+from orchidferry.testkit.explore.search import search
 from orchidferry.testkit.explore.state import fingerprint
 from orchidferry.testkit.explore.state_table import StateTable
 from orchidferry.testkit.explore.world import World
@@ -79,7 +81,7 @@
 
 
 def test_random_runs_find_a_break_and_make_it_short() -> None:
-    found = wander(WorldSize(events=3), 30.0, 1, "any-group").counterexample
+    found = random_walk(WorldSize(events=3), 30.0, 1, "any-group").counterexample
     assert found is not None and len(found["path"]) <= 10
     long = ["ask c0", "up 0", "serve 0", *found["path"]]
     with broken("any-group"):
