--- a/tests/mesh/dataplane/test_time_remaining.py
+++ b/tests/mesh/dataplane/test_time_remaining.py
@@ -112,3 +112,31 @@
     scene.loop.pass_ms(300.0)
     scene.connections.sent[0].end(Result.RESET)
     assert left_of(scene.connections.sent[-1].head_bytes()) <= 400.0
+
+
+def test_what_a_request_waited_unread_is_taken_off_at_the_node_and_at_the_gate(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node and a gate that waited for a core counted a request's time from when they read it.
+
+    A request with 3.000 s left was read 149 ms after it was sent. The node would have answered it within
+    3,139 ms, by when its client had been gone for 69 ms. Its server was told of time that nobody had.
+    """
+    scene = Scene(monkeypatch)
+    message = read({b"host": b"h", b"attempt-id": b"t1", b"time-remaining": b"900"})
+    message.arrived_ms = scene.loop.now_ms() - 150.0
+    scene.proxy._accept(message, scene.replies.append)
+    [at_node] = scene.remaining()
+    assert at_node <= 750.0
+    message = read({b"host": b"h", b"attempt-id": b"t2", b"time-remaining": b"%d" % at_node})
+    message.arrived_ms = scene.loop.now_ms() - 150.0
+    scene.gate.accept(message, scene.replies.append)
+    assert scene.remaining()[-1] <= at_node - 150.0
+
+
+def test_a_gate_sends_nothing_whose_time_ended_while_it_was_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    message = read({b"host": b"h", b"attempt-id": b"t1", b"time-remaining": b"100"})
+    message.arrived_ms = scene.loop.now_ms() - 150.0
+    scene.gate.accept(message, scene.replies.append)
+    assert not scene.connections.sent and [reply.status for reply in scene.replies] == [503]
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -16,7 +16,7 @@
 from orchidferry.mesh.dataplane.messages import ProxiedRequest, ServerResponse
 from orchidferry.mesh.dataplane.service_client import ClientContext, ServiceClient
 from orchidferry.mesh.settings import Bounds
-from orchidferry.node import upstream
+from orchidferry.node import client_connection, upstream
 from orchidferry.node.attempt import Attempt
 from orchidferry.node.reply import Reply
 from orchidferry.node.timer_queue import TimerQueue
@@ -132,6 +132,6 @@
 def patch_clock(patch: pytest.MonkeyPatch, now_ms: Callable[[], float]) -> None:
     """Let the data plane and the connections below it read this clock."""
     names = [f"{dataplane.__name__}.{module.name}" for module in pkgutil.iter_modules(dataplane.__path__)]
-    for module in (*map(importlib.import_module, names), upstream):
+    for module in (*map(importlib.import_module, names), client_connection, upstream):
         if hasattr(module, "now_ms"):
             patch.setattr(module, "now_ms", now_ms)
