A request's time counts from its arrival on the machine, not from when it is read

Symptom: a client with 3.000 s left gave up 70 ms after its time without an answer, while its node still had time by its own count. Cause: the node waited for a core, read the request 149 ms after it was sent and counted from then; a gate of the mesh did the same, and a request behind another on its connection counted from its turn.

The kernel tells the age of the newest bytes of a TCP connection (TCP_INFO). A request notes when it arrived, and node, proxy and gate count from there, also where a long upload ends. A gate sends nothing whose time ended while it was unread.

--- a/orchidferry/mesh/dataplane/admission.py
+++ b/orchidferry/mesh/dataplane/admission.py
@@ -74,7 +74,7 @@
         self._gate = gate
         self.message = message
         self.answer = answer
-        self.deadline_ms = now_ms() + message.budget_ms
+        self.deadline_ms = message.waiting_since_ms(now_ms()) + message.budget_ms
         self.at_most_once = AT_MOST_ONCE_HEADER in message.headers
         self.attempt: ServerAttempt | None = None
         self.awaited = True  # its sender still waits for the reply
@@ -229,7 +229,7 @@
         outcome = self.reason_to_reject(message)
         if outcome is None and self.draining:
             outcome = GateOutcome.SERVER_GONE
-        if outcome is None and message.budget_ms < MIN_REMAINING_MS:
+        if outcome is None and request.deadline_ms - now_ms() < MIN_REMAINING_MS:
             outcome = GateOutcome.NOT_RUN
         if outcome is not None:
             self._reject(request, outcome)
--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -342,7 +342,7 @@
         message.route = route
         budget_ms = route.guard_timer_ms if message.without_deadline else message.budget_ms
         budget_ms = max(0.0, min(budget_ms - TRANSIT_MARGIN_MS, route.guard_timer_ms))
-        deadline_ms = min(now_ms() + budget_ms, self._stop_ms)
+        deadline_ms = min(message.waiting_since_ms(now_ms()) + budget_ms, self._stop_ms)
         client = self._services[self._pick_service(route)]
         if route.kind == "keyed" and message.key is not None:
             return self._keyed_requests.take(message, route, client, deadline_ms, answer)
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -14,9 +14,11 @@
 
 import httptools
 
+from orchidferry.node.clock import now_ms
 from orchidferry.node.connection_end import EndCause, Owed
 from orchidferry.node.flow import BodyTooLongError, Flow
 from orchidferry.node.http1 import LAST_CHUNK, chunk
+from orchidferry.node.input_age import InputAge
 from orchidferry.node.reply import Reply, render
 from orchidferry.node.request import Message, RequestError, check_framing
 from orchidferry.node.unread_input import UnreadInput
@@ -92,6 +94,7 @@
         self._has_requested = False  # whether the node has had a request of it
         self._source_paused = False  # whether a long request waits for its sink
         self._request_flow: Flow | None = None  # the body of a long request
+        self._flow_message: Message | None = None  # that request
         self._response_flow: Flow | None = None  # the body of a long answer
         self._body_progress = 0  # bytes of a body since its stage was restarted
         self._unsent_at_start = 0  # bytes that the client had to read when the time of its stage began
@@ -112,6 +115,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self._input_age = InputAge(self._transport)
         self._frontend.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -425,6 +429,7 @@
         except BodyTooLongError:
             return self._reject(413, TOO_LONG)
         self._request_flow = flow
+        self._flow_message = message if isinstance(message, Message) else None
         self._queue.append(message)
         self._serve_next()
         return None
@@ -451,6 +456,9 @@
         if not self._parser.should_keep_alive():
             self._closing = True
             self._input_closed = True
+        if self._flow_message is not None:
+            self._flow_message.arrived_ms = self._input_arrived_ms()
+            self._flow_message = None
         flow.finish()
         if self._closing and not self._busy and not self._queue:  # it was answered before
             self._input_closed = True
@@ -465,8 +473,13 @@
         if isinstance(message, Reply):
             return message
         message.long_answer = self._parser.get_http_version() != "1.0"
+        message.arrived_ms = self._input_arrived_ms()
         return message
 
+    def _input_arrived_ms(self) -> float:
+        """Return when what is being read reached this machine at the latest, by the node's clock."""
+        return now_ms() - self._input_age.newest_ms()
+
     def _reject(self, status: int, reason: str) -> None:
         """Keep an error for the client; the first one counts, and nothing after it is read."""
         if self._error_reply is None:
--- a/orchidferry/node/request.py
+++ b/orchidferry/node/request.py
@@ -49,6 +49,16 @@
     flow: Flow | None = None  # the body, where it is too long to buffer; `body` is empty then
     long_answer: bool = False  # whether the client can be sent a body of unknown length
     chain: dict[bytes, bytes] | None = None  # all headers, where some are those of a chain of tiers
+    # When its last byte reached this machine, by the node's clock; None: just now. The node may have read it
+    # later, and the client counts from before.
+    arrived_ms: float | None = None
+
+    def waiting_since_ms(self, now: float) -> float:
+        """Return since when its client waits, as far as is known.
+
+        :param now: by the node's clock, in milliseconds.
+        """
+        return now if self.arrived_ms is None else min(self.arrived_ms, now)
 
 
 class RequestError(OrchidferryError):
