--- /dev/null
+++ b/tests/node/h3/test_input_age.py
@@ -0,0 +1,72 @@
+"""Requests over HTTP/3 that a node reads late, or that came late: their clients have waited since they asked.
+
+A client that had 3.000 s left sent its request at 420.906 s; its node began with it at 421.055 s, counted
+3.000 s from there, and the client gave up at 423.977 s with no answer. The datagram had waited in the socket
+of a process without a core. A first datagram that is lost comes again only after a probe timeout, and so does
+an answer: one was due by 553.486 s and sent at 553.462 s, and its client had nothing at 553.558 s.
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+from orchidferry.node.clock import now_ms
+from tests.node.h3.scene import Scene, begin, scene
+from tests.node.peers import HANG, Server, run, until
+
+BLOCKED_S = 0.3
+BUDGET_MS = 5_000.0
+
+
+async def pending_ends_ms(made: Scene) -> float:
+    """Wait until the node has one request; return when its time ends."""
+    await until(lambda: len(made.node._pending) == 1)
+    [pending] = made.node._pending.values()
+    return pending.ends_ms
+
+
+def test_a_request_that_waited_in_the_socket_ends_when_its_client_does(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, Server(usual=HANG)) as made:
+            connection = await made.connect()
+            asked_ms = now_ms()
+            begin(connection, "late", budget="5")
+            time.sleep(BLOCKED_S)  # in the node's own event loop
+            assert await pending_ends_ms(made) <= asked_ms + BUDGET_MS
+
+    run(test())
+
+
+def probe_timeout_ms(made: Scene) -> float:
+    """Return after how long a lost datagram comes again, as the node's connection to its client knows."""
+    assert made.node.h3_front is not None
+    [connection] = made.node.h3_front._connections
+    return min(1_000.0 * connection.quic._loss.get_probe_timeout(), BUDGET_MS / 20.0)
+
+
+def test_an_answer_is_due_early_enough_to_be_sent_twice(tmp_path: Path) -> None:
+    """Its one datagram may be lost, and comes again after a probe timeout."""
+
+    async def test() -> None:
+        async with scene(tmp_path, Server(usual=HANG)) as made:
+            connection = await made.connect()
+            begin(connection, "plain", budget="5")
+            ends_ms = await pending_ends_ms(made)
+            assert 0.0 < ends_ms <= now_ms() + BUDGET_MS - probe_timeout_ms(made)
+
+    run(test())
+
+
+def test_a_request_whose_first_datagram_was_lost_has_waited_for_a_probe_timeout(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, Server(usual=HANG)) as made:
+            connection = await made.connect()
+            connection.path.black_hole = True
+            begin(connection, "lost", budget="5")
+            connection.path.black_hole = False
+            ends_ms = await pending_ends_ms(made)
+            assert connection.path.lost == 1
+            assert ends_ms <= now_ms() + BUDGET_MS - 2.0 * probe_timeout_ms(made)  # there, and back
+
+    run(test())
