HTTP/3: a request's time counts from its datagram's arrival, less what is lost on the way

Symptom: requests over HTTP/3 that ran to the end of their time were answered up to 0.1 s after their client had given up. Causes: the datagram waited in the socket of a process without a core; a lost first datagram came a probe timeout later; a lost answer comes again a probe timeout later, when nobody waits any more.

--- a/orchidferry/mesh/dataplane/admission.py
+++ b/orchidferry/mesh/dataplane/admission.py
@@ -74,7 +74,7 @@
         self._gate = gate
         self.message = message
         self.answer = answer
-        self.deadline_ms = message.waiting_since_ms(now_ms()) + message.budget_ms
+        self.deadline_ms = message.due_ms(now_ms())
         self.at_most_once = AT_MOST_ONCE_HEADER in message.headers
         self.attempt: ServerAttempt | None = None
         self.awaited = True  # its sender still waits for the reply
--- a/orchidferry/node/h3/client_connection.py
+++ b/orchidferry/node/h3/client_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from dataclasses import dataclass, field
 from enum import Enum
@@ -29,12 +30,15 @@
 from orchidferry.node.client_connection import LIMITS_S, RequestHandle, Stage
 from orchidferry.node.clock import now_ms
 from orchidferry.node.frontend import NODE_PATHS
+from orchidferry.node.h3.lost_datagrams import resend_delay_ms
 from orchidferry.node.h3.quic_transport import (
     Endpoint,
     QuicTransport,
     ServerQuicConnection,
     is_over,
+    newest_packet,
     peer_close_code,
+    probe_timeout_ms,
 )
 from orchidferry.node.h3.session import (
     LAST_STREAM,
@@ -46,7 +50,7 @@
 )
 from orchidferry.node.http1 import MAX_BODY, MAX_HEAD
 from orchidferry.node.reply import Reply
-from orchidferry.node.request import SINGLE, RequestError, read_message
+from orchidferry.node.request import SINGLE, Message, RequestError, read_message
 
 if TYPE_CHECKING:
     from orchidferry.node.h3.front import Listener
@@ -113,14 +117,31 @@
             quic, listener.loop, listener.sendto, self._on_event, self._on_flushed, self._on_terminated
         )
         self._session: Session | None = None
+        self._arrived_ms = 0.0  # when the datagram that is being handled reached this machine
+        self._newest_before = -1  # the greatest packet number before it
+        self._missing = 0  # packets that were missing in a row when this was noticed last
+        self._missing_seen_ms = -math.inf  # when the packet after them reached this machine
 
-    def receive(self, data: bytes, peer: Endpoint) -> None:
-        """Handle a datagram."""
+    def receive(self, data: bytes, peer: Endpoint, arrived_ms: float) -> None:
+        """Handle a datagram.
+
+        :param arrived_ms: when it reached this machine, by the node's clock.
+        """
         self.last_received_s = time.monotonic()
+        self._arrived_ms = arrived_ms
+        self._newest_before = newest_packet(self.quic)
         self.transport.receive(data, peer)
+        self._note_missing()
         if not self.over and peer_close_code(self.quic) is not None:
             self._on_terminated()  # now: its requests need not wait for the end of the closing period
 
+    def _note_missing(self) -> None:
+        """Notice packets that are missing between the newest one and the newest one before it."""
+        missing = newest_packet(self.quic) - self._newest_before - 1
+        if missing > 0 and self._newest_before >= 0:
+            self._missing = missing
+            self._missing_seen_ms = self._arrived_ms
+
     def _on_event(self, event: QuicEvent) -> None:
         match event:
             case StreamDataReceived():
@@ -229,6 +250,7 @@
             if stream.early and listener.classes[message.cls].repeat is not api.Repeat.SAFE:
                 return self.send_answer(stream, Reply(TOO_EARLY, b"ask again once the handshake is done"))
             self._set_state(stream, StreamState.SERVING)
+            self._note_delays(message)
             pending = listener.accept(message, stream.answer)
         except RequestError as problem:
             return self._reject_request(stream, 400, str(problem))
@@ -236,6 +258,19 @@
             stream.pending = pending
         return None
 
+    def _note_delays(self, message: Message) -> None:
+        """Note how long a request was on its way, and leave time for its answer to be sent twice.
+
+        Packets that are missing shortly before the one that completed it were lost, as far as is known, and
+        held what had to be sent again.
+        """
+        self._note_missing()
+        timeout_ms = probe_timeout_ms(self.quic)
+        lost = self._missing if self._arrived_ms - self._missing_seen_ms < timeout_ms else 0
+        on_its_way_ms = resend_delay_ms(timeout_ms, lost, message.budget_ms)
+        message.arrived_ms = self._arrived_ms - on_its_way_ms
+        message.answer_margin_ms = resend_delay_ms(timeout_ms, 1, message.budget_ms)
+
     def send_answer(self, stream: RequestStream, reply: Reply) -> None:
         """Send a complete answer; the node's, or an error of this module."""
         if self.streams.get(stream.id) is not stream or self._session is None:
--- a/orchidferry/node/h3/front.py
+++ b/orchidferry/node/h3/front.py
@@ -11,10 +11,11 @@
 import asyncio
 import hmac
 import os
+import socket
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
 from aioquic.buffer import Buffer
 from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE, QuicConfiguration
@@ -35,6 +36,7 @@
 from orchidferry.node.config import ConfigError
 from orchidferry.node.h3 import settings
 from orchidferry.node.h3.client_connection import IDLE_S, MAX_STREAMS, Connection
+from orchidferry.node.h3.datagram_socket import DatagramSocket
 from orchidferry.node.h3.quic_transport import (
     ALPN,
     CID_LENGTH,
@@ -61,7 +63,7 @@
 )
 
 
-class Listener(asyncio.DatagramProtocol):
+class Listener:
     """The UDP socket and all clients' connections; a `FrontendTransport` beside that of HTTP/1.1."""
 
     def __init__(
@@ -76,7 +78,7 @@
         self.node_page = node_page
         self._front = front
         self.loop: asyncio.AbstractEventLoop
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: DatagramSocket | None = None
         self.ids: ConnectionIdTable[Connection] = ConnectionIdTable()
         self._connections: dict[Connection, None] = {}
         self._half_open: dict[Connection, None] = {}
@@ -128,9 +130,10 @@
         :raises OSError: if the address can't be used.
         """
         self.loop = loop
-        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self._front.listen)
+        [(family, _, _, _, address), *_] = await loop.getaddrinfo(*self._front.listen, type=socket.SOCK_DGRAM)
+        self._socket = DatagramSocket(loop, family, address, self._on_datagram)
         self._sweep()
-        host, port = transport.get_extra_info("sockname")[:2]
+        host, port = self._socket.address[:2]
         return host, port
 
     def reread(self) -> None:
@@ -146,25 +149,19 @@
 
     # Datagrams
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
     def sendto(self, data: bytes, peer: Endpoint) -> None:
         """Send a datagram."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, peer)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore that a peer can't be reached: its connection ends by its own time limits."""
+        if self._socket is not None:
+            self._socket.sendto(data, peer)
 
-    def datagram_received(self, data: bytes, peer: Endpoint) -> None:
+    def _on_datagram(self, data: bytes, peer: Endpoint, arrived_ms: float) -> None:
         try:
             header = pull_quic_header(Buffer(data=data), host_cid_length=CID_LENGTH)
         except ValueError:
             return None
         connection = self.ids.get(header.destination_cid)
         if connection is not None:
-            return connection.receive(data, peer)
+            return connection.receive(data, peer, arrived_ms)
         now = now_ms()
         if header.version is None:  # short header: a connection that ended, or was another process's
             return self._answer_stray(header, len(data), peer, now)
@@ -173,7 +170,7 @@
         if header.version not in self._configuration.supported_versions:
             return self._send_versions(header, peer, now)
         if header.packet_type is QuicPacketType.INITIAL and not self._not_accepting:
-            self._first_packet(header, data, peer, now)
+            self._first_packet(header, data, peer, arrived_ms, now)
         return None
 
     def _answer_stray(self, header: Any, size: int, peer: Endpoint, now: float) -> None:
@@ -198,7 +195,7 @@
                 peer,
             )
 
-    def _first_packet(self, header: Any, data: bytes, peer: Endpoint, now: float) -> None:
+    def _first_packet(self, header: Any, data: bytes, peer: Endpoint, arrived_ms: float, now: float) -> None:
         """Handle the first packet of a connection: open it, have its address validated, or drop it."""
         original = self._validated_id(header, peer)
         match self._first.decide(len(self._half_open), original is not None, now):
@@ -222,7 +219,7 @@
         self._half_open[connection] = None
         self.ids.add(header.destination_cid, connection)
         self.ids.add(quic.host_cid, connection)
-        connection.receive(data, peer)
+        connection.receive(data, peer, arrived_ms)
         return None
 
     def _validated_id(self, header: Any, peer: Endpoint) -> bytes | None:
@@ -306,7 +303,7 @@
 
     def count(self) -> int:
         """Return the number of sockets in use: one, for any number of clients."""
-        return 1 if self._transport is not None else 0
+        return 1 if self._socket is not None else 0
 
     def set_not_ready(self) -> None:
         """Announce the node's end to all clients."""
@@ -337,7 +334,7 @@
     def close(self) -> None:
         """Close all connections and the socket."""
         self.abort()
-        if self._transport is not None:
+        if self._socket is not None:
             self._timer.cancel()
-            self._transport.close()
-            self._transport = None
+            self._socket.close()
+            self._socket = None
--- a/orchidferry/node/h3/quic_transport.py
+++ b/orchidferry/node/h3/quic_transport.py
@@ -16,6 +16,7 @@
 
 from aioquic.quic.connection import QuicConnection, QuicConnectionId, QuicConnectionState
 from aioquic.quic.events import QuicEvent
+from aioquic.tls import Epoch
 
 Endpoint = tuple[Any, ...]  # a UDP peer, as the socket names it
 
@@ -25,6 +26,9 @@
 
 ALPN = "h3"
 CID_LENGTH = 8  # bytes of the connection ids that this side makes
+LONG_HEADER = b"\x80"  # first bytes from this on begin a long header (RFC 9000, section 17.2)
+LONG_HEADER_ID_OFFSET = 6  # of the destination connection id, in bytes
+SHORT_HEADER_ID_OFFSET = 1
 RESET_TOKEN_BYTES = 16  # bytes of a stateless reset token
 
 
@@ -83,6 +87,29 @@
     return int(quic._close_event.error_code)
 
 
+def probe_timeout_ms(quic: QuicConnection) -> float:
+    """Return after how long a datagram that is not acknowledged is sent again (RFC 9002, section 6.2)."""
+    return 1000.0 * float(quic._loss.get_probe_timeout())
+
+
+def unanswered_probes(quic: QuicConnection) -> int:
+    """Return how many probe timeouts in a row have passed without an acknowledgement."""
+    return int(quic._loss._pto_count)
+
+
+def newest_packet(quic: QuicConnection) -> int:
+    """Return the greatest packet number received once the keys are agreed; -1 before."""
+    space = quic._spaces.get(Epoch.ONE_RTT)
+    return int(space.largest_received_packet) if space is not None else -1
+
+
+def is_from(quic: QuicConnection, datagram: bytes) -> bool:
+    """Return whether a datagram bears an id that only this connection and its path know."""
+    ids = [id.cid for id in (quic._peer_cid, *quic._peer_cid_available) if id.cid]
+    start = LONG_HEADER_ID_OFFSET if datagram[:1] >= LONG_HEADER else SHORT_HEADER_ID_OFFSET
+    return any(datagram.startswith(id, start) for id in ids)
+
+
 def streams_left(quic: QuicConnection) -> int:
     """Return how many more requests the peer permits now."""
     return int(quic._remote_max_streams_bidi - quic._local_next_stream_id_bidi // 4)
--- a/orchidferry/node/node.py
+++ b/orchidferry/node/node.py
@@ -347,7 +347,7 @@
         now = now_ms()
         id = str(self._serial)
         flow = message.flow
-        ends_ms = message.waiting_since_ms(now) + message.budget_ms
+        ends_ms = message.due_ms(now)
         if flow is not None and not flow.complete:  # until its end it may take as long as a flow may
             ends_ms += 1000.0 * ((flow.length or LONG_BODY) / SLOWEST_B_S + GRACE_S)
         request = PendingRequest(self, id, message, answer, min(ends_ms, self._stop_ms))
@@ -421,8 +421,7 @@
     def _upload_received(self, request: PendingRequest) -> None:
         """Start the budget of a long request when its last byte has come."""
         if request.owed:
-            message = request.message
-            request.ends_ms = min(message.waiting_since_ms(now_ms()) + message.budget_ms, self._stop_ms)
+            request.ends_ms = min(request.message.due_ms(now_ms()), self._stop_ms)
             self._set_backstop(request)
 
     def deadline_passed(self, request: PendingRequest) -> None:
--- a/orchidferry/node/request.py
+++ b/orchidferry/node/request.py
@@ -52,6 +52,7 @@
     # When its last byte reached this machine, by the node's clock; None: just now. The node may have read it
     # later, and the client counts from before.
     arrived_ms: float | None = None
+    answer_margin_ms: float = 0.0  # how long before its client stops waiting the answer must be sent
 
     def waiting_since_ms(self, now: float) -> float:
         """Return since when its client waits, as far as is known.
@@ -60,6 +61,13 @@
         """
         return now if self.arrived_ms is None else min(self.arrived_ms, now)
 
+    def due_ms(self, now: float) -> float:
+        """Return until when the answer must be sent, by the node's clock.
+
+        :param now: by the same clock, in milliseconds.
+        """
+        return self.waiting_since_ms(now) + self.budget_ms - self.answer_margin_ms
+
 
 class RequestError(OrchidferryError):
     """A request that can't be accepted; the text tells the client why."""
