Exploration: a wire tells nothing of a kernel's view of it

Six tests of tests/testkit/explore failed since requests count from their arrival: a wire of the exploration stands for the socket and could not be asked for the age of its input. It refuses, so what comes counts as just arrived, as it does there. tests/testkit/explore/test_explore.py passes.

--- a/orchidferry/testkit/explore/loop.py
+++ b/orchidferry/testkit/explore/loop.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import heapq
 import itertools
 from collections import Counter, deque
@@ -90,6 +91,13 @@
         """Its number."""
         return self.number
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Tell nothing of a kernel: what comes is read in the same moment.
+
+        :raises OSError: always.
+        """
+        raise OSError(errno.ENOPROTOOPT, "no such option")
+
     def _lost(self, problem: Exception | None) -> None:
         if not self.lost:
             self.lost = self.closing = True
