A node that was late lately leaves time for that at the end of a request

Cause, inferred: it planned the answers for the last moment and was held up then. The log line of a request that is not ended by its deadline tells how late that was.

--- a/orchidferry/node/node.py
+++ b/orchidferry/node/node.py
@@ -51,6 +51,9 @@
 # Part of a request's budget that is spent before the request is read and while its answer is sent.
 MARGIN_MS = 10.0
 
+# Part of a request's budget, at most, that is left for the node's own delays at its end
+LATENESS_SHARE = 0.1
+
 # A planned end: connections still arrive for at least 0.4 s after SIGTERM. SIGKILL follows no sooner than
 # 0.7 s after the longest budget of a request, which is 3 s at most.
 ACCEPT_S = 0.45
@@ -347,7 +350,7 @@
         now = now_ms()
         id = str(self._serial)
         flow = message.flow
-        ends_ms = message.due_ms(now)
+        ends_ms = self._due_ms(message, now)
         if flow is not None and not flow.complete:  # until its end it may take as long as a flow may
             ends_ms += 1000.0 * ((flow.length or LONG_BODY) / SLOWEST_B_S + GRACE_S)
         request = PendingRequest(self, id, message, answer, min(ends_ms, self._stop_ms))
@@ -372,6 +375,11 @@
         )
         return request
 
+    def _due_ms(self, message: Message, now: float) -> float:
+        """Return when an answer is due, so that it is in time if the node is as late as lately."""
+        late_ms = min(1000.0 * self._timers.lateness_s(), LATENESS_SHARE * message.budget_ms)
+        return message.due_ms(now) - late_ms
+
     def _set_backstop(self, request: PendingRequest) -> None:
         """Set the timer at the request's end, as it is now."""
         self._timers.cancel(request.backstop)
@@ -421,7 +429,7 @@
     def _upload_received(self, request: PendingRequest) -> None:
         """Start the budget of a long request when its last byte has come."""
         if request.owed:
-            request.ends_ms = min(request.message.due_ms(now_ms()), self._stop_ms)
+            request.ends_ms = min(self._due_ms(request.message, now_ms()), self._stop_ms)
             self._set_backstop(request)
 
     def deadline_passed(self, request: PendingRequest) -> None:
@@ -431,7 +439,9 @@
             delay_s = left_ms / 1000.0 + 0.001
             request.backstop = self._timers.schedule(delay_s, request.deadline_passed)
         elif self._remove(request):
-            log.warning("request %s was not ended by its deadline", request.message.id)
+            log.warning(
+                "request %s was not ended by its deadline, late_ms=%.0f", request.message.id, -left_ms
+            )
             self.metrics.count_request(request.message.cls, 504)
             request.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(request.id))
--- a/orchidferry/node/timer_queue.py
+++ b/orchidferry/node/timer_queue.py
@@ -11,13 +11,15 @@
 import heapq
 from collections.abc import Callable
 
+from orchidferry.node.lateness import Lateness
+
 MAX_CANCELLED = 1_024  # cancelled entries that the heap may hold beyond twice the active ones
 
 
 class TimerQueue:
     """Calls functions at their time: never early by the loop's clock, as punctual as the loop's timers."""
 
-    __slots__ = ("_callbacks", "_due_s", "_heap", "_last_id", "_loop", "_timer")
+    __slots__ = ("_callbacks", "_due_s", "_heap", "_last_id", "_lateness", "_loop", "_timer")
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
@@ -26,6 +28,7 @@
         self._last_id = 0
         self._timer: asyncio.TimerHandle | None = None
         self._due_s = 0.0  # when `_timer` is due
+        self._lateness = Lateness()
 
     def __len__(self) -> int:
         return len(self._callbacks)
@@ -43,6 +46,10 @@
             self._arm(due_s)
         return self._last_id
 
+    def lateness_s(self) -> float:
+        """Return how late timers were lately, in seconds."""
+        return self._lateness.recent_s(self._loop.time())
+
     def cancel(self, timer_id: int) -> None:
         """Cancel a timer; no effect if it was called or cancelled before."""
         if self._callbacks.pop(timer_id, None) is None:
@@ -60,6 +67,8 @@
     def _run_due(self) -> None:
         """Call what is due, and set the loop's timer for what comes next."""
         self._timer = None
+        now_s = self._loop.time()
+        self._lateness.observe(now_s - self._due_s, now_s)
         due = self._pop_due()
         if self._heap:
             self._arm(self._heap[0][0])
