HTTP/3: what is lost on the way is seen by later requests, and for longer than a probe timeout

Two cases were not seen. A request that a later one overtakes: streams are opened in order, so it was sent before that one arrived. The node now counts from there, without the bound of 5% of its time, as this is no estimate. A loss that is noticed at once, by an acknowledgement, and whose request comes again after the client's probe timeout, which may exceed the node's: it counted within one of the node's only.

--- a/orchidferry/node/h3/client_connection.py
+++ b/orchidferry/node/h3/client_connection.py
@@ -30,7 +30,7 @@
 from orchidferry.node.client_connection import LIMITS_S, RequestHandle, Stage
 from orchidferry.node.clock import now_ms
 from orchidferry.node.frontend import NODE_PATHS
-from orchidferry.node.h3.lost_datagrams import resend_delay_ms
+from orchidferry.node.h3.lost_datagrams import Loss, resend_delay_ms, time_on_its_way_ms
 from orchidferry.node.h3.quic_transport import (
     Endpoint,
     QuicTransport,
@@ -86,6 +86,7 @@
     id: int
     since: float  # when its state began, by `time.monotonic`
     early: bool  # whether it began before the handshake was done, and may be a replay (RFC 8470)
+    overtaken_ms: float  # when a stream that was opened after it reached this machine, if that was first
     state: StreamState = StreamState.READING
     target: bytes = b""
     method: bytes = b""
@@ -116,6 +117,7 @@
         self._abuse_limit = ConnectionLimits(now_ms())
         self._closing = False
         self._next = 0  # the smallest stream id that is greater than those seen
+        self._overtaken_ms: dict[int, float] = {}  # by stream id below `_next` that has not come yet
         self.transport = QuicTransport(
             quic, listener.loop, listener.sendto, self._on_event, self._on_flushed, self._on_terminated
         )
@@ -201,10 +203,10 @@
     def _on_stream_data(self, event: StreamDataReceived) -> None:
         id = event.stream_id
         if id % 4 == 0 and id not in self.streams and not self._is_ignored(id):
-            self._next = max(self._next, id + 4)  # streams may come out of order
+            overtaken_ms = self._note_order(id)
             if self._closing or len(self.streams) >= MAX_STREAMS:
                 return self._reject(id, event.end_stream)
-            self.streams[id] = RequestStream(self, id, time.monotonic(), not self.up)
+            self.streams[id] = RequestStream(self, id, time.monotonic(), not self.up, overtaken_ms)
         for found in self._http(event):
             stream = self.streams.get(getattr(found, "stream_id", -1))
             if stream is None or stream.state is not StreamState.READING:
@@ -226,6 +228,16 @@
                 self._complete(stream)
         return None
 
+    def _note_order(self, id: int) -> float:
+        """Note that a stream has come; return when one that was opened after it did, if that was first.
+
+        Streams are opened in order (RFC 9000, section 2.1). Their transport's limit bounds what is noted.
+        """
+        for skipped in range(self._next, id, 4):
+            self._overtaken_ms[skipped] = self._arrived_ms
+        self._next = max(self._next, id + 4)
+        return self._overtaken_ms.pop(id, math.inf)
+
     def _is_ignored(self, id: int) -> bool:
         return self._session is not None and self._session.is_ignored(id)
 
@@ -280,7 +292,7 @@
             if stream.early and listener.classes[message.cls].repeat is not api.Repeat.SAFE:
                 return self.send_answer(stream, Reply(TOO_EARLY, b"ask again once the handshake is done"))
             self._set_state(stream, StreamState.SERVING)
-            self._note_delays(message)
+            self._note_delays(stream, message)
             pending = listener.accept(message, stream.answer)
         except RequestError as problem:
             return self._reject_request(stream, 400, str(problem))
@@ -288,7 +300,7 @@
             stream.pending = pending
         return None
 
-    def _note_delays(self, message: Message) -> None:
+    def _note_delays(self, stream: RequestStream, message: Message) -> None:
         """Note how long a request was on its way, and leave time for its answer to be sent twice.
 
         Packets that are missing shortly before the one that completed it were lost, as far as is known, and
@@ -296,9 +308,9 @@
         """
         self._note_missing()
         timeout_ms = probe_timeout_ms(self.quic)
-        lost = self._missing if self._arrived_ms - self._missing_seen_ms < timeout_ms else 0
-        on_its_way_ms = resend_delay_ms(timeout_ms, lost, message.budget_ms)
-        message.arrived_ms = self._arrived_ms - on_its_way_ms
+        loss = Loss(self._missing, self._arrived_ms - self._missing_seen_ms)
+        on_its_way_ms = time_on_its_way_ms(timeout_ms, loss, message.budget_ms)
+        message.arrived_ms = min(self._arrived_ms - on_its_way_ms, stream.overtaken_ms)
         message.answer_margin_ms = resend_delay_ms(timeout_ms, 1, message.budget_ms)
 
     def send_answer(self, stream: RequestStream, reply: Reply) -> None:
@@ -332,6 +344,7 @@
 
     def _cancelled(self, id: int) -> None:
         """Drop a request that its client cancelled; attempts at it are not stopped here."""
+        self._overtaken_ms.pop(id, None)
         stream = self.streams.get(id)
         if stream is None:
             return
--- a/tests/node/h3/test_input_age.py
+++ b/tests/node/h3/test_input_age.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from pathlib import Path
 
@@ -70,3 +71,53 @@
             assert ends_ms <= now_ms() + BUDGET_MS - 2.0 * probe_timeout_ms(made)  # there, and back
 
     run(test())
+
+
+def test_a_request_whose_loss_was_noticed_at_once_counts_from_then(tmp_path: Path) -> None:
+    """A loss noticed over one probe timeout before the request came again did not count, in 2 plays of 20."""
+
+    async def test() -> None:
+        async with scene(tmp_path, Server(usual=HANG)) as made:
+            assert made.node.h3_front is not None
+            connection = await made.connect()
+            [accepted] = made.node.h3_front._connections
+            await until(lambda: accepted.up)
+            connection._quic._loss._rtt_smoothed = (
+                0.35  # the client resends a little later than the node would
+            )
+            accepted.quic._loss._rtt_smoothed = 0.25
+            connection.path.black_hole = True
+            asked_ms = now_ms()
+            begin(connection, "lost", budget="20")
+            connection.path.black_hole = False
+            connection._quic.send_ping(0)
+            connection.transmit()
+            ends_ms = await pending_ends_ms(made)
+            assert now_ms() - asked_ms >= 275.0
+            assert ends_ms <= asked_ms + 4.0 * BUDGET_MS
+
+    run(test())
+
+
+def test_a_request_that_a_later_one_overtakes_counts_from_before_that_one(tmp_path: Path) -> None:
+    """Streams are opened in order (RFC 9000, section 2.1): what comes before it was sent after it."""
+
+    async def test() -> None:
+        async with scene(tmp_path, Server(usual=HANG)) as made:
+            connection = await made.connect()
+            node = made.node
+            connection.path.black_hole = True
+            asked_ms = now_ms()
+            begin(connection, "lost", budget="2")
+            connection.path.black_hole = False
+            begin(connection, "overtakes", budget="2")
+            connection.path.black_hole = True
+            await until(lambda: len(node._pending) == 1)
+            await asyncio.sleep(0.3)
+            connection.path.black_hole = False
+            await until(lambda: len(node._pending) == 2)
+            ends_ms = {pending.message.id: pending.ends_ms for pending in node._pending.values()}
+            assert now_ms() - asked_ms >= 300.0
+            assert all(end <= asked_ms + 0.4 * BUDGET_MS for end in ends_ms.values()), ends_ms
+
+    run(test())
