HTTP/3: attempts go by QUIC once their server has the whole handshake

A client's handshake is complete before its server's is; it is confirmed by the server's HANDSHAKE_DONE (RFC 9001, 4.1.2). Attempts take TCP until then, as they do while the handshake goes on. On the code before, the test failed: the state was UP with the client's Finished lost.

--- a/orchidferry/node/h3/server_connection.py
+++ b/orchidferry/node/h3/server_connection.py
@@ -34,6 +34,7 @@
     RESET_TOKEN_BYTES,
     Endpoint,
     QuicTransport,
+    is_confirmed,
     is_from,
     is_over,
     is_sent,
@@ -107,7 +108,7 @@
         self.began_s = time.monotonic()
         self.last_received_s = self.began_s
         self.last_sent_s = self.began_s  # when the last attempt was sent
-        self.up = False  # whether the handshake is done
+        self.up = False  # whether the handshake is confirmed: the server reads what is sent
         self.over = False
         self.leaving = False  # whether it takes no more attempts
         self.attempts: dict[int, StreamAttempt] = {}
@@ -136,6 +137,9 @@
         self.last_received_s = time.monotonic()
         self.routes.transports.received(self.server, now_ms())
         self.transport.receive(data, self.peer)
+        if not self.up and not self.over and is_confirmed(self.quic):
+            self.up = True
+            self.routes.transports.connected(self.server, now_ms())
         if not self.over and (code := peer_close_code(self.quic)) is not None:
             self._on_terminated(
                 code in ORDERLY and self.up
@@ -208,9 +212,7 @@
     def _on_event(self, event: QuicEvent) -> None:
         match event:
             case HandshakeCompleted():
-                self.up = True
-                self._session = Session(self.quic)
-                self.routes.transports.connected(self.server, now_ms())
+                self._session = Session(self.quic)  # it sends the settings
             case ConnectionIdIssued():
                 self.routes.ids.add(event.connection_id, self)
             case ConnectionIdRetired():
--- a/tests/node/h3/test_lost_handshake.py
+++ b/tests/node/h3/test_lost_handshake.py
@@ -15,13 +15,16 @@
 import pytest
 from aioquic.quic.events import HandshakeCompleted, QuicEvent
 
+from orchidferry.balancing.transports import State
 from orchidferry.node.clock import now_ms
 from orchidferry.node.h3 import client_connection
 from orchidferry.node.h3.client_connection import Connection
+from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.testkit.quic.client import AskerConnection
-from tests.node.h3.scene import Scene, begin, scene
+from tests.node.h3.scene import Scene, Script, begin, scene
 from tests.node.h3.test_input_age import pending_ends_ms
-from tests.node.peers import HANG, LIMIT_S, Server, run
+from tests.node.h3.test_upstream import state
+from tests.node.peers import HANG, LIMIT_S, Server, run, until
 
 SHORT_BUDGET_MS = 1_000.0
 
@@ -81,3 +84,31 @@
             assert not accepted._held
 
     run(test())
+
+
+def test_attempts_take_tcp_until_the_server_has_confirmed_the_handshake(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An attempt on a connection whose Finished was lost waits for a probe timeout, unread."""
+    plain = ServerConnection._on_event
+
+    async def test() -> None:
+        server, script = Server(name="s0"), Script()
+
+        def lose_finished(connection: ServerConnection, event: QuicEvent) -> None:
+            plain(connection, event)
+            if isinstance(event, HandshakeCompleted):
+                script.quic.from_askers.black_hole = True
+
+        monkeypatch.setattr(ServerConnection, "_on_event", lose_finished)
+        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
+            assert (await made.world.ask("first")).body == b"done"
+            await until(lambda: script.quic.from_askers.lost >= 1)
+            assert state(made) is State.CONNECTING
+            assert (await made.world.ask("beside")).body == b"done"
+            script.quic.from_askers.black_hole = False
+            await until(lambda: state(made) is State.UP)
+            assert (await made.world.ask("next")).body == b"by quic"
+        script.stop()
+
+    run(test())
