HTTP/3: an answer that has no time for a resend is sent twice

With less than two probe timeouts left, the datagrams of the answer are sent once more after 5 ms, four at most; to the client these are duplicates (RFC 9000, 12.3; RFC 9002, 6.2.4 allows two probes).

--- a/orchidferry/node/h3/client_connection.py
+++ b/orchidferry/node/h3/client_connection.py
@@ -94,6 +94,7 @@
     body: list[bytes] = field(default_factory=list)
     size: int = 0
     has_headers: bool = False
+    due_ms: float = math.inf  # when the client stops waiting, as far as is known
     pending: RequestHandle | None = None
 
     def answer(self, reply: Reply) -> None:
@@ -311,6 +312,7 @@
         loss = Loss(self._missing, self._arrived_ms - self._missing_seen_ms)
         on_its_way_ms = time_on_its_way_ms(timeout_ms, loss, message.budget_ms)
         message.arrived_ms = min(self._arrived_ms - on_its_way_ms, stream.overtaken_ms)
+        stream.due_ms = message.arrived_ms + message.budget_ms
         message.answer_margin_ms = resend_delay_ms(timeout_ms, 1, message.budget_ms)
 
     def send_answer(self, stream: RequestStream, reply: Reply) -> None:
@@ -332,7 +334,10 @@
         except Exception:  # the stream was closed
             log.exception("answering a request over QUIC")
             self._drop(stream, ErrorCode.H3_INTERNAL_ERROR)
-        self.transport.flush_soon()
+        if stream.due_ms - now_ms() < SHORT_PROBE_TIMEOUTS * probe_timeout_ms(self.quic):
+            self.transport.flush_twice_soon()
+        else:
+            self.transport.flush_soon()
 
     def _reject_request(self, stream: RequestStream, status: int, reason: str) -> None:
         """Answer a request with an error, and read no more of it (RFC 9114, section 4.1.1)."""
--- a/orchidferry/node/h3/quic_transport.py
+++ b/orchidferry/node/h3/quic_transport.py
@@ -30,6 +30,8 @@
 LONG_HEADER_ID_OFFSET = 6  # of the destination connection id, in bytes
 SHORT_HEADER_ID_OFFSET = 1
 RESET_TOKEN_BYTES = 16  # bytes of a stateless reset token
+COPY_DELAY_S = 0.005  # so that losses which come together do not take both
+MAX_COPIED = 4  # datagrams of one flush
 
 
 def reset_token(key: bytes, cid: bytes) -> bytes:
@@ -191,6 +193,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._due_s = 0.0
         self._flush_handle: asyncio.Handle | None = None
+        self._copies_next_flush = False
         self._closed = False
 
     def receive(self, data: bytes, peer: Endpoint) -> None:
@@ -209,6 +212,14 @@
         if self._flush_handle is None and not self._closed:
             self._flush_handle = self._loop.call_soon(self.flush)
 
+    def flush_twice_soon(self) -> None:
+        """Like `flush_soon`, for what has no time to be sent again after a probe timeout.
+
+        The copies of its datagrams are duplicates to the peer (RFC 9000, section 12.3).
+        """
+        self._copies_next_flush = True
+        self.flush_soon()
+
     def flush(self) -> None:
         """Send what there is to send now."""
         if self._flush_handle is not None:
@@ -217,8 +228,11 @@
         if self._closed:
             return None
         try:
-            for data, peer in self.quic.datagrams_to_send(now=time.monotonic()):
-                self._sendto(data, peer)
+            datagrams = self.quic.datagrams_to_send(now=time.monotonic())
+            self._send(datagrams)
+            if self._copies_next_flush and datagrams:
+                self._copies_next_flush = False
+                self._loop.call_later(COPY_DELAY_S, self._send, datagrams[:MAX_COPIED])
             self._on_flushed()
         except Exception:
             log.exception("a QUIC connection, sending")
@@ -227,6 +241,12 @@
             self._set_timer()
         return None
 
+    def _send(self, datagrams: list[tuple[bytes, Endpoint]]) -> None:
+        if self._closed:
+            return
+        for data, peer in datagrams:
+            self._sendto(data, peer)
+
     def _set_timer(self) -> None:
         due_s = self.quic.get_timer()
         if self._timer is not None and due_s != self._due_s:
