--- a/tests/balancing/test_logic.py
+++ b/tests/balancing/test_logic.py
@@ -453,6 +453,26 @@
     assert timer.delay_ms > 0.0
 
 
+def test_what_two_servers_swallow_is_sent_a_third_time_whatever_the_objective() -> None:
+    """Two time-outs in a row pass an objective of 500 ms: the request must not be refused for that."""
+    read = api.RequestClass("read", 500.0, 20_000.0, 1.0, repeat=api.Repeat.SAFE)
+    pay = api.RequestClass("pay", 500.0, 20_000.0, 1.0)
+    for salt in range(20):
+        node = Node(servers=2, salt=salt, classes=[read, pay])
+        node.serve(20, "read")
+        asked_ms = node.now
+        [first] = sends(node.ask("a", "read", 20_000.0))
+        [timer] = timers(node.end("a", Result.TIMEOUT, first.timeout_ms))
+        [second] = sends(node.do(api.TimerFired(timer.token), timer.delay_ms))
+        [timer] = timers(node.end("a", Result.TIMEOUT, second.timeout_ms))
+        [_] = sends(node.do(api.TimerFired(timer.token), timer.delay_ms))
+        assert ends(node.end("a", Result.SERVED)) == []
+        assert first.timeout_ms < 0.7 * second.timeout_ms
+        assert node.now - asked_ms > read.aim_ms
+        [unsafe] = sends(node.ask("once", "pay", 20_000.0))
+        assert unsafe.timeout_ms > 1.5 * first.timeout_ms
+
+
 def test_where_all_is_slow_a_first_attempt_is_not_cut_for_a_second_that_comes_too_late() -> None:
     """churn+long: calls to a slow tier were cut for ones that met a full window, and ended."""
     node = Node(servers=4)
