--- a/orchidferry/node/h3/server_connection.py
+++ b/orchidferry/node/h3/server_connection.py
@@ -35,7 +35,6 @@
     Endpoint,
     QuicTransport,
     is_confirmed,
-    is_from,
     is_over,
     is_sent,
     new_stream,
@@ -315,10 +314,6 @@
         """Return whether a datagram is the server's stateless reset of it (RFC 9000, section 10.3)."""
         return len(data) >= MIN_RESET and data[-RESET_TOKEN_BYTES:] in peer_reset_tokens(self.quic)
 
-    def has_sent(self, datagram: bytes) -> bool:
-        """Return whether a datagram that was not delivered is one of this connection."""
-        return is_from(self.quic, datagram)
-
     def reset(self) -> None:
         """Handle a stateless reset, or that its port is closed: the server has forgotten it."""
         self._on_terminated(False)
--- a/orchidferry/node/h3/upstream.py
+++ b/orchidferry/node/h3/upstream.py
@@ -31,6 +31,7 @@
     CID_LENGTH,
     ConnectionIdTable,
     Endpoint,
+    is_from,
 )
 from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.node.upstream import IDLE_LIMIT_FRACTION, Upstream
@@ -190,7 +191,7 @@
             (RFC 9000, section 14.2.1).
         """
         for connection in list(self._by_peer.get(peer, ())):
-            if connection.has_sent(quoted):
+            if is_from(connection.quic, quoted):
                 connection.reset()
 
     def stop_using(self, connection: ServerConnection) -> None:
