HTTP/3: both descriptors of a datagram socket count against the node's limit

The epoll descriptor beside each UDP socket was not counted, so that a node with HTTP/3 on both sides could open up to three connections more than its limit of descriptors leaves room for.

--- a/orchidferry/node/h3/datagram_socket.py
+++ b/orchidferry/node/h3/datagram_socket.py
@@ -20,6 +20,7 @@
 from orchidferry.node.h3.quic_transport import Endpoint
 
 READS = 64  # datagrams that are read in one iteration of the event loop
+DESCRIPTORS = 2  # of one `DatagramSocket`: the socket, and the epoll descriptor around it
 ERRORS = 64  # ICMP errors, likewise
 MAX_DATAGRAM = 2_048  # bytes; the library sends and takes 1,200 to some 1,500
 ANCILLARY_BYTES = 512
--- a/orchidferry/node/h3/front.py
+++ b/orchidferry/node/h3/front.py
@@ -36,7 +36,7 @@
 from orchidferry.node.config import ConfigError
 from orchidferry.node.h3 import settings
 from orchidferry.node.h3.client_connection import IDLE_S, MAX_STREAMS, Connection
-from orchidferry.node.h3.datagram_socket import DatagramSocket
+from orchidferry.node.h3.datagram_socket import DESCRIPTORS, DatagramSocket
 from orchidferry.node.h3.quic_transport import (
     ALPN,
     CID_LENGTH,
@@ -302,8 +302,8 @@
     # For the node
 
     def count(self) -> int:
-        """Return the number of sockets in use: one, for any number of clients."""
-        return 1 if self._socket is not None else 0
+        """Return the number of file descriptors in use, the same for any number of clients."""
+        return DESCRIPTORS if self._socket is not None else 0
 
     def set_not_ready(self) -> None:
         """Announce the node's end to all clients."""
--- a/orchidferry/node/h3/upstream.py
+++ b/orchidferry/node/h3/upstream.py
@@ -25,7 +25,7 @@
 from orchidferry.node.attempt import Attempt
 from orchidferry.node.clock import now_ms
 from orchidferry.node.h3 import settings
-from orchidferry.node.h3.datagram_socket import DatagramSocket
+from orchidferry.node.h3.datagram_socket import DESCRIPTORS, DatagramSocket
 from orchidferry.node.h3.quic_transport import (
     ALPN,
     CID_LENGTH,
@@ -91,8 +91,8 @@
     # For the node
 
     def count(self) -> int:
-        """Return the number of sockets in use."""
-        return self._tcp.count() + len(self._sockets)
+        """Return the number of file descriptors in use."""
+        return self._tcp.count() + DESCRIPTORS * len(self._sockets)
 
     def send(self, attempt: Attempt, fresh: bool = False) -> None:
         """Start an attempt; it may have ended when this returns."""
--- a/orchidferry/node/interfaces.py
+++ b/orchidferry/node/interfaces.py
@@ -15,7 +15,7 @@
     """The listener of one transport, and the connections of its clients."""
 
     def count(self) -> int:
-        """Return the number of sockets in use."""
+        """Return the number of file descriptors in use."""
 
     def set_not_ready(self) -> None:
         """Answer readiness checks with no from now on."""
@@ -37,7 +37,7 @@
     """The connections to servers."""
 
     def count(self) -> int:
-        """Return the number of sockets in use."""
+        """Return the number of file descriptors in use."""
 
     def send(self, attempt: Attempt, fresh: bool = False) -> None:
         """Start an attempt, on a new connection if `fresh`; it may have ended when this returns."""
@@ -65,7 +65,7 @@
         """Begin its work."""
 
     def count(self) -> int:
-        """Return the number of sockets in use."""
+        """Return the number of file descriptors in use."""
 
     def leaving(self) -> None:
         """Learn that the node begins to shut down."""
