--- a/tests/node/h3/test_upstream.py
+++ b/tests/node/h3/test_upstream.py
@@ -67,7 +67,7 @@
             fields = script.seen[1][1].headers
             assert fields["idempotency-key"] == "key-1" and float(fields["x-budget"]) > 0.0
             assert len(server.seen) == 1 and made.module_is_clean()
-            assert routes(made).count() == 3  # one connection over TCP, and a datagram socket's two descriptors
+            assert routes(made).count() == 3  # a connection over TCP, and a datagram socket's two
         script.stop()
 
     run(test())
