--- a/orchidferry/node/h3/client_connection.py
+++ b/orchidferry/node/h3/client_connection.py
@@ -30,7 +30,9 @@
 from orchidferry.node.client_connection import LIMITS_S, RequestHandle, Stage
 from orchidferry.node.clock import now_ms
 from orchidferry.node.frontend import NODE_PATHS
-from orchidferry.node.h3.lost_datagrams import Loss, resend_delay_ms, time_on_its_way_ms
+from orchidferry.node.h3.arrivals import Arrivals
+from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
+from orchidferry.node.h3.lost_datagrams import resend_delay_ms
 from orchidferry.node.h3.quic_transport import (
     Endpoint,
     QuicTransport,
@@ -63,7 +65,6 @@
 IDLE_S = LIMITS_S[Stage.IDLE]
 
 MAX_STREAMS = 100  # open requests of one connection
-MAX_HELD_BYTES = 14_720  # before the handshake is done: a client's initial window (RFC 9002, section 7.2)
 SHORT_PROBE_TIMEOUTS = 2.0  # left to an answer: if it is lost, its resend comes late or hardly in time
 TOO_EARLY = 425  # status, RFC 8470
 
@@ -117,18 +118,12 @@
         self.streams: dict[int, RequestStream] = {}
         self._abuse_limit = ConnectionLimits(now_ms())
         self._closing = False
-        self._next = 0  # the smallest stream id that is greater than those seen
-        self._overtaken_ms: dict[int, float] = {}  # by stream id below `_next` that has not come yet
         self.transport = QuicTransport(
             quic, listener.loop, listener.sendto, self._on_event, self._on_flushed, self._on_terminated
         )
         self._session: Session | None = None
-        self._held: list[tuple[bytes, Endpoint, float]] = []  # datagrams, their peers, when they arrived
-        self._held_bytes = 0
-        self._arrived_ms = 0.0  # when the datagram that is being handled reached this machine
-        self._newest_before = -1  # the greatest packet number before it
-        self._missing = 0  # packets that were missing in a row when this was noticed last
-        self._missing_seen_ms = -math.inf  # when the packet after them reached this machine
+        self._held = HeldDatagrams()
+        self._arrivals = Arrivals()
 
     def receive(self, data: bytes, peer: Endpoint, arrived_ms: float) -> None:
         """Handle a datagram.
@@ -136,45 +131,24 @@
         :param arrived_ms: when it reached this machine, by the node's clock.
         """
         self.last_received_s = time.monotonic()
+        datagram = Datagram(data, peer, arrived_ms)
         if not self.up and has_short_header(data):
-            return self._hold(data, peer, arrived_ms)
-        self._receive_now(data, peer, arrived_ms)
-        if self.up and self._held:
-            self._receive_held()
+            return self._held.hold(datagram)
+        self._receive_now(datagram)
+        if self.up:
+            for held in self._held.take():
+                self._receive_now(held)
         return None
 
-    def _hold(self, data: bytes, peer: Endpoint, arrived_ms: float) -> None:
-        """Keep a datagram that can't be read before the handshake is done (RFC 9001, section 5.7).
-
-        A client that is done sends requests at once. If its last datagram of the handshake is lost, they wait
-        for that to come again, and their time goes by.
-        """
-        if self._held_bytes + len(data) <= MAX_HELD_BYTES and not self.over:
-            self._held.append((data, peer, arrived_ms))
-            self._held_bytes += len(data)
-
-    def _receive_held(self) -> None:
-        held = self._held
-        self._held = []
-        for data, peer, arrived_ms in held:
-            if not self.over:
-                self._receive_now(data, peer, arrived_ms)
-
-    def _receive_now(self, data: bytes, peer: Endpoint, arrived_ms: float) -> None:
-        self._arrived_ms = arrived_ms
-        self._newest_before = newest_packet(self.quic)
-        self.transport.receive(data, peer)
-        self._note_missing()
+    def _receive_now(self, datagram: Datagram) -> None:
+        if self.over:
+            return
+        self._arrivals.begin_datagram(datagram.arrived_ms, newest_packet(self.quic))
+        self.transport.receive(datagram.data, datagram.peer)
+        self._arrivals.note_missing(newest_packet(self.quic))
         if not self.over and peer_close_code(self.quic) is not None:
             self._on_terminated()  # now: its requests need not wait for the end of the closing period
 
-    def _note_missing(self) -> None:
-        """Notice packets that are missing between the newest one and the newest one before it."""
-        missing = newest_packet(self.quic) - self._newest_before - 1
-        if missing > 0 and self._newest_before >= 0:
-            self._missing = missing
-            self._missing_seen_ms = self._arrived_ms
-
     def _on_event(self, event: QuicEvent) -> None:
         match event:
             case StreamDataReceived():
@@ -204,7 +178,7 @@
     def _on_stream_data(self, event: StreamDataReceived) -> None:
         id = event.stream_id
         if id % 4 == 0 and id not in self.streams and not self._is_ignored(id):
-            overtaken_ms = self._note_order(id)
+            overtaken_ms = self._arrivals.open_stream(id)
             if self._closing or len(self.streams) >= MAX_STREAMS:
                 return self._reject(id, event.end_stream)
             self.streams[id] = RequestStream(self, id, time.monotonic(), not self.up, overtaken_ms)
@@ -229,16 +203,6 @@
                 self._complete(stream)
         return None
 
-    def _note_order(self, id: int) -> float:
-        """Note that a stream has come; return when one that was opened after it did, if that was first.
-
-        Streams are opened in order (RFC 9000, section 2.1). Their transport's limit bounds what is noted.
-        """
-        for skipped in range(self._next, id, 4):
-            self._overtaken_ms[skipped] = self._arrived_ms
-        self._next = max(self._next, id + 4)
-        return self._overtaken_ms.pop(id, math.inf)
-
     def _is_ignored(self, id: int) -> bool:
         return self._session is not None and self._session.is_ignored(id)
 
@@ -302,18 +266,12 @@
         return None
 
     def _note_delays(self, stream: RequestStream, message: Message) -> None:
-        """Note how long a request was on its way, and leave time for its answer to be sent twice.
-
-        Packets that are missing shortly before the one that completed it were lost, as far as is known, and
-        held what had to be sent again.
-        """
-        self._note_missing()
+        """Note when a request was sent, and leave time for its answer to be sent twice."""
+        self._arrivals.note_missing(newest_packet(self.quic))
         timeout_ms = probe_timeout_ms(self.quic)
-        loss = Loss(self._missing, self._arrived_ms - self._missing_seen_ms)
-        on_its_way_ms = time_on_its_way_ms(timeout_ms, loss, message.budget_ms)
-        message.arrived_ms = min(self._arrived_ms - on_its_way_ms, stream.overtaken_ms)
-        stream.due_ms = message.arrived_ms + message.budget_ms
+        message.arrived_ms = self._arrivals.sent_ms(timeout_ms, message.budget_ms, stream.overtaken_ms)
         message.answer_margin_ms = resend_delay_ms(timeout_ms, 1, message.budget_ms)
+        stream.due_ms = message.arrived_ms + message.budget_ms
 
     def send_answer(self, stream: RequestStream, reply: Reply) -> None:
         """Send a complete answer; the node's, or an error of this module."""
@@ -349,7 +307,7 @@
 
     def _cancelled(self, id: int) -> None:
         """Drop a request that its client cancelled; attempts at it are not stopped here."""
-        self._overtaken_ms.pop(id, None)
+        self._arrivals.forget_stream(id)
         stream = self.streams.get(id)
         if stream is None:
             return
@@ -418,7 +376,7 @@
         if not self.over and not self._closing:
             self._closing = True
             if self._session is not None:
-                self._session.send_goaway(self._next)
+                self._session.send_goaway(self._arrivals.next_stream)
             self.transport.flush_soon()
 
     def abort(self, code: int) -> None:
@@ -432,7 +390,7 @@
         if self.over:
             return
         self.over = True
-        self._held.clear()
+        self._held.take()
         for stream in list(self.streams.values()):
             self._drop(stream, ErrorCode.H3_REQUEST_CANCELLED)
         self.listener.connection_closed(self)
--- a/tests/node/h3/test_lost_handshake.py
+++ b/tests/node/h3/test_lost_handshake.py
@@ -10,15 +10,14 @@
 
 import asyncio
 from pathlib import Path
-from typing import Any
 
 import pytest
 from aioquic.quic.events import HandshakeCompleted, QuicEvent
 
 from orchidferry.balancing.transports import State
 from orchidferry.node.clock import now_ms
-from orchidferry.node.h3 import client_connection
-from orchidferry.node.h3.client_connection import Connection
+from orchidferry.node.h3 import held_datagrams
+from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
 from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.testkit.quic.client import AskerConnection
 from tests.node.h3.scene import Scene, Script, begin, scene
@@ -62,15 +61,15 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A client could fill the node's memory with what nobody can read yet."""
-    plain = Connection._hold
+    plain = HeldDatagrams.hold
     held_bytes = []
 
-    def noted(connection: Connection, *datagram: Any) -> None:
-        plain(connection, *datagram)
-        held_bytes.append(sum(len(data) for data, _, _ in connection._held))
+    def noted(held: HeldDatagrams, datagram: Datagram) -> None:
+        plain(held, datagram)
+        held_bytes.append(held.bytes)
 
-    monkeypatch.setattr(Connection, "_hold", noted)
-    monkeypatch.setattr(client_connection, "MAX_HELD_BYTES", 4_096)
+    monkeypatch.setattr(HeldDatagrams, "hold", noted)
+    monkeypatch.setattr(held_datagrams, "MAX_HELD_BYTES", 4_096)
 
     async def test() -> None:
         async with scene(tmp_path, Server()) as made:
