--- a/tests/node/h3/scene.py
+++ b/tests/node/h3/scene.py
@@ -12,9 +12,13 @@
 from pathlib import Path
 from typing import Any
 
+from orchidferry.balancing.interface import Result
+from orchidferry.balancing.transports import State
 from orchidferry.node.config import read_config
 from orchidferry.node.extensions import Extensions
+from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.node.h3.settings import Front, Http3, Servers
+from orchidferry.node.h3.upstream import Routes
 from orchidferry.node.node import Node
 from orchidferry.testkit.quic import certs, client, server
 from orchidferry.testkit.quic.faults import Trouble
@@ -148,3 +152,47 @@
         finally:
             for asker in ready.askers:
                 asker.drop()
+
+
+def routes(made: Scene) -> Routes:
+    found = made.node._upstream
+    assert isinstance(found, Routes)
+    return found
+
+
+def link(made: Scene) -> ServerConnection:
+    return next(iter(routes(made)._connections.values()))
+
+
+def state(made: Scene) -> State:
+    return routes(made).transports.state(next(iter(made.node.servers.addresses)))
+
+
+def results(made: Scene) -> list[Result]:
+    """Notes the result of every attempt from now on."""
+    found: list[Result] = []
+    node = made.node
+    plain = node.attempt_ended
+
+    def noted(event: Any) -> None:
+        found.append(event.result)
+        plain(event)
+
+    node.attempt_ended = noted  # type: ignore[method-assign]
+    return found
+
+
+async def warm(made: Scene) -> None:
+    """The first request goes by TCP, while QUIC comes up beside it."""
+    assert (await made.world.ask("warm")).body == b"done"
+    await h1.until(lambda: state(made) is State.UP)
+
+
+@contextlib.asynccontextmanager
+async def quic_scene(path: Path, **options: Any) -> AsyncIterator[tuple[Scene, Script]]:
+    """A node, and what a server answers over QUIC that speaks both; the connection over QUIC is up."""
+    server, script = h1.Server(name="s0"), Script()
+    async with scene(path, server, quic={"s0": await script.start()}, **options) as made:
+        await warm(made)
+        yield made, script
+    script.stop()
--- a/tests/node/h3/test_lost_handshake.py
+++ b/tests/node/h3/test_lost_handshake.py
@@ -20,9 +20,8 @@
 from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
 from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.testkit.quic.client import AskerConnection
-from tests.node.h3.scene import Scene, Script, begin, scene
+from tests.node.h3.scene import Scene, Script, begin, scene, state
 from tests.node.h3.test_input_age import pending_ends_ms
-from tests.node.h3.test_upstream import state
 from tests.node.peers import HANG, LIMIT_S, Server, run, until
 
 SHORT_BUDGET_MS = 1_000.0
--- a/tests/node/h3/test_lost_servers.py
+++ b/tests/node/h3/test_lost_servers.py
@@ -16,16 +16,13 @@
 from orchidferry.balancing import transports
 from orchidferry.balancing.interface import Result
 from orchidferry.balancing.transports import State
-from tests.node.h3.scene import Script, scene
-from tests.node.h3.test_upstream import link, results, routes, state, warm
-from tests.node.peers import Server, run, until
+from tests.node.h3.scene import link, quic_scene, results, routes, state
+from tests.node.peers import run, until
 
 
 def test_an_attempt_at_a_closed_port_ends_at_once_as_perhaps_run(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.hold.clear()
             kinds = ("read", "pay")
@@ -36,7 +33,6 @@
             assert read.body == b"done" and pay.status == 502
             assert ended.count(Result.RESET) == len(kinds)
             assert state(made) is State.BACKING_OFF and made.module_is_clean()
-        script.stop()
 
     run(test())
 
@@ -45,15 +41,12 @@
     """A report quotes the datagram that could not be delivered; only the path has seen its connection id."""
 
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, _):
             one = link(made)
             routes(made).port_unreachable(b"\x41" + b"n" * 30, one.peer)
             assert one.up and not one.over and state(made) is State.UP
             routes(made).port_unreachable(b"\x41" + one.quic._peer_cid.cid + b"n" * 30, one.peer)
             assert one.over and state(made) is State.BACKING_OFF
-        script.stop()
 
     run(test())
 
@@ -65,9 +58,7 @@
     monkeypatch.setattr(transports, "SUSPECT_TIMEOUT_MS", 60_000.0)
 
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.hold.clear()
             asked = asyncio.create_task(made.world.ask("pay", "pay"))
@@ -82,6 +73,5 @@
             script.hold.set()
             assert (await asked).body == b"by quic"
             await until(lambda: state(made) is State.UP)
-        script.stop()
 
     run(test())
--- a/tests/node/h3/test_upstream.py
+++ b/tests/node/h3/test_upstream.py
@@ -13,62 +13,23 @@
 from orchidferry.balancing.interface import Result
 from orchidferry.balancing.transports import State
 from orchidferry.node.h3 import upstream
-from orchidferry.node.h3.server_connection import ServerConnection
-from orchidferry.node.h3.upstream import Routes
 from orchidferry.testkit.quic.faults import Trouble
-from tests.node.h3.scene import Scene, Script, files, scene
+from tests.node.h3.scene import Script, files, link, quic_scene, results, routes, scene, state, warm
 from tests.node.peers import EFFECTS, Server, effects, patient, run, until
 
 
-def routes(made: Scene) -> Routes:
-    found = made.node._upstream
-    assert isinstance(found, Routes)
-    return found
-
-
-def link(made: Scene) -> ServerConnection:
-    return next(iter(routes(made)._connections.values()))
-
-
-def state(made: Scene) -> State:
-    return routes(made).transports.state(next(iter(made.node.servers.addresses)))
-
-
-def results(made: Scene) -> list[Result]:
-    """Notes the result of every attempt from now on."""
-    found: list[Result] = []
-    node = made.node
-    plain = node.attempt_ended
-
-    def noted(event: Any) -> None:
-        found.append(event.result)
-        plain(event)
-
-    node.attempt_ended = noted  # type: ignore[method-assign]
-    return found
-
-
-async def warm(made: Scene) -> None:
-    """The first request goes by TCP, while QUIC comes up beside it."""
-    assert (await made.world.ask("warm")).body == b"done"
-    await until(lambda: state(made) is State.UP)
-
-
 def test_the_first_request_goes_by_tcp_and_the_next_by_quic(tmp_path: Path) -> None:
     async def test() -> None:
-        server = Server(name="s0")
-        script = Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             for n, cls in enumerate(("read", "save", "pay")):
                 found = await made.world.ask(f"{n}", cls, body=b"" if cls == "read" else b"x" * 30_000)
                 assert (found.status, found.body) == (200, b"by quic")
             assert [len(one.body) for _, one in script.seen] == [0, 30_000, 30_000]
             fields = script.seen[1][1].headers
             assert fields["idempotency-key"] == "key-1" and float(fields["x-budget"]) > 0.0
+            [server] = made.world.servers
             assert len(server.seen) == 1 and made.module_is_clean()
             assert routes(made).count() == 3  # a connection over TCP, and a datagram socket's two
-        script.stop()
 
     run(test())
 
@@ -113,9 +74,7 @@
     monkeypatch.setattr(transports, "SUSPECT_TIMEOUT_MS", 300.0)
 
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             for n in range(30):  # by now the module knows what is usual, and waits no longer than it must
                 assert (await made.world.ask(f"w{n}")).status == 200
             ended = results(made)
@@ -126,23 +85,19 @@
             assert (await made.world.ask("next")).body == b"done"
             await until(lambda: state(made) is State.BACKING_OFF)
             assert made.module_is_clean()
-        script.stop()
 
     run(test())
 
 
 def test_one_that_was_only_slow_is_trusted_again_at_its_first_datagram(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, _):
             assert (await made.world.ask("one")).body == b"by quic"
             ready = routes(made)
             ready.close_idle(link(made).server)  # as the module says where idle connections were lost
             assert state(made) is State.SUSPECT
             await until(lambda: state(made) is State.UP)  # the ping was answered
             assert (await made.world.ask("two")).body == b"by quic"
-        script.stop()
 
     run(test())
 
@@ -153,15 +108,11 @@
 
 def test_a_rejected_stream_never_ran_and_even_an_unsafe_request_goes_elsewhere(tmp_path: Path) -> None:
     async def test() -> None:
-        server = Server(name="s0")
-        script = Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.answers = [cut(ErrorCode.H3_REQUEST_REJECTED)]
             assert (await made.world.ask("pay", "pay")).status == 200
             assert ended == [Result.REFUSED, Result.SERVED] and made.module_is_clean()
-        script.stop()
 
     run(test())
 
@@ -171,10 +122,7 @@
     tmp_path: Path, code: int
 ) -> None:
     async def test() -> None:
-        server = Server(name="s0")
-        script = Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.answers = [cut(code)]
             assert (await made.world.ask("pay", "pay")).status == 502
@@ -182,7 +130,6 @@
             script.answers = [cut(code)]
             assert (await made.world.ask("read")).status == 200  # safe to repeat
             assert made.module_is_clean()
-        script.stop()
 
     run(test())
 
@@ -218,25 +165,20 @@
 )
 def test_half_an_answer_is_never_passed_on(tmp_path: Path, act: Any, result: Result) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.answers = [act]
             assert (await made.world.ask("pay", "pay")).status == 502
             assert ended == [result]
             await until(lambda: not link(made).attempts if routes(made)._connections else True)
             assert (await made.world.ask("after")).status == 200 and made.module_is_clean()
-        script.stop()
 
     run(test())
 
 
 def test_a_reset_after_the_whole_answer_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}, classes=patient()) as made:
-            await warm(made)
+        async with quic_scene(tmp_path, classes=patient()) as (made, script):
 
             def act(stream: Any) -> None:
                 stream.answer(200, b"whole")
@@ -249,16 +191,13 @@
             # Both ends of it are legal: the answer came first, or the reset overtook it in one flight.
             assert (found.status, ended) in ((200, [Result.SERVED]), (502, [Result.RESET]))
             assert (await made.world.ask("two")).status == 200
-        script.stop()
 
     run(test())
 
 
 def test_what_a_goaway_leaves_out_never_ran_and_the_rest_is_answered(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.hold.clear()
             first = asyncio.create_task(made.world.ask("first", "pay"))
@@ -277,7 +216,6 @@
             assert (await made.world.ask("third")).status == 200
             await until(lambda: state(made) is State.UP)
             assert made.module_is_clean()
-        script.stop()
 
     run(test())
 
@@ -326,9 +264,7 @@
 
 def test_a_connection_lost_with_many_open_ends_each_attempt_once(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}, siblings=1) as made:
-            await warm(made)
+        async with quic_scene(tmp_path, siblings=1) as (made, script):
             ended = results(made)
             script.hold.clear()
             kinds = [f"{cls}{n}" for cls in ("read", "save", "pay") for n in range(5)]
@@ -344,19 +280,17 @@
                 # A safe one goes again, or is refused where the module has no retry for it.
                 assert found[kind].status in ((502,) if kind.startswith("pay") else (200, 503))
             pays = [one.headers["x-call-id"] for _, one in script.seen if one.target == "/pay"]
+            [server] = made.world.servers
             pays += [one.id for one in server.seen if one.target == "/pay"]
             assert len(pays) == len(set(pays))  # none twice
             assert ended.count(Result.RESET) == len(running) and made.module_is_clean()
-        script.stop()
 
     run(test())
 
 
 def test_a_stateless_reset_ends_the_connection_at_once(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             ended = results(made)
             script.hold.clear()
             asked = asyncio.create_task(made.world.ask("pay", "pay"))
@@ -373,7 +307,6 @@
             assert (await asked).status == 502 and ended == [Result.RESET]
             assert state(made) is State.BACKING_OFF and not routes(made).ids
             assert (await made.world.ask("next")).body == b"done"
-        script.stop()
 
     run(test())
 
@@ -399,9 +332,7 @@
 
 def test_an_attempt_given_up_resets_its_stream_and_spares_the_connection(tmp_path: Path) -> None:
     async def test() -> None:
-        server, script = Server(name="s0"), Script()
-        async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
-            await warm(made)
+        async with quic_scene(tmp_path) as (made, script):
             script.hold.clear()
             assert (await made.world.ask("slow", "pay", budget="0.5")).status == 502
             await until(lambda: script.quic.resets == 1)
@@ -409,7 +340,6 @@
             kept = link(made)
             assert (await made.world.ask("next")).status == 200
             assert kept.up and not kept.over and made.module_is_clean()
-        script.stop()
 
     run(test())
 
@@ -495,6 +425,7 @@
                 statuses.append((await made.world.ask(f"{n}", ("save", "pay")[n % 2])).status)
             assert statuses.count(200) >= 38 and set(statuses) <= {200, 502, 503}
             pays = [one.headers["x-call-id"] for _, one in script.seen if one.target == "/pay"]
+            [server] = made.world.servers
             pays += [one.id for one in server.seen if one.target == "/pay"]
             assert len(pays) == len(set(pays)) and made.module_is_clean()
             assert len(script.seen) > 20  # most went by QUIC
