Test kit: requesters and path conditions in place of askers and trouble

Names of the earlier house style in wire, quic, links and their tests; the kit says requester elsewhere, and exchange.path_conditions named the type already. No logic changes.

--- a/orchidferry/testkit/bench/quic.py
+++ b/orchidferry/testkit/bench/quic.py
@@ -25,7 +25,7 @@
 from orchidferry.testkit.bench.open_loop import BUDGET_S, offer_load, scenario
 from orchidferry.testkit.exchange import encode_request, expected_body
 from orchidferry.testkit.quic import certs
-from orchidferry.testkit.quic.client import AskerConnection, AskerStream, connect
+from orchidferry.testkit.quic.client import RequesterConnection, RequesterStream, connect
 from orchidferry.testkit.quic.pool import H3Pool
 from orchidferry.testkit.wire import Address, Outcome, Pool
 from orchidferry.testkit.world.addresses import claim
@@ -185,7 +185,7 @@
     sent = 0
     while time.monotonic() < until:
         try:
-            caller: AskerConnection = await connect(address, ca, limit_s=1.0)
+            caller: RequesterConnection = await connect(address, ca, limit_s=1.0)
         except (OSError, TimeoutError):
             await asyncio.sleep(0.05)
             continue
@@ -193,7 +193,7 @@
             for _ in range(20):
                 if caller.http is None:
                     break
-                stream = AskerStream(caller)
+                stream = RequesterStream(caller)
                 stream.ask("", encode_request(cls, f"f{sent}.0", "k", 1, BUDGET_S, False, b""))
                 stream.drop()
                 sent += 1
--- a/orchidferry/testkit/exchange.py
+++ b/orchidferry/testkit/exchange.py
@@ -20,12 +20,12 @@
 )
 from orchidferry.testkit.scenario import Class, Scenario
 from orchidferry.testkit.traffic.guard import MARK, PROOF_CLASS, new_nonce, proven
-from orchidferry.testkit.wire import Address, AskerSide, Outcome, Pool
+from orchidferry.testkit.wire import Address, Outcome, Pool, RequesterSide
 
 if TYPE_CHECKING:
     from orchidferry.testkit.quic.certs import Files
-    from orchidferry.testkit.quic.client import AskerStream
-    from orchidferry.testkit.quic.faults import Trouble
+    from orchidferry.testkit.quic.client import RequesterStream
+    from orchidferry.testkit.quic.faults import PathConditions
     from orchidferry.testkit.quic.pool import H3Pool
 
 
@@ -124,12 +124,12 @@
     leaves: float | None = None  # when an impatient client gives up, before that
 
 
-def path_conditions(scenario: Scenario) -> Trouble:
+def path_conditions(scenario: Scenario) -> PathConditions:
     """The conditions that datagrams meet on every path of a scenario."""
-    from orchidferry.testkit.quic.faults import Trouble
+    from orchidferry.testkit.quic.faults import PathConditions
 
     network = scenario.network
-    return Trouble(network.loss, network.reorder, network.duplicate, network.delay_s)
+    return PathConditions(network.loss, network.reorder, network.duplicate, network.delay_s)
 
 
 class RequestSender:
@@ -231,14 +231,14 @@
             )
         )
 
-    async def _prove(self, connection: AskerSide | AskerStream, attempt: Attempt) -> bool:
+    async def _prove(self, connection: RequesterSide | RequesterStream, attempt: Attempt) -> bool:
         """Whether an attempt may go over a connection; its peer may have to prove that it is the kit's.
 
         With HTTP/3 the certificate has proven it: it is of an authority that lives as long as the run.
         """
         if not self._proof_key or attempt.cls.repeat in ("safe", "keyed"):
             return True
-        if not isinstance(connection, AskerSide) or connection.proven:
+        if not isinstance(connection, RequesterSide) or connection.proven:
             return True
         nonce = new_nonce()
         left = attempt.ends - self.recorder.now()
--- a/orchidferry/testkit/quic/client.py
+++ b/orchidferry/testkit/quic/client.py
@@ -1,4 +1,4 @@
-"""The client's side of HTTP/3, with the interface of `orchidferry.testkit.wire.AskerSide`."""
+"""The client's side of HTTP/3, with the interface of `orchidferry.testkit.wire.RequesterSide`."""
 
 from __future__ import annotations
 
@@ -23,17 +23,17 @@
 from aioquic.tls import SessionTicket
 
 from orchidferry.testkit.quic.certs import NAME
-from orchidferry.testkit.quic.faults import PathFaults, Trouble
+from orchidferry.testkit.quic.faults import PathConditions, PathFaults
 from orchidferry.testkit.quic.headers import Header, as_h3
 from orchidferry.testkit.quic.transport import IDLE_S, FaultyTransport, along
 from orchidferry.testkit.wire import CONNECT_S, Address, Outcome
 
 
 @dataclass(eq=False)
-class AskerStream:
-    """One request on a stream, with the face of `wire.AskerSide`."""
+class RequesterStream:
+    """One request on a stream, with the face of `wire.RequesterSide`."""
 
-    connection: AskerConnection
+    connection: RequesterConnection
     alive: bool = True
     used: int = 0
     last_id: str = ""
@@ -73,13 +73,13 @@
         self.connection.streams.pop(self.stream, None)
 
 
-class AskerConnection(QuicConnectionProtocol):
+class RequesterConnection(QuicConnectionProtocol):
     """A connection to a node."""
 
     def __init__(self, quic: QuicConnection, on_extra: Callable[[str], None]) -> None:
         super().__init__(quic)
         self.http: H3Connection | None = None
-        self.streams: dict[int, AskerStream] = {}
+        self.streams: dict[int, RequesterStream] = {}
         self.path = PathFaults(0)
         self.back = PathFaults(1)
         self.up = False
@@ -116,19 +116,19 @@
             super().datagram_received(data, addr)
 
     def _all_end(self, how: str) -> None:
-        for asker in list(self.streams.values()):
-            asker.end(how, True)
+        for requester in list(self.streams.values()):
+            requester.end(how, True)
         if self._transport is not None:
             self._transport.close()
 
-    def begin(self, asker: AskerStream, headers: list[Header], body: bytes) -> int:
+    def begin(self, requester: RequesterStream, headers: list[Header], body: bytes) -> int:
         """Send a request; returns the number of its stream."""
         assert self.http is not None
         self.used = time.monotonic()
         if self.unheard_since is None:
             self.unheard_since = self.used
         id = self._quic.get_next_available_stream_id()
-        self.streams[id] = asker
+        self.streams[id] = requester
         self.http.send_headers(id, headers, end_stream=not body)
         if body:
             self.http.send_data(id, body, end_stream=True)
@@ -200,8 +200,8 @@
         """Close it, whatever is on it."""
         if self.closed_by is None:
             self.close(ErrorCode.H3_NO_ERROR)
-            for asker in list(self.streams.values()):
-                asker.end("closed")
+            for requester in list(self.streams.values()):
+                requester.end("closed")
             if self._timer is not None:
                 self._timer.cancel()
                 self._timer = None
@@ -214,14 +214,14 @@
     address: Address,
     ca: str,
     on_extra: Callable[[str], None] = lambda _: None,
-    trouble: Trouble | None = None,
+    conditions: PathConditions | None = None,
     seed: int = 0,
     limit_s: float = CONNECT_S,
     ticket: SessionTicket | None = None,
     on_ticket: Callable[[SessionTicket], None] | None = None,
     wait: bool = True,
     **changes: Any,
-) -> AskerConnection:
+) -> RequesterConnection:
     """A connection to a node; `TimeoutError` or `OSError` where none comes up."""
     configuration = QuicConfiguration(
         is_client=True,
@@ -232,9 +232,9 @@
     )
     configuration.load_verify_locations(ca)
     quic = QuicConnection(configuration=configuration, session_ticket_handler=on_ticket)
-    made = AskerConnection(quic, on_extra)
-    if trouble is not None:
-        made.path, made.back = PathFaults(2 * seed, trouble), PathFaults(2 * seed + 1, trouble)
+    made = RequesterConnection(quic, on_extra)
+    if conditions is not None:
+        made.path, made.back = PathFaults(2 * seed, conditions), PathFaults(2 * seed + 1, conditions)
     loop = asyncio.get_running_loop()
     await loop.create_datagram_endpoint(lambda: made, local_addr=("0.0.0.0", 0))
     made.connect(address)
--- a/orchidferry/testkit/quic/faults.py
+++ b/orchidferry/testkit/quic/faults.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Trouble:
+class PathConditions:
     """Shares are of datagrams, 0 to 1; delays in seconds."""
 
     loss: float = 0.0
@@ -27,30 +27,34 @@
             raise ValueError("delays must be 0 or more")
 
 
-CLEAN = Trouble()
+CLEAN = PathConditions()
 
 
 class PathFaults:
     """One direction of one path. The same seed and the same datagrams meet the same fate."""
 
-    def __init__(self, seed: int, trouble: Trouble = CLEAN) -> None:
+    def __init__(self, seed: int, conditions: PathConditions = CLEAN) -> None:
         self._rng = random.Random(seed)
-        self.trouble = trouble
+        self.conditions = conditions
         self.black_hole = False  # while set, nothing passes
         self.passed = self.lost = 0
 
     def fate(self) -> list[float]:
         """After how many seconds each copy of the next datagram comes: none where it is lost."""
-        trouble = self.trouble
+        conditions = self.conditions
         draw = self._rng.random
         # Always as many draws, so that the fate of later ones does not hang on that of earlier ones.
         loss = draw()
         reorder = draw()
         duplicate = draw()
         jitter = draw()
-        if self.black_hole or loss < trouble.loss:
+        if self.black_hole or loss < conditions.loss:
             self.lost += 1
             return []
         self.passed += 1
-        wait = trouble.delay_s + trouble.jitter_s * jitter + (REORDER_S if reorder < trouble.reorder else 0.0)
-        return [wait, wait + DUPLICATE_S] if duplicate < trouble.duplicate else [wait]
+        wait = (
+            conditions.delay_s
+            + conditions.jitter_s * jitter
+            + (REORDER_S if reorder < conditions.reorder else 0.0)
+        )
+        return [wait, wait + DUPLICATE_S] if duplicate < conditions.duplicate else [wait]
--- a/orchidferry/testkit/quic/server.py
+++ b/orchidferry/testkit/quic/server.py
@@ -22,7 +22,7 @@
 )
 
 from orchidferry.testkit.quic.certs import Files
-from orchidferry.testkit.quic.faults import PathFaults, Trouble
+from orchidferry.testkit.quic.faults import PathConditions, PathFaults
 from orchidferry.testkit.quic.headers import Header
 from orchidferry.testkit.quic.transport import IDLE_S, FaultyTransport, along
 from orchidferry.testkit.wire import Address, Request
@@ -71,7 +71,7 @@
 
 
 class ServerConnection(QuicConnectionProtocol):
-    """An asker's connection at a server."""
+    """A requester's connection at a server."""
 
     def __init__(self, quic: QuicConnection, stream_handler: Any = None) -> None:
         super().__init__(quic, stream_handler)
@@ -154,10 +154,10 @@
 class _Listener(QuicServer):
     """The library's server behind a scripted path, both ways."""
 
-    def __init__(self, to_askers: PathFaults, from_askers: PathFaults, **rest: Any) -> None:
+    def __init__(self, to_requesters: PathFaults, from_requesters: PathFaults, **rest: Any) -> None:
         super().__init__(**rest)
-        self._to = to_askers
-        self._from = from_askers
+        self._to = to_requesters
+        self._from = from_requesters
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
@@ -188,7 +188,7 @@
         requested: Callable[[Any, Request], None],
         lost: Callable[[Any], None],
         made: Callable[[Any], None],
-        trouble: Trouble | None = None,
+        conditions: PathConditions | None = None,
         seed: int = 0,
         **changes: Any,
     ) -> None:
@@ -196,9 +196,9 @@
         self.lost = lost
         self.made = made
         self.connections: dict[ServerConnection, None] = {}
-        self.resets = 0  # requests that their askers took back
-        self.to_askers = PathFaults(2 * seed, trouble or Trouble())
-        self.from_askers = PathFaults(2 * seed + 1, trouble or Trouble())
+        self.resets = 0  # requests that their requesters took back
+        self.to_requesters = PathFaults(2 * seed, conditions or PathConditions())
+        self.from_requesters = PathFaults(2 * seed + 1, conditions or PathConditions())
         self._changes = changes
         self._files = files
         self.listener: _Listener | None = None
@@ -218,8 +218,8 @@
         loop = asyncio.get_running_loop()
         transport, self.listener = await loop.create_datagram_endpoint(
             lambda: _Listener(
-                self.to_askers,
-                self.from_askers,
+                self.to_requesters,
+                self.from_requesters,
                 configuration=configuration,
                 create_protocol=create,
                 retry=retry,
--- a/orchidferry/testkit/wire.py
+++ b/orchidferry/testkit/wire.py
@@ -1,6 +1,6 @@
-"""HTTP/1.1 for stand-ins and clients: a server's side and an asker's, on asyncio and httptools.
+"""HTTP/1.1 for stand-ins and clients: a server's side and a requester's, on asyncio and httptools.
 
-An asker sees all that a judge may want to know of an exchange: when its last byte was written, whether the
+A requester sees all that a judge may want to know of an exchange: when its last byte was written, whether the
 connection had been used before, how it ended, and what came that nobody asked for.
 """
 
@@ -133,8 +133,8 @@
     reused: bool = False
 
 
-class AskerSide(asyncio.Protocol):
-    """An asker's connection: one request at a time."""
+class RequesterSide(asyncio.Protocol):
+    """A requester's connection: one request at a time."""
 
     def __init__(self, on_extra: Callable[[str], None], read_pause_s: float = 0.0) -> None:
         self._on_extra = on_extra  # told the id of what was asked last
@@ -250,7 +250,7 @@
 
 
 class Pool:
-    """An asker's kept connections, by address. Bound: `MAX_IDLE` for each address."""
+    """A requester's kept connections, by address. Bound: `MAX_IDLE` for each address."""
 
     MAX_IDLE = 256
     IDLE_S = 5.0  # a node closes an idle connection after 10 s: kept for less, a request seldom crosses that
@@ -266,9 +266,9 @@
         self._receive_buffer = receive_buffer  # bytes; 0: the kernel's choice
         self._read_pause_s = read_pause_s  # after the first bytes of a response
         self._local = None if local is None else (local, 0)  # the address that its connections come from
-        self._idle: dict[Address, list[tuple[float, AskerSide]]] = {}
+        self._idle: dict[Address, list[tuple[float, RequesterSide]]] = {}
 
-    async def connection(self, address: Address, fresh: bool = False) -> AskerSide | Outcome:
+    async def connection(self, address: Address, fresh: bool = False) -> RequesterSide | Outcome:
         """A connection that carries nothing, or the outcome of the failure to open one."""
         idle = self._idle.get(address, [])
         while idle and not fresh:
@@ -276,7 +276,7 @@
             if kept.alive and time.monotonic() - since < self.IDLE_S:
                 return kept
             kept.drop()
-        made = AskerSide(self._on_extra, self._read_pause_s)
+        made = RequesterSide(self._on_extra, self._read_pause_s)
         try:
             async with asyncio.timeout(CONNECT_S):
                 await self._connect(made, address)
@@ -286,7 +286,7 @@
             return Outcome("refused", time.monotonic())
         return made
 
-    async def _connect(self, made: AskerSide, address: Address) -> None:
+    async def _connect(self, made: RequesterSide, address: Address) -> None:
         loop = asyncio.get_running_loop()
         if not self._receive_buffer:
             await loop.create_connection(lambda: made, *address, local_addr=self._local)
@@ -303,7 +303,7 @@
             sock.close()
             raise
 
-    def put_back(self, address: Address, connection: AskerSide) -> None:
+    def put_back(self, address: Address, connection: RequesterSide) -> None:
         """Keep a connection for the next request, if it can carry one."""
         idle = self._idle.setdefault(address, [])
         if connection.alive and len(idle) < self.MAX_IDLE:
--- a/orchidferry/testkit/world/links.py
+++ b/orchidferry/testkit/world/links.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from orchidferry.testkit import seeded_random
-from orchidferry.testkit.quic.faults import PathFaults, Trouble
+from orchidferry.testkit.quic.faults import PathConditions, PathFaults
 
 # of a link without a fault
 DELAY_S = 0.0002
@@ -81,7 +81,10 @@
         path = self._paths.get((sender, to))
         if path is None:
             seed = seeded_random.integer(self._seed, "link", sender, to)
-            path = PathFaults(seed, Trouble(delay_s=DELAY_S, jitter_s=JITTER_S)), random.Random(seed ^ 1)
+            path = (
+                PathFaults(seed, PathConditions(delay_s=DELAY_S, jitter_s=JITTER_S)),
+                random.Random(seed ^ 1),
+            )
             self._paths[sender, to] = path
         return path
 
@@ -95,7 +98,7 @@
         path, lateness_random = self._path(sender, to)
         if any(fault.cut for fault in faults):
             return []
-        path.trouble = Trouble(
+        path.conditions = PathConditions(
             max((fault.loss for fault in faults), default=0.0),
             max((fault.reorder for fault in faults), default=0.0),
             max((fault.duplicate for fault in faults), default=0.0),
--- a/orchidferry/testkit/world/standin.py
+++ b/orchidferry/testkit/world/standin.py
@@ -191,7 +191,7 @@
                 connection.reset()
         if self._quic is not None:
             black_hole = bool(self._strongest("silent"))
-            self._quic.to_askers.black_hole = self._quic.from_askers.black_hole = black_hole
+            self._quic.to_requesters.black_hole = self._quic.from_requesters.black_hole = black_hole
         slowdown = 1.0
         for value in self._values("slow"):
             slowdown *= value
--- a/tests/node/h3/scene.py
+++ b/tests/node/h3/scene.py
@@ -21,7 +21,7 @@
 from orchidferry.node.h3.upstream import Routes
 from orchidferry.node.node import Node
 from orchidferry.testkit.quic import certs, client, server
-from orchidferry.testkit.quic.faults import Trouble
+from orchidferry.testkit.quic.faults import PathConditions
 from orchidferry.testkit.wire import Outcome, Request
 from tests.node import peers as h1
 from tests.node.peers import LIMIT_S, World
@@ -79,13 +79,13 @@
     world: World
     node: Node
     address: tuple[str, int]
-    askers: list[client.AskerConnection] = field(default_factory=list)
+    requesters: list[client.RequesterConnection] = field(default_factory=list)
 
-    async def connect(self, **options: Any) -> client.AskerConnection:
+    async def connect(self, **options: Any) -> client.RequesterConnection:
         """A caller's connection."""
         options.setdefault("limit_s", LIMIT_S)
         made = await client.connect(self.address, str(files().ca), **options)
-        self.askers.append(made)
+        self.requesters.append(made)
         return made
 
     async def ask(self, *args: Any, **kwargs: Any) -> Outcome:
@@ -104,15 +104,15 @@
         )
 
 
-async def ask(connection: client.AskerConnection, *args: Any, **kwargs: Any) -> Outcome:
+async def ask(connection: client.RequesterConnection, *args: Any, **kwargs: Any) -> Outcome:
     """One request as over HTTP/1.1 (`tests.node.peers.request`), on a stream of its own."""
-    stream = client.AskerStream(connection)
+    stream = client.RequesterStream(connection)
     return await asyncio.wait_for(stream.ask("", h1.request(*args, **kwargs)), LIMIT_S)
 
 
-def begin(connection: client.AskerConnection, *args: Any, **kwargs: Any) -> client.AskerStream:
+def begin(connection: client.RequesterConnection, *args: Any, **kwargs: Any) -> client.RequesterStream:
     """Send one, and wait for nothing; its outcome is in `waiting`."""
-    stream = client.AskerStream(connection)
+    stream = client.RequesterStream(connection)
     stream.ask("", h1.request(*args, **kwargs))
     return stream
 
@@ -124,7 +124,7 @@
     quic: dict[str, str] | None = None,
     front: bool = True,
     connections: int = 64,
-    trouble: Trouble | None = None,
+    conditions: PathConditions | None = None,
     **changes: Any,
 ) -> AsyncIterator[Scene]:
     """A node with HTTP/3 on both sides; `quic` names where servers (by name) speak it."""
@@ -150,8 +150,8 @@
         try:
             yield ready
         finally:
-            for asker in ready.askers:
-                asker.drop()
+            for requester in ready.requesters:
+                requester.drop()
 
 
 def routes(made: Scene) -> Routes:
--- a/tests/node/h3/test_decisions.py
+++ b/tests/node/h3/test_decisions.py
@@ -31,7 +31,7 @@
 from orchidferry.node.config import ConfigError
 from orchidferry.node.h3.settings import read_http3
 from orchidferry.testkit.quic import certs
-from orchidferry.testkit.quic.faults import CLEAN, PathFaults, Trouble
+from orchidferry.testkit.quic.faults import CLEAN, PathConditions, PathFaults
 
 
 def made(most: int = 10) -> Transports:
@@ -218,10 +218,10 @@
 
 
 def test_a_scripted_path_meets_the_same_fate_by_its_seed() -> None:
-    trouble = Trouble(0.2, 0.2, 0.2, 0.01, 0.02)
-    one = PathFaults(7, trouble)
-    two = PathFaults(7, trouble)
-    other = PathFaults(8, trouble)
+    conditions = PathConditions(0.2, 0.2, 0.2, 0.01, 0.02)
+    one = PathFaults(7, conditions)
+    two = PathFaults(7, conditions)
+    other = PathFaults(8, conditions)
     fates = [one.fate() for _ in range(500)]
     assert fates == [two.fate() for _ in range(500)] != [other.fate() for _ in range(500)]
     assert 0.14 < one.lost / 500 < 0.26 and one.lost + one.passed == 500
@@ -232,4 +232,4 @@
     assert PathFaults(1, CLEAN).fate() == [0.0]
     for bad in ({"loss": 1.1}, {"reorder": -0.1}, {"delay_s": -1.0}):
         with pytest.raises(ValueError):
-            Trouble(**bad)
+            PathConditions(**bad)
--- a/tests/node/h3/test_front.py
+++ b/tests/node/h3/test_front.py
@@ -20,7 +20,7 @@
 from orchidferry.node.h3.front import Listener
 from orchidferry.node.h3.quic_transport import reset_token
 from orchidferry.testkit.quic import client
-from orchidferry.testkit.quic.faults import Trouble
+from orchidferry.testkit.quic.faults import PathConditions
 from tests.node.h3.scene import Scene, ask, begin, files, scene
 from tests.node.peers import EFFECTS, LIMIT_S, RESET, Server, answer, effects, patient, run, until
 
@@ -33,7 +33,7 @@
 
 
 def raw(
-    connection: client.AskerConnection,
+    connection: client.RequesterConnection,
     headers: list[tuple[bytes, bytes]],
     body: bytes = b"",
     end: bool = True,
@@ -43,7 +43,7 @@
     http = connection.http
     quic = connection._quic
     id = quic.get_next_available_stream_id()
-    stream = client.AskerStream(connection)
+    stream = client.RequesterStream(connection)
     stream.stream, stream.waiting = id, asyncio.get_running_loop().create_future()
     connection.streams[id] = stream
     data = encode_frame(FrameType.HEADERS, http._encode_headers(id, headers))
@@ -54,7 +54,7 @@
     return id
 
 
-async def outcome(connection: client.AskerConnection, id: int) -> Any:
+async def outcome(connection: client.RequesterConnection, id: int) -> Any:
     waiting = connection.streams[id].waiting
     assert waiting is not None
     return await asyncio.wait_for(waiting, LIMIT_S)
@@ -194,7 +194,9 @@
             caller = await made.connect()
             quic = caller._quic
             id = quic.get_next_available_stream_id()
-            stream = client.AskerStream(caller, stream=id, waiting=asyncio.get_running_loop().create_future())
+            stream = client.RequesterStream(
+                caller, stream=id, waiting=asyncio.get_running_loop().create_future()
+            )
             caller.streams[id] = stream
             quic.send_stream_data(
                 id, encode_uint_var(FrameType.HEADERS) + encode_uint_var(1 << 20) + b"x" * 2000
@@ -271,7 +273,7 @@
                 f"POST /save HTTP/1.1\r\nHost: x\r\nX-Call-Id: second\r\nX-Budget: 5\r\n{again}"
                 "Content-Length: 1\r\n\r\nx"
             ).encode()
-            retry = client.AskerStream(caller)
+            retry = client.RequesterStream(caller)
             assert (await asyncio.wait_for(retry.ask("", message), LIMIT_S)).status == 200
             keys = [seen.headers["idempotency-key"] for seen in server.seen]
             assert keys == ["key-first"] * 2
@@ -746,12 +748,12 @@
             ready._front = type(ready._front)(ready._front.listen, new.certificate, new.key, 64, 60)
             made.node.reconfigure(made.node._config)
             caller = await client.connect(made.address, str(new.ca), limit_s=LIMIT_S)
-            made.askers.append(caller)
+            made.requesters.append(caller)
             assert (await ask(caller, "new")).status == 200
             new.certificate.write_text("no certificate\n")
             made.node.reconfigure(made.node._config)
             again = await client.connect(made.address, str(new.ca), limit_s=LIMIT_S)
-            made.askers.append(again)
+            made.requesters.append(again)
             assert (await ask(again, "old-stays")).status == 200
 
     run(test())
@@ -789,22 +791,24 @@
 
 
 @pytest.mark.parametrize(
-    "trouble",
+    "conditions",
     [
-        Trouble(loss=0.05),
-        Trouble(reorder=0.3),
-        Trouble(duplicate=0.3),
-        Trouble(delay_s=0.01, jitter_s=0.02),
-        Trouble(0.05, 0.1, 0.1, 0.002, 0.005),
+        PathConditions(loss=0.05),
+        PathConditions(reorder=0.3),
+        PathConditions(duplicate=0.3),
+        PathConditions(delay_s=0.01, jitter_s=0.02),
+        PathConditions(0.05, 0.1, 0.1, 0.002, 0.005),
     ],
 )
-def test_on_a_bad_path_every_request_is_answered_exactly_once(tmp_path: Path, trouble: Trouble) -> None:
+def test_on_a_bad_path_every_request_is_answered_exactly_once(
+    tmp_path: Path, conditions: PathConditions
+) -> None:
     async def test() -> None:
         servers = roomy()
         # With time limits of its own the node sends again what may run twice, once its machine stood still.
         calm: dict[str, Any] = {"classes": patient(), "permissions": {"may_cancel": False}}
         async with scene(tmp_path, *servers, **calm) as made:
-            caller = await made.connect(trouble=trouble, seed=5)
+            caller = await made.connect(conditions=conditions, seed=5)
             for round in range(5):
                 streams = [begin(caller, f"{round}.{n}", ("read", "save")[n % 2]) for n in range(8)]
                 found = await asyncio.wait_for(
--- a/tests/node/h3/test_lost_handshake.py
+++ b/tests/node/h3/test_lost_handshake.py
@@ -19,7 +19,7 @@
 from orchidferry.node.h3 import held_datagrams
 from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
 from orchidferry.node.h3.server_connection import ServerConnection
-from orchidferry.testkit.quic.client import AskerConnection
+from orchidferry.testkit.quic.client import RequesterConnection
 from tests.node.h3.scene import Scene, Script, begin, scene, state
 from tests.node.h3.test_input_age import pending_ends_ms
 from tests.node.peers import HANG, LIMIT_S, Server, run, until
@@ -27,7 +27,7 @@
 SHORT_BUDGET_MS = 1_000.0
 
 
-async def connect_losing_finished(made: Scene) -> AskerConnection:
+async def connect_losing_finished(made: Scene) -> RequesterConnection:
     """Return a connection that is up at its client, whose last datagram of the handshake was lost."""
     connection = await made.connect(wait=False)
     plain = connection.quic_event_received
@@ -96,15 +96,15 @@
         def lose_finished(connection: ServerConnection, event: QuicEvent) -> None:
             plain(connection, event)
             if isinstance(event, HandshakeCompleted):
-                script.quic.from_askers.black_hole = True
+                script.quic.from_requesters.black_hole = True
 
         monkeypatch.setattr(ServerConnection, "_on_event", lose_finished)
         async with scene(tmp_path, server, quic={"s0": await script.start()}) as made:
             assert (await made.world.ask("first")).body == b"done"
-            await until(lambda: script.quic.from_askers.lost >= 1)
+            await until(lambda: script.quic.from_requesters.lost >= 1)
             assert state(made) is State.CONNECTING
             assert (await made.world.ask("beside")).body == b"done"
-            script.quic.from_askers.black_hole = False
+            script.quic.from_requesters.black_hole = False
             await until(lambda: state(made) is State.UP)
             assert (await made.world.ask("next")).body == b"by quic"
         script.stop()
--- a/tests/node/h3/test_lost_servers.py
+++ b/tests/node/h3/test_lost_servers.py
@@ -63,13 +63,13 @@
             script.hold.clear()
             asked = asyncio.create_task(made.world.ask("pay", "pay"))
             await until(lambda: len(script.seen) == 1)
-            script.quic.to_askers.black_hole = script.quic.from_askers.black_hole = True
+            script.quic.to_requesters.black_hole = script.quic.from_requesters.black_hole = True
             link(made).quic.send_ping(0)
             link(made).transport.flush()
             await until(lambda: state(made) is State.SUSPECT)
             assert not ended  # it may still be answered
             assert (await made.world.ask("next")).body == b"done"
-            script.quic.to_askers.black_hole = script.quic.from_askers.black_hole = False
+            script.quic.to_requesters.black_hole = script.quic.from_requesters.black_hole = False
             script.hold.set()
             assert (await asked).body == b"by quic"
             await until(lambda: state(made) is State.UP)
--- a/tests/node/h3/test_upstream.py
+++ b/tests/node/h3/test_upstream.py
@@ -13,7 +13,7 @@
 from orchidferry.balancing.interface import Result
 from orchidferry.balancing.transports import State
 from orchidferry.node.h3 import upstream
-from orchidferry.testkit.quic.faults import Trouble
+from orchidferry.testkit.quic.faults import PathConditions
 from tests.node.h3.scene import Script, files, link, quic_scene, results, routes, scene, state, warm
 from tests.node.peers import EFFECTS, Server, effects, patient, run, until
 
@@ -44,7 +44,7 @@
     async def test() -> None:
         server, script = Server(name="s0"), Script()
         address = await script.start()
-        script.quic.from_askers.black_hole = True
+        script.quic.from_requesters.black_hole = True
         async with scene(tmp_path, server, quic={"s0": address}) as made:
             loop = asyncio.get_running_loop()
             for n in range(5):
@@ -53,9 +53,9 @@
                 assert loop.time() - began < 0.2  # the handshake's time-out was not waited for
                 await asyncio.sleep(0.05)
             await until(lambda: state(made) is State.BACKING_OFF)
-            lost = script.quic.from_askers.lost
+            lost = script.quic.from_requesters.lost
             assert lost > 0 and not routes(made)._connections and not routes(made).ids
-            script.quic.from_askers.black_hole = False
+            script.quic.from_requesters.black_hole = False
             tries = 0
             while state(made) is not State.UP:
                 assert (await made.world.ask(f"again{tries}")).status == 200
@@ -78,7 +78,7 @@
             for n in range(30):  # by now the module knows what is usual, and waits no longer than it must
                 assert (await made.world.ask(f"w{n}")).status == 200
             ended = results(made)
-            script.quic.to_askers.black_hole = script.quic.from_askers.black_hole = True
+            script.quic.to_requesters.black_hole = script.quic.from_requesters.black_hole = True
             assert (await made.world.ask("lost", budget="5")).status == 200  # again, by TCP
             assert ended[0] is Result.TIMEOUT and ended[-1] is Result.SERVED
             assert state(made) is not State.UP
@@ -406,18 +406,18 @@
 
 
 @pytest.mark.parametrize(
-    "trouble",
+    "conditions",
     [
-        Trouble(loss=0.05),
-        Trouble(reorder=0.3),
-        Trouble(duplicate=0.3),
-        Trouble(0.05, 0.1, 0.1, 0.002, 0.005),
+        PathConditions(loss=0.05),
+        PathConditions(reorder=0.3),
+        PathConditions(duplicate=0.3),
+        PathConditions(0.05, 0.1, 0.1, 0.002, 0.005),
     ],
 )
-def test_on_a_bad_path_to_servers_no_effect_happens_twice(tmp_path: Path, trouble: Trouble) -> None:
+def test_on_a_bad_path_to_servers_no_effect_happens_twice(tmp_path: Path, conditions: PathConditions) -> None:
     async def test() -> None:
         server = Server(name="s0")
-        script = Script(trouble=trouble, seed=3)
+        script = Script(conditions=conditions, seed=3)
         async with scene(tmp_path, server, quic={"s0": await script.start()}, classes=patient()) as made:
             await warm(made)
             statuses = []
--- a/tests/testkit/mesh/test_worst_days.py
+++ b/tests/testkit/mesh/test_worst_days.py
@@ -39,7 +39,7 @@
 from orchidferry.testkit.mesh.schedule import CLOSING_FAULTS, ISOLATED_S, WORST_BLOCKS, schedule
 from orchidferry.testkit.mesh.servers import Server
 from orchidferry.testkit.mesh.settings_file import settings
-from orchidferry.testkit.wire import AskerSide, Outcome, Request, ServerSide
+from orchidferry.testkit.wire import Outcome, Request, RequesterSide, ServerSide
 from orchidferry.testkit.world.addresses import claim
 
 WORST = [day for day in DAYS.values() if day.drawn == "worst"]
@@ -231,7 +231,7 @@
                     0.0,
                 )
                 connection = await context.pool(machine).connection(server.address)
-                assert isinstance(connection, AskerSide)
+                assert isinstance(connection, RequesterSide)
                 asked = connection.ask(sent.id, encode_request(sent, context.now(), b"", False))
                 outcomes.append(await asked)
             server.close()
@@ -259,7 +259,7 @@
             for _ in range(3):
                 await server.start()
                 connection = await context.pool(machine).connection(server.address, fresh=True)
-                assert isinstance(connection, AskerSide)
+                assert isinstance(connection, RequesterSide)
                 ids.add(server.id)
                 server.close()
                 server = server.successor()
--- a/tests/testkit/test_world.py
+++ b/tests/testkit/test_world.py
@@ -24,7 +24,7 @@
     read_folder,
 )
 from orchidferry.testkit.scenario import Scenario, read_scenario
-from orchidferry.testkit.wire import Address, AskerSide, Outcome, Pool, get
+from orchidferry.testkit.wire import Address, Outcome, Pool, RequesterSide, get
 from orchidferry.testkit.world.addresses import Block, claim
 from orchidferry.testkit.world.discovery import DiscoveryService, ListedServer, Registry
 from orchidferry.testkit.world.machine import SeenKeys
@@ -39,7 +39,7 @@
 
 
 class Stage:
-    """One stand-in server on a free address, with an asker."""
+    """One stand-in server on a free address, with a requester."""
 
     def __init__(self, tmp_path: Path, scenario: Scenario, below: Address | None = None) -> None:
         self.scenario = scenario
@@ -60,7 +60,7 @@
 
     async def ask(self, id: str, cls: Any = SAFE, key: str = "", limit_s: float = LIMIT_S) -> Outcome:
         connection = await Pool(lambda _: None).connection(self.address)
-        assert isinstance(connection, AskerSide)
+        assert isinstance(connection, RequesterSide)
         try:
             data = encode_request(cls, id, key or f"k-{id}", 1, 2.0, False, b"x")
             return await asyncio.wait_for(connection.ask(id, data), limit_s)
@@ -115,7 +115,7 @@
 ) -> None:
     async def work(stage: Stage) -> None:
         connection = await Pool(lambda _: None).connection(stage.address)
-        assert isinstance(connection, AskerSide)
+        assert isinstance(connection, RequesterSide)
         assert (await connection.ask("a", data)).status == status
         connection.drop()
 
