Tests: the node's side of a client's connection is read in one place

Four new tests repeated what probe_timeout_ms in test_input_age.py already did; accepted_by in scene.py serves all five.

--- a/tests/node/h3/scene.py
+++ b/tests/node/h3/scene.py
@@ -16,6 +16,7 @@
 from orchidferry.balancing.transports import State
 from orchidferry.node.config import read_config
 from orchidferry.node.extensions import Extensions
+from orchidferry.node.h3.client_connection import Connection
 from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.node.h3.settings import Front, Http3, Servers
 from orchidferry.node.h3.upstream import Routes
@@ -154,6 +155,13 @@
                 requester.drop()
 
 
+def accepted_by(made: Scene) -> Connection:
+    """Return the node's side of the one connection that a client has to it."""
+    assert made.node.h3_front is not None
+    [connection] = made.node.h3_front._connections
+    return connection
+
+
 def routes(made: Scene) -> Routes:
     found = made.node._upstream
     assert isinstance(found, Routes)
--- a/tests/node/h3/test_input_age.py
+++ b/tests/node/h3/test_input_age.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from orchidferry.node.clock import now_ms
-from tests.node.h3.scene import Scene, begin, scene
+from tests.node.h3.scene import Scene, accepted_by, begin, scene
 from tests.node.peers import HANG, LIMIT_S, Server, run, until
 
 BLOCKED_S = 0.3
@@ -41,8 +41,7 @@
 
 def probe_timeout_ms(made: Scene) -> float:
     """Return after how long a lost datagram comes again, as the node's connection to its client knows."""
-    assert made.node.h3_front is not None
-    [connection] = made.node.h3_front._connections
+    connection = accepted_by(made)
     return min(1_000.0 * connection.quic._loss.get_probe_timeout(), BUDGET_MS / 20.0)
 
 
@@ -78,9 +77,8 @@
 
     async def test() -> None:
         async with scene(tmp_path, Server(usual=HANG)) as made:
-            assert made.node.h3_front is not None
             connection = await made.connect()
-            [accepted] = made.node.h3_front._connections
+            accepted = accepted_by(made)
             await until(lambda: accepted.up)
             connection._quic._loss._rtt_smoothed = LIMIT_S  # so that it resends nothing by itself
             accepted.quic._loss._rtt_smoothed = 0.3
--- a/tests/node/h3/test_lost_answers.py
+++ b/tests/node/h3/test_lost_answers.py
@@ -13,7 +13,7 @@
 
 from orchidferry.node.h3.client_connection import Connection, RequestStream
 from orchidferry.node.reply import Reply
-from tests.node.h3.scene import begin, scene
+from tests.node.h3.scene import accepted_by, begin, scene
 from tests.node.peers import LIMIT_S, Server, run, until
 
 LONG_RTT_S = 4 * LIMIT_S  # a probe timeout after which nobody waits any more
@@ -26,9 +26,8 @@
 
     async def test() -> None:
         async with scene(tmp_path, Server()) as made:
-            assert made.node.h3_front is not None
             connection = await made.connect()
-            [accepted] = made.node.h3_front._connections
+            accepted = accepted_by(made)
 
             lost: list[bytes] = []
 
@@ -55,9 +54,8 @@
 def test_an_answer_with_time_for_a_resend_is_sent_once(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path, Server()) as made:
-            assert made.node.h3_front is not None
             connection = await made.connect()
-            [accepted] = made.node.h3_front._connections
+            accepted = accepted_by(made)
             sent: list[bytes] = []
             plain = accepted.transport._sendto
 
--- a/tests/node/h3/test_lost_handshake.py
+++ b/tests/node/h3/test_lost_handshake.py
@@ -20,7 +20,7 @@
 from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
 from orchidferry.node.h3.server_connection import ServerConnection
 from orchidferry.testkit.quic.client import RequesterConnection
-from tests.node.h3.scene import Scene, Script, begin, scene, state
+from tests.node.h3.scene import Scene, Script, accepted_by, begin, scene, state
 from tests.node.h3.test_input_age import pending_ends_ms
 from tests.node.peers import HANG, LIMIT_S, Server, run, until
 
@@ -72,13 +72,12 @@
 
     async def test() -> None:
         async with scene(tmp_path, Server()) as made:
-            assert made.node.h3_front is not None
             connection = await connect_losing_finished(made)
             asked = [begin(connection, f"r{n}", "save", body=b"x" * 1_000) for n in range(30)]
             outcomes = await asyncio.gather(*(one.waiting for one in asked if one.waiting is not None))
             assert {one.status for one in outcomes} <= {200, 503}  # a node that has just started refuses some
             assert 0 < held_bytes[0] < max(held_bytes) <= 4_096
-            [accepted] = made.node.h3_front._connections
+            accepted = accepted_by(made)
             assert not accepted._held
 
     run(test())
