--- a/review/harness.py
+++ b/review/harness.py
@@ -484,6 +484,7 @@
         broken, as lines.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended in this case too
     record = Record(folder / "record.txt")
     record.add(f"trouble={'yes' if trouble else 'no'}")
     deployment = Deployment(record, sidecars)
