--- a/review/3/test_case.py
+++ b/review/3/test_case.py
@@ -5,6 +5,6 @@
 
 
 def test_repeats_of_a_key_get_its_first_answer() -> None:
-    """Repeats of a key get its first answer after the core was killed and is back."""
+    """Repeats of a key get its first answer, also where that is long."""
     script = Path(__file__).resolve().parent / "run.sh"
     assert subprocess.run([script], check=False, timeout=180).returncode == 0
--- a/review/harness.py
+++ b/review/harness.py
@@ -324,11 +324,15 @@
 class AppServer:
     """An application server: it registers at its machine's proxy, and runs requests."""
 
-    def __init__(self, deployment: Deployment, machine: Machine, work_s: float = 0.02) -> None:
+    def __init__(
+        self, deployment: Deployment, machine: Machine, work_s: float = 0.02, answer_bytes: int = 0
+    ) -> None:
+        """:param answer_bytes: length of each answer's body; 0 for a short line."""
         self.deployment = deployment
         self.machine = machine
         self.id = f"i-{random.randrange(16**8):08x}"
         self.work_s = work_s
+        self.answer_bytes = answer_bytes
         self.state = "in_service"
         self.sequence = 0
         self.runs: list[tuple[float, str, str]] = []  # time, attempt id and key of each run
@@ -391,6 +395,8 @@
         await asyncio.sleep(self.work_s)
         seal = f"{random.randrange(16**8):08x}"
         body = f"done by {self.id} for {attempt}\n".encode()
+        if self.answer_bytes:
+            body = random.randbytes(self.answer_bytes)
         writer.write(head_bytes("200 OK", {"Attempt-Id": attempt, "Server-Seal": seal}, len(body)) + body)
 
 
