--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,142 +1,101 @@
-"""Case 2: a request with a body a little over 64 KiB; the next one on its connection is never answered."""
+"""Case 2: controllers are restarted and stand still in turn; keys are forgotten inside their window."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
+import signal
 import sys
+from itertools import count
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness import (  # noqa: E402
-    HOST,
-    KEYED_PATH,
-    AppServer,
-    Deployment,
-    call,
-    put_configuration,
-    read_body,
-    read_head,
-)
-from harness import main as run_case  # noqa: E402
-
-SMALL_BODY = 60_000  # with TROUBLE=0
-LARGE_BODY = 100_000  # `max_body_bytes` is 67,108,864
-GUARD_TIMER_S = 2.0
-DEADLINE_MS = 4000  # of the second requests, over the route's `guard_timer_ms`
-WAIT_S = GUARD_TIMER_S + 1.0  # half a second more than the rule grants
-CLIENTS = 12
-UPLOADS = 1_400  # of the second part; a machine has 4,100 descriptors
-AT_ONCE = 12
-LATER_REQUESTS = 40
-SETTLE_S = 4.0
-
-
-class Client:
-    """A client with one connection, which it keeps for several requests."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self.deployment = deployment
-        self.machine = deployment.sides[0]
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-
-    async def post(self, key: str, size: int, wait_s: float) -> int:
-        """Send a keyed request, and return the status of its answer; 0 if none came in time."""
-        record = self.deployment.record
-        attempt = f"{random.randrange(16**16):016x}"
-        lines = [
-            f"POST {KEYED_PATH}x HTTP/1.1",
-            f"Host: {HOST}",
-            f"Attempt-Id: {attempt}",
-            f"Operation-Key: {key}",
-            f"Time-Remaining: {DEADLINE_MS}",
-            f"Content-Length: {size}",
-        ]
-        record.add(f"client sends {attempt} key={key}, {size} bytes, at {self.machine.name}")
-        status = 0
-        problem = ""
-        try:
-            async with asyncio.timeout(wait_s):
-                if self._writer is None or self._reader is None:
-                    address = (self.machine.ip, self.deployment.port("outbound"))
-                    self._reader, self._writer = await asyncio.open_connection(*address)
-                self._writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + random.randbytes(size))
-                first, headers = await read_head(self._reader)
-                await read_body(self._reader, headers)
-                status = int(first.split()[1])
-        except (OSError, EOFError, asyncio.IncompleteReadError) as error:
-            problem = type(error).__name__
-        record.add(f"client gets {status or 'no answer'} to {attempt} {problem}")
-        return status
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._writer is not None:
-            with contextlib.suppress(OSError):
-                self._writer.close()
-
-
-async def kept_connections(deployment: Deployment, size: int) -> list[str]:
-    """Send a request and then a small one on each of some connections; return what is broken."""
-    record = deployment.record
+from harness import BOUNDS, AppServer, Deployment, Machine, main, put_configuration, send_keyed  # noqa: E402
 
-    async def two(number: int) -> tuple[int, int]:
-        client = Client(deployment)
-        first = await client.post(f"a-{number}", size, WAIT_S)
-        second = await client.post(f"b-{number}", 1, WAIT_S)
-        client.close()
-        return first, second
-
-    statuses = await asyncio.gather(*[two(number) for number in range(CLIENTS)])
-    first = [status for status, _ in statuses]
-    # Each of these was unanswered at its route's `guard_timer_ms`, and has no answer 0.5 s later.
-    silent = [second for _, second in statuses if not second]
-    record.add(f"first requests: {first}; second requests with no answer: {len(silent)} of {CLIENTS}")
-    if len(silent) < 8 or 4 * len(silent) <= CLIENTS:
-        return []
-    return [f"CONFIG: {len(silent)} of {CLIENTS} requests have no answer 0.5 s after their guard_timer_ms"]
-
-
-async def many_uploads(deployment: Deployment, size: int) -> None:
-    """Send many requests, each on a connection of its own that is closed afterwards; then small ones."""
-    record = deployment.record
-    turn = asyncio.Semaphore(AT_ONCE)
-    statuses: list[int] = []
-
-    async def one(key: str, body: int) -> None:
-        async with turn:
-            client = Client(deployment)
-            statuses.append(await client.post(key, body, WAIT_S))
-            client.close()
-
-    await asyncio.gather(*[one(f"c-{number}", size) for number in range(UPLOADS)])
-    record.add(f"uploads answered: {sum(map(bool, statuses))} of {UPLOADS}")
-    await asyncio.sleep(SETTLE_S)
-    statuses.clear()
-    await asyncio.gather(*[one(f"d-{number}", 1) for number in range(LATER_REQUESTS)])
-    record.add(f"small requests on new connections answered: {sum(map(bool, statuses))} of {LATER_REQUESTS}")
-    address = (deployment.sides[0].ip, deployment.port("ready"))
-    with contextlib.suppress(OSError, EOFError):
-        answer = await call(address, "GET", "/orchidferry/readiness", {}, b"", 1.0)
-        record.add(f"the platform's readiness probe gets {answer.status}")
+KILLS_S = ((6.1, 1), (12.8, 2))  # when which controller is killed; it is started again half a second later
+DOWN_S = 0.5
+FIRST_STOP_S = 20.9  # from then on one controller stands still at a time
+STOP_EVERY_S = 6.67
+STOP_S = 2.55  # the next one follows 4.1 s after this one is back: `catch_up_s` is 4
+STOPS = (1, 2, 0, 1, 2, 0, 1, 2)
+END_S = 73.0  # when traffic ends and the repeats begin
+SEND_EVERY_S = 0.12
+REPEAT_AGES_S = (25.0, 55.0)
 
 
 async def case(deployment: Deployment, trouble: bool) -> list[str]:
     """Run the case; return the broken rules."""
-    for machine in deployment.sides:
-        await AppServer(deployment, machine).start()
+    record = deployment.record
+    servers = [AppServer(deployment, machine) for machine in deployment.sides]
+    for server in servers:
+        await server.start()
     await put_configuration(deployment, 2, 0)
     await deployment.wait_ready()
-    await asyncio.sleep(SETTLE_S)
-    size = LARGE_BODY if trouble else SMALL_BODY
-    broken = await kept_connections(deployment, size)
-    await many_uploads(deployment, size)
+    sent: dict[str, float] = {}  # keys, with the time of the first try
+
+    async def until(time_s: float) -> None:
+        await asyncio.sleep(max(0.0, time_s - record.now()))
+
+    async def traffic() -> None:
+        for number in count():
+            if record.now() > END_S:
+                return
+            key = f"k-{number}"
+            sent[key] = record.now()
+            machine = random.choice(deployment.sides)
+            tasks.add(asyncio.create_task(send_keyed(deployment, machine, key)))
+            await asyncio.sleep(SEND_EVERY_S)
+
+    async def stop(machine: Machine) -> None:
+        deployment.signal(machine, signal.SIGSTOP)
+        await asyncio.sleep(STOP_S)
+        deployment.signal(machine, signal.SIGCONT)
+
+    async def disrupt() -> None:
+        for time_s, number in KILLS_S:
+            await until(time_s)
+            deployment.signal(deployment.core[number], signal.SIGKILL)
+            await asyncio.sleep(DOWN_S)
+            deployment.start(deployment.core[number])
+        for turn, number in enumerate(STOPS):
+            await until(FIRST_STOP_S + turn * STOP_EVERY_S)
+            await stop(deployment.core[number])
+
+    tasks: set[asyncio.Task[object]] = set()
+    work = [traffic()]
+    if trouble:
+        work.append(disrupt())
+    await asyncio.gather(*work)
+    await asyncio.gather(*tasks)
+    answered = {key: time_s for server in servers for time_s, _, key in server.runs}
+    low, high = REPEAT_AGES_S
+    repeats = [key for key, time_s in sent.items() if key in answered and low < record.now() - time_s < high]
+    record.add(f"clients send {len(repeats)} keys again")
+    for key in repeats[::3]:
+        await send_keyed(deployment, random.choice(deployment.sides), key)
+    return twice(servers, sent)
+
+
+def twice(servers: list[AppServer], sent: dict[str, float]) -> list[str]:
+    """Return the keys under which two requests ran, the second inside the key's window."""
+    window_s = BOUNDS["key_window_s"]
+    runs: dict[str, list[tuple[float, str]]] = {}
+    for server in servers:
+        for time_s, attempt, key in server.runs:
+            runs.setdefault(key, []).append((time_s, attempt))
+    broken = []
+    for key, found in runs.items():
+        found.sort()
+        late = [(time_s, attempt) for time_s, attempt in found[1:] if time_s < sent[key] + window_s]
+        if late:
+            broken.append(
+                f"TWICE: key {key}, first sent at {sent[key]:.1f} s, "
+                f"ran as {found[0][1]} at {found[0][0]:.1f} s and again as {late[0][1]} at {late[0][0]:.1f} s"
+            )
     return broken
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    sys.exit(main(case, FOLDER))
--- a/review/2/test_case.py
+++ b/review/2/test_case.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 
-def test_requests_on_kept_connections_are_answered() -> None:
-    """A request is answered after one with a body over 64 KiB on its connection."""
+def test_keys_run_once_inside_their_window() -> None:
+    """Keys run once inside their window while single controllers are lost in turn."""
     script = Path(__file__).resolve().parent / "run.sh"
     assert subprocess.run([script], check=False, timeout=180).returncode == 0
--- a/review/3/test_case.py
+++ b/review/3/test_case.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 
-def test_repeats_of_a_key_get_its_first_answer() -> None:
-    """Repeats of a key get its first answer, also where that is long."""
+def test_requests_on_kept_connections_are_answered() -> None:
+    """A request is answered after one with a body over 64 KiB on its connection."""
     script = Path(__file__).resolve().parent / "run.sh"
     assert subprocess.run([script], check=False, timeout=180).returncode == 0
