Operation keys travel with their ages, and no controller takes over a bucket number

Seen by callers: repeats of an Operation-Key 37 to 55 s after the first request ran a second time, though key_window_s is 60. Cause: OperationKeys.merge raised the receiver's age bucket to that of a received record, and each controller went on raising its own every 20 s at marks of its own. Three controllers with handoffs between their marks raised it three times in 20 s. Fix: each controller dates records by a clock of its own (record_age); a record is sent with its age in place of the bucket. Both are negative numbers, so that old and new builds, and old stores, can be told apart: a number from 0 up tells no age. A record past its window by 20 s is not taken, so none is handed on for ever.

--- a/orchidferry/mesh/control/key_transfer.py
+++ b/orchidferry/mesh/control/key_transfer.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 from orchidferry.mesh.control.operation_keys import OperationKeys
+from orchidferry.mesh.control.record_age import RELEASED
 from orchidferry.mesh.wire.shard_messages import KeyRow
 
 MAX_PAGE_BYTES = 128 * 1024  # approximate size of the rows at which a page is full
 ROW_OVERHEAD_BYTES = 24  # encoded size of a row without its strings
-RELEASED = -1  # age bucket of a row for a release: the holder released the key without running
 MAX_RECORDS_REQUESTED = 256  # complete records requested in one message
 MIN_KEYS_TO_OMIT_ANSWERS = 500  # a learner with this many keys requests pages without answers
 PAGE_TIMEOUT_S = 1.0  # time after which an unanswered request is abandoned and a new one may be sent
@@ -95,7 +95,7 @@
         record = keys.records.get(name)
         if record is not None:
             answer = None if omit_answers else record.answer
-            rows.append((name, (record.holder, record.age_bucket, answer), record.answer is not None))
+            rows.append((name, (record.holder, keys.packed_age(record), answer), record.answer is not None))
             size += ROW_OVERHEAD_BYTES + len(name) + len(record.holder) + approximate_size(answer)
     return RowBatch(rows, covered)
 
--- a/orchidferry/mesh/control/operation_keys.py
+++ b/orchidferry/mesh/control/operation_keys.py
@@ -12,10 +12,10 @@
 Each change of a record gets a sequence number, valid until the process ends. A controller that has all
 changes up to one number can therefore be sent only the later ones (`OperationKeys.changed_since`).
 
-The age of a record is counted in buckets of `AGE_BUCKET_S`. The number of the newest bucket rises with
-monotonic time and is stored with each record, so a restart lengthens the retention of a record and never
-shortens it. `OperationKeys.advance` must be called before a record is created: a record dated with an
-outdated bucket would expire too early.
+Records are dated by the controller's own age clock (`record_age`), and travel between controllers with their
+ages. Restarts, handoffs and transfers may lengthen the retention of a record and never shorten it.
+`OperationKeys.advance` must be called before a record is created or received: a record dated with an outdated
+time would expire too early.
 """
 
 from __future__ import annotations
@@ -24,7 +24,16 @@
 from enum import Enum, StrEnum
 from typing import Any
 
-AGE_BUCKET_S = 20.0
+from orchidferry.mesh.control.record_age import (
+    AGE_BUCKET_S,
+    FIRST_BUCKET,
+    AgeClock,
+    bucket_of,
+    end_of_bucket,
+    pack_age,
+    unpack_age,
+)
+
 UNKNOWN_HOLDER = ""  # holder of a key that different controllers granted to different attempts
 MAX_KEYS = 200_000  # records in one table; a full table grants no further keys
 MAX_RELEASES = 4_000  # remembered releases in one table; the oldest are forgotten first
@@ -54,16 +63,18 @@
     """The record of one key.
 
     :param holder: id of the attempt that holds the key, or `UNKNOWN_HOLDER`
-    :param age_bucket: number of the age bucket in which the record was created
+    :param age_bucket: number of the age bucket in which it was created, by the clock of its controller
     :param answer: response of the attempt that ran; None while it is unknown
+    :param created_s: latest time at which the record may have been created, in seconds by the same clock
     """
 
     holder: str
     age_bucket: int
     answer: Any = None
+    created_s: float = field(default=0.0, compare=False)
 
     def packed(self) -> list[Any]:
-        """Return the record in the form in which it is stored and sent."""
+        """Return the record in the form in which it is stored."""
         return [self.holder, self.age_bucket, self.answer]
 
 
@@ -98,7 +109,7 @@
     :param window_s: minimum retention of a record, in seconds
     :param max_keys: maximum number of records; a full table grants no further keys
     :param records: records by key
-    :param newest_bucket: number of the current age bucket
+    :param clock: the clock by which records are dated
     :param sequence: sequence number of the newest change
     :param changes: sequence number of the last change of each key, in ascending order
     :param released: holders that released a key recently, by key; the last released key is at the end
@@ -107,12 +118,12 @@
     window_s: float
     max_keys: int = MAX_KEYS
     records: dict[str, KeyRecord] = field(default_factory=dict)
-    newest_bucket: int = 0
+    clock: AgeClock = field(default_factory=AgeClock)
     sequence: int = 0
     changes: dict[str, int] = field(default_factory=dict)
     released: dict[str, dict[str, None]] = field(default_factory=dict)
     _release_count: int = 0
-    _bucket_began_s: float = 0.0
+    _undated: list[str] = field(default_factory=list)  # loaded keys whose records do not tell their age
     _keys_by_bucket: dict[int, dict[str, None]] = field(default_factory=dict)
 
     @property
@@ -120,26 +131,59 @@
         """The maximum retention of a record, in seconds."""
         return max_retention_s(self.window_s)
 
+    @property
+    def max_received_age_s(self) -> float:
+        """The age from which on an unknown record of another controller is not taken, in seconds.
+
+        Its window is over. It is less than the age at which records are removed, so that controllers do not
+        return a removed record to each other.
+        """
+        return self.window_s + AGE_BUCKET_S
+
+    def load(self, key: str, packed: list[Any]) -> None:
+        """Load a record from disk, before any other call for its key.
+
+        :param packed: the record as returned by `KeyRecord.packed`
+        """
+        holder, stored_bucket, answer = packed
+        if answer is None and self.was_released_by(key, holder):
+            return
+        if stored_bucket >= 0:  # it does not tell the age
+            self._undated.append(key)
+            stored_bucket = FIRST_BUCKET
+        self.clock.resume(stored_bucket)
+        self._put(key, KeyRecord(holder, stored_bucket, answer, end_of_bucket(stored_bucket)))
+
     def merge(self, key: str, packed: list[Any]) -> None:
-        """Merge a record that was read from disk or received from another controller.
+        """Merge a record of another controller.
 
         A known answer is never overwritten, and a claim that was released here is not restored by a
         controller that does not know of the release.
 
-        :param packed: the record as returned by `KeyRecord.packed`
+        :param packed: holder, packed age (`packed_age`) and answer of the record
         """
-        holder, age_bucket, answer = packed
-        self.newest_bucket = max(self.newest_bucket, age_bucket)
+        holder, packed_age, answer = packed
         if answer is None and self.was_released_by(key, holder):
             return
+        age_s = unpack_age(packed_age)
+        created_s = self.clock.reading_s - age_s
         existing = self.records.get(key)
-        if existing is not None and existing.answer is not None:
+        if existing is None:
+            if age_s < self.max_received_age_s:
+                self._create(key, holder, answer, created_s)
+            return
+        if existing.answer is not None:
             return
-        if existing is not None and answer is None:
+        if answer is None:
             if existing.holder == holder:
                 return
             holder = UNKNOWN_HOLDER  # either attempt may have run, and this controller can't tell which one
-        self._put(key, KeyRecord(holder, self.newest_bucket, answer))
+        latest_s = max(created_s, existing.created_s)
+        self._create(key, holder, answer, min(latest_s, self.clock.reading_s))
+
+    def packed_age(self, record: KeyRecord) -> int:
+        """Return the age of a record in the form in which it is sent to other controllers."""
+        return pack_age(max(0.0, self.clock.reading_s - record.created_s))
 
     def changed_since(self, sequence: int) -> list[str]:
         """Return the keys that changed after a sequence number, oldest change first, with recent releases."""
@@ -166,8 +210,7 @@
             return ClaimResult(ClaimStatus.ALREADY_RELEASED)
         if len(self.records) >= self.max_keys:
             return ClaimResult(ClaimStatus.TABLE_FULL)
-        record = KeyRecord(holder, self.newest_bucket)
-        self._put(key, record)
+        record = self._create(key, holder, None, self.clock.reading_s)
         return ClaimResult(ClaimStatus.GRANTED, record, is_new=True)
 
     def record_answer(self, key: str, holder: str, answer: Any) -> KeyRecord | None:
@@ -178,9 +221,7 @@
         """
         existing = self.records.get(key)
         if existing is None:  # the claim did not reach this controller, but a majority has granted it
-            record = KeyRecord(holder, self.newest_bucket, answer)
-            self._put(key, record)
-            return record
+            return self._create(key, holder, answer, self.clock.reading_s)
         if existing.holder not in (holder, UNKNOWN_HOLDER) or existing.answer is not None:
             return None
         existing.holder = holder
@@ -211,22 +252,23 @@
         return holder in self.released.get(key, ())
 
     def advance(self, now_s: float) -> None:
-        """Advance the current age bucket, which dates new records, to a monotonic time."""
-        if not self._bucket_began_s:
-            self._bucket_began_s = now_s
-        while now_s - self._bucket_began_s >= AGE_BUCKET_S:
-            self._bucket_began_s += AGE_BUCKET_S
-            self.newest_bucket += 1
+        """Advance the age clock, which dates new records, to a monotonic time in seconds."""
+        self.clock.advance(now_s)
+        for key in self._undated:
+            record = self.records.get(key)
+            if record is not None:
+                self._create(key, record.holder, record.answer, self.clock.reading_s)
+        self._undated.clear()
 
     def expire(self, now_s: float) -> list[str]:
-        """Advance the age bucket and remove the records whose retention has ended.
+        """Advance the age clock and remove the records whose retention has ended.
 
         :returns: the removed keys, to be deleted on disk
         """
         self.advance(now_s)
         # A bucket begins up to AGE_BUCKET_S before a record in it is created; one more bucket is added for an
         # attempt that was sent after its claim.
-        last_expired = self.newest_bucket - int(self.window_s / AGE_BUCKET_S) - 3
+        last_expired = self.clock.bucket - int(self.window_s / AGE_BUCKET_S) - 3
         expired: list[str] = []
         for bucket in [bucket for bucket in self._keys_by_bucket if bucket <= last_expired]:
             keys = self._keys_by_bucket.pop(bucket)
@@ -237,6 +279,11 @@
                     del self.changes[key]
         return expired
 
+    def _create(self, key: str, holder: str, answer: Any, created_s: float) -> KeyRecord:
+        record = KeyRecord(holder, bucket_of(created_s), answer, created_s)
+        self._put(key, record)
+        return record
+
     def _put(self, key: str, record: KeyRecord) -> None:
         existing = self.records.get(key)
         if existing is not None:
--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -20,7 +20,6 @@
 from orchidferry.mesh.control.hinted_handoff import Hints
 from orchidferry.mesh.control.key_transfer import (
     NO_CURSOR,
-    RELEASED,
     KeyLearner,
     KeySource,
     PageRequest,
@@ -29,6 +28,7 @@
 from orchidferry.mesh.control.membership import epoch
 from orchidferry.mesh.control.operation_keys import KeyRecord, OperationKeys
 from orchidferry.mesh.control.peers import Peers
+from orchidferry.mesh.control.record_age import RELEASED
 from orchidferry.mesh.control.replica import Replica
 from orchidferry.mesh.control.shard_parameters import ShardParameters
 from orchidferry.mesh.control.write_completions import CaughtUpSaved, HandoffSaved, KeyPageSaved
@@ -262,14 +262,14 @@
         """
         puts: list[RecordWrite] = []
         keys = self.operation_keys
-        for key, (holder, age_bucket, answer), _ in rows:
-            if age_bucket == RELEASED:
+        for key, (holder, packed_age, answer), _ in rows:
+            if packed_age == RELEASED:
                 if keys.release(key, holder):
                     puts.append(deletion_of(key))
                 continue
             existing = keys.records.get(key)
             before = (existing.holder, existing.answer) if existing is not None else None
-            keys.merge(key, [holder, age_bucket, answer])
+            keys.merge(key, [holder, packed_age, answer])
             record = keys.records.get(key)  # None if its holder has released the key here
             if record is not None and (record.holder, record.answer) != before:
                 puts.append(put_of(key, record))
@@ -353,8 +353,8 @@
 
     def _adds_to_records(self, row: KeyRow) -> bool:
         """Return whether a row adds to this controller's records; its own grants are not overwritten."""
-        key, (_, age_bucket, _), answered = row
-        return answered or age_bucket == RELEASED or key not in self.operation_keys.records
+        key, (_, packed_age, _), answered = row
+        return answered or packed_age == RELEASED or key not in self.operation_keys.records
 
 
 def put_of(key: str, record: KeyRecord) -> RecordWrite:
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -87,7 +87,7 @@
 
     def load_key(self, key: str, packed: list[Any]) -> None:
         """Load the record of an operation key from disk, before any other event."""
-        self.operation_keys.merge(key, packed)
+        self.operation_keys.load(key, packed)
 
     def tick(self, now: float) -> list[Action]:
         """Perform the work that is due.
--- a/orchidferry/mesh/wire/shard_messages.py
+++ b/orchidferry/mesh/wire/shard_messages.py
@@ -12,8 +12,9 @@
 Ballot = tuple[int, str]  # counter, name of the proposer
 PackedVoter = tuple[str, int]  # name, disk id
 PackedState = list[Any] | None  # a state as `shard_state_codec.pack_value` returns it
-# A record or a release of an operation key: the key; attempt id, age bucket (`key_transfer.RELEASED` for a
-# release), answer; whether the attempt was answered, even if the answer is omitted.
+# A record or a release of an operation key: the key; attempt id, age as `record_age.pack_age` returns it
+# (`record_age.RELEASED` for a release), answer; whether the attempt was answered, even if the answer is
+# omitted.
 KeyRow = tuple[str, tuple[str, int, Any], bool]
 
 
