A page of received keys counts as stored only once its records are on disk

Seen by callers: nothing yet; read in the review, and shown at one shard. Two controllers with a full disk that are restarted later would grant keys anew. Cause: rows are merged in memory before the write, and only what the merge changed was written. After a failed write the page that came again changed nothing, and was acknowledged (handoff) or counted as learned (transfer) with nothing written. The same where the receiver's own grant of the key had been refused by its disk. Fix: unsaved_records, so far for claims only, names every record whose newest write is not confirmed; a row of such a key is written again. A received release is written as a deletion each time, as a release of a node is. Test: tests/mesh/control/test_repair.py, five cases that fail on the commit before (no write where one is due) and pass now.

--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -13,6 +13,7 @@
 
 import math
 import random
+from dataclasses import dataclass
 from typing import Any
 
 from orchidferry.balancing.register import AcceptorState, Value
@@ -48,9 +49,22 @@
 MAX_HINTS_PER_PAGE = 4_000  # maximum number of keys in a page, regardless of their size in bytes
 
 
+@dataclass(frozen=True, slots=True)
+class MergedRows:
+    """The result of merging key records of another controller.
+
+    :param puts: the writes that are needed before the rows count as stored.
+    :param records: the records that are written, by operation key.
+    """
+
+    puts: list[RecordWrite]
+    records: dict[str, KeyRecord]
+
+
 class RepairingReplica(Replica):
     """A replica that holds operation keys and repairs them with the other controllers of its shard.
 
+    :ivar unsaved_records: records whose newest write has not been confirmed, by operation key.
     :ivar hints: the writes that silent controllers missed.
     :ivar source: the sending side of key transfers.
     :ivar learner: the learning side of key transfers.
@@ -75,6 +89,7 @@
         """
         super().__init__(parameters, acceptor_state, caught_up, peers, rng)
         self.operation_keys = OperationKeys(parameters.key_window_s, parameters.max_keys)
+        self.unsaved_records: dict[str, KeyRecord] = {}
         self.hints = Hints()
         self.source = KeySource()
         self.learner = KeyLearner()
@@ -202,8 +217,9 @@
         if request.lacking:
             first = request.lacking[: key_transfer.MAX_RECORDS_REQUESTED]
             return self.context.send(source, KeyRecordsRequest(self.name, request.number, first))
-        puts = self._merge_rows(request.page.rows)
-        self.context.write(puts or [self.context.metadata("catching", b"1")], KeyPageSaved(source, request))
+        merged = self._merge_rows(request.page.rows)
+        puts = merged.puts or [self.context.metadata("catching", b"1")]
+        self.context.write(puts, KeyPageSaved(source, request, merged.records))
         return None
 
     def _page_saved(self, source: str, request: PageRequest, ok: bool) -> None:
@@ -255,25 +271,38 @@
         self.context.log(f"caught up with {len(self.operation_keys.records)} keys")
         return None
 
-    def _merge_rows(self, rows: list[KeyRow]) -> list[RecordWrite]:
+    def _merge_rows(self, rows: list[KeyRow], only_additions: bool = False) -> MergedRows:
         """Merge key records of another controller.
 
-        :returns: the resulting writes.
+        Where a row changes nothing, but this controller's record is not on disk yet, the record is written
+        again: the write of an earlier copy of the row may have failed.
+
+        :param only_additions: whether records that this controller has granted itself stay as they are.
         """
-        puts: list[RecordWrite] = []
         keys = self.operation_keys
-        for key, (holder, packed_age, answer), _ in rows:
-            if packed_age == RELEASED:
-                if keys.release(key, holder):
-                    puts.append(deletion_of(key))
-                continue
+        puts: dict[str, RecordWrite] = {}
+        written: dict[str, KeyRecord] = {}
+        for key, (holder, packed_age, answer), answered in rows:
             existing = keys.records.get(key)
-            before = (existing.holder, existing.answer) if existing is not None else None
-            keys.merge(key, [holder, packed_age, answer])
-            record = keys.records.get(key)  # None if its holder has released the key here
-            if record is not None and (record.holder, record.answer) != before:
-                puts.append(put_of(key, record))
-        return puts
+            if packed_age == RELEASED:
+                keys.release(key, holder)
+            elif existing is None or answered or not only_additions:
+                keys.merge(key, [holder, packed_age, answer])
+            record = keys.records.get(key)
+            if record is None and packed_age == RELEASED:
+                written.pop(key, None)
+                puts[key] = deletion_of(key)
+            elif record is not None and (record is not existing or key in self.unsaved_records):
+                written[key] = record
+                puts[key] = put_of(key, record)
+        self.unsaved_records |= written
+        return MergedRows(list(puts.values()), written)
+
+    def _records_saved(self, records: dict[str, KeyRecord]) -> None:
+        """Handle that records are on disk; a record that was replaced meanwhile has a write of its own."""
+        for key, record in records.items():
+            if self.unsaved_records.get(key) is record:
+                del self.unsaved_records[key]
 
     # Sending to learners
 
@@ -345,17 +374,12 @@
         """Handle a page of writes that this controller missed while it was silent."""
         if handoff.epoch != epoch(self.known) or not self.standing.caught_up:
             return  # the page is sent again, or this controller learns all keys anyway
-        puts = self._merge_rows([row for row in handoff.rows if self._adds_to_records(row)])
-        if puts:
-            self.context.write(puts, HandoffSaved(reply_to, handoff.number))
+        merged = self._merge_rows(handoff.rows, only_additions=True)
+        if merged.puts:
+            self.context.write(merged.puts, HandoffSaved(reply_to, handoff.number, merged.records))
         else:
             self.context.reply(reply_to, HandoffAck(self.name, handoff.number))
 
-    def _adds_to_records(self, row: KeyRow) -> bool:
-        """Return whether a row adds to this controller's records; its own grants are not overwritten."""
-        key, (_, packed_age, _), answered = row
-        return answered or packed_age == RELEASED or key not in self.operation_keys.records
-
 
 def put_of(key: str, record: KeyRecord) -> RecordWrite:
     """Return the write of an operation key's record."""
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -58,10 +58,7 @@
 
 
 class Shard(RepairingReplica):
-    """One controller's replica of one shard, with the shard's operation keys.
-
-    :ivar unsaved_records: records whose first write has not been confirmed yet, by operation key.
-    """
+    """One controller's replica of one shard, with the shard's operation keys."""
 
     def __init__(
         self,
@@ -80,7 +77,6 @@
         :param rng: the source of all random choices.
         """
         super().__init__(parameters, acceptor_state, caught_up, peers, rng)
-        self.unsaved_records: dict[str, KeyRecord] = {}
         self._answer_retries: list[AnswerRetry] = []
 
     # Events
@@ -96,6 +92,8 @@
         """
         expired = self.operation_keys.expire(now)
         if expired:
+            for key in expired:
+                self.unsaved_records.pop(key, None)
             self.context.write([deletion_of(key) for key in expired])
         for retry in self._answer_retries:
             if retry.due_s <= now and self.operation_keys.records.get(retry.key) is retry.record:
@@ -146,11 +144,14 @@
         match completion:
             case ClaimSaved() if ok:
                 self._claim_saved(completion)
-            case KeyAnswerSaved(key, record) if not ok:
-                self._answer_retries.append(AnswerRetry(now + ANSWER_RETRY_S, key, record))
-            case KeyPageSaved(name, request):
+            case KeyAnswerSaved(key, record):
+                self._answer_saved(key, record, ok)
+            case KeyPageSaved(name, request, records):
+                if ok:
+                    self._records_saved(records)
                 self._page_saved(name, request, ok)
-            case HandoffSaved(reply_to, number) if ok:
+            case HandoffSaved(reply_to, number, records) if ok:
+                self._records_saved(records)
                 self.context.reply(reply_to, HandoffAck(self.name, number))
             case KeyReleaseSaved(reply_to, number) if ok:
                 self.context.actions.append(SendReply(reply_to, KeyReleaseAck(number)))
@@ -204,8 +205,7 @@
 
         The key may have been released or the group may have changed since the write was begun.
         """
-        if self.unsaved_records.get(claim.key) is claim.record:
-            del self.unsaved_records[claim.key]
+        self._records_saved({claim.key: claim.record})
         is_current = self.operation_keys.records.get(claim.key) is claim.record
         granted = is_current and claim.holder == claim.record.holder and self.grants(claim.epoch)
         outcome = ClaimOutcome.GRANTED if granted else ClaimOutcome.RETRY
@@ -222,9 +222,18 @@
         record = self.operation_keys.record_answer(message.key, message.attempt_id, message.answer)
         if record is not None:
             self.hints.record_write(message.key, now)
+            self.unsaved_records[message.key] = record
             self.context.write([put_of(message.key, record)], KeyAnswerSaved(message.key, record))
         return self._take_actions()
 
+    def _answer_saved(self, key: str, record: KeyRecord, ok: bool) -> None:
+        """Continue after the write of an answer; a failed write is retried while the record is kept."""
+        if ok:
+            self._records_saved({key: record})
+        elif self.operation_keys.records.get(key) is record:
+            self.unsaved_records[key] = record
+            self._answer_retries.append(AnswerRetry(self.context.now + ANSWER_RETRY_S, key, record))
+
     def release_key(self, sender: Any, release: KeyRelease, now: float) -> list[Action]:
         """Release an operation key whose attempt was not executed and never will be.
 
--- a/orchidferry/mesh/control/write_completions.py
+++ b/orchidferry/mesh/control/write_completions.py
@@ -106,10 +106,12 @@
 
     :param source: name of the replica that sent the page.
     :param request: the request that the page answers.
+    :param records: the records that are written, by operation key.
     """
 
     source: str
     request: PageRequest
+    records: dict[str, KeyRecord]
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,10 +120,12 @@
 
     :param reply_to: link over which the records came.
     :param number: number of the page of the handoff.
+    :param records: the records that are written, by operation key.
     """
 
     reply_to: Any
     number: int
+    records: dict[str, KeyRecord]
 
 
 WriteCompletion = (
--- a/orchidferry/testkit/explore/mesh_fingerprint.py
+++ b/orchidferry/testkit/explore/mesh_fingerprint.py
@@ -23,7 +23,13 @@
 from orchidferry.balancing.proposer import Proposer
 from orchidferry.balancing.register import Value
 from orchidferry.mesh.control.record_age import RELEASED
-from orchidferry.mesh.control.write_completions import ClaimSaved, KeyAnswerSaved, VoteSaved
+from orchidferry.mesh.control.write_completions import (
+    ClaimSaved,
+    HandoffSaved,
+    KeyAnswerSaved,
+    KeyPageSaved,
+    VoteSaved,
+)
 from orchidferry.mesh.wire.shard_messages import KeyRow
 from orchidferry.testkit.explore.controller import Controller
 from orchidferry.testkit.explore.dead_messages import ballot_of_round
@@ -134,6 +140,8 @@
                 same.append(voted is acceptor_state)
             case ClaimSaved(record=record) | KeyAnswerSaved(record=record):
                 same.append(any(record is one for one in records.values()))
+            case HandoffSaved(records=written) | KeyPageSaved(records=written):
+                same += [record is records.get(key) for key, record in written.items()]
     return same
 
 
--- a/tests/mesh/control/test_repair.py
+++ b/tests/mesh/control/test_repair.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
-from orchidferry.balancing.register import Value
+import pytest
+
+from orchidferry.balancing.register import AcceptorState, Value
 from orchidferry.mesh.control import shard_state
+from orchidferry.mesh.control.actions import Action, SendMessage, SendReply, WriteRecords
 from orchidferry.mesh.control.key_transfer import Cursor
-from orchidferry.mesh.control.membership import Standing
+from orchidferry.mesh.control.membership import Standing, epoch
+from orchidferry.mesh.control.record_age import RELEASED, pack_age
+from orchidferry.mesh.control.shard import Shard
 from orchidferry.mesh.control.write_completions import CaughtUpSaved
+from orchidferry.mesh.storage.environment import KEYS_DB
+from orchidferry.mesh.wire.messages import KeyClaim, ShardMessage
+from orchidferry.mesh.wire.shard_messages import Handoff, HandoffAck, KeyPage, KeyPageRequest, KeyRow
 from tests.mesh.control.shards import A, B, C, D, learn_state, make_shard
 
 
@@ -47,3 +55,85 @@
     assert not shard.must_stay(1.1)
     shard.hints.mark_silent("c", 1.0)
     assert shard.must_stay(1.1)
+
+
+KEY = "k"
+AGE = pack_age(2.0)
+# Rows of a key with the holder "t1", and how the disk of their receiver must hold the key.
+ROWS = [
+    pytest.param((KEY, ("t1", AGE, None), False), id="claim"),
+    pytest.param((KEY, ("t1", AGE, "answer"), True), id="answer"),
+    pytest.param((KEY, ("t1", RELEASED, None), False), id="release"),
+]
+
+
+def writes_of_key(actions: list[Action]) -> list[WriteRecords]:
+    """Return the writes among actions that concern `KEY`."""
+    found = [action for action in actions if isinstance(action, WriteRecords)]
+    return [write for write in found if any(put[:2] == (KEYS_DB, KEY.encode()) for put in write.puts)]
+
+
+def acknowledgements(actions: list[Action]) -> list[int]:
+    """Return the numbers of the pages of a handoff that are acknowledged by actions."""
+    replies = [action.message for action in actions if isinstance(action, SendReply)]
+    bodies = [message.body for message in replies if isinstance(message, ShardMessage)]
+    return [body.number for body in bodies if isinstance(body, HandoffAck)]
+
+
+def accept_known_state(shard: Shard) -> None:
+    """Have the shard's voter accept the newest state, so that it may grant keys and learn as a voter."""
+    ballot = (5, "b")
+    shard.register.acceptor.state = AcceptorState(shard_state.FOUNDER_DISK_ID, ballot, ballot, shard.known)
+
+
+def hand_over(shard: Shard, row: KeyRow, now: float) -> list[Action]:
+    """Have a shard receive the first page of a handoff, with one row."""
+    return shard.receive("link", Handoff("b", epoch(shard.known), 1, [row]), now)
+
+
+@pytest.mark.parametrize("row", ROWS)
+def test_a_page_of_a_handoff_is_acknowledged_only_once_it_is_on_disk(row: KeyRow) -> None:
+    """After a write that had failed the page came again, changed nothing, and was acknowledged unwritten."""
+    shard = make_shard("a")
+    if row[1][1] == RELEASED:
+        shard.load_key(KEY, ["t1", 0, None])
+    for now in (2.0, 3.0, 4.0):
+        actions = hand_over(shard, row, now)
+        [write] = writes_of_key(actions)
+        assert not acknowledgements(actions) and write.completion is not None
+        assert not acknowledgements(shard.write_finished(write.completion, False, now))
+    [write] = writes_of_key(hand_over(shard, row, 5.0))
+    assert write.completion is not None
+    assert acknowledgements(shard.write_finished(write.completion, True, 5.0)) == [1]
+    if row[1][1] != RELEASED:
+        assert acknowledgements(hand_over(shard, row, 6.0)) == [1] and not shard.unsaved_records
+
+
+def test_a_handoff_of_a_key_whose_own_grant_is_not_on_disk_writes_the_grant() -> None:
+    """The page was acknowledged, and its sender dropped the hint, though the disk had refused the grant."""
+    shard = make_shard("a")
+    accept_known_state(shard)
+    [write] = writes_of_key(shard.claim_key("node", KeyClaim(1, epoch(shard.known), KEY, "t2"), True, 2.0))
+    assert write.completion is not None
+    shard.write_finished(write.completion, False, 2.0)
+    [again] = writes_of_key(hand_over(shard, (KEY, ("t1", AGE, None), False), 3.0))
+    assert again.puts == write.puts  # its own grant stays as it is
+    shard.tick(2.0 + shard.operation_keys.max_retention_s)
+    assert not shard.unsaved_records
+
+
+def test_a_page_of_a_transfer_is_written_again_after_a_write_that_failed() -> None:
+    """The page was asked for again, changed nothing, and the learner took itself for complete without it."""
+    shard = make_shard("a", caught_up=False)
+    accept_known_state(shard)
+    for now, ok in ((2.0, False), (3.0, True)):
+        shard.peers.heard_s["b"] = now
+        sent = [action for action in shard.tick(now) if isinstance(action, SendMessage)]
+        requests = [action.message.body for action in sent if action.to == "b"]
+        [number] = [body.number for body in requests if isinstance(body, KeyPageRequest)]
+        page = KeyPage("b", number, 1, [(KEY, ("t1", AGE, None), False)], True, "life", True)
+        [write] = writes_of_key(shard.receive("link", page, now))
+        assert write.completion is not None
+        shard.write_finished(write.completion, ok, now)
+        assert shard.standing.sources.get("b", False) is ok
+    assert not shard.unsaved_records
