A flow that is complete or over never keeps its source paused

Seen by callers: after a request with a body of 100,000 bytes the next one on its connection had no answer; after some 1,250 such bodies a proxy reset all new connections, as the paused ones are never closed or evicted. Cause: eight methods of Flow decided each for itself whether to pause or resume the source. A body that was complete before its sink came (the key is being claimed, a connection opened, the gate's queue) stayed paused: attach only ended the sink. Fix: one function of the flow's state says whether the source waits, and each change of the state applies it. The mesh's work-around for answers is gone.

--- a/orchidferry/mesh/dataplane/http_connection.py
+++ b/orchidferry/mesh/dataplane/http_connection.py
@@ -246,10 +246,6 @@
         authentic = self._attempt_id is not None and self._sealed and not self._encoded and not self._wrong_id
         return authentic and super()._stream_body()
 
-    def _stream_finished(self) -> None:
-        self.resume()  # the body's consumer may have paused the connection; the next response must be read
-        super()._stream_finished()
-
     def _build_response(self, body: bytes, flow: Flow | None = None) -> UpstreamResponse:
         return ServerResponse(
             self._status,
--- a/orchidferry/node/flow.py
+++ b/orchidferry/node/flow.py
@@ -1,7 +1,8 @@
 """Streaming of a request or response body that is too long to buffer.
 
 This module uses no sockets. A `Source` pushes chunks into a `Flow`, which feeds them to a `Sink`. A sink that
-can't accept more blocks the flow, which pauses the source (back pressure). Received chunks are kept as long
+can't accept more blocks the flow, which pauses the source (back pressure). A flow that is complete or over
+needs nothing more from its source and never keeps it paused. Received chunks are kept as long
 as the limit of each flow and the memory pool of all flows allow it, so that a retry can feed the whole body
 to another sink. Beyond that the flow is spent: its beginning is no longer available.
 """
@@ -169,11 +170,10 @@
         self._keep(data)
         if self._sink is None:
             self._unfed.append(data)
-            if self.received_bytes - self.fed_bytes >= MAX_BUFFERED_BODY:
-                self._pause_source()
         else:
             self.fed_bytes += len(data)
             self._sink.feed(data)
+        self._update_source()
 
     def _keep(self, data: bytes) -> None:
         """Keep a chunk if there is memory for the whole body so far; otherwise discard all kept chunks."""
@@ -201,6 +201,7 @@
         if self.over or self.complete:
             return
         self.complete = True
+        self._update_source()
         if self.on_complete is not None:
             self.on_complete()
         if self._sink is not None:
@@ -234,42 +235,47 @@
             sink.flow_failed()
         elif self.complete:
             sink.end()
-        elif not self._sink_blocked:
-            self._resume_source()
+        else:
+            self._update_source()
 
     def detach(self, sink: Sink) -> None:
         """Stop feeding this sink; another one can be attached, unless the flow is spent."""
         if self._sink is sink:
             self._sink = None
-            if not self.complete and not self.over and self.received_bytes >= MAX_BUFFERED_BODY:
-                self._pause_source()
+            self._update_source()
 
     def block(self) -> None:
         """Pause the source because the sink can't accept more for now."""
         self._sink_blocked = True
-        if not self.complete:
-            self._pause_source()
+        self._update_source()
 
     def unblock(self, now_s: float) -> None:
         """Resume the source because the sink can accept more again."""
         self._sink_blocked = False
         self.last_progress_s = now_s
-        self._resume_source()
+        self._update_source()
 
-    def _pause_source(self) -> None:
-        if not self._source_paused and not self.over:
-            self._source_paused = True
+    def _update_source(self) -> None:
+        """Pause or resume the source if the state of the flow has changed whether it must wait."""
+        must_wait = self._source_must_wait()
+        if must_wait is self._source_paused:
+            return
+        self._source_paused = must_wait
+        if must_wait:
             self.source.pause()
-
-    def _resume_source(self) -> None:
-        if self._source_paused:
-            self._source_paused = False
+        else:
             self.source.resume()
 
+    def _source_must_wait(self) -> bool:
+        if self.complete or self.over:
+            return False
+        if self._sink is None:
+            return self.received_bytes >= MAX_BUFFERED_BODY
+        return self._sink_blocked
+
     def cancel(self) -> None:
         """End the flow because the rest is not wanted; the source resumes, to receive and drop the rest."""
         if self._end(False):
-            self._resume_source()
             self.source.flow_cancelled()
 
     def delivered(self) -> None:
@@ -293,6 +299,7 @@
         self.over = True
         self._discard_replay()
         self._unfed.clear()
+        self._update_source()
         if self.on_over is not None:
             self.on_over(delivered)
         return True
--- /dev/null
+++ b/tests/node/test_body_sizes.py
@@ -0,0 +1,40 @@
+"""A request is answered after one with a body of any size on its connection, at the node in service."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, deliver, framed
+from tests.node.peers import request, run, until, world
+from tests.node.test_long_bodies import LongServer, is_idle
+
+
+@pytest.mark.parametrize("coding", CODINGS)
+@pytest.mark.parametrize("delivery", DELIVERIES)
+def test_a_request_is_answered_after_a_body_of_any_size(delivery: str, coding: str, tmp_path: Path) -> None:
+    """The next request on the connection is read, whatever the flow of the body has gone through."""
+
+    async def test() -> None:
+        server = LongServer()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            for size in SIZES:
+                client = await scene.client()
+                header, body = framed(size, coding)
+                head = request(f"u{size}", "save").replace(b"Content-Length: 0\r\n", header)
+                small = request(f"v{size}")
+                await deliver(
+                    client.write, head + body + (small if delivery == "pipelined" else b""), delivery
+                )
+                assert (await client.read()).status == 200, size
+                if delivery != "pipelined":
+                    client.write(small)
+                assert (await client.read()).status == 200, size
+                assert [len(whole) for whole in server.whole[-2:]] == [size, 0]
+                client.writer.close()
+            await until(lambda: scene.node is not None and scene.node.frontend.count() == 0)
+            assert is_idle(scene)
+
+    run(test())
