The flow of a request's body ends with its request, and gives its memory back

Seen by callers: nothing yet; read in the review. After some 60 MB of bodies over 64 KiB at one proxy none can be kept for a retry, and a request that its first server turns away gets 503 in place of a second server. Cause: what a flow reserves in the pool is released when the flow is over, and nobody ended the flow of a complete body whose request was answered or dropped. Fix: the connection that the request came on ends the flow (Flow.release) when it is answered, when the caller is gone, and when a queued request is dropped.

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -69,7 +69,6 @@
 
     def __init__(self, frontend: Frontend) -> None:
         super().__init__(frontend)
-        self._current: Message | None = None  # the request that is being processed
         # The error for input that can't be read, sent after the replies to all requests before it.
         self._final_error: Reply | None = None
 
@@ -98,10 +97,6 @@
 
     # Replies
 
-    def _start_request(self, message: Message) -> None:
-        self._current = message
-        super()._start_request(message)
-
     def _write_reply(self, reply: Reply) -> None:
         if reply.body and self._current is not None and self._current.method == b"HEAD":
             reply = dataclasses.replace(reply, body=b"")  # a body would be read as the next reply
@@ -155,7 +150,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._queue.clear()
+        self._drop_queue()
         self._release_request()
         self._transport.close()
         self._update_stage()
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -84,6 +84,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._queue: deque[Message | Reply] = deque()  # requests read and not passed to the node yet
         self._pending: RequestHandle | None = None  # the request that the node is serving
+        self._current: Message | None = None  # that request, or the last one that was answered
         self._error_reply: Reply | None = None  # error reply for malformed input; nothing is read after that
         self._busy = False  # whether the node is serving a request, or its answer is being sent
         self._closing = False  # whether the connection closes after the last answer
@@ -169,7 +170,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.report_end(EndCause.CLIENT_CLOSED)
         self._input_closed = True
-        self._queue.clear()
+        self._drop_queue()
         self._frontend.connection_closed(self)
         self._release_request()
 
@@ -208,12 +209,13 @@
             self._frontend.ended_incomplete(self, cause, owed, detail)
 
     def _release_request(self) -> None:
-        """Notify the node that the client of the pending request is gone, and end both flows."""
+        """Notify the node that the client of the pending request is gone, and end all flows."""
         pending = self._pending
         self._pending = None
         self._busy = False
         if pending is not None:
             pending.client_disconnected()
+        self._release_body()
         flow = self._request_flow
         self._request_flow = None
         if flow is not None:
@@ -223,6 +225,18 @@
         if flow is not None:
             flow.cancel()
 
+    def _release_body(self) -> None:
+        """End the flow of the current request's body, as the request has been answered or has ended."""
+        if self._current is not None and self._current.flow is not None:
+            self._current.flow.release()
+
+    def _drop_queue(self) -> None:
+        """Drop the requests that were not passed to the node, and end the flows of their bodies."""
+        while self._queue:
+            item = self._queue.popleft()
+            if isinstance(item, Message) and item.flow is not None:
+                item.flow.release()
+
     # `Source` of a streamed request body
 
     def pause(self) -> None:
@@ -268,7 +282,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._queue.clear()
+        self._drop_queue()
         self._release_request()
         self._transport.close()
         self._update_stage()
@@ -500,7 +514,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._queue.clear()
+        self._drop_queue()
         self._release_request()
         if self._transport.is_closing():
             return
@@ -523,6 +537,7 @@
 
     def _start_request(self, message: Message) -> None:
         self._busy = True
+        self._current = message
         try:
             pending = self._frontend.accept(message, self._on_reply)
         except RequestError as problem:
@@ -537,12 +552,12 @@
         """Send the node's answer to the pending request."""
         self._pending = None
         self._busy = False
+        self._release_body()
         if reply.flow is not None:
             return self._start_streaming(reply, reply.flow)
         if self._request_flow is not None:  # the rest of the body is dropped, then the connection closes
             self._closing = True
             self._request_flow.fail()
-            self.resume()
         if not self._transport.is_closing():
             self._write_reply(reply)
             self._serve_next()
--- a/orchidferry/node/flow.py
+++ b/orchidferry/node/flow.py
@@ -282,7 +282,14 @@
         """End the flow because the sink has passed on the whole body."""
         self._end(True)
 
-    # Called by the node
+    # Called by the owner of the request or answer
+
+    def release(self) -> None:
+        """End the flow, as nothing needs its body any more; a sink is told if it does not get the rest."""
+        if self.complete:
+            self._end(True)
+        else:
+            self.fail()
 
     def abort(self) -> None:
         """End the flow and notify both the sink and the source."""
@@ -293,7 +300,7 @@
             self.source.flow_cancelled()
 
     def _end(self, delivered: bool) -> bool:
-        """End the flow; return False if it had ended before."""
+        """End the flow and give its memory back to the pool; return False if it had ended before."""
         if self.over:
             return False
         self.over = True
--- a/tests/mesh/dataplane/test_body_sizes.py
+++ b/tests/mesh/dataplane/test_body_sizes.py
@@ -143,5 +143,7 @@
                 writer.close()
             outbound = chain.listeners[-1]
             await until(lambda: outbound.count() == 0)
+            # Memory that was reserved for retries was never given back, until none was left to keep a body.
+            assert [pool.available for pool in chain.pools] == [POOL_BYTES, POOL_BYTES]
 
     run(test())
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -248,6 +248,30 @@
     assert [status for status, _, _ in harness.answers()] == [502] and harness.accepted[0].disconnected
 
 
+@pytest.mark.parametrize("end", ["answered", "caller gone", "caller gone before", "malformed"])
+def test_the_memory_of_a_complete_body_is_given_back(end: str) -> None:
+    """Memory that was reserved for a retry stayed reserved when its request had been answered or dropped."""
+    harness = CallerHarness()
+    pool = harness.listener.pool
+    pool_bytes = pool.available
+    if end != "answered":
+        harness.send(request(b"before"))
+    if end == "caller gone":
+        harness.open[0].reply()
+    harness.send(upload(b"a") + b"last 9 by")
+    assert pool.available < pool_bytes
+    match end:
+        case "answered":
+            harness.open[0].reply()
+        case "malformed":
+            harness.send(GARBAGE)
+            for _ in range(2):
+                harness.open[0].reply()
+        case _:
+            harness.caller.connection_lost(None)
+    assert pool.available == pool_bytes
+
+
 def test_a_reply_to_head_has_no_body() -> None:
     harness = CallerHarness()
     harness.send(request(b"a", b"HEAD"))
--- a/tests/node/test_body_sizes.py
+++ b/tests/node/test_body_sizes.py
@@ -20,6 +20,8 @@
         server = LongServer()
         async with world(tmp_path, server) as scene:
             assert scene.node is not None
+            pool = scene.node.frontend.pool
+            pool_bytes = pool.available
             for size in SIZES:
                 client = await scene.client()
                 header, body = framed(size, coding)
@@ -35,6 +37,6 @@
                 assert [len(whole) for whole in server.whole[-2:]] == [size, 0]
                 client.writer.close()
             await until(lambda: scene.node is not None and scene.node.frontend.count() == 0)
-            assert is_idle(scene)
+            assert is_idle(scene) and pool.available == pool_bytes
 
     run(test())
