A reply does not end the body of the request behind it

Seen by callers: a request with a body over 64 KiB that is sent before the reply to the request before it loses the rest of its body when that reply goes out, gets an error, and its connection is closed. Found by a test while the flows were walked. Cause: an early reply drops what is left of its request's body; the connection took any body that was being received for the one of the request it replied to. Fix: _is_body_of_current compares them; the listener's own copy of that is gone. Test: test_a_reply_does_not_end_the_body_of_the_request_behind_it; with a buffered reply it fails on the commit before (the flow behind is over).

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -117,7 +117,7 @@
         answered, or its reply has begun, no error is sent and the connection is closed.
         """
         incoming = self._request_flow
-        if incoming is None or not self._is_body_of_current(incoming):
+        if not (self._busy and self._is_body_of_current()):
             if self._busy or self._queue:
                 return self._close_with_error_after_replies(reply)
             return self._close_without_reply() if incoming is not None else super()._close_with_error(reply)
@@ -130,10 +130,6 @@
         super()._close_with_error(reply)
         return None
 
-    def _is_body_of_current(self, flow: Flow) -> bool:
-        """Whether the body that is being received belongs to the request that is being processed."""
-        return self._busy and self._current is not None and self._current.flow is flow
-
     def _close_with_error_after_replies(self, error: Reply) -> None:
         incoming = self._request_flow
         self._request_flow = None
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -230,6 +230,11 @@
         if self._current is not None and self._current.flow is not None:
             self._current.flow.release()
 
+    def _is_body_of_current(self) -> bool:
+        """Whether a body is being received, and it is that of the current request."""
+        incoming = self._request_flow
+        return incoming is not None and self._current is not None and self._current.flow is incoming
+
     def _drop_queue(self) -> None:
         """Drop the requests that were not passed to the node, and end the flows of their bodies."""
         while self._queue:
@@ -555,9 +560,8 @@
         self._release_body()
         if reply.flow is not None:
             return self._start_streaming(reply, reply.flow)
-        if self._request_flow is not None:  # the rest of the body is dropped, then the connection closes
+        if self._is_body_of_current():  # the rest of it is dropped, then the connection closes
             self._closing = True
-            self._request_flow.fail()
         if not self._transport.is_closing():
             self._write_reply(reply)
             self._serve_next()
@@ -577,7 +581,7 @@
         return None
 
     def _write_reply(self, reply: Reply) -> None:
-        early = self._request_flow is not None  # answered early: the rest of the body is dropped first
+        early = self._is_body_of_current()  # answered early: the rest of the body is dropped first
         close = self._closing and not self._queue and (early or not self._reading)
         self._transport.write(render(reply, close, self._frontend.alt_svc))
         if close and not early:
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -248,6 +248,26 @@
     assert [status for status, _, _ in harness.answers()] == [502] and harness.accepted[0].disconnected
 
 
+@pytest.mark.parametrize("streamed", [False, True], ids=["buffered reply", "streamed reply"])
+def test_a_reply_does_not_end_the_body_of_the_request_behind_it(streamed: bool) -> None:
+    """The request behind lost the rest of its body, got an error, and its connection was closed."""
+    harness = CallerHarness()
+    harness.send(request(b"a") + upload(b"b"))
+    flow = Flow(Source(), 5, 0.0) if streamed else None
+    harness.open[0].reply(flow=flow)
+    if flow is not None:
+        flow.push(b"12345", 0.0)
+        flow.finish()
+    body = harness.accepted[-1].message.flow
+    assert body is not None and not body.over
+    harness.send(b"last 9 by")
+    assert body.complete and not body.over
+    harness.open[0].reply()
+    harness.send(request(b"c"))
+    harness.open[0].reply()
+    assert harness.answers() == [(200, b"a", True), (200, b"b", True), (200, b"c", True)]
+
+
 @pytest.mark.parametrize("end", ["answered", "caller gone", "caller gone before", "malformed"])
 def test_the_memory_of_a_complete_body_is_given_back(end: str) -> None:
     """Memory that was reserved for a retry stayed reserved when its request had been answered or dropped."""
