A long body for one of the node's own pages is dropped, and does not stop its connection

Seen by callers: after a request for /-/ready with a body of 400,000 bytes the next request on its connection has no answer, and the connection is never closed. Fix: such a flow is released at once; what arrives of the body is dropped. Test: test_a_body_for_a_page_of_the_node_is_dropped[400000], which fails on the code before (time-out of the next request).

--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -453,7 +453,10 @@
         except BodyTooLongError:
             return self._reject(413, BODY_TOO_LONG)
         self._request_flow = flow
-        self._flow_message = message if isinstance(message, Message) else None
+        if isinstance(message, Message):
+            self._flow_message = message
+        else:
+            flow.release()  # nothing needs the body: what arrives is dropped
         self._queue.append(message)
         self._serve_next()
         return None
--- a/tests/node/test_body_sizes.py
+++ b/tests/node/test_body_sizes.py
@@ -40,3 +40,18 @@
             assert is_idle(scene) and pool.available == pool_bytes
 
     run(test())
+
+
+@pytest.mark.parametrize("size", [100_000, 400_000])
+def test_a_body_for_a_page_of_the_node_is_dropped(size: int, tmp_path: Path) -> None:
+    """Nobody took such a body, so that its connection was paused for good."""
+
+    async def test() -> None:
+        async with world(tmp_path, LongServer()) as scene:
+            client = await scene.client()
+            header, body = framed(size, "length")
+            client.write(b"POST /-/ready HTTP/1.1\r\nHost: h\r\n" + header + b"\r\n" + body)
+            assert (await client.read()).status == 200
+            assert (await client.ask("next")).status == 200
+
+    run(test())
