A streamed answer that no longer moves ends after its deadline, at proxies too

Cause: of the two such stages, SERVING ends with its request at the deadline, but FLOWING relied on a check that only the node in service makes. At a proxy an answer over 1 MiB whose server fell silent, or whose caller read no more, never ended. Test: test_a_streamed_reply_whose_server_is_silent_ends_after_its_deadline; its three cases fail on the commit before (never ended). One beside it for answers that move.

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -16,8 +16,9 @@
 from orchidferry.mesh.errors import Rejection, RejectionReason
 from orchidferry.mesh.log_limit import LogLimit
 from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
+from orchidferry.node.clock import now_ms
 from orchidferry.node.connection_end import EndCause, IncompleteEnd
-from orchidferry.node.flow import Flow, MemoryPool
+from orchidferry.node.flow import STALL_S, Flow, MemoryPool
 from orchidferry.node.frontend import Frontend
 from orchidferry.node.reply import Reply
 from orchidferry.node.request import Message, RequestError
@@ -97,6 +98,15 @@
 
     # Replies
 
+    def _is_overdue(self) -> bool:
+        """Whether the deadline and the route's timeout are over; until then a server may be silent."""
+        message = self._current
+        if not isinstance(message, ProxiedRequest):
+            return True
+        guard_timer_ms = message.route.guard_timer_ms if message.route is not None else 0.0
+        now = now_ms()
+        return now - message.waiting_since_ms(now) >= max(message.budget_ms, guard_timer_ms)
+
     def _write_reply(self, reply: Reply) -> None:
         if reply.body and self._current is not None and self._current.method == b"HEAD":
             reply = dataclasses.replace(reply, body=b"")  # a body would be read as the next reply
@@ -166,10 +176,17 @@
         pool: MemoryPool,
         ready: Callable[[], bool],
         name: str = "outbound",
+        stream_idle_s: float = STALL_S,
     ) -> None:
-        """:param name: name of the listener, for logs and metrics."""
+        """Create a `Listener`; the other parameters are those of `Frontend`.
+
+        :param name: name of the listener, for logs and metrics.
+        :param stream_idle_s: time after which a streamed reply is ended if no byte of it moves, in seconds.
+        """
         super().__init__({}, accept, ready, max_connections, pool)
         self.name = name
+        self._stream_idle_s = stream_idle_s
+        self.limits_s = self.limits_s | {Stage.FLOWING: stream_idle_s}
         self.revision = 0  # revision of the configuration in force, for logs
         self._incomplete_end_log_limit = LogLimit(MAX_LOGGED_ENDS, LOGGED_ENDS_WINDOW_S)
         self._eviction_log_limit = LogLimit(1, LOGGED_LIMIT_WINDOW_S)
@@ -212,6 +229,7 @@
             Stage.IDLE: idle_s + IDLE_GRACE_S,
             Stage.NEW: idle_s + IDLE_GRACE_S,
             Stage.READING: max(header_s, MIN_HEADER_TIMEOUT_S),
+            Stage.FLOWING: self._stream_idle_s,
         }
 
     def report_eviction(self) -> None:
--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -49,6 +49,8 @@
 # without closing it, and a request that is lost that way can't be retried. The time is that for which a node
 # that is cut off from the network may still be listed.
 AT_MOST_ONCE_IDLE_MS = 2_000.0
+# A node that passes a reply on to a slow caller reads from its own side only now and then.
+INBOUND_STREAM_IDLE_S = 300.0
 HEARTBEAT_CHECK_S = 0.5  # interval between checks for an overdue heartbeat
 # For how long after a rejected call of this machine's server the server's errors are attributed to the call.
 DEPENDENCY_SHED_MS = 500.0
@@ -128,7 +130,9 @@
         body_memory = MemoryPool(int(self._settings.memory_mb * BODY_MEMORY_BYTES_PER_MB))
         max_callers = self._max_sockets // 3
         self._outbound = Listener(self._accept, max_callers, body_memory, lambda: True, "outbound")
-        self._inbound = Listener(self._gate.accept, max_callers, body_memory, lambda: True, "inbound")
+        self._inbound = Listener(
+            self._gate.accept, max_callers, body_memory, lambda: True, "inbound", INBOUND_STREAM_IDLE_S
+        )
         readiness = {READINESS_PATH: self._readiness, METRICS_PATH: self._metrics}
         registration = {REGISTRATION_PATH: RegistrationApi(self._gate).handle}
         self._readiness_listener = ControlServer(readiness, CONTROL_CONNECTIONS)
--- a/orchidferry/node/flow.py
+++ b/orchidferry/node/flow.py
@@ -319,8 +319,12 @@
         """Return whether a sink is attached, or the flow is over."""
         return self.over or self._sink is not None
 
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether no byte has moved for too long."""
+        return not self.over and now_s - self.last_progress_s > STALL_S
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether no byte has moved for too long, or the average rate is too low."""
         allowed_s = GRACE_S + max(self.received_bytes, self.fed_bytes) / SLOWEST_B_S
-        slow = now_s - self.started_s > allowed_s
-        return not self.over and (slow or now_s - self.last_progress_s > STALL_S)
+        is_slow = not self.over and now_s - self.started_s > allowed_s
+        return is_slow or self.is_idle(now_s)
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -21,11 +21,12 @@
 from orchidferry.mesh.dataplane.pending_request import PendingRequest
 from orchidferry.mesh.dataplane.service_client import ServiceClient
 from orchidferry.node.client_connection import ClientConnection, Stage
-from orchidferry.node.flow import MAX_BUFFERED_BODY, Flow, MemoryPool
+from orchidferry.node.connection_end import EndCause, Owed
+from orchidferry.node.flow import MAX_BUFFERED_BODY, STALL_S, Flow, MemoryPool
 from orchidferry.node.reply import Reply
 from orchidferry.node.request import Message
 from tests.mesh.dataplane.test_service_client import ServiceHarness
-from tests.mesh.fakes import Loop, route, server_response
+from tests.mesh.fakes import Loop, patch_clock, route, server_response
 
 ID = b"Attempt-Id"
 
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self.written = b""
         self.ended = False
+        self.unsent = 0
 
     def write(self, data: bytes) -> None:
         assert not self.ended
@@ -56,7 +58,7 @@
     abort = close
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent
 
     def get_extra_info(self, name: str) -> Any:
         assert name == "socket"
@@ -268,6 +270,42 @@
     assert harness.answers() == [(200, b"a", True), (200, b"b", True), (200, b"c", True)]
 
 
+@pytest.mark.parametrize("time_remaining_s", [0, 15, 60])
+def test_a_streamed_reply_whose_server_is_silent_ends_after_its_deadline(
+    time_remaining_s: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Such a connection had no limit in time, and was never closed for a new one."""
+    harness = CallerHarness()
+    patch_clock(monkeypatch, harness.loop.now_ms)
+    harness.send(request(b"a", more=b"Time-Remaining: %d000\r\n" % time_remaining_s))
+    flow = Flow(Source(), 10, harness.loop.time())
+    harness.open[0].reply(flow=flow)
+    flow.push(b"12345", harness.loop.time())
+    harness.loop.pass_ms(1_000.0 * max(STALL_S, time_remaining_s - 1.0))
+    assert not harness.transport.ended
+    harness.loop.pass_ms(3_000.0 * STALL_S)
+    assert harness.transport.ended and flow.over
+    assert harness.answers() == [(200, b"a", False)]
+    assert harness.listener.incomplete_ends == {(EndCause.RESPONSE_FAILED, Owed.REST_OF_RESPONSE): 1}
+
+
+@pytest.mark.parametrize("moving", ["server sends", "caller reads"])
+def test_a_streamed_reply_goes_on_as_long_as_bytes_move(moving: str) -> None:
+    harness = CallerHarness()
+    harness.send(request(b"a"))
+    flow = Flow(Source(), None, harness.loop.time())
+    harness.transport.unsent = 1_000_000
+    harness.open[0].reply(flow=flow)
+    for _ in range(12):
+        if moving == "server sends":
+            flow.push(b"x", harness.loop.time())
+        else:
+            harness.transport.unsent -= 1_000
+        harness.loop.pass_ms(500.0 * STALL_S)
+    flow.finish()
+    assert harness.answers() == [(200, b"a", True)] and not harness.transport.ended
+
+
 @pytest.mark.parametrize("end", ["answered", "caller gone", "caller gone before", "malformed"])
 def test_the_memory_of_a_complete_body_is_given_back(end: str) -> None:
     """Memory that was reserved for a retry stayed reserved when its request had been answered or dropped."""
