A connection keeps no answered request, and a shard no unsaved mark of a released key

Cause: to end the flow of a request's body, the connection remembers its request; an idle one went on to hold the last one, with a body of up to 64 KiB. A received release left the mark that its key's record is not on disk, if that write failed. Change: an answered request is forgotten unless more of its body is to come; the mark goes with the record.

--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -291,6 +291,7 @@
             record = keys.records.get(key)
             if record is None and packed_age == RELEASED:
                 written.pop(key, None)
+                self.unsaved_records.pop(key, None)
                 puts[key] = deletion_of(key)
             elif record is not None and (record is not existing or key in self.unsaved_records):
                 written[key] = record
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -85,7 +85,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._queue: deque[Message | Reply] = deque()  # requests read and not passed to the node yet
         self._pending: RequestHandle | None = None  # the request that the node is serving
-        self._current: Message | None = None  # that request, or the last one that was answered
+        # That request; also one that was answered early, until the rest of its body has arrived.
+        self._current: Message | None = None
         self._error_reply: Reply | None = None  # error reply for malformed input; nothing is read after that
         self._busy = False  # whether the node is serving a request, or its answer is being sent
         self._closing = False  # whether the connection closes after the last answer
@@ -238,6 +239,11 @@
         incoming = self._request_flow
         return incoming is not None and self._current is not None and self._current.flow is incoming
 
+    def _forget_answered(self) -> None:
+        """Forget the current request, which has been answered, unless more of its body is to come."""
+        if not self._is_body_of_current():
+            self._current = None
+
     def _drop_queue(self) -> None:
         """Drop the requests that were not passed to the node, and end the flows of their bodies."""
         while self._queue:
@@ -277,6 +283,7 @@
         if flow.length is None:
             self._transport.write(LAST_CHUNK)
         flow.delivered()
+        self._forget_answered()
         if self._closing and not self._queue and not self._reading:
             self._close_after_output()
         self._serve_next()
@@ -506,6 +513,8 @@
             self._flow_message.arrived_ms = self._input_arrived_ms()
             self._flow_message = None
         flow.finish()
+        if not self._busy:
+            self._forget_answered()
         if self._closing and not self._busy and not self._queue:  # answered before the body was complete
             self._input_closed = True
             self._close_after_output()
@@ -586,6 +595,7 @@
             self._closing = True
         if not self._transport.is_closing():
             self._write_reply(reply)
+            self._forget_answered()
             self._serve_next()
             self._update_stage()
         return None
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -268,6 +268,7 @@
     harness.send(request(b"c"))
     harness.open[0].reply()
     assert harness.answers() == [(200, b"a", True), (200, b"b", True), (200, b"c", True)]
+    assert harness.caller._current is None  # an idle connection keeps no request in memory
 
 
 @pytest.mark.parametrize("time_remaining_s", [0, 15, 60])
