The age clock keeps its reading and its origin; the bucket follows from them

Cause: on reading the change once more: the number of the bucket and its beginning were stepped beside a time from which both follow.

--- a/orchidferry/mesh/control/record_age.py
+++ b/orchidferry/mesh/control/record_age.py
@@ -48,36 +48,30 @@
 class AgeClock:
     """The clock by which one controller dates records.
 
-    :param bucket: number of the current bucket
-    :param bucket_began_s: monotonic time at which it began, in seconds; None until the time is known
-    :param now_s: the newest known monotonic time, in seconds
+    :param reading_s: the time that the clock shows, in seconds
+    :param origin_s: monotonic time at which it would have shown 0, in seconds; None until the time is known
     """
 
-    bucket: int = FIRST_BUCKET
-    bucket_began_s: float | None = None
-    now_s: float = field(default=0.0, compare=False)
+    reading_s: float = field(default=0.0, compare=False)
+    origin_s: float | None = None
 
     @property
-    def reading_s(self) -> float:
-        """The time that the clock shows, in seconds."""
-        began_s = self.now_s if self.bucket_began_s is None else self.bucket_began_s
-        return (self.bucket - FIRST_BUCKET) * AGE_BUCKET_S + (self.now_s - began_s)
+    def bucket(self) -> int:
+        """The number of the current bucket."""
+        return bucket_of(self.reading_s)
 
     def advance(self, now_s: float) -> None:
         """Advance the clock to a monotonic time, in seconds."""
-        if self.bucket_began_s is None:
-            self.bucket_began_s = now_s
-        self.now_s = max(now_s, self.bucket_began_s)
-        passed = int((self.now_s - self.bucket_began_s) // AGE_BUCKET_S)
-        self.bucket += passed
-        self.bucket_began_s += passed * AGE_BUCKET_S
+        if self.origin_s is None:
+            self.origin_s = now_s - self.reading_s
+        self.reading_s = max(self.reading_s, now_s - self.origin_s)
 
     def resume(self, stored_bucket: int) -> None:
-        """Continue from a bucket that this controller has stored, if that is newer.
+        """Continue from the start of a bucket that this controller has stored, if that is newer.
 
         :param stored_bucket: number of the bucket, as read from disk before the clock is advanced
         """
-        self.bucket = max(self.bucket, stored_bucket)
+        self.reading_s = max(self.reading_s, end_of_bucket(stored_bucket - 1))
 
 
 def bucket_of(reading_s: float) -> int:
