One function drops a connection's requests and ends their flows

Cause: on reading the change once more: all four callers dropped the queue beside _release_request, and since bodies end with their requests its own end of the incoming flow came too late to do anything. Change: no change of behaviour; _release_requests does both, the dead end is gone.

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -156,8 +156,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._drop_queue()
-        self._release_request()
+        self._release_requests()
         self._transport.close()
         self._update_stage()
 
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -174,9 +174,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.report_end(EndCause.CLIENT_CLOSED)
         self._input_closed = True
-        self._drop_queue()
         self._frontend.connection_closed(self)
-        self._release_request()
+        self._release_requests()
 
     @property
     def age_s(self) -> float:
@@ -212,18 +211,19 @@
             self._end_reported = True
             self._frontend.ended_incomplete(self, cause, owed, detail)
 
-    def _release_request(self) -> None:
-        """Notify the node that the client of the pending request is gone, and end all flows."""
+    def _release_requests(self) -> None:
+        """Notify the node that the client is gone, drop the queued requests, and end all flows."""
         pending = self._pending
         self._pending = None
         self._busy = False
+        self._request_flow = None  # the body of the current request or of a queued one
         if pending is not None:
             pending.client_disconnected()
         self._release_body()
-        flow = self._request_flow
-        self._request_flow = None
-        if flow is not None:
-            flow.fail()
+        while self._queue:
+            item = self._queue.popleft()
+            if isinstance(item, Message) and item.flow is not None:
+                item.flow.release()
         flow = self._response_flow
         self._response_flow = None
         if flow is not None:
@@ -244,13 +244,6 @@
         if not self._is_body_of_current():
             self._current = None
 
-    def _drop_queue(self) -> None:
-        """Drop the requests that were not passed to the node, and end the flows of their bodies."""
-        while self._queue:
-            item = self._queue.popleft()
-            if isinstance(item, Message) and item.flow is not None:
-                item.flow.release()
-
     # `Source` of a streamed request body
 
     def pause(self) -> None:
@@ -297,8 +290,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._drop_queue()
-        self._release_request()
+        self._release_requests()
         self._transport.close()
         self._update_stage()
 
@@ -550,8 +542,7 @@
         self._input_closed = True
         self._closing = True
         self._finished = True
-        self._drop_queue()
-        self._release_request()
+        self._release_requests()
         if self._transport.is_closing():
             return
         self._transport.write(render(reply, close=True))
