The limit of streamed replies lives in the mesh's listener, where it acts

Only the mesh lacked a limit. Result: tests of the node (without control) and of mesh/dataplane pass.

--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from orchidferry.mesh.dataplane.messages import MILLISECONDS, PRIVATE_HEADER_PREFIX, ProxiedRequest
+from orchidferry.mesh.dataplane.unsent_output import unsent_output
 from orchidferry.mesh.errors import Rejection, RejectionReason
 from orchidferry.mesh.log_limit import LogLimit
 from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
@@ -72,6 +73,8 @@
         super().__init__(frontend)
         # The error for input that can't be read, sent after the replies to all requests before it.
         self._final_error: Reply | None = None
+        # Bytes of a streamed reply that the caller had not taken at the last check of its stage; None: none
+        self._unread_before: int | None = None
 
     def _start_message(self) -> None:
         super()._start_message()
@@ -96,7 +99,28 @@
             message.forwarded_headers = headers
         return message
 
-    # Replies
+    # Streamed replies
+
+    def _start_streaming(self, reply: Reply, flow: Flow) -> None:
+        self._unread_before = None
+        super()._start_streaming(reply, flow)
+
+    def on_stage_timeout(self) -> None:
+        """End the connection, as its stage has lasted too long; a streamed reply goes on while it moves."""
+        if self._response_flow is not None and self.stage is Stage.FLOWING:
+            self._end_unless_flowing(self._response_flow)
+        else:
+            super().on_stage_timeout()
+
+    def _end_unless_flowing(self, flow: Flow) -> None:
+        """Extend the stage of a streamed reply if bytes of it move or its time is not over; else end it."""
+        unread = unsent_output(self._transport)
+        is_read = self._unread_before is None or unread < self._unread_before
+        self._unread_before = unread
+        if is_read or not flow.is_idle(self._frontend.now_s()) or not self._is_overdue():
+            self._frontend.extend_stage(self)
+        else:
+            flow.abort()
 
     def _is_overdue(self) -> bool:
         """Whether the deadline and the route's timeout are over; until then a server may be silent."""
@@ -107,6 +131,8 @@
         now = now_ms()
         return now - message.waiting_since_ms(now) >= max(message.budget_ms, guard_timer_ms)
 
+    # Replies
+
     def _write_reply(self, reply: Reply) -> None:
         if reply.body and self._current is not None and self._current.method == b"HEAD":
             reply = dataclasses.replace(reply, body=b"")  # a body would be read as the next reply
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -16,13 +16,12 @@
 
 from orchidferry.node.clock import now_ms
 from orchidferry.node.connection_end import EndCause, Owed
-from orchidferry.node.flow import STALL_S, BodyTooLongError, Flow
+from orchidferry.node.flow import BodyTooLongError, Flow
 from orchidferry.node.http1 import LAST_CHUNK, chunk
 from orchidferry.node.input_age import InputAge
 from orchidferry.node.reply import Reply, render
 from orchidferry.node.request import Message, RequestError, check_framing
 from orchidferry.node.unread_input import UnreadInput
-from orchidferry.node.unsent_output import unsent_output
 
 if TYPE_CHECKING:
     from orchidferry.node.frontend import Frontend
@@ -44,7 +43,8 @@
     LEAVING = "the client to read the last data that was sent, before the connection closes"
 
 
-# How long a stage may last, in seconds. SERVING has no limit of its own: requests end at their deadline.
+# How long a stage may last, in seconds. SERVING and FLOWING have no limit of their own: requests end at their
+# deadline, and flows when they stall.
 LIMITS_S = {
     # A silent or slow client must get an error or a close within 3 s of connecting. A healthy client may take
     # 2 s for the headers, and then sends at least 64 kB/s: each `PROGRESS` bytes of a body restart the time.
@@ -53,7 +53,6 @@
     Stage.IDLE: 10.0,  # many clients send one request and stay connected; a reconnect costs the others little
     Stage.BLOCKED: 8.0,  # some clients take seconds to read
     Stage.LEAVING: 2.0,
-    Stage.FLOWING: STALL_S,  # extended as long as bytes of the answer move
 }
 
 
@@ -102,8 +101,6 @@
         self._response_flow: Flow | None = None  # the body of a streamed answer
         self._body_progress = 0  # bytes of a body since the time of its stage was restarted
         self._unsent_at_start = 0  # bytes not yet sent to the client when the time of its stage started
-        # Bytes of a streamed answer that the client had not taken at the last check of its stage; None: none
-        self._unread_before: int | None = None
         self._opened_s = frontend.now_s()
         self._end_reported = False  # whether an end with something still owed was reported to the frontend
         self._start_message()
@@ -348,8 +345,6 @@
         """End the connection because its stage has lasted too long."""
         if self.stage in EXTENDABLE_STAGES:
             self._end_unless_client_reads()
-        elif self._response_flow is not None:
-            self._end_unless_flowing(self._response_flow)
         elif self._reading:
             self._close_with_error(Reply(408, b"the request took too long to come"))
         else:
@@ -366,20 +361,6 @@
         else:
             self.abort(EndCause.STAGE_TIMEOUT)
 
-    def _end_unless_flowing(self, flow: Flow) -> None:
-        """Extend the stage of a streamed answer if bytes of it move or its time is not over; else end it."""
-        unread = unsent_output(self._transport)
-        is_read = self._unread_before is None or unread < self._unread_before
-        self._unread_before = unread
-        if is_read or not flow.is_idle(self._frontend.now_s()) or not self._is_overdue():
-            self._frontend.extend_stage(self)
-        else:
-            flow.abort()
-
-    def _is_overdue(self) -> bool:
-        """Whether the time for the current answer is over, so that it may be ended if it stalls."""
-        return True
-
     def abort(self, cause: EndCause) -> None:
         """Close at once, whatever is in progress."""
         self.report_end(cause)
@@ -597,7 +578,6 @@
             return flow.cancel()
         self._busy = True
         self._response_flow = flow
-        self._unread_before = None
         close = self._closing and not self._queue and not self._reading
         self._transport.write(render(reply, close, self._frontend.alt_svc))
         flow.attach(self)
