Tests: one exchange, one body reader and one accepted state in place of copies

Cause: on reading the change once more: both test_body_sizes sent and read in the same way, the mesh's read bodies and both encoded chunks as test_long_bodies does, and test_repair repeated a line of test_operation_keys. Change: ask_twice, LongServer._body, chunked and accept_known_state are shared; the sizes, codings, deliveries and assertions are the same.

--- a/tests/mesh/control/shards.py
+++ b/tests/mesh/control/shards.py
@@ -27,3 +27,9 @@
 def learn_state(shard: Shard, value: Value, now: float = 1.0) -> None:
     """Have a shard learn a decided state."""
     shard.receive(None, DecidedState(shard_state_codec.pack_value(value)), now)
+
+
+def accept_known_state(shard: Shard) -> None:
+    """Have a shard's voter accept the newest state, so that it may grant keys and learn as a voter."""
+    ballot = (5, "b")
+    shard.register.acceptor.state = AcceptorState(shard_state.FOUNDER_DISK_ID, ballot, ballot, shard.known)
--- a/tests/mesh/control/test_operation_keys.py
+++ b/tests/mesh/control/test_operation_keys.py
@@ -6,7 +6,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from orchidferry.balancing.register import AcceptorState
 from orchidferry.mesh.control.membership import epoch
 from orchidferry.mesh.control.operation_keys import (
     UNKNOWN_HOLDER,
@@ -17,9 +16,8 @@
     max_retention_s,
 )
 from orchidferry.mesh.control.record_age import AGE_BUCKET_S, FIRST_BUCKET
-from orchidferry.mesh.control.shard_state import FOUNDER_DISK_ID
 from orchidferry.mesh.wire.messages import KeyClaim
-from tests.mesh.control.shards import make_shard
+from tests.mesh.control.shards import accept_known_state, make_shard
 
 WINDOW_S = 60.0
 STEPS = st.tuples(
@@ -117,7 +115,7 @@
     the last tick, so they expired too early.
     """
     shard = make_shard("a")
-    shard.register.acceptor.state = AcceptorState(FOUNDER_DISK_ID, (5, "b"), (5, "b"), shard.known)
+    accept_known_state(shard)
     shard.tick(1_000.0)
     granted_s = 1_000.0 + pause_s
     shard.claim_key(None, KeyClaim(1, epoch(shard.known), "k", "first"), True, granted_s)
--- a/tests/mesh/control/test_repair.py
+++ b/tests/mesh/control/test_repair.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from orchidferry.balancing.register import AcceptorState, Value
+from orchidferry.balancing.register import Value
 from orchidferry.mesh.control import shard_state
 from orchidferry.mesh.control.actions import Action, SendMessage, SendReply, WriteRecords
 from orchidferry.mesh.control.key_transfer import Cursor
@@ -15,7 +15,7 @@
 from orchidferry.mesh.storage.environment import KEYS_DB
 from orchidferry.mesh.wire.messages import KeyClaim, ShardMessage
 from orchidferry.mesh.wire.shard_messages import Handoff, HandoffAck, KeyPage, KeyPageRequest, KeyRow
-from tests.mesh.control.shards import A, B, C, D, learn_state, make_shard
+from tests.mesh.control.shards import A, B, C, D, accept_known_state, learn_state, make_shard
 
 
 def test_sources_of_one_epoch_do_not_count_in_the_next() -> None:
@@ -59,7 +59,7 @@
 
 KEY = "k"
 AGE = pack_age(2.0)
-# Rows of a key with the holder "t1", and how the disk of their receiver must hold the key.
+# Rows of a key with the holder "t1"
 ROWS = [
     pytest.param((KEY, ("t1", AGE, None), False), id="claim"),
     pytest.param((KEY, ("t1", AGE, "answer"), True), id="answer"),
@@ -80,12 +80,6 @@
     return [body.number for body in bodies if isinstance(body, HandoffAck)]
 
 
-def accept_known_state(shard: Shard) -> None:
-    """Have the shard's voter accept the newest state, so that it may grant keys and learn as a voter."""
-    ballot = (5, "b")
-    shard.register.acceptor.state = AcceptorState(shard_state.FOUNDER_DISK_ID, ballot, ballot, shard.known)
-
-
 def hand_over(shard: Shard, row: KeyRow, now: float) -> list[Action]:
     """Have a shard receive the first page of a handoff, with one row."""
     return shard.receive("link", Handoff("b", epoch(shard.known), 1, [row]), now)
--- a/tests/mesh/dataplane/test_body_sizes.py
+++ b/tests/mesh/dataplane/test_body_sizes.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 
@@ -17,14 +18,30 @@
 from orchidferry.node.reply import Reply
 from orchidferry.node.request import Message
 from orchidferry.node.timer_queue import TimerQueue
-from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, deliver, framed
-from tests.node.peers import LIMIT_S, run, until
+from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, ask_twice, framed
+from tests.node.peers import LIMIT_S, answer, run, until
+from tests.node.test_long_bodies import LongServer
 
 POOL_BYTES = 64 * 1024 * 1024
 CLAIM_S = 0.005  # a request is held for as long before it is sent, as it is while its key is claimed
 HEARTBEAT_MS = 1e6
 
 
+class SealingServer(LongServer):
+    """A server that answers each request with its attempt id and a seal."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.whole.append(await self._body(reader, head))
+                id = head.partition("Attempt-Id: ")[2].partition("\r\n")[0]
+                writer.write(answer(200, b"", f"Attempt-Id: {id}\r\nServer-Seal: s\r\n"))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+
 class HeldRequest:
     """A request that was accepted; its caller stays until it has its answer."""
 
@@ -34,20 +51,20 @@
 class Chain:
     """A server behind two proxies; each has a listener and a gate, and the first holds requests for a while.
 
-    :ivar bodies: sizes of the bodies that the server has received.
     :ivar pools: memory for the bodies at each proxy.
     :ivar listeners: listeners of both proxies.
     """
 
     def __init__(self) -> None:
-        self.bodies: list[int] = []
+        self.server = SealingServer()
         self.pools = [MemoryPool(POOL_BYTES), MemoryPool(POOL_BYTES)]
         self.listeners: list[Listener] = []
 
     async def start(self) -> Address:
         """Start the server and both proxies, and return the address for callers."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        address: Address = self._server.sockets[0].getsockname()[:2]
+        await self.server.start()
+        host, _, port = self.server.address.partition(":")
+        address: Address = (host, int(port))
         for pool, hold_s in zip(self.pools, (0.0, CLAIM_S), strict=True):
             address = await self._start_proxy(address, pool, hold_s)
         return address
@@ -67,37 +84,12 @@
         self.listeners.append(listener)
         return await listener.listen(loop, ("127.0.0.1", 0))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.bodies.append(await self._read_body(reader, head.lower()))
-                id = head.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n" % id
-                )
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
-    async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> int:
-        if b"content-length: " in head:
-            size = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
-            await reader.readexactly(size)
-            return size
-        size = 0
-        while b"transfer-encoding" in head and (length := int(await reader.readline(), 16)):
-            size += len(await reader.readexactly(length))
-            await reader.readline()
-        if b"transfer-encoding" in head:
-            await reader.readline()
-        return size
-
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Stop all."""
         for listener in self.listeners:
             listener.close_listener()
             listener.abort()
-        self._server.close()
+        await self.server.stop()
 
 
 @asynccontextmanager
@@ -108,7 +100,7 @@
     try:
         yield chain, address
     finally:
-        chain.stop()
+        await chain.stop()
 
 
 def request(id: bytes, more: bytes = b"") -> bytes:
@@ -132,14 +124,13 @@
             for size in SIZES:
                 reader, writer = await asyncio.open_connection(*address)
                 header, body = framed(size, coding)
-                small = request(b"small-%d" % size, b"Content-Length: 0\r\n")
                 first = request(b"first-%d" % size, header) + body
-                await deliver(writer.write, first + (small if delivery == "pipelined" else b""), delivery)
-                assert await read_status(reader) == 200, size
-                if delivery != "pipelined":
-                    writer.write(small)
-                assert await read_status(reader) == 200, size
-                assert chain.bodies[-2:] == [size, 0]
+                second = request(b"second-%d" % size, b"Content-Length: 0\r\n")
+                statuses = await ask_twice(
+                    writer.write, partial(read_status, reader), first, second, delivery
+                )
+                assert statuses == [200, 200], size
+                assert [len(whole) for whole in chain.server.whole[-2:]] == [size, 0]
                 writer.close()
             outbound = chain.listeners[-1]
             await until(lambda: outbound.count() == 0)
--- a/tests/node/body_sizes.py
+++ b/tests/node/body_sizes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+
+from tests.node.test_long_bodies import chunked
 
 KIB = 1024
 # Bodies are streamed from 64 KiB on, sockets are read for up to 256 KiB at once, 1 MiB is kept for a retry.
@@ -13,7 +15,6 @@
 DELIVERIES = ("whole", "in pieces", "pipelined")
 PIECE = 24 * KIB
 PAUSE_S = 0.001  # between two pieces
-CHUNK = 50_000
 
 
 def framed(size: int, coding: str) -> tuple[bytes, bytes]:
@@ -21,15 +22,24 @@
     body = b"x" * size
     if coding == "length":
         return b"Content-Length: %d\r\n" % size, body
-    chunks = [body[at : at + CHUNK] for at in range(0, size, CHUNK)]
-    encoded = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
-    return b"Transfer-Encoding: chunked\r\n", encoded + b"0\r\n\r\n"
+    return b"Transfer-Encoding: chunked\r\n", chunked(body)
 
 
-async def deliver(write: Callable[[bytes], object], data: bytes, delivery: str) -> None:
-    """Write a request whole, or in pieces with a pause after each."""
+async def ask_twice(
+    write: Callable[[bytes], object],
+    read_status: Callable[[], Awaitable[int]],
+    first: bytes,
+    second: bytes,
+    delivery: str,
+) -> list[int]:
+    """Send a request, and a second one on the same connection; return the statuses of both answers."""
+    data = first + second if delivery == "pipelined" else first
     step = PIECE if delivery == "in pieces" else len(data)
     for at in range(0, len(data), step):
         write(data[at : at + step])
         if delivery == "in pieces":
             await asyncio.sleep(PAUSE_S)
+    statuses = [await read_status()]
+    if delivery != "pipelined":
+        write(second)
+    return [*statuses, await read_status()]
--- a/tests/node/test_body_sizes.py
+++ b/tests/node/test_body_sizes.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, deliver, framed
-from tests.node.peers import request, run, until, world
+from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, ask_twice, framed
+from tests.node.peers import Client, request, run, until, world
 from tests.node.test_long_bodies import LongServer, is_idle
 
 
@@ -24,16 +24,15 @@
             pool_bytes = pool.available
             for size in SIZES:
                 client = await scene.client()
+
+                async def read_status(client: Client = client) -> int:
+                    return (await client.read()).status
+
                 header, body = framed(size, coding)
                 head = request(f"u{size}", "save").replace(b"Content-Length: 0\r\n", header)
-                small = request(f"v{size}")
-                await deliver(
-                    client.write, head + body + (small if delivery == "pipelined" else b""), delivery
-                )
-                assert (await client.read()).status == 200, size
-                if delivery != "pipelined":
-                    client.write(small)
-                assert (await client.read()).status == 200, size
+                second = request(f"v{size}")
+                statuses = await ask_twice(client.write, read_status, head + body, second, delivery)
+                assert statuses == [200, 200], size
                 assert [len(whole) for whole in server.whole[-2:]] == [size, 0]
                 client.writer.close()
             await until(lambda: scene.node is not None and scene.node.frontend.count() == 0)
