Stop signals: the handlers from before a run are restored, whatever installed them

Cause: a trace of SIGTERM's handler round each test of testkit and mesh names the one that leaves it behind: test_golden_settings runs the node's program in its process, whose handler stays. on_stop_signals then put the default action in its place. With the SIGINT test first in that process the handler is gone, so few orders failed. Change: on_stop_signals restores what was there; the mesh's runs use it too, in place of a copy; test_golden_settings removes the program's handlers.

--- a/orchidferry/testkit/mesh/session.py
+++ b/orchidferry/testkit/mesh/session.py
@@ -8,7 +8,6 @@
 import shutil
 import signal
 import tempfile
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,6 +15,7 @@
 from orchidferry.testkit.mesh.environment import Environment
 from orchidferry.testkit.mesh.facts import Record
 from orchidferry.testkit.mesh.run import DayRun, Progress, RunAbortedError
+from orchidferry.testkit.stop_signals import on_stop_signals
 from orchidferry.testkit.world.addresses import claim
 
 EXTRA_TIME_S = 45.0
@@ -24,7 +24,6 @@
 CLOSE_TIMEOUT_S = 4.0
 """How long the shutdown may take beyond the processes' grace time."""
 
-SIGNALS = (signal.SIGINT, signal.SIGTERM)
 MAX_LOG_LINES = 200
 """How many of the last lines of a process's log are searched for exceptions."""
 
@@ -65,7 +64,13 @@
     try:
         env = Environment(day, seed, seconds, block, folder)
         run = DayRun(env, progress)
-        with _abort_on_signals(env) as received:
+        received: list[signal.Signals] = []
+
+        def on_signal(number: signal.Signals) -> None:
+            received.append(number)
+            env.abort(f"stopped by {number.name}")
+
+        with on_stop_signals(on_signal):
             _collect_garbage_rarely()
             abort_reason = await _play_until(run, seconds + EXTRA_TIME_S)
             env.record.complete = not abort_reason
@@ -85,25 +90,6 @@
             shutil.rmtree(folder, ignore_errors=True)
 
 
-@contextlib.contextmanager
-def _abort_on_signals(env: Environment) -> Iterator[list[int]]:
-    """Abort the run on `SIGNALS`; yields the list of received signals, which grows as they arrive."""
-    loop = asyncio.get_running_loop()
-    received: list[int] = []
-
-    def on_signal(number: int) -> None:
-        received.append(number)
-        env.abort(f"stopped by {signal.Signals(number).name}")
-
-    for number in SIGNALS:
-        loop.add_signal_handler(number, on_signal, number)
-    try:
-        yield received
-    finally:
-        for number in SIGNALS:
-            loop.remove_signal_handler(number)
-
-
 def _collect_garbage_rarely() -> None:
     """Exempt existing objects from garbage collection, and collect less often.
 
--- a/orchidferry/testkit/stop_signals.py
+++ b/orchidferry/testkit/stop_signals.py
@@ -19,15 +19,20 @@
 
 @contextlib.contextmanager
 def on_stop_signals(stop: Callable[[signal.Signals], None]) -> Iterator[None]:
-    """Call `stop` on the running event loop at SIGINT and SIGTERM, instead of their default actions."""
+    """Call `stop` on the running event loop at SIGINT and SIGTERM; afterwards restore the former handlers.
+
+    A former handler of the event loop itself is not called again.
+    """
     loop = asyncio.get_running_loop()
+    former = {number: signal.getsignal(number) for number in STOP_SIGNALS}
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop, number)
     try:
         yield
     finally:
-        for number in STOP_SIGNALS:
+        for number, handler in former.items():
             loop.remove_signal_handler(number)
+            signal.signal(number, handler)
 
 
 async def until_stopped(work: Coroutine[Any, Any, T]) -> T:
--- a/tests/testkit/test_golden_settings.py
+++ b/tests/testkit/test_golden_settings.py
@@ -15,6 +15,7 @@
 import os
 import re
 import runpy
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -42,9 +43,13 @@
 
 
 def run(arguments: list[str], environment: dict[str, str]) -> tuple[int, str, str]:
-    """Run the program in this process; return exit status, standard output and standard error."""
+    """Run the program in this process; return exit status, standard output and standard error.
+
+    The signal handlers of the program, which it keeps until its process ends, are removed.
+    """
     out = io.StringIO()
     errors = io.StringIO()
+    former = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGTERM)}
     with pytest.MonkeyPatch.context() as patch:
         for name in list(os.environ):
             if name.startswith(("ORCHIDFERRY_", "NODE_")):
@@ -58,6 +63,8 @@
                 status = 0
             except SystemExit as end:
                 status = int(end.code or 0)
+    for number, handler in former.items():
+        signal.signal(number, handler)
     return status, out.getvalue(), errors.getvalue()
 
 
