Test of input's age: the client's last byte is sent at once, not after a delayed ACK

Cause: the test, not the node. The client's Nagle algorithm holds the one byte back until the segment before it is acknowledged, and the kernel may delay that by 40 ms: the byte arrives then, and the node counts from its arrival, as it promises. Change: the test's sockets set TCP_NODELAY. The bound of 10 ms is as it was.

--- a/tests/node/test_input_age.py
+++ b/tests/node/test_input_age.py
@@ -22,7 +22,12 @@
 
 
 def send_to_a_busy_node(connection: socket.socket, data: bytes) -> float:
-    """Send data while the node's event loop is blocked; return the time of sending by the node's clock."""
+    """Send data while the node's event loop is blocked; return the time of sending by the node's clock.
+
+    Nagle's algorithm would hold back a short segment until the node's kernel has acknowledged what was sent
+    before, which it may delay by 40 ms.
+    """
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sent_ms = now_ms()
     connection.sendall(data)
     time.sleep(BLOCKED_S)  # blocks the node, which runs in the same event loop
