A store counts as damaged after crashes of the process, not after kills of it

Cause: each check of a store that did not complete counted as a crash of LMDB, also one that was killed or stopped; after two, a controller set its sound store aside. Change: while a store is checked, the interpreter's fault handler reports a fatal signal to the file "opening", and only these reports count. Its form stays: one byte a check; an earlier build's count tells no crash. A count without a store is removed, as it would set the next store aside. Why it works: a kill, a stop or a loss of power writes no report, an abort does.

--- a/orchidferry/mesh/storage/storage_check.py
+++ b/orchidferry/mesh/storage/storage_check.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from orchidferry.mesh.errors import StoreError
+from orchidferry.mesh.storage.check_attempts import count_crashes, forget_attempts, recorded_attempt
 from orchidferry.mesh.storage.compaction import (
     finish_replacement,
     replace_store,
@@ -45,7 +46,6 @@
     write_seal,
 )
 
-ATTEMPTS_FILE = "opening"  # file in the data directory with one byte for each check that did not complete
 MAX_CRASHES = 2  # after this many consecutive process crashes during the check the store counts as damaged
 RETRY_INTERVAL_S = 0.5  # pause after a store could not be opened
 # The layout of the two meta pages of LMDB 0.9.
@@ -77,26 +77,21 @@
 def _prepare_locked(directory: str) -> None:
     file = os.path.join(directory, STORE_FILE)
     copy = os.path.join(directory, TEMPORARY_FILE)
-    attempts = os.path.join(directory, ATTEMPTS_FILE)
     remove_if_exists(copy)
     finish_replacement(directory)
     if not os.path.exists(file):
-        return
-    # LMDB aborts the process on some kinds of damage: without this count that would recur at each restart.
-    crashes = os.stat(attempts).st_size if os.path.exists(attempts) else 0
-    try:
-        if crashes >= MAX_CRASHES:
-            raise CorruptStoreError(f"the process crashed {crashes} times while it checked the store")
-        # A disk that rejects this write is no reason to wait: the store can still be read.
-        with contextlib.suppress(OSError), open(attempts, "ab") as attempts_file:
-            attempts_file.write(b"x")
-        _check_file(file, copy)
-    except CorruptStoreError as error:
-        quarantine_store(directory, str(error))
-    except StoreError as error:
-        raise StoreError(str(error), directory) from None
-    finally:
-        remove_if_exists(attempts)
+        return forget_attempts(directory)
+    crashes = count_crashes(directory)
+    with recorded_attempt(directory):
+        try:
+            if crashes >= MAX_CRASHES:
+                raise CorruptStoreError(f"the process crashed {crashes} times while it checked the store")
+            _check_file(file, copy)
+        except CorruptStoreError as error:
+            quarantine_store(directory, str(error))
+        except StoreError as error:
+            raise StoreError(str(error), directory) from None
+    return None
 
 
 def _check_file(file: str, copy: str) -> None:
