The stages of a client's connection and their limits have a module of their own

Cause: client_connection.py was the largest file of the product, and six modules imported from it for the stages alone. Change: no change of behaviour; Stage, LIMITS_S and PROGRESS move to connection_stage.

--- a/orchidferry/mesh/control/control_api.py
+++ b/orchidferry/mesh/control/control_api.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 
 from orchidferry.mesh.errors import Rejection, RejectionReason
-from orchidferry.node.client_connection import LIMITS_S, RequestHandle, Stage
+from orchidferry.node.client_connection import RequestHandle
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.flow import Flow, MemoryPool
 from orchidferry.node.frontend import Frontend
 from orchidferry.node.reply import Reply
--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -16,9 +16,10 @@
 from orchidferry.mesh.dataplane.unsent_output import unsent_output
 from orchidferry.mesh.errors import Rejection, RejectionReason
 from orchidferry.mesh.log_limit import LogLimit
-from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
+from orchidferry.node.client_connection import Accept, ClientConnection
 from orchidferry.node.clock import now_ms
 from orchidferry.node.connection_end import EndCause, IncompleteEnd
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.flow import STALL_S, Flow, MemoryPool
 from orchidferry.node.frontend import Frontend
 from orchidferry.node.reply import Reply
--- a/orchidferry/mesh/dataplane/proxy_metrics.py
+++ b/orchidferry/mesh/dataplane/proxy_metrics.py
@@ -11,8 +11,8 @@
 from orchidferry.mesh.dataplane.abandoned_responses import AbandonCause
 from orchidferry.mesh.dataplane.connection_pool import HttpConnectionPool
 from orchidferry.mesh.dataplane.listener import Listener
-from orchidferry.node.client_connection import Stage
 from orchidferry.node.connection_end import EndCause, Owed
+from orchidferry.node.connection_stage import Stage
 
 METRICS_TYPE = b"text/plain; charset=utf-8"
 
--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -1,4 +1,4 @@
-"""A client's HTTP/1.1 connection, and the time limits of its stages.
+"""A client's HTTP/1.1 connection.
 
 Whatever a client sends, only its own connection is affected. Requests that can't be served are answered here
 with errors, never with refusals (429, 503): only the balancer refuses requests.
@@ -9,13 +9,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from typing import TYPE_CHECKING, Protocol, cast
 
 import httptools
 
 from orchidferry.node.clock import now_ms
 from orchidferry.node.connection_end import EndCause, Owed
+from orchidferry.node.connection_stage import EXTENDABLE_STAGES, PROGRESS, Stage
 from orchidferry.node.flow import BodyTooLongError, Flow
 from orchidferry.node.http1 import LAST_CHUNK, chunk
 from orchidferry.node.input_age import InputAge
@@ -27,38 +27,9 @@
     from orchidferry.node.frontend import Frontend
 
 MAX_PIPELINED = 8  # pipelined requests that wait on one connection; the protocol sets no limit
-PROGRESS = 32 * 1024  # bytes after which a client that sends or reads has the time of its stage restarted
 BODY_TOO_LONG = "the body is too long"
 
 
-class Stage(Enum):
-    """The stages of a client's connection; the value says what the connection waits for."""
-
-    NEW = "its first request, complete"
-    READING = "the rest of a request"
-    SERVING = "an answer from the node"
-    FLOWING = "the rest of a streamed answer, or the client to read it"
-    IDLE = "the next request"
-    BLOCKED = "the client to read the data that was sent"
-    LEAVING = "the client to read the last data that was sent, before the connection closes"
-
-
-# How long a stage may last, in seconds. SERVING and FLOWING have no limit of their own: requests end at their
-# deadline, and flows when they stall.
-LIMITS_S = {
-    # A silent or slow client must get an error or a close within 3 s of connecting. A healthy client may take
-    # 2 s for the headers, and then sends at least 64 kB/s: each `PROGRESS` bytes of a body restart the time.
-    Stage.NEW: 2.6,
-    Stage.READING: 2.6,
-    Stage.IDLE: 10.0,  # many clients send one request and stay connected; a reconnect costs the others little
-    Stage.BLOCKED: 8.0,  # some clients take seconds to read
-    Stage.LEAVING: 2.0,
-}
-
-
-EXTENDABLE_STAGES = (Stage.BLOCKED, Stage.LEAVING)  # extended as long as the client makes progress
-
-
 class RequestHandle(Protocol):
     """A request that the node has accepted, as seen by its client's connection."""
 
--- a/orchidferry/node/frontend.py
+++ b/orchidferry/node/frontend.py
@@ -1,6 +1,6 @@
 """The HTTP/1.1 listener for clients, and the time limits of their connections.
 
-At any time a connection is in one stage (see `client_connection`). The frontend keeps the connections of each
+At any time a connection is in one stage (see `connection_stage`). The frontend keeps the connections of each
 stage in the order in which they entered it. A periodic sweep ends those that exceed the stage's time limit.
 When sockets run short, the oldest connection of a stage whose client is owed nothing is closed.
 """
@@ -14,8 +14,9 @@
 
 from orchidferry.balancing import interface as api
 from orchidferry.node.address import Address
-from orchidferry.node.client_connection import LIMITS_S, Accept, ClientConnection, Stage
+from orchidferry.node.client_connection import Accept, ClientConnection
 from orchidferry.node.connection_end import EndCause, IncompleteEnd, Owed
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.flow import MAX_STREAMED_BODY, Flow, MemoryPool
 from orchidferry.node.http1 import MAX_BODY, MAX_HEAD
 from orchidferry.node.reply import Reply
--- a/orchidferry/node/h3/client_connection.py
+++ b/orchidferry/node/h3/client_connection.py
@@ -28,8 +28,9 @@
 
 from orchidferry.balancing import interface as api
 from orchidferry.balancing.floods import ConnectionLimits
-from orchidferry.node.client_connection import LIMITS_S, RequestHandle, Stage
+from orchidferry.node.client_connection import RequestHandle
 from orchidferry.node.clock import now_ms
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.frontend import NODE_PATHS
 from orchidferry.node.h3.arrivals import Arrivals
 from orchidferry.node.h3.held_datagrams import Datagram, HeldDatagrams
--- a/tests/mesh/dataplane/test_connection_close.py
+++ b/tests/mesh/dataplane/test_connection_close.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from orchidferry.node.client_connection import LIMITS_S, PROGRESS, Stage
 from orchidferry.node.connection_end import EndCause
+from orchidferry.node.connection_stage import LIMITS_S, PROGRESS, Stage
 from tests.mesh.dataplane.test_listener import CallerHarness, Transport, request
 
 UNSENT = 10 * PROGRESS
--- a/tests/mesh/dataplane/test_connection_limit.py
+++ b/tests/mesh/dataplane/test_connection_limit.py
@@ -18,8 +18,8 @@
 import pytest
 
 from orchidferry.mesh.dataplane.listener import CallerConnection, Listener
-from orchidferry.node.client_connection import Stage
 from orchidferry.node.connection_end import EndCause, Owed
+from orchidferry.node.connection_stage import Stage
 from orchidferry.node.flow import Flow, MemoryPool
 from orchidferry.node.frontend import MAX_CANDIDATES
 from orchidferry.node.reply import Reply
--- a/tests/mesh/dataplane/test_listener.py
+++ b/tests/mesh/dataplane/test_listener.py
@@ -20,8 +20,9 @@
 )
 from orchidferry.mesh.dataplane.pending_request import PendingRequest
 from orchidferry.mesh.dataplane.service_client import ServiceClient
-from orchidferry.node.client_connection import ClientConnection, Stage
+from orchidferry.node.client_connection import ClientConnection
 from orchidferry.node.connection_end import EndCause, Owed
+from orchidferry.node.connection_stage import Stage
 from orchidferry.node.flow import MAX_BUFFERED_BODY, STALL_S, Flow, MemoryPool
 from orchidferry.node.reply import Reply
 from orchidferry.node.request import Message
--- a/tests/node/h3/test_front.py
+++ b/tests/node/h3/test_front.py
@@ -15,7 +15,7 @@
 from aioquic.tls import Epoch, SessionTicket
 
 from orchidferry.balancing import floods
-from orchidferry.node.client_connection import Stage
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.h3 import client_connection, front
 from orchidferry.node.h3.front import Listener
 from orchidferry.node.h3.quic_transport import reset_token
@@ -864,8 +864,6 @@
 
 
 def test_the_time_limits_are_those_of_http1() -> None:
-    from orchidferry.node.client_connection import LIMITS_S
-
     assert (LIMITS_S[Stage.NEW], LIMITS_S[Stage.READING]) == (
         client_connection.HANDSHAKE_TIMEOUT_S,
         client_connection.READ_TIMEOUT_S,
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from orchidferry.node import client_connection, frontend, node
-from orchidferry.node.client_connection import Stage
+from orchidferry.node import frontend, node
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from orchidferry.node.upstream import Upstream
 from tests.node.peers import HANG, LIMIT_S, Server, World, answer, request, run, until, world
 
@@ -19,8 +19,8 @@
 def short_limits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Time limits that are short enough for a test."""
     monkeypatch.setattr(frontend, "SWEEP_S", 0.02)
-    for stage in client_connection.LIMITS_S:
-        monkeypatch.setitem(client_connection.LIMITS_S, stage, 0.2)
+    for stage in LIMITS_S:
+        monkeypatch.setitem(LIMITS_S, stage, 0.2)
 
 
 def open_connections(scene: World) -> int:
@@ -107,8 +107,8 @@
 def test_shutdown_does_not_wait_for_clients_with_incomplete_requests(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    for stage in client_connection.LIMITS_S:
-        monkeypatch.setitem(client_connection.LIMITS_S, stage, 1000.0)
+    for stage in LIMITS_S:
+        monkeypatch.setitem(LIMITS_S, stage, 1000.0)
     monkeypatch.setattr(node, "MAX_BUDGET_MS", 300.0)
     monkeypatch.setattr(node, "CLOSE_LEAD_MS", 100.0)
 
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -12,9 +12,10 @@
 import pytest
 
 from orchidferry.balancing.interface import Result
-from orchidferry.node import client_connection, frontend, node, upstream, upstream_connection
 from orchidferry.node import flow as flow_module
+from orchidferry.node import frontend, node, upstream, upstream_connection
 from orchidferry.node.attempt import Attempt
+from orchidferry.node.connection_stage import LIMITS_S, Stage
 from tests.node.peers import LIMIT_S, Client, Seen, Server, World, answer, request, run, until, world
 
 MB = 1024 * 1024
@@ -322,8 +323,8 @@
     how: str, tmp_path: Path, results: list[Result], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(frontend, "SWEEP_S", 0.02)
-    monkeypatch.setitem(client_connection.LIMITS_S, client_connection.Stage.READING, 0.3)
-    monkeypatch.setitem(client_connection.LIMITS_S, client_connection.Stage.NEW, 0.3)
+    monkeypatch.setitem(LIMITS_S, Stage.READING, 0.3)
+    monkeypatch.setitem(LIMITS_S, Stage.NEW, 0.3)
 
     async def test() -> None:
         server = LongServer()
