A connection reads no further requests while a queued one has a long body

Cause: since a complete flow no longer pauses its source, a connection read on behind a long body that waited for its turn, and kept up to eight of up to 320 KB each. A test with eight bodies of 66,000 bytes behind a request that hangs finds 528,000 bytes kept, where one read of 256 KiB and one partial body of 64 KiB are the bound. Change: input is held while a queued request has a long body that has come whole, and released when it has its turn; one function decides whether input is read again.

--- a/orchidferry/node/client_connection.py
+++ b/orchidferry/node/client_connection.py
@@ -67,6 +67,7 @@
         self._completed = False  # whether the last input completed a request
         self._has_requested = False  # whether the node has accepted a request from this connection
         self._source_paused = False  # whether a streamed request body waits for its sink
+        self._input_held = False  # whether input waits until a queued long body has its turn
         self._request_flow: Flow | None = None  # the body of a streamed request
         self._flow_message: Message | None = None  # the request that `_request_flow` belongs to
         self._response_flow: Flow | None = None  # the body of a streamed answer
@@ -111,6 +112,7 @@
             self._close_with_error(self._error_reply)
         else:
             self._serve_next()
+            self._hold_input()
         self._update_stage()
 
     def eof_received(self) -> None:
@@ -134,8 +136,7 @@
         if self._response_flow is not None:
             self._response_flow.unblock(self._frontend.now_s())
         if not self._finished and not self._transport.is_closing():
-            if not self._source_paused:
-                self._transport.resume_reading()
+            self._resume_reading()
             self._serve_next()
             self._update_stage()
 
@@ -222,13 +223,41 @@
 
     def resume(self) -> None:
         self._source_paused = False
-        if not self._write_paused and not self._finished and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._resume_reading():
             self._update_stage()
 
     def flow_cancelled(self) -> None:
         """Keep reading and drop the rest of the body, so that the client can read the error."""
 
+    # Pausing input
+
+    def _resume_reading(self) -> bool:
+        """Read input again unless something still holds it back; return whether it is read."""
+        waits = self._write_paused or self._source_paused or self._input_held
+        if waits or self._finished or self._transport.is_closing():
+            return False
+        self._transport.resume_reading()
+        return True
+
+    def _hold_input(self) -> None:
+        """Read no further requests while a queued one has a long body, so that long bodies don't add up."""
+        if self._input_held or not self._queues_long_body() or self._transport.is_closing():
+            return
+        self._input_held = True
+        self._transport.pause_reading()
+
+    def _release_input(self) -> None:
+        """Read further requests once no queued one has a long body."""
+        if self._input_held and not self._queues_long_body():
+            self._input_held = False
+            self._resume_reading()
+
+    def _queues_long_body(self) -> bool:
+        """Whether a queued request has a long body that has arrived; one that still arrives is a `Flow`'s."""
+        return any(
+            isinstance(item, Message) and item.flow is not None and item.flow.complete for item in self._queue
+        )
+
     # `Sink` of a streamed answer body
 
     def feed(self, data: bytes) -> None:
@@ -509,6 +538,7 @@
     def _serve_next(self) -> None:
         while self._queue and not self._busy and not self._write_paused and not self._transport.is_closing():
             item = self._queue.popleft()
+            self._release_input()
             if isinstance(item, Message):
                 self._start_request(item)
             else:
--- a/tests/node/test_body_sizes.py
+++ b/tests/node/test_body_sizes.py
@@ -6,10 +6,17 @@
 
 import pytest
 
-from tests.node.body_sizes import CODINGS, DELIVERIES, SIZES, ask_twice, framed
-from tests.node.peers import Client, request, run, until, world
+from orchidferry.node.client_connection import MAX_PIPELINED
+from orchidferry.node.connection_stage import Stage
+from orchidferry.node.flow import MAX_BUFFERED_BODY
+from orchidferry.node.request import Message
+from tests.node.body_sizes import CODINGS, DELIVERIES, KIB, SIZES, ask_twice, framed
+from tests.node.peers import Client, Server, request, run, until, world
 from tests.node.test_long_bodies import LongServer, is_idle
 
+UPLOAD = 66_000  # bytes of a body that is barely long enough to be streamed
+MAX_READ = 256 * KIB  # most bytes that the event loop reads at once
+
 
 @pytest.mark.parametrize("coding", CODINGS)
 @pytest.mark.parametrize("delivery", DELIVERIES)
@@ -41,6 +48,33 @@
     run(test())
 
 
+def test_long_bodies_that_wait_for_their_turn_do_not_add_up(tmp_path: Path) -> None:
+    """Failure: a connection read on behind a long body, and kept as many as it may have requests waiting."""
+
+    async def test() -> None:
+        server = Server()
+        server.gate.clear()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            client = await scene.client()
+            client.write(request("first"))
+            await until(lambda: len(server.seen) == 1)
+            uploads = [request(f"u{number}", "save", body=b"x" * UPLOAD) for number in range(MAX_PIPELINED)]
+            client.write(b"".join(uploads))
+            [connection] = scene.node.frontend._stages[Stage.SERVING]
+            queue = connection._queue
+            await until(lambda: len(queue) == MAX_PIPELINED or not connection._transport.is_reading())
+            flows = [item.flow for item in queue if isinstance(item, Message) and item.flow is not None]
+            received = sum(flow.received_bytes for flow in flows)
+            assert UPLOAD <= received <= MAX_READ + MAX_BUFFERED_BODY
+            server.gate.set()
+            statuses = [(await client.read()).status for _ in ("first", *uploads)]
+            assert statuses == [200] * (1 + MAX_PIPELINED)
+            await until(lambda: is_idle(scene))
+
+    run(test())
+
+
 @pytest.mark.parametrize("size", [100_000, 400_000])
 def test_a_body_for_a_page_of_the_node_is_dropped(size: int, tmp_path: Path) -> None:
     """Nobody took such a body, so that its connection was paused for good."""
