Log lost contact, reads without a result and proxies behind the announced configuration

Cause: the incident's logs could not tell its hypotheses apart: no line told of contact, of a read that ended without a state, of a vote that the disk refused, or of what a proxy waits for. Change: one line for each at its transition or end, and the wanted revision as a metric. Measured: tests of mesh/control and of the metrics pass.

--- a/orchidferry/mesh/control/configuration_fetcher.py
+++ b/orchidferry/mesh/control/configuration_fetcher.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from orchidferry.mesh.control.configuration import NO_REVISION
 from orchidferry.mesh.control.configuration_text import expand
 from orchidferry.mesh.control.controller_connection import ControllerConnection
@@ -22,6 +24,7 @@
 ANSWER_TIMEOUT_S = 0.4  # time after which another controller is asked if the link is stalled
 TRANSFER_TIMEOUT_S = 1.5  # time after which another controller is asked although bytes are still arriving
 STALL_S = 0.15  # a link is stalled if nothing has been received over it for this time
+BEHIND_S = 1.0  # a node that lacks an announced configuration for this time logs it
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +82,8 @@
         self._initial_revision: int | None = None  # the number that was read at the start
         self._last_request = 0
         self._pending: dict[int, PendingFetch] = {}  # by request number
+        self._announced_s = 0.0  # time at which the wanted revision was announced
+        self._behind_logged = NO_REVISION  # the wanted revision that was logged as missing
 
     def controller_connected(self, link: Link) -> None:
         """Read the newest revision number over a new link, unless it has been read."""
@@ -92,8 +97,15 @@
 
     def tick(self, now: float) -> None:
         """Send the next request to a controller, if one is needed and none is pending."""
+        self._report_behind(now)
         for request in [request for request, fetch in self._pending.items() if fetch.timed_out(now)]:
-            del self._pending[request]
+            fetch = self._pending.pop(request)
+            logger.info(
+                "configuration_fetcher: no answer from {} in {:.1f} s: wanted={}",
+                fetch.link.peer,
+                now - fetch.sent_s,
+                "the newest number" if fetch.is_read else self.wanted_revision,
+            )
         if self._pending:
             return
         if not self.caught_up and self._initial_revision is None:
@@ -101,6 +113,28 @@
         elif self.wanted_revision > self.revision:
             self._ask_controller(self._fetch_text)
 
+    def _report_behind(self, now: float) -> None:
+        """Log once for each wanted revision that it has not arrived `BEHIND_S` after its announcement."""
+        wanted = self.wanted_revision
+        is_behind = wanted > self.revision and now - self._announced_s > BEHIND_S
+        if not is_behind or wanted == self._behind_logged:
+            return
+        self._behind_logged = wanted
+        logger.warning(
+            "configuration_fetcher: behind for {:.1f} s: wanted={} revision={} initial={} pending={}",
+            now - self._announced_s,
+            wanted,
+            self.revision,
+            self._initial_revision,
+            ",".join(f"{fetch.link.peer}:{now - fetch.sent_s:.1f}s" for fetch in self._pending.values()),
+        )
+
+    def _want(self, revision: int) -> None:
+        """Note an announced revision."""
+        if revision > self.wanted_revision:
+            self.wanted_revision = revision
+            self._announced_s = self._loop.time()
+
     def _ask_controller(self, ask: Callable[[Link], None]) -> None:
         connection = self._choose_controller()
         if connection is not None and connection.link is not None:
@@ -136,7 +170,7 @@
 
     def revision_announced(self, revision: int, link: Link) -> None:
         """Fetch a newly announced configuration over the link by which the announcement came."""
-        self.wanted_revision = max(self.wanted_revision, revision)
+        self._want(revision)
         if self.wanted_revision > self.revision and all(fetch.is_read for fetch in self._pending.values()):
             self._fetch_text(link)
 
@@ -150,7 +184,7 @@
         if revision <= NO_REVISION or self._initial_revision is not None:
             return
         self._initial_revision = revision
-        self.wanted_revision = max(self.wanted_revision, revision)
+        self._want(revision)
         self._pending = {request: fetch for request, fetch in self._pending.items() if not fetch.is_read}
         if revision == 0:  # there is no configuration yet
             self.revision = max(self.revision, revision)
--- a/orchidferry/mesh/control/control_client.py
+++ b/orchidferry/mesh/control/control_client.py
@@ -96,6 +96,11 @@
         """Whether the node has a configuration at least as new as any acknowledged before its start."""
         return self._fetcher.caught_up
 
+    @property
+    def wanted_revision(self) -> int:
+        """The newest revision of the configuration that was announced to the node; 0 for none."""
+        return self._fetcher.wanted_revision
+
     @property
     def connected_controllers(self) -> int:
         """The number of controllers with an open link."""
--- a/orchidferry/mesh/control/controller.py
+++ b/orchidferry/mesh/control/controller.py
@@ -85,6 +85,7 @@
         )
         self._server: asyncio.Server | None = None
         self._group_size_checked = False
+        self._contact_reported = False  # whether the newest log line about contact says that it holds
 
     def _configuration_resource(self) -> ConfigurationResource:
         return ConfigurationResource(
@@ -173,6 +174,23 @@
         self._warn_if_group_too_small()
         self._update_fitness()
         self._runner.tick()
+        self._report_contact()
+
+    def _report_contact(self) -> None:
+        """Log that contact with a majority of the configuration shard's voters was lost, or holds again."""
+        holds = self._in_contact()
+        if holds is self._contact_reported:
+            return
+        self._contact_reported = holds
+        shard = self._runner.configuration_shard
+        logger.log(
+            "INFO" if holds else "WARNING",
+            "controller: contact with a majority {}: voters={} former_voters={} age_ms={}",
+            "holds" if holds else "lost",
+            ",".join(voter.name for voter in shard.known.voters),
+            ",".join(voter.name for voter in shard.known.former_voters),
+            self._contact_age_ms(),
+        )
 
     def _update_fitness(self) -> None:
         """Update whether this controller is fit to own a shard.
--- a/orchidferry/mesh/control/register_reader.py
+++ b/orchidferry/mesh/control/register_reader.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 from orchidferry.balancing.register import Value, Voter
@@ -67,10 +68,20 @@
         :param value: the newest decided state; None if it was not found in time.
         :param why: the reason why the read was given up; "" for none.
         """
+        if value is None and not why:
+            self.context.log(f"read {self.reads.count} has found no decided state: {self._progress()}")
         requests = self.reads.pop_waiting(readers)
         self.context.actions += [self.register.outcome(request, value, why) for request in requests]
         self._begin_next()
 
+    def _progress(self) -> str:
+        """Describe for the log how far the current read has come."""
+        read = self.reads.current
+        reports = "all that a ballot round needs" if read is None else _names(read.reports)
+        known = self.register.known
+        own = "" if self.register.vote_on_disk else ", own vote not on disk"
+        return f"reports={reports} voters={_names(known.voters)} former={_names(known.former_voters)}{own}"
+
     def round_withdrawn(self) -> None:
         """Note that the ballot round run for a read was withdrawn."""
         self.reads.busy = False
@@ -151,3 +162,7 @@
         if value is not None:
             register.learn(value)
             self.end(read.readers, register.known, "")
+
+
+def _names(voters: Iterable[Voter]) -> str:
+    return ",".join(sorted(voter.name for voter in voters)) or "none"
--- a/orchidferry/mesh/dataplane/proxy.py
+++ b/orchidferry/mesh/dataplane/proxy.py
@@ -235,6 +235,7 @@
             {"gate": self._gate_connections, "server": self._server_connections},
             self._gate.in_flight,
             revision,
+            self._control_client.wanted_revision,
         )
         answer(Reply(200, text, METRICS_TYPE))
 
--- a/orchidferry/mesh/dataplane/proxy_metrics.py
+++ b/orchidferry/mesh/dataplane/proxy_metrics.py
@@ -18,7 +18,11 @@
 
 
 def render_metrics(
-    listeners: Sequence[Listener], pools: Mapping[str, HttpConnectionPool], in_flight: int, revision: int
+    listeners: Sequence[Listener],
+    pools: Mapping[str, HttpConnectionPool],
+    in_flight: int,
+    revision: int,
+    wanted_revision: int,
 ) -> bytes:
     """Return all metrics as text.
 
@@ -26,8 +30,13 @@
     :param pools: connection pools, by name.
     :param in_flight: number of requests at the server on this machine.
     :param revision: revision of the configuration in force; 0 before the first.
+    :param wanted_revision: newest revision that was announced to this proxy; 0 for none.
     """
-    lines = [f"proxy.configuration.revision={revision}", f"proxy.gate.in_flight={in_flight}"]
+    lines = [
+        f"proxy.configuration.revision={revision}",
+        f"proxy.configuration.wanted_revision={wanted_revision}",
+        f"proxy.gate.in_flight={in_flight}",
+    ]
     for listener in listeners:
         lines += _listener_metrics(listener)
     for name, pool in pools.items():
--- a/orchidferry/testkit/explore/controller.py
+++ b/orchidferry/testkit/explore/controller.py
@@ -162,6 +162,12 @@
         if write.completion is not None:
             self.execute(self.shard.write_finished(write.completion, True, self.world.now))
 
+    def fail_write(self) -> None:
+        """Fail the oldest pending write, as a full or broken disk does; nothing of it is on disk."""
+        write = self.writes.pop(0)
+        if write.completion is not None:
+            self.execute(self.shard.write_finished(write.completion, False, self.world.now))
+
     def tick(self) -> None:
         """Run the shard's due work."""
         self.execute(self.shard.tick(self.world.now))
--- a/tests/mesh/dataplane/test_proxy_metrics.py
+++ b/tests/mesh/dataplane/test_proxy_metrics.py
@@ -21,8 +21,9 @@
     abandoned = AbandonedResponses("gate")
     abandoned.by_cause[AbandonCause.TIMEOUT] = 4
     pool: Any = SimpleNamespace(count=lambda: 1, abandoned_responses=abandoned)
-    lines = render_metrics([harness.listener], {"gate": pool}, 3, 35).decode().splitlines()
+    lines = render_metrics([harness.listener], {"gate": pool}, 3, 35, 36).decode().splitlines()
     metrics = {name: int(value) for name, value in (line.split("=") for line in lines)}
+    assert metrics["proxy.configuration.wanted_revision"] == 36
     assert metrics["proxy.configuration.revision"] == 35 and metrics["proxy.gate.in_flight"] == 3
     assert metrics["proxy.outbound.connections"] == 1 and metrics["proxy.outbound.max_connections"] == 9
     assert metrics["proxy.outbound.connections.serving"] == 1
