Failing test: after a vote that the disk refused no read ends and no proxy hears of it

What callers see: the acknowledged configuration stays unknown to the controllers that are left, so proxies work by the one before it and the operator's reading is answered 503 no_majority for good, although a majority is alive, in contact and has room on its disks. Nothing logs it. The simulated disks of the walks could not refuse a write before, so no order of events had one.

--- a/orchidferry/testkit/explore/controller.py
+++ b/orchidferry/testkit/explore/controller.py
@@ -73,6 +73,7 @@
 
     :ivar disk: the records on disk, by database and key
     :ivar alive: whether the process runs
+    :ivar refuses_writes: whether the disk is full: pending writes fail when the host completes them
     :ivar writes: the pending writes, the oldest first
     :ivar heartbeat_sent_s: when each heartbeat was sent that may still be acknowledged, by number
     :ivar count: the number of the last heartbeat that was sent
@@ -99,6 +100,7 @@
         self.rng = rng
         self.seeds = seeds
         self.disk: dict[tuple[str, bytes], bytes] = {}
+        self.refuses_writes = False
         disk_id = shard_state.FOUNDER_DISK_ID if founder else rng.randrange(2, 2**50)
         self.write_to_disk(initial_records(number, AcceptorState(disk_id), founder))
         self.start()
@@ -156,17 +158,13 @@
                     self.world.request_ended(self.name, action)
 
     def complete_write(self) -> None:
-        """Complete the oldest pending write."""
+        """Complete the oldest pending write; it fails, and nothing of it is on disk, if the disk is full."""
         write = self.writes.pop(0)
-        self.write_to_disk(write.puts)
+        written = not self.refuses_writes
+        if written:
+            self.write_to_disk(write.puts)
         if write.completion is not None:
-            self.execute(self.shard.write_finished(write.completion, True, self.world.now))
-
-    def fail_write(self) -> None:
-        """Fail the oldest pending write, as a full or broken disk does; nothing of it is on disk."""
-        write = self.writes.pop(0)
-        if write.completion is not None:
-            self.execute(self.shard.write_finished(write.completion, False, self.world.now))
+            self.execute(self.shard.write_finished(write.completion, written, self.world.now))
 
     def tick(self) -> None:
         """Run the shard's due work."""
