A vote that the disk has refused is written again, so that reads after it can end

What callers saw: an acknowledged configuration was never served at proxies and the operator's reading was answered 503 no_majority for good, with a majority alive and in contact. Cause: a voter reports its accepted state to reads only once its newest vote is on disk, and after a failed write nothing wrote it again until somebody asked for another vote. A ballot round is run only after a majority has reported. If the controller that had acknowledged was lost before it told the others, two of three knew neither that the configuration was decided nor how to find out. Change: the replica writes the vote again every 0.25 s until it is on disk, and logs the refusal.

--- a/orchidferry/mesh/control/register_replica.py
+++ b/orchidferry/mesh/control/register_replica.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
@@ -48,6 +49,7 @@
 
 RESEND_MS = 300.0  # a voter replies within one network round trip and one disk sync
 BACK_OFF_MS = 20.0
+VOTE_RETRY_S = 0.25  # pause after a failed write of a vote
 PROPOSAL_GRACE_S = 0.05  # from the time limit of a proposal's ballot round until the proposal itself is ended
 
 
@@ -128,6 +130,7 @@
         self.is_founder = state.disk_id == shard_state.FOUNDER_DISK_ID
         self.learned = initial
         self.vote_on_disk = True
+        self._vote_retry_s: float | None = None  # when a vote that the disk refused is written again
         self.proposals: dict[str, Proposal] = {}
         self._local_messages: deque[Message] = deque()  # messages that this replica sent to itself
 
@@ -195,11 +198,24 @@
 
     def vote_saved(self, completion: VoteSaved) -> None:
         """Send the replies of a vote that is on disk now."""
-        self.vote_on_disk = self.vote_on_disk or completion.state is self.acceptor.state
+        if completion.state is self.acceptor.state:
+            self.vote_on_disk = True
+            self._vote_retry_s = None
         self.orders.history.mark_saved(completion.order_numbers)
         for reply in completion.replies:
             self._send_vote(completion.reply_to, reply)
 
+    def vote_refused(self, completion: VoteSaved) -> None:
+        """Write the vote again after a pause, as the disk has refused it.
+
+        Until it is on disk, this voter answers no read, and nothing else may ever ask for its vote.
+        """
+        if self.vote_on_disk or completion.state is not self.acceptor.state:
+            return
+        if self._vote_retry_s is None:
+            self.context.log("the vote can't be written; until it is, it counts for nobody")
+        self._vote_retry_s = self.context.now + VOTE_RETRY_S
+
     def _dispatch(self, sender: str, message: Message, sender_link: Any) -> None:
         """Handle a message of another replica, or of this one if `sender_link` is None."""
         if isinstance(message, Promise | Accepted):
@@ -220,6 +236,13 @@
             for reply in replies:
                 self._send_vote(sender_link, reply)
             return
+        self._save_vote(sender_link, replies)
+
+    def _save_vote(self, sender_link: Any, replies: list[Message]) -> None:
+        """Write the acceptor's complete state, and send the replies once it is on disk.
+
+        :param sender_link: the link over which they are sent; None for messages of this replica.
+        """
         self.vote_on_disk = False
         state = self.acceptor.state
         order_numbers, puts = self.orders.take_unsaved()
@@ -323,8 +346,11 @@
         return any(proposal.purpose is purpose for proposal in self.proposals.values())
 
     def tick(self) -> None:
-        """End the proposals that have timed out; resend and retry the others where that is due."""
+        """End the proposals that have timed out; resend and retry the others, and write a vote, if due."""
         now = self.context.now
+        if self._vote_retry_s is not None and self._vote_retry_s <= now:
+            self._vote_retry_s = math.inf  # until the outcome of this write is known
+            self._save_vote(None, [])
         for id, proposal in list(self.proposals.items()):
             if proposal.until_s <= now:
                 self.end_proposal(id, None, "")
--- a/orchidferry/mesh/control/replica.py
+++ b/orchidferry/mesh/control/replica.py
@@ -276,7 +276,7 @@
             case VoteSaved() if ok:
                 self.register.vote_saved(completion)
             case VoteSaved():
-                self.context.log("the vote can't be written, so it is not told")
+                self.register.vote_refused(completion)
             case OrdersSaved(order_numbers) if ok:
                 self.orders.history.mark_saved(order_numbers)
             case RemovalSaved() if ok:
