Limit the back-off of the controllers' proposers, so that reads end soon after trouble

What callers saw: after faults no read ended at any controller for up to 5 s although all was calm: 503 no_majority, and what a lost controller had acknowledged stayed unknown to the others. Cause: a proposer whose round is preempted backs off for twice the last phase's duration, doubled with each loss, up to 5 s. A phase that faults have held up counts as the voters' answer time, and a promise to a proposer that is gone preempts like a live one. So both of two proposers slept, each for a round of the other that was long over; reads that need a round wait behind it and time out after 0.8 s, which is less. Change: a limit of 1 s in the controllers' replicas; the proposer's default stays.

--- a/orchidferry/balancing/proposer.py
+++ b/orchidferry/balancing/proposer.py
@@ -97,6 +97,7 @@
         rng: random.Random,
         resend_ms: float = RESEND_MS,
         back_off_ms: float = BACK_OFF_MS,
+        max_back_off_ms: float = MAX_BACK_OFF_MS,
     ) -> None:
         """Create a proposer.
 
@@ -106,9 +107,11 @@
         :param rng: the source of the random backoff.
         :param resend_ms: the wait before unanswered messages are first sent again.
         :param back_off_ms: the upper bound of the first backoff after a preempted round.
+        :param max_back_off_ms: the upper bound of every backoff.
         """
         self._resend_ms = resend_ms
         self._back_off_ms = back_off_ms
+        self._max_back_off_ms = max_back_off_ms
         self._answer_ms = 0.0  # recent response time of the voters
         self.name = name
         self.known = initial
@@ -218,8 +221,8 @@
         self._round = None
         self._preempted_rounds += 1
         first_ms = max(self._back_off_ms, BACK_OFF_ANSWERS * self._answer_ms)
-        back_off_ms = min(MAX_BACK_OFF_MS, first_ms * 2.0 ** min(self._preempted_rounds, MAX_DOUBLINGS))
-        phase_ms = min(self._answer_ms, MAX_BACK_OFF_MS)
+        back_off_ms = min(self._max_back_off_ms, first_ms * 2.0 ** min(self._preempted_rounds, MAX_DOUBLINGS))
+        phase_ms = min(self._answer_ms, self._max_back_off_ms)
         self._next_round_ms = now + phase_ms + back_off_ms * self._rng.random()
 
     def _measure_answer(self, took_ms: float) -> None:
--- a/orchidferry/mesh/control/register_replica.py
+++ b/orchidferry/mesh/control/register_replica.py
@@ -49,6 +49,7 @@
 
 RESEND_MS = 300.0  # a voter replies within one network round trip and one disk sync
 BACK_OFF_MS = 20.0
+MAX_BACK_OFF_MS = 1_000.0  # also where the round that preempted this one is long over
 VOTE_RETRY_S = 0.25  # pause after a failed write of a vote
 PROPOSAL_GRACE_S = 0.05  # from the time limit of a proposal's ballot round until the proposal itself is ended
 
@@ -125,7 +126,9 @@
         self.listener = listener
         self.acceptor = Acceptor(context.name, state, listener.object_to)
         self.incarnation = f"{context.name} {context.rng.randrange(2**53):x}"
-        self.proposer = Proposer(self.incarnation, initial, context.rng, RESEND_MS, BACK_OFF_MS)
+        self.proposer = Proposer(
+            self.incarnation, initial, context.rng, RESEND_MS, BACK_OFF_MS, MAX_BACK_OFF_MS
+        )
         self.references = ValueReferences()
         self.is_founder = state.disk_id == shard_state.FOUNDER_DISK_ID
         self.learned = initial
--- a/tests/balancing/test_proposer.py
+++ b/tests/balancing/test_proposer.py
@@ -113,3 +113,21 @@
     assert two.ask(grant_of(NODES[0])) is None
     two.down = set()
     assert two.ask(grant_of(NODES[0])) is not None
+
+
+def test_a_proposer_that_lost_many_slow_rounds_waits_no_longer_than_its_limit() -> None:
+    """After trouble each proposer waited for seconds for rounds that were long over, and no read ended."""
+    voters = tuple(Voter(name, 1) for name in "abc")
+    proposer = Proposer("p", Value(0, voters, TABLE), random.Random(1), max_back_off_ms=1_000.0)
+    now = 0.0
+    for number in range(1, 12):
+        if number == 1:
+            proposer.ask("x", lambda value: value, now, 1e9)
+        round_ = proposer._round
+        assert round_ is not None
+        now += 3_000.0  # the answers were held up for this long
+        promised = (round_.ballot[0] + 5, "q")
+        proposer.handle(register.Promise(round_.ballot, voters[0], promised), now)
+        assert now < proposer.due_ms <= now + 2_000.0  # the other proposer's phase, and the back-off
+        now = proposer.due_ms
+        proposer.tick(now)
