--- a/orchidferry/testkit/mesh/actions/__init__.py
+++ b/orchidferry/testkit/mesh/actions/__init__.py
@@ -12,9 +12,16 @@
 from orchidferry.testkit.mesh.actions.planned import PLANNED_ACTIONS
 from orchidferry.testkit.mesh.actions.processes import PROCESS_ACTIONS
 from orchidferry.testkit.mesh.actions.rolling import ROLLING_ACTIONS
+from orchidferry.testkit.mesh.actions.series import SERIES_ACTIONS
 from orchidferry.testkit.mesh.actions.targets import Action
 
 ACTIONS: dict[str, Action] = (
-    PLANNED_ACTIONS | PROCESS_ACTIONS | LINK_ACTIONS | CLOSING_ACTIONS | ISOLATION_ACTIONS | ROLLING_ACTIONS
+    PLANNED_ACTIONS
+    | PROCESS_ACTIONS
+    | LINK_ACTIONS
+    | CLOSING_ACTIONS
+    | ISOLATION_ACTIONS
+    | ROLLING_ACTIONS
+    | SERIES_ACTIONS
 )
 """All actions by the names that schedules and records use."""
--- a/orchidferry/testkit/mesh/actions/closing.py
+++ b/orchidferry/testkit/mesh/actions/closing.py
@@ -22,7 +22,7 @@
 NOT_ACKNOWLEDGED = " (nothing was acknowledged)"
 
 
-async def _last_change_acknowledged(env: Environment) -> bool:
+async def last_change_acknowledged(env: Environment) -> bool:
     """Send a last configuration, based on the newest one and with the routes of the first.
 
     :returns: whether it was acknowledged
@@ -39,7 +39,7 @@
 
 async def _kill_all(env: Environment, scheduled: ScheduledAction) -> str:
     """Kill and restart the processes of all machines or, under some seeds, of the controllers alone."""
-    acknowledged = await _last_change_acknowledged(env)
+    acknowledged = await last_change_acknowledged(env)
     controllers_only = random_index(env, scheduled, 3) == 0
     machines = env.cores if controllers_only else [*env.cores, *live_sidecars(env)]
     nodes = [env.nodes[machine.name] for machine in machines]
@@ -49,7 +49,7 @@
 
 async def _wipe_controllers(env: Environment, scheduled: ScheduledAction) -> str:
     """Wipe the disks of some controllers; under some seeds the others are killed too."""
-    acknowledged = await _last_change_acknowledged(env)
+    acknowledged = await last_change_acknowledged(env)
     wiped = controllers_to_lose(env, scheduled)
     alone = seeded_random.uniform(env.seed, "alone") < WIPED_ALONE_SHARE
     nodes = wiped if alone else [env.nodes[machine.name] for machine in env.cores]
--- a/orchidferry/testkit/mesh/actions/rolling.py
+++ b/orchidferry/testkit/mesh/actions/rolling.py
@@ -23,7 +23,7 @@
     """
     machines = live_sidecars(env)
     node = env.nodes[machines[random_index(env, scheduled, len(machines))].name]
-    if node.stopping or node.pid is None:
+    if node.stopping or node.paused or node.pid is None:
         return ""
     await node.stop()
     await node.start()
--- a/orchidferry/testkit/mesh/day.py
+++ b/orchidferry/testkit/mesh/day.py
@@ -96,7 +96,9 @@
     bounds: Bounds = field(default_factory=Bounds)
     heartbeat_ms: int = 1500  # interval of the servers' heartbeats
     max_connections: int = 130  # maximum number of connections to each server
-    generated: str = ""  # losses, worst or soak: the seed determines the schedule; empty: `schedule` is used
+    generated: str = (
+        ""  # losses, worst, series or soak: the seed determines the schedule; empty: `schedule` is used
+    )
     overlapping: bool = False  # actions do not wait for the end of the previous one
     sessions: int = 0  # clients that stay with each sidecar machine, whatever its readiness
     large_share: float = 0.0  # fraction of downloads whose response exceeds every socket buffer
@@ -159,6 +161,18 @@
             repeat_after_s=(0.1, 15.0),
             tolerance=2,
         ),
+        Day(
+            "mesh-series",
+            "overlapping faults under changes, with proxies behind proxies; all power lost at the end",
+            75.0,
+            (),
+            servers=(8, 4),
+            bounds=Bounds(recovery_s=6),
+            generated="series",
+            overlapping=True,
+            sessions=1,
+            repeat_after_s=(0.1, 15.0),
+        ),
         Day(
             "mesh-soak",
             "overlapping restarts, reloads and changes, without faults, under clients with open connections",
--- a/orchidferry/testkit/mesh/processes.py
+++ b/orchidferry/testkit/mesh/processes.py
@@ -6,6 +6,7 @@
 import contextlib
 import importlib.util
 import os
+import resource
 import shutil
 import signal
 import sys
@@ -103,6 +104,7 @@
         self._watcher: asyncio.Task[None] | None = None
         self._end_expected = False  # the kit has ended the process
         self.stopping = False  # the process was sent SIGTERM, and no other was started since
+        self.paused = False  # the process is suspended
         self.starts = 0  # how many processes were started so far
         self.cpu_s = 0.0  # CPU time of all processes of this node
         self.peak_memory_mb = 0.0  # largest resident set size of these processes
@@ -216,12 +218,28 @@
 
     def pause(self) -> None:
         """Suspend the process (SIGSTOP)."""
+        self.paused = True
         self._signal(signal.SIGSTOP, "paused")
 
     def resume(self) -> None:
         """Resume the suspended process (SIGCONT)."""
+        self.paused = False
         self._signal(signal.SIGCONT, "resumed")
 
+    def fill_disk(self) -> None:
+        """Have every write of the process to a file fail, also to its log, as a full disk does."""
+        self._limit_file_size(0)
+
+    def free_disk(self) -> None:
+        """Let the process write again."""
+        self._limit_file_size(resource.RLIM_INFINITY)
+
+    def _limit_file_size(self, limit: int) -> None:
+        """Set the limit (`RLIMIT_FSIZE`, soft) of the running process, in bytes."""
+        if self.pid is not None:
+            _, hard = resource.prlimit(self.pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (limit, hard))
+
     def reload(self) -> None:
         """Rewrite the settings file, and have the process reload it (SIGHUP).
 
--- a/orchidferry/testkit/mesh/schedule.py
+++ b/orchidferry/testkit/mesh/schedule.py
@@ -6,6 +6,7 @@
 
 from orchidferry.testkit import seeded_random
 from orchidferry.testkit.mesh.day import Day, ScheduledAction
+from orchidferry.testkit.mesh.series_schedule import SERIES_FAULTS, series_day
 
 FAULT_DURATIONS_S = {
     "kill": 1.0,
@@ -23,7 +24,7 @@
 CLOSING_FAULTS = ("after-ack-kill", "after-ack-wipe")
 """Faults at the end of a schedule, one of which is chosen."""
 
-UNPLANNED = frozenset((*FAULT_DURATIONS_S, *CLOSING_FAULTS, "isolate", "reset-calls"))
+UNPLANNED = frozenset((*FAULT_DURATIONS_S, *CLOSING_FAULTS, *SERIES_FAULTS, "isolate", "reset-calls"))
 """All actions that are faults rather than planned operations."""
 
 PLANNED_DURATIONS_S = {"change": 3.5, "drain": 6.0}
@@ -48,6 +49,8 @@
     """
     if day.generated == "soak":
         return _soak_day(day, seed, seconds)
+    if day.generated == "series":
+        return series_day(day, seed, seconds)
     if day.generated == "worst":
         return _worst_day(day, seed, seconds)
     if day.generated:
--- /dev/null
+++ b/orchidferry/testkit/mesh/series_schedule.py
@@ -0,0 +1,86 @@
+"""The schedule of the scenario `mesh-series`: faults and planned work in series that overlap, under changes.
+
+Every zone has proxies that receive configurations over another proxy. Proxies are restarted, reloaded,
+killed, paused and slowed at random times. Controllers are struck one at a time, some several times in a row,
+and each has `catch_up_s` to recover. At the end one controller loses its disk while all other machines lose
+power.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from orchidferry.testkit import seeded_random
+from orchidferry.testkit.mesh.day import Day, ScheduledAction
+
+CONTROLLER_FAULTS_S = {
+    "kill-controller": (0.3, 6.0),
+    "pause-controller": (0.5, 4.0),
+    "fill-disk": (2.0, 5.0),
+    "wipe": (0.3, 2.0),
+    "replace": (0.3, 2.0),
+    "replace-planned": (0.0, 0.0),
+}
+"""The faults of controllers, and the bounds of their durations."""
+
+PROXY_RATES_PER_S = {
+    "restart": 0.25,
+    "reload": 0.25,
+    "kill-proxy": 0.12,
+    "pause-proxy": 0.12,
+    "slow-proxy": 0.12,
+}
+"""The mean rates of the actions on proxies, over all of them."""
+
+PROXY_FAULT_S = (0.3, 2.0)
+"""The bounds of the duration of a proxy's fault."""
+
+CLOSING_FAULT = "after-ack-power-loss"
+CLOSING_DOWN_S = 0.5
+CLOSING_BEFORE_END_S = 18.0
+"""The time from the closing fault to the end of the traffic."""
+
+CALM_BEFORE_CLOSING_S = 3.0
+FIRST_FAULT_S = 3.0
+FILL_BEFORE_KILL_SHARE = 0.5
+"""The chance that a controller is killed as soon as another one's disk has room again."""
+
+SERIES_FAULTS = frozenset((*CONTROLLER_FAULTS_S, "kill-proxy", "pause-proxy", "slow-proxy", CLOSING_FAULT))
+"""The actions that are faults rather than planned work."""
+
+
+def series_day(day: Day, seed: int, seconds: float) -> list[ScheduledAction]:
+    """All actions of a run, in order of time.
+
+    :param seconds: duration of the traffic
+    """
+    rng = Random(seeded_random.integer(seed, "table", day.name))
+    closing_s = max(0.0, seconds - CLOSING_BEFORE_END_S)
+    last_s = closing_s - CALM_BEFORE_CLOSING_S
+    found = [ScheduledAction(0.0, "changes")]
+    found += _controller_faults(day, rng, seconds, last_s)
+    for action, rate in PROXY_RATES_PER_S.items():
+        t = rng.expovariate(rate)
+        while t < last_s:
+            found.append(ScheduledAction(t / seconds, action, for_s=rng.uniform(*PROXY_FAULT_S)))
+            t += rng.expovariate(rate)
+    found.append(ScheduledAction(closing_s / seconds, CLOSING_FAULT, for_s=CLOSING_DOWN_S))
+    return sorted(found, key=lambda scheduled: scheduled.at)
+
+
+def _controller_faults(day: Day, rng: Random, seconds: float, last_s: float) -> list[ScheduledAction]:
+    found = []
+    t = FIRST_FAULT_S
+    while t < last_s:
+        action = rng.choice(sorted(CONTROLLER_FAULTS_S))
+        for_s = rng.uniform(*CONTROLLER_FAULTS_S[action])
+        found.append(ScheduledAction(t / seconds, action, for_s=for_s))
+        t += for_s
+        if action == "fill-disk" and rng.random() < FILL_BEFORE_KILL_SHARE:
+            down_s = rng.uniform(*CONTROLLER_FAULTS_S["kill-controller"])
+            found.append(ScheduledAction(t / seconds, "kill-controller", for_s=down_s))
+            t += down_s
+        if action == "replace-planned":  # the old controller ends `catch_up_s` after the new one's start
+            t += day.bounds.catch_up_s + day.bounds.grace_s
+        t += day.bounds.catch_up_s
+    return [one for one in found if one.at * seconds < last_s]
