A controller that has a state on disk proposes after a restart, also if it is no founder

What callers saw: after a loss of all power the operator's reading never came (503 no_majority), no change was acknowledged, and proxies worked by the configuration before the acknowledged one; the controllers' logs had no line but expired leases. Cause: a replica ran a ballot round only if it knew a group: as a founder, or from a state known to be decided. What is decided is not on disk. So once all founders had been replaced or had lost their disks, no replica knew a group after a restart of all; reads by comparison still ended where two had accepted the same ballot. If the newest state was on one disk left, the round that would have found it was refused at each, for good. Change: an accepted state on disk names voters, and is enough to propose. Such a replica asks its own voter first, whose promise names the others, and builds no change on its initial state, which for a controller that is no founder is only a guess from its settings. Why it is safe: a change of voters is accepted by a majority of the former ones, so whichever accepted state a round starts from, its majorities lead to the newest; undecided former voters count as before.

--- a/orchidferry/balancing/proposer.py
+++ b/orchidferry/balancing/proposer.py
@@ -98,16 +98,20 @@
         resend_ms: float = RESEND_MS,
         back_off_ms: float = BACK_OFF_MS,
         max_back_off_ms: float = MAX_BACK_OFF_MS,
+        own_voter: Voter | None = None,
     ) -> None:
         """Create a proposer.
 
         :param name: the name of the replica.
-        :param initial: the initial value of the register, the same at all replicas; its voters are asked
-            first.
+        :param initial: the initial value of the register, the same at all replicas that know it; its voters
+            are asked first.
         :param rng: the source of the random backoff.
         :param resend_ms: the wait before unanswered messages are first sent again.
         :param back_off_ms: the upper bound of the first backoff after a preempted round.
         :param max_back_off_ms: the upper bound of every backoff.
+        :param own_voter: the voter of this replica, if the replica does not know the initial value. No change
+            builds on `initial` then; the voter is asked too, as the value that it has accepted names the
+            voters.
         """
         self._resend_ms = resend_ms
         self._back_off_ms = back_off_ms
@@ -116,6 +120,7 @@
         self.name = name
         self.known = initial
         self._initial = initial
+        self._own_voter = own_voter
         self._rng = rng
         self._counter = 0  # the counter of the highest ballot seen
         self._pending: list[_PendingChange] = []
@@ -174,7 +179,7 @@
         self._counter += 1
         ballot = (self._counter, self.name)
         self._round = _Round(ballot, self._pending[0], now, now + self._resend_ms)
-        return self._prepare(self._round, self.known.voters)
+        return self._prepare(self._round, self._first_voters())
 
     def handle(self, message: Promise | Accepted, now: float) -> list[Action]:
         """Process a voter's answer.
@@ -210,7 +215,13 @@
             return [action for action in self._accepts(round_) if action.to not in accepted]
         unanswered = sorted(round_.asked - {voter.name for voter in round_.promises})
         again = [SendToVoter(name, Prepare(round_.ballot, round_.pending.intent)) for name in unanswered]
-        return [*again, *self._prepare(round_, self.known.voters)]
+        return [*again, *self._prepare(round_, self._first_voters())]
+
+    def _first_voters(self) -> tuple[Voter, ...]:
+        """The voters that are asked without knowing what the others have accepted."""
+        if self._own_voter is None or self.known is not self._initial:
+            return self.known.voters
+        return (self._own_voter, *self.known.voters)
 
     def _back_off(self, round_: _Round, now: float) -> None:
         """End a round that another proposer has preempted.
@@ -253,6 +264,8 @@
     def _promised(self, round_: _Round, now: float) -> list[Action]:
         """If enough voters have promised, apply the change to the newest value that any has accepted."""
         newest = max(round_.promises.values(), key=lambda promise: promise.accepted)
+        if newest.value is None and self._own_voter is not None:
+            return []
         before = newest.value if newest.value is not None else self._initial
         # The voters of this value are those that count; ask the ones that were not asked before.
         prepares = self._prepare(round_, (*before.voters, *before.former_voters))
--- a/orchidferry/mesh/control/register_replica.py
+++ b/orchidferry/mesh/control/register_replica.py
@@ -126,11 +126,17 @@
         self.listener = listener
         self.acceptor = Acceptor(context.name, state, listener.object_to)
         self.incarnation = f"{context.name} {context.rng.randrange(2**53):x}"
+        self.is_founder = state.disk_id == shard_state.FOUNDER_DISK_ID
         self.proposer = Proposer(
-            self.incarnation, initial, context.rng, RESEND_MS, BACK_OFF_MS, MAX_BACK_OFF_MS
+            self.incarnation,
+            initial,
+            context.rng,
+            RESEND_MS,
+            BACK_OFF_MS,
+            MAX_BACK_OFF_MS,
+            None if self.is_founder else self.acceptor.voter,
         )
         self.references = ValueReferences()
-        self.is_founder = state.disk_id == shard_state.FOUNDER_DISK_ID
         self.learned = initial
         self.vote_on_disk = True
         self._vote_retry_s: float | None = None  # when a vote that the disk refused is written again
@@ -149,8 +155,8 @@
 
     @property
     def knows_group(self) -> bool:
-        """Whether this replica knows a group of voters: as a founder, or from a decided state."""
-        return self.is_founder or self.known.version > 0
+        """Whether this replica knows a group of voters: as a founder, or from a decided or accepted state."""
+        return self.is_founder or self.known.version > 0 or self.acceptor.state.value is not None
 
     def in_contact(self, now: float) -> bool:
         """Whether a majority of the voters has recently acknowledged this controller's heartbeats."""
