Scenario mesh-series: controllers are struck in a lane, each with its time to recover

Change: actions of a lane wait for each other and for catch_up_s, with room for the longest one; a controller may also be killed the moment another one's disk has room again.

--- a/orchidferry/testkit/mesh/actions/series.py
+++ b/orchidferry/testkit/mesh/actions/series.py
@@ -19,6 +19,7 @@
 from orchidferry.testkit.mesh.environment import Environment
 from orchidferry.testkit.mesh.processes import Node
 from orchidferry.testkit.mesh.relay import LinkCondition
+from orchidferry.testkit.mesh.series_schedule import DOWN_AFTER_FULL_DISK_S
 
 
 def _running_proxy(env: Environment, scheduled: ScheduledAction) -> Node | None:
@@ -82,6 +83,14 @@
     return node.machine.name
 
 
+async def _fill_disk_then_kill(env: Environment, scheduled: ScheduledAction) -> str:
+    """Fill the disk of a controller, and kill another one as soon as the disk has room again."""
+    full = await _fill_disk(env, scheduled)
+    others = [machine for machine in env.cores if machine.name != full]
+    killed = env.nodes[others[random_index(env, scheduled, len(others), "killed")].name]
+    return f"{full}, {await kill_and_restart([killed], DOWN_AFTER_FULL_DISK_S)}"
+
+
 async def _lose_all_power(env: Environment, scheduled: ScheduledAction) -> str:
     """Wipe the disk of a controller, and kill all other machines at the same moment."""
     acknowledged = await last_change_acknowledged(env)
@@ -98,5 +107,6 @@
     "kill-controller": _kill_controller,
     "pause-controller": _pause_controller,
     "fill-disk": _fill_disk,
+    "fill-disk-then-kill": _fill_disk_then_kill,
     "after-ack-power-loss": _lose_all_power,
 }
--- a/orchidferry/testkit/mesh/day.py
+++ b/orchidferry/testkit/mesh/day.py
@@ -76,6 +76,8 @@
     action: str  # a key of `actions.ACTIONS`
     target: str = ""  # names of machines, separated by spaces; empty: chosen by the seed
     for_s: float = 0.0  # duration of the fault
+    # Actions of one lane do not overlap: each waits for the end of the last one, and `catch_up_s` after it.
+    lane: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidferry/testkit/mesh/run.py
+++ b/orchidferry/testkit/mesh/run.py
@@ -113,16 +113,30 @@
         """
         env = self.env
         earliest = 0.0
+        last_in_lane: dict[str, asyncio.Task[None]] = {}
         for scheduled in schedule(env.day, env.seed, env.seconds):
             due = max(start + scheduled.at * env.seconds, earliest)
             await asyncio.sleep(max(0.0, due - env.context.now()))
             if env.day.overlapping:
-                env.spawn(self._play_action(scheduled))
+                task = env.spawn(self._play_after(scheduled, last_in_lane.get(scheduled.lane)))
+                if scheduled.lane:
+                    last_in_lane[scheduled.lane] = task
                 continue
             await self._play_action(scheduled)
             if scheduled.action in UNPLANNED:
                 earliest = env.context.now() + env.day.bounds.catch_up_s
 
+    async def _play_after(self, scheduled: ScheduledAction, last: asyncio.Task[None] | None) -> None:
+        """Execute an action, after the last one of its lane.
+
+        :param last: the last action of its lane; None if there is none
+        """
+        if last is not None:
+            await asyncio.wait([last])
+        await self._play_action(scheduled)
+        if scheduled.lane:
+            await asyncio.sleep(self.env.day.bounds.catch_up_s)
+
     async def _play_action(self, scheduled: ScheduledAction) -> None:
         env = self.env
         action = ACTIONS[scheduled.action]
--- a/orchidferry/testkit/mesh/series_schedule.py
+++ b/orchidferry/testkit/mesh/series_schedule.py
@@ -17,12 +17,16 @@
     "kill-controller": (0.3, 6.0),
     "pause-controller": (0.5, 4.0),
     "fill-disk": (2.0, 5.0),
+    "fill-disk-then-kill": (2.0, 4.0),
     "wipe": (0.3, 2.0),
     "replace": (0.3, 2.0),
     "replace-planned": (0.0, 0.0),
 }
 """The faults of controllers, and the bounds of their durations."""
 
+DOWN_AFTER_FULL_DISK_S = 5.0
+"""How long a controller is down that is killed as soon as another one's disk has room again."""
+
 PROXY_RATES_PER_S = {
     "restart": 0.25,
     "reload": 0.25,
@@ -42,8 +46,8 @@
 
 CALM_BEFORE_CLOSING_S = 3.0
 FIRST_FAULT_S = 3.0
-FILL_BEFORE_KILL_SHARE = 0.5
-"""The chance that a controller is killed as soon as another one's disk has room again."""
+LANE = "controllers"
+"""The lane of all faults of controllers, so that no more are lost at once than is tolerated."""
 
 SERIES_FAULTS = frozenset((*CONTROLLER_FAULTS_S, "kill-proxy", "pause-proxy", "slow-proxy", CLOSING_FAULT))
 """The actions that are faults rather than planned work."""
@@ -64,7 +68,7 @@
         while t < last_s:
             found.append(ScheduledAction(t / seconds, action, for_s=rng.uniform(*PROXY_FAULT_S)))
             t += rng.expovariate(rate)
-    found.append(ScheduledAction(closing_s / seconds, CLOSING_FAULT, for_s=CLOSING_DOWN_S))
+    found.append(ScheduledAction(closing_s / seconds, CLOSING_FAULT, for_s=CLOSING_DOWN_S, lane=LANE))
     return sorted(found, key=lambda scheduled: scheduled.at)
 
 
@@ -74,13 +78,19 @@
     while t < last_s:
         action = rng.choice(sorted(CONTROLLER_FAULTS_S))
         for_s = rng.uniform(*CONTROLLER_FAULTS_S[action])
-        found.append(ScheduledAction(t / seconds, action, for_s=for_s))
-        t += for_s
-        if action == "fill-disk" and rng.random() < FILL_BEFORE_KILL_SHARE:
-            down_s = rng.uniform(*CONTROLLER_FAULTS_S["kill-controller"])
-            found.append(ScheduledAction(t / seconds, "kill-controller", for_s=down_s))
-            t += down_s
-        if action == "replace-planned":  # the old controller ends `catch_up_s` after the new one's start
-            t += day.bounds.catch_up_s + day.bounds.grace_s
-        t += day.bounds.catch_up_s
-    return [one for one in found if one.at * seconds < last_s]
+        fault = ScheduledAction(t / seconds, action, for_s=for_s, lane=LANE)
+        t += _longest_s(day, fault) + day.bounds.catch_up_s
+        if t < last_s:
+            found.append(fault)
+    return found
+
+
+def _longest_s(day: Day, fault: ScheduledAction) -> float:
+    """The longest time that a fault of a controller takes."""
+    if fault.action == "replace-planned":  # the old one ends `catch_up_s` after the new one's start
+        return day.bounds.catch_up_s + day.bounds.grace_s
+    if fault.action == "replace":
+        return fault.for_s + day.bounds.grace_s
+    if fault.action == "fill-disk-then-kill":
+        return fault.for_s + DOWN_AFTER_FULL_DISK_S
+    return fault.for_s
