A node asks a controller after 0.4 s for a text that its relay holds back

Cause: a relay answers a fetch once it has the text itself. Its news, leases and signs of life counted as signs that the text was on its way, so its follower waited 1.5 s. With the delay of the announcement and a second choice that is slow, this does not fit in config_apply_ms, 2 s. Change: for a relay only a message that is arriving counts; controllers answer at once and keep the 1.5 s. A text that comes late is taken as before. Evidence: the test failed before (no request at the controller after 0.6 s) and holds; a text whose first part has come is not asked for again.

--- a/orchidferry/mesh/control/configuration_fetcher.py
+++ b/orchidferry/mesh/control/configuration_fetcher.py
@@ -34,15 +34,21 @@
     :param link: link over which the request was sent.
     :param sent_s: time at which it was sent.
     :param is_read: whether it reads the newest revision number; otherwise it fetches a text.
+    :param from_relay: whether it was sent to a relay, which answers only once it has the text itself.
     """
 
     link: Link
     sent_s: float
     is_read: bool
+    from_relay: bool
 
     def timed_out(self, now: float) -> bool:
-        """Return whether to ask another controller: the link is stalled, or the transfer takes too long."""
+        """Return whether to ask another controller: the link is stalled, or the transfer takes too long.
+
+        Other messages of a relay are no sign that it is sending the text.
+        """
         stalled = now - self.link.last_received_s > STALL_S or not self.link.open
+        stalled = stalled or (self.from_relay and not self.link.receives_message)
         return now > self.sent_s + (ANSWER_TIMEOUT_S if stalled else TRANSFER_TIMEOUT_S)
 
 
@@ -165,7 +171,8 @@
 
     def _register(self, link: Link, is_read: bool) -> int:
         self._last_request += 1
-        self._pending[self._last_request] = PendingFetch(link, self._loop.time(), is_read)
+        from_relay = all(connection.link is not link for connection in self._connections.values())
+        self._pending[self._last_request] = PendingFetch(link, self._loop.time(), is_read, from_relay)
         return self._last_request
 
     def revision_announced(self, revision: int, link: Link) -> None:
--- a/orchidferry/mesh/wire/framing.py
+++ b/orchidferry/mesh/wire/framing.py
@@ -62,6 +62,11 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def receives_message(self) -> bool:
+        """Whether a part of a message has arrived, and its rest has not."""
+        return bool(self._buffer)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the socket (called by asyncio)."""
         self._transport = cast(asyncio.Transport, transport)
--- a/orchidferry/testkit/model/virtual_link.py
+++ b/orchidferry/testkit/model/virtual_link.py
@@ -28,6 +28,7 @@
         self.peer = ""
         self.max_unsent_bytes = 0
         self.last_received_s = owner.world.now
+        self.receives_message = False  # messages arrive whole
         self.other: LinkEnd
         self._blocked_since_s = 0.0  # when the link became blocked; 0 while it is not
         # In transit: time of arrival, message (None for the end of the link), size in bytes.
--- a/tests/mesh/control/test_control_client.py
+++ b/tests/mesh/control/test_control_client.py
@@ -32,6 +32,7 @@
 
     def __init__(self, loop: Any, peer: str) -> None:
         self.loop, self.peer, self.open, self.last_received_s = loop, peer, True, loop.time()
+        self.receives_message = False
         self.sent: list[Message] = []
 
     def send(self, message: Message) -> None:
@@ -191,3 +192,21 @@
         harness.links[NAMES[1]].last_received_s = harness.loop.time()
         harness.ticks(1)
     assert len(harness.links[NAMES[1]].requests()) == 1
+
+
+@pytest.mark.parametrize("text_arrives", [False, True])
+def test_the_text_is_fetched_elsewhere_if_a_relay_holds_it_back(text_arrives: bool) -> None:
+    """News of a relay counted as signs of the text, so 1.5 s of the 2 s for a configuration were over."""
+    harness = ConnectedNode(NAMES[:1])
+    harness.node._fetcher.caught_up = True
+    harness.renew_lease(NAMES[0], 100, 3)
+    relay: Any = FakeLink(harness.loop, "sidecar-a-1")
+    relay.receives_message = text_arrives
+    harness.node._fetcher.revision_announced(3, relay)
+    harness.node.start()
+    for _ in range(round((ANSWER_TIMEOUT_S + 2 * TICK_S) / TICK_S)):
+        relay.last_received_s = harness.links[NAMES[0]].last_received_s = harness.loop.time()
+        harness.ticks(1)
+    assert len(harness.links[NAMES[0]].requests()) == (0 if text_arrives else 1)
+    harness.node._handle_parent(relay, ConfigurationText(relay.requests()[0].request, 3, b"text"))
+    assert harness.texts == [(3, b"text")]
