A restarted controller dials and asks the voters that only its vote names

What callers saw: nothing yet; the same class as the reads that never ended: what would restore the knowledge of the group rested on knowing it. Cause: after a restart a controller dialled the founders and the seeds of its settings, and asked these for their accepted states. If all of them had been replaced, it reached nobody, though its accepted state on disk names the voters. Change: the accepted state's voters, and its former ones, belong to the group for dialling and asking. Evidence: the test failed before (nobody dialled) and holds; tests of mesh and explore hold.

--- a/orchidferry/mesh/control/controller.py
+++ b/orchidferry/mesh/control/controller.py
@@ -209,8 +209,8 @@
         self._seeds = settings.seeds
 
     def _other_controllers(self) -> set[str]:
-        voters = {voter.name for shard in self._shards.values() for voter in shard.known.voters}
-        return (voters | set(self._seeds)) - {self._settings.ip}
+        members = {name for shard in self._shards.values() for name in shard.register.group_members()}
+        return (members | set(self._seeds)) - {self._settings.ip}
 
     # Links and state changes
 
--- a/orchidferry/mesh/control/register_replica.py
+++ b/orchidferry/mesh/control/register_replica.py
@@ -172,12 +172,20 @@
             return RequestEnded(request, None, LOST_CONTACT)
         return RequestEnded(request, value, why)
 
+    def group_members(self) -> list[str]:
+        """List the controllers of the group by name, also those that only the accepted state names.
+
+        After a restart no state is known to be decided, and the known voters may all be gone.
+        """
+        accepted = self.acceptor.state.value
+        states = [self.known] if accepted is None else [self.known, accepted]
+        voters = [voter for state in states for voter in (*state.voters, *state.former_voters)]
+        return list(dict.fromkeys(voter.name for voter in voters))
+
     def other_controllers(self) -> list[str]:
-        """List the other controllers: the shard's voters, and all that have sent heartbeats."""
-        names = dict.fromkeys([v.name for v in (*self.known.voters, *self.known.former_voters)])
-        return [
-            name for name in (names | dict.fromkeys(self.context.peers.heard_s)) if name != self.context.name
-        ]
+        """List the other controllers: those of the group, and all that have sent heartbeats."""
+        names = dict.fromkeys([*self.group_members(), *self.context.peers.heard_s])
+        return [name for name in names if name != self.context.name]
 
     # Voting
 
--- a/tests/mesh/control/test_controller.py
+++ b/tests/mesh/control/test_controller.py
@@ -9,13 +9,14 @@
 
 import pytest
 
-from orchidferry.balancing.register import Value, Voter
+from orchidferry.balancing.register import AcceptorState, Value, Voter
 from orchidferry.mesh.control import controller as module
 from orchidferry.mesh.control import shard_state, shard_state_codec
 from orchidferry.mesh.control.control_client import ControlClient
 from orchidferry.mesh.control.controller import Controller
 from orchidferry.mesh.control.operation_keys import ClaimOutcome
 from orchidferry.mesh.settings import Bounds
+from orchidferry.mesh.storage.record_format import pack
 from orchidferry.mesh.wire.shard_messages import DecidedState
 from tests.mesh.control.fakes import make_controller
 from tests.mesh.dataplane.test_proxy_stop import VirtualTimeLoop, run_and_close
@@ -102,3 +103,25 @@
         controller._store._env.close()
 
     asyncio.run(main())
+
+
+def test_a_restarted_controller_dials_the_voters_that_only_its_vote_names(tmp_path: Path) -> None:
+    """It dialled the founders and the seeds of its settings, which may all be gone."""
+    voters = tuple(Voter(name, 2) for name in ("127.0.0.1", "127.0.0.7", "127.0.0.8"))
+    former = (*voters[:2], Voter("127.0.0.6", 2))
+    ballot = (5, "127.0.0.7 1")
+    state = AcceptorState(2, ballot, ballot, Value(7, voters, shard_state.Body(3, 1, b""), former))
+
+    async def main() -> None:
+        controller = make_controller(tmp_path)
+        shard = controller._runner.configuration_shard
+        assert not controller._other_controllers()
+        packed = pack(shard_state_codec.pack_acceptor_state(state))
+        assert await write(controller._store, [shard.context.metadata("kept", packed)])
+        close(controller._store)
+        controller = make_controller(tmp_path)
+        assert controller._other_controllers() == {"127.0.0.6", "127.0.0.7", "127.0.0.8"}
+        assert not controller._runner.configuration_shard.known.version
+        close(controller._store)
+
+    asyncio.run(main())
