--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 KNOWN_RED = --known-red=KNOWN-RED.txt
 
 # gRPC starts threads: its tests have processes of their own, as others fork with work to do in between. The soak
-# plays real processes on the clock, so nothing else runs beside it.
-SOAK = tests/testkit/mesh/test_soak.py
+# and the series play real processes on the clock, so nothing else runs beside them.
+SOAK = tests/testkit/mesh/test_soak.py tests/testkit/mesh/test_series.py
 
 # The draws of hypothesis are the same in each clone; others by hand: make test DRAWS=$$RANDOM
 DRAWS ?= 75
@@ -27,7 +27,7 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 	@echo "hypothesis seed: $(DRAWS)"
 	PATH="$(CURDIR)/$(BIN):$$PATH" && ruff check . && ruff format --check . && lint-imports && mypy && \
-		pytest -n 4 --ignore tests/node/control --ignore $(SOAK) $(KNOWN_RED) $(HYPOTHESIS) && \
+		pytest -n 4 --ignore tests/node/control $(addprefix --ignore ,$(SOAK)) $(KNOWN_RED) $(HYPOTHESIS) && \
 		pytest -n 4 tests/node/control $(KNOWN_RED) $(HYPOTHESIS) && \
 		pytest $(SOAK) $(KNOWN_RED) $(HYPOTHESIS)
 
