--- a/orchidferry/mesh/control/configuration_fetcher.py
+++ b/orchidferry/mesh/control/configuration_fetcher.py
@@ -122,7 +122,7 @@
     def _report_behind(self, now: float) -> None:
         """Log once for each wanted revision that it has not arrived `BEHIND_S` after its announcement."""
         wanted = self.wanted_revision
-        is_behind = wanted > self.revision and now - self._announced_s > BEHIND_S
+        is_behind = wanted > max(self.revision, 0) and now - self._announced_s > BEHIND_S
         if not is_behind or wanted == self._behind_logged:
             return
         self._behind_logged = wanted
--- a/tests/mesh/control/test_control_client.py
+++ b/tests/mesh/control/test_control_client.py
@@ -5,6 +5,7 @@
 from typing import Any, cast
 
 import pytest
+from loguru import logger
 
 from orchidferry.mesh.control.configuration_fetcher import ANSWER_TIMEOUT_S, TRANSFER_TIMEOUT_S
 from orchidferry.mesh.control.contact import CONTACT_S
@@ -210,3 +211,21 @@
     assert len(harness.links[NAMES[0]].requests()) == (0 if text_arrives else 1)
     harness.node._handle_parent(relay, ConfigurationText(relay.requests()[0].request, 3, b"text"))
     assert harness.texts == [(3, b"text")]
+
+
+def test_only_an_announced_revision_that_does_not_come_is_logged_as_missing() -> None:
+    """A node that had just started was logged as behind, although nothing had been announced."""
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        harness = ConnectedNode(NAMES[:1])
+        harness.node._fetcher.caught_up = True
+        harness.node.start()
+        harness.ticks(13)
+        assert not [line for line in lines if "behind" in line]
+        harness.node._fetcher.revision_announced(3, cast(Any, harness.links[NAMES[0]]))
+        harness.renew_lease(NAMES[0], 100, 3)
+        harness.ticks(13)
+        assert len([line for line in lines if "wanted=3 revision=-1" in line]) == 1
+    finally:
+        logger.remove(sink)
