A newcomer copies keys once a voter is silent, so that its group is whole in time

What callers saw: after a machine of the core was replaced and, 4 s after the return of the new one, another disk was lost together with all power, no read of the configuration ended at any controller, for good (503 no_majority), and nothing was acknowledged.

Cause: a newcomer copied keys and asked for the place only once it had itself missed the removed voter for DEAD_S (2.5 s), counted from the start of its own process; the voters knew that voter to be dead long before. With up to 0.4 s until the next check that left 1.2 s of catch_up_s (4 s from the machine's return) for the start of the process. A controller here takes 0.44 s to start alone, 1.6 to 1.9 s beside 32 busy loops on 8 cores, and 3.5 s beside 64.

Change: a newcomer copies as soon as a voter has been silent for 0.8 s (two heartbeats). The voters still decide by their own clocks whether the silent one is dead, and still object if they hear it.

--- a/orchidferry/mesh/control/group_changes.py
+++ b/orchidferry/mesh/control/group_changes.py
@@ -58,10 +58,16 @@
         return next(iter(dead + leaving), "")
 
     def should_prepare_to_join(self) -> bool:
-        """Whether this controller is not a voter and should copy keys in order to become one."""
+        """Whether this controller is not a voter and should copy keys in order to become one.
+
+        It copies as soon as a voter is silent. Whether that voter is dead is for the others to decide: they
+        may have missed it since before this controller's start.
+        """
         if self.name in self.names or self.peers.stopping:
             return False
-        return len(self.names) < self.size or bool(self.replaceable())
+        if len(self.names) < self.size or self.replaceable():
+            return True
+        return any(self.peers.silent(name, self.now) for name in self.names)
 
     def voter_replaced_by(self, joiner: Voter, joiner_epoch: int, ready: bool) -> str | None:
         """Find the voter that a joining controller may replace.
--- a/orchidferry/mesh/control/peers.py
+++ b/orchidferry/mesh/control/peers.py
@@ -8,6 +8,7 @@
 
 ALIVE_S = 1.5  # a controller counts as alive if its last heartbeat is more recent than this
 DEAD_S = 2.5  # a controller counts as dead if its last heartbeat is older than this
+SILENT_S = 0.8  # a controller that has missed two heartbeats may be about to be replaced
 
 
 @dataclass(slots=True)
@@ -43,4 +44,12 @@
 
     def dead(self, name: str, now: float) -> bool:
         """Whether no heartbeat of a controller has arrived for `DEAD_S`, or since this one started."""
-        return now - self.heard_s.get(name, self.began_s) > DEAD_S
+        return self._unheard_for_s(name, now) > DEAD_S
+
+    def silent(self, name: str, now: float) -> bool:
+        """Whether no heartbeat of a controller has arrived for `SILENT_S`, or since this one started."""
+        return self._unheard_for_s(name, now) > SILENT_S
+
+    def _unheard_for_s(self, name: str, now: float) -> float:
+        """Return the time since a controller's last heartbeat, or since the start if there was none."""
+        return now - self.heard_s.get(name, self.began_s)
--- a/tests/mesh/control/test_group_changes.py
+++ b/tests/mesh/control/test_group_changes.py
@@ -7,6 +7,8 @@
 from orchidferry.balancing.register import Value, Voter
 from orchidferry.mesh.control import shard_state
 from orchidferry.mesh.control.actions import SendMessage
+from orchidferry.mesh.control.group_changes import GroupView
+from orchidferry.mesh.control.peers import Peers
 from orchidferry.mesh.control.shard import Shard
 from orchidferry.mesh.wire.shard_messages import JoinRequest, RegisterMessage
 from tests.mesh.control.shards import A, B, C, D, make_shard
@@ -52,3 +54,20 @@
     after = shard_state.AdmitVoter(D, "c", 3, 3)(before)
     assert isinstance(after, Value) and after.voters == (A, B, D)
     assert shard_state.AdmitVoter(D, "c", 3, 3)(after) is after
+
+
+def test_a_newcomer_copies_keys_before_it_has_missed_a_voter_for_as_long_as_the_others() -> None:
+    """It starts after the voter's end, and may ask for the place once the others find the voter dead."""
+    known = Value(1, (A, B, C), shard_state.Body(3))
+
+    def prepares(peers: Peers, now: float) -> bool:
+        return GroupView(1, "d", 3, known, peers, False, now).should_prepare_to_join()
+
+    began_s = 10.0
+    peers = Peers(began_s)
+    assert not prepares(peers, began_s + 0.4)
+    peers.heard_s = dict.fromkeys("ab", began_s + 0.9)
+    assert prepares(peers, began_s + 0.9) and not peers.dead("c", began_s + 0.9)
+    peers.heard_s["c"] = began_s + 0.9
+    assert not prepares(peers, began_s + 1.0)
+    assert prepares(peers, began_s + 1.8)
--- a/tests/mesh/control/test_group_without_founders.py
+++ b/tests/mesh/control/test_group_without_founders.py
@@ -10,7 +10,7 @@
 
 from orchidferry.mesh.control import shard_state
 from orchidferry.mesh.control.actions import RequestEnded
-from orchidferry.testkit.explore.controller import Controller
+from orchidferry.testkit.explore.controller import SEEDS, Controller
 from tests.mesh.control.test_membership import World
 
 CALM_S = 3.0  # within `contact_ms` after the last fault all controllers in contact answer reads
@@ -22,8 +22,9 @@
 
     heartbeat_share = 1.0
 
-    def __init__(self, seed: int) -> None:
-        super().__init__(random.Random(seed), spares="")
+    def __init__(self, seed: int, seeds: tuple[str, ...] = SEEDS) -> None:
+        super().__init__(random.Random(seed), seeds, spares="")
+        self.seeds = seeds
         self.run_without_faults(2.0)
 
     def replace(self, name: str, successor: str) -> None:
@@ -61,10 +62,11 @@
                 return revision
         raise AssertionError("the revision was not acknowledged")
 
-    def lose_all_power(self, wiped: Controller) -> None:
-        """Restart all controllers at once, one of them with an empty disk; messages in transit are lost."""
+    def lose_all_power(self, *wiped: Controller) -> None:
+        """Restart all controllers at once, some with empty disks; messages in transit are lost."""
         self.in_transit.clear()
-        wiped.wipe()
+        for controller in wiped:
+            controller.wipe()
         for controller in self.controllers.values():
             controller.start()
 
