Scenario mesh-series: the closing fault follows the last loss by just catch_up_s

Change: a controller's machine may also be replaced by one whose process starts 1.5 s after the machine's return (replace-late), and the closing loss strikes catch_up_s after the return of a machine that was replaced so, wiped or killed.

--- a/orchidferry/testkit/mesh/actions/processes.py
+++ b/orchidferry/testkit/mesh/actions/processes.py
@@ -20,6 +20,9 @@
 MAX_CORE_NUMBER = 300
 """Upper bound of the numbers of controllers' machines, replacements included."""
 
+LATE_START_S = 1.5
+"""The time from the return of a machine to the start of its process, where that starts late."""
+
 
 def _named_nodes(env: Environment, scheduled: ScheduledAction) -> list[Node]:
     """The nodes that the schedule names, or one chosen by the seed."""
@@ -107,16 +110,46 @@
     if random_index(env, scheduled, 2, "told"):
         await old.stop()
     else:
-        old.kill()
-        await old.wait_ended()
+        await _kill_for_good(old)
+    new = await _add_successor(env, old, scheduled.for_s)
+    await new.start()
+    return f"{old.machine.name} by {new.machine.name}"
+
+
+async def _replace_late(env: Environment, scheduled: ScheduledAction) -> str:
+    """Replace a controller's machine by one whose process starts `LATE_START_S` after the machine's return.
+
+    The action ends with the return of the machine.
+    """
+    old = target_controller(env, scheduled)
+    await _kill_for_good(old)
+    new = await _add_successor(env, old, scheduled.for_s)
+
+    async def start_late() -> None:
+        await asyncio.sleep(LATE_START_S)
+        await new.start()
+
+    env.spawn(start_late())
+    return f"{old.machine.name} by {new.machine.name}"
+
+
+async def _kill_for_good(node: Node) -> None:
+    node.kill()
+    await node.wait_ended()
+
+
+async def _add_successor(env: Environment, old: Node, after_s: float) -> Node:
+    """Add an empty machine in place of a controller's that has ended, without starting its process.
+
+    :param after_s: time from the removal of the old machine to the return of the new one
+    """
     _record_removed(env, old)
     index, new = _successor(env, old.machine)
     env.cores[index] = new
     env.record.cores += (new.name,)
-    await asyncio.sleep(scheduled.for_s)
+    await asyncio.sleep(after_s)
     _write_settings(env, old)
-    await env.add_machine(new, first_start=False).start()
-    return f"{old.machine.name} by {new.name}"
+    return env.add_machine(new, first_start=False)
 
 
 async def _replace_planned(env: Environment, scheduled: ScheduledAction) -> str:
@@ -152,6 +185,7 @@
     "pause": _pause,
     "wipe": _wipe,
     "replace": _replace,
+    "replace-late": _replace_late,
     "replace-planned": _replace_planned,
     "kill-core": _kill_controllers,
 }
--- a/orchidferry/testkit/mesh/series_schedule.py
+++ b/orchidferry/testkit/mesh/series_schedule.py
@@ -3,11 +3,13 @@
 Every zone has proxies that receive configurations over another proxy. Proxies are restarted, reloaded,
 killed, paused and slowed at random times. Controllers are struck one at a time, some several times in a row,
 and each has `catch_up_s` to recover. At the end one controller loses its disk while all other machines lose
-power.
+power, just `catch_up_s` after the last one was back.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import replace
 from random import Random
 
 from orchidferry.testkit import seeded_random
@@ -20,6 +22,7 @@
     "fill-disk-then-kill": (2.0, 4.0),
     "wipe": (0.3, 2.0),
     "replace": (0.3, 2.0),
+    "replace-late": (0.3, 2.0),
     "replace-planned": (0.0, 0.0),
 }
 """The faults of controllers, and the bounds of their durations."""
@@ -39,6 +42,9 @@
 PROXY_FAULT_S = (0.3, 2.0)
 """The bounds of the duration of a proxy's fault."""
 
+LAST_FAULTS = ("kill-controller", "replace-late", "wipe")
+"""The last fault of a controller before the closing fault, which follows it as soon as may be."""
+
 CLOSING_FAULT = "after-ack-power-loss"
 CLOSING_DOWN_S = 0.5
 CLOSING_BEFORE_END_S = 18.0
@@ -62,7 +68,8 @@
     closing_s = max(0.0, seconds - CLOSING_BEFORE_END_S)
     last_s = closing_s - CALM_BEFORE_CLOSING_S
     found = [ScheduledAction(0.0, "changes")]
-    found += _controller_faults(day, rng, seconds, last_s)
+    last_fault = _last_fault(day, rng, seconds, closing_s)
+    found += [*_controller_faults(day, rng, seconds, last_fault.at * seconds), last_fault]
     for action, rate in PROXY_RATES_PER_S.items():
         t = rng.expovariate(rate)
         while t < last_s:
@@ -76,15 +83,24 @@
     found = []
     t = FIRST_FAULT_S
     while t < last_s:
-        action = rng.choice(sorted(CONTROLLER_FAULTS_S))
-        for_s = rng.uniform(*CONTROLLER_FAULTS_S[action])
-        fault = ScheduledAction(t / seconds, action, for_s=for_s, lane=LANE)
+        fault = _controller_fault(rng, sorted(CONTROLLER_FAULTS_S), t / seconds)
         t += _longest_s(day, fault) + day.bounds.catch_up_s
         if t < last_s:
             found.append(fault)
     return found
 
 
+def _controller_fault(rng: Random, actions: Sequence[str], at: float) -> ScheduledAction:
+    action = rng.choice(actions)
+    return ScheduledAction(at, action, for_s=rng.uniform(*CONTROLLER_FAULTS_S[action]), lane=LANE)
+
+
+def _last_fault(day: Day, rng: Random, seconds: float, closing_s: float) -> ScheduledAction:
+    """The last fault before the closing one: the machine is back `catch_up_s` before that."""
+    fault = _controller_fault(rng, LAST_FAULTS, 0.0)
+    return replace(fault, at=(closing_s - day.bounds.catch_up_s - _longest_s(day, fault)) / seconds)
+
+
 def _longest_s(day: Day, fault: ScheduledAction) -> float:
     """The longest time that a fault of a controller takes."""
     if fault.action == "replace-planned":  # the old one ends `catch_up_s` after the new one's start
--- a/tests/testkit/mesh/test_series.py
+++ b/tests/testkit/mesh/test_series.py
@@ -15,6 +15,7 @@
     CLOSING_FAULT,
     CONTROLLER_FAULTS_S,
     LANE,
+    LAST_FAULTS,
     PROXY_RATES_PER_S,
 )
 from tests.testkit.mesh.real_runs import broken_rules, first_sound_verdict
@@ -42,6 +43,15 @@
     assert len(orders) > 150
 
 
+def test_the_closing_fault_strikes_as_soon_as_the_last_machine_no_longer_counts_as_lost() -> None:
+    last_actions = set()
+    for seed in range(50):
+        *_, last, closing = controller_faults(seed)
+        last_actions.add(last.action)
+        assert (closing.at - last.at) * DAY.seconds == pytest.approx(last.for_s + DAY.bounds.catch_up_s)
+    assert last_actions == set(LAST_FAULTS)
+
+
 def test_faults_of_proxies_overlap_and_every_action_is_known() -> None:
     for seed in range(50):
         found = schedule(DAY, seed, DAY.seconds)
