--- a/tests/mesh/control/test_replaced_in_time.py
+++ b/tests/mesh/control/test_replaced_in_time.py
@@ -16,7 +16,7 @@
 
 
 def replace(world: Cluster, removed: Sequence[str], start_s: float) -> list[str]:
-    """Remove controllers, and return to the moment at which the machines that replace them were lost.
+    """Replace controllers by empty ones, and run until the new machines no longer count as lost.
 
     :param start_s: time from the return of the machines to the start of their processes
     :returns: the names of the new controllers
