--- a/review/stage2.py
+++ b/review/stage2.py
@@ -234,6 +234,15 @@
             )
         self.record("start", machine=machine.name, pid=machine.process.pid)
 
+    def rewrite_settings(self, machine: Machine) -> None:
+        """Replace the settings file of a running process; what is new in it is a field that no one knows."""
+        path = self.folder / machine.name / "local.toml"
+        part = path.with_suffix(".part")
+        part.write_text(
+            path.read_text().partition("\n[review]")[0] + f"\n[review]\nrewritten = {time.monotonic()}\n"
+        )
+        part.replace(path)
+
     def send_signal(self, machine: Machine, number: signal.Signals) -> None:
         """Send a signal to the process of a machine."""
         assert machine.process is not None
