A repeated release no longer deletes the record of another attempt on disk

Callers saw operations run twice: a first try was refused unrun, a try at another proxy was run and answered, and after a restart of all controllers a repeat ran again.

Cause: a release that had been seen before wrote the deletion of its key to disk whoever held the key by then, in case an earlier deletion had failed. In memory the record of the other attempt stayed; the next start forgot it.

Change: each write of a key (claims, answers, releases, expiry, rows of handoffs and transfers) stores the key's state at that moment, in one module, key_writes. A release is acknowledged at once only if a record is known to be on disk; otherwise the state is written again first. On the same path, a claim's write confirmed an answer that had come meanwhile: a write now confirms the numbered change that it contains.

--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -13,7 +13,6 @@
 
 import math
 import random
-from dataclasses import dataclass
 from typing import Any
 
 from orchidferry.balancing.register import AcceptorState, Value
@@ -26,14 +25,14 @@
     PageRequest,
     TransferPage,
 )
+from orchidferry.mesh.control.key_writes import KeyWrite, KeyWrites
 from orchidferry.mesh.control.membership import epoch
-from orchidferry.mesh.control.operation_keys import KeyRecord, OperationKeys
+from orchidferry.mesh.control.operation_keys import OperationKeys
 from orchidferry.mesh.control.peers import Peers
 from orchidferry.mesh.control.record_age import RELEASED
 from orchidferry.mesh.control.replica import Replica
 from orchidferry.mesh.control.shard_parameters import ShardParameters
 from orchidferry.mesh.control.write_completions import CaughtUpSaved, HandoffSaved, KeyPageSaved
-from orchidferry.mesh.storage.environment import KEYS_DB
 from orchidferry.mesh.storage.record_format import RecordWrite, pack
 from orchidferry.mesh.wire.shard_messages import (
     Handoff,
@@ -49,22 +48,10 @@
 MAX_HINTS_PER_PAGE = 4_000  # maximum number of keys in a page, regardless of their size in bytes
 
 
-@dataclass(frozen=True, slots=True)
-class MergedRows:
-    """The result of merging key records of another controller.
-
-    :param puts: the writes that are needed before the rows count as stored.
-    :param records: the records that are written, by operation key.
-    """
-
-    puts: list[RecordWrite]
-    records: dict[str, KeyRecord]
-
-
 class RepairingReplica(Replica):
     """A replica that holds operation keys and repairs them with the other controllers of its shard.
 
-    :ivar unsaved_records: records whose newest write has not been confirmed, by operation key.
+    :ivar key_writes: the writes of operation keys.
     :ivar hints: the writes that silent controllers missed.
     :ivar source: the sending side of key transfers.
     :ivar learner: the learning side of key transfers.
@@ -89,7 +76,7 @@
         """
         super().__init__(parameters, acceptor_state, caught_up, peers, rng)
         self.operation_keys = OperationKeys(parameters.key_window_s, parameters.max_keys)
-        self.unsaved_records: dict[str, KeyRecord] = {}
+        self.key_writes = KeyWrites(self.operation_keys)
         self.hints = Hints()
         self.source = KeySource()
         self.learner = KeyLearner()
@@ -217,9 +204,9 @@
         if request.lacking:
             first = request.lacking[: key_transfer.MAX_RECORDS_REQUESTED]
             return self.context.send(source, KeyRecordsRequest(self.name, request.number, first))
-        merged = self._merge_rows(request.page.rows)
-        puts = merged.puts or [self.context.metadata("catching", b"1")]
-        self.context.write(puts, KeyPageSaved(source, request, merged.records))
+        write = self._merge_rows(request.page.rows)
+        puts = write.puts or [self.context.metadata("catching", b"1")]
+        self.context.write(puts, KeyPageSaved(source, request, write.changes))
         return None
 
     def _page_saved(self, source: str, request: PageRequest, ok: bool) -> None:
@@ -271,39 +258,28 @@
         self.context.log(f"caught up with {len(self.operation_keys.records)} keys")
         return None
 
-    def _merge_rows(self, rows: list[KeyRow], only_additions: bool = False) -> MergedRows:
+    def _merge_rows(self, rows: list[KeyRow], only_additions: bool = False) -> KeyWrite:
         """Merge key records of another controller.
 
         Where a row changes nothing, but this controller's record is not on disk yet, the record is written
         again: the write of an earlier copy of the row may have failed.
 
         :param only_additions: whether records that this controller has granted itself stay as they are.
+        :returns: the write that is needed before the rows count as stored.
         """
         keys = self.operation_keys
-        puts: dict[str, RecordWrite] = {}
-        written: dict[str, KeyRecord] = {}
+        unsaved: dict[str, None] = {}  # in the order of the rows
         for key, (holder, packed_age, answer), answered in rows:
             existing = keys.records.get(key)
             if packed_age == RELEASED:
                 keys.release(key, holder)
             elif existing is None or answered or not only_additions:
                 keys.merge(key, [holder, packed_age, answer])
-            record = keys.records.get(key)
-            if record is None and packed_age == RELEASED:
-                written.pop(key, None)
-                self.unsaved_records.pop(key, None)
-                puts[key] = deletion_of(key)
-            elif record is not None and (record is not existing or key in self.unsaved_records):
-                written[key] = record
-                puts[key] = put_of(key, record)
-        self.unsaved_records |= written
-        return MergedRows(list(puts.values()), written)
-
-    def _records_saved(self, records: dict[str, KeyRecord]) -> None:
-        """Handle that records are on disk; a record that was replaced meanwhile has a write of its own."""
-        for key, record in records.items():
-            if self.unsaved_records.get(key) is record:
-                del self.unsaved_records[key]
+            is_unchanged = keys.records.get(key) is existing
+            deletes_nothing = existing is None and packed_age != RELEASED
+            if not is_unchanged or not (deletes_nothing or self.key_writes.is_saved(key)):
+                unsaved[key] = None
+        return self.key_writes.request(unsaved)
 
     # Sending to learners
 
@@ -375,23 +351,13 @@
         """Handle a page of writes that this controller missed while it was silent."""
         if handoff.epoch != epoch(self.known) or not self.standing.caught_up:
             return  # the page is sent again, or this controller learns all keys anyway
-        merged = self._merge_rows(handoff.rows, only_additions=True)
-        if merged.puts:
-            self.context.write(merged.puts, HandoffSaved(reply_to, handoff.number, merged.records))
+        write = self._merge_rows(handoff.rows, only_additions=True)
+        if write.puts:
+            self.context.write(write.puts, HandoffSaved(reply_to, handoff.number, write.changes))
         else:
             self.context.reply(reply_to, HandoffAck(self.name, handoff.number))
 
 
-def put_of(key: str, record: KeyRecord) -> RecordWrite:
-    """Return the write of an operation key's record."""
-    return KEYS_DB, key.encode("latin-1"), pack(record.packed())
-
-
-def deletion_of(key: str) -> RecordWrite:
-    """Return the write that deletes an operation key's record."""
-    return KEYS_DB, key.encode("latin-1"), None
-
-
 def initial_records(number: int, acceptor_state: AcceptorState, caught_up: bool) -> list[RecordWrite]:
     """Return the first writes of a controller that has no records of a shard.
 
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -15,7 +15,7 @@
 from orchidferry.mesh.control.actions import Action, SendReply
 from orchidferry.mesh.control.operation_keys import ClaimOutcome, ClaimStatus, KeyRecord
 from orchidferry.mesh.control.peers import Peers
-from orchidferry.mesh.control.repair import RepairingReplica, deletion_of, initial_records, put_of
+from orchidferry.mesh.control.repair import RepairingReplica, initial_records
 from orchidferry.mesh.control.shard_parameters import ShardParameters
 from orchidferry.mesh.control.write_completions import (
     CaughtUpSaved,
@@ -98,15 +98,13 @@
         """
         expired = self.operation_keys.expire(now)
         if expired:
-            for key in expired:
-                self.unsaved_records.pop(key, None)
-            self.context.write([deletion_of(key) for key in expired])
+            self.context.write(self.key_writes.request(expired).puts)
         bucket = self.operation_keys.bucket_to_save()
         if bucket is not None:
             self.context.write([self.context.metadata(AGE_BUCKET_RECORD, pack(bucket))])
         for retry in self._answer_retries:
             if retry.due_s <= now and self.operation_keys.records.get(retry.key) is retry.record:
-                self.context.write([put_of(retry.key, retry.record)], KeyAnswerSaved(retry.key, retry.record))
+                self._write_answer(retry.key, retry.record)
         self._answer_retries = [retry for retry in self._answer_retries if retry.due_s > now]
         if self._pass_time(now):
             self._update_hints()
@@ -153,16 +151,17 @@
         match completion:
             case ClaimSaved() if ok:
                 self._claim_saved(completion)
-            case KeyAnswerSaved(key, record):
-                self._answer_saved(key, record, ok)
-            case KeyPageSaved(name, request, records):
+            case KeyAnswerSaved():
+                self._answer_saved(completion, ok)
+            case KeyPageSaved(name, request, changes):
                 if ok:
-                    self._records_saved(records)
+                    self.key_writes.confirm(changes)
                 self._page_saved(name, request, ok)
-            case HandoffSaved(reply_to, number, records) if ok:
-                self._records_saved(records)
+            case HandoffSaved(reply_to, number, changes) if ok:
+                self.key_writes.confirm(changes)
                 self.context.reply(reply_to, HandoffAck(self.name, number))
-            case KeyReleaseSaved(reply_to, number) if ok:
+            case KeyReleaseSaved(reply_to, number, changes) if ok:
+                self.key_writes.confirm(changes)
                 self.context.actions.append(SendReply(reply_to, KeyReleaseAck(number)))
             case CaughtUpSaved(epoch):
                 self._caught_up_saved(epoch, ok)
@@ -195,12 +194,14 @@
             return self._answer_claim(sender, claim, ClaimOutcome.RETRY)
         if result.status is ClaimStatus.HELD_BY_OTHER:
             return self._answer_claim(sender, claim, ClaimOutcome.HELD_BY_OTHER, record.answer)
-        if not result.is_new and self.unsaved_records.get(key) is not record:
+        if not result.is_new and self.key_writes.is_saved(key):
             return self._answer_claim(sender, claim, ClaimOutcome.GRANTED)
-        self.unsaved_records[key] = record
         self.hints.record_write(key, now)
-        completion = ClaimSaved(sender, claim.request, claim.epoch, key, claim.attempt_id, record)
-        self.context.write([put_of(key, record)], completion)
+        write = self.key_writes.request([key])
+        completion = ClaimSaved(
+            sender, claim.request, claim.epoch, key, claim.attempt_id, record, write.changes
+        )
+        self.context.write(write.puts, completion)
         return self._take_actions()
 
     def _answer_claim(
@@ -214,7 +215,7 @@
 
         The key may have been released or the group may have changed since the write was begun.
         """
-        self._records_saved({claim.key: claim.record})
+        self.key_writes.confirm(claim.changes)
         is_current = self.operation_keys.records.get(claim.key) is claim.record
         granted = is_current and claim.holder == claim.record.holder and self.grants(claim.epoch)
         outcome = ClaimOutcome.GRANTED if granted else ClaimOutcome.RETRY
@@ -231,33 +232,37 @@
         record = self.operation_keys.record_answer(message.key, message.attempt_id, message.answer)
         if record is not None:
             self.hints.record_write(message.key, now)
-            self.unsaved_records[message.key] = record
-            self.context.write([put_of(message.key, record)], KeyAnswerSaved(message.key, record))
+            self._write_answer(message.key, record)
         return self._take_actions()
 
-    def _answer_saved(self, key: str, record: KeyRecord, ok: bool) -> None:
+    def _write_answer(self, key: str, record: KeyRecord) -> None:
+        write = self.key_writes.request([key])
+        self.context.write(write.puts, KeyAnswerSaved(key, record, write.changes))
+
+    def _answer_saved(self, saved: KeyAnswerSaved, ok: bool) -> None:
         """Continue after the write of an answer; a failed write is retried while the record is kept."""
         if ok:
-            self._records_saved({key: record})
-        elif self.operation_keys.records.get(key) is record:
-            self.unsaved_records[key] = record
-            self._answer_retries.append(AnswerRetry(self.context.now + ANSWER_RETRY_S, key, record))
+            self.key_writes.confirm(saved.changes)
+        elif self.operation_keys.records.get(saved.key) is saved.record:
+            due_s = self.context.now + ANSWER_RETRY_S
+            self._answer_retries.append(AnswerRetry(due_s, saved.key, saved.record))
 
     def release_key(self, sender: Any, release: KeyRelease, now: float) -> list[Action]:
         """Release an operation key whose attempt was not executed and never will be.
 
-        The release is acknowledged once it is on disk. A repeated release is written again, because the first
-        write may have failed.
+        The release is acknowledged once no record of the attempt is on disk. A late or repeated release may
+        find the record of another attempt, which stays. The key is written again, because an earlier write
+        may have failed, unless a record is known to be on disk: it has replaced that of the attempt.
 
         :param sender: the link over which the release is acknowledged.
         :param now: current time, in seconds on the event loop's clock.
         """
         self.context.now = now
         key = release.key
-        if self.operation_keys.release(key, release.attempt_id):
-            self.unsaved_records.pop(key, None)
-        if self.operation_keys.was_released_by(key, release.attempt_id):
-            self.context.write([deletion_of(key)], KeyReleaseSaved(sender, release.number))
-        else:
+        self.operation_keys.release(key, release.attempt_id)
+        if self.key_writes.is_saved(key):
             self.context.actions.append(SendReply(sender, KeyReleaseAck(release.number)))
+        else:
+            write = self.key_writes.request([key])
+            self.context.write(write.puts, KeyReleaseSaved(sender, release.number, write.changes))
         return self._take_actions()
--- a/orchidferry/mesh/control/write_completions.py
+++ b/orchidferry/mesh/control/write_completions.py
@@ -66,6 +66,7 @@
     :param key: the operation key.
     :param holder: id of the attempt that claimed the key.
     :param record: the key's record that is written.
+    :param changes: number of the record's change that is written, by operation key.
     """
 
     reply_to: Any
@@ -74,6 +75,7 @@
     key: str
     holder: str
     record: KeyRecord
+    changes: dict[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,22 +84,26 @@
 
     :param key: the operation key.
     :param record: the key's record, with the answer.
+    :param changes: number of the record's change that is written, by operation key.
     """
 
     key: str
     record: KeyRecord
+    changes: dict[str, int]
 
 
 @dataclass(frozen=True, slots=True)
 class KeyReleaseSaved:
-    """A write of the release of an operation key.
+    """A write of an operation key's state after a release.
 
     :param reply_to: link over which the release came.
     :param number: number of the release.
+    :param changes: number of the change that is written if another attempt holds the key; else empty.
     """
 
     reply_to: Any
     number: int
+    changes: dict[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,12 +112,12 @@
 
     :param source: name of the replica that sent the page.
     :param request: the request that the page answers.
-    :param records: the records that are written, by operation key.
+    :param changes: number of the change of each record that is written, by operation key.
     """
 
     source: str
     request: PageRequest
-    records: dict[str, KeyRecord]
+    changes: dict[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,12 +126,12 @@
 
     :param reply_to: link over which the records came.
     :param number: number of the page of the handoff.
-    :param records: the records that are written, by operation key.
+    :param changes: number of the change of each record that is written, by operation key.
     """
 
     reply_to: Any
     number: int
-    records: dict[str, KeyRecord]
+    changes: dict[str, int]
 
 
 WriteCompletion = (
--- a/orchidferry/testkit/explore/controller.py
+++ b/orchidferry/testkit/explore/controller.py
@@ -25,7 +25,8 @@
 from orchidferry.mesh.control.peers import Peers
 from orchidferry.mesh.control.shard import AGE_BUCKET_RECORD, Shard, initial_records
 from orchidferry.mesh.control.shard_parameters import ShardParameters
-from orchidferry.mesh.storage.record_format import RecordWrite, unpack
+from orchidferry.mesh.storage.environment import KEYS_DB
+from orchidferry.mesh.storage.record_format import RecordWrite, pack, unpack
 from orchidferry.mesh.wire.messages import KeyAnswer, KeyClaim, KeyRelease
 from orchidferry.mesh.wire.shard_messages import ShardBody
 
@@ -133,8 +134,8 @@
         if age_bucket is not None:
             self.shard.load_age_bucket(unpack(age_bucket))
         for (name, key), value in self.disk.items():
-            if name == "slips":
-                self.shard.load_key(key.decode(), unpack(value))
+            if name == KEYS_DB:
+                self.shard.load_key(key.decode("latin-1"), unpack(value))
         rows = [(key, value) for (name, key), value in self.disk.items() if name == "about"]
         self.shard.load_orders(orders_of(self.number, rows))
 
@@ -169,6 +170,23 @@
         if write.completion is not None:
             self.execute(self.shard.write_finished(write.completion, written, self.world.now))
 
+    def held_keys(self) -> dict[str, bytes]:
+        """Return the records of operation keys in memory, in their stored form, by key."""
+        return {key: pack(record.packed()) for key, record in self.shard.operation_keys.records.items()}
+
+    def keys_after_restart(self) -> dict[str, bytes]:
+        """Return the records of operation keys that a restart would load once all writes are complete."""
+        stored = {key: value for (name, key), value in self.disk.items() if name == KEYS_DB}
+        for write in self.writes:
+            for name, key, value in write.puts:
+                if name != KEYS_DB:
+                    continue
+                if value is None:
+                    stored.pop(key, None)
+                else:
+                    stored[key] = value
+        return {key.decode("latin-1"): value for key, value in stored.items()}
+
     def tick(self) -> None:
         """Run the shard's due work."""
         self.execute(self.shard.tick(self.world.now))
--- a/orchidferry/testkit/explore/mesh.py
+++ b/orchidferry/testkit/explore/mesh.py
@@ -202,6 +202,12 @@
             sources = sorted(self.sources_heard[name])
             self.report_violation(f"abstains: {name} grants a key, but has only learned from {sources}")
 
+    def _check_properties(self) -> None:
+        super()._check_properties()
+        for name, controller in self.controllers.items():
+            if controller.alive and controller.held_keys() != controller.keys_after_restart():
+                self.report_violation(f"restart: {name} would load other operation keys than it holds")
+
     # Configuration clients
 
     def _client_dues_s(self) -> list[float]:
--- a/orchidferry/testkit/explore/mesh_breaks.py
+++ b/orchidferry/testkit/explore/mesh_breaks.py
@@ -14,11 +14,13 @@
 from orchidferry.balancing.register import Acceptor, AcceptorState, Value, Voter
 from orchidferry.mesh.control import owner_lease, quorum_read, shard_state
 from orchidferry.mesh.control.actions import Action, WriteRecords
+from orchidferry.mesh.control.key_writes import deletion_of
 from orchidferry.mesh.control.membership import Standing
 from orchidferry.mesh.control.operation_key_client import GrantCount
 from orchidferry.mesh.control.operation_keys import ClaimOutcome, OperationKeys
 from orchidferry.mesh.control.order_history import OrderHistory, Verdict
 from orchidferry.mesh.control.shard import Shard, initial_records
+from orchidferry.mesh.wire.messages import KeyRelease
 from orchidferry.testkit.explore.controller import Controller
 
 
@@ -142,8 +144,16 @@
     return _release(self, key, record.holder if record is not None else holder)
 
 
+def _deletes_when_released(self: Shard, sender: Any, release: KeyRelease, now: float) -> list[Action]:
+    was_released = self.operation_keys.was_released_by(release.key, release.attempt_id)
+    actions = _release_key(self, sender, release, now)
+    if was_released:
+        return [WriteRecords([deletion_of(release.key)], None), *actions]
+    return actions
+
+
 def _grants_before_write(self: Shard, *args: Any) -> list[Action]:
-    self.unsaved_records.clear()
+    self.key_writes.unsaved.clear()
     return _claim(self, *args)
 
 
@@ -158,6 +168,7 @@
 _join = Shard._ask_to_join
 _release = OperationKeys.release
 _claim = Shard.claim_key
+_release_key = Shard.release_key
 
 
 Patch = tuple[Any, str, Any]  # the owner of an attribute, the attribute's name, and its replacement
@@ -300,6 +311,13 @@
     "drops-any": deliberate_break(
         "any attempt may release a key", "broken-off", (OperationKeys, "release", _releases_any)
     ),
+    "deletes-any": deliberate_break(
+        "a release that comes again deletes the record of another attempt on disk",
+        "released-twice",
+        (Shard, "release_key", _deletes_when_released),
+        faults=1,
+        kinds="lose",
+    ),
     "at-its-word": deliberate_break(
         "a grant is sent before its record is written",
         "slow",
--- a/orchidferry/testkit/explore/mesh_fingerprint.py
+++ b/orchidferry/testkit/explore/mesh_fingerprint.py
@@ -25,9 +25,7 @@
 from orchidferry.mesh.control.record_age import RELEASED
 from orchidferry.mesh.control.write_completions import (
     ClaimSaved,
-    HandoffSaved,
     KeyAnswerSaved,
-    KeyPageSaved,
     VoteSaved,
 )
 from orchidferry.mesh.wire.shard_messages import KeyRow
@@ -44,6 +42,7 @@
 NOT_IN_FINGERPRINT = (
     "acceptor",
     "context",
+    "key_writes",
     "listener",
     "order_requests",
     "peers",
@@ -124,6 +123,7 @@
         controller.rng,
         acceptor_state,
         state,
+        sorted(shard.key_writes.unsaved),
         _identities(controller),
     ]
 
@@ -133,15 +133,13 @@
     shard = controller.shard
     records = shard.operation_keys.records
     acceptor_state = shard.register.acceptor.state
-    same = [shard.unsaved_records[key] is records.get(key) for key in shard.unsaved_records]
+    same: list[bool] = []
     for write in controller.writes:
         match write.completion:
             case VoteSaved(state=voted):
                 same.append(voted is acceptor_state)
             case ClaimSaved(record=record) | KeyAnswerSaved(record=record):
                 same.append(any(record is one for one in records.values()))
-            case HandoffSaved(records=written) | KeyPageSaved(records=written):
-                same += [record is records.get(key) for key, record in written.items()]
     return same
 
 
--- a/orchidferry/testkit/explore/mesh_scenes.py
+++ b/orchidferry/testkit/explore/mesh_scenes.py
@@ -125,6 +125,13 @@
         1.0,
         key_requests=(("m", 0.0, "drop"), ("m", 0.9, "done"), ("n", 0.9, "done")),
     ),
+    "released-twice": Scene(
+        "mesh-keys",
+        "a key is released without a run, another attempt claims it, and the release is sent again",
+        1.0,
+        key_requests=(("m", 0.0, "drop"), ("n", 0.5, "broke"), ("n", 1.8, "broke")),
+        min_duration_s=1.8,
+    ),
     "moved": Scene(
         "mesh-keys",
         "a voter is replaced, a key is claimed, the voter comes back, and the key is claimed again",
--- a/tests/mesh/control/test_key_releases.py
+++ b/tests/mesh/control/test_key_releases.py
@@ -130,6 +130,39 @@
     assert group.holders() == ["t2", "t2"] and group.claim("m", "t3") == ClaimOutcome.HELD_BY_OTHER
 
 
+@pytest.mark.parametrize("answer", [None, "answer"])
+def test_a_release_that_comes_again_keeps_the_record_of_another_attempt_on_disk(
+    group: Group, answer: str | None
+) -> None:
+    """Each copy of the release deleted the record on disk, so the operation ran twice after a restart."""
+    group.nodes["m"].release(KEY, "t1")
+    assert group.claim("n", "t2") == ClaimOutcome.GRANTED
+    if answer is not None:
+        group.nodes["n"].record_answer(KEY, "t2", answer)
+    for controller in group.controllers.values():
+        controller.release_key("m", 1, KEY, "t1")
+        while controller.writes:
+            controller.complete_write()
+        controller.start()
+    assert group.holders() == ["t2"] * 3 and group.claim("m", "t3") == ClaimOutcome.HELD_BY_OTHER
+
+
+def test_a_release_waits_until_the_record_that_it_frees_is_replaced_on_disk(group: Group) -> None:
+    """The deletion and the next claim's write both fail, so a restart would load the released record."""
+    assert group.claim("m", "t1") == ClaimOutcome.GRANTED
+    full = group.controllers["a"]
+    full.refuses_writes = True
+    group.nodes["m"].release(KEY, "t1")
+    assert group.claim("n", "t2") == ClaimOutcome.GRANTED  # by the two others
+    group.pass_s(RETRY_INTERVAL_S + 0.2)
+    assert len(group.nodes["m"].releases) == 1
+    full.refuses_writes = False
+    group.pass_s(RETRY_INTERVAL_S + 0.2)
+    assert not group.nodes["m"].releases
+    full.start()
+    assert group.holders() == ["t2"] * 3
+
+
 def test_a_claim_that_arrives_after_its_release_is_ignored(group: Group) -> None:
     """The claim was delayed in the buffers of an earlier link, or came with keys of another controller."""
     group.nodes["m"].release(KEY, "t1")
--- a/tests/mesh/control/test_repair.py
+++ b/tests/mesh/control/test_repair.py
@@ -100,7 +100,7 @@
     assert write.completion is not None
     assert acknowledgements(shard.write_finished(write.completion, True, 5.0)) == [1]
     if row[1][1] != RELEASED:
-        assert acknowledgements(hand_over(shard, row, 6.0)) == [1] and not shard.unsaved_records
+        assert acknowledgements(hand_over(shard, row, 6.0)) == [1] and not shard.key_writes.unsaved
 
 
 def test_a_handoff_of_a_key_whose_own_grant_is_not_on_disk_writes_the_grant() -> None:
@@ -113,7 +113,7 @@
     [again] = writes_of_key(hand_over(shard, (KEY, ("t1", AGE, None), False), 3.0))
     assert again.puts == write.puts  # its own grant stays as it is
     shard.tick(2.0 + shard.operation_keys.max_retention_s)
-    assert not shard.unsaved_records
+    assert not shard.key_writes.unsaved
 
 
 def test_a_page_of_a_transfer_is_written_again_after_a_write_that_failed() -> None:
@@ -130,4 +130,4 @@
         assert write.completion is not None
         shard.write_finished(write.completion, ok, now)
         assert shard.standing.sources.get("b", False) is ok
-    assert not shard.unsaved_records
+    assert not shard.key_writes.unsaved
