A record that LMDB can't store fails no other write of a controller

Cause, the first of two: the store took the refusal of one record for a failure of the disk. It failed the whole batch and paused, and the claim was sent again before the next batch.

Change: a write with a key of no or too many bytes is rejected before it is queued, alone, with one log line in 10 s. An error of LMDB that is due to a transaction's content (map full, transaction full, bad size) splits the batch, so that only the write at fault is reported as failed; before, only a full map did.

--- a/orchidferry/mesh/storage/store.py
+++ b/orchidferry/mesh/storage/store.py
@@ -2,7 +2,8 @@
 
 Writes are committed in groups (group commit), and each is acknowledged once its transaction is synced. The
 event loop never waits for the disk. A write that fails (the disk is full or broken) is reported as failed and
-changes nothing on disk; the process continues, and the caller may request the write again.
+changes nothing on disk; the process continues, and the caller may request the write again. A write with a
+record that can't be stored fails alone.
 """
 
 from __future__ import annotations
@@ -14,8 +15,10 @@
 from collections.abc import Callable
 
 import lmdb
+from loguru import logger
 
 from orchidferry.mesh.errors import StoreError
+from orchidferry.mesh.log_limit import LogLimit
 from orchidferry.mesh.storage.disk_health import MAX_WRITE_WAIT_S, DiskHealth
 from orchidferry.mesh.storage.environment import (
     CONTROLLER_DB,
@@ -46,6 +49,7 @@
 COMMIT_RETRY_S = 0.25  # pause after a failed commit
 PROBE_INTERVAL_S = 0.2  # how often the disk is probed while it is degraded and no write is queued
 MIN_CHECK_INTERVAL_S = 0.05  # shortest interval between two checks of the oldest pending write
+LOGGED_REJECTION_WINDOW_S = 10.0  # at most one rejected write is logged in this time
 CLOSE_TIMEOUT_S = 2.0  # time for completing pending writes when the store is closed
 # Fractions of the memory map's pages that are in use.
 NEW_KEYS_MAX_FILL = 0.8  # above this fraction the store accepts no new operation keys
@@ -73,6 +77,7 @@
         self._closing = False
         self._last_error = ""  # error text of the last failed commit or reopening
         self._health = DiskHealth(self._wake)
+        self._rejection_log_limit = LogLimit(1, LOGGED_REJECTION_WINDOW_S)
         self._timer: asyncio.TimerHandle | None = None  # for the next check of the oldest pending write
         self._dbs: Databases = {}
         self._used_pages = 0  # pages of the memory map in use, as of the last commit
@@ -101,6 +106,7 @@
             self._create()
         self._env = open_environment(self._directory, map_bytes=MAP_BYTES)
         self._page_bytes = int(self._env.stat()["psize"])
+        self._max_key_bytes = int(self._env.max_key_size())
         self._max_pages = MAP_BYTES // self._page_bytes
         self._dbs = {}
         for name in DATABASE_NAMES:
@@ -195,6 +201,9 @@
         :param on_written: called once, on the loop, with whether the records are on disk; None if the result
             is not needed
         """
+        unstorable = next((one for one in records if not 0 < len(one[1]) <= self._max_key_bytes), None)
+        if unstorable is not None:
+            return self._reject(unstorable, on_written)
         size = WRITE_OVERHEAD_BYTES + sum(len(key) + len(value or b"") for _, key, value in records)
         write = PendingWrite(records, on_written, self._loop.time(), size)
         with self._wake:
@@ -203,13 +212,30 @@
             if self._is_full(size):
                 if on_written is not None:
                     self._loop.call_soon(on_written, False)
-                return
+                return None
             self._queue.append(write)
             self._pending_bytes += size
             self._unawaited_deletes += write.is_unawaited_delete
             self._wake.notify()
         if self._timer is None:
             self._timer = self._loop.call_later(MAX_WRITE_WAIT_S, self._check_oldest_write)
+        return None
+
+    def _reject(self, record: RecordWrite, on_written: Callable[[bool], None] | None) -> None:
+        """Report a write as failed because of one of its records, which no disk could store.
+
+        The writes that are pending beside it and the health of the disk are not affected.
+        """
+        if self._rejection_log_limit.allows(self._loop.time()):
+            name, key, _ = record
+            logger.warning(
+                "store: write rejected, database={} key_bytes={} max_key_bytes={}",
+                name,
+                len(key),
+                self._max_key_bytes,
+            )
+        if on_written is not None:
+            self._loop.call_soon(on_written, False)
 
     def _is_full(self, size: int) -> bool:
         return len(self._queue) >= MAX_PENDING_WRITES or self._pending_bytes + size > MAX_PENDING_BYTES
--- a/orchidferry/mesh/storage/write_batch.py
+++ b/orchidferry/mesh/storage/write_batch.py
@@ -1,4 +1,4 @@
-"""Pending writes, and committing a batch of them in smaller transactions if the memory map is nearly full."""
+"""Pending writes, and committing a batch in smaller transactions if one transaction can't hold all of it."""
 
 from __future__ import annotations
 
@@ -9,7 +9,9 @@
 
 from orchidferry.mesh.storage.record_format import RecordWrite
 
-MAX_FAILED_COMMITS = 64  # transactions of one batch that may fail for lack of space in the memory map
+MAX_FAILED_COMMITS = 64  # transactions of one batch that may fail because of their content
+# Errors for which the content of a transaction is the cause: it is too large, or a record can't be stored.
+CONTENT_ERRORS = (lmdb.MapFullError, lmdb.TxnFullError, lmdb.BadValsizeError)
 
 
 @dataclass(slots=True)
@@ -34,10 +36,10 @@
 
 
 class SplittingCommitter:
-    """Commits one batch in one transaction or, if the memory map has too little space, in ever smaller parts.
+    """Commits one batch in one transaction or, if that fails because of its content, in ever smaller parts.
 
-    LMDB is copy-on-write: a transaction needs a free page for each page that it changes, even if it only
-    deletes.
+    A record that can't be stored fails no other write than its own. LMDB is copy-on-write: a transaction
+    needs a free page for each page that it changes, even if it only deletes.
     """
 
     def __init__(self, transact: Callable[[list[PendingWrite]], list[bool]]) -> None:
@@ -50,11 +52,11 @@
 
         :param writes: the writes to commit
         :returns: for each write whether it is on disk
-        :raises lmdb.Error: if a commit fails for another reason than lack of space in the map
+        :raises lmdb.Error: if a commit fails for another reason than its content
         """
         try:
             return self._transact(writes)
-        except lmdb.MapFullError:
+        except CONTENT_ERRORS:
             self._failures_left -= 1
         if self._failures_left <= 0 or not writes:
             return [False] * len(writes)
--- a/tests/mesh/storage/test_store.py
+++ b/tests/mesh/storage/test_store.py
@@ -16,6 +16,7 @@
 from orchidferry.mesh.storage import store as store_module
 from orchidferry.mesh.storage.record_format import RecordWrite
 from orchidferry.mesh.storage.store import Store
+from orchidferry.mesh.storage.write_batch import PendingWrite, SplittingCommitter
 from tests.mesh.storage.fakes import (
     FailingDisk,
     Loop,
@@ -146,6 +147,46 @@
     assert "keeps up again" in lines[1]
 
 
+@pytest.mark.parametrize("key", [b"", b"k" * 512, b"k" * 16_000])
+def test_a_record_that_no_disk_can_store_fails_alone(tmp_path: Path, key: bytes) -> None:
+    """Its error counted as one of the disk: all writes of its batch failed, and the store paused."""
+
+    async def main() -> None:
+        store = Store(str(tmp_path), asyncio.get_running_loop())
+        disk: Any = FailingDisk(store._env)
+        store._env = disk
+        disk.may_commit.clear()
+        results: list[tuple[str, bool]] = []
+        for name in ("before", "unstorable", "after"):
+            written: list[RecordWrite] = [
+                ("slips", name.encode(), b"1"),
+                ("slips", key if name == "unstorable" else b"k", b"1"),
+            ]
+            store.write(written, lambda ok, name=name: results.append((name, ok)))  # type: ignore[misc]
+        disk.may_commit.set()
+        assert await write(store, [("slips", b"last", b"1")])
+        assert sorted(results) == [("after", True), ("before", True), ("unstorable", False)]
+        assert {key for key, _ in store.read_all("slips")} == {b"after", b"before", b"k", b"last"}
+        assert not store.is_degraded and not store.failing_since_s
+        close(store)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("position", [0, 3, 6])
+def test_an_error_of_one_write_is_reported_for_that_write_only(position: int) -> None:
+    bad = PendingWrite([("slips", b"bad", b"1")], None, 0.0, 0)
+    good = [PendingWrite([("slips", b"%d" % n, b"1")], None, 0.0, 0) for n in range(6)]
+
+    def transact(writes: list[PendingWrite]) -> list[bool]:
+        if bad in writes:
+            raise lmdb.BadValsizeError("refused")
+        return [True] * len(writes)
+
+    results = SplittingCommitter(transact).commit([*good[:position], bad, *good[position:]])
+    assert results == [n != position for n in range(7)]
+
+
 def test_a_slow_disk_is_not_degraded(store_on_failing_disk: Any) -> None:
     loop, store, disk = store_on_failing_disk
     for n in range(60):
