Operation keys longer than a record's key are named by their digest; empty ones get 400

Cause: the operation key was the key of its record, and nothing compared its length with LMDB's limit of 511 bytes.

Proxies claim, release and settle by that name. Empty keys are refused at the proxy. Controllers answer claims of names that can't be stored (from proxies of earlier builds) as undecided without a write, and skip such rows of pages: no controller can have granted them.

--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -18,6 +18,7 @@
 from orchidferry.balancing.register import AcceptorState, Value
 from orchidferry.mesh.control import key_transfer, shard_state_codec
 from orchidferry.mesh.control.hinted_handoff import Hints
+from orchidferry.mesh.control.key_names import is_storable
 from orchidferry.mesh.control.key_transfer import (
     NO_CURSOR,
     KeyLearner,
@@ -262,7 +263,8 @@
         """Merge key records of another controller.
 
         Where a row changes nothing, but this controller's record is not on disk yet, the record is written
-        again: the write of an earlier copy of the row may have failed.
+        again: the write of an earlier copy of the row may have failed. Rows of keys that no controller can
+        have granted are skipped.
 
         :param only_additions: whether records that this controller has granted itself stay as they are.
         :returns: the write that is needed before the rows count as stored.
@@ -270,6 +272,8 @@
         keys = self.operation_keys
         unsaved: dict[str, None] = {}  # in the order of the rows
         for key, (holder, packed_age, answer), answered in rows:
+            if not is_storable(key):
+                continue
             existing = keys.records.get(key)
             if packed_age == RELEASED:
                 keys.release(key, holder)
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -13,6 +13,7 @@
 
 from orchidferry.balancing.register import AcceptorState
 from orchidferry.mesh.control.actions import Action, SendReply
+from orchidferry.mesh.control.key_names import is_storable
 from orchidferry.mesh.control.operation_keys import ClaimOutcome, ClaimStatus, KeyRecord
 from orchidferry.mesh.control.peers import Peers
 from orchidferry.mesh.control.repair import RepairingReplica, initial_records
@@ -186,7 +187,8 @@
         """
         self._advance(now)
         key = claim.key
-        if not self.grants(claim.epoch) or (not has_capacity and key not in self.operation_keys.records):
+        has_space = has_capacity or key in self.operation_keys.records
+        if not (is_storable(key) and has_space and self.grants(claim.epoch)):
             return self._answer_claim(sender, claim, ClaimOutcome.RETRY)
         result = self.operation_keys.claim(key, claim.attempt_id)
         record = result.record
@@ -229,6 +231,8 @@
         :param now: current time, in seconds on the event loop's clock.
         """
         self._advance(now)
+        if not is_storable(message.key):
+            return self._take_actions()
         record = self.operation_keys.record_answer(message.key, message.attempt_id, message.answer)
         if record is not None:
             self.hints.record_write(message.key, now)
@@ -259,10 +263,11 @@
         """
         self.context.now = now
         key = release.key
-        self.operation_keys.release(key, release.attempt_id)
-        if self.key_writes.is_saved(key):
-            self.context.actions.append(SendReply(sender, KeyReleaseAck(release.number)))
-        else:
+        if is_storable(key):
+            self.operation_keys.release(key, release.attempt_id)
+        if is_storable(key) and not self.key_writes.is_saved(key):
             write = self.key_writes.request([key])
             self.context.write(write.puts, KeyReleaseSaved(sender, release.number, write.changes))
+        else:
+            self.context.actions.append(SendReply(sender, KeyReleaseAck(release.number)))
         return self._take_actions()
--- a/orchidferry/mesh/dataplane/keyed_requests.py
+++ b/orchidferry/mesh/dataplane/keyed_requests.py
@@ -11,6 +11,7 @@
 
 from orchidferry.mesh.control.configuration import Route
 from orchidferry.mesh.control.control_client import ControlClient
+from orchidferry.mesh.control.key_names import key_name
 from orchidferry.mesh.control.operation_keys import ClaimOutcome
 from orchidferry.mesh.dataplane.messages import ProxiedRequest, ServerResponse, refusal_reply, stored_answer
 from orchidferry.mesh.dataplane.pending_request import PendingRequest
@@ -59,10 +60,13 @@
         :param answer: called with the reply, unless the caller has disconnected.
         """
         assert message.key is not None
-        key = message.key.decode("latin-1")
+        pending = PendingClaim()
+        if not message.key:
+            answer(refusal_reply(message, Rejection(RejectionReason.MALFORMED, "Operation-Key is empty")))
+            return pending
+        key = key_name(message.key)
         holder = message.id
         claims = self._control_client.claims
-        pending = PendingClaim()
 
         def ended(response: ServerResponse | None, may_have_run: bool) -> None:
             stored = stored_answer(response)
@@ -92,8 +96,8 @@
     def store_orphaned(self, message: ProxiedRequest, response: ServerResponse) -> None:
         """Store the response to a request whose sending node has disconnected, for repeats of its key."""
         stored = stored_answer(response)
-        if message.key is not None and stored is not None:
-            self._control_client.claims.record_answer(message.key.decode("latin-1"), message.id, stored)
+        if message.key and stored is not None:
+            self._control_client.claims.record_answer(key_name(message.key), message.id, stored)
 
 
 def _repeat_reply(message: ProxiedRequest, stored: Any) -> Reply:
--- a/tests/mesh/dataplane/test_keyed_requests.py
+++ b/tests/mesh/dataplane/test_keyed_requests.py
@@ -32,9 +32,11 @@
     def __init__(self) -> None:
         self.claims = self
         self.callbacks: list[Callable[[str, Any], None]] = []
+        self.claimed: list[str] = []
         self.calls: list[tuple[Any, ...]] = []
 
     def claim(self, key: str, holder: str, for_s: float, callback: Callable[[str, Any], None]) -> None:
+        self.claimed.append(key)
         self.callbacks.append(callback)
 
     def record_answer(self, key: str, holder: str, answer: Any) -> None:
@@ -60,9 +62,9 @@
         self.keyed_requests = KeyedRequests(control_client)
         self.replies: dict[str, Reply] = {}
 
-    def ask(self, id: str) -> Any:
+    def ask(self, id: str, key: bytes = b"k") -> Any:
         message = proxied_request(id)
-        message.key = b"k"
+        message.key = key
 
         def answer(reply: Reply) -> None:
             assert id not in self.replies
@@ -177,3 +179,29 @@
         and not harness.connections.sent
         and not harness.replies
     )
+
+
+def test_an_empty_key_is_refused_at_once(harness: Harness) -> None:
+    """Its claim could never be stored: the request waited a second, and the controllers' disks degraded."""
+    harness.ask("a", b"")
+    assert harness.replies["a"].status == 400 and not harness.control_client.claimed
+    assert not harness.connections.sent
+
+
+def test_a_key_that_is_too_long_for_a_record_is_claimed_and_settled_by_its_digest(harness: Harness) -> None:
+    keys = [b"k" * 600, b"k" * 16_000, b"k" * 599 + b"x"]
+    for number, key in enumerate(keys):
+        harness.ask(f"a{number}", key)
+        harness.ask(f"b{number}", key)
+    claimed = harness.control_client.claimed
+    assert claimed[::2] == claimed[1::2] and len(set(claimed)) == len(keys)
+    assert max(map(len, claimed)) < 100
+    harness.control_client.callbacks[0](ClaimOutcome.GRANTED, None)
+    attempt = harness.connections.sent[-1]
+    attempt.on_sent()
+    attempt.end(Result.SERVED, server_response(200, b"a0"))
+    message = proxied_request("a1")
+    message.key = keys[1]
+    harness.keyed_requests.store_orphaned(message, server_response(200, b"a1"))
+    settled = [(kind, key, holder) for kind, key, holder, *_ in harness.control_client.calls]
+    assert settled == [("record_answer", claimed[0], "a0"), ("record_answer", claimed[2], "a1")]
