Numbers of handed-over pages do not come again within a process

Cause: the number of a page of hints began at 1 with each silence of a controller. A page that is sent twice is acknowledged twice; the second acknowledgement could count for a page of a later silence, whose hints were dropped though nobody had stored them. That controller then lacked these records, which a majority still had.

Change: pages are numbered through the life of the process.

--- a/orchidferry/mesh/control/hinted_handoff.py
+++ b/orchidferry/mesh/control/hinted_handoff.py
@@ -25,7 +25,7 @@
 class HintPage:
     """Keys whose records must be sent to a controller that has returned.
 
-    :param number: number of the page, which its acknowledgement names.
+    :param number: number of the page, unique in this process; its acknowledgement names it.
     :param keys: the keys of the page.
     """
 
@@ -57,10 +57,13 @@
 
     :param recent: the recently written keys with the time of each write, oldest first.
     :param kept: the hints for each controller, by name.
+    :param last_page_number: number of the newest page for any controller. Numbers don't come again, as the
+        acknowledgement of a page that was sent twice may arrive when another page is awaited.
     """
 
     recent: deque[tuple[float, str]] = field(default_factory=deque)
     kept: dict[str, _PeerHints] = field(default_factory=dict)
+    last_page_number: int = 0
 
     def record_write(self, key: str, now: float) -> None:
         """Record that a key was claimed or answered at this controller."""
@@ -102,7 +105,8 @@
         if not hints.page:
             first_keys = [key for key, _ in zip(hints.keys, range(max_keys), strict=False)]
             hints.page = first_keys[: fitting(first_keys)]
-            hints.page_number += 1
+            self.last_page_number += 1
+            hints.page_number = self.last_page_number
         if not hints.page:
             del self.kept[controller]
             return None
