A controller deletes a void record of having caught up before it asks to join a group

Cause: a controller that finished learning keys just as the group changed put on its disk that it has caught up, found that void, and deleted it without waiting for the result. If the disk refused the deletion (a full disk), the controller went on to join the next group; a restart then loaded that it had caught up, and it would have granted keys that others had granted without it. Found by reading, as another case of a disk that says other than memory; no run of callers showed it.

Change: the deletion is requested again until it is on disk, and the controller does not ask to join before.

--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -33,7 +33,12 @@
 from orchidferry.mesh.control.record_age import RELEASED
 from orchidferry.mesh.control.replica import Replica
 from orchidferry.mesh.control.shard_parameters import ShardParameters
-from orchidferry.mesh.control.write_completions import CaughtUpSaved, HandoffSaved, KeyPageSaved
+from orchidferry.mesh.control.write_completions import (
+    CaughtUpSaved,
+    HandoffSaved,
+    KeyPageSaved,
+    VoidRecordDeleted,
+)
 from orchidferry.mesh.storage.record_format import RecordWrite, pack
 from orchidferry.mesh.wire.shard_messages import (
     Handoff,
@@ -82,6 +87,8 @@
         self.source = KeySource()
         self.learner = KeyLearner()
         self._saving_caught_up = False  # whether the record of having caught up is being written
+        # Whether the record of having caught up is on disk, but the group had changed before it was.
+        self._has_void_record = False
 
     @property
     def ready(self) -> bool:
@@ -245,7 +252,8 @@
     def _caught_up_saved(self, caught_up_epoch: int, ok: bool) -> None:
         """Continue after the write of the record that this controller has caught up.
 
-        If the group has changed since, the record is void and deleted again.
+        If the group has changed since, the record is void. A restart would load it, so this controller does
+        not ask to join a group before the record is deleted.
 
         :param caught_up_epoch: the epoch in which this controller has caught up.
         :param ok: whether the record is on disk.
@@ -254,11 +262,22 @@
         if not ok:
             return None  # `_check_caught_up` is called again periodically
         if caught_up_epoch != epoch(self.known) or self.voter not in self.known.voters:
-            return self.context.write([self.context.metadata("caught", None)])
+            self._has_void_record = True
+            return self._delete_void_record()
+        self._has_void_record = False
         self.standing.caught_up = True
         self.context.log(f"caught up with {len(self.operation_keys.records)} keys")
         return None
 
+    def _delete_void_record(self) -> None:
+        """Delete a void record of having caught up, unless a new one is being written in its place."""
+        if self._has_void_record and not self._saving_caught_up:
+            self.context.write([self.context.metadata("caught", None)], VoidRecordDeleted())
+
+    def _ask_to_join(self) -> None:
+        if not self._has_void_record:
+            super()._ask_to_join()
+
     def _merge_rows(self, rows: list[KeyRow], only_additions: bool = False) -> KeyWrite:
         """Merge key records of another controller.
 
--- a/orchidferry/mesh/control/shard.py
+++ b/orchidferry/mesh/control/shard.py
@@ -25,6 +25,7 @@
     KeyAnswerSaved,
     KeyPageSaved,
     KeyReleaseSaved,
+    VoidRecordDeleted,
     WriteCompletion,
 )
 from orchidferry.mesh.storage.record_format import pack
@@ -109,6 +110,7 @@
         self._answer_retries = [retry for retry in self._answer_retries if retry.due_s > now]
         if self._pass_time(now):
             self._update_hints()
+            self._delete_void_record()
             self._check_caught_up()
         self._request_pages(now)
         return self._take_actions()
@@ -166,6 +168,8 @@
                 self.context.actions.append(SendReply(reply_to, KeyReleaseAck(number)))
             case CaughtUpSaved(epoch):
                 self._caught_up_saved(epoch, ok)
+            case VoidRecordDeleted():
+                self._has_void_record = self._has_void_record and not ok
             case _:
                 self._replica_written(completion, ok)
         return self._take_actions()
--- a/orchidferry/mesh/control/write_completions.py
+++ b/orchidferry/mesh/control/write_completions.py
@@ -56,6 +56,11 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class VoidRecordDeleted:
+    """A deletion of the record of having caught up, as the group had changed before it was on disk."""
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimSaved:
     """A write of the claim of an operation key.
@@ -139,6 +144,7 @@
     | OrdersSaved
     | RemovalSaved
     | CaughtUpSaved
+    | VoidRecordDeleted
     | ClaimSaved
     | KeyAnswerSaved
     | KeyReleaseSaved
--- a/tests/mesh/control/test_repair.py
+++ b/tests/mesh/control/test_repair.py
@@ -14,7 +14,14 @@
 from orchidferry.mesh.control.write_completions import CaughtUpSaved
 from orchidferry.mesh.storage.environment import KEYS_DB
 from orchidferry.mesh.wire.messages import KeyClaim, ShardMessage
-from orchidferry.mesh.wire.shard_messages import Handoff, HandoffAck, KeyPage, KeyPageRequest, KeyRow
+from orchidferry.mesh.wire.shard_messages import (
+    Handoff,
+    HandoffAck,
+    JoinRequest,
+    KeyPage,
+    KeyPageRequest,
+    KeyRow,
+)
 from tests.mesh.control.shards import A, B, C, D, accept_known_state, learn_state, make_shard
 
 
@@ -39,6 +46,35 @@
     assert shard.standing.caught_up
 
 
+def test_a_void_record_of_having_caught_up_is_deleted_before_the_controller_asks_to_join() -> None:
+    """The disk refused the deletion, the group granted keys without this controller and admitted it again.
+
+    After a restart it would have taken itself for caught up and granted these keys once more.
+    """
+    shard = make_shard("a", caught_up=False)
+    learn_state(shard, Value(2, (B, C, D), shard_state.Body(4)))
+    actions = shard.write_finished(CaughtUpSaved(3), True, 2.0)
+    for now in (3.0, 4.0, 5.0):
+        [deletion] = [action for action in actions if isinstance(action, WriteRecords)]
+        assert deletion.puts == [("about", b"caught/1", None)] and deletion.completion is not None
+        assert not shard.write_finished(deletion.completion, False, now)
+        shard.peers.heard_s |= dict.fromkeys("bcd", now)
+        actions = shard.tick(now)
+        assert not [action for action in actions if isinstance(action, SendMessage) and is_join(action)]
+    [deletion] = [action for action in actions if isinstance(action, WriteRecords)]
+    assert deletion.completion is not None
+    shard.write_finished(deletion.completion, True, 5.5)
+    shard.peers.heard_s |= dict.fromkeys("bcd", 6.0)
+    actions = shard.tick(6.0)
+    assert [action for action in actions if isinstance(action, SendMessage) and is_join(action)]
+    assert not [action for action in actions if isinstance(action, WriteRecords)]
+
+
+def is_join(action: SendMessage) -> bool:
+    """Return whether an action sends a request to join the group."""
+    return isinstance(action.message, ShardMessage) and isinstance(action.message.body, JoinRequest)
+
+
 def test_a_stopping_controller_stays_while_others_can_replace_it_or_lack_its_keys() -> None:
     shard = make_shard("a")
     shard.peers.stopping = True
