--- a/orchidferry/testkit/mesh/clients.py
+++ b/orchidferry/testkit/mesh/clients.py
@@ -35,6 +35,12 @@
 RETRY_AFTER_SHARE = 1.0 / 3.0
 """The longest pause that Retry-After can cause, as a fraction of the time until the request's deadline."""
 
+LONG_KEY_SHARE = 0.2
+"""The fraction of operation keys that have one of `LONG_KEY_BYTES`; the others are short."""
+
+LONG_KEY_BYTES = (511, 512, 600, 4_000, 12_000)
+"""Lengths of long operation keys; a store's own limit lies between the first two."""
+
 REPEAT_SHARE = 0.2
 """The fraction of keyed requests that are sent again after they have succeeded."""
 
@@ -119,6 +125,18 @@
     return [Arrival(t, number, kind) for number, (t, kind) in enumerate(found)]
 
 
+def operation_key(seed: int, root: str) -> str:
+    """Return the operation key of a request, mostly a short one.
+
+    :param root: identifies the request in the record
+    """
+    key = f"k-{seeded_random.integer(seed, 'key', root):016x}"
+    if seeded_random.uniform(seed, "long key", root) >= LONG_KEY_SHARE:
+        return key
+    [length] = seeded_random.sample(LONG_KEY_BYTES, 1, seed, "key length", root)
+    return key.rjust(length, "k")
+
+
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
     """The properties that all attempts of one request have in common."""
@@ -186,7 +204,7 @@
         seed = self._context.seed
         kind = arrival.kind
         root = f"r{arrival.number}"
-        key = f"k-{seeded_random.integer(seed, 'key', root):016x}" if kind.route_type == "keyed" else ""
+        key = operation_key(seed, root) if kind.route_type == "keyed" else ""
         deadline_s = kind.deadline_ms / 1000.0
         self.counts["asked"] += 1
         request = ClientRequest(kind, root, root, key, due, due + deadline_s, True)
--- a/orchidferry/testkit/mesh/sessions.py
+++ b/orchidferry/testkit/mesh/sessions.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from orchidferry.testkit import seeded_random
-from orchidferry.testkit.mesh.clients import ClientRequest, Clients
+from orchidferry.testkit.mesh.clients import ClientRequest, Clients, operation_key
 from orchidferry.testkit.mesh.context import RunContext
 from orchidferry.testkit.mesh.day import KINDS, Machine
 from orchidferry.testkit.wire import Pool
@@ -77,7 +77,7 @@
         """Send a request without retries; returns `Outcome.how`."""
         kind = DOWNLOAD if rng.random() < DOWNLOAD_SHARE else rng.choice(OTHERS)
         now = self._context.now()
-        key = f"k-{root}" if kind.route_type == "keyed" else ""
+        key = operation_key(self._context.seed, root) if kind.route_type == "keyed" else ""
         request = ClientRequest(kind, root, root, key, now, now + kind.deadline_ms / 1000.0, False)
         body = b"" if kind.repeatable else self._clients.body(root)
         sent = self._clients.attempt(request, 0, machine, body)
