One function of the rehearsals chooses a running proxy

The choice of a sidecar by the seed, and the check that its proxy runs, stood three times in the actions of mesh-series and of the planned restarts.

--- a/orchidferry/testkit/mesh/actions/rolling.py
+++ b/orchidferry/testkit/mesh/actions/rolling.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from orchidferry.testkit import seeded_random
-from orchidferry.testkit.mesh.actions.targets import Action, live_sidecars, random_index
+from orchidferry.testkit.mesh.actions.targets import Action, running_proxy
 from orchidferry.testkit.mesh.day import ScheduledAction
 from orchidferry.testkit.mesh.environment import Environment
 
@@ -21,9 +21,8 @@
 
     :returns: the name of the machine; empty if nothing was done
     """
-    machines = live_sidecars(env)
-    node = env.nodes[machines[random_index(env, scheduled, len(machines))].name]
-    if node.stopping or node.paused or node.pid is None:
+    node = running_proxy(env, scheduled)
+    if node is None:
         return ""
     await node.stop()
     await node.start()
--- a/orchidferry/testkit/mesh/actions/series.py
+++ b/orchidferry/testkit/mesh/actions/series.py
@@ -13,39 +13,32 @@
     controllers_to_lose,
     live_sidecars,
     random_index,
+    random_sidecar,
+    running_proxy,
     target_controller,
 )
 from orchidferry.testkit.mesh.day import ScheduledAction
 from orchidferry.testkit.mesh.environment import Environment
-from orchidferry.testkit.mesh.processes import Node
 from orchidferry.testkit.mesh.relay import LinkCondition
 from orchidferry.testkit.mesh.series_schedule import DOWN_AFTER_FULL_DISK_S
 
 
-def _running_proxy(env: Environment, scheduled: ScheduledAction) -> Node | None:
-    """A proxy chosen by the seed; None if it is being restarted or is paused."""
-    machines = live_sidecars(env)
-    node = env.nodes[machines[random_index(env, scheduled, len(machines))].name]
-    return None if node.stopping or node.paused or node.pid is None else node
-
-
 async def _kill_proxy(env: Environment, scheduled: ScheduledAction) -> str:
     """Kill a proxy, and start it again."""
-    node = _running_proxy(env, scheduled)
+    node = running_proxy(env, scheduled)
     return "" if node is None else await kill_and_restart([node], scheduled.for_s)
 
 
 async def _pause_proxy(env: Environment, scheduled: ScheduledAction) -> str:
     """Suspend a proxy, and resume it."""
-    node = _running_proxy(env, scheduled)
+    node = running_proxy(env, scheduled)
     return "" if node is None else await pause_and_resume([node], scheduled.for_s)
 
 
 async def _slow_proxy(env: Environment, scheduled: ScheduledAction) -> str:
     """Delay data on all links of a proxy in both directions."""
-    machines = live_sidecars(env)
-    machine = machines[random_index(env, scheduled, len(machines))]
-    others = [one for one in (*env.cores, *machines) if one.name != machine.name]
+    machine = random_sidecar(env, scheduled)
+    others = [one for one in (*env.cores, *live_sidecars(env)) if one.name != machine.name]
     time = f"{scheduled.at:.4f}"
     delay_s = seeded_random.uniform(env.seed, "proxy delay", time, low=MIN_DELAY_S, high=MAX_DELAY_S)
     links = both_ways([(machine.name, other.name) for other in others])
--- a/orchidferry/testkit/mesh/actions/targets.py
+++ b/orchidferry/testkit/mesh/actions/targets.py
@@ -26,6 +26,18 @@
     return [machine for machine in env.sidecars if machine.name not in env.platform.removed]
 
 
+def random_sidecar(env: Environment, scheduled: ScheduledAction) -> Machine:
+    """A sidecar machine chosen by the seed."""
+    machines = live_sidecars(env)
+    return machines[random_index(env, scheduled, len(machines))]
+
+
+def running_proxy(env: Environment, scheduled: ScheduledAction) -> Node | None:
+    """A proxy chosen by the seed; None if it is being restarted or is paused."""
+    node = env.nodes[random_sidecar(env, scheduled).name]
+    return None if node.stopping or node.paused or node.pid is None else node
+
+
 def target_machine(env: Environment, scheduled: ScheduledAction) -> Machine:
     """The machine that the schedule names, or one chosen by the seed (a controller in 3 of 4 cases)."""
     if scheduled.target:
