A record whose window is over gives way to the row of a later operation with its key

Cause: a controller ignored rows of a later claim of a key while it had an old answer to the key, and a handoff left any record that it had. The row counted as stored, so the controller lacked the claim until the old record expired; one that had come back to the group with such a record counted as caught up without it.

Change: a record of another holder that is past its window by an age bucket (20 s) gives way to a row that is inside its window, in transfers and handoffs. Ages are never overestimated, so its window is over for sure.

--- a/orchidferry/mesh/control/operation_keys.py
+++ b/orchidferry/mesh/control/operation_keys.py
@@ -174,8 +174,8 @@
     def merge(self, key: str, packed: list[Any]) -> None:
         """Merge a record of another controller.
 
-        A known answer is never overwritten, and a claim that was released here is not restored by a
-        controller that does not know of the release.
+        A known answer is not overwritten within its window, and a claim that was released here is not
+        restored by a controller that does not know of the release.
 
         :param packed: holder, packed age (`packed_age`) and answer of the record
         """
@@ -185,7 +185,7 @@
         age_s = unpack_age(packed_age)
         created_s = self.clock.reading_s - age_s
         existing = self.records.get(key)
-        if existing is None:
+        if existing is None or self.is_outdated(key, holder, packed_age):
             if age_s < self.max_received_age_s:
                 self._create(key, holder, answer, created_s)
             return
@@ -199,6 +199,20 @@
         latest_s = max(created_s, existing.created_s)
         self._create(key, holder, answer, min(latest_s, self.clock.reading_s))
 
+    def is_outdated(self, key: str, holder: str, packed_age: int) -> bool:
+        """Return whether a record of another controller is of a later operation with the same key.
+
+        The window of this controller's record is over, and that of the other one is not.
+
+        :param holder: holder of the other record
+        :param packed_age: its packed age
+        """
+        existing = self.records.get(key)
+        if existing is None or existing.holder == holder:
+            return False
+        existing_age_s = self.clock.reading_s - existing.created_s
+        return existing_age_s >= self.max_received_age_s and unpack_age(packed_age) < self.window_s
+
     def packed_age(self, record: KeyRecord) -> int:
         """Return the age of a record in the form in which it is sent to other controllers."""
         return pack_age(max(0.0, self.clock.reading_s - record.created_s))
--- a/orchidferry/mesh/control/repair.py
+++ b/orchidferry/mesh/control/repair.py
@@ -285,7 +285,8 @@
         again: the write of an earlier copy of the row may have failed. Rows of keys that no controller can
         have granted are skipped.
 
-        :param only_additions: whether records that this controller has granted itself stay as they are.
+        :param only_additions: whether records that this controller has granted itself stay as they are while
+            their window lasts.
         :returns: the write that is needed before the rows count as stored.
         """
         keys = self.operation_keys
@@ -294,9 +295,10 @@
             if not is_storable(key):
                 continue
             existing = keys.records.get(key)
+            is_addition = existing is None or keys.is_outdated(key, holder, packed_age)
             if packed_age == RELEASED:
                 keys.release(key, holder)
-            elif existing is None or answered or not only_additions:
+            elif is_addition or answered or not only_additions:
                 keys.merge(key, [holder, packed_age, answer])
             is_unchanged = keys.records.get(key) is existing
             deletes_nothing = existing is None and packed_age != RELEASED
--- a/tests/mesh/control/test_record_age.py
+++ b/tests/mesh/control/test_record_age.py
@@ -8,7 +8,7 @@
 
 from orchidferry.mesh.control.key_transfer import collect_rows
 from orchidferry.mesh.control.operation_keys import OperationKeys, max_retention_s
-from orchidferry.mesh.control.record_age import AGE_BUCKET_S
+from orchidferry.mesh.control.record_age import AGE_BUCKET_S, pack_age
 
 WINDOW_S = 60.0
 KEYS = ("x", "y", "z", "w")
@@ -134,6 +134,26 @@
     group.pass_s(WINDOW_S)
 
 
+@pytest.mark.parametrize("answer", [None, "answer to t2"])
+@pytest.mark.parametrize("received_age_s", [0.0, 59.0, 61.0])
+@pytest.mark.parametrize("passed_s", [59.0, 79.0, 81.0])
+def test_a_record_whose_window_is_over_gives_way_to_that_of_a_later_operation(
+    passed_s: float, received_age_s: float, answer: str | None
+) -> None:
+    """A controller that came back with an old answer ignored the claim of a later operation with its key."""
+    keys = OperationKeys(WINDOW_S)
+    keys.expire(1.0)
+    keys.claim("k", "t1")
+    keys.record_answer("k", "t1", "answer to t1")
+    keys.expire(1.0 + passed_s)
+    keys.merge("k", ["t2", pack_age(received_age_s), answer])
+    replaced = passed_s > WINDOW_S + AGE_BUCKET_S and received_age_s < WINDOW_S
+    expected = ("t2", answer) if replaced else ("t1", "answer to t1")
+    record = keys.records["k"]
+    assert (record.holder, record.answer) == expected
+    assert keys.clock.reading_s - record.created_s == (received_age_s if replaced else passed_s)
+
+
 def walk(steps: list[tuple[str, str, str, str, float]], starts_s: tuple[float, ...]) -> None:
     group = Group(starts_s)
     for step, name, receiver, key, seconds in steps:
--- a/tests/mesh/control/test_repair.py
+++ b/tests/mesh/control/test_repair.py
@@ -152,6 +152,16 @@
     assert not shard.key_writes.unsaved
 
 
+def test_a_handoff_of_a_later_operation_replaces_a_record_whose_window_is_over() -> None:
+    """The page changed nothing and was acknowledged, though no record of the later claim was on disk."""
+    shard = make_shard("a")
+    accept_known_state(shard)
+    shard.claim_key("node", KeyClaim(1, epoch(shard.known), KEY, "t1"), True, 2.0)
+    [write] = writes_of_key(hand_over(shard, (KEY, ("t2", AGE, None), False), 90.0))
+    assert shard.operation_keys.records[KEY].holder == "t2" and write.completion is not None
+    assert acknowledgements(shard.write_finished(write.completion, True, 90.0)) == [1]
+
+
 def test_a_page_of_a_transfer_is_written_again_after_a_write_that_failed() -> None:
     """The page was asked for again, changed nothing, and the learner took itself for complete without it."""
     shard = make_shard("a", caught_up=False)
