Requests with an Attempt-Id of over 256 bytes are served

Found while looking at what else of a caller becomes a key or a name.

Cause: the listener's pattern had a length. Change: it has none, and controllers keep a long id as the holder of an operation key by its digest, as they keep long keys, so that a record stays short.

Before, test_a_request_arrives_unchanged[a long id] and test_a_long_attempt_id_is_kept_... failed; now they pass.

--- a/orchidferry/mesh/control/key_names.py
+++ b/orchidferry/mesh/control/key_names.py
@@ -1,4 +1,4 @@
-"""The names under which operation keys are claimed and stored. Performs no I/O.
+"""The names under which operation keys and their holders are claimed and stored. Performs no I/O.
 
 The `Operation-Key` of a request may be nearly as long as its head, but the key of a record on disk may not.
 So a long operation key is named by its digest, and any other by itself. The name of a digest begins with a
@@ -26,6 +26,14 @@
     return operation_key.decode("latin-1")
 
 
+def holder_name(attempt_id: str) -> str:
+    """Return the name of an attempt as the holder of operation keys, which is as short as that of a key.
+
+    :param attempt_id: the value of the `Attempt-Id` header.
+    """
+    return key_name(attempt_id.encode("latin-1"))
+
+
 def is_storable(name: str) -> bool:
     """Return whether a name from another process can be the key of a record on disk.
 
--- a/orchidferry/mesh/dataplane/keyed_requests.py
+++ b/orchidferry/mesh/dataplane/keyed_requests.py
@@ -11,7 +11,7 @@
 
 from orchidferry.mesh.control.configuration import Route
 from orchidferry.mesh.control.control_client import ControlClient
-from orchidferry.mesh.control.key_names import key_name
+from orchidferry.mesh.control.key_names import holder_name, key_name
 from orchidferry.mesh.control.operation_keys import ClaimOutcome
 from orchidferry.mesh.dataplane.messages import ProxiedRequest, ServerResponse, refusal_reply, stored_answer
 from orchidferry.mesh.dataplane.pending_request import PendingRequest
@@ -65,7 +65,7 @@
             answer(refusal_reply(message, Rejection(RejectionReason.MALFORMED, "Operation-Key is empty")))
             return pending
         key = key_name(message.key)
-        holder = message.id
+        holder = holder_name(message.id)
         claims = self._control_client.claims
 
         def ended(response: ServerResponse | None, may_have_run: bool) -> None:
@@ -97,7 +97,8 @@
         """Store the response to a request whose sending node has disconnected, for repeats of its key."""
         stored = stored_answer(response)
         if message.key and stored is not None:
-            self._control_client.claims.record_answer(key_name(message.key), message.id, stored)
+            claims = self._control_client.claims
+            claims.record_answer(key_name(message.key), holder_name(message.id), stored)
 
 
 def _repeat_reply(message: ProxiedRequest, stored: Any) -> Reply:
--- a/orchidferry/mesh/dataplane/listener.py
+++ b/orchidferry/mesh/dataplane/listener.py
@@ -57,7 +57,7 @@
         b"calling-service",
     )
 )
-ATTEMPT_ID = re.compile(rb"[\x21-\x7e]{1,256}")
+ATTEMPT_ID = re.compile(rb"[\x21-\x7e]+")
 # Added to the idle timeout: a request that a caller sends just before the timeout takes a while to arrive.
 IDLE_GRACE_S = 1.0
 MIN_HEADER_TIMEOUT_S = 1.0
--- a/tests/mesh/dataplane/test_keyed_requests.py
+++ b/tests/mesh/dataplane/test_keyed_requests.py
@@ -33,10 +33,12 @@
         self.claims = self
         self.callbacks: list[Callable[[str, Any], None]] = []
         self.claimed: list[str] = []
+        self.holders: list[str] = []
         self.calls: list[tuple[Any, ...]] = []
 
     def claim(self, key: str, holder: str, for_s: float, callback: Callable[[str, Any], None]) -> None:
         self.claimed.append(key)
+        self.holders.append(holder)
         self.callbacks.append(callback)
 
     def record_answer(self, key: str, holder: str, answer: Any) -> None:
@@ -205,3 +207,17 @@
     harness.keyed_requests.store_orphaned(message, server_response(200, b"a1"))
     settled = [(kind, key, holder) for kind, key, holder, *_ in harness.control_client.calls]
     assert settled == [("record_answer", claimed[0], "a0"), ("record_answer", claimed[2], "a1")]
+
+
+def test_a_long_attempt_id_is_kept_by_controllers_in_a_short_form(harness: Harness) -> None:
+    id = "i" * 12_000
+    harness.run(id).end(Result.SERVED, server_response(200, id.encode()))
+    [holder] = harness.control_client.holders
+    assert len(holder) < 100
+    [(call, _, settled_by, _)] = harness.control_client.calls
+    assert (call, settled_by) == ("record_answer", holder)
+    message = proxied_request(id)
+    message.key = b"k"
+    harness.keyed_requests.store_orphaned(message, server_response(200, id.encode()))
+    assert harness.control_client.calls[-1][2] == holder
+    assert header(harness.replies[id], b"Attempt-Id") == id.encode()
--- a/tests/mesh/dataplane/test_messages.py
+++ b/tests/mesh/dataplane/test_messages.py
@@ -76,6 +76,7 @@
     "plain": (b"GET /x/2f?q=%2F&r HTTP/1.1\r\n" + PLAIN, b""),
     "a body": (b"POST /x/ HTTP/1.1\r\n" + PLAIN + b"Content-Length: 5\r\n", b"a\x00b\r\n"),
     "chunks": (b"PUT /x/ HTTP/1.1\r\n" + PLAIN + b"Transfer-Encoding: chunked\r\n", b"a\x00b\r\n"),
+    "a long id": (b"GET /x/ HTTP/1.1\r\n" + PLAIN.replace(b"9c41", b"9c41" * 2_000), b""),
     "an empty body": (b"POST /x/ HTTP/1.1\r\n" + PLAIN + b"Content-Length: 0\r\n", b""),
 }
 
@@ -102,7 +103,7 @@
     )
     for header, values in {
         b"host": [b"Shop.example:80"],
-        b"attempt-id": [b"9c41"],
+        b"attempt-id": [b"9c41" * (2_000 if name == "a long id" else 1)],
         b"operation-key": [b"k-5512"],
         b"accept": [b"a", b"b"],
         b"kind": [b"\xff x"],
