--- a/tests/mesh/storage/test_store.py
+++ b/tests/mesh/storage/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import threading
 from collections.abc import Iterator
@@ -157,12 +158,16 @@
         store._env = disk
         disk.may_commit.clear()
         results: list[tuple[str, bool]] = []
+
+        def report(name: str, ok: bool) -> None:
+            results.append((name, ok))
+
         for name in ("before", "unstorable", "after"):
             written: list[RecordWrite] = [
                 ("slips", name.encode(), b"1"),
                 ("slips", key if name == "unstorable" else b"k", b"1"),
             ]
-            store.write(written, lambda ok, name=name: results.append((name, ok)))  # type: ignore[misc]
+            store.write(written, functools.partial(report, name))
         disk.may_commit.set()
         assert await write(store, [("slips", b"last", b"1")])
         assert sorted(results) == [("after", True), ("before", True), ("unstorable", False)]
